--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+export PYTHONPATH := $(CURDIR)/src
+export PYTHONHASHSEED := 0
+STAMP := $(VENV)/.installed
+
+.PHONY: help install demo test lint format fuzz clean
+
+help: ## List the targets.
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+install: $(STAMP) ## Make the virtual environment from the lock files.
+
+$(STAMP): requirements.lock requirements-dev.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: install ## Run the main job with embedded stand-ins and print what held.
+	$(BIN)/beryl-local demo
+
+test: install ## Run the tests.
+	$(BIN)/python -m pytest
+
+lint: install ## Check formatting, lint rules and types.
+	$(BIN)/black --check --quiet src testing
+	$(BIN)/ruff check --quiet src testing
+	$(BIN)/mypy
+
+format: install ## Rewrite the sources in the project's format.
+	$(BIN)/ruff check --fix --exit-zero --quiet src testing
+	$(BIN)/black --quiet src testing
+
+fuzz: install ## Run the stateful fuzz long (BERYL_FUZZ_SEED, _EXAMPLES, _STEPS).
+	$(BIN)/python -m beryljunction.bench.fuzz
+
+clean: ## Remove the virtual environment and caches.
+	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache
--- /dev/null
+++ b/src/beryljunction/tables/peers.py
@@ -0,0 +1,55 @@
+"""What a sidecar knows of the load of the other endpoints of its service."""
+
+from collections.abc import Iterator
+
+import attrs
+
+__all__ = ["PeerLoad", "PeerTable"]
+
+
+@attrs.define
+class PeerLoad:
+    """Load of one endpoint as its own sidecar reported it.
+
+    Attributes:
+        sequence: Grows with each report of one incarnation; an older row never replaces a newer.
+        heard_s: Monotonic time here when this row last got newer.
+    """
+
+    endpoint_id: str
+    incarnation: str
+    sequence: int
+    running: int
+    waiting: int
+    work_tokens: int
+    heard_s: float
+
+
+class PeerTable:
+    """Newest load row of each peer."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, PeerLoad] = {}
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __iter__(self) -> Iterator[PeerLoad]:
+        return iter(tuple(self._rows.values()))
+
+    def get(self, endpoint_id: str) -> PeerLoad | None:
+        """Return the newest row of an endpoint."""
+        return self._rows.get(endpoint_id)
+
+    def merge(self, row: PeerLoad) -> bool:
+        """Keep the row if it is newer than the one known; say whether it was."""
+        known = self._rows.get(row.endpoint_id)
+        same = known is not None and known.incarnation == row.incarnation
+        if known is not None and same and known.sequence >= row.sequence:
+            return False
+        self._rows[row.endpoint_id] = row
+        return True
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop an endpoint; unknown ids are ignored."""
+        self._rows.pop(endpoint_id, None)
--- /dev/null
+++ b/src/beryljunction/tables/requests.py
@@ -0,0 +1,94 @@
+"""Requests that a sidecar has admitted: waiting or running."""
+
+import enum
+from collections.abc import Iterator
+
+import attrs
+
+__all__ = ["RequestTable", "Work", "WorkState"]
+
+
+class WorkState(enum.StrEnum):
+    """Where a request stands at the sidecar."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+@attrs.define
+class Work:
+    """One request at the sidecar that it was offered to.
+
+    Attributes:
+        chat_key: 64-bit hash of client account and chat id; None for work without a chat.
+        prompt_tokens: Estimated tokens of the prompt.
+        output_tokens: Estimated tokens of the answer.
+        cached_tokens: Estimated tokens of the prompt that are cached at this endpoint.
+        arrived_s: Monotonic time of arrival.
+        deadline_s: Monotonic time after which a start is of no use to the caller.
+        warm: Whether the entry or a pointer says the prefix is cached here.
+        last_resort: Whether every other candidate has refused already.
+    """
+
+    request_id: str
+    account: str
+    arrived_s: float
+    deadline_s: float
+    chat_key: int | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cached_tokens: int = 0
+    priority: int = 0
+    idempotent: bool = True
+    warm: bool = False
+    last_resort: bool = False
+    state: WorkState = WorkState.WAITING
+    started_s: float | None = None
+
+    @property
+    def cost_tokens(self) -> int:
+        """Tokens the engine has to work for; at least one, so that every request counts."""
+        return max(1, self.prompt_tokens - self.cached_tokens + self.output_tokens)
+
+
+class RequestTable:
+    """Admitted requests by id, with the sums that the load bound needs kept up to date."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Work] = {}
+        self.running_count = 0
+        self.running_tokens = 0
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __iter__(self) -> Iterator[Work]:
+        return iter(tuple(self._rows.values()))
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of admitted requests that have not started."""
+        return len(self._rows) - self.running_count
+
+    def get(self, request_id: str) -> Work | None:
+        """Return the row, or None when the request is not known here."""
+        return self._rows.get(request_id)
+
+    def add(self, work: Work) -> None:
+        """Insert a waiting request."""
+        self._rows[work.request_id] = work
+
+    def start(self, work: Work, now_s: float) -> None:
+        """Mark a waiting request as running."""
+        work.state = WorkState.RUNNING
+        work.started_s = now_s
+        self.running_count += 1
+        self.running_tokens += work.cost_tokens
+
+    def remove(self, request_id: str) -> Work | None:
+        """Forget a request and return its row."""
+        work = self._rows.pop(request_id, None)
+        if work is not None and work.state is WorkState.RUNNING:
+            self.running_count -= 1
+            self.running_tokens -= work.cost_tokens
+        return work
--- /dev/null
+++ b/testing/test_placement.py
@@ -0,0 +1,58 @@
+import pytest
+
+from beryljunction.systems import PlacementQuery, PlacementSystem, chat_key_of
+from beryljunction.tables import Endpoint, EndpointState, EndpointTable
+
+
+def endpoint_table(count: int, service: str = "drafter") -> EndpointTable:
+    return EndpointTable(
+        Endpoint(f"{service}-{i}", service, f"zone-{i % 2}", f"127.0.0.1:{9000 + i}")
+        for i in range(count)
+    )
+
+
+class TestPlacement:
+    def test_losing_an_endpoint_moves_only_its_own_chats(self):
+        table = endpoint_table(9)
+        placement = PlacementSystem(table)
+        queries = [PlacementQuery("drafter", chat_key_of("a", str(i))) for i in range(500)]
+        before = [placement.candidates(query, 0.0)[0].endpoint_id for query in queries]
+
+        table.remove("drafter-4")
+
+        after = [placement.candidates(query, 0.0)[0].endpoint_id for query in queries]
+        moved = {b for b, a in zip(before, after, strict=True) if a != b}
+        assert moved == {"drafter-4"}
+
+    @pytest.mark.parametrize("weight", [0.5, 2.0, 3.0], ids=["half", "double", "triple"])
+    def test_share_of_chats_follows_the_weight(self, weight):
+        table = endpoint_table(4)
+        table.get("drafter-0").weight = weight
+        placement = PlacementSystem(table)
+
+        homes = [
+            placement.candidates(PlacementQuery("drafter", chat_key_of("a", str(i))), 0.0)[0]
+            for i in range(4000)
+        ]
+
+        share = sum(row.endpoint_id == "drafter-0" for row in homes) / len(homes)
+        assert share == pytest.approx(weight / (weight + 3), rel=0.1)
+
+    def test_leaving_endpoint_gets_no_new_work(self):
+        table = endpoint_table(3)
+        table.get("drafter-1").state = EndpointState.LEAVING
+
+        rows = PlacementSystem(table).candidates(PlacementQuery("drafter", 7), 0.0)
+
+        assert sorted(row.endpoint_id for row in rows) == ["drafter-0", "drafter-2"]
+
+    def test_suspect_is_tried_last_until_the_suspicion_ends(self):
+        table = endpoint_table(3)
+        placement = PlacementSystem(table)
+        query = PlacementQuery("drafter", 7)
+        home = placement.candidates(query, 0.0)[0]
+
+        home.suspect_until_s = 5.0
+
+        assert placement.candidates(query, 1.0)[-1] is home
+        assert placement.candidates(query, 6.0)[0] is home
