--- a/src/beryljunction/bench/__init__.py
+++ b/src/beryljunction/bench/__init__.py
@@ -1,1 +1,1 @@
-"""TODO."""
+"""Measurements of policy, relay and cost."""
--- /dev/null
+++ b/src/beryljunction/entry/callers.py
@@ -0,0 +1,117 @@
+"""What callers send: who they are and what they ask for."""
+
+import hashlib
+import hmac
+import json
+from typing import Any
+
+import attrs
+
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.settings import FleetView
+
+__all__ = ["CallerRequest", "account_of", "chat_request", "plain_request"]
+
+_TOKEN_BYTES = 4
+_DEFAULT_OUTPUT_TOKENS = 256
+_IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
+_PASSED_HEADERS = frozenset(("accept", "content-type", "accept-language", "if-match"))
+_BEARER = b"Bearer "
+
+
+@attrs.frozen
+class CallerRequest:
+    """A caller's request, checked."""
+
+    service: str
+    body: bytes
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    idempotent: bool
+    streamed: bool = False
+    chat_id: str | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+def account_of(headers: dict[bytes, bytes], view: FleetView) -> str | Refusal:
+    """Return the client account that an API key belongs to."""
+    given = headers.get(b"authorization", b"")
+    digest = hashlib.sha256(given.removeprefix(_BEARER)).hexdigest()
+    found = None
+    for name, account in view.accounts.items():
+        if hmac.compare_digest(account.key_sha256, digest):
+            found = name
+    if found is None:
+        message = "expected a known API key as 'Authorization: Bearer KEY'"
+        return Refusal(RefusalCode.UNAUTHENTICATED, message, Ran.NO)
+    return found
+
+
+def chat_request(
+    body: bytes, headers: dict[bytes, bytes], view: FleetView
+) -> CallerRequest | Refusal:
+    """Check the body of a chat completion."""
+    try:
+        data = json.loads(body)
+    except ValueError as error:
+        return _bad(f"expected a JSON body, got {error}")
+    problem = _chat_problem(data)
+    if problem is not None:
+        return _bad(problem)
+    service = view.service_of_model(data["model"])
+    if service is None:
+        message = f"model: expected one that is served here, got {data['model']!r}"
+        return Refusal(RefusalCode.NOT_FOUND, message, Ran.NO)
+    return CallerRequest(
+        service=service,
+        body=body,
+        method="POST",
+        path="/v1/chat/completions",
+        headers=(("content-type", "application/json"),),
+        idempotent=view.services[service].idempotent and b"idempotency-key" not in headers,
+        streamed=data.get("stream", False),
+        chat_id=data.get("prompt_cache_key"),
+        prompt_tokens=len(body) // _TOKEN_BYTES,
+        output_tokens=data.get("max_tokens") or _DEFAULT_OUTPUT_TOKENS,
+    )
+
+
+def plain_request(
+    service: str, method: str, path: str, body: bytes, headers: dict[bytes, bytes], view: FleetView
+) -> CallerRequest | Refusal:
+    """Check a call of a plain service."""
+    settings = view.services.get(service)
+    if settings is None or settings.kind != "plain":
+        return Refusal(RefusalCode.NOT_FOUND, f"expected a plain service, got {service!r}", Ran.NO)
+    passed = tuple(
+        (key.decode("latin-1"), value.decode("latin-1"))
+        for key, value in headers.items()
+        if key.decode("latin-1") in _PASSED_HEADERS or key.startswith(b"x-")
+    )
+    idempotent = method in _IDEMPOTENT_METHODS
+    return CallerRequest(service, body, method, path, passed, idempotent)
+
+
+def _chat_problem(data: Any) -> str | None:
+    if not isinstance(data, dict):
+        return f"expected a JSON object, got {type(data).__name__}"
+    expected: dict[str, tuple[type, bool]] = {
+        "model": (str, True),
+        "messages": (list, True),
+        "stream": (bool, False),
+        "prompt_cache_key": (str, False),
+        "max_tokens": (int, False),
+    }
+    for field, (kind, required) in expected.items():
+        value = data.get(field)
+        if value is None and not required:
+            continue
+        if not isinstance(value, kind):
+            return f"{field}: expected {kind.__name__}, got {json.dumps(value)[:80]}"
+    return None
+
+
+def _bad(message: str) -> Refusal:
+    return Refusal(RefusalCode.BAD_REQUEST, message, Ran.NO)
--- /dev/null
+++ b/src/beryljunction/servers.py
@@ -0,0 +1,132 @@
+"""HTTP servers (uvicorn) and client pools (httpcore) as all processes use them."""
+
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from typing import Any
+
+import anyio
+import httpcore
+import uvicorn
+
+from beryljunction.errors import StartError
+
+__all__ = [
+    "Asgi",
+    "Receive",
+    "Scope",
+    "Send",
+    "Server",
+    "bind",
+    "client_pool",
+    "read_body",
+    "respond",
+]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+Asgi = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+_MAX_CONNECTIONS = 4096
+# A server that closes idle connections before its clients do would cut a request that is already
+# on its way: the caller would get "unknown" for nothing. So servers keep them longer.
+_KEEPALIVE_S = 30.0
+_SERVER_KEEPALIVE_S = 75
+
+
+def bind(address: str) -> socket.socket:
+    """Bind a listening socket to "ip:port"; port 0 takes a free one.
+
+    Raises:
+        StartError: When the address can't be bound.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=2048)
+    except (OSError, ValueError) as error:
+        raise StartError(f"{address}: expected a free ip:port, got {error}") from error
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process and waits for requests in flight."""
+
+    def __init__(self, app: Asgi, listener: socket.socket) -> None:
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            timeout_keep_alive=_SERVER_KEEPALIVE_S,
+            server_header=False,
+            date_header=False,
+        )
+        super().__init__(config)
+        self.listener = listener
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals alone: several servers may share one process."""
+        yield
+
+    @property
+    def address(self) -> str:
+        """The bound "ip:port"."""
+        host, port = self.listener.getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def run_until_stopped(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until :meth:`stop`; requests in flight are then finished, however long they run."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.serve, [self.listener])
+            while not self.started:
+                await anyio.sleep(0.005)
+            task_status.started()
+
+    def stop(self) -> None:
+        """Stop taking connections; serving ends when nothing is in flight."""
+        self.should_exit = True
+
+
+def client_pool() -> httpcore.AsyncConnectionPool:
+    """Return a pool for calls to other processes; retries are decided by our systems, not by it."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=_MAX_CONNECTIONS,
+        max_keepalive_connections=_MAX_CONNECTIONS,
+        keepalive_expiry=_KEEPALIVE_S,
+        retries=0,
+    )
+
+
+async def read_body(receive: Receive, limit_bytes: int) -> bytes | None:
+    """Read a request's body; None when it is longer than the limit or the caller hung up."""
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return None
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit_bytes:
+            return None
+        parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def respond(
+    send: Send,
+    status: int,
+    body: bytes,
+    headers: list[tuple[bytes, bytes]] | None = None,
+    content_type: bytes = b"application/json",
+) -> None:
+    """Send a whole response."""
+    head = [(b"content-type", content_type), (b"content-length", b"%d" % len(body))]
+    start = {"type": "http.response.start", "status": status, "headers": head + (headers or [])}
+    await send(start)
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/beryljunction/settings/schema.py
@@ -0,0 +1,140 @@
+"""What may be set, with type, unit and default.
+
+Two kinds of settings: a process file, read at start-up, says where one process lives; the fleet's
+tree says how the whole fleet behaves and comes from the platform's log.
+"""
+
+import attrs
+
+__all__ = [
+    "AccountSettings",
+    "EntryFile",
+    "FleetView",
+    "LimitSettings",
+    "ProcessSettings",
+    "ServiceSettings",
+    "SidecarFile",
+    "TlsSettings",
+]
+
+
+@attrs.frozen
+class TlsSettings:
+    """Certificates of a listener; the files are read again when they change."""
+
+    certificate_path: str
+    key_path: str
+    authority_path: str | None = None
+
+
+@attrs.frozen
+class ProcessSettings:
+    """Where one process lives.
+
+    Attributes:
+        host: Name of the host, unique in the fleet.
+        listen: IP address and port for requests.
+        operator_listen: IP address and port for metrics, health and the timeline.
+        fleet_key: Secret that the fleet's processes show each other.
+        log_address: Base URL of the platform's log service.
+        hosts_address: Base URL of the platform's host list.
+    """
+
+    host: str
+    region: str
+    availability_zone: str
+    listen: str
+    operator_listen: str
+    fleet_key: str
+    log_address: str
+    hosts_address: str
+    tls: TlsSettings | None = None
+
+
+@attrs.frozen
+class EntryFile:
+    """The process file of an entry."""
+
+    process: ProcessSettings
+
+
+@attrs.frozen
+class SidecarFile:
+    """The process file of a sidecar.
+
+    Attributes:
+        endpoint_id: Name of the endpoint that the sidecar stands beside.
+        endpoint_address: Base URL of the endpoint.
+    """
+
+    process: ProcessSettings
+    endpoint_id: str
+    service: str
+    endpoint_address: str
+
+
+@attrs.frozen
+class LimitSettings:
+    """Limits on what one caller may send."""
+
+    body_bytes: int = 4_194_304
+    header_bytes: int = 16_384
+    request_s: float = 600.0
+    connections: int = 2_000
+
+
+@attrs.frozen
+class ServiceSettings:
+    """How one service is routed.
+
+    Attributes:
+        kind: "engine" for a model engine, "plain" for any other service.
+        models: Model names that callers may ask for; engines only.
+        load_multiple: Load that one endpoint may carry as a multiple of the service's mean.
+        idempotent: Whether a POST without ticket or key may be run again after a failure.
+        deadline_s: Longest wait for a start when the caller names none.
+        heartbeat_s: Longest silence on an open stream between our processes.
+        silence_s: Silence after which a stream is taken up again on a new connection.
+        resume_s: Time that a stream without a reader is kept for a resume.
+        pointer_s: Life of a chat pointer.
+    """
+
+    kind: str = "engine"
+    models: tuple[str, ...] = ()
+    load_multiple: float = 1.25
+    max_running: int = 32
+    floor_running: int = 4
+    max_waiting: int = 256
+    max_waiting_per_account: int = 64
+    quantum_tokens: int = 512
+    idempotent: bool = True
+    deadline_s: float = 30.0
+    heartbeat_s: float = 1.0
+    silence_s: float = 3.0
+    resume_s: float = 15.0
+    pointer_s: float = 14_400.0
+
+
+@attrs.frozen
+class AccountSettings:
+    """One client account; only the SHA-256 of its API key is ever stored."""
+
+    key_sha256: str
+    weight: float = 1.0
+
+
+@attrs.frozen
+class FleetView:
+    """The settings in force, as a process uses them: resolved, checked, of one version."""
+
+    version: int = 0
+    services: dict[str, ServiceSettings] = attrs.field(factory=dict)
+    accounts: dict[str, AccountSettings] = attrs.field(factory=dict)
+    limits: LimitSettings = LimitSettings()
+
+    def service_of_model(self, model: str) -> str | None:
+        """Return the name of the service that serves a model."""
+        for name, service in self.services.items():
+            if model in service.models:
+                return name
+        return None
--- a/src/beryljunction/standins/__init__.py
+++ b/src/beryljunction/standins/__init__.py
@@ -1,1 +1,6 @@
-"""TODO."""
+"""Small stand-ins for the platform and for endpoints, for the demo, tests and measurements."""
+
+from beryljunction.standins.engine import EngineModel, EngineStandIn
+from beryljunction.standins.plain import PlainStandIn
+
+__all__ = ["EngineModel", "EngineStandIn", "PlainStandIn"]
