--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -66,6 +66,8 @@
         """Start an endpoint with its sidecar and make it known to the entries."""
         is_engine = self.view.services[service].kind == "engine"
         app = EngineStandIn() if is_engine else PlainStandIn()
+        if isinstance(app, EngineStandIn):
+            await self._group.start(app.run)
         back = await self._serve(app)
         process = self._process(f"host-{endpoint_id}")
         file = SidecarFile(process, endpoint_id, service, f"http://{back.address}")
--- a/src/beryljunction/standins/plain.py
+++ b/src/beryljunction/standins/plain.py
@@ -1,7 +1,10 @@
 """A plain service that counts its runs."""
 
+import hashlib
 import json
 
+import anyio
+
 from beryljunction.servers import Receive, Scope, Send, read_body, respond
 
 __all__ = ["PlainStandIn"]
@@ -10,14 +13,28 @@
 
 
 class PlainStandIn:
-    """ASGI application that answers every call and remembers its request id."""
+    """ASGI application that answers every call and remembers what it ran.
+
+    Attributes:
+        work_s: Time that each call takes.
+        runs: Request ids of the calls that ran, in order.
+        bodies: SHA-256 of each call's method, path and body, in the same order. A retry may come
+            under another request id, so double runs are counted by what the caller sent.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, work_s: float = 0.0) -> None:
+        self.work_s = work_s
         self.runs: list[str] = []
+        self.bodies: list[str] = []
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer with what was asked."""
-        body = await read_body(receive, _BODY_BYTES) or b""
+        body = await read_body(receive, _BODY_BYTES)
+        if body is None:
+            return
+        asked = f"{scope['method']} {scope['path']}\n".encode() + body
         self.runs.append(dict(scope["headers"]).get(b"x-request-id", b"").decode())
+        self.bodies.append(hashlib.sha256(asked).hexdigest())
+        await anyio.sleep(self.work_s)
         answer = {"method": scope["method"], "path": scope["path"], "length_bytes": len(body)}
         await respond(send, 200, json.dumps(answer).encode())
