Run entry and sidecar as separate processes

Cause: the console programs started an entry without endpoints and a sidecar without settings; only the one-process demo served requests.

Both now share node/: a request listener, an operator listener (metrics, probes, events, status, drain), the host list followed as deltas into the endpoint table, and a stop on SIGTERM/SIGINT that ends what is in flight. A further signal changes nothing. "beryl-local files" writes the process files, "beryl-local standins" runs what the platform would.

Time line events feed the log (ordinary ones sampled by request id, all else kept) and the metrics; ordinary and notable events have a ring each, since the ordinary ones fill theirs within a minute at the target. Logical time goes from entry to sidecar in a header.

Ruled out: taking in a full list without rows (a list service that lost its rows would remove every endpoint); settings from the log are not wired yet, the process file carries the fleet's settings until then.

Small edits in others' files: settings/schema.py (fleet, log_sample_ratio), entry/app.py and sidecar/app.py (the header).

--- a/src/beryljunction/cli/entry.py
+++ b/src/beryljunction/cli/entry.py
@@ -1,47 +1,39 @@
 """beryl-entry: takes callers."""
 
 import pathlib
-import signal
 import sys
 
 import anyio
 import defopt
 
-from beryljunction.entry import EntryApp
 from beryljunction.errors import BerylError
 from beryljunction.logs import configure_logs
-from beryljunction.servers import Server, bind
+from beryljunction.node import EntryRole, Node
 from beryljunction.settings import EntryFile, FleetView, load_file
-from beryljunction.tables import EndpointTable
 
-__all__ = ["main", "run_until_signal"]
+__all__ = ["main"]
 
 _EXIT_SETTINGS = 2
 
 
-async def run_until_signal(server: Server) -> None:
-    """Serve until SIGTERM or SIGINT, then finish what is in flight."""
-    async with anyio.create_task_group() as group:
-        await group.start(server.run_until_stopped)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                server.stop()
-                break
+async def _run(file: EntryFile) -> None:
+    await Node(EntryRole(file), file.fleet or FleetView()).run_until_signal()
 
 
 def entry(settings: pathlib.Path) -> int:
     """Take callers and relay them to the endpoints of the fleet.
 
+    SIGTERM or SIGINT stops it once everything in flight has ended. Exit codes: 0 after a stop,
+    2 when the settings can't be used or an address is taken.
+
     :param settings: TOML process file with a [process] table.
     """
     configure_logs()
     try:
-        file = load_file(settings, EntryFile)
-        server = Server(EntryApp(file, FleetView(), EndpointTable()), bind(file.process.listen))
+        anyio.run(_run, load_file(settings, EntryFile))
     except BerylError as error:
         print(error, file=sys.stderr)
         return _EXIT_SETTINGS
-    anyio.run(run_until_signal, server)
     return 0
 
 
--- a/src/beryljunction/cli/local.py
+++ b/src/beryljunction/cli/local.py
@@ -1,14 +1,30 @@
-"""beryl-local: the whole path in one process."""
+"""beryl-local: the whole path on one machine."""
 
+import itertools
+import pathlib
 import sys
 
 import anyio
 import defopt
 
-from beryljunction.local import DEMO_KEY, LocalFleet, demo_view, print_demo, run_demo
+from beryljunction.errors import BerylError
+from beryljunction.local import (
+    DEMO_KEY,
+    FleetPlan,
+    LocalFleet,
+    StandInsFile,
+    demo_view,
+    print_demo,
+    run_demo,
+    run_standins,
+    write_files,
+)
+from beryljunction.settings import load_file
 
 __all__ = ["main"]
 
+_EXIT_SETTINGS = 2
+
 
 def demo() -> int:
     """Send returning chats and non-idempotent calls through a fleet; exit 1 on a broken promise."""
@@ -36,6 +52,37 @@
     return 0
 
 
+def files(directory: pathlib.Path, *, first_port: int = 7400) -> int:
+    """Write the process files of a small fleet, for running it as separate processes.
+
+    :param directory: Where the files go; it is made if need be.
+    :param first_port: First of the loopback ports that the processes get.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    entries = write_files(directory, itertools.count(first_port), FleetPlan())
+    print(f"beryl-local standins {directory}/standins.toml")
+    for path in sorted(directory.glob("*.toml")):
+        if path.stem.startswith("entry-"):
+            print(f"beryl-entry {path}")
+        elif path.stem != "standins":
+            print(f"beryl-sidecar {path}")
+    print(f"# entries: {' '.join(entries)}  API key: {DEMO_KEY}")
+    return 0
+
+
+def standins(settings: pathlib.Path) -> int:
+    """Run the host list and the endpoints of a fleet whose own processes run apart.
+
+    :param settings: TOML file that ``beryl-local files`` wrote.
+    """
+    try:
+        anyio.run(run_standins, load_file(settings, StandInsFile))
+    except BerylError as error:
+        print(error, file=sys.stderr)
+        return _EXIT_SETTINGS
+    return 0
+
+
 def main() -> None:
     """Run the command line."""
-    sys.exit(defopt.run([demo, serve]))
+    sys.exit(defopt.run([demo, serve, files, standins]))
--- a/src/beryljunction/cli/sidecar.py
+++ b/src/beryljunction/cli/sidecar.py
@@ -4,43 +4,40 @@
 import sys
 
 import anyio
+import attrs
 import defopt
 
-from beryljunction.cli.entry import run_until_signal
 from beryljunction.errors import BerylError
 from beryljunction.logs import configure_logs
-from beryljunction.servers import Server, bind
+from beryljunction.node import Node, SidecarRole
 from beryljunction.settings import FleetView, ServiceSettings, SidecarFile, load_file
-from beryljunction.sidecar import SidecarApp
 
 __all__ = ["main"]
 
 _EXIT_SETTINGS = 2
 
 
-async def _run(app: SidecarApp, server: Server) -> None:
-    async with anyio.create_task_group() as group:
-        await group.start(app.run)
-        await run_until_signal(server)
-        group.cancel_scope.cancel()
+async def _run(file: SidecarFile) -> None:
+    view = file.fleet or FleetView()
+    if file.service not in view.services:
+        view = attrs.evolve(view, services={**view.services, file.service: ServiceSettings()})
+    await Node(SidecarRole(file, view), view).run_until_signal()
 
 
 def sidecar(settings: pathlib.Path) -> int:
     """Admit, queue and relay the work of one endpoint.
 
+    SIGTERM or SIGINT stops it once everything in flight has ended. Exit codes: 0 after a stop,
+    2 when the settings can't be used or an address is taken.
+
     :param settings: TOML process file with a [process] table, endpoint_id and endpoint_address.
     """
     configure_logs()
     try:
-        file = load_file(settings, SidecarFile)
-        view = FleetView(services={file.service: ServiceSettings()})
-        server = Server(SidecarApp(file, view), bind(file.process.listen))
+        anyio.run(_run, load_file(settings, SidecarFile))
     except BerylError as error:
         print(error, file=sys.stderr)
         return _EXIT_SETTINGS
-    app = server.config.app
-    assert isinstance(app, SidecarApp)
-    anyio.run(_run, app, server)
     return 0
 
 
--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -22,7 +22,7 @@
     chat_key_of,
 )
 from beryljunction.tables import EndpointTable
-from beryljunction.timeline import Timeline
+from beryljunction.timeline import HLC_HEADER, Timeline
 from beryljunction.wire import (
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
@@ -163,6 +163,7 @@
         headers = [
             (FLEET_KEY_HEADER, self._fleet_key),
             (ENVELOPE_HEADER, encode(envelope)),
+            (HLC_HEADER, self.timeline.clock.stamp()),
             (b"content-length", b"%d" % len(body)),
         ]
         timeout = {"connect": _CONNECT_S, "read": self.view.limits.request_s}
--- a/src/beryljunction/local/__init__.py
+++ b/src/beryljunction/local/__init__.py
@@ -1,6 +1,20 @@
-"""The whole path in one process, for newcomers, demos and tests."""
+"""The whole path on one machine, for newcomers, demos and tests."""
 
 from beryljunction.local.demo import DemoResult, print_demo, run_demo
-from beryljunction.local.fleet import DEMO_KEY, LocalFleet, demo_view
+from beryljunction.local.demo_view import DEMO_KEY, demo_view
+from beryljunction.local.files import FleetPlan, StandInsFile, write_files
+from beryljunction.local.fleet import LocalFleet
+from beryljunction.local.standins import run_standins
 
-__all__ = ["DEMO_KEY", "DemoResult", "LocalFleet", "demo_view", "print_demo", "run_demo"]
+__all__ = [
+    "DEMO_KEY",
+    "DemoResult",
+    "FleetPlan",
+    "LocalFleet",
+    "StandInsFile",
+    "demo_view",
+    "print_demo",
+    "run_demo",
+    "run_standins",
+    "write_files",
+]
--- a/src/beryljunction/local/demo.py
+++ b/src/beryljunction/local/demo.py
@@ -8,7 +8,8 @@
 import attrs
 import httpcore
 
-from beryljunction.local.fleet import DEMO_KEY, LocalFleet, demo_view
+from beryljunction.local.demo_view import DEMO_KEY, demo_view
+from beryljunction.local.fleet import LocalFleet
 from beryljunction.servers import client_pool
 
 __all__ = ["DemoResult", "run_demo"]
--- /dev/null
+++ b/src/beryljunction/local/files.py
@@ -0,0 +1,128 @@
+"""Process files of a small fleet on loopback, for running it as separate processes."""
+
+import pathlib
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import cattrs
+import tomli_w
+
+from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES, demo_view
+from beryljunction.platform import HostRow
+from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
+
+__all__ = ["FleetPlan", "StandInEndpoint", "StandInsFile", "write_files"]
+
+_LOOPBACK = "127.0.0.1"
+_FLEET_KEY = "local-fleet-key"
+
+_converter = cattrs.Converter(omit_if_default=True)
+
+
+@attrs.frozen
+class StandInEndpoint:
+    """A stand-in engine or plain service and where it listens."""
+
+    kind: str
+    listen: str
+
+
+@attrs.frozen
+class StandInsFile:
+    """What ``beryl-local standins`` runs.
+
+    Attributes:
+        hosts_listen: IP address and port of the host list.
+        hosts: Rows that the host list starts with.
+    """
+
+    hosts_listen: str
+    endpoints: tuple[StandInEndpoint, ...] = ()
+    hosts: tuple[HostRow, ...] = ()
+
+
+@attrs.frozen
+class FleetPlan:
+    """How many processes of each kind there are; ``endpoints`` counts those of each service."""
+
+    entries: int = 2
+    endpoints: int = 3
+
+
+class _Writer:
+    """Gives each process its ports and collects the rows of the host list."""
+
+    def __init__(self, directory: pathlib.Path, ports: Iterator[int], view: FleetView) -> None:
+        self._directory = directory
+        self._ports = ports
+        self._view = view
+        self._hosts_listen = self._address()
+        self._endpoints: list[StandInEndpoint] = []
+        self._rows: list[HostRow] = []
+
+    def add_entry(self, number: int) -> str:
+        """Write the file of an entry and return the address that callers use."""
+        process = self._process(f"entry-{number}", number)
+        self._rows.append(_row_of(process))
+        self._write(process.host, EntryFile(process, self._view))
+        return process.listen
+
+    def add_endpoint(self, number: int, service: str) -> None:
+        """Write the file of a sidecar and plan the stand-in beside it."""
+        endpoint_id = f"{service}-{number}"
+        standin = StandInEndpoint(self._view.services[service].kind, self._address())
+        process = self._process(f"host-{endpoint_id}", number)
+        address = f"http://{standin.listen}"
+        self._endpoints.append(standin)
+        self._rows.append(attrs.evolve(_row_of(process), endpoint_id=endpoint_id, service=service))
+        self._write(endpoint_id, SidecarFile(process, endpoint_id, service, address, self._view))
+
+    def finish(self) -> None:
+        """Write the file of the stand-ins."""
+        self._write(
+            "standins", StandInsFile(self._hosts_listen, tuple(self._endpoints), tuple(self._rows))
+        )
+
+    def _process(self, host: str, number: int) -> ProcessSettings:
+        return ProcessSettings(
+            host=host,
+            region=DEMO_REGION,
+            availability_zone=DEMO_ZONES[number % len(DEMO_ZONES)],
+            listen=self._address(),
+            operator_listen=self._address(),
+            fleet_key=_FLEET_KEY,
+            log_address="",
+            hosts_address=f"http://{self._hosts_listen}",
+        )
+
+    def _address(self) -> str:
+        return f"{_LOOPBACK}:{next(self._ports)}"
+
+    def _write(self, name: str, content: Any) -> None:
+        data = tomli_w.dumps(_converter.unstructure(content))
+        (self._directory / f"{name}.toml").write_text(data, "utf-8")
+
+
+def write_files(directory: pathlib.Path, ports: Iterator[int], plan: FleetPlan) -> list[str]:
+    """Write a file for each process and return the entries' addresses."""
+    view = demo_view()
+    writer = _Writer(directory, ports, view)
+    entries = [writer.add_entry(number) for number in range(plan.entries)]
+    for service in view.services:
+        for number in range(plan.endpoints):
+            writer.add_endpoint(number, service)
+    writer.finish()
+    return entries
+
+
+def _row_of(process: ProcessSettings) -> HostRow:
+    return HostRow(
+        host=process.host,
+        endpoint_id="",
+        service="",
+        availability_zone=process.availability_zone,
+        region=process.region,
+        address=process.listen,
+        operator_address=process.operator_listen,
+    )
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -1,46 +1,23 @@
 """The whole path in one process: entries, sidecars and stand-ins on free loopback ports."""
 
-import hashlib
-
 import anyio
 import anyio.abc
 import attrs
 
 from beryljunction.entry import EntryApp
+from beryljunction.local.standins import start_endpoint
 from beryljunction.servers import Asgi, Server, bind
-from beryljunction.settings import (
-    AccountSettings,
-    EntryFile,
-    FleetView,
-    ProcessSettings,
-    ServiceSettings,
-    SidecarFile,
-)
+from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
 from beryljunction.sidecar import SidecarApp
 from beryljunction.standins import EngineStandIn, PlainStandIn
 from beryljunction.tables import Endpoint, EndpointTable
 
-__all__ = ["DEMO_KEY", "LocalFleet", "demo_view"]
+__all__ = ["LocalFleet"]
 
-DEMO_KEY = "demo-key"
 _FREE_PORT = "127.0.0.1:0"
 _FLEET_KEY = "local-fleet-key"
 
 
-def demo_view() -> FleetView:
-    """Return the settings of the demo: a model service of each user and a plain service."""
-    digest = hashlib.sha256(DEMO_KEY.encode()).hexdigest()
-    return FleetView(
-        version=1,
-        services={
-            "reel-llm": ServiceSettings(models=("reel-llm",)),
-            "drafter": ServiceSettings(models=("drafter",)),
-            "ledger": ServiceSettings(kind="plain", idempotent=False),
-        },
-        accounts={"jury-office": AccountSettings(digest)},
-    )
-
-
 @attrs.define
 class LocalEndpoint:
     """An endpoint stand-in with its sidecar."""
@@ -64,11 +41,8 @@
 
     async def add_endpoint(self, endpoint_id: str, service: str) -> LocalEndpoint:
         """Start an endpoint with its sidecar and make it known to the entries."""
-        is_engine = self.view.services[service].kind == "engine"
-        app = EngineStandIn() if is_engine else PlainStandIn()
-        if isinstance(app, EngineStandIn):
-            await self._group.start(app.run)
-        back = await self._serve(app)
+        kind = self.view.services[service].kind
+        app, back = await start_endpoint(self._group, kind, _FREE_PORT)
         process = self._process(f"host-{endpoint_id}")
         file = SidecarFile(process, endpoint_id, service, f"http://{back.address}")
         sidecar = SidecarApp(file, self.view)
--- /dev/null
+++ b/src/beryljunction/local/standins.py
@@ -0,0 +1,46 @@
+"""Runs the stand-ins of a fleet whose own processes run apart."""
+
+import logging
+import signal
+
+import anyio
+import anyio.abc
+
+from beryljunction.local.files import StandInsFile
+from beryljunction.servers import Server, bind
+from beryljunction.standins import EngineStandIn, HostListStandIn, PlainStandIn
+
+__all__ = ["run_standins", "start_endpoint"]
+
+_ENGINE = "engine"
+
+
+async def start_endpoint(
+    group: anyio.abc.TaskGroup, kind: str, listen: str
+) -> tuple[EngineStandIn | PlainStandIn, Server]:
+    """Start an engine or a plain service within a task group."""
+    app = EngineStandIn() if kind == _ENGINE else PlainStandIn()
+    if isinstance(app, EngineStandIn):
+        await group.start(app.run)
+    server = Server(app, bind(listen))
+    await group.start(server.run_until_stopped)
+    return app, server
+
+
+async def run_standins(file: StandInsFile) -> None:
+    """Run the host list and the endpoints until SIGTERM or SIGINT."""
+    async with anyio.create_task_group() as group:
+        hosts = HostListStandIn()
+        for row in file.hosts:
+            hosts.put(row)
+        server = Server(hosts, bind(file.hosts_listen))
+        await group.start(server.run_until_stopped)
+        for endpoint in file.endpoints:
+            await start_endpoint(group, endpoint.kind, endpoint.listen)
+        print("stand-ins are up", flush=True)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        # A stand-in stops at once; the requests that this breaks are no news.
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        group.cancel_scope.cancel()
--- a/src/beryljunction/logs.py
+++ b/src/beryljunction/logs.py
@@ -1,15 +1,20 @@
 """Logs: one line of key=value pairs for each event, on standard error."""
 
+import datetime
 import json
 import logging
 import sys
 from typing import Any
 
+import xxhash
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["configure_logs"]
+from beryljunction.timeline import ORDINARY_KINDS, Event
+
+__all__ = ["EventLog", "configure_logs"]
 
 _SAFE = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-")
+_HASH_RANGE = 2**64
 
 
 def _key_value(fields: dict[str, Any], *_: Any, **__: Any) -> str:
@@ -22,14 +27,56 @@
     return text if text and _SAFE.issuperset(text) else json.dumps(text)
 
 
+class _Formatter(JsonFormatter):
+    """Times as ISO 8601 in UTC, so that lines of hosts in several zones sort."""
+
+    def formatTime(self, record: logging.LogRecord, datefmt: Any = None) -> str:  # noqa: N802
+        moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        return moment.isoformat(timespec="milliseconds")
+
+
 def configure_logs(level: str = "INFO") -> None:
     """Send the logs of this process to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
-        JsonFormatter(
+        _Formatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
             rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
             json_serializer=_key_value,
         )
     )
     logging.basicConfig(level=level, handlers=[handler], force=True)
+    # uvicorn tells at INFO what the time line's own events say better.
+    logging.getLogger("uvicorn.error").setLevel(logging.WARNING)
+
+
+class EventLog:
+    """Writes the events of a time line as log lines, the ordinary ones by sample.
+
+    A request is sampled by its id, so all processes keep the lines of the same requests. Refusals,
+    failures and whatever else is notable are written always.
+    """
+
+    def __init__(self, sample_ratio: float, logger: logging.Logger | None = None) -> None:
+        self._logger = logger if logger is not None else logging.getLogger("beryljunction")
+        self._limit = int(sample_ratio * _HASH_RANGE)
+
+    def __call__(self, event: Event) -> None:
+        """Write an event, or leave it out."""
+        if not self._keeps(event):
+            return
+        fields = {
+            "hlc": f"{event.wall_ms}.{event.logical}",
+            "host": event.host,
+            "availability_zone": event.availability_zone,
+        }
+        if event.request_id:
+            fields["request_id"] = event.request_id
+        if event.detail:
+            fields["detail"] = event.detail
+        self._logger.info(event.kind, extra=fields)
+
+    def _keeps(self, event: Event) -> bool:
+        if event.kind not in ORDINARY_KINDS or not event.request_id:
+            return True
+        return xxhash.xxh3_64_intdigest(event.request_id.encode()) < self._limit
--- /dev/null
+++ b/src/beryljunction/metrics.py
@@ -0,0 +1,93 @@
+"""Prometheus metrics of one process; each object has a registry of its own."""
+
+import time
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, ProcessCollector
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from beryljunction.servers import Asgi, Receive, Scope, Send
+from beryljunction.timeline import Event
+
+__all__ = ["MeteredApp", "Metrics"]
+
+# Bounds around the target of 0.32 s to the first token, which must be a bound itself.
+_FIRST_BYTE_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.32, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+
+
+class Metrics:
+    """What a process counts.
+
+    Labels have few values each: kinds of events, codes of refusals, states. Client accounts and
+    chats are no labels, since at 350 accounts a scrape would grow with every service.
+    """
+
+    content_type = CONTENT_TYPE_LATEST
+
+    def __init__(self, role: str) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self._events = Counter(
+            "beryl_events", "Events of the time line.", ["kind"], registry=self.registry
+        )
+        self._refusals = Counter(
+            "beryl_refusals", "Requests refused or failed.", ["code"], registry=self.registry
+        )
+        self._first_byte = Histogram(
+            "beryl_first_byte_seconds",
+            "Time from a request's arrival to the first byte of its answer's body.",
+            registry=self.registry,
+            buckets=_FIRST_BYTE_BUCKETS_S,
+        )
+        self._control = Counter(
+            "beryl_control_bytes",
+            "Bytes of control traffic, HTTP heads included.",
+            ["purpose", "direction"],
+            registry=self.registry,
+        )
+        self.watch("beryl_up_info", f"Constant 1; the process is a {role}.", lambda: 1.0)
+
+    def watch(self, name: str, documentation: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read at each scrape."""
+        Gauge(name, documentation, registry=self.registry).set_function(read)
+
+    def count_event(self, event: Event) -> None:
+        """Count an event of the time line."""
+        self._events.labels(event.kind).inc()
+        if event.kind == "refused":
+            self._refusals.labels(event.detail).inc()
+
+    def count_control(self, purpose: str, sent_bytes: int, received_bytes: int) -> None:
+        """Count the bytes of an exchange on control."""
+        self._control.labels(purpose, "sent").inc(sent_bytes)
+        self._control.labels(purpose, "received").inc(received_bytes)
+
+    def observe_first_byte(self, elapsed_s: float) -> None:
+        """Count the time to the first byte of an answer."""
+        self._first_byte.observe(elapsed_s)
+
+    def render(self) -> bytes:
+        """Return the text that Prometheus scrapes."""
+        return generate_latest(self.registry)
+
+
+class MeteredApp:
+    """Measures the time to the first byte of each answer around another application."""
+
+    def __init__(self, app: Asgi, metrics: Metrics) -> None:
+        self._app = app
+        self._metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        arrived_s = time.monotonic()
+        is_first = True
+
+        async def send_measured(message: dict[str, object]) -> None:
+            nonlocal is_first
+            if is_first and message["type"] == "http.response.body":
+                is_first = False
+                self._metrics.observe_first_byte(time.monotonic() - arrived_s)
+            await send(message)
+
+        await self._app(scope, receive, send_measured)  # type: ignore[arg-type]
--- /dev/null
+++ b/src/beryljunction/node/__init__.py
@@ -0,0 +1,15 @@
+"""What the processes of the fleet share: listeners, host list, settings, metrics and the stop."""
+
+from beryljunction.node.hosts import HostFollower, HostView
+from beryljunction.node.process import Node
+from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, SidecarRole
+
+__all__ = [
+    "EntryRole",
+    "HostFollower",
+    "HostView",
+    "Node",
+    "NodeRole",
+    "NodeStatus",
+    "SidecarRole",
+]
--- /dev/null
+++ b/src/beryljunction/node/operator.py
@@ -0,0 +1,68 @@
+"""What operators and their tools ask a process, on a listener of its own."""
+
+import json
+from collections.abc import Callable
+
+import attrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from beryljunction.metrics import Metrics
+from beryljunction.node.roles import NodeStatus
+from beryljunction.timeline import HLC_HEADER, Timeline
+from beryljunction.wire import encode
+
+__all__ = ["DRAIN_PATH", "EVENTS_PATH", "STATUS_PATH", "operator_app"]
+
+EVENTS_PATH = "/beryl/v1/events"
+STATUS_PATH = "/beryl/v1/status"
+DRAIN_PATH = "/beryl/v1/drain"
+
+
+def operator_app(
+    timeline: Timeline,
+    metrics: Metrics,
+    status: Callable[[], NodeStatus],
+    drain: Callable[[], None],
+) -> Starlette:
+    """Return the application of the operator listener.
+
+    It must not listen where callers reach it: it shows request ids and can drain the process.
+    """
+
+    async def show_metrics(_: Request) -> Response:
+        return Response(metrics.render(), media_type=metrics.content_type)
+
+    async def is_live(_: Request) -> Response:
+        return JSONResponse({"live": True})
+
+    async def is_ready(_: Request) -> Response:
+        reason = status().not_ready
+        return JSONResponse({"ready": not reason, "reason": reason}, 503 if reason else 200)
+
+    async def show_events(request: Request) -> Response:
+        stamp = request.headers.get(HLC_HEADER.decode(), "").encode()
+        timeline.clock.heard_stamp(stamp)
+        events = timeline.events(request.query_params.get("request_id"))
+        body = json.dumps({"events": [attrs.astuple(event) for event in events]})
+        return Response(body, media_type="application/json")
+
+    async def show_status(_: Request) -> Response:
+        return Response(encode(status()), media_type="application/json")
+
+    async def start_drain(_: Request) -> Response:
+        drain()
+        return Response(encode(status()), 202, media_type="application/json")
+
+    return Starlette(
+        routes=[
+            Route("/metrics", show_metrics),
+            Route("/livez", is_live),
+            Route("/readyz", is_ready),
+            Route(EVENTS_PATH, show_events),
+            Route(STATUS_PATH, show_status),
+            Route(DRAIN_PATH, start_drain, methods=["POST"]),
+        ]
+    )
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -38,6 +38,7 @@
         fleet_key: Secret that the fleet's processes show each other.
         log_address: Base URL of the platform's log service.
         hosts_address: Base URL of the platform's host list.
+        log_sample_ratio: Share of requests whose ordinary events are logged.
     """
 
     host: str
@@ -49,13 +50,19 @@
     log_address: str
     hosts_address: str
     tls: TlsSettings | None = None
+    log_sample_ratio: float = 1.0
 
 
 @attrs.frozen
 class EntryFile:
-    """The process file of an entry."""
+    """The process file of an entry.
+
+    Attributes:
+        fleet: Settings to start with, until those on the platform's log are read.
+    """
 
     process: ProcessSettings
+    fleet: "FleetView | None" = None
 
 
 @attrs.frozen
@@ -65,12 +72,14 @@
     Attributes:
         endpoint_id: Name of the endpoint that the sidecar stands beside.
         endpoint_address: Base URL of the endpoint.
+        fleet: Settings to start with, until those on the platform's log are read.
     """
 
     process: ProcessSettings
     endpoint_id: str
     service: str
     endpoint_address: str
+    fleet: "FleetView | None" = None
 
 
 @attrs.frozen
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -14,7 +14,7 @@
 from beryljunction.streams import FrameCutter, FrameNumberer
 from beryljunction.systems import AdmissionLimits, AdmissionSystem, Refuse
 from beryljunction.tables import Work
-from beryljunction.timeline import Timeline
+from beryljunction.timeline import HLC_HEADER, Timeline
 from beryljunction.wire import (
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
@@ -70,6 +70,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of an entry."""
         headers = dict(scope["headers"])
+        self.timeline.clock.heard_stamp(headers.get(HLC_HEADER))
         if not hmac.compare_digest(headers.get(FLEET_KEY_HEADER, b""), self._fleet_key):
             refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
             await respond(send, 401, refusal_body(refusal, ""))
--- a/src/beryljunction/standins/plain.py
+++ b/src/beryljunction/standins/plain.py
@@ -1,5 +1,6 @@
 """A plain service that counts its runs."""
 
+import collections
 import hashlib
 import json
 
@@ -18,14 +19,14 @@
     Attributes:
         work_s: Time that each call takes.
         runs: Request ids of the calls that ran, in order.
-        bodies: SHA-256 of each call's method, path and body, in the same order. A retry may come
+        times: Runs of each call by the SHA-256 of its method, path and body. A retry may come
             under another request id, so double runs are counted by what the caller sent.
     """
 
     def __init__(self, work_s: float = 0.0) -> None:
         self.work_s = work_s
         self.runs: list[str] = []
-        self.bodies: list[str] = []
+        self.times: collections.Counter[str] = collections.Counter()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer with what was asked."""
@@ -34,7 +35,13 @@
             return
         asked = f"{scope['method']} {scope['path']}\n".encode() + body
         self.runs.append(dict(scope["headers"]).get(b"x-request-id", b"").decode())
-        self.bodies.append(hashlib.sha256(asked).hexdigest())
+        digest = hashlib.sha256(asked).hexdigest()
+        self.times[digest] += 1
         await anyio.sleep(self.work_s)
-        answer = {"method": scope["method"], "path": scope["path"], "length_bytes": len(body)}
+        answer = {
+            "method": scope["method"],
+            "path": scope["path"],
+            "length_bytes": len(body),
+            "times": self.times[digest],
+        }
         await respond(send, 200, json.dumps(answer).encode())
--- a/src/beryljunction/timeline.py
+++ b/src/beryljunction/timeline.py
@@ -2,13 +2,20 @@
 
 import collections
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
-__all__ = ["Event", "HybridClock", "Timeline"]
+__all__ = ["HLC_HEADER", "ORDINARY_KINDS", "Event", "HybridClock", "Timeline", "merge_events"]
 
+HLC_HEADER = b"beryl-hlc"
+# What every request goes through when all is well. Everything else is notable: a kind that is
+# not known here must not be lost by sampling.
+ORDINARY_KINDS = frozenset(("arrived", "queued", "started", "ended", "answered"))
 _RING_EVENTS = 4096
+# A host whose clock is a year ahead would drag the time of every process that hears of it. Clocks
+# that are kept by NTP differ by far less, so a stamp beyond this is left out of account.
+_MAX_AHEAD_MS = 60_000
 
 
 @attrs.frozen(order=True)
@@ -48,23 +55,59 @@
 
     def heard(self, wall_ms: int, logical: int) -> None:
         """Take in the time on a message from another process."""
-        self._last = max(self._last, (wall_ms, logical))
+        if wall_ms <= int(self._wall_s() * 1000) + _MAX_AHEAD_MS:
+            self._last = max(self._last, (wall_ms, logical))
+
+    def stamp(self) -> bytes:
+        """Return the time as the value of the header on a message to another process."""
+        return b"%d.%d" % self.now()
+
+    def heard_stamp(self, stamp: bytes | None) -> None:
+        """Take in a header's value; one that can't be read is left out of account."""
+        wall, _, logical = (stamp or b"").partition(b".")
+        if wall.isdigit() and logical.isdigit():
+            self.heard(int(wall), int(logical))
 
 
 class Timeline:
-    """The bounded ring of one process's events."""
+    """The bounded rings of one process's events.
+
+    Ordinary and notable events have a ring each: at thousands of requests a second the ordinary
+    ones fill theirs within a minute, and the refusal that an operator looks for must outlive that.
+    """
 
     def __init__(self, host: str, availability_zone: str, clock: HybridClock | None = None) -> None:
         self.clock = clock if clock is not None else HybridClock()
         self._host = host
         self._zone = availability_zone
-        self._ring: collections.deque[Event] = collections.deque(maxlen=_RING_EVENTS)
+        self._ordinary: collections.deque[Event] = collections.deque(maxlen=_RING_EVENTS)
+        self._notable: collections.deque[Event] = collections.deque(maxlen=_RING_EVENTS)
+        self._listeners: list[Callable[[Event], None]] = []
+
+    def listen(self, listener: Callable[[Event], None]) -> None:
+        """Have each further event passed on, as to a log or a metric."""
+        self._listeners.append(listener)
 
     def add(self, kind: str, request_id: str = "", detail: str = "") -> None:
         """Record an event."""
         wall_ms, logical = self.clock.now()
-        self._ring.append(Event(wall_ms, logical, self._host, self._zone, kind, request_id, detail))
+        event = Event(wall_ms, logical, self._host, self._zone, kind, request_id, detail)
+        ring = self._ordinary if kind in ORDINARY_KINDS else self._notable
+        ring.append(event)
+        for listener in self._listeners:
+            listener(event)
 
     def events(self, request_id: str | None = None) -> list[Event]:
         """Return the events still held, oldest first, of one request or of all."""
-        return [e for e in self._ring if request_id is None or e.request_id == request_id]
+        return merge_events(
+            [
+                event
+                for event in (*self._ordinary, *self._notable)
+                if request_id is None or event.request_id == request_id
+            ]
+        )
+
+
+def merge_events(*rings: Iterable[Event]) -> list[Event]:
+    """Return the events of several processes as one time line, oldest first."""
+    return sorted(event for ring in rings for event in ring)
--- /dev/null
+++ b/testing/test_logs.py
@@ -0,0 +1,54 @@
+import logging
+
+import pytest
+
+from beryljunction.logs import EventLog, configure_logs
+from beryljunction.timeline import Timeline
+
+
+@pytest.fixture
+def restored_logging():
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    yield
+    root.handlers, root.level = handlers, level
+
+
+def logged(caplog, sample_ratio, events):
+    caplog.set_level(logging.INFO)
+    timeline = Timeline("host-a", "ahd-a")
+    timeline.listen(EventLog(sample_ratio))
+    for kind, request_id in events:
+        timeline.add(kind, request_id)
+    return [(record.message, record.request_id) for record in caplog.records]
+
+
+class TestEventLog:
+    def test_sampling_keeps_each_refusal_and_failure(self, caplog):
+        events = [("arrived", "r1"), ("refused", "r1"), ("try_refused", "r2"), ("broken", "r3")]
+
+        assert logged(caplog, 0.0, events) == events[1:]
+
+    def test_sample_holds_all_lines_of_the_same_requests(self, caplog):
+        events = [(kind, f"r{i}") for i in range(400) for kind in ("arrived", "ended")]
+
+        kept = logged(caplog, 0.25, events)
+
+        arrived = [request_id for kind, request_id in kept if kind == "arrived"]
+        assert arrived == [request_id for kind, request_id in kept if kind == "ended"]
+        assert 60 < len(arrived) < 140
+
+
+class TestConfigureLogs:
+    @pytest.mark.usefixtures("restored_logging")
+    def test_event_is_one_line_of_key_value_pairs(self, capsys):
+        configure_logs()
+        timeline = Timeline("host-a", "ahd-a")
+        timeline.listen(EventLog(1.0))
+
+        timeline.add("refused", "r1", 'two words and a "quote"\n')
+
+        lines = capsys.readouterr().err.splitlines()
+        assert len(lines) == 1
+        assert "level=INFO name=beryljunction event=refused" in lines[0]
+        assert r'detail="two words and a \"quote\"\n"' in lines[0]
--- /dev/null
+++ b/testing/test_metrics.py
@@ -0,0 +1,55 @@
+import anyio
+
+from beryljunction.metrics import MeteredApp, Metrics
+from beryljunction.timeline import Timeline
+
+
+def value(metrics, name, **labels):
+    return metrics.registry.get_sample_value(name, labels)
+
+
+class TestMetrics:
+    def test_refusals_are_counted_by_code(self):
+        metrics = Metrics("entry")
+        timeline = Timeline("host-a", "ahd-a")
+        timeline.listen(metrics.count_event)
+
+        for _ in range(2):
+            timeline.add("refused", "r1", "overloaded")
+
+        assert value(metrics, "beryl_refusals_total", code="overloaded") == 2
+        assert value(metrics, "beryl_events_total", kind="refused") == 2
+
+    def test_processes_do_not_share_a_registry(self):
+        first, second = Metrics("entry"), Metrics("entry")
+
+        first.count_control("peers", 10, 20)
+
+        assert value(first, "beryl_control_bytes_total", purpose="peers", direction="sent") == 10
+        assert value(second, "beryl_control_bytes_total", purpose="peers", direction="sent") is None
+
+    def test_gauge_is_read_at_each_scrape(self):
+        metrics = Metrics("sidecar")
+        running = [1.0]
+        metrics.watch("beryl_running_requests", "Requests that run here.", lambda: running[0])
+
+        running[0] = 2.0
+
+        assert b"beryl_running_requests 2.0" in metrics.render()
+
+
+class TestMeteredApp:
+    def test_counts_the_first_byte_of_an_answer_once(self):
+        async def app(scope, receive, send):
+            await send({"type": "http.response.start"})
+            for _ in range(3):
+                await send({"type": "http.response.body"})
+
+        async def swallow(message):
+            return None
+
+        metrics = Metrics("entry")
+
+        anyio.run(MeteredApp(app, metrics), {}, None, swallow)
+
+        assert value(metrics, "beryl_first_byte_seconds_count") == 1
--- /dev/null
+++ b/testing/test_node.py
@@ -0,0 +1,237 @@
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import anyio
+import attrs
+import pytest
+
+import beryljunction
+from beryljunction.errors import PlatformUnavailableError
+from beryljunction.local import DEMO_KEY, FleetPlan, write_files
+from beryljunction.node import HostFollower, HostView
+from beryljunction.platform import HostChanges, HostList, HostRow
+from beryljunction.settings import EntryFile, SidecarFile, load_file
+from beryljunction.timeline import Timeline
+
+ROW = HostRow("host-a", "drafter-0", "drafter", "ahd-a", "gj-west", "127.0.0.1:1")
+START_S = 30.0
+STOP_S = 30.0
+
+
+def free_ports():
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            yield probe.getsockname()[1]
+
+
+def start(program, *arguments):
+    """Start one of our console programs; whoever starts it ends it by its id."""
+    path = pathlib.Path(sys.executable).parent / program
+    source = pathlib.Path(beryljunction.__file__).parents[1]
+    environment = {**os.environ, "PYTHONPATH": str(source)}
+    return subprocess.Popen(
+        [str(path), *arguments], env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    )
+
+
+def fetch(address, path, data=None):
+    request = urllib.request.Request(f"http://{address}{path}", data)
+    request.add_header("authorization", f"Bearer {DEMO_KEY}")
+    with urllib.request.urlopen(request, timeout=20) as response:
+        return response.read()
+
+
+def until_ready(address):
+    deadline_s = time.monotonic() + START_S
+    while time.monotonic() < deadline_s:
+        with contextlib.suppress(OSError):
+            fetch(address, "/readyz")
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"{address} is not ready")
+
+
+class Processes:
+    """Two entries, an endpoint of each service and the stand-ins, each a process of its own."""
+
+    def __init__(self, directory):
+        self.entries = write_files(directory, free_ports(), FleetPlan(entries=2, endpoints=1))
+        self.running = {"standins": start("beryl-local", "standins", f"{directory}/standins.toml")}
+        self.operators = {}
+        for path in sorted(directory.glob("*.toml")):
+            if path.stem != "standins":
+                self._start(path)
+
+    def _start(self, path):
+        is_entry = path.stem.startswith("entry-")
+        program, cls = ("beryl-entry", EntryFile) if is_entry else ("beryl-sidecar", SidecarFile)
+        self.running[path.stem] = start(program, str(path))
+        self.operators[path.stem] = load_file(path, cls).process.operator_listen
+
+    def end(self):
+        for process in self.running.values():
+            process.terminate()
+        for process in self.running.values():
+            try:
+                process.communicate(timeout=STOP_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.communicate()
+
+
+@pytest.fixture(scope="module")
+def processes(tmp_path_factory):
+    fleet = Processes(tmp_path_factory.mktemp("fleet"))
+    try:
+        for address in fleet.operators.values():
+            until_ready(address)
+        yield fleet
+    finally:
+        fleet.end()
+
+
+class TestProcesses:
+    @pytest.mark.parametrize("number", [0, 1], ids=["first-entry", "second-entry"])
+    def test_streamed_answer_comes_whole_through_each_entry(self, processes, number):
+        body = {"model": "drafter", "messages": [], "max_tokens": 5, "stream": True}
+
+        data = fetch(processes.entries[number], "/v1/chat/completions", json.dumps(body).encode())
+
+        events = [line for line in data.split(b"\n") if line.startswith(b"data: ")]
+        assert len(events) == 6
+        assert events[-1] == b"data: [DONE]"
+
+    def test_non_idempotent_call_runs_once(self, processes):
+        answer = fetch(processes.entries[0], "/services/ledger/notes", b"note 1")
+
+        assert json.loads(answer)["times"] == 1
+
+    def test_operator_listener_shows_one_request_in_each_process(self, processes):
+        fetch(processes.entries[0], "/services/ledger/notes", b"note 2")
+
+        entry = json.loads(fetch(processes.operators["entry-0"], "/beryl/v1/events"))["events"]
+        request_id = next(row[5] for row in reversed(entry) if row[5])
+        path = f"/beryl/v1/events?request_id={request_id}"
+        sidecar = json.loads(fetch(processes.operators["ledger-0"], path))["events"]
+        metrics = fetch(processes.operators["ledger-0"], "/metrics")
+
+        assert [row[4] for row in sidecar][:1] == ["started"]
+        assert b'beryl_events_total{kind="started"}' in metrics
+
+    def test_sigterm_lets_an_answer_in_flight_end(self, processes):
+        """An operator stops an entry while it relays an answer.
+
+        The signal comes after the first frame. The entry takes no more work, relays the answer to
+        its last frame and only then exits, with code 0; a second signal must not hurry it.
+        """
+        body = {"model": "drafter", "messages": [], "max_tokens": 40, "stream": True}
+        request = urllib.request.Request(
+            f"http://{processes.entries[1]}/v1/chat/completions", json.dumps(body).encode()
+        )
+        request.add_header("authorization", f"Bearer {DEMO_KEY}")
+        entry = processes.running["entry-1"]
+
+        with urllib.request.urlopen(request, timeout=20) as response:
+            first = response.readline()
+            entry.send_signal(signal.SIGTERM)
+            entry.send_signal(signal.SIGTERM)
+            data = first + response.read()
+
+        assert data.count(b"data: ") == 41
+        assert entry.wait(STOP_S) == 0
+
+    def test_drained_sidecar_takes_no_new_work(self, processes):
+        operator = processes.operators["reel-llm-0"]
+        body = json.dumps({"model": "reel-llm", "messages": [], "max_tokens": 2}).encode()
+
+        fetch(operator, "/beryl/v1/drain", b"")
+
+        with pytest.raises(urllib.error.HTTPError) as refused:
+            fetch(processes.entries[0], "/v1/chat/completions", body)
+        assert json.loads(refused.value.read())["error"]["ran"] == "no"
+        with pytest.raises(urllib.error.HTTPError, match="503"):
+            fetch(operator, "/readyz")
+
+
+class TestBadSettings:
+    @pytest.mark.parametrize("program", ["beryl-entry", "beryl-sidecar"])
+    def test_end_the_start_with_code_2_and_a_line_for_each_problem(self, tmp_path, program):
+        path = tmp_path / "bad.toml"
+        path.write_text('colour = "red"\n[process]\nhost = 3\n')
+
+        process = start(program, str(path))
+        _, stderr = process.communicate(timeout=START_S)
+
+        assert process.returncode == 2
+        assert b"colour" in stderr
+        assert b"process.host" in stderr
+
+
+class ScriptedHosts(HostList):
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def changes(self, after, wait_s):
+        self.asked.append(after)
+        if not self.answers:
+            await anyio.sleep_forever()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class TestHostView:
+    def test_full_list_without_rows_takes_no_endpoint_away(self):
+        """The list service restarts and has lost its rows.
+
+        Its full list of none would remove every endpoint, and all callers would be refused though
+        every endpoint works. The view keeps what it had until rows are listed again.
+        """
+        view = HostView()
+        view.apply(HostChanges(5, (ROW,)))
+
+        assert not view.apply(HostChanges(0, full=True))
+        assert view.rows == {"drafter-0": ROW}
+
+    def test_changes_replace_and_remove_rows(self):
+        view = HostView()
+        view.apply(HostChanges(1, (ROW, attrs.evolve(ROW, endpoint_id="drafter-1"))))
+        moved = attrs.evolve(ROW, incarnation="2")
+
+        view.apply(HostChanges(3, (moved,), gone=("drafter-1",)))
+
+        assert view.rows == {"drafter-0": moved}
+
+
+class TestHostFollower:
+    def test_outage_keeps_the_last_view_and_is_noted_once(self):
+        async def run():
+            outage = PlatformUnavailableError("down")
+            hosts = ScriptedHosts(HostChanges(4, (ROW,)), outage, outage)
+            seen = []
+            timeline = Timeline("host-a", "ahd-a")
+            follower = HostFollower(hosts, seen.append, timeline)
+            async with anyio.create_task_group() as group:
+                await group.start(follower.run)
+                while len(hosts.asked) < 4:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+            return hosts.asked, seen, [event.kind for event in timeline.events()]
+
+        asked, seen, kinds = anyio.run(run)
+
+        assert asked == [0, 4, 4, 4]
+        assert seen == [[ROW]]
+        assert kinds.count("hosts_unavailable") == 1
--- /dev/null
+++ b/testing/test_timeline.py
@@ -0,0 +1,61 @@
+import pytest
+
+from beryljunction.timeline import HybridClock, Timeline, merge_events
+
+
+class TestHybridClock:
+    def test_time_never_goes_back_when_the_wall_clock_does(self):
+        walls = iter([10.0, 9.0, 9.5])
+        clock = HybridClock(lambda: next(walls))
+
+        times = [clock.now() for _ in range(3)]
+
+        assert times == sorted(set(times))
+
+    def test_answer_is_later_than_its_request_though_the_answering_clock_is_behind(self):
+        asking = HybridClock(lambda: 100.0)
+        answering = HybridClock(lambda: 99.0)
+
+        asked = asking.now()
+        answering.heard_stamp(asking.stamp())
+
+        assert answering.now() > asked
+
+    @pytest.mark.parametrize(
+        "stamp",
+        [
+            pytest.param(None, id="missing"),
+            pytest.param(b"soon", id="no-number"),
+            pytest.param(b"99999999999999.0", id="far-ahead"),
+        ],
+    )
+    def test_stamp_that_cannot_be_true_is_left_out_of_account(self, stamp):
+        clock = HybridClock(lambda: 100.0)
+
+        clock.heard_stamp(stamp)
+
+        assert clock.now() == (100_000, 0)
+
+
+class TestTimeline:
+    def test_flood_of_ordinary_events_does_not_push_out_a_refusal(self):
+        timeline = Timeline("host-a", "ahd-a")
+        timeline.add("refused", "r1", "overloaded")
+
+        for i in range(10_000):
+            timeline.add("arrived", f"r{i}")
+
+        assert [event.kind for event in timeline.events("r1")][0] == "refused"
+
+    def test_merged_rings_show_one_request_in_order_over_processes(self):
+        entry = Timeline("entry-0", "ahd-a", HybridClock(lambda: 100.0))
+        sidecar = Timeline("host-a", "ahd-b", HybridClock(lambda: 99.0))
+
+        entry.add("arrived", "r1")
+        sidecar.clock.heard_stamp(entry.clock.stamp())
+        sidecar.add("started", "r1")
+        entry.clock.heard_stamp(sidecar.clock.stamp())
+        entry.add("answered", "r1")
+
+        merged = merge_events(sidecar.events("r1"), entry.events("r1"))
+        assert [event.kind for event in merged] == ["arrived", "started", "answered"]
