Run the demo on the real wiring; read TLS certificates again in place

Cause: it put rows straight into the entries' table and cut the endpoint off after 0.6 s, so neither the host list nor a planned stop was part of it, and double runs were counted by a request id that a retry could change. Now the one-process fleet is made of the same Node objects as the console programs, an engine and a plain service are taken away under work as the platform does it, and runs are counted by what the caller sent, over all endpoints that were ever there.

A stopping process keeps its listener for 3 s. Ruled out: closing at once, which would cut a request that is on its way, so that its sender would have to say "unknown".

Contexts are changed in place when the files change; a pair is tried on a spare context first, since a new certificate beside an old key would end every handshake.

--- a/src/beryljunction/cli/local.py
+++ b/src/beryljunction/cli/local.py
@@ -11,12 +11,11 @@
 from beryljunction.local import (
     DEMO_KEY,
     FleetPlan,
-    LocalFleet,
     StandInsFile,
-    demo_view,
     print_demo,
     run_demo,
     run_standins,
+    serve_fleet,
     write_files,
 )
 from beryljunction.settings import load_file
@@ -30,23 +29,16 @@
     """Send returning chats and non-idempotent calls through a fleet; exit 1 on a broken promise."""
     result = anyio.run(run_demo)
     print_demo(result)
-    whole = result.answers_whole + result.refusals == result.answers_total
-    return 0 if whole and result.double_runs == 0 else 1
+    return 0 if result.kept_promises else 1
 
 
-def serve() -> int:
-    """Keep a fleet up for trying with curl, until interrupted."""
-
-    async def run() -> None:
-        async with anyio.create_task_group() as group:
-            fleet = LocalFleet(group, demo_view())
-            for i in range(3):
-                await fleet.add_endpoint(f"drafter-{i}", "drafter")
-            await fleet.add_endpoint("ledger-0", "ledger")
-            print(f"entry: {await fleet.add_entry()}  key: {DEMO_KEY}", flush=True)
+def serve(*, endpoints: int = 2) -> int:
+    """Keep a fleet up for trying with curl, until interrupted.
 
+    :param endpoints: Endpoints of each service.
+    """
     try:
-        anyio.run(run)
+        anyio.run(serve_fleet, endpoints)
     except KeyboardInterrupt:
         return 0
     return 0
--- a/src/beryljunction/local/__init__.py
+++ b/src/beryljunction/local/__init__.py
@@ -4,6 +4,7 @@
 from beryljunction.local.demo_view import DEMO_KEY, demo_view
 from beryljunction.local.files import FleetPlan, StandInsFile, write_files
 from beryljunction.local.fleet import LocalFleet
+from beryljunction.local.serving import serve_fleet
 from beryljunction.local.standins import run_standins
 
 __all__ = [
@@ -16,5 +17,6 @@
     "print_demo",
     "run_demo",
     "run_standins",
+    "serve_fleet",
     "write_files",
 ]
--- a/src/beryljunction/local/demo.py
+++ b/src/beryljunction/local/demo.py
@@ -1,10 +1,12 @@
-"""The main job in one run: returning chats and non-idempotent calls while an endpoint goes."""
+"""The main job in one run: returning chats and non-idempotent calls while endpoints go."""
 
+import collections
 import json
 import statistics
 import time
 
 import anyio
+import anyio.abc
 import attrs
 import httpcore
 
@@ -12,134 +14,230 @@
 from beryljunction.local.fleet import LocalFleet
 from beryljunction.servers import client_pool
 
-__all__ = ["DemoResult", "run_demo"]
-
-_CHATS = 12
-_TURNS = 5
-_PROMPT_CHARS = 4_000
-_ANSWER_TOKENS = 12
+__all__ = ["DemoResult", "print_demo", "run_demo"]
+
+_MODELS = ("reel-llm", "drafter")
+_NOTES = "ledger"
+_ENTRIES = 2
+_ENDPOINTS = 3
+_CHATS = 16
+_TURNS = 10
+_CALLS = 80
+_PROMPT_CHARS = 8_000
+_TURN_CHARS = 400
+_ANSWER_TOKENS = 20
+# Chats pause between turns, as people do; the whole of it spans the leaving and the return.
+_THINK_S = 0.6
+_CALL_EVERY_S = 0.12
+_CALL_S = 0.3
+_QUIET_S = 1.5
 _HEADERS = [("authorization", f"Bearer {DEMO_KEY}"), ("content-type", "application/json")]
 
 
 @attrs.define
 class DemoResult:
-    """What the callers of the demo saw."""
+    """What the callers of the demo saw.
+
+    Attributes:
+        calls: Non-idempotent calls that were sent.
+        runs: Runs of those calls, over all endpoints that were ever there.
+        double_runs: Runs beyond the first of a call, told apart by what the caller sent.
+        broken: What callers got that was neither whole nor a true refusal.
+    """
 
     answers_total: int = 0
     answers_whole: int = 0
     returning: int = 0
     found_warm: int = 0
+    calls: int = 0
+    runs: int = 0
     double_runs: int = 0
     refusals: int = 0
+    broken: list[str] = attrs.field(factory=list)
     first_token_s: list[float] = attrs.field(factory=list)
 
+    @property
+    def cut_in_flight(self) -> int:
+        """Answers that callers neither got whole nor were refused with a "not run"."""
+        return self.answers_total - self.answers_whole - self.refusals
+
+    @property
+    def found_warm_ratio(self) -> float:
+        """Share of returning turns that found their prefix cached."""
+        return self.found_warm / max(1, self.returning)
+
+    @property
+    def kept_promises(self) -> bool:
+        """Whether nothing was cut or run twice."""
+        return self.cut_in_flight == 0 and self.double_runs == 0
+
     def to_json(self) -> str:
         """Return the figures as one JSON object."""
         return json.dumps(
             {
                 "answers_whole": self.answers_whole,
                 "answers_total": self.answers_total,
-                "found_warm_ratio": round(self.found_warm / max(1, self.returning), 4),
+                "found_warm_ratio": round(self.found_warm_ratio, 4),
                 "double_runs": self.double_runs,
-                "cut_in_flight": self.answers_total - self.answers_whole - self.refusals,
+                "cut_in_flight": self.cut_in_flight,
             }
         )
 
 
 async def run_demo() -> DemoResult:
-    """Start a fleet, send the work, take an endpoint away and bring it back."""
+    """Start a fleet, send the work, take endpoints away under it and bring them back."""
     result = DemoResult()
     async with anyio.create_task_group() as group, client_pool() as pool:
         fleet = LocalFleet(group, demo_view())
-        for service in ("reel-llm", "drafter"):
-            for i in range(3):
-                await fleet.add_endpoint(f"{service}-{i}", service)
-        await fleet.add_endpoint("ledger-0", "ledger")
-        for _ in range(2):
+        for service in fleet.view.services:
+            for number in range(_ENDPOINTS):
+                await fleet.add_endpoint(f"{service}-{number}", service)
+        for _ in range(_ENTRIES):
             await fleet.add_entry()
-        async with anyio.create_task_group() as callers:
-            for i in range(_CHATS):
-                callers.start_soon(_chat, pool, fleet, i, result)
-                callers.start_soon(_note, pool, fleet, i, result)
-            await anyio.sleep(0.6)
-            fleet.remove_endpoint("drafter-1")
-            await anyio.sleep(0.6)
-            await fleet.add_endpoint("drafter-1", "drafter")
-        runs = [run for local in fleet.local.values() for run in local.app.runs]
-        result.double_runs = len(runs) - len(set(runs))
+        await fleet.settle()
+        for plain in fleet.plain_services:
+            plain.work_s = _CALL_S
+        await _work(_Callers(pool, fleet, result))
+        _count_runs(fleet, result)
+        await fleet.close()
         group.cancel_scope.cancel()
     return result
 
 
-async def _chat(
-    pool: httpcore.AsyncConnectionPool, fleet: LocalFleet, number: int, result: DemoResult
-) -> None:
-    service = ("reel-llm", "drafter")[number % 2]
-    prompt = "x" * _PROMPT_CHARS
-    for turn in range(_TURNS):
-        prompt += f" turn {turn} " + "y" * 200
-        body = {
-            "model": service,
-            "stream": True,
-            "max_tokens": _ANSWER_TOKENS,
-            "prompt_cache_key": f"chat-{number}",
-            "messages": [{"role": "user", "content": prompt}],
-        }
-        entry = fleet.entries[(number + turn) % len(fleet.entries)]
-        await _ask_stream(pool, entry, body, turn > 0, result)
-        await anyio.sleep(0.05)
-
-
-async def _ask_stream(
-    pool: httpcore.AsyncConnectionPool,
-    entry: str,
-    body: dict[str, object],
-    returning: bool,
-    result: DemoResult,
-) -> None:
-    started_s = time.monotonic()
-    result.answers_total += 1
-    data = b""
-    async with pool.stream(
-        "POST", f"{entry}/v1/chat/completions", headers=_HEADERS, content=json.dumps(body).encode()
-    ) as response:
-        async for chunk in response.aiter_stream():
-            if not data:
-                result.first_token_s.append(time.monotonic() - started_s)
-            data += chunk
-    if response.status != 200:
-        result.refusals += 1
-        return
-    events = [line[6:] for line in data.split(b"\n") if line.startswith(b"data: ")]
-    result.answers_whole += len(events) == _ANSWER_TOKENS + 1 and events[-1] == b"[DONE]"
-    if returning:
-        cached = json.loads(events[0])["usage"]["prompt_tokens_details"]["cached_tokens"]
-        result.returning += 1
-        result.found_warm += cached > 0
-
-
-async def _note(
-    pool: httpcore.AsyncConnectionPool, fleet: LocalFleet, number: int, result: DemoResult
-) -> None:
-    await anyio.sleep(0.1 * number)
-    entry = fleet.entries[number % len(fleet.entries)]
-    result.answers_total += 1
-    response = await pool.request(
-        "POST", f"{entry}/services/ledger/notes", headers=_HEADERS, content=b"{}"
-    )
-    result.answers_whole += response.status == 200
-    result.refusals += response.status != 200
+async def _work(callers: "_Callers") -> None:
+    async with anyio.create_task_group() as group:
+        for number in range(_CHATS):
+            group.start_soon(callers.chat, number)
+        group.start_soon(callers.calls, group)
+        await anyio.sleep(_QUIET_S)
+        for endpoint_id, service in (("drafter-1", "drafter"), (f"{_NOTES}-1", _NOTES)):
+            group.start_soon(_replace, callers.fleet, endpoint_id, service)
+
+
+async def _replace(fleet: LocalFleet, endpoint_id: str, service: str) -> None:
+    """Take an endpoint away while it works, and bring another up in its slot."""
+    await fleet.take_away(endpoint_id)
+    await fleet.add_endpoint(endpoint_id, service)
+
+
+def _count_runs(fleet: LocalFleet, result: DemoResult) -> None:
+    times: collections.Counter[str] = collections.Counter()
+    for plain in fleet.plain_services:
+        times.update(plain.times)
+    result.runs = times.total()
+    result.double_runs = sum(count - 1 for count in times.values())
+
+
+class _Callers:
+    """The users' clients; each request goes to the next entry, as behind a balancer."""
+
+    def __init__(
+        self, pool: httpcore.AsyncConnectionPool, fleet: LocalFleet, result: DemoResult
+    ) -> None:
+        self.fleet = fleet
+        self._pool = pool
+        self._result = result
+        self._sent = 0
+
+    async def chat(self, number: int) -> None:
+        """Come back to one chat again and again."""
+        prompt = f"dossier {number} " + "x" * _PROMPT_CHARS
+        for turn in range(_TURNS):
+            prompt += f" turn {turn} " + "y" * _TURN_CHARS
+            body = {
+                "model": _MODELS[number % len(_MODELS)],
+                "stream": True,
+                "max_tokens": _ANSWER_TOKENS,
+                "prompt_cache_key": f"chat-{number}",
+                "messages": [{"role": "user", "content": prompt}],
+            }
+            await self._ask(json.dumps(body).encode(), is_returning=turn > 0)
+            await anyio.sleep(_THINK_S)
+
+    async def calls(self, group: anyio.abc.TaskGroup) -> None:
+        """Send calls that must not run twice, each with a body of its own."""
+        for number in range(_CALLS):
+            group.start_soon(self._call, number)
+            await anyio.sleep(_CALL_EVERY_S)
+
+    async def _call(self, number: int) -> None:
+        result = self._result
+        result.answers_total += 1
+        result.calls += 1
+        url = f"{self._entry()}/services/{_NOTES}/notes"
+        body = json.dumps({"disbursement": number}).encode()
+        try:
+            response = await self._pool.request("POST", url, headers=_HEADERS, content=body)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            result.broken.append(f"call {number}: {type(error).__name__}")
+            return
+        if response.status == 200:
+            result.answers_whole += 1
+        else:
+            self._refused(response.content)
+
+    async def _ask(self, body: bytes, is_returning: bool) -> None:
+        result = self._result
+        result.answers_total += 1
+        url = f"{self._entry()}/v1/chat/completions"
+        started_s = time.monotonic()
+        data = b""
+        try:
+            async with self._pool.stream("POST", url, headers=_HEADERS, content=body) as response:
+                async for chunk in response.aiter_stream():
+                    if not data:
+                        result.first_token_s.append(time.monotonic() - started_s)
+                    data += chunk
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            result.broken.append(f"chat: {type(error).__name__}")
+            return
+        if response.status == 200:
+            self._answered(data, is_returning)
+        else:
+            self._refused(data)
+
+    def _answered(self, data: bytes, is_returning: bool) -> None:
+        result = self._result
+        events = [line[6:] for line in data.split(b"\n") if line.startswith(b"data: ")]
+        if len(events) != _ANSWER_TOKENS + 1 or events[-1] != b"[DONE]":
+            result.broken.append(f"chat: {len(events)} events, the last {events[-1:]}")
+            return
+        result.answers_whole += 1
+        if is_returning:
+            cached = json.loads(events[0])["usage"]["prompt_tokens_details"]["cached_tokens"]
+            result.returning += 1
+            result.found_warm += cached > 0
+
+    def _refused(self, data: bytes) -> None:
+        """Count a refusal; one that can't say "not run" is an answer that was cut."""
+        error = json.loads(data)["error"]
+        if error["ran"] == "no":
+            self._result.refusals += 1
+        else:
+            self._result.broken.append(f"{error['code']}: {error['message']}")
+
+    def _entry(self) -> str:
+        self._sent += 1
+        return self.fleet.entries[self._sent % len(self.fleet.entries)]
 
 
 def print_demo(result: DemoResult) -> None:
     """Print the table that a person reads, then one JSON object."""
+    first_ms = sorted(value * 1000 for value in result.first_token_s)
+    p95_ms = first_ms[int(0.95 * (len(first_ms) - 1))]
+    warm = f"{result.found_warm} of {result.returning} ({result.found_warm_ratio:.0%})"
     rows = [
         ("answers whole", f"{result.answers_whole} of {result.answers_total}"),
-        ("returning chats found warm", f"{result.found_warm} of {result.returning}"),
-        ("median time to first token", f"{statistics.median(result.first_token_s) * 1000:.0f} ms"),
+        ("returning turns found warm", warm),
+        ("time to first token, median", f"{statistics.median(first_ms):.0f} ms"),
+        ("time to first token, 95 in 100", f"{p95_ms:.0f} ms"),
+        ("runs of non-idempotent calls", f"{result.runs} of {result.calls} calls"),
         ("non-idempotent calls run twice", str(result.double_runs)),
-        ("refusals", str(result.refusals)),
+        ("refused, not run", str(result.refusals)),
+        ("cut in flight", str(result.cut_in_flight)),
     ]
     for name, value in rows:
         print(f"{name:32} {value}")
+    for line in result.broken:
+        print(f"broken: {line}")
     print(result.to_json())
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -1,88 +1,151 @@
 """The whole path in one process: entries, sidecars and stand-ins on free loopback ports."""
 
+import time
+from typing import Any
+
 import anyio
 import anyio.abc
 import attrs
 
-from beryljunction.entry import EntryApp
+from beryljunction.errors import InvariantError
+from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES
 from beryljunction.local.standins import start_endpoint
-from beryljunction.servers import Asgi, Server, bind
+from beryljunction.node import EntryRole, Node, SidecarRole
+from beryljunction.platform import HostRow
+from beryljunction.servers import Server, bind
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
-from beryljunction.sidecar import SidecarApp
-from beryljunction.standins import EngineStandIn, PlainStandIn
-from beryljunction.tables import Endpoint, EndpointTable
+from beryljunction.standins import EngineStandIn, HostListStandIn, PlainStandIn
 
-__all__ = ["LocalFleet"]
+__all__ = ["LocalEndpoint", "LocalFleet"]
 
 _FREE_PORT = "127.0.0.1:0"
 _FLEET_KEY = "local-fleet-key"
+_LIVE = "live"
+_LEAVING = "leaving"
+_SETTLE_S = 10.0
 
 
 @attrs.define
 class LocalEndpoint:
     """An endpoint stand-in with its sidecar."""
 
-    row: Endpoint
+    row: HostRow
     app: EngineStandIn | PlainStandIn
-    sidecar: SidecarApp
-    servers: list[Server]
+    server: Server
+    node: Node
 
 
 class LocalFleet:
-    """Starts and stops parts of a fleet inside one task group."""
+    """Starts and stops parts of a fleet inside one task group; the wiring is the real one.
+
+    Attributes:
+        plain_services: Every plain service that ever ran, those taken away included.
+    """
 
     def __init__(self, group: anyio.abc.TaskGroup, view: FleetView) -> None:
         self._group = group
         self.view = view
-        self.endpoints = EndpointTable()
-        self.local: dict[str, LocalEndpoint] = {}
+        self.hosts = HostListStandIn()
+        self.endpoints: dict[str, LocalEndpoint] = {}
         self.entries: list[str] = []
-        self._servers: list[Server] = []
+        self.nodes: list[Node] = []
+        self.plain_services: list[PlainStandIn] = []
+        self._hosts_server: Server | None = None
+        self._scopes: list[anyio.CancelScope] = []
 
     async def add_endpoint(self, endpoint_id: str, service: str) -> LocalEndpoint:
-        """Start an endpoint with its sidecar and make it known to the entries."""
+        """Start an endpoint with its sidecar and put it on the host list."""
         kind = self.view.services[service].kind
-        app, back = await start_endpoint(self._group, kind, _FREE_PORT)
-        process = self._process(f"host-{endpoint_id}")
-        file = SidecarFile(process, endpoint_id, service, f"http://{back.address}")
-        sidecar = SidecarApp(file, self.view)
-        await self._group.start(sidecar.run)
-        front = await self._serve(sidecar)
-        row = Endpoint(endpoint_id, service, "ahd-a", front.address)
-        self.endpoints.put(row)
-        local = self.local[endpoint_id] = LocalEndpoint(row, app, sidecar, [front, back])
+        app, server = await start_endpoint(self._group, kind, _FREE_PORT)
+        if isinstance(app, PlainStandIn):
+            self.plain_services.append(app)
+        process = await self._process(f"host-{endpoint_id}", len(self.endpoints))
+        file = SidecarFile(process, endpoint_id, service, f"http://{server.address}")
+        node = Node(SidecarRole(file, self.view), self.view)
+        row = await self._start(node, endpoint_id, service)
+        local = self.endpoints[endpoint_id] = LocalEndpoint(row, app, server, node)
         return local
 
-    def remove_endpoint(self, endpoint_id: str) -> None:
-        """Take an endpoint away; its requests in flight end first."""
-        local = self.local.pop(endpoint_id)
-        local.sidecar.admission.leaving = True
-        self.endpoints.remove(endpoint_id)
-        for server in local.servers:
-            server.stop()
+    async def take_away(self, endpoint_id: str) -> None:
+        """Take an endpoint away as the platform does, and return when its sidecar has ended."""
+        local = self.endpoints.pop(endpoint_id)
+        self.hosts.put(attrs.evolve(local.row, state=_LEAVING))
+        local.node.stop()
+        await local.node.ended.wait()
+        self.nodes.remove(local.node)
+        self.hosts.remove(local.row.key)
+        local.server.stop()
 
     async def add_entry(self) -> str:
         """Start an entry and return its base URL."""
-        file = EntryFile(self._process(f"entry-{len(self.entries)}"))
-        server = await self._serve(EntryApp(file, self.view, self.endpoints))
-        self.entries.append(f"http://{server.address}")
+        number = len(self.entries)
+        process = await self._process(f"entry-{number}", number)
+        node = Node(EntryRole(EntryFile(process)), self.view)
+        row = await self._start(node)
+        self.entries.append(f"http://{row.address}")
         return self.entries[-1]
 
-    async def _serve(self, app: Asgi) -> Server:
-        server = Server(app, bind(_FREE_PORT))
-        self._servers.append(server)
-        await self._group.start(server.run_until_stopped)
-        return server
+    async def close(self) -> None:
+        """End everything at once; for the end of a run, when nothing is in flight."""
+        for scope in self._scopes:
+            scope.cancel()
+        for node in self.nodes:
+            await node.ended.wait()
+        for local in self.endpoints.values():
+            local.server.stop()
+        if self._hosts_server is not None:
+            self._hosts_server.stop()
+
+    async def settle(self) -> None:
+        """Wait until every process has read the whole host list.
+
+        Raises:
+            InvariantError: When one has not within ten seconds.
+        """
+        until_s = time.monotonic() + _SETTLE_S
+        while any(node.status().hosts_version < self.hosts.model.version for node in self.nodes):
+            if time.monotonic() > until_s:
+                raise InvariantError("expected every process to follow the host list within 10 s")
+            await anyio.sleep(0.02)
 
-    @staticmethod
-    def _process(host: str) -> ProcessSettings:
+    async def _run(self, node: Node, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
+        with anyio.CancelScope() as scope:
+            self._scopes.append(scope)
+            await node.run(task_status=task_status)
+
+    async def _start(self, node: Node, endpoint_id: str = "", service: str = "") -> HostRow:
+        await self._group.start(self._run, node)
+        self.nodes.append(node)
+        process = node.role.process
+        row = HostRow(
+            host=process.host,
+            endpoint_id=endpoint_id,
+            service=service,
+            availability_zone=process.availability_zone,
+            region=process.region,
+            address=node.requests.address,
+            incarnation=node.status().incarnation,
+            state=_LIVE,
+            operator_address=node.operator.address,
+        )
+        self.hosts.put(row)
+        return row
+
+    async def _process(self, host: str, number: int) -> ProcessSettings:
         return ProcessSettings(
             host=host,
-            region="gj-west",
-            availability_zone="ahd-a",
+            region=DEMO_REGION,
+            availability_zone=DEMO_ZONES[number % len(DEMO_ZONES)],
             listen=_FREE_PORT,
             operator_listen=_FREE_PORT,
             fleet_key=_FLEET_KEY,
             log_address="",
-            hosts_address="",
+            hosts_address=await self.hosts_url(),
         )
+
+    async def hosts_url(self) -> str:
+        """Return the base URL of the host list, which is started with the first process."""
+        if self._hosts_server is None:
+            self._hosts_server = Server(self.hosts, bind(_FREE_PORT))
+            await self._group.start(self._hosts_server.run_until_stopped)
+        return f"http://{self._hosts_server.address}"
--- /dev/null
+++ b/src/beryljunction/local/serving.py
@@ -0,0 +1,34 @@
+"""A fleet that stays up for trying with curl."""
+
+import anyio
+
+from beryljunction.local.demo_view import DEMO_KEY, demo_view
+from beryljunction.local.fleet import LocalFleet
+
+__all__ = ["serve_fleet"]
+
+_TRY = """\
+curl -N {entry}/v1/chat/completions -H 'Authorization: Bearer {key}' \\
+  -d '{{"model": "drafter", "stream": true, "prompt_cache_key": "chat-1", "max_tokens": 8,
+       "messages": [{{"role": "user", "content": "Draft the application."}}]}}'
+curl {entry}/services/ledger/notes -H 'Authorization: Bearer {key}' -d 'disbursement 17'
+curl {operator}/beryl/v1/status
+curl {operator}/metrics
+beryl status --hosts {hosts}
+beryl timeline --hosts {hosts}
+"""
+
+
+async def serve_fleet(endpoints: int) -> None:
+    """Start entries, endpoints of each service and stand-ins; print what to try."""
+    async with anyio.create_task_group() as group:
+        fleet = LocalFleet(group, demo_view())
+        for service in fleet.view.services:
+            for number in range(endpoints):
+                await fleet.add_endpoint(f"{service}-{number}", service)
+        entries = [await fleet.add_entry() for _ in range(2)]
+        await fleet.settle()
+        operator = f"http://{fleet.nodes[-1].operator.address}"
+        hosts = await fleet.hosts_url()
+        text = _TRY.format(entry=entries[0], key=DEMO_KEY, operator=operator, hosts=hosts)
+        print(text, flush=True)
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -17,6 +17,8 @@
 
 __all__ = ["Node"]
 
+_LINGER_S = 3.0
+
 
 class Node:
     """One entry or sidecar with everything around it."""
@@ -28,6 +30,7 @@
         self._pool = client_pool()
         self._draining = False
         self._stopping = anyio.Event()
+        self.ended = anyio.Event()
         self._view = view
         role.apply(view)
         role.timeline.listen(EventLog(process.log_sample_ratio))
@@ -67,19 +70,26 @@
 
     async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
         """Run until stopped; the operator listener is there to the end, to watch the stop."""
-        async with self._pool, anyio.create_task_group() as background:
-            await background.start(self.operator.run_until_stopped)
-            await background.start(self.role.run)
-            if self.role.process.hosts_address:
-                await background.start(self._hosts.run)
-            async with anyio.create_task_group() as serving:
-                await serving.start(self.requests.run_until_stopped)
-                self.role.timeline.add("serving", detail=self.requests.address)
-                task_status.started()
-                await self._stopping.wait()
-                self.requests.stop()
-            self.role.timeline.add("stopped")
-            background.cancel_scope.cancel()
+        try:
+            async with self._pool, anyio.create_task_group() as background:
+                await background.start(self.operator.run_until_stopped)
+                await background.start(self.role.run)
+                if self.role.process.hosts_address:
+                    await background.start(self._hosts.run)
+                await self._serve(task_status)
+                background.cancel_scope.cancel()
+        finally:
+            self.ended.set()
+
+    async def _serve(self, task_status: Any) -> None:
+        async with anyio.create_task_group() as serving:
+            await serving.start(self.requests.run_until_stopped)
+            self.role.timeline.add("serving", detail=self.requests.address)
+            task_status.started()
+            await self._stopping.wait()
+            await self._linger()
+            self.requests.stop()
+        self.role.timeline.add("stopped")
 
     async def run_until_signal(self) -> None:
         """Run until SIGTERM or SIGINT; further signals don't hurry a stop that is under way."""
@@ -94,6 +104,16 @@
                 self.role.timeline.add("signal", detail=signal.Signals(number).name)
                 self.stop()
 
+    async def _linger(self) -> None:
+        """Keep the listener open until the others know, and nothing is in flight.
+
+        A listener that closed at once would cut a request that is already on its way: its sender
+        sees a broken connection and must say "unknown" where a "not run" would have sent the
+        request elsewhere. The others learn of it by the host list, by the readiness probe or by
+        the first refusal; all of these come within the time.
+        """
+        await anyio.sleep(_LINGER_S)
+
     def _not_ready(self) -> str:
         if self._draining:
             return "draining"
--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import ssl
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from typing import Any
 
@@ -21,6 +22,7 @@
     "client_pool",
     "read_body",
     "respond",
+    "wait_disconnect",
 ]
 
 Scope = MutableMapping[str, Any]
@@ -51,7 +53,9 @@
 class Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the process and waits for requests in flight."""
 
-    def __init__(self, app: Asgi, listener: socket.socket) -> None:
+    def __init__(
+        self, app: Asgi, listener: socket.socket, tls: ssl.SSLContext | None = None
+    ) -> None:
         config = uvicorn.Config(
             app,
             loop="asyncio",
@@ -63,6 +67,8 @@
             timeout_keep_alive=_SERVER_KEEPALIVE_S,
             server_header=False,
             date_header=False,
+            ssl_context_factory=None if tls is None else lambda *_: tls,
+            proxy_headers=False,
         )
         super().__init__(config)
         self.listener = listener
@@ -91,9 +97,10 @@
         self.should_exit = True
 
 
-def client_pool() -> httpcore.AsyncConnectionPool:
+def client_pool(tls: ssl.SSLContext | None = None) -> httpcore.AsyncConnectionPool:
     """Return a pool for calls to other processes; retries are decided by our systems, not by it."""
     return httpcore.AsyncConnectionPool(
+        ssl_context=tls,
         max_connections=_MAX_CONNECTIONS,
         max_keepalive_connections=_MAX_CONNECTIONS,
         keepalive_expiry=_KEEPALIVE_S,
@@ -101,21 +108,24 @@
     )
 
 
-async def read_body(receive: Receive, limit_bytes: int) -> bytes | None:
-    """Read a request's body; None when it is longer than the limit or the caller hung up."""
-    parts = []
-    size = 0
-    while True:
+async def read_body(receive: Receive, limit_bytes: int, limit_s: float = 60.0) -> bytes | None:
+    """Read a request's body; None when it is too long or too slow, or the caller hung up."""
+    with anyio.move_on_after(limit_s):
         message = await receive()
-        if message["type"] != "http.request":
-            return None
-        part = message.get("body", b"")
-        size += len(part)
-        if size > limit_bytes:
-            return None
-        parts.append(part)
-        if not message.get("more_body"):
-            return b"".join(parts)
+        body = bytes(message.get("body", b""))
+        while message.get("more_body") and len(body) <= limit_bytes:
+            message = await receive()
+            body += message.get("body", b"")
+        whole = message["type"] == "http.request" and not message.get("more_body")
+        return body if whole and len(body) <= limit_bytes else None
+    return None
+
+
+async def wait_disconnect(receive: Receive, scope: anyio.CancelScope) -> None:
+    """Cancel a scope when the other side hangs up."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
 
 
 async def respond(
--- a/src/beryljunction/standins/engine.py
+++ b/src/beryljunction/standins/engine.py
@@ -18,7 +18,7 @@
 import attrs
 
 from beryljunction.errors import InvariantError
-from beryljunction.servers import Receive, Scope, Send, read_body, respond
+from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 from beryljunction.standins.faults import EngineFaults
 from beryljunction.standins.generations import Generation, GenerationTable
 from beryljunction.standins.model import EngineModel
@@ -128,7 +128,7 @@
         """Write to one reader until it hangs up; cancel an answer that nobody reads any more."""
         generation.readers += 1
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_on_hangup, receive, group.cancel_scope)
+            group.start_soon(wait_disconnect, receive, group.cancel_scope)
             await write()
             group.cancel_scope.cancel()
         generation.readers -= 1
@@ -245,9 +245,3 @@
     """Return the "after" of a query, 0 when there is none."""
     query = parse_qs(scope["query_string"].decode("latin-1"))
     return int(query.get("after", ["0"])[0])
-
-
-async def _cancel_on_hangup(receive: Receive, scope: anyio.CancelScope) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
--- a/src/beryljunction/standins/hosts.py
+++ b/src/beryljunction/standins/hosts.py
@@ -9,7 +9,7 @@
 import attrs
 
 from beryljunction.platform.hosts import HOSTS_PATH, HostChanges, HostRow
-from beryljunction.servers import Receive, Scope, Send, read_body, respond
+from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 from beryljunction.standins.faults import HostListFaults
 from beryljunction.wire import decode, encode
 
@@ -101,7 +101,10 @@
         if self.faults.outage:
             await respond(send, 503, b"{}")
         elif path == HOSTS_PATH and scope["method"] == "GET":
-            await self._read(scope, send)
+            async with anyio.create_task_group() as group:
+                group.start_soon(wait_disconnect, receive, group.cancel_scope)
+                await self._read(scope, send)
+                group.cancel_scope.cancel()
         elif path == HOSTS_PATH and scope["method"] == "PUT":
             self.put(decode(body, HostRow))
             await respond(send, 200, b"{}")
--- /dev/null
+++ b/testing/test_tls.py
@@ -0,0 +1,130 @@
+import pathlib
+import shutil
+import ssl
+
+import anyio
+import httpcore
+import pytest
+
+from beryljunction.errors import StartError
+from beryljunction.servers import Server, bind, client_pool, respond
+from beryljunction.settings import TlsSettings
+from beryljunction.tls import TlsContexts
+
+# Made for these tests and trusted by nothing else: "host-a" and its renewal are signed by the
+# fleet's authority, "stranger" by another one.
+CERTIFICATES = pathlib.Path(__file__).parent / "certificates"
+
+
+def installed(directory, name):
+    """Put a certificate in place, with the times of the files changed as a renewal would."""
+    for suffix in ("pem", "key"):
+        shutil.copyfile(CERTIFICATES / f"{name}.{suffix}", directory / f"host.{suffix}")
+    authority = str(CERTIFICATES / "fleet-authority.pem")
+    return TlsSettings(str(directory / "host.pem"), str(directory / "host.key"), authority)
+
+
+def settings_of(name, authority="fleet-authority"):
+    paths = (CERTIFICATES / f"{name}.pem", CERTIFICATES / f"{name}.key")
+    return TlsSettings(str(paths[0]), str(paths[1]), str(CERTIFICATES / f"{authority}.pem"))
+
+
+async def hello(scope, receive, send):
+    await respond(send, 200, b"hello")
+
+
+def ask(server_tls, *client_contexts):
+    """Serve over TLS and ask with one new connection for each client; return the answers."""
+
+    async def run():
+        answers = []
+        async with anyio.create_task_group() as group:
+            server = Server(hello, bind("127.0.0.1:0"), server_tls)
+            await group.start(server.run_until_stopped)
+            for context in client_contexts:
+                async with client_pool(context) as pool:
+                    try:
+                        response = await pool.request("GET", f"https://{server.address}/")
+                        answers.append(response.content)
+                    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+                        answers.append(type(error))
+            server.stop()
+        return answers
+
+    return anyio.run(run)
+
+
+def serial_of(context):
+    """Return the serial number of the certificate that a context presents."""
+    probe = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    probe.check_hostname = False
+    probe.load_verify_locations(CERTIFICATES / "fleet-authority.pem")
+    to_server, to_client = ssl.MemoryBIO(), ssl.MemoryBIO()
+    client = probe.wrap_bio(to_client, to_server)
+    server = context.wrap_bio(to_server, to_client, server_side=True)
+    for side in (client, server, client):
+        try:
+            side.do_handshake()
+        except ssl.SSLWantReadError:
+            continue
+    return client.getpeercert()["serialNumber"]
+
+
+class TestTlsContexts:
+    def test_processes_of_the_fleet_reach_each_other(self):
+        contexts = TlsContexts(settings_of("host-a"), is_mutual=True)
+        other = TlsContexts(settings_of("host-a-renewed"), is_mutual=True)
+
+        assert ask(contexts.server, other.client) == [b"hello"]
+
+    @pytest.mark.parametrize("case", ["stranger", "no-certificate"])
+    def test_who_the_authority_did_not_sign_is_turned_away(self, case):
+        contexts = TlsContexts(settings_of("host-a"), is_mutual=True)
+        client = ssl.create_default_context(cafile=CERTIFICATES / "fleet-authority.pem")
+        client.check_hostname = False
+        if case == "stranger":
+            client.load_cert_chain(CERTIFICATES / "stranger.pem", CERTIFICATES / "stranger.key")
+
+        (answer,) = ask(contexts.server, client)
+
+        assert answer != b"hello"
+        assert issubclass(answer, (httpcore.NetworkError, httpcore.ProtocolError))
+
+    def test_server_that_the_authority_did_not_sign_is_not_talked_to(self):
+        stranger = TlsContexts(settings_of("stranger", "other-authority"), is_mutual=False)
+        client = TlsContexts(settings_of("host-a"), is_mutual=True).client
+
+        assert ask(stranger.server, client) == [httpcore.ConnectError]
+
+    def test_renewed_certificate_is_used_without_a_restart(self, tmp_path):
+        contexts = TlsContexts(installed(tmp_path, "host-a"), is_mutual=False)
+        before = serial_of(contexts.server)
+
+        installed(tmp_path, "host-a-renewed")
+        problem = contexts.read_again()
+
+        assert problem == ""
+        assert contexts.read_again() is None
+        assert serial_of(contexts.server) != before
+
+    def test_half_renewed_files_leave_the_old_certificate_in_use(self, tmp_path):
+        """The platform replaces a certificate and, a moment later, its key.
+
+        In between the files don't belong together. The process reads them at that moment: it keeps
+        its old pair, says so, and takes the new pair with the next reading.
+        """
+        contexts = TlsContexts(installed(tmp_path, "host-a"), is_mutual=False)
+        before = serial_of(contexts.server)
+
+        shutil.copyfile(CERTIFICATES / "host-a-renewed.pem", tmp_path / "host.pem")
+        problem = contexts.read_again()
+        between = serial_of(contexts.server)
+        installed(tmp_path, "host-a-renewed")
+
+        assert "mismatch" in problem.lower()
+        assert between == before
+        assert contexts.read_again() == ""
+
+    def test_unusable_files_fail_the_start(self, tmp_path):
+        with pytest.raises(StartError, match="expected a readable file"):
+            TlsContexts(TlsSettings(str(tmp_path / "none.pem"), "none.key"), is_mutual=False)
