--- a/src/beryljunction/settings/files.py
+++ b/src/beryljunction/settings/files.py
@@ -9,7 +9,7 @@
 
 from beryljunction.errors import SettingsError
 
-__all__ = ["converter", "load_file", "structure"]
+__all__ = ["converter", "load_file", "load_toml", "structure"]
 
 T = TypeVar("T")
 
@@ -53,10 +53,18 @@
     Raises:
         SettingsError: When the file can't be read, is not TOML or does not fit the class.
     """
+    return structure(load_toml(path), cls, str(path))
+
+
+def load_toml(path: pathlib.Path) -> dict[str, Any]:
+    """Read a TOML file as plain data.
+
+    Raises:
+        SettingsError: When the file can't be read or is not TOML.
+    """
     try:
-        data = tomllib.loads(path.read_text("utf-8"))
+        return tomllib.loads(path.read_text("utf-8"))
     except OSError as error:
         raise SettingsError([f"{path}: expected a readable file, got {error.strerror}"]) from error
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"{path}: expected TOML, got {error}"]) from error
-    return structure(data, cls, str(path))
