Add the tree of settings, its rule for races, and readers

Cause: settings were fixed at start-up. The tree fleet > region > account > service is made of the log's records alone; whether a change stands depends on the tree before it and the record (base per path, the reads that it relied on, operator lists), never on this program's types and ranges: two program versions would fork for good. Paths that have to fit together conflict by reads in the record. schema.py: new fields at the end of ServiceSettings, WeightSettings, OperatorSettings, FleetView.service_for.

--- a/src/beryljunction/settings/__init__.py
+++ b/src/beryljunction/settings/__init__.py
@@ -1,27 +1,96 @@
 """Settings: process files and the fleet's tree."""
 
-from beryljunction.settings.files import converter, load_file, structure
+from beryljunction.settings.changes import (
+    CHANGES_STREAM,
+    SNAPSHOTS_STREAM,
+    Accepted,
+    Change,
+    Conflict,
+    Edit,
+    Match,
+    Read,
+    Refused,
+    Skipped,
+    Verdict,
+)
+from beryljunction.settings.files import converter, load_file, load_toml, structure
+from beryljunction.settings.following import (
+    FollowSettings,
+    NoPeers,
+    PeerSource,
+    SettingsFollower,
+)
+from beryljunction.settings.paths import FLEET, Path, Scope, parse_path, parse_scope
+from beryljunction.settings.peers import SETTINGS_PATH, HttpPeers, answer_settings
+from beryljunction.settings.reader import Alarms, Judged, SettingsReader
+from beryljunction.settings.resolving import Origin, Resolver, resolve
+from beryljunction.settings.rules import FieldRule, problem_of, rule_of
 from beryljunction.settings.schema import (
     AccountSettings,
     EntryFile,
     FleetView,
     LimitSettings,
+    OperatorSettings,
     ProcessSettings,
     ServiceSettings,
     SidecarFile,
     TlsSettings,
+    WeightSettings,
 )
+from beryljunction.settings.tree import Leaf, SettingsTree
+from beryljunction.settings.validating import edits_between, leaves_of, problems_of, reads_of
 
 __all__ = [
+    "SETTINGS_PATH",
+    "FollowSettings",
+    "HttpPeers",
+    "NoPeers",
+    "PeerSource",
+    "SettingsFollower",
+    "answer_settings",
+    "CHANGES_STREAM",
+    "FLEET",
+    "SNAPSHOTS_STREAM",
+    "Accepted",
     "AccountSettings",
+    "Alarms",
+    "Change",
+    "Conflict",
+    "Edit",
     "EntryFile",
+    "FieldRule",
     "FleetView",
+    "Judged",
+    "Leaf",
     "LimitSettings",
+    "Match",
+    "OperatorSettings",
+    "Origin",
+    "Path",
     "ProcessSettings",
+    "Read",
+    "Refused",
+    "Resolver",
+    "Scope",
     "ServiceSettings",
+    "SettingsReader",
+    "SettingsTree",
     "SidecarFile",
+    "Skipped",
     "TlsSettings",
+    "Verdict",
+    "WeightSettings",
     "converter",
+    "edits_between",
+    "leaves_of",
     "load_file",
+    "load_toml",
+    "parse_path",
+    "parse_scope",
+    "problem_of",
+    "problems_of",
+    "reads_of",
+    "resolve",
+    "rule_of",
     "structure",
 ]
--- /dev/null
+++ b/src/beryljunction/settings/following.py
@@ -0,0 +1,176 @@
+"""Keeps a reader up to date from the log, and from other nodes while the log is down."""
+
+import abc
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+
+from beryljunction.platform.log import AppendRefused, LogClient, ReadFailed
+from beryljunction.settings.changes import CHANGES_STREAM, SNAPSHOTS_STREAM
+from beryljunction.settings.reader import SettingsReader
+from beryljunction.settings.schema import FleetView
+from beryljunction.systems.snapshots import SnapshotSchedule
+
+__all__ = ["FollowSettings", "NoPeers", "PeerSource", "SettingsFollower"]
+
+_PAGE_RECORDS = 500
+_SNAPSHOTS_TRIED = 4
+_PEERS_ASKED = 2
+
+
+class PeerSource(abc.ABC):
+    """Other nodes of the fleet, as a source of settings."""
+
+    @abc.abstractmethod
+    async def newer_than(self, version: int) -> Any:
+        """Ask one node, drawn at random, for its tree.
+
+        Returns:
+            A snapshot's data, or None when the node did not answer or has nothing newer.
+        """
+
+
+class NoPeers(PeerSource):
+    """No other nodes are known."""
+
+    async def newer_than(self, version: int) -> Any:
+        """Return None."""
+        return None
+
+
+@attrs.frozen
+class FollowSettings:
+    """Pace of following.
+
+    Attributes:
+        poll_s: Longest wait of one read for a new record.
+        pause_s: Least time between two reads; bounds the reads in a burst of changes.
+        backoff_s: Longest pause after failures. A change has to be in force everywhere within 9 s
+            when the log is up, so a reader may not sleep longer than a small part of that.
+        retention_s: How long the log keeps records.
+        publishes: Whether this process re-publishes snapshots; an operator's program does not.
+    """
+
+    poll_s: float = 2.0
+    pause_s: float = 0.25
+    backoff_s: float = 1.0
+    retention_s: float = 86_400.0
+    publishes: bool = True
+
+
+class SettingsFollower:
+    """Moves one reader: :meth:`run` in a process, :meth:`step` in tests with virtual time."""
+
+    def __init__(
+        self,
+        reader: SettingsReader,
+        log: LogClient,
+        on_change: Callable[[FleetView], None],
+        peers: PeerSource | None = None,
+        settings: FollowSettings | None = None,
+        now_s: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.reader = reader
+        self.settings = settings if settings is not None else FollowSettings()
+        self._log = log
+        self._on_change = on_change
+        self._peers = peers if peers is not None else NoPeers()
+        self._now_s = now_s
+        self._rng = rng if rng is not None else random.Random()
+        self._schedule = SnapshotSchedule(self.settings.retention_s, self._rng, now_s())
+        self._snapshot_offset = 0
+        self._failures = 0
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Follow until cancelled; started once there are settings from the log or a peer."""
+        started = False
+        while True:
+            pause_s = await self.step()
+            if not started and (self.reader.caught_up or self.reader.version > 0):
+                started = True
+                task_status.started()
+            await anyio.sleep(pause_s)
+
+    async def step(self) -> float:
+        """Read once and do what follows from it; return the pause before the next step."""
+        if self.reader.version == 0 or self.reader.needs_snapshot:
+            await self._take_newest_snapshot()
+        version = self.reader.version
+        page = await self._log.read(CHANGES_STREAM, version, _PAGE_RECORDS, self.settings.poll_s)
+        if isinstance(page, ReadFailed):
+            return await self._without_log()
+        if self.reader.take_page(page):
+            self._on_change(self.reader.view)
+        if self.reader.needs_snapshot:
+            return await self._without_log()
+        self._failures = 0
+        if not page.at_end:
+            return 0.0
+        if self.settings.publishes and self._schedule.due(self._now_s()):
+            await self._publish_snapshot()
+        return self.settings.pause_s * (1.0 + self._rng.random())
+
+    async def _without_log(self) -> float:
+        """Ask peers, then back off with jitter, so that a log that returns is not overrun.
+
+        Each node asks two peers a round: the share of nodes that know the newest version about
+        triples each time, so some seven rounds reach 1,050 nodes from one.
+        """
+        for _ in range(_PEERS_ASKED):
+            data = await self._peers.newer_than(self.reader.version)
+            if data is not None:
+                self._take(data)
+        self._failures += 1
+        longest_s = min(self.settings.backoff_s, 0.1 * 2.0 ** min(self._failures, 10))
+        return longest_s * (0.5 + 0.5 * self._rng.random())
+
+    async def _take_newest_snapshot(self) -> None:
+        page = await self._log.read(SNAPSHOTS_STREAM, 0, 1)
+        if isinstance(page, ReadFailed):
+            return
+        oldest = max(page.first_offset, page.next_offset - _SNAPSHOTS_TRIED)
+        for offset in range(page.next_offset - 1, oldest - 1, -1):
+            one = await self._log.read(SNAPSHOTS_STREAM, offset - 1, 1)
+            if isinstance(one, ReadFailed):
+                return
+            if one.records and self._take(one.records[0].data):
+                self._snapshot_offset = offset
+                return
+
+    async def _publish_snapshot(self) -> None:
+        """Publish unless another node did since; a doubled snapshot says the same and is harmless.
+
+        Only a reader that has seen the log's end publishes: an older tree would be a snapshot
+        from before the records that are still kept, and nobody could go on from it.
+        """
+        page = await self._log.read(SNAPSHOTS_STREAM, self._snapshot_offset, _SNAPSHOTS_TRIED)
+        if isinstance(page, ReadFailed):
+            self._schedule.failed(self._now_s())
+            return
+        if page.records:
+            self._snapshot_offset = page.records[-1].offset
+            self._schedule.seen(self._now_s())
+            return
+        if self.reader.version == 0:
+            self._schedule.seen(self._now_s())
+            return
+        data = self.reader.tree.to_data()
+        outcome = await self._log.append(SNAPSHOTS_STREAM, f"snapshot-{self.reader.version}", data)
+        if isinstance(outcome, AppendRefused):
+            self._schedule.failed(self._now_s())
+        else:
+            self._schedule.seen(self._now_s())
+
+    def _take(self, data: Any) -> bool:
+        taken = self.reader.take_snapshot(data)
+        if taken:
+            self._on_change(self.reader.view)
+        return taken
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -11,10 +11,12 @@
     "EntryFile",
     "FleetView",
     "LimitSettings",
+    "OperatorSettings",
     "ProcessSettings",
     "ServiceSettings",
     "SidecarFile",
     "TlsSettings",
+    "WeightSettings",
 ]
 
 
@@ -97,6 +99,10 @@
         silence_s: Silence after which a stream is taken up again on a new connection.
         resume_s: Time that a stream without a reader is kept for a resume.
         pointer_s: Life of a chat pointer.
+        model_version: Version of the models that every engine of the service has to hold.
+        adapters: Adapters that every engine has to hold.
+        role: Part of the work that the engines do: "both", "prefill" or "decode".
+        min_serving: Engines of the service that keep serving while others load.
     """
 
     kind: str = "engine"
@@ -113,6 +119,10 @@
     silence_s: float = 3.0
     resume_s: float = 15.0
     pointer_s: float = 14_400.0
+    model_version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = "both"
+    min_serving: int = 1
 
 
 @attrs.frozen
@@ -123,6 +133,31 @@
     weight: float = 1.0
 
 
+@attrs.frozen
+class WeightSettings:
+    """Limits on loads from the weight store.
+
+    Attributes:
+        parallel_loads: Loads that the store takes at one time, over the whole fleet.
+        load_s: Longest time that one load is expected to take.
+    """
+
+    parallel_loads: int = 8
+    load_s: float = 600.0
+
+
+@attrs.frozen
+class OperatorSettings:
+    """One operator; only the SHA-256 of the key is ever stored.
+
+    Attributes:
+        may_change: Scopes whose settings the operator may change; "fleet" is everything.
+    """
+
+    key_sha256: str
+    may_change: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class FleetView:
     """The settings in force, as a process uses them: resolved, checked, of one version."""
@@ -131,6 +166,13 @@
     services: dict[str, ServiceSettings] = attrs.field(factory=dict)
     accounts: dict[str, AccountSettings] = attrs.field(factory=dict)
     limits: LimitSettings = LimitSettings()
+    weights: WeightSettings = WeightSettings()
+    account_services: dict[tuple[str, str], ServiceSettings] = attrs.field(factory=dict)
+
+    def service_for(self, service: str, account: str) -> ServiceSettings:
+        """Return the settings of a service as one client account gets them; costs a look-up."""
+        own = self.account_services.get((account, service))
+        return own if own is not None else self.services[service]
 
     def service_of_model(self, model: str) -> str | None:
         """Return the name of the service that serves a model."""
--- /dev/null
+++ b/src/beryljunction/settings/tree.py
@@ -0,0 +1,173 @@
+"""The tree of settings as the log's records make it: the same at every reader.
+
+Whether a change stands is decided by the tree before it and the record alone. Types and ranges are
+not part of the rule: two program versions may know different ranges, and a record that one accepts
+and the other refuses would split the fleet for good. Values are checked before they are published
+and again where they are used (see :mod:`beryljunction.settings.resolving`).
+"""
+
+import json
+from typing import Any
+
+import attrs
+import xxhash
+
+from beryljunction.platform.log import LogRecord
+from beryljunction.settings.changes import (
+    Accepted,
+    Change,
+    Conflict,
+    Edit,
+    Refused,
+    Skipped,
+    Verdict,
+)
+from beryljunction.settings.paths import Path, Scope, parse_path, parse_scope
+
+__all__ = ["Leaf", "SettingsTree"]
+
+# A removed path has to be remembered for as long as a change made against an older version may
+# arrive. 20,000 records are nine days of changes at the target of 2,100 a day; an older base is
+# refused, which costs the operator one more try.
+_REMEMBERED_VERSIONS = 20_000
+_FORGET_EVERY = 1_000
+
+
+@attrs.frozen
+class Leaf:
+    """One path's newest change.
+
+    Attributes:
+        value: The value in force; None when the path was unset.
+        is_set: False for a path that inherits again.
+        version: Version that brought the value.
+    """
+
+    value: Any
+    is_set: bool
+    version: int
+    operator: str
+    change_id: str
+
+
+class SettingsTree:
+    """Leaves by path, at one version: the offset of the last record that was applied."""
+
+    def __init__(self, version: int = 0, leaves: dict[Path, Leaf] | None = None) -> None:
+        self.version = version
+        self.leaves = leaves if leaves is not None else {}
+
+    def apply(self, record: LogRecord) -> Verdict:
+        """Apply the next record; the version moves on whatever the verdict."""
+        verdict = self._judge(record)
+        self.version = record.offset
+        if self.version % _FORGET_EVERY == 0:
+            self._forget()
+        return verdict
+
+    def value(self, path: Path) -> Any:
+        """Return the value set at exactly this path, or None."""
+        leaf = self.leaves.get(path)
+        return leaf.value if leaf is not None else None
+
+    def values(self) -> dict[Path, Any]:
+        """Return the paths that are set, in the order of the tree."""
+        return {path: leaf.value for path, leaf in sorted(self.leaves.items()) if leaf.is_set}
+
+    def preview(self, edits: tuple[Edit, ...]) -> "SettingsTree":
+        """Return a copy with edits applied, for checks before they are published."""
+        copy = SettingsTree(self.version, dict(self.leaves))
+        copy._write(Change("", self.version, "", edits), self.version)
+        return copy
+
+    def to_data(self) -> Any:
+        """Return the tree as a snapshot."""
+        leaves = [[str(path), *attrs.astuple(leaf)] for path, leaf in sorted(self.leaves.items())]
+        return {"kind": "snapshot", "version": self.version, "leaves": leaves}
+
+    @staticmethod
+    def from_data(data: Any) -> "SettingsTree":
+        """Return the tree in a snapshot.
+
+        Raises:
+            ValueError: When the data is no snapshot.
+        """
+        try:
+            if data["kind"] != "snapshot" or type(data["version"]) is not int:
+                raise ValueError("expected a snapshot with a version")
+            leaves = {parse_path(row[0]): _leaf_of(row, data["version"]) for row in data["leaves"]}
+        except (KeyError, TypeError, IndexError, AttributeError) as error:
+            raise ValueError(f"expected a snapshot, got {str(data)[:80]}: {error}") from error
+        return SettingsTree(data["version"], leaves)
+
+    def digest(self) -> str:
+        """Return a hash of the whole tree; two trees of one version must have the same."""
+        text = json.dumps(self.to_data(), sort_keys=True, separators=(",", ":"))
+        return xxhash.xxh3_64_hexdigest(text.encode())
+
+    def may_change(self, operator: str, scope: Scope) -> bool:
+        """Whether an operator's list covers a scope; without any operator everyone may."""
+        operators = {path.scope.operator for path in self.values() if path.scope.operator}
+        if not operators:
+            return True
+        allowed = self.value(Path(Scope(operator=operator), "may_change"))
+        if not isinstance(allowed, list):
+            return False
+        return any(_covers(text, scope) for text in allowed)
+
+    def _judge(self, record: LogRecord) -> Verdict:
+        try:
+            change = Change.from_data(record.record_id, record.data)
+        except ValueError as error:
+            return Skipped(str(error))
+        if not record.offset - _REMEMBERED_VERSIONS <= change.base < record.offset:
+            return Refused(f"expected a base just below {record.offset}, got {change.base}")
+        for edit in change.edits:
+            if not self.may_change(change.operator, parse_path(edit.path).scope):
+                return Refused(f"{edit.path}: operator {change.operator!r} may not change it")
+        conflicts = self._conflicts(change)
+        if conflicts:
+            return Refused("changed since the base", conflicts)
+        self._write(change, record.offset)
+        return Accepted(record.offset)
+
+    def _conflicts(self, change: Change) -> tuple[Conflict, ...]:
+        """Return what others changed since the base of what this change edits or relied on.
+
+        Load: ten operators and their scripts at once, 2,100 changes a day. With one base for the
+        whole tree nearly all of a burst is refused though the edits don't touch each other; with
+        a base for each path only true races are (figures in docs/design/settings.md).
+        """
+        edited = {parse_path(edit.path) for edit in change.edits}
+        newer = [(path, leaf) for path, leaf in self.leaves.items() if leaf.version > change.base]
+        return tuple(
+            Conflict(str(path), leaf.operator, leaf.change_id, leaf.version, leaf.value)
+            for path, leaf in sorted(newer)
+            if path in edited or any(read.covers(path) for read in change.reads)
+        )
+
+    def _write(self, change: Change, version: int) -> None:
+        for edit in change.edits:
+            value = None if edit.unset else edit.value
+            leaf = Leaf(value, not edit.unset, version, change.operator, change.change_id)
+            self.leaves[parse_path(edit.path)] = leaf
+
+    def _forget(self) -> None:
+        oldest = self.version - _REMEMBERED_VERSIONS
+        gone = [p for p, leaf in self.leaves.items() if not leaf.is_set and leaf.version < oldest]
+        for path in gone:
+            del self.leaves[path]
+
+
+def _leaf_of(row: Any, newest: int) -> Leaf:
+    leaf = Leaf(*row[1:])
+    if type(leaf.is_set) is not bool or type(leaf.version) is not int or leaf.version > newest:
+        raise ValueError(f"expected a leaf of a snapshot of version {newest}, got {row}")
+    return leaf
+
+
+def _covers(text: Any, scope: Scope) -> bool:
+    try:
+        return parse_scope(text).contains(scope)
+    except (ValueError, AttributeError):
+        return False
--- /dev/null
+++ b/src/beryljunction/settings/validating.py
@@ -0,0 +1,146 @@
+"""Checks before a change is published: every value, and what values have to fulfil together."""
+
+from typing import Any
+
+from beryljunction.settings.changes import Edit, Match, Read
+from beryljunction.settings.paths import Path, Scope, parse_path, parse_scope
+from beryljunction.settings.resolving import Resolver
+from beryljunction.settings.rules import problem_of
+from beryljunction.settings.schema import ServiceSettings
+from beryljunction.settings.tree import SettingsTree
+
+__all__ = ["edits_between", "leaves_of", "problems_of", "reads_of", "tree_of"]
+
+# Fields that have to fit each other wherever they meet. Of two operators who change one each,
+# both changes are valid against what they saw and the result is not, so each is a read of the
+# other: calls that do not "permissible-right-commute" in the terms of Hamsaz (Houshmand and
+# Lesani, POPL 2019) are put in order, all others need none.
+_TOGETHER = (("floor_running", "max_running"), ("heartbeat_s", "silence_s"), ("models",))
+_DECLARED_BY = {"service": "kind", "account": "key_sha256"}
+
+
+def leaves_of(data: dict[str, Any]) -> tuple[dict[Path, Any], list[str]]:
+    """Return the leaves of a TOML tree, and the problems of keys that are no paths."""
+    leaves: dict[Path, Any] = {}
+    problems = []
+    pending = [("", data)]
+    while pending:
+        prefix, table = pending.pop()
+        for key, value in table.items():
+            text = f"{prefix}{key}"
+            if isinstance(value, dict):
+                pending.append((f"{text}.", value))
+                continue
+            try:
+                leaves[parse_path(text)] = value
+            except ValueError as error:
+                problems.append(str(error))
+    return leaves, problems
+
+
+def tree_of(leaves: dict[Path, Any]) -> SettingsTree:
+    """Return a tree that holds just these leaves."""
+    return SettingsTree().preview(tuple(Edit(str(p), value) for p, value in leaves.items()))
+
+
+def edits_between(old: dict[Path, Any], new: dict[Path, Any]) -> tuple[Edit, ...]:
+    """Return the edits that turn one set of leaves into another."""
+    unset = [Edit(str(path), unset=True) for path in sorted(old.keys() - new.keys())]
+    changed = [Edit(str(p), v) for p, v in sorted(new.items()) if p not in old or old[p] != v]
+    return (*unset, *changed)
+
+
+def problems_of(tree: SettingsTree) -> list[str]:
+    """Return everything that is wrong with a tree: path, what was expected, what was got."""
+    values = tree.values()
+    problems = [p for path, value in values.items() if (p := problem_of(path, value)) is not None]
+    problems += _undeclared(values)
+    problems += _operator_problems(values)
+    regions = sorted({path.scope.region for path in values})
+    for region in dict.fromkeys(["", *regions]):
+        problems += _region_problems(tree, region)
+    return list(dict.fromkeys(problems))
+
+
+def reads_of(edits: tuple[Edit, ...]) -> tuple[Read, ...]:
+    """Return what the validity of edits relies on besides the paths that they change."""
+    reads: dict[Read, None] = {}
+    for edit in edits:
+        path = parse_path(edit.path)
+        for read in (*_together_reads(path), *_declaration_reads(path, edit.unset)):
+            if read.path != edit.path or read.match is not Match.EXACT:
+                reads[read] = None
+    return tuple(reads)
+
+
+def _together_reads(path: Path) -> list[Read]:
+    return [
+        Read(str(Path(Scope() if path.field == "models" else path.scope, name)), Match.OVERLAP)
+        for group in _TOGETHER
+        if path.field in group
+        for name in group
+        if name != path.field or len(group) == 1
+    ]
+
+
+def _declaration_reads(path: Path, unset: bool) -> list[Read]:
+    """A value below a service relies on the service; removing the service, on nobody adding one."""
+    reads = []
+    for level, field in _DECLARED_BY.items():
+        name = getattr(path.scope, level)
+        if not name:
+            continue
+        declaration = Path(Scope(**{level: name}), field)
+        reads.append(Read(str(declaration)))
+        if unset and path == declaration:
+            reads.append(Read(str(declaration), Match.UNDER))
+    return reads
+
+
+def _undeclared(values: dict[Path, Any]) -> list[str]:
+    problems = []
+    for path in values:
+        for level, field in _DECLARED_BY.items():
+            name = getattr(path.scope, level)
+            declaration = Path(Scope(**{level: name}), field) if name else None
+            if declaration is not None and declaration not in values:
+                problems.append(f"{path}: expected {declaration} to be set too, got none")
+    return problems
+
+
+def _operator_problems(values: dict[Path, Any]) -> list[str]:
+    problems = []
+    for path, allowed in values.items():
+        if not path.scope.operator or path.field != "may_change" or not isinstance(allowed, list):
+            continue
+        for text in allowed:
+            try:
+                parse_scope(text)
+            except (ValueError, AttributeError) as error:
+                problems.append(f"{path}: {error}")
+    return problems
+
+
+def _region_problems(tree: SettingsTree, region: str) -> list[str]:
+    resolver = Resolver(tree, region)
+    place = f"region.{region}: " if region else ""
+    problems = []
+    model_owner: dict[str, str] = {}
+    for name in resolver.services():
+        service: ServiceSettings = resolver.build(ServiceSettings, service=name)
+        where = f"{place}service.{name}"
+        if service.floor_running > service.max_running:
+            problems.append(
+                f"{where}.floor_running: expected at most max_running {service.max_running}, "
+                f"got {service.floor_running}"
+            )
+        if service.silence_s <= service.heartbeat_s:
+            problems.append(
+                f"{where}.silence_s: expected more than heartbeat_s {service.heartbeat_s:g}, "
+                f"got {service.silence_s:g}"
+            )
+        for model in service.models:
+            owner = model_owner.setdefault(model, name)
+            if owner != name:
+                problems.append(f"{where}.models: expected {model!r} once, got it at {owner} too")
+    return problems
--- /dev/null
+++ b/testing/test_reader.py
@@ -0,0 +1,202 @@
+import random
+
+import anyio
+import pytest
+
+from beryljunction.platform import LogPage, LogRecord
+from beryljunction.servers import Server, bind, client_pool
+from beryljunction.settings import (
+    CHANGES_STREAM,
+    SNAPSHOTS_STREAM,
+    Change,
+    Edit,
+    FollowSettings,
+    HttpPeers,
+    PeerSource,
+    SettingsFollower,
+    SettingsReader,
+    answer_settings,
+)
+from beryljunction.standins import LogModel, LogModelSettings, ModelLogClient
+from beryljunction.systems.snapshots import SnapshotSchedule
+
+POLL = FollowSettings(poll_s=0.0, retention_s=80.0)
+
+
+def change(number, base):
+    return Change(f"c{number}", base, "asha", (Edit("deadline_s", float(number)),)).to_data()
+
+
+class Fleet:
+    """A log and its readers in virtual time."""
+
+    def __init__(self, retention_s=80.0):
+        self.now_s = 0.0
+        self.log = LogModel(LogModelSettings(retention_s=retention_s))
+        self.client = ModelLogClient(self.log, lambda: self.now_s)
+
+    def publish(self, number, base):
+        self.log.append(CHANGES_STREAM, f"c{number}", change(number, base), self.now_s)
+
+    def follower(self, peer=None, seed=0):
+        peers = Peer(peer) if peer is not None else None
+        return SettingsFollower(
+            SettingsReader("gj-west"),
+            self.client,
+            lambda view: None,
+            peers,
+            POLL,
+            lambda: self.now_s,
+            random.Random(seed),
+        )
+
+    def step(self, follower):
+        """Take one step; nothing in it waits, so no event loop is needed."""
+        with pytest.raises(StopIteration):
+            follower.step().send(None)
+
+
+class Peer(PeerSource):
+    def __init__(self, reader):
+        self.reader = reader
+
+    async def newer_than(self, version):
+        return self.reader.tree.to_data() if self.reader.version > version else None
+
+
+class TestSettingsReader:
+    def test_pages_that_are_late_doubled_or_overlap_change_nothing(self):
+        reader = SettingsReader("gj-west")
+        records = tuple(LogRecord(i, f"c{i}", change(i, i - 1)) for i in (1, 2, 3))
+
+        for page in (records, records[:2], records[1:]):
+            reader.take_page(LogPage(page, 1, 4))
+
+        assert reader.version == 3
+        assert reader.tree.values() == dict.fromkeys(reader.tree.values(), 3.0)
+
+    def test_nothing_is_applied_across_dropped_records(self):
+        reader = SettingsReader("gj-west")
+
+        reader.take_page(LogPage((LogRecord(5, "c5", change(5, 4)),), 5, 6))
+
+        assert reader.version == 0
+        assert reader.needs_snapshot
+        assert reader.alarms.gaps == 1
+
+    def test_an_older_snapshot_never_takes_a_setting_back(self):
+        reader = SettingsReader("gj-west")
+        reader.take_page(LogPage((LogRecord(1, "c1", change(1, 0)),), 1, 2))
+        old = reader.tree.to_data()
+        reader.take_page(LogPage((LogRecord(2, "c2", change(2, 1)),), 1, 3))
+
+        assert not reader.take_snapshot(old)
+        assert reader.version == 2
+
+    @pytest.mark.parametrize("data", [None, {}, {"kind": "snapshot", "version": 9, "leaves": [1]}])
+    def test_a_poison_snapshot_counts_and_is_passed_over(self, data):
+        reader = SettingsReader("gj-west")
+
+        assert not reader.take_snapshot(data)
+        assert reader.alarms.poison_snapshots == 1
+
+    def test_another_tree_at_the_same_version_raises_the_alarm(self):
+        reader = SettingsReader("gj-west")
+
+        reader.check_peer(0, reader.digest)
+        reader.check_peer(0, "other")
+
+        assert reader.alarms.forks == 1
+
+
+class TestSettingsFollower:
+    def test_starts_from_a_snapshot_and_the_tail_when_the_beginning_is_gone(self):
+        fleet = Fleet()
+        running = fleet.follower()
+        fleet.publish(1, 0)
+        for second in range(0, 200, 5):
+            fleet.now_s = float(second)
+            fleet.step(running)
+        fleet.publish(2, 1)
+        late = fleet.follower()
+
+        fleet.step(late)
+
+        assert late.reader.version == 2
+        assert late.reader.view.version == 2
+
+    def test_starts_from_a_peer_while_the_log_is_down(self):
+        fleet = Fleet()
+        running = fleet.follower()
+        fleet.publish(1, 0)
+        fleet.step(running)
+        fleet.log.down = True
+        late = fleet.follower(peer=running.reader)
+
+        fleet.step(late)
+
+        assert late.reader.digest == running.reader.digest
+
+    def test_a_reader_paused_beyond_the_retention_jumps_over_the_gap_by_a_peer(self):
+        fleet = Fleet(retention_s=10.0)
+        running = fleet.follower()
+        paused = fleet.follower(peer=running.reader)
+        for number in range(1, 4):
+            fleet.publish(number, number - 1)
+            fleet.step(running)
+            fleet.now_s += 8.0
+        fleet.log.read(SNAPSHOTS_STREAM, 0, 1, fleet.now_s)
+
+        fleet.step(paused)
+
+        assert paused.reader.version == 3
+        assert paused.reader.digest == running.reader.digest
+
+    def test_a_fleet_publishes_few_snapshots_and_never_runs_out_of_them(self):
+        fleet = Fleet()
+        fleet.publish(1, 0)
+        followers = [fleet.follower(seed=seed) for seed in range(20)]
+        ages = []
+        for second in range(1, 400):
+            fleet.now_s = float(second)
+            for follower in followers:
+                fleet.step(follower)
+            page = fleet.log.read(SNAPSHOTS_STREAM, 0, 100, fleet.now_s)
+            ages.append(bool(page.records))
+
+        published = fleet.log.read(SNAPSHOTS_STREAM, 0, 100, fleet.now_s).next_offset - 1
+        assert all(ages[25:])
+        assert published <= 400 / 10
+
+    def test_peers_answer_over_http_with_what_is_newer(self):
+        async def run():
+            ahead, behind = SettingsReader("gj-west"), SettingsReader("gj-west")
+            ahead.take_page(LogPage((LogRecord(1, "c1", change(1, 0)),), 1, 2))
+
+            async def app(scope, receive, send):
+                await answer_settings(ahead, scope, send)
+
+            server = Server(app, bind("127.0.0.1:0"))
+            async with anyio.create_task_group() as group, client_pool() as pool:
+                await group.start(server.run_until_stopped)
+                peers = HttpPeers(lambda: [server.address], behind, pool, "key")
+                data = await peers.newer_than(0)
+                nothing = await peers.newer_than(1)
+                group.cancel_scope.cancel()
+            return ahead, behind, data, nothing
+
+        ahead, behind, data, nothing = anyio.run(run)
+
+        assert behind.take_snapshot(data)
+        assert behind.digest == ahead.digest
+        assert nothing is None
+
+
+class TestSnapshotSchedule:
+    def test_even_a_lone_node_publishes_with_half_of_the_retention_left(self):
+        schedule = SnapshotSchedule(80.0, random.Random(1), 0.0)
+
+        due = [schedule.due(float(second)) for second in range(22)]
+
+        assert not any(due[:10])
+        assert due[20]
