Order engines by level, with paced loads

Cause: nothing told engines what to hold. The sidecar reads the engine back, compares with the settings and orders one difference a step; the whole state is named, the fencing number is the log's offset. Loads are paced without agreement: endpoints sort by one hash, ask each other before they act, leave room for all before them, and count silent ones as loading. What runs is waited for without a limit.

--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -12,8 +12,20 @@
     ReadFailed,
     ReadOutcome,
 )
+from beryljunction.platform.weights import (
+    HttpWeightStore,
+    LoadBegun,
+    LoadRefused,
+    LoadUnknown,
+    WeightStore,
+)
 
 __all__ = [
+    "HttpWeightStore",
+    "LoadBegun",
+    "LoadRefused",
+    "LoadUnknown",
+    "WeightStore",
     "AppendOutcome",
     "AppendRefused",
     "AppendUnknown",
--- /dev/null
+++ b/testing/test_orders.py
@@ -0,0 +1,311 @@
+import random
+
+import anyio
+import pytest
+
+from beryljunction.engines import (
+    EngineControl,
+    HttpEngineControl,
+    NoEngine,
+    OrderFenced,
+    OrderPeers,
+    OrderRunner,
+    OrderTaken,
+    OrderUnknown,
+    WorkGate,
+)
+from beryljunction.servers import Server, bind, client_pool
+from beryljunction.settings import FleetView, ServiceSettings, WeightSettings
+from beryljunction.standins import EngineOrdersModel, WeightStoreModel
+from beryljunction.standins.orders import answer_engine_orders
+from beryljunction.systems.orders import Hold, NeedSlot, Order, OrderSystem
+from beryljunction.tables.orders import EngineState, Phase, Wanted
+
+V2 = Wanted({"drafter": "v2"}, (), "both", 7)
+
+
+def view(version, model_version, min_serving=3, parallel_loads=8, adapters=()):
+    service = ServiceSettings(
+        models=("drafter",),
+        model_version=model_version,
+        min_serving=min_serving,
+        adapters=adapters,
+    )
+    weights = WeightSettings(parallel_loads=parallel_loads)
+    return FleetView(version=version, services={"drafter": service}, weights=weights)
+
+
+class Engine(EngineControl):
+    def __init__(self, rollout, model):
+        self.rollout, self.model = rollout, model
+        self.lose_answers = self.silent = False
+
+    async def state(self):
+        return NoEngine("silent") if self.silent else self.model.state(self.rollout.now_s)
+
+    async def order(self, order):
+        taken = self.model.order(order, self.rollout.now_s)
+        if self.lose_answers:
+            return OrderUnknown()
+        return OrderTaken() if taken else OrderFenced()
+
+
+class Gate(WorkGate):
+    def __init__(self):
+        self.is_open, self.in_flight = True, 0
+
+    def set_open(self, is_open):
+        self.is_open = is_open
+
+    def running(self):
+        return self.in_flight
+
+
+class Peers(OrderPeers):
+    def __init__(self, rollout, own):
+        self.rollout, self.own = rollout, own
+        self.hidden = set()
+
+    def listed(self):
+        return [i for i in self.rollout.runners if i != self.own and i not in self.hidden]
+
+    async def exchange(self, own):
+        peers = [i for i in self.listed() if i not in self.rollout.paused]
+        for endpoint_id in peers:
+            self.rollout.runners[endpoint_id].hear(own)
+        return [self.rollout.runners[i].row() for i in peers]
+
+
+class Rollout:
+    """Engines of one service and their sidecars in virtual time, a step a second each."""
+
+    def __init__(self, count=5, store=None, checks_fence=True, seed=0):
+        self.now_s = 0.0
+        self.view = view(1, "v1")
+        self.store = store if store is not None else WeightStoreModel()
+        self.random = random.Random(seed)
+        self.runners, self.gates, self.engines, self.peers = {}, {}, {}, {}
+        self.paused = set()
+        self.least_serving = count
+        for i in range(count):
+            self.add(f"drafter-{i}", checks_fence)
+
+    def add(self, endpoint_id, checks_fence):
+        model = EngineOrdersModel(self.store, checks_fence, {"drafter": "v1"})
+        engine = self.engines[endpoint_id] = Engine(self, model)
+        peers = self.peers[endpoint_id] = Peers(self, endpoint_id)
+        gate = self.gates[endpoint_id] = Gate()
+        clock, rng = (lambda: self.now_s), random.Random(endpoint_id)
+        self.runners[endpoint_id] = OrderRunner(
+            endpoint_id, "drafter", lambda: self.view, engine, peers, gate, clock, rng
+        )
+
+    def run(self, seconds):
+        for _ in range(seconds):
+            self.now_s += 1.0
+            order = [i for i in self.runners if i not in self.paused]
+            for endpoint_id in self.random.sample(order, len(order)):
+                step(self.runners[endpoint_id])
+                self.least_serving = min(self.least_serving, self.serving())
+
+    def serving(self):
+        """Count engines that callers can use: any version, open, not loading."""
+        return sum(
+            gate.is_open and "drafter" in self.engines[i].model.models
+            for i, gate in self.gates.items()
+        )
+
+    def versions(self):
+        return [engine.model.models.get("drafter") for engine in self.engines.values()]
+
+
+def step(runner):
+    with pytest.raises(StopIteration):
+        runner.step().send(None)
+
+
+class TestOrderSystem:
+    @pytest.mark.parametrize(
+        ("state", "expected"),
+        [
+            (EngineState({"drafter": "v2"}, fence=7), Hold),
+            (EngineState({"drafter": "v1"}, fence=9), Hold),
+            (EngineState({}, loading={"drafter": "v2"}), Hold),
+            (EngineState({}, loading={"drafter": "v1"}), Order),
+            (EngineState({"drafter": "v2", "old": "v1"}), Order),
+            (EngineState({"drafter": "v1"}), NeedSlot),
+            (EngineState({"drafter": "v2"}, role="decode"), NeedSlot),
+        ],
+        ids=["done", "newer-fence", "loading", "loading-old", "extra", "missing", "role"],
+    )
+    def test_each_difference_has_its_step(self, state, expected):
+        assert isinstance(OrderSystem(random.Random(0)).decide(V2, state, 0.0), expected)
+
+    def test_a_failed_load_is_ordered_again_ever_later(self):
+        system = OrderSystem(random.Random(0))
+        failed = EngineState({}, failed="no such version")
+        tries = []
+        for second in range(600):
+            if isinstance(system.decide(V2, failed, float(second)), NeedSlot):
+                tries.append(second)
+                system.ordered(float(second), refused=True)
+
+        pauses = [b - a for a, b in zip(tries, tries[1:], strict=False)]
+        assert max(pauses) <= 120
+        assert len(tries) < 15
+
+
+class TestRollout:
+    @pytest.mark.parametrize("seed", range(5))
+    def test_capacity_is_kept_and_the_store_not_overrun(self, seed):
+        rollout = Rollout(seed=seed, store=WeightStoreModel(parallel_loads=2))
+        rollout.view = view(2, "v2", min_serving=3, parallel_loads=2)
+
+        rollout.run(300)
+
+        assert rollout.versions() == ["v2"] * 5
+        assert rollout.least_serving >= 3
+        assert rollout.store.refusals == 0
+
+    def test_no_request_is_cut_however_long_it_runs(self):
+        rollout = Rollout()
+        for gate in rollout.gates.values():
+            gate.in_flight = 1
+        rollout.view = view(2, "v2", parallel_loads=1)
+
+        rollout.run(500)
+
+        assert rollout.versions() == ["v1"] * 5
+        assert rollout.serving() == 4
+
+    def test_a_store_that_is_slow_for_long_gets_no_second_order(self):
+        rollout = Rollout(store=WeightStoreModel(parallel_loads=2, slow_factor=50.0))
+        rollout.view = view(2, "v2", parallel_loads=2)
+
+        rollout.run(1000)
+
+        assert rollout.store.peak == 2
+        assert sum(engine.model.orders for engine in rollout.engines.values()) == 2
+        assert rollout.least_serving >= 3
+
+    def test_undo_in_mid_roll_out_brings_all_back_while_capacity_is_kept(self):
+        rollout = Rollout()
+        rollout.view = view(2, "v2", min_serving=3)
+        rollout.run(20)
+
+        rollout.view = view(3, "v1", min_serving=3)
+        rollout.run(200)
+
+        assert rollout.versions() == ["v1"] * 5
+        assert rollout.least_serving >= 3
+
+    def test_a_version_that_cannot_be_loaded_takes_one_endpoint_only(self):
+        rollout = Rollout()
+        rollout.store.parallel_loads = 0
+        rollout.view = view(2, "v2", parallel_loads=1)
+
+        rollout.run(600)
+
+        assert rollout.serving() == 4
+
+    def test_endpoints_that_list_each_other_one_way_only_still_pace_themselves(self):
+        # Host lists differ for seconds: one endpoint lists all others, none of them lists it.
+        # They must not load at once with it, or the service falls below its minimum.
+        rollout = Rollout(count=3)
+        for endpoint_id, peers in rollout.peers.items():
+            peers.hidden = {"drafter-1"} if endpoint_id != "drafter-1" else set()
+        rollout.view = view(2, "v2", min_serving=1, parallel_loads=1)
+
+        rollout.run(200)
+
+        assert rollout.versions() == ["v2"] * 3
+        assert rollout.store.peak == 1
+
+    def test_a_silent_endpoint_counts_as_loading_until_the_list_drops_it(self):
+        rollout = Rollout(count=3)
+        rollout.paused.add("drafter-2")
+        rollout.view = view(2, "v2", min_serving=1, parallel_loads=1)
+        rollout.run(100)
+        waited = rollout.versions()
+
+        for peers in rollout.peers.values():
+            peers.hidden = {"drafter-2"}
+        rollout.run(100)
+
+        assert waited == ["v1"] * 3
+        assert rollout.versions() == ["v2", "v2", "v1"]
+
+    def test_an_endpoint_that_leaves_in_mid_load_orders_nothing_more(self):
+        rollout = Rollout(count=3)
+        rollout.view = view(2, "v2", min_serving=1, parallel_loads=1)
+        rollout.run(10)
+        loading = next(i for i, r in rollout.runners.items() if r.phase is Phase.LOADING)
+        orders = rollout.engines[loading].model.orders
+
+        rollout.runners[loading].leaving = True
+        rollout.view = view(3, "v3", min_serving=1, parallel_loads=1)
+        rollout.run(50)
+
+        assert rollout.engines[loading].model.orders == orders
+
+
+class TestOldOrders:
+    @pytest.mark.parametrize("checks_fence", [True, False], ids=["checks", "ignores"])
+    def test_an_order_of_a_replaced_sidecar_does_not_stay_in_force(self, checks_fence):
+        # A sidecar is paused with an order in hand. A new one in its slot brings the engine to
+        # v2. The old one wakes and its order for v1 goes out: an engine that checks refuses it, one
+        # that ignores the number obeys and is set right by the new sidecar's next read-back.
+        rollout = Rollout(count=1, checks_fence=checks_fence)
+        rollout.view = view(2, "v2", min_serving=0)
+        rollout.run(60)
+        engine = rollout.engines["drafter-0"].model
+
+        engine.order(Order({"drafter": "v1"}, (), "both", 1), rollout.now_s)
+        rollout.run(90)
+
+        assert engine.models == {"drafter": "v2"}
+        assert (engine.orders == 1) is checks_fence
+
+    def test_an_answer_lost_after_effect_is_found_out_by_reading_back(self):
+        rollout = Rollout(count=1)
+        rollout.engines["drafter-0"].lose_answers = True
+        rollout.view = view(2, "v2", min_serving=0, adapters=("gu",))
+
+        rollout.run(120)
+
+        engine = rollout.engines["drafter-0"].model
+        assert (engine.models, engine.adapters) == ({"drafter": "v2"}, ("gu",))
+        assert engine.orders == 2
+
+    def test_a_silent_engine_gets_no_order(self):
+        rollout = Rollout(count=1)
+        rollout.engines["drafter-0"].silent = True
+        rollout.view = view(2, "v2", min_serving=0)
+
+        rollout.run(60)
+
+        assert rollout.engines["drafter-0"].model.orders == 0
+
+
+class TestHttpEngineControl:
+    def test_orders_and_state_go_over_http(self):
+        model = EngineOrdersModel(models={"drafter": "v1"})
+
+        async def app(scope, receive, send):
+            await answer_engine_orders(model, 0.0, scope, receive, send)
+
+        async def run():
+            server = Server(app, bind("127.0.0.1:0"))
+            async with anyio.create_task_group() as group, client_pool() as pool:
+                await group.start(server.run_until_stopped)
+                control = HttpEngineControl(f"http://{server.address}", pool)
+                taken = await control.order(Order({"drafter": "v2"}, ("gu",), "decode", 5))
+                fenced = await control.order(Order({"drafter": "v1"}, (), "both", 4))
+                state = await control.state()
+                group.cancel_scope.cancel()
+            return taken, fenced, state
+
+        taken, fenced, state = anyio.run(run)
+
+        assert (taken, fenced) == (OrderTaken(), OrderFenced())
+        assert state == EngineState({"drafter": "v2"}, ("gu",), "decode", fence=5)
