--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -221,6 +221,20 @@
         assert rollout.versions() == ["v2"] * 3
         assert rollout.store.peak == 1
 
+    def test_endpoints_that_miss_each_other_for_seconds_wait_until_they_meet(self):
+        rollout = Rollout(count=3)
+        for endpoint_id, peers in rollout.peers.items():
+            peers.hidden = set(rollout.peers) - {endpoint_id}
+        rollout.view = view(2, "v2", min_serving=0, parallel_loads=1)
+        rollout.run(4)
+
+        for peers in rollout.peers.values():
+            peers.hidden = set()
+        rollout.run(200)
+
+        assert rollout.versions() == ["v2"] * 3
+        assert rollout.store.peak == 1
+
     def test_a_silent_endpoint_counts_as_loading_until_the_list_drops_it(self):
         rollout = Rollout(count=3)
         rollout.paused.add("drafter-2")
