Attach to a run on a new connection instead of breaking its answer

Now a run fills a log in a task of its own and readers copy from it; every sidecar answer names its outcome and incarnation; an entry whose connection breaks or goes silent attaches anew after the last sequence. 'never came' is said only by the incarnation that the run was sent to, with a tombstone, and only for runs sent after the time since which every id is remembered.

Ruled out: a read timeout on each read (a timer per frame); writing to the reader from the run's own task (a black-holed reader would hold the run up for good).

Smallest edits elsewhere: settings/schema.py (limits and engine_silence_s, kept_bytes at the end of their classes), local/fleet.py (an entry has a run loop).

--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -1,17 +1,23 @@
-"""The process that takes callers: picks candidates, relays, retries within a budget."""
+"""The process that takes callers: checks, picks candidates, relays, retries within a budget."""
 
+import json
 import random
 import time
 import uuid
+from collections.abc import Awaitable, Callable
 
 import anyio
-import httpcore
+import anyio.abc
+import attrs
 
-from beryljunction.entry.callers import CallerRequest, account_of, chat_request, plain_request
+from beryljunction.entry.callers import AccountIndex, CallerRequest, chat_request, plain_request
+from beryljunction.entry.relays import Relay
+from beryljunction.entry.sidecars import SidecarClient
+from beryljunction.entry.writers import ROUTE_HINT_HEADER, CallerWriter
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.servers import Receive, Scope, Send, client_pool, read_body, respond
+from beryljunction.servers import Receive, Scope, Send, client_pool, read_body, wait_disconnect
 from beryljunction.settings import EntryFile, FleetView
-from beryljunction.streams import SequenceChecker
+from beryljunction.streams import event_position
 from beryljunction.systems import (
     AttemptSystem,
     GiveUp,
@@ -23,32 +29,43 @@
 )
 from beryljunction.tables import EndpointTable
 from beryljunction.timeline import Timeline
-from beryljunction.wire import (
-    ENVELOPE_HEADER,
-    FLEET_KEY_HEADER,
-    RUN_PATH,
-    Envelope,
-    encode,
-    refusal_body,
-    refusal_from_body,
-)
+from beryljunction.watches import WatchList
+from beryljunction.wire import Attach, Envelope
 
 __all__ = ["EntryApp"]
 
 _CHAT_PATH = "/v1/chat/completions"
+_MODELS_PATH = "/v1/models"
+_STREAMS_PREFIX = "/v1/streams/"
 _PLAIN_PREFIX = "/services/"
-_CONNECT_S = 1.0
-_SUSPECT_S = 3.0
-_STATUS = {
-    RefusalCode.BAD_REQUEST: 400,
-    RefusalCode.UNAUTHENTICATED: 401,
-    RefusalCode.NOT_FOUND: 404,
-    RefusalCode.TOO_LARGE: 413,
-    RefusalCode.QUEUE_FULL: 429,
-    RefusalCode.OUTCOME_UNKNOWN: 502,
-    RefusalCode.ENDPOINT_FAILED: 502,
-}
-_DEFAULT_STATUS = 503
+_CANCEL_S = 3.0
+
+
+@attrs.define
+class _Exchange:
+    """One caller's request, its account known, and the answer to it.
+
+    Attributes:
+        relay: The try under way, which has to hear of the caller's hang-up.
+    """
+
+    scope: Scope
+    headers: dict[bytes, bytes]
+    account: str
+    body: bytes
+    caller: CallerWriter
+    relay: Relay | None = None
+
+    @property
+    def path(self) -> str:
+        return str(self.scope["path"])
+
+    @property
+    def method(self) -> str:
+        return str(self.scope["method"])
+
+
+_Handler = Callable[[_Exchange], Awaitable[Refusal | None]]
 
 
 class EntryApp:
@@ -56,95 +73,184 @@
 
     def __init__(self, file: EntryFile, view: FleetView, endpoints: EndpointTable) -> None:
         self.file = file
-        self.view = view
         self.endpoints = endpoints
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
+        self.watches = WatchList()
+        self.leaving = False
+        self.in_flight = 0
         self._placement = PlacementSystem(endpoints)
         self._budget = RetryBudget()
         self._pool = client_pool()
+        self._sidecars = SidecarClient(self._pool, self.watches, file.process.fleet_key)
         self._random = random.Random()
-        self._fleet_key = file.process.fleet_key.encode()
+        self._routes: dict[tuple[str, str], _Handler] = {
+            ("POST", _CHAT_PATH): self._chat,
+            ("GET", _MODELS_PATH): self._models,
+        }
+        self._prefixes: list[tuple[str, _Handler]] = [
+            (_STREAMS_PREFIX, self._resume),
+            (_PLAIN_PREFIX, self._plain),
+        ]
+        self.apply(view)
+
+    def apply(self, view: FleetView) -> None:
+        """Put settings in force."""
+        self.view = view
+        self._accounts = AccountIndex(view.accounts)
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Work until cancelled."""
+        async with self._pool:
+            task_status.started()
+            await self.watches.run()
+
+    def refuse_new(self) -> None:
+        """Take no new work; what is under way goes on."""
+        self.leaving = True
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of a caller."""
-        request_id = uuid.uuid4().hex
+        caller = CallerWriter(send, uuid.uuid4().hex)
+        self.in_flight += 1
+        try:
+            exchange = await self._accept(scope, receive, caller)
+            if isinstance(exchange, Refusal):
+                await self._refuse(caller, exchange)
+            else:
+                await self._serve(exchange, receive)
+        finally:
+            self.in_flight -= 1
+
+    async def _accept(
+        self, scope: Scope, receive: Receive, caller: CallerWriter
+    ) -> _Exchange | Refusal:
+        """Check what can be checked before the request is understood."""
+        limits = self.view.limits
+        if self.leaving:
+            return _no(RefusalCode.LEAVING, "this entry is stopping; ask another one", 1.0)
+        if self.in_flight > limits.connections:
+            return _no(RefusalCode.OVERLOADED, "this entry serves as many as it may", 1.0)
+        if sum(len(k) + len(v) for k, v in scope["headers"]) > limits.header_bytes:
+            return _no(RefusalCode.TOO_LARGE, f"expected {limits.header_bytes} bytes of headers")
         headers = dict(scope["headers"])
-        account = account_of(headers, self.view)
+        account = self._accounts.account_of(headers)
         if isinstance(account, Refusal):
-            await self._refuse(send, account, request_id)
-            return
-        body = await read_body(receive, self.view.limits.body_bytes)
+            return account
+        body = await read_body(receive, limits.body_bytes, limits.body_s)
         if body is None:
-            limit = self.view.limits.body_bytes
-            refusal = Refusal(RefusalCode.TOO_LARGE, f"expected at most {limit} bytes", Ran.NO)
-            await self._refuse(send, refusal, request_id)
-            return
-        request = self._parse(scope, headers, body)
-        if isinstance(request, Refusal):
-            await self._refuse(send, request, request_id)
-            return
-        await self._route(request, account, request_id, receive, send)
-
-    def _parse(
-        self, scope: Scope, headers: dict[bytes, bytes], body: bytes
-    ) -> CallerRequest | Refusal:
-        path: str = scope["path"]
-        if path == _CHAT_PATH and scope["method"] == "POST":
-            return chat_request(body, headers, self.view)
-        if path.startswith(_PLAIN_PREFIX):
-            service, _, rest = path.removeprefix(_PLAIN_PREFIX).partition("/")
-            query = scope["query_string"].decode("latin-1")
-            target = f"/{rest}?{query}" if query else f"/{rest}"
-            return plain_request(service, scope["method"], target, body, headers, self.view)
-        return Refusal(RefusalCode.NOT_FOUND, f"no such path {path}", Ran.NO)
-
-    async def _route(
-        self, request: CallerRequest, account: str, request_id: str, receive: Receive, send: Send
-    ) -> None:
-        self.timeline.add("arrived", request_id, request.service)
+            message = f"expected at most {limits.body_bytes} bytes within {limits.body_s:g} s"
+            return _no(RefusalCode.TOO_LARGE, message)
+        return _Exchange(scope, headers, account, body, caller)
+
+    async def _serve(self, exchange: _Exchange, receive: Receive) -> None:
+        handler = self._handler(exchange)
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch, receive, group.cancel_scope)
-            refusal = await self._attempt(request, account, request_id, send)
+            group.start_soon(wait_disconnect, receive, group.cancel_scope)
+            refusal = await handler(exchange)
             if refusal is not None:
-                await self._refuse(send, refusal, request_id)
+                await self._refuse(exchange.caller, refusal)
             group.cancel_scope.cancel()
+        if not exchange.caller.complete:
+            await self._hang_up(exchange)
 
-    async def _attempt(
-        self, request: CallerRequest, account: str, request_id: str, send: Send
-    ) -> Refusal | None:
+    async def _hang_up(self, exchange: _Exchange) -> None:
+        """Tell the sidecar that its caller is gone, so that it works for nobody no longer."""
+        self.timeline.add("hung_up", exchange.caller.request_id)
+        if exchange.relay is not None:
+            with anyio.move_on_after(_CANCEL_S, shield=True):
+                await exchange.relay.cancel()
+
+    def _handler(self, exchange: _Exchange) -> _Handler:
+        handler = self._routes.get((exchange.method, exchange.path))
+        if handler is not None:
+            return handler
+        for prefix, prefixed in self._prefixes:
+            if exchange.path.startswith(prefix):
+                return prefixed
+        return self._not_found
+
+    async def _not_found(self, exchange: _Exchange) -> Refusal:
+        known = ", ".join(f"{method} {path}" for method, path in self._routes)
+        got = f"{exchange.method} {exchange.path}"
+        return _no(RefusalCode.NOT_FOUND, f"expected one of {known}, got {got}")
+
+    async def _models(self, exchange: _Exchange) -> None:
+        rows = [
+            {"id": model, "object": "model", "created": 0, "owned_by": name}
+            for name, service in self.view.services.items()
+            for model in service.models
+        ]
+        await exchange.caller.json(json.dumps({"object": "list", "data": rows}).encode())
+
+    async def _chat(self, exchange: _Exchange) -> Refusal | None:
+        request = chat_request(exchange.body, exchange.headers, self.view)
+        return request if isinstance(request, Refusal) else await self._route(exchange, request)
+
+    async def _plain(self, exchange: _Exchange) -> Refusal | None:
+        service, _, rest = exchange.path.removeprefix(_PLAIN_PREFIX).partition("/")
+        query = exchange.scope["query_string"].decode("latin-1")
+        path = f"/{rest}?{query}" if query else f"/{rest}"
+        headers = exchange.scope["headers"]
+        request = plain_request(service, exchange.method, path, exchange.body, headers, self.view)
+        return request if isinstance(request, Refusal) else await self._route(exchange, request)
+
+    async def _resume(self, exchange: _Exchange) -> Refusal | None:
+        """Take up a stream that any entry began, after the event that the caller saw last."""
+        stream_id = exchange.path.removeprefix(_STREAMS_PREFIX)
+        event_id = exchange.headers.get(b"last-event-id", b"").decode("latin-1")
+        position = event_position(event_id or f"{stream_id}.0")
+        if position is None or stream_id not in (str(position[0]), position[0].request_id):
+            message = "expected /v1/streams/STREAM with the id of an event of it as Last-Event-ID"
+            return _no(RefusalCode.BAD_REQUEST, message)
+        name, after = position
+        endpoint = self.endpoints.get(name.endpoint_id)
+        if endpoint is None:
+            message = f"expected a live endpoint, got {name.endpoint_id!r}; ask anew"
+            return Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
+        exchange.caller.request_id = name.request_id
+        attach = Attach(name.request_id, exchange.account, name.incarnation, after, resume=True)
+        silence_s = self.view.services[endpoint.service].silence_s
+        relay = Relay(self._sidecars, endpoint, attach, exchange.caller, silence_s)
+        return await relay.resume()
+
+    async def _route(self, exchange: _Exchange, request: CallerRequest) -> Refusal | None:
         """Walk the candidates; None when the caller has its answer."""
-        chat_key = chat_key_of(account, request.chat_id) if request.chat_id else None
-        query = PlacementQuery(
-            request.service,
-            chat_key if chat_key is not None else self._random.getrandbits(64),
-            self.file.process.availability_zone,
-            prefer_zone=self.view.services[request.service].kind == "plain",
-        )
+        request_id = exchange.caller.request_id
+        self.timeline.add("arrived", request_id, request.service)
+        chat_key = chat_key_of(exchange.account, request.chat_id) if request.chat_id else None
+        envelope = self._envelope(exchange, request, chat_key)
+        query = self._query(exchange, request, chat_key)
         candidates = self._placement.candidates(query, time.monotonic())
         attempts = AttemptSystem(candidates, self._budget, request.idempotent)
         step = attempts.first()
         while isinstance(step, Try):
-            envelope = self._envelope(request, account, request_id, chat_key, step)
-            refusal = await self._try(step, envelope, request.body, send)
+            refusal = await self._try(exchange, step, envelope, request.body)
             if refusal is None:
                 self._budget.earn()
                 return None
             self.timeline.add("try_refused", request_id, refusal.code)
+            envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
             step = attempts.after(refusal)
         assert isinstance(step, GiveUp)
         return step.refusal
 
+    def _query(
+        self, exchange: _Exchange, request: CallerRequest, chat_key: int | None
+    ) -> PlacementQuery:
+        return PlacementQuery(
+            request.service,
+            chat_key if chat_key is not None else self._random.getrandbits(64),
+            self.file.process.availability_zone,
+            prefer_zone=self.view.services[request.service].kind == "plain",
+            hint=exchange.headers.get(ROUTE_HINT_HEADER, b"").decode("latin-1") or None,
+        )
+
     def _envelope(
-        self,
-        request: CallerRequest,
-        account: str,
-        request_id: str,
-        chat_key: int | None,
-        step: Try,
+        self, exchange: _Exchange, request: CallerRequest, chat_key: int | None
     ) -> Envelope:
         return Envelope(
-            request_id=request_id,
-            account=account,
+            request_id=exchange.caller.request_id,
+            account=exchange.account,
             service=request.service,
             wait_s=self.view.services[request.service].deadline_s,
             chat_key=chat_key,
@@ -152,76 +258,32 @@
             output_tokens=request.output_tokens,
             idempotent=request.idempotent,
             streamed=request.streamed,
-            warm=step.warm,
-            last_resort=step.last_resort,
             method=request.method,
             path=request.path,
             headers=request.headers,
         )
 
-    async def _try(self, step: Try, envelope: Envelope, body: bytes, send: Send) -> Refusal | None:
-        headers = [
-            (FLEET_KEY_HEADER, self._fleet_key),
-            (ENVELOPE_HEADER, encode(envelope)),
-            (b"content-length", b"%d" % len(body)),
-        ]
-        timeout = {"connect": _CONNECT_S, "read": self.view.limits.request_s}
-        try:
-            async with self._pool.stream(
-                "POST",
-                f"http://{step.endpoint.address}{RUN_PATH}",
-                headers=headers,
-                content=body,
-                extensions={"timeout": timeout},
-            ) as response:
-                return await self._relay(response, envelope, send)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            step.endpoint.suspect_until_s = time.monotonic() + _SUSPECT_S
-            message = "the endpoint's sidecar did not take the connection"
-            return Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.NO, 1.0)
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
-            step.endpoint.suspect_until_s = time.monotonic() + _SUSPECT_S
-            message = f"the connection to the sidecar broke: {type(error).__name__}"
-            return Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
-
-    async def _relay(
-        self, response: httpcore.Response, envelope: Envelope, send: Send
+    async def _try(
+        self, exchange: _Exchange, step: Try, envelope: Envelope, body: bytes
     ) -> Refusal | None:
-        headers = [(key, value) for key, value in response.headers if key != b"transfer-encoding"]
-        headers.append((b"beryl-request-id", envelope.request_id.encode()))
-        is_stream = envelope.streamed and response.status == 200
-        if not is_stream:
-            body = await response.aread()
-            if response.status == _DEFAULT_STATUS and body.startswith(b'{"error": {"code"'):
-                return refusal_from_body(body)
-            start = {"type": "http.response.start", "status": response.status, "headers": headers}
-            await send(start)
-            await send({"type": "http.response.body", "body": body})
-            return None
-        await send({"type": "http.response.start", "status": 200, "headers": headers})
-        checker = SequenceChecker()
-        async for chunk in response.aiter_stream():
-            data = checker.feed(chunk)
-            if data:
-                await send({"type": "http.response.body", "body": data, "more_body": True})
-        tail = b""
-        if not checker.state.complete:
-            refusal = Refusal(RefusalCode.INCOMPLETE, "the answer broke off", Ran.YES)
-            tail = b"event: error\ndata: " + refusal_body(refusal, envelope.request_id) + b"\n\n"
-        await send({"type": "http.response.body", "body": tail})
-        return None
-
-    async def _refuse(self, send: Send, refusal: Refusal, request_id: str) -> None:
-        self.timeline.add("refused", request_id, refusal.code)
-        headers = [(b"beryl-request-id", request_id.encode())]
-        if refusal.retry_after_s is not None:
-            headers.append((b"retry-after", b"%d" % max(1, round(refusal.retry_after_s))))
-        status = _STATUS.get(refusal.code, _DEFAULT_STATUS)
-        await respond(send, status, refusal_body(refusal, request_id), headers)
-
-
-async def _watch(receive: Receive, scope: anyio.CancelScope) -> None:
-    """End the request when its caller hangs up."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
+        endpoint = step.endpoint
+        # The incarnation that was known before a byte went out: only its word is a proof.
+        attach = Attach(
+            envelope.request_id,
+            envelope.account,
+            endpoint.incarnation,
+            attempt=envelope.attempt,
+        )
+        silence_s = self.view.services[envelope.service].silence_s
+        exchange.caller.extra = [(ROUTE_HINT_HEADER, endpoint.endpoint_id.encode())]
+        exchange.relay = Relay(self._sidecars, endpoint, attach, exchange.caller, silence_s)
+        envelope = attrs.evolve(envelope, warm=step.warm, last_resort=step.last_resort)
+        return await exchange.relay.run(envelope, body)
+
+    async def _refuse(self, caller: CallerWriter, refusal: Refusal) -> None:
+        self.timeline.add("refused", caller.request_id, refusal.code)
+        await caller.refuse(refusal)
+
+
+def _no(code: RefusalCode, message: str, retry_after_s: float | None = None) -> Refusal:
+    return Refusal(code, message, Ran.NO, retry_after_s)
--- a/src/beryljunction/entry/callers.py
+++ b/src/beryljunction/entry/callers.py
@@ -1,21 +1,38 @@
 """What callers send: who they are and what they ask for."""
 
 import hashlib
-import hmac
 import json
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import attrs
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.settings import FleetView
+from beryljunction.settings import AccountSettings, FleetView
 
-__all__ = ["CallerRequest", "account_of", "chat_request", "plain_request"]
+__all__ = ["AccountIndex", "CallerRequest", "chat_request", "plain_request"]
 
 _TOKEN_BYTES = 4
 _DEFAULT_OUTPUT_TOKENS = 256
 _IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
-_PASSED_HEADERS = frozenset(("accept", "content-type", "accept-language", "if-match"))
+# What belongs to the caller's own connection, or is a secret between it and the entry.
+_HELD_BACK = frozenset(
+    (
+        b"authorization",
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-request-id",
+    )
+)
+_OWN_PREFIX = b"beryl-"
 _BEARER = b"Bearer "
 
 
@@ -35,22 +52,29 @@
     output_tokens: int = 0
 
 
-def account_of(headers: dict[bytes, bytes], view: FleetView) -> str | Refusal:
-    """Return the client account that an API key belongs to."""
-    given = headers.get(b"authorization", b"")
-    digest = hashlib.sha256(given.removeprefix(_BEARER)).hexdigest()
-    found = None
-    for name, account in view.accounts.items():
-        if hmac.compare_digest(account.key_sha256, digest):
-            found = name
-    if found is None:
-        message = "expected a known API key as 'Authorization: Bearer KEY'"
-        return Refusal(RefusalCode.UNAUTHENTICATED, message, Ran.NO)
-    return found
+class AccountIndex:
+    """Client accounts by the digest of their API key.
+
+    The look-up compares digests only, which tell nothing of the keys; the last comparison takes
+    the same time wherever the first difference is.
+    """
+
+    def __init__(self, accounts: Mapping[str, AccountSettings]) -> None:
+        self._rows = {row.key_sha256: name for name, row in accounts.items()}
+
+    def account_of(self, headers: Mapping[bytes, bytes]) -> str | Refusal:
+        """Return the client account that an API key belongs to."""
+        given = headers.get(b"authorization", b"")
+        digest = hashlib.sha256(given.removeprefix(_BEARER)).hexdigest()
+        name = self._rows.get(digest)
+        if name is None or not given.startswith(_BEARER):
+            message = "expected a known API key as 'Authorization: Bearer KEY'"
+            return Refusal(RefusalCode.UNAUTHENTICATED, message, Ran.NO)
+        return name
 
 
 def chat_request(
-    body: bytes, headers: dict[bytes, bytes], view: FleetView
+    body: bytes, headers: Mapping[bytes, bytes], view: FleetView
 ) -> CallerRequest | Refusal:
     """Check the body of a chat completion."""
     try:
@@ -71,26 +95,31 @@
         path="/v1/chat/completions",
         headers=(("content-type", "application/json"),),
         idempotent=view.services[service].idempotent and b"idempotency-key" not in headers,
-        streamed=data.get("stream", False),
+        streamed=data.get("stream") or False,
         chat_id=data.get("prompt_cache_key"),
         prompt_tokens=len(body) // _TOKEN_BYTES,
-        output_tokens=data.get("max_tokens") or _DEFAULT_OUTPUT_TOKENS,
+        output_tokens=_output_tokens(data),
     )
 
 
 def plain_request(
-    service: str, method: str, path: str, body: bytes, headers: dict[bytes, bytes], view: FleetView
+    service: str,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Iterable[tuple[bytes, bytes]],
+    view: FleetView,
 ) -> CallerRequest | Refusal:
-    """Check a call of a plain service."""
+    """Check a call of a plain service; its method, path, headers and body are passed on whole."""
     settings = view.services.get(service)
     if settings is None or settings.kind != "plain":
         return Refusal(RefusalCode.NOT_FOUND, f"expected a plain service, got {service!r}", Ran.NO)
     passed = tuple(
         (key.decode("latin-1"), value.decode("latin-1"))
-        for key, value in headers.items()
-        if key.decode("latin-1") in _PASSED_HEADERS or key.startswith(b"x-")
+        for key, value in headers
+        if key not in _HELD_BACK and not key.startswith(_OWN_PREFIX)
     )
-    idempotent = method in _IDEMPOTENT_METHODS
+    idempotent = settings.idempotent or method in _IDEMPOTENT_METHODS
     return CallerRequest(service, body, method, path, passed, idempotent)
 
 
@@ -103,15 +132,21 @@
         "stream": (bool, False),
         "prompt_cache_key": (str, False),
         "max_tokens": (int, False),
+        "max_completion_tokens": (int, False),
     }
     for field, (kind, required) in expected.items():
         value = data.get(field)
         if value is None and not required:
             continue
-        if not isinstance(value, kind):
+        if not isinstance(value, kind) or isinstance(value, bool) and kind is int:
             return f"{field}: expected {kind.__name__}, got {json.dumps(value)[:80]}"
     return None
 
 
+def _output_tokens(data: Mapping[str, Any]) -> int:
+    tokens = data.get("max_completion_tokens") or data.get("max_tokens") or _DEFAULT_OUTPUT_TOKENS
+    return max(1, int(tokens))
+
+
 def _bad(message: str) -> Refusal:
     return Refusal(RefusalCode.BAD_REQUEST, message, Ran.NO)
--- /dev/null
+++ b/src/beryljunction/entry/writers.py
@@ -0,0 +1,95 @@
+"""Answers to callers."""
+
+import attrs
+
+from beryljunction.outcomes import Refusal, RefusalCode
+from beryljunction.servers import Send, respond
+from beryljunction.streams import StreamName, error_event
+from beryljunction.wire import REQUEST_ID_HEADER, refusal_body
+
+__all__ = ["ROUTE_HINT_HEADER", "STREAM_HEADER", "CallerWriter"]
+
+ROUTE_HINT_HEADER = b"beryl-route-hint"
+STREAM_HEADER = b"beryl-stream-id"
+_STATUS = {
+    RefusalCode.BAD_REQUEST: 400,
+    RefusalCode.UNAUTHENTICATED: 401,
+    RefusalCode.NOT_FOUND: 404,
+    RefusalCode.TICKET_BURNED: 409,
+    RefusalCode.TICKET_INVALID: 409,
+    RefusalCode.TOO_LARGE: 413,
+    RefusalCode.KEY_REUSED: 422,
+    RefusalCode.QUEUE_FULL: 429,
+    RefusalCode.OUTCOME_UNKNOWN: 502,
+    RefusalCode.ENDPOINT_FAILED: 502,
+    RefusalCode.INCOMPLETE: 502,
+    RefusalCode.DEADLINE: 504,
+}
+_DEFAULT_STATUS = 503
+_OWN_PREFIX = b"beryl-"
+
+
+@attrs.define
+class CallerWriter:
+    """Writes the one answer that a caller gets.
+
+    Attributes:
+        streaming: Whether the head of a stream was written; only an event can tell an error then.
+        complete: Whether the answer has ended; the caller's hang-up means nothing after that.
+        extra: Headers that every answer carries besides the request id.
+    """
+
+    _send: Send
+    request_id: str
+    streaming: bool = False
+    complete: bool = False
+    extra: list[tuple[bytes, bytes]] = attrs.field(factory=list)
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """End with an error: a typed body, or an event in an open stream."""
+        body = refusal_body(refusal, self.request_id)
+        if self.streaming:
+            await self.end(error_event(body))
+            return
+        headers = self._own_headers()
+        if refusal.retry_after_s is not None:
+            headers.append((b"retry-after", b"%d" % max(1, round(refusal.retry_after_s))))
+        status = _STATUS.get(refusal.code, _DEFAULT_STATUS)
+        await respond(self._send, status, body, headers)
+        self.complete = True
+
+    async def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Pass on an endpoint's whole answer."""
+        passed = [(key, value) for key, value in headers if not key.startswith(_OWN_PREFIX)]
+        head = [*passed, *self._own_headers()]
+        await self._send({"type": "http.response.start", "status": status, "headers": head})
+        await self._send({"type": "http.response.body", "body": body})
+        self.complete = True
+
+    async def json(self, body: bytes) -> None:
+        """Answer with JSON of the entry's own."""
+        await respond(self._send, 200, body, self._own_headers())
+        self.complete = True
+
+    async def open_stream(self, name: StreamName) -> None:
+        """Write the head of a stream."""
+        headers = [
+            (b"content-type", b"text/event-stream"),
+            (b"cache-control", b"no-store"),
+            (STREAM_HEADER, str(name).encode()),
+            *self._own_headers(),
+        ]
+        await self._send({"type": "http.response.start", "status": 200, "headers": headers})
+        self.streaming = True
+
+    async def frames(self, data: bytes) -> None:
+        """Pass on whole frames; waits while the caller is slow."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def end(self, tail: bytes = b"") -> None:
+        """End a stream."""
+        await self._send({"type": "http.response.body", "body": tail})
+        self.complete = True
+
+    def _own_headers(self) -> list[tuple[bytes, bytes]]:
+        return [(REQUEST_ID_HEADER, self.request_id.encode()), *self.extra]
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -88,7 +88,9 @@
     async def add_entry(self) -> str:
         """Start an entry and return its base URL."""
         file = EntryFile(self._process(f"entry-{len(self.entries)}"))
-        server = await self._serve(EntryApp(file, self.view, self.endpoints))
+        app = EntryApp(file, self.view, self.endpoints)
+        await self._group.start(app.run)
+        server = await self._serve(app)
         self.entries.append(f"http://{server.address}")
         return self.entries[-1]
 
--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -21,6 +21,7 @@
     "client_pool",
     "read_body",
     "respond",
+    "wait_disconnect",
 ]
 
 Scope = MutableMapping[str, Any]
@@ -63,6 +64,7 @@
             timeout_keep_alive=_SERVER_KEEPALIVE_S,
             server_header=False,
             date_header=False,
+            proxy_headers=False,
         )
         super().__init__(config)
         self.listener = listener
@@ -101,21 +103,24 @@
     )
 
 
-async def read_body(receive: Receive, limit_bytes: int) -> bytes | None:
-    """Read a request's body; None when it is longer than the limit or the caller hung up."""
-    parts = []
-    size = 0
-    while True:
+async def read_body(receive: Receive, limit_bytes: int, limit_s: float = 60.0) -> bytes | None:
+    """Read a request's body; None when it is too long or too slow, or the caller hung up."""
+    with anyio.move_on_after(limit_s):
         message = await receive()
-        if message["type"] != "http.request":
-            return None
-        part = message.get("body", b"")
-        size += len(part)
-        if size > limit_bytes:
-            return None
-        parts.append(part)
-        if not message.get("more_body"):
-            return b"".join(parts)
+        body = bytes(message.get("body", b""))
+        while message.get("more_body") and len(body) <= limit_bytes:
+            message = await receive()
+            body += message.get("body", b"")
+        whole = message["type"] == "http.request" and not message.get("more_body")
+        return body if whole and len(body) <= limit_bytes else None
+    return None
+
+
+async def wait_disconnect(receive: Receive, scope: anyio.CancelScope) -> None:
+    """Cancel a scope when the other side hangs up."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
 
 
 async def respond(
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -75,12 +75,23 @@
 
 @attrs.frozen
 class LimitSettings:
-    """Limits on what one caller may send."""
+    """Limits on what one caller may send, and on what is kept for it.
+
+    Attributes:
+        request_s: Longest wait for an endpoint's answer that is not streamed.
+        connections: Requests that an entry serves at the same time.
+        body_s: Longest time for sending a request's body.
+        answer_bytes: Longest answer that is not streamed.
+        kept_total_bytes: Ended answers that a sidecar keeps for a resume, all together.
+    """
 
     body_bytes: int = 4_194_304
     header_bytes: int = 16_384
     request_s: float = 600.0
     connections: int = 2_000
+    body_s: float = 30.0
+    answer_bytes: int = 16_777_216
+    kept_total_bytes: int = 8_388_608
 
 
 @attrs.frozen
@@ -97,6 +108,8 @@
         silence_s: Silence after which a stream is taken up again on a new connection.
         resume_s: Time that a stream without a reader is kept for a resume.
         pointer_s: Life of a chat pointer.
+        engine_silence_s: Silence of an engine's open stream after which it is resumed.
+        kept_bytes: Frames of one stream that are kept for a resume.
     """
 
     kind: str = "engine"
@@ -113,6 +126,8 @@
     silence_s: float = 3.0
     resume_s: float = 15.0
     pointer_s: float = 14_400.0
+    engine_silence_s: float = 10.0
+    kept_bytes: int = 65_536
 
 
 @attrs.frozen
--- a/src/beryljunction/sidecar/__init__.py
+++ b/src/beryljunction/sidecar/__init__.py
@@ -1,6 +1,6 @@
 """The process beside each endpoint."""
 
-from beryljunction.sidecar.app import SidecarApp
-from beryljunction.sidecar.runs import Run
+from beryljunction.sidecar.app import Call, Handler, SidecarApp
+from beryljunction.sidecar.runs import Run, RunTable
 
-__all__ = ["Run", "SidecarApp"]
+__all__ = ["Call", "Handler", "Run", "RunTable", "SidecarApp"]
--- /dev/null
+++ b/src/beryljunction/sidecar/endpoint.py
@@ -0,0 +1,184 @@
+"""The endpoint as its sidecar calls it: run, resume after silence, cancel."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import httpcore
+
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.sidecar.runs import Answer, Run
+from beryljunction.streams import FrameCutter, FrameNumberer, StreamName
+from beryljunction.watches import Watch, WatchList
+
+__all__ = ["EndpointClient"]
+
+_CONNECT_S = 2.0
+_CANCEL_S = 2.0
+_SILENCE_S = 10.0
+_REQUEST_S = 600.0
+_ANSWER_BYTES = 16_777_216
+# An engine that breaks off three times without a new token is broken; each try costs the caller
+# time in which the error could have sent it elsewhere.
+_MAX_FAILURES = 3
+_BACKOFF_S = 0.1
+_EVENT_STREAM = b"text/event-stream"
+_HOP_HEADERS = frozenset(
+    (b"connection", b"transfer-encoding", b"content-length", b"keep-alive", b"date", b"server")
+)
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+_NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
+
+
+class EndpointClient:
+    """Carries runs to one endpoint and its answers back into the runs.
+
+    Args:
+        address: Base URL of the endpoint.
+
+    Attributes:
+        silence_s: Silence of an open stream after which it is resumed on a new connection.
+        request_s: Longest wait for an answer that is not streamed.
+        answer_bytes: Longest answer that is not streamed.
+    """
+
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        watches: WatchList,
+        address: str,
+    ) -> None:
+        self._pool = pool
+        self._watches = watches
+        self._address = address
+        self.silence_s = _SILENCE_S
+        self.request_s = _REQUEST_S
+        self.answer_bytes = _ANSWER_BYTES
+
+    async def carry(self, run: Run, name: StreamName) -> None:
+        """Run the request and fill the run with its answer, or with the reason why there is none.
+
+        Whatever happens after the first byte may have gone out and before the endpoint has
+        answered leaves the outcome unknown.
+        """
+        numberer = FrameNumberer(name)
+        run.ran = Ran.UNKNOWN
+        try:
+            async with self._open(run) as (response, watch):
+                run.ran = Ran.YES
+                if not _is_stream(run, response):
+                    await self._take_answer(run, response)
+                    return
+                await self._take_frames(run, response, numberer, watch)
+        except _NOT_CONNECTED:
+            run.ran = Ran.NO
+            message = "the endpoint did not take the connection; no byte of the request was sent"
+            run.refusal = Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.NO, 1.0)
+            return
+        except _BROKEN as error:
+            message = f"the connection to the endpoint broke: {type(error).__name__}"
+            run.refusal = Refusal(RefusalCode.ENDPOINT_FAILED, message, run.ran)
+        if run.envelope.streamed and run.answer is None and not numberer.done:
+            await self._resume(run, numberer)
+        self._conclude(run, numberer)
+
+    async def cancel(self, request_id: str) -> None:
+        """Tell an engine to stop working for a request; a failure costs only the work."""
+        with anyio.move_on_after(_CANCEL_S, shield=True):
+            try:
+                await self._pool.request(
+                    "POST",
+                    f"{self._address}/v1/cancel",
+                    headers=[(b"content-type", b"application/json")],
+                    content=b'{"request_id": "%s"}' % request_id.encode(),
+                )
+            except _BROKEN:
+                return
+
+    @asynccontextmanager
+    async def _open(self, run: Run) -> AsyncIterator[tuple[httpcore.Response, Watch]]:
+        envelope = run.envelope
+        limit_s = self.silence_s if envelope.streamed else self.request_s
+        with self._watches.watch(limit_s) as watch:
+            async with self._pool.stream(
+                envelope.method,
+                self._address + envelope.path,
+                headers=[*envelope.headers, ("x-request-id", envelope.request_id)],
+                content=run.body,
+                extensions={"timeout": {"connect": _CONNECT_S}},
+            ) as response:
+                yield response, watch
+
+    async def _take_answer(self, run: Run, response: httpcore.Response) -> None:
+        parts = []
+        size = 0
+        async for part in response.aiter_stream():
+            size += len(part)
+            if size > self.answer_bytes:
+                message = f"expected an answer of at most {self.answer_bytes} bytes, got more"
+                run.refusal = Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.YES)
+                return
+            parts.append(part)
+        headers = [(k, v) for k, v in response.headers if k.lower() not in _HOP_HEADERS]
+        headers.append((b"content-length", b"%d" % size))
+        run.answer = Answer(response.status, headers, b"".join(parts))
+
+    async def _take_frames(
+        self, run: Run, response: httpcore.Response, numberer: FrameNumberer, watch: Watch
+    ) -> None:
+        cutter = FrameCutter()
+        async for chunk in response.aiter_stream():
+            frames = numberer.number(cutter.feed(chunk))
+            if cutter.overlong:
+                return
+            if frames:
+                # A slow caller holds this up; that is not the endpoint's silence.
+                watch.paused = True
+                await run.add_frames(frames)
+                watch.paused = False
+            watch.heard()
+
+    async def _resume(self, run: Run, numberer: FrameNumberer) -> None:
+        """Ask for the rest on new connections until the answer is whole or the engine gives up."""
+        failures = 0
+        while not numberer.done and failures < _MAX_FAILURES:
+            before = numberer.sequence
+            await anyio.sleep(_BACKOFF_S * failures)
+            if not await self._resume_once(run, numberer):
+                return
+            failures = 0 if numberer.sequence > before else failures + 1
+
+    async def _resume_once(self, run: Run, numberer: FrameNumberer) -> bool:
+        """Take up the stream once; False when the engine does not have it."""
+        path = f"/v1/streams/{run.envelope.request_id}?after={numberer.sequence}"
+        try:
+            with self._watches.watch(self.silence_s) as watch:
+                async with self._pool.stream(
+                    "GET",
+                    self._address + path,
+                    extensions={"timeout": {"connect": _CONNECT_S}},
+                ) as response:
+                    if response.status != 200:
+                        return False
+                    run.ran = Ran.YES
+                    await self._take_frames(run, response, numberer, watch)
+        except _BROKEN:
+            return True
+        return True
+
+    @staticmethod
+    def _conclude(run: Run, numberer: FrameNumberer) -> None:
+        if numberer.done:
+            run.complete = True
+            run.refusal = None
+        elif run.streaming:
+            message = "the endpoint's stream ended early and could not be resumed"
+            run.refusal = Refusal(RefusalCode.INCOMPLETE, message, Ran.YES)
+        elif run.refusal is None and run.answer is None:
+            message = "the endpoint went silent before its answer"
+            run.refusal = Refusal(RefusalCode.ENDPOINT_FAILED, message, run.ran)
+
+
+def _is_stream(run: Run, response: httpcore.Response) -> bool:
+    kind = next((v for k, v in response.headers if k.lower() == b"content-type"), b"")
+    return run.envelope.streamed and response.status == 200 and kind.startswith(_EVENT_STREAM)
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -1,5 +1,11 @@
-"""Messages between the fleet's own processes: JSON in headers and bodies over HTTP."""
+"""Messages between the fleet's own processes: JSON in headers and bodies over HTTP.
 
+Every answer of a sidecar says in a header of its own what it is. Without it an entry would have to
+guess whether a 503 is the sidecar's refusal, which it may retry, or the endpoint's own answer,
+which belongs to the caller.
+"""
+
+import enum
 import json
 from typing import Any, TypeVar
 
@@ -9,10 +15,24 @@
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 
 __all__ = [
+    "ATTACH_PATH",
+    "CANCEL_PATH",
+    "DRAIN_PATH",
     "ENVELOPE_HEADER",
     "FLEET_KEY_HEADER",
+    "INCARNATION_HEADER",
+    "OUTCOME_HEADER",
+    "PEERS_PATH",
+    "REQUEST_ID_HEADER",
     "RUN_PATH",
+    "STATUS_PATH",
+    "TICKET_PATH",
+    "Attach",
+    "Cancel",
+    "Drain",
     "Envelope",
+    "Outcome",
+    "SidecarStatus",
     "decode",
     "encode",
     "refusal_body",
@@ -21,19 +41,57 @@
 
 FLEET_KEY_HEADER = b"beryl-fleet-key"
 ENVELOPE_HEADER = b"beryl-envelope"
+OUTCOME_HEADER = b"beryl-outcome"
+INCARNATION_HEADER = b"beryl-incarnation"
+REQUEST_ID_HEADER = b"beryl-request-id"
 RUN_PATH = "/beryl/v1/run"
+ATTACH_PATH = "/beryl/v1/attach"
+CANCEL_PATH = "/beryl/v1/cancel"
+TICKET_PATH = "/beryl/v1/ticket"
+DRAIN_PATH = "/beryl/v1/drain"
+STATUS_PATH = "/beryl/v1/status"
+PEERS_PATH = "/beryl/v1/peers"
 
 T = TypeVar("T")
 
+_CALLERS_FAULTS = frozenset(
+    (
+        RefusalCode.BAD_REQUEST,
+        RefusalCode.UNAUTHENTICATED,
+        RefusalCode.NOT_FOUND,
+        RefusalCode.TOO_LARGE,
+        RefusalCode.KEY_REUSED,
+    )
+)
+
 _converter = cattrs.Converter(omit_if_default=True)
 
 
+class Outcome(enum.StrEnum):
+    """What the answer of a sidecar is.
+
+    Attributes:
+        ANSWER: The endpoint's own answer, whole, with the endpoint's status.
+        STREAM: Numbered frames of the endpoint's answer.
+        REFUSAL: The sidecar's refusal or failure, a typed body.
+        PENDING: Nothing to read yet; the reader asks again by an attach.
+        DONE: A control message was carried out; the body is its result.
+    """
+
+    ANSWER = "answer"
+    STREAM = "stream"
+    REFUSAL = "refusal"
+    PENDING = "pending"
+    DONE = "done"
+
+
 @attrs.frozen
 class Envelope:
     """What an entry tells a sidecar about a request besides its body.
 
     Attributes:
         request_id: Unique for each request of a caller, the same for all its tries.
+        attempt: Number of the try; a tombstone stops one try, not those that follow.
         chat_key: 64-bit hash of account and chat id; None for work without a chat.
         wait_s: Longest wait for a start, relative, since clocks of hosts differ.
         streamed: Whether the answer is a stream of server-sent events.
@@ -59,6 +117,61 @@
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
     ticket: str | None = None
+    attempt: int = 0
+
+
+@attrs.frozen
+class Attach:
+    """Takes up the answer of a run on a new connection.
+
+    Attributes:
+        after: Sequence of the last frame that was seen; 0 for none.
+        incarnation: Incarnation of the sidecar that the run was sent to; empty when unknown.
+        age_s: Time since the run was sent.
+        resume: Asked for by a caller with an event id, not by the entry that sent the run; it
+            proves nothing about a run that is on its way, so it leaves no tombstone.
+    """
+
+    request_id: str
+    account: str
+    incarnation: str = ""
+    after: int = 0
+    attempt: int = 0
+    age_s: float = 0.0
+    resume: bool = False
+
+
+@attrs.frozen
+class Cancel:
+    """The caller hung up."""
+
+    request_id: str
+    account: str
+    attempt: int = 0
+
+
+@attrs.frozen
+class Drain:
+    """Take no new work, or take it again."""
+
+    leaving: bool = True
+
+
+@attrs.frozen
+class SidecarStatus:
+    """What a sidecar says of itself.
+
+    Attributes:
+        kept: Runs that ended but are kept for a reader that comes back.
+    """
+
+    endpoint_id: str
+    service: str
+    incarnation: str
+    leaving: bool
+    running: int
+    waiting: int
+    kept: int
 
 
 def encode(message: Any) -> bytes:
@@ -80,16 +193,22 @@
 
 
 def refusal_body(refusal: Refusal, request_id: str) -> bytes:
-    """Return the JSON body of an error, the same between our processes and to callers."""
+    """Return the JSON body of an error, the same between our processes and to callers.
+
+    ``type`` and ``param`` are there for the usual chat clients, which expect them.
+    """
     fields = attrs.asdict(refusal, filter=lambda _, value: value is not None)
-    return json.dumps({"error": {**fields, "request_id": request_id}}).encode()
+    kind = "invalid_request_error" if refusal.code in _CALLERS_FAULTS else "server_error"
+    error = {**fields, "type": kind, "param": None, "request_id": request_id}
+    return json.dumps({"error": error}).encode()
 
 
 def refusal_from_body(data: bytes) -> Refusal:
     """Return the refusal in an error body; what can't be read proves nothing, so it is unknown."""
     try:
         fields = json.loads(data)["error"]
-        fields.pop("request_id", None)
+        for extra in ("request_id", "type", "param"):
+            fields.pop(extra, None)
         return Refusal(RefusalCode(fields.pop("code")), ran=Ran(fields.pop("ran")), **fields)
     except (ValueError, KeyError, TypeError, AttributeError):
         return Refusal(RefusalCode.OUTCOME_UNKNOWN, "unreadable answer", Ran.UNKNOWN)
