--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -66,7 +66,7 @@
     async def run(
         self, endpoint: Endpoint, envelope: Envelope, body: bytes, silence_s: float
     ) -> AsyncIterator[SidecarAnswer]:
-        """Send a request; the block ends early, without an error, when the sidecar is silent."""
+        """Send a request; httpcore's ReadTimeout ends the block when the sidecar is silent."""
         headers = [(ENVELOPE_HEADER, encode(envelope))]
         async with self._open(endpoint, RUN_PATH, headers, body, silence_s) as answer:
             yield answer
@@ -75,7 +75,7 @@
     async def attach(
         self, endpoint: Endpoint, attach: Attach, silence_s: float
     ) -> AsyncIterator[SidecarAnswer]:
-        """Take up an answer on a new connection; ends early like :meth:`run`."""
+        """Take up an answer on a new connection; silence ends it like :meth:`run`."""
         async with self._open(endpoint, ATTACH_PATH, [], encode(attach), silence_s) as answer:
             yield answer
 
--- a/src/beryljunction/watches.py
+++ b/src/beryljunction/watches.py
@@ -10,6 +10,7 @@
 
 import anyio
 import attrs
+import httpcore
 
 __all__ = ["Watch", "WatchList"]
 
@@ -53,7 +54,11 @@
 
     @contextlib.contextmanager
     def watch(self, limit_s: float) -> Iterator[Watch]:
-        """Run the block until it ends or is silent for longer than the limit."""
+        """Run the block until it ends or is silent for longer than the limit.
+
+        Raises:
+            httpcore.ReadTimeout: When it was silent for longer.
+        """
         watch = Watch(limit_s)
         self._open.add(watch)
         try:
@@ -61,6 +66,8 @@
                 yield watch
         finally:
             self._open.discard(watch)
+        if watch.fired:
+            raise httpcore.ReadTimeout(f"expected a byte within {limit_s:g} s, got none")
 
     def tick(self, now_s: float) -> None:
         """Check every open watch."""
--- /dev/null
+++ b/testing/test_entry.py
@@ -0,0 +1,245 @@
+import json
+
+import anyio
+import pytest
+
+from beryljunction.settings import LimitSettings
+from path_fakes import (
+    AUTH,
+    OTHER_KEY,
+    ScriptedEngine,
+    chat,
+    error_of,
+    event_data,
+    eventually,
+    path_of,
+    view_with,
+)
+
+pytestmark = pytest.mark.anyio
+CHAT = "/v1/chat/completions"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def ask(path, entry, target=CHAT, *, method="POST", headers=(AUTH,), body=None):
+    content = chat() if body is None else body
+    return await path.pool.request(method, entry + target, headers=list(headers), content=content)
+
+
+def last_event_id(body: bytes) -> bytes:
+    return [line[4:] for line in body.split(b"\n") if line.startswith(b"id: ")][-1]
+
+
+class TestCallers:
+    @pytest.mark.parametrize(
+        ("target", "headers", "body", "status"),
+        [
+            pytest.param(CHAT, [("authorization", "Bearer wrong")], b"{}", 401, id="key"),
+            pytest.param(CHAT, [("authorization", "caller-key")], b"{}", 401, id="no-bearer"),
+            pytest.param(CHAT, [AUTH], b"[1]", 400, id="not-an-object"),
+            pytest.param(CHAT, [AUTH], chat(max_tokens=True), 400, id="wrong-type"),
+            pytest.param(CHAT, [AUTH], chat(model="none"), 404, id="model"),
+            pytest.param("/v2", [AUTH], b"", 404, id="path"),
+            pytest.param("/services/drafter/x", [AUTH], b"", 404, id="not-a-plain-service"),
+            pytest.param("/v1/streams/x", [AUTH], b"", 400, id="stream-id"),
+            pytest.param(CHAT, [AUTH], b"x" * 2_000, 413, id="long-body"),
+            pytest.param(CHAT, [AUTH, ("x-long", "x" * 2_000)], b"", 413, id="long-headers"),
+        ],
+    )
+    async def test_bad_input_is_a_typed_error_that_did_not_run(self, target, headers, body, status):
+        limits = LimitSettings(body_bytes=1_000, header_bytes=1_000)
+        async with path_of(view_with(limits=limits)) as path:
+            answer = await ask(path, await path.entry(), target, headers=headers, body=body)
+
+        error = error_of(answer)
+        assert (answer.status, error["ran"]) == (status, "no")
+        assert error["type"] == "invalid_request_error"
+        assert error["message"]
+
+    async def test_more_than_it_may_serve_are_told_when_to_come_back(self):
+        async with path_of(view_with(limits=LimitSettings(connections=0))) as path:
+            answer = await ask(path, await path.entry())
+
+        assert (answer.status, error_of(answer)["ran"]) == (503, "no")
+        assert dict(answer.headers)[b"retry-after"] == b"1"
+
+    async def test_models_are_listed_as_chat_clients_expect(self):
+        async with path_of() as path:
+            answer = await ask(path, await path.entry(), "/v1/models", method="GET")
+
+        listed = json.loads(answer.content)
+        assert (listed["object"], [row["id"] for row in listed["data"]]) == ("list", ["drafter"])
+
+    async def test_plain_service_gets_method_path_headers_and_body_whole(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(status=503)
+            await path.sidecar(engine, "ledger")
+            headers = [AUTH, ("x-tag", "a"), ("accept", "text/plain")]
+
+            answer = await ask(
+                path,
+                await path.entry(),
+                "/services/ledger/notes?of=7",
+                method="PUT",
+                headers=headers,
+                body=b"note",
+            )
+
+        method, target, passed, body = engine.calls[0]
+        assert (method, target, body) == ("PUT", "/notes", b"note")
+        assert (passed[b"x-tag"], passed[b"accept"]) == (b"a", b"text/plain")
+        assert b"authorization" not in passed
+        assert (answer.status, dict(answer.headers)[b"x-own"]) == (503, b"kept")
+
+
+class TestWholeAnswers:
+    async def test_connection_gone_silent_is_replaced(self):
+        # Something between entry and sidecar loses track of the open connection: no byte passes
+        # on it any more, new ones work. The entry notices the silence, attaches anew after the
+        # last frame, and its caller reads one whole answer on its own one connection.
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=3)
+            app = await path.sidecar(engine, proxy=True)
+            entry = await path.entry()
+            async with path.pool.stream(
+                "POST", entry + CHAT, headers=[AUTH], content=chat()
+            ) as answer:
+                await eventually(lambda: app.runs and next(iter(app.runs)).log.last == 3)
+                path.hole.freeze()
+                engine.release.set()
+                body = await answer.aread()
+
+        assert event_data(body) == engine.answer()
+        assert (len(engine.runs), path.hole.connections) == (1, 2)
+
+    async def test_silence_before_the_answer_is_no_second_run(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=0)
+            await path.sidecar(engine, "ledger", proxy=True)
+            entry = await path.entry()
+            answers = []
+
+            async def note():
+                answers.append(await ask(path, entry, "/services/ledger/n", body=b"{}"))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(note)
+                await eventually(lambda: engine.runs)
+                path.hole.freeze()
+                await eventually(lambda: path.hole.connections > 1)
+                engine.release.set()
+
+        assert (answers[0].status, len(engine.runs)) == (200, 1)
+
+    async def test_answer_that_can_not_be_completed_ends_in_an_error(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(break_at=3, resumes=False)
+            await path.sidecar(engine)
+            answer = await ask(path, await path.entry())
+
+        *events, last = event_data(answer.content)
+        assert events == engine.answer()[:3]
+        assert json.loads(last)["error"]["ran"] == "yes"
+
+    async def test_sidecar_that_was_replaced_leaves_the_outcome_unknown(self):
+        # The sidecar stops taking connections for good after the note was sent. Whether the note
+        # was written can't be known any more, and the caller is told exactly that.
+        async with path_of(view_with(silence_s=0.4)) as path:
+            engine = ScriptedEngine(hold_at=0)
+            app = await path.sidecar(engine, "ledger", proxy=True)
+            entry = await path.entry()
+            answers = []
+
+            async def note():
+                answers.append(await ask(path, entry, "/services/ledger/n", body=b"{}"))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(note)
+                await eventually(lambda: engine.runs)
+                path.endpoints.get("ledger-0").address = "127.0.0.1:1"
+                path.hole.freeze()
+
+        error = error_of(answers[0])
+        assert (error["code"], error["ran"]) == ("outcome_unknown", "unknown")
+        assert (len(engine.runs), len(app.runs)) == (1, 1)
+
+
+class TestResume:
+    async def test_at_another_entry_goes_on_after_the_last_event(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=2)
+            await path.sidecar(engine)
+            first, second = await path.entry(), await path.entry()
+            async with path.pool.stream(
+                "POST", first + CHAT, headers=[AUTH], content=chat()
+            ) as broken:
+                stream_id = dict(broken.headers)[b"beryl-stream-id"].decode()
+                seen = b""
+                async for chunk in broken.aiter_stream():
+                    seen += chunk
+                    if len(event_data(seen)) == 2:
+                        break
+            engine.release.set()
+
+            rest = await ask(
+                path,
+                second,
+                f"/v1/streams/{stream_id}",
+                method="GET",
+                headers=[AUTH, ("last-event-id", last_event_id(seen))],
+                body=b"",
+            )
+
+        assert event_data(seen) + event_data(rest.content) == engine.answer()
+        assert len(engine.runs) == 1
+
+    async def test_of_another_account_is_not_found(self):
+        async with path_of() as path:
+            engine = ScriptedEngine()
+            await path.sidecar(engine)
+            entry = await path.entry()
+            stream_id = dict((await ask(path, entry)).headers)[b"beryl-stream-id"].decode()
+
+            stolen = await ask(
+                path,
+                entry,
+                f"/v1/streams/{stream_id}",
+                method="GET",
+                headers=[("authorization", f"Bearer {OTHER_KEY}")],
+                body=b"",
+            )
+
+        assert (stolen.status, b"word" in stolen.content) == (404, False)
+
+
+class TestHangUp:
+    async def test_ends_unstreamed_work(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=0)
+            await path.sidecar(engine)
+            entry = await path.entry()
+            async with anyio.create_task_group() as group:
+                group.start_soon(lambda: ask(path, entry, body=chat(stream=False)))
+                await eventually(lambda: engine.runs)
+                group.cancel_scope.cancel()
+
+            await eventually(lambda: engine.cancelled == engine.runs)
+
+
+class TestRouteHint:
+    async def test_sent_back_leads_to_the_endpoint_that_answered(self):
+        async with path_of() as path:
+            engines = [ScriptedEngine() for _ in range(6)]
+            for engine in engines:
+                await path.sidecar(engine)
+            entry = await path.entry()
+
+            for i in range(6):
+                hint = ("beryl-route-hint", f"drafter-{i}")
+                await ask(path, entry, headers=[AUTH, hint], body=chat(prompt_cache_key="c"))
+
+        assert [len(engine.runs) for engine in engines] == [1] * 6
