--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -77,12 +77,23 @@
 
 @attrs.frozen
 class LimitSettings:
-    """Limits on what one caller may send."""
+    """Limits on what one caller may send, and on what is kept for it.
+
+    Attributes:
+        request_s: Longest wait for an endpoint's answer that is not streamed.
+        connections: Requests that an entry serves at the same time.
+        body_s: Longest time for sending a request's body.
+        answer_bytes: Longest answer that is not streamed.
+        kept_total_bytes: Ended answers that a sidecar keeps for a resume, all together.
+    """
 
     body_bytes: int = 4_194_304
     header_bytes: int = 16_384
     request_s: float = 600.0
     connections: int = 2_000
+    body_s: float = 30.0
+    answer_bytes: int = 16_777_216
+    kept_total_bytes: int = 8_388_608
 
 
 @attrs.frozen
@@ -103,6 +114,8 @@
         adapters: Adapters that every engine has to hold.
         role: Part of the work that the engines do: "both", "prefill" or "decode".
         min_serving: Engines of the service that keep serving while others load.
+        engine_silence_s: Silence of an engine's open stream after which it is resumed.
+        kept_bytes: Frames of one stream that are kept for a resume.
     """
 
     kind: str = "engine"
@@ -123,6 +136,8 @@
     adapters: tuple[str, ...] = ()
     role: str = "both"
     min_serving: int = 1
+    engine_silence_s: float = 10.0
+    kept_bytes: int = 65_536
 
 
 @attrs.frozen
