--- a/src/beryljunction/cli/entry.py
+++ b/src/beryljunction/cli/entry.py
@@ -8,7 +8,7 @@
 
 from beryljunction.errors import BerylError
 from beryljunction.logs import configure_logs
-from beryljunction.node import EntryRole, Node
+from beryljunction.node import Node
 from beryljunction.settings import EntryFile, FleetView, load_file
 
 __all__ = ["main"]
@@ -17,7 +17,7 @@
 
 
 async def _run(file: EntryFile) -> None:
-    await Node(EntryRole(file), file.fleet or FleetView()).run_until_signal()
+    await Node.entry(file, file.fleet or FleetView()).run_until_signal()
 
 
 def entry(settings: pathlib.Path) -> int:
--- a/src/beryljunction/cli/sidecar.py
+++ b/src/beryljunction/cli/sidecar.py
@@ -4,13 +4,12 @@
 import sys
 
 import anyio
-import attrs
 import defopt
 
 from beryljunction.errors import BerylError
 from beryljunction.logs import configure_logs
-from beryljunction.node import Node, SidecarRole
-from beryljunction.settings import FleetView, ServiceSettings, SidecarFile, load_file
+from beryljunction.node import Node
+from beryljunction.settings import FleetView, SidecarFile, load_file
 
 __all__ = ["main"]
 
@@ -18,10 +17,7 @@
 
 
 async def _run(file: SidecarFile) -> None:
-    view = file.fleet or FleetView()
-    if file.service not in view.services:
-        view = attrs.evolve(view, services={**view.services, file.service: ServiceSettings()})
-    await Node(SidecarRole(file, view), view).run_until_signal()
+    await Node.sidecar(file, file.fleet or FleetView()).run_until_signal()
 
 
 def sidecar(settings: pathlib.Path) -> int:
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -10,7 +10,7 @@
 from beryljunction.errors import InvariantError
 from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES
 from beryljunction.local.standins import start_endpoint
-from beryljunction.node import EntryRole, Node, SidecarRole
+from beryljunction.node import Node
 from beryljunction.platform import HostRow
 from beryljunction.servers import Server, bind
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
@@ -61,7 +61,7 @@
             self.plain_services.append(app)
         process = await self._process(f"host-{endpoint_id}", len(self.endpoints))
         file = SidecarFile(process, endpoint_id, service, f"http://{server.address}")
-        node = Node(SidecarRole(file, self.view), self.view)
+        node = Node.sidecar(file, self.view)
         row = await self._start(node, endpoint_id, service)
         local = self.endpoints[endpoint_id] = LocalEndpoint(row, app, server, node)
         return local
@@ -80,7 +80,7 @@
         """Start an entry and return its base URL."""
         number = len(self.entries)
         process = await self._process(f"entry-{number}", number)
-        node = Node(EntryRole(EntryFile(process)), self.view)
+        node = Node.entry(EntryFile(process), self.view)
         row = await self._start(node)
         self.entries.append(f"http://{row.address}")
         return self.entries[-1]
--- /dev/null
+++ b/src/beryljunction/node/front.py
@@ -0,0 +1,71 @@
+"""The paths by which processes of the fleet talk to each other, before a role's own paths."""
+
+import hmac
+from collections.abc import Callable, Mapping
+
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.servers import Asgi, Receive, Scope, Send, respond
+from beryljunction.wire import FLEET_KEY_HEADER, refusal_body
+
+__all__ = ["FleetFront"]
+
+_LINE_BYTES = len("HTTP/1.1 200 OK\r\n\r\n")
+_HEADER_BYTES = len(": \r\n")
+
+
+class FleetFront:
+    """Answers control paths to who shows the fleet's key; everything else goes to the role.
+
+    Args:
+        count: Told of the bytes of each control exchange: path, sent, received.
+    """
+
+    def __init__(
+        self,
+        app: Asgi,
+        fleet_key: str,
+        routes: Mapping[str, Asgi],
+        count: Callable[[str, int, int], None],
+    ) -> None:
+        self._app = app
+        self._fleet_key = fleet_key.encode()
+        self._routes = routes
+        self._count = count
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        route = self._routes.get(scope["path"])
+        if route is None:
+            await self._app(scope, receive, send)
+        elif hmac.compare_digest(
+            dict(scope["headers"]).get(FLEET_KEY_HEADER, b""), self._fleet_key
+        ):
+            await self._answer(route, scope, receive, send)
+        else:
+            refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
+            await respond(send, 401, refusal_body(refusal, ""))
+
+    async def _answer(self, route: Asgi, scope: Scope, receive: Receive, send: Send) -> None:
+        sent = received = 0
+
+        async def receive_counted() -> dict[str, object]:
+            nonlocal received
+            message = await receive()
+            received += len(message.get("body", b""))
+            return dict(message)
+
+        async def send_counted(message: dict[str, object]) -> None:
+            nonlocal sent
+            sent += len(message.get("body", b""))  # type: ignore[arg-type]
+            sent += _head_bytes(message.get("headers", ()))  # type: ignore[arg-type]
+            await send(message)
+
+        received += _head_bytes(scope["headers"]) + len(scope["path"]) + len(scope["query_string"])
+        await route(scope, receive_counted, send_counted)  # type: ignore[arg-type]
+        self._count(scope["path"], sent, received)
+
+
+def _head_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    if not headers:
+        return 0
+    return _LINE_BYTES + sum(len(key) + len(value) + _HEADER_BYTES for key, value in headers)
--- a/src/beryljunction/node/operator.py
+++ b/src/beryljunction/node/operator.py
@@ -12,20 +12,18 @@
 from beryljunction.metrics import Metrics
 from beryljunction.node.roles import NodeStatus
 from beryljunction.timeline import HLC_HEADER, Timeline
-from beryljunction.wire import encode
+from beryljunction.wire import DRAIN_PATH, STATUS_PATH, Drain, decode, encode
 
-__all__ = ["DRAIN_PATH", "EVENTS_PATH", "STATUS_PATH", "operator_app"]
+__all__ = ["EVENTS_PATH", "operator_app"]
 
 EVENTS_PATH = "/beryl/v1/events"
-STATUS_PATH = "/beryl/v1/status"
-DRAIN_PATH = "/beryl/v1/drain"
 
 
 def operator_app(
     timeline: Timeline,
     metrics: Metrics,
     status: Callable[[], NodeStatus],
-    drain: Callable[[], None],
+    drain: Callable[[bool], None],
 ) -> Starlette:
     """Return the application of the operator listener.
 
@@ -52,8 +50,11 @@
     async def show_status(_: Request) -> Response:
         return Response(encode(status()), media_type="application/json")
 
-    async def start_drain(_: Request) -> Response:
-        drain()
+    async def set_drain(request: Request) -> Response:
+        try:
+            drain(decode(await request.body() or b"{}", Drain).leaving)
+        except ValueError as error:
+            return JSONResponse({"error": str(error)}, 400)
         return Response(encode(status()), 202, media_type="application/json")
 
     return Starlette(
@@ -63,6 +64,6 @@
             Route("/readyz", is_ready),
             Route(EVENTS_PATH, show_events),
             Route(STATUS_PATH, show_status),
-            Route(DRAIN_PATH, start_drain, methods=["POST"]),
+            Route(DRAIN_PATH, set_drain, methods=["POST"]),
         ]
     )
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -1,5 +1,44 @@
-"""The platform's services: each an abstract base class with a client over HTTP."""
+"""The platform as the fleet meets it: log, host list, weight store."""
 
 from beryljunction.platform.hosts import HostChanges, HostList, HostRow, HttpHostList
+from beryljunction.platform.log import (
+    Appended,
+    AppendOutcome,
+    AppendRefused,
+    AppendUnknown,
+    HttpLogClient,
+    LogClient,
+    LogPage,
+    LogRecord,
+    ReadFailed,
+    ReadOutcome,
+)
+from beryljunction.platform.weights import (
+    HttpWeightStore,
+    LoadBegun,
+    LoadRefused,
+    LoadUnknown,
+    WeightStore,
+)
 
-__all__ = ["HostChanges", "HostList", "HostRow", "HttpHostList"]
+__all__ = [
+    "HostChanges",
+    "HostList",
+    "HostRow",
+    "HttpHostList",
+    "HttpWeightStore",
+    "LoadBegun",
+    "LoadRefused",
+    "LoadUnknown",
+    "WeightStore",
+    "AppendOutcome",
+    "AppendRefused",
+    "AppendUnknown",
+    "Appended",
+    "HttpLogClient",
+    "LogClient",
+    "LogPage",
+    "LogRecord",
+    "ReadFailed",
+    "ReadOutcome",
+]
--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -97,10 +97,25 @@
         self.should_exit = True
 
 
-def client_pool(tls: ssl.SSLContext | None = None) -> httpcore.AsyncConnectionPool:
-    """Return a pool for calls to other processes; retries are decided by our systems, not by it."""
-    return httpcore.AsyncConnectionPool(
+class _TlsPool(httpcore.AsyncConnectionPool):
+    """A pool that speaks only TLS, so that no call can leave out the scheme by oversight."""
+
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        request.url.scheme = b"https"
+        return await super().handle_async_request(request)
+
+
+def client_pool(
+    tls: ssl.SSLContext | None = None, backend: httpcore.AsyncNetworkBackend | None = None
+) -> httpcore.AsyncConnectionPool:
+    """Return a pool for calls to other processes; retries are decided by our systems, not by it.
+
+    With a TLS context every call is TLS, also those to an "http" URL.
+    """
+    kind = httpcore.AsyncConnectionPool if tls is None else _TlsPool
+    return kind(
         ssl_context=tls,
+        network_backend=backend,
         max_connections=_MAX_CONNECTIONS,
         max_keepalive_connections=_MAX_CONNECTIONS,
         keepalive_expiry=_KEEPALIVE_S,
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -11,10 +11,12 @@
     "EntryFile",
     "FleetView",
     "LimitSettings",
+    "OperatorSettings",
     "ProcessSettings",
     "ServiceSettings",
     "SidecarFile",
     "TlsSettings",
+    "WeightSettings",
 ]
 
 
@@ -84,12 +86,23 @@
 
 @attrs.frozen
 class LimitSettings:
-    """Limits on what one caller may send."""
+    """Limits on what one caller may send, and on what is kept for it.
+
+    Attributes:
+        request_s: Longest wait for an endpoint's answer that is not streamed.
+        connections: Requests that an entry serves at the same time.
+        body_s: Longest time for sending a request's body.
+        answer_bytes: Longest answer that is not streamed.
+        kept_total_bytes: Ended answers that a sidecar keeps for a resume, all together.
+    """
 
     body_bytes: int = 4_194_304
     header_bytes: int = 16_384
     request_s: float = 600.0
     connections: int = 2_000
+    body_s: float = 30.0
+    answer_bytes: int = 16_777_216
+    kept_total_bytes: int = 8_388_608
 
 
 @attrs.frozen
@@ -106,6 +119,12 @@
         silence_s: Silence after which a stream is taken up again on a new connection.
         resume_s: Time that a stream without a reader is kept for a resume.
         pointer_s: Life of a chat pointer.
+        model_version: Version of the models that every engine of the service has to hold.
+        adapters: Adapters that every engine has to hold.
+        role: Part of the work that the engines do: "both", "prefill" or "decode".
+        min_serving: Engines of the service that keep serving while others load.
+        engine_silence_s: Silence of an engine's open stream after which it is resumed.
+        kept_bytes: Frames of one stream that are kept for a resume.
     """
 
     kind: str = "engine"
@@ -122,6 +141,12 @@
     silence_s: float = 3.0
     resume_s: float = 15.0
     pointer_s: float = 14_400.0
+    model_version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = "both"
+    min_serving: int = 1
+    engine_silence_s: float = 10.0
+    kept_bytes: int = 65_536
 
 
 @attrs.frozen
@@ -132,6 +157,31 @@
     weight: float = 1.0
 
 
+@attrs.frozen
+class WeightSettings:
+    """Limits on loads from the weight store.
+
+    Attributes:
+        parallel_loads: Loads that the store takes at one time, over the whole fleet.
+        load_s: Longest time that one load is expected to take.
+    """
+
+    parallel_loads: int = 8
+    load_s: float = 600.0
+
+
+@attrs.frozen
+class OperatorSettings:
+    """One operator; only the SHA-256 of the key is ever stored.
+
+    Attributes:
+        may_change: Scopes whose settings the operator may change; "fleet" is everything.
+    """
+
+    key_sha256: str
+    may_change: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class FleetView:
     """The settings in force, as a process uses them: resolved, checked, of one version."""
@@ -140,6 +190,13 @@
     services: dict[str, ServiceSettings] = attrs.field(factory=dict)
     accounts: dict[str, AccountSettings] = attrs.field(factory=dict)
     limits: LimitSettings = LimitSettings()
+    weights: WeightSettings = WeightSettings()
+    account_services: dict[tuple[str, str], ServiceSettings] = attrs.field(factory=dict)
+
+    def service_for(self, service: str, account: str) -> ServiceSettings:
+        """Return the settings of a service as one client account gets them; costs a look-up."""
+        own = self.account_services.get((account, service))
+        return own if own is not None else self.services[service]
 
     def service_of_model(self, model: str) -> str | None:
         """Return the name of the service that serves a model."""
--- a/src/beryljunction/standins/__init__.py
+++ b/src/beryljunction/standins/__init__.py
@@ -3,18 +3,27 @@
 from beryljunction.standins.engine import EngineStandIn
 from beryljunction.standins.faults import EngineFaults, HostListFaults
 from beryljunction.standins.hosts import HostListModel, HostListStandIn
+from beryljunction.standins.log import LogModel, LogModelSettings, LogStandIn, ModelLogClient
 from beryljunction.standins.model import CacheChange, EngineModel
-from beryljunction.standins.orders import OrderState
+from beryljunction.standins.orders import EngineOrdersModel, answer_engine_orders
 from beryljunction.standins.plain import PlainStandIn
+from beryljunction.standins.weights import WeightStandIn, WeightStoreModel
 
 __all__ = [
     "CacheChange",
     "EngineFaults",
     "EngineModel",
+    "EngineOrdersModel",
     "EngineStandIn",
     "HostListFaults",
     "HostListModel",
     "HostListStandIn",
-    "OrderState",
+    "LogModel",
+    "LogModelSettings",
+    "LogStandIn",
+    "ModelLogClient",
     "PlainStandIn",
+    "WeightStandIn",
+    "WeightStoreModel",
+    "answer_engine_orders",
 ]
--- a/src/beryljunction/standins/engine.py
+++ b/src/beryljunction/standins/engine.py
@@ -9,23 +9,21 @@
 import json
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 from urllib.parse import parse_qs
 
 import anyio
 import anyio.abc
-import attrs
 
 from beryljunction.errors import InvariantError
 from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 from beryljunction.standins.faults import EngineFaults
 from beryljunction.standins.generations import Generation, GenerationTable
 from beryljunction.standins.model import EngineModel
-from beryljunction.standins.orders import EngineOrders, OrderState
+from beryljunction.standins.orders import EngineOrdersModel, answer_engine_orders
 from beryljunction.standins.reports import CacheEventFeed, LoadReport
 from beryljunction.standins.slots import BatchSlots
-from beryljunction.wire import decode
 
 __all__ = ["EngineStandIn"]
 
@@ -33,6 +31,7 @@
 _TOKEN_BYTES = 4
 _DEFAULT_OUTPUT_TOKENS = 16
 _FAULT_AFTER_FRAMES = 3
+_ORDER_PATHS = ("/v1/orders", "/v1/state")
 _STREAM_PREFIX = "/v1/streams/"
 _UNSENT_BODY = [(b"content-length", b"1")]
 _STREAM_HEADERS = [(b"content-type", b"text/event-stream")]
@@ -47,7 +46,7 @@
         self.model = model if model is not None else EngineModel()
         self.faults = faults if faults is not None else EngineFaults()
         self.runs: list[str] = []
-        self.orders = EngineOrders(self.faults.checks_fencing)
+        self.orders = EngineOrdersModel(checks_fence=self.faults.checks_fencing)
         self.slots = BatchSlots(self.model.batch_limit)
         self._events = CacheEventFeed(self.faults, time.monotonic)
         self._load = LoadReport(self.faults, time.monotonic)
@@ -64,16 +63,17 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
-        body = await read_body(receive, _BODY_BYTES)
         path: str = scope["path"]
+        if path in _ORDER_PATHS:
+            await self._order(scope, receive, send)
+            return
+        body = await read_body(receive, _BODY_BYTES)
         if body is None:
             return
         if path == "/v1/chat/completions":
             await self._complete(scope, body, receive, send)
         elif path.startswith(_STREAM_PREFIX):
             await self._resume(path.removeprefix(_STREAM_PREFIX), _after(scope), receive, send)
-        elif path == "/v1/orders":
-            await self._order(body, send)
         else:
             await self._control(path, scope, body, send)
 
@@ -90,8 +90,6 @@
             answer = {"events": self._events.after(_after(scope))}
         elif path == "/v1/load":
             answer = self._load.read()
-        elif path == "/v1/state":
-            answer = attrs.asdict(self.orders.state)
         else:
             await respond(send, 404, b"{}")
             return
@@ -221,13 +219,12 @@
             self.model.store(prefix["chat"], prefix["tokens"])
         return {"chat": prefix["chat"], "tokens": self.model.cached_tokens(prefix["chat"])}
 
-    async def _order(self, body: bytes, send: Send) -> None:
-        taken = self.orders.take(decode(body, OrderState))
-        if taken and self._strikes(self.faults.lost_order_answer_ratio):
+    async def _order(self, scope: Scope, receive: Receive, send: Send) -> None:
+        is_lost = scope["method"] == "PUT" and self._strikes(self.faults.lost_order_answer_ratio)
+        sink = _swallow if is_lost else send
+        await answer_engine_orders(self.orders, time.monotonic(), scope, receive, sink)
+        if is_lost:
             await send({"type": "http.response.start", "status": 200, "headers": _UNSENT_BODY})
-            return
-        answer = json.dumps(attrs.asdict(self.orders.state)).encode()
-        await respond(send, 200 if taken else 409, answer)
 
     def _note_load(self) -> None:
         self._load.add(self.slots.running, self.slots.waiting)
@@ -245,3 +242,7 @@
     """Return the "after" of a query, 0 when there is none."""
     query = parse_qs(scope["query_string"].decode("latin-1"))
     return int(query.get("after", ["0"])[0])
+
+
+async def _swallow(message: MutableMapping[str, Any]) -> None:
+    """Lose an answer."""
--- a/testing/test_engine_standin.py
+++ b/testing/test_engine_standin.py
@@ -6,8 +6,7 @@
 import pytest
 
 from beryljunction.servers import Server, bind, client_pool
-from beryljunction.standins import CacheChange, EngineFaults, EngineModel, EngineStandIn, OrderState
-from beryljunction.standins.orders import EngineOrders
+from beryljunction.standins import CacheChange, EngineFaults, EngineModel, EngineStandIn
 from beryljunction.standins.reports import CacheEventFeed, LoadReport
 from beryljunction.standins.slots import BatchSlots
 
@@ -124,21 +123,6 @@
         assert report.read() == {"running": 5, "waiting": 2}
 
 
-class TestEngineOrders:
-    @pytest.mark.parametrize(
-        ("checks", "role"),
-        [pytest.param(True, "new", id="checks"), pytest.param(False, "old", id="ignores")],
-    )
-    def test_old_fencing_number(self, checks, role):
-        orders = EngineOrders(checks)
-
-        orders.take(OrderState(fencing=7, role="new"))
-        taken = orders.take(OrderState(fencing=6, role="old"))
-
-        assert taken is not checks
-        assert orders.state.role == role
-
-
 class TestEngineStandIn:
     def test_silent_stream_is_resumed_on_a_new_connection(self):
         """An engine's connection goes silent for good while new ones work.
@@ -197,7 +181,8 @@
         async def run():
             engine = EngineStandIn(faults=EngineFaults(lost_order_answer_ratio=1.0))
             async with serving(engine) as client:
-                order = {"fencing": 3, "models": {"reel-llm": "v2"}}
+                models = {"reel-llm": "v2"}
+                order = {"fence": 3, "models": models, "adapters": [], "role": "both"}
                 with pytest.raises(httpcore.RemoteProtocolError):
                     await client.ask("PUT", "/v1/orders", order)
                 return await client.json("GET", "/v1/state")
