--- a/src/beryljunction/cli/operator.py
+++ b/src/beryljunction/cli/operator.py
@@ -5,11 +5,17 @@
 import defopt
 
 from beryljunction.cli import settings
+from beryljunction.cli.drain import drain
+from beryljunction.cli.status import status
+from beryljunction.cli.timeline import timeline
 
 __all__ = ["main"]
 
 _COMMANDS = {
+    "drain": drain,
     "settings": settings.COMMANDS,
+    "status": status,
+    "timeline": timeline,
 }
 
 
--- /dev/null
+++ b/src/beryljunction/cli/status.py
@@ -0,0 +1,57 @@
+"""beryl status: what each process of the fleet says of itself."""
+
+import json as json_module
+
+import attrs
+
+from beryljunction.cli.asking import ask_fleet, print_failures
+from beryljunction.node import NodeStatus, OperatorClient
+
+__all__ = ["status"]
+
+_COLUMNS = ("host", "zone", "role", "endpoint", "state", "settings", "list", "running", "waiting")
+
+
+def status(*, hosts: str, json: bool = False) -> int:
+    """Show for each process its state, the versions that it has and its load.
+
+    Exit codes: 0 all processes answered, 1 some did not (named on standard error), 4 the host
+    list did not answer.
+
+    :param hosts: Base URL of the platform's host list.
+    :param json: Print one JSON object a line.
+    """
+
+    async def run(client: OperatorClient) -> int:
+        answers = await client.status(await client.rows())
+        nodes = sorted(answers.values.values(), key=lambda node: (node.role, node.host))
+        if json:
+            for node in nodes:
+                print(json_module.dumps(attrs.asdict(node)))
+        else:
+            print_table([_COLUMNS, *(_row_of(node) for node in nodes)])
+        return print_failures(answers.failures)
+
+    return ask_fleet(hosts, run)
+
+
+def print_table(rows: list[tuple[str, ...]]) -> None:
+    """Print rows in columns as wide as their widest value."""
+    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
+    for row in rows:
+        line = "  ".join(value.ljust(width) for value, width in zip(row, widths, strict=True))
+        print(line.rstrip())
+
+
+def _row_of(node: NodeStatus) -> tuple[str, ...]:
+    return (
+        node.host,
+        node.availability_zone,
+        node.role,
+        node.endpoint_id or "-",
+        node.not_ready or "ready",
+        str(node.settings_version),
+        str(node.hosts_version),
+        str(node.running if node.role == "sidecar" else node.in_flight),
+        str(node.waiting),
+    )
--- /dev/null
+++ b/src/beryljunction/cli/timeline.py
@@ -0,0 +1,41 @@
+"""beryl timeline: events of all processes in one order."""
+
+import datetime
+import json as json_module
+
+import attrs
+
+from beryljunction.cli.asking import ask_fleet, print_failures
+from beryljunction.node import OperatorClient
+from beryljunction.timeline import Event, merge_events
+
+__all__ = ["timeline"]
+
+
+def timeline(*, hosts: str, request: str | None = None, last: int = 200, json: bool = False) -> int:
+    """Show the events of all processes in the order in which they can have caused each other.
+
+    Exit codes: 0 all processes answered, 1 some did not (named on standard error), 4 the host
+    list did not answer.
+
+    :param hosts: Base URL of the platform's host list.
+    :param request: Only this request; its id is in the answer's beryl-request-id header.
+    :param last: Newest events to show.
+    :param json: Print one JSON object a line.
+    """
+
+    async def run(client: OperatorClient) -> int:
+        answers = await client.events(await client.rows(), request, last)
+        for event in merge_events(*answers.values.values())[-last:]:
+            print(json_module.dumps(attrs.asdict(event)) if json else line_of(event))
+        return print_failures(answers.failures)
+
+    return ask_fleet(hosts, run)
+
+
+def line_of(event: Event) -> str:
+    """Return an event as a line that a person reads."""
+    moment = datetime.datetime.fromtimestamp(event.wall_ms / 1000, datetime.UTC)
+    time = f"{moment:%Y-%m-%dT%H:%M:%S}.{event.wall_ms % 1000:03}.{event.logical:<3}"
+    where = f"{event.host} ({event.availability_zone})"
+    return f"{time} {where:28} {event.kind:16} {event.request_id:32} {event.detail}".rstrip()
--- a/src/beryljunction/node/operator.py
+++ b/src/beryljunction/node/operator.py
@@ -17,6 +17,7 @@
 __all__ = ["EVENTS_PATH", "operator_app"]
 
 EVENTS_PATH = "/beryl/v1/events"
+_LAST_EVENTS = 1_000
 
 
 def operator_app(
@@ -44,6 +45,7 @@
         stamp = request.headers.get(HLC_HEADER.decode(), "").encode()
         timeline.clock.heard_stamp(stamp)
         events = timeline.events(request.query_params.get("request_id"))
+        events = events[-int(request.query_params.get("last", _LAST_EVENTS)) :]
         body = json.dumps({"events": [attrs.astuple(event) for event in events]})
         return Response(body, media_type="application/json")
 
