Add beryl settings and the operators' publishing

Cause: operators had no way to change the tree and none to learn what became of a change. A change is checked in full before it is appended; a lost answer is looked up by its id and appended again under the same id and base, which the first copy's own edit makes harmless. Answers: accepted (version, on how many nodes), refused (who won, with what), not published, unknown (with the command that finds out). schema.py: OperatorFile.

--- a/src/beryljunction/settings/following.py
+++ b/src/beryljunction/settings/following.py
@@ -124,6 +124,7 @@
         Each node asks two peers a round: the share of nodes that know the newest version about
         triples each time, so some seven rounds reach 1,050 nodes from one.
         """
+        self.reader.caught_up = False
         for _ in range(_PEERS_ASKED):
             data = await self._peers.newer_than(self.reader.version)
             if data is not None:
--- /dev/null
+++ b/src/beryljunction/settings/operating.py
@@ -0,0 +1,198 @@
+"""What an operator does with the settings: look, check, publish, find out what became of it."""
+
+import hashlib
+import hmac
+import random
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+
+from beryljunction.platform.log import LogClient, ReadFailed
+from beryljunction.settings.changes import (
+    CHANGES_STREAM,
+    SNAPSHOTS_STREAM,
+    Change,
+    Edit,
+)
+from beryljunction.settings.following import FollowSettings, PeerSource, SettingsFollower
+from beryljunction.settings.paths import Path, Scope, parse_path, parse_scope
+from beryljunction.settings.reader import Judged, SettingsReader
+from beryljunction.settings.validating import problems_of, reads_of
+from beryljunction.systems.publishing import (
+    AppendNow,
+    PublishAnswer,
+    PublishSystem,
+    ReadOn,
+)
+
+__all__ = ["Invalid", "OperatorSession"]
+
+_LOOK_S = 10.0
+_PUBLISH_S = 20.0
+_PAGE_RECORDS = 500
+
+
+@attrs.frozen
+class Invalid:
+    """The change was not published: it would make the tree invalid, or the key does not fit."""
+
+    problems: tuple[str, ...]
+
+
+class OperatorSession:
+    """One operator at the log; keeps a reader of its own, which publishes no snapshots."""
+
+    def __init__(
+        self,
+        log: LogClient,
+        operator: str,
+        key: str = "",
+        peers: PeerSource | None = None,
+        now_s: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.reader = SettingsReader("")
+        self._log = log
+        self._operator = operator
+        self._key = key
+        self._now_s = now_s
+        self._sleep = sleep
+        self._rng = rng if rng is not None else random.Random()
+        settings = FollowSettings(poll_s=0.0, publishes=False)
+        self._follower = SettingsFollower(
+            self.reader, log, lambda view: None, peers, settings, now_s, self._rng
+        )
+
+    async def look(self) -> bool:
+        """Read what is in force; False when the log did not answer and peers had to do."""
+        end_s = self._now_s() + _LOOK_S
+        while self._now_s() < end_s:
+            pause_s = await self._follower.step()
+            if self.reader.caught_up:
+                return True
+            await self._sleep(pause_s)
+        return False
+
+    async def replay(self) -> bool:
+        """Read all records that the log still keeps, each with the verdict on it."""
+        page = await self._log.read(CHANGES_STREAM, 0, 1)
+        if isinstance(page, ReadFailed):
+            return False
+        if page.first_offset > 1:
+            await self._take_oldest_snapshot(page.first_offset)
+        return await self.look()
+
+    def unset_edits(self, text: str) -> tuple[Edit, ...]:
+        """Return the edits that unset a path, or everything below a scope.
+
+        Raises:
+            ValueError: When nothing is set there.
+        """
+        values = self.reader.tree.values()
+        if _is_scope(text):
+            scope = parse_scope(text)
+            paths = [path for path in values if scope.contains(path.scope)]
+        else:
+            paths = [path for path in values if path == parse_path(text)]
+        if not paths:
+            raise ValueError(f"{text}: expected a path that is set, got none; nothing to unset")
+        return tuple(Edit(str(path), unset=True) for path in paths)
+
+    def check(self, edits: tuple[Edit, ...]) -> Invalid | None:
+        """Return what speaks against edits; what was wrong before does not.
+
+        A tree may hold values that only a newer program knows. They are no reason to refuse
+        every other change.
+        """
+        before = problems_of(self.reader.tree)
+        after = problems_of(self.reader.tree.preview(edits))
+        problems = [problem for problem in after if problem not in before]
+        if not self._key_fits():
+            problems.append(f"operator.{self._operator}: expected the key that belongs to it")
+        problems += [
+            f"{edit.path}: operator {self._operator!r} may not change it"
+            for edit in edits
+            if not self.reader.tree.may_change(self._operator, parse_path(edit.path).scope)
+        ]
+        return Invalid(tuple(problems)) if problems else None
+
+    async def publish(
+        self, edits: tuple[Edit, ...], note: str = "", change_id: str | None = None
+    ) -> PublishAnswer | Invalid:
+        """Publish edits against what this session saw, and find out what became of them."""
+        invalid = self.check(edits)
+        if invalid is not None:
+            return invalid
+        change = Change(
+            change_id=change_id if change_id is not None else uuid.uuid4().hex,
+            base=self.reader.version,
+            operator=self._operator,
+            edits=edits,
+            reads=reads_of(edits),
+            note=note,
+        )
+        system = PublishSystem(change, self._now_s() + _PUBLISH_S, self._rng)
+        while True:
+            step = system.next(self._now_s())
+            if isinstance(step, AppendNow):
+                data = change.to_data()
+                outcome = await self._log.append(CHANGES_STREAM, change.change_id, data)
+                system.take_append(outcome, self._now_s())
+            elif isinstance(step, ReadOn):
+                await self._sleep(step.wait_s)
+                await self._read_on(system)
+            else:
+                return step
+
+    def find(self, change_id: str) -> Judged | None:
+        """Return the first record with an id, as :meth:`replay` or :meth:`look` met it.
+
+        A second copy of an accepted change is refused by the first; the first is what counts.
+        """
+        found = [judged for judged in self.reader.history if judged.change_id == change_id]
+        return found[0] if found else None
+
+    async def _read_on(self, system: PublishSystem) -> None:
+        page = await self._log.read(CHANGES_STREAM, self.reader.version, _PAGE_RECORDS)
+        if isinstance(page, ReadFailed):
+            return
+        seen = self.reader.version
+        self.reader.take_page(page)
+        for judged in self.reader.history:
+            if judged.offset > seen:
+                system.take_judged(judged)
+        if self.reader.caught_up:
+            system.take_end()
+
+    async def _take_oldest_snapshot(self, first_offset: int) -> None:
+        """Take the oldest snapshot from which the kept records go on."""
+        after = 0
+        while True:
+            page = await self._log.read(SNAPSHOTS_STREAM, after, 1)
+            if isinstance(page, ReadFailed) or not page.records:
+                return
+            record = page.records[0]
+            after = record.offset
+            if record.data.get("version", 0) + 1 >= first_offset:
+                self.reader.take_snapshot(record.data)
+                return
+
+    def _key_fits(self) -> bool:
+        path = Path(Scope(operator=self._operator), "key_sha256")
+        expected = self.reader.tree.value(path)
+        if expected is None:
+            return True
+        digest = hashlib.sha256(self._key.encode()).hexdigest()
+        return hmac.compare_digest(str(expected), digest)
+
+
+def _is_scope(text: str) -> bool:
+    try:
+        parse_scope(text)
+    except ValueError:
+        return False
+    return True
--- a/src/beryljunction/settings/peers.py
+++ b/src/beryljunction/settings/peers.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+import anyio
 import httpcore
 
 from beryljunction.servers import Scope, Send, respond
@@ -19,6 +20,8 @@
 _DIGEST_HEADER = b"beryl-settings-digest"
 _VERSION_HEADER = b"beryl-settings-version"
 _ANSWER_S = 1.0
+_ASKED_AT_ONCE = 64
+_NEWEST = 2**62
 
 
 async def answer_settings(reader: SettingsReader, scope: Scope, send: Send) -> None:
@@ -60,22 +63,54 @@
         addresses = self._addresses()
         if not addresses:
             return None
-        url = f"http://{self._rng.choice(addresses)}{SETTINGS_PATH}?after={version}"
+        response = await self._ask(self._rng.choice(addresses), version)
+        if response is None or response.status != 200:
+            return None
+        try:
+            return json.loads(response.content)
+        except ValueError:
+            return None
+
+    async def versions(self) -> dict[str, int | None]:
+        """Return the version in force at every node; None for one that does not answer."""
+        found: dict[str, int | None] = {}
+
+        async def ask(address: str) -> None:
+            async with limiter:
+                response = await self._ask(address, _NEWEST)
+            found[address] = None if response is None else _version_in(response)
+
+        limiter = anyio.CapacityLimiter(_ASKED_AT_ONCE)
+        async with anyio.create_task_group() as group:
+            for address in self._addresses():
+                group.start_soon(ask, address)
+        return found
+
+    async def _ask(self, address: str, version: int) -> httpcore.Response | None:
         timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _ANSWER_S)
         try:
             response = await self._pool.request(
                 "GET",
-                url,
+                f"http://{address}{SETTINGS_PATH}?after={version}",
                 headers=[(FLEET_KEY_HEADER, self._fleet_key)],
                 extensions={"timeout": timeouts},
             )
-            self._compare(response)
-            return json.loads(response.content) if response.status == 200 else None
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             return None
-        except (ValueError, KeyError):
+        heard = _version_in(response)
+        if heard is None:
             return None
+        self._reader.check_peer(heard, _header(response, _DIGEST_HEADER))
+        return response
+
+
+def _version_in(response: httpcore.Response) -> int | None:
+    text = _header(response, _VERSION_HEADER)
+    return int(text) if text.isdecimal() else None
+
 
-    def _compare(self, response: httpcore.Response) -> None:
-        headers = {name.lower(): value for name, value in response.headers}
-        self._reader.check_peer(int(headers[_VERSION_HEADER]), headers[_DIGEST_HEADER].decode())
+def _header(response: httpcore.Response, name: bytes) -> str:
+    for key, value in response.headers:
+        if key.lower() == name:
+            return value.decode("latin-1")
+    return ""
--- a/src/beryljunction/settings/rules.py
+++ b/src/beryljunction/settings/rules.py
@@ -59,6 +59,7 @@
         type: Python type of the value; tuples are lists of strings.
         bounds: Least and greatest number; None for other types.
         levels: Levels that a scope of this field may name.
+        default: What holds where nothing is set; None when there is no default.
     """
 
     name: str
@@ -66,6 +67,7 @@
     bounds: tuple[float, float] | None
     choices: tuple[str, ...]
     levels: frozenset[str]
+    default: Any = None
 
     @property
     def expected(self) -> str:
@@ -150,7 +152,8 @@
         name = prefix + field.name
         bounds = _bounds(name) if kind in (int, float) else None
         choices = _CHOICES.get(name, ())
-        rules[name] = FieldRule(name, kind, bounds, choices, levels)
+        default = None if field.default is attrs.NOTHING else field.default
+        rules[name] = FieldRule(name, kind, bounds, choices, levels, default)
     return rules
 
 
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -11,6 +11,7 @@
     "EntryFile",
     "FleetView",
     "LimitSettings",
+    "OperatorFile",
     "OperatorSettings",
     "ProcessSettings",
     "ServiceSettings",
@@ -75,6 +76,27 @@
     endpoint_address: str
 
 
+@attrs.frozen
+class OperatorFile:
+    """The file of an operator's program.
+
+    Attributes:
+        operator: Name of the operator, as in the tree.
+        key: The operator's secret; the tree holds its SHA-256.
+        log_address: Base URL of the platform's log service.
+        region: Region that values are shown for when a path names none.
+        nodes: Addresses ("ip:port") of nodes that are asked what is in force there.
+        fleet_key: Secret that the nodes want to see.
+    """
+
+    operator: str
+    log_address: str
+    key: str = ""
+    region: str = ""
+    nodes: tuple[str, ...] = ()
+    fleet_key: str = ""
+
+
 @attrs.frozen
 class LimitSettings:
     """Limits on what one caller may send."""
--- /dev/null
+++ b/testing/test_publish.py
@@ -0,0 +1,290 @@
+import json
+import random
+import sys
+import threading
+
+import anyio
+import pytest
+
+from beryljunction.cli import operator
+from beryljunction.platform import Appended, AppendRefused, AppendUnknown, LogRecord
+from beryljunction.servers import Server, bind
+from beryljunction.settings import (
+    CHANGES_STREAM,
+    Change,
+    Edit,
+    SettingsReader,
+    answer_settings,
+)
+from beryljunction.settings.operating import Invalid, OperatorSession
+from beryljunction.standins import LogModel, LogModelSettings, LogStandIn, ModelLogClient
+from beryljunction.systems.publishing import (
+    AppendNow,
+    InForce,
+    Lost,
+    NotPublished,
+    PublishSystem,
+    Unknown,
+)
+
+DRAFTER = (Edit("service.drafter.kind", "engine"), Edit("service.drafter.models", ["drafter"]))
+
+
+class Desk:
+    """Operators at one log in virtual time."""
+
+    def __init__(self, **settings):
+        self.now_s = 0.0
+        self.log = LogModel(LogModelSettings(**settings))
+
+    def session(self, name="asha", key=""):
+        client = ModelLogClient(self.log, lambda: self.now_s)
+        return OperatorSession(
+            client, name, key, None, lambda: self.now_s, self.sleep, random.Random(name)
+        )
+
+    async def sleep(self, seconds):
+        self.now_s += seconds
+
+    def looked(self, name="asha", key=""):
+        session = self.session(name, key)
+        now(session.look())
+        return session
+
+
+def now(coroutine):
+    """Run a coroutine in which nothing waits."""
+    with pytest.raises(StopIteration) as stopped:
+        coroutine.send(None)
+    return stopped.value.value
+
+
+class TestOperatorSession:
+    def test_of_two_racing_operators_one_is_told_who_won(self):
+        desk = Desk()
+        now(desk.looked().publish(DRAFTER))
+        asha, ravi = desk.looked("asha"), desk.looked("ravi")
+
+        won = now(asha.publish((Edit("service.drafter.max_running", 16),)))
+        lost = now(ravi.publish((Edit("service.drafter.max_running", 24),)))
+
+        assert isinstance(won, InForce)
+        assert isinstance(lost, Lost)
+        (conflict,) = lost.verdict.conflicts
+        assert (conflict.operator, conflict.value, conflict.version) == ("asha", 16, won.version)
+
+    @pytest.mark.parametrize(
+        "settings",
+        [{"lost_answer_ratio": 0.6}, {"lost_append_ratio": 0.6}],
+        ids=["after", "before"],
+    )
+    @pytest.mark.parametrize("seed", range(5))
+    def test_a_lost_answer_is_looked_up_and_the_change_takes_effect_once(self, settings, seed):
+        desk = Desk(seed=seed, **settings)
+
+        answer = now(desk.looked().publish(DRAFTER))
+
+        reader = desk.looked().reader
+        accepted = [j for j in reader.history if type(j.verdict).__name__ == "Accepted"]
+        assert isinstance(answer, InForce)
+        assert [j.offset for j in accepted] == [answer.version]
+
+    def test_an_outage_gives_unknown_and_the_history_tells_later(self):
+        desk = Desk()
+        session = desk.looked()
+        desk.log.down = True
+
+        answer = now(session.publish(DRAFTER))
+        desk.log.down = False
+        later = desk.session()
+        now(later.replay())
+
+        assert isinstance(answer, Unknown)
+        assert later.find(answer.change_id) is None
+
+    def test_what_is_not_valid_never_reaches_the_log(self):
+        desk = Desk()
+
+        answer = now(desk.looked().publish((*DRAFTER, Edit("service.drafter.max_running", 0))))
+
+        assert answer == Invalid(
+            ("service.drafter.max_running: expected a whole number from 1 to 4096, got int 0",)
+        )
+        assert desk.log.read(CHANGES_STREAM, 0, 1, 0.0).next_offset == 1
+
+    @pytest.mark.parametrize(("key", "stands"), [("secret", True), ("guess", False)])
+    def test_an_operator_needs_the_key_in_the_tree(self, key, stands):
+        digest = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+        desk = Desk()
+        rows = {"key_sha256": digest, "may_change": ["fleet"]}
+        now(desk.looked().publish(tuple(Edit(f"operator.asha.{f}", v) for f, v in rows.items())))
+
+        answer = now(desk.looked(key=key).publish(DRAFTER))
+
+        assert isinstance(answer, InForce) is stands
+
+    def test_unset_of_a_scope_takes_all_below_it(self):
+        desk = Desk()
+        now(desk.looked().publish(DRAFTER))
+        session = desk.looked()
+
+        now(session.publish(session.unset_edits("service.drafter")))
+
+        assert desk.looked().reader.tree.values() == {}
+
+
+class TestPublishSystem:
+    CHANGE = Change("c", 0, "asha", DRAFTER)
+
+    def test_a_rate_limit_alone_ends_in_not_published(self):
+        system = PublishSystem(self.CHANGE, 5.0, random.Random(0))
+
+        system.take_append(AppendRefused("limit", 1.0), 0.0)
+
+        assert system.next(5.0) == NotPublished("c", "limit")
+
+    def test_it_looks_before_it_appends_again(self):
+        system = PublishSystem(self.CHANGE, 60.0, random.Random(0))
+        system.take_append(AppendUnknown("lost"), 0.0)
+
+        before = system.next(5.0)
+        system.take_end()
+
+        assert not isinstance(before, AppendNow)
+        assert isinstance(system.next(5.0), AppendNow)
+
+    def test_taken_but_not_read_back_is_unknown(self):
+        system = PublishSystem(self.CHANGE, 5.0, random.Random(0))
+
+        system.take_append(Appended(3), 0.0)
+
+        assert isinstance(system.next(6.0), Unknown)
+
+
+class Fleet(threading.Thread):
+    """A log and a node with a reader, over HTTP, beside the command line under test."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.log = LogStandIn()
+        self.reader = SettingsReader("gj-west")
+
+        async def node(scope, receive, send):
+            page = self.log.model.read(CHANGES_STREAM, self.reader.version, 500, 0.0)
+            self.reader.take_page(page)
+            await answer_settings(self.reader, scope, send)
+
+        self.servers = [Server(app, bind("127.0.0.1:0")) for app in (self.log, node)]
+        self.ready = threading.Event()
+
+    def run(self):
+        async def serve():
+            async with anyio.create_task_group() as group:
+                for server in self.servers:
+                    await group.start(server.run_until_stopped)
+                self.ready.set()
+
+        anyio.run(serve)
+
+
+@pytest.fixture
+def beryl(tmp_path, monkeypatch, capsys):
+    """Run `beryl settings` with words and return exit code and output."""
+    fleet = Fleet()
+    fleet.start()
+    fleet.ready.wait(10)
+    log, node = (server.address for server in fleet.servers)
+    config = tmp_path / "beryl.toml"
+    config.write_text(f'operator = "asha"\nlog_address = "http://{log}"\nnodes = ["{node}"]\n')
+
+    def run(command, *words):
+        argv = ["beryl", "settings", command, *words]
+        argv += [] if command == "validate" else ["--config", str(config)]
+        monkeypatch.setattr(sys, "argv", argv)
+        with pytest.raises(SystemExit) as stopped:
+            operator.main()
+        printed = capsys.readouterr()
+        return stopped.value.code, printed.out + printed.err
+
+    run.fleet = fleet
+    run.directory = tmp_path
+    yield run
+    for server in fleet.servers:
+        server.stop()
+    fleet.join(10)
+
+
+class TestCommands:
+    def test_a_setting_is_published_and_explained(self, beryl):
+        code, out = beryl("set", "service.drafter.kind=engine", "deadline_s=20.0", "--json")
+        accepted = json.loads(out)
+
+        assert (code, accepted["outcome"], accepted["in_force_on"]) == (0, "accepted", 1)
+        assert beryl("get", "region.gj-west.service.drafter.deadline_s") == (0, "20.0\n")
+        explained = beryl("explain", "service.drafter.deadline_s")[1]
+        assert "fleet: 20.0, set by asha in version 1" in explained
+
+    def test_the_tree_printed_is_the_tree_in_force(self, beryl):
+        beryl("set", "service.drafter.kind=engine", 'service.drafter.models=["drafter"]')
+        tree = beryl.directory / "tree.toml"
+        tree.write_text(beryl("get")[1])
+
+        same = beryl("diff", str(tree))
+        tree.write_text("max_running = 9\n" + tree.read_text())
+
+        assert same == (0, "no difference\n")
+        assert beryl("diff", str(tree)) == (
+            1,
+            "max_running: unset -> 9\n",
+        )
+
+    def test_problems_are_listed_and_nothing_is_published(self, beryl):
+        code, out = beryl("set", "max_runing=3", "deadline_s=-1", "nonsense")
+
+        assert code == 2
+        assert out.splitlines() == ["nonsense: expected PATH=VALUE"]
+        code, out = beryl("set", "max_runing=3", "deadline_s=-1")
+        assert (code, len(out.splitlines())) == (2, 2)
+        assert beryl("history") == (
+            0,
+            "not there: the log's kept records up to offset 0 do not " "hold it\n",
+        )
+
+    def test_validate_needs_no_log(self, beryl):
+        tree = beryl.directory / "tree.toml"
+        tree.write_text('[service.drafter]\nkind = "motor"\n')
+
+        code, out = beryl("validate", str(tree))
+
+        assert code == 2
+        assert out == ("service.drafter.kind: expected one of engine, plain, got str 'motor'\n")
+
+    def test_history_shows_a_lost_race_and_a_poison_record(self, beryl):
+        beryl("set", "deadline_s=5.0")
+        late = Change("late", 0, "ravi", (Edit("deadline_s", 6.0),))
+        for number, data in (("late", late.to_data()), ("poison", 7)):
+            beryl.fleet.log.model.append(CHANGES_STREAM, number, data, 0.0)
+
+        out = beryl("history")[1].splitlines()
+
+        assert [line.split()[1] for line in out] == ["accepted", "refused", "skipped"]
+        code, one = beryl("history", "--id", "late", "--json")
+        assert code == 0
+        assert json.loads(one)["changes"][0]["conflicts"][0]["operator"] == "asha"
+
+    def test_unset_and_watch(self, beryl):
+        beryl("set", "deadline_s=5.0")
+
+        assert beryl("unset", "deadline_s")[0] == 0
+        assert beryl("get", "deadline_s") == (0, "30.0\n")
+        assert beryl("unset", "deadline_s")[0] == 2
+        assert beryl("watch", "--for-s", "0.01") == (0, "")
+
+
+def test_records_of_another_program_version_leave_the_history_readable():
+    reader = SettingsReader("")
+    newer = Change("c", 0, "asha", (Edit("service.drafter.new_field", {"a": 1}),))
+
+    reader.tree.apply(LogRecord(1, "c", {**newer.to_data(), "later_addition": 1}))
+
+    assert reader.version == 1
