--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -17,6 +17,7 @@
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.servers import Receive, Scope, Send, client_pool, read_body, wait_disconnect
 from beryljunction.settings import EntryFile, FleetView
+from beryljunction.stops import Stoppable
 from beryljunction.streams import event_position
 from beryljunction.systems import (
     AttemptSystem,
@@ -68,7 +69,7 @@
 _Handler = Callable[[_Exchange], Awaitable[Refusal | None]]
 
 
-class EntryApp:
+class EntryApp(Stoppable):
     """ASGI application of an entry; decisions are left to its systems."""
 
     def __init__(self, file: EntryFile, view: FleetView, endpoints: EndpointTable) -> None:
@@ -77,7 +78,7 @@
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
         self.watches = WatchList()
         self.leaving = False
-        self.in_flight = 0
+        self._in_flight = 0
         self._placement = PlacementSystem(endpoints)
         self._budget = RetryBudget()
         self._pool = client_pool()
@@ -104,14 +105,22 @@
             task_status.started()
             await self.watches.run()
 
+    @property
+    def in_flight(self) -> int:
+        """Callers that wait for an answer or read one."""
+        return self._in_flight
+
     def refuse_new(self) -> None:
         """Take no new work; what is under way goes on."""
         self.leaving = True
 
+    async def hand_over(self) -> None:
+        """Hand over nothing: an entry knows nothing that others don't."""
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of a caller."""
         caller = CallerWriter(send, uuid.uuid4().hex)
-        self.in_flight += 1
+        self._in_flight += 1
         try:
             exchange = await self._accept(scope, receive, caller)
             if isinstance(exchange, Refusal):
@@ -119,17 +128,15 @@
             else:
                 await self._serve(exchange, receive)
         finally:
-            self.in_flight -= 1
+            self._in_flight -= 1
 
     async def _accept(
         self, scope: Scope, receive: Receive, caller: CallerWriter
     ) -> _Exchange | Refusal:
         """Check what can be checked before the request is understood."""
         limits = self.view.limits
-        if self.leaving:
-            return _no(RefusalCode.LEAVING, "this entry is stopping; ask another one", 1.0)
-        if self.in_flight > limits.connections:
-            return _no(RefusalCode.OVERLOADED, "this entry serves as many as it may", 1.0)
+        if self.leaving or self._in_flight > limits.connections:
+            return self._busy(scope)
         if sum(len(k) + len(v) for k, v in scope["headers"]) > limits.header_bytes:
             return _no(RefusalCode.TOO_LARGE, f"expected {limits.header_bytes} bytes of headers")
         headers = dict(scope["headers"])
@@ -142,6 +149,18 @@
             return _no(RefusalCode.TOO_LARGE, message)
         return _Exchange(scope, headers, account, body, caller)
 
+    def _busy(self, scope: Scope) -> Refusal:
+        """Refuse before anything is read.
+
+        Of a stream that is to be resumed this entry knows nothing: it may well have run.
+        """
+        ran = Ran.UNKNOWN if scope["path"].startswith(_STREAMS_PREFIX) else Ran.NO
+        if self.leaving:
+            message = "this entry is stopping; ask another one"
+            return Refusal(RefusalCode.LEAVING, message, ran, 1.0)
+        message = f"expected at most {self.view.limits.connections} requests at the same time"
+        return Refusal(RefusalCode.OVERLOADED, message, ran, 1.0)
+
     async def _serve(self, exchange: _Exchange, receive: Receive) -> None:
         handler = self._handler(exchange)
         async with anyio.create_task_group() as group:
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -16,6 +16,7 @@
 from beryljunction.sidecar.readers import serve_reader
 from beryljunction.sidecar.runs import Run, RunTable
 from beryljunction.sidecar.writers import Writer
+from beryljunction.stops import Stoppable
 from beryljunction.streams import FrameLog, StreamName
 from beryljunction.systems import AdmissionLimits, AdmissionSystem, Refuse
 from beryljunction.tables import Work
@@ -60,7 +61,7 @@
 Handler = Callable[[Call], Awaitable[None]]
 
 
-class SidecarApp:
+class SidecarApp(Stoppable):
     """ASGI application of a sidecar; decisions are left to its systems.
 
     Args:
@@ -144,6 +145,9 @@
         """Take no new work; what was admitted goes on."""
         self.admission.leaving = True
 
+    async def hand_over(self) -> None:
+        """Hand over nothing yet: chat pointers come with their system."""
+
     @property
     def _service(self) -> ServiceSettings:
         return self.view.services[self.file.service]
--- a/src/beryljunction/sidecar/runs.py
+++ b/src/beryljunction/sidecar/runs.py
@@ -1,5 +1,6 @@
 """Requests in flight at a sidecar, from admission until nobody can ask for their answer."""
 
+import asyncio
 import math
 from collections import OrderedDict
 from collections.abc import Iterator
@@ -21,21 +22,19 @@
 
 
 class Signal:
-    """Wakes the tasks that wait now; notifying when none waits costs next to nothing."""
+    """Wakes the one task that waits now, once a chunk.
 
-    def __init__(self) -> None:
-        self._event: anyio.Event | None = None
+    anyio's events can't be cleared, and making one for each frame costs a tenth of the frame
+    (issue 3); the servers run on asyncio's loop in any case.
+    """
 
-    def notify(self) -> None:
-        """Wake whoever waits."""
-        if self._event is not None:
-            self._event.set()
-            self._event = None
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+        self.notify = self._event.set
 
     async def wait(self) -> None:
         """Wait for the next notification."""
-        if self._event is None:
-            self._event = anyio.Event()
+        self._event.clear()
         await self._event.wait()
 
 
--- /dev/null
+++ b/testing/test_stops.py
@@ -0,0 +1,142 @@
+import anyio
+import pytest
+
+from beryljunction.stops import GracefulStop, Stoppable
+from beryljunction.wire import ATTACH_PATH, DRAIN_PATH, Attach, Drain, Envelope
+from path_fakes import AUTH, ScriptedEngine, chat, error_of, event_data, eventually, path_of
+
+pytestmark = pytest.mark.anyio
+CHAT = "/v1/chat/completions"
+STREAM = Envelope("r1", "jury", "drafter", wait_s=10.0, streamed=True)
+NOTE = Envelope("r1", "jury", "drafter", wait_s=10.0, idempotent=False)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class FakePart(Stoppable):
+    def __init__(self):
+        self.left = 1
+        self.steps = []
+
+    @property
+    def in_flight(self):
+        return self.left
+
+    def refuse_new(self):
+        self.steps.append("refuse")
+
+    async def hand_over(self):
+        self.steps.append("hand_over")
+
+
+class TestGracefulStop:
+    async def test_waits_for_what_is_in_flight_then_hands_over_once(self):
+        part = FakePart()
+        stop = GracefulStop(part, settle_s=0.0)
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop.run)
+            stop.request()
+            await anyio.sleep(0.2)
+            stop.request()
+            before_end = list(part.steps)
+            part.left = 0
+
+        assert before_end == ["refuse", "refuse"]
+        assert part.steps == ["refuse", "refuse", "hand_over"]
+
+    async def test_listener_stays_open_until_nothing_is_in_flight(self):
+        # SIGTERM comes while a stream runs, and its reader's connection breaks after that. The
+        # entry must reach the sidecar on a new connection, or the answer would be cut.
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=2)
+            app = await path.sidecar(engine)
+            stop = GracefulStop(app, [path.servers[-1]], settle_s=0.0)
+            path.group.start_soon(stop.run)
+            async with path.open_run(STREAM):
+                await eventually(lambda: app.runs.get("r1").log.last == 2)
+            stop.request()
+            stop.request()
+            engine.release.set()
+
+            answer = await path.tell(ATTACH_PATH, Attach("r1", "jury", after=2))
+
+        assert event_data(answer.content) == engine.answer()[2:]
+
+
+class TestSidecarStop:
+    async def test_new_work_is_refused_as_not_run_and_work_in_flight_ends(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=0)
+            app = await path.sidecar(engine)
+            answers = []
+
+            async def note():
+                answers.append(await path.run(NOTE, b"{}"))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(note)
+                await eventually(lambda: engine.runs)
+                await path.tell(DRAIN_PATH, Drain())
+                refused = await path.run(Envelope("r2", "jury", "drafter", wait_s=1.0))
+                in_flight = app.in_flight
+                engine.release.set()
+
+        assert (error_of(refused)["code"], error_of(refused)["ran"]) == ("endpoint_leaving", "no")
+        assert (answers[0].content, in_flight) == (b'{"whole": true}', 1)
+
+    async def test_run_that_is_kept_for_a_resume_is_in_flight(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=2)
+            app = await path.sidecar(engine)
+            async with path.open_run(STREAM):
+                await eventually(lambda: app.runs.get("r1").log.last == 2)
+
+            app.refuse_new()
+            await eventually(lambda: app.runs.get("r1").reader is None)
+
+            assert app.in_flight == 1
+
+
+class TestEntryStop:
+    async def test_fifty_open_streams_end_whole_and_new_work_is_told_to_go_elsewhere(self):
+        # An entry gets SIGTERM with 50 streams open, and a second one during the stop. Its callers
+        # read whole answers; a new caller is told "not run" and when to ask again, elsewhere.
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=2)
+            await path.sidecar(engine)
+            entry = await path.entry()
+            app = path.entry_app
+            stop = GracefulStop(app, [path.servers[-1]], settle_s=0.0)
+            answers = []
+
+            async def ask():
+                answers.append(
+                    await path.pool.request("POST", entry + CHAT, headers=[AUTH], content=chat())
+                )
+
+            async with anyio.create_task_group() as group:
+                for _ in range(50):
+                    group.start_soon(ask)
+                await eventually(lambda: app.in_flight == 50)
+                group.start_soon(stop.run)
+                stop.request()
+                stop.request()
+                refused = await path.pool.request(
+                    "POST", entry + CHAT, headers=[AUTH], content=chat()
+                )
+                engine.release.set()
+
+        assert [event_data(answer.content) for answer in answers] == [engine.answer()] * 50
+        assert (error_of(refused)["ran"], refused.status) == ("no", 503)
+        assert dict(refused.headers)[b"retry-after"] == b"1"
+
+    async def test_resume_at_a_stopping_entry_claims_nothing(self):
+        async with path_of() as path:
+            entry = await path.entry()
+            path.entry_app.refuse_new()
+            answer = await path.pool.request("GET", f"{entry}/v1/streams/a.b.c", headers=[AUTH])
+
+        assert error_of(answer)["ran"] == "unknown"
