--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import ssl
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -72,7 +73,13 @@
 class EntryApp(Stoppable):
     """ASGI application of an entry; decisions are left to its systems."""
 
-    def __init__(self, file: EntryFile, view: FleetView, endpoints: EndpointTable) -> None:
+    def __init__(
+        self,
+        file: EntryFile,
+        view: FleetView,
+        endpoints: EndpointTable,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         self.file = file
         self.endpoints = endpoints
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
@@ -81,8 +88,10 @@
         self._in_flight = 0
         self._placement = PlacementSystem(endpoints)
         self._budget = RetryBudget()
-        self._pool = client_pool()
-        self._sidecars = SidecarClient(self._pool, self.watches, file.process.fleet_key)
+        self._pool = client_pool(tls)
+        self._sidecars = SidecarClient(
+            self._pool, self.watches, file.process.fleet_key, self.timeline.clock
+        )
         self._random = random.Random()
         self._routes: dict[tuple[str, str], _Handler] = {
             ("POST", _CHAT_PATH): self._chat,
--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -8,6 +8,7 @@
 import httpcore
 
 from beryljunction.tables import Endpoint
+from beryljunction.timeline import HLC_HEADER, HybridClock
 from beryljunction.watches import Watch, WatchList
 from beryljunction.wire import (
     ATTACH_PATH,
@@ -42,12 +43,14 @@
     Attributes:
         outcome: What the answer is; None when it was not written by a sidecar's handler.
         incarnation: The incarnation that speaks.
+        hlc: Hybrid logical time at which it spoke.
     """
 
     def __init__(self, response: httpcore.Response, watch: Watch) -> None:
         headers = dict(response.headers)
         self.outcome = _OUTCOMES.get(headers.get(OUTCOME_HEADER, b""))
         self.incarnation = headers.get(INCARNATION_HEADER, b"").decode("latin-1")
+        self.hlc = headers.get(HLC_HEADER)
         self.response = response
         self.watch = watch
 
@@ -56,11 +59,16 @@
     """Carries messages to sidecars."""
 
     def __init__(
-        self, pool: httpcore.AsyncConnectionPool, watches: WatchList, fleet_key: str
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        watches: WatchList,
+        fleet_key: str,
+        clock: HybridClock,
     ) -> None:
         self._pool = pool
         self._watches = watches
         self._key = (FLEET_KEY_HEADER, fleet_key.encode())
+        self._clock = clock
 
     @asynccontextmanager
     async def run(
@@ -103,7 +111,11 @@
         body: bytes,
         silence_s: float,
     ) -> AsyncIterator[SidecarAnswer]:
-        own = [self._key, (b"content-length", b"%d" % len(body))]
+        own = [
+            self._key,
+            (HLC_HEADER, self._clock.stamp()),
+            (b"content-length", b"%d" % len(body)),
+        ]
         with self._watches.watch(silence_s) as watch:
             async with self._pool.stream(
                 "POST",
@@ -113,6 +125,7 @@
                 extensions={"timeout": {"connect": _CONNECT_S}},
             ) as response:
                 answer = SidecarAnswer(response, watch)
+                self._clock.heard_stamp(answer.hlc)
                 watch.heard()
                 endpoint.incarnation = answer.incarnation or endpoint.incarnation
                 yield answer
--- /dev/null
+++ b/src/beryljunction/node/process.py
@@ -0,0 +1,239 @@
+"""The life of one process: listeners, host list, settings, and a stop that cuts nothing."""
+
+import functools
+import signal
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from beryljunction.logs import EventLog
+from beryljunction.metrics import MeteredApp, Metrics
+from beryljunction.node.front import FleetFront
+from beryljunction.node.hosts import HostFollower
+from beryljunction.node.operator import operator_app
+from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, SidecarRole
+from beryljunction.node.traffic import CountingBackend
+from beryljunction.platform import HostRow, HttpHostList, HttpLogClient
+from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool
+from beryljunction.settings import (
+    SETTINGS_PATH,
+    EntryFile,
+    FleetView,
+    HttpPeers,
+    ProcessSettings,
+    SettingsFollower,
+    SettingsReader,
+    SidecarFile,
+    answer_settings,
+)
+from beryljunction.tls import TlsContexts
+
+__all__ = ["Node"]
+
+# Time in which every sender has heard that this process is leaving: by the host list (read again
+# every 0.5 s when it changes), by the readiness probe or by the first refusal.
+_LINGER_S = 3.0
+_POLL_S = 0.05
+
+
+class Node:
+    """One entry or sidecar with everything around it.
+
+    Args:
+        make_role: Makes the role from the TLS context for calls to the fleet's processes.
+        view: Settings to start with, until those on the log are read.
+    """
+
+    def __init__(
+        self,
+        process: ProcessSettings,
+        make_role: Callable[[ssl.SSLContext | None], NodeRole],
+        is_mutual: bool,
+        view: FleetView,
+    ) -> None:
+        self._tls = TlsContexts(process.tls, is_mutual) if process.tls is not None else None
+        self.role = role = make_role(self._tls.client if self._tls is not None else None)
+        self.metrics = Metrics(role.name)
+        self.ended = anyio.Event()
+        self._view = view
+        self._leaving = False
+        self._stopping = anyio.Event()
+        self._pools = {name: self._pool(name) for name in ("hosts", "log", "fleet")}
+        role.timeline.listen(EventLog(process.log_sample_ratio))
+        role.timeline.listen(self.metrics.count_event)
+        hosts = HttpHostList(self._pools["hosts"], process.hosts_address)
+        self.hosts = HostFollower(hosts, role.take_hosts, role.timeline)
+        self.settings = SettingsReader(process.region)
+        self._follower = self._settings_follower(process)
+        self.requests = Server(
+            self._front(process), bind(process.listen), self._tls.server if self._tls else None
+        )
+        operator = operator_app(role.timeline, self.metrics, self.status, self.drain)
+        self.operator = Server(operator, bind(process.operator_listen))
+        self._add_gauges()
+
+    @classmethod
+    def entry(cls, file: EntryFile, view: FleetView) -> "Node":
+        """Return the process of an entry."""
+        make = functools.partial(EntryRole, file, view)
+        return cls(file.process, make, EntryRole.is_mutual, view)
+
+    @classmethod
+    def sidecar(cls, file: SidecarFile, view: FleetView) -> "Node":
+        """Return the process of a sidecar."""
+        return cls(file.process, lambda _: SidecarRole(file, view), SidecarRole.is_mutual, view)
+
+    def status(self) -> NodeStatus:
+        """Return what the process says of itself."""
+        process = self.role.process
+        common = NodeStatus(
+            self.role.name,
+            process.host,
+            process.availability_zone,
+            settings_version=self._view.version,
+            hosts_version=self.hosts.view.version,
+            not_ready=self._not_ready(),
+            in_flight=self.role.in_flight,
+        )
+        return self.role.status(common)
+
+    def drain(self, leaving: bool = True) -> None:
+        """Take no new work, or take it again; a process that stops does not come back."""
+        if self._leaving == leaving or self._stopping.is_set():
+            return
+        self._leaving = leaving
+        self.role.timeline.add("draining" if leaving else "undrained")
+        self.role.drain(leaving)
+
+    def stop(self) -> None:
+        """Drain, finish what is in flight and end; a second call changes nothing."""
+        self.drain()
+        self._stopping.set()
+
+    async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
+        """Run until stopped; the operator listener is there to the end, to watch the stop."""
+        try:
+            async with anyio.create_task_group() as background:
+                await background.start(self.operator.run_until_stopped)
+                await background.start(self._keep_pools)
+                await background.start(self.role.run)
+                self._start_followers(background)
+                await self._serve(task_status)
+                background.cancel_scope.cancel()
+        finally:
+            self.ended.set()
+
+    async def run_until_signal(self) -> None:
+        """Run until SIGTERM or SIGINT; further signals don't hurry a stop that is under way."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._stop_on_signal)
+            await self.run()
+            group.cancel_scope.cancel()
+
+    def _start_followers(self, background: anyio.abc.TaskGroup) -> None:
+        process = self.role.process
+        if process.hosts_address:
+            background.start_soon(self.hosts.run)
+        if process.log_address:
+            background.start_soon(self._follower.run)
+        if self._tls is not None:
+            background.start_soon(self._tls.follow, self.role.timeline)
+
+    async def _serve(self, task_status: Any) -> None:
+        async with anyio.create_task_group() as serving:
+            await serving.start(self.requests.run_until_stopped)
+            self.role.timeline.add("serving", detail=self.requests.address)
+            task_status.started()
+            await self._stopping.wait()
+            await self._wind_down()
+            self.requests.stop()
+        self.role.timeline.add("stopped")
+
+    async def _wind_down(self) -> None:
+        """Keep the listener open until the others know, then until nothing is in flight.
+
+        A listener that closed at once would cut a request that is already on its way: its sender
+        sees a broken connection and must say "unknown" where a "not run" would have sent the
+        request elsewhere. There is no limit on the time that work in flight may take.
+        """
+        await anyio.sleep(_LINGER_S)
+        self.role.refuse_new()
+        while self.role.in_flight:
+            await anyio.sleep(_POLL_S)
+
+    async def _stop_on_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for number in signals:
+                self.role.timeline.add("signal", detail=signal.Signals(number).name)
+                self.stop()
+
+    async def _keep_pools(self, *, task_status: Any) -> None:
+        """Close the pools when the process ends."""
+        async with self._pools["hosts"], self._pools["log"], self._pools["fleet"]:
+            task_status.started()
+            await anyio.sleep_forever()
+
+    def _pool(self, purpose: str) -> Any:
+        """Return a pool whose traffic is counted as control; the platform's own has no TLS."""
+        backend = CountingBackend(functools.partial(self.metrics.count_control, purpose))
+        is_fleet = purpose == "fleet" and self._tls is not None
+        return client_pool(self._tls.client if is_fleet and self._tls else None, backend)
+
+    def _settings_follower(self, process: ProcessSettings) -> SettingsFollower:
+        peers = HttpPeers(
+            self._peer_addresses, self.settings, self._pools["fleet"], process.fleet_key
+        )
+        log = HttpLogClient(process.log_address, self._pools["log"])
+        return SettingsFollower(self.settings, log, self._apply, peers)
+
+    def _apply(self, view: FleetView) -> None:
+        self._view = view
+        self.role.apply(view)
+        self.role.timeline.add("settings_applied", detail=f"version={view.version}")
+
+    def _peer_addresses(self) -> list[str]:
+        """Return the other sidecars that the list has; entries are not reached with a key."""
+        rows = self.hosts.view.rows.values()
+        return [row.address for row in rows if row.endpoint_id and not self._is_own(row)]
+
+    def _is_own(self, row: HostRow) -> bool:
+        return row.host == self.role.process.host
+
+    def _front(self, process: ProcessSettings) -> Asgi:
+        async def show_settings(scope: Scope, receive: Receive, send: Send) -> None:
+            await answer_settings(self.settings, scope, send)
+
+        routes = {SETTINGS_PATH: show_settings}
+        metered = MeteredApp(self.role.app, self.metrics)
+        return FleetFront(metered, process.fleet_key, routes, self._count_answer)
+
+    def _count_answer(self, path: str, sent_bytes: int, received_bytes: int) -> None:
+        self.metrics.count_control(path.rpartition("/")[2], sent_bytes, received_bytes)
+
+    def _not_ready(self) -> str:
+        if self._leaving:
+            return "leaving"
+        if self.role.process.hosts_address and not self.hosts.view.rows:
+            return "no host list yet"
+        if not self._view.services:
+            return "no settings yet"
+        return ""
+
+    def _add_gauges(self) -> None:
+        gauges = {
+            "beryl_settings_version": ("Version of the settings in force.", "settings_version"),
+            "beryl_hosts_version": ("Version of the host list.", "hosts_version"),
+            "beryl_endpoints": ("Endpoints known.", "endpoints"),
+            "beryl_requests_in_flight": ("Requests that are not over here.", "in_flight"),
+            "beryl_requests_running": ("Requests that run at the endpoint.", "running"),
+            "beryl_requests_waiting": ("Requests that wait for the endpoint.", "waiting"),
+        }
+        for name, (documentation, field) in gauges.items():
+            self.metrics.watch(name, documentation, _reader(self, field))
+
+
+def _reader(node: Node, field: str) -> Callable[[], float]:
+    return lambda: float(getattr(node.status(), field))
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -20,7 +20,7 @@
 from beryljunction.streams import FrameLog, StreamName
 from beryljunction.systems import AdmissionLimits, AdmissionSystem, Refuse
 from beryljunction.tables import Work
-from beryljunction.timeline import Timeline
+from beryljunction.timeline import HLC_HEADER, Timeline
 from beryljunction.watches import WatchList
 from beryljunction.wire import (
     ATTACH_PATH,
@@ -125,7 +125,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of another process of the fleet."""
         headers = dict(scope["headers"])
-        writer = Writer(send, self.incarnation)
+        self.timeline.clock.heard_stamp(headers.get(HLC_HEADER))
+        writer = Writer(send, self.incarnation, self.timeline.clock)
         handler = self.routes.get(scope["path"])
         if not hmac.compare_digest(headers.get(FLEET_KEY_HEADER, b""), self._fleet_key):
             refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
