--- a/src/beryljunction/cli/drain.py
+++ b/src/beryljunction/cli/drain.py
@@ -1,10 +1,11 @@
 """beryl drain: have an endpoint take no new work."""
 
+import pathlib
 import sys
 
 import anyio
 
-from beryljunction.cli.asking import EXIT_INVALID, EXIT_OK, ask_fleet, print_failures
+from beryljunction.cli.asking import CONFIG, EXIT_INVALID, EXIT_OK, ask_fleet, print_failures
 from beryljunction.node import NodeStatus, OperatorClient
 from beryljunction.platform import HostRow
 
@@ -13,14 +14,22 @@
 _ASK_S = 0.5
 
 
-def drain(endpoint: str, *, hosts: str, undo: bool = False, wait: bool = False) -> int:
+def drain(
+    endpoint: str,
+    *,
+    config: pathlib.Path = CONFIG,
+    hosts: str = "",
+    undo: bool = False,
+    wait: bool = False,
+) -> int:
     """Have an endpoint take no new work; what is in flight there ends as it would have.
 
     Exit codes: 0 done, 1 the process did not answer, 2 no such endpoint, 4 the host list did not
     answer. A drained sidecar that is started anew takes work again.
 
     :param endpoint: Endpoint id, or the name of a host.
-    :param hosts: Base URL of the platform's host list.
+    :param config: The operator's file.
+    :param hosts: Base URL of the platform's host list, instead of the one in the file.
     :param undo: Take work again.
     :param wait: Return only when nothing is in flight any more.
     """
@@ -37,7 +46,7 @@
             return await _wait(client, rows[0])
         return print_failures(answers.failures)
 
-    return ask_fleet(hosts, run)
+    return ask_fleet(config, hosts, run)
 
 
 async def _wait(client: OperatorClient, row: HostRow) -> int:
--- a/src/beryljunction/cli/status.py
+++ b/src/beryljunction/cli/status.py
@@ -1,10 +1,11 @@
 """beryl status: what each process of the fleet says of itself."""
 
 import json as json_module
+import pathlib
 
 import attrs
 
-from beryljunction.cli.asking import ask_fleet, print_failures
+from beryljunction.cli.asking import CONFIG, ask_fleet, print_failures
 from beryljunction.node import NodeStatus, OperatorClient
 
 __all__ = ["status"]
@@ -12,13 +13,14 @@
 _COLUMNS = ("host", "zone", "role", "endpoint", "state", "settings", "list", "running", "waiting")
 
 
-def status(*, hosts: str, json: bool = False) -> int:
+def status(*, config: pathlib.Path = CONFIG, hosts: str = "", json: bool = False) -> int:
     """Show for each process its state, the versions that it has and its load.
 
     Exit codes: 0 all processes answered, 1 some did not (named on standard error), 4 the host
     list did not answer.
 
-    :param hosts: Base URL of the platform's host list.
+    :param config: The operator's file.
+    :param hosts: Base URL of the platform's host list, instead of the one in the file.
     :param json: Print one JSON object a line.
     """
 
@@ -32,7 +34,7 @@
             print_table([_COLUMNS, *(_row_of(node) for node in nodes)])
         return print_failures(answers.failures)
 
-    return ask_fleet(hosts, run)
+    return ask_fleet(config, hosts, run)
 
 
 def print_table(rows: list[tuple[str, ...]]) -> None:
--- a/src/beryljunction/cli/timeline.py
+++ b/src/beryljunction/cli/timeline.py
@@ -2,23 +2,32 @@
 
 import datetime
 import json as json_module
+import pathlib
 
 import attrs
 
-from beryljunction.cli.asking import ask_fleet, print_failures
+from beryljunction.cli.asking import CONFIG, ask_fleet, print_failures
 from beryljunction.node import OperatorClient
 from beryljunction.timeline import Event, merge_events
 
 __all__ = ["timeline"]
 
 
-def timeline(*, hosts: str, request: str | None = None, last: int = 200, json: bool = False) -> int:
+def timeline(
+    *,
+    config: pathlib.Path = CONFIG,
+    hosts: str = "",
+    request: str | None = None,
+    last: int = 200,
+    json: bool = False,
+) -> int:
     """Show the events of all processes in the order in which they can have caused each other.
 
     Exit codes: 0 all processes answered, 1 some did not (named on standard error), 4 the host
     list did not answer.
 
-    :param hosts: Base URL of the platform's host list.
+    :param config: The operator's file.
+    :param hosts: Base URL of the platform's host list, instead of the one in the file.
     :param request: Only this request; its id is in the answer's beryl-request-id header.
     :param last: Newest events to show.
     :param json: Print one JSON object a line.
@@ -30,7 +39,7 @@
             print(json_module.dumps(attrs.asdict(event)) if json else line_of(event))
         return print_failures(answers.failures)
 
-    return ask_fleet(hosts, run)
+    return ask_fleet(config, hosts, run)
 
 
 def line_of(event: Event) -> str:
--- a/src/beryljunction/local/files.py
+++ b/src/beryljunction/local/files.py
@@ -104,9 +104,14 @@
         (self._directory / f"{name}.toml").write_text(data, "utf-8")
 
 
-def write_files(directory: pathlib.Path, ports: Iterator[int], plan: FleetPlan) -> list[str]:
+def write_files(
+    directory: pathlib.Path,
+    ports: Iterator[int],
+    plan: FleetPlan,
+    view: FleetView | None = None,
+) -> list[str]:
     """Write a file for each process and return the entries' addresses."""
-    view = demo_view()
+    view = view if view is not None else demo_view()
     writer = _Writer(directory, ports, view)
     entries = [writer.add_entry(number) for number in range(plan.entries)]
     for service in view.services:
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -13,7 +13,7 @@
 from beryljunction.node import Node
 from beryljunction.platform import HostRow
 from beryljunction.servers import Server, bind
-from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
+from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, TlsSettings
 from beryljunction.standins import EngineStandIn, HostListStandIn, PlainStandIn
 
 __all__ = ["LocalEndpoint", "LocalFleet"]
@@ -42,8 +42,11 @@
         plain_services: Every plain service that ever ran, those taken away included.
     """
 
-    def __init__(self, group: anyio.abc.TaskGroup, view: FleetView) -> None:
+    def __init__(
+        self, group: anyio.abc.TaskGroup, view: FleetView, tls: TlsSettings | None = None
+    ) -> None:
         self._group = group
+        self._tls = tls
         self.view = view
         self.hosts = HostListStandIn()
         self.endpoints: dict[str, LocalEndpoint] = {}
@@ -82,7 +85,8 @@
         process = await self._process(f"entry-{number}", number)
         node = Node.entry(EntryFile(process), self.view)
         row = await self._start(node)
-        self.entries.append(f"http://{row.address}")
+        scheme = "http" if self._tls is None else "https"
+        self.entries.append(f"{scheme}://{row.address}")
         return self.entries[-1]
 
     async def close(self) -> None:
@@ -141,6 +145,7 @@
             fleet_key=_FLEET_KEY,
             log_address="",
             hosts_address=await self.hosts_url(),
+            tls=self._tls,
         )
 
     async def hosts_url(self) -> str:
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -29,15 +29,11 @@
     SidecarFile,
     answer_settings,
 )
+from beryljunction.stops import SETTLE_S, GracefulStop
 from beryljunction.tls import TlsContexts
 
 __all__ = ["Node"]
 
-# Time in which every sender has heard that this process is leaving: by the host list (read again
-# every 0.5 s when it changes), by the readiness probe or by the first refusal.
-_LINGER_S = 3.0
-_POLL_S = 0.05
-
 
 class Node:
     """One entry or sidecar with everything around it.
@@ -96,7 +92,7 @@
             settings_version=self._view.version,
             hosts_version=self.hosts.view.version,
             not_ready=self._not_ready(),
-            in_flight=self.role.in_flight,
+            in_flight=self.role.part.in_flight,
         )
         return self.role.status(common)
 
@@ -149,20 +145,19 @@
             task_status.started()
             await self._stopping.wait()
             await self._wind_down()
-            self.requests.stop()
         self.role.timeline.add("stopped")
 
     async def _wind_down(self) -> None:
-        """Keep the listener open until the others know, then until nothing is in flight.
+        """Serve on until the others know, then end what is in flight and close.
 
-        A listener that closed at once would cut a request that is already on its way: its sender
-        sees a broken connection and must say "unknown" where a "not run" would have sent the
-        request elsewhere. There is no limit on the time that work in flight may take.
+        A sidecar refuses new work from the start, and its senders go elsewhere. An entry goes on
+        serving meanwhile: a caller that it refused would see an error for a planned stop, since
+        the balancer needs a probe or two to notice.
         """
-        await anyio.sleep(_LINGER_S)
-        self.role.refuse_new()
-        while self.role.in_flight:
-            await anyio.sleep(_POLL_S)
+        await anyio.sleep(SETTLE_S)
+        stop = GracefulStop(self.role.part, [self.requests], settle_s=0.0)
+        stop.request()
+        await stop.run()
 
     async def _stop_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -17,6 +17,7 @@
     SidecarFile,
 )
 from beryljunction.sidecar import SidecarApp
+from beryljunction.stops import Stoppable
 from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.timeline import Timeline
 
@@ -58,12 +59,14 @@
 
     Attributes:
         is_mutual: Whether the request listener takes only clients with a certificate.
+        part: What a stop waits for.
     """
 
     name: str
     is_mutual: bool
     process: ProcessSettings
     app: Asgi
+    part: Stoppable
     timeline: Timeline
 
     @abc.abstractmethod
@@ -82,15 +85,6 @@
     def drain(self, leaving: bool) -> None:
         """Leave, or come back: who sends work is told to send it elsewhere."""
 
-    @abc.abstractmethod
-    def refuse_new(self) -> None:
-        """Take no new work at all; what is in flight ends as it would have."""
-
-    @property
-    @abc.abstractmethod
-    def in_flight(self) -> int:
-        """Requests that are not over."""
-
     @abc.abstractmethod
     def status(self, status: NodeStatus) -> NodeStatus:
         """Return the status with the role's own figures filled in."""
@@ -105,7 +99,7 @@
     def __init__(self, file: EntryFile, view: FleetView, tls: ssl.SSLContext | None = None) -> None:
         self.process = file.process
         self.endpoints = EndpointTable()
-        self.app = self._entry = EntryApp(file, view, self.endpoints, tls)
+        self.app = self.part = self._entry = EntryApp(file, view, self.endpoints, tls)
         self.timeline = self._entry.timeline
 
     async def run(self, *, task_status: Any) -> None:
@@ -129,15 +123,6 @@
     def drain(self, leaving: bool) -> None:
         """Do nothing more: the readiness probe tells the balancer, callers are still served."""
 
-    def refuse_new(self) -> None:
-        """Tell callers to ask another entry."""
-        self._entry.refuse_new()
-
-    @property
-    def in_flight(self) -> int:
-        """Requests of callers that are not over."""
-        return self._entry.in_flight
-
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the number of endpoints known."""
         return attrs.evolve(status, endpoints=len(self.endpoints))
@@ -169,7 +154,7 @@
         self.file = file
         self._service = ServiceSettings()
         self.sidecar = SidecarApp(file, self._with_service(view))
-        self.app = self.sidecar
+        self.app = self.part = self.sidecar
         self.timeline = self.sidecar.timeline
 
     async def run(self, *, task_status: Any) -> None:
@@ -195,15 +180,6 @@
         """Refuse new work with a "not run", so that entries go elsewhere, or take it again."""
         self.sidecar.admission.leaving = leaving
 
-    def refuse_new(self) -> None:
-        """Refuse new work."""
-        self.sidecar.refuse_new()
-
-    @property
-    def in_flight(self) -> int:
-        """Runs that are not over."""
-        return self.sidecar.in_flight
-
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the endpoint and its load."""
         own = self.sidecar.status()
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -96,6 +96,7 @@
         region: Region that values are shown for when a path names none.
         nodes: Addresses ("ip:port") of nodes that are asked what is in force there.
         fleet_key: Secret that the nodes want to see.
+        hosts_address: Base URL of the platform's host list.
     """
 
     operator: str
@@ -104,6 +105,7 @@
     region: str = ""
     nodes: tuple[str, ...] = ()
     fleet_key: str = ""
+    hosts_address: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/testing/test_local.py
@@ -0,0 +1,82 @@
+import json
+import pathlib
+import ssl
+
+import anyio
+import httpcore
+import pytest
+
+from beryljunction.local import DEMO_KEY, DemoResult, LocalFleet, demo_view
+from beryljunction.servers import client_pool
+from beryljunction.settings import TlsSettings
+
+CERTIFICATES = pathlib.Path(__file__).parent / "certificates"
+AUTH = [("authorization", f"Bearer {DEMO_KEY}")]
+
+
+def tls_settings():
+    paths = ("host-a.pem", "host-a.key", "fleet-authority.pem")
+    return TlsSettings(*(str(CERTIFICATES / path) for path in paths))
+
+
+class TestTls:
+    def test_whole_path_runs_over_tls_and_a_sidecar_wants_a_certificate(self):
+        async def run():
+            async with anyio.create_task_group() as group:
+                fleet = LocalFleet(group, demo_view(), tls_settings())
+                local = await fleet.add_endpoint("ledger-0", "ledger")
+                entry = await fleet.add_entry()
+                await fleet.settle()
+                caller = ssl.create_default_context(cafile=CERTIFICATES / "fleet-authority.pem")
+                async with client_pool(caller) as pool:
+                    response = await pool.request(
+                        "POST", f"{entry}/services/ledger/notes", headers=AUTH, content=b"note"
+                    )
+                    with pytest.raises((httpcore.NetworkError, httpcore.ProtocolError)):
+                        await pool.request("GET", f"https://{local.row.address}/")
+                await fleet.close()
+                group.cancel_scope.cancel()
+                return json.loads(response.content)
+
+        assert anyio.run(run)["times"] == 1
+
+
+class TestLocalFleet:
+    def test_replaced_endpoint_has_another_incarnation_and_is_found_again(self):
+        async def run():
+            async with anyio.create_task_group() as group, client_pool() as pool:
+                fleet = LocalFleet(group, demo_view())
+                before = await fleet.add_endpoint("ledger-0", "ledger")
+                entry = await fleet.add_entry()
+                await fleet.settle()
+                await fleet.take_away("ledger-0")
+                after = await fleet.add_endpoint("ledger-0", "ledger")
+                await fleet.settle()
+                response = await pool.request(
+                    "POST", f"{entry}/services/ledger/notes", headers=AUTH, content=b"note"
+                )
+                await fleet.close()
+                group.cancel_scope.cancel()
+                return before.row.incarnation, after.row.incarnation, response.status
+
+        before, after, status = anyio.run(run)
+
+        assert before != after
+        assert status == 200
+
+
+class TestDemoResult:
+    @pytest.mark.parametrize(
+        ("whole", "refusals", "double_runs", "kept"),
+        [
+            pytest.param(9, 1, 0, True, id="refused-not-run"),
+            pytest.param(9, 0, 0, False, id="cut"),
+            pytest.param(10, 0, 1, False, id="run-twice"),
+        ],
+    )
+    def test_promises(self, whole, refusals, double_runs, kept):
+        result = DemoResult(
+            answers_total=10, answers_whole=whole, refusals=refusals, double_runs=double_runs
+        )
+
+        assert result.kept_promises is kept
