Take the fleet's settings from the log in every way of running it

Cause: the one-process fleet and the files for separate processes carried the settings in the process file, so the log, its reader and its publisher were no part of the path that a newcomer sees.

The stand-in log now starts with the settings, published as an operator would; "beryl-local files" writes an operator's file, and "beryl settings set" changes running processes. A process without settings refuses with 503 "not run" instead of calling every API key unknown.

--- a/src/beryljunction/cli/local.py
+++ b/src/beryljunction/cli/local.py
@@ -56,8 +56,9 @@
     for path in sorted(directory.glob("*.toml")):
         if path.stem.startswith("entry-"):
             print(f"beryl-entry {path}")
-        elif path.stem != "standins":
+        elif path.stem not in ("standins", "operator"):
             print(f"beryl-sidecar {path}")
+    print(f"beryl status --config {directory}/operator.toml")
     print(f"# entries: {' '.join(entries)}  API key: {DEMO_KEY}")
     return 0
 
--- a/src/beryljunction/local/demo_view.py
+++ b/src/beryljunction/local/demo_view.py
@@ -1,12 +1,29 @@
 """Settings of the fleets that newcomers and tests run on loopback."""
 
 import hashlib
+from collections.abc import Mapping
+from typing import Any
 
-from beryljunction.settings import AccountSettings, FleetView, ServiceSettings
+import attrs
 
-__all__ = ["DEMO_KEY", "DEMO_REGION", "DEMO_ZONES", "demo_view"]
+from beryljunction.errors import SettingsError
+from beryljunction.platform import LogClient
+from beryljunction.settings import AccountSettings, Edit, FleetView, ServiceSettings
+from beryljunction.settings.operating import Invalid, OperatorSession
+
+__all__ = [
+    "DEMO_KEY",
+    "DEMO_OPERATOR",
+    "DEMO_REGION",
+    "DEMO_ZONES",
+    "demo_view",
+    "leaves_of_view",
+    "publish_leaves",
+]
 
 DEMO_KEY = "demo-key"
+DEMO_OPERATOR = "newcomer"
+_KIND = "kind"
 DEMO_REGION = "gj-west"
 DEMO_ZONES = ("ahd-a", "ahd-b", "gnr-a", "vad-a")
 
@@ -15,7 +32,6 @@
     """Return the settings of the demo: a model service of each user and a plain service."""
     digest = hashlib.sha256(DEMO_KEY.encode()).hexdigest()
     return FleetView(
-        version=1,
         services={
             "reel-llm": ServiceSettings(models=("reel-llm",)),
             "drafter": ServiceSettings(models=("drafter",)),
@@ -23,3 +39,33 @@
         },
         accounts={"jury-office": AccountSettings(digest)},
     )
+
+
+def leaves_of_view(view: FleetView) -> dict[str, Any]:
+    """Return a view as paths and values of the tree, without defaults but for a service's kind."""
+    groups: dict[str, Mapping[str, Any]] = {"service": view.services, "account": view.accounts}
+    return {
+        f"{level}.{name}.{field.name}": _plain(getattr(row, field.name))
+        for level, rows in groups.items()
+        for name, row in rows.items()
+        for field in attrs.fields(type(row))
+        if field.name == _KIND or getattr(row, field.name) != field.default
+    }
+
+
+async def publish_leaves(log: LogClient, leaves: dict[str, Any]) -> None:
+    """Publish settings on a log as an operator would.
+
+    Raises:
+        SettingsError: When they are not valid.
+    """
+    session = OperatorSession(log, DEMO_OPERATOR)
+    await session.look()
+    edits = tuple(Edit(path, value) for path, value in leaves.items())
+    answer = await session.publish(edits, "settings to start with")
+    if isinstance(answer, Invalid):
+        raise SettingsError(list(answer.problems))
+
+
+def _plain(value: Any) -> Any:
+    return list(value) if isinstance(value, tuple) else value
--- a/src/beryljunction/local/files.py
+++ b/src/beryljunction/local/files.py
@@ -8,9 +8,16 @@
 import cattrs
 import tomli_w
 
-from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES, demo_view
+from beryljunction.local.demo_view import (
+    DEMO_OPERATOR,
+    DEMO_REGION,
+    DEMO_ZONES,
+    demo_view,
+    leaves_of_view,
+)
 from beryljunction.platform import HostRow
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
+from beryljunction.settings.schema import OperatorFile
 
 __all__ = ["FleetPlan", "StandInEndpoint", "StandInsFile", "write_files"]
 
@@ -34,12 +41,16 @@
 
     Attributes:
         hosts_listen: IP address and port of the host list.
+        log_listen: IP address and port of the log.
         hosts: Rows that the host list starts with.
+        settings: Settings that the log starts with, by path.
     """
 
     hosts_listen: str
+    log_listen: str
     endpoints: tuple[StandInEndpoint, ...] = ()
     hosts: tuple[HostRow, ...] = ()
+    settings: dict[str, Any] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -58,6 +69,7 @@
         self._ports = ports
         self._view = view
         self._hosts_listen = self._address()
+        self._log_listen = self._address()
         self._endpoints: list[StandInEndpoint] = []
         self._rows: list[HostRow] = []
 
@@ -65,7 +77,7 @@
         """Write the file of an entry and return the address that callers use."""
         process = self._process(f"entry-{number}", number)
         self._rows.append(_row_of(process))
-        self._write(process.host, EntryFile(process, self._view))
+        self._write(process.host, EntryFile(process))
         return process.listen
 
     def add_endpoint(self, number: int, service: str) -> None:
@@ -76,13 +88,22 @@
         address = f"http://{standin.listen}"
         self._endpoints.append(standin)
         self._rows.append(attrs.evolve(_row_of(process), endpoint_id=endpoint_id, service=service))
-        self._write(endpoint_id, SidecarFile(process, endpoint_id, service, address, self._view))
+        self._write(endpoint_id, SidecarFile(process, endpoint_id, service, address))
 
     def finish(self) -> None:
-        """Write the file of the stand-ins."""
-        self._write(
-            "standins", StandInsFile(self._hosts_listen, tuple(self._endpoints), tuple(self._rows))
+        """Write the files of the stand-ins and of an operator."""
+        leaves = leaves_of_view(self._view)
+        endpoints, rows = tuple(self._endpoints), tuple(self._rows)
+        standins = StandInsFile(self._hosts_listen, self._log_listen, endpoints, rows, leaves)
+        self._write("standins", standins)
+        operator = OperatorFile(
+            DEMO_OPERATOR,
+            f"http://{self._log_listen}",
+            nodes=tuple(row.address for row in rows),
+            fleet_key=_FLEET_KEY,
+            hosts_address=f"http://{self._hosts_listen}",
         )
+        self._write("operator", operator)
 
     def _process(self, host: str, number: int) -> ProcessSettings:
         return ProcessSettings(
@@ -92,7 +113,7 @@
             listen=self._address(),
             operator_listen=self._address(),
             fleet_key=_FLEET_KEY,
-            log_address="",
+            log_address=f"http://{self._log_listen}",
             hosts_address=f"http://{self._hosts_listen}",
         )
 
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -1,6 +1,7 @@
 """The whole path in one process: entries, sidecars and stand-ins on free loopback ports."""
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -8,13 +9,25 @@
 import attrs
 
 from beryljunction.errors import InvariantError
-from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES
+from beryljunction.local.demo_view import (
+    DEMO_REGION,
+    DEMO_ZONES,
+    leaves_of_view,
+    publish_leaves,
+)
 from beryljunction.local.standins import start_endpoint
 from beryljunction.node import Node
 from beryljunction.platform import HostRow
-from beryljunction.servers import Server, bind
+from beryljunction.servers import Asgi, Server, bind
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, TlsSettings
-from beryljunction.standins import EngineStandIn, HostListStandIn, PlainStandIn
+from beryljunction.standins import (
+    EngineStandIn,
+    HostListStandIn,
+    LogModel,
+    LogStandIn,
+    ModelLogClient,
+    PlainStandIn,
+)
 
 __all__ = ["LocalEndpoint", "LocalFleet"]
 
@@ -53,7 +66,8 @@
         self.entries: list[str] = []
         self.nodes: list[Node] = []
         self.plain_services: list[PlainStandIn] = []
-        self._hosts_server: Server | None = None
+        self.log = LogModel()
+        self._platform: dict[str, Server] = {}
         self._scopes: list[anyio.CancelScope] = []
 
     async def add_endpoint(self, endpoint_id: str, service: str) -> LocalEndpoint:
@@ -64,7 +78,7 @@
             self.plain_services.append(app)
         process = await self._process(f"host-{endpoint_id}", len(self.endpoints))
         file = SidecarFile(process, endpoint_id, service, f"http://{server.address}")
-        node = Node.sidecar(file, self.view)
+        node = Node.sidecar(file, FleetView())
         row = await self._start(node, endpoint_id, service)
         local = self.endpoints[endpoint_id] = LocalEndpoint(row, app, server, node)
         return local
@@ -83,7 +97,7 @@
         """Start an entry and return its base URL."""
         number = len(self.entries)
         process = await self._process(f"entry-{number}", number)
-        node = Node.entry(EntryFile(process), self.view)
+        node = Node.entry(EntryFile(process), FleetView())
         row = await self._start(node)
         scheme = "http" if self._tls is None else "https"
         self.entries.append(f"{scheme}://{row.address}")
@@ -97,21 +111,28 @@
             await node.ended.wait()
         for local in self.endpoints.values():
             local.server.stop()
-        if self._hosts_server is not None:
-            self._hosts_server.stop()
+        for server in self._platform.values():
+            server.stop()
 
     async def settle(self) -> None:
-        """Wait until every process has read the whole host list.
+        """Wait until every process has read the whole host list and the settings.
 
         Raises:
             InvariantError: When one has not within ten seconds.
         """
+        await self._until(lambda: all(self._is_settled(node) for node in self.nodes))
+
+    async def _until(self, is_so: Callable[[], bool]) -> None:
         until_s = time.monotonic() + _SETTLE_S
-        while any(node.status().hosts_version < self.hosts.model.version for node in self.nodes):
+        while not is_so():
             if time.monotonic() > until_s:
-                raise InvariantError("expected every process to follow the host list within 10 s")
+                raise InvariantError("expected every process to be ready within 10 s")
             await anyio.sleep(0.02)
 
+    def _is_settled(self, node: Node) -> bool:
+        status = node.status()
+        return not status.not_ready and status.hosts_version >= self.hosts.model.version
+
     async def _run(self, node: Node, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
         with anyio.CancelScope() as scope:
             self._scopes.append(scope)
@@ -133,6 +154,7 @@
             operator_address=node.operator.address,
         )
         self.hosts.put(row)
+        await self._until(lambda: node.status().settings_version > 0)
         return row
 
     async def _process(self, host: str, number: int) -> ProcessSettings:
@@ -143,14 +165,23 @@
             listen=_FREE_PORT,
             operator_listen=_FREE_PORT,
             fleet_key=_FLEET_KEY,
-            log_address="",
+            log_address=await self.log_url(),
             hosts_address=await self.hosts_url(),
             tls=self._tls,
         )
 
     async def hosts_url(self) -> str:
         """Return the base URL of the host list, which is started with the first process."""
-        if self._hosts_server is None:
-            self._hosts_server = Server(self.hosts, bind(_FREE_PORT))
-            await self._group.start(self._hosts_server.run_until_stopped)
-        return f"http://{self._hosts_server.address}"
+        return await self._platform_url("hosts", self.hosts)
+
+    async def log_url(self) -> str:
+        """Return the base URL of the log, which is started with the settings on it."""
+        if "log" not in self._platform:
+            await publish_leaves(ModelLogClient(self.log), leaves_of_view(self.view))
+        return await self._platform_url("log", LogStandIn(self.log))
+
+    async def _platform_url(self, name: str, app: Asgi) -> str:
+        if name not in self._platform:
+            server = self._platform[name] = Server(app, bind(_FREE_PORT))
+            await self._group.start(server.run_until_stopped)
+        return f"http://{self._platform[name].address}"
--- a/src/beryljunction/local/standins.py
+++ b/src/beryljunction/local/standins.py
@@ -6,9 +6,17 @@
 import anyio
 import anyio.abc
 
+from beryljunction.local.demo_view import publish_leaves
 from beryljunction.local.files import StandInsFile
 from beryljunction.servers import Server, bind
-from beryljunction.standins import EngineStandIn, HostListStandIn, PlainStandIn
+from beryljunction.standins import (
+    EngineStandIn,
+    HostListStandIn,
+    LogModel,
+    LogStandIn,
+    ModelLogClient,
+    PlainStandIn,
+)
 
 __all__ = ["run_standins", "start_endpoint"]
 
@@ -28,13 +36,17 @@
 
 
 async def run_standins(file: StandInsFile) -> None:
-    """Run the host list and the endpoints until SIGTERM or SIGINT."""
+    """Run the host list, the log and the endpoints until SIGTERM or SIGINT."""
     async with anyio.create_task_group() as group:
         hosts = HostListStandIn()
         for row in file.hosts:
             hosts.put(row)
         server = Server(hosts, bind(file.hosts_listen))
         await group.start(server.run_until_stopped)
+        log = LogModel()
+        await publish_leaves(ModelLogClient(log), file.settings)
+        log_server = Server(LogStandIn(log), bind(file.log_listen))
+        await group.start(log_server.run_until_stopped)
         for endpoint in file.endpoints:
             await start_endpoint(group, endpoint.kind, endpoint.listen)
         print("stand-ins are up", flush=True)
--- a/src/beryljunction/node/front.py
+++ b/src/beryljunction/node/front.py
@@ -17,6 +17,10 @@
     """Answers control paths to who shows the fleet's key; everything else goes to the role.
 
     Args:
+        app: The role's own application.
+        fleet_key: Secret that the fleet's processes show each other.
+        routes: Control paths and what answers them.
+        refusal: Why the role can't be asked yet, if so.
         count: Told of the bytes of each control exchange: path, sent, received.
     """
 
@@ -25,18 +29,20 @@
         app: Asgi,
         fleet_key: str,
         routes: Mapping[str, Asgi],
+        refusal: Callable[[], Refusal | None],
         count: Callable[[str, int, int], None],
     ) -> None:
         self._app = app
         self._fleet_key = fleet_key.encode()
         self._routes = routes
+        self._refusal = refusal
         self._count = count
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         route = self._routes.get(scope["path"])
         if route is None:
-            await self._app(scope, receive, send)
+            await self._ask_role(scope, receive, send)
         elif hmac.compare_digest(
             dict(scope["headers"]).get(FLEET_KEY_HEADER, b""), self._fleet_key
         ):
@@ -45,6 +51,13 @@
             refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
             await respond(send, 401, refusal_body(refusal, ""))
 
+    async def _ask_role(self, scope: Scope, receive: Receive, send: Send) -> None:
+        refusal = self._refusal()
+        if refusal is None:
+            await self._app(scope, receive, send)
+        else:
+            await respond(send, 503, refusal_body(refusal, ""), [(b"retry-after", b"1")])
+
     async def _answer(self, route: Asgi, scope: Scope, receive: Receive, send: Send) -> None:
         sent = received = 0
 
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -16,6 +16,7 @@
 from beryljunction.node.operator import operator_app
 from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, SidecarRole
 from beryljunction.node.traffic import CountingBackend
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.platform import HostRow, HttpHostList, HttpLogClient
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool
 from beryljunction.settings import (
@@ -203,7 +204,14 @@
 
         routes = {SETTINGS_PATH: show_settings}
         metered = MeteredApp(self.role.app, self.metrics)
-        return FleetFront(metered, process.fleet_key, routes, self._count_answer)
+        return FleetFront(metered, process.fleet_key, routes, self._refusal, self._count_answer)
+
+    def _refusal(self) -> Refusal | None:
+        """Refuse while there are no settings: without them every API key would seem unknown."""
+        if self._view.services:
+            return None
+        message = "this process has read no settings yet; ask another one or come back"
+        return Refusal(RefusalCode.NO_ENDPOINT, message, Ran.NO, 1.0)
 
     def _count_answer(self, path: str, sent_bytes: int, received_bytes: int) -> None:
         self.metrics.count_control(path.rpartition("/")[2], sent_bytes, received_bytes)
--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -84,7 +84,7 @@
         standins = load_file(directory / "standins.toml", StandInsFile)
         self.hosts = f"http://{standins.hosts_listen}"
         for path in sorted(directory.glob("*.toml")):
-            if path.stem != "standins":
+            if path.stem not in ("standins", "operator"):
                 self._start(path)
 
     def _start(self, path):
