Give load, pointers, queueing and membership systems of their own

Cause: the load bound was a bare mean of running work (it collapses while requests wait), the expiry scanned all requests each tick, deficit round robin needed a pass for each quantum, and a chat that spilled was lost to its home. Shape for the shells: AttemptSystem.after takes the endpoint of the refused try; Try carries only_if_warm, ignore_pointer and the loads of the refusers; the entry tells a chat's home who took the chat (ChatMoved); Refusal.load replaces load_ratio; PeerTable.merge takes LoadRow and the time. Ruled out: polling of loads by entries (control budget).

--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -1,5 +1,6 @@
 """The process that takes callers: picks candidates, relays, retries within a budget."""
 
+import contextlib
 import random
 import time
 import uuid
@@ -21,12 +22,14 @@
     Try,
     chat_key_of,
 )
-from beryljunction.tables import EndpointTable
+from beryljunction.tables import Endpoint, EndpointTable
 from beryljunction.timeline import Timeline
 from beryljunction.wire import (
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
+    MOVED_PATH,
     RUN_PATH,
+    ChatMoved,
     Envelope,
     encode,
     refusal_body,
@@ -121,16 +124,20 @@
             prefer_zone=self.view.services[request.service].kind == "plain",
         )
         candidates = self._placement.candidates(query, time.monotonic())
-        attempts = AttemptSystem(candidates, self._budget, request.idempotent)
+        previous_home = None
+        if chat_key is not None:
+            previous_home = self._placement.previous_home(candidates, time.monotonic())
+        attempts = AttemptSystem(candidates, self._budget, request.idempotent, previous_home)
         step = attempts.first()
         while isinstance(step, Try):
             envelope = self._envelope(request, account, request_id, chat_key, step)
             refusal = await self._try(step, envelope, request.body, send)
             if refusal is None:
                 self._budget.earn()
+                await self._tell_home(attempts.home, step.endpoint, envelope)
                 return None
             self.timeline.add("try_refused", request_id, refusal.code)
-            step = attempts.after(refusal)
+            step = attempts.after(refusal, step.endpoint)
         assert isinstance(step, GiveUp)
         return step.refusal
 
@@ -154,11 +161,29 @@
             streamed=request.streamed,
             warm=step.warm,
             last_resort=step.last_resort,
+            only_if_warm=step.only_if_warm,
+            ignore_pointer=step.ignore_pointer,
+            loads=step.loads,
             method=request.method,
             path=request.path,
             headers=request.headers,
         )
 
+    async def _tell_home(self, home: Endpoint | None, taker: Endpoint, envelope: Envelope) -> None:
+        """Tell a chat's home who took the chat; a message that is lost costs a warm cache only."""
+        if home is None or home is taker or envelope.chat_key is None:
+            return
+        tokens = envelope.prompt_tokens + envelope.output_tokens
+        moved = ChatMoved(envelope.chat_key, taker.endpoint_id, tokens)
+        with contextlib.suppress(httpcore.NetworkError, httpcore.TimeoutException):
+            await self._pool.request(
+                "POST",
+                f"http://{home.address}{MOVED_PATH}",
+                headers=[(FLEET_KEY_HEADER, self._fleet_key)],
+                content=encode(moved),
+                extensions={"timeout": {"connect": _CONNECT_S, "read": _CONNECT_S}},
+            )
+
     async def _try(self, step: Try, envelope: Envelope, body: bytes, send: Send) -> Refusal | None:
         headers = [
             (FLEET_KEY_HEADER, self._fleet_key),
--- a/src/beryljunction/outcomes.py
+++ b/src/beryljunction/outcomes.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from beryljunction.tables.peers import LoadRow
+
 __all__ = ["Ran", "Refusal", "RefusalCode"]
 
 
@@ -27,6 +29,8 @@
     NOT_FOUND = "not_found"
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
+    CHAT_MOVED = "chat_moved"
+    NOT_WARM = "not_warm"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline_exceeded"
     LEAVING = "endpoint_leaving"
@@ -53,7 +57,8 @@
         retry_after_s: Seconds after which a retry is worth making; None when it is not.
         successor: Ticket under which the request may be tried next, when one was named.
         pointer: Endpoint id where the chat's prefix lies, when the refuser knows it.
-        load_ratio: Load of the refuser over the mean of its service, as a hint.
+        load: Load of the refuser, fresher than what its peers know; the entry takes it along to
+            the next candidate.
     """
 
     code: RefusalCode
@@ -62,4 +67,4 @@
     retry_after_s: float | None = None
     successor: str | None = None
     pointer: str | None = None
-    load_ratio: float | None = None
+    load: LoadRow | None = None
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -2,6 +2,7 @@
 
 import hmac
 import time
+import uuid
 
 import anyio
 import anyio.abc
@@ -12,13 +13,21 @@
 from beryljunction.settings import FleetView, SidecarFile
 from beryljunction.sidecar.runs import Run
 from beryljunction.streams import FrameCutter, FrameNumberer
-from beryljunction.systems import AdmissionLimits, AdmissionSystem, Refuse
+from beryljunction.systems import (
+    AdmissionLimits,
+    AdmissionSystem,
+    LoadSystem,
+    PointerSystem,
+    Refuse,
+)
 from beryljunction.tables import Work
 from beryljunction.timeline import Timeline
 from beryljunction.wire import (
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
+    MOVED_PATH,
     RUN_PATH,
+    ChatMoved,
     Envelope,
     decode,
     refusal_body,
@@ -38,7 +47,12 @@
     def __init__(self, file: SidecarFile, view: FleetView) -> None:
         self.file = file
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
-        self.admission = AdmissionSystem(AdmissionLimits())
+        incarnation = uuid.uuid4().hex[:8]
+        self.admission = AdmissionSystem(
+            AdmissionLimits(),
+            LoadSystem(file.endpoint_id, incarnation),
+            PointerSystem(file.endpoint_id),
+        )
         self.runs: dict[str, Run] = {}
         self._pool = client_pool()
         self._group: anyio.abc.TaskGroup | None = None
@@ -75,16 +89,26 @@
             await respond(send, 401, refusal_body(refusal, ""))
         elif scope["path"] == RUN_PATH:
             await self._handle_run(headers, receive, send)
+        elif scope["path"] == MOVED_PATH:
+            await self._handle_moved(receive, send)
         else:
             refusal = Refusal(RefusalCode.NOT_FOUND, f"no such path {scope['path']}", Ran.NO)
             await respond(send, 404, refusal_body(refusal, ""))
 
+    async def _handle_moved(self, receive: Receive, send: Send) -> None:
+        body = await read_body(receive, self.view.limits.header_bytes)
+        moved = decode(body or b"", ChatMoved)
+        now_s = time.monotonic()
+        self.admission.pointers.placed(moved.chat_key, moved.endpoint_id, moved.tokens, now_s)
+        await respond(send, 204, b"")
+
     async def _handle_run(self, headers: dict[bytes, bytes], receive: Receive, send: Send) -> None:
         envelope = decode(headers[ENVELOPE_HEADER], Envelope)
         body = await read_body(receive, self.view.limits.body_bytes)
         if body is None:
             return
         run = Run(envelope, body, sink=send)
+        self.admission.load.merge(envelope.loads, time.monotonic())
         decision = self.admission.offer(_work_of(envelope), time.monotonic())
         if isinstance(decision, Refuse):
             self.timeline.add("refused", envelope.request_id, decision.refusal.code)
@@ -157,6 +181,7 @@
         async for chunk in response.aiter_stream():
             frames = [numberer.number(frame) for frame in cutter.feed(chunk)]
             if frames:
+                self.admission.load.speed.note(len(frames))
                 await run.write_frames(frames)
         if numberer.done and not cutter.partial:
             await run.write_end()
@@ -179,6 +204,8 @@
         idempotent=envelope.idempotent,
         warm=envelope.warm,
         last_resort=envelope.last_resort,
+        only_if_warm=envelope.only_if_warm,
+        ignore_pointer=envelope.ignore_pointer,
     )
 
 
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -4,13 +4,26 @@
 decided here, without sockets and with the time handed in.
 """
 
+import heapq
+import math
+import random
+
 import attrs
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.tables import AccountQueue, AccountTable, PeerTable, RequestTable, Work
+from beryljunction.systems.load import LoadBound, LoadLimits, LoadSystem
+from beryljunction.systems.pointers import PointerSystem
+from beryljunction.systems.queueing import FairQueue
+from beryljunction.systems.rates import DrainMeter
+from beryljunction.tables import AccountQueue, RequestTable, Work
 
 __all__ = ["Admission", "AdmissionLimits", "AdmissionSystem", "Refuse", "Start", "Wait"]
 
+_SPILL_RETRY_S = 0.2
+_LEAST_RETRY_S = 0.2
+_MOST_RETRY_S = 30.0
+_DEADLINE_SHARE = 0.8
+
 
 @attrs.frozen
 class AdmissionLimits:
@@ -24,6 +37,8 @@
         max_waiting_per_account: The same for one client account.
         quantum_tokens: Tokens that an account of weight one gains in each round.
         peer_stale_s: Age from which a peer's load no longer counts.
+        reserve_share: Share of the bound kept for accounts below their fair share.
+        prefill_tokens_per_s: Speed of a cold prefill, which says what a warm endpoint saves.
     """
 
     load_multiple: float = 1.25
@@ -33,6 +48,8 @@
     max_waiting_per_account: int = 64
     quantum_tokens: int = 512
     peer_stale_s: float = 10.0
+    reserve_share: float = 0.05
+    prefill_tokens_per_s: float = 20_000.0
 
 
 @attrs.frozen
@@ -61,98 +78,207 @@
 
 
 class AdmissionSystem:
-    """Admits, queues, starts and refuses the work of one endpoint."""
+    """Admits, queues, starts and refuses the work of one endpoint.
 
-    def __init__(self, limits: AdmissionLimits, peers: PeerTable | None = None) -> None:
-        self.limits = limits
+    Attributes:
+        weights: Weight of each client account; one for those not named.
+        leaving: Set for good when the endpoint is to get no new work.
+    """
+
+    def __init__(
+        self,
+        limits: AdmissionLimits,
+        load: LoadSystem | None = None,
+        pointers: PointerSystem | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         self.requests = RequestTable()
-        self.accounts = AccountTable()
-        self.peers = peers if peers is not None else PeerTable()
+        self.queue = FairQueue(self.requests, limits.quantum_tokens)
+        self.load = load if load is not None else LoadSystem()
+        self.pointers = pointers if pointers is not None else PointerSystem()
         self.weights: dict[str, float] = {}
         self.leaving = False
+        self._rng = rng if rng is not None else random.Random()
+        self._drain = DrainMeter()
+        self._expiry: list[tuple[float, str]] = []
+        self.limits = limits
+
+    @property
+    def limits(self) -> AdmissionLimits:
+        """Limits in force; setting them passes them on to the queue and the load bound."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: AdmissionLimits) -> None:
+        self._limits = limits
+        self.queue.quantum_tokens = limits.quantum_tokens
+        self.load.limits = LoadLimits(
+            load_multiple=limits.load_multiple,
+            floor_running=limits.floor_running,
+            max_running=limits.max_running,
+            peer_stale_s=limits.peer_stale_s,
+        )
 
     def offer(self, work: Work, now_s: float) -> Admission:
         """Decide on a request that has just arrived."""
         if self.leaving:
             return self._refuse(work, RefusalCode.LEAVING, "the endpoint is leaving", None)
-        if self.requests.waiting_count >= self.limits.max_waiting:
-            return self._refuse(work, RefusalCode.QUEUE_FULL, "the endpoint's queue is full", 1.0)
-        queue = self.accounts.open(work.account, self.weights.get(work.account, 1.0))
-        if len(queue.waiting) >= self.limits.max_waiting_per_account:
-            return self._refuse(work, RefusalCode.QUEUE_FULL, "the account's queue is full", 1.0)
-        over_bound = self.requests.running_count >= self._bound(now_s)
-        if over_bound and not (work.warm or work.last_resort):
-            return self._refuse(work, RefusalCode.OVERLOADED, "above the load bound", 0.2)
+        moved = self._moved(work, now_s)
+        if moved is not None:
+            return moved
+        self._note_load(now_s)
+        bound = self.load.bound(now_s)
+        refused = self._over_limits(work, now_s)
+        if refused is not None:
+            return refused
+        wait_s = self._wait_s(work, bound, now_s)
+        if wait_s <= 0.0 and self._over(bound):
+            message = "above the load bound; another endpoint has room"
+            return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
+        work.give_up_s = min(work.deadline_s, now_s + wait_s)
         self.requests.add(work)
-        queue.waiting.append(work.request_id)
+        self.queue.add(work, self._weight(work.account))
+        heapq.heappush(self._expiry, (work.give_up_s, work.request_id))
         return Wait(work.request_id)
 
     def tick(self, now_s: float) -> list[Start | Refuse]:
-        """Expire what waited too long, then start what may start, fairly over accounts."""
-        decisions: list[Start | Refuse] = [
-            self._drop(work, RefusalCode.DEADLINE, "waited until its deadline")
-            for work in self.requests
-            if work.started_s is None and work.deadline_s <= now_s
-        ]
-        while self.requests.running_count < self._bound(now_s):
-            work = self._next()
+        """Refuse what waited too long, then start what may start, fairly over accounts."""
+        decisions: list[Start | Refuse] = list(self._expire(now_s))
+        self._note_load(now_s)
+        bound = self.load.bound(now_s)
+        while self.requests.waiting_count and not self._over(bound):
+            work = self.queue.take(held_back=self._in_reserve(bound))
             if work is None:
                 break
-            self.requests.start(work, now_s)
+            self._start(work, now_s)
             decisions.append(Start(work.request_id))
         return decisions
 
     def finish(self, request_id: str) -> Work | None:
         """Forget a request that ended or was cancelled, waiting or running."""
         work = self.requests.remove(request_id)
-        if work is not None and work.started_s is None:
-            self._unqueue(work)
+        if work is None:
+            return None
+        if work.started_s is None:
+            self.queue.drop(work)
+        else:
+            self.queue.ended(work)
         return work
 
-    def _bound(self, now_s: float) -> int:
-        loads = [
-            peer.running for peer in self.peers if now_s - peer.heard_s <= self.limits.peer_stale_s
-        ]
-        if not loads:
-            return self.limits.max_running
-        mean = (sum(loads) + self.requests.running_count) / (len(loads) + 1)
-        allowed = max(self.limits.floor_running, int(self.limits.load_multiple * mean))
-        return min(self.limits.max_running, allowed)
-
-    def _next(self) -> Work | None:
-        """Deficit round robin in estimated tokens over the accounts that wait."""
-        ring = self.accounts.ring
-        while ring:
-            queue = self.accounts.get(ring[0])
-            if queue is None or not queue.waiting:
-                self.accounts.close(ring[0])
-                continue
-            work = self.requests.get(queue.waiting[0])
-            if work is None:
-                queue.waiting.popleft()
-                continue
-            if queue.deficit_tokens >= work.cost_tokens:
-                return self._take(queue, work)
-            queue.deficit_tokens += self.limits.quantum_tokens * queue.weight
-            ring.rotate(-1)
+    def _moved(self, work: Work, now_s: float) -> Refuse | None:
+        """Point to where the chat's prefix lies; note what of it is cached here."""
+        row = self.pointers.look_up(work.chat_key, now_s)
+        if row is not None and row.endpoint_id == self.pointers.endpoint_id:
+            work.cached_tokens = min(row.tokens, work.prompt_tokens)
+            work.warm = True
+            return None
+        if work.only_if_warm:
+            return self._refuse(work, RefusalCode.NOT_WARM, "the chat is not cached here", None)
+        if row is None or work.ignore_pointer:
+            return None
+        refusal = Refusal(
+            RefusalCode.CHAT_MOVED, "the chat is cached elsewhere", Ran.NO, pointer=row.endpoint_id
+        )
+        return Refuse(work.request_id, refusal)
+
+    def _over_limits(self, work: Work, now_s: float) -> Refuse | None:
+        """Refuse at once what could only wait in vain.
+
+        Load: saturation. Harm: a request that waits until its deadline and is refused then has cost
+        its caller that time, and the queue that it stood in made others late too. The bounds keep
+        memory bounded; the estimate refuses what the queue ahead would make late.
+        """
+        if self.requests.waiting_count >= self.limits.max_waiting:
+            return self._refuse_full(work, "the endpoint's queue is full", now_s)
+        row = self.queue.accounts.get(work.account)
+        waiting = row.waiting_count if row is not None else 0
+        if waiting >= self.limits.max_waiting_per_account:
+            return self._refuse_full(work, "the account's queue is full", now_s)
+        expected_s = self._expected_wait_s(row, now_s)
+        if expected_s > _DEADLINE_SHARE * (work.deadline_s - now_s):
+            return self._refuse_full(
+                work, "the account's queue is too long for the deadline", now_s
+            )
         return None
 
-    def _take(self, queue: AccountQueue, work: Work) -> Work:
-        queue.deficit_tokens -= work.cost_tokens
-        queue.waiting.popleft()
-        if not queue.waiting:
-            self.accounts.close(queue.account)
-        return work
+    def _expected_wait_s(self, row: AccountQueue | None, now_s: float) -> float:
+        """Return the wait that the account's own queue means; other accounts have their share."""
+        if row is None or row.waiting_count == 0:
+            return 0.0
+        return self._drain.wait_s(row.waiting_tokens, self.queue.share(row.weight), now_s)
+
+    def _wait_s(self, work: Work, bound: LoadBound, now_s: float) -> float:
+        """Return how long the request may wait here before another endpoint is better.
+
+        Waiting where the prefix is cached pays off no longer than the prefill that it saves. With
+        nowhere else to go, or the whole fleet at its limits, it may wait until its deadline.
+        """
+        if work.last_resort or bound.full:
+            return work.deadline_s - now_s
+        return work.cached_tokens / self.limits.prefill_tokens_per_s
+
+    def _over(self, bound: LoadBound) -> bool:
+        requests = self.requests
+        if requests.running_count >= bound.running:
+            return True
+        floor = min(self.limits.floor_running, bound.running)
+        return requests.running_count >= floor and requests.running_tokens >= bound.work_tokens
+
+    def _in_reserve(self, bound: LoadBound) -> bool:
+        """Tell whether what is left of the bound is kept for accounts below their fair share.
+
+        Load: the surge of one account. Harm: it takes every slot, and then each small account's
+        request waits for one to fall free, however short its queue. A twentieth is enough, since
+        the reserve is filled up first by each request that ends, and costs little, since a batch
+        that is a twentieth smaller is also faster.
+        """
+        reserve = math.ceil(self.limits.reserve_share * bound.running)
+        only_one = len(self.queue.accounts) < 2
+        return not only_one and self.requests.running_count >= bound.running - reserve
+
+    def _start(self, work: Work, now_s: float) -> None:
+        self.requests.start(work, now_s)
+        self._drain.note(work.cost_tokens, now_s)
+        tokens = work.prompt_tokens + work.output_tokens
+        self.pointers.placed(work.chat_key, self.pointers.endpoint_id, tokens, now_s)
+
+    def _expire(self, now_s: float) -> list[Refuse]:
+        """Refuse what has waited as long as it may; a heap, so that no tick scans the queue."""
+        refused = []
+        while self._expiry and self._expiry[0][0] <= now_s:
+            _, request_id = heapq.heappop(self._expiry)
+            work = self.requests.get(request_id)
+            if work is None or work.started_s is not None:
+                continue
+            self.finish(request_id)
+            if work.deadline_s <= now_s:
+                refused.append(
+                    self._refuse(work, RefusalCode.DEADLINE, "waited until its deadline", None)
+                )
+            else:
+                message = "waited as long as its cached prefix is worth"
+                refused.append(self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S))
+        return refused
+
+    def _note_load(self, now_s: float) -> None:
+        requests = self.requests
+        self.load.note_own(
+            requests.running_count, requests.waiting_count, requests.running_tokens, now_s
+        )
+
+    def _weight(self, account: str) -> float:
+        return self.weights.get(account, 1.0)
 
-    def _unqueue(self, work: Work) -> None:
-        queue = self.accounts.get(work.account)
-        if queue is not None and work.request_id in queue.waiting:
-            queue.waiting.remove(work.request_id)
+    def _refuse_full(self, work: Work, message: str, now_s: float) -> Refuse:
+        """Refuse with the time that the queue takes to drain, spread so that no two return at once.
 
-    def _drop(self, work: Work, code: RefusalCode, message: str) -> Refuse:
-        self.finish(work.request_id)
-        return self._refuse(work, code, message, None)
+        Load: full saturation. Harm: callers that all come back at the same moment make the next
+        peak of their own.
+        """
+        drain_s = self._expected_wait_s(self.queue.accounts.get(work.account), now_s)
+        retry_s = min(_MOST_RETRY_S, max(1.0, drain_s)) * self._rng.uniform(0.5, 1.5)
+        return self._refuse(work, RefusalCode.QUEUE_FULL, message, max(_LEAST_RETRY_S, retry_s))
 
-    @staticmethod
-    def _refuse(work: Work, code: RefusalCode, message: str, retry_s: float | None) -> Refuse:
-        return Refuse(work.request_id, Refusal(code, message, Ran.NO, retry_s))
+    def _refuse(self, work: Work, code: RefusalCode, message: str, retry_s: float | None) -> Refuse:
+        load = self.load.own_row() if code is RefusalCode.OVERLOADED else None
+        return Refuse(work.request_id, Refusal(code, message, Ran.NO, retry_s, load=load))
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -3,36 +3,14 @@
 import attrs
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.tables import Endpoint
+from beryljunction.systems.retries import RetryBudget
+from beryljunction.tables import Endpoint, LoadRow
 
-__all__ = ["AttemptSystem", "GiveUp", "RetryBudget", "Step", "Try"]
+__all__ = ["AttemptSystem", "GiveUp", "Step", "Try"]
 
-_BUDGET_SHARE = 0.1
-_BUDGET_CAP = 50.0
-
-
-class RetryBudget:
-    """Retries as a share of successes.
-
-    When every endpoint is full or failing, each caller's request would turn into as many as there
-    are candidates. Retries that are paid for by successes keep the extra load at a tenth.
-    """
-
-    def __init__(self, share: float = _BUDGET_SHARE, cap: float = _BUDGET_CAP) -> None:
-        self._share = share
-        self._cap = cap
-        self._tokens = cap
-
-    def earn(self) -> None:
-        """Count a success."""
-        self._tokens = min(self._cap, self._tokens + self._share)
-
-    def spend(self) -> bool:
-        """Take one retry out of the budget; False when there is none left."""
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+_MOST_SPILLS = 3
+_PREVIOUS_HOME_CODES = frozenset((RefusalCode.NOT_WARM, RefusalCode.CHAT_MOVED))
+_FINAL_CODES = frozenset((RefusalCode.DEADLINE, RefusalCode.BAD_REQUEST, RefusalCode.CANCELLED))
 
 
 @attrs.frozen
@@ -40,12 +18,19 @@
     """Offer the request to this endpoint.
 
     Attributes:
+        warm: Whether the chat's prefix is expected there.
         last_resort: No other candidate is left; the endpoint may let the request wait.
+        only_if_warm: The endpoint is to refuse unless the chat's prefix is cached there.
+        ignore_pointer: The endpoint is not to point elsewhere again.
+        loads: Fresh loads of the endpoints that refused this request.
     """
 
     endpoint: Endpoint
-    warm: bool
-    last_resort: bool
+    warm: bool = False
+    last_resort: bool = False
+    only_if_warm: bool = False
+    ignore_pointer: bool = False
+    loads: tuple[LoadRow, ...] = ()
 
 
 @attrs.frozen
@@ -59,44 +44,122 @@
 
 
 class AttemptSystem:
-    """Walks one request through its candidates."""
+    """Walks one request through its candidates.
+
+    Attributes:
+        home: First in rendezvous order, which keeps the chat's pointer.
+        tries: Tries so far.
+        retries: Tries that were paid out of the retry budget.
+    """
 
-    def __init__(self, candidates: list[Endpoint], budget: RetryBudget, idempotent: bool) -> None:
+    def __init__(
+        self,
+        candidates: list[Endpoint],
+        budget: RetryBudget,
+        idempotent: bool,
+        previous_home: Endpoint | None = None,
+        home: Endpoint | None = None,
+    ) -> None:
         self._left = list(candidates)
         self._budget = budget
         self._idempotent = idempotent
-        self._first = True
+        self._previous_home = previous_home
+        self._loads: dict[str, LoadRow] = {}
+        self._spilled: list[Endpoint] = []
+        self._followed = False
+        first = candidates[0] if candidates else None
+        self.home = home if home is not None else first
+        self.tries = 0
+        self.retries = 0
 
     def first(self) -> Step:
         """Return the first step."""
         if not self._left:
-            return GiveUp(
-                Refusal(
-                    RefusalCode.NO_ENDPOINT,
-                    "expected a live endpoint of the service, found none; retry later",
-                    Ran.NO,
-                    1.0,
-                )
-            )
-        return self._try()
-
-    def after(self, refusal: Refusal) -> Step:
+            message = "expected a live endpoint of the service, found none; retry later"
+            return GiveUp(Refusal(RefusalCode.NO_ENDPOINT, message, Ran.NO, 1.0))
+        if self._previous_home is not None:
+            self.tries += 1
+            return Try(self._previous_home, warm=True, only_if_warm=True)
+        return self._next(warm=True)
+
+    def after(self, refusal: Refusal, endpoint: Endpoint | None = None) -> Step:
         """Return the step after a try that ended in a refusal or failure.
 
         A try whose outcome is unknown is repeated only when the request is idempotent.
+
+        Args:
+            refusal: What the try ended in.
+            endpoint: Where the refused try went.
+        """
+        may_repeat = refusal.ran is Ran.NO or (self._idempotent and refusal.ran is Ran.UNKNOWN)
+        if not may_repeat or refusal.code in _FINAL_CODES:
+            return self._give_up(refusal)
+        if refusal.code is RefusalCode.CHAT_MOVED and not self._followed:
+            return self._follow(refusal, endpoint)
+        if refusal.code in _PREVIOUS_HOME_CODES and self._left:
+            return self._next(warm=True)
+        if refusal.code is RefusalCode.OVERLOADED:
+            return self._spill(refusal, endpoint)
+        if not self._left or not self._budget.spend():
+            return self._give_up(refusal)
+        self.retries += 1
+        return self._next()
+
+    def _follow(self, refusal: Refusal, home: Endpoint | None) -> Step:
+        """Go where the home says that the chat's prefix lies; come back if that is gone."""
+        self._followed = True
+        target = next((row for row in self._left if row.endpoint_id == refusal.pointer), None)
+        if target is None and home is not None:
+            self.tries += 1
+            return Try(home, ignore_pointer=True)
+        if target is None:
+            return self._next() if self._left else self._give_up(refusal)
+        self._left.remove(target)
+        if home is not None:
+            self._left.insert(0, home)
+        return self._try(target, warm=True)
+
+    def _spill(self, refusal: Refusal, endpoint: Endpoint | None) -> Step:
+        """Go on to the next candidate; after a few, back to the least loaded of them to wait.
+
+        Load: a burst that puts the first candidates above their bound. Harm: walking through every
+        endpoint multiplies the requests just when all are busy. Three more tries find room whenever
+        a fair share of the endpoints has any; else the request waits at the best place seen. Each
+        try carries the loads of those before, so that the next endpoint's mean is fresh when it
+        matters; a mean from exchanges alone would be a second old in a burst.
         """
-        may_repeat = refusal.ran is Ran.NO or self._idempotent
-        if refusal.retry_after_s is None and refusal.code is RefusalCode.DEADLINE:
-            may_repeat = False
-        if not may_repeat or not self._left:
-            return GiveUp(refusal)
-        if refusal.code is not RefusalCode.OVERLOADED and not self._budget.spend():
-            return GiveUp(refusal)
-        if refusal.pointer is not None:
-            self._left.sort(key=lambda row: row.endpoint_id != refusal.pointer)
-        return self._try(warm=refusal.pointer is not None)
-
-    def _try(self, warm: bool = False) -> Try:
-        endpoint = self._left.pop(0)
-        first, self._first = self._first, False
-        return Try(endpoint, warm=first or warm, last_resort=not self._left)
+        if endpoint is not None:
+            self._spilled.append(endpoint)
+        if refusal.load is not None:
+            self._loads[refusal.load.endpoint_id] = refusal.load
+        if self._left and len(self._spilled) <= _MOST_SPILLS:
+            return self._next()
+        if not self._spilled:
+            return self._give_up(refusal)
+        best = min(self._spilled, key=self._running)
+        self._spilled.clear()
+        self._left.clear()
+        self.tries += 1
+        return Try(best, last_resort=True, ignore_pointer=True, loads=tuple(self._loads.values()))
+
+    def _running(self, row: Endpoint) -> float:
+        load = self._loads.get(row.endpoint_id)
+        return load.running + load.waiting if load is not None else float("inf")
+
+    def _next(self, warm: bool = False) -> Try:
+        return self._try(self._left.pop(0), warm)
+
+    def _try(self, endpoint: Endpoint, warm: bool) -> Try:
+        self.tries += 1
+        return Try(
+            endpoint,
+            warm=warm,
+            last_resort=not self._left and not self._spilled,
+            ignore_pointer=self._followed,
+            loads=tuple(self._loads.values()),
+        )
+
+    @staticmethod
+    def _give_up(refusal: Refusal) -> GiveUp:
+        """End with the last refusal; loads are no business of callers."""
+        return GiveUp(attrs.evolve(refusal, load=None))
--- /dev/null
+++ b/src/beryljunction/systems/load.py
@@ -0,0 +1,223 @@
+"""What one endpoint may carry, from its own load and what its peers say of theirs.
+
+Load is bounded by the sidecar, which knows its own exactly; the mean comes from rows that sidecars
+exchange with one peer at a time, so that the control budget holds at any size.
+"""
+
+import math
+import random
+import statistics
+
+import attrs
+
+from beryljunction.tables import LoadRow, PeerLoad, PeerTable
+
+__all__ = ["LoadBound", "LoadLimits", "LoadSystem", "SpeedMeter"]
+
+_MESSAGE_BYTES = 300
+_ROW_BYTES = 48
+_BUDGET_BYTES_PER_S = 1_500
+_LEAST_INTERVAL_S = 0.25
+_MOST_INTERVAL_S = 1.0
+_MOST_ROWS = 24
+_MEAN_AGE_S = 0.05
+_SPEED_WINDOW_S = 2.0
+_SLOW_SHARE = 0.5
+
+
+@attrs.frozen
+class LoadLimits:
+    """Limits of the load bound.
+
+    Attributes:
+        load_multiple: Running work allowed here as a multiple of the service's mean.
+        work_multiple: The same for estimated tokens; wider, because the work of single requests
+            differs by far more than their number.
+        floor_running: Requests that always may run, so that a small mean can't shut the endpoint.
+        max_running: Requests that the engine batches at the most.
+        peer_stale_s: Age from which a peer's load no longer counts.
+    """
+
+    load_multiple: float = 1.25
+    work_multiple: float = 1.6
+    floor_running: int = 4
+    max_running: int = 32
+    peer_stale_s: float = 10.0
+
+
+@attrs.frozen
+class LoadBound:
+    """What may run here now.
+
+    Attributes:
+        running: Requests.
+        work_tokens: Estimated tokens of the running requests.
+        full: The fleet as a whole is at its limits, so that no other endpoint has room either.
+    """
+
+    running: int
+    work_tokens: float
+    full: bool
+
+
+class SpeedMeter:
+    """Tokens a second that one running request gets here, over the last seconds.
+
+    Finished requests alone would tell of a slow endpoint only after a whole answer, by when it has
+    gathered work that the others would have ended; tokens on their way tell within seconds.
+    """
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+        self._running_s = 0.0
+        self._last_s: float | None = None
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Speed of one request; 0 when too little ran to tell."""
+        return self._tokens / self._running_s if self._running_s >= 1.0 else 0.0
+
+    def note(self, tokens: int) -> None:
+        """Count tokens that the endpoint has sent."""
+        self._tokens += tokens
+
+    def advance(self, running: int, now_s: float) -> None:
+        """Account for the time since the last call, in which so many requests ran."""
+        if self._last_s is not None and now_s > self._last_s:
+            passed_s = now_s - self._last_s
+            kept = math.exp(-passed_s / _SPEED_WINDOW_S)
+            self._tokens *= kept
+            self._running_s = (self._running_s + running * passed_s) * kept
+        self._last_s = now_s
+
+
+class LoadSystem:
+    """Keeps the rows of the peers, picks those to pass on and works out the bound."""
+
+    def __init__(
+        self,
+        endpoint_id: str = "",
+        incarnation: str = "",
+        limits: LoadLimits | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.limits = limits if limits is not None else LoadLimits()
+        self.peers = PeerTable()
+        self.speed = SpeedMeter()
+        self._rng = rng if rng is not None else random.Random()
+        self._sequence = 0
+        self._own = LoadRow(endpoint_id, incarnation, 0, 0, 0, 0)
+        self._sums_s = -math.inf
+        self._sums = (0, 0, 0.0, 0.0)
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two exchanges: what the budget allows, fresher where peers are few."""
+        rows = min(_MOST_ROWS, len(self.peers) + 1)
+        message_bytes = _MESSAGE_BYTES + rows * _ROW_BYTES
+        return min(_MOST_INTERVAL_S, max(_LEAST_INTERVAL_S, message_bytes / _BUDGET_BYTES_PER_S))
+
+    def note_own(self, running: int, waiting: int, work_tokens: int, now_s: float) -> None:
+        """Take in what runs and waits here now."""
+        self.speed.advance(self._own.running, now_s)
+        speed = round(self.speed.tokens_per_s, 1)
+        self._own = LoadRow(
+            self.endpoint_id,
+            self.incarnation,
+            self._sequence,
+            running,
+            waiting,
+            work_tokens,
+            speed,
+        )
+
+    def own_row(self) -> LoadRow:
+        """Return a new row on this endpoint, newer than all before."""
+        self._sequence += 1
+        self._own = attrs.evolve(self._own, sequence=self._sequence)
+        return self._own
+
+    def rows_to_send(self, now_s: float) -> list[LoadRow]:
+        """Return the rows for one peer: the own one, then as many as the budget allows.
+
+        A random choice among the live rows spreads each row in the same time; always sending the
+        freshest would leave the others to go stale at 41 endpoints a service.
+        """
+        live = [peer.row for peer in self.peers if now_s - peer.heard_s < self.limits.peer_stale_s]
+        rest = _MOST_ROWS - 1
+        return [self.own_row(), *(live if len(live) <= rest else self._rng.sample(live, rest))]
+
+    def merge(self, rows: list[LoadRow] | tuple[LoadRow, ...], now_s: float) -> None:
+        """Take in rows from a peer or from an entry that was refused elsewhere."""
+        for row in rows:
+            if row.endpoint_id == self.endpoint_id:
+                continue
+            if self.peers.merge(row, now_s):
+                self._sums_s = -math.inf
+
+    def bound(self, now_s: float) -> LoadBound:
+        """Return what may run here now.
+
+        Load: skewed or sudden demand on one endpoint's chats. Harm: its callers' tokens slow down
+        while other endpoints idle. The limit is a multiple of the mean over all endpoints heard of.
+
+        The mean counts waiting requests like running ones: a mean of running work alone falls while
+        requests wait for a bound that falls with it, until nothing runs (issue 4). It also never
+        goes below the floor, and with no fresh peer the fixed limit of the settings holds alone.
+        """
+        limits = self.limits
+        count, demand, work, speed = self._fresh(now_s)
+        if count == 0:
+            return LoadBound(limits.max_running, math.inf, False)
+        own = self._own
+        mean = (demand + min(own.running + own.waiting, limits.max_running)) / (count + 1)
+        mean_work = (work + own.work_tokens) / (count + 1)
+        slow = self._slowness(speed)
+        allowed = max(limits.floor_running * slow, limits.load_multiple * mean * slow)
+        running = min(limits.max_running, max(1, int(allowed)))
+        return LoadBound(
+            running,
+            limits.work_multiple * mean_work * slow,
+            mean >= limits.max_running / limits.load_multiple,
+        )
+
+    def _slowness(self, peers_tokens_per_s: float) -> float:
+        """Return 1, or the share of the peers' speed that this endpoint reaches if that is low.
+
+        Load: one endpoint that has become slow keeps requests longer, so that an equal number of
+        them is a multiple of the work. Harm: its callers wait while other endpoints have room.
+        Below half of the median speed the bound shrinks with the speed; smaller differences come
+        from the mix of requests and must not move chats away from their cached prefix.
+        """
+        own = self.speed.tokens_per_s
+        if own <= 0.0 or peers_tokens_per_s <= 0.0 or own >= _SLOW_SHARE * peers_tokens_per_s:
+            return 1.0
+        return own / peers_tokens_per_s
+
+    def _fresh(self, now_s: float) -> tuple[int, int, float, float]:
+        """Return count, demand, work and median speed of the fresh peers, kept for a moment."""
+        if now_s - self._sums_s < _MEAN_AGE_S:
+            return self._sums
+        stale_s = self.limits.peer_stale_s
+        rows = [peer.row for peer in self.peers if now_s - peer.heard_s < stale_s]
+        most = self.limits.max_running
+        speeds = [row.speed_tokens_per_s for row in rows if row.speed_tokens_per_s > 0.0]
+        self._sums = (
+            len(rows),
+            sum(min(row.running + row.waiting, most) for row in rows),
+            sum(row.work_tokens for row in rows),
+            statistics.median(speeds) if speeds else 0.0,
+        )
+        self._sums_s = now_s
+        return self._sums
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop an endpoint that left, so that its last row no longer counts."""
+        self.peers.forget(endpoint_id)
+        self._sums_s = -math.inf
+
+    def peer(self, endpoint_id: str) -> PeerLoad | None:
+        """Return what is known of a peer."""
+        return self.peers.get(endpoint_id)
--- a/src/beryljunction/systems/placement.py
+++ b/src/beryljunction/systems/placement.py
@@ -14,6 +14,7 @@
 __all__ = ["PlacementQuery", "PlacementSystem", "chat_key_of", "rendezvous_score"]
 
 _HASH_RANGE = float(2**64)
+_YOUNG_S = 60.0
 
 
 def chat_key_of(account: str, chat_id: str) -> int:
@@ -50,8 +51,9 @@
 class PlacementSystem:
     """Orders the endpoints of a service for one request."""
 
-    def __init__(self, endpoints: EndpointTable) -> None:
+    def __init__(self, endpoints: EndpointTable, young_s: float = _YOUNG_S) -> None:
         self._endpoints = endpoints
+        self.young_s = young_s
 
     def candidates(self, query: PlacementQuery, now_s: float) -> list[Endpoint]:
         """Return the endpoints to try, best first.
@@ -74,3 +76,21 @@
             )
 
         return sorted(rows, key=rank)
+
+    def home(self, query: PlacementQuery, now_s: float) -> Endpoint | None:
+        """Return the first in rendezvous order, which keeps the chat's pointer."""
+        candidates = self.candidates(attrs.evolve(query, hint=None), now_s)
+        return candidates[0] if candidates else None
+
+    def previous_home(self, candidates: list[Endpoint], now_s: float) -> Endpoint | None:
+        """Return where a chat probably has its prefix while its home has only just (re)joined.
+
+        Load: endpoints come and go. Harm: the home of a chat comes back empty, and its chats leave
+        the endpoint that served them meanwhile and start cold. The next candidate that was there
+        before is asked first, and takes the chat only if it has the prefix cached.
+        """
+        if not candidates or now_s - candidates[0].joined_s >= self.young_s:
+            return None
+        settled = (row for row in candidates[1:] if now_s - row.joined_s >= self.young_s)
+        found = next(settled, None)
+        return None if found is None or found.suspect_until_s > now_s else found
--- a/src/beryljunction/tables/__init__.py
+++ b/src/beryljunction/tables/__init__.py
@@ -3,7 +3,7 @@
 from beryljunction.tables.accounts import AccountQueue, AccountTable
 from beryljunction.tables.chats import ChatPointer, ChatTable
 from beryljunction.tables.endpoints import Endpoint, EndpointState, EndpointTable
-from beryljunction.tables.peers import PeerLoad, PeerTable
+from beryljunction.tables.peers import LoadRow, PeerLoad, PeerTable
 from beryljunction.tables.requests import RequestTable, Work, WorkState
 
 __all__ = [
@@ -14,6 +14,7 @@
     "Endpoint",
     "EndpointState",
     "EndpointTable",
+    "LoadRow",
     "PeerLoad",
     "PeerTable",
     "RequestTable",
--- a/src/beryljunction/tables/accounts.py
+++ b/src/beryljunction/tables/accounts.py
@@ -1,5 +1,6 @@
-"""Client accounts with waiting work at one sidecar."""
+"""Client accounts with work at one sidecar."""
 
+import heapq
 from collections import deque
 
 import attrs
@@ -9,35 +10,58 @@
 
 @attrs.define
 class AccountQueue:
-    """Requests of one client account that wait, oldest first, and its round-robin deficit."""
+    """One client account's waiting requests, round-robin deficit and share of what runs.
+
+    Attributes:
+        waiting: Heap of (negated priority, order of arrival, request id); rows of requests that
+            ended meanwhile stay until they reach the top.
+        waiting_count: Requests that really wait.
+        waiting_tokens: Their estimated work.
+    """
 
     account: str
     weight: float = 1.0
     deficit_tokens: float = 0.0
-    waiting: deque[str] = attrs.field(factory=deque)
+    waiting: list[tuple[int, int, str]] = attrs.field(factory=list)
+    waiting_count: int = 0
+    waiting_tokens: int = 0
+    running_count: int = 0
+
+    def push(self, request_id: str, priority: int, order: int) -> None:
+        """Queue a request behind those of the same account and at least the same priority."""
+        heapq.heappush(self.waiting, (-priority, order, request_id))
+
+    def pop(self) -> None:
+        """Take the first request off the queue."""
+        heapq.heappop(self.waiting)
 
 
 class AccountTable:
-    """Queues of the accounts that have waiting work, in round-robin order."""
+    """Accounts with work here; those with waiting work also stand in the round-robin ring."""
 
     def __init__(self) -> None:
         self._rows: dict[str, AccountQueue] = {}
-        self.ring: deque[str] = deque()
+        self.ring: deque[AccountQueue] = deque()
+        self.active_weight = 0.0
+
+    def __len__(self) -> int:
+        return len(self._rows)
 
     def get(self, account: str) -> AccountQueue | None:
-        """Return the account's queue, or None when nothing of it waits."""
+        """Return the account's row, or None when it has no work here."""
         return self._rows.get(account)
 
     def open(self, account: str, weight: float) -> AccountQueue:
-        """Return the account's queue, made if need be, with its present weight."""
+        """Return the account's row, made if need be, with its present weight."""
         row = self._rows.get(account)
         if row is None:
-            row = self._rows[account] = AccountQueue(account)
-            self.ring.append(account)
+            row = self._rows[account] = AccountQueue(account, 0.0)
+        self.active_weight += weight - row.weight
         row.weight = weight
         return row
 
-    def close(self, account: str) -> None:
-        """Forget an account that has nothing waiting."""
-        if self._rows.pop(account, None) is not None:
-            self.ring.remove(account)
+    def release(self, row: AccountQueue) -> None:
+        """Forget an account that has neither waiting nor running work."""
+        if row.waiting_count == 0 and row.running_count == 0:
+            self.active_weight -= row.weight
+            del self._rows[row.account]
--- a/src/beryljunction/tables/chats.py
+++ b/src/beryljunction/tables/chats.py
@@ -44,6 +44,10 @@
         self._rows.move_to_end(chat_key)
         return row
 
+    def peek(self, chat_key: int) -> ChatPointer | None:
+        """Return the pointer of a chat without marking it as used."""
+        return self._rows.get(chat_key)
+
     def put(self, row: ChatPointer) -> None:
         """Insert or replace the pointer of a chat."""
         self._rows[row.chat_key] = row
--- a/src/beryljunction/tables/endpoints.py
+++ b/src/beryljunction/tables/endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints as one process sees them."""
 
 import enum
+import math
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -25,6 +26,8 @@
         incarnation: Changes whenever the sidecar in the slot starts anew; empty when unknown.
         weight: Share of new chats relative to the other endpoints of the service.
         suspect_until_s: Monotonic time until which a failed connection keeps new work away.
+        joined_s: Monotonic time at which this process first saw the present incarnation; minus
+            infinity when it was there from the start.
     """
 
     endpoint_id: str
@@ -35,6 +38,7 @@
     weight: float = 1.0
     state: EndpointState = EndpointState.LIVE
     suspect_until_s: float = 0.0
+    joined_s: float = -math.inf
 
 
 class EndpointTable:
--- a/src/beryljunction/tables/peers.py
+++ b/src/beryljunction/tables/peers.py
@@ -4,16 +4,18 @@
 
 import attrs
 
-__all__ = ["PeerLoad", "PeerTable"]
+__all__ = ["LoadRow", "PeerLoad", "PeerTable"]
 
 
-@attrs.define
-class PeerLoad:
-    """Load of one endpoint as its own sidecar reported it.
+@attrs.frozen
+class LoadRow:
+    """Load of one endpoint as its own sidecar reports it.
 
     Attributes:
+        incarnation: Changes whenever the sidecar starts anew.
         sequence: Grows with each report of one incarnation; an older row never replaces a newer.
-        heard_s: Monotonic time here when this row last got newer.
+        work_tokens: Estimated tokens of the running requests.
+        speed_tokens_per_s: Tokens a second that one running request gets; 0 when not yet measured.
     """
 
     endpoint_id: str
@@ -22,6 +24,14 @@
     running: int
     waiting: int
     work_tokens: int
+    speed_tokens_per_s: float = 0.0
+
+
+@attrs.frozen
+class PeerLoad:
+    """A peer's newest row; ``heard_s`` is the monotonic time here at which it got newer."""
+
+    row: LoadRow
     heard_s: float
 
 
@@ -41,13 +51,13 @@
         """Return the newest row of an endpoint."""
         return self._rows.get(endpoint_id)
 
-    def merge(self, row: PeerLoad) -> bool:
+    def merge(self, row: LoadRow, now_s: float) -> bool:
         """Keep the row if it is newer than the one known; say whether it was."""
         known = self._rows.get(row.endpoint_id)
-        same = known is not None and known.incarnation == row.incarnation
-        if known is not None and same and known.sequence >= row.sequence:
+        same = known is not None and known.row.incarnation == row.incarnation
+        if known is not None and same and known.row.sequence >= row.sequence:
             return False
-        self._rows[row.endpoint_id] = row
+        self._rows[row.endpoint_id] = PeerLoad(row, now_s)
         return True
 
     def forget(self, endpoint_id: str) -> None:
--- a/src/beryljunction/tables/requests.py
+++ b/src/beryljunction/tables/requests.py
@@ -28,6 +28,9 @@
         deadline_s: Monotonic time after which a start is of no use to the caller.
         warm: Whether the entry or a pointer says the prefix is cached here.
         last_resort: Whether every other candidate has refused already.
+        only_if_warm: Whether the request is wanted here only if its prefix is cached here.
+        ignore_pointer: Whether a pointer to another endpoint was tried in vain already.
+        give_up_s: Monotonic time until which the request may wait here; set on admission.
     """
 
     request_id: str
@@ -42,6 +45,9 @@
     idempotent: bool = True
     warm: bool = False
     last_resort: bool = False
+    only_if_warm: bool = False
+    ignore_pointer: bool = False
+    give_up_s: float = 0.0
     state: WorkState = WorkState.WAITING
     started_s: float | None = None
 
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -7,11 +7,14 @@
 import cattrs
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.tables.peers import LoadRow
 
 __all__ = [
     "ENVELOPE_HEADER",
     "FLEET_KEY_HEADER",
+    "MOVED_PATH",
     "RUN_PATH",
+    "ChatMoved",
     "Envelope",
     "decode",
     "encode",
@@ -22,6 +25,7 @@
 FLEET_KEY_HEADER = b"beryl-fleet-key"
 ENVELOPE_HEADER = b"beryl-envelope"
 RUN_PATH = "/beryl/v1/run"
+MOVED_PATH = "/beryl/v1/moved"
 
 T = TypeVar("T")
 
@@ -40,6 +44,7 @@
         method: HTTP method at the endpoint.
         path: Path and query at the endpoint.
         headers: Caller's headers that the endpoint gets.
+        loads: Loads of the endpoints that refused this request just now.
         ticket: Ticket that the request runs under; None for idempotent requests.
     """
 
@@ -55,12 +60,28 @@
     streamed: bool = False
     warm: bool = False
     last_resort: bool = False
+    only_if_warm: bool = False
+    ignore_pointer: bool = False
+    loads: tuple[LoadRow, ...] = ()
     method: str = "POST"
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
     ticket: str | None = None
 
 
+@attrs.frozen
+class ChatMoved:
+    """What an entry tells a chat's home when a later candidate took the chat.
+
+    Attributes:
+        tokens: Length of the prefix that the endpoint now holds.
+    """
+
+    chat_key: int
+    endpoint_id: str
+    tokens: int
+
+
 def encode(message: Any) -> bytes:
     """Return an attrs message as compact JSON; fields that hold their default are left out."""
     plain = _converter.unstructure(message)
@@ -89,7 +110,6 @@
     """Return the refusal in an error body; what can't be read proves nothing, so it is unknown."""
     try:
         fields = json.loads(data)["error"]
-        fields.pop("request_id", None)
-        return Refusal(RefusalCode(fields.pop("code")), ran=Ran(fields.pop("ran")), **fields)
-    except (ValueError, KeyError, TypeError, AttributeError):
+        return _converter.structure(fields, Refusal)
+    except (cattrs.BaseValidationError, ValueError, KeyError, TypeError):
         return Refusal(RefusalCode.OUTCOME_UNKNOWN, "unreadable answer", Ran.UNKNOWN)
