--- /dev/null
+++ b/src/beryljunction/bench/policy/__init__.py
@@ -0,0 +1,7 @@
+"""Decisions under load, measured: the real systems in virtual time against small fakes."""
+
+from beryljunction.bench.policy.figures import Figures, run_policy
+from beryljunction.bench.policy.policies import POLICIES
+from beryljunction.bench.policy.scenarios import SCENARIOS, SIZES
+
+__all__ = ["POLICIES", "SCENARIOS", "SIZES", "Figures", "run_policy"]
--- /dev/null
+++ b/src/beryljunction/bench/policy/policies.py
@@ -0,0 +1,45 @@
+"""The policies that a run compares: the present one, its earlier forms and the usual baselines."""
+
+import attrs
+
+from beryljunction.systems import AdmissionLimits
+
+__all__ = ["POLICIES", "Policy"]
+
+_NO_BOUND = 1e9
+_NO_WAIT = 1e12
+
+
+@attrs.frozen
+class Policy:
+    """How entries order the endpoints and what the sidecars enforce.
+
+    Attributes:
+        order: "rendezvous", or how an entry without it chooses.
+        pointers: Whether homes remember who took a chat, and young homes are passed over.
+    """
+
+    order: str = "rendezvous"
+    bounded: bool = True
+    pointers: bool = True
+    waits: bool = True
+
+    def limits(self, max_running: int) -> AdmissionLimits:
+        """Return the limits of a sidecar under this policy."""
+        return AdmissionLimits(
+            load_multiple=1.25 if self.bounded else _NO_BOUND,
+            max_running=max_running,
+            quantum_tokens=4_096,
+            prefill_tokens_per_s=20_000.0 if self.waits else _NO_WAIT,
+        )
+
+
+POLICIES = {
+    "current": Policy(),
+    "no-wait": Policy(waits=False),
+    "no-pointers": Policy(waits=False, pointers=False),
+    "unbounded": Policy(bounded=False, pointers=False, waits=False),
+    "least-loaded": Policy("least-loaded", False, False, False),
+    "round-robin": Policy("round-robin", False, False, False),
+    "random": Policy("random", False, False, False),
+}
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -142,8 +142,11 @@
         return Wait(work.request_id)
 
     def tick(self, now_s: float) -> list[Start | Refuse]:
-        """Refuse what waited too long, then start what may start, fairly over accounts."""
-        decisions: list[Start | Refuse] = list(self._expire(now_s))
+        """Refuse what waited too long, then start what may start, fairly over accounts.
+
+        What may not wait at all starts in the tick after its offer or is refused by it.
+        """
+        decisions: list[Start | Refuse] = list(self._expire(now_s, math.nextafter(now_s, 0.0)))
         self._note_load(now_s)
         bound = self.load.bound(now_s)
         while self.requests.waiting_count and not self._over(bound):
@@ -152,6 +155,7 @@
                 break
             self._start(work, now_s)
             decisions.append(Start(work.request_id))
+        decisions += self._expire(now_s, now_s)
         return decisions
 
     def finish(self, request_id: str) -> Work | None:
@@ -242,10 +246,10 @@
         tokens = work.prompt_tokens + work.output_tokens
         self.pointers.placed(work.chat_key, self.pointers.endpoint_id, tokens, now_s)
 
-    def _expire(self, now_s: float) -> list[Refuse]:
-        """Refuse what has waited as long as it may; a heap, so that no tick scans the queue."""
+    def _expire(self, now_s: float, until_s: float) -> list[Refuse]:
+        """Refuse what might wait until then; a heap, so that no tick scans the queue."""
         refused = []
-        while self._expiry and self._expiry[0][0] <= now_s:
+        while self._expiry and self._expiry[0][0] <= until_s:
             _, request_id = heapq.heappop(self._expiry)
             work = self.requests.get(request_id)
             if work is None or work.started_s is not None:
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -17,7 +17,9 @@
     "ChatMoved",
     "Envelope",
     "decode",
+    "decode_rows",
     "encode",
+    "encode_rows",
     "refusal_body",
     "refusal_from_body",
 ]
@@ -30,6 +32,7 @@
 T = TypeVar("T")
 
 _converter = cattrs.Converter(omit_if_default=True)
+_row_converter = cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
 
 
 @attrs.frozen
@@ -113,3 +116,20 @@
         return _converter.structure(fields, Refusal)
     except (cattrs.BaseValidationError, ValueError, KeyError, TypeError):
         return Refusal(RefusalCode.OUTCOME_UNKNOWN, "unreadable answer", Ran.UNKNOWN)
+
+
+def encode_rows(rows: list[LoadRow]) -> bytes:
+    """Return load rows as JSON arrays without names, which would be most of their bytes."""
+    return json.dumps([attrs.astuple(row) for row in rows], separators=(",", ":")).encode()
+
+
+def decode_rows(data: bytes) -> list[LoadRow]:
+    """Return the load rows in JSON bytes.
+
+    Raises:
+        ValueError: When the bytes are not JSON or do not fit.
+    """
+    try:
+        return [_row_converter.structure(row, LoadRow) for row in json.loads(data)]
+    except (cattrs.BaseValidationError, KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"expected load rows, got {data[:80]!r}: {error}") from error
