--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -132,7 +132,7 @@
         if refused is not None:
             return refused
         wait_s = self._wait_s(work, bound, now_s)
-        if wait_s <= 0.0 and self._over(bound):
+        if wait_s <= 0.0 and (self._over(bound) or self._better_elsewhere(work, bound)):
             message = "above the load bound; another endpoint has room"
             return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
         work.give_up_s = min(work.deadline_s, now_s + wait_s)
@@ -228,6 +228,15 @@
         floor = min(self.limits.floor_running, bound.running)
         return requests.running_count >= floor and requests.running_tokens >= bound.work_tokens
 
+    def _better_elsewhere(self, work: Work, bound: LoadBound) -> bool:
+        """Tell whether a request with nothing cached here should even out the load elsewhere.
+
+        Load: chats that return at different rates, so that equal shares of chats are unequal shares
+        of work. Harm: endpoints reach the bound with returning chats, which then lose their
+        prefix. New chats lose nothing by another endpoint, and come back to it later.
+        """
+        return work.cached_tokens == 0 and self.requests.running_count >= bound.cold_running
+
     def _in_reserve(self, bound: LoadBound) -> bool:
         """Tell whether what is left of the bound is kept for accounts below their fair share.
 
--- a/src/beryljunction/systems/load.py
+++ b/src/beryljunction/systems/load.py
@@ -31,6 +31,8 @@
 
     Attributes:
         load_multiple: Running work allowed here as a multiple of the service's mean.
+        cold_multiple: The same for requests that find nothing cached here and so lose nothing
+            elsewhere.
         work_multiple: The same for estimated tokens; wider, because the work of single requests
             differs by far more than their number.
         floor_running: Requests that always may run, so that a small mean can't shut the endpoint.
@@ -39,6 +41,7 @@
     """
 
     load_multiple: float = 1.25
+    cold_multiple: float = 1.0
     work_multiple: float = 1.6
     floor_running: int = 4
     max_running: int = 32
@@ -51,11 +54,13 @@
 
     Attributes:
         running: Requests.
+        cold_running: Requests beyond which one with nothing cached here goes elsewhere.
         work_tokens: Estimated tokens of the running requests.
         full: The fleet as a whole is at its limits, so that no other endpoint has room either.
     """
 
     running: int
+    cold_running: int
     work_tokens: float
     full: bool
 
@@ -170,15 +175,17 @@
         limits = self.limits
         count, demand, work, speed = self._fresh(now_s)
         if count == 0:
-            return LoadBound(limits.max_running, math.inf, False)
+            return LoadBound(limits.max_running, limits.max_running, math.inf, False)
         own = self._own
         mean = (demand + min(own.running + own.waiting, limits.max_running)) / (count + 1)
         mean_work = (work + own.work_tokens) / (count + 1)
         slow = self._slowness(speed)
         allowed = max(limits.floor_running * slow, limits.load_multiple * mean * slow)
         running = min(limits.max_running, max(1, int(allowed)))
+        cold = max(limits.floor_running * slow, limits.cold_multiple * mean * slow)
         return LoadBound(
             running,
+            min(running, max(1, int(cold))),
             limits.work_multiple * mean_work * slow,
             mean >= limits.max_running / limits.load_multiple,
         )
