--- a/src/beryljunction/outcomes.py
+++ b/src/beryljunction/outcomes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from beryljunction.tables.peers import LoadRow
+from beryljunction.loads import LoadRow
 
 __all__ = ["Ran", "Refusal", "RefusalCode"]
 
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -23,6 +23,8 @@
 _LEAST_RETRY_S = 0.2
 _MOST_RETRY_S = 30.0
 _DEADLINE_SHARE = 0.8
+# A request that finds room starts in the tick after its offer, which a busy loop delays.
+_START_GRACE_S = 0.1
 
 
 @attrs.frozen
@@ -31,6 +33,7 @@
 
     Attributes:
         load_multiple: Running work allowed here as a multiple of the service's mean.
+        cold_multiple: The same for requests that find nothing cached here.
         floor_running: Requests that always may run, so that a small mean can't shut the endpoint.
         max_running: Requests that the engine batches at the most.
         max_waiting: Requests that wait here at the most, all accounts together.
@@ -42,6 +45,7 @@
     """
 
     load_multiple: float = 1.25
+    cold_multiple: float = 1.0
     floor_running: int = 4
     max_running: int = 32
     max_waiting: int = 256
@@ -114,6 +118,7 @@
         self.queue.quantum_tokens = limits.quantum_tokens
         self.load.limits = LoadLimits(
             load_multiple=limits.load_multiple,
+            cold_multiple=limits.cold_multiple,
             floor_running=limits.floor_running,
             max_running=limits.max_running,
             peer_stale_s=limits.peer_stale_s,
@@ -132,21 +137,18 @@
         if refused is not None:
             return refused
         wait_s = self._wait_s(work, bound, now_s)
-        if wait_s <= 0.0 and (self._over(bound) or self._better_elsewhere(work, bound)):
+        if wait_s <= 0.0 and self._has_no_room(work, bound):
             message = "above the load bound; another endpoint has room"
             return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
-        work.give_up_s = min(work.deadline_s, now_s + wait_s)
+        work.give_up_s = min(work.deadline_s, now_s + max(wait_s, _START_GRACE_S))
         self.requests.add(work)
         self.queue.add(work, self._weight(work.account))
         heapq.heappush(self._expiry, (work.give_up_s, work.request_id))
         return Wait(work.request_id)
 
     def tick(self, now_s: float) -> list[Start | Refuse]:
-        """Refuse what waited too long, then start what may start, fairly over accounts.
-
-        What may not wait at all starts in the tick after its offer or is refused by it.
-        """
-        decisions: list[Start | Refuse] = list(self._expire(now_s, math.nextafter(now_s, 0.0)))
+        """Refuse what waited too long, then start what may start, fairly over accounts."""
+        decisions: list[Start | Refuse] = list(self._expire(now_s))
         self._note_load(now_s)
         bound = self.load.bound(now_s)
         while self.requests.waiting_count and not self._over(bound):
@@ -155,7 +157,6 @@
                 break
             self._start(work, now_s)
             decisions.append(Start(work.request_id))
-        decisions += self._expire(now_s, now_s)
         return decisions
 
     def finish(self, request_id: str) -> Work | None:
@@ -228,6 +229,13 @@
         floor = min(self.limits.floor_running, bound.running)
         return requests.running_count >= floor and requests.running_tokens >= bound.work_tokens
 
+    def _has_no_room(self, work: Work, bound: LoadBound) -> bool:
+        """Tell whether the request could not start in the next tick."""
+        if self._over(bound) or self._better_elsewhere(work, bound):
+            return True
+        row = self.queue.accounts.get(work.account)
+        return row is not None and self._in_reserve(bound) and self.queue.over_share(row)
+
     def _better_elsewhere(self, work: Work, bound: LoadBound) -> bool:
         """Tell whether a request with nothing cached here should even out the load elsewhere.
 
@@ -255,10 +263,10 @@
         tokens = work.prompt_tokens + work.output_tokens
         self.pointers.placed(work.chat_key, self.pointers.endpoint_id, tokens, now_s)
 
-    def _expire(self, now_s: float, until_s: float) -> list[Refuse]:
-        """Refuse what might wait until then; a heap, so that no tick scans the queue."""
+    def _expire(self, now_s: float) -> list[Refuse]:
+        """Refuse what has waited as long as it may; a heap, so that no tick scans the queue."""
         refused = []
-        while self._expiry and self._expiry[0][0] <= until_s:
+        while self._expiry and self._expiry[0][0] <= now_s:
             _, request_id = heapq.heappop(self._expiry)
             work = self.requests.get(request_id)
             if work is None or work.started_s is not None:
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -2,9 +2,10 @@
 
 import attrs
 
+from beryljunction.loads import LoadRow
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.systems.retries import RetryBudget
-from beryljunction.tables import Endpoint, LoadRow
+from beryljunction.tables import Endpoint
 
 __all__ = ["AttemptSystem", "GiveUp", "Step", "Try"]
 
@@ -67,6 +68,7 @@
         self._loads: dict[str, LoadRow] = {}
         self._spilled: list[Endpoint] = []
         self._followed = False
+        self._maybe_ran = False
         first = candidates[0] if candidates else None
         self.home = home if home is not None else first
         self.tries = 0
@@ -91,6 +93,7 @@
             refusal: What the try ended in.
             endpoint: Where the refused try went.
         """
+        self._maybe_ran = self._maybe_ran or refusal.ran is not Ran.NO
         may_repeat = refusal.ran is Ran.NO or (self._idempotent and refusal.ran is Ran.UNKNOWN)
         if not may_repeat or refusal.code in _FINAL_CODES:
             return self._give_up(refusal)
@@ -159,7 +162,11 @@
             loads=tuple(self._loads.values()),
         )
 
-    @staticmethod
-    def _give_up(refusal: Refusal) -> GiveUp:
-        """End with the last refusal; loads are no business of callers."""
-        return GiveUp(attrs.evolve(refusal, load=None))
+    def _give_up(self, refusal: Refusal) -> GiveUp:
+        """End with the last refusal; loads are no business of callers.
+
+        The last endpoint's "not run" is true of itself only: after a try whose outcome is unknown
+        the caller would take the request for not run while an earlier endpoint has run it.
+        """
+        ran = Ran.UNKNOWN if self._maybe_ran and refusal.ran is Ran.NO else refusal.ran
+        return GiveUp(attrs.evolve(refusal, ran=ran, load=None))
--- a/src/beryljunction/systems/load.py
+++ b/src/beryljunction/systems/load.py
@@ -10,7 +10,8 @@
 
 import attrs
 
-from beryljunction.tables import LoadRow, PeerLoad, PeerTable
+from beryljunction.loads import LoadRow
+from beryljunction.tables import PeerLoad, PeerTable
 
 __all__ = ["LoadBound", "LoadLimits", "LoadSystem", "SpeedMeter"]
 
@@ -82,7 +83,7 @@
         """Speed of one request; 0 when too little ran to tell."""
         return self._tokens / self._running_s if self._running_s >= 1.0 else 0.0
 
-    def note(self, tokens: int) -> None:
+    def note(self, tokens: float) -> None:
         """Count tokens that the endpoint has sent."""
         self._tokens += tokens
 
@@ -113,7 +114,9 @@
         self.speed = SpeedMeter()
         self._rng = rng if rng is not None else random.Random()
         self._sequence = 0
-        self._own = LoadRow(endpoint_id, incarnation, 0, 0, 0, 0)
+        self._running = 0
+        self._waiting = 0
+        self._work_tokens = 0
         self._sums_s = -math.inf
         self._sums = (0, 0, 0.0, 0.0)
 
@@ -126,23 +129,23 @@
 
     def note_own(self, running: int, waiting: int, work_tokens: int, now_s: float) -> None:
         """Take in what runs and waits here now."""
-        self.speed.advance(self._own.running, now_s)
-        speed = round(self.speed.tokens_per_s, 1)
-        self._own = LoadRow(
-            self.endpoint_id,
-            self.incarnation,
-            self._sequence,
-            running,
-            waiting,
-            work_tokens,
-            speed,
-        )
+        self.speed.advance(self._running, now_s)
+        self._running = running
+        self._waiting = waiting
+        self._work_tokens = work_tokens
 
     def own_row(self) -> LoadRow:
         """Return a new row on this endpoint, newer than all before."""
         self._sequence += 1
-        self._own = attrs.evolve(self._own, sequence=self._sequence)
-        return self._own
+        return LoadRow(
+            self.endpoint_id,
+            self.incarnation,
+            self._sequence,
+            self._running,
+            self._waiting,
+            self._work_tokens,
+            round(self.speed.tokens_per_s, 1),
+        )
 
     def rows_to_send(self, now_s: float) -> list[LoadRow]:
         """Return the rows for one peer: the own one, then as many as the budget allows.
@@ -176,9 +179,9 @@
         count, demand, work, speed = self._fresh(now_s)
         if count == 0:
             return LoadBound(limits.max_running, limits.max_running, math.inf, False)
-        own = self._own
-        mean = (demand + min(own.running + own.waiting, limits.max_running)) / (count + 1)
-        mean_work = (work + own.work_tokens) / (count + 1)
+        own_demand = min(self._running + self._waiting, limits.max_running)
+        mean = (demand + own_demand) / (count + 1)
+        mean_work = (work + self._work_tokens) / (count + 1)
         slow = self._slowness(speed)
         allowed = max(limits.floor_running * slow, limits.load_multiple * mean * slow)
         running = min(limits.max_running, max(1, int(allowed)))
--- a/src/beryljunction/tables/__init__.py
+++ b/src/beryljunction/tables/__init__.py
@@ -3,21 +3,34 @@
 from beryljunction.tables.accounts import AccountQueue, AccountTable
 from beryljunction.tables.chats import ChatPointer, ChatTable
 from beryljunction.tables.endpoints import Endpoint, EndpointState, EndpointTable
-from beryljunction.tables.peers import LoadRow, PeerLoad, PeerTable
+from beryljunction.tables.peers import PeerLoad, PeerTable
 from beryljunction.tables.requests import RequestTable, Work, WorkState
+from beryljunction.tables.tickets import (
+    Answer,
+    Stamp,
+    Ticket,
+    TicketRow,
+    TicketState,
+    TicketTable,
+)
 
 __all__ = [
     "AccountQueue",
     "AccountTable",
+    "Answer",
     "ChatPointer",
     "ChatTable",
     "Endpoint",
     "EndpointState",
     "EndpointTable",
-    "LoadRow",
     "PeerLoad",
     "PeerTable",
     "RequestTable",
+    "Stamp",
+    "Ticket",
+    "TicketRow",
+    "TicketState",
+    "TicketTable",
     "Work",
     "WorkState",
 ]
