--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -1,5 +1,6 @@
 """The platform as the fleet meets it: log, host list, weight store."""
 
+from beryljunction.platform.hosts import HostChanges, HostList, HostRow, HttpHostList
 from beryljunction.platform.log import (
     Appended,
     AppendOutcome,
@@ -21,6 +22,10 @@
 )
 
 __all__ = [
+    "HostChanges",
+    "HostList",
+    "HostRow",
+    "HttpHostList",
     "HttpWeightStore",
     "LoadBegun",
     "LoadRefused",
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -16,6 +16,7 @@
 from beryljunction.sidecar.readers import serve_reader
 from beryljunction.sidecar.runs import Run, RunTable
 from beryljunction.sidecar.writers import Writer
+from beryljunction.stops import Stoppable
 from beryljunction.streams import FrameLog, StreamName
 from beryljunction.systems import (
     AdmissionLimits,
@@ -25,7 +26,7 @@
     Refuse,
 )
 from beryljunction.tables import Work
-from beryljunction.timeline import Timeline
+from beryljunction.timeline import HLC_HEADER, Timeline
 from beryljunction.watches import WatchList
 from beryljunction.wire import (
     ATTACH_PATH,
@@ -68,7 +69,7 @@
 Handler = Callable[[Call], Awaitable[None]]
 
 
-class SidecarApp:
+class SidecarApp(Stoppable):
     """ASGI application of a sidecar; decisions are left to its systems.
 
     Args:
@@ -138,7 +139,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of another process of the fleet."""
         headers = dict(scope["headers"])
-        writer = Writer(send, self.incarnation)
+        self.timeline.clock.heard_stamp(headers.get(HLC_HEADER))
+        writer = Writer(send, self.incarnation, self.timeline.clock)
         handler = self.routes.get(scope["path"])
         if not hmac.compare_digest(headers.get(FLEET_KEY_HEADER, b""), self._fleet_key):
             refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
@@ -158,6 +160,9 @@
         """Take no new work; what was admitted goes on."""
         self.admission.leaving = True
 
+    async def hand_over(self) -> None:
+        """Hand over nothing yet: chat pointers come with their system."""
+
     @property
     def _service(self) -> ServiceSettings:
         return self.view.services[self.file.service]
--- a/src/beryljunction/sidecar/writers.py
+++ b/src/beryljunction/sidecar/writers.py
@@ -4,6 +4,7 @@
 
 from beryljunction.outcomes import Refusal, RefusalCode
 from beryljunction.servers import Send
+from beryljunction.timeline import HLC_HEADER, HybridClock
 from beryljunction.wire import INCARNATION_HEADER, OUTCOME_HEADER, Outcome, refusal_body
 
 __all__ = ["Writer"]
@@ -30,6 +31,7 @@
 
     send: Send
     incarnation: str
+    clock: HybridClock
 
     async def refuse(self, refusal: Refusal, request_id: str) -> None:
         """Answer with a refusal."""
@@ -61,7 +63,11 @@
     async def _head(
         self, status: int, outcome: Outcome, headers: list[tuple[bytes, bytes]]
     ) -> None:
-        own = [(OUTCOME_HEADER, outcome.encode()), (INCARNATION_HEADER, self.incarnation.encode())]
+        own = [
+            (OUTCOME_HEADER, outcome.encode()),
+            (INCARNATION_HEADER, self.incarnation.encode()),
+            (HLC_HEADER, self.clock.stamp()),
+        ]
         await self.send(
             {"type": "http.response.start", "status": status, "headers": [*own, *headers]}
         )
