--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -18,7 +18,13 @@
 from beryljunction.sidecar.writers import Writer
 from beryljunction.stops import Stoppable
 from beryljunction.streams import FrameLog, StreamName
-from beryljunction.systems import AdmissionLimits, AdmissionSystem, Refuse
+from beryljunction.systems import (
+    AdmissionLimits,
+    AdmissionSystem,
+    LoadSystem,
+    PointerSystem,
+    Refuse,
+)
 from beryljunction.tables import Work
 from beryljunction.timeline import HLC_HEADER, Timeline
 from beryljunction.watches import WatchList
@@ -28,10 +34,12 @@
     DRAIN_PATH,
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
+    MOVED_PATH,
     RUN_PATH,
     STATUS_PATH,
     Attach,
     Cancel,
+    ChatMoved,
     Drain,
     Envelope,
     SidecarStatus,
@@ -77,19 +85,25 @@
         self.file = file
         self.incarnation = uuid.uuid4().hex[:12]
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
-        self.admission = AdmissionSystem(AdmissionLimits())
+        self.admission = AdmissionSystem(
+            AdmissionLimits(),
+            LoadSystem(file.endpoint_id, self.incarnation),
+            PointerSystem(file.endpoint_id),
+        )
         self.runs = RunTable()
         self.watches = WatchList()
         self._pool = client_pool()
         self._group: anyio.abc.TaskGroup | None = None
         self._fleet_key = file.process.fleet_key.encode()
-        self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address)
+        speed = self.admission.load.speed
+        self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address, speed)
         self.routes: dict[str, Handler] = {
             RUN_PATH: self._handle_run,
             ATTACH_PATH: self._handle_attach,
             CANCEL_PATH: self._handle_cancel,
             DRAIN_PATH: self._handle_drain,
             STATUS_PATH: self._handle_status,
+            MOVED_PATH: self._handle_moved,
             **(routes or {}),
         }
         self.apply(view)
@@ -184,9 +198,12 @@
             message = "this try arrived after its sender was told that it did not run"
             return Refusal(RefusalCode.CANCELLED, message, Ran.NO)
         known = self.runs.get(envelope.request_id)
-        if known is not None:
+        refused_after_wait = known is not None and known.refused_unrun
+        if known is not None and not refused_after_wait:
             return known
-        decision = self.admission.offer(_work_of(envelope), time.monotonic())
+        now_s = time.monotonic()
+        self.admission.load.merge(envelope.loads, now_s)
+        decision = self.admission.offer(_work_of(envelope), now_s)
         if isinstance(decision, Refuse):
             return decision.refusal
         run = Run(envelope, body, FrameLog(self._log_bytes(envelope)))
@@ -263,6 +280,16 @@
         self.timeline.add("drain", detail=str(drain.leaving))
         await call.writer.done(encode(self.status()))
 
+    async def _handle_moved(self, call: Call) -> None:
+        try:
+            moved = decode(await call.body(), ChatMoved)
+        except ValueError as error:
+            await call.writer.refuse(Refusal(RefusalCode.BAD_REQUEST, str(error), Ran.NO), "")
+            return
+        pointers = self.admission.pointers
+        pointers.placed(moved.chat_key, moved.endpoint_id, moved.tokens, time.monotonic())
+        await call.writer.done()
+
     async def _handle_status(self, call: Call) -> None:
         await call.writer.done(encode(self.status()))
 
@@ -332,4 +359,6 @@
         idempotent=envelope.idempotent,
         warm=envelope.warm,
         last_resort=envelope.last_resort,
+        only_if_warm=envelope.only_if_warm,
+        ignore_pointer=envelope.ignore_pointer,
     )
--- a/src/beryljunction/systems/__init__.py
+++ b/src/beryljunction/systems/__init__.py
@@ -8,7 +8,7 @@
     Start,
     Wait,
 )
-from beryljunction.systems.attempts import AttemptSystem, GiveUp, RetryBudget, Step, Try
+from beryljunction.systems.attempts import AttemptSystem, GiveUp, Step, Try
 from beryljunction.systems.claims import (
     ClaimBatch,
     ClaimLimits,
@@ -24,12 +24,18 @@
     key_refusal,
 )
 from beryljunction.systems.forward import ForwardClock, Window
+from beryljunction.systems.load import LoadBound, LoadLimits, LoadSystem, SpeedMeter
+from beryljunction.systems.membership import ListedEndpoint, MembershipLimits, MembershipSystem
 from beryljunction.systems.placement import (
     PlacementQuery,
     PlacementSystem,
     chat_key_of,
     rendezvous_score,
 )
+from beryljunction.systems.pointers import PointerSystem
+from beryljunction.systems.queueing import FairQueue
+from beryljunction.systems.rates import DrainMeter
+from beryljunction.systems.retries import RetryBudget
 from beryljunction.systems.tickets import (
     AlreadyRunning,
     Ask,
@@ -66,8 +72,10 @@
     "ClaimBatch",
     "ClaimLimits",
     "ClaimSystem",
+    "DrainMeter",
     "Expired",
     "Failed",
+    "FairQueue",
     "ForwardClock",
     "Full",
     "GiveUp",
@@ -79,13 +87,21 @@
     "KeyVerdict",
     "KeyWon",
     "LedgerLimits",
+    "ListedEndpoint",
+    "LoadBound",
+    "LoadLimits",
+    "LoadSystem",
+    "MembershipLimits",
+    "MembershipSystem",
     "Mismatch",
     "PlacementQuery",
     "PlacementSystem",
+    "PointerSystem",
     "Refuse",
     "Replay",
     "RetryBudget",
     "Run",
+    "SpeedMeter",
     "Start",
     "Step",
     "TicketLedger",
