Exchange load between sidecars with one peer at a time

Cause: the load bound had a system to keep peers' rows, but nothing carried them. Rows go one way: both ways would double the bytes, and each sidecar is asked as often as it asks. The answer says only which settings it has.

--- /dev/null
+++ b/testing/test_peers.py
@@ -0,0 +1,159 @@
+import contextlib
+import random
+
+import anyio
+import pytest
+
+from beryljunction.loads import LoadRow
+from beryljunction.node.front import FleetFront
+from beryljunction.node.traffic import CountingBackend
+from beryljunction.servers import Server, bind, client_pool, respond
+from beryljunction.sidecar.peers import PeerExchange
+from beryljunction.systems import LoadSystem
+from beryljunction.wire import PEERS_PATH
+
+KEY = "0123456789abcdef0123456789abcdef"
+# At the target a service has 41 endpoints; a node may spend this much on all control traffic.
+ENDPOINTS = 41
+BUDGET_BYTES_PER_S = 4096
+
+
+async def nothing_else(scope, receive, send):
+    await respond(send, 404, b"")
+
+
+class Peer:
+    """One sidecar's exchange behind a real listener, with its bytes counted."""
+
+    def __init__(self, name, version=0):
+        self.load = LoadSystem(name, "0a1b2c3d4e5f", rng=random.Random(1))
+        self.newer = []
+        self.asked_bytes = 0
+        self.answered_bytes = 0
+        self.pool = client_pool(backend=CountingBackend(self.count_asked))
+        self.exchange = PeerExchange(
+            self.load,
+            self.pool,
+            KEY,
+            lambda: version,
+            lambda name, version: self.newer.append((name, version)),
+            now_s=lambda: 100.0,
+            rng=random.Random(1),
+        )
+        routes = {PEERS_PATH: self.exchange}
+        front = FleetFront(nothing_else, KEY, routes, lambda: None, self.count_answered)
+        self.server = Server(front, bind("127.0.0.1:0"))
+
+    def count_asked(self, sent, received):
+        self.asked_bytes += sent + received
+
+    def count_answered(self, path, sent, received):
+        self.answered_bytes += sent + received
+
+    def know(self, count):
+        """Hear of others under load, as after some minutes of a busy fleet."""
+        rows = [
+            LoadRow(f"reel-llm-{i}", "0a1b2c3d4e5f", 86_400 + i, 17, 3, 123_456, 31.4)
+            for i in range(count)
+        ]
+        self.load.merge(rows, 99.0)
+
+
+@contextlib.asynccontextmanager
+async def peers(*peers):
+    async with anyio.create_task_group() as group:
+        for peer in peers:
+            await group.start(peer.server.run_until_stopped)
+        for peer in peers:
+            peer.exchange.set_peers(
+                {p.load.endpoint_id: p.server.address for p in peers if p is not peer}
+            )
+        yield
+        for peer in peers:
+            await peer.pool.aclose()
+            peer.server.stop()
+
+
+class TestPeerExchange:
+    def test_rows_of_third_endpoints_are_passed_on(self):
+        async def run():
+            first, second, third = (Peer(name) for name in ("a", "b", "c"))
+            first.load.note_own(7, 2, 900, 100.0)
+            async with peers(first, second, third):
+                await first.exchange.tell("b")
+                await second.exchange.tell("c")
+            return third.load.peer("a")
+
+        heard = anyio.run(run)
+
+        assert (heard.row.running, heard.row.waiting) == (7, 2)
+
+    def test_exchange_stays_within_the_control_budget_at_the_target(self):
+        async def run():
+            first, second = Peer("reel-llm-40"), Peer("reel-llm-41")
+            first.know(ENDPOINTS - 1)
+            async with peers(first, second):
+                for _ in range(10):
+                    await first.exchange.tell("reel-llm-41")
+            return first, second
+
+        first, second = anyio.run(run)
+
+        # On average a sidecar asks one peer and is asked by one in each interval.
+        an_interval = (first.asked_bytes + second.answered_bytes) / 10
+        assert an_interval / first.load.interval_s < BUDGET_BYTES_PER_S
+
+    def test_counts_of_both_ends_agree(self):
+        async def run():
+            first, second = Peer("a"), Peer("b")
+            first.know(20)
+            async with peers(first, second):
+                await first.exchange.tell("b")
+            return first.asked_bytes, second.answered_bytes
+
+        asked, answered = anyio.run(run)
+
+        assert asked == pytest.approx(answered, rel=0.05)
+
+    def test_newer_settings_of_a_peer_are_noticed_by_who_asks_and_who_is_asked(self):
+        async def run():
+            old, new = Peer("old", version=3), Peer("new", version=5)
+            async with peers(old, new):
+                await old.exchange.tell("new")
+                await new.exchange.tell("old")
+            return old.newer, new.newer
+
+        assert anyio.run(run) == ([("new", 5), ("new", 5)], [])
+
+    def test_peer_that_does_not_answer_is_passed_over(self):
+        async def run():
+            peer = Peer("a")
+            peer.exchange.set_peers({"b": "127.0.0.1:1"})
+            await peer.exchange.tell("b")
+            await peer.pool.aclose()
+
+        anyio.run(run)
+
+    def test_endpoint_off_the_list_no_longer_counts(self):
+        peer = Peer("a")
+        peer.know(2)
+        peer.exchange.set_peers({"reel-llm-0": "x:1", "reel-llm-1": "x:2"})
+
+        peer.exchange.set_peers({"reel-llm-1": "x:2"})
+
+        assert peer.load.peer("reel-llm-0") is None
+        assert peer.load.peer("reel-llm-1") is not None
+        peer.server.listener.close()
+
+    def test_message_without_the_fleet_key_changes_nothing(self):
+        async def run():
+            peer = Peer("a")
+            async with peers(peer), client_pool() as pool:
+                url = f"http://{peer.server.address}{PEERS_PATH}"
+                row = b'[["b","1",1,9,0,0,0.0]]'
+                refused = await pool.request("POST", url, content=row)
+                headers = {"beryl-fleet-key": KEY}
+                broken = await pool.request("POST", url, headers=headers, content=b"[[1]]")
+            return refused.status, broken.status, len(peer.load.peers)
+
+        assert anyio.run(run) == (401, 400, 0)
