Wire membership, load exchange and engine orders into the processes

Entries weigh the host list against what they see of each sidecar, through the membership system; the list's incarnation only says that a slot has another host, since tickets are bound to the one that the sidecar names. Found on the way: an endpoint that left and was dropped from the list stayed leaving for good when it came back; its leaving now ends with the drop.

Sidecars exchange load with one peer at a time and keep their engine as the settings want. An endpoint whose engine loads refuses with 'overloaded', not 'leaving', as it will be back (admission: a field for the reason).

--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -23,6 +23,7 @@
 from beryljunction.systems import (
     AttemptSystem,
     GiveUp,
+    MembershipSystem,
     PlacementQuery,
     PlacementSystem,
     RetryBudget,
@@ -86,11 +87,16 @@
         self.watches = WatchList()
         self.leaving = False
         self._in_flight = 0
+        self.membership = MembershipSystem(endpoints)
         self._placement = PlacementSystem(endpoints)
         self._budget = RetryBudget()
         self._pool = client_pool(tls)
         self._sidecars = SidecarClient(
-            self._pool, self.watches, file.process.fleet_key, self.timeline.clock
+            self._pool,
+            self.watches,
+            file.process.fleet_key,
+            self.timeline.clock,
+            self.membership,
         )
         self._random = random.Random()
         self._routes: dict[tuple[str, str], _Handler] = {
@@ -257,11 +263,20 @@
                 await self._tell_home(attempts.home, step.endpoint, envelope)
                 return None
             self.timeline.add("try_refused", request_id, refusal.code)
+            if refusal.code is RefusalCode.LEAVING:
+                self._avoid(step.endpoint)
             envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
             step = attempts.after(refusal, step.endpoint)
         assert isinstance(step, GiveUp)
         return step.refusal
 
+    def _avoid(self, endpoint: Endpoint) -> None:
+        """Ask a leaving endpoint last for some seconds; the host list says if it is for longer.
+
+        Its word does not hold for good here, since an operator may undo a drain.
+        """
+        endpoint.suspect_until_s = time.monotonic() + self.membership.limits.suspect_s
+
     def _attempts(self, query: PlacementQuery, request: CallerRequest) -> AttemptSystem:
         now_s = time.monotonic()
         candidates = self._placement.candidates(query, now_s)
--- a/src/beryljunction/entry/relays.py
+++ b/src/beryljunction/entry/relays.py
@@ -23,7 +23,6 @@
 # it. More tries would only keep the caller from its error.
 _MAX_FAILURES = 3
 _BACKOFF_S = 0.1
-_SUSPECT_S = 3.0
 _HOP_HEADERS = frozenset((b"connection", b"transfer-encoding", b"keep-alive"))
 
 
@@ -196,4 +195,4 @@
         return Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
 
     def _suspect(self) -> None:
-        self.endpoint.suspect_until_s = time.monotonic() + _SUSPECT_S
+        self._client.note_failure(self.endpoint)
--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -1,5 +1,6 @@
 """Sidecars as an entry calls them."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -7,6 +8,7 @@
 import anyio
 import httpcore
 
+from beryljunction.systems import MembershipSystem
 from beryljunction.tables import Endpoint
 from beryljunction.timeline import HLC_HEADER, HybridClock
 from beryljunction.watches import Watch, WatchList
@@ -64,11 +66,13 @@
         watches: WatchList,
         fleet_key: str,
         clock: HybridClock,
+        membership: MembershipSystem,
     ) -> None:
         self._pool = pool
         self._watches = watches
         self._key = (FLEET_KEY_HEADER, fleet_key.encode())
         self._clock = clock
+        self._membership = membership
 
     @asynccontextmanager
     async def run(
@@ -87,6 +91,10 @@
         async with self._open(endpoint, ATTACH_PATH, [], encode(attach), silence_s) as answer:
             yield answer
 
+    def note_failure(self, endpoint: Endpoint) -> None:
+        """Take in that nothing came through to a sidecar."""
+        self._membership.note_failure(endpoint.endpoint_id, time.monotonic())
+
     async def cancel(self, endpoint: Endpoint, cancel: Cancel) -> None:
         """Tell a sidecar that the caller hung up; a failure costs only the work."""
         await self.tell(endpoint, CANCEL_PATH, cancel)
@@ -127,5 +135,8 @@
                 answer = SidecarAnswer(response, watch)
                 self._clock.heard_stamp(answer.hlc)
                 watch.heard()
+                self._membership.note_answer(
+                    endpoint.endpoint_id, time.monotonic(), answer.incarnation
+                )
                 endpoint.incarnation = answer.incarnation or endpoint.incarnation
                 yield answer
--- a/src/beryljunction/local/files.py
+++ b/src/beryljunction/local/files.py
@@ -33,6 +33,7 @@
 
     kind: str
     listen: str
+    models: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -83,7 +84,8 @@
     def add_endpoint(self, number: int, service: str) -> None:
         """Write the file of a sidecar and plan the stand-in beside it."""
         endpoint_id = f"{service}-{number}"
-        standin = StandInEndpoint(self._view.services[service].kind, self._address())
+        settings = self._view.services[service]
+        standin = StandInEndpoint(settings.kind, self._address(), settings.models)
         process = self._process(f"host-{endpoint_id}", number)
         address = f"http://{standin.listen}"
         self._endpoints.append(standin)
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -72,8 +72,8 @@
 
     async def add_endpoint(self, endpoint_id: str, service: str) -> LocalEndpoint:
         """Start an endpoint with its sidecar and put it on the host list."""
-        kind = self.view.services[service].kind
-        app, server = await start_endpoint(self._group, kind, _FREE_PORT)
+        settings = self.view.services[service]
+        app, server = await start_endpoint(self._group, settings.kind, _FREE_PORT, settings.models)
         if isinstance(app, PlainStandIn):
             self.plain_services.append(app)
         process = await self._process(f"host-{endpoint_id}", len(self.endpoints))
--- a/src/beryljunction/local/standins.py
+++ b/src/beryljunction/local/standins.py
@@ -24,11 +24,12 @@
 
 
 async def start_endpoint(
-    group: anyio.abc.TaskGroup, kind: str, listen: str
+    group: anyio.abc.TaskGroup, kind: str, listen: str, models: tuple[str, ...] = ()
 ) -> tuple[EngineStandIn | PlainStandIn, Server]:
-    """Start an engine or a plain service within a task group."""
+    """Start an engine, which holds its models already, or a plain service."""
     app = EngineStandIn() if kind == _ENGINE else PlainStandIn()
     if isinstance(app, EngineStandIn):
+        app.orders.models = dict.fromkeys(models, "")
         await group.start(app.run)
     server = Server(app, bind(listen))
     await group.start(server.run_until_stopped)
@@ -48,7 +49,7 @@
         log_server = Server(LogStandIn(log), bind(file.log_listen))
         await group.start(log_server.run_until_stopped)
         for endpoint in file.endpoints:
-            await start_endpoint(group, endpoint.kind, endpoint.listen)
+            await start_endpoint(group, endpoint.kind, endpoint.listen, endpoint.models)
         print("stand-ins are up", flush=True)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
--- a/src/beryljunction/node/__init__.py
+++ b/src/beryljunction/node/__init__.py
@@ -3,7 +3,7 @@
 from beryljunction.node.client import Answers, OperatorClient
 from beryljunction.node.hosts import HostFollower, HostView
 from beryljunction.node.process import Node
-from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, SidecarRole
+from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, RoleTools, SidecarRole
 
 __all__ = [
     "Answers",
@@ -14,5 +14,6 @@
     "NodeRole",
     "NodeStatus",
     "OperatorClient",
+    "RoleTools",
     "SidecarRole",
 ]
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -1,5 +1,6 @@
 """The life of one process: listeners, host list, settings, and a stop that cuts nothing."""
 
+import contextlib
 import functools
 import signal
 import ssl
@@ -8,16 +9,17 @@
 
 import anyio
 import anyio.abc
+import httpcore
 
 from beryljunction.logs import EventLog
 from beryljunction.metrics import MeteredApp, Metrics
 from beryljunction.node.front import FleetFront
 from beryljunction.node.hosts import HostFollower
 from beryljunction.node.operator import operator_app
-from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, SidecarRole
+from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, RoleTools, SidecarRole
 from beryljunction.node.traffic import CountingBackend
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.platform import HostRow, HttpHostList, HttpLogClient
+from beryljunction.platform import HttpHostList, HttpLogClient
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool
 from beryljunction.settings import (
     SETTINGS_PATH,
@@ -35,39 +37,43 @@
 
 __all__ = ["Node"]
 
+_PLATFORM_POOLS = ("hosts", "log")
+_FLEET_POOLS = ("fleet", "peers")
+
 
 class Node:
     """One entry or sidecar with everything around it.
 
     Args:
-        make_role: Makes the role from the TLS context for calls to the fleet's processes.
+        kind: Class of the role, for what is to be known before the role is made.
+        make_role: Makes the role from the tools that it gets.
         view: Settings to start with, until those on the log are read.
     """
 
     def __init__(
         self,
         process: ProcessSettings,
-        make_role: Callable[[ssl.SSLContext | None], NodeRole],
-        is_mutual: bool,
+        kind: type[NodeRole],
+        make_role: Callable[[RoleTools], NodeRole],
         view: FleetView,
     ) -> None:
-        self._tls = TlsContexts(process.tls, is_mutual) if process.tls is not None else None
-        self.role = role = make_role(self._tls.client if self._tls is not None else None)
-        self.metrics = Metrics(role.name)
+        self._tls = TlsContexts(process.tls, kind.is_mutual) if process.tls is not None else None
+        self.metrics = Metrics(kind.name)
+        self.settings = SettingsReader(process.region)
         self.ended = anyio.Event()
         self._view = view
         self._leaving = False
+        self._newer_at = ""
         self._stopping = anyio.Event()
-        self._pools = {name: self._pool(name) for name in ("hosts", "log", "fleet")}
+        self._pools = {name: self._pool(name) for name in (*_PLATFORM_POOLS, *_FLEET_POOLS)}
+        self.role = role = make_role(self._tools())
         role.timeline.listen(EventLog(process.log_sample_ratio))
         role.timeline.listen(self.metrics.count_event)
         hosts = HttpHostList(self._pools["hosts"], process.hosts_address)
         self.hosts = HostFollower(hosts, role.take_hosts, role.timeline)
-        self.settings = SettingsReader(process.region)
         self._follower = self._settings_follower(process)
-        self.requests = Server(
-            self._front(process), bind(process.listen), self._tls.server if self._tls else None
-        )
+        server_tls = self._tls.server if self._tls is not None else None
+        self.requests = Server(self._front(process), bind(process.listen), server_tls)
         operator = operator_app(role.timeline, self.metrics, self.status, self.drain)
         self.operator = Server(operator, bind(process.operator_listen))
         self._add_gauges()
@@ -76,12 +82,13 @@
     def entry(cls, file: EntryFile, view: FleetView) -> "Node":
         """Return the process of an entry."""
         make = functools.partial(EntryRole, file, view)
-        return cls(file.process, make, EntryRole.is_mutual, view)
+        return cls(file.process, EntryRole, make, view)
 
     @classmethod
     def sidecar(cls, file: SidecarFile, view: FleetView) -> "Node":
         """Return the process of a sidecar."""
-        return cls(file.process, lambda _: SidecarRole(file, view), SidecarRole.is_mutual, view)
+        make = functools.partial(SidecarRole, file, view)
+        return cls(file.process, SidecarRole, make, view)
 
     def status(self) -> NodeStatus:
         """Return what the process says of itself."""
@@ -168,15 +175,33 @@
 
     async def _keep_pools(self, *, task_status: Any) -> None:
         """Close the pools when the process ends."""
-        async with self._pools["hosts"], self._pools["log"], self._pools["fleet"]:
+        async with contextlib.AsyncExitStack() as stack:
+            for pool in self._pools.values():
+                await stack.enter_async_context(pool)
             task_status.started()
             await anyio.sleep_forever()
 
-    def _pool(self, purpose: str) -> Any:
+    def _pool(self, purpose: str) -> httpcore.AsyncConnectionPool:
         """Return a pool whose traffic is counted as control; the platform's own has no TLS."""
         backend = CountingBackend(functools.partial(self.metrics.count_control, purpose))
-        is_fleet = purpose == "fleet" and self._tls is not None
-        return client_pool(self._tls.client if is_fleet and self._tls else None, backend)
+        return client_pool(self._client_tls if purpose in _FLEET_POOLS else None, backend)
+
+    @property
+    def _client_tls(self) -> ssl.SSLContext | None:
+        return self._tls.client if self._tls is not None else None
+
+    def _tools(self) -> RoleTools:
+        return RoleTools(
+            tls=self._client_tls,
+            fleet=self._pools["fleet"],
+            peers=self._pools["peers"],
+            settings_version=lambda: self.settings.version,
+            on_newer=self._note_newer,
+        )
+
+    def _note_newer(self, endpoint_id: str, version: int) -> None:
+        """Remember who has newer settings: while the log is down, that one is asked next."""
+        self._newer_at = endpoint_id
 
     def _settings_follower(self, process: ProcessSettings) -> SettingsFollower:
         peers = HttpPeers(
@@ -191,18 +216,18 @@
         self.role.timeline.add("settings_applied", detail=f"version={view.version}")
 
     def _peer_addresses(self) -> list[str]:
-        """Return the other sidecars that the list has; entries are not reached with a key."""
-        rows = self.hosts.view.rows.values()
-        return [row.address for row in rows if row.endpoint_id and not self._is_own(row)]
-
-    def _is_own(self, row: HostRow) -> bool:
-        return row.host == self.role.process.host
+        """Return the other sidecars on the list, or the one that is known to be ahead."""
+        rows = [row for row in self.hosts.view.rows.values() if row.endpoint_id]
+        ahead = [row.address for row in rows if row.endpoint_id == self._newer_at]
+        self._newer_at = ""
+        own = self.role.process.host
+        return ahead or [row.address for row in rows if row.host != own]
 
     def _front(self, process: ProcessSettings) -> Asgi:
         async def show_settings(scope: Scope, receive: Receive, send: Send) -> None:
             await answer_settings(self.settings, scope, send)
 
-        routes = {SETTINGS_PATH: show_settings}
+        routes = {SETTINGS_PATH: show_settings, **self.role.routes}
         metered = MeteredApp(self.role.app, self.metrics)
         return FleetFront(metered, process.fleet_key, routes, self._refusal, self._count_answer)
 
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -19,6 +19,7 @@
 
 __all__ = ["Admission", "AdmissionLimits", "AdmissionSystem", "Refuse", "Start", "Wait"]
 
+_PAUSED_RETRY_S = 1.0
 _SPILL_RETRY_S = 0.2
 _LEAST_RETRY_S = 0.2
 _MOST_RETRY_S = 30.0
@@ -86,7 +87,9 @@
 
     Attributes:
         weights: Weight of each client account; one for those not named.
-        leaving: Set for good when the endpoint is to get no new work.
+        leaving: Set when the endpoint is to get no new work.
+        paused: Why no new work is taken for a while; empty when it is taken. Other than a leaving
+            endpoint, one that loads a model will be back, so entries may ask again soon.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self.pointers = pointers if pointers is not None else PointerSystem()
         self.weights: dict[str, float] = {}
         self.leaving = False
+        self.paused = ""
         self._rng = rng if rng is not None else random.Random()
         self._drain = DrainMeter()
         self._expiry: list[tuple[float, str]] = []
@@ -128,6 +132,8 @@
         """Decide on a request that has just arrived."""
         if self.leaving:
             return self._refuse(work, RefusalCode.LEAVING, "the endpoint is leaving", None)
+        if self.paused:
+            return self._refuse(work, RefusalCode.OVERLOADED, self.paused, _PAUSED_RETRY_S)
         moved = self._moved(work, now_s)
         if moved is not None:
             return moved
--- a/src/beryljunction/systems/membership.py
+++ b/src/beryljunction/systems/membership.py
@@ -128,6 +128,14 @@
             self._of(endpoint_id).left_incarnation = incarnation or row.incarnation
             row.state = EndpointState.LEAVING
 
+    def note_replaced(self, endpoint_id: str, now_s: float) -> None:
+        """Take in that the host in the slot is another one; its sidecar has yet to name itself."""
+        row = self.endpoints.get(endpoint_id)
+        if row is not None:
+            self._of(endpoint_id).left_incarnation = None
+            row.state = EndpointState.LIVE
+            self._restarted(row, "", now_s)
+
     def tick(self, now_s: float) -> list[str]:
         """Let suspicions end and drop what was missing for too long; return the dropped ids."""
         dropped = []
@@ -158,6 +166,8 @@
         self._settle(row, now_s)
 
     def _new(self, listed: ListedEndpoint, now_s: float) -> Endpoint:
+        # An endpoint that left and was dropped comes back as a new one: its leaving is over.
+        self._of(listed.endpoint_id).left_incarnation = None
         row = Endpoint(
             listed.endpoint_id,
             listed.service,
--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -20,9 +20,10 @@
 from beryljunction.cli.timeline import timeline
 from beryljunction.errors import PlatformUnavailableError
 from beryljunction.local import DEMO_KEY, FleetPlan, StandInsFile, demo_view, write_files
-from beryljunction.node import HostFollower, HostView
+from beryljunction.node import EntryRole, HostFollower, HostView, RoleTools
 from beryljunction.platform import HostChanges, HostList, HostRow
-from beryljunction.settings import EntryFile, SidecarFile, load_file
+from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, load_file
+from beryljunction.tables import EndpointState
 from beryljunction.timeline import Timeline
 
 ROW = HostRow("host-a", "drafter-0", "drafter", "ahd-a", "gj-west", "127.0.0.1:1")
@@ -281,3 +282,29 @@
         assert asked == [0, 4, 4, 4]
         assert seen == [[ROW]]
         assert kinds.count("hosts_unavailable") == 1
+
+
+class TestEntryRole:
+    def entry(self):
+        process = ProcessSettings("e", "gj-west", "ahd-a", "", "", "key", "", "")
+        tools = RoleTools(None, None, None, lambda: 0, lambda name, version: None)
+        return EntryRole(EntryFile(process), FleetView(), tools)
+
+    def test_leaving_endpoint_is_live_again_when_its_host_was_replaced(self):
+        role = self.entry()
+        role.take_hosts([attrs.evolve(ROW, incarnation="1", state="leaving")])
+        leaving = role.endpoints.get("drafter-0").state
+
+        role.take_hosts([attrs.evolve(ROW, incarnation="2")])
+
+        assert leaving is EndpointState.LEAVING
+        assert role.endpoints.get("drafter-0").state is EndpointState.LIVE
+
+    def test_list_does_not_name_the_sidecar_incarnation_that_tickets_are_bound_to(self):
+        role = self.entry()
+        role.take_hosts([attrs.evolve(ROW, incarnation="platform-7")])
+        role.endpoints.get("drafter-0").incarnation = "sidecar-1"
+
+        role.take_hosts([attrs.evolve(ROW, incarnation="platform-7", address="127.0.0.1:2")])
+
+        assert role.endpoints.get("drafter-0").incarnation == "sidecar-1"
