--- a/src/beryljunction/entry/relays.py
+++ b/src/beryljunction/entry/relays.py
@@ -73,7 +73,6 @@
         self._attach = attach
         self._caller = caller
         self._silence_s = silence_s
-        self._sent_s = time.monotonic()
         self._failures = 0
         self._checker: SequenceChecker | None = None
 
@@ -126,8 +125,7 @@
 
     async def _attach_once(self) -> _Step:
         last = self._checker.last if self._checker is not None else self._attach.after
-        age_s = time.monotonic() - self._sent_s
-        attach = attrs.evolve(self._attach, after=last, age_s=age_s)
+        attach = attrs.evolve(self._attach, after=last)
         try:
             return await self._read(self._client.attach(self.endpoint, attach, self._silence_s))
         except NOT_CONNECTED:
@@ -152,8 +150,8 @@
         return self._checker.last if self._checker is not None else 0
 
     async def _take(self, answer: SidecarAnswer) -> _Step:
-        if answer.outcome is Outcome.STREAM:
-            return await self._take_stream(answer)
+        if answer.outcome is Outcome.STREAM and answer.name is not None:
+            return await self._take_stream(answer, answer.name)
         if answer.outcome is None:
             return _Again(failed=True)
         body = await answer.response.aread()
@@ -164,8 +162,8 @@
             return _Whole(answer.response.status, headers, body)
         return _Again(failed=False)
 
-    async def _take_stream(self, answer: SidecarAnswer) -> _Step:
-        checker = await self._open_stream(answer)
+    async def _take_stream(self, answer: SidecarAnswer, name: StreamName) -> _Step:
+        checker = await self._open_stream(name)
         watch = answer.watch
         async for chunk in answer.response.aiter_stream():
             data = checker.feed(chunk)
@@ -181,11 +179,9 @@
             return _StreamEnd(refusal_from_body(checker.error))
         return _Again(failed=True)
 
-    async def _open_stream(self, answer: SidecarAnswer) -> SequenceChecker:
+    async def _open_stream(self, name: StreamName) -> SequenceChecker:
         if self._checker is None:
-            attach = self._attach
-            name = StreamName(self.endpoint.endpoint_id, answer.incarnation, attach.request_id)
-            self._checker = SequenceChecker(name, attach.after)
+            self._checker = SequenceChecker(name, self._attach.after)
             await self._caller.open_stream(name)
         else:
             self._checker.restart()
--- /dev/null
+++ b/src/beryljunction/entry/router.py
@@ -0,0 +1,223 @@
+"""Brings a checked request to an endpoint: candidates, tries, tickets."""
+
+import random
+import time
+
+import attrs
+
+from beryljunction.entry.callers import CallerRequest
+from beryljunction.entry.exchanges import Exchange
+from beryljunction.entry.relays import Relay
+from beryljunction.entry.sidecars import SidecarClient
+from beryljunction.entry.writers import ROUTE_HINT_HEADER, TICKET_HEADER
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.settings import FleetView
+from beryljunction.systems import (
+    AttemptSystem,
+    GiveUp,
+    PlacementQuery,
+    PlacementSystem,
+    RetryBudget,
+    TicketMint,
+    Try,
+    chat_key_of,
+)
+from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, TicketStep
+from beryljunction.tables import Endpoint, EndpointTable
+from beryljunction.timeline import Timeline
+from beryljunction.wire import Attach, Envelope
+
+__all__ = ["Router"]
+
+# A ticket's life counts from its stamp. One that is minted on an old stamp would expire early and
+# leave its caller with "unknown", so the sidecar is asked for a new one instead.
+_FRESH_STAMP_S = 60.0
+# Stamps that go along for successors: as many as a chain of tickets may be long.
+_MOST_CANDIDATES = 4
+
+
+class Router:
+    """Walks requests through their candidates.
+
+    Attributes:
+        view: Settings in force.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        endpoints: EndpointTable,
+        sidecars: SidecarClient,
+        timeline: Timeline,
+        availability_zone: str,
+        fleet_key: bytes,
+    ) -> None:
+        self.view = view
+        self._endpoints = endpoints
+        self._sidecars = sidecars
+        self._timeline = timeline
+        self._zone = availability_zone
+        self._mint = TicketMint(fleet_key)
+        self._placement = PlacementSystem(endpoints)
+        self._budget = RetryBudget()
+        self._random = random.Random()
+
+    async def route(self, exchange: Exchange, request: CallerRequest) -> Refusal | None:
+        """Bring the request to an endpoint; None when the caller has its answer."""
+        self._timeline.add("arrived", exchange.caller.request_id, request.service)
+        chat_key = chat_key_of(exchange.account, request.chat_id) if request.chat_id else None
+        envelope = self._envelope(exchange, request, chat_key)
+        candidates = self.candidates(exchange, request, chat_key)
+        ticket = exchange.header(TICKET_HEADER)
+        if request.idempotent and ticket is None:
+            return await self._route_freely(exchange, envelope, request.body, candidates)
+        envelope = attrs.evolve(envelope, idempotent=False)
+        return await self._route_once(exchange, envelope, request.body, candidates, ticket)
+
+    def candidates(
+        self, exchange: Exchange, request: CallerRequest, chat_key: int | None
+    ) -> list[Endpoint]:
+        """Return the endpoints to try, best first."""
+        query = PlacementQuery(
+            request.service,
+            chat_key if chat_key is not None else self._random.getrandbits(64),
+            self._zone,
+            prefer_zone=self.view.services[request.service].kind == "plain",
+            hint=exchange.header(ROUTE_HINT_HEADER),
+        )
+        return self._placement.candidates(query, time.monotonic())
+
+    async def fetch_ticket(self, service: str, account: str) -> str | Refusal:
+        """Return a ticket of one of the service's sidecars."""
+        query = PlacementQuery(service, self._random.getrandbits(64), self._zone)
+        for endpoint in self._placement.candidates(query, time.monotonic())[:_MOST_CANDIDATES]:
+            ticket = await self._sidecars.ticket(endpoint, account)
+            if ticket is not None:
+                return ticket
+        message = "expected a sidecar that gives tickets, found none; retry later"
+        return Refusal(RefusalCode.NO_ENDPOINT, message, Ran.NO, 1.0)
+
+    async def _route_freely(
+        self, exchange: Exchange, envelope: Envelope, body: bytes, candidates: list[Endpoint]
+    ) -> Refusal | None:
+        """Walk the candidates with a request that may run again after a failure."""
+        attempts = AttemptSystem(candidates, self._budget, envelope.idempotent)
+        step = attempts.first()
+        while isinstance(step, Try):
+            offer = attrs.evolve(envelope, warm=step.warm, last_resort=step.last_resort)
+            refusal = await self._try(exchange, step.endpoint, offer, body)
+            if refusal is None:
+                self._budget.earn()
+                return None
+            envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
+            step = attempts.after(refusal)
+        assert isinstance(step, GiveUp)
+        return step.refusal
+
+    async def _route_once(
+        self,
+        exchange: Exchange,
+        envelope: Envelope,
+        body: bytes,
+        candidates: list[Endpoint],
+        ticket: str | None,
+    ) -> Refusal | None:
+        """Walk a chain of tickets with a request that may not run twice."""
+        attempts = TicketAttempts(candidates, ticket)
+        step = attempts.first()
+        while not isinstance(step, GiveUp):
+            ticket = await self._ticket_for(step, envelope.account)
+            refusal = await self._try_ticket(exchange, envelope, body, candidates, ticket)
+            if refusal is None:
+                return None
+            envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
+            step = attempts.after(refusal, ticket)
+        return step.refusal
+
+    async def _ticket_for(self, step: TicketStep, account: str) -> str | None:
+        if isinstance(step, Mint):
+            heard = self._sidecars.heard(step.endpoint)
+            if heard is None or heard.age_s > _FRESH_STAMP_S:
+                return await self._sidecars.ticket(step.endpoint, account)
+            return self._mint.mint(heard.stamp, account)
+        assert not isinstance(step, GiveUp)
+        return step.ticket
+
+    async def _try_ticket(
+        self,
+        exchange: Exchange,
+        envelope: Envelope,
+        body: bytes,
+        candidates: list[Endpoint],
+        ticket: str | None,
+    ) -> Refusal | None:
+        endpoint = self._endpoint_of(ticket, envelope.service)
+        if isinstance(endpoint, Refusal):
+            return endpoint
+        others = [row for row in candidates if row is not endpoint]
+        stamps = [heard.stamp for row in others if (heard := self._sidecars.heard(row))]
+        offer = attrs.evolve(
+            envelope,
+            ticket=ticket,
+            last_resort=not stamps,
+            candidates=tuple(stamp.to_text() for stamp in stamps[:_MOST_CANDIDATES]),
+        )
+        assert ticket is not None
+        exchange.caller.put(TICKET_HEADER, ticket.encode())
+        return await self._try(exchange, endpoint, offer, body)
+
+    def _endpoint_of(self, ticket: str | None, service: str) -> Endpoint | Refusal:
+        """Return the endpoint whose sidecar the ticket is bound to."""
+        if ticket is None:
+            message = "the endpoint's sidecar gave no ticket"
+            return Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.NO, 1.0)
+        read = self._mint.read(ticket)
+        if read is None:
+            message = "expected a ticket as POST /v1/tickets gives it"
+            return Refusal(RefusalCode.TICKET_INVALID, message, Ran.NO)
+        endpoint = self._endpoints.get(read.stamp.endpoint_id)
+        if endpoint is None:
+            message = "the endpoint of this ticket is gone; look up the outcome before asking again"
+            return Refusal(RefusalCode.TICKET_INVALID, message, Ran.UNKNOWN)
+        if endpoint.service != service:
+            message = f"expected a ticket for {service!r}, got one for {endpoint.service!r}"
+            return Refusal(RefusalCode.TICKET_INVALID, message, Ran.NO)
+        return endpoint
+
+    async def _try(
+        self, exchange: Exchange, endpoint: Endpoint, envelope: Envelope, body: bytes
+    ) -> Refusal | None:
+        caller = exchange.caller
+        heard = self._sidecars.heard(endpoint)
+        # What was heard before a byte went out: only the incarnation that got it can prove "no".
+        stamp = heard.stamp.to_text() if heard is not None else ""
+        attach = Attach(
+            envelope.request_id, envelope.account, heard=stamp, attempt=envelope.attempt
+        )
+        age_s = heard.age_s if heard is not None else 0.0
+        envelope = attrs.evolve(envelope, heard=stamp, heard_age_s=age_s)
+        silence_s = self.view.services[envelope.service].silence_s
+        caller.put(ROUTE_HINT_HEADER, endpoint.endpoint_id.encode())
+        exchange.relay = Relay(self._sidecars, endpoint, attach, caller, silence_s)
+        refusal = await exchange.relay.run(envelope, body)
+        if refusal is not None:
+            self._timeline.add("try_refused", envelope.request_id, refusal.code)
+        return refusal
+
+    def _envelope(
+        self, exchange: Exchange, request: CallerRequest, chat_key: int | None
+    ) -> Envelope:
+        return Envelope(
+            request_id=exchange.caller.request_id,
+            account=exchange.account,
+            service=request.service,
+            wait_s=self.view.services[request.service].deadline_s,
+            chat_key=chat_key,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            idempotent=request.idempotent,
+            streamed=request.streamed,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+        )
--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -5,26 +5,34 @@
 from typing import Any
 
 import anyio
+import attrs
 import httpcore
 
-from beryljunction.tables import Endpoint
+from beryljunction.clocks import boot_time_s
+from beryljunction.streams import StreamName
+from beryljunction.tables import Endpoint, Stamp
 from beryljunction.watches import Watch, WatchList
 from beryljunction.wire import (
     ATTACH_PATH,
     CANCEL_PATH,
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
-    INCARNATION_HEADER,
     OUTCOME_HEADER,
     RUN_PATH,
+    STAMP_HEADER,
+    STREAM_HEADER,
+    TICKET_PATH,
     Attach,
     Cancel,
     Envelope,
     Outcome,
+    TicketGrant,
+    TicketWish,
+    decode,
     encode,
 )
 
-__all__ = ["BROKEN", "NOT_CONNECTED", "SidecarAnswer", "SidecarClient"]
+__all__ = ["BROKEN", "NOT_CONNECTED", "Heard", "SidecarAnswer", "SidecarClient"]
 
 # A connection inside a region takes some milliseconds; a host that is gone answers nothing, and
 # each tenth of a second spent on it is taken from the caller's first token.
@@ -36,18 +44,33 @@
 BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
+@attrs.frozen
+class Heard:
+    """A stamp of a sidecar and when it was heard, by this host's boot time."""
+
+    stamp: Stamp
+    heard_s: float
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since then."""
+        return boot_time_s() - self.heard_s
+
+
 class SidecarAnswer:
     """The answer of a sidecar while its connection is open.
 
     Attributes:
         outcome: What the answer is; None when it was not written by a sidecar's handler.
-        incarnation: The incarnation that speaks.
+        stamp: Name and time of the sidecar that speaks.
+        name: Name of the stream, for the frames of a stream.
     """
 
     def __init__(self, response: httpcore.Response, watch: Watch) -> None:
         headers = dict(response.headers)
         self.outcome = _OUTCOMES.get(headers.get(OUTCOME_HEADER, b""))
-        self.incarnation = headers.get(INCARNATION_HEADER, b"").decode("latin-1")
+        self.stamp = Stamp.from_text(headers.get(STAMP_HEADER, b"").decode("latin-1"))
+        self.name = StreamName.parse(headers.get(STREAM_HEADER, b"").decode("latin-1"))
         self.response = response
         self.watch = watch
 
@@ -60,6 +83,7 @@
     ) -> None:
         self._pool = pool
         self._watches = watches
+        self._heard: dict[str, Heard] = {}
         self._key = (FLEET_KEY_HEADER, fleet_key.encode())
 
     @asynccontextmanager
@@ -79,6 +103,22 @@
         async with self._open(endpoint, ATTACH_PATH, [], encode(attach), silence_s) as answer:
             yield answer
 
+    async def ticket(self, endpoint: Endpoint, account: str) -> str | None:
+        """Fetch a ticket; None when the sidecar gave none. Asking again is harmless."""
+        body = await self.tell(endpoint, TICKET_PATH, TicketWish(account))
+        try:
+            return None if body is None else decode(body, TicketGrant).ticket
+        except ValueError:
+            return None
+
+    def heard(self, endpoint: Endpoint) -> Heard | None:
+        """Return what was heard last of an endpoint's sidecar."""
+        return self._heard.get(endpoint.endpoint_id)
+
+    def _hear(self, endpoint: Endpoint, stamp: Stamp | None) -> None:
+        if stamp is not None and stamp.endpoint_id == endpoint.endpoint_id:
+            self._heard[endpoint.endpoint_id] = Heard(stamp, boot_time_s())
+
     async def cancel(self, endpoint: Endpoint, cancel: Cancel) -> None:
         """Tell a sidecar that the caller hung up; a failure costs only the work."""
         await self.tell(endpoint, CANCEL_PATH, cancel)
@@ -114,5 +154,5 @@
             ) as response:
                 answer = SidecarAnswer(response, watch)
                 watch.heard()
-                endpoint.incarnation = answer.incarnation or endpoint.incarnation
+                self._hear(endpoint, answer.stamp)
                 yield answer
--- a/src/beryljunction/entry/writers.py
+++ b/src/beryljunction/entry/writers.py
@@ -5,12 +5,12 @@
 from beryljunction.outcomes import Refusal, RefusalCode
 from beryljunction.servers import Send, respond
 from beryljunction.streams import StreamName, error_event
-from beryljunction.wire import REQUEST_ID_HEADER, refusal_body
+from beryljunction.wire import REQUEST_ID_HEADER, STREAM_HEADER, refusal_body
 
-__all__ = ["ROUTE_HINT_HEADER", "STREAM_HEADER", "CallerWriter"]
+__all__ = ["ROUTE_HINT_HEADER", "TICKET_HEADER", "CallerWriter"]
 
 ROUTE_HINT_HEADER = b"beryl-route-hint"
-STREAM_HEADER = b"beryl-stream-id"
+TICKET_HEADER = b"beryl-ticket"
 _STATUS = {
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.UNAUTHENTICATED: 401,
@@ -36,14 +36,17 @@
     Attributes:
         streaming: Whether the head of a stream was written; only an event can tell an error then.
         complete: Whether the answer has ended; the caller's hang-up means nothing after that.
-        extra: Headers that every answer carries besides the request id.
     """
 
     _send: Send
     request_id: str
     streaming: bool = False
     complete: bool = False
-    extra: list[tuple[bytes, bytes]] = attrs.field(factory=list)
+    _extra: dict[bytes, bytes] = attrs.field(factory=dict)
+
+    def put(self, name: bytes, value: bytes) -> None:
+        """Add a header to whatever answer follows."""
+        self._extra[name] = value
 
     async def refuse(self, refusal: Refusal) -> None:
         """End with an error: a typed body, or an event in an open stream."""
@@ -92,4 +95,4 @@
         self.complete = True
 
     def _own_headers(self) -> list[tuple[bytes, bytes]]:
-        return [(REQUEST_ID_HEADER, self.request_id.encode()), *self.extra]
+        return [(REQUEST_ID_HEADER, self.request_id.encode()), *self._extra.items()]
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -9,17 +9,32 @@
 import anyio.abc
 import attrs
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.servers import Receive, Scope, Send, client_pool, read_body
 from beryljunction.settings import FleetView, ServiceSettings, SidecarFile
 from beryljunction.sidecar.endpoint import EndpointClient
-from beryljunction.sidecar.readers import serve_reader
+from beryljunction.sidecar.ledger import RunLedger
+from beryljunction.sidecar.readers import Place, serve_reader
 from beryljunction.sidecar.runs import Run, RunTable
 from beryljunction.sidecar.writers import Writer
 from beryljunction.stops import Stoppable
 from beryljunction.streams import FrameLog, StreamName
-from beryljunction.systems import AdmissionLimits, AdmissionSystem, Refuse
-from beryljunction.tables import Work
+from beryljunction.systems import (
+    AdmissionLimits,
+    AdmissionSystem,
+    AlreadyRunning,
+    Arrival,
+    Asked,
+    Refuse,
+    Replay,
+    TicketLedger,
+    TicketMint,
+    TombstoneSystem,
+    claim_refusal,
+)
+from beryljunction.systems import Run as Claimed
+from beryljunction.tables import Answer, Stamp, Work
 from beryljunction.timeline import Timeline
 from beryljunction.watches import WatchList
 from beryljunction.wire import (
@@ -30,11 +45,14 @@
     FLEET_KEY_HEADER,
     RUN_PATH,
     STATUS_PATH,
+    TICKET_PATH,
     Attach,
     Cancel,
     Drain,
     Envelope,
     SidecarStatus,
+    TicketGrant,
+    TicketWish,
     decode,
     encode,
 )
@@ -43,6 +61,14 @@
 
 _TICK_S = 0.05
 _CONTROL_BYTES = 262_144
+_LATE = "this try arrived after its sender was told that it did not run; it will not run"
+_NOT_TAKEN = {
+    Arrival.BURIED: Refusal(RefusalCode.CANCELLED, _LATE, Ran.NO),
+    Arrival.CLOSED: Refusal(RefusalCode.OVERLOADED, "too many requests; ask again", Ran.NO, 1.0),
+    Arrival.TOO_OLD: Refusal(
+        RefusalCode.OUTCOME_UNKNOWN, "arrived too late to tell whether it was here", Ran.UNKNOWN
+    ),
+}
 
 
 @attrs.frozen
@@ -76,6 +102,12 @@
     ) -> None:
         self.file = file
         self.incarnation = uuid.uuid4().hex[:12]
+        started_s = boot_time_s()
+        name = (file.endpoint_id, self.incarnation, started_s)
+        mint = TicketMint(file.process.fleet_key.encode())
+        self.tickets = TicketLedger(mint, *name)
+        self.tombstones = TombstoneSystem(*name)
+        self._ledger = RunLedger(self.tickets)
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
         self.admission = AdmissionSystem(AdmissionLimits())
         self.runs = RunTable()
@@ -90,6 +122,7 @@
             CANCEL_PATH: self._handle_cancel,
             DRAIN_PATH: self._handle_drain,
             STATUS_PATH: self._handle_status,
+            TICKET_PATH: self._handle_ticket,
             **(routes or {}),
         }
         self.apply(view)
@@ -125,7 +158,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of another process of the fleet."""
         headers = dict(scope["headers"])
-        writer = Writer(send, self.incarnation)
+        writer = Writer(send, self.tombstones.stamp(boot_time_s()))
         handler = self.routes.get(scope["path"])
         if not hmac.compare_digest(headers.get(FLEET_KEY_HEADER, b""), self._fleet_key):
             refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
@@ -170,25 +203,61 @@
             refusal = Refusal(RefusalCode.TOO_LARGE, message, Ran.NO)
             await call.writer.refuse(refusal, envelope.request_id)
             return
-        run = self._admit(envelope, body)
-        if isinstance(run, Refusal):
-            self.timeline.add("refused", envelope.request_id, run.code)
-            await call.writer.refuse(run, envelope.request_id)
-            return
-        await serve_reader(run, 0, self._pending_s, call.receive, call.writer)
-
-    def _admit(self, envelope: Envelope, body: bytes) -> Run | Refusal:
-        """Return the run to read, a new one or one that is under way already, or a refusal."""
-        if self.runs.is_buried(envelope.request_id, envelope.attempt):
-            message = "this try arrived after its sender was told that it did not run"
-            return Refusal(RefusalCode.CANCELLED, message, Ran.NO)
+        found = self._accept(envelope, body)
+        if isinstance(found, Refusal):
+            self.timeline.add("refused", envelope.request_id, found.code)
+            await call.writer.refuse(found, envelope.request_id)
+        elif isinstance(found, Answer):
+            self.timeline.add("replayed", envelope.request_id)
+            await call.writer.answer(found)
+        else:
+            place = Place(envelope.request_id, 0, self._pending_s)
+            await serve_reader(found, self._name(found), place, call.receive, call.writer)
+
+    def _accept(self, envelope: Envelope, body: bytes) -> Run | Answer | Refusal:
+        """Return the run to read, a new one or one under way already, an answer or a refusal."""
+        heard = Stamp.from_text(envelope.heard)
+        arrival = self.tombstones.arrive(_try_id(envelope), heard, boot_time_s())
+        if arrival in _NOT_TAKEN:
+            return _NOT_TAKEN[arrival]
         known = self.runs.get(envelope.request_id)
         if known is not None:
             return known
-        decision = self.admission.offer(_work_of(envelope), time.monotonic())
+        if arrival is Arrival.DUPLICATE and envelope.ticket is None:
+            message = "this try was here before and its answer is no longer kept"
+            return Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
+        if envelope.idempotent:
+            return self._admit(Run(envelope, body, FrameLog(self._log_bytes(envelope))))
+        return self._accept_once(envelope, body)
+
+    def _accept_once(self, envelope: Envelope, body: bytes) -> Run | Answer | Refusal:
+        """Go by the ledger: a request that may not be repeated runs under a ticket, once."""
+        claim = self._ledger.claim(envelope, body)
+        if isinstance(claim, Replay) and claim.answer is not None:
+            return claim.answer
+        if isinstance(claim, AlreadyRunning):
+            return self._join(claim, envelope)
+        if isinstance(claim, Claimed):
+            run = Run(envelope, body, FrameLog(self._log_bytes(envelope)), serial=claim.serial)
+            return self._admit(run)
+        refusal = claim_refusal(claim)
+        assert refusal is not None
+        return refusal
+
+    def _join(self, claim: AlreadyRunning, envelope: Envelope) -> Run | Refusal:
+        run = self.runs.get(claim.request_id)
+        if run is None:
+            message = "the request runs here, and its run can't be read; ask again"
+            return Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN, 1.0)
+        self.runs.join(run, envelope.request_id)
+        return run
+
+    def _admit(self, run: Run) -> Run | Refusal:
+        decision = self.admission.offer(_work_of(run.envelope), time.monotonic())
         if isinstance(decision, Refuse):
-            return decision.refusal
-        run = Run(envelope, body, FrameLog(self._log_bytes(envelope)))
+            if run.serial is None:
+                return decision.refusal
+            return self._ledger.burn(run.serial, run.envelope, decision.refusal)
         self.runs.add(run)
         assert self._group is not None
         self._group.start_soon(self._execute, run)
@@ -212,22 +281,17 @@
             await call.writer.refuse(self._not_here(attach), attach.request_id)
             return
         self.timeline.add("attached", attach.request_id, str(attach.after))
-        await serve_reader(run, attach.after, self._pending_s, call.receive, call.writer)
+        place = Place(attach.request_id, attach.after, self._pending_s, alone=attach.resume)
+        await serve_reader(run, self._name(run), place, call.receive, call.writer)
 
     def _not_here(self, attach: Attach) -> Refusal:
-        """Answer for a run that is not known, truthfully.
-
-        A request that this incarnation has never seen did not run, and won't: the tombstone meets
-        a late arrival. Of what another incarnation did nothing is known, nor of a run that ended
-        and is no longer kept.
-        """
+        """Answer truthfully for a run that is not known: "not run" only with a tombstone."""
         if attach.resume:
             message = "expected a stream that is still kept; it ended, or never was here"
             return Refusal(RefusalCode.NOT_FOUND, message, Ran.UNKNOWN)
-        now_s = time.monotonic()
-        absent = self.runs.never_came(attach.request_id, now_s - attach.age_s)
-        buried = absent and self.runs.bury(attach.request_id, attach.attempt, now_s)
-        if buried and attach.incarnation == self.incarnation:
+        heard = Stamp.from_text(attach.heard)
+        asked = self.tombstones.ask(_try_id(attach), heard, boot_time_s())
+        if asked is Asked.NOT_RUN:
             message = "the request never arrived here and will be refused if it does"
             return Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.NO)
         message = "the sidecar that was given the request is gone or has forgotten it"
@@ -241,7 +305,8 @@
             return
         run = self.runs.get(cancel.request_id)
         if run is None:
-            self.runs.bury(cancel.request_id, cancel.attempt, time.monotonic())
+            stamp = self.tombstones.stamp(boot_time_s())
+            self.tombstones.ask(_try_id(cancel), stamp, boot_time_s())
         elif run.envelope.account == cancel.account and run.ended_s is None:
             self._hang_up(run)
         await call.writer.done()
@@ -252,6 +317,15 @@
         if run.may_be_cut and not run.envelope.streamed:
             run.scope.cancel()
 
+    async def _handle_ticket(self, call: Call) -> None:
+        try:
+            wish = decode(await call.body(), TicketWish)
+        except ValueError as error:
+            await call.writer.refuse(Refusal(RefusalCode.BAD_REQUEST, str(error), Ran.NO), "")
+            return
+        ticket = self.tickets.mint(wish.account, boot_time_s())
+        await call.writer.done(encode(TicketGrant(ticket)))
+
     async def _handle_drain(self, call: Call) -> None:
         try:
             drain = decode(await call.body(), Drain)
@@ -292,29 +366,37 @@
         while True:
             await anyio.sleep(self._service.heartbeat_s)
             for run in self.runs:
-                if run.reader is not None and run.streaming:
-                    run.reader.beat_if_quiet(run.changed)
+                for reader in run.readers if run.streaming else ():
+                    reader.beat_if_quiet(run.changed)
             for run in self.runs.expire(time.monotonic(), self._service.resume_s):
                 run.scope.cancel()
 
     async def _execute(self, run: Run) -> None:
         request_id = run.envelope.request_id
+        started = False
         try:
             with run.scope:
                 await run.decided.wait()
-                if run.refusal is None:
+                started = run.refusal is None and self._ledger.start(run)
+                if started:
                     self.timeline.add("started", request_id)
-                    await self._endpoint.carry(run, self._name(request_id))
+                    await self._endpoint.carry(run, self._name(run))
             if run.scope.cancelled_caught and run.ran is not Ran.NO:
                 await self._endpoint.cancel(request_id)
         finally:
             self.timeline.add("ended", request_id)
             self.admission.finish(request_id)
+            self._ledger.close(run, started)
             run.end(time.monotonic())
             self._tick()
 
-    def _name(self, request_id: str) -> StreamName:
-        return StreamName(self.file.endpoint_id, self.incarnation, request_id)
+    def _name(self, run: Run) -> StreamName:
+        return StreamName(self.file.endpoint_id, self.incarnation, run.envelope.request_id)
+
+
+def _try_id(message: Envelope | Attach | Cancel) -> str:
+    """Name one try; a tombstone stops that one, not those that follow."""
+    return f"{message.request_id}/{message.attempt}"
 
 
 def _work_of(envelope: Envelope) -> Work:
--- a/src/beryljunction/sidecar/endpoint.py
+++ b/src/beryljunction/sidecar/endpoint.py
@@ -7,8 +7,9 @@
 import httpcore
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.sidecar.runs import Answer, Run
+from beryljunction.sidecar.runs import Run
 from beryljunction.streams import FrameCutter, FrameNumberer, StreamName
+from beryljunction.tables import Answer
 from beryljunction.watches import Watch, WatchList
 
 __all__ = ["EndpointClient"]
@@ -120,8 +121,7 @@
                 return
             parts.append(part)
         headers = [(k, v) for k, v in response.headers if k.lower() not in _HOP_HEADERS]
-        headers.append((b"content-length", b"%d" % size))
-        run.answer = Answer(response.status, headers, b"".join(parts))
+        run.answer = Answer(response.status, tuple(headers), b"".join(parts))
 
     async def _take_frames(
         self, run: Run, response: httpcore.Response, numberer: FrameNumberer, watch: Watch
--- /dev/null
+++ b/src/beryljunction/sidecar/ledger.py
@@ -0,0 +1,90 @@
+"""Runs under tickets: each ticket runs at most once, whatever its callers and the network do."""
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.sidecar.runs import Run
+from beryljunction.systems import Ask, Claim, TicketLedger, body_digest
+from beryljunction.tables import Answer, Stamp
+from beryljunction.wire import Envelope
+
+__all__ = ["RunLedger"]
+
+_STREAM_HEADERS = ((b"content-type", b"text/event-stream"),)
+
+
+class RunLedger:
+    """Keeps the ticket ledger in step with the runs of this sidecar.
+
+    A run claims its ticket before it is admitted, starts it just before the first byte goes to the
+    endpoint, and closes it with its answer or failure. Work that does not start burns its ticket,
+    and its refusal names the one successor under which it may go on elsewhere.
+    """
+
+    def __init__(self, ledger: TicketLedger) -> None:
+        self._ledger = ledger
+
+    def claim(self, envelope: Envelope, body: bytes) -> Claim:
+        """Ask the ledger about a request that has just arrived."""
+        ask = Ask(
+            envelope.account,
+            body_digest(envelope.method.encode(), envelope.path.encode(), body),
+            envelope.request_id,
+            envelope.wait_s,
+            Stamp.from_text(envelope.heard),
+            envelope.heard_age_s,
+            _candidates(envelope),
+        )
+        return self._ledger.claim(envelope.ticket or "", ask, boot_time_s())
+
+    def burn(self, serial: str, envelope: Envelope, refusal: Refusal) -> Refusal:
+        """Give up a ticket that has not started; returns the refusal with its successor."""
+        burned = self._ledger.burn(serial, envelope.account, _candidates(envelope))
+        return Refusal(
+            refusal.code,
+            refusal.message,
+            Ran.NO,
+            refusal.retry_after_s,
+            successor=burned.successor,
+            pointer=refusal.pointer,
+        )
+
+    def start(self, run: Run) -> bool:
+        """Mark a run's ticket as running; False when it is too late for a start."""
+        if run.serial is None or self._ledger.start(run.serial, boot_time_s()):
+            return True
+        message = "its caller has been told that the outcome is unknown; it will not run"
+        run.refusal = Refusal(RefusalCode.DEADLINE, message, Ran.NO)
+        return False
+
+    def close(self, run: Run, started: bool) -> None:
+        """Remember how a run ended; one that proved not to have run goes on elsewhere."""
+        if run.serial is None:
+            return
+        if not started:
+            refusal = run.refusal or Refusal(RefusalCode.CANCELLED, "cancelled", Ran.NO)
+            run.refusal = self.burn(run.serial, run.envelope, refusal)
+        elif run.answer is not None:
+            self._ledger.finish(run.serial, run.answer)
+        elif run.complete:
+            self._ledger.finish(run.serial, _stream_answer(run))
+        else:
+            self._fail(run, run.serial)
+
+    def _fail(self, run: Run, serial: str) -> None:
+        message = "the run ended without an answer"
+        refusal = run.refusal or Refusal(RefusalCode.ENDPOINT_FAILED, message, run.ran)
+        self._ledger.fail(serial, refusal)
+        if refusal.ran is Ran.NO:
+            run.refusal = self.burn(serial, run.envelope, refusal)
+
+
+def _candidates(envelope: Envelope) -> tuple[Stamp, ...]:
+    stamps = (Stamp.from_text(text) for text in envelope.candidates)
+    return tuple(stamp for stamp in stamps if stamp is not None)
+
+
+def _stream_answer(run: Run) -> Answer | None:
+    """Return a stream as one answer for retries; None when its head is not kept any more."""
+    if not run.log.reaches(0):
+        return None
+    return Answer(200, _STREAM_HEADERS, run.log.after(0))
--- a/src/beryljunction/sidecar/readers.py
+++ b/src/beryljunction/sidecar/readers.py
@@ -8,63 +8,79 @@
 import time
 
 import anyio
+import attrs
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.servers import Receive, wait_disconnect
 from beryljunction.sidecar.runs import Reader, Run
 from beryljunction.sidecar.writers import Writer
-from beryljunction.streams import HEARTBEAT, error_event
+from beryljunction.streams import HEARTBEAT, StreamName, error_event
 from beryljunction.wire import refusal_body
 
-__all__ = ["serve_reader"]
+__all__ = ["Place", "serve_reader"]
+
+
+@attrs.frozen
+class Place:
+    """Who reads a run, and from where on.
+
+    Attributes:
+        request_id: The reader's own request; it has one connection at a time.
+        after: Sequence of the last frame that the reader has.
+        pending_s: Time after which it is told to ask again when there is nothing to read.
+        alone: Whether all other connections to the run are given up.
+    """
+
+    request_id: str
+    after: int
+    pending_s: float
+    alone: bool = False
 
 
 async def serve_reader(
-    run: Run, after: int, pending_s: float, receive: Receive, writer: Writer
+    run: Run, name: StreamName, place: Place, receive: Receive, writer: Writer
 ) -> None:
     """Write the answer from a sequence on, until it ends or the connection does.
 
     Args:
-        run: The run to read; an earlier reader of it is given up.
-        after: Sequence of the last frame that the reader has.
+        run: The run to read.
+        name: Name of the run's stream.
+        place: Who reads, and from where on.
         receive: Tells when the connection has ended.
         writer: Where the answer goes.
-        pending_s: Time after which a reader is told to ask again when there is nothing to read.
     """
     async with anyio.create_task_group() as group:
-        reader = Reader(group.cancel_scope)
-        run.take_reader(reader)
+        reader = Reader(place.request_id, group.cancel_scope)
+        run.take_reader(reader, place.alone)
         try:
             group.start_soon(wait_disconnect, receive, group.cancel_scope)
-            await _write(run, reader, after, pending_s, writer)
+            await _write(run, reader, name, place, writer)
         finally:
             run.drop_reader(reader, time.monotonic())
         group.cancel_scope.cancel()
 
 
-async def _write(run: Run, reader: Reader, after: int, pending_s: float, writer: Writer) -> None:
-    request_id = run.envelope.request_id
-    with anyio.move_on_after(pending_s):
+async def _write(run: Run, reader: Reader, name: StreamName, place: Place, writer: Writer) -> None:
+    with anyio.move_on_after(place.pending_s):
         while not run.readable:
             await run.changed.wait()
     if not run.readable:
         await writer.pending()
     elif run.answer is not None:
-        await writer.answer(run.answer.status, run.answer.headers, run.answer.body)
+        await writer.answer(run.answer)
     elif not run.streaming:
-        await writer.refuse(_ending(run), request_id)
-    elif not run.log.reaches(after):
-        message = f"expected a sequence whose followers are still kept, got {after}; ask anew"
-        await writer.refuse(Refusal(RefusalCode.INCOMPLETE, message, run.ran), request_id)
+        await writer.refuse(_ending(run), place.request_id)
+    elif not run.log.reaches(place.after):
+        await writer.refuse(_too_late(place.after), place.request_id)
     else:
-        await _write_stream(run, reader, after, writer)
+        await writer.open_stream(name)
+        await _write_stream(run, reader, place.after, writer)
 
 
 async def _write_stream(run: Run, reader: Reader, after: int, writer: Writer) -> None:
-    await writer.open_stream()
     send = writer.send
     log = run.log
-    while True:
+    while log.reaches(after):
         if log.last > after:
             data = log.after(after)
             after = log.last
@@ -78,10 +94,17 @@
             continue
         reader.quiet = reader.beat = False
         await send({"type": "http.response.body", "body": data, "more_body": True})
-    tail = b"" if run.complete else error_event(refusal_body(_ending(run), run.envelope.request_id))
+    ending = _ending(run) if log.reaches(after) else _too_late(after)
+    whole = run.complete and after == log.last
+    tail = b"" if whole else error_event(refusal_body(ending, reader.request_id))
     await send({"type": "http.response.body", "body": tail})
 
 
+def _too_late(after: int) -> Refusal:
+    message = f"expected a sequence whose followers are still kept, got {after}; ask anew"
+    return Refusal(RefusalCode.INCOMPLETE, message, Ran.YES)
+
+
 def _ending(run: Run) -> Refusal:
     if run.refusal is not None:
         return run.refusal
--- a/src/beryljunction/sidecar/runs.py
+++ b/src/beryljunction/sidecar/runs.py
@@ -1,8 +1,6 @@
 """Requests in flight at a sidecar, from admission until nobody can ask for their answer."""
 
 import asyncio
-import math
-from collections import OrderedDict
 from collections.abc import Iterator
 
 import anyio
@@ -10,14 +8,11 @@
 
 from beryljunction.outcomes import Ran, Refusal
 from beryljunction.streams import FrameLog
+from beryljunction.tables import Answer
 from beryljunction.wire import Envelope
 
-__all__ = ["Answer", "Reader", "Run", "RunTable", "Signal"]
+__all__ = ["Reader", "Run", "RunTable", "Signal"]
 
-# Some 10 MB each at the very most; an ordinary sidecar at the target sees 12 requests a second,
-# 7,200 past ids in ten minutes, and a tombstone only after a broken connection.
-_MAX_TOMBSTONES = 65_536
-_MAX_PAST = 65_536
 _KEPT_TOTAL_BYTES = 8_388_608
 
 
@@ -38,24 +33,16 @@
         await self._event.wait()
 
 
-@attrs.frozen
-class Answer:
-    """A whole answer of the endpoint."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-
-
 @attrs.define(eq=False)
 class Reader:
-    """The connection that reads a run now.
+    """A connection that reads a run now.
 
     Attributes:
         quiet: Nothing was written since the last look of the heartbeat ticker.
         beat: A heartbeat is due.
     """
 
+    request_id: str
     scope: anyio.CancelScope
     quiet: bool = False
     beat: bool = False
@@ -80,6 +67,8 @@
         given: Notified when a reader has taken frames.
         streaming: Whether the answer is a stream; frames are in ``log``.
         complete: Whether the stream ended cleanly.
+        serial: Serial of the ticket that it runs under; None for idempotent work.
+        joined: Ids of further requests that were led to this run.
         refusal: How the run ended if it was refused, failed or was cut.
         detached_s: Monotonic time since when nobody reads; None while somebody does.
         ended_s: Monotonic time of the end; None before.
@@ -97,7 +86,9 @@
     complete: bool = False
     answer: Answer | None = None
     refusal: Refusal | None = None
-    reader: Reader | None = None
+    serial: str | None = None
+    joined: list[str] = attrs.field(factory=list)
+    readers: list[Reader] = attrs.field(factory=list)
     detached_s: float | None = None
     ended_s: float | None = None
 
@@ -132,53 +123,48 @@
         self.ended_s = now_s
         self.changed.notify()
 
-    def take_reader(self, reader: Reader) -> None:
-        """Make this the one reader; an earlier connection is given up."""
-        if self.reader is not None:
-            self.reader.scope.cancel()
-        self.reader = reader
+    def take_reader(self, reader: Reader, alone: bool) -> None:
+        """Add a reader; it replaces the earlier connection of its request, or all if alone.
+
+        A connection that has gone silent does not end by itself for a quarter of an hour. Its
+        request comes back on a new one, and the old one must not count as a reader until then.
+        """
+        for other in tuple(self.readers):
+            if alone or other.request_id == reader.request_id:
+                other.scope.cancel()
+                self.readers.remove(other)
+        self.readers.append(reader)
         self.detached_s = None
 
     def drop_reader(self, reader: Reader, now_s: float) -> None:
         """Note that a connection ended; a reader that was replaced changes nothing."""
-        if self.reader is reader:
-            self.reader = None
-            self.detached_s = now_s
-
+        if reader in self.readers:
+            self.readers.remove(reader)
+            self.detached_s = None if self.readers else now_s
 
-class RunTable:
-    """Runs by request id, and tombstones of tries that must not start here any more.
-
-    A tombstone is what makes "not run" true: the entry that is told so has lost a connection whose
-    bytes may still arrive. It lives longer than any connection can hold bytes back.
+    def is_abandoned(self, now_s: float, resume_s: float) -> bool:
+        """Whether nobody has read for so long that the work should end."""
+        if self.ended_s is not None or self.detached_s is None or not self.may_be_cut:
+            return False
+        return now_s - self.detached_s > resume_s
 
-    The ids of runs that are over are remembered for a while too, or a run that ended and was
-    dropped would look like one that never came. What has been forgotten is bounded by a time:
-    "never came" is said only of requests that were sent after it.
 
-    Args:
-        tombstone_s: Life of a tombstone.
-        past_s: Time for which the id of a run that is over is remembered.
+class RunTable:
+    """Runs by request id; a retry that joins a run finds it under its own id too.
 
     Attributes:
         kept_total_bytes: Memory for the answers of runs that ended.
-        remembers_since_s: Monotonic time; every run that came later is remembered.
     """
 
-    def __init__(self, tombstone_s: float = 3600.0, past_s: float = 600.0) -> None:
+    def __init__(self) -> None:
         self._runs: dict[str, Run] = {}
-        self._past: OrderedDict[str, float] = OrderedDict()
-        self._tombstones: OrderedDict[tuple[str, int], float] = OrderedDict()
-        self._tombstone_s = tombstone_s
-        self._past_s = past_s
         self.kept_total_bytes = _KEPT_TOTAL_BYTES
-        self.remembers_since_s = -math.inf
 
     def __len__(self) -> int:
-        return len(self._runs)
+        return len(self._all())
 
     def __iter__(self) -> Iterator[Run]:
-        return iter(tuple(self._runs.values()))
+        return iter(self._all())
 
     def get(self, request_id: str) -> Run | None:
         """Return the run, or None when it is not known here (any more)."""
@@ -188,36 +174,15 @@
         """Insert a run."""
         self._runs[run.envelope.request_id] = run
 
-    def remove(self, run: Run, now_s: float) -> None:
-        """Forget a run's answer; that it was here is remembered for a while."""
-        self._runs.pop(run.envelope.request_id, None)
-        self._past[run.envelope.request_id] = now_s
-        while self._past:
-            removed_s = next(iter(self._past.values()))
-            if len(self._past) <= _MAX_PAST and now_s - removed_s <= self._past_s:
-                break
-            self._past.popitem(last=False)
-            self.remembers_since_s = removed_s
-
-    def never_came(self, request_id: str, sent_s: float) -> bool:
-        """Whether a request that was sent after this time has certainly not arrived."""
-        known = request_id in self._runs or request_id in self._past
-        return not known and sent_s > self.remembers_since_s
-
-    def bury(self, request_id: str, attempt: int, now_s: float) -> bool:
-        """Make sure that a try never starts here; False when there is no room to remember it."""
-        while self._tombstones and next(iter(self._tombstones.values())) <= now_s:
-            self._tombstones.popitem(last=False)
-        key = (request_id, attempt)
-        if key not in self._tombstones and len(self._tombstones) >= _MAX_TOMBSTONES:
-            return False
-        self._tombstones[key] = now_s + self._tombstone_s
-        self._tombstones.move_to_end(key)
-        return True
+    def join(self, run: Run, request_id: str) -> None:
+        """Make a run known under the id of a request that joins it."""
+        self._runs[request_id] = run
+        run.joined.append(request_id)
 
-    def is_buried(self, request_id: str, attempt: int) -> bool:
-        """Whether a try must not start here."""
-        return (request_id, attempt) in self._tombstones
+    def remove(self, run: Run) -> None:
+        """Forget a run."""
+        for request_id in (run.envelope.request_id, *run.joined):
+            self._runs.pop(request_id, None)
 
     def expire(self, now_s: float, resume_s: float) -> list[Run]:
         """Forget ended runs whose time for a resume is over, and the oldest above the bound.
@@ -226,21 +191,16 @@
             Runs without a reader for so long that they should be cancelled.
         """
         ended = sorted(
-            (run for run in self if run.ended_s is not None and run.reader is None),
+            (run for run in self if run.ended_s is not None and not run.readers),
             key=lambda run: run.ended_s or 0.0,
         )
         kept_bytes = sum(run.kept_bytes for run in ended)
         for run in ended:
-            ended_s = run.ended_s if run.ended_s is not None else now_s
-            too_old = now_s - max(ended_s, run.detached_s or 0.0) > resume_s
-            if too_old or kept_bytes > self.kept_total_bytes:
+            quiet_s = now_s - max(run.ended_s or 0.0, run.detached_s or 0.0)
+            if quiet_s > resume_s or kept_bytes > self.kept_total_bytes:
                 kept_bytes -= run.kept_bytes
-                self.remove(run, now_s)
-        return [
-            run
-            for run in self
-            if run.ended_s is None
-            and run.detached_s is not None
-            and now_s - run.detached_s > resume_s
-            and run.may_be_cut
-        ]
+                self.remove(run)
+        return [run for run in self if run.is_abandoned(now_s, resume_s)]
+
+    def _all(self) -> list[Run]:
+        return [run for key, run in self._runs.items() if key == run.envelope.request_id]
--- a/src/beryljunction/sidecar/writers.py
+++ b/src/beryljunction/sidecar/writers.py
@@ -4,7 +4,9 @@
 
 from beryljunction.outcomes import Refusal, RefusalCode
 from beryljunction.servers import Send
-from beryljunction.wire import INCARNATION_HEADER, OUTCOME_HEADER, Outcome, refusal_body
+from beryljunction.streams import StreamName
+from beryljunction.tables import Answer, Stamp
+from beryljunction.wire import OUTCOME_HEADER, STAMP_HEADER, STREAM_HEADER, Outcome, refusal_body
 
 __all__ = ["Writer"]
 
@@ -26,10 +28,11 @@
 
     Attributes:
         send: Where the answer goes; frames of an open stream are written to it directly.
+        stamp: This sidecar's name and time; entries copy it onto what they send.
     """
 
     send: Send
-    incarnation: str
+    stamp: Stamp
 
     async def refuse(self, refusal: Refusal, request_id: str) -> None:
         """Answer with a refusal."""
@@ -44,13 +47,15 @@
         """Answer a control message."""
         await self._whole(200, Outcome.DONE, [_JSON], body)
 
-    async def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+    async def answer(self, answer: Answer) -> None:
         """Pass on an endpoint's own answer."""
-        await self._whole(status, Outcome.ANSWER, headers, body)
+        kept = [(key, value) for key, value in answer.headers if key != b"content-length"]
+        await self._whole(answer.status, Outcome.ANSWER, kept, answer.body)
 
-    async def open_stream(self) -> None:
+    async def open_stream(self, name: StreamName) -> None:
         """Write the head of a stream."""
-        await self._head(200, Outcome.STREAM, _EVENT_STREAM)
+        headers = [*_EVENT_STREAM, (STREAM_HEADER, str(name).encode())]
+        await self._head(200, Outcome.STREAM, headers)
 
     async def _whole(
         self, status: int, outcome: Outcome, headers: list[tuple[bytes, bytes]], body: bytes
@@ -61,7 +66,7 @@
     async def _head(
         self, status: int, outcome: Outcome, headers: list[tuple[bytes, bytes]]
     ) -> None:
-        own = [(OUTCOME_HEADER, outcome.encode()), (INCARNATION_HEADER, self.incarnation.encode())]
+        own = [(OUTCOME_HEADER, outcome.encode()), (STAMP_HEADER, self.stamp.to_text().encode())]
         await self.send(
             {"type": "http.response.start", "status": status, "headers": [*own, *headers]}
         )
--- /dev/null
+++ b/src/beryljunction/systems/ticket_attempts.py
@@ -0,0 +1,94 @@
+"""What the entry does next with a request that may not be repeated."""
+
+import attrs
+
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.systems.attempts import GiveUp
+from beryljunction.tables import Endpoint
+
+__all__ = ["Mint", "TicketAttempts", "TicketStep", "UseTicket"]
+
+# A chain of burned tickets follows the load: three refusals find room wherever a fair share of the
+# endpoints has any. More would carry each request to every endpoint just when all are busy.
+_MOST_HOPS = 4
+# A try under the same ticket is harmless, its sidecar knows what became of the first. Two more
+# bridge a broken connection; a sidecar that is gone is not worth longer.
+_MOST_REPEATS = 2
+
+
+@attrs.frozen
+class Mint:
+    """Try under a new ticket for this endpoint's sidecar."""
+
+    endpoint: Endpoint
+
+
+@attrs.frozen
+class UseTicket:
+    """Try under this ticket, at the sidecar that it names."""
+
+    ticket: str
+
+
+TicketStep = Mint | UseTicket | GiveUp
+
+
+class TicketAttempts:
+    """Walks one request along its chain of tickets.
+
+    A new ticket beside an old one is the one step that could run the request twice. It is taken
+    only when the old one is known to this entry alone and no try under it is in doubt.
+
+    Args:
+        candidates: Where the request may run, best first.
+        ticket: Ticket that the caller sent or its key stands for; None to have one minted.
+    """
+
+    def __init__(self, candidates: list[Endpoint], ticket: str | None) -> None:
+        self._left = list(candidates)
+        self._ticket = ticket
+        self._in_doubt = ticket is not None
+        self._hops = 0
+        self._repeats = 0
+
+    def first(self) -> TicketStep:
+        """Return the first step."""
+        if self._ticket is not None:
+            return UseTicket(self._ticket)
+        if self._left:
+            return Mint(self._left.pop(0))
+        message = "expected a live endpoint of the service, found none; retry later"
+        return GiveUp(Refusal(RefusalCode.NO_ENDPOINT, message, Ran.NO, 1.0))
+
+    def after(self, refusal: Refusal, ticket: str | None) -> TicketStep:
+        """Return the step after a try.
+
+        Args:
+            refusal: What the try ended in.
+            ticket: Ticket of the try; None when none could be had.
+        """
+        if refusal.successor is not None and self._hops < _MOST_HOPS:
+            return self._follow(refusal.successor)
+        if refusal.code is not RefusalCode.ENDPOINT_FAILED or refusal.ran is not Ran.NO:
+            return self._after_doubt(refusal, ticket)
+        if not self._in_doubt and self._left:
+            return Mint(self._left.pop(0))
+        if not self._in_doubt:
+            return GiveUp(refusal)
+        message = "the ticket's sidecar can't be reached; an earlier try under it may have run"
+        return self._after_doubt(Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN), ticket)
+
+    def _follow(self, successor: str) -> TicketStep:
+        """Go down the chain; whoever else holds the burned ticket is led the same way."""
+        self._hops += 1
+        self._in_doubt = True
+        return UseTicket(successor)
+
+    def _after_doubt(self, refusal: Refusal, ticket: str | None) -> TicketStep:
+        may_repeat = refusal.code is RefusalCode.OUTCOME_UNKNOWN and ticket is not None
+        if not may_repeat or self._repeats >= _MOST_REPEATS:
+            return GiveUp(refusal)
+        assert ticket is not None
+        self._repeats += 1
+        self._in_doubt = True
+        return UseTicket(ticket)
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -20,12 +20,13 @@
     "DRAIN_PATH",
     "ENVELOPE_HEADER",
     "FLEET_KEY_HEADER",
-    "INCARNATION_HEADER",
     "OUTCOME_HEADER",
     "PEERS_PATH",
     "REQUEST_ID_HEADER",
     "RUN_PATH",
+    "STAMP_HEADER",
     "STATUS_PATH",
+    "STREAM_HEADER",
     "TICKET_PATH",
     "Attach",
     "Cancel",
@@ -33,6 +34,8 @@
     "Envelope",
     "Outcome",
     "SidecarStatus",
+    "TicketGrant",
+    "TicketWish",
     "decode",
     "encode",
     "refusal_body",
@@ -42,7 +45,8 @@
 FLEET_KEY_HEADER = b"beryl-fleet-key"
 ENVELOPE_HEADER = b"beryl-envelope"
 OUTCOME_HEADER = b"beryl-outcome"
-INCARNATION_HEADER = b"beryl-incarnation"
+STAMP_HEADER = b"beryl-stamp"
+STREAM_HEADER = b"beryl-stream-id"
 REQUEST_ID_HEADER = b"beryl-request-id"
 RUN_PATH = "/beryl/v1/run"
 ATTACH_PATH = "/beryl/v1/attach"
@@ -99,6 +103,9 @@
         path: Path and query at the endpoint.
         headers: Caller's headers that the endpoint gets.
         ticket: Ticket that the request runs under; None for idempotent requests.
+        heard: Stamp of this sidecar that the entry heard last before it sent the request.
+        heard_age_s: Seconds from then to the sending.
+        candidates: Stamps of the sidecars where a burned ticket may go on.
     """
 
     request_id: str
@@ -118,6 +125,9 @@
     headers: tuple[tuple[str, str], ...] = ()
     ticket: str | None = None
     attempt: int = 0
+    heard: str = ""
+    heard_age_s: float = 0.0
+    candidates: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -125,19 +135,17 @@
     """Takes up the answer of a run on a new connection.
 
     Attributes:
+        heard: Stamp of this sidecar that the entry had heard when it sent the run; empty for none.
         after: Sequence of the last frame that was seen; 0 for none.
-        incarnation: Incarnation of the sidecar that the run was sent to; empty when unknown.
-        age_s: Time since the run was sent.
         resume: Asked for by a caller with an event id, not by the entry that sent the run; it
             proves nothing about a run that is on its way, so it leaves no tombstone.
     """
 
     request_id: str
     account: str
-    incarnation: str = ""
+    heard: str = ""
     after: int = 0
     attempt: int = 0
-    age_s: float = 0.0
     resume: bool = False
 
 
@@ -150,6 +158,20 @@
     attempt: int = 0
 
 
+@attrs.frozen
+class TicketWish:
+    """An account wants a ticket of the sidecar that is asked."""
+
+    account: str
+
+
+@attrs.frozen
+class TicketGrant:
+    """A ticket, as its caller gets it."""
+
+    ticket: str
+
+
 @attrs.frozen
 class Drain:
     """Take no new work, or take it again."""
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -216,6 +216,63 @@
         assert (stolen.status, b"word" in stolen.content) == (404, False)
 
 
+class TestTickets:
+    async def test_same_ticket_through_two_entries_runs_once(self):
+        async with path_of() as path:
+            engine = ScriptedEngine(hold_at=0)
+            await path.sidecar(engine, "ledger")
+            entries = [await path.entry(), await path.entry()]
+            granted = await ask(path, entries[0], "/v1/tickets", body=b'{"service": "ledger"}')
+            headers = [AUTH, ("beryl-ticket", json.loads(granted.content)["ticket"])]
+            answers = []
+
+            async def note(entry):
+                answers.append(
+                    await ask(path, entry, "/services/ledger/n", headers=headers, body=b"{}")
+                )
+
+            async with anyio.create_task_group() as group:
+                for entry in entries:
+                    group.start_soon(note, entry)
+                await eventually(lambda: engine.runs)
+                engine.release.set()
+            await note(entries[1])
+
+        assert [answer.content for answer in answers] == [b'{"whole": true}'] * 3
+        assert len(engine.runs) == 1
+
+    async def test_endpoint_that_leaves_hands_the_request_on_once(self):
+        async with path_of() as path:
+            engines = [ScriptedEngine(), ScriptedEngine()]
+            sidecars = [await path.sidecar(engine, "ledger") for engine in engines]
+            entry = await path.entry()
+            for _ in range(4):
+                await ask(path, entry, "/services/ledger/n", body=b"{}")
+            before = sum(len(engine.runs) for engine in engines)
+            sidecars[0].refuse_new()
+            gone = len(engines[0].runs)
+
+            answers = [await ask(path, entry, "/services/ledger/n", body=b"{}") for _ in range(6)]
+
+        assert [answer.status for answer in answers] == [200] * 6
+        assert len(engines[0].runs) == gone
+        assert len(engines[1].runs) + gone == before + 6
+
+    async def test_ticket_of_another_service_does_not_run(self):
+        async with path_of() as path:
+            engine = ScriptedEngine()
+            await path.sidecar(engine)
+            await path.sidecar(engine, "ledger")
+            entry = await path.entry()
+            granted = await ask(path, entry, "/v1/tickets", body=b'{"service": "drafter"}')
+            headers = [AUTH, ("beryl-ticket", json.loads(granted.content)["ticket"])]
+
+            answer = await ask(path, entry, "/services/ledger/n", headers=headers, body=b"{}")
+
+        assert (error_of(answer)["code"], error_of(answer)["ran"]) == ("ticket_invalid", "no")
+        assert engine.runs == []
+
+
 class TestHangUp:
     async def test_ends_unstreamed_work(self):
         async with path_of() as path:
--- a/testing/test_sidecar.py
+++ b/testing/test_sidecar.py
@@ -1,6 +1,7 @@
 import anyio
 import pytest
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.wire import (
     ATTACH_PATH,
     CANCEL_PATH,
@@ -14,7 +15,6 @@
 pytestmark = pytest.mark.anyio
 STREAM = Envelope("r1", "jury", "drafter", wait_s=10.0, streamed=True)
 PLAIN = Envelope("r1", "jury", "drafter", wait_s=10.0)
-NOTE = Envelope("r1", "jury", "drafter", wait_s=10.0, idempotent=False)
 
 
 @pytest.fixture
@@ -22,6 +22,18 @@
     return "asyncio"
 
 
+def note(app, ticket=None, request_id="r1", **fields):
+    """Return a request that may not run twice, under a ticket."""
+    ticket = ticket or app.tickets.mint("jury", boot_time_s())
+    return Envelope(
+        request_id, "jury", "drafter", wait_s=10.0, idempotent=False, ticket=ticket, **fields
+    )
+
+
+def heard(app):
+    return app.tombstones.stamp(boot_time_s()).to_text()
+
+
 def outcome(response):
     return dict(response.headers)[OUTCOME_HEADER].decode()
 
@@ -58,7 +70,7 @@
             path.engine = ScriptedEngine()
             app = await path.sidecar(path.engine)
 
-            said = await path.tell(ATTACH_PATH, Attach("r1", "jury", app.incarnation))
+            said = await path.tell(ATTACH_PATH, Attach("r1", "jury", heard(app)))
             late = await path.run(STREAM)
             runs_after_late = list(path.engine.runs)
             second = await path.run(
@@ -69,24 +81,14 @@
         assert runs_after_late == []
         assert event_data(second.content) == path.engine.answer()
 
-    @pytest.mark.parametrize(
-        ("incarnation", "age_s"),
-        [
-            pytest.param("", 0.0, id="not-known-to-the-entry"),
-            pytest.param("gone", 0.0, id="of-an-earlier-life"),
-            pytest.param(None, 1e9, id="sent-before-what-is-remembered"),
-        ],
-    )
-    async def test_says_unknown_when_it_can_not_prove_more(self, incarnation, age_s):
-        # The sidecar started anew, or forgot: the request may have run, and nobody here can tell.
+    @pytest.mark.parametrize("known", ["", "drafter-0/gone/0"], ids=["none", "earlier-life"])
+    async def test_says_unknown_when_it_can_not_prove_more(self, known):
+        # The sidecar started anew since the entry sent the request: the earlier life may have run
+        # it, and nobody here can tell.
         async with path_of() as path:
-            app = await path.sidecar(ScriptedEngine())
-            app.runs.remembers_since_s = -1e6
-            attach = Attach("r1", "jury", app.incarnation, age_s=age_s)
-            if incarnation is not None:
-                attach = Attach("r1", "jury", incarnation, age_s=age_s)
+            await path.sidecar(ScriptedEngine())
 
-            said = await path.tell(ATTACH_PATH, attach)
+            said = await path.tell(ATTACH_PATH, Attach("r1", "jury", known))
 
         assert error_of(said)["ran"] == "unknown"
 
@@ -197,12 +199,13 @@
         # confirmed and its caller without an answer, so the run ends and its retry is answered.
         async with path_of() as path:
             path.engine = ScriptedEngine(hold_at=0)
-            await path.sidecar(path.engine)
-            await start(path, NOTE, b"{}")
+            app = await path.sidecar(path.engine)
+            first = note(app)
+            await start(path, first, b"{}")
 
             await path.tell(CANCEL_PATH, Cancel("r1", "jury"))
             path.engine.release.set()
-            answer = await path.run(NOTE, b"{}")
+            answer = await path.run(note(app, first.ticket, "r2"), b"{}")
 
         assert answer.content == b'{"whole": true}'
         assert (path.engine.runs, path.engine.cancelled) == (["r1"], [])
@@ -228,6 +231,78 @@
             await eventually(lambda: path.engine.cancelled == ["r1"])
 
 
+class TestTickets:
+    async def test_finished_answer_is_given_to_a_retry_through_any_entry(self):
+        async with path_of() as path:
+            path.engine = ScriptedEngine()
+            app = await path.sidecar(path.engine)
+            first = note(app)
+            answers = [await path.run(first, b"{}")]
+            app.runs.remove(app.runs.get("r1"))
+
+            answers.append(await path.run(note(app, first.ticket, "r2"), b"{}"))
+
+        assert [answer.content for answer in answers] == [b'{"whole": true}'] * 2
+        assert path.engine.runs == ["r1"]
+
+    async def test_stream_is_given_again_from_its_first_frame(self):
+        async with path_of() as path:
+            path.engine = ScriptedEngine()
+            app = await path.sidecar(path.engine)
+            first = note(app, streamed=True)
+            whole = await path.run(first)
+            app.runs.remove(app.runs.get("r1"))
+
+            again = await path.run(note(app, first.ticket, "r2", streamed=True))
+
+        assert event_data(again.content) == event_data(whole.content) == path.engine.answer()
+        assert path.engine.runs == ["r1"]
+
+    async def test_two_retries_read_one_run(self):
+        async with path_of() as path:
+            path.engine = ScriptedEngine(hold_at=2)
+            app = await path.sidecar(path.engine)
+            ticket = app.tickets.mint("jury", boot_time_s())
+            answers = []
+
+            async def ask(request_id):
+                envelope = note(app, ticket, request_id, streamed=True)
+                answers.append(await path.run(envelope))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask, "r1")
+                group.start_soon(ask, "r2")
+                await eventually(lambda: path.engine.runs and app.runs.get("r2"))
+                path.engine.release.set()
+
+        assert [event_data(answer.content) for answer in answers] == [path.engine.answer()] * 2
+        assert len(path.engine.runs) == 1
+
+    async def test_without_a_ticket_is_refused_before_the_endpoint_sees_a_byte(self):
+        async with path_of() as path:
+            path.engine = ScriptedEngine()
+            await path.sidecar(path.engine)
+            bare = Envelope("r1", "jury", "drafter", wait_s=10.0, idempotent=False)
+
+            said = await path.run(bare, b"{}")
+
+        assert (error_of(said)["code"], error_of(said)["ran"]) == ("ticket_invalid", "no")
+        assert path.engine.runs == []
+
+    async def test_refused_work_is_led_to_one_successor(self):
+        async with path_of() as path:
+            path.engine = ScriptedEngine()
+            app = await path.sidecar(path.engine)
+            app.refuse_new()
+            first = note(app, candidates=("drafter-1/other/5",))
+
+            said = [await path.run(first, b"{}")]
+            said.append(await path.run(note(app, first.ticket, "r2"), b"{}"))
+
+        successors = {error_of(answer)["successor"] for answer in said}
+        assert (len(successors), path.engine.runs) == (1, [])
+
+
 class TestSlowReader:
     async def test_holds_the_engine_back_in_bounded_memory(self):
         # A reader takes nothing while the engine produces megabytes. The sidecar keeps no more
--- a/testing/test_stops.py
+++ b/testing/test_stops.py
@@ -1,6 +1,8 @@
 import anyio
+import attrs
 import pytest
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.stops import GracefulStop, Stoppable
 from beryljunction.wire import ATTACH_PATH, DRAIN_PATH, Attach, Drain, Envelope
 from path_fakes import AUTH, ScriptedEngine, chat, error_of, event_data, eventually, path_of
@@ -8,7 +10,6 @@
 pytestmark = pytest.mark.anyio
 CHAT = "/v1/chat/completions"
 STREAM = Envelope("r1", "jury", "drafter", wait_s=10.0, streamed=True)
-NOTE = Envelope("r1", "jury", "drafter", wait_s=10.0, idempotent=False)
 
 
 @pytest.fixture
@@ -74,7 +75,9 @@
             answers = []
 
             async def note():
-                answers.append(await path.run(NOTE, b"{}"))
+                ticket = app.tickets.mint("jury", boot_time_s())
+                envelope = attrs.evolve(STREAM, streamed=False, idempotent=False, ticket=ticket)
+                answers.append(await path.run(envelope, b"{}"))
 
             async with anyio.create_task_group() as group:
                 group.start_soon(note)
@@ -95,7 +98,7 @@
                 await eventually(lambda: app.runs.get("r1").log.last == 2)
 
             app.refuse_new()
-            await eventually(lambda: app.runs.get("r1").reader is None)
+            await eventually(lambda: app.runs.get("r1").readers == [])
 
             assert app.in_flight == 1
 
--- /dev/null
+++ b/testing/test_ticket_attempts.py
@@ -0,0 +1,60 @@
+import pytest
+
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.systems import GiveUp
+from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, UseTicket
+from beryljunction.tables import Endpoint
+
+FIRST, SECOND = (Endpoint(f"ledger-{i}", "ledger", "gnr-a", "") for i in range(2))
+
+
+def failed(ran: Ran, code=RefusalCode.ENDPOINT_FAILED, successor=None) -> Refusal:
+    return Refusal(code, "", ran, successor=successor)
+
+
+class TestTicketAttempts:
+    def test_own_ticket_that_was_never_sent_is_replaced_at_the_next_endpoint(self):
+        attempts = TicketAttempts([FIRST, SECOND], None)
+
+        assert attempts.first() == Mint(FIRST)
+        assert attempts.after(failed(Ran.NO), "t1") == Mint(SECOND)
+
+    def test_ticket_in_doubt_is_never_replaced(self):
+        # The first try ends unknown: it may have run. The next ones can't connect. That proves
+        # nothing about the first, so no other endpoint may be tried and "no" may not be said.
+        attempts = TicketAttempts([FIRST, SECOND], None)
+        attempts.first()
+
+        step = attempts.after(failed(Ran.UNKNOWN, RefusalCode.OUTCOME_UNKNOWN), "t1")
+        again = attempts.after(failed(Ran.NO), "t1")
+        last = attempts.after(failed(Ran.NO), "t1")
+
+        assert (step, again) == (UseTicket("t1"), UseTicket("t1"))
+        assert isinstance(last, GiveUp)
+        assert last.refusal.ran is Ran.UNKNOWN
+
+    def test_callers_ticket_may_have_run_through_another_entry(self):
+        attempts = TicketAttempts([FIRST, SECOND], "theirs")
+
+        assert attempts.first() == UseTicket("theirs")
+        assert attempts.after(failed(Ran.NO), "theirs") == UseTicket("theirs")
+
+    def test_burned_ticket_leads_to_its_successor_a_bounded_number_of_times(self):
+        attempts = TicketAttempts([FIRST, SECOND], None)
+        attempts.first()
+        burned = failed(Ran.NO, RefusalCode.OVERLOADED, successor="next")
+
+        steps = [attempts.after(burned, "t") for _ in range(5)]
+
+        assert steps[:4] == [UseTicket("next")] * 4
+        assert steps[4] == GiveUp(burned)
+
+    @pytest.mark.parametrize("ran", [Ran.YES, Ran.UNKNOWN], ids=["ran", "unknown"])
+    def test_what_its_sidecar_knows_to_have_failed_is_final(self, ran):
+        attempts = TicketAttempts([FIRST, SECOND], None)
+        attempts.first()
+        assert isinstance(attempts.after(failed(ran), "t1"), GiveUp)
+
+    def test_no_endpoint_is_told_at_once(self):
+        step = TicketAttempts([], None).first()
+        assert step.refusal.ran is Ran.NO
