--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -1,6 +1,7 @@
 """The process that takes callers: checks, picks candidates, relays, retries within a budget."""
 
 import json
+import ssl
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -47,15 +48,23 @@
 class EntryApp(Stoppable):
     """ASGI application of an entry; decisions are left to its systems."""
 
-    def __init__(self, file: EntryFile, view: FleetView, endpoints: EndpointTable) -> None:
+    def __init__(
+        self,
+        file: EntryFile,
+        view: FleetView,
+        endpoints: EndpointTable,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         self.file = file
         self.endpoints = endpoints
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
         self.watches = WatchList()
         self.leaving = False
         self._in_flight = 0
-        self._pool = client_pool()
-        self._sidecars = SidecarClient(self._pool, self.watches, file.process.fleet_key)
+        self._pool = client_pool(tls)
+        self._sidecars = SidecarClient(
+            self._pool, self.watches, file.process.fleet_key, self.timeline.clock
+        )
         self._router = Router(
             view,
             endpoints,
--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -11,6 +11,7 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.streams import StreamName
 from beryljunction.tables import Endpoint, Stamp
+from beryljunction.timeline import HLC_HEADER, HybridClock
 from beryljunction.watches import Watch, WatchList
 from beryljunction.wire import (
     ATTACH_PATH,
@@ -64,6 +65,7 @@
         outcome: What the answer is; None when it was not written by a sidecar's handler.
         stamp: Name and time of the sidecar that speaks.
         name: Name of the stream, for the frames of a stream.
+        hlc: Hybrid logical time at which it spoke.
     """
 
     def __init__(self, response: httpcore.Response, watch: Watch) -> None:
@@ -71,6 +73,7 @@
         self.outcome = _OUTCOMES.get(headers.get(OUTCOME_HEADER, b""))
         self.stamp = Stamp.from_text(headers.get(STAMP_HEADER, b"").decode("latin-1"))
         self.name = StreamName.parse(headers.get(STREAM_HEADER, b"").decode("latin-1"))
+        self.hlc = headers.get(HLC_HEADER)
         self.response = response
         self.watch = watch
 
@@ -79,12 +82,17 @@
     """Carries messages to sidecars."""
 
     def __init__(
-        self, pool: httpcore.AsyncConnectionPool, watches: WatchList, fleet_key: str
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        watches: WatchList,
+        fleet_key: str,
+        clock: HybridClock,
     ) -> None:
         self._pool = pool
         self._watches = watches
         self._heard: dict[str, Heard] = {}
         self._key = (FLEET_KEY_HEADER, fleet_key.encode())
+        self._clock = clock
 
     @asynccontextmanager
     async def run(
@@ -143,7 +151,11 @@
         body: bytes,
         silence_s: float,
     ) -> AsyncIterator[SidecarAnswer]:
-        own = [self._key, (b"content-length", b"%d" % len(body))]
+        own = [
+            self._key,
+            (HLC_HEADER, self._clock.stamp()),
+            (b"content-length", b"%d" % len(body)),
+        ]
         with self._watches.watch(silence_s) as watch:
             async with self._pool.stream(
                 "POST",
@@ -153,6 +165,7 @@
                 extensions={"timeout": {"connect": _CONNECT_S}},
             ) as response:
                 answer = SidecarAnswer(response, watch)
+                self._clock.heard_stamp(answer.hlc)
                 watch.heard()
                 self._hear(endpoint, answer.stamp)
                 yield answer
--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import ssl
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from typing import Any
 
@@ -52,7 +53,9 @@
 class Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the process and waits for requests in flight."""
 
-    def __init__(self, app: Asgi, listener: socket.socket) -> None:
+    def __init__(
+        self, app: Asgi, listener: socket.socket, tls: ssl.SSLContext | None = None
+    ) -> None:
         config = uvicorn.Config(
             app,
             loop="asyncio",
@@ -64,6 +67,7 @@
             timeout_keep_alive=_SERVER_KEEPALIVE_S,
             server_header=False,
             date_header=False,
+            ssl_context_factory=None if tls is None else lambda *_: tls,
             proxy_headers=False,
         )
         super().__init__(config)
@@ -93,9 +97,25 @@
         self.should_exit = True
 
 
-def client_pool() -> httpcore.AsyncConnectionPool:
-    """Return a pool for calls to other processes; retries are decided by our systems, not by it."""
-    return httpcore.AsyncConnectionPool(
+class _TlsPool(httpcore.AsyncConnectionPool):
+    """A pool that speaks only TLS, so that no call can leave out the scheme by oversight."""
+
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        request.url.scheme = b"https"
+        return await super().handle_async_request(request)
+
+
+def client_pool(
+    tls: ssl.SSLContext | None = None, backend: httpcore.AsyncNetworkBackend | None = None
+) -> httpcore.AsyncConnectionPool:
+    """Return a pool for calls to other processes; retries are decided by our systems, not by it.
+
+    With a TLS context every call is TLS, also those to an "http" URL.
+    """
+    kind = httpcore.AsyncConnectionPool if tls is None else _TlsPool
+    return kind(
+        ssl_context=tls,
+        network_backend=backend,
         max_connections=_MAX_CONNECTIONS,
         max_keepalive_connections=_MAX_CONNECTIONS,
         keepalive_expiry=_KEEPALIVE_S,
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -35,7 +35,7 @@
 )
 from beryljunction.systems import Run as Claimed
 from beryljunction.tables import Answer, Stamp, Work
-from beryljunction.timeline import Timeline
+from beryljunction.timeline import HLC_HEADER, Timeline
 from beryljunction.watches import WatchList
 from beryljunction.wire import (
     ATTACH_PATH,
@@ -158,7 +158,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of another process of the fleet."""
         headers = dict(scope["headers"])
-        writer = Writer(send, self.tombstones.stamp(boot_time_s()))
+        self.timeline.clock.heard_stamp(headers.get(HLC_HEADER))
+        writer = Writer(send, self.tombstones.stamp(boot_time_s()), self.timeline.clock)
         handler = self.routes.get(scope["path"])
         if not hmac.compare_digest(headers.get(FLEET_KEY_HEADER, b""), self._fleet_key):
             refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
--- a/src/beryljunction/sidecar/writers.py
+++ b/src/beryljunction/sidecar/writers.py
@@ -6,6 +6,7 @@
 from beryljunction.servers import Send
 from beryljunction.streams import StreamName
 from beryljunction.tables import Answer, Stamp
+from beryljunction.timeline import HLC_HEADER, HybridClock
 from beryljunction.wire import OUTCOME_HEADER, STAMP_HEADER, STREAM_HEADER, Outcome, refusal_body
 
 __all__ = ["Writer"]
@@ -33,6 +34,7 @@
 
     send: Send
     stamp: Stamp
+    clock: HybridClock
 
     async def refuse(self, refusal: Refusal, request_id: str) -> None:
         """Answer with a refusal."""
@@ -66,7 +68,11 @@
     async def _head(
         self, status: int, outcome: Outcome, headers: list[tuple[bytes, bytes]]
     ) -> None:
-        own = [(OUTCOME_HEADER, outcome.encode()), (STAMP_HEADER, self.stamp.to_text().encode())]
+        own = [
+            (OUTCOME_HEADER, outcome.encode()),
+            (STAMP_HEADER, self.stamp.to_text().encode()),
+            (HLC_HEADER, self.clock.stamp()),
+        ]
         await self.send(
             {"type": "http.response.start", "status": status, "headers": [*own, *headers]}
         )
