Settle idempotency keys on the log, on the real path

The entry fetches a ticket and has the key's home sidecar claim the key on the log; whoever was first in log order names the ticket that everybody with the key uses. A new key is refused truthfully while the log is down, a known one is answered. A ticket that stands for a key is never replaced by a new one, since a retry with the key would be led to the old one.

Ruled out: minting the key's ticket from a stamp heard earlier; a sidecar that died since would own the key for an hour. One round trip more for keyed calls only.

--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -207,7 +207,7 @@
         return None
 
     async def _chat(self, exchange: Exchange) -> Refusal | None:
-        request = chat_request(exchange.body, exchange.headers, self.view)
+        request = chat_request(exchange.body, self.view)
         return (
             request if isinstance(request, Refusal) else await self._router.route(exchange, request)
         )
--- a/src/beryljunction/entry/callers.py
+++ b/src/beryljunction/entry/callers.py
@@ -73,9 +73,7 @@
         return name
 
 
-def chat_request(
-    body: bytes, headers: Mapping[bytes, bytes], view: FleetView
-) -> CallerRequest | Refusal:
+def chat_request(body: bytes, view: FleetView) -> CallerRequest | Refusal:
     """Check the body of a chat completion."""
     try:
         data = json.loads(body)
@@ -94,7 +92,7 @@
         method="POST",
         path="/v1/chat/completions",
         headers=(("content-type", "application/json"),),
-        idempotent=view.services[service].idempotent and b"idempotency-key" not in headers,
+        idempotent=view.services[service].idempotent,
         streamed=data.get("stream") or False,
         chat_id=data.get("prompt_cache_key"),
         prompt_tokens=len(body) // _TOKEN_BYTES,
--- a/src/beryljunction/entry/router.py
+++ b/src/beryljunction/entry/router.py
@@ -1,5 +1,6 @@
 """Brings a checked request to an endpoint: candidates, tries, tickets."""
 
+import heapq
 import random
 import time
 
@@ -9,23 +10,29 @@
 from beryljunction.entry.exchanges import Exchange
 from beryljunction.entry.relays import Relay
 from beryljunction.entry.sidecars import SidecarClient
-from beryljunction.entry.writers import ROUTE_HINT_HEADER, TICKET_HEADER
+from beryljunction.entry.writers import KEY_HEADER, ROUTE_HINT_HEADER, TICKET_HEADER
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.settings import FleetView
 from beryljunction.systems import (
     AttemptSystem,
     GiveUp,
+    KeyUnavailable,
     PlacementQuery,
     PlacementSystem,
     RetryBudget,
     TicketMint,
     Try,
+    body_digest,
     chat_key_of,
+    claim_shard,
+    key_digest,
+    key_refusal,
+    rendezvous_score,
 )
 from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, TicketStep
-from beryljunction.tables import Endpoint, EndpointTable
+from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.timeline import Timeline
-from beryljunction.wire import Attach, Envelope
+from beryljunction.wire import KEY_SHARDS, Attach, Envelope, KeyWish, claim_stream
 
 __all__ = ["Router"]
 
@@ -34,6 +41,8 @@
 _FRESH_STAMP_S = 60.0
 # Stamps that go along for successors: as many as a chain of tickets may be long.
 _MOST_CANDIDATES = 4
+# A second home covers the loss of the first; more would wait on hosts that are all unreachable.
+_MOST_HOMES = 2
 
 
 class Router:
@@ -69,9 +78,15 @@
         envelope = self._envelope(exchange, request, chat_key)
         candidates = self.candidates(exchange, request, chat_key)
         ticket = exchange.header(TICKET_HEADER)
-        if request.idempotent and ticket is None:
+        key = exchange.header(KEY_HEADER)
+        if request.idempotent and ticket is None and key is None:
             return await self._route_freely(exchange, envelope, request.body, candidates)
         envelope = attrs.evolve(envelope, idempotent=False)
+        if ticket is None and key is not None:
+            settled = await self._settle_key(envelope, request.body, key, candidates)
+            if isinstance(settled, Refusal):
+                return settled
+            ticket = settled
         return await self._route_once(exchange, envelope, request.body, candidates, ticket)
 
     def candidates(
@@ -90,10 +105,10 @@
     async def fetch_ticket(self, service: str, account: str) -> str | Refusal:
         """Return a ticket of one of the service's sidecars."""
         query = PlacementQuery(service, self._random.getrandbits(64), self._zone)
-        for endpoint in self._placement.candidates(query, time.monotonic())[:_MOST_CANDIDATES]:
-            ticket = await self._sidecars.ticket(endpoint, account)
-            if ticket is not None:
-                return ticket
+        candidates = self._placement.candidates(query, time.monotonic())
+        ticket = await self._first_ticket(candidates, account)
+        if ticket is not None:
+            return ticket
         message = "expected a sidecar that gives tickets, found none; retry later"
         return Refusal(RefusalCode.NO_ENDPOINT, message, Ran.NO, 1.0)
 
@@ -134,6 +149,43 @@
             step = attempts.after(refusal, ticket)
         return step.refusal
 
+    async def _settle_key(
+        self, envelope: Envelope, body: bytes, key: str, candidates: list[Endpoint]
+    ) -> str | Refusal:
+        """Return the ticket that a key stands for: one minted now, or that of an earlier request.
+
+        Any sidecar may settle it, the log decides. The shard's homes are asked so that few
+        processes read each stream and claims share their appends.
+        """
+        ticket = await self._first_ticket(candidates, envelope.account)
+        if ticket is None:
+            message = "expected a sidecar that gives tickets, found none; retry with the same key"
+            return Refusal(RefusalCode.NO_ENDPOINT, message, Ran.UNKNOWN, 1.0)
+        digest = key_digest(envelope.account, envelope.service, key)
+        shard = claim_shard(digest, KEY_SHARDS)
+        request = body_digest(envelope.method.encode(), envelope.path.encode(), body)
+        wish = KeyWish(envelope.request_id, shard, digest, request, ticket)
+        for home in self._homes(shard):
+            settled = await self._sidecars.claim(home, wish)
+            if settled is not None:
+                return settled
+        return key_refusal(KeyUnavailable(1.0))
+
+    def _homes(self, shard: int) -> list[Endpoint]:
+        key = chat_key_of("", claim_stream(shard))
+        live = [row for row in self._endpoints if row.state is EndpointState.LIVE]
+        return heapq.nlargest(
+            _MOST_HOMES, live, key=lambda row: rendezvous_score(key, row.endpoint_id, row.weight)
+        )
+
+    async def _first_ticket(self, candidates: list[Endpoint], account: str) -> str | None:
+        """Fetch a ticket that its caller may use later; its sidecar was alive a moment ago."""
+        for endpoint in candidates[:_MOST_CANDIDATES]:
+            ticket = await self._sidecars.ticket(endpoint, account)
+            if ticket is not None:
+                return ticket
+        return None
+
     async def _ticket_for(self, step: TicketStep, account: str) -> str | None:
         if isinstance(step, Mint):
             heard = self._sidecars.heard(step.endpoint)
--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -9,6 +9,7 @@
 import httpcore
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.outcomes import Refusal
 from beryljunction.streams import StreamName
 from beryljunction.tables import Endpoint, Stamp
 from beryljunction.timeline import HLC_HEADER, HybridClock
@@ -16,6 +17,7 @@
 from beryljunction.wire import (
     ATTACH_PATH,
     CANCEL_PATH,
+    CLAIM_PATH,
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
     OUTCOME_HEADER,
@@ -26,11 +28,13 @@
     Attach,
     Cancel,
     Envelope,
+    KeyWish,
     Outcome,
     TicketGrant,
     TicketWish,
     decode,
     encode,
+    refusal_from_body,
 )
 
 __all__ = ["BROKEN", "NOT_CONNECTED", "Heard", "SidecarAnswer", "SidecarClient"]
@@ -39,7 +43,8 @@
 # each tenth of a second spent on it is taken from the caller's first token.
 _CONNECT_S = 1.0
 _CONTROL_S = 2.0
-_CONTROL_BYTES = 1_048_576
+# A claim waits for the log, up to two seconds by its own limit.
+_CLAIM_S = 4.0
 _OUTCOMES = {outcome.encode(): outcome for outcome in Outcome}
 NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
 BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
@@ -127,6 +132,19 @@
         if stamp is not None and stamp.endpoint_id == endpoint.endpoint_id:
             self._heard[endpoint.endpoint_id] = Heard(stamp, boot_time_s())
 
+    async def claim(self, endpoint: Endpoint, wish: KeyWish) -> str | Refusal | None:
+        """Settle an idempotency key; None when the sidecar did not answer."""
+        with anyio.move_on_after(_CLAIM_S):
+            try:
+                async with self._open(endpoint, CLAIM_PATH, [], encode(wish), _CLAIM_S) as answer:
+                    body = await answer.response.aread()
+                    if answer.outcome is Outcome.REFUSAL:
+                        return refusal_from_body(body)
+                    return decode(body, TicketGrant).ticket
+            except (*NOT_CONNECTED, *BROKEN, ValueError):
+                return None
+        return None
+
     async def cancel(self, endpoint: Endpoint, cancel: Cancel) -> None:
         """Tell a sidecar that the caller hung up; a failure costs only the work."""
         await self.tell(endpoint, CANCEL_PATH, cancel)
--- a/src/beryljunction/entry/writers.py
+++ b/src/beryljunction/entry/writers.py
@@ -7,9 +7,10 @@
 from beryljunction.streams import StreamName, error_event
 from beryljunction.wire import REQUEST_ID_HEADER, STREAM_HEADER, refusal_body
 
-__all__ = ["ROUTE_HINT_HEADER", "TICKET_HEADER", "CallerWriter"]
+__all__ = ["KEY_HEADER", "ROUTE_HINT_HEADER", "TICKET_HEADER", "CallerWriter"]
 
 ROUTE_HINT_HEADER = b"beryl-route-hint"
+KEY_HEADER = b"idempotency-key"
 TICKET_HEADER = b"beryl-ticket"
 _STATUS = {
     RefusalCode.BAD_REQUEST: 400,
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -11,9 +11,11 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.platform import HttpLogClient
 from beryljunction.servers import Receive, Scope, Send, client_pool, read_body
 from beryljunction.settings import FleetView, ServiceSettings, SidecarFile
 from beryljunction.sidecar.endpoint import EndpointClient
+from beryljunction.sidecar.keys import KeyClaims
 from beryljunction.sidecar.ledger import RunLedger
 from beryljunction.sidecar.readers import Place, serve_reader
 from beryljunction.sidecar.runs import Run, RunTable
@@ -26,12 +28,16 @@
     AlreadyRunning,
     Arrival,
     Asked,
+    KeyClaim,
+    KeyLost,
+    KeyWon,
     Refuse,
     Replay,
     TicketLedger,
     TicketMint,
     TombstoneSystem,
     claim_refusal,
+    key_refusal,
 )
 from beryljunction.systems import Run as Claimed
 from beryljunction.tables import Answer, Stamp, Work
@@ -40,6 +46,7 @@
 from beryljunction.wire import (
     ATTACH_PATH,
     CANCEL_PATH,
+    CLAIM_PATH,
     DRAIN_PATH,
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
@@ -50,6 +57,7 @@
     Cancel,
     Drain,
     Envelope,
+    KeyWish,
     SidecarStatus,
     TicketGrant,
     TicketWish,
@@ -102,17 +110,20 @@
     ) -> None:
         self.file = file
         self.incarnation = uuid.uuid4().hex[:12]
+        self._pool = client_pool()
         started_s = boot_time_s()
         name = (file.endpoint_id, self.incarnation, started_s)
         mint = TicketMint(file.process.fleet_key.encode())
         self.tickets = TicketLedger(mint, *name)
         self.tombstones = TombstoneSystem(*name)
         self._ledger = RunLedger(self.tickets)
+        address = file.process.log_address
+        log = HttpLogClient(address, self._pool) if address else None
+        self._keys = KeyClaims(log, self.incarnation)
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
         self.admission = AdmissionSystem(AdmissionLimits())
         self.runs = RunTable()
         self.watches = WatchList()
-        self._pool = client_pool()
         self._group: anyio.abc.TaskGroup | None = None
         self._fleet_key = file.process.fleet_key.encode()
         self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address)
@@ -123,6 +134,7 @@
             DRAIN_PATH: self._handle_drain,
             STATUS_PATH: self._handle_status,
             TICKET_PATH: self._handle_ticket,
+            CLAIM_PATH: self._handle_claim,
             **(routes or {}),
         }
         self.apply(view)
@@ -327,6 +339,20 @@
         ticket = self.tickets.mint(wish.account, boot_time_s())
         await call.writer.done(encode(TicketGrant(ticket)))
 
+    async def _handle_claim(self, call: Call) -> None:
+        try:
+            wish = decode(await call.body(), KeyWish)
+        except ValueError as error:
+            await call.writer.refuse(Refusal(RefusalCode.BAD_REQUEST, str(error), Ran.UNKNOWN), "")
+            return
+        assert self._group is not None
+        claim = KeyClaim(wish.key, wish.body, wish.ticket)
+        verdict = await self._keys.settle(self._group, wish.shard, wish.request_id, claim)
+        if isinstance(verdict, (KeyWon, KeyLost)):
+            await call.writer.done(encode(TicketGrant(verdict.ticket)))
+        else:
+            await call.writer.refuse(key_refusal(verdict), wish.request_id)
+
     async def _handle_drain(self, call: Call) -> None:
         try:
             drain = decode(await call.body(), Drain)
--- /dev/null
+++ b/src/beryljunction/sidecar/keys.py
@@ -0,0 +1,111 @@
+"""Claims on idempotency keys: appends them to the platform's log and reads who was first."""
+
+import anyio
+import anyio.abc
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.platform import Appended, LogClient, LogPage
+from beryljunction.systems import ClaimBatch, ClaimSystem, KeyClaim, KeyUnavailable, KeyVerdict
+from beryljunction.wire import claim_stream
+
+__all__ = ["KeyClaims"]
+
+# A stream is followed while claims wait and a little longer, so that a burst reads it once.
+_LINGER_S = 2.0
+_READ_WAIT_S = 0.2
+_RETRY_S = 0.1
+_NO_LOG_S = 60.0
+
+
+class _Stream:
+    """One shard's claims at this process."""
+
+    def __init__(self, log: LogClient, shard: int, incarnation: str) -> None:
+        self._log = log
+        self._name = claim_stream(shard)
+        self._system = ClaimSystem(f"{self._name}.{incarnation}")
+        self._waiting: dict[str, anyio.Event] = {}
+        self._verdicts: dict[str, KeyVerdict] = {}
+        self._last_used_s = 0.0
+        self.following = False
+
+    async def settle(self, request_id: str, claim: KeyClaim) -> KeyVerdict:
+        """Return what the log's order says of a claim."""
+        self._last_used_s = boot_time_s()
+        verdict = self._system.submit(request_id, claim, self._last_used_s)
+        if verdict is not None:
+            return verdict
+        event = self._waiting[request_id] = anyio.Event()
+        try:
+            await event.wait()
+            return self._verdicts.pop(request_id)
+        finally:
+            self._waiting.pop(request_id, None)
+            self._verdicts.pop(request_id, None)
+
+    async def follow(self) -> None:
+        """Append and read until nothing has been claimed for a while."""
+        while self._waiting or boot_time_s() - self._last_used_s < _LINGER_S:
+            async with anyio.create_task_group() as group:
+                batch = self._system.next_batch(boot_time_s())
+                if batch is not None:
+                    group.start_soon(self._append, batch)
+                await self._read()
+            for request_id, verdict in self._system.tick(boot_time_s()):
+                self._tell(request_id, verdict)
+        self.following = False
+
+    async def _append(self, batch: ClaimBatch) -> None:
+        outcome = await self._log.append(self._name, batch.batch_id, batch.to_record())
+        self._system.append_ended(batch, isinstance(outcome, Appended), boot_time_s())
+
+    async def _read(self) -> None:
+        after = self._system.next_offset - 1 if self._system.next_offset else 0
+        page = await self._log.read(self._name, after, wait_s=_READ_WAIT_S)
+        if not isinstance(page, LogPage):
+            self._system.log_failed(boot_time_s())
+            await anyio.sleep(_RETRY_S)
+            return
+        for record in page.records:
+            self._system.apply(record.offset, record.data, boot_time_s())
+
+    def _tell(self, request_id: str, verdict: KeyVerdict) -> None:
+        event = self._waiting.get(request_id)
+        if event is not None:
+            self._verdicts[request_id] = verdict
+            event.set()
+
+
+class KeyClaims:
+    """Settles claims of any shard; streams are opened when a claim needs them.
+
+    Args:
+        log: The platform's log; None when the process has none, and then no key can be settled.
+        incarnation: Makes the ids of this process's batches its own.
+    """
+
+    def __init__(self, log: LogClient | None, incarnation: str) -> None:
+        self._log = log
+        self._incarnation = incarnation
+        self._streams: dict[int, _Stream] = {}
+
+    async def settle(
+        self, group: anyio.abc.TaskGroup, shard: int, request_id: str, claim: KeyClaim
+    ) -> KeyVerdict:
+        """Return what the log's order says of a claim.
+
+        Args:
+            group: Where the stream is followed; it outlives the request.
+            shard: Number of the key's stream.
+            request_id: Names the claim until it is settled.
+            claim: The claim.
+        """
+        if self._log is None:
+            return KeyUnavailable(_NO_LOG_S)
+        stream = self._streams.get(shard)
+        if stream is None:
+            stream = self._streams[shard] = _Stream(self._log, shard, self._incarnation)
+        if not stream.following:
+            stream.following = True
+            group.start_soon(stream.follow)
+        return await stream.settle(request_id, claim)
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -17,9 +17,11 @@
 __all__ = [
     "ATTACH_PATH",
     "CANCEL_PATH",
+    "CLAIM_PATH",
     "DRAIN_PATH",
     "ENVELOPE_HEADER",
     "FLEET_KEY_HEADER",
+    "KEY_SHARDS",
     "OUTCOME_HEADER",
     "PEERS_PATH",
     "REQUEST_ID_HEADER",
@@ -32,10 +34,12 @@
     "Cancel",
     "Drain",
     "Envelope",
+    "KeyWish",
     "Outcome",
     "SidecarStatus",
     "TicketGrant",
     "TicketWish",
+    "claim_stream",
     "decode",
     "encode",
     "refusal_body",
@@ -51,11 +55,16 @@
 RUN_PATH = "/beryl/v1/run"
 ATTACH_PATH = "/beryl/v1/attach"
 CANCEL_PATH = "/beryl/v1/cancel"
+CLAIM_PATH = "/beryl/v1/claim"
 TICKET_PATH = "/beryl/v1/ticket"
 DRAIN_PATH = "/beryl/v1/drain"
 STATUS_PATH = "/beryl/v1/status"
 PEERS_PATH = "/beryl/v1/peers"
 
+# All processes must agree on it. 64 streams of the log at five appends a second each stay within
+# what it takes, and each is read by the few sidecars that are or were its home.
+KEY_SHARDS = 64
+
 T = TypeVar("T")
 
 _CALLERS_FAULTS = frozenset(
@@ -172,6 +181,24 @@
     ticket: str
 
 
+@attrs.frozen
+class KeyWish:
+    """Claims an idempotency key; the answer is a :class:`TicketGrant` or a refusal.
+
+    Attributes:
+        shard: Number of the log stream that settles the key.
+        key: Digest of account, service and key.
+        body: Digest of the request.
+        ticket: Ticket that the key shall stand for if it is new.
+    """
+
+    request_id: str
+    shard: int
+    key: str
+    body: str
+    ticket: str
+
+
 @attrs.frozen
 class Drain:
     """Take no new work, or take it again."""
@@ -196,6 +223,11 @@
     kept: int
 
 
+def claim_stream(shard: int) -> str:
+    """Return the name of the log stream that settles a shard's idempotency keys."""
+    return f"keys-{shard}"
+
+
 def encode(message: Any) -> bytes:
     """Return an attrs message as compact JSON; fields that hold their default are left out."""
     plain = _converter.unstructure(message)
--- a/testing/path_fakes.py
+++ b/testing/path_fakes.py
@@ -19,6 +19,7 @@
     SidecarFile,
 )
 from beryljunction.sidecar import SidecarApp
+from beryljunction.standins import LogModel, LogStandIn
 from beryljunction.tables import Endpoint, EndpointTable
 from beryljunction.wire import ENVELOPE_HEADER, FLEET_KEY_HEADER, RUN_PATH, Envelope, encode
 
@@ -160,6 +161,7 @@
         self.sidecars: list[SidecarApp] = []
         self.addresses: list[str] = []
         self.servers: list[Server] = []
+        self.log_address = ""
 
     async def serve(self, app) -> str:
         server = Server(app, bind(FREE_PORT))
@@ -171,7 +173,8 @@
         """Start a sidecar beside an endpoint and make it known; returns the app."""
         back = address or await self.serve(endpoint)
         endpoint_id = f"{service}-{len(self.sidecars)}"
-        app = SidecarApp(SidecarFile(PROCESS, endpoint_id, service, f"http://{back}"), self.view)
+        process = attrs.evolve(PROCESS, log_address=self.log_address)
+        app = SidecarApp(SidecarFile(process, endpoint_id, service, f"http://{back}"), self.view)
         await self.group.start(app.run)
         front = await self.serve(app)
         self.sidecars.append(app)
@@ -183,6 +186,12 @@
         self.endpoints.put(row)
         return app
 
+    async def log(self) -> LogModel:
+        """Start a log for the sidecars that are started after it."""
+        model = LogModel()
+        self.log_address = f"http://{await self.serve(LogStandIn(model))}"
+        return model
+
     async def entry(self) -> str:
         """Start an entry and return its base URL."""
         app = EntryApp(EntryFile(PROCESS), self.view, self.endpoints)
