--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -29,15 +29,11 @@
     SidecarFile,
     answer_settings,
 )
+from beryljunction.stops import wind_down
 from beryljunction.tls import TlsContexts
 
 __all__ = ["Node"]
 
-# Time in which every sender has heard that this process is leaving: by the host list (read again
-# every 0.5 s when it changes), by the readiness probe or by the first refusal.
-_LINGER_S = 3.0
-_POLL_S = 0.05
-
 
 class Node:
     """One entry or sidecar with everything around it.
@@ -148,22 +144,10 @@
             self.role.timeline.add("serving", detail=self.requests.address)
             task_status.started()
             await self._stopping.wait()
-            await self._wind_down()
+            await wind_down(self.role)
             self.requests.stop()
         self.role.timeline.add("stopped")
 
-    async def _wind_down(self) -> None:
-        """Keep the listener open until the others know, then until nothing is in flight.
-
-        A listener that closed at once would cut a request that is already on its way: its sender
-        sees a broken connection and must say "unknown" where a "not run" would have sent the
-        request elsewhere. There is no limit on the time that work in flight may take.
-        """
-        await anyio.sleep(_LINGER_S)
-        self.role.refuse_new()
-        while self.role.in_flight:
-            await anyio.sleep(_POLL_S)
-
     async def _stop_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -17,6 +17,7 @@
     SidecarFile,
 )
 from beryljunction.sidecar import SidecarApp
+from beryljunction.stops import Stoppable
 from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.timeline import Timeline
 
@@ -53,7 +54,7 @@
     waiting: int = 0
 
 
-class NodeRole(abc.ABC):
+class NodeRole(Stoppable):
     """The part of a process that differs between entry and sidecar.
 
     Attributes:
@@ -82,15 +83,6 @@
     def drain(self, leaving: bool) -> None:
         """Leave, or come back: who sends work is told to send it elsewhere."""
 
-    @abc.abstractmethod
-    def refuse_new(self) -> None:
-        """Take no new work at all; what is in flight ends as it would have."""
-
-    @property
-    @abc.abstractmethod
-    def in_flight(self) -> int:
-        """Requests that are not over."""
-
     @abc.abstractmethod
     def status(self, status: NodeStatus) -> NodeStatus:
         """Return the status with the role's own figures filled in."""
@@ -138,6 +130,10 @@
         """Requests of callers that are not over."""
         return self._entry.in_flight
 
+    async def hand_over(self) -> None:
+        """Hand over what the entry knows."""
+        await self._entry.hand_over()
+
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the number of endpoints known."""
         return attrs.evolve(status, endpoints=len(self.endpoints))
@@ -204,6 +200,10 @@
         """Runs that are not over."""
         return self.sidecar.in_flight
 
+    async def hand_over(self) -> None:
+        """Hand over what the sidecar knows."""
+        await self.sidecar.hand_over()
+
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the endpoint and its load."""
         own = self.sidecar.status()
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -123,6 +123,7 @@
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
         self.admission = AdmissionSystem(AdmissionLimits())
         self.runs = RunTable()
+        self._stopping = False
         self.watches = WatchList()
         self._group: anyio.abc.TaskGroup | None = None
         self._fleet_key = file.process.fleet_key.encode()
@@ -188,7 +189,8 @@
         return len(self.runs)
 
     def refuse_new(self) -> None:
-        """Take no new work; what was admitted goes on."""
+        """Take no new work any more; what was admitted goes on."""
+        self._stopping = True
         self.admission.leaving = True
 
     async def hand_over(self) -> None:
@@ -359,7 +361,7 @@
         except ValueError as error:
             await call.writer.refuse(Refusal(RefusalCode.BAD_REQUEST, str(error), Ran.NO), "")
             return
-        self.admission.leaving = drain.leaving
+        self.admission.leaving = drain.leaving or self._stopping
         self.timeline.add("drain", detail=str(drain.leaving))
         await call.writer.done(encode(self.status()))
 
--- a/src/beryljunction/stops.py
+++ b/src/beryljunction/stops.py
@@ -12,7 +12,7 @@
 
 from beryljunction.servers import Server
 
-__all__ = ["GracefulStop", "Stoppable"]
+__all__ = ["SETTLE_S", "GracefulStop", "Stoppable", "wind_down"]
 
 # A balancer or entry that has not noticed yet would send its next request into a closed port, and
 # could not tell whether it arrived. Within this time each has been refused once ("not run") or has
@@ -38,8 +38,22 @@
         """Give to others what is of use to them; called once nothing is in flight."""
 
 
+async def wind_down(part: Stoppable, settle_s: float = SETTLE_S) -> None:
+    """Return when the listeners may close, however long what is in flight runs.
+
+    Args:
+        part: What stops; it has told those who send it work to go elsewhere.
+        settle_s: Time that they get to notice.
+    """
+    await anyio.sleep(settle_s)
+    part.refuse_new()
+    while part.in_flight:
+        await anyio.sleep(_POLL_S)
+    await part.hand_over()
+
+
 class GracefulStop:
-    """The stop of one process: asked for any number of times, carried out once.
+    """The stop of one part and its servers: asked for any number of times, carried out once.
 
     There is no timeout: a run that takes an hour holds the stop up for an hour. A second signal
     changes nothing, since the first has done all that may be done without cutting a request.
@@ -53,11 +67,6 @@
         self._settle_s = settle_s
         self._requested = anyio.Event()
 
-    @property
-    def requested(self) -> bool:
-        """Whether the process is stopping."""
-        return self._requested.is_set()
-
     def request(self) -> None:
         """Begin the stop; at once no new work is taken."""
         self._part.refuse_new()
@@ -66,9 +75,6 @@
     async def run(self) -> None:
         """Wait for a request to stop and carry it out."""
         await self._requested.wait()
-        await anyio.sleep(self._settle_s)
-        while self._part.in_flight:
-            await anyio.sleep(_POLL_S)
-        await self._part.hand_over()
+        await wind_down(self._part, self._settle_s)
         for server in self._servers:
             server.stop()
