Lead a chain of tickets past endpoints it has tried, and past stale stamps

Cause: found by reading. A chain offered its candidates again those that had refused already, so two full endpoints could hand a request to and fro; its last hop could not wait in a queue; and a ticket that the entry minted on the stamp of a sidecar that has started anew ended in 'unknown' although nothing could have run. Only fresh stamps go along for successors.

--- a/src/beryljunction/entry/router.py
+++ b/src/beryljunction/entry/router.py
@@ -29,7 +29,7 @@
     key_refusal,
     rendezvous_score,
 )
-from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, TicketStep
+from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, TicketStep, UseTicket
 from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.timeline import Timeline
 from beryljunction.wire import KEY_SHARDS, Attach, Envelope, KeyWish, claim_stream
@@ -139,10 +139,11 @@
     ) -> Refusal | None:
         """Walk a chain of tickets with a request that may not run twice."""
         attempts = TicketAttempts(candidates, ticket)
+        untried = list(candidates)
         step = attempts.first()
         while not isinstance(step, GiveUp):
             ticket = await self._ticket_for(step, envelope.account)
-            refusal = await self._try_ticket(exchange, envelope, body, candidates, ticket)
+            refusal = await self._try_ticket(exchange, envelope, body, untried, ticket, step)
             if refusal is None:
                 return None
             envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
@@ -200,24 +201,27 @@
         exchange: Exchange,
         envelope: Envelope,
         body: bytes,
-        candidates: list[Endpoint],
+        untried: list[Endpoint],
         ticket: str | None,
+        step: TicketStep,
     ) -> Refusal | None:
         endpoint = self._endpoint_of(ticket, envelope.service)
         if isinstance(endpoint, Refusal):
             return endpoint
-        others = [row for row in candidates if row is not endpoint]
-        stamps = [heard.stamp for row in others if (heard := self._sidecars.heard(row))]
+        untried[:] = [row for row in untried if row.endpoint_id != endpoint.endpoint_id]
+        stamps = self._fresh_stamps(untried)[:_MOST_CANDIDATES]
+        is_last = isinstance(step, UseTicket) and step.last_resort
         offer = attrs.evolve(
-            envelope,
-            ticket=ticket,
-            last_resort=not stamps,
-            candidates=tuple(stamp.to_text() for stamp in stamps[:_MOST_CANDIDATES]),
+            envelope, ticket=ticket, last_resort=is_last or not stamps, candidates=stamps
         )
         assert ticket is not None
         exchange.caller.put(TICKET_HEADER, ticket.encode())
         return await self._try(exchange, endpoint, offer, body)
 
+    def _fresh_stamps(self, endpoints: list[Endpoint]) -> tuple[str, ...]:
+        rows = [heard for row in endpoints if (heard := self._sidecars.heard(row)) is not None]
+        return tuple(row.stamp.to_text() for row in rows if row.age_s <= _FRESH_STAMP_S)
+
     def _endpoint_of(self, ticket: str | None, service: str) -> Endpoint | Refusal:
         """Return the endpoint whose sidecar the ticket is bound to."""
         if ticket is None:
--- a/src/beryljunction/systems/ticket_attempts.py
+++ b/src/beryljunction/systems/ticket_attempts.py
@@ -25,9 +25,14 @@
 
 @attrs.frozen
 class UseTicket:
-    """Try under this ticket, at the sidecar that it names."""
+    """Try under this ticket, at the sidecar that it names.
+
+    Attributes:
+        last_resort: The chain ends there; the endpoint may let the request wait.
+    """
 
     ticket: str
+    last_resort: bool = False
 
 
 TicketStep = Mint | UseTicket | GiveUp
@@ -48,6 +53,7 @@
         self._left = list(candidates)
         self._ticket = ticket
         self._in_doubt = ticket is not None
+        self._minted: Endpoint | None = None
         self._hops = 0
         self._repeats = 0
 
@@ -56,7 +62,7 @@
         if self._ticket is not None:
             return UseTicket(self._ticket)
         if self._left:
-            return Mint(self._left.pop(0))
+            return self._mint(self._left.pop(0))
         message = "expected a live endpoint of the service, found none; retry later"
         return GiveUp(Refusal(RefusalCode.NO_ENDPOINT, message, Ran.NO, 1.0))
 
@@ -69,10 +75,12 @@
         """
         if refusal.successor is not None and self._hops < _MOST_HOPS:
             return self._follow(refusal.successor)
+        if refusal.code is RefusalCode.TICKET_INVALID and self._minted is not None:
+            return self._mint_again(refusal, self._minted)
         if refusal.code is not RefusalCode.ENDPOINT_FAILED or refusal.ran is not Ran.NO:
             return self._after_doubt(refusal, ticket)
         if not self._in_doubt and self._left:
-            return Mint(self._left.pop(0))
+            return self._mint(self._left.pop(0))
         if not self._in_doubt:
             return GiveUp(refusal)
         message = "the ticket's sidecar can't be reached; an earlier try under it may have run"
@@ -82,7 +90,20 @@
         """Go down the chain; whoever else holds the burned ticket is led the same way."""
         self._hops += 1
         self._in_doubt = True
-        return UseTicket(successor)
+        self._minted = None
+        return UseTicket(successor, last_resort=self._hops == _MOST_HOPS)
+
+    def _mint(self, endpoint: Endpoint) -> Mint:
+        self._minted = endpoint
+        return Mint(endpoint)
+
+    def _mint_again(self, refusal: Refusal, endpoint: Endpoint) -> TicketStep:
+        """Replace a ticket whose sidecar has started anew since its stamp was heard.
+
+        The present incarnation alone was shown the ticket, and it refused it.
+        """
+        self._minted = None
+        return GiveUp(refusal) if self._in_doubt else Mint(endpoint)
 
     def _after_doubt(self, refusal: Refusal, ticket: str | None) -> TicketStep:
         may_repeat = refusal.code is RefusalCode.OUTCOME_UNKNOWN and ticket is not None
--- a/testing/test_ticket_attempts.py
+++ b/testing/test_ticket_attempts.py
@@ -46,9 +46,25 @@
 
         steps = [attempts.after(burned, "t") for _ in range(5)]
 
-        assert steps[:4] == [UseTicket("next")] * 4
+        assert steps[:4] == [*[UseTicket("next")] * 3, UseTicket("next", last_resort=True)]
         assert steps[4] == GiveUp(burned)
 
+    def test_own_ticket_of_an_earlier_incarnation_is_replaced_once(self):
+        # The entry minted on a stamp of a sidecar that has started anew since. Nobody but the
+        # present one was shown the ticket, and it refused it, so a new one can't double the run.
+        attempts = TicketAttempts([FIRST, SECOND], None)
+        attempts.first()
+        stale = failed(Ran.UNKNOWN, RefusalCode.TICKET_INVALID)
+
+        assert attempts.after(stale, "t1") == Mint(FIRST)
+        assert attempts.after(stale, "t2") == GiveUp(stale)
+
+    def test_callers_ticket_of_an_earlier_incarnation_is_never_replaced(self):
+        attempts = TicketAttempts([FIRST, SECOND], "theirs")
+        attempts.first()
+        stale = failed(Ran.UNKNOWN, RefusalCode.TICKET_INVALID)
+        assert attempts.after(stale, "theirs") == GiveUp(stale)
+
     @pytest.mark.parametrize("ran", [Ran.YES, Ran.UNKNOWN], ids=["ran", "unknown"])
     def test_what_its_sidecar_knows_to_have_failed_is_final(self, ran):
         attempts = TicketAttempts([FIRST, SECOND], None)
