--- a/src/beryljunction/entry/router.py
+++ b/src/beryljunction/entry/router.py
@@ -32,7 +32,15 @@
 from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, TicketStep, UseTicket
 from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.timeline import Timeline
-from beryljunction.wire import KEY_SHARDS, Attach, Envelope, KeyWish, claim_stream
+from beryljunction.wire import (
+    KEY_SHARDS,
+    MOVED_PATH,
+    Attach,
+    ChatMoved,
+    Envelope,
+    KeyWish,
+    claim_stream,
+)
 
 __all__ = ["Router"]
 
@@ -76,11 +84,12 @@
         self._timeline.add("arrived", exchange.caller.request_id, request.service)
         chat_key = chat_key_of(exchange.account, request.chat_id) if request.chat_id else None
         envelope = self._envelope(exchange, request, chat_key)
-        candidates = self.candidates(exchange, request, chat_key)
+        query = self._query(exchange, request, chat_key)
         ticket = exchange.header(TICKET_HEADER)
         key = exchange.header(KEY_HEADER)
         if request.idempotent and ticket is None and key is None:
-            return await self._route_freely(exchange, envelope, request.body, candidates)
+            return await self._route_freely(exchange, envelope, request.body, query)
+        candidates = self._placement.candidates(query, time.monotonic())
         envelope = attrs.evolve(envelope, idempotent=False)
         if ticket is None and key is not None:
             settled = await self._settle_key(envelope, request.body, key, candidates)
@@ -89,19 +98,6 @@
             ticket = settled
         return await self._route_once(exchange, envelope, request.body, candidates, ticket)
 
-    def candidates(
-        self, exchange: Exchange, request: CallerRequest, chat_key: int | None
-    ) -> list[Endpoint]:
-        """Return the endpoints to try, best first."""
-        query = PlacementQuery(
-            request.service,
-            chat_key if chat_key is not None else self._random.getrandbits(64),
-            self._zone,
-            prefer_zone=self.view.services[request.service].kind == "plain",
-            hint=exchange.header(ROUTE_HINT_HEADER),
-        )
-        return self._placement.candidates(query, time.monotonic())
-
     async def fetch_ticket(self, service: str, account: str) -> str | Refusal:
         """Return a ticket of one of the service's sidecars."""
         query = PlacementQuery(service, self._random.getrandbits(64), self._zone)
@@ -113,22 +109,39 @@
         return Refusal(RefusalCode.NO_ENDPOINT, message, Ran.NO, 1.0)
 
     async def _route_freely(
-        self, exchange: Exchange, envelope: Envelope, body: bytes, candidates: list[Endpoint]
+        self, exchange: Exchange, envelope: Envelope, body: bytes, query: PlacementQuery
     ) -> Refusal | None:
         """Walk the candidates with a request that may run again after a failure."""
-        attempts = AttemptSystem(candidates, self._budget, envelope.idempotent)
+        attempts = self._attempts(query, envelope)
         step = attempts.first()
         while isinstance(step, Try):
-            offer = attrs.evolve(envelope, warm=step.warm, last_resort=step.last_resort)
-            refusal = await self._try(exchange, step.endpoint, offer, body)
+            refusal = await self._try(exchange, step.endpoint, _offer(envelope, step), body)
             if refusal is None:
                 self._budget.earn()
+                await self._tell_home(attempts.home, step.endpoint, envelope)
                 return None
             envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
-            step = attempts.after(refusal)
+            step = attempts.after(refusal, step.endpoint)
         assert isinstance(step, GiveUp)
         return step.refusal
 
+    def _attempts(self, query: PlacementQuery, envelope: Envelope) -> AttemptSystem:
+        now_s = time.monotonic()
+        candidates = self._placement.candidates(query, now_s)
+        previous_home = None
+        if envelope.chat_key is not None and query.hint is None:
+            previous_home = self._placement.previous_home(candidates, now_s)
+        home = self._placement.home(query, now_s) if query.hint else None
+        return AttemptSystem(candidates, self._budget, envelope.idempotent, previous_home, home)
+
+    async def _tell_home(self, home: Endpoint | None, taker: Endpoint, envelope: Envelope) -> None:
+        """Tell a chat's home who took the chat; a message that is lost costs a warm cache only."""
+        if home is None or home is taker or envelope.chat_key is None:
+            return
+        tokens = envelope.prompt_tokens + envelope.output_tokens
+        moved = ChatMoved(envelope.chat_key, taker.endpoint_id, tokens)
+        await self._sidecars.tell(home, MOVED_PATH, moved)
+
     async def _route_once(
         self,
         exchange: Exchange,
@@ -260,6 +273,17 @@
             self._timeline.add("try_refused", envelope.request_id, refusal.code)
         return refusal
 
+    def _query(
+        self, exchange: Exchange, request: CallerRequest, chat_key: int | None
+    ) -> PlacementQuery:
+        return PlacementQuery(
+            request.service,
+            chat_key if chat_key is not None else self._random.getrandbits(64),
+            self._zone,
+            prefer_zone=self.view.services[request.service].kind == "plain",
+            hint=exchange.header(ROUTE_HINT_HEADER),
+        )
+
     def _envelope(
         self, exchange: Exchange, request: CallerRequest, chat_key: int | None
     ) -> Envelope:
@@ -277,3 +301,14 @@
             path=request.path,
             headers=request.headers,
         )
+
+
+def _offer(envelope: Envelope, step: Try) -> Envelope:
+    return attrs.evolve(
+        envelope,
+        warm=step.warm,
+        last_resort=step.last_resort,
+        only_if_warm=step.only_if_warm,
+        ignore_pointer=step.ignore_pointer,
+        loads=step.loads,
+    )
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -29,7 +29,7 @@
     SidecarFile,
     answer_settings,
 )
-from beryljunction.stops import wind_down
+from beryljunction.stops import SETTLE_S, GracefulStop
 from beryljunction.tls import TlsContexts
 
 __all__ = ["Node"]
@@ -92,7 +92,7 @@
             settings_version=self._view.version,
             hosts_version=self.hosts.view.version,
             not_ready=self._not_ready(),
-            in_flight=self.role.in_flight,
+            in_flight=self.role.part.in_flight,
         )
         return self.role.status(common)
 
@@ -144,10 +144,21 @@
             self.role.timeline.add("serving", detail=self.requests.address)
             task_status.started()
             await self._stopping.wait()
-            await wind_down(self.role)
-            self.requests.stop()
+            await self._wind_down()
         self.role.timeline.add("stopped")
 
+    async def _wind_down(self) -> None:
+        """Serve on until the others know, then end what is in flight and close.
+
+        A sidecar refuses new work from the start, and its senders go elsewhere. An entry goes on
+        serving meanwhile: a caller that it refused would see an error for a planned stop, since
+        the balancer needs a probe or two to notice.
+        """
+        await anyio.sleep(SETTLE_S)
+        stop = GracefulStop(self.role.part, [self.requests], settle_s=0.0)
+        stop.request()
+        await stop.run()
+
     async def _stop_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -54,17 +54,19 @@
     waiting: int = 0
 
 
-class NodeRole(Stoppable):
+class NodeRole(abc.ABC):
     """The part of a process that differs between entry and sidecar.
 
     Attributes:
         is_mutual: Whether the request listener takes only clients with a certificate.
+        part: What a stop waits for.
     """
 
     name: str
     is_mutual: bool
     process: ProcessSettings
     app: Asgi
+    part: Stoppable
     timeline: Timeline
 
     @abc.abstractmethod
@@ -97,7 +99,7 @@
     def __init__(self, file: EntryFile, view: FleetView, tls: ssl.SSLContext | None = None) -> None:
         self.process = file.process
         self.endpoints = EndpointTable()
-        self.app = self._entry = EntryApp(file, view, self.endpoints, tls)
+        self.app = self.part = self._entry = EntryApp(file, view, self.endpoints, tls)
         self.timeline = self._entry.timeline
 
     async def run(self, *, task_status: Any) -> None:
@@ -121,19 +123,6 @@
     def drain(self, leaving: bool) -> None:
         """Do nothing more: the readiness probe tells the balancer, callers are still served."""
 
-    def refuse_new(self) -> None:
-        """Tell callers to ask another entry."""
-        self._entry.refuse_new()
-
-    @property
-    def in_flight(self) -> int:
-        """Requests of callers that are not over."""
-        return self._entry.in_flight
-
-    async def hand_over(self) -> None:
-        """Hand over what the entry knows."""
-        await self._entry.hand_over()
-
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the number of endpoints known."""
         return attrs.evolve(status, endpoints=len(self.endpoints))
@@ -165,7 +154,7 @@
         self.file = file
         self._service = ServiceSettings()
         self.sidecar = SidecarApp(file, self._with_service(view))
-        self.app = self.sidecar
+        self.app = self.part = self.sidecar
         self.timeline = self.sidecar.timeline
 
     async def run(self, *, task_status: Any) -> None:
@@ -191,19 +180,6 @@
         """Refuse new work with a "not run", so that entries go elsewhere, or take it again."""
         self.sidecar.admission.leaving = leaving
 
-    def refuse_new(self) -> None:
-        """Refuse new work."""
-        self.sidecar.refuse_new()
-
-    @property
-    def in_flight(self) -> int:
-        """Runs that are not over."""
-        return self.sidecar.in_flight
-
-    async def hand_over(self) -> None:
-        """Hand over what the sidecar knows."""
-        await self.sidecar.hand_over()
-
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the endpoint and its load."""
         own = self.sidecar.status()
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -31,6 +31,8 @@
     KeyClaim,
     KeyLost,
     KeyWon,
+    LoadSystem,
+    PointerSystem,
     Refuse,
     Replay,
     TicketLedger,
@@ -50,11 +52,13 @@
     DRAIN_PATH,
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
+    MOVED_PATH,
     RUN_PATH,
     STATUS_PATH,
     TICKET_PATH,
     Attach,
     Cancel,
+    ChatMoved,
     Drain,
     Envelope,
     KeyWish,
@@ -121,13 +125,18 @@
         log = HttpLogClient(address, self._pool) if address else None
         self._keys = KeyClaims(log, self.incarnation)
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
-        self.admission = AdmissionSystem(AdmissionLimits())
+        self.admission = AdmissionSystem(
+            AdmissionLimits(),
+            LoadSystem(file.endpoint_id, self.incarnation),
+            PointerSystem(file.endpoint_id),
+        )
         self.runs = RunTable()
         self._stopping = False
         self.watches = WatchList()
         self._group: anyio.abc.TaskGroup | None = None
         self._fleet_key = file.process.fleet_key.encode()
-        self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address)
+        speed = self.admission.load.speed
+        self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address, speed)
         self.routes: dict[str, Handler] = {
             RUN_PATH: self._handle_run,
             ATTACH_PATH: self._handle_attach,
@@ -136,6 +145,7 @@
             STATUS_PATH: self._handle_status,
             TICKET_PATH: self._handle_ticket,
             CLAIM_PATH: self._handle_claim,
+            MOVED_PATH: self._handle_moved,
             **(routes or {}),
         }
         self.apply(view)
@@ -236,7 +246,7 @@
         if arrival in _NOT_TAKEN:
             return _NOT_TAKEN[arrival]
         known = self.runs.get(envelope.request_id)
-        if known is not None:
+        if known is not None and not known.refused_unrun:
             return known
         if arrival is Arrival.DUPLICATE and envelope.ticket is None:
             message = "this try was here before and its answer is no longer kept"
@@ -268,7 +278,9 @@
         return run
 
     def _admit(self, run: Run) -> Run | Refusal:
-        decision = self.admission.offer(_work_of(run.envelope), time.monotonic())
+        now_s = time.monotonic()
+        self.admission.load.merge(run.envelope.loads, now_s)
+        decision = self.admission.offer(_work_of(run.envelope), now_s)
         if isinstance(decision, Refuse):
             if run.serial is None:
                 return decision.refusal
@@ -365,6 +377,16 @@
         self.timeline.add("drain", detail=str(drain.leaving))
         await call.writer.done(encode(self.status()))
 
+    async def _handle_moved(self, call: Call) -> None:
+        try:
+            moved = decode(await call.body(), ChatMoved)
+        except ValueError as error:
+            await call.writer.refuse(Refusal(RefusalCode.BAD_REQUEST, str(error), Ran.NO), "")
+            return
+        pointers = self.admission.pointers
+        pointers.placed(moved.chat_key, moved.endpoint_id, moved.tokens, time.monotonic())
+        await call.writer.done()
+
     async def _handle_status(self, call: Call) -> None:
         await call.writer.done(encode(self.status()))
 
@@ -442,4 +464,6 @@
         idempotent=envelope.idempotent,
         warm=envelope.warm,
         last_resort=envelope.last_resort,
+        only_if_warm=envelope.only_if_warm,
+        ignore_pointer=envelope.ignore_pointer,
     )
