--- a/src/beryljunction/stops.py
+++ b/src/beryljunction/stops.py
@@ -12,7 +12,7 @@
 
 from beryljunction.servers import Server
 
-__all__ = ["GracefulStop", "Stoppable"]
+__all__ = ["SETTLE_S", "GracefulStop", "Stoppable"]
 
 # A balancer or entry that has not noticed yet would send its next request into a closed port, and
 # could not tell whether it arrived. Within this time each has been refused once ("not run") or has
@@ -39,7 +39,7 @@
 
 
 class GracefulStop:
-    """The stop of one process: asked for any number of times, carried out once.
+    """The stop of one part and its servers: asked for any number of times, carried out once.
 
     There is no timeout: a run that takes an hour holds the stop up for an hour. A second signal
     changes nothing, since the first has done all that may be done without cutting a request.
@@ -53,11 +53,6 @@
         self._settle_s = settle_s
         self._requested = anyio.Event()
 
-    @property
-    def requested(self) -> bool:
-        """Whether the process is stopping."""
-        return self._requested.is_set()
-
     def request(self) -> None:
         """Begin the stop; at once no new work is taken."""
         self._part.refuse_new()
