--- /dev/null
+++ b/src/beryljunction/bench/slopes/state.py
@@ -0,0 +1,123 @@
+"""How many bytes one more entity costs, measured on the tables that the processes use."""
+
+import abc
+import gc
+import tracemalloc
+
+from beryljunction.bench.slopes.fit import Point, Slope, fit
+from beryljunction.settings import AccountSettings, FleetView, ServiceSettings
+from beryljunction.tables import (
+    ChatPointer,
+    ChatTable,
+    Endpoint,
+    EndpointTable,
+    PeerLoad,
+    PeerTable,
+    RequestTable,
+    Work,
+)
+
+__all__ = ["STATES", "StateSubject", "measure_state"]
+
+_COUNTS = (500, 1_000, 2_000, 4_000, 8_000)
+_HASH_STEP = 0x9E37_79B9_7F4A_7C15
+_MASK = 2**64 - 1
+
+
+class StateSubject(abc.ABC):
+    """Something that a process holds many of."""
+
+    subject: str
+    role: str
+
+    @abc.abstractmethod
+    def build(self, count: int) -> object:
+        """Return a table of ``count`` rows, each with values of its own."""
+
+
+class _Endpoints(StateSubject):
+    subject = "endpoints known"
+    role = "entry"
+
+    def build(self, count: int) -> object:
+        return EndpointTable(
+            Endpoint(
+                f"service-{i % 17}-{i}",
+                f"service-{i % 17}",
+                f"zone-{i % 10}",
+                f"10.0.{i // 256}.{i % 256}:8100",
+                f"incarnation-{i}",
+            )
+            for i in range(count)
+        )
+
+
+class _Accounts(StateSubject):
+    subject = "client accounts"
+    role = "both"
+
+    def build(self, count: int) -> object:
+        accounts = {f"account-{i}": AccountSettings(f"{i:064x}", 1.0 + i) for i in range(count)}
+        return FleetView(services={"drafter": ServiceSettings()}, accounts=accounts)
+
+
+class _Pointers(StateSubject):
+    subject = "chat pointers"
+    role = "sidecar"
+
+    def build(self, count: int) -> object:
+        table = ChatTable()
+        for i in range(count):
+            table.put(ChatPointer(i * _HASH_STEP & _MASK, f"drafter-{i % 41}", 1000 + i, 1.0 + i))
+        return table
+
+
+class _Peers(StateSubject):
+    subject = "peer load rows"
+    role = "sidecar"
+
+    def build(self, count: int) -> object:
+        table = PeerTable()
+        for i in range(count):
+            table.merge(PeerLoad(f"drafter-{i}", f"{i:016x}", i, i, i, 1000 + i, 1.0 + i))
+        return table
+
+
+class _Requests(StateSubject):
+    subject = "requests waiting or running"
+    role = "sidecar"
+
+    def build(self, count: int) -> object:
+        table = RequestTable()
+        for i in range(count):
+            key = i * _HASH_STEP & _MASK
+            table.add(Work(f"{i:032x}", f"account-{i % 350}", 1.0 + i, 31.0 + i, key, 1000 + i))
+        return table
+
+
+STATES: tuple[StateSubject, ...] = (
+    _Endpoints(),
+    _Accounts(),
+    _Pointers(),
+    _Peers(),
+    _Requests(),
+)
+
+
+def measure_state(subject: StateSubject, counts: tuple[int, ...] = _COUNTS) -> Slope:
+    """Return how the subject's memory grows, by the allocator's own count."""
+    points = [Point(count, _bytes_of(subject, count)) for count in counts]
+    return fit(subject.subject, subject.role, "bytes", points)
+
+
+def _bytes_of(subject: StateSubject, count: int) -> int:
+    gc.collect()
+    tracemalloc.start()
+    try:
+        held = subject.build(count)
+        gc.collect()
+        size, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del held
+    return size
