--- a/src/beryljunction/bench/slopes/state.py
+++ b/src/beryljunction/bench/slopes/state.py
@@ -6,6 +6,9 @@
 
 from beryljunction.bench.slopes.fit import Point, Slope, fit
 from beryljunction.settings import AccountSettings, FleetView, ServiceSettings
+from beryljunction.settings.paths import parse_path
+from beryljunction.settings.tree import Leaf, SettingsTree
+from beryljunction.systems import TombstoneSystem
 from beryljunction.tables import (
     ChatPointer,
     ChatTable,
@@ -14,6 +17,8 @@
     PeerLoad,
     PeerTable,
     RequestTable,
+    TicketRow,
+    TicketTable,
     Work,
 )
 
@@ -95,12 +100,51 @@
         return table
 
 
+class _Tickets(StateSubject):
+    subject = "live tickets"
+    role = "sidecar"
+
+    def build(self, count: int) -> object:
+        table = TicketTable()
+        for i in range(count):
+            table.add(TicketRow(f"{i:024x}", f"{i:032x}", f"{i:032x}", 1_000 + i, 900_000 + i))
+        return table
+
+
+class _Tombstones(StateSubject):
+    subject = "request ids remembered"
+    role = "sidecar"
+
+    def build(self, count: int) -> object:
+        tombstones = TombstoneSystem("drafter-0", "incarnation-0", 0.0)
+        for i in range(count):
+            tombstones.arrive(f"{i:032x}", tombstones.stamp(0.0), 0.001 * i)
+        return tombstones
+
+
+class _SettingsKeys(StateSubject):
+    subject = "settings keys"
+    role = "both"
+
+    def build(self, count: int) -> object:
+        leaves = {
+            parse_path(f"account.account-{i}.service.s-{i % 17}.max_running"): Leaf(
+                1_000 + i, True, i, f"operator-{i % 20}", f"{i:032x}"
+            )
+            for i in range(count)
+        }
+        return SettingsTree(count, leaves)
+
+
 STATES: tuple[StateSubject, ...] = (
     _Endpoints(),
     _Accounts(),
     _Pointers(),
     _Peers(),
     _Requests(),
+    _Tickets(),
+    _Tombstones(),
+    _SettingsKeys(),
 )
 
 
