--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -11,6 +11,7 @@
     "EntryFile",
     "FleetView",
     "LimitSettings",
+    "OperatorFile",
     "OperatorSettings",
     "ProcessSettings",
     "ServiceSettings",
@@ -40,6 +41,7 @@
         fleet_key: Secret that the fleet's processes show each other.
         log_address: Base URL of the platform's log service.
         hosts_address: Base URL of the platform's host list.
+        log_sample_ratio: Share of requests whose ordinary events are logged.
     """
 
     host: str
@@ -51,13 +53,19 @@
     log_address: str
     hosts_address: str
     tls: TlsSettings | None = None
+    log_sample_ratio: float = 1.0
 
 
 @attrs.frozen
 class EntryFile:
-    """The process file of an entry."""
+    """The process file of an entry.
+
+    Attributes:
+        fleet: Settings to start with, until those on the platform's log are read.
+    """
 
     process: ProcessSettings
+    fleet: "FleetView | None" = None
 
 
 @attrs.frozen
@@ -67,12 +75,35 @@
     Attributes:
         endpoint_id: Name of the endpoint that the sidecar stands beside.
         endpoint_address: Base URL of the endpoint.
+        fleet: Settings to start with, until those on the platform's log are read.
     """
 
     process: ProcessSettings
     endpoint_id: str
     service: str
     endpoint_address: str
+    fleet: "FleetView | None" = None
+
+
+@attrs.frozen
+class OperatorFile:
+    """The file of an operator's program.
+
+    Attributes:
+        operator: Name of the operator, as in the tree.
+        key: The operator's secret; the tree holds its SHA-256.
+        log_address: Base URL of the platform's log service.
+        region: Region that values are shown for when a path names none.
+        nodes: Addresses ("ip:port") of nodes that are asked what is in force there.
+        fleet_key: Secret that the nodes want to see.
+    """
+
+    operator: str
+    log_address: str
+    key: str = ""
+    region: str = ""
+    nodes: tuple[str, ...] = ()
+    fleet_key: str = ""
 
 
 @attrs.frozen
