--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -29,10 +29,10 @@
     Try,
     chat_key_of,
 )
-from beryljunction.tables import EndpointTable
+from beryljunction.tables import Endpoint, EndpointTable
 from beryljunction.timeline import Timeline
 from beryljunction.watches import WatchList
-from beryljunction.wire import Attach, Envelope
+from beryljunction.wire import MOVED_PATH, Attach, ChatMoved, Envelope
 
 __all__ = ["EntryApp"]
 
@@ -248,20 +248,37 @@
         chat_key = chat_key_of(exchange.account, request.chat_id) if request.chat_id else None
         envelope = self._envelope(exchange, request, chat_key)
         query = self._query(exchange, request, chat_key)
-        candidates = self._placement.candidates(query, time.monotonic())
-        attempts = AttemptSystem(candidates, self._budget, request.idempotent)
+        attempts = self._attempts(query, request)
         step = attempts.first()
         while isinstance(step, Try):
             refusal = await self._try(exchange, step, envelope, request.body)
             if refusal is None:
                 self._budget.earn()
+                await self._tell_home(attempts.home, step.endpoint, envelope)
                 return None
             self.timeline.add("try_refused", request_id, refusal.code)
             envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
-            step = attempts.after(refusal)
+            step = attempts.after(refusal, step.endpoint)
         assert isinstance(step, GiveUp)
         return step.refusal
 
+    def _attempts(self, query: PlacementQuery, request: CallerRequest) -> AttemptSystem:
+        now_s = time.monotonic()
+        candidates = self._placement.candidates(query, now_s)
+        previous_home = None
+        if request.chat_id and query.hint is None:
+            previous_home = self._placement.previous_home(candidates, now_s)
+        home = self._placement.home(query, now_s) if query.hint else None
+        return AttemptSystem(candidates, self._budget, request.idempotent, previous_home, home)
+
+    async def _tell_home(self, home: Endpoint | None, taker: Endpoint, envelope: Envelope) -> None:
+        """Tell a chat's home who took the chat; a message that is lost costs a warm cache only."""
+        if home is None or home is taker or envelope.chat_key is None:
+            return
+        tokens = envelope.prompt_tokens + envelope.output_tokens
+        moved = ChatMoved(envelope.chat_key, taker.endpoint_id, tokens)
+        await self._sidecars.tell(home, MOVED_PATH, moved)
+
     def _query(
         self, exchange: _Exchange, request: CallerRequest, chat_key: int | None
     ) -> PlacementQuery:
@@ -305,7 +322,14 @@
         silence_s = self.view.services[envelope.service].silence_s
         exchange.caller.extra = [(ROUTE_HINT_HEADER, endpoint.endpoint_id.encode())]
         exchange.relay = Relay(self._sidecars, endpoint, attach, exchange.caller, silence_s)
-        envelope = attrs.evolve(envelope, warm=step.warm, last_resort=step.last_resort)
+        envelope = attrs.evolve(
+            envelope,
+            warm=step.warm,
+            last_resort=step.last_resort,
+            only_if_warm=step.only_if_warm,
+            ignore_pointer=step.ignore_pointer,
+            loads=step.loads,
+        )
         return await exchange.relay.run(envelope, body)
 
     async def _refuse(self, caller: CallerWriter, refusal: Refusal) -> None:
--- a/src/beryljunction/sidecar/runs.py
+++ b/src/beryljunction/sidecar/runs.py
@@ -106,6 +106,11 @@
         """Whether a reader can be told anything yet."""
         return self.streaming or self.ended_s is not None
 
+    @property
+    def refused_unrun(self) -> bool:
+        """Whether the run waited and was refused; the entry may offer it here again."""
+        return self.ended_s is not None and self.ran is Ran.NO
+
     @property
     def kept_bytes(self) -> int:
         """Memory of the answer."""
