--- /dev/null
+++ b/src/beryljunction/bench/slopes/carried.py
@@ -0,0 +1,87 @@
+"""How the cost of real processes grows with what they carry."""
+
+import functools
+
+from beryljunction.bench.slopes.fit import Point, Slope, fit
+from beryljunction.bench.slopes.load import LoadCount, open_streams, paced_calls
+from beryljunction.bench.slopes.rig import Node, Rig, free_address, open_rig
+from beryljunction.bench.slopes.spending import Window, spend_under_load, sum_cpu
+from beryljunction.local.demo_view import demo_view
+from beryljunction.local.files import StandInEndpoint
+
+__all__ = ["frames_a_second", "requests_a_second", "streams_open"]
+
+_ENDPOINTS = 3
+_LONG_TOKENS = 100_000
+_SHORT_TOKENS = 400
+
+
+async def requests_a_second(window: Window) -> list[Slope]:
+    """Processor time against whole requests; idempotent and not."""
+    slopes = []
+    for method, subject in (("GET", "idempotent requests/s"), ("POST", "ticketed requests/s")):
+        entry_points, sidecar_points = [], []
+        async with open_rig(demo_view()) as rig:
+            entry, sidecars = await _serving(rig)
+            for rate_per_s in (10.0, 20.0, 40.0, 80.0):
+                count = LoadCount()
+                load = functools.partial(paced_calls, rig, entry, method, rate_per_s, count)
+                spent = await spend_under_load(rig, [entry, *sidecars], window, load, count)
+                entry_points.append(Point(rate_per_s, spent[0].cpu_us_per_s))
+                sidecar_points.append(Point(rate_per_s, sum_cpu(spent[1:])))
+        slopes += [
+            fit(subject, "entry", "cpu_us_per_s", entry_points),
+            fit(subject, "sidecar", "cpu_us_per_s", sidecar_points),
+        ]
+    return slopes
+
+
+async def frames_a_second(window: Window) -> list[Slope]:
+    """Processor time against relayed frames."""
+    entry_points, sidecar_points = [], []
+    async with open_rig(demo_view()) as rig:
+        entry, sidecars = await _serving(rig)
+        for streams in (4, 8, 16, 32):
+            count = LoadCount()
+            load = functools.partial(open_streams, rig, entry, streams, _SHORT_TOKENS, count)
+            spent = await spend_under_load(rig, [entry, *sidecars], window, load, count)
+            entry_points.append(Point(spent[0].frames_per_s, spent[0].cpu_us_per_s))
+            sidecar_points.append(Point(spent[0].frames_per_s, sum_cpu(spent[1:])))
+    return [
+        fit("frames/s", "entry", "cpu_us_per_s", entry_points),
+        fit("frames/s", "sidecar", "cpu_us_per_s", sidecar_points),
+    ]
+
+
+async def streams_open(window: Window) -> list[Slope]:
+    """Resident memory against open streams."""
+    entry_points, sidecar_points = [], []
+    for streams in (8, 24, 48, 72):
+        async with open_rig(demo_view()) as rig:
+            entry, sidecars = await _serving(rig)
+            count = LoadCount()
+            load = functools.partial(open_streams, rig, entry, streams, _LONG_TOKENS, count)
+            spent = await spend_under_load(
+                rig, [entry, *sidecars[:_ENDPOINTS]], window, load, count
+            )
+        entry_points.append(Point(streams, spent[0].resident_bytes))
+        mean = sum(one.resident_bytes for one in spent[1:]) / _ENDPOINTS
+        sidecar_points.append(Point(streams / _ENDPOINTS, mean))
+    return [
+        fit("open streams", "entry", "resident_bytes", entry_points),
+        fit("open streams", "sidecar", "resident_bytes", sidecar_points),
+    ]
+
+
+async def _serving(rig: Rig) -> tuple[Node, list[Node]]:
+    """Start an entry, sidecars of a model service and of a plain one, and their stand-ins."""
+    standins = [StandInEndpoint("engine", free_address()) for _ in range(_ENDPOINTS)]
+    standins += [StandInEndpoint("plain", free_address()) for _ in range(_ENDPOINTS)]
+    sidecars = []
+    for number, standin in enumerate(standins):
+        service = "drafter" if standin.kind == "engine" else "ledger"
+        name = f"{service}-{number}"
+        sidecars.append(await rig.start_sidecar(name, service, standin.listen))
+    await rig.start_standins([node.row for node in sidecars], standins)
+    entry = await rig.start_entry()
+    return entry, sidecars
--- /dev/null
+++ b/src/beryljunction/bench/slopes/measure.py
@@ -0,0 +1,56 @@
+"""All slopes in one run."""
+
+import json
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+import attrs
+
+from beryljunction.bench.slopes.carried import frames_a_second, requests_a_second, streams_open
+from beryljunction.bench.slopes.fit import Slope
+from beryljunction.bench.slopes.known import (
+    accounts_known,
+    changes_a_second,
+    endpoints_known,
+    sidecars_of_a_service,
+)
+from beryljunction.bench.slopes.spending import Window
+from beryljunction.bench.slopes.state import STATES, measure_state
+
+__all__ = ["measure_slopes", "print_slopes"]
+
+_GROWTHS: tuple[Callable[[Window], Coroutine[Any, Any, list[Slope]]], ...] = (
+    endpoints_known,
+    accounts_known,
+    sidecars_of_a_service,
+    changes_a_second,
+    requests_a_second,
+    frames_a_second,
+    streams_open,
+)
+_FULL = Window()
+# Points of a short window carry the noise of a few scheduler ticks: good for memory and bytes.
+_QUICK = Window(settle_s=0.5, measure_s=1.0)
+
+
+def measure_slopes(quick: bool, only: str = "") -> list[Slope]:
+    """Measure every slope whose subject holds the text ``only``, one after the other."""
+    slopes = [measure_state(state) for state in STATES if only in state.subject]
+    window = _QUICK if quick else _FULL
+    for growth in _GROWTHS:
+        if only and only not in growth.__name__.replace("_", " "):
+            continue
+        slopes += anyio.run(growth, window)
+    return slopes
+
+
+def print_slopes(slopes: list[Slope], as_json: bool) -> None:
+    """Print a table for a person, or one JSON object."""
+    if as_json:
+        print(json.dumps({"slopes": [attrs.asdict(slope) for slope in slopes]}))
+        return
+    for slope in slopes:
+        name = f"{slope.subject} ({slope.role}, {slope.unit})"
+        print(f"{name:60} {slope.per_unit:12.2f} each  {slope.fixed:14.0f} fixed", end="")
+        print(f"  residual {slope.residual_ratio:.3f}")
--- a/src/beryljunction/bench/slopes/rig.py
+++ b/src/beryljunction/bench/slopes/rig.py
@@ -1,7 +1,9 @@
 """Real processes for measurements: our console programs on loopback, bounded in count."""
 
 import contextlib
+import itertools
 import pathlib
+import random
 import re
 import socket
 import subprocess
@@ -32,15 +34,23 @@
 _POLL_S = 0.1
 _STOP_S = 8.0
 _FLEET_KEY = "bench-fleet-key"
+# Below the range that Linux gives to outgoing connections (from 32,768 on).
+_PORTS = itertools.count(random.randrange(12_000, 30_000))
 _CONTROL = re.compile(r"^beryl_control_bytes_total\{.*\} ([0-9.e+]+)$", re.MULTILINE)
 
 _converter = cattrs.Converter(omit_if_default=True)
 
 
 def free_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    """Return a loopback address that nothing listens on.
+
+    Ports the kernel hands to outgoing connections are avoided: one of the load's own connections
+    might take the port before the process that it was meant for.
+    """
+    while True:
+        address = ("127.0.0.1", next(_PORTS))
+        with contextlib.suppress(OSError), socket.create_server(address):
+            return f"{address[0]}:{address[1]}"
 
 
 @attrs.define(eq=False)
--- a/src/beryljunction/bench/slopes/state.py
+++ b/src/beryljunction/bench/slopes/state.py
@@ -5,6 +5,7 @@
 import tracemalloc
 
 from beryljunction.bench.slopes.fit import Point, Slope, fit
+from beryljunction.loads import LoadRow
 from beryljunction.settings import AccountSettings, FleetView, ServiceSettings
 from beryljunction.settings.paths import parse_path
 from beryljunction.settings.tree import Leaf, SettingsTree
@@ -14,7 +15,6 @@
     ChatTable,
     Endpoint,
     EndpointTable,
-    PeerLoad,
     PeerTable,
     RequestTable,
     TicketRow,
@@ -84,7 +84,9 @@
     def build(self, count: int) -> object:
         table = PeerTable()
         for i in range(count):
-            table.merge(PeerLoad(f"drafter-{i}", f"{i:016x}", i, i, i, 1000 + i, 1.0 + i))
+            table.merge(
+                LoadRow(f"drafter-{i}", f"{i:016x}", 300 + i, i, i, 9_000 + i, 0.5 + i), 1.0 + i
+            )
         return table
 
 
--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -7,6 +7,7 @@
 import defopt
 
 from beryljunction.bench.relay import RelayLoad, measure_relay
+from beryljunction.bench.slopes import measure_slopes, print_slopes
 from beryljunction.errors import BerylError
 
 __all__ = ["main"]
@@ -34,9 +35,21 @@
     return 0
 
 
+def slopes(*, quick: bool = False, only: str = "", json: bool = False) -> int:
+    """Measure how state, control traffic, CPU and memory grow, with real processes on loopback.
+
+    :param quick: Short windows, under a minute; processor times are then rough.
+    :param only: Measure only subjects that hold this text, such as "frames" or "accounts".
+    :param json: Print one JSON object instead of a table.
+    """
+    print_slopes(measure_slopes(quick, only), json)
+    return 0
+
+
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
     relay,
+    slopes,
 ]
 
 
