--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -18,24 +18,31 @@
 __all__ = [
     "ATTACH_PATH",
     "CANCEL_PATH",
+    "CLAIM_PATH",
     "DRAIN_PATH",
     "ENVELOPE_HEADER",
     "FLEET_KEY_HEADER",
-    "INCARNATION_HEADER",
+    "KEY_SHARDS",
     "MOVED_PATH",
     "OUTCOME_HEADER",
     "PEERS_PATH",
     "REQUEST_ID_HEADER",
     "RUN_PATH",
+    "STAMP_HEADER",
     "STATUS_PATH",
+    "STREAM_HEADER",
     "TICKET_PATH",
     "Attach",
     "Cancel",
     "ChatMoved",
     "Drain",
     "Envelope",
+    "KeyWish",
     "Outcome",
     "SidecarStatus",
+    "TicketGrant",
+    "TicketWish",
+    "claim_stream",
     "decode",
     "decode_rows",
     "encode",
@@ -47,17 +54,23 @@
 FLEET_KEY_HEADER = b"beryl-fleet-key"
 ENVELOPE_HEADER = b"beryl-envelope"
 OUTCOME_HEADER = b"beryl-outcome"
-INCARNATION_HEADER = b"beryl-incarnation"
+STAMP_HEADER = b"beryl-stamp"
+STREAM_HEADER = b"beryl-stream-id"
 REQUEST_ID_HEADER = b"beryl-request-id"
 RUN_PATH = "/beryl/v1/run"
 MOVED_PATH = "/beryl/v1/moved"
 ATTACH_PATH = "/beryl/v1/attach"
 CANCEL_PATH = "/beryl/v1/cancel"
+CLAIM_PATH = "/beryl/v1/claim"
 TICKET_PATH = "/beryl/v1/ticket"
 DRAIN_PATH = "/beryl/v1/drain"
 STATUS_PATH = "/beryl/v1/status"
 PEERS_PATH = "/beryl/v1/peers"
 
+# All processes must agree on it. 64 streams of the log at five appends a second each stay within
+# what it takes, and each is read by the few sidecars that are or were its home.
+KEY_SHARDS = 64
+
 T = TypeVar("T")
 
 _CALLERS_FAULTS = frozenset(
@@ -107,6 +120,9 @@
         headers: Caller's headers that the endpoint gets.
         loads: Loads of the endpoints that refused this request just now.
         ticket: Ticket that the request runs under; None for idempotent requests.
+        heard: Stamp of this sidecar that the entry heard last before it sent the request.
+        heard_age_s: Seconds from then to the sending.
+        candidates: Stamps of the sidecars where a burned ticket may go on.
     """
 
     request_id: str
@@ -129,6 +145,9 @@
     headers: tuple[tuple[str, str], ...] = ()
     ticket: str | None = None
     attempt: int = 0
+    heard: str = ""
+    heard_age_s: float = 0.0
+    candidates: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -136,19 +155,17 @@
     """Takes up the answer of a run on a new connection.
 
     Attributes:
+        heard: Stamp of this sidecar that the entry had heard when it sent the run; empty for none.
         after: Sequence of the last frame that was seen; 0 for none.
-        incarnation: Incarnation of the sidecar that the run was sent to; empty when unknown.
-        age_s: Time since the run was sent.
         resume: Asked for by a caller with an event id, not by the entry that sent the run; it
             proves nothing about a run that is on its way, so it leaves no tombstone.
     """
 
     request_id: str
     account: str
-    incarnation: str = ""
+    heard: str = ""
     after: int = 0
     attempt: int = 0
-    age_s: float = 0.0
     resume: bool = False
 
 
@@ -161,6 +178,38 @@
     attempt: int = 0
 
 
+@attrs.frozen
+class TicketWish:
+    """An account wants a ticket of the sidecar that is asked."""
+
+    account: str
+
+
+@attrs.frozen
+class TicketGrant:
+    """A ticket, as its caller gets it."""
+
+    ticket: str
+
+
+@attrs.frozen
+class KeyWish:
+    """Claims an idempotency key; the answer is a :class:`TicketGrant` or a refusal.
+
+    Attributes:
+        shard: Number of the log stream that settles the key.
+        key: Digest of account, service and key.
+        body: Digest of the request.
+        ticket: Ticket that the key shall stand for if it is new.
+    """
+
+    request_id: str
+    shard: int
+    key: str
+    body: str
+    ticket: str
+
+
 @attrs.frozen
 class Drain:
     """Take no new work, or take it again."""
@@ -198,6 +247,11 @@
     tokens: int
 
 
+def claim_stream(shard: int) -> str:
+    """Return the name of the log stream that settles a shard's idempotency keys."""
+    return f"keys-{shard}"
+
+
 def encode(message: Any) -> bytes:
     """Return an attrs message as compact JSON; fields that hold their default are left out."""
     plain = _converter.unstructure(message)
