--- a/src/beryljunction/bench/slopes/carried.py
+++ b/src/beryljunction/bench/slopes/carried.py
@@ -19,20 +19,20 @@
 async def requests_a_second(window: Window) -> list[Slope]:
     """Processor time against whole requests; idempotent and not."""
     slopes = []
-    for method, subject in (("GET", "idempotent requests/s"), ("POST", "ticketed requests/s")):
-        entry_points, sidecar_points = [], []
-        async with open_rig(demo_view()) as rig:
-            entry, sidecars = await _serving(rig)
+    async with open_rig(demo_view()) as rig:
+        entry, sidecars = await _serving(rig)
+        for method, subject in (("GET", "idempotent requests/s"), ("POST", "ticketed requests/s")):
+            entry_points, sidecar_points = [], []
             for rate_per_s in (10.0, 20.0, 40.0, 80.0):
                 count = LoadCount()
                 load = functools.partial(paced_calls, rig, entry, method, rate_per_s, count)
                 spent = await spend_under_load(rig, [entry, *sidecars], window, load, count)
                 entry_points.append(Point(rate_per_s, spent[0].cpu_us_per_s))
                 sidecar_points.append(Point(rate_per_s, sum_cpu(spent[1:])))
-        slopes += [
-            fit(subject, "entry", "cpu_us_per_s", entry_points),
-            fit(subject, "sidecar", "cpu_us_per_s", sidecar_points),
-        ]
+            slopes += [
+                fit(subject, "entry", "cpu_us_per_s", entry_points),
+                fit(subject, "sidecar", "cpu_us_per_s", sidecar_points),
+            ]
     return slopes
 
 
@@ -77,11 +77,12 @@
     """Start an entry, sidecars of a model service and of a plain one, and their stand-ins."""
     standins = [StandInEndpoint("engine", free_address()) for _ in range(_ENDPOINTS)]
     standins += [StandInEndpoint("plain", free_address()) for _ in range(_ENDPOINTS)]
-    sidecars = []
-    for number, standin in enumerate(standins):
-        service = "drafter" if standin.kind == "engine" else "ledger"
-        name = f"{service}-{number}"
-        sidecars.append(await rig.start_sidecar(name, service, standin.listen))
+    services = {"engine": "drafter", "plain": "ledger"}
+    endpoints = [
+        (f"{services[standin.kind]}-{number}", services[standin.kind], standin.listen)
+        for number, standin in enumerate(standins)
+    ]
+    sidecars = await rig.start_sidecars(endpoints)
     await rig.start_standins([node.row for node in sidecars], standins)
     entry = await rig.start_entry()
     return entry, sidecars
--- a/src/beryljunction/bench/slopes/known.py
+++ b/src/beryljunction/bench/slopes/known.py
@@ -8,15 +8,13 @@
 import attrs
 
 from beryljunction.bench.slopes.fit import Point, Slope, fit
-from beryljunction.bench.slopes.rig import free_address, open_rig
+from beryljunction.bench.slopes.rig import open_rig
 from beryljunction.bench.slopes.spending import Window, spend, spend_under_load
 from beryljunction.errors import InvariantError
 from beryljunction.local.demo_view import demo_view
-from beryljunction.platform import Appended, HostRow
-from beryljunction.servers import Server, bind
+from beryljunction.platform import Appended, HostRow, HttpLogClient, LogClient
 from beryljunction.settings import CHANGES_STREAM, AccountSettings
 from beryljunction.settings.changes import Change, Edit
-from beryljunction.standins import LogModel, LogStandIn, ModelLogClient
 
 __all__ = ["accounts_known", "changes_a_second", "endpoints_known", "sidecars_of_a_service"]
 
@@ -56,12 +54,10 @@
 async def sidecars_of_a_service(window: Window) -> list[Slope]:
     """Idle sidecars that exchange load rows, against their number."""
     memory, cpu, control = [], [], []
-    for count in (4, 8, 16, 32):
+    for count in window.sidecars:
         async with open_rig(demo_view()) as rig:
-            nodes = [
-                await rig.start_sidecar(f"drafter-{i}", "drafter", "127.0.0.1:1")
-                for i in range(count)
-            ]
+            endpoints = [(f"drafter-{i}", "drafter", "127.0.0.1:1") for i in range(count)]
+            nodes = await rig.start_sidecars(endpoints)
             await rig.start_standins([node.row for node in nodes])
             spent = await spend(rig, nodes, window)
         memory.append(Point(count, max(one.resident_bytes for one in spent)))
@@ -77,33 +73,28 @@
 async def changes_a_second(window: Window) -> list[Slope]:
     """Control traffic and processor time of an entry against accepted settings changes."""
     cpu, control = [], []
-    model = LogModel()
-    async with anyio.create_task_group() as group:
-        server = Server(LogStandIn(model), bind(free_address()))
-        await group.start(server.run_until_stopped)
-        async with open_rig(demo_view(), f"http://{server.address}") as rig:
-            await rig.start_standins([])
-            entry = await rig.start_entry()
-            for rate_per_s in (0.0, 1.0, 2.0, 4.0):
-                load = functools.partial(_publish, model, rate_per_s)
-                spent = await spend_under_load(rig, [entry], window, load)
-                cpu.append(Point(rate_per_s, spent[0].cpu_us_per_s))
-                control.append(Point(rate_per_s, spent[0].control_bytes_per_s))
-        group.cancel_scope.cancel()
+    async with open_rig(demo_view()) as rig:
+        await rig.start_standins([])
+        entry = await rig.start_entry()
+        log = HttpLogClient(rig.log_address, rig.pool)
+        for rate_per_s in (0.0, 1.0, 2.0, 4.0):
+            load = functools.partial(_publish, log, rate_per_s)
+            spent = await spend_under_load(rig, [entry], window, load)
+            cpu.append(Point(rate_per_s, spent[0].cpu_us_per_s))
+            control.append(Point(rate_per_s, spent[0].control_bytes_per_s))
     return [
         fit("settings changes/s", "both", "cpu_us_per_s", cpu),
         fit("settings changes/s", "both", "control_bytes_per_s", control),
     ]
 
 
-async def _publish(model: LogModel, rate_per_s: float) -> None:
+async def _publish(log: LogClient, rate_per_s: float) -> None:
     """Append valid changes at an even rate until cancelled."""
-    client = ModelLogClient(model)
     base = 0
     while rate_per_s:
         edit = Edit("service.drafter.max_running", 32 + base % 32)
         change = Change(uuid.uuid4().hex, base, "bench", (edit,))
-        outcome = await client.append(CHANGES_STREAM, change.change_id, change.to_data())
+        outcome = await log.append(CHANGES_STREAM, change.change_id, change.to_data())
         if not isinstance(outcome, Appended):
             raise InvariantError(f"expected the change to be appended, got {outcome}")
         base = outcome.offset
--- a/src/beryljunction/bench/slopes/measure.py
+++ b/src/beryljunction/bench/slopes/measure.py
@@ -31,7 +31,7 @@
 )
 _FULL = Window()
 # Points of a short window carry the noise of a few scheduler ticks: good for memory and bytes.
-_QUICK = Window(settle_s=0.5, measure_s=1.0)
+_QUICK = Window(settle_s=0.5, measure_s=1.0, sidecars=(2, 3, 4, 5))
 
 
 def measure_slopes(quick: bool, only: str = "") -> list[Slope]:
--- a/src/beryljunction/bench/slopes/rig.py
+++ b/src/beryljunction/bench/slopes/rig.py
@@ -21,7 +21,7 @@
 
 from beryljunction.bench.slopes.usage import Usage, usage_of
 from beryljunction.errors import StartError
-from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES
+from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES, leaves_of_view
 from beryljunction.local.files import StandInEndpoint, StandInsFile
 from beryljunction.platform import HostRow
 from beryljunction.servers import client_pool
@@ -76,34 +76,59 @@
         directory: pathlib.Path,
         pool: httpcore.AsyncConnectionPool,
         view: FleetView,
-        log_address: str,
     ) -> None:
         self.pool = pool
         self.view = view
         self._directory = directory
-        self._log_address = log_address
+        self._log_listen = free_address()
         self._hosts_listen = free_address()
         self._processes: list[subprocess.Popen[bytes]] = []
 
+    @property
+    def log_address(self) -> str:
+        """Base URL of the stand-in log."""
+        return f"http://{self._log_listen}"
+
     async def start_entry(self) -> Node:
         """Start an entry and wait until it is ready."""
         process = self._settings(f"entry-{len(self._processes)}")
         return await self._start("beryl-entry", process, EntryFile(process, self.view), "", "")
 
-    async def start_sidecar(self, endpoint_id: str, service: str, endpoint: str) -> Node:
-        """Start the sidecar of a stand-in endpoint and wait until it is ready."""
-        process = self._settings(f"host-{endpoint_id}")
-        file = SidecarFile(process, endpoint_id, service, f"http://{endpoint}", self.view)
-        return await self._start("beryl-sidecar", process, file, endpoint_id, service)
+    async def start_sidecars(self, endpoints: list[tuple[str, str, str]]) -> list[Node]:
+        """Start sidecars side by side and wait until all are ready.
+
+        Args:
+            endpoints: Endpoint id, service and address of each.
+        """
+        nodes: dict[str, Node] = {}
+
+        async def start(endpoint_id: str, service: str, address: str) -> None:
+            process = self._settings(f"host-{endpoint_id}")
+            file = SidecarFile(process, endpoint_id, service, f"http://{address}", self.view)
+            nodes[endpoint_id] = await self._start(
+                "beryl-sidecar", process, file, endpoint_id, service
+            )
+
+        async with anyio.create_task_group() as group:
+            for endpoint in endpoints:
+                group.start_soon(start, *endpoint)
+        return [nodes[endpoint_id] for endpoint_id, _, _ in endpoints]
 
     async def start_standins(
         self, rows: list[HostRow], endpoints: list[StandInEndpoint] | None = None
     ) -> None:
         """Start the host list with these rows, and stand-in endpoints."""
-        file = StandInsFile(self._hosts_listen, tuple(endpoints or ()), tuple(rows))
+        file = StandInsFile(
+            self._hosts_listen,
+            self._log_listen,
+            tuple(endpoints or ()),
+            tuple(rows),
+            leaves_of_view(self.view),
+        )
         path = self._write("standins", file)
         self._spawn("beryl-local", "standins", str(path))
         await self._wait_for(f"http://{self._hosts_listen}/v1/hosts?after=0&wait_s=0")
+        await self._wait_for(f"{self.log_address}/streams/ready/records?after=0&limit=1")
 
     async def control_bytes(self, node: Node) -> float:
         """Return the bytes of control traffic that a node has sent and received."""
@@ -126,7 +151,7 @@
             listen=free_address(),
             operator_listen=free_address(),
             fleet_key=_FLEET_KEY,
-            log_address=self._log_address,
+            log_address=self.log_address,
             hosts_address=f"http://{self._hosts_listen}",
             log_sample_ratio=0.0,
         )
@@ -176,11 +201,11 @@
 
 
 @contextlib.asynccontextmanager
-async def open_rig(view: FleetView, log_address: str = "") -> AsyncIterator[Rig]:
+async def open_rig(view: FleetView) -> AsyncIterator[Rig]:
     """Return a rig whose processes end with the block."""
     with tempfile.TemporaryDirectory() as directory:
         async with client_pool() as pool:
-            rig = Rig(pathlib.Path(directory), pool, view, log_address)
+            rig = Rig(pathlib.Path(directory), pool, view)
             try:
                 yield rig
             finally:
--- a/src/beryljunction/bench/slopes/spending.py
+++ b/src/beryljunction/bench/slopes/spending.py
@@ -17,10 +17,15 @@
 
 @attrs.frozen
 class Window:
-    """How long each point is measured; short windows are for a first look only."""
+    """How each point is measured; short windows are for a first look only.
 
-    settle_s: float = 2.0
-    measure_s: float = 6.0
+    Attributes:
+        sidecars: Numbers of sidecars that are started side by side.
+    """
+
+    settle_s: float = 4.0
+    measure_s: float = 8.0
+    sidecars: tuple[int, ...] = (4, 8, 16, 32)
 
 
 @attrs.frozen
