Split the sidecar's shell; hand chat pointers over at a stop

Smallest edit elsewhere: node/roles.py fills the sidecar's members from the host list, by the function that the entry's role uses too.

--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -112,13 +112,7 @@
 
     def take_hosts(self, rows: list[HostRow]) -> None:
         """Keep the endpoint table as the list has it."""
-        listed = {row.endpoint_id for row in rows}
-        for known in self.endpoints:
-            if known.endpoint_id not in listed:
-                self.endpoints.remove(known.endpoint_id)
-        for row in rows:
-            if row.endpoint_id:
-                self._put(row)
+        _keep(self.endpoints, rows)
 
     def drain(self, leaving: bool) -> None:
         """Do nothing more: the readiness probe tells the balancer, callers are still served."""
@@ -127,21 +121,6 @@
         """Add the number of endpoints known."""
         return attrs.evolve(status, endpoints=len(self.endpoints))
 
-    def _put(self, row: HostRow) -> None:
-        state = EndpointState.LEAVING if row.state == _LEAVING else EndpointState.LIVE
-        endpoint = Endpoint(
-            row.endpoint_id,
-            row.service,
-            row.availability_zone,
-            row.address,
-            row.incarnation,
-            state=state,
-        )
-        known = self.endpoints.get(row.endpoint_id)
-        if known is not None and known.incarnation == row.incarnation:
-            endpoint.suspect_until_s = known.suspect_until_s
-        self.endpoints.put(endpoint)
-
 
 class SidecarRole(NodeRole):
     """A sidecar: runs requests at its endpoint."""
@@ -170,6 +149,7 @@
 
         The row of an earlier incarnation in the same slot says nothing of this one.
         """
+        _keep(self.sidecar.members, rows)
         for row in rows:
             is_own = row.endpoint_id == self.file.endpoint_id
             is_earlier = row.incarnation not in ("", self.sidecar.incarnation)
@@ -200,3 +180,29 @@
         """
         self._service = view.services.get(self.file.service, self._service)
         return attrs.evolve(view, services={**view.services, self.file.service: self._service})
+
+
+def _keep(table: EndpointTable, rows: list[HostRow]) -> None:
+    """Make an endpoint table what the list says."""
+    listed = {row.endpoint_id for row in rows}
+    for known in table:
+        if known.endpoint_id not in listed:
+            table.remove(known.endpoint_id)
+    for row in rows:
+        if row.endpoint_id:
+            _put(table, row)
+
+
+def _put(table: EndpointTable, row: HostRow) -> None:
+    endpoint = Endpoint(
+        row.endpoint_id,
+        row.service,
+        row.availability_zone,
+        row.address,
+        row.incarnation,
+        state=EndpointState.LEAVING if row.state == _LEAVING else EndpointState.LIVE,
+    )
+    known = table.get(row.endpoint_id)
+    if known is not None and known.incarnation == row.incarnation:
+        endpoint.suspect_until_s = known.suspect_until_s
+    table.put(endpoint)
--- a/src/beryljunction/sidecar/__init__.py
+++ b/src/beryljunction/sidecar/__init__.py
@@ -1,6 +1,7 @@
 """The process beside each endpoint."""
 
-from beryljunction.sidecar.app import Call, Handler, SidecarApp
+from beryljunction.sidecar.app import SidecarApp
+from beryljunction.sidecar.calls import Call, Handler
 from beryljunction.sidecar.runs import Run, RunTable
 
 __all__ = ["Call", "Handler", "Run", "RunTable", "SidecarApp"]
--- /dev/null
+++ b/src/beryljunction/sidecar/calls.py
@@ -0,0 +1,38 @@
+"""Calls that other processes of the fleet make to a sidecar."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import attrs
+
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.servers import Receive, read_body
+from beryljunction.sidecar.writers import Writer
+from beryljunction.wire import decode
+
+__all__ = ["Call", "Handler"]
+
+_CONTROL_BYTES = 262_144
+
+T = TypeVar("T")
+
+
+@attrs.frozen
+class Call:
+    """One HTTP request of another process of the fleet, its key checked."""
+
+    headers: dict[bytes, bytes]
+    receive: Receive
+    writer: Writer
+
+    async def message(self, cls: type[T]) -> T | None:
+        """Return the message in the body; None when it is unreadable and was refused."""
+        try:
+            return decode(await read_body(self.receive, _CONTROL_BYTES) or b"", cls)
+        except ValueError as error:
+            refusal = Refusal(RefusalCode.BAD_REQUEST, str(error), Ran.UNKNOWN)
+            await self.writer.refuse(refusal, "")
+            return None
+
+
+Handler = Callable[[Call], Awaitable[None]]
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -26,6 +26,7 @@
     "MOVED_PATH",
     "OUTCOME_HEADER",
     "PEERS_PATH",
+    "POINTERS_PATH",
     "REQUEST_ID_HEADER",
     "RUN_PATH",
     "STAMP_HEADER",
@@ -39,6 +40,7 @@
     "Envelope",
     "KeyWish",
     "Outcome",
+    "PointerList",
     "SidecarStatus",
     "TicketGrant",
     "TicketWish",
@@ -59,6 +61,7 @@
 REQUEST_ID_HEADER = b"beryl-request-id"
 RUN_PATH = "/beryl/v1/run"
 MOVED_PATH = "/beryl/v1/moved"
+POINTERS_PATH = "/beryl/v1/pointers"
 ATTACH_PATH = "/beryl/v1/attach"
 CANCEL_PATH = "/beryl/v1/cancel"
 CLAIM_PATH = "/beryl/v1/claim"
@@ -247,6 +250,13 @@
     tokens: int
 
 
+@attrs.frozen
+class PointerList:
+    """Chat pointers that a leaving sidecar hands over."""
+
+    rows: tuple[ChatMoved, ...]
+
+
 def claim_stream(shard: int) -> str:
     """Return the name of the log stream that settles a shard's idempotency keys."""
     return f"keys-{shard}"
--- a/testing/test_sidecar.py
+++ b/testing/test_sidecar.py
@@ -24,14 +24,14 @@
 
 def note(app, ticket=None, request_id="r1", **fields):
     """Return a request that may not run twice, under a ticket."""
-    ticket = ticket or app.tickets.mint("jury", boot_time_s())
+    ticket = ticket or app.keeper.tickets.mint("jury", boot_time_s())
     return Envelope(
         request_id, "jury", "drafter", wait_s=10.0, idempotent=False, ticket=ticket, **fields
     )
 
 
 def heard(app):
-    return app.tombstones.stamp(boot_time_s()).to_text()
+    return app.keeper.tombstones.stamp(boot_time_s()).to_text()
 
 
 def outcome(response):
@@ -262,7 +262,7 @@
         async with path_of() as path:
             path.engine = ScriptedEngine(hold_at=2)
             app = await path.sidecar(path.engine)
-            ticket = app.tickets.mint("jury", boot_time_s())
+            ticket = app.keeper.tickets.mint("jury", boot_time_s())
             answers = []
 
             async def ask(request_id):
--- a/testing/test_stops.py
+++ b/testing/test_stops.py
@@ -4,6 +4,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.stops import GracefulStop, Stoppable
+from beryljunction.tables import Endpoint
 from beryljunction.wire import ATTACH_PATH, DRAIN_PATH, Attach, Drain, Envelope
 from path_fakes import AUTH, ScriptedEngine, chat, error_of, event_data, eventually, path_of
 
@@ -75,7 +76,7 @@
             answers = []
 
             async def note():
-                ticket = app.tickets.mint("jury", boot_time_s())
+                ticket = app.keeper.tickets.mint("jury", boot_time_s())
                 envelope = attrs.evolve(STREAM, streamed=False, idempotent=False, ticket=ticket)
                 answers.append(await path.run(envelope, b"{}"))
 
@@ -143,3 +144,34 @@
             answer = await path.pool.request("GET", f"{entry}/v1/streams/a.b.c", headers=[AUTH])
 
         assert error_of(answer)["ran"] == "unknown"
+
+
+class TestHandOver:
+    async def test_chats_that_lie_elsewhere_are_found_by_the_next_home(self):
+        # The home of some chats leaves. Their next home is told where they lie, so that they do
+        # not start cold there; what lay on the leaving endpoint is gone with its cache.
+        async with path_of() as path:
+            apps = [await path.sidecar(ScriptedEngine()) for _ in range(3)]
+            for app in apps:
+                app.members = path.endpoints
+            now_s = anyio.current_time()
+            for chat_key in range(40):
+                apps[0].admission.pointers.placed(chat_key, "drafter-1", 900, now_s)
+            apps[0].admission.pointers.placed(99, "drafter-0", 900, now_s)
+
+            await apps[0].hand_over()
+
+        known = [
+            {row.chat_key: row.endpoint_id for row in app.admission.pointers.chats.rows()}
+            for app in apps[1:]
+        ]
+        assert known[0].keys() | known[1].keys() == set(range(40))
+        assert set(known[0].values()) | set(known[1].values()) == {"drafter-1"}
+
+    async def test_heir_that_is_gone_does_not_hold_the_stop_up(self):
+        async with path_of() as path:
+            app = await path.sidecar(ScriptedEngine())
+            app.members.put(Endpoint("drafter-8", "drafter", "ahd-a", "127.0.0.1:1"))
+            app.admission.pointers.placed(7, "drafter-8", 900, anyio.current_time())
+
+            await app.hand_over()
