Measure the relay on whole processes; claim nothing of earlier tries when busy

beryl-bench relay now runs entry and sidecar as Node does, with metrics and the control front around them, where before it ran the bare applications.

A stopping or busy entry said 'not run' of requests with a ticket or key, which may have run through another entry; it says 'unknown' now.

--- a/src/beryljunction/bench/relay_parts.py
+++ b/src/beryljunction/bench/relay_parts.py
@@ -10,7 +10,8 @@
 
 import anyio
 
-from beryljunction.entry import EntryApp
+from beryljunction.node import Node
+from beryljunction.platform import HostRow
 from beryljunction.servers import (
     Asgi,
     Receive,
@@ -30,8 +31,6 @@
     ServiceSettings,
     SidecarFile,
 )
-from beryljunction.sidecar import SidecarApp
-from beryljunction.tables import Endpoint, EndpointTable
 
 __all__ = ["BENCH_KEY", "MODEL"]
 
@@ -39,6 +38,7 @@
 MODEL = "reel-llm"
 _FREE_PORT = "127.0.0.1:0"
 _ZONE = "regina"
+_ENDPOINT_ID = f"{MODEL}-0"
 _STREAMS = 512
 _BODY_BYTES = 1_048_576
 
@@ -103,32 +103,32 @@
     return ProcessSettings(host, "prairies", _ZONE, _FREE_PORT, _FREE_PORT, "bench-key", "", "")
 
 
-def _sidecar(target: str) -> SidecarApp:
-    file = SidecarFile(_process("sidecar"), f"{MODEL}-0", MODEL, f"http://{target}")
-    return SidecarApp(file, _view())
+def _sidecar(target: str) -> Node:
+    file = SidecarFile(_process("sidecar"), _ENDPOINT_ID, MODEL, f"http://{target}")
+    return Node.sidecar(file, _view())
 
 
-def _entry(target: str) -> EntryApp:
-    endpoints = EndpointTable([Endpoint(f"{MODEL}-0", MODEL, _ZONE, target)])
-    return EntryApp(EntryFile(_process("entry")), _view(), endpoints)
+def _entry(target: str) -> Node:
+    node = Node.entry(EntryFile(_process("entry")), _view())
+    node.role.take_hosts([HostRow("sidecar", _ENDPOINT_ID, MODEL, _ZONE, "prairies", target)])
+    return node
 
 
-_ROLES: dict[str, Callable[[str], Asgi]] = {
-    "source": lambda _: _PacedSource(),
-    "bare": _BareRelay,
-    "sidecar": _sidecar,
-    "entry": _entry,
-}
+_APPS: dict[str, Callable[[str], Asgi]] = {"source": lambda _: _PacedSource(), "bare": _BareRelay}
+_NODES: dict[str, Callable[[str], Node]] = {"sidecar": _sidecar, "entry": _entry}
 
 
-async def _serve(app: Asgi) -> None:
-    server = Server(app, bind(_FREE_PORT))
+async def _run(role: str, target: str) -> None:
     async with anyio.create_task_group() as group:
-        if isinstance(app, (SidecarApp, EntryApp)):
-            await group.start(app.run)
+        if role in _NODES:
+            node = _NODES[role](target)
+            await group.start(node.run)
+            print(node.requests.address, flush=True)
+            return
+        server = Server(_APPS[role](target), bind(_FREE_PORT))
         await group.start(server.run_until_stopped)
         print(server.address, flush=True)
 
 
 if __name__ == "__main__":
-    anyio.run(_serve, _ROLES[sys.argv[1]]("".join(sys.argv[2:])))
+    anyio.run(_run, sys.argv[1], "".join(sys.argv[2:]))
--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -14,7 +14,7 @@
 from beryljunction.entry.relays import Relay
 from beryljunction.entry.router import Router
 from beryljunction.entry.sidecars import SidecarClient
-from beryljunction.entry.writers import CallerWriter
+from beryljunction.entry.writers import KEY_HEADER, TICKET_HEADER, CallerWriter
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.servers import Receive, Scope, Send, client_pool, read_body, wait_disconnect
 from beryljunction.settings import EntryFile, FleetView
@@ -33,6 +33,7 @@
 _STREAMS_PREFIX = "/v1/streams/"
 _PLAIN_PREFIX = "/services/"
 _CANCEL_S = 3.0
+_NAMES_EARLIER = frozenset((TICKET_HEADER, KEY_HEADER))
 
 
 @attrs.frozen
@@ -143,9 +144,14 @@
     def _busy(self, scope: Scope) -> Refusal:
         """Refuse before anything is read.
 
-        Of a stream that is to be resumed this entry knows nothing: it may well have run.
+        Of a stream that is to be resumed, or a request with a ticket or key, this entry knows
+        nothing: it may well have run through another one.
         """
-        ran = Ran.UNKNOWN if scope["path"].startswith(_STREAMS_PREFIX) else Ran.NO
+        names = {name for name, _ in scope["headers"]}
+        is_first = _NAMES_EARLIER.isdisjoint(names) and not scope["path"].startswith(
+            _STREAMS_PREFIX
+        )
+        ran = Ran.NO if is_first else Ran.UNKNOWN
         if self.leaving:
             message = "this entry is stopping; ask another one"
             return Refusal(RefusalCode.LEAVING, message, ran, 1.0)
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -80,7 +80,8 @@
     @classmethod
     def sidecar(cls, file: SidecarFile, view: FleetView) -> "Node":
         """Return the process of a sidecar."""
-        return cls(file.process, lambda _: SidecarRole(file, view), SidecarRole.is_mutual, view)
+        make = functools.partial(SidecarRole, file, view)
+        return cls(file.process, make, SidecarRole.is_mutual, view)
 
     def status(self) -> NodeStatus:
         """Return what the process says of itself."""
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -128,11 +128,13 @@
     name = "sidecar"
     is_mutual = True
 
-    def __init__(self, file: SidecarFile, view: FleetView) -> None:
+    def __init__(
+        self, file: SidecarFile, view: FleetView, tls: ssl.SSLContext | None = None
+    ) -> None:
         self.process = file.process
         self.file = file
         self._service = ServiceSettings()
-        self.sidecar = SidecarApp(file, self._with_service(view))
+        self.sidecar = SidecarApp(file, self._with_service(view), tls=tls)
         self.app = self.part = self.sidecar
         self.timeline = self.sidecar.timeline
 
--- a/testing/test_stops.py
+++ b/testing/test_stops.py
@@ -137,13 +137,24 @@
         assert (error_of(refused)["ran"], refused.status) == ("no", 503)
         assert dict(refused.headers)[b"retry-after"] == b"1"
 
-    async def test_resume_at_a_stopping_entry_claims_nothing(self):
+    @pytest.mark.parametrize(
+        ("method", "target", "header"),
+        [
+            pytest.param("GET", "/v1/streams/a.b.c", ("accept", "*/*"), id="resume"),
+            pytest.param("POST", CHAT, ("idempotency-key", "k"), id="key"),
+            pytest.param("POST", CHAT, ("beryl-ticket", "t"), id="ticket"),
+        ],
+    )
+    async def test_claims_nothing_of_what_another_entry_may_have_run(self, method, target, header):
         async with path_of() as path:
             entry = await path.entry()
             path.entry_app.refuse_new()
-            answer = await path.pool.request("GET", f"{entry}/v1/streams/a.b.c", headers=[AUTH])
+            answer = await path.pool.request(method, entry + target, headers=[AUTH, header])
 
-        assert error_of(answer)["ran"] == "unknown"
+        assert (error_of(answer)["code"], error_of(answer)["ran"]) == (
+            "endpoint_leaving",
+            "unknown",
+        )
 
 
 class TestHandOver:
