--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -1,6 +1,8 @@
 """HTTP servers (uvicorn) and client pools (httpcore) as all processes use them."""
 
+import asyncio
 import contextlib
+import logging
 import socket
 import ssl
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
@@ -50,6 +52,22 @@
         raise StartError(f"{address}: expected a free ip:port, got {error}") from error
 
 
+class _ExpectedEnds(logging.Filter):
+    """Keeps responses that are left unfinished on purpose out of the error log.
+
+    A reader that was replaced by a new connection, and whatever a process still serves when it is
+    cancelled, end without a whole response. Logged as errors they would hide the real ones.
+    """
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        error = record.exc_info[1] if record.exc_info else None
+        is_replaced = record.getMessage().startswith("ASGI callable returned without completing")
+        return not is_replaced and not isinstance(error, asyncio.CancelledError)
+
+
+_EXPECTED_ENDS = _ExpectedEnds()
+
+
 class Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the process and waits for requests in flight."""
 
@@ -71,6 +89,7 @@
             proxy_headers=False,
         )
         super().__init__(config)
+        logging.getLogger("uvicorn.error").addFilter(_EXPECTED_ENDS)
         self.listener = listener
 
     @contextlib.contextmanager
