Notice a reader whose host died after half a minute

Listeners set TCP_USER_TIMEOUT to 30 s. Ruled out: kicking readers that lag; a slow caller is not a dead one.

--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -37,6 +37,10 @@
 # on its way: the caller would get "unknown" for nothing. So servers keep them longer.
 _KEEPALIVE_S = 30.0
 _SERVER_KEEPALIVE_S = 75
+# A reader whose host died takes no byte and closes nothing. Its run would count as read, and be
+# held up by it, until TCP gives up after a quarter of an hour. Heartbeats see to it that there is
+# always a byte to take, so half a minute without one taken is a reader that is gone; it may resume.
+_UNTAKEN_MS = 30_000
 
 
 def bind(address: str) -> socket.socket:
@@ -47,9 +51,12 @@
     """
     host, _, port = address.rpartition(":")
     try:
-        return socket.create_server((host, int(port)), backlog=2048)
+        listener = socket.create_server((host, int(port)), backlog=2048)
     except (OSError, ValueError) as error:
         raise StartError(f"{address}: expected a free ip:port, got {error}") from error
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNTAKEN_MS)
+    return listener
 
 
 class _ExpectedEnds(logging.Filter):
