--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -1,6 +1,8 @@
 """HTTP servers (uvicorn) and client pools (httpcore) as all processes use them."""
 
+import asyncio
 import contextlib
+import logging
 import socket
 import ssl
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
@@ -35,6 +37,10 @@
 # on its way: the caller would get "unknown" for nothing. So servers keep them longer.
 _KEEPALIVE_S = 30.0
 _SERVER_KEEPALIVE_S = 75
+# A reader whose host died takes no byte and closes nothing. Its run would count as read, and be
+# held up by it, until TCP gives up after a quarter of an hour. Heartbeats see to it that there is
+# always a byte to take, so half a minute without one taken is a reader that is gone; it may resume.
+_UNTAKEN_MS = 30_000
 
 
 def bind(address: str) -> socket.socket:
@@ -45,9 +51,28 @@
     """
     host, _, port = address.rpartition(":")
     try:
-        return socket.create_server((host, int(port)), backlog=2048)
+        listener = socket.create_server((host, int(port)), backlog=2048)
     except (OSError, ValueError) as error:
         raise StartError(f"{address}: expected a free ip:port, got {error}") from error
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNTAKEN_MS)
+    return listener
+
+
+class _ExpectedEnds(logging.Filter):
+    """Keeps responses that are left unfinished on purpose out of the error log.
+
+    A reader that was replaced by a new connection, and whatever a process still serves when it is
+    cancelled, end without a whole response. Logged as errors they would hide the real ones.
+    """
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        error = record.exc_info[1] if record.exc_info else None
+        is_replaced = record.getMessage().startswith("ASGI callable returned without completing")
+        return not is_replaced and not isinstance(error, asyncio.CancelledError)
+
+
+_EXPECTED_ENDS = _ExpectedEnds()
 
 
 class Server(uvicorn.Server):
@@ -71,6 +96,7 @@
             proxy_headers=False,
         )
         super().__init__(config)
+        logging.getLogger("uvicorn.error").addFilter(_EXPECTED_ENDS)
         self.listener = listener
 
     @contextlib.contextmanager
