--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -32,7 +32,7 @@
 from beryljunction.sidecar.peers import PeerExchange
 from beryljunction.stops import Stoppable
 from beryljunction.systems import ListedEndpoint
-from beryljunction.tables import EndpointTable
+from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.timeline import Timeline
 from beryljunction.wire import PEERS_PATH
 
@@ -208,7 +208,7 @@
         self.file = file
         self._service = ServiceSettings()
         self._peer_addresses: dict[str, str] = {}
-        self.sidecar = SidecarApp(file, self._with_service(view))
+        self.sidecar = SidecarApp(file, self._with_service(view), tls=tools.tls)
         self.app = self.part = self.sidecar
         self.timeline = self.sidecar.timeline
         self.exchange = PeerExchange(
@@ -245,6 +245,7 @@
             if row.service == self.file.service and row.endpoint_id != self.file.endpoint_id
         }
         self.exchange.set_peers(self._peer_addresses)
+        _keep(self.sidecar.members, rows)
         for row in rows:
             is_own = row.endpoint_id == self.file.endpoint_id and row.host == self.process.host
             is_earlier = row.incarnation not in ("", self.sidecar.incarnation)
@@ -308,3 +309,24 @@
         row.address,
         leaving=row.state == _LEAVING,
     )
+
+
+def _keep(table: EndpointTable, rows: list[HostRow]) -> None:
+    """Make an endpoint table what the list says."""
+    listed = {row.endpoint_id for row in rows}
+    for known in table:
+        if known.endpoint_id not in listed:
+            table.remove(known.endpoint_id)
+    for row in rows:
+        if row.endpoint_id:
+            table.put(_endpoint_of(row))
+
+
+def _endpoint_of(row: HostRow) -> Endpoint:
+    return Endpoint(
+        row.endpoint_id,
+        row.service,
+        row.availability_zone,
+        row.address,
+        state=EndpointState.LEAVING if row.state == _LEAVING else EndpointState.LIVE,
+    )
