--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -1,12 +1,20 @@
 """beryl-bench: measures policy, relay and cost."""
 
+import json as jsonlib
+import statistics
 import sys
 from collections.abc import Callable
 
 import anyio
+import attrs
 import defopt
 
 from beryljunction.bench.relay import RelayLoad, measure_relay
+from beryljunction.bench.settings_cost import (
+    RaceShares,
+    measure_races,
+    measure_settings_cost,
+)
 from beryljunction.errors import BerylError
 
 __all__ = ["main"]
@@ -34,9 +42,42 @@
     return 0
 
 
+def settings(*, seed: int = 1, json: bool = False) -> int:
+    """Measure refusals among racing operators, and a node's bytes for following the settings.
+
+    :param seed: Of the operators' draws.
+    :param json: Print one JSON object instead of a table.
+    """
+    day = [measure_races(2_100, 86_400.0, think_s, seed) for think_s in (0.3, 30.0, 300.0)]
+    bursts = [measure_races(10, 0.0, 30.0, seed + i) for i in range(200)]
+    burst = RaceShares(
+        10,
+        30.0,
+        statistics.fmean(b.per_path_refused_ratio for b in bursts),
+        statistics.fmean(b.whole_tree_refused_ratio for b in bursts),
+    )
+    cost = anyio.run(measure_settings_cost)
+    if json:
+        races = [attrs.asdict(shares) for shares in (*day, burst)]
+        print(jsonlib.dumps({"races": races, **attrs.asdict(cost)}))
+        return 0
+    print("changes  look to append  refused: base for each path  one base for the tree")
+    for shares in (*day, burst):
+        print(f"{shares.changes:7}  {shares.think_s:12.1f} s", end="  ")
+        print(f"{shares.per_path_refused_ratio:27.4f}", end="  ")
+        print(f"{shares.whole_tree_refused_ratio:21.4f}")
+    print(f"following the settings: {cost.control_bytes_per_s:.0f} B/s a node", end="; ")
+    print(
+        f"{cost.idle_poll_bytes:.0f} B an idle read, {cost.record_bytes:.0f} B a change", end=", "
+    )
+    print(f"{cost.snapshot_bytes} B a snapshot")
+    return 0
+
+
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
     relay,
+    settings,
 ]
 
 
