--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -15,6 +15,7 @@
     measure_races,
     measure_settings_cost,
 )
+from beryljunction.bench.slopes import measure_slopes, print_slopes
 from beryljunction.errors import BerylError
 
 __all__ = ["main"]
@@ -74,10 +75,22 @@
     return 0
 
 
+def slopes(*, quick: bool = False, only: str = "", json: bool = False) -> int:
+    """Measure how state, control traffic, CPU and memory grow, with real processes on loopback.
+
+    :param quick: Short windows, under a minute; processor times are then rough.
+    :param only: Measure only subjects that hold this text, such as "frames" or "accounts".
+    :param json: Print one JSON object instead of a table.
+    """
+    print_slopes(measure_slopes(quick, only), json)
+    return 0
+
+
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
     relay,
     settings,
+    slopes,
 ]
 
 
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -12,29 +12,43 @@
 import attrs
 import cattrs
 
+from beryljunction.loads import LoadRow
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 
 __all__ = [
     "ATTACH_PATH",
     "CANCEL_PATH",
+    "CLAIM_PATH",
     "DRAIN_PATH",
     "ENVELOPE_HEADER",
     "FLEET_KEY_HEADER",
-    "INCARNATION_HEADER",
+    "KEY_SHARDS",
+    "MOVED_PATH",
     "OUTCOME_HEADER",
     "PEERS_PATH",
+    "POINTERS_PATH",
     "REQUEST_ID_HEADER",
     "RUN_PATH",
+    "STAMP_HEADER",
     "STATUS_PATH",
+    "STREAM_HEADER",
     "TICKET_PATH",
     "Attach",
     "Cancel",
+    "ChatMoved",
     "Drain",
     "Envelope",
+    "KeyWish",
     "Outcome",
+    "PointerList",
     "SidecarStatus",
+    "TicketGrant",
+    "TicketWish",
+    "claim_stream",
     "decode",
+    "decode_rows",
     "encode",
+    "encode_rows",
     "refusal_body",
     "refusal_from_body",
 ]
@@ -42,16 +56,24 @@
 FLEET_KEY_HEADER = b"beryl-fleet-key"
 ENVELOPE_HEADER = b"beryl-envelope"
 OUTCOME_HEADER = b"beryl-outcome"
-INCARNATION_HEADER = b"beryl-incarnation"
+STAMP_HEADER = b"beryl-stamp"
+STREAM_HEADER = b"beryl-stream-id"
 REQUEST_ID_HEADER = b"beryl-request-id"
 RUN_PATH = "/beryl/v1/run"
+MOVED_PATH = "/beryl/v1/moved"
+POINTERS_PATH = "/beryl/v1/pointers"
 ATTACH_PATH = "/beryl/v1/attach"
 CANCEL_PATH = "/beryl/v1/cancel"
+CLAIM_PATH = "/beryl/v1/claim"
 TICKET_PATH = "/beryl/v1/ticket"
 DRAIN_PATH = "/beryl/v1/drain"
 STATUS_PATH = "/beryl/v1/status"
 PEERS_PATH = "/beryl/v1/peers"
 
+# All processes must agree on it. 64 streams of the log at five appends a second each stay within
+# what it takes, and each is read by the few sidecars that are or were its home.
+KEY_SHARDS = 64
+
 T = TypeVar("T")
 
 _CALLERS_FAULTS = frozenset(
@@ -65,6 +87,7 @@
 )
 
 _converter = cattrs.Converter(omit_if_default=True)
+_row_converter = cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
 
 
 class Outcome(enum.StrEnum):
@@ -98,7 +121,11 @@
         method: HTTP method at the endpoint.
         path: Path and query at the endpoint.
         headers: Caller's headers that the endpoint gets.
+        loads: Loads of the endpoints that refused this request just now.
         ticket: Ticket that the request runs under; None for idempotent requests.
+        heard: Stamp of this sidecar that the entry heard last before it sent the request.
+        heard_age_s: Seconds from then to the sending.
+        candidates: Stamps of the sidecars where a burned ticket may go on.
     """
 
     request_id: str
@@ -113,11 +140,17 @@
     streamed: bool = False
     warm: bool = False
     last_resort: bool = False
+    only_if_warm: bool = False
+    ignore_pointer: bool = False
+    loads: tuple[LoadRow, ...] = ()
     method: str = "POST"
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
     ticket: str | None = None
     attempt: int = 0
+    heard: str = ""
+    heard_age_s: float = 0.0
+    candidates: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -125,19 +158,17 @@
     """Takes up the answer of a run on a new connection.
 
     Attributes:
+        heard: Stamp of this sidecar that the entry had heard when it sent the run; empty for none.
         after: Sequence of the last frame that was seen; 0 for none.
-        incarnation: Incarnation of the sidecar that the run was sent to; empty when unknown.
-        age_s: Time since the run was sent.
         resume: Asked for by a caller with an event id, not by the entry that sent the run; it
             proves nothing about a run that is on its way, so it leaves no tombstone.
     """
 
     request_id: str
     account: str
-    incarnation: str = ""
+    heard: str = ""
     after: int = 0
     attempt: int = 0
-    age_s: float = 0.0
     resume: bool = False
 
 
@@ -150,6 +181,38 @@
     attempt: int = 0
 
 
+@attrs.frozen
+class TicketWish:
+    """An account wants a ticket of the sidecar that is asked."""
+
+    account: str
+
+
+@attrs.frozen
+class TicketGrant:
+    """A ticket, as its caller gets it."""
+
+    ticket: str
+
+
+@attrs.frozen
+class KeyWish:
+    """Claims an idempotency key; the answer is a :class:`TicketGrant` or a refusal.
+
+    Attributes:
+        shard: Number of the log stream that settles the key.
+        key: Digest of account, service and key.
+        body: Digest of the request.
+        ticket: Ticket that the key shall stand for if it is new.
+    """
+
+    request_id: str
+    shard: int
+    key: str
+    body: str
+    ticket: str
+
+
 @attrs.frozen
 class Drain:
     """Take no new work, or take it again."""
@@ -174,6 +237,31 @@
     kept: int
 
 
+@attrs.frozen
+class ChatMoved:
+    """What an entry tells a chat's home when a later candidate took the chat.
+
+    Attributes:
+        tokens: Length of the prefix that the endpoint now holds.
+    """
+
+    chat_key: int
+    endpoint_id: str
+    tokens: int
+
+
+@attrs.frozen
+class PointerList:
+    """Chat pointers that a leaving sidecar hands over."""
+
+    rows: tuple[ChatMoved, ...]
+
+
+def claim_stream(shard: int) -> str:
+    """Return the name of the log stream that settles a shard's idempotency keys."""
+    return f"keys-{shard}"
+
+
 def encode(message: Any) -> bytes:
     """Return an attrs message as compact JSON; fields that hold their default are left out."""
     plain = _converter.unstructure(message)
@@ -207,8 +295,23 @@
     """Return the refusal in an error body; what can't be read proves nothing, so it is unknown."""
     try:
         fields = json.loads(data)["error"]
-        for extra in ("request_id", "type", "param"):
-            fields.pop(extra, None)
-        return Refusal(RefusalCode(fields.pop("code")), ran=Ran(fields.pop("ran")), **fields)
-    except (ValueError, KeyError, TypeError, AttributeError):
+        return _converter.structure(fields, Refusal)
+    except (cattrs.BaseValidationError, ValueError, KeyError, TypeError):
         return Refusal(RefusalCode.OUTCOME_UNKNOWN, "unreadable answer", Ran.UNKNOWN)
+
+
+def encode_rows(rows: list[LoadRow]) -> bytes:
+    """Return load rows as JSON arrays without names, which would be most of their bytes."""
+    return json.dumps([attrs.astuple(row) for row in rows], separators=(",", ":")).encode()
+
+
+def decode_rows(data: bytes) -> list[LoadRow]:
+    """Return the load rows in JSON bytes.
+
+    Raises:
+        ValueError: When the bytes are not JSON or do not fit.
+    """
+    try:
+        return [_row_converter.structure(row, LoadRow) for row in json.loads(data)]
+    except (cattrs.BaseValidationError, KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"expected load rows, got {data[:80]!r}: {error}") from error
