--- a/src/beryljunction/node/__init__.py
+++ b/src/beryljunction/node/__init__.py
@@ -1,9 +1,11 @@
 """What the processes of the fleet share: listeners, host list, settings, metrics and the stop."""
 
 from beryljunction.node.client import Answers, OperatorClient
+from beryljunction.node.entry_role import EntryRole
 from beryljunction.node.hosts import HostFollower, HostView
 from beryljunction.node.process import Node
-from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, RoleTools, SidecarRole
+from beryljunction.node.roles import NodeRole, NodeStatus, RoleTools
+from beryljunction.node.sidecar_role import SidecarRole
 
 __all__ = [
     "Answers",
--- /dev/null
+++ b/src/beryljunction/node/entry_role.py
@@ -0,0 +1,83 @@
+"""What an entry adds to the wiring that all processes share."""
+
+import time
+from typing import Any
+
+import anyio
+import attrs
+
+from beryljunction.entry import EntryApp
+from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
+from beryljunction.platform import HostRow
+from beryljunction.settings import EntryFile, FleetView
+from beryljunction.systems import ListedEndpoint
+from beryljunction.tables import EndpointTable
+
+__all__ = ["EntryRole"]
+
+_TICK_S = 0.5
+
+
+class EntryRole(NodeRole):
+    """An entry: relays callers' requests to the endpoints on the list."""
+
+    name = "entry"
+    is_mutual = False
+
+    def __init__(self, file: EntryFile, view: FleetView, tools: RoleTools) -> None:
+        self.process = file.process
+        self.endpoints = EndpointTable()
+        self.app = self.part = self.entry = EntryApp(file, view, self.endpoints, tools.tls)
+        self.timeline = self.entry.timeline
+        self.routes = {}
+        self._listed_incarnations: dict[str, str] = {}
+
+    async def run(self, *, task_status: Any) -> None:
+        """Watch the entry's connections and let suspicions end."""
+        async with anyio.create_task_group() as group:
+            await group.start(self.entry.run)
+            task_status.started()
+            while True:
+                await anyio.sleep(_TICK_S)
+                self.entry.membership.tick(time.monotonic())
+
+    def apply(self, view: FleetView) -> None:
+        """Put settings in force."""
+        self.entry.apply(view)
+
+    def take_hosts(self, rows: list[HostRow]) -> None:
+        """Give the list to the membership, which weighs it against what this entry saw."""
+        now_s = time.monotonic()
+        membership = self.entry.membership
+        endpoints = [row for row in rows if row.endpoint_id]
+        for row in endpoints:
+            if self._is_replaced(row):
+                membership.note_replaced(row.endpoint_id, now_s)
+        membership.apply_list([_listed(row) for row in endpoints], now_s)
+
+    def drain(self, leaving: bool) -> None:
+        """Do nothing more: the readiness probe tells the balancer, callers are still served."""
+
+    def status(self, status: NodeStatus) -> NodeStatus:
+        """Add the number of endpoints known."""
+        return attrs.evolve(status, endpoints=len(self.endpoints))
+
+    def _is_replaced(self, row: HostRow) -> bool:
+        """Whether the list has another host in a slot than before.
+
+        The list's incarnation is the platform's and only says that something changed; the one that
+        tickets and attached readers are bound to is named by the sidecar itself.
+        """
+        known = self._listed_incarnations.get(row.endpoint_id, row.incarnation)
+        self._listed_incarnations[row.endpoint_id] = row.incarnation
+        return known != row.incarnation
+
+
+def _listed(row: HostRow) -> ListedEndpoint:
+    return ListedEndpoint(
+        row.endpoint_id,
+        row.service,
+        row.availability_zone,
+        row.address,
+        leaving=row.state == LEAVING,
+    )
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -13,10 +13,12 @@
 
 from beryljunction.logs import EventLog
 from beryljunction.metrics import MeteredApp, Metrics
+from beryljunction.node.entry_role import EntryRole
 from beryljunction.node.front import FleetFront
 from beryljunction.node.hosts import HostFollower
 from beryljunction.node.operator import operator_app
-from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, RoleTools, SidecarRole
+from beryljunction.node.roles import NodeRole, NodeStatus, RoleTools
+from beryljunction.node.sidecar_role import SidecarRole
 from beryljunction.node.traffic import CountingBackend
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.platform import HttpHostList, HttpLogClient
--- /dev/null
+++ b/src/beryljunction/node/sidecar_role.py
@@ -0,0 +1,179 @@
+"""What a sidecar adds to the wiring that all processes share."""
+
+from typing import Any
+
+import anyio
+import attrs
+
+from beryljunction.engines import (
+    ORDERS_PATH,
+    HttpEngineControl,
+    HttpOrderPeers,
+    OrderRunner,
+    WorkGate,
+    answer_orders,
+)
+from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
+from beryljunction.platform import HostRow
+from beryljunction.servers import Receive, Scope, Send, client_pool
+from beryljunction.settings import FleetView, ServiceSettings, SidecarFile
+from beryljunction.sidecar import SidecarApp
+from beryljunction.sidecar.peers import PeerExchange
+from beryljunction.tables import Endpoint, EndpointState, EndpointTable
+from beryljunction.wire import PEERS_PATH
+
+__all__ = ["SidecarRole"]
+
+_ENGINE = "engine"
+_SETTINGS_S = 0.5
+
+
+class _AdmissionGate(WorkGate):
+    """Pauses admission while the engine loads; what runs is never touched."""
+
+    def __init__(self, sidecar: SidecarApp) -> None:
+        self._sidecar = sidecar
+
+    def set_open(self, is_open: bool) -> None:
+        paused = "" if is_open else "the engine is loading a model; another endpoint serves it"
+        self._sidecar.admission.paused = paused
+
+    def running(self) -> int:
+        return self._sidecar.admission.requests.running_count
+
+
+class SidecarRole(NodeRole):
+    """A sidecar: runs requests at its endpoint."""
+
+    name = "sidecar"
+    is_mutual = True
+
+    def __init__(self, file: SidecarFile, view: FleetView, tools: RoleTools) -> None:
+        self.process = file.process
+        self.file = file
+        self._service = ServiceSettings()
+        self._peer_addresses: dict[str, str] = {}
+        self._drained = False
+        self._listed_leaving = False
+        self.sidecar = SidecarApp(file, self._with_service(view), tls=tools.tls)
+        self.app = self.part = self.sidecar
+        self.timeline = self.sidecar.timeline
+        self.exchange = PeerExchange(
+            self.sidecar.admission.load,
+            tools.peers,
+            file.process.fleet_key,
+            tools.settings_version,
+            tools.on_newer,
+        )
+        self._engine_pool = client_pool()
+        self.orders = self._order_runner(tools)
+        self.routes = {PEERS_PATH: self.exchange, ORDERS_PATH: self._answer_orders}
+
+    async def run(self, *, task_status: Any) -> None:
+        """Tick the sidecar's systems, exchange load, and keep the engine as the settings want."""
+        async with self._engine_pool, anyio.create_task_group() as group:
+            await group.start(self.sidecar.run)
+            await group.start(self.exchange.run)
+            group.start_soon(self._run_orders)
+            task_status.started()
+
+    def apply(self, view: FleetView) -> None:
+        """Put settings in force."""
+        self.sidecar.apply(self._with_service(view))
+
+    def take_hosts(self, rows: list[HostRow]) -> None:
+        """Take in the peers; leave for as long as the list says that this host is leaving.
+
+        A lagging list may still show the row of the host that stood in this slot before. It has
+        another name and says nothing of this one.
+        """
+        self._peer_addresses = {
+            row.endpoint_id: row.address
+            for row in rows
+            if row.service == self.file.service and row.endpoint_id != self.file.endpoint_id
+        }
+        self.exchange.set_peers(self._peer_addresses)
+        _keep(self.sidecar.members, rows)
+        for row in rows:
+            if row.endpoint_id == self.file.endpoint_id and row.host == self.process.host:
+                self._listed_leaving = row.state == LEAVING
+        self._settle_leaving()
+
+    def drain(self, leaving: bool) -> None:
+        """Refuse new work with a "not run", so that entries go elsewhere, or take it again."""
+        self._drained = leaving
+        self._settle_leaving()
+
+    def status(self, status: NodeStatus) -> NodeStatus:
+        """Add the endpoint and its load."""
+        own = self.sidecar.status()
+        return attrs.evolve(
+            status,
+            endpoint_id=own.endpoint_id,
+            service=own.service,
+            incarnation=own.incarnation,
+            running=own.running,
+            waiting=own.waiting,
+            not_ready=status.not_ready or self._not_ready(),
+        )
+
+    def _not_ready(self) -> str:
+        admission = self.sidecar.admission
+        return LEAVING if admission.leaving else admission.paused
+
+    def _settle_leaving(self) -> None:
+        """Leave while either an operator or the list wants it; neither undoes the other's word."""
+        leaving = self._drained or self._listed_leaving
+        self.sidecar.admission.leaving = leaving
+        self.orders.leaving = leaving
+
+    def _order_runner(self, tools: RoleTools) -> OrderRunner:
+        file = self.file
+        return OrderRunner(
+            file.endpoint_id,
+            file.service,
+            lambda: self.sidecar.view,
+            HttpEngineControl(file.endpoint_address, self._engine_pool),
+            HttpOrderPeers(lambda: self._peer_addresses, tools.fleet, file.process.fleet_key),
+            _AdmissionGate(self.sidecar),
+        )
+
+    async def _run_orders(self) -> None:
+        """Give orders once there are settings, and to engines only."""
+        while self.sidecar.view.version == 0:
+            await anyio.sleep(_SETTINGS_S)
+        if self._service.kind == _ENGINE:
+            await self.orders.run()
+
+    async def _answer_orders(self, scope: Scope, receive: Receive, send: Send) -> None:
+        await answer_orders(self.orders, receive, send)
+
+    def _with_service(self, view: FleetView) -> FleetView:
+        """Return a view that has the endpoint's service.
+
+        Settings that lack it come from an operator's oversight or, at the start, from a log that
+        has not been read. Its endpoint goes on with what it had: no entry sends it work anyway.
+        """
+        self._service = view.services.get(self.file.service, self._service)
+        return attrs.evolve(view, services={**view.services, self.file.service: self._service})
+
+
+def _keep(table: EndpointTable, rows: list[HostRow]) -> None:
+    """Make an endpoint table what the list says."""
+    listed = {row.endpoint_id for row in rows}
+    for known in table:
+        if known.endpoint_id not in listed:
+            table.remove(known.endpoint_id)
+    for row in rows:
+        if row.endpoint_id:
+            table.put(_endpoint_of(row))
+
+
+def _endpoint_of(row: HostRow) -> Endpoint:
+    return Endpoint(
+        row.endpoint_id,
+        row.service,
+        row.availability_zone,
+        row.address,
+        state=EndpointState.LEAVING if row.state == LEAVING else EndpointState.LIVE,
+    )
--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -20,8 +20,9 @@
 from beryljunction.cli.timeline import timeline
 from beryljunction.errors import PlatformUnavailableError
 from beryljunction.local import DEMO_KEY, FleetPlan, StandInsFile, demo_view, write_files
-from beryljunction.node import EntryRole, HostFollower, HostView, RoleTools
+from beryljunction.node import EntryRole, HostFollower, HostView, RoleTools, SidecarRole
 from beryljunction.platform import HostChanges, HostList, HostRow
+from beryljunction.servers import client_pool
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, load_file
 from beryljunction.tables import EndpointState
 from beryljunction.timeline import Timeline
@@ -308,3 +309,37 @@
         role.take_hosts([attrs.evolve(ROW, incarnation="platform-7", address="127.0.0.1:2")])
 
         assert role.endpoints.get("drafter-0").incarnation == "sidecar-1"
+
+
+class TestSidecarRole:
+    def sidecar(self):
+        process = ProcessSettings("host-a", "gj-west", "ahd-a", "", "", "key", "", "")
+        file = SidecarFile(process, "drafter-0", "drafter", "http://127.0.0.1:1")
+        pool = client_pool()
+        tools = RoleTools(None, pool, pool, lambda: 0, lambda name, version: None)
+        return SidecarRole(file, FleetView(), tools)
+
+    def test_leaves_for_as_long_as_the_list_says_so(self):
+        role = self.sidecar()
+
+        role.take_hosts([attrs.evolve(ROW, incarnation="platform-7", state="leaving")])
+        leaving = role.sidecar.admission.leaving
+        role.take_hosts([attrs.evolve(ROW, incarnation="platform-7")])
+
+        assert leaving
+        assert not role.sidecar.admission.leaving
+
+    def test_list_does_not_undo_an_operators_drain(self):
+        role = self.sidecar()
+
+        role.drain(leaving=True)
+        role.take_hosts([ROW])
+
+        assert role.sidecar.admission.leaving
+
+    def test_row_of_the_host_before_says_nothing_of_this_one(self):
+        role = self.sidecar()
+
+        role.take_hosts([attrs.evolve(ROW, host="host-before", state="leaving")])
+
+        assert not role.sidecar.admission.leaving
