--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -3,7 +3,19 @@
 import anyio
 import pytest
 
+from beryljunction.servers import read_body
 from beryljunction.settings import LimitSettings
+from beryljunction.streams import FrameNumberer, StreamName
+from beryljunction.tables import Endpoint
+from beryljunction.wire import (
+    ATTACH_PATH,
+    ENVELOPE_HEADER,
+    OUTCOME_HEADER,
+    STREAM_HEADER,
+    Attach,
+    Envelope,
+    decode,
+)
 from path_fakes import (
     AUTH,
     OTHER_KEY,
@@ -96,7 +108,63 @@
         assert (answer.status, dict(answer.headers)[b"x-own"]) == (503, b"kept")
 
 
+class ScriptedSidecar:
+    """Answers each connection with the next script of frames; keeps what attaches asked for."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.asked_after = []
+
+    async def __call__(self, scope, receive, send):
+        body = await read_body(receive, 100_000)
+        headers = dict(scope["headers"])
+        if scope["path"] == ATTACH_PATH:
+            attach = decode(body, Attach)
+            self.asked_after.append(attach.after)
+            name = StreamName("drafter-0", "life", attach.request_id)
+        else:
+            envelope = decode(headers[ENVELOPE_HEADER], Envelope)
+            name = StreamName("drafter-0", "life", envelope.request_id)
+        frames = FrameNumberer(name).number([b"data: a", b"data: b", b"data: c", b"data: [DONE]"])
+        head = [(OUTCOME_HEADER, b"stream"), (STREAM_HEADER, str(name).encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": head})
+        for number in self.scripts.pop(0):
+            data = frames[number - 1]
+            await send({"type": "http.response.body", "body": data, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+
+
 class TestWholeAnswers:
+    @pytest.mark.parametrize(
+        ("scripts", "asked_after"),
+        [
+            pytest.param([[1, 1, 2, 1, 3, 2, 4]], [], id="duplicated-and-late"),
+            pytest.param([[1, 3, 4], [1, 2, 3, 4]], [1], id="gap-is-asked-for-again"),
+            pytest.param([[1, 2], [3, 4]], [2], id="end-without-the-last-frame"),
+            pytest.param([[], [], [1, 2, 3, 4]], [0, 0], id="nothing-at-first"),
+        ],
+    )
+    async def test_frames_reach_the_caller_in_order_and_once(self, scripts, asked_after):
+        async with path_of() as path:
+            sidecar = ScriptedSidecar(*scripts)
+            address = await path.serve(sidecar)
+            path.endpoints.put(Endpoint("drafter-0", "drafter", "ahd-a", address))
+
+            answer = await ask(path, await path.entry())
+
+        assert event_data(answer.content) == [b"a", b"b", b"c", b"[DONE]"]
+        assert sidecar.asked_after == asked_after
+
+    async def test_sidecar_that_never_completes_is_given_up_with_an_error(self):
+        async with path_of() as path:
+            address = await path.serve(ScriptedSidecar([1], [1], [1], [1]))
+            path.endpoints.put(Endpoint("drafter-0", "drafter", "ahd-a", address))
+
+            answer = await ask(path, await path.entry())
+
+        assert b"[DONE]" not in answer.content
+        assert b"event: error" in answer.content
+
     async def test_connection_gone_silent_is_replaced(self):
         # Something between entry and sidecar loses track of the open connection: no byte passes
         # on it any more, new ones work. The entry notices the silence, attaches anew after the
