--- a/src/beryljunction/systems/ticket_attempts.py
+++ b/src/beryljunction/systems/ticket_attempts.py
@@ -14,6 +14,9 @@
 # A try under the same ticket is harmless, its sidecar knows what became of the first. Two more
 # bridge a broken connection; a sidecar that is gone is not worth longer.
 _MOST_REPEATS = 2
+# Sidecars that can't be reached cost a second each; when four can't, the rest of the caller's time
+# is better spent elsewhere.
+_MOST_MINTS = 4
 
 
 @attrs.frozen
@@ -54,6 +57,7 @@
         self._ticket = ticket
         self._in_doubt = ticket is not None
         self._minted: Endpoint | None = None
+        self._mints = 0
         self._hops = 0
         self._repeats = 0
 
@@ -79,7 +83,7 @@
             return self._mint_again(refusal, self._minted)
         if refusal.code is not RefusalCode.ENDPOINT_FAILED or refusal.ran is not Ran.NO:
             return self._after_doubt(refusal, ticket)
-        if not self._in_doubt and self._left:
+        if not self._in_doubt and self._left and self._mints < _MOST_MINTS:
             return self._mint(self._left.pop(0))
         if not self._in_doubt:
             return GiveUp(refusal)
@@ -95,6 +99,7 @@
 
     def _mint(self, endpoint: Endpoint) -> Mint:
         self._minted = endpoint
+        self._mints += 1
         return Mint(endpoint)
 
     def _mint_again(self, refusal: Refusal, endpoint: Endpoint) -> TicketStep:
