--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -11,6 +11,7 @@
 import anyio
 import httpcore
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from beryljunction.errors import StartError
 
@@ -41,6 +42,8 @@
 # held up by it, until TCP gives up after a quarter of an hour. Heartbeats see to it that there is
 # always a byte to take, so half a minute without one taken is a reader that is gone; it may resume.
 _UNTAKEN_MS = 30_000
+# Far above every limit that a settings tree would set; those are refused with a typed answer.
+_MAX_HEAD_BYTES = 262_144
 
 
 def bind(address: str) -> socket.socket:
@@ -75,6 +78,33 @@
 _EXPECTED_ENDS = _ExpectedEnds()
 
 
+class _BoundedHeads(HttpToolsProtocol):
+    """Closes a connection whose request head does not end.
+
+    The parser keeps what it was sent of a head, however long it gets. A caller that never ends its
+    headers would fill the entry's memory before any limit of the settings is looked at.
+    """
+
+    _is_in_head = True
+    _head_bytes = 0
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._is_in_head = True
+        self._head_bytes = 0
+
+    def on_headers_complete(self) -> None:
+        self._is_in_head = False
+        super().on_headers_complete()
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        if self._is_in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > _MAX_HEAD_BYTES:
+                self.transport.close()
+
+
 class Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the process and waits for requests in flight."""
 
@@ -84,7 +114,7 @@
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http="httptools",
+            http=_BoundedHeads,
             ws="none",
             lifespan="off",
             log_config=None,
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -72,6 +72,14 @@
         assert error["type"] == "invalid_request_error"
         assert error["message"]
 
+    async def test_head_that_never_ends_costs_the_caller_its_connection(self):
+        async with path_of() as path:
+            host, _, port = (await path.entry()).removeprefix("http://").rpartition(":")
+            async with await anyio.connect_tcp(host, int(port)) as caller:
+                await caller.send(b"POST /v1/chat/completions HTTP/1.1\r\nx-long: ")
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await send_for_ever(caller)
+
     async def test_more_than_it_may_serve_are_told_when_to_come_back(self):
         async with path_of(view_with(limits=LimitSettings(connections=0))) as path:
             answer = await ask(path, await path.entry())
@@ -108,6 +116,11 @@
         assert (answer.status, dict(answer.headers)[b"x-own"]) == (503, b"kept")
 
 
+async def send_for_ever(stream):
+    while True:
+        await stream.send(b"x" * 10_000)
+
+
 class ScriptedSidecar:
     """Answers each connection with the next script of frames; keeps what attaches asked for."""
 
