--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -1,6 +1,7 @@
 import json
 
 import anyio
+import attrs
 import pytest
 
 from beryljunction.servers import read_body
@@ -354,6 +355,40 @@
         assert engine.runs == []
 
 
+class TestQuietHours:
+    @pytest.mark.parametrize(
+        ("service", "target"),
+        [
+            pytest.param("drafter", CHAT, id="may-be-repeated"),
+            pytest.param("ledger", "/services/ledger/n", id="may-not-be-repeated"),
+        ],
+    )
+    async def test_first_request_after_a_long_pause_runs_at_once(self, service, target):
+        # No request reaches an endpoint for an hour, and the stamp that the entry has of its
+        # sidecar is as old. The next request must not be taken for one that was sent back then.
+        async with path_of() as path:
+            engine = ScriptedEngine()
+            app = await path.sidecar(engine, service)
+            entry = await path.entry()
+            await ask(path, entry, target)
+            pass_time(path, app, 3_600.0)
+
+            answer = await ask(path, entry, target)
+
+        events = [event.kind for event in path.entry_app.timeline.events()]
+        assert (answer.status, len(engine.runs)) == (200, 2)
+        assert "try_refused" not in events
+
+
+def pass_time(path, app, elapsed_s):
+    """Make sidecar and entry believe that time has passed."""
+    for system in (app.keeper.tickets, app.keeper.tombstones):
+        system.clock._started_s -= elapsed_s
+    heard = path.entry_app._sidecars._heard
+    for endpoint_id, row in heard.items():
+        heard[endpoint_id] = attrs.evolve(row, heard_s=row.heard_s - elapsed_s)
+
+
 class TestHangUp:
     async def test_ends_unstreamed_work(self):
         async with path_of() as path:
