--- a/testing/path_fakes.py
+++ b/testing/path_fakes.py
@@ -186,6 +186,18 @@
         self.endpoints.put(row)
         return app
 
+    async def breaking_endpoint(self) -> str:
+        """Start an endpoint that reads a request and breaks off; returns its address."""
+
+        async def hang_up(client):
+            async with client:
+                await client.receive()
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        host, port = listener.extra(anyio.abc.SocketAttribute.local_address)[:2]
+        self.group.start_soon(listener.serve, hang_up)
+        return f"{host}:{port}"
+
     async def log(self) -> LogModel:
         """Start a log for the sidecars that are started after it."""
         model = LogModel()
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -250,6 +250,21 @@
         assert (len(engine.runs), len(app.runs)) == (1, 1)
 
 
+class TestTruth:
+    async def test_refusal_after_a_try_in_doubt_is_not_a_no(self):
+        # The first endpoint breaks off without an answer: the request may have run there. The next
+        # refuses it as not run. All that is known of the request is that it may have run.
+        async with path_of() as path:
+            for _ in range(2):
+                await path.sidecar(ScriptedEngine(), address=await path.breaking_endpoint())
+            entry = await path.entry()
+            path.sidecars[0].refuse_new()
+            answers = [await ask(path, entry, body=chat(stream=False)) for _ in range(6)]
+
+        said = {error_of(answer)["ran"] for answer in answers}
+        assert said == {"unknown"}
+
+
 class TestResume:
     async def test_at_another_entry_goes_on_after_the_last_event(self):
         async with path_of() as path:
--- a/testing/test_sidecar.py
+++ b/testing/test_sidecar.py
@@ -134,15 +134,8 @@
         assert error_of(said)["ran"] == "no"
 
     async def test_break_before_the_answer_leaves_it_unknown(self):
-        async def hang_up(client):
-            async with client:
-                await client.receive()
-
         async with path_of() as path:
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            host, port = listener.extra(anyio.abc.SocketAttribute.local_address)[:2]
-            path.group.start_soon(listener.serve, hang_up)
-            await path.sidecar(None, address=f"{host}:{port}")
+            await path.sidecar(None, address=await path.breaking_endpoint())
 
             said = await path.run(PLAIN, b"{}")
 
