--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -20,6 +20,7 @@
 from beryljunction.settings import EntryFile, FleetView
 from beryljunction.stops import Stoppable
 from beryljunction.streams import event_position
+from beryljunction.systems import MembershipSystem
 from beryljunction.tables import EndpointTable
 from beryljunction.timeline import Timeline
 from beryljunction.watches import WatchList
@@ -62,9 +63,14 @@
         self.watches = WatchList()
         self.leaving = False
         self._in_flight = 0
+        self.membership = MembershipSystem(endpoints)
         self._pool = client_pool(tls)
         self._sidecars = SidecarClient(
-            self._pool, self.watches, file.process.fleet_key, self.timeline.clock
+            self._pool,
+            self.watches,
+            file.process.fleet_key,
+            self.timeline.clock,
+            self.membership,
         )
         self._router = Router(
             view,
--- a/src/beryljunction/entry/tries.py
+++ b/src/beryljunction/entry/tries.py
@@ -6,7 +6,7 @@
 from beryljunction.entry.relays import Relay
 from beryljunction.entry.sidecars import SidecarClient
 from beryljunction.entry.writers import ROUTE_HINT_HEADER
-from beryljunction.outcomes import Refusal
+from beryljunction.outcomes import Refusal, RefusalCode
 from beryljunction.tables import Endpoint
 from beryljunction.timeline import Timeline
 from beryljunction.wire import Attach, Envelope
@@ -51,4 +51,6 @@
         refusal = await exchange.relay.run(envelope, body)
         if refusal is not None:
             self._timeline.add("try_refused", envelope.request_id, refusal.code)
+            if refusal.code is RefusalCode.LEAVING:
+                self._sidecars.avoid(endpoint)
         return refusal
