--- a/src/beryljunction/bench/policy/policies.py
+++ b/src/beryljunction/bench/policy/policies.py
@@ -5,7 +5,7 @@
 from beryljunction.bench.policy.fakes import MAX_RUNNING, PREFILL_TOKENS_PER_S
 from beryljunction.systems import AdmissionLimits
 
-__all__ = ["POLICIES", "Policy"]
+__all__ = ["BASELINES", "POLICIES", "Policy"]
 
 _NO_BOUND = 1e9
 _NO_WAIT = 1e12
@@ -45,3 +45,5 @@
     "round-robin": Policy("round-robin", False, False, False),
     "random": Policy("random", False, False, False),
 }
+
+BASELINES = ("unbounded", "least-loaded", "round-robin", "random")
--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -6,7 +6,9 @@
 import anyio
 import defopt
 
+from beryljunction.bench.policy import policy
 from beryljunction.bench.relay import RelayLoad, measure_relay
+from beryljunction.bench.report import report
 from beryljunction.errors import BerylError
 
 __all__ = ["main"]
@@ -36,7 +38,9 @@
 
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
+    policy,
     relay,
+    report,
 ]
 
 
