Start only what can still give its first token in time; keep a smaller reserve

Cause: at saturation answers began up to their deadline and came after it, and a reserve of 5% of the batch stayed empty. Queues now hold 0.6 of the deadline, a start leaves room for the prefill, the reserve is 2% (3 of 128 places).

--- a/src/beryljunction/bench/policy/figures.py
+++ b/src/beryljunction/bench/policy/figures.py
@@ -17,6 +17,7 @@
 _WARM_SHARE = 0.5
 _DRAIN_S = 20.0
 _JOIN_S = 5.0
+_CAPACITY_S = 40.0
 _FIRST_SMALL_ACCOUNT = 5
 
 
@@ -25,6 +26,7 @@
     """Figures of the calls after the warm-up; all but ``requests`` are of the model service.
 
     Attributes:
+        requests: What callers sent, re-sent ones among them.
         found_warm_ratio: Returning requests that found at least half of their prefix cached.
         max_over_mean: Highest ratio of one engine's running requests to the mean over the engines,
             over all moments at which that mean is at least 4; an engine that came back counts
@@ -92,11 +94,11 @@
     first = sorted(asked.first_token_s - asked.sent_s for asked in ran)
     waits = sorted(a.started_s - a.sent_s for a in small if a.started_s < math.inf)
     capacity_tokens = _capacity_tokens_per_s(calls) * size.services[0].endpoints * size.life_s
-    ended = [a for a in done if a.call.chat and WARMUP_S <= a.ended_s < size.end_s]
-    in_time = [a for a in ended if a.first_token_s - a.sent_s <= DEADLINE_S]
+    in_time_tokens = sum(_tokens_in_time(asked, WARMUP_S, size.end_s) for asked in done)
+    sent = sum(1 + asked.resends for asked in chats)
     control_bytes = sum(sidecar.control_bytes for sidecar in world.sidecars.values())
     return Figures(
-        requests=len(seen),
+        requests=sum(1 + asked.resends for asked in seen),
         found_warm_ratio=_share(returning, _found_warm),
         max_over_mean=round(load.highest, 4),
         max_over_mean_at_start=round(load.highest_at_start, 4),
@@ -104,15 +106,13 @@
         first_token_s_p95=_quantile(first, 0.95),
         first_token_s_p99=_quantile(first, 0.99),
         small_account_wait_s_p95=_quantile(waits, 0.95),
-        goodput_over_capacity=round(
-            sum(asked.call.output_tokens for asked in in_time) / capacity_tokens, 4
-        ),
+        goodput_over_capacity=round(in_time_tokens / capacity_tokens, 4),
         refused_ratio=_share(chats, lambda asked: asked.refusal is not None),
         small_account_refused_ratio=_share(small, lambda asked: asked.refusal is not None),
         false_not_run=sum(asked.false_not_run for asked in done),
         double_runs=sum(asked.starts > 1 for asked in done if not asked.call.chat),
-        hops_mean=round(sum(asked.tries for asked in chats) / max(1, len(chats)), 4),
-        retries_over_requests=round(sum(a.retries for a in chats) / max(1, len(chats)), 4),
+        hops_mean=round(sum(asked.tries for asked in chats) / sent, 4),
+        retries_over_requests=round(sum(asked.retries for asked in chats) / sent, 4),
         control_bytes_per_s_per_node=round(control_bytes / len(world.sidecars) / world.now_s, 1),
     )
 
@@ -121,6 +121,16 @@
     return asked.cached_tokens >= _WARM_SHARE * asked.call.prefix_tokens
 
 
+def _tokens_in_time(asked: Asked, start_s: float, end_s: float) -> float:
+    """Return the tokens of a whole answer that fell into a time, if its first one was in time."""
+    ended = asked.call.chat is not None and asked.ended_s < math.inf
+    if not ended or asked.first_token_s - asked.sent_s > DEADLINE_S:
+        return 0.0
+    first_s = min(asked.first_token_s, asked.ended_s)
+    within_s = min(asked.ended_s, end_s) - max(first_s, start_s)
+    return asked.call.output_tokens * max(0.0, within_s) / max(1e-9, asked.ended_s - first_s)
+
+
 def _share(rows: list[Asked], holds: Callable[[Asked], bool]) -> float:
     return round(sum(map(holds, rows)) / max(1, len(rows)), 4)
 
@@ -132,10 +142,10 @@
 def _capacity_tokens_per_s(calls: list[Call]) -> float:
     """Return what one engine gives with its batch always full and each returning chat warm."""
     engine = FakeEngine(cache_tokens=1)
-    chats = iter([call for call in calls if call.chat])
+    chats = iter([call for call in calls if call.chat and call.at_s >= WARMUP_S])
     prefilling: list[tuple[float, int]] = []
-    now_s, tokens = 0.0, 0
-    while now_s < WARMUP_S:
+    now_s, tokens = 0.0, 0.0
+    while now_s < _CAPACITY_S:
         while engine.running < MAX_RUNNING and (call := next(chats, None)) is not None:
             engine.keep("chat", call.prefix_tokens)
             ready_s, _ = engine.start("chat", call.prompt_tokens, now_s)
@@ -143,9 +153,10 @@
         if prefilling and prefilling[0][0] <= engine.next_end_s():
             now_s, output_tokens = heapq.heappop(prefilling)
             engine.decode(output_tokens, output_tokens, now_s)
-            continue
-        now_s = engine.next_end_s()
-        engine.advance(now_s)
-        ended_tokens = sum(engine.pop_ended())
-        tokens += ended_tokens if now_s >= WARMUP_S / 2 else 0
-    return tokens / (WARMUP_S / 2)
+        else:
+            now_s = engine.next_end_s()
+            engine.advance(now_s)
+            engine.pop_ended()
+        if now_s < _CAPACITY_S / 2:
+            tokens = -engine.sent_tokens
+    return (tokens + engine.sent_tokens) / (_CAPACITY_S / 2)
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -22,9 +22,10 @@
 _SPILL_RETRY_S = 0.2
 _LEAST_RETRY_S = 0.2
 _MOST_RETRY_S = 30.0
-_DEADLINE_SHARE = 0.8
+_DEADLINE_SHARE = 0.6
 # A request that finds room starts in the tick after its offer, which a busy loop delays.
 _START_GRACE_S = 0.1
+_LATE_SHARE = 0.1
 
 
 @attrs.frozen
@@ -52,7 +53,7 @@
     max_waiting_per_account: int = 64
     quantum_tokens: int = 512
     peer_stale_s: float = 10.0
-    reserve_share: float = 0.05
+    reserve_share: float = 0.02
     prefill_tokens_per_s: float = 20_000.0
 
 
@@ -140,7 +141,8 @@
         if wait_s <= 0.0 and self._has_no_room(work, bound):
             message = "above the load bound; another endpoint has room"
             return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
-        work.give_up_s = min(work.deadline_s, now_s + max(wait_s, _START_GRACE_S))
+        last_s = self._last_start_s(work)
+        work.give_up_s = min(last_s, now_s + max(wait_s, _START_GRACE_S))
         self.requests.add(work)
         self.queue.add(work, self._weight(work.account))
         heapq.heappush(self._expiry, (work.give_up_s, work.request_id))
@@ -219,9 +221,19 @@
         nowhere else to go, or the whole fleet at its limits, it may wait until its deadline.
         """
         if work.last_resort or bound.full:
-            return work.deadline_s - now_s
+            return self._last_start_s(work) - now_s
         return work.cached_tokens / self.limits.prefill_tokens_per_s
 
+    def _last_start_s(self, work: Work) -> float:
+        """Return the time after which a start would bring no first token by the deadline.
+
+        Load: saturation, where much of the work starts late. Harm: an answer that begins after its
+        deadline has taken a place in the batch from one that would have begun in time. A tenth of
+        the wait is left for other prefills under way, besides the request's own.
+        """
+        cold_s = (work.prompt_tokens - work.cached_tokens) / self.limits.prefill_tokens_per_s
+        return work.deadline_s - cold_s - _LATE_SHARE * (work.deadline_s - work.arrived_s)
+
     def _over(self, bound: LoadBound) -> bool:
         requests = self.requests
         if requests.running_count >= bound.running:
@@ -249,9 +261,9 @@
         """Tell whether what is left of the bound is kept for accounts below their fair share.
 
         Load: the surge of one account. Harm: it takes every slot, and then each small account's
-        request waits for one to fall free, however short its queue. A twentieth is enough, since
+        request waits for one to fall free, however short its queue. A fiftieth is enough, since
         the reserve is filled up first by each request that ends, and costs little, since a batch
-        that is a twentieth smaller is also faster.
+        that is a little smaller is also faster.
         """
         reserve = math.ceil(self.limits.reserve_share * bound.running)
         only_one = len(self.queue.accounts) < 2
@@ -272,7 +284,7 @@
             if work is None or work.started_s is not None:
                 continue
             self.finish(request_id)
-            if work.deadline_s <= now_s:
+            if self._last_start_s(work) <= now_s:
                 refused.append(
                     self._refuse(work, RefusalCode.DEADLINE, "waited until its deadline", None)
                 )
