Weigh prefill by its cost, count a slow endpoint as a part, spill instead of queueing in vain

Cause: (1) a cold prompt token counted like a token of an answer, so an endpoint that came back and prefilled was blocked by the bound on work with a half empty batch; (2) the last resort went to the endpoint with the fewest requests, which is the slow one, and its few requests pulled the mean down for the others; (3) a full account queue was final although others had room.

--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -22,7 +22,7 @@
 _SPILL_RETRY_S = 0.2
 _LEAST_RETRY_S = 0.2
 _MOST_RETRY_S = 30.0
-_DEADLINE_SHARE = 0.6
+_WAIT_SHARE = 0.6
 # A request that finds room starts in the tick after its offer, which a busy loop delays.
 _START_GRACE_S = 0.1
 _LATE_SHARE = 0.1
@@ -134,15 +134,13 @@
             return moved
         self._note_load(now_s)
         bound = self.load.bound(now_s)
-        refused = self._over_limits(work, now_s)
-        if refused is not None:
-            return refused
-        wait_s = self._wait_s(work, bound, now_s)
+        is_final = work.last_resort or bound.full
+        wait_s = self._wait_s(work, is_final)
+        if self._waits_in_vain(work, wait_s, now_s):
+            return self._refuse_full(work, now_s) if is_final else self._spill(work)
         if wait_s <= 0.0 and self._has_no_room(work, bound):
-            message = "above the load bound; another endpoint has room"
-            return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
-        last_s = self._last_start_s(work)
-        work.give_up_s = min(last_s, now_s + max(wait_s, _START_GRACE_S))
+            return self._spill(work)
+        work.give_up_s = min(self._last_start_s(work), now_s + max(wait_s, _START_GRACE_S))
         self.requests.add(work)
         self.queue.add(work, self._weight(work.account))
         heapq.heappush(self._expiry, (work.give_up_s, work.request_id))
@@ -188,25 +186,20 @@
         )
         return Refuse(work.request_id, refusal)
 
-    def _over_limits(self, work: Work, now_s: float) -> Refuse | None:
-        """Refuse at once what could only wait in vain.
+    def _waits_in_vain(self, work: Work, wait_s: float, now_s: float) -> bool:
+        """Tell whether the queue is full or too long for the time that the request may wait.
 
-        Load: saturation. Harm: a request that waits until its deadline and is refused then has cost
+        Load: saturation. Harm: a request that waits as long as it may and is refused then has cost
         its caller that time, and the queue that it stood in made others late too. The bounds keep
         memory bounded; the estimate refuses what the queue ahead would make late.
         """
-        if self.requests.waiting_count >= self.limits.max_waiting:
-            return self._refuse_full(work, "the endpoint's queue is full", now_s)
         row = self.queue.accounts.get(work.account)
         waiting = row.waiting_count if row is not None else 0
+        if self.requests.waiting_count >= self.limits.max_waiting:
+            return True
         if waiting >= self.limits.max_waiting_per_account:
-            return self._refuse_full(work, "the account's queue is full", now_s)
-        expected_s = self._expected_wait_s(row, now_s)
-        if expected_s > _DEADLINE_SHARE * (work.deadline_s - now_s):
-            return self._refuse_full(
-                work, "the account's queue is too long for the deadline", now_s
-            )
-        return None
+            return True
+        return self._expected_wait_s(row, now_s) > _WAIT_SHARE * wait_s
 
     def _expected_wait_s(self, row: AccountQueue | None, now_s: float) -> float:
         """Return the wait that the account's own queue means; other accounts have their share."""
@@ -214,14 +207,14 @@
             return 0.0
         return self._drain.wait_s(row.waiting_tokens, self.queue.share(row.weight), now_s)
 
-    def _wait_s(self, work: Work, bound: LoadBound, now_s: float) -> float:
+    def _wait_s(self, work: Work, is_final: bool) -> float:
         """Return how long the request may wait here before another endpoint is better.
 
         Waiting where the prefix is cached pays off no longer than the prefill that it saves. With
         nowhere else to go, or the whole fleet at its limits, it may wait until its deadline.
         """
-        if work.last_resort or bound.full:
-            return self._last_start_s(work) - now_s
+        if is_final:
+            return self._last_start_s(work) - work.arrived_s
         return work.cached_tokens / self.limits.prefill_tokens_per_s
 
     def _last_start_s(self, work: Work) -> float:
@@ -302,7 +295,11 @@
     def _weight(self, account: str) -> float:
         return self.weights.get(account, 1.0)
 
-    def _refuse_full(self, work: Work, message: str, now_s: float) -> Refuse:
+    def _spill(self, work: Work) -> Refuse:
+        message = "above the load bound; another endpoint has room"
+        return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
+
+    def _refuse_full(self, work: Work, now_s: float) -> Refuse:
         """Refuse with the time that the queue takes to drain, spread so that no two return at once.
 
         Load: full saturation. Harm: callers that all come back at the same moment make the next
@@ -310,6 +307,7 @@
         """
         drain_s = self._expected_wait_s(self.queue.accounts.get(work.account), now_s)
         retry_s = min(_MOST_RETRY_S, max(1.0, drain_s)) * self._rng.uniform(0.5, 1.5)
+        message = "the account's queue is full or too long for the deadline"
         return self._refuse(work, RefusalCode.QUEUE_FULL, message, max(_LEAST_RETRY_S, retry_s))
 
     def _refuse(self, work: Work, code: RefusalCode, message: str, retry_s: float | None) -> Refuse:
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -1,5 +1,7 @@
 """What the entry does next with a request after each try."""
 
+import math
+
 import attrs
 
 from beryljunction.loads import LoadRow
@@ -139,15 +141,18 @@
             return self._next()
         if not self._spilled:
             return self._give_up(refusal)
-        best = min(self._spilled, key=self._running)
+        best = min(self._spilled, key=self._load_of)
         self._spilled.clear()
         self._left.clear()
         self.tries += 1
         return Try(best, last_resort=True, ignore_pointer=True, loads=tuple(self._loads.values()))
 
-    def _running(self, row: Endpoint) -> float:
+    def _load_of(self, row: Endpoint) -> float:
+        """Return how long the endpoint has work for; a slow one is not the least loaded."""
         load = self._loads.get(row.endpoint_id)
-        return load.running + load.waiting if load is not None else float("inf")
+        if load is None:
+            return math.inf
+        return (load.running + load.waiting) / (load.speed_tokens_per_s or 1.0)
 
     def _next(self, warm: bool = False) -> Try:
         return self._try(self._left.pop(0), warm)
--- a/src/beryljunction/systems/load.py
+++ b/src/beryljunction/systems/load.py
@@ -97,6 +97,35 @@
         self._last_s = now_s
 
 
+@attrs.frozen
+class _Peers:
+    """Sums over the peers heard of lately.
+
+    Attributes:
+        tokens_per_s: Median speed of their requests.
+        parts: Their number, in which a slow one counts as a part.
+    """
+
+    count: int
+    demand: int
+    work_tokens: int
+    tokens_per_s: float
+    parts: float
+
+
+def _part(tokens_per_s: float, usual_tokens_per_s: float) -> float:
+    """Return 1, or the share of the usual speed that an endpoint reaches if that is low.
+
+    Load: one endpoint that has become slow keeps requests longer, so that an equal number of them
+    is a multiple of the work. Harm: its callers wait while other endpoints have room. Below half of
+    the usual speed an endpoint's share shrinks with it; smaller differences come from the mix of
+    requests and must not move chats away from their cached prefix.
+    """
+    if tokens_per_s <= 0.0 or tokens_per_s >= _SLOW_SHARE * usual_tokens_per_s:
+        return 1.0
+    return tokens_per_s / usual_tokens_per_s
+
+
 class LoadSystem:
     """Keeps the rows of the peers, picks those to pass on and works out the bound."""
 
@@ -117,8 +146,8 @@
         self._running = 0
         self._waiting = 0
         self._work_tokens = 0
-        self._sums_s = -math.inf
-        self._sums = (0, 0, 0.0, 0.0)
+        self._peers_s = -math.inf
+        self._peers = _Peers(0, 0, 0, 0.0, 0.0)
 
     @property
     def interval_s(self) -> float:
@@ -163,70 +192,59 @@
             if row.endpoint_id == self.endpoint_id:
                 continue
             if self.peers.merge(row, now_s):
-                self._sums_s = -math.inf
+                self._peers_s = -math.inf
 
     def bound(self, now_s: float) -> LoadBound:
         """Return what may run here now.
 
         Load: skewed or sudden demand on one endpoint's chats. Harm: its callers' tokens slow down
-        while other endpoints idle. The limit is a multiple of the mean over all endpoints heard of.
+        while other endpoints idle. The limit is a multiple of the mean over all endpoints heard of,
+        in which one that has become slow counts as the part of an endpoint that it still is.
 
         The mean counts waiting requests like running ones: a mean of running work alone falls while
         requests wait for a bound that falls with it, until nothing runs (issue 4). It also never
         goes below the floor, and with no fresh peer the fixed limit of the settings holds alone.
         """
         limits = self.limits
-        count, demand, work, speed = self._fresh(now_s)
-        if count == 0:
+        peers = self._fresh(now_s)
+        if peers.count == 0:
             return LoadBound(limits.max_running, limits.max_running, math.inf, False)
         own_demand = min(self._running + self._waiting, limits.max_running)
-        mean = (demand + own_demand) / (count + 1)
-        mean_work = (work + self._work_tokens) / (count + 1)
-        slow = self._slowness(speed)
-        allowed = max(limits.floor_running * slow, limits.load_multiple * mean * slow)
-        running = min(limits.max_running, max(1, int(allowed)))
-        cold = max(limits.floor_running * slow, limits.cold_multiple * mean * slow)
+        part = _part(self.speed.tokens_per_s, peers.tokens_per_s)
+        mean = (peers.demand + own_demand) / (peers.parts + part)
+        mean_work = (peers.work_tokens + self._work_tokens) / (peers.parts + part)
+        running = max(limits.floor_running, limits.load_multiple * mean) * part
+        cold_running = max(limits.floor_running, limits.cold_multiple * mean) * part
         return LoadBound(
-            running,
-            min(running, max(1, int(cold))),
-            limits.work_multiple * mean_work * slow,
-            mean >= limits.max_running / limits.load_multiple,
+            running=min(limits.max_running, max(1, int(running))),
+            cold_running=min(limits.max_running, max(1, int(cold_running))),
+            work_tokens=limits.work_multiple * mean_work * part,
+            full=mean >= limits.max_running / limits.load_multiple,
         )
 
-    def _slowness(self, peers_tokens_per_s: float) -> float:
-        """Return 1, or the share of the peers' speed that this endpoint reaches if that is low.
-
-        Load: one endpoint that has become slow keeps requests longer, so that an equal number of
-        them is a multiple of the work. Harm: its callers wait while other endpoints have room.
-        Below half of the median speed the bound shrinks with the speed; smaller differences come
-        from the mix of requests and must not move chats away from their cached prefix.
-        """
-        own = self.speed.tokens_per_s
-        if own <= 0.0 or peers_tokens_per_s <= 0.0 or own >= _SLOW_SHARE * peers_tokens_per_s:
-            return 1.0
-        return own / peers_tokens_per_s
-
-    def _fresh(self, now_s: float) -> tuple[int, int, float, float]:
-        """Return count, demand, work and median speed of the fresh peers, kept for a moment."""
-        if now_s - self._sums_s < _MEAN_AGE_S:
-            return self._sums
+    def _fresh(self, now_s: float) -> _Peers:
+        """Return the sums over the fresh peers, kept for a moment."""
+        if now_s - self._peers_s < _MEAN_AGE_S:
+            return self._peers
         stale_s = self.limits.peer_stale_s
         rows = [peer.row for peer in self.peers if now_s - peer.heard_s < stale_s]
         most = self.limits.max_running
         speeds = [row.speed_tokens_per_s for row in rows if row.speed_tokens_per_s > 0.0]
-        self._sums = (
-            len(rows),
-            sum(min(row.running + row.waiting, most) for row in rows),
-            sum(row.work_tokens for row in rows),
-            statistics.median(speeds) if speeds else 0.0,
+        usual = statistics.median(speeds) if speeds else 0.0
+        self._peers_s = now_s
+        self._peers = _Peers(
+            count=len(rows),
+            demand=sum(min(row.running + row.waiting, most) for row in rows),
+            work_tokens=sum(row.work_tokens for row in rows),
+            tokens_per_s=usual,
+            parts=sum(_part(row.speed_tokens_per_s, usual) for row in rows),
         )
-        self._sums_s = now_s
-        return self._sums
+        return self._peers
 
     def forget(self, endpoint_id: str) -> None:
         """Drop an endpoint that left, so that its last row no longer counts."""
         self.peers.forget(endpoint_id)
-        self._sums_s = -math.inf
+        self._peers_s = -math.inf
 
     def peer(self, endpoint_id: str) -> PeerLoad | None:
         """Return what is known of a peer."""
--- a/src/beryljunction/tables/requests.py
+++ b/src/beryljunction/tables/requests.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-__all__ = ["RequestTable", "Work", "WorkState"]
+__all__ = ["PREFILL_SHARE", "RequestTable", "Work", "WorkState"]
+
+
+# Work of a cold prompt token in tokens of an answer. An engine takes in some 20,000 prompt tokens a
+# second and gives 3,000 to 4,000; counted alike, an endpoint that has just come back and prefills
+# every chat would look overloaded while its batch is half empty.
+PREFILL_SHARE = 0.15
 
 
 class WorkState(enum.StrEnum):
@@ -53,8 +59,9 @@
 
     @property
     def cost_tokens(self) -> int:
-        """Tokens the engine has to work for; at least one, so that every request counts."""
-        return max(1, self.prompt_tokens - self.cached_tokens + self.output_tokens)
+        """Work in tokens of an answer; at least one, so that every request counts."""
+        cold_tokens = self.prompt_tokens - self.cached_tokens
+        return max(1, int(PREFILL_SHARE * cold_tokens) + self.output_tokens)
 
 
 class RequestTable:
