--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -177,10 +177,10 @@
             work.cached_tokens = min(row.tokens, work.prompt_tokens)
             work.warm = True
             return None
-        if work.only_if_warm:
-            return self._refuse(work, RefusalCode.NOT_WARM, "the chat is not cached here", None)
         if row is None or work.ignore_pointer:
-            return None
+            message = "the chat is not cached here"
+            only = work.only_if_warm
+            return self._refuse(work, RefusalCode.NOT_WARM, message, None) if only else None
         refusal = Refusal(
             RefusalCode.CHAT_MOVED, "the chat is cached elsewhere", Ran.NO, pointer=row.endpoint_id
         )
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -120,7 +120,7 @@
         if target is None:
             return self._next() if self._left else self._give_up(refusal)
         self._left.remove(target)
-        if home is not None:
+        if home is not None and home not in self._left:
             self._left.insert(0, home)
         return self._try(target, warm=True)
 
