Count an endpoint that (re)joins as a growing part; margin of 5% for the lag of the mean

Cause: an endpoint that came back empty lowered the mean at once, the others' bound fell below what they ran and their returning chats spilled.

--- a/src/beryljunction/systems/load.py
+++ b/src/beryljunction/systems/load.py
@@ -26,7 +26,9 @@
 _SLOW_SHARE = 0.5
 # The mean is heard of with a lag in which other endpoints end requests; without the margin the
 # highest of 12 runs through churn was 1.263 for a multiple of 1.25.
-_LAG_MARGIN = 0.03
+_LAG_MARGIN = 0.05
+_RAMP_S = 5.0
+_LEAST_RAMP = 0.1
 
 
 @attrs.frozen
@@ -149,6 +151,8 @@
         self._running = 0
         self._waiting = 0
         self._work_tokens = 0
+        self._since_s = math.inf
+        self._oldest_peer_s = math.inf
         self._peers_s = -math.inf
         self._peers = _Peers(0, 0, 0, 0.0, 0.0)
 
@@ -162,6 +166,7 @@
     def note_own(self, running: int, waiting: int, work_tokens: int, now_s: float) -> None:
         """Take in what runs and waits here now."""
         self.speed.advance(self._running, now_s)
+        self._since_s = min(self._since_s, now_s)
         self._running = running
         self._waiting = waiting
         self._work_tokens = work_tokens
@@ -196,6 +201,7 @@
                 continue
             if self.peers.merge(row, now_s):
                 self._peers_s = -math.inf
+                self._oldest_peer_s = min(peer.since_s for peer in self.peers)
 
     def bound(self, now_s: float) -> LoadBound:
         """Return what may run here now.
@@ -213,7 +219,7 @@
         if peers.count == 0:
             return LoadBound(limits.max_running, limits.max_running, math.inf, False)
         own_demand = min(self._running + self._waiting, limits.max_running)
-        part = _part(self.speed.tokens_per_s, peers.tokens_per_s)
+        part = _part(self.speed.tokens_per_s, peers.tokens_per_s) * self._ramp(self._since_s, now_s)
         mean = (peers.demand + own_demand) / (peers.parts + part)
         mean_work = (peers.work_tokens + self._work_tokens) / (peers.parts + part)
         multiple = limits.load_multiple * (1.0 - _LAG_MARGIN)
@@ -231,7 +237,8 @@
         if now_s - self._peers_s < _MEAN_AGE_S:
             return self._peers
         stale_s = self.limits.peer_stale_s
-        rows = [peer.row for peer in self.peers if now_s - peer.heard_s < stale_s]
+        fresh = [peer for peer in self.peers if now_s - peer.heard_s < stale_s]
+        rows = [peer.row for peer in fresh]
         most = self.limits.max_running
         speeds = [row.speed_tokens_per_s for row in rows if row.speed_tokens_per_s > 0.0]
         usual = statistics.median(speeds) if speeds else 0.0
@@ -241,10 +248,26 @@
             demand=sum(min(row.running + row.waiting, most) for row in rows),
             work_tokens=sum(row.work_tokens for row in rows),
             tokens_per_s=usual,
-            parts=sum(_part(row.speed_tokens_per_s, usual) for row in rows),
+            parts=sum(
+                _part(peer.row.speed_tokens_per_s, usual) * self._ramp(peer.since_s, now_s)
+                for peer in fresh
+            ),
         )
         return self._peers
 
+    def _ramp(self, since_s: float, now_s: float) -> float:
+        """Return the part that an endpoint counts as while it is newer than the oldest.
+
+        Load: an endpoint (re)joins empty. Harm: counted whole at once it lowers the mean, the
+        others' bound falls below what they run, and their returning chats must leave a cached
+        prefix for an endpoint that prefills everything. Its part grows to a whole one in the time
+        of a few answers; when the whole fleet is new, all count alike.
+        """
+        oldest_s = min(self._since_s, self._oldest_peer_s)
+        age_s = min(_RAMP_S, now_s - since_s)
+        most_s = min(_RAMP_S, now_s - oldest_s)
+        return max(_LEAST_RAMP, age_s / most_s) if most_s > 0.0 else 1.0
+
     def forget(self, endpoint_id: str) -> None:
         """Drop an endpoint that left, so that its last row no longer counts."""
         self.peers.forget(endpoint_id)
--- a/src/beryljunction/tables/peers.py
+++ b/src/beryljunction/tables/peers.py
@@ -11,10 +11,16 @@
 
 @attrs.frozen
 class PeerLoad:
-    """A peer's newest row; ``heard_s`` is the monotonic time here at which it got newer."""
+    """A peer's newest row.
+
+    Attributes:
+        heard_s: Monotonic time here at which the row got newer.
+        since_s: Monotonic time here at which this incarnation was first heard of.
+    """
 
     row: LoadRow
     heard_s: float
+    since_s: float
 
 
 class PeerTable:
@@ -39,7 +45,8 @@
         same = known is not None and known.row.incarnation == row.incarnation
         if known is not None and same and known.row.sequence >= row.sequence:
             return False
-        self._rows[row.endpoint_id] = PeerLoad(row, now_s)
+        since_s = known.since_s if known is not None and same else now_s
+        self._rows[row.endpoint_id] = PeerLoad(row, now_s, since_s)
         return True
 
     def forget(self, endpoint_id: str) -> None:
