--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -17,6 +17,7 @@
     SidecarFile,
 )
 from beryljunction.sidecar import SidecarApp
+from beryljunction.stops import Stoppable
 from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.timeline import Timeline
 
@@ -58,12 +59,14 @@
 
     Attributes:
         is_mutual: Whether the request listener takes only clients with a certificate.
+        part: What a stop waits for.
     """
 
     name: str
     is_mutual: bool
     process: ProcessSettings
     app: Asgi
+    part: Stoppable
     timeline: Timeline
 
     @abc.abstractmethod
@@ -82,15 +85,6 @@
     def drain(self, leaving: bool) -> None:
         """Leave, or come back: who sends work is told to send it elsewhere."""
 
-    @abc.abstractmethod
-    def refuse_new(self) -> None:
-        """Take no new work at all; what is in flight ends as it would have."""
-
-    @property
-    @abc.abstractmethod
-    def in_flight(self) -> int:
-        """Requests that are not over."""
-
     @abc.abstractmethod
     def status(self, status: NodeStatus) -> NodeStatus:
         """Return the status with the role's own figures filled in."""
@@ -105,7 +99,7 @@
     def __init__(self, file: EntryFile, view: FleetView, tls: ssl.SSLContext | None = None) -> None:
         self.process = file.process
         self.endpoints = EndpointTable()
-        self.app = self._entry = EntryApp(file, view, self.endpoints, tls)
+        self.app = self.part = self._entry = EntryApp(file, view, self.endpoints, tls)
         self.timeline = self._entry.timeline
 
     async def run(self, *, task_status: Any) -> None:
@@ -118,45 +112,15 @@
 
     def take_hosts(self, rows: list[HostRow]) -> None:
         """Keep the endpoint table as the list has it."""
-        listed = {row.endpoint_id for row in rows}
-        for known in self.endpoints:
-            if known.endpoint_id not in listed:
-                self.endpoints.remove(known.endpoint_id)
-        for row in rows:
-            if row.endpoint_id:
-                self._put(row)
+        _keep(self.endpoints, rows)
 
     def drain(self, leaving: bool) -> None:
         """Do nothing more: the readiness probe tells the balancer, callers are still served."""
 
-    def refuse_new(self) -> None:
-        """Tell callers to ask another entry."""
-        self._entry.refuse_new()
-
-    @property
-    def in_flight(self) -> int:
-        """Requests of callers that are not over."""
-        return self._entry.in_flight
-
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the number of endpoints known."""
         return attrs.evolve(status, endpoints=len(self.endpoints))
 
-    def _put(self, row: HostRow) -> None:
-        state = EndpointState.LEAVING if row.state == _LEAVING else EndpointState.LIVE
-        endpoint = Endpoint(
-            row.endpoint_id,
-            row.service,
-            row.availability_zone,
-            row.address,
-            row.incarnation,
-            state=state,
-        )
-        known = self.endpoints.get(row.endpoint_id)
-        if known is not None and known.incarnation == row.incarnation:
-            endpoint.suspect_until_s = known.suspect_until_s
-        self.endpoints.put(endpoint)
-
 
 class SidecarRole(NodeRole):
     """A sidecar: runs requests at its endpoint."""
@@ -164,12 +128,14 @@
     name = "sidecar"
     is_mutual = True
 
-    def __init__(self, file: SidecarFile, view: FleetView) -> None:
+    def __init__(
+        self, file: SidecarFile, view: FleetView, tls: ssl.SSLContext | None = None
+    ) -> None:
         self.process = file.process
         self.file = file
         self._service = ServiceSettings()
-        self.sidecar = SidecarApp(file, self._with_service(view))
-        self.app = self.sidecar
+        self.sidecar = SidecarApp(file, self._with_service(view), tls=tls)
+        self.app = self.part = self.sidecar
         self.timeline = self.sidecar.timeline
 
     async def run(self, *, task_status: Any) -> None:
@@ -185,6 +151,7 @@
 
         The row of an earlier incarnation in the same slot says nothing of this one.
         """
+        _keep(self.sidecar.members, rows)
         for row in rows:
             is_own = row.endpoint_id == self.file.endpoint_id
             is_earlier = row.incarnation not in ("", self.sidecar.incarnation)
@@ -195,15 +162,6 @@
         """Refuse new work with a "not run", so that entries go elsewhere, or take it again."""
         self.sidecar.admission.leaving = leaving
 
-    def refuse_new(self) -> None:
-        """Refuse new work."""
-        self.sidecar.refuse_new()
-
-    @property
-    def in_flight(self) -> int:
-        """Runs that are not over."""
-        return self.sidecar.in_flight
-
     def status(self, status: NodeStatus) -> NodeStatus:
         """Add the endpoint and its load."""
         own = self.sidecar.status()
@@ -224,3 +182,29 @@
         """
         self._service = view.services.get(self.file.service, self._service)
         return attrs.evolve(view, services={**view.services, self.file.service: self._service})
+
+
+def _keep(table: EndpointTable, rows: list[HostRow]) -> None:
+    """Make an endpoint table what the list says."""
+    listed = {row.endpoint_id for row in rows}
+    for known in table:
+        if known.endpoint_id not in listed:
+            table.remove(known.endpoint_id)
+    for row in rows:
+        if row.endpoint_id:
+            _put(table, row)
+
+
+def _put(table: EndpointTable, row: HostRow) -> None:
+    endpoint = Endpoint(
+        row.endpoint_id,
+        row.service,
+        row.availability_zone,
+        row.address,
+        row.incarnation,
+        state=EndpointState.LEAVING if row.state == _LEAVING else EndpointState.LIVE,
+    )
+    known = table.get(row.endpoint_id)
+    if known is not None and known.incarnation == row.incarnation:
+        endpoint.suspect_until_s = known.suspect_until_s
+    table.put(endpoint)
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -121,8 +121,9 @@
         """
         if self.home is None or taker.endpoint_id in (self.home.endpoint_id, self._pointer):
             return []
-        backup = [self._backup] if self._backup is not None else []
-        return [row for row in (self.home, *backup) if row.endpoint_id != taker.endpoint_id]
+        rows = {row.endpoint_id: row for row in (self.home, self._backup) if row is not None}
+        rows.pop(taker.endpoint_id, None)
+        return list(rows.values())
 
     def _follow(self, refusal: Refusal, home: Endpoint | None) -> Step:
         """Go where the home says that the chat's prefix lies; come back if that is gone."""
