--- /dev/null
+++ b/testing/test_admission.py
@@ -0,0 +1,222 @@
+import random
+import sys
+
+import pytest
+
+from beryljunction.loads import LoadRow
+from beryljunction.outcomes import Ran, RefusalCode
+from beryljunction.systems import (
+    AdmissionLimits,
+    AdmissionSystem,
+    LoadSystem,
+    PointerSystem,
+    Refuse,
+    Start,
+    Wait,
+)
+from beryljunction.tables import Work
+
+
+def admission(peer_running: int | None = None, **limits) -> AdmissionSystem:
+    values = {"max_running": 16, "quantum_tokens": 1_000, "reserve_share": 0.0, **limits}
+    system = AdmissionSystem(
+        AdmissionLimits(**values), LoadSystem("e0", "a"), PointerSystem("e0"), random.Random(1)
+    )
+    if peer_running is not None:
+        system.load.merge([LoadRow(f"e{i}", "a", 1, peer_running, 0, 9_999) for i in (1, 2)], 0.0)
+    return system
+
+
+def work(number: int, account: str = "a", now_s: float = 0.0, **fields) -> Work:
+    values = {"deadline_s": now_s + 5.0, "output_tokens": 100, **fields}
+    return Work(f"r{number}", account, now_s, **values)
+
+
+def started(system: AdmissionSystem, now_s: float) -> list[str]:
+    return [d.request_id for d in system.tick(now_s) if isinstance(d, Start)]
+
+
+class TestOffer:
+    def test_request_that_finds_room_starts_even_if_the_tick_is_late(self):
+        # A busy loop ticks some milliseconds after the offer. A request that may not wait would be
+        # refused although there is room, and walk on to the next endpoint for nothing.
+        system = admission()
+
+        assert isinstance(system.offer(work(1), 0.0), Wait)
+        assert started(system, 0.05) == ["r1"]
+
+    def test_cold_request_above_the_bound_goes_elsewhere_at_once(self):
+        system = admission(peer_running=4)
+        for i in range(4):
+            system.offer(work(i), 0.0)
+        system.tick(0.0)
+
+        decision = system.offer(work(9), 0.0)
+
+        assert isinstance(decision, Refuse)
+        assert decision.refusal.code is RefusalCode.OVERLOADED
+        assert decision.refusal.ran is Ran.NO
+        assert decision.refusal.load.running == 4
+
+    def test_warm_request_waits_no_longer_than_the_prefill_that_it_saves(self):
+        system = admission(peer_running=4)
+        system.pointers.placed(7, "e0", 10_000, 0.0)
+        for i in range(8):
+            system.offer(work(i, last_resort=True), 0.0)
+        system.tick(0.0)
+
+        decision = system.offer(work(9, chat_key=7, prompt_tokens=10_000), 0.0)
+
+        assert isinstance(decision, Wait)
+        assert [d for d in system.tick(0.49) if d.request_id == "r9"] == []
+        [refused] = [d for d in system.tick(0.51) if d.request_id == "r9"]
+        assert refused.refusal.code is RefusalCode.OVERLOADED
+
+    def test_chat_that_moved_is_pointed_on_unless_the_pointer_failed(self):
+        system = admission()
+        system.pointers.placed(7, "e2", 100, 0.0)
+
+        decision = system.offer(work(1, chat_key=7), 0.0)
+
+        assert decision.refusal.code is RefusalCode.CHAT_MOVED
+        assert decision.refusal.pointer == "e2"
+        assert isinstance(system.offer(work(2, chat_key=7, ignore_pointer=True), 0.0), Wait)
+
+    def test_only_if_warm_is_refused_where_the_chat_is_not_cached(self):
+        decision = admission().offer(work(1, chat_key=7, only_if_warm=True), 0.0)
+
+        assert decision.refusal.code is RefusalCode.NOT_WARM
+
+    def test_leaving_endpoint_takes_nothing_and_lets_what_waits_end(self):
+        system = admission(max_running=1)
+        system.offer(work(1, last_resort=True), 0.0)
+        system.offer(work(2, last_resort=True), 0.0)
+        system.tick(0.0)
+
+        system.leaving = True
+
+        assert system.offer(work(3), 0.0).refusal.code is RefusalCode.LEAVING
+        system.finish("r1")
+        assert started(system, 1.0) == ["r2"]
+
+
+class TestSaturation:
+    def fill(self, system: AdmissionSystem, count: int, now_s: float) -> list[Refuse]:
+        offers = [work(i, now_s=now_s, last_resort=True) for i in range(count)]
+        decisions = [system.offer(offer, now_s) for offer in offers]
+        return [decision for decision in decisions if isinstance(decision, Refuse)]
+
+    def test_queue_of_an_account_is_bounded_and_the_refusal_says_when_to_come_back(self):
+        system = admission(max_waiting_per_account=10)
+
+        refused = self.fill(system, 30, 0.0)
+
+        assert len(refused) == 20
+        assert {r.refusal.code for r in refused} == {RefusalCode.QUEUE_FULL}
+        times = [r.refusal.retry_after_s for r in refused]
+        assert min(times) >= 0.2
+        assert len(set(times)) > 15
+
+    def test_what_could_only_wait_in_vain_is_refused_at_once(self):
+        # The engine takes one request of 100 tokens a second; a queue of five is the whole
+        # deadline. A sixth would wait for five seconds to be told no.
+        system = admission(max_running=1)
+        for second in range(20):
+            system.offer(work(100 + second, now_s=second, last_resort=True), second)
+            started(system, second)
+            system.finish(f"r{100 + second}")
+        system.offer(work(0, now_s=20.0, last_resort=True), 20.0)
+        system.tick(20.0)
+
+        refused = self.fill(system, 12, 20.0)
+
+        assert 5 <= len(refused) <= 10
+
+    def test_nothing_starts_too_late_for_its_deadline(self):
+        system = admission(max_running=1)
+        system.offer(work(1, last_resort=True), 0.0)
+        system.tick(0.0)
+        system.offer(work(2, last_resort=True, prompt_tokens=20_000), 0.0)
+        system.finish("r1")
+
+        [decision] = system.tick(4.0)
+
+        assert decision.refusal.code is RefusalCode.DEADLINE
+        assert decision.refusal.ran is Ran.NO
+
+
+class TestFairness:
+    def test_surging_account_does_not_delay_a_small_one(self):
+        # One account sends 60 requests, then another sends one. In a single queue it would wait
+        # behind all of them.
+        system = admission(max_running=4, max_waiting_per_account=60, reserve_share=0.25)
+        for i in range(60):
+            system.offer(work(i, "large", last_resort=True), 0.0)
+        first = started(system, 0.0)
+        system.finish(first[0])
+        system.offer(work(99, "small", 1.0, last_resort=True), 1.0)
+
+        assert started(system, 1.0)[0] == "r99"
+
+    @pytest.mark.parametrize("weight", [1.0, 3.0], ids=["equal", "triple"])
+    def test_work_started_follows_the_weights(self, weight):
+        system = admission(max_running=1, max_waiting_per_account=200, max_waiting=400)
+        system.weights = {"heavy": weight}
+        for i in range(150):
+            system.offer(work(i, "heavy", last_resort=True, deadline_s=999.0), 0.0)
+            system.offer(work(1_000 + i, "light", last_resort=True, deadline_s=999.0), 0.0)
+        counts = {"heavy": 0, "light": 0}
+        for tick in range(120):
+            [request_id] = started(system, tick * 0.01)
+            counts[system.requests.get(request_id).account] += 1
+            system.finish(request_id)
+
+        assert counts["heavy"] / counts["light"] == pytest.approx(weight, rel=0.3)
+
+    def test_long_work_pays_for_its_length(self):
+        system = admission(max_running=1, max_waiting_per_account=99)
+        for i in range(40):
+            system.offer(work(i, "long", output_tokens=4_000, last_resort=True), 0.0)
+            system.offer(work(100 + i, "short", output_tokens=400, last_resort=True), 0.0)
+        short = 0
+        for tick in range(33):
+            [request_id] = started(system, tick * 0.01)
+            short += system.requests.get(request_id).account == "short"
+            system.finish(request_id)
+
+        assert short >= 27
+
+    def test_higher_priority_of_the_same_account_goes_first(self):
+        system = admission(max_running=1)
+        system.offer(work(1, last_resort=True), 0.0)
+        system.offer(work(2, last_resort=True, priority=5), 0.0)
+
+        assert started(system, 0.0) == ["r2"]
+
+    def test_cancelled_request_leaves_its_place(self):
+        system = admission(max_running=1)
+        for i in (1, 2, 3):
+            system.offer(work(i, last_resort=True), 0.0)
+        system.finish("r1")
+
+        assert started(system, 0.0) == ["r2"]
+        assert system.requests.waiting_count == 1
+
+
+class TestTickCost:
+    @pytest.mark.parametrize("waiting", [10, 1_000], ids=["few", "many"])
+    def test_steps_of_a_tick_do_not_grow_with_what_waits_or_is_known(self, waiting):
+        # A tick that scanned the queue or the chats would take the sidecar's whole core at the
+        # target. Counted are the calls of Python functions, the same on every machine.
+        system = admission(max_running=1, max_waiting=2_000, max_waiting_per_account=2_000)
+        for chat in range(waiting):
+            system.pointers.placed(chat, "e0", 10, 0.0)
+            system.offer(work(chat, f"a{chat % 10}", last_resort=True), 0.0)
+        system.tick(0.0)
+        calls = []
+
+        sys.setprofile(lambda frame, event, _: event == "call" and calls.append(frame))
+        system.tick(0.05)
+        sys.setprofile(None)
+
+        assert len(calls) < 30
--- /dev/null
+++ b/testing/test_attempts.py
@@ -0,0 +1,140 @@
+import pytest
+
+from beryljunction.loads import LoadRow
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.systems import AttemptSystem, GiveUp, RetryBudget, Try
+from beryljunction.tables import Endpoint
+
+ROWS = [Endpoint(f"e{i}", "drafter", "z", "") for i in range(8)]
+
+
+def refusal(code: RefusalCode, ran: Ran = Ran.NO, **fields) -> Refusal:
+    return Refusal(code, "", ran, **fields)
+
+
+def overloaded(number: int, running: int, speed: float = 10.0) -> Refusal:
+    load = LoadRow(f"e{number}", "a", 1, running, 0, 0, speed)
+    return refusal(RefusalCode.OVERLOADED, load=load)
+
+
+def attempts(count: int = 8, idempotent: bool = True, share: float = 0.1, **fields):
+    return AttemptSystem(ROWS[:count], RetryBudget(share, 2.0), idempotent, **fields)
+
+
+class TestSpill:
+    def test_ends_at_the_least_loaded_of_a_few_and_may_wait_there(self):
+        walk = attempts()
+        walk.first()
+
+        steps = [walk.after(overloaded(i, 20 - i), ROWS[i]) for i in range(4)]
+
+        assert [step.endpoint.endpoint_id for step in steps] == ["e1", "e2", "e3", "e3"]
+        assert steps[-1].last_resort
+        assert len(steps[-1].loads) == 4
+
+    def test_slow_endpoint_with_few_requests_is_not_the_least_loaded(self):
+        walk = attempts(2)
+        walk.first()
+        walk.after(overloaded(0, 10, speed=2.0), ROWS[0])
+
+        step = walk.after(overloaded(1, 30, speed=10.0), ROWS[1])
+
+        assert step.endpoint.endpoint_id == "e1"
+
+    def test_costs_no_retry_budget(self):
+        walk = attempts()
+        walk.first()
+        walk.after(overloaded(0, 1), ROWS[0])
+
+        assert walk.retries == 0
+
+
+class TestRetries:
+    def test_stop_when_the_budget_is_empty(self):
+        walk = attempts()
+        walk.first()
+        full = refusal(RefusalCode.QUEUE_FULL, retry_after_s=2.0)
+
+        steps = [walk.after(full, row) for row in ROWS[:3]]
+
+        assert [type(step) for step in steps] == [Try, Try, GiveUp]
+        assert steps[-1].refusal.retry_after_s == 2.0
+
+    def test_earn_their_budget_from_successes(self):
+        budget = RetryBudget(0.1, 2.0)
+        while budget.spend():
+            pass
+        for _ in range(11):
+            budget.earn()
+
+        assert budget.spend()
+        assert not budget.spend()
+
+    def test_of_work_that_may_not_be_repeated_end_at_an_unknown_outcome(self):
+        walk = attempts(idempotent=False)
+        walk.first()
+
+        step = walk.after(refusal(RefusalCode.OUTCOME_UNKNOWN, Ran.UNKNOWN), ROWS[0])
+
+        assert isinstance(step, GiveUp)
+
+    def test_refusal_after_an_unknown_try_does_not_say_not_run(self):
+        # The first endpoint breaks off in mid-answer, the second refuses and proves that it did
+        # not run the request. Passed on as it is, its "no" would be a lie about the first.
+        walk = attempts()
+        walk.first()
+        walk.after(refusal(RefusalCode.OUTCOME_UNKNOWN, Ran.UNKNOWN), ROWS[0])
+
+        step = walk.after(refusal(RefusalCode.DEADLINE), ROWS[1])
+
+        assert step.refusal.ran is Ran.UNKNOWN
+
+    @pytest.mark.parametrize("code", [RefusalCode.DEADLINE, RefusalCode.BAD_REQUEST])
+    def test_are_not_made_when_no_endpoint_could_do_better(self, code):
+        walk = attempts()
+        walk.first()
+
+        assert isinstance(walk.after(refusal(code), ROWS[0]), GiveUp)
+
+
+class TestPointers:
+    def test_are_followed_and_the_home_asked_again_if_they_lead_nowhere(self):
+        walk = attempts()
+        home = walk.first().endpoint
+        moved = refusal(RefusalCode.CHAT_MOVED, pointer="e5")
+
+        step = walk.after(moved, home)
+        again = walk.after(refusal(RefusalCode.ENDPOINT_FAILED), step.endpoint)
+
+        assert (step.endpoint.endpoint_id, step.warm) == ("e5", True)
+        assert (again.endpoint.endpoint_id, again.ignore_pointer) == ("e0", True)
+
+    def test_to_an_endpoint_that_is_gone_lead_back_to_the_home(self):
+        walk = attempts()
+        home = walk.first().endpoint
+
+        step = walk.after(refusal(RefusalCode.CHAT_MOVED, pointer="gone"), home)
+
+        assert (step.endpoint.endpoint_id, step.ignore_pointer) == ("e0", True)
+
+    def test_previous_home_is_asked_first_and_only_if_warm(self):
+        walk = attempts(previous_home=ROWS[1])
+
+        first = walk.first()
+        step = walk.after(refusal(RefusalCode.NOT_WARM), first.endpoint)
+
+        assert (first.endpoint.endpoint_id, first.only_if_warm) == ("e1", True)
+        assert step.endpoint.endpoint_id == "e0"
+
+    def test_are_kept_by_the_home_and_the_next_in_order(self):
+        walk = attempts()
+
+        assert [row.endpoint_id for row in walk.keepers(ROWS[3])] == ["e0", "e1"]
+        assert [row.endpoint_id for row in walk.keepers(ROWS[1])] == ["e0"]
+        assert walk.keepers(ROWS[0]) == []
+
+    def test_that_were_followed_are_not_told_again(self):
+        walk = attempts()
+        walk.after(refusal(RefusalCode.CHAT_MOVED, pointer="e5"), walk.first().endpoint)
+
+        assert walk.keepers(ROWS[5]) == []
--- /dev/null
+++ b/testing/test_load.py
@@ -0,0 +1,117 @@
+import random
+
+import pytest
+
+from beryljunction.loads import LoadRow
+from beryljunction.systems import LoadLimits, LoadSystem, SpeedMeter
+
+LIMITS = LoadLimits(floor_running=4, max_running=128)
+
+
+def row(number: int, running: int, sequence: int = 1, **fields) -> LoadRow:
+    values = {"waiting": 0, "work_tokens": 100 * running, **fields}
+    return LoadRow(f"drafter-{number}", "a", sequence, running, **values)
+
+
+def load_system(*rows: LoadRow, running: int = 0, now_s: float = 0.0) -> LoadSystem:
+    load = LoadSystem("drafter-0", "a", LIMITS, random.Random(1))
+    load.note_own(running, 0, 100 * running, 0.0)
+    load.merge(rows, 0.0)
+    load.note_own(running, 0, 100 * running, now_s)
+    return load
+
+
+class TestLoadBound:
+    def test_is_the_fixed_limit_without_a_fresh_peer(self):
+        load = load_system(row(1, 2), running=2, now_s=11.0)
+
+        assert load.bound(1.0).running < 128
+        assert load.bound(11.0).running == 128
+
+    @pytest.mark.parametrize("mean", [8, 40, 80], ids=["low", "middle", "high"])
+    def test_stays_within_the_multiple_of_the_mean(self, mean):
+        load = load_system(*(row(i, mean) for i in range(1, 9)), running=mean)
+
+        assert mean < load.bound(1.0).running <= 1.25 * mean
+
+    def test_mean_does_not_collapse_while_requests_wait(self):
+        # Every endpoint runs little and has much waiting. If only running work counted, the bound
+        # would fall with it and the fleet would stand still with full queues.
+        load = load_system(*(row(i, 4, waiting=60) for i in range(1, 5)), running=4)
+
+        assert load.bound(1.0).running > 50
+
+    def test_never_falls_below_the_floor(self):
+        load = load_system(*(row(i, 0) for i in range(1, 5)))
+
+        assert load.bound(1.0).running == LIMITS.floor_running
+
+    def test_shrinks_with_the_speed_of_a_slow_endpoint(self):
+        load = load_system(*(row(i, 40, speed_tokens_per_s=40.0) for i in range(1, 5)), running=40)
+        load.speed.note(2 * 40 * 10.0)
+        load.note_own(40, 0, 4_000, 2.0)
+
+        assert load.bound(2.0).running < 0.3 * 50
+
+    def test_slow_peer_does_not_pull_the_others_down(self):
+        peers = [row(i, 40, speed_tokens_per_s=40.0) for i in range(1, 4)]
+        slow = row(4, 10, speed_tokens_per_s=10.0)
+        load = load_system(*peers, slow, running=40)
+
+        assert load.bound(1.0).cold_running >= 40
+
+    def test_endpoint_that_came_back_counts_as_a_growing_part(self):
+        load = load_system(*(row(i, 40) for i in range(1, 4)), running=40, now_s=60.0)
+        load.merge([row(i, 40, sequence=2) for i in range(1, 4)], 60.0)
+        load.merge([row(4, 0)], 60.0)
+        at_once = load.bound(60.5).running
+        load.merge([row(i, 40, sequence=3) for i in range(1, 4)], 66.0)
+
+        assert at_once >= 45
+        assert load.bound(66.0).running < 40
+
+
+class TestExchange:
+    def test_older_row_never_replaces_a_newer(self):
+        load = load_system(row(1, 9, sequence=5))
+
+        load.merge([row(1, 2, sequence=4)], 1.0)
+
+        assert load.peer("drafter-1").row.running == 9
+
+    def test_row_of_a_new_incarnation_replaces_whatever_its_sequence(self):
+        load = load_system(row(1, 9, sequence=5))
+
+        load.merge([LoadRow("drafter-1", "b", 1, 0, 0, 0)], 1.0)
+
+        assert load.peer("drafter-1").row.running == 0
+
+    def test_sends_a_bounded_number_of_rows_at_41_endpoints(self):
+        load = load_system(*(row(i, 40) for i in range(1, 41)))
+
+        rows = load.rows_to_send(1.0)
+
+        assert rows[0].endpoint_id == "drafter-0"
+        assert len(rows) == len({r.endpoint_id for r in rows}) == 24
+
+    def test_does_not_pass_on_rows_that_are_stale(self):
+        load = load_system(row(1, 40))
+
+        assert [r.endpoint_id for r in load.rows_to_send(20.0)] == ["drafter-0"]
+
+
+class TestSpeedMeter:
+    def test_gives_the_tokens_of_one_request(self):
+        meter = SpeedMeter()
+        for tick in range(100):
+            meter.advance(10, tick * 0.1)
+            meter.note(10 * 3.0)
+
+        assert meter.tokens_per_s == pytest.approx(30.0, rel=0.1)
+
+    def test_tells_nothing_before_something_ran(self):
+        meter = SpeedMeter()
+        meter.advance(0, 0.0)
+        meter.advance(0, 10.0)
+
+        assert meter.tokens_per_s == 0.0
--- /dev/null
+++ b/testing/test_pointers.py
@@ -0,0 +1,57 @@
+from beryljunction.systems import PlacementQuery, PlacementSystem, PointerSystem
+from beryljunction.tables import ChatTable, Endpoint, EndpointTable
+
+
+class TestPointers:
+    def test_live_on_while_they_are_asked_for(self):
+        pointers = PointerSystem("e0", life_s=10.0)
+        pointers.placed(7, "e1", 100, 0.0)
+
+        assert pointers.look_up(7, 8.0).endpoint_id == "e1"
+        assert pointers.look_up(7, 16.0).endpoint_id == "e1"
+        assert pointers.look_up(7, 27.0) is None
+
+    def test_make_room_for_new_ones_the_least_used_first(self):
+        pointers = PointerSystem("e0", chats=ChatTable(capacity=2))
+        for chat in (1, 2, 3):
+            pointers.placed(chat, "e0", 100, 0.0)
+            pointers.look_up(1, 0.0)
+
+        assert [pointers.cached_tokens(chat, 0.0) for chat in (1, 2, 3)] == [100, 0, 100]
+
+
+class TestCacheEvents:
+    def test_eviction_forgets_the_chat_here_and_no_pointer_elsewhere(self):
+        pointers = PointerSystem("e0")
+        pointers.placed(1, "e0", 100, 0.0)
+        pointers.placed(2, "e1", 100, 0.0)
+
+        pointers.evicted(1, [1, 2])
+
+        assert pointers.look_up(1, 0.0) is None
+        assert pointers.look_up(2, 0.0).endpoint_id == "e1"
+
+    def test_event_after_a_gap_counts_and_one_that_comes_late_does_not(self):
+        # Events 2 to 4 are lost, event 3 comes after event 5. The chat of event 3 has run again
+        # in the meantime; forgetting it would send its next turn elsewhere for nothing.
+        pointers = PointerSystem("e0")
+        for chat in (1, 2):
+            pointers.placed(chat, "e0", 100, 0.0)
+
+        pointers.evicted(5, [1])
+        pointers.evicted(3, [2])
+
+        assert pointers.cached_tokens(1, 0.0) == 0
+        assert pointers.cached_tokens(2, 0.0) == 100
+
+
+class TestPreviousHome:
+    def test_is_the_next_in_order_while_the_home_is_young(self):
+        table = EndpointTable(Endpoint(f"e{i}", "drafter", "z", "") for i in range(4))
+        placement = PlacementSystem(table)
+        rows = placement.candidates(PlacementQuery("drafter", 7), 0.0)
+
+        assert placement.previous_home(rows, 100.0) is None
+        rows[0].joined_s = 90.0
+        assert placement.previous_home(rows, 100.0) is rows[1]
+        assert placement.previous_home(rows, 151.0) is None
--- /dev/null
+++ b/testing/test_policy.py
@@ -0,0 +1,65 @@
+"""Decisions under load, by what callers get; the bars of all seeds are the bench's business."""
+
+import functools
+
+import pytest
+
+from beryljunction.bench.policy import run_policy
+
+
+@functools.cache
+def run(scenario: str, policy: str = "current", seed: int = 3):
+    return run_policy(scenario, "prairie", policy, seed)
+
+
+class TestCallersUnderLoad:
+    @pytest.mark.parametrize("scenario", ["steady", "skewed", "mixed"])
+    def test_returning_chats_are_found_warm_and_load_stays_even(self, scenario):
+        figures = run(scenario)
+
+        assert figures.found_warm_ratio >= 0.96
+        assert figures.max_over_mean <= 1.25
+        assert figures.refused_ratio == 0.0
+
+    def test_burst_is_taken_without_refusals_or_a_storm_of_retries(self):
+        figures = run("burst")
+
+        assert figures.refused_ratio <= 0.05
+        assert figures.retries_over_requests <= 0.1
+        assert figures.found_warm_ratio >= 0.9
+
+    def test_surge_of_one_account_does_not_delay_small_ones(self):
+        figures = run("surge")
+
+        assert figures.small_account_wait_s_p95 <= run("steady").small_account_wait_s_p95 + 0.02
+        assert figures.small_account_refused_ratio == 0.0
+        assert figures.refused_ratio > 0.0
+
+    def test_slow_endpoint_costs_callers_little_more_than_its_loss(self):
+        slow, removed = run("slow-endpoint"), run("removed-endpoint")
+
+        assert slow.first_token_s_p95 <= 1.3 * removed.first_token_s_p95
+
+    def test_saturated_fleet_works_on_what_still_meets_its_deadline(self):
+        figures = run("saturated")
+
+        assert figures.goodput_over_capacity >= 0.95
+        assert figures.retries_over_requests <= 0.1
+        assert figures.false_not_run == 0
+
+    def test_churn_keeps_chats_warm_and_load_even(self):
+        figures, unbounded = run("churn"), run("churn", "unbounded")
+
+        assert figures.found_warm_ratio >= 0.97 * unbounded.found_warm_ratio
+        assert figures.max_over_mean <= 1.25
+
+    @pytest.mark.parametrize("scenario", ["flap", "disagree", "gaps", "pause"])
+    def test_faults_break_no_promise(self, scenario):
+        figures = run(scenario)
+
+        assert figures.double_runs == 0
+        assert figures.false_not_run == 0
+        assert figures.retries_over_requests <= 0.1
+
+    def test_figures_are_the_same_each_time(self):
+        assert run.__wrapped__("pause") == run("pause")
