--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -1,5 +1,7 @@
 """What the entry does next with a request after each try."""
 
+import math
+
 import attrs
 
 from beryljunction.loads import LoadRow
@@ -69,6 +71,8 @@
         self._spilled: list[Endpoint] = []
         self._followed = False
         self._maybe_ran = False
+        self._pointer: str | None = None
+        self._backup = candidates[1] if len(candidates) > 1 else None
         first = candidates[0] if candidates else None
         self.home = home if home is not None else first
         self.tries = 0
@@ -108,9 +112,23 @@
         self.retries += 1
         return self._next()
 
+    def keepers(self, taker: Endpoint) -> list[Endpoint]:
+        """Return the endpoints to tell that a later candidate has taken the chat.
+
+        Load: a chat's home is lost. Harm: with it goes the pointer to a prefix that another
+        endpoint still has. The next in order, which becomes the home then, is told too. Both know
+        already when the request was led to the taker by a pointer.
+        """
+        if self.home is None or taker.endpoint_id in (self.home.endpoint_id, self._pointer):
+            return []
+        rows = {row.endpoint_id: row for row in (self.home, self._backup) if row is not None}
+        rows.pop(taker.endpoint_id, None)
+        return list(rows.values())
+
     def _follow(self, refusal: Refusal, home: Endpoint | None) -> Step:
         """Go where the home says that the chat's prefix lies; come back if that is gone."""
         self._followed = True
+        self._pointer = refusal.pointer
         target = next((row for row in self._left if row.endpoint_id == refusal.pointer), None)
         if target is None and home is not None:
             self.tries += 1
@@ -118,7 +136,7 @@
         if target is None:
             return self._next() if self._left else self._give_up(refusal)
         self._left.remove(target)
-        if home is not None:
+        if home is not None and home not in self._left:
             self._left.insert(0, home)
         return self._try(target, warm=True)
 
@@ -139,15 +157,18 @@
             return self._next()
         if not self._spilled:
             return self._give_up(refusal)
-        best = min(self._spilled, key=self._running)
+        best = min(self._spilled, key=self._load_of)
         self._spilled.clear()
         self._left.clear()
         self.tries += 1
         return Try(best, last_resort=True, ignore_pointer=True, loads=tuple(self._loads.values()))
 
-    def _running(self, row: Endpoint) -> float:
+    def _load_of(self, row: Endpoint) -> float:
+        """Return how long the endpoint has work for; a slow one is not the least loaded."""
         load = self._loads.get(row.endpoint_id)
-        return load.running + load.waiting if load is not None else float("inf")
+        if load is None:
+            return math.inf
+        return (load.running + load.waiting) / (load.speed_tokens_per_s or 1.0)
 
     def _next(self, warm: bool = False) -> Try:
         return self._try(self._left.pop(0), warm)
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -1,9 +1,22 @@
 import json
 
 import anyio
+import attrs
 import pytest
 
+from beryljunction.servers import read_body
 from beryljunction.settings import LimitSettings
+from beryljunction.streams import FrameNumberer, StreamName
+from beryljunction.tables import Endpoint
+from beryljunction.wire import (
+    ATTACH_PATH,
+    ENVELOPE_HEADER,
+    OUTCOME_HEADER,
+    STREAM_HEADER,
+    Attach,
+    Envelope,
+    decode,
+)
 from path_fakes import (
     AUTH,
     OTHER_KEY,
@@ -60,6 +73,14 @@
         assert error["type"] == "invalid_request_error"
         assert error["message"]
 
+    async def test_head_that_never_ends_costs_the_caller_its_connection(self):
+        async with path_of() as path:
+            host, _, port = (await path.entry()).removeprefix("http://").rpartition(":")
+            async with await anyio.connect_tcp(host, int(port)) as caller:
+                await caller.send(b"POST /v1/chat/completions HTTP/1.1\r\nx-long: ")
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await send_for_ever(caller)
+
     async def test_more_than_it_may_serve_are_told_when_to_come_back(self):
         async with path_of(view_with(limits=LimitSettings(connections=0))) as path:
             answer = await ask(path, await path.entry())
@@ -96,7 +117,68 @@
         assert (answer.status, dict(answer.headers)[b"x-own"]) == (503, b"kept")
 
 
+async def send_for_ever(stream):
+    while True:
+        await stream.send(b"x" * 10_000)
+
+
+class ScriptedSidecar:
+    """Answers each connection with the next script of frames; keeps what attaches asked for."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.asked_after = []
+
+    async def __call__(self, scope, receive, send):
+        body = await read_body(receive, 100_000)
+        headers = dict(scope["headers"])
+        if scope["path"] == ATTACH_PATH:
+            attach = decode(body, Attach)
+            self.asked_after.append(attach.after)
+            name = StreamName("drafter-0", "life", attach.request_id)
+        else:
+            envelope = decode(headers[ENVELOPE_HEADER], Envelope)
+            name = StreamName("drafter-0", "life", envelope.request_id)
+        frames = FrameNumberer(name).number([b"data: a", b"data: b", b"data: c", b"data: [DONE]"])
+        head = [(OUTCOME_HEADER, b"stream"), (STREAM_HEADER, str(name).encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": head})
+        for number in self.scripts.pop(0):
+            data = frames[number - 1]
+            await send({"type": "http.response.body", "body": data, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+
+
 class TestWholeAnswers:
+    @pytest.mark.parametrize(
+        ("scripts", "asked_after"),
+        [
+            pytest.param([[1, 1, 2, 1, 3, 2, 4]], [], id="duplicated-and-late"),
+            pytest.param([[1, 3, 4], [1, 2, 3, 4]], [1], id="gap-is-asked-for-again"),
+            pytest.param([[1, 2], [3, 4]], [2], id="end-without-the-last-frame"),
+            pytest.param([[], [], [1, 2, 3, 4]], [0, 0], id="nothing-at-first"),
+        ],
+    )
+    async def test_frames_reach_the_caller_in_order_and_once(self, scripts, asked_after):
+        async with path_of() as path:
+            sidecar = ScriptedSidecar(*scripts)
+            address = await path.serve(sidecar)
+            path.endpoints.put(Endpoint("drafter-0", "drafter", "ahd-a", address))
+
+            answer = await ask(path, await path.entry())
+
+        assert event_data(answer.content) == [b"a", b"b", b"c", b"[DONE]"]
+        assert sidecar.asked_after == asked_after
+
+    async def test_sidecar_that_never_completes_is_given_up_with_an_error(self):
+        async with path_of() as path:
+            address = await path.serve(ScriptedSidecar([1], [1], [1], [1]))
+            path.endpoints.put(Endpoint("drafter-0", "drafter", "ahd-a", address))
+
+            answer = await ask(path, await path.entry())
+
+        assert b"[DONE]" not in answer.content
+        assert b"event: error" in answer.content
+
     async def test_connection_gone_silent_is_replaced(self):
         # Something between entry and sidecar loses track of the open connection: no byte passes
         # on it any more, new ones work. The entry notices the silence, attaches anew after the
@@ -168,6 +250,21 @@
         assert (len(engine.runs), len(app.runs)) == (1, 1)
 
 
+class TestTruth:
+    async def test_refusal_after_a_try_in_doubt_is_not_a_no(self):
+        # The first endpoint breaks off without an answer: the request may have run there. The next
+        # refuses it as not run. All that is known of the request is that it may have run.
+        async with path_of() as path:
+            for _ in range(2):
+                await path.sidecar(ScriptedEngine(), address=await path.breaking_endpoint())
+            entry = await path.entry()
+            path.sidecars[0].refuse_new()
+            answers = [await ask(path, entry, body=chat(stream=False)) for _ in range(6)]
+
+        said = {error_of(answer)["ran"] for answer in answers}
+        assert said == {"unknown"}
+
+
 class TestResume:
     async def test_at_another_entry_goes_on_after_the_last_event(self):
         async with path_of() as path:
@@ -273,6 +370,40 @@
         assert engine.runs == []
 
 
+class TestQuietHours:
+    @pytest.mark.parametrize(
+        ("service", "target"),
+        [
+            pytest.param("drafter", CHAT, id="may-be-repeated"),
+            pytest.param("ledger", "/services/ledger/n", id="may-not-be-repeated"),
+        ],
+    )
+    async def test_first_request_after_a_long_pause_runs_at_once(self, service, target):
+        # No request reaches an endpoint for an hour, and the stamp that the entry has of its
+        # sidecar is as old. The next request must not be taken for one that was sent back then.
+        async with path_of() as path:
+            engine = ScriptedEngine()
+            app = await path.sidecar(engine, service)
+            entry = await path.entry()
+            await ask(path, entry, target)
+            pass_time(path, app, 3_600.0)
+
+            answer = await ask(path, entry, target)
+
+        events = [event.kind for event in path.entry_app.timeline.events()]
+        assert (answer.status, len(engine.runs)) == (200, 2)
+        assert "try_refused" not in events
+
+
+def pass_time(path, app, elapsed_s):
+    """Make sidecar and entry believe that time has passed."""
+    for system in (app.keeper.tickets, app.keeper.tombstones):
+        system.clock._started_s -= elapsed_s
+    heard = path.entry_app._sidecars._heard
+    for endpoint_id, row in heard.items():
+        heard[endpoint_id] = attrs.evolve(row, heard_s=row.heard_s - elapsed_s)
+
+
 class TestHangUp:
     async def test_ends_unstreamed_work(self):
         async with path_of() as path:
