--- a/src/beryljunction/bench/slopes/rig.py
+++ b/src/beryljunction/bench/slopes/rig.py
@@ -92,7 +92,9 @@
     async def start_entry(self) -> Node:
         """Start an entry and wait until it is ready."""
         process = self._settings(f"entry-{len(self._processes)}")
-        return await self._start("beryl-entry", process, EntryFile(process, self.view), "", "")
+        node = await self._start("beryl-entry", process, EntryFile(process, self.view), "", "")
+        await self._wait_for(f"http://{node.operator_address}/readyz")
+        return node
 
     async def start_sidecars(self, endpoints: list[tuple[str, str, str]]) -> list[Node]:
         """Start sidecars side by side and wait until all are ready.
--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -15,7 +15,13 @@
     measure_races,
     measure_settings_cost,
 )
-from beryljunction.bench.slopes import measure_slopes, print_slopes
+from beryljunction.bench.slopes import (
+    SIZES,
+    estimate,
+    markdown,
+    measure_slopes,
+    print_slopes,
+)
 from beryljunction.errors import BerylError
 
 __all__ = ["main"]
@@ -86,11 +92,23 @@
     return 0
 
 
+def capacity(*, quick: bool = False) -> int:
+    """Measure the slopes and work out what each role costs at today's sizes and at the target.
+
+    :param quick: Short windows; processor times are then rough.
+    """
+    slopes = measure_slopes(quick)
+    print_slopes(slopes, as_json=False)
+    print(markdown([one for size in SIZES for one in estimate(size, slopes)]))
+    return 0
+
+
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
     relay,
     settings,
     slopes,
+    capacity,
 ]
 
 
