--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -78,6 +78,7 @@
             self._sidecars,
             self.timeline,
             file.process.availability_zone,
+            file.process.region,
             file.process.fleet_key.encode(),
         )
         self._routes: dict[tuple[str, str], _Handler] = {
--- a/src/beryljunction/entry/router.py
+++ b/src/beryljunction/entry/router.py
@@ -47,6 +47,7 @@
         sidecars: SidecarClient,
         timeline: Timeline,
         availability_zone: str,
+        region: str,
         fleet_key: bytes,
     ) -> None:
         self.view = view
@@ -55,7 +56,7 @@
         self._zone = availability_zone
         self._tries = Tries(sidecars, timeline)
         self._tickets = TicketRouter(endpoints, sidecars, self._tries, fleet_key)
-        self._placement = PlacementSystem(endpoints)
+        self._placement = PlacementSystem(endpoints, region=region)
         self._budget = RetryBudget()
         self._random = random.Random()
 
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -308,6 +308,7 @@
         row.availability_zone,
         row.address,
         leaving=row.state == _LEAVING,
+        region=row.region,
     )
 
 
@@ -329,4 +330,5 @@
         row.availability_zone,
         row.address,
         state=EndpointState.LEAVING if row.state == _LEAVING else EndpointState.LIVE,
+        region=row.region,
     )
--- a/src/beryljunction/sidecar/handover.py
+++ b/src/beryljunction/sidecar/handover.py
@@ -25,7 +25,8 @@
     that lie elsewhere would be started cold there. Pointers to the leaving endpoint itself are
     left out, its cache goes with it.
     """
-    placement = PlacementSystem(members)
+    own = members.get(pointers.endpoint_id)
+    placement = PlacementSystem(members, region=own.region if own is not None else "")
     heirs: dict[str, tuple[Endpoint, list[ChatMoved]]] = {}
     for row in pointers.hand_over(_MOST_POINTERS):
         if row.endpoint_id == pointers.endpoint_id or members.get(row.endpoint_id) is None:
--- a/src/beryljunction/systems/membership.py
+++ b/src/beryljunction/systems/membership.py
@@ -24,6 +24,7 @@
     incarnation: str = ""
     weight: float = 1.0
     leaving: bool = False
+    region: str = ""
 
 
 @attrs.frozen
@@ -160,6 +161,7 @@
             self._restarted(row, listed.incarnation, now_s)
         row.availability_zone = listed.availability_zone
         row.address = listed.address
+        row.region = listed.region
         row.weight = listed.weight
         if listed.leaving:
             self.note_leaving(listed.endpoint_id, listed.incarnation)
--- a/src/beryljunction/systems/placement.py
+++ b/src/beryljunction/systems/placement.py
@@ -49,10 +49,17 @@
 
 
 class PlacementSystem:
-    """Orders the endpoints of a service for one request."""
+    """Orders the endpoints of a service for one request.
 
-    def __init__(self, endpoints: EndpointTable, young_s: float = _YOUNG_S) -> None:
+    Args:
+        region: Region of the asking process; empty where there are no regions.
+    """
+
+    def __init__(
+        self, endpoints: EndpointTable, young_s: float = _YOUNG_S, region: str = ""
+    ) -> None:
         self._endpoints = endpoints
+        self._region = region
         self.young_s = young_s
 
     def candidates(self, query: PlacementQuery, now_s: float) -> list[Endpoint]:
@@ -60,6 +67,10 @@
 
         Suspects go last instead of dropping out: a suspicion is one entry's own and may be wrong,
         and with every endpoint suspected a try is still better than a refusal.
+
+        Load: three regions that lose each other for an hour now and then. Harm: a chat whose home
+        lies in another region pays the way there for each token, and moves when the link is lost.
+        So a chat's home is in the region that it enters by; other regions take the overflow only.
         """
         rows = [
             row
@@ -67,10 +78,11 @@
             if row.state is not EndpointState.LEAVING
         ]
 
-        def rank(row: Endpoint) -> tuple[bool, bool, bool, float]:
+        def rank(row: Endpoint) -> tuple[bool, bool, bool, bool, float]:
             return (
                 row.suspect_until_s > now_s,
                 row.endpoint_id != query.hint,
+                row.region != self._region,
                 query.prefer_zone and row.availability_zone != query.availability_zone,
                 -rendezvous_score(query.key, row.endpoint_id, row.weight),
             )
--- a/src/beryljunction/tables/endpoints.py
+++ b/src/beryljunction/tables/endpoints.py
@@ -39,6 +39,7 @@
     state: EndpointState = EndpointState.LIVE
     suspect_until_s: float = 0.0
     joined_s: float = -math.inf
+    region: str = ""
 
 
 class EndpointTable:
--- a/testing/test_placement.py
+++ b/testing/test_placement.py
@@ -56,3 +56,29 @@
 
         assert placement.candidates(query, 1.0)[-1] is home
         assert placement.candidates(query, 6.0)[0] is home
+
+    def test_another_region_takes_only_what_the_own_one_can_not(self):
+        # The link between two regions is lost for an hour. Callers of each region must find their
+        # chats where they were, so a home may not lie across the link to begin with.
+        table = endpoint_table(8)
+        for number, row in enumerate(table):
+            row.region = "gj-west" if number < 3 else "prairies"
+        placement = PlacementSystem(table, region="gj-west")
+
+        for chat in range(50):
+            rows = placement.candidates(PlacementQuery("drafter", chat), 0.0)
+            assert [row.region for row in rows] == ["gj-west"] * 3 + ["prairies"] * 5
+
+    def test_region_moves_no_chat_when_another_region_changes(self):
+        table = endpoint_table(8)
+        for number, row in enumerate(table):
+            row.region = "gj-west" if number < 3 else "prairies"
+        placement = PlacementSystem(table, region="gj-west")
+        queries = [PlacementQuery("drafter", chat) for chat in range(200)]
+        before = [placement.candidates(query, 0.0)[0].endpoint_id for query in queries]
+
+        for number in range(3, 8):
+            table.remove(f"drafter-{number}")
+
+        after = [placement.candidates(query, 0.0)[0].endpoint_id for query in queries]
+        assert after == before
