--- a/src/beryljunction/node/entry_role.py
+++ b/src/beryljunction/node/entry_role.py
@@ -80,4 +80,5 @@
         row.availability_zone,
         row.address,
         leaving=row.state == LEAVING,
+        region=row.region,
     )
--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -176,4 +176,5 @@
         row.availability_zone,
         row.address,
         state=EndpointState.LEAVING if row.state == LEAVING else EndpointState.LIVE,
+        region=row.region,
     )
