--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -10,6 +10,7 @@
 from beryljunction.bench.relay import RelayLoad, measure_relay
 from beryljunction.bench.report import report
 from beryljunction.bench.slopes import measure_slopes, print_slopes
+from beryljunction.bench.ticks import tick
 from beryljunction.errors import BerylError
 
 __all__ = ["main"]
@@ -54,6 +55,7 @@
     relay,
     report,
     slopes,
+    tick,
 ]
 
 
--- a/src/beryljunction/systems/load.py
+++ b/src/beryljunction/systems/load.py
@@ -4,9 +4,9 @@
 exchange with one peer at a time, so that the control budget holds at any size.
 """
 
+import bisect
 import math
 import random
-import statistics
 
 import attrs
 
@@ -236,23 +236,21 @@
         """Return the sums over the fresh peers, kept for a moment."""
         if now_s - self._peers_s < _MEAN_AGE_S:
             return self._peers
-        stale_s = self.limits.peer_stale_s
-        fresh = [peer for peer in self.peers if now_s - peer.heard_s < stale_s]
-        rows = [peer.row for peer in fresh]
+        fresh = self.peers.heard_after(now_s - self.limits.peer_stale_s)
         most = self.limits.max_running
-        speeds = [row.speed_tokens_per_s for row in rows if row.speed_tokens_per_s > 0.0]
-        usual = statistics.median(speeds) if speeds else 0.0
+        speeds = sorted(peer.row.speed_tokens_per_s for peer in fresh)
+        speeds = speeds[bisect.bisect_right(speeds, 0.0) :]
+        usual = speeds[len(speeds) // 2] if speeds else 0.0
+        settled_s = now_s - _RAMP_S
+        demand, work_tokens, parts = 0, 0, 0.0
+        for peer in fresh:
+            row = peer.row
+            demand += min(row.running + row.waiting, most)
+            work_tokens += row.work_tokens
+            part = _part(row.speed_tokens_per_s, usual)
+            parts += part if peer.since_s <= settled_s else part * self._ramp(peer.since_s, now_s)
         self._peers_s = now_s
-        self._peers = _Peers(
-            count=len(rows),
-            demand=sum(min(row.running + row.waiting, most) for row in rows),
-            work_tokens=sum(row.work_tokens for row in rows),
-            tokens_per_s=usual,
-            parts=sum(
-                _part(peer.row.speed_tokens_per_s, usual) * self._ramp(peer.since_s, now_s)
-                for peer in fresh
-            ),
-        )
+        self._peers = _Peers(len(fresh), demand, work_tokens, usual, parts)
         return self._peers
 
     def _ramp(self, since_s: float, now_s: float) -> float:
--- a/src/beryljunction/systems/queueing.py
+++ b/src/beryljunction/systems/queueing.py
@@ -88,18 +88,17 @@
         needs many; the accounts end with the same deficits this way.
         """
         rounds = math.inf
+        waiting: list[tuple[AccountQueue, float]] = []
         for row in self.accounts.ring:
             work = self._head(row)
             if work is None or (held_back and self.over_share(row)):
                 continue
-            missing = work.cost_tokens - row.deficit_tokens
-            rounds = min(rounds, math.ceil(missing / (self.quantum_tokens * row.weight)))
-        if rounds == math.inf:
-            return False
-        for row in self.accounts.ring:
-            if not (held_back and self.over_share(row)):
-                row.deficit_tokens += max(1, rounds) * self.quantum_tokens * row.weight
-        return True
+            quantum_tokens = self.quantum_tokens * row.weight
+            waiting.append((row, quantum_tokens))
+            rounds = min(rounds, (work.cost_tokens - row.deficit_tokens) / quantum_tokens)
+        for row, quantum_tokens in waiting:
+            row.deficit_tokens += max(1, math.ceil(rounds)) * quantum_tokens
+        return bool(waiting)
 
     def _head(self, row: AccountQueue) -> Work | None:
         while row.waiting:
--- a/src/beryljunction/tables/peers.py
+++ b/src/beryljunction/tables/peers.py
@@ -39,6 +39,10 @@
         """Return the newest row of an endpoint."""
         return self._rows.get(endpoint_id)
 
+    def heard_after(self, since_s: float) -> list[PeerLoad]:
+        """Return the rows that got newer after a time."""
+        return [peer for peer in self._rows.values() if peer.heard_s > since_s]
+
     def merge(self, row: LoadRow, now_s: float) -> bool:
         """Keep the row if it is newer than the one known; say whether it was."""
         known = self._rows.get(row.endpoint_id)
