--- a/src/beryljunction/bench/policy/world.py
+++ b/src/beryljunction/bench/policy/world.py
@@ -57,6 +57,7 @@
     attempts: AttemptSystem | None = None
     try_number: int = 0
     starts: int = 0
+    runs: int = 0
     resends: int = 0
     tries: int = 0
     retries: int = 0
@@ -167,7 +168,9 @@
     def _start(self, asked: Asked) -> None:
         now_s, call = self.world.now_s, asked.call
         asked.starts += 1
+        asked.runs += 1
         asked.started_s = now_s
+        asked.false_not_run |= asked.refusal is not None and asked.refusal.ran is Ran.NO
         ready_s, asked.cached_tokens = self.engine.start(call.chat, call.prompt_tokens, now_s)
         self.world.watch(self, True)
         self.later(ready_s - now_s, self._first_token, asked)
@@ -299,9 +302,11 @@
         self._settle(asked)
         asked.refusal = step.refusal
         asked.false_not_run |= step.refusal.ran is Ran.NO and asked.starts > 0
-        if step.refusal.retry_after_s is not None and asked.resends < _MOST_RESENDS:
+        may_repeat = asked.call.chat is not None or step.refusal.ran is Ran.NO
+        may_repeat = may_repeat and step.refusal.retry_after_s is not None
+        if may_repeat and asked.resends < _MOST_RESENDS:
             asked.resends += 1
-            world.at(step.refusal.retry_after_s, self.take, asked)
+            world.at(step.refusal.retry_after_s or 0.0, self.take, asked)
 
     def _arrive(self, asked: Asked, number: int, step: Try, sidecar: FakeSidecar) -> None:
         held_s = sidecar.paused_until_s - self._world.now_s
