--- a/src/beryljunction/bench/report.py
+++ b/src/beryljunction/bench/report.py
@@ -17,8 +17,6 @@
     "small_account_wait_s_p95": "wait of small accounts, 95th percentile (s)",
     "goodput_over_capacity": "goodput over capacity",
 }
-# Text stays text and ids are the same each time, so that a new run shows what changed.
-_SVG = {"svg.fonttype": "none", "svg.hashsalt": "beryljunction"}
 _Rows = dict[tuple[str, str], dict[str, float]]
 
 
@@ -83,5 +81,6 @@
     axes.set_xticks([place + 0.4 for place in range(len(SCENARIOS))], list(SCENARIOS), rotation=30)
     axes.set_title(title)
     axes.legend()
-    with rc_context(_SVG):
+    # Text stays text and ids are the same each time, so that a new run shows what changed.
+    with rc_context({"svg.fonttype": "none", "svg.hashsalt": "beryljunction"}):
         figure.savefig(path, metadata={"Date": None})
