--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -71,6 +71,7 @@
         self._spilled: list[Endpoint] = []
         self._followed = False
         self._maybe_ran = False
+        self._resorted = False
         self._pointer: str | None = None
         self._backup = candidates[1] if len(candidates) > 1 else None
         first = candidates[0] if candidates else None
@@ -157,8 +158,9 @@
             self._loads[refusal.load.endpoint_id] = refusal.load
         if self._left and len(self._spilled) <= _MOST_SPILLS:
             return self._next()
-        if not self._spilled:
+        if not self._spilled or self._resorted:
             return self._give_up(refusal)
+        self._resorted = True
         best = min(self._spilled, key=self._load_of)
         self._spilled.clear()
         self._left.clear()
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -41,6 +41,16 @@
 
         assert step.endpoint.endpoint_id == "e1"
 
+    def test_ends_when_the_last_resort_refuses_too(self):
+        # Every endpoint loads a model and refuses whatever comes. Asked again and again, the last
+        # resort would keep the entry in an endless walk.
+        walk = attempts(2)
+        walk.first()
+
+        steps = [walk.after(overloaded(i % 2, 5), ROWS[i % 2]) for i in range(3)]
+
+        assert [type(step) for step in steps] == [Try, Try, GiveUp]
+
     def test_costs_no_retry_budget(self):
         walk = attempts()
         walk.first()
