--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(BIN)/black --quiet src testing
 
 fuzz: install ## Run the stateful fuzz long (BERYL_FUZZ_SEED, _EXAMPLES, _STEPS).
-	$(BIN)/python testing/fuzzing.py
+	$(BIN)/python -m beryljunction.fuzz
 
 clean: ## Remove the virtual environment and caches.
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache
--- /dev/null
+++ b/src/beryljunction/fuzz/sidecars.py
@@ -0,0 +1,390 @@
+"""A sidecar without sockets: the real systems, wired as the shell wires them."""
+
+from collections.abc import Callable
+
+import attrs
+
+from beryljunction.fuzz.network import (
+    AnswerReply,
+    AppendCall,
+    AppendReply,
+    AttachCall,
+    FramesReply,
+    HelloCall,
+    HelloReply,
+    Message,
+    Network,
+    RefusalReply,
+    RunCall,
+)
+from beryljunction.fuzz.oracle import EngineRun, Oracle
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.streams import DONE, FrameNumberer
+from beryljunction.systems import (
+    AdmissionLimits,
+    AdmissionSystem,
+    AlreadyRunning,
+    Arrival,
+    Ask,
+    Asked,
+    Claim,
+    ClaimBatch,
+    ClaimLimits,
+    ClaimSystem,
+    KeyClaim,
+    KeyLost,
+    KeyVerdict,
+    KeyWon,
+    LedgerLimits,
+    Refuse,
+    Replay,
+    Run,
+    TicketLedger,
+    TicketMint,
+    TombstoneLimits,
+    TombstoneSystem,
+    Unstamped,
+    body_digest,
+    claim_refusal,
+    key_digest,
+    key_refusal,
+)
+from beryljunction.tables import Answer, Stamp, Work
+
+__all__ = ["Job", "Limits", "Sidecar", "SERVICE"]
+
+SERVICE = "ledger"
+_RESUME_S = 15.0
+_APPEND_TIMEOUT_S = 2.0
+_LOG = "log"
+
+
+@attrs.frozen
+class Limits:
+    """Bounds of the systems, small enough that a short history meets them."""
+
+    ledger: LedgerLimits
+    tombstones: TombstoneLimits
+    claims: ClaimLimits
+    admission: AdmissionLimits
+
+
+@attrs.define(eq=False)
+class Job:
+    """One request at a sidecar, with the connections that wait for it."""
+
+    call: RunCall
+    readers: set[tuple[str, int]]
+    serial: str | None = None
+    run: EngineRun | None = None
+    produced: int = 0
+    numberer: FrameNumberer = attrs.field(factory=lambda: FrameNumberer("s"))
+    frames: list[bytes] = attrs.field(factory=list)
+    reply: AnswerReply | RefusalReply | None = None
+    ended_s: float | None = None
+
+
+class Sidecar:
+    """One start of the sidecar in one slot, beside an engine that never forgets its runs."""
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        incarnation: str,
+        clock: Callable[[], float],
+        network: Network,
+        oracle: Oracle,
+        mint: TicketMint,
+        limits: Limits,
+    ) -> None:
+        self.endpoint_id = endpoint_id
+        self.skew_s = 0.0
+        self.was_set = False
+        self.engine_refuses = False
+        self.jobs: dict[str, Job] = {}
+        self._clock = clock
+        self._network = network
+        self._oracle = oracle
+        self._mint = mint
+        self._incarnation = incarnation
+        self._by_serial: dict[str, Job] = {}
+        self._append: tuple[float, ClaimBatch] | None = None
+        self.ledger = TicketLedger(mint, endpoint_id, incarnation, clock(), limits.ledger)
+        self.tombstones = TombstoneSystem(endpoint_id, incarnation, clock(), limits.tombstones)
+        self.claims = ClaimSystem(incarnation, limits.claims)
+        self.admission = AdmissionSystem(limits.admission)
+
+    @property
+    def now_s(self) -> float:
+        """What this host's clock shows."""
+        return self._clock() + self.skew_s
+
+    @property
+    def unfinished(self) -> list[Job]:
+        """Requests that have been neither answered nor refused."""
+        return [job for job in dict.fromkeys(self.jobs.values()) if job.ended_s is None]
+
+    @property
+    def is_claiming(self) -> bool:
+        """Whether requests wait for the log to settle their key."""
+        return any(job.call.key and job.serial is None for job in self.unfinished)
+
+    def set_clock(self, by_s: float) -> None:
+        """Set the host's clock forward or back."""
+        self.skew_s += by_s
+        self.was_set = True
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        self.admission.leaving = True
+
+    def handle(self, message: Message) -> None:
+        """Take in one message."""
+        content = message.content
+        reader = (message.sender, message.connection)
+        if isinstance(content, RunCall):
+            self._run(content, reader)
+        elif isinstance(content, AttachCall):
+            self._attach(content, reader)
+        elif isinstance(content, HelloCall):
+            self._reply(reader, HelloReply(self._stamp()))
+        elif isinstance(content, AppendReply):
+            self._append = None
+            self.claims.append_ended(content.batch, content.is_taken, self.now_s)
+
+    def tick(self, records: list[object] | None) -> None:
+        """Let time pass; ``records`` is the log as far as it can be read, None while it is down."""
+        self._tick_claims(records)
+        for request_id, verdict in self.claims.tick(self.now_s):
+            job = self.jobs.get(request_id)
+            if job is not None and job.ended_s is None:
+                self._settle_key(job, verdict)
+        for decision in self.admission.tick(self.now_s):
+            job = self.jobs.get(decision.request_id)
+            if job is None or job.ended_s is not None:
+                continue
+            if isinstance(decision, Refuse):
+                self._give_up(job, decision.refusal)
+            else:
+                self._start(job)
+        self._forget_old()
+
+    def produce(self, job: Job) -> None:
+        """Let the engine produce the next piece of an answer."""
+        assert job.run is not None
+        piece = job.run.chunks[job.produced]
+        job.produced += 1
+        is_last = job.produced == len(job.run.chunks)
+        if job.call.streamed:
+            self._frames(job, [b"data: " + piece, DONE] if is_last else [b"data: " + piece])
+        if is_last:
+            body = b"".join(job.frames) if job.call.streamed else b"".join(job.run.chunks)
+            self._finish(job, body)
+
+    def break_engine(self, job: Job) -> None:
+        """Let the connection to the engine break after the work has begun there."""
+        ran = Ran.YES if job.produced else Ran.UNKNOWN
+        code = RefusalCode.INCOMPLETE if job.produced else RefusalCode.ENDPOINT_FAILED
+        refusal = Refusal(code, "the connection to the endpoint broke", ran)
+        if job.serial is not None:
+            self.ledger.fail(job.serial, refusal)
+        self._refuse(job, refusal)
+
+    def _run(self, call: RunCall, reader: tuple[str, int]) -> None:
+        arrival = self.tombstones.arrive(call.try_id, call.heard, self.now_s)
+        if arrival is Arrival.DUPLICATE:
+            self._join(self.jobs.get(call.try_id), reader, 0)
+            return
+        if arrival is not Arrival.FRESH:
+            ran = Ran.UNKNOWN if arrival is Arrival.TOO_OLD else Ran.NO
+            refusal = Refusal(RefusalCode.DEADLINE, "arrived too late", ran)
+            self._reply(reader, RefusalReply(self._stamp(), refusal))
+            return
+        job = self.jobs[call.try_id] = Job(call, {reader})
+        if call.key is None:
+            self._claim(job, call.ticket)
+            return
+        if not self.ledger.has_heard(call.heard):
+            self._refuse_claim(job, Unstamped())
+            return
+        key = key_digest(call.account, SERVICE, call.key)
+        digest = body_digest(call.body.encode())
+        ticket = self._mint.mint(self.ledger.stamp(self.now_s), call.account, digest)
+        verdict = self.claims.submit(call.try_id, KeyClaim(key, digest, ticket), self.now_s)
+        if verdict is not None:
+            self._settle_key(job, verdict)
+
+    def _settle_key(self, job: Job, verdict: KeyVerdict) -> None:
+        if isinstance(verdict, KeyWon | KeyLost):
+            ticket = self._mint.read(verdict.ticket)
+            assert ticket is not None
+            if ticket.stamp.incarnation == self._incarnation or isinstance(verdict, KeyWon):
+                self._claim(job, verdict.ticket)
+                return
+        assert not isinstance(verdict, KeyWon)
+        self._refuse(job, key_refusal(verdict), by_ticket_holder=True)
+
+    def _claim(self, job: Job, ticket: str | None) -> None:
+        if ticket is None:
+            self._admit(job)
+            return
+        call = job.call
+        digest = body_digest(call.body.encode())
+        ask = Ask(
+            call.account,
+            digest,
+            call.request_id,
+            call.wait_s,
+            call.heard,
+            call.heard_age_s,
+            call.candidates,
+        )
+        claim = self.ledger.claim(ticket, ask, self.now_s)
+        if isinstance(claim, Run):
+            job.serial = claim.serial
+            self._by_serial[claim.serial] = job
+            self._admit(job)
+        elif isinstance(claim, AlreadyRunning):
+            self._follow(job, self._by_serial[claim.serial])
+        elif isinstance(claim, Replay) and claim.answer is not None:
+            self._replay(job, claim.answer.body)
+        else:
+            self._refuse_claim(job, claim)
+
+    def _refuse_claim(self, job: Job, claim: Claim) -> None:
+        refusal = claim_refusal(claim)
+        assert refusal is not None
+        self._refuse(job, refusal, by_ticket_holder=True)
+
+    def _admit(self, job: Job) -> None:
+        call = job.call
+        work = Work(
+            call.try_id,
+            call.account,
+            self.now_s,
+            self.now_s + call.wait_s,
+            idempotent=call.idempotent,
+            last_resort=call.last_resort,
+        )
+        decision = self.admission.offer(work, self.now_s)
+        if isinstance(decision, Refuse):
+            self._give_up(job, decision.refusal)
+            return
+        self._oracle.accepted(self.endpoint_id, self.is_leaving)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.admission.leaving
+
+    def _start(self, job: Job) -> None:
+        late = Refusal(RefusalCode.DEADLINE, "its deadline passed", Ran.NO)
+        if job.serial is not None and not self.ledger.start(job.serial, self.now_s):
+            self._give_up(job, late)
+            return
+        if self.engine_refuses:
+            self.engine_refuses = False
+            refusal = Refusal(RefusalCode.ENDPOINT_FAILED, "connection refused", Ran.NO, 1.0)
+            if job.serial is not None:
+                self.ledger.fail(job.serial, refusal)
+            self._give_up(job, refusal)
+            return
+        is_timed = job.serial is not None and not self.was_set
+        latest_s = job.call.latest_s if is_timed else None
+        job.run = self._oracle.run(job.call.request_id, job.call.body, latest_s, self._clock())
+
+    def _give_up(self, job: Job, refusal: Refusal) -> None:
+        """Refuse what has not started; a ticket is burned and its successor named."""
+        if job.serial is None:
+            self._refuse(job, refusal)
+            return
+        burned = self.ledger.burn(job.serial, job.call.account, job.call.candidates)
+        named = claim_refusal(burned) if burned.successor is not None else None
+        self._refuse(job, named or refusal, by_ticket_holder=True)
+
+    def _refuse(self, job: Job, refusal: Refusal, by_ticket_holder: bool = False) -> None:
+        self._end(job, RefusalReply(self._stamp(), refusal, by_ticket_holder))
+
+    def _finish(self, job: Job, body: bytes) -> None:
+        if job.serial is not None:
+            self.ledger.finish(job.serial, Answer(200, (), body))
+        self._end(job, None if job.call.streamed else AnswerReply(self._stamp(), body))
+
+    def _replay(self, job: Job, body: bytes) -> None:
+        if not job.call.streamed:
+            self._end(job, AnswerReply(self._stamp(), body))
+            return
+        job.frames.append(body)
+        for reader in job.readers:
+            self._reply(reader, FramesReply(self._stamp(), body))
+        self._end(job, None)
+
+    def _end(self, job: Job, reply: AnswerReply | RefusalReply | None) -> None:
+        job.reply = reply
+        job.ended_s = self.now_s
+        self.admission.finish(job.call.try_id)
+        if reply is not None:
+            for reader in job.readers:
+                self._reply(reader, reply)
+
+    def _frames(self, job: Job, pieces: list[bytes]) -> None:
+        frames = [job.numberer.number(piece) for piece in pieces]
+        job.frames.extend(frames)
+        for reader in job.readers:
+            self._reply(reader, FramesReply(self._stamp(), b"".join(frames)))
+
+    def _follow(self, job: Job, other: Job) -> None:
+        """Join a request to the one that runs under the same ticket."""
+        self.jobs[job.call.try_id] = other
+        for reader in job.readers:
+            self._join(other, reader, 0)
+
+    def _attach(self, call: AttachCall, reader: tuple[str, int]) -> None:
+        asked = self.tombstones.ask(call.try_id, call.heard, self.now_s)
+        job = self.jobs.get(call.try_id)
+        if asked is Asked.SEEN and job is not None:
+            self._join(job, reader, call.last)
+            return
+        ran = Ran.NO if asked is Asked.NOT_RUN else Ran.UNKNOWN
+        refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, f"asked for, found {asked}", ran)
+        self._reply(reader, RefusalReply(self._stamp(), refusal, asked=asked))
+
+    def _join(self, job: Job | None, reader: tuple[str, int], last: int) -> None:
+        if job is None:
+            return
+        job.readers.add(reader)
+        if job.frames:
+            kept = job.frames if len(job.frames) == 1 else job.frames[last:]
+            self._reply(reader, FramesReply(self._stamp(), b"".join(kept)))
+        if job.reply is not None:
+            self._reply(reader, job.reply)
+
+    def _tick_claims(self, records: list[object] | None) -> None:
+        now_s = self.now_s
+        if records is None:
+            self.claims.log_failed(now_s)
+            return
+        for offset in range(self.claims.next_offset, len(records)):
+            self.claims.apply(offset, records[offset], now_s)
+        batch = self.claims.next_batch(now_s)
+        if batch is not None:
+            self._append = (now_s + _APPEND_TIMEOUT_S, batch)
+            self._network.send(_LOG, self.endpoint_id, 0, AppendCall(self.endpoint_id, batch))
+        elif self._append is not None and self._append[0] <= now_s:
+            _, lost = self._append
+            self._append = None
+            self.claims.append_ended(lost, False, now_s)
+
+    def _forget_old(self) -> None:
+        until_s = self.now_s - _RESUME_S
+        for try_id, job in list(self.jobs.items()):
+            if job.ended_s is not None and job.ended_s < until_s:
+                del self.jobs[try_id]
+                if job.serial is not None:
+                    self._by_serial.pop(job.serial, None)
+
+    def _stamp(self) -> Stamp:
+        return self.ledger.stamp(self.now_s)
+
+    def _reply(self, reader: tuple[str, int], content: object) -> None:
+        self._network.send(reader[0], self.endpoint_id, reader[1], content)
--- /dev/null
+++ b/src/beryljunction/fuzz/world.py
@@ -0,0 +1,224 @@
+"""A small fleet in virtual time: entries, sidecars, engines, the log and the list of hosts."""
+
+import itertools
+
+from beryljunction.fuzz.entries import Entry
+from beryljunction.fuzz.network import AppendCall, AppendReply, Broken, Message, Network
+from beryljunction.fuzz.oracle import Kind, Operation, Oracle
+from beryljunction.fuzz.sidecars import SERVICE, Limits, Sidecar
+from beryljunction.outcomes import Ran
+from beryljunction.systems import TicketMint
+from beryljunction.tables import Endpoint, EndpointState
+
+__all__ = ["ENDPOINTS", "ENTRIES", "World"]
+
+ENDPOINTS = ("ledger-0", "ledger-1", "ledger-2")
+ENTRIES = ("entry-0", "entry-1")
+_TICK_S = 1.0
+_LOG = "log"
+
+
+class World:
+    """Runs the real systems against each other; faults come from outside, one call each."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.now_s = 1000.0
+        self.network = Network()
+        self.oracle = Oracle()
+        self.operations: list[Operation] = []
+        self.log: list[object] = []
+        self.is_log_up = True
+        self.is_log_lagging = False
+        self.sidecars: dict[str, Sidecar] = {}
+        self.entries: dict[str, Entry] = {}
+        self._limits = limits
+        self._serials = itertools.count()
+        self._starts = itertools.count()
+        self._mint = TicketMint(b"fuzz", lambda: f"s{next(self._serials)}")
+        self._paused: dict[str, list[Message]] = {}
+        for endpoint_id in ENDPOINTS:
+            self.start(endpoint_id)
+        for name in ENTRIES:
+            self.restart_entry(name)
+
+    def ask(self, entry: str, operation: Operation, account: str, body: str) -> None:
+        """Let a caller ask for an operation."""
+        asked = self.oracle.begin(operation, account, body, self.now_s)
+        self.entries[entry].ask(asked)
+
+    def new_operation(self, entry: str, kind: Kind, streamed: bool) -> Operation:
+        """Return something new that a caller wants done."""
+        number = len(self.operations)
+        operation = Operation(number, kind, "federation", f"note {number}", streamed)
+        if kind is Kind.TICKET:
+            operation.ticket = self.entries[entry].fetch_ticket(operation.account)
+            operation.kind = kind if operation.ticket is not None else Kind.PRIVATE
+        self.operations.append(operation)
+        return operation
+
+    def deliver(self, message: Message) -> None:
+        """Hand a message to whichever process is there now."""
+        target = message.target
+        if target in self._paused:
+            self._paused[target].append(message)
+        elif target == _LOG:
+            self._append(message)
+        elif target in self.entries:
+            self.entries[target].handle(message)
+        elif target in self.sidecars:
+            self.sidecars[target].handle(message)
+        else:
+            self.network.send(message.sender, target, message.connection, Broken())
+
+    def tick(self) -> None:
+        """Let every process that is not paused look at the time and its log."""
+        for endpoint_id, sidecar in self.sidecars.items():
+            if endpoint_id not in self._paused:
+                sidecar.tick(self._records(endpoint_id))
+        for name, entry in self.entries.items():
+            if name not in self._paused:
+                entry.tick()
+
+    def advance(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        while duration_s > 0.0:
+            self.now_s += min(duration_s, _TICK_S)
+            duration_s -= _TICK_S
+            self.tick()
+
+    def run(self, rounds: int, step_s: float = 0.25) -> None:
+        """Let messages and engines go on in order for a while."""
+        for _ in range(rounds):
+            for message in self.network.drain():
+                self.deliver(message)
+            for job in self.running_jobs():
+                self.produce(*job)
+            self.advance(step_s)
+
+    def running_jobs(self) -> list[tuple[str, int]]:
+        """Return what engines run under a sidecar that listens, as endpoint and place."""
+        return [
+            (endpoint_id, place)
+            for endpoint_id, sidecar in self.sidecars.items()
+            for place, job in enumerate(sidecar.unfinished)
+            if job.run is not None and endpoint_id not in self._paused
+        ]
+
+    def produce(self, endpoint_id: str, place: int) -> None:
+        """Let one engine produce a piece of an answer."""
+        jobs = self.sidecars[endpoint_id].unfinished
+        if place < len(jobs) and jobs[place].run is not None:
+            self.sidecars[endpoint_id].produce(jobs[place])
+
+    def start(self, endpoint_id: str) -> None:
+        """Start a sidecar in an empty slot, as a new incarnation."""
+        if endpoint_id in self.sidecars:
+            return
+        incarnation = f"i{next(self._starts)}"
+        self.sidecars[endpoint_id] = Sidecar(
+            endpoint_id,
+            incarnation,
+            lambda: self.now_s,
+            self.network,
+            self.oracle,
+            self._mint,
+            self._limits,
+        )
+
+    def crash(self, endpoint_id: str) -> None:
+        """Kill a sidecar; its memory is gone and its connections break."""
+        sidecar = self.sidecars.pop(endpoint_id, None)
+        self._paused.pop(endpoint_id, None)
+        if sidecar is None:
+            return
+        for job in sidecar.unfinished:
+            for name, connection in sorted(job.readers):
+                self.network.send(name, endpoint_id, connection, Broken())
+
+    def pause(self, name: str) -> None:
+        """Stop a process; what comes for it lies in its sockets."""
+        if name in self.sidecars or name in self.entries:
+            self._paused.setdefault(name, [])
+
+    def wake(self, name: str, timers_first: bool) -> None:
+        """Let a paused process go on."""
+        waiting = self._paused.pop(name, [])
+        if timers_first:
+            self._tick_one(name)
+        for message in waiting:
+            self.deliver(message)
+        self._tick_one(name)
+
+    def drain(self, endpoint_id: str) -> None:
+        """Begin a planned stop."""
+        if endpoint_id in self.sidecars:
+            self.sidecars[endpoint_id].drain()
+
+    def stop_if_idle(self, endpoint_id: str) -> None:
+        """End a planned stop once nothing is in flight, by the sidecar's own count."""
+        sidecar = self.sidecars.get(endpoint_id)
+        if sidecar is None or not sidecar.is_leaving or endpoint_id in self._paused:
+            return
+        if len(sidecar.admission.requests) or sidecar.is_claiming:
+            return
+        self.oracle.stopped(endpoint_id, len(sidecar.unfinished))
+        self.crash(endpoint_id)
+
+    def restart_entry(self, name: str) -> None:
+        """Kill an entry and start it anew; its callers see their connections break."""
+        old = self.entries.pop(name, None)
+        self._paused.pop(name, None)
+        if old is not None:
+            for asked in old.open_requests:
+                self.oracle.refused(asked, Ran.UNKNOWN, self.now_s)
+        rows = [Endpoint(e, SERVICE, "ahd-a", e) for e in ENDPOINTS]
+        self.entries[name] = Entry(
+            name,
+            lambda: self.now_s,
+            self.network,
+            self.oracle,
+            self._mint,
+            rows,
+            self.sidecars.__contains__,
+        )
+
+    def list_says(self, entry: str, endpoint_id: str, state: EndpointState | None) -> None:
+        """Let one entry's list show an endpoint in some state, or not at all."""
+        table = self.entries[entry].endpoints
+        if state is None:
+            table.remove(endpoint_id)
+        else:
+            table.put(Endpoint(endpoint_id, SERVICE, "ahd-a", endpoint_id, state=state))
+
+    def heal(self) -> None:
+        """End every fault and let all that is open come to its end."""
+        self.is_log_up = True
+        self.is_log_lagging = False
+        for name in list(self._paused):
+            self.wake(name, timers_first=True)
+        for endpoint_id in ENDPOINTS:
+            self.start(endpoint_id)
+        self.run(rounds=40, step_s=1.0)
+        self.oracle.settled()
+
+    def _tick_one(self, name: str) -> None:
+        if name in self.sidecars:
+            self.sidecars[name].tick(self._records(name))
+        elif name in self.entries:
+            self.entries[name].tick()
+
+    def _records(self, endpoint_id: str) -> list[object] | None:
+        if not self.is_log_up:
+            return None
+        if self.is_log_lagging and endpoint_id != ENDPOINTS[0]:
+            return self.log[:-2]
+        return self.log
+
+    def _append(self, message: Message) -> None:
+        call = message.content
+        if not isinstance(call, AppendCall):
+            return
+        if self.is_log_up:
+            self.log.append(call.batch.to_record())
+        reply = AppendReply(call.batch, self.is_log_up)
+        self.network.send(call.sidecar, _LOG, 0, reply)
--- a/src/beryljunction/outcomes.py
+++ b/src/beryljunction/outcomes.py
@@ -33,6 +33,7 @@
     NO_ENDPOINT = "no_endpoint"
     TICKET_BURNED = "ticket_burned"
     TICKET_INVALID = "ticket_invalid"
+    STALE_STAMP = "stale_stamp"
     KEY_REUSED = "idempotency_key_reused"
     KEY_STORE_DOWN = "idempotency_store_down"
     LEDGER_FULL = "ledger_full"
--- a/src/beryljunction/systems/__init__.py
+++ b/src/beryljunction/systems/__init__.py
@@ -30,6 +30,7 @@
     chat_key_of,
     rendezvous_score,
 )
+from beryljunction.systems.proof import RanProof
 from beryljunction.systems.tickets import (
     AlreadyRunning,
     Ask,
@@ -45,6 +46,7 @@
     Run,
     TicketLedger,
     TicketMint,
+    Unstamped,
     Unverified,
     WrongIncarnation,
     body_digest,
@@ -82,6 +84,7 @@
     "Mismatch",
     "PlacementQuery",
     "PlacementSystem",
+    "RanProof",
     "Refuse",
     "Replay",
     "RetryBudget",
@@ -93,6 +96,7 @@
     "TombstoneLimits",
     "TombstoneSystem",
     "Try",
+    "Unstamped",
     "Unverified",
     "Wait",
     "Window",
--- a/src/beryljunction/systems/tickets.py
+++ b/src/beryljunction/systems/tickets.py
@@ -42,6 +42,7 @@
     "Run",
     "TicketLedger",
     "TicketMint",
+    "Unstamped",
     "Unverified",
     "WrongIncarnation",
     "body_digest",
@@ -70,7 +71,8 @@
         digest: Digest of the request, from :func:`body_digest`.
         request_id: The caller's request.
         wait_s: Longest time from sending to start.
-        heard: Stamp of this sidecar that the entry heard last; None when it heard none.
+        heard: Stamp of this sidecar that the entry heard last. Without one of its present start
+            a request is not run.
         heard_age_s: Seconds from then to the sending, by the entry's monotonic clock.
         candidates: Where a burned ticket that has no successor yet may go on.
     """
@@ -152,6 +154,15 @@
     """Not a ticket at all, or one from a time that has not come yet."""
 
 
+@attrs.frozen
+class Unstamped:
+    """The entry has not heard this start of the sidecar, so the message's age can't be told.
+
+    A message that was sent before the sidecar's host was replaced may lie in the network for long.
+    Taken as new on its arrival, it would run after its caller was told "unknown".
+    """
+
+
 @attrs.frozen
 class Unverified:
     """A ticket, but not under the fleet's present key; it may have run under an earlier one."""
@@ -168,6 +179,7 @@
     | Mismatch
     | Full
     | Invalid
+    | Unstamped
     | Unverified
 )
 
@@ -254,6 +266,10 @@
         """Return a new ticket; it takes no memory until its claim, so a repeat is harmless."""
         return self._mint.mint(self.stamp(now_s), account)
 
+    def has_heard(self, stamp: Stamp | None) -> bool:
+        """Whether a stamp is from this start of the sidecar; ask it of a key before its claim."""
+        return stamp is not None and self._is_ours(stamp)
+
     def claim(self, text: str, ask: Ask, now_s: float) -> Claim:
         """Decide on a request that came with a ticket.
 
@@ -350,6 +366,8 @@
         return AlreadyRunning(row.serial, row.request_id)
 
     def _claim_first(self, ticket: Ticket, ask: Ask, now_s: float) -> Claim:
+        if not self.has_heard(ask.heard):
+            return Unstamped()
         window = self.clock.judge(ticket.stamp.issued_ms, now_s)
         if window is Window.NEVER_ISSUED:
             return Invalid()
@@ -372,9 +390,8 @@
         return Run(ticket.serial)
 
     def _deadline_ms(self, ask: Ask, now_s: float) -> int:
-        sent_ms = self.clock.read_ms(now_s)
-        if ask.heard is not None and self._is_ours(ask.heard):
-            sent_ms = self.clock.sent_ms(ask.heard.issued_ms, ask.heard_age_s, now_s)
+        assert ask.heard is not None
+        sent_ms = self.clock.sent_ms(ask.heard.issued_ms, ask.heard_age_s, now_s)
         return sent_ms + int(ask.wait_s * 1000)
 
     def _expire(self, now_s: float) -> None:
@@ -444,6 +461,12 @@
         Ran.NO,
         5.0,
     ),
+    Unstamped: Refusal(
+        RefusalCode.STALE_STAMP,
+        "expected a stamp of this sidecar's present start; send again with the one in this answer",
+        Ran.NO,
+        0.0,
+    ),
     Invalid: Refusal(RefusalCode.TICKET_INVALID, "expected a ticket; fetch one", Ran.NO),
     Unverified: Refusal(
         RefusalCode.TICKET_INVALID,
--- a/testing/test_tickets.py
+++ b/testing/test_tickets.py
@@ -19,6 +19,7 @@
     TicketMint,
     TombstoneLimits,
     TombstoneSystem,
+    Unstamped,
     Unverified,
     WrongIncarnation,
     claim_refusal,
@@ -36,6 +37,8 @@
 
 
 def ask(request_id: str = "r1", digest: str = "d1", **fields) -> Ask:
+    fields.setdefault("heard", Stamp("drafter-0", "inc-a", 0))
+    fields.setdefault("heard_age_s", 9999.0)
     return Ask("federation", digest, request_id, wait_s=10.0, **fields)
 
 
@@ -117,7 +120,8 @@
         successor = here.burn(run.serial, "federation", [there.stamp(1001.0)]).successor
 
         assert there.claim(successor, ask(digest="d2"), 1002.0) == Mismatch()
-        assert isinstance(there.claim(successor, ask(digest="d1"), 1002.0), Run)
+        heard = there.stamp(1001.0)
+        assert isinstance(there.claim(successor, ask(digest="d1", heard=heard), 1002.0), Run)
 
     @pytest.mark.parametrize(
         ("failure", "expected"),
@@ -241,6 +245,18 @@
         assert not here.start(run.serial, 1061.0)
         assert here.claim(ticket, ask("r2"), 1062.0) == Burned(None, fresh=True)
 
+    @pytest.mark.parametrize(
+        "heard", [None, Stamp("drafter-0", "inc-z", 5)], ids=["no-stamp", "earlier-start"]
+    )
+    def test_message_of_unknown_age_does_not_run(self, heard):
+        # A request lies in the network while the sidecar's host is replaced, and reaches the new
+        # one. Its caller has been told "unknown". Nothing here says how old it is.
+        here = ledger()
+
+        claim = here.claim(here.mint("federation", 1000.0), ask(heard=heard), 1001.0)
+
+        assert claim == Unstamped()
+
     def test_time_in_a_silent_connection_counts_against_the_deadline(self):
         # The request is sent 2 s after the entry heard the sidecar's stamp and lies in a silent
         # connection for 30 s. Counted from its arrival the deadline would still be ahead.
