--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -1,1 +1,39 @@
 """The platform as the fleet meets it: log, host list, weight store."""
+
+from beryljunction.platform.log import (
+    Appended,
+    AppendOutcome,
+    AppendRefused,
+    AppendUnknown,
+    HttpLogClient,
+    LogClient,
+    LogPage,
+    LogRecord,
+    ReadFailed,
+    ReadOutcome,
+)
+from beryljunction.platform.weights import (
+    HttpWeightStore,
+    LoadBegun,
+    LoadRefused,
+    LoadUnknown,
+    WeightStore,
+)
+
+__all__ = [
+    "HttpWeightStore",
+    "LoadBegun",
+    "LoadRefused",
+    "LoadUnknown",
+    "WeightStore",
+    "AppendOutcome",
+    "AppendRefused",
+    "AppendUnknown",
+    "Appended",
+    "HttpLogClient",
+    "LogClient",
+    "LogPage",
+    "LogRecord",
+    "ReadFailed",
+    "ReadOutcome",
+]
