--- a/src/beryljunction/fuzz/entries.py
+++ b/src/beryljunction/fuzz/entries.py
@@ -44,6 +44,7 @@
 _SILENCE_S = 3.0
 _REQUEST_S = 25.0
 _MAX_HOPS = 4
+_STAMP_S = 20.0
 
 
 @attrs.define(eq=False)
@@ -61,8 +62,9 @@
     is_sent: bool = False
     is_last_resort: bool = False
     heard: Stamp | None = None
+    heard_age_s: float = 0.0
     heard_from_s: float = 0.0
-    checker: SequenceChecker = attrs.field(factory=SequenceChecker)
+    checker: SequenceChecker | None = None
     got: bytes = b""
 
 
@@ -102,6 +104,11 @@
             return self._mint.mint(stamp, account)
         return None
 
+    def greet(self) -> None:
+        """Ask every sidecar for its stamp."""
+        for row in self.endpoints:
+            self._network.send(row.endpoint_id, self.name, self._network.connect(), HelloCall())
+
     def ask(self, asked: Asked) -> None:
         """Take a caller's request."""
         operation = asked.operation
@@ -126,7 +133,7 @@
         if isinstance(content, HelloReply):
             self._hello(row, message.sender)
         elif isinstance(content, FramesReply):
-            self._frames(row, content.data)
+            self._frames(row, content)
         elif isinstance(content, AnswerReply):
             self._answer(row, content.body)
         elif isinstance(content, RefusalReply):
@@ -178,11 +185,16 @@
         row.is_sent = False
         if not self._is_up(endpoint_id):
             self._after(row, Refusal(RefusalCode.ENDPOINT_FAILED, "refused", Ran.NO, 1.0))
-        elif endpoint_id in self._stamps:
+        elif self._has_heard(endpoint_id):
             self._send(row)
         else:
             self._call(row, HelloCall())
 
+    def _has_heard(self, endpoint_id: str) -> bool:
+        """Whether a sidecar was heard lately enough that a ticket under its stamp lives on."""
+        _, heard_s = self._stamps.get(endpoint_id, (None, -_STAMP_S))
+        return self._clock() - heard_s < _STAMP_S
+
     def _hello(self, row: _Open, endpoint_id: str) -> None:
         if not row.is_sent and endpoint_id == row.endpoint_id:
             self._send(row)
@@ -196,6 +208,7 @@
             digest = body_digest(row.asked.body.encode())
             ticket = self._mint.mint(stamp, row.asked.account, digest)
         row.heard = stamp
+        row.heard_age_s = now_s - heard_s
         row.is_sent = True
         others = [s for name, (s, _) in self._stamps.items() if name != row.endpoint_id]
         call = RunCall(
@@ -208,7 +221,7 @@
             wait_s=WAIT_S,
             latest_s=now_s + WAIT_S,
             heard=stamp,
-            heard_age_s=now_s - heard_s,
+            heard_age_s=row.heard_age_s,
             ticket=ticket,
             key=operation.key if ticket is None else None,
             candidates=tuple(others) if operation.is_shared else (),
@@ -223,13 +236,21 @@
             ran = Ran.UNKNOWN if row.is_sent else Ran.NO
             self._after(row, Refusal(RefusalCode.ENDPOINT_FAILED, "its sidecar is gone", ran))
         elif row.is_sent:
-            self._call(row, AttachCall(row.try_id, row.heard, row.checker.state.last))
+            last = 0
+            if row.checker is not None:
+                row.checker.restart()
+                last = row.checker.last
+            self._call(row, AttachCall(row.try_id, row.heard, row.heard_age_s, last))
         else:
             self._call(row, HelloCall())
 
-    def _frames(self, row: _Open, data: bytes) -> None:
-        row.got += row.checker.feed(data)
-        if not row.checker.state.complete:
+    def _frames(self, row: _Open, frames: FramesReply) -> None:
+        if row.checker is None:
+            row.checker = SequenceChecker(frames.name)
+        row.got += row.checker.feed(frames.data)
+        if row.checker.gap:
+            self._silent(row)
+        if not row.checker.complete:
             return
         lines = [line for line in row.got.split(b"\n") if line.startswith(b"data: ")]
         pieces = [line.removeprefix(b"data: ") for line in lines if line != DONE]
@@ -243,6 +264,8 @@
     def _refusal(self, row: _Open, reply: RefusalReply) -> None:
         refusal = reply.refusal
         operation = row.asked.operation
+        if refusal.ran is Ran.NO:
+            self._oracle.denied(row.try_id)
         if row.got:
             self._refuse(row, attrs.evolve(refusal, ran=Ran.YES), by_ticket_holder=True)
         elif refusal.successor is not None and row.hops < _MAX_HOPS:
--- a/src/beryljunction/fuzz/machine.py
+++ b/src/beryljunction/fuzz/machine.py
@@ -32,21 +32,24 @@
 _ENDPOINT = st.sampled_from(ENDPOINTS)
 _PROCESS = st.sampled_from(ENTRIES + ENDPOINTS)
 _INDEX = st.integers(0, 15)
-_KIND = st.sampled_from(tuple(Kind))
-_ACCOUNT = st.sampled_from(("federation", "federation", "federation", "mill"))
-_BODY = st.sampled_from(("", "", "", " changed"))
-_DURATION_S = st.sampled_from((0.5, 2.0, 4.0, 12.0, 35.0, 70.0))
-_CLOCK_S = st.sampled_from((-300.0, -40.0, 40.0, 300.0))
+_RECENT = st.sampled_from((0, 0, 0, 1, 2))
+_KIND = st.sampled_from((*Kind, Kind.KEY, Kind.TICKET))
+_ROUNDS = st.sampled_from((8, 0, 2, 0, 8))
+_SCOPE = st.sampled_from((*((name,) for name in ENDPOINTS), ENDPOINTS))
+_ACCOUNT = st.sampled_from(("federation", "federation", "mill"))
+_BODY = st.sampled_from((" changed", " changed", ""))
+_DURATION_S = st.sampled_from((0.5, 4.0, 12.0, 12.0, 35.0, 70.0))
+_CLOCK_S = st.sampled_from((-40.0, -300.0, 40.0))
 _LISTED = st.sampled_from((None, EndpointState.LEAVING, EndpointState.LIVE))
 _ROOMY = Limits(
     LedgerLimits(life_s=60.0, max_rows=1000),
-    TombstoneLimits(life_s=30.0, max_rows=1000),
+    TombstoneLimits(life_s=100.0, max_rows=1000),
     ClaimLimits(life_s=1e6, append_gap_s=0.2, wait_s=5.0),
     AdmissionLimits(max_running=2, max_waiting=4),
 )
 _TIGHT = Limits(
     LedgerLimits(life_s=60.0, max_rows=2, max_answer_bytes=40),
-    TombstoneLimits(life_s=30.0, max_rows=3),
+    TombstoneLimits(life_s=100.0, max_rows=8),
     ClaimLimits(life_s=1e6, max_keys=2, append_gap_s=0.2, wait_s=5.0, batch_claims=2),
     AdmissionLimits(max_running=1, floor_running=1, max_waiting=1),
 )
@@ -58,13 +61,14 @@
     DUPLICATE = "duplicate"
     SILENT = "silent connection"
     BROKEN = "broken connection"
+    ANSWERS = "answers lost"
 
 
-class HostFault(enum.StrEnum):
+class PlatformFault(enum.StrEnum):
     """What happens around the sidecars."""
 
-    CLOCK = "clock jump"
     ENTRY = "entry crash"
+    PAUSE = "entry pause"
     LIST = "list disagreement"
     LOG_DOWN = "log outage"
     LOG_LAG = "log lag"
@@ -72,13 +76,15 @@
 
 
 class SidecarFault(enum.StrEnum):
-    """What happens to one sidecar."""
+    """What happens to one sidecar; one that is down is started instead."""
 
-    START = "start"
     CRASH = "crash"
     REPLACED = "crash and new start"
     DRAIN = "planned stop"
     STOP = "end of a planned stop"
+    PAUSE = "sidecar pause"
+    CLOCK = "clock jump"
+    ENGINE = "engine refuses"
 
 
 @attrs.define
@@ -104,11 +110,13 @@
 
     Attributes:
         seed: Seed of the search; None makes it the same search each time.
+        shrinks: Whether a failing history is shortened, which takes longer than to find it.
     """
 
     examples: int
     steps: int
     seed: int | None = None
+    shrinks: bool = True
 
     @classmethod
     def from_environment(cls, environment: Mapping[str, str]) -> "Profile":
@@ -120,7 +128,8 @@
         )
 
     def to_settings(self) -> settings:
-        """Return the profile as the library takes it; a failing history is shortened."""
+        """Return the profile as the library takes it."""
+        phases = (Phase.generate, Phase.shrink) if self.shrinks else (Phase.generate,)
         return settings(
             max_examples=self.examples,
             stateful_step_count=self.steps,
@@ -129,11 +138,11 @@
             deadline=None,
             report_multiple_bugs=False,
             suppress_health_check=list(HealthCheck),
-            phases=(Phase.generate, Phase.shrink),
+            phases=phases,
         )
 
 
-CI = Profile(examples=300, steps=40)
+CI = Profile(examples=1000, steps=40)
 
 
 class FleetMachine(RuleBasedStateMachine):
@@ -145,38 +154,27 @@
     def begin(self, is_tight: bool) -> None:
         """Start the fleet, with ample tables or with very small ones."""
         self.world = World(_TIGHT if is_tight else _ROOMY)
-        self.world.run(2)
+        self.world.greet()
         self.tally.examples += 1
 
-    @rule(entry=_ENTRY, kind=_KIND, streamed=st.booleans())
-    def ask_new(self, entry: str, kind: Kind, streamed: bool) -> None:
-        """A caller asks for something new."""
+    @rule(entry=_ENTRY, kind=_KIND, streamed=st.booleans(), rounds=_ROUNDS)
+    def ask_new(self, entry: str, kind: Kind, streamed: bool, rounds: int) -> None:
+        """A caller asks for something new, and things go well for a while."""
         operation = self.world.new_operation(entry, kind, streamed)
         self.world.ask(entry, operation, operation.account, operation.body)
-
-    @precondition(lambda self: bool(self.world.operations))
-    @rule(entry=_ENTRY, place=_INDEX, account=_ACCOUNT, change=_BODY)
-    def ask_again(self, entry: str, place: int, account: str, change: str) -> None:
-        """A caller asks again under its key or ticket, perhaps for something else."""
-        operations = [row for row in self.world.operations if row.is_shared]
-        if operations:
-            operation = operations[-1 - place % len(operations)]
-            self.world.ask(entry, operation, account, operation.body + change)
-
-    @precondition(lambda self: bool(self.world.operations))
-    @rule(entry=_ENTRY, place=_INDEX, rounds=st.integers(0, 3))
-    def ask_again_and_wait(self, entry: str, place: int, rounds: int) -> None:
-        """A caller repeats its request and things go well for a while."""
-        self.ask_again(entry, place, "federation", "")
         self.world.run(rounds)
 
-    @rule(entry=_ENTRY, kind=_KIND, rounds=st.integers(0, 3))
-    def ask_and_wait(self, entry: str, kind: Kind, rounds: int) -> None:
-        """A caller asks for something new and things go well for a while."""
-        self.ask_new(entry, kind, streamed=False)
-        self.world.run(rounds)
+    @rule(entry=_ENTRY, place=_RECENT, rounds=_ROUNDS)
+    def ask_again(self, entry: str, place: int, rounds: int) -> None:
+        """A caller repeats its request under its key or ticket."""
+        self._repeat(entry, place, "federation", "", rounds)
 
-    @rule(rounds=st.integers(1, 6))
+    @rule(entry=_ENTRY, place=_RECENT, account=_ACCOUNT, change=_BODY, rounds=_ROUNDS)
+    def ask_otherwise(self, entry: str, place: int, account: str, change: str, rounds: int) -> None:
+        """A caller uses a key or ticket for something else, or one that is not its own."""
+        self._repeat(entry, place, account, change, rounds)
+
+    @rule(rounds=st.sampled_from((2, 10)))
     def go_on(self, rounds: int) -> None:
         """Things go well for a while."""
         self.world.run(rounds)
@@ -187,13 +185,6 @@
         """A message overtakes the others."""
         self.world.deliver(self.world.network.take(place))
 
-    @rule(place=_INDEX)
-    def produce(self, place: int) -> None:
-        """An engine gets on with its work."""
-        jobs = self.world.running_jobs()
-        if jobs:
-            self.world.produce(*jobs[place % len(jobs)])
-
     @rule(duration_s=_DURATION_S)
     def advance(self, duration_s: float) -> None:
         """Time passes while every message stays on its way."""
@@ -203,22 +194,29 @@
     @precondition(lambda self: bool(self.world.network.in_flight))
     @rule(place=_INDEX, fault=st.sampled_from(MessageFault))
     def message_fault(self, place: int, fault: MessageFault) -> None:
-        """A message is delivered twice, or lost in a connection that breaks or goes silent."""
+        """A message is doubled or lost, or all answers are lost after their effect."""
         self._fault(fault)
         network = self.world.network
         if fault is MessageFault.DUPLICATE:
             network.double(place)
-            return
-        message = network.take(place)
-        if fault is MessageFault.BROKEN and message.sender in ENTRIES:
-            network.send(message.sender, message.target, message.connection, Broken())
+        elif fault is MessageFault.ANSWERS:
+            network.in_flight = [row for row in network.in_flight if row.target not in ENTRIES]
+        else:
+            message = network.take(place)
+            if fault is MessageFault.BROKEN and message.sender in ENTRIES:
+                network.send(message.sender, message.target, message.connection, Broken())
 
-    @rule(endpoint_id=_ENDPOINT, fault=st.sampled_from(SidecarFault))
-    def sidecar_fault(self, endpoint_id: str, fault: SidecarFault) -> None:
-        """A sidecar is killed, replaced or stopped as planned, or its host's clock jumps."""
+    @rule(scope=_SCOPE, fault=st.sampled_from(SidecarFault), by_s=_CLOCK_S)
+    def sidecar_fault(self, scope: tuple[str, ...], fault: SidecarFault, by_s: float) -> None:
+        """One or all sidecars are killed, replaced, paused, stopped or told a wrong time."""
         self._fault(fault)
+        for endpoint_id in scope:
+            self._one_sidecar_fault(endpoint_id, fault, by_s)
+
+    def _one_sidecar_fault(self, endpoint_id: str, fault: SidecarFault, by_s: float) -> None:
         world = self.world
-        if fault is SidecarFault.START or endpoint_id not in world.sidecars:
+        sidecar = world.sidecars.get(endpoint_id)
+        if sidecar is None:
             world.start(endpoint_id)
         elif fault is SidecarFault.CRASH:
             world.crash(endpoint_id)
@@ -227,47 +225,50 @@
             world.start(endpoint_id)
         elif fault is SidecarFault.DRAIN:
             world.drain(endpoint_id)
-        else:
+        elif fault is SidecarFault.STOP:
             world.stop_if_idle(endpoint_id)
-
-    @rule(name=_PROCESS, wakes=st.booleans(), timers_first=st.booleans())
-    def pause(self, name: str, wakes: bool, timers_first: bool) -> None:
-        """A process stops, or goes on with its timers or with its sockets first."""
-        if wakes:
-            self.world.wake(name, timers_first)
+        elif fault is SidecarFault.PAUSE:
+            world.pause(endpoint_id)
+        elif fault is SidecarFault.ENGINE:
+            sidecar.engine_refuses = True
         else:
-            self._fault("pause")
-            self.world.pause(name)
+            sidecar.set_clock(by_s)
 
-    @rule(fault=st.sampled_from(HostFault), entry=_ENTRY, endpoint_id=_ENDPOINT, data=st.data())
-    def host_fault(
-        self, fault: HostFault, entry: str, endpoint_id: str, data: st.DataObject
+    @rule(name=_PROCESS, timers_first=st.booleans())
+    def wake(self, name: str, timers_first: bool) -> None:
+        """A paused process goes on, with its timers or with its sockets first."""
+        self.world.wake(name, timers_first)
+
+    @rule(fault=st.sampled_from(PlatformFault), entry=_ENTRY, endpoint_id=_ENDPOINT, state=_LISTED)
+    def platform_fault(
+        self, fault: PlatformFault, entry: str, endpoint_id: str, state: EndpointState | None
     ) -> None:
-        """A clock jumps, an entry is killed and replaced, or log or list of hosts fail."""
+        """An entry is killed or paused, the list shows something else, or the log fails."""
         self._fault(fault)
         world = self.world
-        if fault is HostFault.CLOCK and endpoint_id in world.sidecars:
-            world.sidecars[endpoint_id].set_clock(data.draw(_CLOCK_S))
-        elif fault is HostFault.ENTRY:
+        if fault is PlatformFault.ENTRY:
             world.restart_entry(entry)
-        elif fault is HostFault.LIST:
-            world.list_says(entry, endpoint_id, data.draw(_LISTED))
+        elif fault is PlatformFault.PAUSE:
+            world.pause(entry)
+        elif fault is PlatformFault.LIST:
+            world.list_says(entry, endpoint_id, state)
         else:
-            world.is_log_up = fault is not HostFault.LOG_DOWN
-            world.is_log_lagging = fault is HostFault.LOG_LAG
+            world.is_log_up = fault is not PlatformFault.LOG_DOWN
+            world.is_log_lagging = fault is PlatformFault.LOG_LAG
 
-    @rule(place=_INDEX, endpoint_id=_ENDPOINT, is_refusal=st.booleans())
-    def engine_fault(self, place: int, endpoint_id: str, is_refusal: bool) -> None:
-        """An engine refuses the next connection, or one breaks after work has begun there."""
+    @rule(place=_INDEX, breaks=st.booleans())
+    def produce(self, place: int, breaks: bool) -> None:
+        """An engine gets on with its work, or the connection to it breaks in the middle."""
         jobs = self.world.running_jobs()
-        if jobs and not is_refusal:
+        if not jobs:
+            return
+        endpoint_id, number = jobs[place % len(jobs)]
+        if breaks:
             self._fault("engine connection breaks")
-            running_at, number = jobs[place % len(jobs)]
-            sidecar = self.world.sidecars[running_at]
+            sidecar = self.world.sidecars[endpoint_id]
             sidecar.break_engine(sidecar.unfinished[number])
-        elif endpoint_id in self.world.sidecars:
-            self._fault("engine refuses")
-            self.world.sidecars[endpoint_id].engine_refuses = True
+        else:
+            self.world.produce(endpoint_id, number)
 
     @invariant()
     def every_promise_holds(self) -> None:
@@ -290,6 +291,13 @@
                 self.tally.refusals[ran] = self.tally.refusals.get(ran, 0) + 1
         self._check()
 
+    def _repeat(self, entry: str, place: int, account: str, change: str, rounds: int) -> None:
+        operations = [row for row in self.world.operations if row.is_shared]
+        if operations:
+            operation = operations[-1 - place % len(operations)]
+            self.world.ask(entry, operation, account, operation.body + change)
+        self.world.run(rounds)
+
     def _check(self) -> None:
         assert not self.world.oracle.violations, self.world.oracle.violations
 
--- a/src/beryljunction/fuzz/network.py
+++ b/src/beryljunction/fuzz/network.py
@@ -5,6 +5,7 @@
 import attrs
 
 from beryljunction.outcomes import Refusal
+from beryljunction.streams import StreamName
 from beryljunction.systems import Asked, ClaimBatch
 from beryljunction.tables import Stamp
 
@@ -50,6 +51,7 @@
 
     try_id: str
     heard: Stamp | None
+    heard_age_s: float
     last: int
 
 
@@ -85,9 +87,10 @@
 
 @attrs.frozen
 class FramesReply:
-    """Frames of a streamed answer."""
+    """Frames of a streamed answer, and whose they are."""
 
     stamp: Stamp
+    name: StreamName
     data: bytes
 
 
--- a/src/beryljunction/fuzz/oracle.py
+++ b/src/beryljunction/fuzz/oracle.py
@@ -71,6 +71,7 @@
 
     number: int
     asked: Asked
+    try_id: str
     body: str
     began_s: float
     text: bytes = b""
@@ -88,6 +89,7 @@
         self.asked: list[Asked] = []
         self.runs: list[EngineRun] = []
         self.violations: list[str] = []
+        self._denied: set[str] = set()
 
     def begin(self, operation: Operation, account: str, body: str, now_s: float) -> Asked:
         """List a request."""
@@ -95,19 +97,28 @@
         self.asked.append(asked)
         return asked
 
-    def run(self, request_id: str, body: str, latest_s: float | None, now_s: float) -> EngineRun:
+    def denied(self, try_id: str) -> None:
+        """Note that a sidecar said of one try that it did not run."""
+        self._denied.add(try_id)
+        if any(run.try_id == try_id for run in self.runs):
+            self._broken(f"try {try_id} was called not run, but ran")
+
+    def run(self, try_id: str, body: str, latest_s: float | None, now_s: float) -> EngineRun:
         """List a run and check it against what callers have been told.
 
         Args:
-            request_id: Id that came with the work.
+            try_id: Id that came with the work.
             body: What the engine got.
             latest_s: Time until which the work was of use to its sender; None when the sidecar's
                 clock was set, so that it can't know.
             now_s: Virtual time.
         """
+        request_id = try_id.partition(".")[0]
         asked = self.asked[int(request_id[1:])]
         text = f"{asked.account}|{body}|{len(self.runs)}".encode()
-        run = EngineRun(len(self.runs), asked, body, now_s, text)
+        run = EngineRun(len(self.runs), asked, try_id, body, now_s, text)
+        if try_id in self._denied:
+            self._broken(f"try {try_id} was called not run, then ran")
         operation = asked.operation
         if operation.kind is not Kind.IDEMPOTENT and self._runs_of(asked):
             self._broken(f"{operation.kind} operation {operation.number} ran twice")
--- a/src/beryljunction/fuzz/sidecars.py
+++ b/src/beryljunction/fuzz/sidecars.py
@@ -19,7 +19,7 @@
 )
 from beryljunction.fuzz.oracle import EngineRun, Oracle
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.streams import DONE, FrameNumberer
+from beryljunction.streams import DONE, FrameLog, FrameNumberer, StreamName, event_position
 from beryljunction.systems import (
     AdmissionLimits,
     AdmissionSystem,
@@ -57,6 +57,7 @@
 _RESUME_S = 15.0
 _APPEND_TIMEOUT_S = 2.0
 _LOG = "log"
+_FRAMES_BYTES = 10_000
 
 
 @attrs.frozen
@@ -74,12 +75,13 @@
     """One request at a sidecar, with the connections that wait for it."""
 
     call: RunCall
+    name: StreamName
+    numberer: FrameNumberer
     readers: set[tuple[str, int]]
     serial: str | None = None
     run: EngineRun | None = None
     produced: int = 0
-    numberer: FrameNumberer = attrs.field(factory=lambda: FrameNumberer("s"))
-    frames: list[bytes] = attrs.field(factory=list)
+    frames: FrameLog = attrs.field(factory=lambda: FrameLog(_FRAMES_BYTES))
     reply: AnswerReply | RefusalReply | None = None
     ended_s: float | None = None
 
@@ -178,7 +180,7 @@
         if job.call.streamed:
             self._frames(job, [b"data: " + piece, DONE] if is_last else [b"data: " + piece])
         if is_last:
-            body = b"".join(job.frames) if job.call.streamed else b"".join(job.run.chunks)
+            body = job.frames.after(0) if job.call.streamed else b"".join(job.run.chunks)
             self._finish(job, body)
 
     def break_engine(self, job: Job) -> None:
@@ -191,7 +193,8 @@
         self._refuse(job, refusal)
 
     def _run(self, call: RunCall, reader: tuple[str, int]) -> None:
-        arrival = self.tombstones.arrive(call.try_id, call.heard, self.now_s)
+        heard_age_s = call.heard_age_s
+        arrival = self.tombstones.arrive(call.try_id, call.heard, heard_age_s, self.now_s)
         if arrival is Arrival.DUPLICATE:
             self._join(self.jobs.get(call.try_id), reader, 0)
             return
@@ -200,7 +203,8 @@
             refusal = Refusal(RefusalCode.DEADLINE, "arrived too late", ran)
             self._reply(reader, RefusalReply(self._stamp(), refusal))
             return
-        job = self.jobs[call.try_id] = Job(call, {reader})
+        name = StreamName(self.endpoint_id, self._incarnation, call.try_id)
+        job = self.jobs[call.try_id] = Job(call, name, FrameNumberer(name), {reader})
         if call.key is None:
             self._claim(job, call.ticket)
             return
@@ -291,7 +295,7 @@
             return
         is_timed = job.serial is not None and not self.was_set
         latest_s = job.call.latest_s if is_timed else None
-        job.run = self._oracle.run(job.call.request_id, job.call.body, latest_s, self._clock())
+        job.run = self._oracle.run(job.call.try_id, job.call.body, latest_s, self._clock())
 
     def _give_up(self, job: Job, refusal: Refusal) -> None:
         """Refuse what has not started; a ticket is burned and its successor named."""
@@ -314,9 +318,9 @@
         if not job.call.streamed:
             self._end(job, AnswerReply(self._stamp(), body))
             return
-        job.frames.append(body)
+        name = _name_of(body)
         for reader in job.readers:
-            self._reply(reader, FramesReply(self._stamp(), body))
+            self._reply(reader, FramesReply(self._stamp(), name, body))
         self._end(job, None)
 
     def _end(self, job: Job, reply: AnswerReply | RefusalReply | None) -> None:
@@ -328,10 +332,10 @@
                 self._reply(reader, reply)
 
     def _frames(self, job: Job, pieces: list[bytes]) -> None:
-        frames = [job.numberer.number(piece) for piece in pieces]
-        job.frames.extend(frames)
+        before = job.frames.last
+        job.frames.append(job.numberer.number(pieces))
         for reader in job.readers:
-            self._reply(reader, FramesReply(self._stamp(), b"".join(frames)))
+            self._reply(reader, FramesReply(self._stamp(), job.name, job.frames.after(before)))
 
     def _follow(self, job: Job, other: Job) -> None:
         """Join a request to the one that runs under the same ticket."""
@@ -340,7 +344,8 @@
             self._join(other, reader, 0)
 
     def _attach(self, call: AttachCall, reader: tuple[str, int]) -> None:
-        asked = self.tombstones.ask(call.try_id, call.heard, self.now_s)
+        heard_age_s = call.heard_age_s
+        asked = self.tombstones.ask(call.try_id, call.heard, heard_age_s, self.now_s)
         job = self.jobs.get(call.try_id)
         if asked is Asked.SEEN and job is not None:
             self._join(job, reader, call.last)
@@ -353,9 +358,8 @@
         if job is None:
             return
         job.readers.add(reader)
-        if job.frames:
-            kept = job.frames if len(job.frames) == 1 else job.frames[last:]
-            self._reply(reader, FramesReply(self._stamp(), b"".join(kept)))
+        if job.frames.reaches(last):
+            self._reply(reader, FramesReply(self._stamp(), job.name, job.frames.after(last)))
         if job.reply is not None:
             self._reply(reader, job.reply)
 
@@ -388,3 +392,11 @@
 
     def _reply(self, reader: tuple[str, int], content: object) -> None:
         self._network.send(reader[0], self.endpoint_id, reader[1], content)
+
+
+def _name_of(frames: bytes) -> StreamName:
+    """Return whose frames a kept answer holds: those of the try that ran."""
+    event_id = frames.partition(b"id: ")[2].partition(b"\n")[0].decode()
+    position = event_position(event_id)
+    assert position is not None
+    return position[0]
--- a/src/beryljunction/fuzz/world.py
+++ b/src/beryljunction/fuzz/world.py
@@ -41,6 +41,12 @@
         for name in ENTRIES:
             self.restart_entry(name)
 
+    def greet(self) -> None:
+        """Let each entry hear each sidecar's stamp."""
+        for entry in self.entries.values():
+            entry.greet()
+        self.run(2)
+
     def ask(self, entry: str, operation: Operation, account: str, body: str) -> None:
         """Let a caller ask for an operation."""
         asked = self.oracle.begin(operation, account, body, self.now_s)
--- a/src/beryljunction/systems/tombstones.py
+++ b/src/beryljunction/systems/tombstones.py
@@ -58,7 +58,7 @@
 class TombstoneSystem:
     """Remembers request ids; what it forgets it refuses, by the age of the stamp that came along.
 
-    The stamp is the sidecar's own, copied by the entry, so no other clock takes part. A request
+    The stamp is the sidecar's own, copied by the entry, so no wall clock takes part. A request
     without a stamp of this incarnation can't be told late from new: it is taken when it arrives
     first, and "not run" is never said of it.
     """
@@ -82,32 +82,47 @@
         """Return what entries copy onto their requests."""
         return Stamp(*self._name, self.clock.issue_ms(now_s))
 
-    def arrive(self, request_id: str, heard: Stamp | None, now_s: float) -> Arrival:
-        """Decide on a request that arrives, and remember it."""
+    def arrive(self, request_id: str, heard: Stamp | None, age_s: float, now_s: float) -> Arrival:
+        """Decide on a request that arrives, and remember it.
+
+        Args:
+            request_id: Id of one try; the next try has another.
+            heard: Stamp that the entry heard last before it sent the request.
+            age_s: Seconds from then to the sending, by the entry's monotonic clock.
+            now_s: Time handed in.
+        """
         self._forget_old(now_s)
         row = self._rows.get(request_id)
         if row is not None:
             return Arrival.BURIED if row[1] else Arrival.DUPLICATE
         if heard is None or not self._is_ours(heard):
             return Arrival.FRESH if self._remember(request_id, False, now_s) else Arrival.TOO_OLD
-        window = self.clock.judge(heard.issued_ms, now_s)
+        window = self._window(heard, age_s, now_s)
         if window is Window.OPEN and self._remember(request_id, False, now_s):
             return Arrival.FRESH
         return Arrival.CLOSED if window in _LEFT_NO_ROW else Arrival.TOO_OLD
 
-    def ask(self, request_id: str, heard: Stamp | None, now_s: float) -> Asked:
-        """Say what is known of a request; "not run" buries it."""
+    def ask(self, request_id: str, heard: Stamp | None, age_s: float, now_s: float) -> Asked:
+        """Say what is known of a request; "not run" buries it.
+
+        Stamp and age are those that the request was sent with, so that this answer and the one to
+        a late arrival go by the same time of sending.
+        """
         self._forget_old(now_s)
         row = self._rows.get(request_id)
         if row is not None:
             return Asked.NOT_RUN if row[1] else Asked.SEEN
         if heard is None or not self._is_ours(heard):
             return Asked.UNKNOWN
-        window = self.clock.judge(heard.issued_ms, now_s)
+        window = self._window(heard, age_s, now_s)
         if window is Window.OPEN:
             self._remember(request_id, True, now_s)
         return Asked.NOT_RUN if window in _LEFT_NO_ROW else Asked.UNKNOWN
 
+    def _window(self, heard: Stamp, age_s: float, now_s: float) -> Window:
+        """Judge the time of sending; an entry may not have heard from here for many minutes."""
+        return self.clock.judge(self.clock.sent_ms(heard.issued_ms, age_s, now_s), now_s)
+
     def _remember(self, request_id: str, buried: bool, now_s: float) -> bool:
         """Insert a row, or close the clock when none is free: it then stands for the row.
 
--- /dev/null
+++ b/testing/test_fuzz_answers.py
@@ -0,0 +1,150 @@
+import re
+
+import attrs
+import pytest
+
+from beryljunction.fuzz import CI, run_fuzz
+from beryljunction.streams import SequenceChecker
+from beryljunction.systems import (
+    AdmissionSystem,
+    ClaimSystem,
+    ForwardClock,
+    KeyWon,
+    RanProof,
+    Run,
+    TicketLedger,
+)
+from beryljunction.tables import TicketState
+
+
+class TestFuzz:
+    def test_every_promise_holds(self):
+        tally = run_fuzz(CI)
+
+        assert tally.violations == []
+        assert tally.examples >= CI.examples
+
+
+def forget_incarnation(patch):
+    patch.setattr(TicketLedger, "_is_ours", lambda self, stamp: True)
+
+
+def name_successors_twice(patch):
+    real = TicketLedger.burn
+
+    def burn(self, serial, account, candidates=()):
+        self._row(serial).successor = None
+        return real(self, serial, account, candidates)
+
+    patch.setattr(TicketLedger, "burn", burn)
+
+
+def follow_the_clock_back(patch):
+    def read_ms(self, now_s):
+        return int((now_s - self._started_s) * 1000)
+
+    patch.setattr(ForwardClock, "read_ms", read_ms)
+
+
+def start_after_the_deadline(patch):
+    def start(self, serial, now_s):
+        self._row(serial).state = TicketState.RUNNING
+        return True
+
+    patch.setattr(TicketLedger, "start", start)
+
+
+def count_the_deadline_from_arrival(patch):
+    patch.setattr(
+        ForwardClock, "sent_ms", lambda self, issued_ms, age_s, now_s: self.read_ms(now_s)
+    )
+
+
+def take_any_body(patch):
+    real = TicketLedger._claim_again
+
+    def claim_again(self, row, ask):
+        row.body_digest = ask.digest
+        return real(self, row, ask)
+
+    patch.setattr(TicketLedger, "_claim_again", claim_again)
+
+
+def run_a_joined_ticket_again(patch):
+    real = TicketLedger.claim
+
+    def claim(self, text, ask, now_s):
+        claimed = real(self, text, ask, now_s)
+        ticket = self._mint.read(text)
+        row = self.table.get(ticket.serial) if ticket else None
+        if row is not None and row.state is TicketState.RUNNING:
+            row.state = TicketState.CLAIMED
+            return Run(ticket.serial)
+        return claimed
+
+    patch.setattr(TicketLedger, "claim", claim)
+
+
+def win_keys_without_reading(patch):
+    real = ClaimSystem.tick
+
+    def tick(self, now_s):
+        won = [(row.request_id, KeyWon(row.claim.ticket)) for row in self._pending.values()]
+        self._pending.clear()
+        return won or real(self, now_s)
+
+    patch.setattr(ClaimSystem, "tick", tick)
+
+
+def believe_the_last_try_alone(patch):
+    patch.setattr(RanProof, "final", lambda self, refusal, by_ticket_holder: refusal)
+
+
+def pass_on_frames_twice(patch):
+    real = SequenceChecker._take
+
+    def take(self, frame):
+        sequence, _ = self._position(frame)
+        return real(self, frame) or (sequence is not None and sequence <= self.last)
+
+    patch.setattr(SequenceChecker, "_take", take)
+
+
+def take_work_while_leaving(patch):
+    real = AdmissionSystem.offer
+
+    def offer(self, work, now_s):
+        leaving, self.leaving = self.leaving, False
+        decision = real(self, work, now_s)
+        self.leaving = leaving
+        return decision
+
+    patch.setattr(AdmissionSystem, "offer", offer)
+
+
+REMOVED = [
+    (forget_incarnation, "ran twice"),
+    (name_successors_twice, "ran twice"),
+    (follow_the_clock_back, "ran twice|was told no"),
+    (start_after_the_deadline, "after its deadline"),
+    (count_the_deadline_from_arrival, "after its deadline"),
+    (take_any_body, "expected one of"),
+    (run_a_joined_ticket_again, "ran twice"),
+    (win_keys_without_reading, "ran twice"),
+    (believe_the_last_try_alone, "was told no, but"),
+    (pass_on_frames_twice, "expected one of"),
+    (take_work_while_leaving, "took new work"),
+]
+
+
+class TestSafeguards:
+    @pytest.mark.parametrize(
+        ("remove", "expected"), [pytest.param(*row, id=row[0].__name__) for row in REMOVED]
+    )
+    def test_fuzz_finds_a_removed_safeguard(self, remove, expected, monkeypatch):
+        remove(monkeypatch)
+
+        found = run_fuzz(attrs.evolve(CI, shrinks=False)).violations
+
+        assert found
+        assert re.search(expected, found[0])
--- a/testing/test_tickets.py
+++ b/testing/test_tickets.py
@@ -279,38 +279,46 @@
         here = self.system()
         heard = here.stamp(1.0)
 
-        assert here.ask("r1", heard, 2.0) is Asked.NOT_RUN
-        assert here.arrive("r1", heard, 3.0) is Arrival.BURIED
+        assert here.ask("r1", heard, 0.0, 2.0) is Asked.NOT_RUN
+        assert here.arrive("r1", heard, 0.0, 3.0) is Arrival.BURIED
 
     def test_what_arrived_is_seen_and_its_copy_is_a_duplicate(self):
         here = self.system()
         heard = here.stamp(1.0)
 
-        assert here.arrive("r1", heard, 2.0) is Arrival.FRESH
-        assert here.ask("r1", heard, 3.0) is Asked.SEEN
-        assert here.arrive("r1", heard, 3.0) is Arrival.DUPLICATE
+        assert here.arrive("r1", heard, 0.0, 2.0) is Arrival.FRESH
+        assert here.ask("r1", heard, 0.0, 3.0) is Asked.SEEN
+        assert here.arrive("r1", heard, 0.0, 3.0) is Arrival.DUPLICATE
+
+    def test_entry_that_heard_nothing_for_long_may_still_send(self):
+        here = self.system()
+        heard = here.stamp(1.0)
+
+        assert here.arrive("r1", heard, 500.0, 501.0) is Arrival.FRESH
+        assert here.ask("r2", heard, 500.0, 502.0) is Asked.NOT_RUN
+        assert here.arrive("r2", heard, 500.0, 503.0) is Arrival.BURIED
 
     def test_arrival_later_than_any_tombstone_is_refused(self):
         here = self.system()
         heard = here.stamp(1.0)
-        here.ask("r1", heard, 2.0)
+        here.ask("r1", heard, 0.0, 2.0)
 
-        assert here.arrive("r1", heard, 500.0) is Arrival.TOO_OLD
-        assert here.ask("r1", heard, 500.0) is Asked.UNKNOWN
-        assert here.arrive("r1", heard, 2.0) is Arrival.TOO_OLD
+        assert here.arrive("r1", heard, 0.0, 500.0) is Arrival.TOO_OLD
+        assert here.ask("r1", heard, 0.0, 500.0) is Asked.UNKNOWN
+        assert here.arrive("r1", heard, 0.0, 2.0) is Arrival.TOO_OLD
 
     @pytest.mark.parametrize(
         "heard", [None, Stamp("drafter-0", "inc-z", 1)], ids=["no-stamp", "earlier-start"]
     )
     def test_not_run_is_not_said_without_a_stamp_of_this_start(self, heard):
-        assert self.system().ask("r1", heard, 2.0) is Asked.UNKNOWN
+        assert self.system().ask("r1", heard, 0.0, 2.0) is Asked.UNKNOWN
 
     def test_full_table_forgets_no_arrival_and_keeps_its_word(self):
         here = self.system(max_rows=1)
         heard = here.stamp(1.0)
-        here.arrive("r1", heard, 1.0)
+        here.arrive("r1", heard, 0.0, 1.0)
 
-        assert here.ask("r2", heard, 2.0) is Asked.NOT_RUN
-        assert here.ask("r1", heard, 2.0) is Asked.SEEN
-        assert here.arrive("r2", heard, 70.0) is not Arrival.FRESH
-        assert here.arrive("r3", here.stamp(70.0), 70.0) is Arrival.FRESH
+        assert here.ask("r2", heard, 0.0, 2.0) is Asked.NOT_RUN
+        assert here.ask("r1", heard, 0.0, 2.0) is Asked.SEEN
+        assert here.arrive("r2", heard, 0.0, 70.0) is not Arrival.FRESH
+        assert here.arrive("r3", here.stamp(70.0), 0.0, 70.0) is Arrival.FRESH
