--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import ssl
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -17,6 +18,7 @@
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.servers import Receive, Scope, Send, client_pool, read_body, wait_disconnect
 from beryljunction.settings import EntryFile, FleetView
+from beryljunction.stops import Stoppable
 from beryljunction.streams import event_position
 from beryljunction.systems import (
     AttemptSystem,
@@ -27,10 +29,10 @@
     Try,
     chat_key_of,
 )
-from beryljunction.tables import EndpointTable
+from beryljunction.tables import Endpoint, EndpointTable
 from beryljunction.timeline import Timeline
 from beryljunction.watches import WatchList
-from beryljunction.wire import Attach, Envelope
+from beryljunction.wire import MOVED_PATH, Attach, ChatMoved, Envelope
 
 __all__ = ["EntryApp"]
 
@@ -68,20 +70,28 @@
 _Handler = Callable[[_Exchange], Awaitable[Refusal | None]]
 
 
-class EntryApp:
+class EntryApp(Stoppable):
     """ASGI application of an entry; decisions are left to its systems."""
 
-    def __init__(self, file: EntryFile, view: FleetView, endpoints: EndpointTable) -> None:
+    def __init__(
+        self,
+        file: EntryFile,
+        view: FleetView,
+        endpoints: EndpointTable,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         self.file = file
         self.endpoints = endpoints
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
         self.watches = WatchList()
         self.leaving = False
-        self.in_flight = 0
+        self._in_flight = 0
         self._placement = PlacementSystem(endpoints)
         self._budget = RetryBudget()
-        self._pool = client_pool()
-        self._sidecars = SidecarClient(self._pool, self.watches, file.process.fleet_key)
+        self._pool = client_pool(tls)
+        self._sidecars = SidecarClient(
+            self._pool, self.watches, file.process.fleet_key, self.timeline.clock
+        )
         self._random = random.Random()
         self._routes: dict[tuple[str, str], _Handler] = {
             ("POST", _CHAT_PATH): self._chat,
@@ -104,14 +114,22 @@
             task_status.started()
             await self.watches.run()
 
+    @property
+    def in_flight(self) -> int:
+        """Callers that wait for an answer or read one."""
+        return self._in_flight
+
     def refuse_new(self) -> None:
         """Take no new work; what is under way goes on."""
         self.leaving = True
 
+    async def hand_over(self) -> None:
+        """Hand over nothing: an entry knows nothing that others don't."""
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of a caller."""
         caller = CallerWriter(send, uuid.uuid4().hex)
-        self.in_flight += 1
+        self._in_flight += 1
         try:
             exchange = await self._accept(scope, receive, caller)
             if isinstance(exchange, Refusal):
@@ -119,17 +137,15 @@
             else:
                 await self._serve(exchange, receive)
         finally:
-            self.in_flight -= 1
+            self._in_flight -= 1
 
     async def _accept(
         self, scope: Scope, receive: Receive, caller: CallerWriter
     ) -> _Exchange | Refusal:
         """Check what can be checked before the request is understood."""
         limits = self.view.limits
-        if self.leaving:
-            return _no(RefusalCode.LEAVING, "this entry is stopping; ask another one", 1.0)
-        if self.in_flight > limits.connections:
-            return _no(RefusalCode.OVERLOADED, "this entry serves as many as it may", 1.0)
+        if self.leaving or self._in_flight > limits.connections:
+            return self._busy(scope)
         if sum(len(k) + len(v) for k, v in scope["headers"]) > limits.header_bytes:
             return _no(RefusalCode.TOO_LARGE, f"expected {limits.header_bytes} bytes of headers")
         headers = dict(scope["headers"])
@@ -142,6 +158,18 @@
             return _no(RefusalCode.TOO_LARGE, message)
         return _Exchange(scope, headers, account, body, caller)
 
+    def _busy(self, scope: Scope) -> Refusal:
+        """Refuse before anything is read.
+
+        Of a stream that is to be resumed this entry knows nothing: it may well have run.
+        """
+        ran = Ran.UNKNOWN if scope["path"].startswith(_STREAMS_PREFIX) else Ran.NO
+        if self.leaving:
+            message = "this entry is stopping; ask another one"
+            return Refusal(RefusalCode.LEAVING, message, ran, 1.0)
+        message = f"expected at most {self.view.limits.connections} requests at the same time"
+        return Refusal(RefusalCode.OVERLOADED, message, ran, 1.0)
+
     async def _serve(self, exchange: _Exchange, receive: Receive) -> None:
         handler = self._handler(exchange)
         async with anyio.create_task_group() as group:
@@ -220,20 +248,37 @@
         chat_key = chat_key_of(exchange.account, request.chat_id) if request.chat_id else None
         envelope = self._envelope(exchange, request, chat_key)
         query = self._query(exchange, request, chat_key)
-        candidates = self._placement.candidates(query, time.monotonic())
-        attempts = AttemptSystem(candidates, self._budget, request.idempotent)
+        attempts = self._attempts(query, request)
         step = attempts.first()
         while isinstance(step, Try):
             refusal = await self._try(exchange, step, envelope, request.body)
             if refusal is None:
                 self._budget.earn()
+                await self._tell_home(attempts.home, step.endpoint, envelope)
                 return None
             self.timeline.add("try_refused", request_id, refusal.code)
             envelope = attrs.evolve(envelope, attempt=envelope.attempt + 1)
-            step = attempts.after(refusal)
+            step = attempts.after(refusal, step.endpoint)
         assert isinstance(step, GiveUp)
         return step.refusal
 
+    def _attempts(self, query: PlacementQuery, request: CallerRequest) -> AttemptSystem:
+        now_s = time.monotonic()
+        candidates = self._placement.candidates(query, now_s)
+        previous_home = None
+        if request.chat_id and query.hint is None:
+            previous_home = self._placement.previous_home(candidates, now_s)
+        home = self._placement.home(query, now_s) if query.hint else None
+        return AttemptSystem(candidates, self._budget, request.idempotent, previous_home, home)
+
+    async def _tell_home(self, home: Endpoint | None, taker: Endpoint, envelope: Envelope) -> None:
+        """Tell a chat's home who took the chat; a message that is lost costs a warm cache only."""
+        if home is None or home is taker or envelope.chat_key is None:
+            return
+        tokens = envelope.prompt_tokens + envelope.output_tokens
+        moved = ChatMoved(envelope.chat_key, taker.endpoint_id, tokens)
+        await self._sidecars.tell(home, MOVED_PATH, moved)
+
     def _query(
         self, exchange: _Exchange, request: CallerRequest, chat_key: int | None
     ) -> PlacementQuery:
@@ -277,7 +322,14 @@
         silence_s = self.view.services[envelope.service].silence_s
         exchange.caller.extra = [(ROUTE_HINT_HEADER, endpoint.endpoint_id.encode())]
         exchange.relay = Relay(self._sidecars, endpoint, attach, exchange.caller, silence_s)
-        envelope = attrs.evolve(envelope, warm=step.warm, last_resort=step.last_resort)
+        envelope = attrs.evolve(
+            envelope,
+            warm=step.warm,
+            last_resort=step.last_resort,
+            only_if_warm=step.only_if_warm,
+            ignore_pointer=step.ignore_pointer,
+            loads=step.loads,
+        )
         return await exchange.relay.run(envelope, body)
 
     async def _refuse(self, caller: CallerWriter, refusal: Refusal) -> None:
--- a/src/beryljunction/fuzz/entries.py
+++ b/src/beryljunction/fuzz/entries.py
@@ -98,12 +98,6 @@
         """Callers' requests that are open here."""
         return [row.asked for row in self._rows()]
 
-    def fetch_ticket(self, account: str) -> str | None:
-        """Mint a ticket for a caller that fetches one first; None before any stamp was heard."""
-        for stamp, _ in self._stamps.values():
-            return self._mint.mint(stamp, account)
-        return None
-
     def greet(self) -> None:
         """Ask every sidecar for its stamp."""
         for row in self.endpoints:
@@ -293,7 +287,7 @@
         if row.ticket is not None or row.got:
             self._refuse(row, refusal, by_ticket_holder=False)
             return
-        self._go(row, row.attempts.after(refusal))
+        self._go(row, row.attempts.after(refusal, self.endpoints.get(row.endpoint_id)))
 
     def _refuse(self, row: _Open, refusal: Refusal, by_ticket_holder: bool) -> None:
         self._close(row)
--- a/src/beryljunction/fuzz/machine.py
+++ b/src/beryljunction/fuzz/machine.py
@@ -150,20 +150,26 @@
 
     tally = Tally()
 
-    @initialize(is_tight=st.booleans())
-    def begin(self, is_tight: bool) -> None:
-        """Start the fleet, with ample tables or with very small ones."""
+    @initialize(is_tight=st.booleans(), entry=_ENTRY, kind=_KIND, rounds=_ROUNDS)
+    def begin(self, is_tight: bool, entry: str, kind: Kind, rounds: int) -> None:
+        """Start the fleet, with ample tables or with very small ones, and ask for something."""
         self.world = World(_TIGHT if is_tight else _ROOMY)
         self.world.greet()
         self.tally.examples += 1
+        self.ask_new(entry, kind, streamed=False, rounds=rounds)
 
     @rule(entry=_ENTRY, kind=_KIND, streamed=st.booleans(), rounds=_ROUNDS)
     def ask_new(self, entry: str, kind: Kind, streamed: bool, rounds: int) -> None:
         """A caller asks for something new, and things go well for a while."""
-        operation = self.world.new_operation(entry, kind, streamed)
+        operation = self.world.new_operation(kind, streamed)
         self.world.ask(entry, operation, operation.account, operation.body)
         self.world.run(rounds)
 
+    @rule(entry=_ENTRY, kind=st.sampled_from((Kind.KEY, Kind.TICKET)), streamed=st.booleans())
+    def ask_once(self, entry: str, kind: Kind, streamed: bool) -> None:
+        """A caller asks for something that it may ask for again, and it comes to its end."""
+        self.ask_new(entry, kind, streamed, rounds=10)
+
     @rule(entry=_ENTRY, place=_RECENT, rounds=_ROUNDS)
     def ask_again(self, entry: str, place: int, rounds: int) -> None:
         """A caller repeats its request under its key or ticket."""
@@ -253,7 +259,9 @@
         elif fault is PlatformFault.LIST:
             world.list_says(entry, endpoint_id, state)
         else:
-            world.is_log_up = fault is not PlatformFault.LOG_DOWN
+            world.is_log_up = True
+            if fault is PlatformFault.LOG_DOWN:
+                world.fail_log()
             world.is_log_lagging = fault is PlatformFault.LOG_LAG
 
     @rule(place=_INDEX, breaks=st.booleans())
--- a/src/beryljunction/fuzz/sidecars.py
+++ b/src/beryljunction/fuzz/sidecars.py
@@ -1,5 +1,6 @@
 """A sidecar without sockets: the real systems, wired as the shell wires them."""
 
+import random
 from collections.abc import Callable
 
 import attrs
@@ -114,7 +115,7 @@
         self.ledger = TicketLedger(mint, endpoint_id, incarnation, clock(), limits.ledger)
         self.tombstones = TombstoneSystem(endpoint_id, incarnation, clock(), limits.tombstones)
         self.claims = ClaimSystem(incarnation, limits.claims)
-        self.admission = AdmissionSystem(limits.admission)
+        self.admission = AdmissionSystem(limits.admission, rng=random.Random(0))
 
     @property
     def now_s(self) -> float:
--- a/src/beryljunction/fuzz/world.py
+++ b/src/beryljunction/fuzz/world.py
@@ -15,6 +15,7 @@
 ENDPOINTS = ("ledger-0", "ledger-1", "ledger-2")
 ENTRIES = ("entry-0", "entry-1")
 _TICK_S = 1.0
+_OUTAGE_S = 30.0
 _LOG = "log"
 
 
@@ -36,6 +37,7 @@
         self._starts = itertools.count()
         self._mint = TicketMint(b"fuzz", lambda: f"s{next(self._serials)}")
         self._paused: dict[str, list[Message]] = {}
+        self._failed: dict[str, float] = {}
         for endpoint_id in ENDPOINTS:
             self.start(endpoint_id)
         for name in ENTRIES:
@@ -52,16 +54,22 @@
         asked = self.oracle.begin(operation, account, body, self.now_s)
         self.entries[entry].ask(asked)
 
-    def new_operation(self, entry: str, kind: Kind, streamed: bool) -> Operation:
+    def new_operation(self, kind: Kind, streamed: bool) -> Operation:
         """Return something new that a caller wants done."""
         number = len(self.operations)
         operation = Operation(number, kind, "federation", f"note {number}", streamed)
         if kind is Kind.TICKET:
-            operation.ticket = self.entries[entry].fetch_ticket(operation.account)
+            operation.ticket = self._fetch_ticket(operation.account)
             operation.kind = kind if operation.ticket is not None else Kind.PRIVATE
         self.operations.append(operation)
         return operation
 
+    def _fetch_ticket(self, account: str) -> str | None:
+        for endpoint_id, sidecar in self.sidecars.items():
+            if endpoint_id not in self._paused:
+                return sidecar.ledger.mint(account, sidecar.now_s)
+        return None
+
     def deliver(self, message: Message) -> None:
         """Hand a message to whichever process is there now."""
         target = message.target
@@ -78,6 +86,7 @@
 
     def tick(self) -> None:
         """Let every process that is not paused look at the time and its log."""
+        self._recover()
         for endpoint_id, sidecar in self.sidecars.items():
             if endpoint_id not in self._paused:
                 sidecar.tick(self._records(endpoint_id))
@@ -135,6 +144,7 @@
         """Kill a sidecar; its memory is gone and its connections break."""
         sidecar = self.sidecars.pop(endpoint_id, None)
         self._paused.pop(endpoint_id, None)
+        self._failed[endpoint_id] = self.now_s
         if sidecar is None:
             return
         for job in sidecar.unfinished:
@@ -145,6 +155,7 @@
         """Stop a process; what comes for it lies in its sockets."""
         if name in self.sidecars or name in self.entries:
             self._paused.setdefault(name, [])
+            self._failed[name] = self.now_s
 
     def wake(self, name: str, timers_first: bool) -> None:
         """Let a paused process go on."""
@@ -159,6 +170,7 @@
         """Begin a planned stop."""
         if endpoint_id in self.sidecars:
             self.sidecars[endpoint_id].drain()
+            self._failed[endpoint_id] = self.now_s
 
     def stop_if_idle(self, endpoint_id: str) -> None:
         """End a planned stop once nothing is in flight, by the sidecar's own count."""
@@ -188,6 +200,11 @@
             self.sidecars.__contains__,
         )
 
+    def fail_log(self) -> None:
+        """Let the log go down."""
+        self.is_log_up = False
+        self._failed[_LOG] = self.now_s
+
     def list_says(self, entry: str, endpoint_id: str, state: EndpointState | None) -> None:
         """Let one entry's list show an endpoint in some state, or not at all."""
         table = self.entries[entry].endpoints
@@ -207,6 +224,21 @@
         self.run(rounds=40, step_s=1.0)
         self.oracle.settled()
 
+    def _recover(self) -> None:
+        """Let the platform put right what has failed for long: most faults end by themselves."""
+        for name, since_s in list(self._failed.items()):
+            if self.now_s - since_s < _OUTAGE_S:
+                continue
+            del self._failed[name]
+            if name == _LOG:
+                self.is_log_up = True
+            elif name in self._paused:
+                self.wake(name, timers_first=True)
+            elif name in self.sidecars:
+                self.stop_if_idle(name)
+            if name in ENDPOINTS:
+                self.start(name)
+
     def _tick_one(self, name: str) -> None:
         if name in self.sidecars:
             self.sidecars[name].tick(self._records(name))
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -16,10 +16,17 @@
 from beryljunction.sidecar.readers import serve_reader
 from beryljunction.sidecar.runs import Run, RunTable
 from beryljunction.sidecar.writers import Writer
+from beryljunction.stops import Stoppable
 from beryljunction.streams import FrameLog, StreamName
-from beryljunction.systems import AdmissionLimits, AdmissionSystem, Refuse
+from beryljunction.systems import (
+    AdmissionLimits,
+    AdmissionSystem,
+    LoadSystem,
+    PointerSystem,
+    Refuse,
+)
 from beryljunction.tables import Work
-from beryljunction.timeline import Timeline
+from beryljunction.timeline import HLC_HEADER, Timeline
 from beryljunction.watches import WatchList
 from beryljunction.wire import (
     ATTACH_PATH,
@@ -27,10 +34,12 @@
     DRAIN_PATH,
     ENVELOPE_HEADER,
     FLEET_KEY_HEADER,
+    MOVED_PATH,
     RUN_PATH,
     STATUS_PATH,
     Attach,
     Cancel,
+    ChatMoved,
     Drain,
     Envelope,
     SidecarStatus,
@@ -60,7 +69,7 @@
 Handler = Callable[[Call], Awaitable[None]]
 
 
-class SidecarApp:
+class SidecarApp(Stoppable):
     """ASGI application of a sidecar; decisions are left to its systems.
 
     Args:
@@ -76,19 +85,25 @@
         self.file = file
         self.incarnation = uuid.uuid4().hex[:12]
         self.timeline = Timeline(file.process.host, file.process.availability_zone)
-        self.admission = AdmissionSystem(AdmissionLimits())
+        self.admission = AdmissionSystem(
+            AdmissionLimits(),
+            LoadSystem(file.endpoint_id, self.incarnation),
+            PointerSystem(file.endpoint_id),
+        )
         self.runs = RunTable()
         self.watches = WatchList()
         self._pool = client_pool()
         self._group: anyio.abc.TaskGroup | None = None
         self._fleet_key = file.process.fleet_key.encode()
-        self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address)
+        speed = self.admission.load.speed
+        self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address, speed)
         self.routes: dict[str, Handler] = {
             RUN_PATH: self._handle_run,
             ATTACH_PATH: self._handle_attach,
             CANCEL_PATH: self._handle_cancel,
             DRAIN_PATH: self._handle_drain,
             STATUS_PATH: self._handle_status,
+            MOVED_PATH: self._handle_moved,
             **(routes or {}),
         }
         self.apply(view)
@@ -124,7 +139,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request of another process of the fleet."""
         headers = dict(scope["headers"])
-        writer = Writer(send, self.incarnation)
+        self.timeline.clock.heard_stamp(headers.get(HLC_HEADER))
+        writer = Writer(send, self.incarnation, self.timeline.clock)
         handler = self.routes.get(scope["path"])
         if not hmac.compare_digest(headers.get(FLEET_KEY_HEADER, b""), self._fleet_key):
             refusal = Refusal(RefusalCode.UNAUTHENTICATED, "expected the fleet's key", Ran.NO)
@@ -144,6 +160,9 @@
         """Take no new work; what was admitted goes on."""
         self.admission.leaving = True
 
+    async def hand_over(self) -> None:
+        """Hand over nothing yet: chat pointers come with their system."""
+
     @property
     def _service(self) -> ServiceSettings:
         return self.view.services[self.file.service]
@@ -179,9 +198,12 @@
             message = "this try arrived after its sender was told that it did not run"
             return Refusal(RefusalCode.CANCELLED, message, Ran.NO)
         known = self.runs.get(envelope.request_id)
-        if known is not None:
+        refused_after_wait = known is not None and known.refused_unrun
+        if known is not None and not refused_after_wait:
             return known
-        decision = self.admission.offer(_work_of(envelope), time.monotonic())
+        now_s = time.monotonic()
+        self.admission.load.merge(envelope.loads, now_s)
+        decision = self.admission.offer(_work_of(envelope), now_s)
         if isinstance(decision, Refuse):
             return decision.refusal
         run = Run(envelope, body, FrameLog(self._log_bytes(envelope)))
@@ -258,6 +280,16 @@
         self.timeline.add("drain", detail=str(drain.leaving))
         await call.writer.done(encode(self.status()))
 
+    async def _handle_moved(self, call: Call) -> None:
+        try:
+            moved = decode(await call.body(), ChatMoved)
+        except ValueError as error:
+            await call.writer.refuse(Refusal(RefusalCode.BAD_REQUEST, str(error), Ran.NO), "")
+            return
+        pointers = self.admission.pointers
+        pointers.placed(moved.chat_key, moved.endpoint_id, moved.tokens, time.monotonic())
+        await call.writer.done()
+
     async def _handle_status(self, call: Call) -> None:
         await call.writer.done(encode(self.status()))
 
@@ -327,4 +359,6 @@
         idempotent=envelope.idempotent,
         warm=envelope.warm,
         last_resort=envelope.last_resort,
+        only_if_warm=envelope.only_if_warm,
+        ignore_pointer=envelope.ignore_pointer,
     )
--- a/src/beryljunction/sidecar/endpoint.py
+++ b/src/beryljunction/sidecar/endpoint.py
@@ -9,6 +9,7 @@
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.sidecar.runs import Answer, Run
 from beryljunction.streams import FrameCutter, FrameNumberer, StreamName
+from beryljunction.systems import SpeedMeter
 from beryljunction.watches import Watch, WatchList
 
 __all__ = ["EndpointClient"]
@@ -35,6 +36,7 @@
 
     Args:
         address: Base URL of the endpoint.
+        speed: Counts the frames that the endpoint sends.
 
     Attributes:
         silence_s: Silence of an open stream after which it is resumed on a new connection.
@@ -47,7 +49,9 @@
         pool: httpcore.AsyncConnectionPool,
         watches: WatchList,
         address: str,
+        speed: SpeedMeter | None = None,
     ) -> None:
+        self._speed = speed if speed is not None else SpeedMeter()
         self._pool = pool
         self._watches = watches
         self._address = address
@@ -134,6 +138,7 @@
             if frames:
                 # A slow caller holds this up; that is not the endpoint's silence.
                 watch.paused = True
+                self._speed.note(len(frames))
                 await run.add_frames(frames)
                 watch.paused = False
             watch.heard()
--- a/src/beryljunction/standins/__init__.py
+++ b/src/beryljunction/standins/__init__.py
@@ -1,21 +1,29 @@
 """Small stand-ins for the platform and for endpoints, for the demo, tests and measurements."""
 
-from beryljunction.standins.engine import EngineModel, EngineStandIn
+from beryljunction.standins.engine import EngineStandIn
+from beryljunction.standins.faults import EngineFaults, HostListFaults
+from beryljunction.standins.hosts import HostListModel, HostListStandIn
 from beryljunction.standins.log import LogModel, LogModelSettings, LogStandIn, ModelLogClient
+from beryljunction.standins.model import CacheChange, EngineModel
 from beryljunction.standins.orders import EngineOrdersModel, answer_engine_orders
 from beryljunction.standins.plain import PlainStandIn
 from beryljunction.standins.weights import WeightStandIn, WeightStoreModel
 
 __all__ = [
-    "EngineOrdersModel",
-    "WeightStandIn",
-    "WeightStoreModel",
-    "answer_engine_orders",
+    "CacheChange",
+    "EngineFaults",
     "EngineModel",
+    "EngineOrdersModel",
     "EngineStandIn",
+    "HostListFaults",
+    "HostListModel",
+    "HostListStandIn",
     "LogModel",
     "LogModelSettings",
     "LogStandIn",
     "ModelLogClient",
     "PlainStandIn",
+    "WeightStandIn",
+    "WeightStoreModel",
+    "answer_engine_orders",
 ]
--- a/src/beryljunction/tables/peers.py
+++ b/src/beryljunction/tables/peers.py
@@ -4,24 +4,16 @@
 
 import attrs
 
+from beryljunction.loads import LoadRow
+
 __all__ = ["PeerLoad", "PeerTable"]
 
 
-@attrs.define
+@attrs.frozen
 class PeerLoad:
-    """Load of one endpoint as its own sidecar reported it.
-
-    Attributes:
-        sequence: Grows with each report of one incarnation; an older row never replaces a newer.
-        heard_s: Monotonic time here when this row last got newer.
-    """
-
-    endpoint_id: str
-    incarnation: str
-    sequence: int
-    running: int
-    waiting: int
-    work_tokens: int
+    """A peer's newest row; ``heard_s`` is the monotonic time here at which it got newer."""
+
+    row: LoadRow
     heard_s: float
 
 
@@ -41,13 +33,13 @@
         """Return the newest row of an endpoint."""
         return self._rows.get(endpoint_id)
 
-    def merge(self, row: PeerLoad) -> bool:
+    def merge(self, row: LoadRow, now_s: float) -> bool:
         """Keep the row if it is newer than the one known; say whether it was."""
         known = self._rows.get(row.endpoint_id)
-        same = known is not None and known.incarnation == row.incarnation
-        if known is not None and same and known.sequence >= row.sequence:
+        same = known is not None and known.row.incarnation == row.incarnation
+        if known is not None and same and known.row.sequence >= row.sequence:
             return False
-        self._rows[row.endpoint_id] = row
+        self._rows[row.endpoint_id] = PeerLoad(row, now_s)
         return True
 
     def forget(self, endpoint_id: str) -> None:
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -12,6 +12,7 @@
 import attrs
 import cattrs
 
+from beryljunction.loads import LoadRow
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 
 __all__ = [
@@ -21,6 +22,7 @@
     "ENVELOPE_HEADER",
     "FLEET_KEY_HEADER",
     "INCARNATION_HEADER",
+    "MOVED_PATH",
     "OUTCOME_HEADER",
     "PEERS_PATH",
     "REQUEST_ID_HEADER",
@@ -29,12 +31,15 @@
     "TICKET_PATH",
     "Attach",
     "Cancel",
+    "ChatMoved",
     "Drain",
     "Envelope",
     "Outcome",
     "SidecarStatus",
     "decode",
+    "decode_rows",
     "encode",
+    "encode_rows",
     "refusal_body",
     "refusal_from_body",
 ]
@@ -45,6 +50,7 @@
 INCARNATION_HEADER = b"beryl-incarnation"
 REQUEST_ID_HEADER = b"beryl-request-id"
 RUN_PATH = "/beryl/v1/run"
+MOVED_PATH = "/beryl/v1/moved"
 ATTACH_PATH = "/beryl/v1/attach"
 CANCEL_PATH = "/beryl/v1/cancel"
 TICKET_PATH = "/beryl/v1/ticket"
@@ -65,6 +71,7 @@
 )
 
 _converter = cattrs.Converter(omit_if_default=True)
+_row_converter = cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
 
 
 class Outcome(enum.StrEnum):
@@ -98,6 +105,7 @@
         method: HTTP method at the endpoint.
         path: Path and query at the endpoint.
         headers: Caller's headers that the endpoint gets.
+        loads: Loads of the endpoints that refused this request just now.
         ticket: Ticket that the request runs under; None for idempotent requests.
     """
 
@@ -113,6 +121,9 @@
     streamed: bool = False
     warm: bool = False
     last_resort: bool = False
+    only_if_warm: bool = False
+    ignore_pointer: bool = False
+    loads: tuple[LoadRow, ...] = ()
     method: str = "POST"
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
@@ -174,6 +185,19 @@
     kept: int
 
 
+@attrs.frozen
+class ChatMoved:
+    """What an entry tells a chat's home when a later candidate took the chat.
+
+    Attributes:
+        tokens: Length of the prefix that the endpoint now holds.
+    """
+
+    chat_key: int
+    endpoint_id: str
+    tokens: int
+
+
 def encode(message: Any) -> bytes:
     """Return an attrs message as compact JSON; fields that hold their default are left out."""
     plain = _converter.unstructure(message)
@@ -207,8 +231,23 @@
     """Return the refusal in an error body; what can't be read proves nothing, so it is unknown."""
     try:
         fields = json.loads(data)["error"]
-        for extra in ("request_id", "type", "param"):
-            fields.pop(extra, None)
-        return Refusal(RefusalCode(fields.pop("code")), ran=Ran(fields.pop("ran")), **fields)
-    except (ValueError, KeyError, TypeError, AttributeError):
+        return _converter.structure(fields, Refusal)
+    except (cattrs.BaseValidationError, ValueError, KeyError, TypeError):
         return Refusal(RefusalCode.OUTCOME_UNKNOWN, "unreadable answer", Ran.UNKNOWN)
+
+
+def encode_rows(rows: list[LoadRow]) -> bytes:
+    """Return load rows as JSON arrays without names, which would be most of their bytes."""
+    return json.dumps([attrs.astuple(row) for row in rows], separators=(",", ":")).encode()
+
+
+def decode_rows(data: bytes) -> list[LoadRow]:
+    """Return the load rows in JSON bytes.
+
+    Raises:
+        ValueError: When the bytes are not JSON or do not fit.
+    """
+    try:
+        return [_row_converter.structure(row, LoadRow) for row in json.loads(data)]
+    except (cattrs.BaseValidationError, KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"expected load rows, got {data[:80]!r}: {error}") from error
