--- a/src/beryljunction/sidecar/writers.py
+++ b/src/beryljunction/sidecar/writers.py
@@ -4,8 +4,10 @@
 
 from beryljunction.outcomes import Refusal, RefusalCode
 from beryljunction.servers import Send
+from beryljunction.streams import StreamName
+from beryljunction.tables import Answer, Stamp
 from beryljunction.timeline import HLC_HEADER, HybridClock
-from beryljunction.wire import INCARNATION_HEADER, OUTCOME_HEADER, Outcome, refusal_body
+from beryljunction.wire import OUTCOME_HEADER, STAMP_HEADER, STREAM_HEADER, Outcome, refusal_body
 
 __all__ = ["Writer"]
 
@@ -27,10 +29,11 @@
 
     Attributes:
         send: Where the answer goes; frames of an open stream are written to it directly.
+        stamp: This sidecar's name and time; entries copy it onto what they send.
     """
 
     send: Send
-    incarnation: str
+    stamp: Stamp
     clock: HybridClock
 
     async def refuse(self, refusal: Refusal, request_id: str) -> None:
@@ -46,13 +49,15 @@
         """Answer a control message."""
         await self._whole(200, Outcome.DONE, [_JSON], body)
 
-    async def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+    async def answer(self, answer: Answer) -> None:
         """Pass on an endpoint's own answer."""
-        await self._whole(status, Outcome.ANSWER, headers, body)
+        kept = [(key, value) for key, value in answer.headers if key != b"content-length"]
+        await self._whole(answer.status, Outcome.ANSWER, kept, answer.body)
 
-    async def open_stream(self) -> None:
+    async def open_stream(self, name: StreamName) -> None:
         """Write the head of a stream."""
-        await self._head(200, Outcome.STREAM, _EVENT_STREAM)
+        headers = [*_EVENT_STREAM, (STREAM_HEADER, str(name).encode())]
+        await self._head(200, Outcome.STREAM, headers)
 
     async def _whole(
         self, status: int, outcome: Outcome, headers: list[tuple[bytes, bytes]], body: bytes
@@ -65,7 +70,7 @@
     ) -> None:
         own = [
             (OUTCOME_HEADER, outcome.encode()),
-            (INCARNATION_HEADER, self.incarnation.encode()),
+            (STAMP_HEADER, self.stamp.to_text().encode()),
             (HLC_HEADER, self.clock.stamp()),
         ]
         await self.send(
