--- a/src/beryljunction/entry/router.py
+++ b/src/beryljunction/entry/router.py
@@ -260,10 +260,14 @@
         heard = self._sidecars.heard(endpoint)
         # What was heard before a byte went out: only the incarnation that got it can prove "no".
         stamp = heard.stamp.to_text() if heard is not None else ""
+        age_s = heard.age_s if heard is not None else 0.0
         attach = Attach(
-            envelope.request_id, envelope.account, heard=stamp, attempt=envelope.attempt
+            envelope.request_id,
+            envelope.account,
+            heard=stamp,
+            attempt=envelope.attempt,
+            heard_age_s=age_s,
         )
-        age_s = heard.age_s if heard is not None else 0.0
         envelope = attrs.evolve(envelope, heard=stamp, heard_age_s=age_s)
         silence_s = self.view.services[envelope.service].silence_s
         caller.put(ROUTE_HINT_HEADER, endpoint.endpoint_id.encode())
--- a/src/beryljunction/fuzz/entries.py
+++ b/src/beryljunction/fuzz/entries.py
@@ -219,7 +219,7 @@
             ticket=ticket,
             key=operation.key if ticket is None else None,
             candidates=tuple(others) if operation.is_shared else (),
-            last_resort=row.is_last_resort,
+            last_resort=row.is_last_resort or operation.ticket is not None,
         )
         self._call(row, call)
 
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -242,7 +242,8 @@
     def _accept(self, envelope: Envelope, body: bytes) -> Run | Answer | Refusal:
         """Return the run to read, a new one or one under way already, an answer or a refusal."""
         heard = Stamp.from_text(envelope.heard)
-        arrival = self.tombstones.arrive(_try_id(envelope), heard, boot_time_s())
+        try_id = _try_id(envelope)
+        arrival = self.tombstones.arrive(try_id, heard, envelope.heard_age_s, boot_time_s())
         if arrival in _NOT_TAKEN:
             return _NOT_TAKEN[arrival]
         known = self.runs.get(envelope.request_id)
@@ -317,7 +318,7 @@
             message = "expected a stream that is still kept; it ended, or never was here"
             return Refusal(RefusalCode.NOT_FOUND, message, Ran.UNKNOWN)
         heard = Stamp.from_text(attach.heard)
-        asked = self.tombstones.ask(_try_id(attach), heard, boot_time_s())
+        asked = self.tombstones.ask(_try_id(attach), heard, attach.heard_age_s, boot_time_s())
         if asked is Asked.NOT_RUN:
             message = "the request never arrived here and will be refused if it does"
             return Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.NO)
@@ -333,7 +334,7 @@
         run = self.runs.get(cancel.request_id)
         if run is None:
             stamp = self.tombstones.stamp(boot_time_s())
-            self.tombstones.ask(_try_id(cancel), stamp, boot_time_s())
+            self.tombstones.ask(_try_id(cancel), stamp, 0.0, boot_time_s())
         elif run.envelope.account == cancel.account and run.ended_s is None:
             self._hang_up(run)
         await call.writer.done()
--- a/src/beryljunction/sidecar/ledger.py
+++ b/src/beryljunction/sidecar/ledger.py
@@ -42,7 +42,8 @@
         return Refusal(
             refusal.code,
             refusal.message,
-            Ran.NO,
+            # Another try may have followed a successor that was named before this step.
+            Ran.NO if burned.fresh or burned.successor is None else Ran.UNKNOWN,
             refusal.retry_after_s,
             successor=burned.successor,
             pointer=refusal.pointer,
--- a/src/beryljunction/systems/ticket_attempts.py
+++ b/src/beryljunction/systems/ticket_attempts.py
@@ -77,6 +77,8 @@
             return self._follow(refusal.successor)
         if refusal.code is RefusalCode.TICKET_INVALID and self._minted is not None:
             return self._mint_again(refusal, self._minted)
+        if refusal.code is RefusalCode.STALE_STAMP:
+            return self._send_again(refusal, ticket)
         if refusal.code is not RefusalCode.ENDPOINT_FAILED or refusal.ran is not Ran.NO:
             return self._after_doubt(refusal, ticket)
         if not self._in_doubt and self._left:
@@ -105,6 +107,18 @@
         self._minted = None
         return GiveUp(refusal) if self._in_doubt else Mint(endpoint)
 
+    def _send_again(self, refusal: Refusal, ticket: str | None) -> TicketStep:
+        """Send again under the stamp that came with the refusal.
+
+        The sidecar has not looked at the ticket. Of a ticket that others may hold, its "not run"
+        says nothing.
+        """
+        if ticket is not None and self._repeats < _MOST_REPEATS:
+            self._repeats += 1
+            return UseTicket(ticket)
+        ran = Ran.UNKNOWN if self._in_doubt else refusal.ran
+        return GiveUp(attrs.evolve(refusal, ran=ran))
+
     def _after_doubt(self, refusal: Refusal, ticket: str | None) -> TicketStep:
         may_repeat = refusal.code is RefusalCode.OUTCOME_UNKNOWN and ticket is not None
         if not may_repeat or self._repeats >= _MOST_REPEATS:
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -156,6 +156,7 @@
 
     Attributes:
         heard: Stamp of this sidecar that the entry had heard when it sent the run; empty for none.
+        heard_age_s: Seconds from hearing it to sending the run.
         after: Sequence of the last frame that was seen; 0 for none.
         resume: Asked for by a caller with an event id, not by the entry that sent the run; it
             proves nothing about a run that is on its way, so it leaves no tombstone.
@@ -167,6 +168,7 @@
     after: int = 0
     attempt: int = 0
     resume: bool = False
+    heard_age_s: float = 0.0
 
 
 @attrs.frozen
--- a/testing/test_sidecar.py
+++ b/testing/test_sidecar.py
@@ -25,6 +25,7 @@
 def note(app, ticket=None, request_id="r1", **fields):
     """Return a request that may not run twice, under a ticket."""
     ticket = ticket or app.tickets.mint("jury", boot_time_s())
+    fields.setdefault("heard", heard(app))
     return Envelope(
         request_id, "jury", "drafter", wait_s=10.0, idempotent=False, ticket=ticket, **fields
     )
