--- a/src/beryljunction/sidecar/keeper.py
+++ b/src/beryljunction/sidecar/keeper.py
@@ -4,6 +4,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
@@ -47,6 +48,18 @@
 }
 
 
+def _not_taken(arrival: Arrival, envelope: Envelope) -> Refusal:
+    """Refuse a try that the tombstones do not let in.
+
+    Of the ticket it says nothing, which was not looked at: an earlier try may have run, and a "no"
+    for this one would deny that. So its sender is to send again under a fresh stamp.
+    """
+    refusal = _NOT_TAKEN[arrival]
+    if envelope.idempotent or refusal.ran is not Ran.NO:
+        return refusal
+    return attrs.evolve(refusal, code=RefusalCode.STALE_STAMP)
+
+
 class RunKeeper:
     """Takes requests, runs them at the endpoint and keeps their answers for their readers.
 
@@ -116,7 +129,7 @@
         try_id = _try_id(envelope)
         arrival = self.tombstones.arrive(try_id, heard, envelope.heard_age_s, boot_time_s())
         if arrival in _NOT_TAKEN:
-            return _NOT_TAKEN[arrival]
+            return _not_taken(arrival, envelope)
         known = self.runs.get(envelope.request_id)
         if known is not None and not known.refused_unrun:
             return known
--- a/src/beryljunction/systems/__init__.py
+++ b/src/beryljunction/systems/__init__.py
@@ -33,7 +33,6 @@
     rendezvous_score,
 )
 from beryljunction.systems.pointers import PointerSystem
-from beryljunction.systems.proof import RanProof
 from beryljunction.systems.queueing import FairQueue
 from beryljunction.systems.rates import DrainMeter
 from beryljunction.systems.retries import RetryBudget
@@ -98,7 +97,6 @@
     "Mismatch",
     "PlacementQuery",
     "PlacementSystem",
-    "RanProof",
     "PointerSystem",
     "Refuse",
     "Replay",
--- a/testing/test_sidecar.py
+++ b/testing/test_sidecar.py
@@ -82,6 +82,23 @@
         assert runs_after_late == []
         assert event_data(second.content) == path.engine.answer()
 
+    async def test_leaves_the_ticket_of_a_buried_try_unjudged(self):
+        # A fee confirmation runs; the caller's second try under its ticket is buried before it
+        # arrives. Its refusal must not say that nothing under the ticket ran.
+        async with path_of() as path:
+            path.engine = ScriptedEngine(hold_at=0)
+            app = await path.sidecar(path.engine)
+            first = note(app)
+            await start(path, first, b"{}")
+
+            await path.tell(ATTACH_PATH, Attach("r2", "jury", heard(app)))
+            buried = await path.run(note(app, first.ticket, "r2"), b"{}")
+            path.engine.release.set()
+            again = await path.run(note(app, first.ticket, "r2", attempt=1), b"{}")
+
+        assert error_of(buried)["code"] == "stale_stamp"
+        assert (again.content, path.engine.runs) == (b'{"whole": true}', ["r1"])
+
     @pytest.mark.parametrize("known", ["", "drafter-0/gone/0"], ids=["none", "earlier-life"])
     async def test_says_unknown_when_it_can_not_prove_more(self, known):
         # The sidecar started anew since the entry sent the request: the earlier life may have run
--- a/testing/test_ticket_attempts.py
+++ b/testing/test_ticket_attempts.py
@@ -71,6 +71,22 @@
         attempts.first()
         assert isinstance(attempts.after(failed(ran), "t1"), GiveUp)
 
+    @pytest.mark.parametrize(
+        ("ticket", "ran"),
+        [pytest.param(None, Ran.NO, id="own"), pytest.param("theirs", Ran.UNKNOWN, id="callers")],
+    )
+    def test_stale_stamp_is_sent_again_and_proves_nothing_of_a_callers_ticket(self, ticket, ran):
+        # The sidecar refuses the try before it looks at the ticket, three times. The caller's own
+        # earlier try under the ticket may have run, so "no" may be said of an own ticket only.
+        attempts = TicketAttempts([FIRST, SECOND], ticket)
+        attempts.first()
+        stale = failed(Ran.NO, RefusalCode.STALE_STAMP)
+
+        steps = [attempts.after(stale, ticket or "t1") for _ in range(3)]
+
+        assert steps[:2] == [UseTicket(ticket or "t1")] * 2
+        assert steps[2].refusal.ran is ran
+
     def test_no_endpoint_is_told_at_once(self):
         step = TicketAttempts([], None).first()
         assert step.refusal.ran is Ran.NO
