--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -9,7 +9,9 @@
 import attrs
 import defopt
 
+from beryljunction.bench.policy import policy
 from beryljunction.bench.relay import RelayLoad, measure_relay
+from beryljunction.bench.report import report
 from beryljunction.bench.settings_cost import (
     RaceShares,
     measure_races,
@@ -88,8 +90,10 @@
 
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
+    policy,
     relay,
     settings,
+    report,
     slopes,
 ]
 
--- a/src/beryljunction/standins/log.py
+++ b/src/beryljunction/standins/log.py
@@ -23,7 +23,7 @@
     ReadFailed,
     ReadOutcome,
 )
-from beryljunction.servers import Receive, Scope, Send, read_body, respond
+from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 
 __all__ = ["LogModel", "LogModelSettings", "LogStandIn", "ModelLogClient"]
 
@@ -147,7 +147,10 @@
         elif scope["method"] == "POST":
             await self._append(match[1], body, send)
         else:
-            await self._read(match[1], scope["query_string"].decode(), send)
+            async with anyio.create_task_group() as group:
+                group.start_soon(wait_disconnect, receive, group.cancel_scope)
+                await self._read(match[1], scope["query_string"].decode(), send)
+                group.cancel_scope.cancel()
 
     async def _append(self, stream: str, body: bytes, send: Send) -> None:
         record = json.loads(body)
