--- a/src/beryljunction/bench/slopes/state.py
+++ b/src/beryljunction/bench/slopes/state.py
@@ -120,7 +120,7 @@
     def build(self, count: int) -> object:
         tombstones = TombstoneSystem("drafter-0", "incarnation-0", 0.0)
         for i in range(count):
-            tombstones.arrive(f"{i:032x}", tombstones.stamp(0.0), 0.001 * i)
+            tombstones.arrive(f"{i:032x}", tombstones.stamp(0.0), 0.0, 0.001 * i)
         return tombstones
 
 
--- a/src/beryljunction/entry/tries.py
+++ b/src/beryljunction/entry/tries.py
@@ -41,10 +41,14 @@
             heard = None
         # What was heard before a byte went out: only the incarnation that got it can prove "no".
         stamp = heard.stamp.to_text() if heard is not None else ""
+        age_s = heard.age_s if heard is not None else 0.0
         attach = Attach(
-            envelope.request_id, envelope.account, heard=stamp, attempt=envelope.attempt
+            envelope.request_id,
+            envelope.account,
+            heard=stamp,
+            attempt=envelope.attempt,
+            heard_age_s=age_s,
         )
-        age_s = heard.age_s if heard is not None else 0.0
         envelope = attrs.evolve(envelope, heard=stamp, heard_age_s=age_s)
         caller.put(ROUTE_HINT_HEADER, endpoint.endpoint_id.encode())
         exchange.relay = Relay(self._sidecars, endpoint, attach, caller, silence_s)
