Attach on a connection that is truly new

The attach took an idle connection out of the pool, and whatever loses track of one connection loses track of the idle ones too; after three of them the answer was given up. After a failure the idle connections to that sidecar (or engine) are closed first. The test (12 idle connections frozen together with the stream's) failed before (answer_incomplete) and passes now.

Ruled out: a connection outside the pool for each attach; the requests that follow would still meet the silent idle ones, three seconds each.

--- a/src/beryljunction/entry/relays.py
+++ b/src/beryljunction/entry/relays.py
@@ -101,6 +101,8 @@
             if self._failures >= _MAX_FAILURES:
                 self._suspect()
                 return await self._fail(self._given_up())
+            if step.failed:
+                await self._client.drop_idle(self.endpoint)
             await anyio.sleep(_BACKOFF_S * self._failures)
             step = await self._attach_once()
         if isinstance(step, Refusal):
--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -11,6 +11,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Refusal
+from beryljunction.servers import drop_idle
 from beryljunction.streams import StreamName
 from beryljunction.systems import MembershipSystem
 from beryljunction.tables import Endpoint, Stamp
@@ -124,6 +125,10 @@
         """Take in that nothing came through to a sidecar."""
         self._membership.note_failure(endpoint.endpoint_id, time.monotonic())
 
+    async def drop_idle(self, endpoint: Endpoint) -> None:
+        """Give up the idle connections to a sidecar that one of them has failed."""
+        await drop_idle(self._pool, f"http://{endpoint.address}")
+
     def avoid(self, endpoint: Endpoint) -> None:
         """Ask a leaving endpoint last for some seconds; the host list says if it is for longer.
 
--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -23,6 +23,7 @@
     "Server",
     "bind",
     "client_pool",
+    "drop_idle",
     "read_body",
     "respond",
     "wait_disconnect",
@@ -179,6 +180,20 @@
     )
 
 
+async def drop_idle(pool: httpcore.AsyncConnectionPool, base_url: str) -> None:
+    """Close a pool's idle connections to a server that has gone silent on one.
+
+    What lost track of that connection has mostly lost track of all that were open. An idle one that
+    is used again would be silent too, so the next try would not be on a new connection at all.
+    """
+    plain = httpcore.URL(base_url).origin
+    secure = httpcore.Origin(b"https", plain.host, plain.port)
+    for connection in tuple(pool.connections):
+        is_there = connection.can_handle_request(plain) or connection.can_handle_request(secure)
+        if is_there and connection.is_idle():
+            await connection.aclose()
+
+
 async def read_body(receive: Receive, limit_bytes: int, limit_s: float = 60.0) -> bytes | None:
     """Read a request's body; None when it is too long or too slow, or the caller hung up."""
     with anyio.move_on_after(limit_s):
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -198,6 +198,28 @@
         assert event_data(body) == engine.answer()
         assert (len(engine.runs), path.hole.connections) == (1, 2)
 
+    async def test_idle_connections_that_went_silent_too_are_not_used(self):
+        # Whatever lost track of the stream's connection has lost track of the idle ones as well.
+        # Each that was tried in its place would be silent, and after three the answer given up.
+        async with path_of() as path:
+            engine = ScriptedEngine()
+            app = await path.sidecar(engine, proxy=True)
+            entry = await path.entry()
+            async with anyio.create_task_group() as group:
+                for _ in range(12):
+                    group.start_soon(ask, path, entry)
+            engine.hold_at = 3
+            async with path.pool.stream(
+                "POST", entry + CHAT, headers=[AUTH], content=chat()
+            ) as answer:
+                request_id = dict(answer.headers)[b"beryl-request-id"].decode()
+                await eventually(lambda: app.runs.get(request_id).log.last == 3)
+                path.hole.freeze()
+                engine.release.set()
+                body = await answer.aread()
+
+        assert event_data(body) == engine.answer()
+
     async def test_silence_before_the_answer_is_no_second_run(self):
         async with path_of() as path:
             engine = ScriptedEngine(hold_at=0)
