--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -24,6 +24,7 @@
     measure_slopes,
     print_slopes,
 )
+from beryljunction.bench.ticks import tick
 from beryljunction.errors import BerylError
 
 __all__ = ["main"]
@@ -109,10 +110,11 @@
 _BENCHES: list[Callable[..., int]] = [
     policy,
     relay,
-    settings,
     report,
+    settings,
     slopes,
     capacity,
+    tick,
 ]
 
 
--- a/src/beryljunction/sidecar/keeper.py
+++ b/src/beryljunction/sidecar/keeper.py
@@ -4,6 +4,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
@@ -47,6 +48,18 @@
 }
 
 
+def _not_taken(arrival: Arrival, envelope: Envelope) -> Refusal:
+    """Refuse a try that the tombstones do not let in.
+
+    Of the ticket it says nothing, which was not looked at: an earlier try may have run, and a "no"
+    for this one would deny that. So its sender is to send again under a fresh stamp.
+    """
+    refusal = _NOT_TAKEN[arrival]
+    if envelope.idempotent or refusal.ran is not Ran.NO:
+        return refusal
+    return attrs.evolve(refusal, code=RefusalCode.STALE_STAMP)
+
+
 class RunKeeper:
     """Takes requests, runs them at the endpoint and keeps their answers for their readers.
 
@@ -113,9 +126,10 @@
     def accept(self, envelope: Envelope, body: bytes) -> Run | Answer | Refusal:
         """Return the run to read, a new one or one under way already, an answer or a refusal."""
         heard = Stamp.from_text(envelope.heard)
-        arrival = self.tombstones.arrive(_try_id(envelope), heard, boot_time_s())
+        try_id = _try_id(envelope)
+        arrival = self.tombstones.arrive(try_id, heard, envelope.heard_age_s, boot_time_s())
         if arrival in _NOT_TAKEN:
-            return _NOT_TAKEN[arrival]
+            return _not_taken(arrival, envelope)
         known = self.runs.get(envelope.request_id)
         if known is not None and not known.refused_unrun:
             return known
@@ -181,7 +195,7 @@
             message = "expected a stream that is still kept; it ended, or never was here"
             return Refusal(RefusalCode.NOT_FOUND, message, Ran.UNKNOWN)
         heard = Stamp.from_text(attach.heard)
-        asked = self.tombstones.ask(_try_id(attach), heard, boot_time_s())
+        asked = self.tombstones.ask(_try_id(attach), heard, attach.heard_age_s, boot_time_s())
         if asked is Asked.NOT_RUN:
             message = "the request never arrived here and will be refused if it does"
             return Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.NO)
@@ -193,7 +207,7 @@
         run = self.runs.get(cancel.request_id)
         if run is None:
             stamp = self.tombstones.stamp(boot_time_s())
-            self.tombstones.ask(_try_id(cancel), stamp, boot_time_s())
+            self.tombstones.ask(_try_id(cancel), stamp, 0.0, boot_time_s())
             return
         is_over = run.ended_s is not None or run.envelope.account != cancel.account
         if not is_over and run.may_be_cut and not run.envelope.streamed:
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -134,7 +134,9 @@
         if self.leaving:
             return self._refuse(work, RefusalCode.LEAVING, "the endpoint is leaving", None)
         if self.paused:
-            return self._refuse(work, RefusalCode.OVERLOADED, self.paused, _PAUSED_RETRY_S)
+            # Without its load, or it would look like the least loaded and be the last resort.
+            refusal = Refusal(RefusalCode.OVERLOADED, self.paused, Ran.NO, _PAUSED_RETRY_S)
+            return Refuse(work.request_id, refusal)
         moved = self._moved(work, now_s)
         if moved is not None:
             return moved
@@ -280,7 +282,8 @@
         while self._expiry and self._expiry[0][0] <= now_s:
             _, request_id = heapq.heappop(self._expiry)
             work = self.requests.get(request_id)
-            if work is None or work.started_s is not None:
+            # A request that was cancelled and offered here again has an older row in the heap too.
+            if work is None or work.started_s is not None or work.give_up_s > now_s:
                 continue
             self.finish(request_id)
             if self._last_start_s(work) <= now_s:
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -71,6 +71,7 @@
         self._spilled: list[Endpoint] = []
         self._followed = False
         self._maybe_ran = False
+        self._resorted = False
         self._pointer: str | None = None
         self._backup = candidates[1] if len(candidates) > 1 else None
         first = candidates[0] if candidates else None
@@ -105,6 +106,8 @@
             return self._follow(refusal, endpoint)
         if refusal.code in _PREVIOUS_HOME_CODES and self._left:
             return self._next(warm=True)
+        if refusal.code is RefusalCode.LEAVING and self._left:
+            return self._next()
         if refusal.code is RefusalCode.OVERLOADED:
             return self._spill(refusal, endpoint)
         if not self._left or not self._budget.spend():
@@ -155,8 +158,9 @@
             self._loads[refusal.load.endpoint_id] = refusal.load
         if self._left and len(self._spilled) <= _MOST_SPILLS:
             return self._next()
-        if not self._spilled:
+        if not self._spilled or self._resorted:
             return self._give_up(refusal)
+        self._resorted = True
         best = min(self._spilled, key=self._load_of)
         self._spilled.clear()
         self._left.clear()
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -41,6 +41,16 @@
 
         assert step.endpoint.endpoint_id == "e1"
 
+    def test_ends_when_the_last_resort_refuses_too(self):
+        # Every endpoint loads a model and refuses whatever comes. Asked again and again, the last
+        # resort would keep the entry in an endless walk.
+        walk = attempts(2)
+        walk.first()
+
+        steps = [walk.after(overloaded(i % 2, 5), ROWS[i % 2]) for i in range(3)]
+
+        assert [type(step) for step in steps] == [Try, Try, GiveUp]
+
     def test_costs_no_retry_budget(self):
         walk = attempts()
         walk.first()
@@ -49,6 +59,19 @@
         assert walk.retries == 0
 
 
+class TestLeaving:
+    def test_costs_no_retry_budget_however_many_endpoints_leave(self):
+        # A rack is drained. The lists of the entries lag, so its endpoints refuse for seconds; paid
+        # for from the budget, callers would be refused while the rest of the fleet has room.
+        walk = attempts()
+        walk.first()
+
+        steps = [walk.after(refusal(RefusalCode.LEAVING), row) for row in ROWS[:6]]
+
+        assert all(isinstance(step, Try) for step in steps)
+        assert walk.retries == 0
+
+
 class TestRetries:
     def test_stop_when_the_budget_is_empty(self):
         walk = attempts()
--- /dev/null
+++ b/testing/test_fuzz_answers.py
@@ -0,0 +1,210 @@
+import re
+
+import attrs
+import pytest
+
+from beryljunction.fuzz import CI, ENDPOINTS, FleetMachine, Kind, run_fuzz
+from beryljunction.fuzz.machine import SidecarFault
+from beryljunction.outcomes import Ran
+from beryljunction.streams import SequenceChecker
+from beryljunction.systems import (
+    AdmissionSystem,
+    Asked,
+    ClaimSystem,
+    ForwardClock,
+    KeyWon,
+    Run,
+    TicketLedger,
+    TombstoneSystem,
+)
+from beryljunction.systems.ticket_attempts import TicketAttempts
+from beryljunction.tables import TicketState
+
+
+class TestFuzz:
+    def test_every_promise_holds(self):
+        tally = run_fuzz(CI)
+
+        assert tally.violations == []
+        assert tally.examples >= CI.examples
+
+
+class TestFoundHistories:
+    """Histories that the fuzz failed on once, replayed as they were found."""
+
+    def test_message_older_than_its_sidecar_is_not_started(self):
+        # A keyed request lies in the network for 12 s while every sidecar is replaced. Its caller
+        # has been told "unknown". The new sidecar, which has no older memory, took it for new by
+        # the time of its arrival and started it.
+        fleet = FleetMachine()
+        fleet.begin(is_tight=False, entry="entry-0", kind=Kind.KEY, rounds=0)
+        fleet.advance(12.0)
+        fleet.sidecar_fault(ENDPOINTS, SidecarFault.REPLACED, 0.0)
+        fleet.go_on(10)
+
+        fleet.teardown()
+
+        assert fleet.world.oracle.violations == []
+
+    def test_entry_that_was_silent_for_long_still_gets_its_request_run(self):
+        # An entry that had not heard a sidecar for longer than tombstones live was refused with
+        # "unknown", since the age of its stamp was taken for that of its request.
+        fleet = FleetMachine()
+        fleet.begin(is_tight=False, entry="entry-0", kind=Kind.IDEMPOTENT, rounds=10)
+        fleet.advance(300.0)
+        fleet.ask_new("entry-0", Kind.IDEMPOTENT, streamed=False, rounds=10)
+
+        fleet.teardown()
+
+        assert [asked.ran for asked in fleet.world.oracle.asked] == [Ran.YES, Ran.YES]
+
+
+def forget_incarnation(patch):
+    patch.setattr(TicketLedger, "_is_ours", lambda self, stamp: True)
+
+
+def name_successors_twice(patch):
+    real = TicketLedger.burn
+
+    def burn(self, serial, account, candidates=()):
+        self._row(serial).successor = None
+        return real(self, serial, account, candidates)
+
+    patch.setattr(TicketLedger, "burn", burn)
+
+
+def start_after_the_deadline(patch):
+    def start(self, serial, now_s):
+        self._row(serial).state = TicketState.RUNNING
+        return True
+
+    patch.setattr(TicketLedger, "start", start)
+
+
+def count_the_deadline_from_arrival(patch):
+    patch.setattr(
+        ForwardClock, "sent_ms", lambda self, issued_ms, age_s, now_s: self.read_ms(now_s)
+    )
+
+
+def take_any_body(patch):
+    real = TicketLedger._claim_again
+
+    def claim_again(self, row, ask):
+        row.body_digest = ask.digest
+        return real(self, row, ask)
+
+    patch.setattr(TicketLedger, "_claim_again", claim_again)
+
+
+def run_a_joined_ticket_again(patch):
+    real = TicketLedger.claim
+
+    def claim(self, text, ask, now_s):
+        claimed = real(self, text, ask, now_s)
+        ticket = self._mint.read(text)
+        row = self.table.get(ticket.serial) if ticket else None
+        if row is not None and row.state is TicketState.RUNNING:
+            row.state = TicketState.CLAIMED
+            return Run(ticket.serial)
+        return claimed
+
+    patch.setattr(TicketLedger, "claim", claim)
+
+
+def win_keys_without_reading(patch):
+    real = ClaimSystem.tick
+
+    def tick(self, now_s):
+        won = [(row.request_id, KeyWon(row.claim.ticket)) for row in self._pending.values()]
+        self._pending.clear()
+        return won or real(self, now_s)
+
+    patch.setattr(ClaimSystem, "tick", tick)
+
+
+def replace_tickets_in_doubt(patch):
+    real = TicketAttempts.after
+
+    def after(self, refusal, ticket):
+        self._in_doubt = False
+        return real(self, refusal, ticket)
+
+    patch.setattr(TicketAttempts, "after", after)
+
+
+def pass_on_frames_twice(patch):
+    real = SequenceChecker._take
+
+    def take(self, frame):
+        sequence, _ = self._position(frame)
+        return real(self, frame) or (sequence is not None and sequence <= self.last)
+
+    patch.setattr(SequenceChecker, "_take", take)
+
+
+def take_work_while_leaving(patch):
+    real = AdmissionSystem.offer
+
+    def offer(self, work, now_s):
+        leaving, self.leaving = self.leaving, False
+        decision = real(self, work, now_s)
+        self.leaving = leaving
+        return decision
+
+    patch.setattr(AdmissionSystem, "offer", offer)
+
+
+def leave_no_tombstone(patch):
+    def ask(self, request_id, heard, age_s, now_s):
+        return Asked.NOT_RUN if self._rows.get(request_id) is None else Asked.SEEN
+
+    patch.setattr(TombstoneSystem, "ask", ask)
+
+
+def burn_what_may_have_run(patch):
+    def fail(self, serial, refusal):
+        self._row(serial).state = TicketState.BURNED
+
+    patch.setattr(TicketLedger, "fail", fail)
+
+
+def pass_on_frames_after_a_gap(patch):
+    real = SequenceChecker._take
+
+    def take(self, frame):
+        sequence, _ = self._position(frame)
+        self.last = max(self.last, (sequence or 0) - 1)
+        return real(self, frame)
+
+    patch.setattr(SequenceChecker, "_take", take)
+
+
+REMOVED = [
+    (forget_incarnation, "ran twice|told no"),
+    (name_successors_twice, "ran twice|told no"),
+    (start_after_the_deadline, "after its deadline"),
+    (count_the_deadline_from_arrival, "after its deadline"),
+    (take_any_body, "expected one of"),
+    (run_a_joined_ticket_again, "ran twice|told no"),
+    (win_keys_without_reading, "ran twice|told no"),
+    (replace_tickets_in_doubt, "ran twice|told no"),
+    (pass_on_frames_twice, "expected one of"),
+    (leave_no_tombstone, "called not run, but ran|told no"),
+    (burn_what_may_have_run, "ran twice|told no"),
+    (pass_on_frames_after_a_gap, "expected one of"),
+    (take_work_while_leaving, "took new work"),
+]
+
+
+class TestSafeguards:
+    @pytest.mark.parametrize(
+        ("remove", "expected"), [pytest.param(*row, id=row[0].__name__) for row in REMOVED]
+    )
+    def test_fuzz_finds_a_removed_safeguard(self, remove, expected, monkeypatch):
+        remove(monkeypatch)
+
+        found = run_fuzz(attrs.evolve(CI, shrinks=False)).violations
+
+        assert found
+        assert re.search(expected, found[0])
