--- a/src/beryljunction/entry/tries.py
+++ b/src/beryljunction/entry/tries.py
@@ -14,11 +14,6 @@
 __all__ = ["Tries"]
 
 
-# A sidecar takes a request under an old stamp for one that was sent back then, and refuses it when
-# that is longer ago than it remembers. Without a stamp it is taken, and "not run" is never said.
-_FRESH_STAMP_S = 60.0
-
-
 class Tries:
     """Carries tries out, whatever decided on them."""
 
@@ -37,8 +32,6 @@
         """Offer the request to an endpoint; None when the caller has its answer."""
         caller = exchange.caller
         heard = self._sidecars.heard(endpoint)
-        if heard is not None and heard.age_s > _FRESH_STAMP_S:
-            heard = None
         # What was heard before a byte went out: only the incarnation that got it can prove "no".
         stamp = heard.stamp.to_text() if heard is not None else ""
         age_s = heard.age_s if heard is not None else 0.0
