--- a/src/beryljunction/systems/ticket_attempts.py
+++ b/src/beryljunction/systems/ticket_attempts.py
@@ -14,6 +14,10 @@
 # A try under the same ticket is harmless, its sidecar knows what became of the first. Two more
 # bridge a broken connection; a sidecar that is gone is not worth longer.
 _MOST_REPEATS = 2
+# Refusals that burned the ticket before anything ran. Without a successor the chain ends there, as
+# it does for an entry that has just started and has heard of no other sidecar: its caller would get
+# a "not run" while others have room.
+_BURNED = frozenset((RefusalCode.LEAVING, RefusalCode.OVERLOADED, RefusalCode.QUEUE_FULL))
 # Sidecars that can't be reached cost a second each; when four can't, the rest of the caller's time
 # is better spent elsewhere.
 _MOST_MINTS = 4
@@ -83,12 +87,12 @@
             return self._mint_again(refusal, self._minted)
         if refusal.code is RefusalCode.STALE_STAMP:
             return self._send_again(refusal, ticket)
+        if refusal.code in _BURNED and refusal.ran is Ran.NO and not self._in_doubt:
+            return self._mint_next(refusal)
         if refusal.code is not RefusalCode.ENDPOINT_FAILED or refusal.ran is not Ran.NO:
             return self._after_doubt(refusal, ticket)
-        if not self._in_doubt and self._left and self._mints < _MOST_MINTS:
-            return self._mint(self._left.pop(0))
         if not self._in_doubt:
-            return GiveUp(refusal)
+            return self._mint_next(refusal)
         message = "the ticket's sidecar can't be reached; an earlier try under it may have run"
         return self._after_doubt(Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN), ticket)
 
@@ -99,6 +103,12 @@
         self._minted = None
         return UseTicket(successor, last_resort=self._hops == _MOST_HOPS)
 
+    def _mint_next(self, refusal: Refusal) -> TicketStep:
+        """Go on under a new ticket; the one before is this entry's alone and never ran."""
+        if self._left and self._mints < _MOST_MINTS:
+            return self._mint(self._left.pop(0))
+        return GiveUp(refusal)
+
     def _mint(self, endpoint: Endpoint) -> Mint:
         self._minted = endpoint
         self._mints += 1
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -377,6 +377,21 @@
         assert len(engines[0].runs) == gone
         assert len(engines[1].runs) + gone == before + 6
 
+    async def test_entry_that_has_heard_of_nobody_goes_past_a_leaving_endpoint(self):
+        # An entry has just started and places its first calls at a sidecar that leaves. It has no
+        # stamp of another sidecar to name as successor, so the ticket is burned without one. The
+        # caller must not get a "not run" while the other endpoint has room.
+        async with path_of() as path:
+            engines = [ScriptedEngine(), ScriptedEngine()]
+            sidecars = [await path.sidecar(engine, "ledger") for engine in engines]
+            sidecars[0].refuse_new()
+
+            entries = [await path.entry() for _ in range(6)]
+            answers = [await ask(path, one, "/services/ledger/n", body=b"{}") for one in entries]
+
+        assert [answer.status for answer in answers] == [200] * 6
+        assert [len(engine.runs) for engine in engines] == [0, 6]
+
     async def test_ticket_of_another_service_does_not_run(self):
         async with path_of() as path:
             engine = ScriptedEngine()
--- a/testing/test_ticket_attempts.py
+++ b/testing/test_ticket_attempts.py
@@ -90,3 +90,20 @@
     def test_no_endpoint_is_told_at_once(self):
         step = TicketAttempts([], None).first()
         assert step.refusal.ran is Ran.NO
+
+    @pytest.mark.parametrize(
+        "code", [RefusalCode.LEAVING, RefusalCode.OVERLOADED, RefusalCode.QUEUE_FULL]
+    )
+    def test_own_ticket_that_was_burned_without_successor_is_replaced(self, code):
+        attempts = TicketAttempts([FIRST, SECOND], None)
+        attempts.first()
+
+        assert attempts.after(failed(Ran.NO, code), "t1") == Mint(SECOND)
+
+    def test_callers_ticket_that_was_burned_without_successor_is_not_replaced(self):
+        # Another entry may be walking the same chain: a ticket minted here would be a second one.
+        attempts = TicketAttempts([FIRST, SECOND], "theirs")
+        attempts.first()
+        burned = failed(Ran.NO, RefusalCode.LEAVING)
+
+        assert attempts.after(burned, "theirs") == GiveUp(burned)
