--- a/src/beryljunction/systems/claims.py
+++ b/src/beryljunction/systems/claims.py
@@ -66,7 +66,7 @@
     """Claims that share one append.
 
     Attributes:
-        batch_id: Unique; an append whose answer was lost is repeated under the same id.
+        batch_id: Unique over all processes and their starts.
     """
 
     batch_id: str
@@ -149,17 +149,14 @@
     sure_s: float
     behind: "_Held | None" = None
 
-    @property
-    def last(self) -> "_Held":
-        """The newest claim on the same key."""
+    def queue(self, other: "_Held") -> None:
+        """Put a later claim behind this one; another copy of a claim changes nothing."""
         row = self
-        while row.behind is not None:
+        while row.ticket != other.ticket:
+            if row.behind is None:
+                row.behind = other
+                return
             row = row.behind
-        return row
-
-    def has(self, ticket: str) -> bool:
-        """Whether this claim or one behind it names the ticket."""
-        return self.ticket == ticket or (self.behind is not None and self.behind.has(ticket))
 
 
 @attrs.define
@@ -173,8 +170,8 @@
     """Claims on one stream of the log: batches out, records in, verdicts out.
 
     A verdict comes from reading alone. An append's answer says nothing that the log doesn't, so a
-    lost answer needs no case of its own: the batch is appended again under its id, and of two
-    copies the second claims nothing.
+    lost answer needs no case of its own: claims that still wait are appended again in a later
+    batch, and of two copies of a claim the second claims nothing.
     """
 
     def __init__(self, name: str, limits: ClaimLimits | None = None) -> None:
@@ -284,8 +281,7 @@
         """
         first = self._held.get(claim.key)
         if first is not None:
-            if not first.has(claim.ticket):
-                first.last.behind = _Held(claim.body, claim.ticket, until_s, 0.0)
+            first.queue(_Held(claim.body, claim.ticket, until_s, 0.0))
             return
         if len(self._held) >= self.limits.max_keys:
             # A key that was not remembered would look new. So none counts as new until the
