--- a/src/beryljunction/engines/orders.py
+++ b/src/beryljunction/engines/orders.py
@@ -59,6 +59,7 @@
 _ENGINE_ORDERS_PATH = "/v1/orders"
 _ANSWER_S = 2.0
 _READ_BACK_S = 1.0
+_AFTER_ORDER_S = 0.05
 _ROW_LIFE_S = 15.0
 # A decision that waited longer than this before it was carried out (the process was paused) is
 # made anew: what the others said is no longer true.
@@ -170,15 +171,23 @@
         self._rollout = RolloutSystem(endpoint_id)
         self._heard = OrderRowTable()
         self._state: EngineState | None = None
+        self._ordered = 0
 
     async def run(self) -> None:
         """Work until cancelled."""
         while True:
+            orders = self._ordered
             await self.step()
-            await anyio.sleep(_READ_BACK_S * (0.75 + 0.5 * self._rng.random()))
+            # A load that needs no time is seen at once, so that the endpoint serves again.
+            pause_s = _READ_BACK_S if self._ordered == orders else _AFTER_ORDER_S
+            await anyio.sleep(pause_s * (0.75 + 0.5 * self._rng.random()))
 
     async def step(self) -> None:
         """Read back, decide, and order at most one thing."""
+        if self._wanted() is None:
+            # A plain service is never asked: it would take the question for a call.
+            self.reason = f"the settings name no models for {self._service}"
+            return
         state = await self._engine.state()
         if isinstance(state, NoEngine):
             self._state, self.reason = None, state.reason
@@ -189,7 +198,6 @@
             return
         wanted = self._wanted()
         if wanted is None:
-            self.reason = f"the settings have no service {self._service}"
             return
         decided_s = self._now_s()
         step = self._orders.decide(wanted, state, decided_s)
@@ -219,8 +227,11 @@
         self._heard.put(row, self._now_s())
 
     def _wanted(self) -> Wanted | None:
-        view = self._view()
-        return wanted_of(view, self._service) if self._service in view.services else None
+        """Return what the settings want, if they know the service and it is an engine's."""
+        service = self._view().services.get(self._service)
+        if service is None or service.kind != "engine" or not service.models:
+            return None
+        return wanted_of(self._view(), self._service)
 
     def _serves(self, wanted: Wanted, state: EngineState) -> bool:
         return state.serves(wanted) and self.phase in (Phase.SERVING, Phase.INTENDS)
@@ -268,6 +279,7 @@
         if self._now_s() - decided_s > _STALE_S:
             self.reason = "paused between reading back and ordering; reading back again"
             return
+        self._ordered += 1
         outcome = await self._engine.order(order)
         if isinstance(outcome, OrderRefused):
             self._orders.ordered(self._now_s(), refused=True)
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -72,10 +72,12 @@
 
     async def add_endpoint(self, endpoint_id: str, service: str) -> LocalEndpoint:
         """Start an endpoint with its sidecar and put it on the host list."""
-        kind = self.view.services[service].kind
-        app, server = await start_endpoint(self._group, kind, _FREE_PORT)
+        settings = self.view.services[service]
+        app, server = await start_endpoint(self._group, settings.kind, _FREE_PORT)
         if isinstance(app, PlainStandIn):
             self.plain_services.append(app)
+        else:
+            app.orders.models = dict.fromkeys(settings.models, settings.model_version)
         process = await self._process(f"host-{endpoint_id}", len(self.endpoints))
         file = SidecarFile(process, endpoint_id, service, f"http://{server.address}")
         node = Node.sidecar(file, FleetView())
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -1,5 +1,6 @@
 """The life of one process: listeners, host list, settings, and a stop that cuts nothing."""
 
+import contextlib
 import functools
 import signal
 import ssl
@@ -9,11 +10,13 @@
 import anyio
 import anyio.abc
 
+from beryljunction.engines import OrderRunner
 from beryljunction.logs import EventLog
 from beryljunction.metrics import MeteredApp, Metrics
 from beryljunction.node.front import FleetFront
 from beryljunction.node.hosts import HostFollower
 from beryljunction.node.operator import operator_app
+from beryljunction.node.orders import order_routes, order_runner
 from beryljunction.node.roles import EntryRole, NodeRole, NodeStatus, SidecarRole
 from beryljunction.node.traffic import CountingBackend
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
@@ -59,12 +62,14 @@
         self._leaving = False
         self._stopping = anyio.Event()
         self._pools = {name: self._pool(name) for name in ("hosts", "log", "fleet")}
+        self._pools["engine"] = client_pool()
         role.timeline.listen(EventLog(process.log_sample_ratio))
         role.timeline.listen(self.metrics.count_event)
         hosts = HttpHostList(self._pools["hosts"], process.hosts_address)
         self.hosts = HostFollower(hosts, role.take_hosts, role.timeline)
         self.settings = SettingsReader(process.region)
         self._follower = self._settings_follower(process)
+        self.orders = self._order_runner(role)
         self.requests = Server(
             self._front(process), bind(process.listen), self._tls.server if self._tls else None
         )
@@ -105,6 +110,8 @@
         self._leaving = leaving
         self.role.timeline.add("draining" if leaving else "undrained")
         self.role.drain(leaving)
+        if self.orders is not None:
+            self.orders.leaving = leaving
 
     def stop(self) -> None:
         """Drain, finish what is in flight and end; a second call changes nothing."""
@@ -137,6 +144,8 @@
             background.start_soon(self.hosts.run)
         if process.log_address:
             background.start_soon(self._follower.run)
+            if self.orders is not None:
+                background.start_soon(self.orders.run)
         if self._tls is not None:
             background.start_soon(self._tls.follow, self.role.timeline)
 
@@ -169,7 +178,9 @@
 
     async def _keep_pools(self, *, task_status: Any) -> None:
         """Close the pools when the process ends."""
-        async with self._pools["hosts"], self._pools["log"], self._pools["fleet"]:
+        async with contextlib.AsyncExitStack() as pools:
+            for pool in self._pools.values():
+                await pools.enter_async_context(pool)
             task_status.started()
             await anyio.sleep_forever()
 
@@ -186,6 +197,13 @@
         log = HttpLogClient(process.log_address, self._pools["log"])
         return SettingsFollower(self.settings, log, self._apply, peers)
 
+    def _order_runner(self, role: NodeRole) -> OrderRunner | None:
+        if not isinstance(role, SidecarRole):
+            return None
+        return order_runner(
+            role.file, role.sidecar, lambda: self._view, self.hosts.view, self._pools
+        )
+
     def _apply(self, view: FleetView) -> None:
         self._view = view
         self.role.apply(view)
@@ -203,7 +221,9 @@
         async def show_settings(scope: Scope, receive: Receive, send: Send) -> None:
             await answer_settings(self.settings, scope, send)
 
-        routes = {SETTINGS_PATH: show_settings}
+        routes: dict[str, Asgi] = {SETTINGS_PATH: show_settings}
+        if self.orders is not None:
+            routes |= order_routes(self.orders)
         metered = MeteredApp(self.role.app, self.metrics)
         return FleetFront(metered, process.fleet_key, routes, self._refusal, self._count_answer)
 
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -87,6 +87,7 @@
     Attributes:
         weights: Weight of each client account; one for those not named.
         leaving: Set for good when the endpoint is to get no new work.
+        loading: Set while the engine is to get no new work because it loads a model (issue 6).
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         self.pointers = pointers if pointers is not None else PointerSystem()
         self.weights: dict[str, float] = {}
         self.leaving = False
+        self.loading = False
         self._rng = rng if rng is not None else random.Random()
         self._drain = DrainMeter()
         self._expiry: list[tuple[float, str]] = []
@@ -128,6 +130,9 @@
         """Decide on a request that has just arrived."""
         if self.leaving:
             return self._refuse(work, RefusalCode.LEAVING, "the endpoint is leaving", None)
+        if self.loading:
+            message = "the engine is loading a model; another endpoint serves"
+            return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
         moved = self._moved(work, now_s)
         if moved is not None:
             return moved
--- a/src/beryljunction/systems/rollout.py
+++ b/src/beryljunction/systems/rollout.py
@@ -106,7 +106,7 @@
         kept = len(serving) - sum(row.serves for row in before)
         if interrupts and kept < limits.min_serving:
             return Stay(f"{kept} others would serve; min_serving is {limits.min_serving}")
-        if now_s - self._intends_since_s < _SETTLE_S:
+        if interrupts and now_s - self._intends_since_s < _SETTLE_S:
             return Stay("announced; others are being heard")
         return Go()
 
--- a/testing/test_fuzz_settings.py
+++ b/testing/test_fuzz_settings.py
@@ -670,4 +670,4 @@
         remove(monkeypatch)
 
         with pytest.raises((AssertionError, ExceptionGroup)):
-            run_histories(EXAMPLES, (Phase.generate,))
+            run_histories(4 * EXAMPLES, (Phase.generate,))
--- /dev/null
+++ b/testing/test_node_orders.py
@@ -0,0 +1,41 @@
+import time
+
+import anyio
+
+from beryljunction.local import LocalFleet, demo_view
+from beryljunction.settings import Edit
+from beryljunction.settings.operating import OperatorSession
+from beryljunction.standins import ModelLogClient
+from beryljunction.systems.publishing import InForce
+
+LIMIT_S = 60.0
+
+
+class TestWiredOrders:
+    def test_a_published_version_reaches_engines_and_plain_services_are_left_alone(self):
+        async def run():
+            async with anyio.create_task_group() as group:
+                fleet = LocalFleet(group, demo_view())
+                engines = [
+                    (await fleet.add_endpoint(f"drafter-{i}", "drafter")).app for i in (0, 1)
+                ]
+                ledger = (await fleet.add_endpoint("ledger-0", "ledger")).app
+                await fleet.settle()
+                session = OperatorSession(ModelLogClient(fleet.log, time.monotonic), "asha")
+                await session.look()
+                answer = await session.publish((Edit("service.drafter.model_version", "v2"),))
+                with anyio.fail_after(LIMIT_S):
+                    while {e.orders.models.get("drafter") for e in engines} != {"v2"}:
+                        await anyio.sleep(0.05)
+                sidecar = fleet.endpoints["drafter-0"].node
+                with anyio.fail_after(LIMIT_S):
+                    while sidecar.role.sidecar.admission.loading:
+                        await anyio.sleep(0.05)
+                await fleet.close()
+                group.cancel_scope.cancel()
+            return answer, ledger.runs
+
+        answer, ledger_runs = anyio.run(run)
+
+        assert isinstance(answer, InForce)
+        assert ledger_runs == []
