--- a/src/beryljunction/engines/orders.py
+++ b/src/beryljunction/engines/orders.py
@@ -172,6 +172,7 @@
         self._heard = OrderRowTable()
         self._state: EngineState | None = None
         self._ordered = 0
+        self._asked = False
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -189,6 +190,7 @@
             self.reason = f"the settings name no models for {self._service}"
             return
         state = await self._engine.state()
+        self._asked = True
         if isinstance(state, NoEngine):
             self._state, self.reason = None, state.reason
             return
@@ -209,6 +211,16 @@
             await self._drain_and_send(step, decided_s)
         self._gate.set_open(self._serves(wanted, state))
 
+    @property
+    def not_serving(self) -> str:
+        """Why the engine can't serve callers; empty when it does or takes no orders."""
+        wanted = self._wanted()
+        if wanted is None:
+            return ""
+        if self._state is None:
+            return "" if self._asked else "the engine was not asked yet what it holds"
+        return "" if self._serves(wanted, self._state) else f"the engine: {self.reason}"
+
     def row(self) -> OrderRow:
         """Return what to tell the others."""
         wanted, state = self._wanted(), self._state
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -100,6 +100,7 @@
             hosts_version=self.hosts.view.version,
             not_ready=self._not_ready(),
             in_flight=self.role.part.in_flight,
+            orders=self.orders.reason if self.orders is not None else "",
         )
         return self.role.status(common)
 
@@ -198,7 +199,8 @@
         return SettingsFollower(self.settings, log, self._apply, peers)
 
     def _order_runner(self, role: NodeRole) -> OrderRunner | None:
-        if not isinstance(role, SidecarRole):
+        """Return what keeps a sidecar's engine at the settings, where they come from the log."""
+        if not isinstance(role, SidecarRole) or not role.process.log_address:
             return None
         return order_runner(
             role.file, role.sidecar, lambda: self._view, self.hosts.view, self._pools
@@ -244,7 +246,7 @@
             return "no host list yet"
         if not self._view.services:
             return "no settings yet"
-        return ""
+        return self.orders.not_serving if self.orders is not None else ""
 
     def _add_gauges(self) -> None:
         gauges = {
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -37,6 +37,7 @@
         in_flight: Requests that are not over here.
         running: Requests that run at the endpoint.
         waiting: Requests that wait for the endpoint.
+        orders: What the sidecar does about the models of its engine, and why.
     """
 
     role: str
@@ -52,6 +53,7 @@
     in_flight: int = 0
     running: int = 0
     waiting: int = 0
+    orders: str = ""
 
 
 class NodeRole(abc.ABC):
