--- a/src/beryljunction/cli/settings.py
+++ b/src/beryljunction/cli/settings.py
@@ -3,7 +3,6 @@
 Exit codes: 0 done, 1 refused or different, 2 not valid, 3 outcome unknown, 4 the log is down.
 """
 
-import os
 import pathlib
 import time
 import tomllib
@@ -14,6 +13,7 @@
 import attrs
 import tomli_w
 
+from beryljunction.cli.asking import CONFIG
 from beryljunction.cli.settings_output import (
     EXIT_OK,
     EXIT_REFUSED,
@@ -28,7 +28,8 @@
     tables_of,
     value_text,
 )
-from beryljunction.errors import SettingsError
+from beryljunction.errors import PlatformUnavailableError, SettingsError
+from beryljunction.node import OperatorClient
 from beryljunction.platform import HttpLogClient
 from beryljunction.servers import client_pool
 from beryljunction.settings.changes import Edit
@@ -46,7 +47,6 @@
 
 _IN_FORCE_S = 9.0
 _ASK_S = 0.25
-_CONFIG = pathlib.Path(os.environ.get("BERYL_CONFIG", "beryl.toml"))
 
 
 @attrs.frozen
@@ -56,6 +56,20 @@
     file: OperatorFile
     session: OperatorSession
     nodes: HttpPeers
+    fleet: OperatorClient | None
+
+    async def versions(self) -> dict[str, int | None]:
+        """Return the version in force at each process of the host list and each node named."""
+        versions = await self.nodes.versions()
+        if self.fleet is None:
+            return versions
+        try:
+            rows = await self.fleet.rows()
+        except PlatformUnavailableError:
+            return versions
+        answers = await self.fleet.status(rows)
+        found = {host: status.settings_version for host, status in answers.values.items()}
+        return {**versions, **dict.fromkeys(answers.failures), **found}
 
 
 def validate(tree: pathlib.Path, *, json: bool = False) -> int:
@@ -75,7 +89,7 @@
     return EXIT_OK
 
 
-def diff(tree: pathlib.Path, *, config: pathlib.Path = _CONFIG, json: bool = False) -> int:
+def diff(tree: pathlib.Path, *, config: pathlib.Path = CONFIG, json: bool = False) -> int:
     """Show how a TOML tree differs from what is in force; exit 1 when it does.
 
     :param tree: TOML file with the tree.
@@ -102,7 +116,7 @@
     *assignments: str,
     file: pathlib.Path | None = None,
     note: str = "",
-    config: pathlib.Path = _CONFIG,
+    config: pathlib.Path = CONFIG,
     json: bool = False,
 ) -> int:
     """Publish values, all of them or none.
@@ -126,7 +140,7 @@
     return _with_session(config, run, json)
 
 
-def unset(*paths: str, note: str = "", config: pathlib.Path = _CONFIG, json: bool = False) -> int:
+def unset(*paths: str, note: str = "", config: pathlib.Path = CONFIG, json: bool = False) -> int:
     """Let paths inherit again, all of them or none.
 
     :param paths: Paths, or scopes such as service.drafter for everything below them.
@@ -145,7 +159,7 @@
     return _with_session(config, run, json)
 
 
-def get(*paths: str, config: pathlib.Path = _CONFIG, json: bool = False) -> int:
+def get(*paths: str, config: pathlib.Path = CONFIG, json: bool = False) -> int:
     """Show the values in force at paths, inherited or not; without a path the tree as TOML.
 
     :param paths: For example region.gj-west.service.drafter.max_running.
@@ -166,7 +180,7 @@
     return _with_session(config, run, json)
 
 
-def explain(path: str, *, config: pathlib.Path = _CONFIG, json: bool = False) -> int:
+def explain(path: str, *, config: pathlib.Path = CONFIG, json: bool = False) -> int:
     """Show where the value in force at a path comes from.
 
     :param path: For example region.gj-west.service.drafter.max_running.
@@ -185,7 +199,7 @@
 
 
 def history(
-    *, id: str = "", limit: int = 20, config: pathlib.Path = _CONFIG, json: bool = False
+    *, id: str = "", limit: int = 20, config: pathlib.Path = CONFIG, json: bool = False
 ) -> int:
     """Show the changes that the log still keeps and what became of each.
 
@@ -213,7 +227,7 @@
     return _with_session(config, run, json, look=False)
 
 
-def watch(*, for_s: float = 0.0, config: pathlib.Path = _CONFIG, json: bool = False) -> int:
+def watch(*, for_s: float = 0.0, config: pathlib.Path = CONFIG, json: bool = False) -> int:
     """Print each change as it is judged, until interrupted.
 
     :param for_s: End after so many seconds; 0 does not end.
@@ -262,9 +276,11 @@
             log = HttpLogClient(file.log_address, pool)
             session = OperatorSession(log, file.operator, file.key)
             nodes = HttpPeers(lambda: file.nodes, session.reader, pool, file.fleet_key)
+            hosts = file.hosts_address
+            fleet = OperatorClient(pool, hosts) if hosts else None
             if look and not await session.look():
                 return print_log_down(json)
-            return await command(_Desk(file, session, nodes))
+            return await command(_Desk(file, session, nodes, fleet))
 
     try:
         return anyio.run(run)
@@ -289,7 +305,7 @@
     """Say on how many nodes the change is in force; waits for the last for some seconds."""
     began_s = time.monotonic()
     while True:
-        versions = await desk.nodes.versions()
+        versions = await desk.versions()
         reached = [n for n, v in versions.items() if v is not None and v >= answer.version]
         waited_s = time.monotonic() - began_s
         if len(reached) == len(versions) or waited_s > _IN_FORCE_S:
--- a/src/beryljunction/cli/settings_output.py
+++ b/src/beryljunction/cli/settings_output.py
@@ -100,6 +100,8 @@
     parts = [str(row["version"]), row["outcome"], row.get("operator", "-"), *edits]
     if "reason" in row:
         parts.append(f"({row['reason']})")
+    if row.get("note"):
+        parts.append(f"[{row['note']}]")
     return " ".join([*parts, f"change {row['change_id']}"])
 
 
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -9,6 +9,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from beryljunction.engines import OrderRunner
 from beryljunction.logs import EventLog
@@ -24,8 +25,10 @@
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool
 from beryljunction.settings import (
     SETTINGS_PATH,
+    Alarms,
     EntryFile,
     FleetView,
+    FollowSettings,
     HttpPeers,
     ProcessSettings,
     SettingsFollower,
@@ -196,7 +199,8 @@
             self._peer_addresses, self.settings, self._pools["fleet"], process.fleet_key
         )
         log = HttpLogClient(process.log_address, self._pools["log"])
-        return SettingsFollower(self.settings, log, self._apply, peers)
+        pace = FollowSettings(retention_s=process.log_retention_s)
+        return SettingsFollower(self.settings, log, self._apply, peers, pace)
 
     def _order_runner(self, role: NodeRole) -> OrderRunner | None:
         """Return what keeps a sidecar's engine at the settings, where they come from the log."""
@@ -259,6 +263,10 @@
         }
         for name, (documentation, field) in gauges.items():
             self.metrics.watch(name, documentation, _reader(self, field))
+        for alarm in attrs.fields(Alarms):
+            documentation = f"Alarm of the settings: {alarm.name.replace('_', ' ')}."
+            read = functools.partial(getattr, self.settings.alarms, alarm.name)
+            self.metrics.watch(f"beryl_settings_{alarm.name}", documentation, read)
 
 
 def _reader(node: Node, field: str) -> Callable[[], float]:
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -42,6 +42,7 @@
         log_address: Base URL of the platform's log service.
         hosts_address: Base URL of the platform's host list.
         log_sample_ratio: Share of requests whose ordinary events are logged.
+        log_retention_s: How long the log service keeps records; paces the snapshots.
     """
 
     host: str
@@ -54,6 +55,7 @@
     hosts_address: str
     tls: TlsSettings | None = None
     log_sample_ratio: float = 1.0
+    log_retention_s: float = 86_400.0
 
 
 @attrs.frozen
