--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -1,5 +1,6 @@
 """Sidecars as an entry calls them."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -11,6 +12,7 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Refusal
 from beryljunction.streams import StreamName
+from beryljunction.systems import MembershipSystem
 from beryljunction.tables import Endpoint, Stamp
 from beryljunction.timeline import HLC_HEADER, HybridClock
 from beryljunction.watches import Watch, WatchList
@@ -92,12 +94,14 @@
         watches: WatchList,
         fleet_key: str,
         clock: HybridClock,
+        membership: MembershipSystem,
     ) -> None:
         self._pool = pool
         self._watches = watches
         self._heard: dict[str, Heard] = {}
         self._key = (FLEET_KEY_HEADER, fleet_key.encode())
         self._clock = clock
+        self._membership = membership
 
     @asynccontextmanager
     async def run(
@@ -116,6 +120,17 @@
         async with self._open(endpoint, ATTACH_PATH, [], encode(attach), silence_s) as answer:
             yield answer
 
+    def note_failure(self, endpoint: Endpoint) -> None:
+        """Take in that nothing came through to a sidecar."""
+        self._membership.note_failure(endpoint.endpoint_id, time.monotonic())
+
+    def avoid(self, endpoint: Endpoint) -> None:
+        """Ask a leaving endpoint last for some seconds; the host list says if it is for longer.
+
+        Its word does not hold for good here, since an operator may undo a drain.
+        """
+        endpoint.suspect_until_s = time.monotonic() + self._membership.limits.suspect_s
+
     async def ticket(self, endpoint: Endpoint, account: str) -> str | None:
         """Fetch a ticket; None when the sidecar gave none. Asking again is harmless."""
         body = await self.tell(endpoint, TICKET_PATH, TicketWish(account))
@@ -131,6 +146,7 @@
     def _hear(self, endpoint: Endpoint, stamp: Stamp | None) -> None:
         if stamp is not None and stamp.endpoint_id == endpoint.endpoint_id:
             self._heard[endpoint.endpoint_id] = Heard(stamp, boot_time_s())
+            self._membership.note_answer(endpoint.endpoint_id, time.monotonic(), stamp.incarnation)
 
     async def claim(self, endpoint: Endpoint, wish: KeyWish) -> str | Refusal | None:
         """Settle an idempotency key; None when the sidecar did not answer."""
