--- a/testing/test_node_orders.py
+++ b/testing/test_node_orders.py
@@ -29,7 +29,7 @@
                         await anyio.sleep(0.05)
                 sidecar = fleet.endpoints["drafter-0"].node
                 with anyio.fail_after(LIMIT_S):
-                    while sidecar.role.sidecar.admission.loading:
+                    while sidecar.role.sidecar.admission.paused:
                         await anyio.sleep(0.05)
                 await fleet.close()
                 group.cancel_scope.cancel()
