--- a/src/beryljunction/settings/following.py
+++ b/src/beryljunction/settings/following.py
@@ -20,7 +20,7 @@
 
 _PAGE_RECORDS = 500
 _SNAPSHOTS_TRIED = 4
-_PEERS_ASKED = 2
+_PEERS_ASKED = 3
 
 
 class PeerSource(abc.ABC):
@@ -101,10 +101,15 @@
 
     async def step(self) -> float:
         """Read once and do what follows from it; return the pause before the next step."""
-        if self.reader.version == 0 or self.reader.needs_snapshot:
-            await self._take_newest_snapshot()
-        version = self.reader.version
-        page = await self._log.read(CHANGES_STREAM, version, _PAGE_RECORDS, self.settings.poll_s)
+        if self._failures:
+            await self._ask_peers()
+        is_cold = self.reader.version == 0 or self.reader.needs_snapshot
+        if is_cold and not await self._read_snapshots():
+            return await self._without_log()
+        # A log that takes connections and answers nothing holds each read for the wait and more;
+        # after a failure no wait is asked for, so that peers are heard sooner.
+        wait_s = 0.0 if self._failures else self.settings.poll_s
+        page = await self._log.read(CHANGES_STREAM, self.reader.version, _PAGE_RECORDS, wait_s)
         if isinstance(page, ReadFailed):
             return await self._without_log()
         if self.reader.take_page(page):
@@ -119,32 +124,39 @@
         return self.settings.pause_s * (1.0 + self._rng.random())
 
     async def _without_log(self) -> float:
-        """Ask peers, then back off with jitter, so that a log that returns is not overrun.
+        """Ask peers, then back off with jitter, so that a log that returns is not overrun."""
+        self.reader.caught_up = False
+        await self._ask_peers()
+        self._failures += 1
+        longest_s = min(self.settings.backoff_s, 0.1 * 2.0 ** min(self._failures, 10))
+        return longest_s * (0.5 + 0.5 * self._rng.random())
+
+    async def _ask_peers(self) -> None:
+        """Take a newer tree from any of some other nodes.
 
-        Each node asks two peers a round: the share of nodes that know the newest version about
-        triples each time, so some seven rounds reach 1,050 nodes from one.
+        Load: the log is down, perhaps silently, so that each read of it takes seconds, and one
+        node alone knows the newest version. Each node asks three peers before and after a read:
+        the share that knows about quadruples each time, so some six rounds reach 1,050 nodes.
         """
-        self.reader.caught_up = False
         for _ in range(_PEERS_ASKED):
             data = await self._peers.newer_than(self.reader.version)
             if data is not None:
                 self._take(data)
-        self._failures += 1
-        longest_s = min(self.settings.backoff_s, 0.1 * 2.0 ** min(self._failures, 10))
-        return longest_s * (0.5 + 0.5 * self._rng.random())
 
-    async def _take_newest_snapshot(self) -> None:
+    async def _read_snapshots(self) -> bool:
+        """Take the newest snapshot that can be read; False when the log did not answer."""
         page = await self._log.read(SNAPSHOTS_STREAM, 0, 1)
         if isinstance(page, ReadFailed):
-            return
+            return False
         oldest = max(page.first_offset, page.next_offset - _SNAPSHOTS_TRIED)
         for offset in range(page.next_offset - 1, oldest - 1, -1):
             one = await self._log.read(SNAPSHOTS_STREAM, offset - 1, 1)
             if isinstance(one, ReadFailed):
-                return
+                return False
             if one.records and self._take(one.records[0].data):
                 self._snapshot_offset = offset
-                return
+                break
+        return True
 
     async def _publish_snapshot(self) -> None:
         """Publish unless another node did since; a doubled snapshot says the same and is harmless.
--- a/testing/test_fuzz_settings.py
+++ b/testing/test_fuzz_settings.py
@@ -60,6 +60,7 @@
 # Long enough that no history loses every snapshot, which is beyond what the platform promises.
 FOLLOW = FollowSettings(poll_s=0.0, pause_s=1.0, retention_s=400.0)
 AGREE_S = 5.0
+SILENT_S = 2.0
 IN_FORCE_S = 9.0
 COUNTS = collections.Counter()
 LOADED_S = 120.0
@@ -156,8 +157,9 @@
 
     async def read(self, stream, after, limit=500, wait_s=0.0):
         await sleep(self.world.random.uniform(0.005, 0.05))
-        if self.node is not None and self.node.log_cut:
-            return ReadFailed("cut off")
+        if self.world.log.down or (self.node is not None and self.node.log_cut):
+            await sleep(self.world.random.uniform(0.0, SILENT_S))
+            return ReadFailed("no answer")
         page = self.world.log.read(stream, after, limit, self.world.scheduler.now_s)
         await sleep(self.world.random.uniform(0.005, 0.05))
         return page
@@ -168,7 +170,8 @@
         self.world, self.node = world, node
 
     async def newer_than(self, version):
-        other = self.world.nodes[self.world.random.choice(NODES)]
+        others = [name for name in NODES if name != self.node.name]
+        other = self.world.nodes[self.world.random.choice(others)]
         if self.node.peers_cut or other.peers_cut or other.owner in self.world.scheduler.paused:
             await sleep(0.5)
             return None
