--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -39,7 +39,8 @@
         self._sidecar.admission.paused = paused
 
     def running(self) -> int:
-        return self._sidecar.admission.requests.running_count
+        # What waits was admitted too and may start at any moment.
+        return len(self._sidecar.admission.requests)
 
 
 class SidecarRole(NodeRole):
@@ -53,6 +54,7 @@
         self.file = file
         self._service = ServiceSettings()
         self._peer_addresses: dict[str, str] = {}
+        self._region_addresses: dict[str, str] = {}
         self._drained = False
         self._listed_leaving = False
         self.sidecar = SidecarApp(file, self._with_service(view), tls=tools.tls)
@@ -92,6 +94,11 @@
             for row in rows
             if row.service == self.file.service and row.endpoint_id != self.file.endpoint_id
         }
+        # A roll-out is paced within a region: endpoints that don't answer count as loading, and a
+        # region that is cut off for an hour would stop every load in the others.
+        region = {row.endpoint_id for row in rows if row.region == self.process.region}
+        own = self._peer_addresses.items()
+        self._region_addresses = {key: address for key, address in own if key in region}
         self.exchange.set_peers(self._peer_addresses)
         _keep(self.sidecar.members, rows)
         for row in rows:
@@ -114,6 +121,7 @@
             incarnation=own.incarnation,
             running=own.running,
             waiting=own.waiting,
+            orders=self.orders.reason,
             not_ready=status.not_ready or self._not_ready(),
         )
 
@@ -134,7 +142,7 @@
             file.service,
             lambda: self.sidecar.view,
             HttpEngineControl(file.endpoint_address, self._engine_pool),
-            HttpOrderPeers(lambda: self._peer_addresses, tools.fleet, file.process.fleet_key),
+            HttpOrderPeers(lambda: self._region_addresses, tools.fleet, file.process.fleet_key),
             _AdmissionGate(self.sidecar),
         )
 
