--- a/testing/test_slopes.py
+++ b/testing/test_slopes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from beryljunction.bench.slopes import STATES, Point, fit, measure_state
+from beryljunction.bench.slopes import SIZES, STATES, Point, estimate, fit, measure_state
 from beryljunction.bench.slopes.usage import usage_of
 
 
@@ -37,3 +37,31 @@
 class TestUsage:
     def test_of_this_process_has_memory(self):
         assert usage_of(os.getpid()).resident_bytes > 0
+
+
+class TestEstimate:
+    def test_memory_at_a_size_counts_what_an_entry_knows_and_carries(self):
+        def line(subject, role, unit, per_unit=0.0, fixed=0.0):
+            return fit(subject, role, unit, [Point(x, fixed + per_unit * x) for x in range(4)])
+
+        units = ("resident_bytes", "idle_cpu_us_per_s", "control_bytes_per_s")
+        slopes = [line("endpoints known", "entry", unit, 1_000.0, 40e6) for unit in units]
+        slopes += [line("sidecars of the service", "sidecar", unit) for unit in units]
+        slopes += [line(state.subject, state.role, "bytes") for state in STATES]
+        slopes += [line("client accounts", "entry", "resident_bytes", 100.0)]
+        slopes += [
+            line("settings changes/s", "both", unit)
+            for unit in ("cpu_us_per_s", "control_bytes_per_s")
+        ]
+        for role in ("entry", "sidecar"):
+            slopes += [line("open streams", role, "resident_bytes", 50_000.0)]
+            for subject in ("frames/s", "idempotent requests/s", "ticketed requests/s"):
+                slopes += [line(subject, role, "cpu_us_per_s", 10.0)]
+        target = next(size for size in SIZES if size.name == "target")
+
+        rows = {(row.role, row.quantity): row.value for row in estimate(target, slopes)}
+
+        assert rows["entry", "open streams"] == pytest.approx(2_900_000 / 350 * 0.046)
+        assert rows["entry", "memory without open streams, MB"] == pytest.approx(40.735)
+        streams_mb = rows["entry", "open streams"] * 0.05
+        assert rows["entry", "memory with them, MB"] == pytest.approx(40.735 + streams_mb)
