Read a process's usage in one place for both measurements

Cause: the relay measurement and the slopes each read processor time and memory out of the kernel's files. Both now call bench.usage.usage_of. No figure changes: resident pages are what VmRSS counts.

--- a/src/beryljunction/bench/relay.py
+++ b/src/beryljunction/bench/relay.py
@@ -7,8 +7,6 @@
 
 import contextlib
 import json
-import os
-import pathlib
 import sys
 from collections.abc import AsyncIterator
 
@@ -17,6 +15,7 @@
 import attrs
 
 from beryljunction.bench.relay_parts import BENCH_KEY, MODEL
+from beryljunction.bench.usage import usage_of
 from beryljunction.errors import StartError
 from beryljunction.servers import client_pool
 
@@ -24,8 +23,7 @@
 
 _PART = "beryljunction.bench.relay_parts"
 _START_S = 20.0
-_STAT_UTIME = 11
-_MEGABYTE_KB = 1024
+_MEGABYTE = 1_048_576
 _FRAME_END = b"\n\n"
 
 
@@ -75,16 +73,11 @@
 
     def cpu_s(self) -> float:
         """Return the CPU time of the process so far, user and system."""
-        text = pathlib.Path(f"/proc/{self.pid}/stat").read_text()
-        fields = text.rpartition(")")[2].split()
-        ticks = int(fields[_STAT_UTIME]) + int(fields[_STAT_UTIME + 1])
-        return ticks / os.sysconf("SC_CLK_TCK")
+        return usage_of(self.pid).cpu_s
 
     def rss_mb(self) -> float:
         """Return the resident memory of the process."""
-        lines = pathlib.Path(f"/proc/{self.pid}/status").read_text().splitlines()
-        line = next(line for line in lines if line.startswith("VmRSS:"))
-        return int(line.split()[1]) / _MEGABYTE_KB
+        return usage_of(self.pid).resident_bytes / _MEGABYTE
 
 
 @contextlib.asynccontextmanager
--- a/src/beryljunction/bench/slopes/rig.py
+++ b/src/beryljunction/bench/slopes/rig.py
@@ -19,7 +19,7 @@
 import httpcore
 import tomli_w
 
-from beryljunction.bench.slopes.usage import Usage, usage_of
+from beryljunction.bench.usage import Usage, usage_of
 from beryljunction.errors import StartError
 from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES, leaves_of_view
 from beryljunction.local.files import StandInEndpoint, StandInsFile
--- a/testing/test_slopes.py
+++ b/testing/test_slopes.py
@@ -3,7 +3,7 @@
 import pytest
 
 from beryljunction.bench.slopes import SIZES, STATES, Point, estimate, fit, measure_state
-from beryljunction.bench.slopes.usage import usage_of
+from beryljunction.bench.usage import usage_of
 
 
 class TestFit:
