--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -3,7 +3,6 @@
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -24,35 +23,29 @@
 from beryljunction.local import DEMO_KEY, FleetPlan, StandInsFile, demo_view, write_files
 from beryljunction.node import EntryRole, HostFollower, HostView, RoleTools, SidecarRole
 from beryljunction.platform import HostChanges, HostList, HostRow
-from beryljunction.servers import client_pool
+from beryljunction.servers import bind, client_pool
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, load_file
 from beryljunction.tables import EndpointState
 from beryljunction.timeline import Timeline
 
 ROW = HostRow("host-a", "drafter-0", "drafter", "ahd-a", "gj-west", "127.0.0.1:1")
-PORTS = range(20_000, 32_000)
 START_S = 30.0
 STOP_S = 30.0
 
 
-def is_free(port):
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
+def free_ports(held):
+    """Yield ports of which each stays ours for as long as ``held`` is open.
 
-
-def free_ports():
-    """Yield ports that nothing listens on, each once.
-
-    Drawn from the kernel one by one, a port came twice in one of 120 fleets, since the one before
-    is free again by then; the second process to bind it never got ready. Those the kernel gives to
-    outgoing connections (32768 and up) are left out, or one could take a port before its listener.
+    A port that was given back before its process binds it can be drawn again, by this fleet or by
+    another run beside it, and the second to bind it never gets ready. So a bound socket that does
+    not listen holds it: the kernel gives it to nobody else, yet a listener may bind it as well,
+    since both allow the reuse of the address.
     """
-    ports = random.SystemRandom().sample(PORTS, len(PORTS))
-    return (port for port in ports if is_free(port))
+    while True:
+        holder = held.enter_context(socket.socket())
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        yield holder.getsockname()[1]
 
 
 def short_lived_view():
@@ -101,7 +94,9 @@
 
     def __init__(self, directory):
         plan = FleetPlan(entries=2, endpoints=1)
-        self.entries = write_files(directory, free_ports(), plan, short_lived_view())
+        self.held = contextlib.ExitStack()
+        ports = free_ports(self.held)
+        self.entries = write_files(directory, ports, plan, short_lived_view())
         self.running = {"standins": start("beryl-local", "standins", f"{directory}/standins.toml")}
         self.operators = {}
         standins = load_file(directory / "standins.toml", StandInsFile)
@@ -125,6 +120,7 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.communicate()
+        self.held.close()
 
 
 @pytest.fixture(scope="module")
@@ -140,10 +136,22 @@
 
 class TestFreePorts:
     def test_give_each_port_once_though_nothing_listens_on_it_yet(self):
-        ports = list(itertools.islice(free_ports(), 500))
+        with contextlib.ExitStack() as held:
+            ports = list(itertools.islice(free_ports(held), 300))
 
         assert len(set(ports)) == len(ports)
 
+    def test_let_a_listener_bind_a_port_that_nobody_else_gets(self):
+        with contextlib.ExitStack() as held:
+            port = next(free_ports(held))
+            with socket.socket() as stranger, pytest.raises(OSError, match="in use"):
+                stranger.bind(("127.0.0.1", port))
+
+            listener = bind(f"127.0.0.1:{port}")
+
+        with listener:
+            assert listener.getsockname()[1] == port
+
 
 class TestProcesses:
     @pytest.mark.parametrize("number", [0, 1], ids=["first-entry", "second-entry"])
