--- a/src/beryljunction/systems/membership.py
+++ b/src/beryljunction/systems/membership.py
@@ -37,6 +37,8 @@
         evidence_s: Age up to which an answer of an endpoint counts against its missing.
         flap_half_life_s: Time in which the memory of failures halves.
         flap_limit: Remembered failures from which an endpoint goes last.
+        forget_s: Time after its drop for which an endpoint's failures are still remembered; after
+            five half-lives a thirtieth is left of them.
     """
 
     suspect_s: float = 3.0
@@ -44,6 +46,7 @@
     evidence_s: float = 3.0
     flap_half_life_s: float = 20.0
     flap_limit: float = 2.5
+    forget_s: float = 100.0
 
 
 @attrs.define
@@ -69,8 +72,14 @@
         self.endpoints = endpoints
         self.limits = limits if limits is not None else MembershipLimits()
         self._evidence: dict[str, _Evidence] = {}
+        self._dropped_s: dict[str, float] = {}
         self._first_list = True
 
+    @property
+    def remembered(self) -> int:
+        """Endpoints of which something seen is remembered, those that were dropped included."""
+        return len(self._evidence)
+
     def apply_list(self, listed: list[ListedEndpoint], now_s: float) -> None:
         """Take in a new reading of the platform's list.
 
@@ -146,11 +155,27 @@
             gone = since_s is not None and now_s - since_s >= self.limits.missing_s
             if gone and now_s - evidence.answered_s >= self.limits.evidence_s:
                 self.endpoints.remove(row.endpoint_id)
+                self._dropped_s[row.endpoint_id] = now_s
                 dropped.append(row.endpoint_id)
                 continue
             self._settle(row, now_s)
+        self._forget(now_s)
         return dropped
 
+    def _forget(self, now_s: float) -> None:
+        """Forget what was seen of endpoints that are gone for good.
+
+        Load: 130 hosts replaced a day, each under a new id. Harm: an entry that runs for months
+        would hold a row for every endpoint there ever was. Those that flap are back before their
+        failures have faded, so a flapping endpoint can't clear its record by being dropped.
+        """
+        for endpoint_id, dropped_s in tuple(self._dropped_s.items()):
+            if self.endpoints.get(endpoint_id) is not None:
+                del self._dropped_s[endpoint_id]
+            elif now_s - dropped_s >= self.limits.forget_s:
+                del self._dropped_s[endpoint_id]
+                del self._evidence[endpoint_id]
+
     def _seen(self, listed: ListedEndpoint, now_s: float) -> None:
         evidence = self._of(listed.endpoint_id)
         evidence.missing_since_s = None
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -44,6 +44,34 @@
         assert system.endpoints.get("e9").joined_s == 7.0
         assert system.endpoints.get("e0").joined_s < 0.0
 
+    def test_replaced_endpoints_are_forgotten_in_time(self):
+        # Hosts are replaced all day, each under a new id. The entry runs for months; what it has
+        # seen of each would fill its memory.
+        system = membership()
+        for day_s in range(0, 10_000, 100):
+            row = attrs.evolve(LISTED[0], endpoint_id=f"host-{day_s}")
+            system.apply_list([*LISTED, row], day_s)
+            system.apply_list(LISTED, day_s + 10.0)
+            system.tick(day_s + 20.0)
+
+        assert system.remembered <= len(LISTED) + 2
+
+    def test_flapping_endpoint_is_remembered_through_its_drop(self):
+        # The list drops an endpoint that flaps and has it back within the minute. Its record must
+        # not be clean by then, or each round breaks answers again.
+        system = membership()
+        for at_s in (0.0, 3.0, 6.0):
+            system.note_failure("e0", at_s)
+            system.note_answer("e0", at_s + 1.0, "a")
+        system.apply_list(LISTED[1:], 7.0)
+        assert system.tick(14.0) == ["e0"]
+        system.apply_list(LISTED, 15.0)
+
+        system.note_failure("e0", 16.0)
+        system.note_answer("e0", 17.0, "a")
+
+        assert state(system) is EndpointState.SUSPECT
+
 
 class TestLeaving:
     @pytest.mark.parametrize("said_by", ["list", "sidecar"])
