--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -1,10 +1,8 @@
 import contextlib
-import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -23,31 +21,17 @@
 from beryljunction.local import DEMO_KEY, FleetPlan, StandInsFile, demo_view, write_files
 from beryljunction.node import EntryRole, HostFollower, HostView, RoleTools, SidecarRole
 from beryljunction.platform import HostChanges, HostList, HostRow
-from beryljunction.servers import bind, client_pool
+from beryljunction.servers import client_pool
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, load_file
 from beryljunction.tables import EndpointState
 from beryljunction.timeline import Timeline
+from ports import free_ports
 
 ROW = HostRow("host-a", "drafter-0", "drafter", "ahd-a", "gj-west", "127.0.0.1:1")
 START_S = 30.0
 STOP_S = 30.0
 
 
-def free_ports(held):
-    """Yield ports of which each stays ours for as long as ``held`` is open.
-
-    A port that was given back before its process binds it can be drawn again, by this fleet or by
-    another run beside it, and the second to bind it never gets ready. So a bound socket that does
-    not listen holds it: the kernel gives it to nobody else, yet a listener may bind it as well,
-    since both allow the reuse of the address.
-    """
-    while True:
-        holder = held.enter_context(socket.socket())
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(("127.0.0.1", 0))
-        yield holder.getsockname()[1]
-
-
 def short_lived_view():
     """Return settings by which a stopping sidecar does not keep answers for long."""
     view = demo_view()
@@ -134,25 +118,6 @@
         fleet.end()
 
 
-class TestFreePorts:
-    def test_give_each_port_once_though_nothing_listens_on_it_yet(self):
-        with contextlib.ExitStack() as held:
-            ports = list(itertools.islice(free_ports(held), 300))
-
-        assert len(set(ports)) == len(ports)
-
-    def test_let_a_listener_bind_a_port_that_nobody_else_gets(self):
-        with contextlib.ExitStack() as held:
-            port = next(free_ports(held))
-            with socket.socket() as stranger, pytest.raises(OSError, match="in use"):
-                stranger.bind(("127.0.0.1", port))
-
-            listener = bind(f"127.0.0.1:{port}")
-
-        with listener:
-            assert listener.getsockname()[1] == port
-
-
 class TestProcesses:
     @pytest.mark.parametrize("number", [0, 1], ids=["first-entry", "second-entry"])
     def test_streamed_answer_comes_whole_through_each_entry(self, processes, number):
--- a/testing/test_sockets.py
+++ b/testing/test_sockets.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 import anyio
@@ -29,6 +28,7 @@
     eventually,
     path_of,
 )
+from ports import free_ports
 
 pytestmark = pytest.mark.anyio
 CHAT = "/v1/chat/completions"
@@ -40,11 +40,6 @@
     return "asyncio"
 
 
-def free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @contextlib.asynccontextmanager
 async def program(name, file, directory):
     """Run one of our console programs until the block ends; it is killed by its id if need be."""
@@ -72,12 +67,16 @@
         await anyio.sleep(0.05)
 
 
-def sidecar_program(path, engine_address, directory, service="drafter"):
+@contextlib.asynccontextmanager
+async def sidecar_program(path, engine_address, directory, service="drafter"):
     """Start a sidecar as a process and make it known to the entries in this process."""
-    process = attrs.evolve(PROCESS, host=f"{service}-0", listen=free_address())
-    path.endpoints.put(Endpoint(f"{service}-0", service, "ahd-a", process.listen))
-    file = SidecarFile(process, f"{service}-0", service, f"http://{engine_address}", path.view)
-    return program("beryl-sidecar", file, directory)
+    with contextlib.ExitStack() as held:
+        listen = f"127.0.0.1:{next(free_ports(held))}"
+        process = attrs.evolve(PROCESS, host=f"{service}-0", listen=listen)
+        path.endpoints.put(Endpoint(f"{service}-0", service, "ahd-a", listen))
+        file = SidecarFile(process, f"{service}-0", service, f"http://{engine_address}", path.view)
+        async with program("beryl-sidecar", file, directory) as running:
+            yield running
 
 
 @contextlib.asynccontextmanager
@@ -87,9 +86,11 @@
     for row in path.endpoints:
         hosts.put(HostRow("h", row.endpoint_id, row.service, "ahd-a", "gj-west", row.address))
     address = f"http://{await path.serve(hosts)}"
-    process = attrs.evolve(PROCESS, host="entry", listen=free_address(), hosts_address=address)
-    async with program("beryl-entry", EntryFile(process, path.view), directory) as running:
-        yield f"http://{process.listen}", running
+    with contextlib.ExitStack() as held:
+        listen = f"127.0.0.1:{next(free_ports(held))}"
+        process = attrs.evolve(PROCESS, host="entry", listen=listen, hosts_address=address)
+        async with program("beryl-entry", EntryFile(process, path.view), directory) as running:
+            yield f"http://{listen}", running
 
 
 async def whole_once(path, entry):
