--- a/src/beryljunction/entry/tickets.py
+++ b/src/beryljunction/entry/tickets.py
@@ -111,7 +111,7 @@
         ticket = await self.fetch(candidates, envelope.account)
         if ticket is None:
             message = "expected a sidecar that gives tickets, found none; retry with the same key"
-            return Refusal(RefusalCode.NO_ENDPOINT, message, Ran.UNKNOWN, 1.0)
+            return Refusal(RefusalCode.NO_ENDPOINT, message, Ran.UNKNOWN, 1.0, try_ran=Ran.NO)
         digest = key_digest(envelope.account, envelope.service, key)
         shard = claim_shard(digest, KEY_SHARDS)
         request = body_digest(envelope.method.encode(), envelope.path.encode(), body)
--- a/src/beryljunction/fuzz/entries.py
+++ b/src/beryljunction/fuzz/entries.py
@@ -309,7 +309,7 @@
 
     def _refuse(self, row: _Open, refusal: Refusal) -> None:
         self._close(row)
-        self._oracle.refused(row.asked, refusal.ran, self._clock())
+        self._oracle.refused(row.asked, refusal.ran, self._clock(), refusal.try_ran)
 
     def _call(self, row: _Open, content: object) -> None:
         connection = self._network.connect()
--- a/src/beryljunction/fuzz/oracle.py
+++ b/src/beryljunction/fuzz/oracle.py
@@ -57,6 +57,7 @@
     began_s: float
     ended_s: float | None = None
     ran: Ran | None = None
+    try_ran: Ran | None = None
     answer: bytes | None = None
 
     @property
@@ -119,6 +120,8 @@
         run = EngineRun(len(self.runs), asked, try_id, body, now_s, text)
         if try_id in self._denied:
             self._broken(f"try {try_id} was called not run, then ran")
+        if asked.try_ran is Ran.NO:
+            self._broken(f"{request_id} was told no of itself, then ran")
         operation = asked.operation
         if operation.kind is not Kind.IDEMPOTENT and self._runs_of(asked):
             self._broken(f"{operation.kind} operation {operation.number} ran twice")
@@ -130,10 +133,13 @@
         self.runs.append(run)
         return run
 
-    def refused(self, asked: Asked, ran: Ran, now_s: float) -> None:
-        """Note a refusal and check that a "no" is true."""
+    def refused(self, asked: Asked, ran: Ran, now_s: float, try_ran: Ran | None = None) -> None:
+        """Note a refusal and check that a "no" is true, of all that is meant or of this request."""
         self._end(asked, ran, now_s)
+        asked.try_ran = try_ran
         for run in self._runs_of(asked):
+            if try_ran is Ran.NO and run.asked is asked:
+                self._broken(f"{asked.request_id} was told no of itself, but ran")
             if ran is Ran.NO and self._is_false(asked, run):
                 self._broken(f"{asked.request_id} was told no, but {run.asked.request_id} ran")
 
--- a/src/beryljunction/outcomes.py
+++ b/src/beryljunction/outcomes.py
@@ -60,6 +60,8 @@
         pointer: Endpoint id where the chat's prefix lies, when the refuser knows it.
         load: Load of the refuser, fresher than what its peers know; the entry takes it along to
             the next candidate.
+        try_ran: Whether this very request ran, where that is surer than ``ran``, which speaks for
+            every request under the same key or ticket; None where the two are the same.
     """
 
     code: RefusalCode
@@ -69,3 +71,4 @@
     successor: str | None = None
     pointer: str | None = None
     load: LoadRow | None = None
+    try_ran: Ran | None = None
--- a/src/beryljunction/systems/claims.py
+++ b/src/beryljunction/systems/claims.py
@@ -324,8 +324,10 @@
 def key_refusal(verdict: KeyLost | KeyMismatch | KeyUnavailable) -> Refusal:
     """Return what the entry is told when the request does not go on at this sidecar.
 
-    An unsettled claim is "unknown", not "no": this try never runs, but an earlier one under the
-    same key may have, and only the log could tell.
+    Load: an outage of the log. Harm: an earlier try under the key may have run, and only the log
+    could tell; a bare "no" would send the caller off to ask again under a new key, and the request
+    would run twice. So the key's outcome is "unknown". This try proves to be "no", since no byte
+    of it has left the entry: a caller that knows it to be its first may act on that.
     """
     if isinstance(verdict, KeyLost):
         message = "the key belongs to an earlier try; go on with its ticket"
@@ -337,4 +339,10 @@
         "this try was not run; the log that keeps idempotency keys did not answer, so an earlier "
         "try under the key may have run; retry later with the same key"
     )
-    return Refusal(RefusalCode.KEY_STORE_DOWN, message, Ran.UNKNOWN, verdict.retry_after_s)
+    return Refusal(
+        RefusalCode.KEY_STORE_DOWN,
+        message,
+        Ran.UNKNOWN,
+        verdict.retry_after_s,
+        try_ran=Ran.NO,
+    )
--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -54,14 +54,15 @@
     def test_new_key_is_refused_at_once_while_the_log_is_down(self):
         # An earlier try under the key may have run through another entry, and only the log could
         # tell. So the refusal says "unknown": a "no" could send the caller off to ask again
-        # under a new key.
+        # under a new key. Of this try alone it says "no", which is true and lets a caller that has
+        # never sent the key before go on at once.
         system = claims()
         system.log_failed(1.0)
 
         verdict = system.submit("r1", claim("t1"), 1.5)
 
         assert verdict == KeyUnavailable(0.5)
-        assert key_refusal(verdict).ran is Ran.UNKNOWN
+        assert (key_refusal(verdict).ran, key_refusal(verdict).try_ran) == (Ran.UNKNOWN, Ran.NO)
 
     def test_lost_append_answer_is_settled_by_reading(self):
         # The append takes effect and its answer is lost. The batch is appended again, and the
--- a/testing/test_keys.py
+++ b/testing/test_keys.py
@@ -65,7 +65,9 @@
             model.down = True
             answer = await note(path, entries[0])
 
-        assert (answer.status, error_of(answer)["code"]) == (503, "idempotency_store_down")
+        error = error_of(answer)
+        assert (answer.status, error["code"]) == (503, "idempotency_store_down")
+        assert (error["ran"], error["try_ran"]) == ("unknown", "no")
         assert b"retry-after" in dict(answer.headers)
         assert runs_of(engines) == []
 
