--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -14,9 +14,10 @@
 from beryljunction.entry.relays import Relay
 from beryljunction.entry.router import Router
 from beryljunction.entry.sidecars import SidecarClient
+from beryljunction.entry.uploads import UPLOAD_RETRY_S, UploadReader
 from beryljunction.entry.writers import KEY_HEADER, TICKET_HEADER, CallerWriter
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.servers import Receive, Scope, Send, client_pool, read_body, wait_disconnect
+from beryljunction.servers import Receive, Scope, Send, client_pool, wait_disconnect
 from beryljunction.settings import EntryFile, FleetView
 from beryljunction.stops import Stoppable
 from beryljunction.streams import event_position
@@ -81,6 +82,7 @@
             file.process.region,
             file.process.fleet_key.encode(),
         )
+        self.uploads = UploadReader(view)
         self._routes: dict[tuple[str, str], _Handler] = {
             ("POST", _CHAT_PATH): self._chat,
             ("GET", _MODELS_PATH): self._models,
@@ -96,6 +98,7 @@
         """Put settings in force."""
         self.view = view
         self._router.view = view
+        self.uploads.view = view
         self._accounts = AccountIndex(view.accounts)
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
@@ -142,28 +145,22 @@
         account = self._accounts.account_of(headers)
         if isinstance(account, Refusal):
             return account
-        body = await read_body(receive, limits.body_bytes, limits.body_s)
-        if body is None:
+        body = await self.uploads.read(receive, headers, account)
+        if body is RefusalCode.OVERLOADED:
+            message = f"expected at most {limits.upload_bytes} bytes of bodies at the same time"
+            return _not_read(scope, body, message, UPLOAD_RETRY_S)
+        if isinstance(body, RefusalCode):
             message = f"expected at most {limits.body_bytes} bytes within {limits.body_s:g} s"
-            return _no(RefusalCode.TOO_LARGE, message)
+            return _not_read(scope, body, message)
         return Exchange(scope, headers, account, body, caller)
 
     def _busy(self, scope: Scope) -> Refusal:
-        """Refuse before anything is read.
-
-        Of a stream that is to be resumed, or a request with a ticket or key, this entry knows
-        nothing: it may well have run through another one.
-        """
-        names = {name for name, _ in scope["headers"]}
-        is_first = _NAMES_EARLIER.isdisjoint(names) and not scope["path"].startswith(
-            _STREAMS_PREFIX
-        )
-        ran = Ran.NO if is_first else Ran.UNKNOWN
+        """Refuse before anything is read."""
         if self.leaving:
             message = "this entry is stopping; ask another one"
-            return Refusal(RefusalCode.LEAVING, message, ran, 1.0)
+            return _not_read(scope, RefusalCode.LEAVING, message, 1.0)
         message = f"expected at most {self.view.limits.connections} requests at the same time"
-        return Refusal(RefusalCode.OVERLOADED, message, ran, 1.0)
+        return _not_read(scope, RefusalCode.OVERLOADED, message, 1.0)
 
     async def _serve(self, exchange: Exchange, receive: Receive) -> None:
         handler = self._handler(exchange)
@@ -258,5 +255,20 @@
         await caller.refuse(refusal)
 
 
+def _not_read(
+    scope: Scope, code: RefusalCode, message: str, retry_after_s: float | None = None
+) -> Refusal:
+    """Return the refusal of a request whose body was not read whole.
+
+    Of a stream that is to be resumed, or a request with a ticket or key, this entry knows nothing:
+    it may well have run through another one. Of the try itself it knows that it did not run.
+    """
+    if scope["path"].startswith(_STREAMS_PREFIX):
+        return Refusal(code, message, Ran.UNKNOWN, retry_after_s)
+    if _NAMES_EARLIER.isdisjoint(name for name, _ in scope["headers"]):
+        return Refusal(code, message, Ran.NO, retry_after_s)
+    return Refusal(code, message, Ran.UNKNOWN, retry_after_s, try_ran=Ran.NO)
+
+
 def _no(code: RefusalCode, message: str, retry_after_s: float | None = None) -> Refusal:
     return Refusal(code, message, Ran.NO, retry_after_s)
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -118,6 +118,7 @@
         request_s: Longest wait for an endpoint's answer that is not streamed.
         connections: Requests that an entry serves at the same time.
         body_s: Longest time for sending a request's body.
+        upload_bytes: Bodies that callers are sending to one entry, all together.
         answer_bytes: Longest answer that is not streamed.
         kept_total_bytes: Ended answers that a sidecar keeps for a resume, all together.
     """
@@ -127,6 +128,7 @@
     request_s: float = 600.0
     connections: int = 2_000
     body_s: float = 30.0
+    upload_bytes: int = 16_777_216
     answer_bytes: int = 16_777_216
     kept_total_bytes: int = 8_388_608
 
--- a/src/beryljunction/settings/validating.py
+++ b/src/beryljunction/settings/validating.py
@@ -6,7 +6,7 @@
 from beryljunction.settings.paths import Path, Scope, parse_path, parse_scope
 from beryljunction.settings.resolving import Resolver
 from beryljunction.settings.rules import problem_of
-from beryljunction.settings.schema import ServiceSettings
+from beryljunction.settings.schema import LimitSettings, ServiceSettings
 from beryljunction.settings.tree import SettingsTree
 
 __all__ = ["edits_between", "leaves_of", "problems_of", "reads_of", "tree_of"]
@@ -15,7 +15,12 @@
 # both changes are valid against what they saw and the result is not, so each is a read of the
 # other: calls that do not "permissible-right-commute" in the terms of Hamsaz (Houshmand and
 # Lesani, POPL 2019) are put in order, all others need none.
-_TOGETHER = (("floor_running", "max_running"), ("heartbeat_s", "silence_s"), ("models",))
+_TOGETHER = (
+    ("floor_running", "max_running"),
+    ("heartbeat_s", "silence_s"),
+    ("models",),
+    ("limits.body_bytes", "limits.upload_bytes"),
+)
 _DECLARED_BY = {"service": "kind", "account": "key_sha256"}
 
 
@@ -121,10 +126,20 @@
     return problems
 
 
+def _limit_problems(limits: LimitSettings, place: str) -> list[str]:
+    """A body that is longer than what all together may hold would never be taken."""
+    if limits.upload_bytes >= limits.body_bytes:
+        return []
+    return [
+        f"{place}limits.upload_bytes: expected at least limits.body_bytes {limits.body_bytes}, "
+        f"got {limits.upload_bytes}"
+    ]
+
+
 def _region_problems(tree: SettingsTree, region: str) -> list[str]:
     resolver = Resolver(tree, region)
     place = f"region.{region}: " if region else ""
-    problems = []
+    problems = _limit_problems(resolver.build(LimitSettings, "limits."), place)
     model_owner: dict[str, str] = {}
     for name in resolver.services():
         service: ServiceSettings = resolver.build(ServiceSettings, service=name)
--- a/src/beryljunction/systems/__init__.py
+++ b/src/beryljunction/systems/__init__.py
@@ -58,6 +58,7 @@
     claim_refusal,
 )
 from beryljunction.systems.tombstones import Arrival, Asked, TombstoneLimits, TombstoneSystem
+from beryljunction.systems.uploads import Upload, UploadSystem
 
 __all__ = [
     "Admission",
@@ -112,6 +113,8 @@
     "Try",
     "Unstamped",
     "Unverified",
+    "Upload",
+    "UploadSystem",
     "Wait",
     "Window",
     "WrongIncarnation",
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -43,6 +43,17 @@
     return await path.pool.request(method, entry + target, headers=list(headers), content=content)
 
 
+async def send_slowly(path, entry, size_bytes):
+    """Send part of a body that never ends."""
+
+    async def parts():
+        yield b"x" * size_bytes
+        await anyio.sleep_forever()
+
+    headers = [AUTH, ("transfer-encoding", "chunked")]
+    await path.pool.request("POST", entry + CHAT, headers=headers, content=parts())
+
+
 def last_event_id(body: bytes) -> bytes:
     return [line[4:] for line in body.split(b"\n") if line.startswith(b"id: ")][-1]
 
@@ -88,6 +99,36 @@
         assert (answer.status, error_of(answer)["ran"]) == (503, "no")
         assert dict(answer.headers)[b"retry-after"] == b"1"
 
+    @pytest.mark.parametrize("header", ["content-length", "transfer-encoding"])
+    @pytest.mark.parametrize(
+        ("names", "ran", "try_ran"),
+        [((), "no", None), ((("idempotency-key", "fee-7"),), "unknown", "no")],
+        ids=["first", "with-a-key"],
+    )
+    async def test_account_that_uploads_too_much_is_refused_and_others_are_not(
+        self, header, names, ran, try_ran
+    ):
+        # One account sends a long body that never ends. Its next one would go beyond its part of
+        # the bound and is refused before it is read; another account's request runs.
+        limits = LimitSettings(body_bytes=800, upload_bytes=1_000)
+        async with path_of(view_with(limits=limits)) as path, anyio.create_task_group() as group:
+            await path.sidecar(ScriptedEngine())
+            entry = await path.entry()
+            group.start_soon(send_slowly, path, entry, 700)
+            await eventually(lambda: path.entry_app.uploads.held_bytes == 700)
+            length = (
+                ("content-length", "600") if header == "content-length" else (header, "chunked")
+            )
+            refused = await ask(path, entry, headers=[AUTH, length, *names], body=b"x" * 600)
+            other = await ask(path, entry, headers=[("authorization", f"Bearer {OTHER_KEY}")])
+            group.cancel_scope.cancel()
+
+        error = error_of(refused)
+        assert (refused.status, error["code"]) == (503, "overloaded")
+        assert (error["ran"], error.get("try_ran")) == (ran, try_ran)
+        assert b"retry-after" in dict(refused.headers)
+        assert other.status == 200
+
     async def test_models_are_listed_as_chat_clients_expect(self):
         async with path_of() as path:
             answer = await ask(path, await path.entry(), "/v1/models", method="GET")
--- a/testing/test_tree.py
+++ b/testing/test_tree.py
@@ -100,6 +100,13 @@
             "region.gj-west: service.drafter.floor_running: expected at most max_running 2, got 4"
         )
 
+    def test_longest_body_has_to_fit_into_the_bound_over_all_bodies(self):
+        (problem,) = problems_of(tree({"limits": {"upload_bytes": 1_000_000}}))
+
+        assert problem == (
+            "limits.upload_bytes: expected at least limits.body_bytes 4194304, got 1000000"
+        )
+
 
 class TestSettingsTree:
     def test_of_two_racing_edits_of_one_path_the_first_on_the_log_stands(self):
