--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -42,7 +42,8 @@
         log_address: Base URL of the platform's log service.
         hosts_address: Base URL of the platform's host list.
         log_sample_ratio: Share of requests whose ordinary events are logged.
-        log_retention_s: How long the log service keeps records; paces the snapshots.
+        log_retention_s: How long the log service keeps records; paces the snapshots and bounds the
+            life of idempotency keys.
     """
 
     host: str
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -73,7 +73,7 @@
         self._log_pool = client_pool()
         address = file.process.log_address
         log = HttpLogClient(address, self._log_pool) if address else None
-        keys = KeyClaims(log, self.incarnation)
+        keys = KeyClaims(log, self.incarnation, file.process.log_retention_s)
         self._control = ControlRoutes(file, self.incarnation, self.keeper, keys, self.timeline)
         self.routes: dict[str, Handler] = {
             RUN_PATH: self._handle_run,
--- a/src/beryljunction/sidecar/keys.py
+++ b/src/beryljunction/sidecar/keys.py
@@ -4,8 +4,16 @@
 import anyio.abc
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.errors import SettingsError
 from beryljunction.platform import Appended, LogClient, LogPage
-from beryljunction.systems import ClaimBatch, ClaimSystem, KeyClaim, KeyUnavailable, KeyVerdict
+from beryljunction.systems import (
+    ClaimBatch,
+    ClaimLimits,
+    ClaimSystem,
+    KeyClaim,
+    KeyUnavailable,
+    KeyVerdict,
+)
 from beryljunction.wire import claim_stream
 
 __all__ = ["KeyClaims"]
@@ -15,15 +23,18 @@
 _READ_WAIT_S = 0.2
 _RETRY_S = 0.1
 _NO_LOG_S = 60.0
+# Half of it is the life of a key. A shorter life would end while a first try may still wait for its
+# start (30 s unless set otherwise), and the caller's retry would run beside it.
+_LEAST_RETENTION_S = 120.0
 
 
 class _Stream:
     """One shard's claims at this process."""
 
-    def __init__(self, log: LogClient, shard: int, incarnation: str) -> None:
+    def __init__(self, log: LogClient, shard: int, incarnation: str, limits: ClaimLimits) -> None:
         self._log = log
         self._name = claim_stream(shard)
-        self._system = ClaimSystem(f"{self._name}.{incarnation}")
+        self._system = ClaimSystem(f"{self._name}.{incarnation}", limits)
         self._waiting: dict[str, anyio.Event] = {}
         self._verdicts: dict[str, KeyVerdict] = {}
         self._last_used_s = 0.0
@@ -82,9 +93,20 @@
     Args:
         log: The platform's log; None when the process has none, and then no key can be settled.
         incarnation: Makes the ids of this process's batches its own.
+        retention_s: How long the log keeps records.
+
+    Raises:
+        SettingsError: When the log keeps records for too short a time to remember keys by.
     """
 
-    def __init__(self, log: LogClient | None, incarnation: str) -> None:
+    def __init__(self, log: LogClient | None, incarnation: str, retention_s: float) -> None:
+        if retention_s < _LEAST_RETENTION_S:
+            problem = (
+                f"process.log_retention_s: expected at least {_LEAST_RETENTION_S:g} seconds, "
+                f"got {retention_s:g}"
+            )
+            raise SettingsError([problem])
+        self._limits = ClaimLimits.within(retention_s)
         self._log = log
         self._incarnation = incarnation
         self._streams: dict[int, _Stream] = {}
@@ -104,7 +126,9 @@
             return KeyUnavailable(_NO_LOG_S)
         stream = self._streams.get(shard)
         if stream is None:
-            stream = self._streams[shard] = _Stream(self._log, shard, self._incarnation)
+            stream = self._streams[shard] = _Stream(
+                self._log, shard, self._incarnation, self._limits
+            )
         if not stream.following:
             stream.following = True
             group.start_soon(stream.follow)
--- a/src/beryljunction/systems/claims.py
+++ b/src/beryljunction/systems/claims.py
@@ -35,6 +35,7 @@
 ]
 
 _DIGEST_HEX = 24
+_LIFE_SHARE = 0.5
 
 
 def key_digest(account: str, service: str, key: str) -> str:
@@ -120,7 +121,7 @@
     """Bounds of one stream's claims at one process.
 
     Attributes:
-        life_s: Time for which a key belongs to its first request; at most the log's retention.
+        life_s: Time for which a key belongs to its first request; see :meth:`within`.
             Shorter than a ticket's, so that the ticket is still known when its key is used again.
         max_keys: Keys remembered. At the target's 64 streams, 800 claims a second fleet-wide and
             half an hour of life a stream has 22,500.
@@ -138,6 +139,19 @@
     wait_s: float = 2.0
     down_s: float = 1.0
 
+    @classmethod
+    def within(cls, retention_s: float) -> "ClaimLimits":
+        """Return the limits for a log that keeps records for so long.
+
+        A home that starts anew knows the keys whose claims the log still keeps. A key that
+        outlived its claim would be new there and known elsewhere, and its request would run twice.
+        Half of the retention leaves room for a log that drops a little early, in whole segments,
+        and for claims that were read late.
+        """
+        limits = cls()
+        life_s = min(limits.life_s, _LIFE_SHARE * retention_s)
+        return attrs.evolve(limits, life_s=life_s)
+
 
 @attrs.define
 class _Held:
--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -117,6 +117,23 @@
         two.tick(151.0)
         assert two.submit("r1", claim("t9"), 151.0) == KeyLost("t2")
 
+    @pytest.mark.parametrize("retention_s", [600.0, 1200.0, 86_400.0])
+    def test_key_does_not_outlive_the_records_of_the_log(self, retention_s):
+        # The log drops the claim of a fee confirmation that ran. Its home is replaced; the new one
+        # finds nothing in the log, takes the key for new and leads a retry to a second ticket. An
+        # older reader that still knew the key would lead its retry to the first: two runs that
+        # both hold for the key. So by then no reader may know it any more.
+        limits = ClaimLimits.within(retention_s)
+        older, newer = ClaimSystem("a", limits), ClaimSystem("b", limits)
+        older.apply(0, record(claim("t1")), 0.0)
+
+        newer.submit("r1", claim("t2"), retention_s)
+        newer.apply(1, newer.next_batch(retention_s).to_record(), retention_s)
+
+        assert newer.tick(retention_s) == [("r1", KeyWon("t2"))]
+        older.tick(retention_s)
+        assert older.submit("r2", claim("t9"), retention_s) is None
+
     def test_full_table_takes_no_key_for_new(self):
         # A key that the full table could not remember would look new to the next caller and its
         # request would run twice.
--- a/testing/test_keys.py
+++ b/testing/test_keys.py
@@ -1,6 +1,8 @@
 import anyio
 import pytest
 
+from beryljunction.errors import SettingsError
+from beryljunction.sidecar.keys import KeyClaims
 from path_fakes import AUTH, ScriptedEngine, error_of, eventually, path_of
 
 pytestmark = pytest.mark.anyio
@@ -30,6 +32,16 @@
     return [run for engine in engines for run in engine.runs]
 
 
+class TestRetention:
+    def test_log_that_keeps_records_too_shortly_is_refused_at_the_start(self):
+        with pytest.raises(SettingsError) as raised:
+            KeyClaims(None, "i", retention_s=60.0)
+
+        assert str(raised.value) == (
+            "process.log_retention_s: expected at least 120 seconds, got 60"
+        )
+
+
 class TestIdempotencyKeys:
     async def test_same_key_at_the_same_time_through_two_entries_runs_once(self):
         # A phone loses its connection and sends the fee confirmation again through another entry
