--- a/src/beryljunction/systems/claims.py
+++ b/src/beryljunction/systems/claims.py
@@ -35,6 +35,7 @@
 ]
 
 _DIGEST_HEX = 24
+_LIFE_SHARE = 0.5
 
 
 def key_digest(account: str, service: str, key: str) -> str:
@@ -120,7 +121,7 @@
     """Bounds of one stream's claims at one process.
 
     Attributes:
-        life_s: Time for which a key belongs to its first request; at most the log's retention.
+        life_s: Time for which a key belongs to its first request; see :meth:`within`.
             Shorter than a ticket's, so that the ticket is still known when its key is used again.
         max_keys: Keys remembered. At the target's 64 streams, 800 claims a second fleet-wide and
             half an hour of life a stream has 22,500.
@@ -138,6 +139,19 @@
     wait_s: float = 2.0
     down_s: float = 1.0
 
+    @classmethod
+    def within(cls, retention_s: float) -> "ClaimLimits":
+        """Return the limits for a log that keeps records for so long.
+
+        A home that starts anew knows the keys whose claims the log still keeps. A key that
+        outlived its claim would be new there and known elsewhere, and its request would run twice.
+        Half of the retention leaves room for a log that drops a little early, in whole segments,
+        and for claims that were read late.
+        """
+        limits = cls()
+        life_s = min(limits.life_s, _LIFE_SHARE * retention_s)
+        return attrs.evolve(limits, life_s=life_s)
+
 
 @attrs.define
 class _Held:
@@ -324,8 +338,10 @@
 def key_refusal(verdict: KeyLost | KeyMismatch | KeyUnavailable) -> Refusal:
     """Return what the entry is told when the request does not go on at this sidecar.
 
-    An unsettled claim is "unknown", not "no": this try never runs, but an earlier one under the
-    same key may have, and only the log could tell.
+    Load: an outage of the log. Harm: an earlier try under the key may have run, and only the log
+    could tell; a bare "no" would send the caller off to ask again under a new key, and the request
+    would run twice. So the key's outcome is "unknown". This try proves to be "no", since no byte
+    of it has left the entry: a caller that knows it to be its first may act on that.
     """
     if isinstance(verdict, KeyLost):
         message = "the key belongs to an earlier try; go on with its ticket"
@@ -337,4 +353,10 @@
         "this try was not run; the log that keeps idempotency keys did not answer, so an earlier "
         "try under the key may have run; retry later with the same key"
     )
-    return Refusal(RefusalCode.KEY_STORE_DOWN, message, Ran.UNKNOWN, verdict.retry_after_s)
+    return Refusal(
+        RefusalCode.KEY_STORE_DOWN,
+        message,
+        Ran.UNKNOWN,
+        verdict.retry_after_s,
+        try_ran=Ran.NO,
+    )
--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -54,14 +54,15 @@
     def test_new_key_is_refused_at_once_while_the_log_is_down(self):
         # An earlier try under the key may have run through another entry, and only the log could
         # tell. So the refusal says "unknown": a "no" could send the caller off to ask again
-        # under a new key.
+        # under a new key. Of this try alone it says "no", which is true and lets a caller that has
+        # never sent the key before go on at once.
         system = claims()
         system.log_failed(1.0)
 
         verdict = system.submit("r1", claim("t1"), 1.5)
 
         assert verdict == KeyUnavailable(0.5)
-        assert key_refusal(verdict).ran is Ran.UNKNOWN
+        assert (key_refusal(verdict).ran, key_refusal(verdict).try_ran) == (Ran.UNKNOWN, Ran.NO)
 
     def test_lost_append_answer_is_settled_by_reading(self):
         # The append takes effect and its answer is lost. The batch is appended again, and the
@@ -116,6 +117,23 @@
         two.tick(151.0)
         assert two.submit("r1", claim("t9"), 151.0) == KeyLost("t2")
 
+    @pytest.mark.parametrize("retention_s", [600.0, 1200.0, 86_400.0])
+    def test_key_does_not_outlive_the_records_of_the_log(self, retention_s):
+        # The log drops the claim of a fee confirmation that ran. Its home is replaced; the new one
+        # finds nothing in the log, takes the key for new and leads a retry to a second ticket. An
+        # older reader that still knew the key would lead its retry to the first: two runs that
+        # both hold for the key. So by then no reader may know it any more.
+        limits = ClaimLimits.within(retention_s)
+        older, newer = ClaimSystem("a", limits), ClaimSystem("b", limits)
+        older.apply(0, record(claim("t1")), 0.0)
+
+        newer.submit("r1", claim("t2"), retention_s)
+        newer.apply(1, newer.next_batch(retention_s).to_record(), retention_s)
+
+        assert newer.tick(retention_s) == [("r1", KeyWon("t2"))]
+        older.tick(retention_s)
+        assert older.submit("r2", claim("t9"), retention_s) is None
+
     def test_full_table_takes_no_key_for_new(self):
         # A key that the full table could not remember would look new to the next caller and its
         # request would run twice.
