--- a/src/beryljunction/settings/rules.py
+++ b/src/beryljunction/settings/rules.py
@@ -27,6 +27,7 @@
     "max_running": (1, 4096),
     "floor_running": (1, 4096),
     "quantum_tokens": (1, 1_000_000),
+    "priority": (-100, 100),
     "weight": (0.001, 1000.0),
     "deadline_s": (0.1, 3600.0),
     "heartbeat_s": (0.05, 60.0),
@@ -47,7 +48,9 @@
 _CHOICES = {"kind": ("engine", "plain"), "role": ("both", "prefill", "decode")}
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 # What an account may have of its own; the rest describes the endpoints, which accounts share.
-_PER_ACCOUNT = frozenset(("deadline_s", "max_waiting_per_account", "idempotent", "resume_s"))
+_PER_ACCOUNT = frozenset(
+    ("deadline_s", "max_waiting_per_account", "idempotent", "priority", "resume_s")
+)
 _GROUPS = {"limits": LimitSettings, "weights": WeightSettings}
 
 
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -151,6 +151,8 @@
         min_serving: Engines of the service that keep serving while others load.
         engine_silence_s: Silence of an engine's open stream after which it is resumed.
         kept_bytes: Frames of one stream that are kept for a resume.
+        priority: What the engine is told of a request; of those that wait there the highest runs
+            first.
     """
 
     kind: str = "engine"
@@ -173,6 +175,7 @@
     min_serving: int = 1
     engine_silence_s: float = 10.0
     kept_bytes: int = 65_536
+    priority: int = 0
 
 
 @attrs.frozen
--- a/src/beryljunction/sidecar/endpoint.py
+++ b/src/beryljunction/sidecar/endpoint.py
@@ -25,6 +25,7 @@
 # time in which the error could have sent it elsewhere.
 _MAX_FAILURES = 3
 _BACKOFF_S = 0.1
+_PRIORITY_HEADER = "x-priority"
 _EVENT_STREAM = b"text/event-stream"
 _HOP_HEADERS = frozenset(
     (b"connection", b"transfer-encoding", b"content-length", b"keep-alive", b"date", b"server")
@@ -61,16 +62,22 @@
         self.request_s = _REQUEST_S
         self.answer_bytes = _ANSWER_BYTES
 
-    async def carry(self, run: Run, name: StreamName) -> None:
+    async def carry(self, run: Run, name: StreamName, priority: int | None = None) -> None:
         """Run the request and fill the run with its answer, or with the reason why there is none.
 
         Whatever happens after the first byte may have gone out and before the endpoint has
         answered leaves the outcome unknown.
+
+        Args:
+            run: The request, which gets the answer.
+            name: Name of the run's stream.
+            priority: What an engine is told of the request; None for a plain service, which gets
+                its caller's headers and nothing else.
         """
         numberer = FrameNumberer(name)
         run.ran = Ran.UNKNOWN
         try:
-            async with self._open(run) as (response, watch):
+            async with self._open(run, priority) as (response, watch):
                 run.ran = Ran.YES
                 if not _is_stream(run, response):
                     await self._take_answer(run, response)
@@ -102,14 +109,19 @@
                 return
 
     @asynccontextmanager
-    async def _open(self, run: Run) -> AsyncIterator[tuple[httpcore.Response, Watch]]:
+    async def _open(
+        self, run: Run, priority: int | None
+    ) -> AsyncIterator[tuple[httpcore.Response, Watch]]:
         envelope = run.envelope
+        headers = [*envelope.headers, ("x-request-id", envelope.request_id)]
+        if priority is not None:
+            headers.append((_PRIORITY_HEADER, str(priority)))
         limit_s = self.silence_s if envelope.streamed else self.request_s
         with self._watches.watch(limit_s) as watch:
             async with self._pool.stream(
                 envelope.method,
                 self._address + envelope.path,
-                headers=[*envelope.headers, ("x-request-id", envelope.request_id)],
+                headers=headers,
                 content=run.body,
                 extensions={"timeout": {"connect": _CONNECT_S}},
             ) as response:
--- a/src/beryljunction/sidecar/keeper.py
+++ b/src/beryljunction/sidecar/keeper.py
@@ -38,6 +38,7 @@
 __all__ = ["RunKeeper"]
 
 _TICK_S = 0.05
+_ENGINE = "engine"
 _LATE = "this try arrived after its sender was told that it did not run; it will not run"
 _NOT_TAKEN = {
     Arrival.BURIED: Refusal(RefusalCode.CANCELLED, _LATE, Ran.NO),
@@ -165,7 +166,8 @@
     def _admit(self, run: Run) -> Run | Refusal:
         now_s = time.monotonic()
         self.admission.load.merge(run.envelope.loads, now_s)
-        decision = self.admission.offer(_work_of(run.envelope), now_s)
+        work = _work_of(run.envelope, self._priority(run.envelope))
+        decision = self.admission.offer(work, now_s)
         if isinstance(decision, Refuse):
             if run.serial is None:
                 return decision.refusal
@@ -176,6 +178,21 @@
         self._tick()
         return run
 
+    def _priority(self, envelope: Envelope) -> int:
+        """Return the priority of a client account at this service.
+
+        Load: more runs than the engine batches, long work beside short. Harm: without it a
+        programmer who waits for a first word stands behind a night's batch. It comes from the
+        settings and not from callers, who would all ask for the highest. It can't starve others:
+        the fair queue gives each account its places here whatever its priority, and the engine
+        holds no more than those, so low priorities that wait there soon hold all the places that
+        are not batched, and each end of a batched run then starts one of them.
+        """
+        return self._view.service_for(self._file.service, envelope.account).priority
+
+    def _engine_priority(self, run: Run) -> int | None:
+        return self._priority(run.envelope) if self.service.kind == _ENGINE else None
+
     def _log_bytes(self, envelope: Envelope) -> int:
         """Bound of a stream's log; one that may not run again is kept whole for its retry."""
         if envelope.idempotent:
@@ -245,7 +262,7 @@
                 started = run.refusal is None and self._ledger.start(run)
                 if started:
                     self._timeline.add("started", request_id)
-                    await self._endpoint.carry(run, self.name(run))
+                    await self._endpoint.carry(run, self.name(run), self._engine_priority(run))
             if run.scope.cancelled_caught and run.ran is not Ran.NO:
                 await self._endpoint.cancel(request_id)
         finally:
@@ -261,7 +278,7 @@
     return f"{message.request_id}/{message.attempt}"
 
 
-def _work_of(envelope: Envelope) -> Work:
+def _work_of(envelope: Envelope, priority: int) -> Work:
     now_s = time.monotonic()
     return Work(
         request_id=envelope.request_id,
@@ -271,7 +288,7 @@
         chat_key=envelope.chat_key,
         prompt_tokens=envelope.prompt_tokens,
         output_tokens=envelope.output_tokens,
-        priority=envelope.priority,
+        priority=priority,
         idempotent=envelope.idempotent,
         warm=envelope.warm,
         last_resort=envelope.last_resort,
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire.py
@@ -135,7 +135,6 @@
     chat_key: int | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
-    priority: int = 0
     idempotent: bool = True
     streamed: bool = False
     warm: bool = False
