--- a/src/beryljunction/cli/asking.py
+++ b/src/beryljunction/cli/asking.py
@@ -1,17 +1,20 @@
 """What the commands that ask the fleet's processes have in common."""
 
+import contextlib
 import os
 import pathlib
 import sys
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
 import anyio
+import attrs
 
 from beryljunction.errors import PlatformUnavailableError, SettingsError
 from beryljunction.node import OperatorClient
 from beryljunction.servers import client_pool
 from beryljunction.settings import load_file
 from beryljunction.settings.schema import OperatorFile
+from beryljunction.tls import client_context
 
 __all__ = [
     "CONFIG",
@@ -20,6 +23,7 @@
     "EXIT_OK",
     "EXIT_PARTIAL",
     "ask_fleet",
+    "operator_client",
     "print_failures",
 ]
 
@@ -41,13 +45,12 @@
         command: What to ask; returns the exit code.
     """
 
-    async def run() -> int:
-        async with client_pool() as pool:
-            return await command(OperatorClient(pool, hosts_address))
+    async def run(file: OperatorFile) -> int:
+        async with operator_client(file) as client:
+            return await command(client)
 
     try:
-        hosts_address = hosts or load_file(config, OperatorFile).hosts_address
-        return anyio.run(run)
+        return anyio.run(run, _operator_file(config, hosts))
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID
@@ -56,6 +59,30 @@
         return EXIT_DOWN
 
 
+@contextlib.asynccontextmanager
+async def operator_client(file: OperatorFile) -> AsyncIterator[OperatorClient]:
+    """Open a client that shows the file's key, over TLS where the file names an authority.
+
+    Raises:
+        SettingsError: When the authority can't be read.
+    """
+    try:
+        tls = client_context(file.authority_path) if file.authority_path else None
+    except OSError as error:
+        problem = f"authority_path: expected a readable PEM file, got {error}"
+        raise SettingsError([problem]) from error
+    async with client_pool() as pool, client_pool(tls) as nodes:
+        yield OperatorClient(pool, file.hosts_address, nodes, file.operator_key)
+
+
+def _operator_file(config: pathlib.Path, hosts: str) -> OperatorFile:
+    """Return the operator's file; with a host list named, one that is not there is no problem."""
+    if hosts and not config.exists():
+        return OperatorFile("", "", hosts_address=hosts)
+    file = load_file(config, OperatorFile)
+    return attrs.evolve(file, hosts_address=hosts or file.hosts_address)
+
+
 def print_failures(failures: Mapping[str, str]) -> int:
     """Name the processes that did not answer; return the exit code."""
     for host, reason in sorted(failures.items()):
--- a/src/beryljunction/cli/settings.py
+++ b/src/beryljunction/cli/settings.py
@@ -13,7 +13,7 @@
 import attrs
 import tomli_w
 
-from beryljunction.cli.asking import CONFIG
+from beryljunction.cli.asking import CONFIG, operator_client
 from beryljunction.cli.settings_output import (
     EXIT_OK,
     EXIT_REFUSED,
@@ -272,12 +272,11 @@
 
     async def run() -> int:
         file = load_file(config, OperatorFile)
-        async with client_pool() as pool:
+        async with client_pool() as pool, operator_client(file) as client:
             log = HttpLogClient(file.log_address, pool)
             session = OperatorSession(log, file.operator, file.key)
             nodes = HttpPeers(lambda: file.nodes, session.reader, pool, file.fleet_key)
-            hosts = file.hosts_address
-            fleet = OperatorClient(pool, hosts) if hosts else None
+            fleet = client if file.hosts_address else None
             if look and not await session.look():
                 return print_log_down(json)
             return await command(_Desk(file, session, nodes, fleet))
--- a/src/beryljunction/node/client.py
+++ b/src/beryljunction/node/client.py
@@ -34,10 +34,23 @@
 
 
 class OperatorClient:
-    """Asks the operator listeners of the processes on the host list."""
-
-    def __init__(self, pool: httpcore.AsyncConnectionPool, hosts_url: str) -> None:
-        self._pool = pool
+    """Asks the operator listeners of the processes on the host list.
+
+    Args:
+        pool: For the host list, which is the platform's and has no TLS of the fleet.
+        nodes: For the processes, where that is another pool.
+        key: Key that the listeners want to see; empty for none.
+    """
+
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        hosts_url: str,
+        nodes: httpcore.AsyncConnectionPool | None = None,
+        key: str = "",
+    ) -> None:
+        self._nodes = nodes if nodes is not None else pool
+        self._key = [(b"authorization", b"Bearer " + key.encode())] if key else []
         self._hosts = HttpHostList(pool, hosts_url)
         self._clock = HybridClock()
 
@@ -103,13 +116,15 @@
         return answers
 
     async def _ask(self, row: HostRow, method: str, path: str, body: bytes = b"") -> bytes:
-        response = await self._pool.request(
+        response = await self._nodes.request(
             method,
             f"http://{row.operator_address}{path}",
-            headers=[(HLC_HEADER, self._clock.stamp())],
+            headers=[(HLC_HEADER, self._clock.stamp()), *self._key],
             content=body,
             extensions={"timeout": dict.fromkeys(("connect", "read", "write", "pool"), _ANSWER_S)},
         )
+        if response.status == 401:
+            raise ValueError("expected the key of the operator listener, got none that it knows")
         if response.status not in (200, 202):
             raise ValueError(f"expected status 200, got {response.status}")
         return response.content
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -17,7 +17,7 @@
 from beryljunction.node.entry_role import EntryRole
 from beryljunction.node.front import FleetFront
 from beryljunction.node.hosts import HostFollower
-from beryljunction.node.operator import operator_app
+from beryljunction.node.operator import OperatorKeys, operator_app, operator_keys
 from beryljunction.node.roles import NodeRole, NodeStatus, RoleTools
 from beryljunction.node.sidecar_role import SidecarRole
 from beryljunction.node.traffic import CountingBackend
@@ -80,7 +80,9 @@
         server_tls = self._tls.server if self._tls is not None else None
         self.requests = Server(self._front(process), bind(process.listen), server_tls)
         operator = operator_app(role.timeline, self.metrics, self.status, self.drain)
-        self.operator = Server(operator, bind(process.operator_listen))
+        guarded = OperatorKeys(operator, operator_keys(process))
+        operator_tls = self._tls.operator if self._tls is not None else None
+        self.operator = Server(guarded, bind(process.operator_listen), operator_tls)
         self._add_gauges()
 
     @classmethod
--- a/src/beryljunction/settings/schema.py
+++ b/src/beryljunction/settings/schema.py
@@ -42,6 +42,8 @@
         log_address: Base URL of the platform's log service.
         hosts_address: Base URL of the platform's host list.
         log_sample_ratio: Share of requests whose ordinary events are logged.
+        operator_keys_sha256: SHA-256 of the keys that the operator listener takes; two while a key
+            is being replaced. Without any it listens on a loopback address only.
         log_retention_s: How long the log service keeps records; paces the snapshots.
     """
 
@@ -56,6 +58,7 @@
     tls: TlsSettings | None = None
     log_sample_ratio: float = 1.0
     log_retention_s: float = 86_400.0
+    operator_keys_sha256: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -99,6 +102,8 @@
         nodes: Addresses ("ip:port") of nodes that are asked what is in force there.
         fleet_key: Secret that the nodes want to see.
         hosts_address: Base URL of the platform's host list.
+        operator_key: Key that operator listeners want to see.
+        authority_path: Authority that signed the fleet's certificates; empty without TLS.
     """
 
     operator: str
@@ -108,6 +113,8 @@
     nodes: tuple[str, ...] = ()
     fleet_key: str = ""
     hosts_address: str = ""
+    operator_key: str = ""
+    authority_path: str = ""
 
 
 @attrs.frozen
--- a/src/beryljunction/tls.py
+++ b/src/beryljunction/tls.py
@@ -9,22 +9,25 @@
 from beryljunction.settings import TlsSettings
 from beryljunction.timeline import Timeline
 
-__all__ = ["TlsContexts"]
+__all__ = ["TlsContexts", "client_context"]
 
 _READ_AGAIN_S = 5.0
 
 
 class TlsContexts:
-    """Contexts for the listener and for calls to other processes of the fleet.
+    """Contexts for the listeners and for calls to other processes of the fleet.
 
-    Both are changed in place when the files change: connections that are open go on, new ones use
+    All are changed in place when the files change: connections that are open go on, new ones use
     the new certificate. An authority that was taken out of its file stays trusted until a restart,
     since the library can only add to the trusted ones.
 
     Args:
         settings: Paths of certificate, key and the authority that signs the fleet's certificates.
-        is_mutual: Whether the listener takes only clients with a certificate of that authority.
-            An entry's callers have none, they show an API key.
+        is_mutual: Whether the listener for requests takes only clients with a certificate of that
+            authority. An entry's callers have none, they show an API key.
+
+    Attributes:
+        operator: For the operator listener, whose probes have no certificate.
 
     Raises:
         StartError: When the files can't be used.
@@ -35,7 +38,8 @@
             raise StartError("process.tls.authority_path: expected a path, got none")
         self._settings = settings
         self.server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        self.client = _client_context()
+        self.operator = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self.client = client_context()
         if is_mutual:
             self.server.verify_mode = ssl.CERT_REQUIRED
         self._marks = self._files_marks()
@@ -76,8 +80,9 @@
         Files are replaced one after the other, so a new certificate may stand beside an old key for
         a moment. Loaded into a live context that pair would end every handshake from then on.
         """
-        self._load_into(_client_context())
+        self._load_into(client_context())
         self._load_into(self.server)
+        self._load_into(self.operator)
         self._load_into(self.client)
 
     def _load_into(self, context: ssl.SSLContext) -> None:
@@ -94,7 +99,7 @@
         return [_mark(path) for path in paths if path is not None]
 
 
-def _client_context() -> ssl.SSLContext:
+def client_context(authority_path: str = "") -> ssl.SSLContext:
     """Return a context that trusts whoever the fleet's authority has signed.
 
     Processes are addressed by IP numbers that pass from host to host, so a name in a certificate
@@ -102,6 +107,8 @@
     """
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
+    if authority_path:
+        context.load_verify_locations(authority_path)
     return context
 
 
