--- a/src/beryljunction/sidecar/kv.py
+++ b/src/beryljunction/sidecar/kv.py
@@ -42,15 +42,15 @@
     async def export(self, chat_id: str) -> KvExport | None:
         """Return the cached prefix of a chat; one of no tokens when there is none."""
         answer = await self._post(_EXPORT_PATH, json.dumps({"chat": chat_id}).encode())
-        return None if answer is None else KvExport(_tokens_of(answer), answer.decode())
+        tokens = _tokens_of(answer)
+        return None if tokens is None else KvExport(tokens, answer.decode())
 
     async def take(self, description: str) -> int | None:
         """Import a prefix and return its length here."""
-        answer = await self._post(_IMPORT_PATH, description.encode())
-        return None if answer is None else _tokens_of(answer)
+        return _tokens_of(await self._post(_IMPORT_PATH, description.encode()))
 
-    async def _post(self, path: str, body: bytes) -> bytes | None:
-        """Return a good answer's body, or None."""
+    async def _post(self, path: str, body: bytes) -> bytes:
+        """Return a good answer's body, empty when there is none."""
         data = b""
         try:
             async with self._pool.stream(
@@ -59,15 +59,20 @@
                 async for chunk in response.aiter_stream():
                     data += chunk
                     if len(data) > _DESCRIPTION_BYTES:
-                        return None
+                        return b""
         except _BROKEN:
-            return None
-        return data if response.status == 200 else None
+            return b""
+        return data if response.status == 200 else b""
 
 
-def _tokens_of(answer: bytes) -> int:
-    """Return the length that an engine names; an answer without one has moved nothing."""
+def _tokens_of(answer: bytes) -> int | None:
+    """Return the length that an engine names; None when the answer can't be read.
+
+    Whatever an engine answers must not end the sidecar, which has other answers in flight: text
+    that is not UTF-8, arrays too deep for the parser, numbers that are none.
+    """
     try:
-        return max(0, int(json.loads(answer)["tokens"]))
-    except (ValueError, TypeError, KeyError):
-        return 0
+        tokens = json.loads(answer.decode())["tokens"]
+    except (ValueError, TypeError, KeyError, RecursionError):
+        return None
+    return tokens if isinstance(tokens, int) and tokens >= 0 else None
--- a/src/beryljunction/sidecar/prefixes.py
+++ b/src/beryljunction/sidecar/prefixes.py
@@ -27,6 +27,8 @@
 __all__ = ["PrefixHandover", "PrefixReceiver"]
 
 _LOOK_S = 0.05
+# Chats whose answers have ended since; a drained sidecar goes through its table this often.
+_AGAIN_S = 0.5
 # One at a time left most of the time to the round trips (some 15 prefixes of 6,000 tokens took
 # 1.2 s); many would hold up the answers that are still decoded here.
 _PARALLEL_TRANSFERS = 4
@@ -72,11 +74,12 @@
     async def run(self) -> None:
         """Hand prefixes on whenever the endpoint leaves, until cancelled."""
         while True:
-            await anyio.sleep(_LOOK_S)
             if self._admission.leaving:
                 await self._pass_on()
+                await anyio.sleep(_AGAIN_S)
             else:
                 self.system.reset()
+                await anyio.sleep(_LOOK_S)
 
     async def finish(self) -> None:
         """Hand on what is left now that nothing is in flight; a stop waits for it, not for long."""
@@ -92,9 +95,8 @@
             counts: collections.Counter[Handed] = collections.Counter()
             try:
                 async with anyio.create_task_group() as group:
-                    transfers = iter(plan)
                     for _ in range(_PARALLEL_TRANSFERS):
-                        group.start_soon(self._work_off, transfers, counts)
+                        group.start_soon(self._work_off, plan, counts)
             finally:
                 if counts:
                     detail = " ".join(f"{key}={count}" for key, count in sorted(counts.items()))
@@ -109,6 +111,9 @@
                 return
             if self.system.may_go(transfer):
                 counts[await self._transfer(transfer)] += 1
+            else:
+                self.system.skipped(transfer)
+                await anyio.lowlevel.checkpoint()
 
     async def _transfer(self, transfer: Transfer) -> Handed:
         """Move one prefix within its limit; whatever fails costs its chat one cold prefill."""
--- a/src/beryljunction/systems/handover.py
+++ b/src/beryljunction/systems/handover.py
@@ -1,7 +1,7 @@
 """Which cached prefixes a leaving endpoint gives to whom, and which a successor takes."""
 
 import enum
-from collections.abc import Set
+from collections.abc import Iterator, Set
 
 import attrs
 
@@ -97,27 +97,28 @@
 
     def plan(
         self, prefixes: PrefixTable, busy: Set[int], members: EndpointTable, now_s: float
-    ) -> list[Transfer]:
-        """Return the transfers that are still to be made, the most useful first.
+    ) -> Iterator[Transfer]:
+        """Yield the transfers that are still to be made, the most useful first.
 
         A byte of any prefix saves the same prefill if its chat returns, so what counts is how
         likely that is: the chat that was answered last goes first. Chats with a request in flight
         here wait for its end; their answer goes first, and makes the prefix longer.
+
+        One at a time: to place thousands of chats in one step would hold up the answers in flight.
         """
         placement = PlacementSystem(members, region=self._region)
-        transfers = []
         for row in prefixes.newest_first():
             if now_s - row.used_s > self.limits.hot_s:
-                break
+                return
             if row.chat_key in self._handled or row.chat_key in busy:
                 continue
+            if row.tokens < self.limits.least_tokens:
+                continue
             query = PlacementQuery(self._service, row.chat_key)
             successor = successor_of(placement, query, self._endpoint_id, now_s)
-            if successor is not None and row.tokens >= self.limits.least_tokens:
+            if successor is not None:
                 limit_s = self._limit_s(row.tokens)
-                key, chat_id = row.chat_key, row.chat_id
-                transfers.append(Transfer(key, chat_id, row.tokens, successor, limit_s))
-        return transfers
+                yield Transfer(row.chat_key, row.chat_id, row.tokens, successor, limit_s)
 
     def may_go(self, transfer: Transfer) -> bool:
         """Tell whether a planned transfer is still worth its start.
@@ -133,6 +134,10 @@
             and self._moved_bytes + planned_bytes <= self.limits.total_bytes
         )
 
+    def skipped(self, transfer: Transfer) -> None:
+        """Leave a prefix behind for good, so that no later plan places its chat again."""
+        self._handled.add(transfer.chat_key)
+
     def started(self, transfer: Transfer) -> None:
         """Count a transfer; each prefix is tried once, since a second try is a prefill's worth."""
         self._handled.add(transfer.chat_key)
--- a/testing/test_handover.py
+++ b/testing/test_handover.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from beryljunction.servers import respond
 from beryljunction.standins import EngineModel, EngineStandIn
 from beryljunction.stops import GracefulStop
 from beryljunction.systems import (
@@ -60,7 +61,7 @@
     def test_plan_takes_what_is_likely_to_return(self, limits, busy, keys):
         prefixes = prefixes_of((1, 100, 10.0), (2, 200, 20.0), (3, 300, 30.0))
 
-        plan = system_of(**limits).plan(prefixes, busy, members_of(3), 30.0)
+        plan = list(system_of(**limits).plan(prefixes, busy, members_of(3), 30.0))
 
         assert [transfer.chat_key for transfer in plan] == keys
 
@@ -69,7 +70,7 @@
         members.put(Endpoint("drafter-3", "drafter", "ahd-a", "", state=EndpointState.LEAVING))
         prefixes = prefixes_of(*((key, 900, 0.0) for key in range(50)))
 
-        plan = system_of().plan(prefixes, set(), members, 0.0)
+        plan = list(system_of().plan(prefixes, set(), members, 0.0))
 
         members.remove("drafter-0")
         placement = PlacementSystem(members)
@@ -92,7 +93,7 @@
     def test_transfers_stop_at_their_limits(self, handed, times, may_go):
         system = system_of(total_bytes=1000, token_bytes=1)
         rows = ((key, 100, 0.0) for key in range(21))
-        plan = system.plan(prefixes_of(*rows), set(), members_of(2), 0.0)
+        plan = list(system.plan(prefixes_of(*rows), set(), members_of(2), 0.0))
         for transfer in plan[:times]:
             system.started(transfer)
             system.ended(transfer, handed)
@@ -105,10 +106,10 @@
         (transfer,) = system.plan(prefixes, set(), members_of(2), 0.0)
         system.started(transfer)
 
-        again = system.plan(prefixes, set(), members_of(2), 0.0)
+        again = list(system.plan(prefixes, set(), members_of(2), 0.0))
         system.reset()
 
-        assert (again, len(system.plan(prefixes, set(), members_of(2), 0.0))) == ([], 1)
+        assert (again, len(list(system.plan(prefixes, set(), members_of(2), 0.0)))) == ([], 1)
 
 
 @attrs.define(eq=False)
@@ -118,6 +119,7 @@
     inner: EngineStandIn
     breaks: str = ""
     hangs: str = ""
+    nonsense: bytes = b""
     calls: list = attrs.field(factory=list)
 
     async def __call__(self, scope, receive, send):
@@ -125,6 +127,9 @@
         self.calls.append(path)
         if path == self.hangs:
             await anyio.sleep_forever()
+        if self.nonsense and path in (EXPORT, IMPORT):
+            await respond(send, 200, self.nonsense)
+            return
         if path == self.breaks:
             head = [(b"content-length", b"100")]
             await send({"type": "http.response.start", "status": 200, "headers": head})
@@ -151,11 +156,15 @@
         self.leaving = self.path.sidecars[0]
         self.engines[0].inner.model.store("c", TOKENS)
         self.leaving.keeper.prefixes.put(Prefix(self.key, "c", TOKENS, time.monotonic()))
-        query = PlacementQuery("drafter", self.key)
-        heir = successor_of(PlacementSystem(self.path.endpoints), query, "drafter-0", 0.0)
-        self.heir = int(heir.endpoint_id[-1])
+        self.heir = self.heir_of(self.key)
         return self
 
+    def heir_of(self, key):
+        """Return the number of the endpoint that is asked next for a chat."""
+        placement = PlacementSystem(self.path.endpoints)
+        heir = successor_of(placement, PlacementQuery("drafter", key), "drafter-0", 0.0)
+        return int(heir.endpoint_id[-1])
+
     async def stop(self, times=1):
         stop = GracefulStop(self.leaving, settle_s=0.0)
         for _ in range(times):
@@ -237,15 +246,39 @@
             assert fleet.pointers() == []
             assert await fleet.ask() == (0, b"[DONE]")
 
+    @pytest.mark.parametrize("at", ["leaving", "successor"])
+    @pytest.mark.parametrize(
+        "answer",
+        [b"\xff", b"[" * 60_000, b'{"tokens": Infinity}', b'{"tokens": -1}', b"x" * 70_000],
+        ids=["not text", "too deep", "no number", "negative", "too long"],
+    )
+    async def test_engine_that_answers_nonsense_does_not_end_the_sidecar(self, at, answer):
+        async with path_of() as path:
+            fleet = await Fleet(path).start()
+            fleet.engines[0 if at == "leaving" else fleet.heir].nonsense = answer
+
+            await fleet.stop()
+
+            assert fleet.pointers() == []
+            assert await fleet.ask() == (0, b"[DONE]")
+
     async def test_successor_that_refuses_is_left_alone(self):
         # The successor was drained a moment ago and the list does not show it yet. It refuses the
         # prefix unread; the stop goes on, and the chat starts cold at the endpoint that is left.
+        # What more there would be for that successor is not even exported.
         async with path_of() as path:
             fleet = await Fleet(path).start()
             path.sidecars[fleet.heir].admission.leaving = True
+            fleet.leaving.refuse_new()
+            await fleet.leaving.handover.finish()
+            exports = fleet.engines[0].calls.count(EXPORT)
+            for key in (key for key in range(20) if fleet.heir_of(key) == fleet.heir):
+                more = Prefix(key, "c", TOKENS, time.monotonic())
+                fleet.leaving.keeper.prefixes.put(more)
 
             await fleet.stop()
 
+            assert exports == fleet.engines[0].calls.count(EXPORT) == 1
             assert (fleet.pointers(), IMPORT in fleet.engines[fleet.heir].calls) == ([], False)
             assert await fleet.ask() == (0, b"[DONE]")
 
