--- a/src/beryljunction/sidecar/keeper.py
+++ b/src/beryljunction/sidecar/keeper.py
@@ -11,6 +11,7 @@
 from beryljunction.servers import client_pool
 from beryljunction.settings import FleetView, ServiceSettings, SidecarFile
 from beryljunction.sidecar.endpoint import EndpointClient
+from beryljunction.sidecar.kv import KvClient
 from beryljunction.sidecar.ledger import RunLedger
 from beryljunction.sidecar.runs import Run, RunTable
 from beryljunction.streams import FrameLog, StreamName
@@ -30,7 +31,7 @@
     claim_refusal,
 )
 from beryljunction.systems import Run as Claimed
-from beryljunction.tables import Answer, Stamp, Work
+from beryljunction.tables import Answer, Prefix, PrefixTable, Stamp, Work
 from beryljunction.timeline import Timeline
 from beryljunction.watches import WatchList
 from beryljunction.wire import Attach, Cancel, Envelope
@@ -38,6 +39,7 @@
 __all__ = ["RunKeeper"]
 
 _TICK_S = 0.05
+_ENGINE = "engine"
 _LATE = "this try arrived after its sender was told that it did not run; it will not run"
 _NOT_TAKEN = {
     Arrival.BURIED: Refusal(RefusalCode.CANCELLED, _LATE, Ran.NO),
@@ -87,6 +89,8 @@
         self._pool = client_pool()
         speed = self.admission.load.speed
         self._endpoint = EndpointClient(self._pool, self.watches, file.endpoint_address, speed)
+        self.kv = KvClient(self._pool, file.endpoint_address)
+        self.prefixes = PrefixTable()
         self._group: anyio.abc.TaskGroup | None = None
         self.apply(view)
 
@@ -165,7 +169,8 @@
     def _admit(self, run: Run) -> Run | Refusal:
         now_s = time.monotonic()
         self.admission.load.merge(run.envelope.loads, now_s)
-        decision = self.admission.offer(_work_of(run.envelope), now_s)
+        work = _work_of(run.envelope, self._priority(run.envelope))
+        decision = self.admission.offer(work, now_s)
         if isinstance(decision, Refuse):
             if run.serial is None:
                 return decision.refusal
@@ -176,6 +181,21 @@
         self._tick()
         return run
 
+    def _priority(self, envelope: Envelope) -> int:
+        """Return the priority of a client account at this service.
+
+        Load: more runs than the engine batches, long work beside short. Harm: without it a
+        programmer who waits for a first word stands behind a night's batch. It comes from the
+        settings and not from callers, who would all ask for the highest. It can't starve others:
+        the fair queue gives each account its places here whatever its priority, and the engine
+        holds no more than those, so low priorities that wait there soon hold all the places that
+        are not batched, and each end of a batched run then starts one of them.
+        """
+        return self._view.service_for(self._file.service, envelope.account).priority
+
+    def _engine_priority(self, run: Run) -> int | None:
+        return self._priority(run.envelope) if self.service.kind == _ENGINE else None
+
     def _log_bytes(self, envelope: Envelope) -> int:
         """Bound of a stream's log; one that may not run again is kept whole for its retry."""
         if envelope.idempotent:
@@ -245,23 +265,31 @@
                 started = run.refusal is None and self._ledger.start(run)
                 if started:
                     self._timeline.add("started", request_id)
-                    await self._endpoint.carry(run, self.name(run))
+                    await self._endpoint.carry(run, self.name(run), self._engine_priority(run))
             if run.scope.cancelled_caught and run.ran is not Ran.NO:
                 await self._endpoint.cancel(request_id)
         finally:
             self._timeline.add("ended", request_id)
             self.admission.finish(request_id)
             self._ledger.close(run, started)
+            self._note_prefix(run.envelope, run.ran)
             run.end(time.monotonic())
             self._tick()
 
+    def _note_prefix(self, envelope: Envelope, ran: Ran) -> None:
+        """Remember by which name the engine knows a chat that it has cached now."""
+        if envelope.chat_key is not None and envelope.chat_id and ran is Ran.YES:
+            tokens = envelope.prompt_tokens + envelope.output_tokens
+            now_s = time.monotonic()
+            self.prefixes.put(Prefix(envelope.chat_key, envelope.chat_id, tokens, now_s))
+
 
 def _try_id(message: Envelope | Attach | Cancel) -> str:
     """Name one try; a tombstone stops that one, not those that follow."""
     return f"{message.request_id}/{message.attempt}"
 
 
-def _work_of(envelope: Envelope) -> Work:
+def _work_of(envelope: Envelope, priority: int) -> Work:
     now_s = time.monotonic()
     return Work(
         request_id=envelope.request_id,
@@ -271,7 +299,7 @@
         chat_key=envelope.chat_key,
         prompt_tokens=envelope.prompt_tokens,
         output_tokens=envelope.output_tokens,
-        priority=envelope.priority,
+        priority=priority,
         idempotent=envelope.idempotent,
         warm=envelope.warm,
         last_resort=envelope.last_resort,
