--- a/src/beryljunction/bench/slopes/measure.py
+++ b/src/beryljunction/bench/slopes/measure.py
@@ -17,17 +17,19 @@
 )
 from beryljunction.bench.slopes.spending import Window
 from beryljunction.bench.slopes.state import STATES, measure_state
+from beryljunction.errors import StartError
 
 __all__ = ["measure_slopes", "print_slopes"]
 
-_GROWTHS: tuple[Callable[[Window], Coroutine[Any, Any, list[Slope]]], ...] = (
-    endpoints_known,
-    accounts_known,
-    sidecars_of_a_service,
-    changes_a_second,
-    requests_a_second,
-    frames_a_second,
-    streams_open,
+_Growth = Callable[[Window], Coroutine[Any, Any, list[Slope]]]
+_GROWTHS: tuple[tuple[str, _Growth], ...] = (
+    ("endpoints known", endpoints_known),
+    ("client accounts", accounts_known),
+    ("sidecars of the service", sidecars_of_a_service),
+    ("settings changes/s", changes_a_second),
+    ("idempotent requests/s, ticketed requests/s", requests_a_second),
+    ("frames/s", frames_a_second),
+    ("open streams", streams_open),
 )
 _FULL = Window()
 # Points of a short window carry the noise of a few scheduler ticks: good for memory and bytes.
@@ -35,13 +37,18 @@
 
 
 def measure_slopes(quick: bool, only: str = "") -> list[Slope]:
-    """Measure every slope whose subject holds the text ``only``, one after the other."""
+    """Measure every slope whose subject holds the text ``only``, one after the other.
+
+    Raises:
+        StartError: When no subject holds it.
+    """
     slopes = [measure_state(state) for state in STATES if only in state.subject]
     window = _QUICK if quick else _FULL
-    for growth in _GROWTHS:
-        if only and only not in growth.__name__.replace("_", " "):
-            continue
-        slopes += anyio.run(growth, window)
+    for subject, growth in _GROWTHS:
+        if only in subject:
+            slopes += anyio.run(growth, window)
+    if not slopes:
+        raise StartError(f"expected a text that a subject holds, got {only!r}")
     return slopes
 
 
--- a/src/beryljunction/streams.py
+++ b/src/beryljunction/streams.py
@@ -6,10 +6,10 @@
 from any entry and never takes up another incarnation's stream by mistake.
 """
 
-import itertools
-
 import attrs
 
+from beryljunction.framelog import FrameLog
+
 __all__ = [
     "DONE",
     "HEARTBEAT",
@@ -128,67 +128,6 @@
         return b"%s%d\n" % (self._prefix, self.sequence)
 
 
-class FrameLog:
-    """Numbered frames of one answer, kept for readers that come back.
-
-    Frames that a reader was given are kept up to a bound in bytes, the newest first. Frames that
-    none was given are never dropped; :attr:`full` tells the producer to wait instead.
-
-    Attributes:
-        last: Sequence of the newest frame.
-    """
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._limit_bytes = limit_bytes
-        self._frames: list[bytes] = []
-        self._before = 0
-        self._given = 0
-        self._given_bytes = 0
-        self._new_bytes = 0
-        self.last = 0
-
-    @property
-    def size_bytes(self) -> int:
-        """Bytes of all frames that are kept."""
-        return self._given_bytes + self._new_bytes
-
-    @property
-    def full(self) -> bool:
-        """Whether the reader lags by more than the bound."""
-        return self._new_bytes > self._limit_bytes
-
-    def append(self, frames: list[bytes]) -> None:
-        """Add the next frames of the answer."""
-        self._frames.extend(frames)
-        self.last += len(frames)
-        self._new_bytes += sum(map(len, frames))
-
-    def reaches(self, after: int) -> bool:
-        """Whether every frame after this sequence is still kept, and the sequence is ours."""
-        return self._before <= after <= self.last
-
-    def after(self, sequence: int) -> bytes:
-        """Return the frames after a sequence that :meth:`reaches`, and count them as given."""
-        start = sequence - self._before
-        frames = self._frames[start:] if start else self._frames
-        data = frames[0] if len(frames) == 1 else b"".join(frames)
-        if self._given < self.last:
-            self._given = self.last
-            self._given_bytes += self._new_bytes
-            self._new_bytes = 0
-            # Dropping only above twice the bound makes the cost of a drop rare.
-            if self._given_bytes > 2 * self._limit_bytes:
-                self._drop()
-        return data
-
-    def _drop(self) -> None:
-        sizes = itertools.accumulate(map(len, reversed(self._frames)))
-        kept = sum(1 for size in sizes if size <= self._limit_bytes)
-        self._before = self.last - kept
-        self._frames = self._frames[len(self._frames) - kept :]
-        self._given_bytes = sum(map(len, self._frames))
-
-
 class SequenceChecker:
     """Passes on the frames of one answer in order, once each; stops at a gap.
 
--- a/testing/test_slopes.py
+++ b/testing/test_slopes.py
@@ -2,8 +2,17 @@
 
 import pytest
 
-from beryljunction.bench.slopes import SIZES, STATES, Point, estimate, fit, measure_state
+from beryljunction.bench.slopes import (
+    SIZES,
+    STATES,
+    Point,
+    estimate,
+    fit,
+    measure_slopes,
+    measure_state,
+)
 from beryljunction.bench.usage import usage_of
+from beryljunction.errors import StartError
 
 
 class TestFit:
@@ -34,6 +43,12 @@
         assert 0 < slope.per_unit < 1_024
 
 
+class TestMeasureSlopes:
+    def test_a_text_that_no_subject_holds_is_refused_rather_than_measured_as_nothing(self):
+        with pytest.raises(StartError, match="expected a text that a subject holds"):
+            measure_slopes(quick=True, only="no such subject")
+
+
 class TestUsage:
     def test_of_this_process_has_memory(self):
         assert usage_of(os.getpid()).resident_bytes > 0
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -116,5 +116,26 @@
         assert not log.reaches(1)
         assert log.after(18) == b"12345678" * 2
 
+    def test_gives_the_same_frames_again_from_any_place_that_it_reaches(self):
+        frames = wire_frames(400)
+        log = FrameLog(limit_bytes=4_096)
+        for i, frame in enumerate(frames):
+            log.append([frame])
+            log.after(i)
+
+        reached = [i for i in range(len(frames)) if log.reaches(i)]
+
+        assert [log.after(i) for i in reached] == [b"".join(frames[i:]) for i in reached]
+        assert sum(map(len, frames[reached[0] :])) >= 4_096
+
+    def test_frames_that_were_given_are_kept_compressed(self):
+        log = FrameLog(limit_bytes=65_536)
+        for i, frame in enumerate(wire_frames(1_000)):
+            log.append([frame])
+            log.after(i)
+
+        assert log.reaches(0)
+        assert log.size_bytes < 16_384
+
     def test_does_not_reach_a_sequence_that_never_was(self):
         assert not FrameLog(limit_bytes=10).reaches(1)
