--- a/src/beryljunction/cli/entry.py
+++ b/src/beryljunction/cli/entry.py
@@ -1,24 +1,13 @@
 """beryl-entry: takes callers."""
 
 import pathlib
-import sys
 
-import anyio
-import defopt
-
-from beryljunction.errors import BerylError
-from beryljunction.logs import configure_logs
+from beryljunction.cli.daemons import run_daemon, serve
 from beryljunction.node import Node
-from beryljunction.settings import EntryFile, FleetView, load_file
+from beryljunction.settings import EntryFile
 
 __all__ = ["main"]
 
-_EXIT_SETTINGS = 2
-
-
-async def _run(file: EntryFile) -> None:
-    await Node.entry(file, file.fleet or FleetView()).run_until_signal()
-
 
 def entry(settings: pathlib.Path) -> int:
     """Take callers and relay them to the endpoints of the fleet.
@@ -28,15 +17,9 @@
 
     :param settings: TOML process file with a [process] table.
     """
-    configure_logs()
-    try:
-        anyio.run(_run, load_file(settings, EntryFile))
-    except BerylError as error:
-        print(error, file=sys.stderr)
-        return _EXIT_SETTINGS
-    return 0
+    return serve(settings, EntryFile, Node.entry)
 
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(defopt.run(entry))
+    run_daemon(entry)
--- a/src/beryljunction/cli/sidecar.py
+++ b/src/beryljunction/cli/sidecar.py
@@ -1,24 +1,13 @@
 """beryl-sidecar: stands beside one endpoint."""
 
 import pathlib
-import sys
 
-import anyio
-import defopt
-
-from beryljunction.errors import BerylError
-from beryljunction.logs import configure_logs
+from beryljunction.cli.daemons import run_daemon, serve
 from beryljunction.node import Node
-from beryljunction.settings import FleetView, SidecarFile, load_file
+from beryljunction.settings import SidecarFile
 
 __all__ = ["main"]
 
-_EXIT_SETTINGS = 2
-
-
-async def _run(file: SidecarFile) -> None:
-    await Node.sidecar(file, file.fleet or FleetView()).run_until_signal()
-
 
 def sidecar(settings: pathlib.Path) -> int:
     """Admit, queue and relay the work of one endpoint.
@@ -28,15 +17,9 @@
 
     :param settings: TOML process file with a [process] table, endpoint_id and endpoint_address.
     """
-    configure_logs()
-    try:
-        anyio.run(_run, load_file(settings, SidecarFile))
-    except BerylError as error:
-        print(error, file=sys.stderr)
-        return _EXIT_SETTINGS
-    return 0
+    return serve(settings, SidecarFile, Node.sidecar)
 
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(defopt.run(sidecar))
+    run_daemon(sidecar)
