--- a/src/beryljunction/cli/daemons.py
+++ b/src/beryljunction/cli/daemons.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NoReturn, TypeVar
 
 import anyio
@@ -12,13 +12,24 @@
 from beryljunction.node import Node
 from beryljunction.settings import EntryFile, FleetView, SidecarFile, load_file
 
-__all__ = ["run_daemon", "serve"]
+__all__ = ["run_daemon", "run_file", "serve"]
 
 _EXIT_SETTINGS = 2
 
+T = TypeVar("T")
 F = TypeVar("F", EntryFile, SidecarFile)
 
 
+def run_file(settings: pathlib.Path, kind: type[T], run: Callable[[T], Awaitable[object]]) -> int:
+    """Run what a settings file describes, until it ends, and return the exit code."""
+    try:
+        anyio.run(run, load_file(settings, kind))
+    except BerylError as error:
+        print(error, file=sys.stderr)
+        return _EXIT_SETTINGS
+    return 0
+
+
 def serve(settings: pathlib.Path, kind: type[F], make: Callable[[F, FleetView], Node]) -> int:
     """Run a process until a signal and return its exit code.
 
@@ -27,17 +38,12 @@
         kind: What the file holds.
         make: Makes the process out of the file and the settings that it starts with.
     """
-    configure_logs()
 
     async def run(file: F) -> None:
         await make(file, file.fleet or FleetView()).run_until_signal()
 
-    try:
-        anyio.run(run, load_file(settings, kind))
-    except BerylError as error:
-        print(error, file=sys.stderr)
-        return _EXIT_SETTINGS
-    return 0
+    configure_logs()
+    return run_file(settings, kind, run)
 
 
 def run_daemon(command: Callable[[pathlib.Path], int]) -> NoReturn:
--- a/src/beryljunction/cli/local.py
+++ b/src/beryljunction/cli/local.py
@@ -7,7 +7,7 @@
 import anyio
 import defopt
 
-from beryljunction.errors import BerylError
+from beryljunction.cli.daemons import run_file
 from beryljunction.local import (
     DEMO_KEY,
     FleetPlan,
@@ -18,12 +18,9 @@
     serve_fleet,
     write_files,
 )
-from beryljunction.settings import load_file
 
 __all__ = ["main"]
 
-_EXIT_SETTINGS = 2
-
 
 def demo() -> int:
     """Send returning chats and non-idempotent calls through a fleet; exit 1 on a broken promise."""
@@ -68,12 +65,7 @@
 
     :param settings: TOML file that ``beryl-local files`` wrote.
     """
-    try:
-        anyio.run(run_standins, load_file(settings, StandInsFile))
-    except BerylError as error:
-        print(error, file=sys.stderr)
-        return _EXIT_SETTINGS
-    return 0
+    return run_file(settings, StandInsFile, run_standins)
 
 
 def main() -> None:
--- a/src/beryljunction/entry/sidecars.py
+++ b/src/beryljunction/entry/sidecars.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any
 
 import anyio
@@ -104,22 +104,18 @@
         self._clock = clock
         self._membership = membership
 
-    @asynccontextmanager
-    async def run(
+    def run(
         self, endpoint: Endpoint, envelope: Envelope, body: bytes, silence_s: float
-    ) -> AsyncIterator[SidecarAnswer]:
+    ) -> AbstractAsyncContextManager[SidecarAnswer]:
         """Send a request; httpcore's ReadTimeout ends the block when the sidecar is silent."""
         headers = [(ENVELOPE_HEADER, encode(envelope))]
-        async with self._open(endpoint, RUN_PATH, headers, body, silence_s) as answer:
-            yield answer
+        return self._open(endpoint, RUN_PATH, headers, body, silence_s)
 
-    @asynccontextmanager
-    async def attach(
+    def attach(
         self, endpoint: Endpoint, attach: Attach, silence_s: float
-    ) -> AsyncIterator[SidecarAnswer]:
+    ) -> AbstractAsyncContextManager[SidecarAnswer]:
         """Take up an answer on a new connection; silence ends it like :meth:`run`."""
-        async with self._open(endpoint, ATTACH_PATH, [], encode(attach), silence_s) as answer:
-            yield answer
+        return self._open(endpoint, ATTACH_PATH, [], encode(attach), silence_s)
 
     def note_failure(self, endpoint: Endpoint) -> None:
         """Take in that nothing came through to a sidecar."""
--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -86,8 +86,14 @@
     headers would fill the entry's memory before any limit of the settings is looked at.
     """
 
-    _is_in_head = True
-    _head_bytes = 0
+    # The class above has as many fields as instances can have with a shared table of their names.
+    # Two more of the usual kind would give each connection a table of its own, 1.5 KB.
+    __slots__ = ("_head_bytes", "_is_in_head")
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._is_in_head = True
+        self._head_bytes = 0
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
