--- a/src/beryljunction/sidecar/keeper.py
+++ b/src/beryljunction/sidecar/keeper.py
@@ -94,14 +94,7 @@
         """Put settings in force."""
         self._view = view
         service = self.service
-        self.admission.limits = AdmissionLimits(
-            load_multiple=service.load_multiple,
-            floor_running=service.floor_running,
-            max_running=service.max_running,
-            max_waiting=service.max_waiting,
-            max_waiting_per_account=service.max_waiting_per_account,
-            quantum_tokens=service.quantum_tokens,
-        )
+        self.admission.limits = AdmissionLimits.from_service(service)
         self.admission.weights = {name: row.weight for name, row in view.accounts.items()}
         self.runs.kept_total_bytes = view.limits.kept_total_bytes
         self._endpoint.silence_s = service.engine_silence_s
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -7,10 +7,12 @@
 import heapq
 import math
 import random
+from typing import Self
 
 import attrs
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.settings.schema import ServiceSettings
 from beryljunction.systems.load import LoadBound, LoadLimits, LoadSystem
 from beryljunction.systems.pointers import PointerSystem
 from beryljunction.systems.queueing import FairQueue
@@ -57,6 +59,18 @@
     reserve_share: float = 0.02
     prefill_tokens_per_s: float = 20_000.0
 
+    @classmethod
+    def from_service(cls, service: ServiceSettings) -> Self:
+        """Return the limits of an endpoint of this service."""
+        return cls(
+            load_multiple=service.load_multiple,
+            floor_running=service.floor_running,
+            max_running=service.max_running,
+            max_waiting=service.max_waiting,
+            max_waiting_per_account=service.max_waiting_per_account,
+            quantum_tokens=service.quantum_tokens,
+        )
+
 
 @attrs.frozen
 class Start:
