--- a/src/beryljunction/bench/policy/figures.py
+++ b/src/beryljunction/bench/policy/figures.py
@@ -42,7 +42,6 @@
     requests: int
     found_warm_ratio: float
     max_over_mean: float
-    max_over_mean_at_start: float
     first_token_s_p50: float
     first_token_s_p95: float
     first_token_s_p99: float
@@ -62,9 +61,8 @@
 
     def __init__(self) -> None:
         self.highest = 0.0
-        self.highest_at_start = 0.0
 
-    def __call__(self, sidecar: FakeSidecar, is_start: bool) -> None:
+    def __call__(self, sidecar: FakeSidecar) -> None:
         world = sidecar.world
         is_engine = sidecar.service == world.size.services[0].name
         if not is_engine or not WARMUP_S <= world.now_s <= world.size.end_s:
@@ -72,11 +70,8 @@
         live = world.live(sidecar.service)
         runs = [s.engine.running for s in live if world.now_s - s.since_s >= _JOIN_S]
         mean = sum(runs) / max(1, len(runs))
-        if mean < _LEAST_MEAN:
-            return
-        self.highest = max(self.highest, max(runs) / mean)
-        if is_start:
-            self.highest_at_start = max(self.highest_at_start, sidecar.engine.running / mean)
+        if mean >= _LEAST_MEAN:
+            self.highest = max(self.highest, max(runs) / mean)
 
 
 def run_policy(scenario_name: str, size_name: str, policy_name: str, seed: int) -> Figures:
@@ -101,7 +96,6 @@
         requests=sum(1 + asked.resends for asked in seen),
         found_warm_ratio=_share(returning, _found_warm),
         max_over_mean=round(load.highest, 4),
-        max_over_mean_at_start=round(load.highest_at_start, 4),
         first_token_s_p50=_quantile(first, 0.5),
         first_token_s_p95=_quantile(first, 0.95),
         first_token_s_p99=_quantile(first, 0.99),
--- a/src/beryljunction/bench/policy/world.py
+++ b/src/beryljunction/bench/policy/world.py
@@ -172,7 +172,7 @@
         asked.started_s = now_s
         asked.false_not_run |= asked.refusal is not None and asked.refusal.ran is Ran.NO
         ready_s, asked.cached_tokens = self.engine.start(call.chat, call.prompt_tokens, now_s)
-        self.world.watch(self, True)
+        self.world.watch(self)
         self.later(ready_s - now_s, self._first_token, asked)
 
     def _first_token(self, asked: Asked) -> None:
@@ -196,7 +196,7 @@
             self.admission.finish(str(key))
             self._answer(asked, number, None)
         if ended:
-            self.world.watch(self, False)
+            self.world.watch(self)
             self._publish_evictions()
             self._plan_end()
             if self.world.now_s >= self.paused_until_s:
@@ -362,7 +362,7 @@
     """Runs the calls of a scenario under one policy.
 
     Args:
-        watch: Called with a sidecar whose load has changed, and whether by a start.
+        watch: Called with a sidecar whose load has changed.
     """
 
     def __init__(
@@ -371,7 +371,7 @@
         size: Size,
         policy: Policy,
         seed: int,
-        watch: Callable[[FakeSidecar, bool], None],
+        watch: Callable[[FakeSidecar], None],
     ) -> None:
         self.scenario = scenario
         self.size = size
