--- a/src/beryljunction/bench/policy/scenarios.py
+++ b/src/beryljunction/bench/policy/scenarios.py
@@ -87,6 +87,7 @@
     "disagree": Scenario(fault="hide"),
     "gaps": Scenario(cache_tokens=250_000),
     "pause": Scenario(fault="pause"),
+    "zone-loss": Scenario(fault="zone"),
 }
 
 
@@ -191,6 +192,8 @@
 def _faults(kind: str, size: Size, rng: random.Random) -> list[Fault]:
     service = size.services[0]
     names = [f"{service.name}-{i}" for i in range(service.endpoints)]
+    if kind == "zone":
+        return _zone_loss(names, size)
     if kind in ("slow", "removed"):
         return [Fault(WARMUP_S / 2, kind, rng.choice(names))]
     period_s = _FAULT_PERIOD_S.get(kind)
@@ -205,3 +208,11 @@
         what = kind if kind in ("hide", "pause") else lost_or_back
         faults.append(Fault(WARMUP_S + i * period_s, what, name))
     return faults
+
+
+def _zone_loss(names: list[str], size: Size) -> list[Fault]:
+    """Return the loss of all endpoints of an availability zone at once, and their return."""
+    lost = names[:: size.zones]
+    lost_s, back_s = (WARMUP_S + share * size.life_s for share in (0.3, 0.7))
+    faults = [Fault(lost_s, "lost", name) for name in lost]
+    return faults + [Fault(back_s, "back", name) for name in lost]
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -110,6 +110,8 @@
             return self._next()
         if refusal.code is RefusalCode.OVERLOADED:
             return self._spill(refusal, endpoint)
+        if refusal.code is RefusalCode.ENDPOINT_FAILED and self._spilled and not self._resorted:
+            return self._resort()
         if not self._left or not self._budget.spend():
             return self._give_up(refusal)
         self.retries += 1
@@ -160,6 +162,15 @@
             return self._next()
         if not self._spilled or self._resorted:
             return self._give_up(refusal)
+        return self._resort()
+
+    def _resort(self) -> Try:
+        """Go back to the least loaded endpoint that refused, where the request may wait.
+
+        Load: an availability zone is lost and the rest of the fleet is at its bound. Harm: the walk
+        ends at an endpoint that is gone, and a caller is told so while live ones had a place in
+        their queue. It happens once a request, so the queues there, not the retry budget, limit it.
+        """
         self._resorted = True
         best = min(self._spilled, key=self._load_of)
         self._spilled.clear()
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -51,6 +51,20 @@
 
         assert [type(step) for step in steps] == [Try, Try, GiveUp]
 
+    def test_ends_where_it_may_wait_though_the_last_candidate_is_gone(self):
+        # An availability zone is lost, and the endpoints that are left are at their bound. The walk
+        # goes on to one that is gone; the caller must not be told of that failure while a live one
+        # would let the request wait. No retry is paid for: the budget is empty by then.
+        walk = attempts(3, share=0.0)
+        walk.first()
+        walk.after(overloaded(0, 9), ROWS[0])
+        walk.after(overloaded(1, 5), ROWS[1])
+
+        step = walk.after(refusal(RefusalCode.ENDPOINT_FAILED), ROWS[2])
+
+        assert (step.endpoint.endpoint_id, step.last_resort, walk.retries) == ("e1", True, 0)
+        assert isinstance(walk.after(refusal(RefusalCode.ENDPOINT_FAILED), ROWS[1]), GiveUp)
+
     def test_costs_no_retry_budget(self):
         walk = attempts()
         walk.first()
