--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -7,11 +7,12 @@
 from beryljunction.loads import LoadRow
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.systems.retries import RetryBudget
-from beryljunction.tables import Endpoint
+from beryljunction.tables import Endpoint, EndpointState
 
 __all__ = ["AttemptSystem", "GiveUp", "Step", "Try"]
 
 _MOST_SPILLS = 3
+_MOST_FAILOVERS = 3
 _PREVIOUS_HOME_CODES = frozenset((RefusalCode.NOT_WARM, RefusalCode.CHAT_MOVED))
 _FINAL_CODES = frozenset((RefusalCode.DEADLINE, RefusalCode.BAD_REQUEST, RefusalCode.CANCELLED))
 
@@ -52,7 +53,7 @@
     Attributes:
         home: First in rendezvous order, which keeps the chat's pointer.
         tries: Tries so far.
-        retries: Tries that were paid out of the retry budget.
+        retries: Tries after a failure: those that the retry budget paid for, and failovers.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self._spilled: list[Endpoint] = []
         self._followed = False
         self._maybe_ran = False
+        self._failovers = 0
         self._resorted = False
         self._pointer: str | None = None
         self._backup = candidates[1] if len(candidates) > 1 else None
@@ -110,8 +112,10 @@
             return self._next()
         if refusal.code is RefusalCode.OVERLOADED:
             return self._spill(refusal, endpoint)
-        if refusal.code is RefusalCode.ENDPOINT_FAILED and self._spilled and not self._resorted:
-            return self._resort()
+        if refusal.code is RefusalCode.ENDPOINT_FAILED and refusal.ran is Ran.NO:
+            step = self._fail_over()
+            if step is not None:
+                return step
         if not self._left or not self._budget.spend():
             return self._give_up(refusal)
         self.retries += 1
@@ -164,6 +168,22 @@
             return self._give_up(refusal)
         return self._resort()
 
+    def _fail_over(self) -> Try | None:
+        """Go on from an endpoint that proved not to have run the request; None when it is enough.
+
+        Load: an availability zone or an engine is lost. Harm: a fifth or more of the requests have
+        their home there, the retry budget is a tenth, and callers are refused while live endpoints
+        have room. No work was done, so none is multiplied. After three failures the budget pays:
+        more at once means that most of the service is down, where each further try is a storm.
+        """
+        self._failovers += 1
+        if self._left and self._left[0].state is EndpointState.LIVE:
+            if self._failovers > _MOST_FAILOVERS:
+                return None
+            self.retries += 1
+            return self._next()
+        return self._resort() if self._spilled and not self._resorted else None
+
     def _resort(self) -> Try:
         """Go back to the least loaded endpoint that refused, where the request may wait.
 
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -1,9 +1,10 @@
+import attrs
 import pytest
 
 from beryljunction.loads import LoadRow
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.systems import AttemptSystem, GiveUp, RetryBudget, Try
-from beryljunction.tables import Endpoint
+from beryljunction.tables import Endpoint, EndpointState
 
 ROWS = [Endpoint(f"e{i}", "drafter", "z", "") for i in range(8)]
 
@@ -86,6 +87,40 @@
         assert walk.retries == 0
 
 
+class TestFailover:
+    def test_costs_no_retry_budget_where_a_live_candidate_is_left(self):
+        # An availability zone is lost, and with it the homes of a third of the chats. Paid for from
+        # the budget, a tenth, most of their callers would be refused beside live endpoints.
+        walk = attempts(share=0.0)
+        walk.first()
+
+        steps = [walk.after(refusal(RefusalCode.ENDPOINT_FAILED), row) for row in ROWS[:3]]
+
+        assert [step.endpoint.endpoint_id for step in steps] == ["e1", "e2", "e3"]
+
+    def test_is_paid_for_after_a_few_or_towards_a_suspect(self):
+        # Most of the service is down. Each request that walked through all of it would be a storm.
+        suspects = [attrs.evolve(row, state=EndpointState.SUSPECT) for row in ROWS]
+        long, short = (
+            AttemptSystem(rows, RetryBudget(0.0, 0.0), True) for rows in (ROWS, suspects)
+        )
+        failed = refusal(RefusalCode.ENDPOINT_FAILED)
+
+        live_steps = [long.first(), *(long.after(failed, row) for row in ROWS[:4])]
+        suspect_steps = [short.first(), short.after(failed, suspects[0])]
+
+        assert [type(step) for step in live_steps] == [Try, Try, Try, Try, GiveUp]
+        assert [type(step) for step in suspect_steps] == [Try, GiveUp]
+
+    def test_of_a_request_that_may_have_run_is_a_retry(self):
+        walk = AttemptSystem(ROWS, RetryBudget(0.0, 0.0), True)
+        walk.first()
+
+        step = walk.after(refusal(RefusalCode.ENDPOINT_FAILED, Ran.UNKNOWN), ROWS[0])
+
+        assert isinstance(step, GiveUp)
+
+
 class TestRetries:
     def test_stop_when_the_budget_is_empty(self):
         walk = attempts()
