--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -7,11 +7,12 @@
 from beryljunction.loads import LoadRow
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.systems.retries import RetryBudget
-from beryljunction.tables import Endpoint
+from beryljunction.tables import Endpoint, EndpointState
 
 __all__ = ["AttemptSystem", "GiveUp", "Step", "Try"]
 
 _MOST_SPILLS = 3
+_MOST_FAILOVERS = 3
 _PREVIOUS_HOME_CODES = frozenset((RefusalCode.NOT_WARM, RefusalCode.CHAT_MOVED))
 _FINAL_CODES = frozenset((RefusalCode.DEADLINE, RefusalCode.BAD_REQUEST, RefusalCode.CANCELLED))
 
@@ -53,6 +54,7 @@
         home: First in rendezvous order, which keeps the chat's pointer.
         tries: Tries so far.
         retries: Tries that were paid out of the retry budget.
+        failovers: Tries that ended at an endpoint which proved not to have run the request.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.home = home if home is not None else first
         self.tries = 0
         self.retries = 0
+        self.failovers = 0
 
     def first(self) -> Step:
         """Return the first step."""
@@ -110,6 +113,10 @@
             return self._next()
         if refusal.code is RefusalCode.OVERLOADED:
             return self._spill(refusal, endpoint)
+        if refusal.code is RefusalCode.ENDPOINT_FAILED and refusal.ran is Ran.NO:
+            step = self._fail_over()
+            if step is not None:
+                return step
         if not self._left or not self._budget.spend():
             return self._give_up(refusal)
         self.retries += 1
@@ -160,6 +167,28 @@
             return self._next()
         if not self._spilled or self._resorted:
             return self._give_up(refusal)
+        return self._resort()
+
+    def _fail_over(self) -> Try | None:
+        """Go on from an endpoint that proved not to have run the request; None when it is enough.
+
+        Load: an availability zone or an engine is lost. Harm: a fifth or more of the requests have
+        their home there, the retry budget is a tenth, and callers are refused while live endpoints
+        have room. No work was done, so none is multiplied. After three failures the budget pays:
+        more at once means that most of the service is down, where each further try is a storm.
+        """
+        self.failovers += 1
+        if self._left and self._left[0].state is EndpointState.LIVE:
+            return self._next() if self.failovers <= _MOST_FAILOVERS else None
+        return self._resort() if self._spilled and not self._resorted else None
+
+    def _resort(self) -> Try:
+        """Go back to the least loaded endpoint that refused, where the request may wait.
+
+        Load: an availability zone is lost and the rest of the fleet is at its bound. Harm: the walk
+        ends at an endpoint that is gone, and a caller is told so while live ones had a place in
+        their queue. It happens once a request, so the queues there, not the retry budget, limit it.
+        """
         self._resorted = True
         best = min(self._spilled, key=self._load_of)
         self._spilled.clear()
