--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -248,7 +248,7 @@
         attach = Attach(name.request_id, exchange.account, after=after, resume=True)
         silence_s = self.view.services[endpoint.service].silence_s
         relay = Relay(self._sidecars, endpoint, attach, exchange.caller, silence_s)
-        return await relay.resume()
+        return await relay.resume(name)
 
     async def _refuse(self, caller: CallerWriter, refusal: Refusal) -> None:
         self.timeline.add("refused", caller.request_id, refusal.code)
--- a/src/beryljunction/entry/relays.py
+++ b/src/beryljunction/entry/relays.py
@@ -73,6 +73,7 @@
         self._silence_s = silence_s
         self._failures = 0
         self._checker: SequenceChecker | None = None
+        self._resumed: StreamName | None = None
 
     async def run(self, envelope: Envelope, body: bytes) -> Refusal | None:
         """Send the request; None when the caller has its answer."""
@@ -85,8 +86,9 @@
             return Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.NO, 1.0)
         return await self._follow(step)
 
-    async def resume(self) -> Refusal | None:
+    async def resume(self, stream: StreamName) -> Refusal | None:
         """Take up a stream that another connection began; None when the caller has the rest."""
+        self._resumed = stream
         return await self._follow(_Again(failed=False))
 
     async def cancel(self) -> None:
@@ -151,6 +153,9 @@
 
     async def _take(self, answer: SidecarAnswer) -> _Step:
         if answer.outcome is Outcome.STREAM and answer.name is not None:
+            if not answer.name.is_rest_of(self._resumed):
+                message = "expected a stream that is still kept; its sidecar has started anew"
+                return Refusal(RefusalCode.NOT_FOUND, message, Ran.UNKNOWN)
             return await self._take_stream(answer, answer.name)
         if answer.outcome is None:
             return _Again(failed=True)
--- a/src/beryljunction/fuzz/entries.py
+++ b/src/beryljunction/fuzz/entries.py
@@ -15,6 +15,7 @@
     KeyCall,
     KeyReply,
     Message,
+    MovedCall,
     Network,
     RefusalReply,
     RunCall,
@@ -22,7 +23,7 @@
 from beryljunction.fuzz.oracle import Asked, Kind, Oracle
 from beryljunction.fuzz.sidecars import SERVICE
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.streams import DONE, SequenceChecker
+from beryljunction.streams import SequenceChecker, StreamName, event_position
 from beryljunction.systems import (
     AttemptSystem,
     GiveUp,
@@ -51,10 +52,19 @@
 
 @attrs.define(eq=False)
 class _Open:
-    """A caller's request at this entry."""
+    """A caller's request at this entry.
+
+    Attributes:
+        attempts: How it finds its endpoint; None when its stream is at one already.
+        resumed: The stream that its caller takes up again.
+        after: Sequence of the last event that the caller had seen then.
+    """
 
     asked: Asked
-    attempts: AttemptSystem | TicketAttempts
+    attempts: AttemptSystem | TicketAttempts | None = None
+    resumed: StreamName | None = None
+    after: int = 0
+    ignore_pointer: bool = False
     homes: list[Endpoint] = attrs.field(factory=list)
     is_claiming: bool = False
     ticket: str | None = None
@@ -67,7 +77,7 @@
     heard_age_s: float = 0.0
     heard_from_s: float = 0.0
     checker: SequenceChecker | None = None
-    got: bytes = b""
+    has_frames: bool = False
 
 
 class Entry:
@@ -108,16 +118,37 @@
     def ask(self, asked: Asked) -> None:
         """Take a caller's request."""
         operation = asked.operation
-        key = zlib.crc32(b"%d" % operation.number)
+        key = operation.chat_key
+        if key is None:
+            key = zlib.crc32(b"%d" % operation.number)
         candidates = self._placement.candidates(PlacementQuery(SERVICE, key), self._clock())
+        attempts: AttemptSystem | TicketAttempts
         if operation.kind is Kind.IDEMPOTENT:
-            row = _Open(asked, AttemptSystem(candidates, self._budget, idempotent=True))
+            attempts = AttemptSystem(candidates, self._budget, idempotent=True)
         else:
-            row = _Open(asked, TicketAttempts(candidates, operation.ticket), candidates)
+            attempts = TicketAttempts(candidates, operation.ticket)
+        row = _Open(asked, attempts, homes=candidates)
         if operation.kind is Kind.KEY:
             self._to_home(row)
         else:
-            self._go(row, row.attempts.first())
+            self._go(row, attempts.first())
+
+    def resume(self, asked: Asked) -> None:
+        """Take up a caller's stream after the event that it saw last, whoever began it."""
+        position = event_position(asked.last_event_id or "")
+        assert position is not None
+        name, after = position
+        row = _Open(asked, resumed=name, after=after)
+        row.endpoint_id = name.endpoint_id
+        row.try_id = name.request_id
+        row.is_sent = True
+        self._silent(row)
+
+    def hang_up(self, asked: Asked) -> None:
+        """Give up what is open for a caller that reads no longer."""
+        for row in self._rows():
+            if row.asked is asked:
+                self._close(row)
 
     def handle(self, message: Message) -> None:
         """Take in one message; what belongs to no open connection is dropped."""
@@ -179,6 +210,7 @@
         else:
             row.ticket = None
             row.is_last_resort = isinstance(step, Try) and step.last_resort
+            row.ignore_pointer = isinstance(step, Try) and step.ignore_pointer
             self._try(row, step.endpoint.endpoint_id)
 
     def _to_ticket(self, row: _Open, step: UseTicket) -> None:
@@ -197,9 +229,10 @@
         """Begin a try; a sidecar that has not been heard yet is asked for its stamp first."""
         row.tries += 1
         row.endpoint_id = endpoint_id
-        row.try_id = f"{row.asked.request_id}.{row.tries}"
+        row.try_id = f"{row.asked.request_id}/{row.tries}"
         row.heard_from_s = self._clock()
         row.is_sent = False
+        row.checker = None
         if not self._is_up(endpoint_id):
             self._after(row, Refusal(RefusalCode.ENDPOINT_FAILED, "refused", Ran.NO, 1.0))
         elif self._has_heard(endpoint_id):
@@ -244,6 +277,8 @@
             ticket=row.ticket,
             candidates=tuple(others),
             last_resort=row.is_last_resort,
+            chat_key=operation.chat_key,
+            ignore_pointer=row.ignore_pointer,
         )
         self._call(row, call)
 
@@ -264,29 +299,45 @@
             refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, "its sidecar is gone", Ran.UNKNOWN)
             self._after(row, refusal)
         else:
-            last = 0
+            last = row.after
             if row.checker is not None:
                 row.checker.restart()
                 last = row.checker.last
-            self._call(row, AttachCall(row.try_id, row.heard, row.heard_age_s, last))
+            resumed_by = row.asked.account if row.resumed is not None else ""
+            call = AttachCall(row.try_id, row.heard, row.heard_age_s, last, resumed_by)
+            self._call(row, call)
 
     def _frames(self, row: _Open, frames: FramesReply) -> None:
+        if not frames.name.is_rest_of(row.resumed):
+            self._refuse(row, Refusal(RefusalCode.NOT_FOUND, "not kept", Ran.UNKNOWN))
+            return
         if row.checker is None:
-            row.checker = SequenceChecker(frames.name)
-        row.got += row.checker.feed(frames.data)
+            row.checker = SequenceChecker(frames.name, row.after)
+        data = row.checker.feed(frames.data)
+        if data:
+            row.has_frames = True
+            self._oracle.received(row.asked, data)
         if row.checker.gap:
             self._silent(row)
-        if not row.checker.complete:
-            return
-        lines = [line for line in row.got.split(b"\n") if line.startswith(b"data: ")]
-        pieces = [line.removeprefix(b"data: ") for line in lines if line != DONE]
-        self._answer(row, b"".join(pieces))
+        if row.checker.complete:
+            self._answer(row, b"".join(row.asked.pieces))
 
     def _answer(self, row: _Open, body: bytes) -> None:
         self._budget.earn()
+        self._tell_keepers(row)
         self._close(row)
         self._oracle.answered(row.asked, body, self._clock())
 
+    def _tell_keepers(self, row: _Open) -> None:
+        """Tell who keeps a chat's pointer who took the chat."""
+        chat_key = row.asked.operation.chat_key
+        taker = self.endpoints.get(row.endpoint_id)
+        if chat_key is None or taker is None or not isinstance(row.attempts, AttemptSystem):
+            return
+        for keeper in row.attempts.keepers(taker):
+            moved = MovedCall(chat_key, taker.endpoint_id)
+            self._network.send(keeper.endpoint_id, self.name, self._network.connect(), moved)
+
     def _refusal(self, row: _Open, refusal: Refusal) -> None:
         if row.is_claiming:
             self._refuse(row, refusal)
@@ -299,8 +350,10 @@
         """Go on after a try that ended without an answer."""
         if row.is_claiming:
             self._to_home(row)
-        elif row.got:
-            self._refuse(row, attrs.evolve(refusal, ran=Ran.YES))
+        elif row.has_frames:
+            self._refuse(row, Refusal(RefusalCode.INCOMPLETE, refusal.message, Ran.YES))
+        elif row.attempts is None:
+            self._refuse(row, refusal)
         elif isinstance(row.attempts, TicketAttempts):
             self._go(row, row.attempts.after(refusal, row.ticket))
         else:
@@ -309,7 +362,7 @@
 
     def _refuse(self, row: _Open, refusal: Refusal) -> None:
         self._close(row)
-        self._oracle.refused(row.asked, refusal.ran, self._clock(), refusal.try_ran)
+        self._oracle.refused(row.asked, refusal, self._clock())
 
     def _call(self, row: _Open, content: object) -> None:
         connection = self._network.connect()
--- a/src/beryljunction/fuzz/machine.py
+++ b/src/beryljunction/fuzz/machine.py
@@ -20,7 +20,7 @@
 )
 
 from beryljunction.fuzz.network import Broken
-from beryljunction.fuzz.oracle import Kind
+from beryljunction.fuzz.oracle import Asked, Kind
 from beryljunction.fuzz.sidecars import Limits
 from beryljunction.fuzz.world import ENDPOINTS, ENTRIES, World
 from beryljunction.systems import AdmissionLimits, ClaimLimits, LedgerLimits, TombstoneLimits
@@ -32,6 +32,7 @@
 _ENDPOINT = st.sampled_from(ENDPOINTS)
 _PROCESS = st.sampled_from(ENTRIES + ENDPOINTS)
 _INDEX = st.integers(0, 15)
+_CHAT = st.sampled_from((7, 7, 8))
 _RECENT = st.sampled_from((0, 0, 0, 1, 2))
 _KIND = st.sampled_from((*Kind, Kind.KEY, Kind.TICKET))
 _ROUNDS = st.sampled_from((8, 0, 2, 0, 8))
@@ -64,6 +65,15 @@
     ANSWERS = "answers lost"
 
 
+class StreamFault(enum.StrEnum):
+    """What happens in the middle of a stream."""
+
+    ENTRY = "entry crash in a stream"
+    FRAMES = "frames lost"
+    RESUME = "engine resume"
+    ENGINE = "engine breaks off, and the caller asks again"
+
+
 class PlatformFault(enum.StrEnum):
     """What happens around the sidecars."""
 
@@ -158,10 +168,14 @@
         self.tally.examples += 1
         self.ask_new(entry, kind, streamed=False, rounds=rounds)
 
-    @rule(entry=_ENTRY, kind=_KIND, streamed=st.booleans(), rounds=_ROUNDS)
-    def ask_new(self, entry: str, kind: Kind, streamed: bool, rounds: int) -> None:
-        """A caller asks for something new, and things go well for a while."""
-        operation = self.world.new_operation(kind, streamed)
+    @rule(
+        entry=_ENTRY, kind=_KIND, streamed=st.booleans(), rounds=_ROUNDS, chat_key=st.none() | _CHAT
+    )
+    def ask_new(
+        self, entry: str, kind: Kind, streamed: bool, rounds: int, chat_key: int | None = None
+    ) -> None:
+        """A caller asks for something new, maybe in a chat, and things go well for a while."""
+        operation = self.world.new_operation(kind, streamed, chat_key)
         self.world.ask(entry, operation, operation.account, operation.body)
         self.world.run(rounds)
 
@@ -180,6 +194,49 @@
         """A caller uses a key or ticket for something else, or one that is not its own."""
         self._repeat(entry, place, account, change, rounds)
 
+    @rule(entry=_ENTRY, chat_key=_CHAT, crashes=st.booleans())
+    def lose_the_warm_endpoint(self, entry: str, chat_key: int, crashes: bool) -> None:
+        """A chat comes back and is led to an endpoint that was killed, or is about to stop.
+
+        It sent several requests at once before, so that its home was full and another took it.
+        """
+        for _ in range(3):
+            self.ask_new(entry, Kind.IDEMPOTENT, False, 0, chat_key)
+        self.world.run(6)
+        for endpoint_id in self.world.pointed_to(chat_key):
+            self._fault("warm endpoint lost")
+            if crashes:
+                self.world.crash(endpoint_id)
+            else:
+                self.world.drain(endpoint_id)
+        self.ask_new(entry, Kind.IDEMPOTENT, True, 4, chat_key)
+
+    @precondition(lambda self: self._cut_streams())
+    @rule(entry=_ENTRY, place=_RECENT, rounds=_ROUNDS)
+    def resume(self, entry: str, place: int, rounds: int) -> None:
+        """A caller whose stream stopped takes it up again at any entry."""
+        streams = self._cut_streams()
+        self.world.resume(entry, streams[-1 - place % len(streams)])
+        self.world.run(rounds)
+
+    @rule(kind=_KIND, rounds=st.sampled_from((2, 3)), fault=st.sampled_from(StreamFault))
+    def stream_fault(self, kind: Kind, rounds: int, fault: StreamFault) -> None:
+        """Something fails in the middle of a stream, which is taken up again."""
+        self.ask_new(ENTRIES[0], kind, True, rounds)
+        self._fault(fault)
+        if fault is StreamFault.ENTRY:
+            self.world.restart_entry(ENTRIES[0])
+            for asked in self._cut_streams()[-1:]:
+                self.world.resume(ENTRIES[1], asked)
+        elif fault is StreamFault.FRAMES:
+            self.world.network.lose_to(ENTRIES)
+        elif fault is StreamFault.RESUME:
+            self.world.resume_engines()
+        else:
+            self.world.break_engines()
+            self._repeat(ENTRIES[1], 0, "federation", "", 2)
+        self.world.run(3)
+
     @rule(rounds=st.sampled_from((2, 10)))
     def go_on(self, rounds: int) -> None:
         """Things go well for a while."""
@@ -206,7 +263,7 @@
         if fault is MessageFault.DUPLICATE:
             network.double(place)
         elif fault is MessageFault.ANSWERS:
-            network.in_flight = [row for row in network.in_flight if row.target not in ENTRIES]
+            network.lose_to(ENTRIES)
         else:
             message = network.take(place)
             if fault is MessageFault.BROKEN and message.sender in ENTRIES:
@@ -299,6 +356,11 @@
                 self.tally.refusals[ran] = self.tally.refusals.get(ran, 0) + 1
         self._check()
 
+    def _cut_streams(self) -> list[Asked]:
+        """Return the requests whose callers have seen a part of a stream."""
+        asked = self.world.oracle.asked
+        return [row for row in asked if row.answer is None and row.last_event_id is not None]
+
     def _repeat(self, entry: str, place: int, account: str, change: str, rounds: int) -> None:
         operations = [row for row in self.world.operations if row.is_shared]
         if operations:
--- a/src/beryljunction/fuzz/network.py
+++ b/src/beryljunction/fuzz/network.py
@@ -1,6 +1,6 @@
 """Messages in flight: each may be delayed, reordered, doubled or lost."""
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 import attrs
 
@@ -21,6 +21,7 @@
     "KeyCall",
     "KeyReply",
     "Message",
+    "MovedCall",
     "Network",
     "RefusalReply",
     "RunCall",
@@ -44,6 +45,16 @@
     ticket: str | None = None
     candidates: tuple[Stamp, ...] = ()
     last_resort: bool = False
+    chat_key: int | None = None
+    ignore_pointer: bool = False
+
+
+@attrs.frozen
+class MovedCall:
+    """An entry tells who keeps a chat's pointer where the chat's prefix lies now."""
+
+    chat_key: int
+    endpoint_id: str
 
 
 @attrs.frozen
@@ -64,12 +75,18 @@
 
 @attrs.frozen
 class AttachCall:
-    """An entry asks on a new connection about a try."""
+    """An entry asks on a new connection about a try, or for the rest of a stream.
+
+    Attributes:
+        resumed_by: Client account whose caller takes up the stream at this entry; empty for a try
+            of the entry's own.
+    """
 
     try_id: str
     heard: Stamp | None
     heard_age_s: float
     last: int
+    resumed_by: str = ""
 
 
 @attrs.frozen
@@ -173,6 +190,10 @@
         """Put a copy of a message at the end."""
         self.in_flight.append(self.in_flight[index % len(self.in_flight)])
 
+    def lose_to(self, targets: Container[str]) -> None:
+        """Lose everything that is on its way to these processes."""
+        self.in_flight = [row for row in self.in_flight if row.target not in targets]
+
     def drain(self) -> Iterator[Message]:
         """Take what is in flight now, oldest first; what is sent meanwhile stays."""
         taken, self.in_flight = self.in_flight, []
--- a/src/beryljunction/fuzz/oracle.py
+++ b/src/beryljunction/fuzz/oracle.py
@@ -4,11 +4,16 @@
 
 import attrs
 
-from beryljunction.outcomes import Ran
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.streams import DONE
 
 __all__ = ["Asked", "EngineRun", "Kind", "Operation", "Oracle"]
 
 _EPSILON_S = 0.05
+_DATA = b"data: "
+_ID = b"id: "
+# What processes of the fleet say to each other; to a caller it means nothing.
+_INTERNAL = frozenset((RefusalCode.CHAT_MOVED, RefusalCode.NOT_WARM))
 
 
 class Kind(enum.StrEnum):
@@ -26,6 +31,7 @@
 
     Attributes:
         ticket: Ticket that the caller fetched.
+        chat_key: The chat that it belongs to, if any.
     """
 
     number: int
@@ -34,6 +40,7 @@
     body: str
     streamed: bool
     ticket: str | None = None
+    chat_key: int | None = None
 
     @property
     def key(self) -> str | None:
@@ -48,7 +55,11 @@
 
 @attrs.define(eq=False)
 class Asked:
-    """One request of a caller, and what it was told."""
+    """One request of a caller, and what it was told.
+
+    Attributes:
+        received: Frames that the caller has got, over all the connections that it read them from.
+    """
 
     number: int
     operation: Operation
@@ -59,6 +70,19 @@
     ran: Ran | None = None
     try_ran: Ran | None = None
     answer: bytes | None = None
+    received: bytes = b""
+
+    @property
+    def pieces(self) -> list[bytes]:
+        """The pieces of the answer that the caller has got, in the order that it got them."""
+        lines = self.received.split(b"\n")
+        return [row[len(_DATA) :] for row in lines if row.startswith(_DATA) and row != DONE]
+
+    @property
+    def last_event_id(self) -> str | None:
+        """What the caller sends as ``Last-Event-ID``; None when it has seen no event."""
+        ids = [row[len(_ID) :] for row in self.received.split(b"\n") if row.startswith(_ID)]
+        return ids[-1].decode() if ids else None
 
     @property
     def request_id(self) -> str:
@@ -114,7 +138,7 @@
                 clock was set, so that it can't know.
             now_s: Virtual time.
         """
-        request_id = try_id.partition(".")[0]
+        request_id = try_id.partition("/")[0]
         asked = self.asked[int(request_id[1:])]
         text = f"{asked.account}|{body}|{len(self.runs)}".encode()
         run = EngineRun(len(self.runs), asked, try_id, body, now_s, text)
@@ -133,25 +157,36 @@
         self.runs.append(run)
         return run
 
-    def refused(self, asked: Asked, ran: Ran, now_s: float, try_ran: Ran | None = None) -> None:
+    def received(self, asked: Asked, data: bytes) -> None:
+        """Note frames that a caller gets: in order, each once, from where it stopped."""
+        asked.received += data
+        pieces = asked.pieces
+        known = [run.chunks for run in self._own_runs_of(asked)]
+        if pieces not in [chunks[: len(pieces)] for chunks in known]:
+            self._broken(f"{asked.request_id} got {pieces!r}, expected one of {known!r}")
+
+    def resumed(self, asked: Asked) -> None:
+        """Note that a caller takes up its stream again, wherever it read it before."""
+        asked.ended_s = None
+        asked.ran = None
+
+    def refused(self, asked: Asked, refusal: Refusal, now_s: float) -> None:
         """Note a refusal and check that a "no" is true, of all that is meant or of this request."""
-        self._end(asked, ran, now_s)
-        asked.try_ran = try_ran
+        self._end(asked, refusal.ran, now_s)
+        asked.try_ran = refusal.try_ran
+        if refusal.code in _INTERNAL:
+            self._broken(f"{asked.request_id} was told {refusal.code}")
         for run in self._runs_of(asked):
-            if try_ran is Ran.NO and run.asked is asked:
+            if refusal.try_ran is Ran.NO and run.asked is asked:
                 self._broken(f"{asked.request_id} was told no of itself, but ran")
-            if ran is Ran.NO and self._is_false(asked, run):
+            if refusal.ran is Ran.NO and self._is_false(asked, run):
                 self._broken(f"{asked.request_id} was told no, but {run.asked.request_id} ran")
 
     def answered(self, asked: Asked, answer: bytes, now_s: float) -> None:
         """Note a whole answer and check that it is whole and the caller's own."""
         asked.answer = answer
         self._end(asked, Ran.YES, now_s)
-        known = [
-            b"".join(run.chunks)
-            for run in self._runs_of(asked)
-            if run.body == asked.body and run.asked.account == asked.account
-        ]
+        known = [b"".join(run.chunks) for run in self._own_runs_of(asked)]
         if answer not in known:
             self._broken(f"{asked.request_id} got {answer!r}, expected one of {known!r}")
 
@@ -195,6 +230,14 @@
             return same
         return [run for run in same if run.asked.account == asked.account]
 
+    def _own_runs_of(self, asked: Asked) -> list[EngineRun]:
+        """Return the runs whose answer a caller may get."""
+        return [
+            run
+            for run in self._runs_of(asked)
+            if run.body == asked.body and run.asked.account == asked.account
+        ]
+
     def _end(self, asked: Asked, ran: Ran, now_s: float) -> None:
         if asked.ended_s is not None:
             self._broken(f"{asked.request_id} was answered twice")
--- a/src/beryljunction/fuzz/sidecars.py
+++ b/src/beryljunction/fuzz/sidecars.py
@@ -16,6 +16,7 @@
     KeyCall,
     KeyReply,
     Message,
+    MovedCall,
     Network,
     RefusalReply,
     RunCall,
@@ -38,6 +39,7 @@
     KeyWon,
     LedgerLimits,
     LoadSystem,
+    PointerSystem,
     Refuse,
     Replay,
     Run,
@@ -58,6 +60,8 @@
 _APPEND_TIMEOUT_S = 2.0
 _LOG = "log"
 _FRAMES_BYTES = 10_000
+_CHAT_TOKENS = 100
+_COMMENT = b": still working"
 
 
 @attrs.frozen
@@ -116,7 +120,10 @@
         self.tombstones = TombstoneSystem(endpoint_id, incarnation, clock(), limits.tombstones)
         self.claims = ClaimSystem(incarnation, limits.claims)
         self.admission = AdmissionSystem(
-            limits.admission, LoadSystem(endpoint_id, incarnation), rng=random.Random(0)
+            limits.admission,
+            LoadSystem(endpoint_id, incarnation),
+            PointerSystem(endpoint_id),
+            rng=random.Random(0),
         )
 
     @property
@@ -153,6 +160,10 @@
             self._attach(content, reader)
         elif isinstance(content, KeyCall):
             self._claim_key(content, reader)
+        elif isinstance(content, MovedCall):
+            self.admission.pointers.placed(
+                content.chat_key, content.endpoint_id, _CHAT_TOKENS, self.now_s
+            )
         elif isinstance(content, HelloCall):
             self._reply(reader, HelloReply(self._stamp()))
         elif isinstance(content, AppendReply):
@@ -174,11 +185,21 @@
         job.produced += 1
         is_last = job.produced == len(job.run.chunks)
         if job.call.streamed:
-            self._frames(job, [b"data: " + piece, DONE] if is_last else [b"data: " + piece])
+            pieces = [_COMMENT, b"data: " + piece]
+            self._frames(job, [*pieces, DONE] if is_last else pieces)
         if is_last:
             body = job.frames.after(0) if job.call.streamed else b"".join(job.run.chunks)
             self._finish(job, body)
 
+    def resume_engine(self, job: Job) -> None:
+        """Let the connection to the engine break, and take up the stream on a new one.
+
+        The engine is asked for what follows the events that were numbered, as in the shell.
+        """
+        if job.run is None or not job.call.streamed:
+            return
+        job.produced = min(job.numberer.sequence, len(job.run.chunks) - 1)
+
     def break_engine(self, job: Job) -> None:
         """Let the connection to the engine break after the work has begun there."""
         ran = Ran.YES if job.produced else Ran.UNKNOWN
@@ -252,6 +273,8 @@
             self.now_s + call.wait_s,
             idempotent=call.idempotent,
             last_resort=call.last_resort,
+            chat_key=call.chat_key,
+            ignore_pointer=call.ignore_pointer,
         )
         decision = self.admission.offer(work, self.now_s)
         if isinstance(decision, Refuse):
@@ -338,7 +361,23 @@
         for reader in job.readers:
             self._join(other, reader, 0)
 
+    def _resume(self, call: AttachCall, reader: tuple[str, int]) -> None:
+        """Give a caller that came back the rest of its stream; its older readers are gone."""
+        job = self.jobs.get(call.try_id)
+        if job is None or job.call.account != call.resumed_by or not job.call.streamed:
+            refusal = Refusal(RefusalCode.NOT_FOUND, "not kept", Ran.UNKNOWN)
+            self._reply(reader, RefusalReply(self._stamp(), refusal))
+        elif not job.frames.reaches(call.last):
+            refusal = Refusal(RefusalCode.INCOMPLETE, "no longer kept", Ran.YES)
+            self._reply(reader, RefusalReply(self._stamp(), refusal))
+        else:
+            job.readers.clear()
+            self._join(job, reader, call.last)
+
     def _attach(self, call: AttachCall, reader: tuple[str, int]) -> None:
+        if call.resumed_by:
+            self._resume(call, reader)
+            return
         heard_age_s = call.heard_age_s
         asked = self.tombstones.ask(call.try_id, call.heard, heard_age_s, self.now_s)
         job = self.jobs.get(call.try_id)
--- a/src/beryljunction/fuzz/world.py
+++ b/src/beryljunction/fuzz/world.py
@@ -4,9 +4,9 @@
 
 from beryljunction.fuzz.entries import Entry
 from beryljunction.fuzz.network import AppendCall, AppendReply, Broken, Message, Network
-from beryljunction.fuzz.oracle import Kind, Operation, Oracle
-from beryljunction.fuzz.sidecars import SERVICE, Limits, Sidecar
-from beryljunction.outcomes import Ran
+from beryljunction.fuzz.oracle import Asked, Kind, Operation, Oracle
+from beryljunction.fuzz.sidecars import SERVICE, Job, Limits, Sidecar
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.systems import TicketMint
 from beryljunction.tables import Endpoint, EndpointState
 
@@ -54,10 +54,19 @@
         asked = self.oracle.begin(operation, account, body, self.now_s)
         self.entries[entry].ask(asked)
 
-    def new_operation(self, kind: Kind, streamed: bool) -> Operation:
+    def resume(self, entry: str, asked: Asked) -> None:
+        """Let a caller leave the connection that it reads, and take up its stream elsewhere."""
+        for other in self.entries.values():
+            other.hang_up(asked)
+        self.oracle.resumed(asked)
+        self.entries[entry].resume(asked)
+
+    def new_operation(self, kind: Kind, streamed: bool, chat_key: int | None = None) -> Operation:
         """Return something new that a caller wants done."""
         number = len(self.operations)
-        operation = Operation(number, kind, "federation", f"note {number}", streamed)
+        body = f"note {number}"
+        operation = Operation(number, kind, "federation", body, streamed)
+        operation.chat_key = chat_key if kind is Kind.IDEMPOTENT else None
         if kind is Kind.TICKET:
             operation.ticket = self._fetch_ticket(operation.account)
             operation.kind = kind if operation.ticket is not None else Kind.PRIVATE
@@ -125,6 +134,29 @@
         if place < len(jobs) and jobs[place].run is not None:
             self.sidecars[endpoint_id].produce(jobs[place])
 
+    def pointed_to(self, chat_key: int) -> set[str]:
+        """Return the endpoints that others point to for a chat."""
+        found = set()
+        for endpoint_id, sidecar in self.sidecars.items():
+            row = sidecar.admission.pointers.chats.peek(chat_key)
+            if row is not None and row.endpoint_id != endpoint_id:
+                found.add(row.endpoint_id)
+        return found
+
+    def resume_engines(self) -> None:
+        """Let every connection to an engine break, and streams be taken up on new ones."""
+        for sidecar, job in self._running():
+            sidecar.resume_engine(job)
+
+    def break_engines(self) -> None:
+        """Let every connection to an engine break for good."""
+        for sidecar, job in self._running():
+            sidecar.break_engine(job)
+
+    def _running(self) -> list[tuple[Sidecar, Job]]:
+        rows = [(self.sidecars[endpoint_id], place) for endpoint_id, place in self.running_jobs()]
+        return [(sidecar, sidecar.unfinished[place]) for sidecar, place in rows]
+
     def start(self, endpoint_id: str) -> None:
         """Start a sidecar in an empty slot, as a new incarnation."""
         if endpoint_id in self.sidecars:
@@ -187,8 +219,9 @@
         old = self.entries.pop(name, None)
         self._paused.pop(name, None)
         if old is not None:
+            refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, "the connection broke", Ran.UNKNOWN)
             for asked in old.open_requests:
-                self.oracle.refused(asked, Ran.UNKNOWN, self.now_s)
+                self.oracle.refused(asked, refusal, self.now_s)
         rows = [Endpoint(e, SERVICE, "ahd-a", e) for e in ENDPOINTS]
         self.entries[name] = Entry(
             name,
--- a/src/beryljunction/streams.py
+++ b/src/beryljunction/streams.py
@@ -45,6 +45,15 @@
     def __str__(self) -> str:
         return f"{self.endpoint_id}.{self.incarnation}.{self.request_id}"
 
+    def is_rest_of(self, asked: "StreamName | None") -> bool:
+        """Whether this stream is the one that a caller wants the rest of; None is any.
+
+        The sidecar may have started anew and run the same request again, from a message that came
+        late. Its frames have the same numbers and other words, and the caller would get the
+        beginning of one answer with the end of another.
+        """
+        return asked is None or self == asked
+
     @classmethod
     def parse(cls, text: str) -> "StreamName | None":
         """Return the name, or None when the text is not one; endpoint ids may hold dots."""
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -375,6 +375,22 @@
 
         assert (stolen.status, b"word" in stolen.content) == (404, False)
 
+    async def test_of_an_earlier_start_of_the_sidecar_is_not_mixed_with_a_later_run(self):
+        # A caller reads two words and its connection breaks. The sidecar is replaced, a late copy
+        # of the request runs there again, with the same id. The rest of that run has the right
+        # numbers and the wrong words: the caller must not get it as the end of its answer.
+        async with path_of() as path:
+            await path.sidecar(ScriptedEngine())
+            entry = await path.entry()
+            stream_id = dict((await ask(path, entry)).headers)[b"beryl-stream-id"].decode()
+            endpoint_id, _, request_id = stream_id.rsplit(".", 2)
+            earlier = f"{endpoint_id}.earlier.{request_id}"
+            headers = [AUTH, ("last-event-id", f"{earlier}.2")]
+            rest = await ask(path, entry, f"/v1/streams/{earlier}", method="GET", headers=headers)
+
+        assert (rest.status, error_of(rest)["ran"]) == (404, "unknown")
+        assert b"word" not in rest.content
+
 
 class TestTickets:
     async def test_same_ticket_through_two_entries_runs_once(self):
--- a/testing/test_fuzz_answers.py
+++ b/testing/test_fuzz_answers.py
@@ -6,7 +6,7 @@
 from beryljunction.fuzz import CI, ENDPOINTS, FleetMachine, Kind, run_fuzz
 from beryljunction.fuzz.machine import SidecarFault
 from beryljunction.outcomes import Ran
-from beryljunction.streams import SequenceChecker
+from beryljunction.streams import FrameNumberer, SequenceChecker, event_position
 from beryljunction.systems import (
     AdmissionSystem,
     Asked,
@@ -180,6 +180,33 @@
     patch.setattr(SequenceChecker, "_take", take)
 
 
+def number_comments(patch):
+    real = FrameNumberer.number
+
+    def number(self, frames):
+        return real(self, [b"event" + row if row.startswith(b":") else row for row in frames])
+
+    patch.setattr(FrameNumberer, "number", number)
+
+
+def resume_one_event_later(patch):
+    def position(event_id):
+        name, sequence = event_position(event_id)
+        return name, sequence + 1
+
+    patch.setattr("beryljunction.fuzz.entries.event_position", position)
+
+
+def point_elsewhere_for_ever(patch):
+    real = AdmissionSystem._moved
+
+    def moved(self, work, now_s):
+        work.ignore_pointer = False
+        return real(self, work, now_s)
+
+    patch.setattr(AdmissionSystem, "_moved", moved)
+
+
 REMOVED = [
     (forget_incarnation, "ran twice|told no"),
     (name_successors_twice, "ran twice|told no"),
@@ -194,6 +221,9 @@
     (burn_what_may_have_run, "ran twice|told no"),
     (pass_on_frames_after_a_gap, "expected one of"),
     (take_work_while_leaving, "took new work"),
+    (number_comments, "expected one of"),
+    (resume_one_event_later, "expected one of"),
+    (point_elsewhere_for_ever, "told chat_moved"),
 ]
 
 
