--- a/src/beryljunction/systems/__init__.py
+++ b/src/beryljunction/systems/__init__.py
@@ -9,10 +9,10 @@
     Wait,
 )
 from beryljunction.systems.attempts import AttemptSystem, GiveUp, Step, Try
-from beryljunction.systems.claims import (
+from beryljunction.systems.claims import ClaimLimits, ClaimSystem
+from beryljunction.systems.forward import ForwardClock, Window
+from beryljunction.systems.key_claims import (
     ClaimBatch,
-    ClaimLimits,
-    ClaimSystem,
     KeyClaim,
     KeyLost,
     KeyMismatch,
@@ -23,7 +23,6 @@
     key_digest,
     key_refusal,
 )
-from beryljunction.systems.forward import ForwardClock, Window
 from beryljunction.systems.load import LoadBound, LoadLimits, LoadSystem, SpeedMeter
 from beryljunction.systems.membership import ListedEndpoint, MembershipLimits, MembershipSystem
 from beryljunction.systems.placement import (
@@ -36,7 +35,7 @@
 from beryljunction.systems.queueing import FairQueue
 from beryljunction.systems.rates import DrainMeter
 from beryljunction.systems.retries import RetryBudget
-from beryljunction.systems.tickets import (
+from beryljunction.systems.ticket_claims import (
     AlreadyRunning,
     Ask,
     Burned,
@@ -45,18 +44,16 @@
     Failed,
     Full,
     Invalid,
-    LedgerLimits,
     Mismatch,
     Replay,
     Run,
-    TicketLedger,
-    TicketMint,
     Unstamped,
     Unverified,
     WrongIncarnation,
-    body_digest,
     claim_refusal,
 )
+from beryljunction.systems.ticket_mint import TicketMint, body_digest
+from beryljunction.systems.tickets import LedgerLimits, TicketLedger
 from beryljunction.systems.tombstones import Arrival, Asked, TombstoneLimits, TombstoneSystem
 from beryljunction.systems.uploads import Upload, UploadSystem
 
--- a/src/beryljunction/systems/tickets.py
+++ b/src/beryljunction/systems/tickets.py
@@ -5,183 +5,34 @@
 one process, and when that process is gone the outcome is unknown, said so, and never run again.
 """
 
-import base64
-import hashlib
-import hmac
-import json
-import secrets
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import attrs
 
 from beryljunction.errors import InvariantError
-from beryljunction.outcomes import Ran, Refusal, RefusalCode
+from beryljunction.outcomes import Ran, Refusal
 from beryljunction.systems.forward import ForwardClock, Window
-from beryljunction.tables import (
-    Answer,
-    Stamp,
-    Ticket,
-    TicketRow,
-    TicketState,
-    TicketTable,
+from beryljunction.systems.ticket_claims import (
+    AlreadyRunning,
+    Ask,
+    Burned,
+    Claim,
+    Expired,
+    Failed,
+    Full,
+    Invalid,
+    Mismatch,
+    Replay,
+    Run,
+    Unstamped,
+    Unverified,
+    WrongIncarnation,
 )
+from beryljunction.systems.ticket_mint import TicketMint
+from beryljunction.tables import Answer, Stamp, Ticket, TicketRow, TicketState, TicketTable
 
-__all__ = [
-    "AlreadyRunning",
-    "Ask",
-    "Burned",
-    "Claim",
-    "Expired",
-    "Failed",
-    "Full",
-    "Invalid",
-    "LedgerLimits",
-    "Mismatch",
-    "Replay",
-    "Run",
-    "TicketLedger",
-    "TicketMint",
-    "Unstamped",
-    "Unverified",
-    "WrongIncarnation",
-    "body_digest",
-    "claim_refusal",
-]
-
-_DIGEST_BYTES = 16
-_SERIAL_BYTES = 12
-
-
-def body_digest(*parts: bytes) -> str:
-    """Return the digest that binds a ticket or key to one request (method, path, body)."""
-    digest = hashlib.sha256()
-    for part in parts:
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    return digest.hexdigest()[: 2 * _DIGEST_BYTES]
-
-
-@attrs.frozen
-class Ask:
-    """What a sidecar is told of a request that comes with a ticket.
-
-    Attributes:
-        account: Client account of the caller.
-        digest: Digest of the request, from :func:`body_digest`.
-        request_id: The caller's request.
-        wait_s: Longest time from sending to start.
-        heard: Stamp of this sidecar that the entry heard last. Without one of its present start
-            a request is not run.
-        heard_age_s: Seconds from then to the sending, by the entry's monotonic clock.
-        candidates: Where a burned ticket that has no successor yet may go on.
-    """
-
-    account: str
-    digest: str
-    request_id: str
-    wait_s: float
-    heard: Stamp | None = None
-    heard_age_s: float = 0.0
-    candidates: tuple[Stamp, ...] = ()
-
-
-@attrs.frozen
-class Run:
-    """First claim: the request may be admitted here. Then start it or burn the ticket."""
-
-    serial: str
-
-
-@attrs.frozen
-class AlreadyRunning:
-    """The ticket is claimed by ``request_id``, which waits or runs here; join it."""
-
-    serial: str
-    request_id: str
-
-
-@attrs.frozen
-class Replay:
-    """The request ran here and ended well; the answer is None when it was not kept."""
-
-    answer: Answer | None
-
-
-@attrs.frozen
-class Failed:
-    """The request was started here and ended in this refusal; it is not run again."""
-
-    refusal: Refusal
-
-
-@attrs.frozen
-class Burned:
-    """The ticket will never run here.
-
-    Attributes:
-        successor: The one ticket that replaces it; None while none was named.
-        fresh: Whether this very step burned the ticket or named the successor, so that nobody
-            can have used the successor yet.
-    """
-
-    successor: str | None
-    fresh: bool = False
-
-
-@attrs.frozen
-class WrongIncarnation:
-    """The ticket belongs to another sidecar, or to an earlier start of this one."""
-
-
-@attrs.frozen
-class Expired:
-    """The ticket is past its life; whether it ran has been forgotten."""
-
-
-@attrs.frozen
-class Mismatch:
-    """The ticket is for another account or another request."""
-
-
-@attrs.frozen
-class Full:
-    """No row is free, or was not when the ticket was still good; it will never run here."""
-
-
-@attrs.frozen
-class Invalid:
-    """Not a ticket at all, or one from a time that has not come yet."""
-
-
-@attrs.frozen
-class Unstamped:
-    """The entry has not heard this start of the sidecar, so the message's age can't be told.
-
-    A message that was sent before the sidecar's host was replaced may lie in the network for long.
-    Taken as new on its arrival, it would run after its caller was told "unknown".
-    """
-
-
-@attrs.frozen
-class Unverified:
-    """A ticket, but not under the fleet's present key; it may have run under an earlier one."""
-
-
-Claim = (
-    Run
-    | AlreadyRunning
-    | Replay
-    | Failed
-    | Burned
-    | WrongIncarnation
-    | Expired
-    | Mismatch
-    | Full
-    | Invalid
-    | Unstamped
-    | Unverified
-)
+__all__ = ["LedgerLimits", "TicketLedger"]
 
 
 @attrs.frozen
@@ -202,40 +53,6 @@
     max_answer_bytes: int = 262_144
 
 
-class TicketMint:
-    """Writes and checks tickets under the fleet's key.
-
-    Without the code (HMAC-SHA256) any caller could write a ticket that names another account or a
-    later time, and with it run a request twice.
-    """
-
-    def __init__(self, fleet_key: bytes, new_serial: Callable[[], str] | None = None) -> None:
-        self._key = hashlib.sha256(b"ticket\0" + fleet_key).digest()
-        self._new_serial = new_serial or (lambda: secrets.token_hex(_SERIAL_BYTES))
-
-    def mint(self, stamp: Stamp, account: str, digest: str = "") -> str:
-        """Return a new ticket for the sidecar that the stamp is from."""
-        fields = [*attrs.astuple(stamp), self._new_serial(), account, digest]
-        payload = json.dumps(fields, separators=(",", ":")).encode()
-        return f"{_to_text(payload)}.{_to_text(self._code(payload))}"
-
-    def read(self, text: str) -> Ticket | None:
-        """Return the ticket in a text, or None when it is not one."""
-        head, _, code = text.partition(".")
-        try:
-            payload = base64.urlsafe_b64decode(_padded(head))
-            given = base64.urlsafe_b64decode(_padded(code))
-            endpoint_id, incarnation, issued_ms, serial, account, digest = json.loads(payload)
-            stamp = Stamp(str(endpoint_id), str(incarnation), int(issued_ms))
-        except (ValueError, TypeError):
-            return None
-        genuine = hmac.compare_digest(given, self._code(payload))
-        return Ticket(stamp, str(serial), str(account), str(digest), genuine)
-
-    def _code(self, payload: bytes) -> bytes:
-        return hmac.digest(self._key, payload, "sha256")[:_DIGEST_BYTES]
-
-
 class TicketLedger:
     """Says of each ticket whether its request may run here, and remembers what became of it.
 
@@ -415,70 +232,3 @@
         if row is None:
             raise InvariantError(f"ticket {serial}: expected it claimed, found no row")
         return row
-
-
-def claim_refusal(claim: Claim) -> Refusal | None:
-    """Return what a caller is told; None when the request goes on here or is answered."""
-    if isinstance(claim, Failed):
-        return claim.refusal
-    if isinstance(claim, Burned):
-        return _burned_refusal(claim)
-    if isinstance(claim, Replay) and claim.answer is None:
-        message = "the request ran and ended; its answer was too large to keep for a retry"
-        return Refusal(RefusalCode.OUTCOME_UNKNOWN, message, Ran.YES)
-    return _REFUSALS.get(type(claim))
-
-
-def _burned_refusal(claim: Burned) -> Refusal:
-    if claim.successor is None:
-        message = "not run here and no other endpoint was named; retry later"
-        return Refusal(RefusalCode.TICKET_BURNED, message, Ran.NO, 1.0)
-    # Another try may have followed the chain already when it was named before this step.
-    ran = Ran.NO if claim.fresh else Ran.UNKNOWN
-    message = "not run here; try the successor ticket"
-    return Refusal(RefusalCode.TICKET_BURNED, message, ran, successor=claim.successor)
-
-
-_REFUSALS = {
-    WrongIncarnation: Refusal(
-        RefusalCode.TICKET_INVALID,
-        "the sidecar that held this ticket is gone; look up the outcome before asking again",
-        Ran.UNKNOWN,
-    ),
-    Expired: Refusal(
-        RefusalCode.TICKET_INVALID,
-        "the ticket has expired; look up the outcome before asking again",
-        Ran.UNKNOWN,
-    ),
-    Mismatch: Refusal(
-        RefusalCode.KEY_REUSED,
-        "expected the request that this ticket or key was first used for, got a different one",
-        Ran.NO,
-    ),
-    Full: Refusal(
-        RefusalCode.LEDGER_FULL,
-        "the ledger of requests that may run once is full; retry later under a new ticket",
-        Ran.NO,
-        5.0,
-    ),
-    Unstamped: Refusal(
-        RefusalCode.STALE_STAMP,
-        "expected a stamp of this sidecar's present start; send again with the one in this answer",
-        Ran.NO,
-        0.0,
-    ),
-    Invalid: Refusal(RefusalCode.TICKET_INVALID, "expected a ticket; fetch one", Ran.NO),
-    Unverified: Refusal(
-        RefusalCode.TICKET_INVALID,
-        "expected a ticket under the fleet's present key; look up the outcome before asking again",
-        Ran.UNKNOWN,
-    ),
-}
-
-
-def _to_text(data: bytes) -> str:
-    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
-
-
-def _padded(text: str) -> bytes:
-    return text.encode("ascii") + b"=" * (-len(text) % 4)
