--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -57,7 +57,7 @@
         self._region_addresses: dict[str, str] = {}
         self._drained = False
         self._listed_leaving = False
-        self.sidecar = SidecarApp(file, self._with_service(view), tls=tools.tls)
+        self.sidecar = SidecarApp(file, self._with_service(view), tls=tools.tls, fleet=tools.fleet)
         self.app = self.part = self.sidecar
         self.timeline = self.sidecar.timeline
         self.exchange = PeerExchange(
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -8,6 +8,7 @@
 
 import anyio
 import anyio.abc
+import httpcore
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
@@ -50,6 +51,7 @@
         routes: Further control routes by path, such as the exchange with peers.
         members: Endpoints as this process knows them, for what it hands over.
         tls: For calls to other sidecars.
+        fleet: Pool for those calls that counts them as control traffic; without it one of its own.
 
     Attributes:
         incarnation: Names this process's life; a sidecar that starts anew has forgotten every run.
@@ -62,6 +64,7 @@
         routes: Mapping[str, Handler] | None = None,
         members: EndpointTable | None = None,
         tls: ssl.SSLContext | None = None,
+        fleet: httpcore.AsyncConnectionPool | None = None,
     ) -> None:
         self.file = file
         self.incarnation = uuid.uuid4().hex[:12]
@@ -72,7 +75,8 @@
         self.admission = self.keeper.admission
         self.runs = self.keeper.runs
         self._fleet_key = file.process.fleet_key.encode()
-        self._fleet_pool = client_pool(tls)
+        self._own_pool = client_pool(tls)
+        self._fleet_pool = fleet if fleet is not None else self._own_pool
         self._log_pool = client_pool()
         address = file.process.log_address
         log = HttpLogClient(address, self._log_pool) if address else None
@@ -98,7 +102,7 @@
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Work until cancelled."""
-        async with self._fleet_pool, self._log_pool, anyio.create_task_group() as group:
+        async with self._own_pool, self._log_pool, anyio.create_task_group() as group:
             self._control.group = group
             await group.start(self.keeper.run)
             group.start_soon(self.handover.run)
--- a/testing/test_handover.py
+++ b/testing/test_handover.py
@@ -197,6 +197,17 @@
             assert fleet.pointers() == [f"drafter-{fleet.heir}"]
             assert await fleet.ask() == (TOKENS, b"[DONE]")
 
+    async def test_spilled_chat_is_handed_to_its_home_which_pointed_here(self):
+        async with path_of() as path:
+            fleet = await Fleet(path).start()
+            home = path.sidecars[fleet.heir].admission.pointers
+            home.placed(fleet.key, "drafter-0", TOKENS, time.monotonic())
+
+            await fleet.stop()
+
+            assert fleet.pointers() == [f"drafter-{fleet.heir}"]
+            assert await fleet.ask() == (TOKENS, b"[DONE]")
+
     async def test_answer_in_flight_goes_first(self):
         # The chat's own answer runs while its endpoint is drained. Its prefix stays until the
         # answer is whole, and is handed on then, before the process ends.
