--- a/src/beryljunction/bench/relay_parts.py
+++ b/src/beryljunction/bench/relay_parts.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 import anyio
+import httpcore
 
 from beryljunction.node import Node
 from beryljunction.platform import HostRow
@@ -77,11 +78,11 @@
 
 
 class _BareRelay:
-    """The least that a relay of uvicorn and httpcore does."""
+    """The least that a relay of uvicorn and httpcore does, with httpcore's own connections."""
 
     def __init__(self, target: str) -> None:
         self._url = f"http://{target}/v1/chat/completions"
-        self._pool = client_pool()
+        self._pool = client_pool(backend=httpcore.AnyIOBackend())
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         body = await read_body(receive, _BODY_BYTES) or b""
--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers.py
@@ -13,6 +13,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from beryljunction.connections import StreamBackend
 from beryljunction.errors import StartError
 
 __all__ = [
@@ -178,7 +179,7 @@
     kind = httpcore.AsyncConnectionPool if tls is None else _TlsPool
     return kind(
         ssl_context=tls,
-        network_backend=backend,
+        network_backend=backend if backend is not None else StreamBackend(),
         max_connections=_MAX_CONNECTIONS,
         max_keepalive_connections=_MAX_CONNECTIONS,
         keepalive_expiry=_KEEPALIVE_S,
