--- a/src/beryljunction/bench/policy/command.py
+++ b/src/beryljunction/bench/policy/command.py
@@ -10,7 +10,7 @@
 from beryljunction.bench.policy.scenarios import SCENARIOS, SIZES
 from beryljunction.errors import SettingsError
 
-__all__ = ["policy"]
+__all__ = ["check_name", "policy"]
 
 
 def policy(
@@ -29,9 +29,9 @@
     :param size: Fleet: prairie, sahyog or target.
     :param json: Print one JSON object and leave out all baselines but the unbounded one.
     """
-    _check("--scenario", scenario, SCENARIOS)
-    _check("--policy", policy, POLICIES)
-    _check("--size", size, SIZES)
+    check_name("--scenario", scenario, SCENARIOS)
+    check_name("--policy", policy, POLICIES)
+    check_name("--size", size, SIZES)
     names = (policy, "unbounded") if json else (policy, *BASELINES)
     figures = {name: run_policy(scenario, size, name, seed) for name in dict.fromkeys(names)}
     if json:
@@ -50,6 +50,7 @@
     return fields
 
 
-def _check(option: str, name: str, known: Mapping[str, object]) -> None:
+def check_name(option: str, name: str, known: Mapping[str, object]) -> None:
+    """Refuse a name that is not known, and say which are."""
     if name not in known:
         raise SettingsError([f"{option}: expected one of {', '.join(known)}, got {name!r}"])
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -2,9 +2,12 @@
 
 import functools
 
+import attrs
 import pytest
 
-from beryljunction.bench.policy import run_policy
+from beryljunction.bench import report as report_module
+from beryljunction.bench.policy import SCENARIOS, Figures, run_policy
+from beryljunction.errors import SettingsError
 
 
 @functools.cache
@@ -72,3 +75,25 @@
         figures = run_policy(scenario, "sahyog", "current", seed)
 
         assert figures.max_over_mean <= 1.25
+
+
+class TestReport:
+    def test_writes_each_figure_of_each_scenario_and_one_plot(self, tmp_path, monkeypatch):
+        pytest.importorskip("matplotlib")
+        figures = Figures(*range(len(attrs.fields(Figures))))
+        monkeypatch.setattr(report_module, "run_policy", lambda *_: figures)
+
+        report_module.report(tmp_path, size="sahyog")
+
+        table = (tmp_path / "policy-sahyog.md").read_text("utf-8")
+        assert table.count("| churn |") == len(attrs.fields(Figures))
+        assert all(
+            name in (tmp_path / "policy-sahyog.svg").read_text("utf-8") for name in SCENARIOS
+        )
+
+    @pytest.mark.parametrize("wrong", [{"size": "gujarat"}, {"seeds": 0}], ids=["size", "seeds"])
+    def test_refuses_what_it_cannot_run_before_it_writes(self, tmp_path, wrong):
+        with pytest.raises(SettingsError):
+            report_module.report(tmp_path / "new", **wrong)
+
+        assert not (tmp_path / "new").exists()
