--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -9,6 +9,7 @@
 import attrs
 import defopt
 
+from beryljunction.bench.control import measure_control
 from beryljunction.bench.policy import policy
 from beryljunction.bench.relay import RelayLoad, measure_relay
 from beryljunction.bench.report import report
@@ -84,6 +85,20 @@
     return 0
 
 
+def control(*, json: bool = False) -> int:
+    """Count the control traffic of a node at 5, 13, 100 and 1,050 nodes, in virtual time.
+
+    :param json: Print one JSON object instead of a table.
+    """
+    rows = [attrs.asdict(figures) for figures in measure_control()]
+    if json:
+        print(jsonlib.dumps({"sizes": rows}))
+        return 0
+    for name in rows[0]:
+        print(f"{name:30}" + "".join(f"{row[name]:>10,.0f}" for row in rows))
+    return 0
+
+
 def slopes(*, quick: bool = False, only: str = "", json: bool = False) -> int:
     """Measure how state, control traffic, CPU and memory grow, with real processes on loopback.
 
@@ -108,6 +123,7 @@
 
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
+    control,
     policy,
     relay,
     report,
--- a/src/beryljunction/settings/following.py
+++ b/src/beryljunction/settings/following.py
@@ -71,7 +71,7 @@
 
     poll_s: float = 1.0
     pause_s: float = 0.25
-    backoff_s: float = 1.0
+    backoff_s: float = 1.5
     retention_s: float = 86_400.0
     publishes: bool = True
 
--- a/src/beryljunction/settings/peers.py
+++ b/src/beryljunction/settings/peers.py
@@ -18,8 +18,8 @@
 __all__ = ["SETTINGS_PATH", "HttpPeers", "answer_settings"]
 
 SETTINGS_PATH = "/beryl/v1/settings"
-_DIGEST_HEADER = b"beryl-settings-digest"
-_VERSION_HEADER = b"beryl-settings-version"
+# Version and digest in one line: it is most of what a meeting's answer costs.
+_STAND_HEADER = b"beryl-settings"
 _ANSWER_S = 1.0
 _ASKED_AT_ONCE = 64
 _NEWEST = 2**62
@@ -35,7 +35,7 @@
 ) -> None:
     """Answer GET SETTINGS_PATH?after=N: 200 with the tree when it is newer, else 204.
 
-    PUT hands a tree over, which is taken if it is newer. Version and digest stand in the headers
+    PUT hands a tree over, which is taken if it is newer. Version and digest stand in a header
     either way. The caller has checked the fleet's key; ``take`` takes in what is handed over.
     """
     if scope["method"] == "PUT":
@@ -44,10 +44,7 @@
         return
     fields = parse_qs(scope["query_string"].decode("latin-1"))
     after = int(fields.get("after", ["0"])[0])
-    headers = [
-        (_VERSION_HEADER, str(reader.version).encode()),
-        (_DIGEST_HEADER, reader.digest.encode()),
-    ]
+    headers = [(_STAND_HEADER, f"{reader.version} {reader.digest}".encode())]
     if reader.version > after:
         await respond(send, 200, json.dumps(reader.tree.to_data()).encode(), headers)
     else:
@@ -136,7 +133,7 @@
         heard = _version_in(response) if response is not None else None
         if response is None or heard is None:
             return None
-        self._reader.check_peer(heard, _header(response, _DIGEST_HEADER))
+        self._reader.check_peer(heard, _stand_in(response)[1])
         return response
 
     async def _request(
@@ -156,12 +153,14 @@
 
 
 def _version_in(response: httpcore.Response) -> int | None:
-    text = _header(response, _VERSION_HEADER)
+    text = _stand_in(response)[0]
     return int(text) if text.isdecimal() else None
 
 
-def _header(response: httpcore.Response, name: bytes) -> str:
+def _stand_in(response: httpcore.Response) -> tuple[str, str]:
+    """Return the version and the digest that a node named; empty where it named none."""
     for key, value in response.headers:
-        if key.lower() == name:
-            return value.decode("latin-1")
-    return ""
+        if key.lower() == _STAND_HEADER:
+            version, _, digest = value.decode("latin-1").partition(" ")
+            return version, digest
+    return "", ""
--- a/src/beryljunction/systems/rotation.py
+++ b/src/beryljunction/systems/rotation.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Collection, Sequence
 
+import attrs
+
 __all__ = ["PeerRotation"]
 
 # Load: the log is down and one node alone knows the newest version. Harm: nodes serve by different
@@ -11,16 +13,26 @@
 # * of two nodes on the ring one meets the other in each round, and m nodes are done in m // 2
 #   meetings; one that is not on the ring (an entry) has told one of them after one meeting and
 #   learns from any of them by one more;
-# * with up to 13 on the ring and these paces that is 6 * 0.45 + 2 * 0.25 = 3.2 s, and the log's
-#   silence is noticed within 1.6 s: 4.8 s with peers that answer at once. One that does not answer
-#   adds its timeout to the rounds of those that meet it.
+# * (m // 2) * ring_s + 2 * outside_s is at most 3.2 s up to 13 on the ring, and the log's silence
+#   is noticed within 1.6 s: 4.8 s with peers that answer at once. One that does not answer adds
+#   its timeout to the rounds of those that meet it.
 #
-# A larger ring keeps the budget of 4,096 B/s instead: a meeting costs 222 bytes, load rows of a
-# busy service 3,100 B/s, and each sidecar is met as often as it meets, and by entries. There the
-# time comes from the shuffle (news about doubles in each pace) and is measured, not certain.
-_CERTAIN_NODES = 13
-_RING_S = 0.45
-_OUTSIDE_S = 0.25
+# No pace is quicker than that needs or than the budget of 4,096 B/s allows (`beryl-bench control`):
+# a busy service's load rows take 3,100 of it, and each sidecar is met as often as it meets, and by
+# entries. On a larger ring the time comes from the shuffle (news about doubles in each pace); it is
+# measured, not certain.
+
+
+@attrs.frozen
+class _Pace:
+    """Time from one meeting to the next, for rings of up to so many nodes."""
+
+    nodes: int
+    ring_s: float
+    outside_s: float
+
+
+_CERTAIN = (_Pace(4, 0.7, 0.7), _Pace(10, 0.5, 0.35), _Pace(13, 0.45, 0.25))
 _LARGE_RING_S = 0.7
 
 
@@ -52,9 +64,11 @@
     @staticmethod
     def pace_s(own: str, peers: Collection[str]) -> float:
         """Return the time from one meeting to the next."""
-        if len(set(peers) | ({own} if own else set())) > _CERTAIN_NODES:
-            return _LARGE_RING_S
-        return _RING_S if own else _OUTSIDE_S
+        nodes = len({*peers, own} - {""})
+        for pace in _CERTAIN:
+            if nodes <= pace.nodes:
+                return pace.ring_s if own else pace.outside_s
+        return _LARGE_RING_S
 
 
 def _to_meet(own: str, peers: Sequence[str]) -> list[str]:
--- a/testing/test_agreement.py
+++ b/testing/test_agreement.py
@@ -56,10 +56,7 @@
         address, _, query = url.removeprefix("http://").partition("/")
         follower = self.followers[address]
         reader = follower.reader
-        head = [
-            (b"beryl-settings-version", b"%d" % reader.version),
-            (b"beryl-settings-digest", reader.digest.encode()),
-        ]
+        head = [(b"beryl-settings", f"{reader.version} {reader.digest}".encode())]
         status, body = 204, b""
         if method == "PUT":
             follower.take(json.loads(content))
