--- a/src/beryljunction/engines/__init__.py
+++ b/src/beryljunction/engines/__init__.py
@@ -16,6 +16,7 @@
     WorkGate,
     answer_orders,
 )
+from beryljunction.engines.turns import TurnLog
 
 __all__ = [
     "ORDERS_PATH",
@@ -30,6 +31,7 @@
     "OrderRunner",
     "OrderTaken",
     "OrderUnknown",
+    "TurnLog",
     "WorkGate",
     "answer_orders",
 ]
--- a/src/beryljunction/engines/orders.py
+++ b/src/beryljunction/engines/orders.py
@@ -30,10 +30,12 @@
 import attrs
 import httpcore
 
+from beryljunction.engines.turns import TurnLog
 from beryljunction.servers import Receive, Send, read_body, respond
 from beryljunction.settings.schema import FleetView
 from beryljunction.systems.orders import Hold, NeedSlot, Order, OrderSystem, wanted_of
-from beryljunction.systems.rollout import Go, RolloutLimits, RolloutSystem
+from beryljunction.systems.rollout import Go, RolloutLimits, RolloutSystem, Stay
+from beryljunction.systems.turns import EndTurn, RenewTurn, TakeTurn, TurnStep, TurnSystem
 from beryljunction.tables.orders import EngineState, OrderRow, OrderRowTable, Phase, Wanted
 from beryljunction.wire import FLEET_KEY_HEADER, decode, encode
 
@@ -65,6 +67,8 @@
 # made anew: what the others said is no longer true.
 _STALE_S = 2.0
 _ROW_BYTES = 4096
+# A copy of a take that was delayed on its way may still bring a turn that nobody needs.
+_LATE_TAKE_S = 60.0
 
 
 @attrs.frozen
@@ -155,6 +159,7 @@
         gate: WorkGate,
         now_s: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
+        turns: TurnLog | None = None,
     ) -> None:
         self.phase = Phase.SERVING
         self.reason = "not asked yet"
@@ -169,6 +174,10 @@
         self._rng = rng if rng is not None else random.Random()
         self._orders = OrderSystem(self._rng)
         self._rollout = RolloutSystem(endpoint_id)
+        self._turns = turns
+        self._turn_system = TurnSystem(endpoint_id, self._rng)
+        # A process that stood in this slot before may have left a turn.
+        self._tidy_until_s = now_s() + _LATE_TAKE_S
         self._heard = OrderRowTable()
         self._state: EngineState | None = None
         self._ordered = 0
@@ -203,6 +212,7 @@
         step = self._orders.decide(wanted, state, decided_s)
         if isinstance(step, Hold):
             self._hold(step, wanted, state)
+            await self._tidy_turn(state, wanted)
         elif isinstance(step, Order):
             await self._send(step, decided_s)
         elif await self._has_slot(step, decided_s):
@@ -249,22 +259,89 @@
 
         So a version that can't be loaded takes one endpoint of the service and not all of them.
         """
-        if self.phase in (Phase.DRAINING, Phase.LOADING):
+        if self.phase is Phase.LOADING:
             return True
-        for row in await self._peers.exchange(self.row()):
-            self.hear(row)
-        self._heard.drop_older(self._now_s() - _ROW_LIFE_S)
-        decision = self._rollout.decide(
-            self._peers.listed(), self._heard, self._limits(), step.interrupts, self._now_s()
-        )
+        if self.phase is Phase.DRAINING:
+            return await self._keeps_turn(step.interrupts)
+        decision = await self._decide(step.interrupts)
         if not isinstance(decision, Go):
-            self.phase, self.reason = Phase.INTENDS, decision.reason
+            reason = decision.reason if isinstance(decision, Stay) else "queueing up on the log"
+            self.phase, self.reason = Phase.INTENDS, reason
             return False
         if self._now_s() - decided_s > _STALE_S:
             self.reason = "paused between asking and acting; asking again"
             return False
         return True
 
+    async def _decide(self, interrupts: bool) -> TurnStep:
+        """Decide by the log's turns; without the log, engines that serve nothing ask the others.
+
+        Such a load takes nothing away from callers, and the store itself refuses what is too much
+        for it, so a host that is replaced in an outage need not stay empty until its end.
+        """
+        if self._turns is not None and await self._turns.refresh():
+            return await self._by_turn(self._turns, interrupts)
+        if self._turns is not None and interrupts:
+            return Stay("the log does not answer; no endpoint stops serving until it does")
+        for row in await self._peers.exchange(self.row()):
+            self.hear(row)
+        self._heard.drop_older(self._now_s() - _ROW_LIFE_S)
+        return self._rollout.decide(
+            self._peers.listed(), self._heard, self._limits(), interrupts, self._now_s()
+        )
+
+    async def _by_turn(self, turns: TurnLog, interrupts: bool) -> TurnStep:
+        """Take the next step; only who is next in turn asks the others, and each once a step."""
+        limits = self._limits()
+        is_near = self._turn_system.is_near(turns.queue, limits)
+        answers = await self._peers.exchange(self.row()) if is_near else []
+        step = self._turn_system.decide(
+            turns.queue, self._peers.listed(), answers, limits, interrupts, self._now_s()
+        )
+        if isinstance(step, TakeTurn):
+            self._tidy_until_s = self._now_s() + _LATE_TAKE_S
+            await turns.take(self._endpoint_id)
+        elif isinstance(step, RenewTurn):
+            await turns.renew(self._endpoint_id)
+        elif isinstance(step, EndTurn):
+            await turns.end(step)
+        return step
+
+    async def _keeps_turn(self, interrupts: bool) -> bool:
+        """Whether an endpoint that has stopped serving may go on to its load.
+
+        Load: its process was paused while it drained and others ended its turn, or the log went
+        down. It serves again instead of loading beside them or staying out for the whole outage.
+        """
+        if self._turns is None or not interrupts:
+            return True
+        if not await self._turns.refresh() or self._turns.queue.turn(self._endpoint_id) is None:
+            self.phase, self.reason = Phase.INTENDS, "the log does not show this endpoint's turn"
+            return False
+        await self._renew_turn(self._turns)
+        self.reason = "renewing the turn on the log"
+        return self._turn_system.holds(self._turns.queue, self._now_s())
+
+    async def _renew_turn(self, turns: TurnLog) -> None:
+        if self._turn_system.renews(turns.queue, self._now_s()):
+            await turns.renew(self._endpoint_id)
+
+    async def _tidy_turn(self, state: EngineState, wanted: Wanted) -> None:
+        """Renew the turn while a load is under way; end it once it is not needed any more."""
+        turns = self._turns
+        own = turns.queue.turn(self._endpoint_id) if turns is not None else None
+        if turns is None or (own is None and self._now_s() > self._tidy_until_s):
+            return
+        if not await turns.refresh():
+            return
+        own = turns.queue.turn(self._endpoint_id)
+        if own is None:
+            return
+        if self.phase is Phase.SERVING and state.fulfils(wanted):
+            await turns.end(EndTurn(self._endpoint_id, own.renewed_at))
+        else:
+            await self._renew_turn(turns)
+
     async def _drain_and_send(self, step: NeedSlot, decided_s: float) -> None:
         """Stop taking work, wait for what runs without a limit of time, then order."""
         self._rollout.withdraw()
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -70,7 +70,8 @@
         self._leaving = False
         self._stopping = anyio.Event()
         self._pools = {name: self._pool(name) for name in (*_PLATFORM_POOLS, *_FLEET_POOLS)}
-        self.role = role = make_role(self._tools())
+        self._log = HttpLogClient(process.log_address, self._pools["log"])
+        self.role = role = make_role(self._tools(process))
         role.timeline.listen(EventLog(process.log_sample_ratio))
         role.timeline.listen(self.metrics.count_event)
         hosts = HttpHostList(self._pools["hosts"], process.hosts_address)
@@ -194,13 +195,14 @@
     def _client_tls(self) -> ssl.SSLContext | None:
         return self._tls.client if self._tls is not None else None
 
-    def _tools(self) -> RoleTools:
+    def _tools(self, process: ProcessSettings) -> RoleTools:
         return RoleTools(
             tls=self._client_tls,
             fleet=self._pools["fleet"],
             peers=self._pools["peers"],
             settings_version=lambda: self.settings.version,
             on_newer=self._note_newer,
+            log=self._log if process.log_address else None,
         )
 
     def _note_newer(self, endpoint_id: str, version: int) -> None:
@@ -217,9 +219,8 @@
             process.fleet_key,
             self._own_address,
         )
-        log = HttpLogClient(process.log_address, self._pools["log"])
         pace = FollowSettings(retention_s=process.log_retention_s)
-        return SettingsFollower(self.settings, log, self._apply, self._peers, pace)
+        return SettingsFollower(self.settings, self._log, self._apply, self._peers, pace)
 
     def _apply(self, view: FleetView) -> None:
         self._view = view
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -8,7 +8,7 @@
 import attrs
 import httpcore
 
-from beryljunction.platform import HostRow
+from beryljunction.platform import HostRow, LogClient
 from beryljunction.servers import Asgi
 from beryljunction.settings import FleetView, ProcessSettings
 from beryljunction.stops import Stoppable
@@ -29,6 +29,7 @@
         peers: Pool for the exchange of load, counted apart.
         settings_version: Version of the settings in force here.
         on_newer: Told of an endpoint's sidecar that has newer settings, with their version.
+        log: The platform's log; None for a process that has none.
     """
 
     tls: ssl.SSLContext | None
@@ -36,6 +37,7 @@
     peers: httpcore.AsyncConnectionPool
     settings_version: Callable[[], int]
     on_newer: Callable[[str, int], None]
+    log: LogClient | None = None
 
 
 @attrs.frozen
--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -10,6 +10,7 @@
     HttpEngineControl,
     HttpOrderPeers,
     OrderRunner,
+    TurnLog,
     WorkGate,
     answer_orders,
 )
@@ -137,6 +138,7 @@
 
     def _order_runner(self, tools: RoleTools) -> OrderRunner:
         file = self.file
+        turns = TurnLog(tools.log, file.process.region, file.service) if tools.log else None
         return OrderRunner(
             file.endpoint_id,
             file.service,
@@ -144,6 +146,7 @@
             HttpEngineControl(file.endpoint_address, self._engine_pool),
             HttpOrderPeers(lambda: self._region_addresses, tools.fleet, file.process.fleet_key),
             _AdmissionGate(self.sidecar),
+            turns=turns,
         )
 
     async def _run_orders(self) -> None:
--- a/src/beryljunction/systems/rollout.py
+++ b/src/beryljunction/systems/rollout.py
@@ -1,9 +1,9 @@
-"""Whether an endpoint may stop serving and load, without agreement between nodes.
+"""Whether an endpoint may load by asking the others, where the log gives no turns.
 
-Weighed: a lease on the log (an append for each load and an outage of the log stops a roll-out; a
-paused holder still believes in it), a coordinator (ruled out), random delays (no floor on what
-serves), and this: all endpoints of a service sort themselves by the same hash, tell each other how
-far they are, and each leaves room for everyone before it who might start at the same moment.
+All endpoints of a service sort themselves by the same hash, tell each other how far they are, and
+each leaves room for everyone before it who might start at the same moment. This is for engines that
+serve nothing while the log is down, and for fleets without a log: two endpoints that miss each other
+for longer than the settling time load together, which :mod:`beryljunction.systems.turns` rules out.
 """
 
 from collections.abc import Iterable
--- a/testing/test_fuzz_settings.py
+++ b/testing/test_fuzz_settings.py
@@ -25,6 +25,7 @@
     OrderRunner,
     OrderTaken,
     OrderUnknown,
+    TurnLog,
     WorkGate,
 )
 from beryljunction.platform import AppendUnknown, LogClient, ReadFailed
@@ -286,6 +287,7 @@
                 OpenGate(),
                 clock,
                 rng,
+                TurnLog(Log(self, node), "gj-west", "drafter"),
             )
             self.runners[name] = runner
             self.scheduler.start(self._loop(runner.step), node.owner)
--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -12,11 +12,18 @@
     OrderRunner,
     OrderTaken,
     OrderUnknown,
+    TurnLog,
     WorkGate,
 )
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.settings import FleetView, ServiceSettings, WeightSettings
-from beryljunction.standins import EngineOrdersModel, WeightStoreModel
+from beryljunction.standins import (
+    EngineOrdersModel,
+    LogModel,
+    LogModelSettings,
+    ModelLogClient,
+    WeightStoreModel,
+)
 from beryljunction.standins.orders import answer_engine_orders
 from beryljunction.systems.orders import Hold, NeedSlot, Order, OrderSystem
 from beryljunction.tables.orders import EngineState, Phase, Wanted
@@ -79,9 +86,11 @@
 class Rollout:
     """Engines of one service and their sidecars in virtual time, a step a second each."""
 
-    def __init__(self, count=5, store=None, checks_fence=True, seed=0):
+    def __init__(self, count=5, store=None, checks_fence=True, seed=0, has_log=False):
         self.now_s = 0.0
         self.view = view(1, "v1")
+        self.log = LogModel()
+        self.has_log = has_log
         self.store = store if store is not None else WeightStoreModel()
         self.random = random.Random(seed)
         self.runners, self.gates, self.engines, self.peers = {}, {}, {}, {}
@@ -96,8 +105,10 @@
         peers = self.peers[endpoint_id] = Peers(self, endpoint_id)
         gate = self.gates[endpoint_id] = Gate()
         clock, rng = (lambda: self.now_s), random.Random(endpoint_id)
+        client = ModelLogClient(self.log, clock)
+        turns = TurnLog(client, "gj-west", "drafter") if self.has_log else None
         self.runners[endpoint_id] = OrderRunner(
-            endpoint_id, "drafter", lambda: self.view, engine, peers, gate, clock, rng
+            endpoint_id, "drafter", lambda: self.view, engine, peers, gate, clock, rng, turns
         )
 
     def run(self, seconds):
@@ -263,6 +274,109 @@
         assert rollout.engines[loading].model.orders == orders
 
 
+class TestTurns:
+    """Roll-outs whose turns the log puts in order."""
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_endpoints_that_never_list_each_other_still_load_one_at_a_time(self, seed):
+        # Host lists lack half of the service for minutes, each node's another half. Endpoints that
+        # miss each other must not stop together: callers would find fewer than min_serving.
+        rollout = Rollout(count=6, seed=seed, has_log=True)
+        for i, peers in enumerate(rollout.peers.values()):
+            peers.hidden = {f"drafter-{j}" for j in range(6) if (i + j) % 2}
+        rollout.view = view(2, "v2", min_serving=2, parallel_loads=1)
+
+        rollout.run(600)
+
+        assert rollout.versions() == ["v2"] * 6
+        assert rollout.store.peak == 1
+        assert rollout.least_serving >= 5
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_the_floor_holds_with_room_for_all_at_the_store(self, seed):
+        rollout = Rollout(seed=seed, has_log=True)
+        rollout.view = view(2, "v2", min_serving=3, parallel_loads=8)
+
+        rollout.run(400)
+
+        assert rollout.versions() == ["v2"] * 5
+        assert rollout.least_serving >= 3
+
+    def test_no_endpoint_stops_serving_while_the_log_is_down(self):
+        rollout = Rollout(has_log=True)
+        rollout.view = view(2, "v2")
+        rollout.log.down = True
+        rollout.run(100)
+        waited = rollout.versions(), rollout.serving()
+
+        rollout.log.down = False
+        rollout.run(400)
+
+        assert waited == (["v1"] * 5, 5)
+        assert rollout.versions() == ["v2"] * 5
+
+    def test_an_empty_engine_loads_also_while_the_log_is_down(self):
+        rollout = Rollout(count=3, has_log=True)
+        rollout.engines["drafter-1"].model.models.clear()
+        rollout.log.down = True
+
+        rollout.run(100)
+
+        assert rollout.versions() == ["v1"] * 3
+
+    def test_a_loader_that_is_paused_keeps_its_turn_until_the_list_drops_it(self):
+        # The loader's sidecar stops in mid load. The others wait for it, since it may load on; when
+        # its host is off the list they end its turn, and as it wakes it goes on by a new one.
+        rollout = Rollout(count=3, has_log=True)
+        rollout.view = view(2, "v2", min_serving=1, parallel_loads=1)
+        while not any(r.phase is Phase.LOADING for r in rollout.runners.values()):
+            rollout.run(1)
+        paused = next(i for i, r in rollout.runners.items() if r.phase is Phase.LOADING)
+        rollout.paused.add(paused)
+        rollout.run(100)
+        waited = rollout.versions().count("v1")
+
+        for peers in rollout.peers.values():
+            peers.hidden = {paused}
+        rollout.run(200)
+        rollout.paused.clear()
+        rollout.run(200)
+
+        assert waited == 2
+        assert rollout.versions() == ["v2"] * 3
+        assert rollout.least_serving >= 1
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_turns_whose_answers_are_lost_stop_nobody(self, seed):
+        rollout = Rollout(seed=seed, has_log=True)
+        rollout.log.settings = LogModelSettings(lost_answer_ratio=0.3, lost_append_ratio=0.3)
+        rollout.view = view(2, "v2", min_serving=3, parallel_loads=1)
+
+        rollout.run(900)
+
+        assert rollout.versions() == ["v2"] * 5
+        assert rollout.store.peak == 1
+
+    def test_an_empty_engine_behind_one_that_must_not_stop_gets_its_turn(self):
+        rollout = Rollout(count=3, has_log=True)
+        rollout.view = view(2, "v2", min_serving=2, parallel_loads=1)
+        rollout.engines["drafter-2"].model.models.clear()
+
+        rollout.run(400)
+
+        assert rollout.versions() == ["v2"] * 3
+
+    def test_a_roll_out_takes_three_appends_an_endpoint(self):
+        rollout = Rollout(count=41, has_log=True, store=WeightStoreModel(load_s=3.0))
+        rollout.view = view(2, "v2", min_serving=30, parallel_loads=8)
+
+        rollout.run(600)
+
+        turns = rollout.log.read("turns-gj-west-drafter", 0, 500, rollout.now_s)
+        assert rollout.versions() == ["v2"] * 41
+        assert turns.next_offset - 1 == 3 * 41
+
+
 class TestOldOrders:
     @pytest.mark.parametrize("checks_fence", [True, False], ids=["checks", "ignores"])
     def test_an_order_of_a_replaced_sidecar_does_not_stay_in_force(self, checks_fence):
