--- a/src/beryljunction/systems/rollout.py
+++ b/src/beryljunction/systems/rollout.py
@@ -1,9 +1,10 @@
 """Whether an endpoint may load by asking the others, where the log gives no turns.
 
 All endpoints of a service sort themselves by the same hash, tell each other how far they are, and
-each leaves room for everyone before it who might start at the same moment. This is for engines that
-serve nothing while the log is down, and for fleets without a log: two endpoints that miss each other
-for longer than the settling time load together, which :mod:`beryljunction.systems.turns` rules out.
+each leaves room for everyone before it who might start at the same moment. This is for engines
+that serve nothing while the log is down, and for fleets without a log: two endpoints that miss
+each other for longer than the settling time load together, which turns rule out
+(:mod:`beryljunction.systems.turns`).
 """
 
 from collections.abc import Iterable
