--- a/src/beryljunction/entry/app.py
+++ b/src/beryljunction/entry/app.py
@@ -217,7 +217,7 @@
         return None
 
     async def _chat(self, exchange: Exchange) -> Refusal | None:
-        request = chat_request(exchange.body, self.view)
+        request = chat_request(exchange.body, self.view, exchange.account)
         return (
             request if isinstance(request, Refusal) else await self._router.route(exchange, request)
         )
@@ -227,7 +227,9 @@
         query = exchange.scope["query_string"].decode("latin-1")
         path = f"/{rest}?{query}" if query else f"/{rest}"
         headers = exchange.scope["headers"]
-        request = plain_request(service, exchange.method, path, exchange.body, headers, self.view)
+        request = plain_request(
+            service, exchange.method, path, exchange.body, headers, self.view, exchange.account
+        )
         return (
             request if isinstance(request, Refusal) else await self._router.route(exchange, request)
         )
--- a/src/beryljunction/entry/callers.py
+++ b/src/beryljunction/entry/callers.py
@@ -73,7 +73,7 @@
         return name
 
 
-def chat_request(body: bytes, view: FleetView) -> CallerRequest | Refusal:
+def chat_request(body: bytes, view: FleetView, account: str) -> CallerRequest | Refusal:
     """Check the body of a chat completion."""
     try:
         data = json.loads(body)
@@ -92,7 +92,7 @@
         method="POST",
         path="/v1/chat/completions",
         headers=(("content-type", "application/json"),),
-        idempotent=view.services[service].idempotent,
+        idempotent=view.service_for(service, account).idempotent,
         streamed=data.get("stream") or False,
         chat_id=data.get("prompt_cache_key"),
         prompt_tokens=len(body) // _TOKEN_BYTES,
@@ -107,6 +107,7 @@
     body: bytes,
     headers: Iterable[tuple[bytes, bytes]],
     view: FleetView,
+    account: str,
 ) -> CallerRequest | Refusal:
     """Check a call of a plain service; its method, path, headers and body are passed on whole."""
     settings = view.services.get(service)
@@ -117,7 +118,8 @@
         for key, value in headers
         if key not in _HELD_BACK and not key.startswith(_OWN_PREFIX)
     )
-    idempotent = settings.idempotent or method in _IDEMPOTENT_METHODS
+    own = view.service_for(service, account)
+    idempotent = own.idempotent or method in _IDEMPOTENT_METHODS
     return CallerRequest(service, body, method, path, passed, idempotent)
 
 
--- a/src/beryljunction/entry/router.py
+++ b/src/beryljunction/entry/router.py
@@ -146,7 +146,7 @@
             request_id=exchange.caller.request_id,
             account=exchange.account,
             service=request.service,
-            wait_s=self.view.services[request.service].deadline_s,
+            wait_s=self.view.service_for(request.service, exchange.account).deadline_s,
             chat_key=chat_key,
             chat_id=_short(request.chat_id),
             prompt_tokens=request.prompt_tokens,
--- a/src/beryljunction/sidecar/keeper.py
+++ b/src/beryljunction/sidecar/keeper.py
@@ -100,6 +100,11 @@
         service = self.service
         self.admission.limits = AdmissionLimits.from_service(service)
         self.admission.weights = {name: row.weight for name, row in view.accounts.items()}
+        self.admission.account_waiting = {
+            account: own.max_waiting_per_account
+            for (account, name), own in view.account_services.items()
+            if name == self._file.service
+        }
         self.runs.kept_total_bytes = view.limits.kept_total_bytes
         self._endpoint.silence_s = service.engine_silence_s
         self._endpoint.request_s = view.limits.request_s
@@ -186,6 +191,9 @@
         """
         return self._view.service_for(self._file.service, envelope.account).priority
 
+    def _resume_s(self, run: Run) -> float:
+        return self._view.service_for(self._file.service, run.envelope.account).resume_s
+
     def _engine_priority(self, run: Run) -> int | None:
         return self._priority(run.envelope) if self.service.kind == _ENGINE else None
 
@@ -246,7 +254,7 @@
             for run in self.runs:
                 for reader in run.readers if run.streaming else ():
                     reader.beat_if_quiet(run.changed)
-            for run in self.runs.expire(time.monotonic(), self.service.resume_s):
+            for run in self.runs.expire(time.monotonic(), self._resume_s):
                 run.scope.cancel()
 
     async def _execute(self, run: Run) -> None:
--- a/src/beryljunction/sidecar/runs.py
+++ b/src/beryljunction/sidecar/runs.py
@@ -1,7 +1,7 @@
 """Requests in flight at a sidecar, from admission until nobody can ask for their answer."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 import attrs
@@ -189,7 +189,7 @@
         for request_id in (run.envelope.request_id, *run.joined):
             self._runs.pop(request_id, None)
 
-    def expire(self, now_s: float, resume_s: float) -> list[Run]:
+    def expire(self, now_s: float, resume_s: Callable[[Run], float]) -> list[Run]:
         """Forget ended runs whose time for a resume is over, and the oldest above the bound.
 
         Returns:
@@ -202,10 +202,10 @@
         kept_bytes = sum(run.kept_bytes for run in ended)
         for run in ended:
             quiet_s = now_s - max(run.ended_s or 0.0, run.detached_s or 0.0)
-            if quiet_s > resume_s or kept_bytes > self.kept_total_bytes:
+            if quiet_s > resume_s(run) or kept_bytes > self.kept_total_bytes:
                 kept_bytes -= run.kept_bytes
                 self.remove(run)
-        return [run for run in self if run.is_abandoned(now_s, resume_s)]
+        return [run for run in self if run.is_abandoned(now_s, resume_s(run))]
 
     def _all(self) -> list[Run]:
         return [run for key, run in self._runs.items() if key == run.envelope.request_id]
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -102,6 +102,7 @@
 
     Attributes:
         weights: Weight of each client account; one for those not named.
+        account_waiting: Requests that an account may have waiting, where it differs from the limit.
         leaving: Set when the endpoint is to get no new work.
         paused: Why no new work is taken for a while; empty when it is taken. Other than a leaving
             endpoint, one that loads a model will be back, so entries may ask again soon.
@@ -119,6 +120,7 @@
         self.load = load if load is not None else LoadSystem()
         self.pointers = pointers if pointers is not None else PointerSystem()
         self.weights: dict[str, float] = {}
+        self.account_waiting: dict[str, int] = {}
         self.leaving = False
         self.paused = ""
         self._rng = rng if rng is not None else random.Random()
@@ -219,7 +221,7 @@
         waiting = row.waiting_count if row is not None else 0
         if self.requests.waiting_count >= self.limits.max_waiting:
             return True
-        if waiting >= self.limits.max_waiting_per_account:
+        if waiting >= self.account_waiting.get(work.account, self.limits.max_waiting_per_account):
             return True
         return self._expected_wait_s(row, now_s) > _WAIT_SHARE * wait_s
 
