--- a/src/beryljunction/bench/policy/command.py
+++ b/src/beryljunction/bench/policy/command.py
@@ -35,7 +35,9 @@
     names = (policy, "unbounded") if json else (policy, *BASELINES)
     figures = {name: run_policy(scenario, size, name, seed) for name in dict.fromkeys(names)}
     if json:
-        print(json_codec.dumps(_flat(figures[policy], figures["unbounded"])))
+        fields = attrs.asdict(figures[policy])
+        fields["found_warm_ratio_unbounded"] = figures["unbounded"].found_warm_ratio
+        print(json_codec.dumps(fields))
         return 0
     print(f"{'':30}" + "".join(f"{name:>14}" for name in figures))
     for field in attrs.fields(Figures):
@@ -44,12 +46,6 @@
     return 0
 
 
-def _flat(figures: Figures, unbounded: Figures) -> dict[str, float]:
-    fields: dict[str, float] = attrs.asdict(figures)
-    fields["found_warm_ratio_unbounded"] = unbounded.found_warm_ratio
-    return fields
-
-
 def check_name(option: str, name: str, known: Mapping[str, object]) -> None:
     """Refuse a name that is not known, and say which are."""
     if name not in known:
--- a/src/beryljunction/bench/policy/world.py
+++ b/src/beryljunction/bench/policy/world.py
@@ -54,7 +54,7 @@
     entry: "_Entry"
     sent_s: float = 0.0
     chat_key: int | None = None
-    attempts: AttemptSystem | None = None
+    attempts: AttemptSystem = attrs.field(init=False)
     try_number: int = 0
     starts: int = 0
     runs: int = 0
@@ -112,7 +112,7 @@
             account=str(call.account),
             arrived_s=now_s,
             deadline_s=asked.sent_s + DEADLINE_S,
-            chat_key=asked.chat_key if self.world.policy.pointers else None,
+            chat_key=asked.chat_key,
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
             warm=step.warm,
@@ -250,13 +250,12 @@
         """Take a call and make the first try."""
         call, now_s = asked.call, self._world.now_s
         asked.sent_s, asked.refusal, asked.starts = now_s, None, 0
-        asked.chat_key = chat_key_of("", call.chat) if call.chat else None
-        key = asked.chat_key or self._world.rng.getrandbits(64)
+        key = chat_key_of("", call.chat) if call.chat else self._world.rng.getrandbits(64)
+        asked.chat_key = key if call.chat and self._world.policy.pointers else None
         query = PlacementQuery(call.service, key, self._zone, prefer_zone=call.chat is None)
         rows = self._order(self._placement.candidates(query, now_s))
-        previous = None
-        if asked.chat_key is not None and self._world.policy.pointers:
-            previous = self._placement.previous_home(rows, now_s)
+        has_pointers = asked.chat_key is not None
+        previous = self._placement.previous_home(rows, now_s) if has_pointers else None
         asked.attempts = AttemptSystem(rows, self._budget, call.chat is not None, previous)
         self._do(asked, asked.attempts.first())
 
@@ -264,7 +263,7 @@
         self, asked: Asked, number: int, refusal: Refusal | None, sidecar: FakeSidecar
     ) -> None:
         """Take what became of a try."""
-        if asked.try_number != number or asked.attempts is None:
+        if asked.try_number != number:
             return
         now_s = self._world.now_s
         failed = refusal is not None and refusal.load is None and refusal.ran is Ran.UNKNOWN
@@ -278,12 +277,11 @@
         asked.ended_s = now_s
         self._budget.earn()
         self._settle(asked)
-        if asked.chat_key is not None and self._world.policy.pointers:
-            self._tell_keepers(asked, sidecar)
+        self._tell_keepers(asked, sidecar)
 
     def _tell_keepers(self, asked: Asked, taker: FakeSidecar) -> None:
         row = self._table.get(taker.name)
-        if asked.attempts is None or asked.chat_key is None or row is None:
+        if asked.chat_key is None or row is None:
             return
         tokens = asked.call.prompt_tokens + asked.call.output_tokens
         message = ChatMoved(asked.chat_key, taker.name, tokens)
@@ -303,10 +301,10 @@
         asked.refusal = step.refusal
         asked.false_not_run |= step.refusal.ran is Ran.NO and asked.starts > 0
         may_repeat = asked.call.chat is not None or step.refusal.ran is Ran.NO
-        may_repeat = may_repeat and step.refusal.retry_after_s is not None
-        if may_repeat and asked.resends < _MOST_RESENDS:
+        retry_s = step.refusal.retry_after_s
+        if may_repeat and retry_s is not None and asked.resends < _MOST_RESENDS:
             asked.resends += 1
-            world.at(step.refusal.retry_after_s or 0.0, self.take, asked)
+            world.at(retry_s, self.take, asked)
 
     def _arrive(self, asked: Asked, number: int, step: Try, sidecar: FakeSidecar) -> None:
         held_s = sidecar.paused_until_s - self._world.now_s
@@ -319,7 +317,6 @@
             sidecar.receive(asked, number, step)
 
     def _settle(self, asked: Asked) -> None:
-        assert asked.attempts is not None
         asked.try_number += 1
         asked.tries += asked.attempts.tries
         asked.retries += asked.attempts.retries
@@ -419,8 +416,7 @@
 
     def listed(self, at_s: float) -> list[ListedEndpoint]:
         """Return the platform's list as it was at a time."""
-        known = [rows for since_s, rows in self._history if since_s <= at_s]
-        return known[-1] if known else self._history[0][1]
+        return [rows for since_s, rows in self._history if since_s <= max(0.0, at_s)][-1]
 
     def _advance(self, until_s: float) -> None:
         while self._heap and self._heap[0][0] <= until_s:
