--- a/src/beryljunction/bench/report.py
+++ b/src/beryljunction/bench/report.py
@@ -92,7 +92,7 @@
         for axes, (field, title) in zip(every_axes, _PLOTTED.items(), strict=True):
             _draw_bars(axes, rows, field)
             axes.set_ylabel(title)
-        every_axes[-1].set_xticks(range(len(SCENARIOS)), list(SCENARIOS), rotation=20)
+        every_axes[-1].set_xticks(range(len(SCENARIOS)), list(SCENARIOS), rotation=20, ha="right")
         handles, labels = every_axes[0].get_legend_handles_labels()
         figure.legend(handles, labels, loc="outside upper center", ncols=len(labels))
         figure.savefig(path, metadata={"Date": None})
@@ -104,4 +104,5 @@
     for i, policy in enumerate(policies):
         places = [place + (i - (len(policies) - 1) / 2) * width for place in range(len(SCENARIOS))]
         values = [rows[scenario, policy][field] for scenario in SCENARIOS]
-        axes.bar(places, values, width, label=policy)
+        # Without a clip path for each bar the file is a tenth smaller.
+        axes.bar(places, values, width, label=policy, clip_on=False)
