--- a/src/beryljunction/cli/settings.py
+++ b/src/beryljunction/cli/settings.py
@@ -67,6 +67,9 @@
             rows = await self.fleet.rows()
         except PlatformUnavailableError:
             return versions
+        # A node that is named in the file and listed too is one node.
+        listed = {row.address for row in rows}
+        versions = {node: version for node, version in versions.items() if node not in listed}
         answers = await self.fleet.status(rows)
         found = {host: status.settings_version for host, status in answers.values.items()}
         return {**versions, **dict.fromkeys(answers.failures), **found}
--- a/testing/test_publish.py
+++ b/testing/test_publish.py
@@ -4,10 +4,11 @@
 import threading
 
 import anyio
+import attrs
 import pytest
 
 from beryljunction.cli import operator
-from beryljunction.platform import Appended, AppendRefused, AppendUnknown, LogRecord
+from beryljunction.platform import Appended, AppendRefused, AppendUnknown, HostRow, LogRecord
 from beryljunction.servers import Server, bind
 from beryljunction.settings import (
     CHANGES_STREAM,
@@ -17,7 +18,13 @@
     answer_settings,
 )
 from beryljunction.settings.operating import Invalid, OperatorSession
-from beryljunction.standins import LogModel, LogModelSettings, LogStandIn, ModelLogClient
+from beryljunction.standins import (
+    HostListStandIn,
+    LogModel,
+    LogModelSettings,
+    LogStandIn,
+    ModelLogClient,
+)
 from beryljunction.systems.publishing import (
     AppendNow,
     InForce,
@@ -174,7 +181,9 @@
             self.reader.take_page(page)
             await answer_settings(self.reader, self.reader.take_snapshot, scope, receive, send)
 
-        self.servers = [Server(app, bind("127.0.0.1:0")) for app in (self.log, node)]
+        self.hosts = HostListStandIn()
+        apps = (self.log, node, self.hosts)
+        self.servers = [Server(app, bind("127.0.0.1:0")) for app in apps]
         self.ready = threading.Event()
 
     def run(self):
@@ -193,9 +202,12 @@
     fleet = Fleet()
     fleet.start()
     fleet.ready.wait(10)
-    log, node = (server.address for server in fleet.servers)
+    log, node, hosts = (server.address for server in fleet.servers)
     config = tmp_path / "beryl.toml"
-    config.write_text(f'operator = "asha"\nlog_address = "http://{log}"\nnodes = ["{node}"]\n')
+    config.write_text(
+        f'operator = "asha"\nlog_address = "http://{log}"\nnodes = ["{node}"]\n'
+        f'hosts_address = "http://{hosts}"\n'
+    )
 
     def run(command, *words):
         argv = ["beryl", "settings", command, *words]
@@ -224,6 +236,16 @@
         explained = beryl("explain", "service.drafter.deadline_s")[1]
         assert "fleet: 20.0, set by asha in version 1" in explained
 
+    def test_a_node_that_is_named_and_listed_too_is_counted_once(self, beryl, monkeypatch):
+        monkeypatch.setattr("beryljunction.cli.settings._IN_FORCE_S", 0.0)
+        node = beryl.fleet.servers[1].address
+        row = HostRow("host-a", "drafter-0", "drafter", "ahd-a", "gj-west", node)
+        beryl.fleet.hosts.put(attrs.evolve(row, operator_address="127.0.0.1:1"))
+
+        accepted = json.loads(beryl("set", "deadline_s=20.0", "--json")[1])
+
+        assert (accepted["nodes"], accepted["missing"]) == (1, ["host-a"])
+
     def test_the_tree_printed_is_the_tree_in_force(self, beryl):
         beryl("set", "service.drafter.kind=engine", 'service.drafter.models=["drafter"]')
         tree = beryl.directory / "tree.toml"
