--- a/src/beryljunction/engines/__init__.py
+++ b/src/beryljunction/engines/__init__.py
@@ -1,21 +1,17 @@
 """Model engines and plain services as a sidecar meets them."""
 
-from beryljunction.engines.orders import (
-    ORDERS_PATH,
+from beryljunction.engines.control import (
     EngineControl,
     HttpEngineControl,
-    HttpOrderPeers,
     NoEngine,
     OrderFenced,
     OrderOutcome,
-    OrderPeers,
     OrderRefused,
-    OrderRunner,
     OrderTaken,
     OrderUnknown,
-    WorkGate,
-    answer_orders,
 )
+from beryljunction.engines.orders import OrderRunner, WorkGate
+from beryljunction.engines.peers import ORDERS_PATH, HttpOrderPeers, OrderPeers, answer_orders
 from beryljunction.engines.turns import TurnLog
 
 __all__ = [
--- a/src/beryljunction/engines/orders.py
+++ b/src/beryljunction/engines/orders.py
@@ -1,132 +1,33 @@
-"""Orders from a sidecar to the engine beside it.
-
-The engine's side, HTTP with JSON:
-
-``GET /v1/state`` answers 200 with what the engine holds::
-
-    {"models": {"drafter": "v3"}, "adapters": ["gu"], "role": "both",
-     "loading": {"drafter": "v4"}, "loading_adapters": [], "fence": 17, "failed": ""}
-
-``fence`` is left out by an engine that ignores fencing numbers; ``failed`` says why the last load
-failed and is empty again after the next order.
-
-``PUT /v1/orders`` names the whole state to hold, so that it may be repeated::
-
-    {"fence": 18, "models": {"drafter": "v4"}, "adapters": ["gu"], "role": "both"}
-
-200 means taken (loads go on afterwards; the state says how far), 409 ``{"fence": 20}`` that the
-engine took an order with a higher number before, 429 or 503 that it can't take one now. What is
-not named is dropped at once, a load of it is cancelled.
-"""
+"""Orders from a sidecar to the engine beside it, one step at a time."""
 
 import abc
-import json
 import random
 import time
-from collections.abc import Callable, Mapping
-from typing import Any
+from collections.abc import Callable
 
 import anyio
-import attrs
-import httpcore
 
+from beryljunction.engines.control import EngineControl, NoEngine, OrderFenced, OrderRefused
+from beryljunction.engines.peers import OrderPeers
 from beryljunction.engines.turns import TurnLog
-from beryljunction.servers import Receive, Send, read_body, respond
 from beryljunction.settings.schema import FleetView
 from beryljunction.systems.orders import Hold, NeedSlot, Order, OrderSystem, wanted_of
 from beryljunction.systems.rollout import Go, RolloutLimits, RolloutSystem, Stay
 from beryljunction.systems.turns import EndTurn, RenewTurn, TakeTurn, TurnStep, TurnSystem
 from beryljunction.tables.orders import EngineState, OrderRow, OrderRowTable, Phase, Wanted
-from beryljunction.wire import FLEET_KEY_HEADER, decode, encode
-
-__all__ = [
-    "ORDERS_PATH",
-    "EngineControl",
-    "HttpEngineControl",
-    "HttpOrderPeers",
-    "NoEngine",
-    "OrderFenced",
-    "OrderOutcome",
-    "OrderPeers",
-    "OrderRefused",
-    "OrderRunner",
-    "OrderTaken",
-    "OrderUnknown",
-    "WorkGate",
-    "answer_orders",
-]
-
-ORDERS_PATH = "/beryl/v1/orders"
-_STATE_PATH = "/v1/state"
-_ENGINE_ORDERS_PATH = "/v1/orders"
-_ANSWER_S = 2.0
+
+__all__ = ["OrderRunner", "WorkGate"]
+
 _READ_BACK_S = 1.0
 _AFTER_ORDER_S = 0.05
 _ROW_LIFE_S = 15.0
 # A decision that waited longer than this before it was carried out (the process was paused) is
 # made anew: what the others said is no longer true.
 _STALE_S = 2.0
-_ROW_BYTES = 4096
 # A copy of a take that was delayed on its way may still bring a turn that nobody needs.
 _LATE_TAKE_S = 60.0
 
 
-@attrs.frozen
-class OrderTaken:
-    """The engine took the order."""
-
-
-@attrs.frozen
-class OrderFenced:
-    """The engine took an order with a higher number before."""
-
-
-@attrs.frozen
-class OrderRefused:
-    """The engine did not take the order now."""
-
-    reason: str
-
-
-@attrs.frozen
-class OrderUnknown:
-    """No answer: the engine may have taken it; the next read-back tells."""
-
-
-OrderOutcome = OrderTaken | OrderFenced | OrderRefused | OrderUnknown
-
-
-@attrs.frozen
-class NoEngine:
-    """The engine did not say what it holds."""
-
-    reason: str
-
-
-class EngineControl(abc.ABC):
-    """How a sidecar meets the orders interface of its engine."""
-
-    @abc.abstractmethod
-    async def state(self) -> EngineState | NoEngine:
-        """Read back what the engine holds."""
-
-    @abc.abstractmethod
-    async def order(self, order: Order) -> OrderOutcome:
-        """Tell the engine what to hold."""
-
-
-class OrderPeers(abc.ABC):
-    """How a sidecar meets the other sidecars of its service."""
-
-    @abc.abstractmethod
-    def listed(self) -> list[str]:
-        """Return the other endpoints of the service by the host list."""
-
-    @abc.abstractmethod
-    async def exchange(self, own: OrderRow) -> list[OrderRow]:
-        """Tell every other endpoint how far this one is; return what those that answer say."""
-
-
 class WorkGate(abc.ABC):
     """Lets an order wait until nothing runs on the engine."""
 
@@ -372,102 +273,3 @@
         engines = sum(service.kind == "engine" for service in view.services.values())
         least = view.services[self._service].min_serving
         return RolloutLimits.share(least, view.weights.parallel_loads, engines)
-
-
-class HttpEngineControl(EngineControl):
-    """An engine's orders interface over HTTP."""
-
-    def __init__(self, address: str, pool: httpcore.AsyncConnectionPool) -> None:
-        self._address = address
-        self._pool = pool
-
-    async def state(self) -> EngineState | NoEngine:
-        """Read back; see :meth:`EngineControl.state`."""
-        try:
-            response = await self._request("GET", _STATE_PATH, b"")
-            if response.status != 200:
-                return NoEngine(f"the engine answered {response.status}")
-            return EngineState.from_data(json.loads(response.content))
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
-            return NoEngine(f"no answer from the engine: {type(error).__name__}")
-        except ValueError as error:
-            return NoEngine(str(error))
-
-    async def order(self, order: Order) -> OrderOutcome:
-        """Order; see :meth:`EngineControl.order`."""
-        body = json.dumps(attrs.asdict(order)).encode()
-        try:
-            response = await self._request("PUT", _ENGINE_ORDERS_PATH, body)
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-            return OrderUnknown()
-        if response.status == 200:
-            return OrderTaken()
-        if response.status == 409:
-            return OrderFenced()
-        return OrderRefused(f"status {response.status}")
-
-    async def _request(self, method: str, path: str, body: bytes) -> httpcore.Response:
-        return await self._pool.request(
-            method,
-            self._address + path,
-            headers=[("content-type", "application/json")],
-            content=body,
-            extensions={"timeout": dict.fromkeys(("connect", "read", "write", "pool"), _ANSWER_S)},
-        )
-
-
-class HttpOrderPeers(OrderPeers):
-    """The other sidecars of the service over HTTP."""
-
-    def __init__(
-        self,
-        addresses: Callable[[], Mapping[str, str]],
-        pool: httpcore.AsyncConnectionPool,
-        fleet_key: str,
-    ) -> None:
-        self._addresses = addresses
-        self._pool = pool
-        self._fleet_key = fleet_key.encode()
-
-    def listed(self) -> list[str]:
-        """Return the other endpoints; see :meth:`OrderPeers.listed`."""
-        return list(self._addresses())
-
-    async def exchange(self, own: OrderRow) -> list[OrderRow]:
-        """Tell and ask all; see :meth:`OrderPeers.exchange`."""
-        rows: list[OrderRow] = []
-        async with anyio.create_task_group() as group:
-            for address in self._addresses().values():
-                group.start_soon(self._ask, address, encode(own), rows)
-        return rows
-
-    async def _ask(self, address: str, body: bytes, rows: list[OrderRow]) -> None:
-        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _STALE_S / 2)
-        try:
-            response = await self._pool.request(
-                "POST",
-                f"http://{address}{ORDERS_PATH}",
-                headers=[(FLEET_KEY_HEADER, self._fleet_key)],
-                content=body,
-                extensions={"timeout": timeouts},
-            )
-            if response.status == 200:
-                rows.append(decode(response.content, OrderRow))
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-            return
-        except ValueError:
-            return
-
-
-async def answer_orders(runner: OrderRunner, receive: Receive, send: Send) -> None:
-    """Answer POST ORDERS_PATH: take in the asker's row, return the own one.
-
-    The caller has checked the fleet's key.
-    """
-    body: Any = await read_body(receive, _ROW_BYTES)
-    try:
-        runner.hear(decode(body or b"", OrderRow))
-    except ValueError as error:
-        await respond(send, 400, str(error).encode(), content_type=b"text/plain")
-        return
-    await respond(send, 200, encode(runner.row()))
--- /dev/null
+++ b/src/beryljunction/engines/peers.py
@@ -0,0 +1,92 @@
+"""How far the endpoints of a service are with their orders, as their sidecars tell each other."""
+
+import abc
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import anyio
+import httpcore
+
+from beryljunction.servers import Receive, Send, read_body, respond
+from beryljunction.tables.orders import OrderRow
+from beryljunction.wire import FLEET_KEY_HEADER, decode, encode
+
+__all__ = ["ORDERS_PATH", "HttpOrderPeers", "OrderPeers", "answer_orders"]
+
+ORDERS_PATH = "/beryl/v1/orders"
+_ANSWER_S = 1.0
+_ROW_BYTES = 4096
+
+
+class OrderPeers(abc.ABC):
+    """How a sidecar meets the other sidecars of its service."""
+
+    @abc.abstractmethod
+    def listed(self) -> list[str]:
+        """Return the other endpoints of the service by the host list."""
+
+    @abc.abstractmethod
+    async def exchange(self, own: OrderRow) -> list[OrderRow]:
+        """Tell every other endpoint how far this one is; return what those that answer say."""
+
+
+class HttpOrderPeers(OrderPeers):
+    """The other sidecars of the service over HTTP."""
+
+    def __init__(
+        self,
+        addresses: Callable[[], Mapping[str, str]],
+        pool: httpcore.AsyncConnectionPool,
+        fleet_key: str,
+    ) -> None:
+        self._addresses = addresses
+        self._pool = pool
+        self._fleet_key = fleet_key.encode()
+
+    def listed(self) -> list[str]:
+        """Return the other endpoints; see :meth:`OrderPeers.listed`."""
+        return list(self._addresses())
+
+    async def exchange(self, own: OrderRow) -> list[OrderRow]:
+        """Tell and ask all; see :meth:`OrderPeers.exchange`."""
+        rows: list[OrderRow] = []
+        async with anyio.create_task_group() as group:
+            for address in self._addresses().values():
+                group.start_soon(self._ask, address, encode(own), rows)
+        return rows
+
+    async def _ask(self, address: str, body: bytes, rows: list[OrderRow]) -> None:
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _ANSWER_S)
+        try:
+            response = await self._pool.request(
+                "POST",
+                f"http://{address}{ORDERS_PATH}",
+                headers=[(FLEET_KEY_HEADER, self._fleet_key)],
+                content=body,
+                extensions={"timeout": timeouts},
+            )
+            if response.status == 200:
+                rows.append(decode(response.content, OrderRow))
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            return
+        except ValueError:
+            return
+
+
+async def answer_orders(
+    hear: Callable[[OrderRow], None],
+    row: Callable[[], OrderRow],
+    receive: Receive,
+    send: Send,
+) -> None:
+    """Answer POST ORDERS_PATH: take in the asker's row, return the own one.
+
+    The caller has checked the fleet's key.
+    """
+    body: Any = await read_body(receive, _ROW_BYTES)
+    try:
+        hear(decode(body or b"", OrderRow))
+    except ValueError as error:
+        await respond(send, 400, str(error).encode(), content_type=b"text/plain")
+        return
+    await respond(send, 200, encode(row()))
--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -157,7 +157,7 @@
             await self.orders.run()
 
     async def _answer_orders(self, scope: Scope, receive: Receive, send: Send) -> None:
-        await answer_orders(self.orders, receive, send)
+        await answer_orders(self.orders.hear, self.orders.row, receive, send)
 
     def _with_service(self, view: FleetView) -> FleetView:
         """Return a view that has the endpoint's service.
--- a/src/beryljunction/standins/orders.py
+++ b/src/beryljunction/standins/orders.py
@@ -103,7 +103,7 @@
 async def answer_engine_orders(
     model: EngineOrdersModel, now_s: float, scope: Scope, receive: Receive, send: Send
 ) -> None:
-    """Answer GET /v1/state and PUT /v1/orders; see :mod:`beryljunction.engines.orders`."""
+    """Answer GET /v1/state and PUT /v1/orders; see :mod:`beryljunction.engines.control`."""
     body = await read_body(receive, _BODY_BYTES)
     if scope["method"] == "GET":
         state = attrs.asdict(model.state(now_s), filter=lambda _, value: value is not None)
