--- /dev/null
+++ b/src/beryljunction/cli/settings_change.py
@@ -0,0 +1,135 @@
+"""beryl settings set and unset: publish a change and say truly what became of it."""
+
+import pathlib
+import time
+import tomllib
+from typing import Any
+
+import anyio
+
+from beryljunction.cli.asking import CONFIG
+from beryljunction.cli.settings_desk import Desk, with_session
+from beryljunction.cli.settings_output import EXIT_OK, print_not_in_force, print_problems, say
+from beryljunction.settings.changes import Edit
+from beryljunction.settings.files import load_toml
+from beryljunction.settings.operating import Invalid
+from beryljunction.settings.paths import Path, parse_path
+from beryljunction.settings.validating import edits_between, leaves_of
+from beryljunction.systems.publishing import InForce
+
+__all__ = ["set_", "unset"]
+
+_IN_FORCE_S = 9.0
+_ASK_S = 0.25
+
+
+def set_(
+    *assignments: str,
+    file: pathlib.Path | None = None,
+    note: str = "",
+    config: pathlib.Path = CONFIG,
+    json: bool = False,
+) -> int:
+    """Publish values, all of them or none.
+
+    :param assignments: PATH=VALUE, with the value in TOML; a bare word is a string.
+    :param file: TOML tree whose values are set too; what it leaves out stays.
+    :param note: Why, for the history.
+    :param config: The operator's file.
+    :param json: Print one JSON object.
+    """
+
+    async def run(desk: Desk) -> int:
+        edits, problems = _edits_of(assignments, file, desk.session.reader.tree.values())
+        if problems:
+            return print_problems(problems, json)
+        if not edits:
+            say(json, {"outcome": "unchanged"}, "unchanged: all these values are in force already")
+            return EXIT_OK
+        return await _publish(desk, edits, note, json)
+
+    return with_session(config, run, json)
+
+
+def unset(*paths: str, note: str = "", config: pathlib.Path = CONFIG, json: bool = False) -> int:
+    """Let paths inherit again, all of them or none.
+
+    :param paths: Paths, or scopes such as service.drafter for everything below them.
+    :param note: Why, for the history.
+    :param config: The operator's file.
+    :param json: Print one JSON object.
+    """
+
+    async def run(desk: Desk) -> int:
+        try:
+            edits = [edit for text in paths for edit in desk.session.unset_edits(text)]
+        except ValueError as error:
+            return print_problems([str(error)], json)
+        return await _publish(desk, tuple(dict.fromkeys(edits)), note, json)
+
+    return with_session(config, run, json)
+
+
+async def _publish(desk: Desk, edits: tuple[Edit, ...], note: str, json: bool) -> int:
+    base = desk.session.reader.version
+    answer = await desk.session.publish(edits, note)
+    if isinstance(answer, Invalid):
+        return print_problems(list(answer.problems), json)
+    if isinstance(answer, InForce):
+        await _print_in_force(desk, answer, json)
+        return EXIT_OK
+    return print_not_in_force(answer, base, edits, json)
+
+
+async def _print_in_force(desk: Desk, answer: InForce, json: bool) -> None:
+    """Say on how many nodes the change is in force; waits for the last for some seconds."""
+    began_s = time.monotonic()
+    while True:
+        versions = await desk.versions()
+        reached = [n for n, v in versions.items() if v is not None and v >= answer.version]
+        waited_s = time.monotonic() - began_s
+        if len(reached) == len(versions) or waited_s > _IN_FORCE_S:
+            break
+        await anyio.sleep(_ASK_S)
+    missing = sorted(versions.keys() - set(reached))
+    data = {
+        "outcome": "accepted",
+        "version": answer.version,
+        "change_id": answer.change_id,
+        "in_force_on": len(reached),
+        "nodes": len(versions),
+        "waited_s": round(waited_s, 2),
+        "missing": missing,
+    }
+    lines = [f"accepted: version {answer.version}, change {answer.change_id}"]
+    if versions:
+        lines.append(f"in force on {len(reached)} of {len(versions)} nodes")
+    lines += [f"not yet, or no answer: {node}" for node in missing]
+    say(json, data, *lines)
+
+
+def _edits_of(
+    assignments: tuple[str, ...], file: pathlib.Path | None, present: dict[Path, Any]
+) -> tuple[tuple[Edit, ...], list[str]]:
+    wanted: dict[Path, Any] = {}
+    problems: list[str] = []
+    if file is not None:
+        wanted, problems = leaves_of(load_toml(file))
+    for text in assignments:
+        name, sign, value = text.partition("=")
+        try:
+            path = parse_path(name.strip())
+        except ValueError as error:
+            problems.append(str(error))
+            continue
+        if not sign:
+            problems.append(f"{text}: expected PATH=VALUE")
+        wanted[path] = _value_of(value.strip())
+    return edits_between(present, {**present, **wanted}), problems
+
+
+def _value_of(text: str) -> Any:
+    try:
+        return tomllib.loads(f"value = {text}")["value"]
+    except tomllib.TOMLDecodeError:
+        return text
--- /dev/null
+++ b/src/beryljunction/cli/settings_desk.py
@@ -0,0 +1,73 @@
+"""What the commands over the settings work with."""
+
+import pathlib
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+
+from beryljunction.cli.settings_output import EXIT_OK, print_log_down, print_problems
+from beryljunction.errors import PlatformUnavailableError, SettingsError
+from beryljunction.node import OperatorClient
+from beryljunction.platform import HttpLogClient
+from beryljunction.servers import client_pool
+from beryljunction.settings.files import load_file
+from beryljunction.settings.operating import OperatorSession
+from beryljunction.settings.peers import HttpPeers
+from beryljunction.settings.schema import OperatorFile
+
+__all__ = ["Desk", "with_session"]
+
+
+@attrs.frozen
+class Desk:
+    """What a command works with."""
+
+    file: OperatorFile
+    session: OperatorSession
+    nodes: HttpPeers
+    fleet: OperatorClient | None
+
+    async def versions(self) -> dict[str, int | None]:
+        """Return the version in force at each process of the host list and each node named."""
+        versions = await self.nodes.versions()
+        if self.fleet is None:
+            return versions
+        try:
+            rows = await self.fleet.rows()
+        except PlatformUnavailableError:
+            return versions
+        # A node that is named in the file and listed too is one node.
+        listed = {row.address for row in rows}
+        versions = {node: version for node, version in versions.items() if node not in listed}
+        answers = await self.fleet.status(rows)
+        found = {host: status.settings_version for host, status in answers.values.items()}
+        return {**versions, **dict.fromkeys(answers.failures), **found}
+
+
+def with_session(
+    config: pathlib.Path,
+    command: Callable[[Desk], Awaitable[int]],
+    json: bool,
+    look: bool = True,
+) -> int:
+    """Run a command over the log; what is in force has been read before it starts."""
+
+    async def run() -> int:
+        file = load_file(config, OperatorFile)
+        async with client_pool() as pool:
+            log = HttpLogClient(file.log_address, pool)
+            session = OperatorSession(log, file.operator, file.key)
+            nodes = HttpPeers(lambda: file.nodes, session.reader, pool, file.fleet_key)
+            hosts = file.hosts_address
+            fleet = OperatorClient(pool, hosts) if hosts else None
+            if look and not await session.look():
+                return print_log_down(json)
+            return await command(Desk(file, session, nodes, fleet))
+
+    try:
+        return anyio.run(run)
+    except SettingsError as error:
+        return print_problems(error.problems, json)
+    except KeyboardInterrupt:
+        return EXIT_OK
