--- /dev/null
+++ b/testing/settings_world.py
@@ -0,0 +1,329 @@
+"""A fleet of four nodes, three operators, a log and engines in virtual time, with its oracle."""
+
+import collections
+import random
+
+import attrs
+
+from beryljunction.engines import (
+    EngineControl,
+    OrderFenced,
+    OrderPeers,
+    OrderRunner,
+    OrderTaken,
+    OrderUnknown,
+    TurnLog,
+    WorkGate,
+)
+from beryljunction.platform import AppendUnknown, LogClient, ReadFailed
+from beryljunction.settings import (
+    CHANGES_STREAM,
+    Change,
+    Edit,
+    FollowSettings,
+    PeerSource,
+    Read,
+    SettingsFollower,
+    SettingsReader,
+    parse_path,
+)
+from beryljunction.settings.operating import Invalid, OperatorSession
+from beryljunction.standins import EngineOrdersModel, LogModel, LogModelSettings, WeightStoreModel
+from beryljunction.systems.publishing import InForce, Lost, NotPublished
+from beryljunction.systems.rotation import PeerRotation
+from beryljunction.tables.orders import Wanted
+from virtual_time import Scheduler, sleep
+
+NODES = ("entry-0", "entry-1", "drafter-0", "drafter-1")
+OPERATORS = ("asha", "ravi", "mira")
+# Long enough that no history loses every snapshot, which is beyond what the platform promises.
+FOLLOW = FollowSettings(poll_s=0.0, pause_s=1.0, retention_s=400.0)
+AGREE_S = 5.0
+SILENT_S = 2.0
+IN_FORCE_S = 9.0
+COUNTS = collections.Counter()
+LOADED_S = 120.0
+EDITS = (
+    ("service.drafter.model_version", ("v1", "v2", "v3")),
+    ("service.drafter.max_running", (8, 16, 24)),
+    ("service.drafter.floor_running", (2, 12, 20)),
+    ("region.gj-west.max_running", (10, 30)),
+    ("deadline_s", (5.0, 6.0)),
+    ("service.drafter.adapters", ([], ["gu"], ["gu", "pa"])),
+    ("service.ledger.kind", ("plain",)),
+    ("service.ledger.pointer_s", (60.0, 90.0)),
+)
+START = (
+    Edit("service.drafter.kind", "engine"),
+    Edit("service.drafter.models", ["drafter"]),
+    Edit("service.drafter.model_version", "v1"),
+)
+
+
+read_covers = Read.covers
+
+
+def covers_as_written(read, path):
+    return read_covers(read, parse_path(path))
+
+
+class Oracle:
+    """The accepted records in log order, judged in the plainest way."""
+
+    def __init__(self):
+        self.accepted = []
+        self.values_at = [{}]
+        self.verdicts = {}
+
+    covers = staticmethod(covers_as_written)
+
+    def append(self, record):
+        offset, values = record.offset, dict(self.values_at[-1])
+        try:
+            change = Change.from_data(record.record_id, record.data)
+        except ValueError:
+            change = None
+        if change is not None:
+            paths = {edit.path for edit in change.edits}
+            since = [p for version, p in self.accepted if version > change.base]
+            refused = change.base >= offset or any(
+                path in paths or any(self.covers(read, path) for read in change.reads)
+                for path in since
+            )
+            self.verdicts.setdefault(record.record_id, []).append((offset, not refused))
+            if not refused:
+                self.accepted += [(offset, path) for path in paths]
+                for edit in change.edits:
+                    values.pop(edit.path, None)
+                    if not edit.unset:
+                        values[edit.path] = edit.value
+        self.values_at.append(values)
+
+
+@attrs.define(eq=False)
+class Node:
+    """A process with its reader, and the sidecar's part where there is an engine."""
+
+    name: str
+    owner: str
+    reader: SettingsReader
+    follower: SettingsFollower | None = None
+    highest: int = 0
+    log_cut: bool = False
+    peers_cut: bool = False
+
+
+class Log(LogClient):
+    """The log as one process meets it, with time passing on the way there and back."""
+
+    def __init__(self, world, node=None):
+        self.world, self.node = world, node
+
+    async def append(self, stream, record_id, data):
+        await sleep(self.world.random.uniform(0.005, 0.05))
+        if self.node is not None and self.node.log_cut:
+            return AppendUnknown("cut off")
+        if self.world.random.random() < self.world.delayed_ratio:
+            self.world.scheduler.start(self._late(stream, record_id, data))
+            await sleep(2.0)
+            return AppendUnknown("late")
+        outcome = self.world.append(stream, record_id, data)
+        await sleep(self.world.random.uniform(0.005, 0.05))
+        return outcome
+
+    async def _late(self, stream, record_id, data):
+        await sleep(self.world.random.uniform(2.0, 30.0))
+        self.world.append(stream, record_id, data)
+
+    async def read(self, stream, after, limit=500, wait_s=0.0):
+        await sleep(self.world.random.uniform(0.005, 0.05))
+        if self.world.log.down or (self.node is not None and self.node.log_cut):
+            await sleep(self.world.random.uniform(0.0, SILENT_S))
+            return ReadFailed("no answer")
+        page = self.world.log.read(stream, after, limit, self.world.scheduler.now_s)
+        await sleep(self.world.random.uniform(0.005, 0.05))
+        return page
+
+
+class Peers(PeerSource):
+    def __init__(self, world, node):
+        self.world, self.node = world, node
+        self.rotation = PeerRotation(world.random)
+
+    @property
+    def pace_s(self):
+        return self.rotation.pace_s(self.node.name, NODES)
+
+    async def newer_than(self, version):
+        other = self.world.nodes[self.rotation.next(self.node.name, NODES)]
+        if self.node.peers_cut or other.peers_cut or other.owner in self.world.scheduler.paused:
+            await sleep(0.5)
+            return None
+        data = other.reader.tree.to_data() if other.reader.version > version else None
+        await sleep(self.world.random.uniform(0.005, 0.5))
+        if other.reader.version < version:
+            other.follower.take(self.node.reader.tree.to_data())
+        return data
+
+
+class Engine(EngineControl):
+    def __init__(self, world, model):
+        self.world, self.model = world, model
+        self.in_hand = False
+
+    async def state(self):
+        return self.model.state(self.world.scheduler.now_s)
+
+    async def order(self, order):
+        self.in_hand = True
+        await sleep(self.world.random.uniform(0.001, 0.3))
+        self.in_hand = False
+        taken = self.model.order(order, self.world.scheduler.now_s)
+        if self.world.random.random() < self.world.lost_orders_ratio:
+            await sleep(2.0)
+            return OrderUnknown()
+        return OrderTaken() if taken else OrderFenced()
+
+
+class Runners(OrderPeers):
+    def __init__(self, world, own):
+        self.world, self.own = world, own
+
+    def listed(self):
+        return [name for name in self.world.runners if name != self.own]
+
+    async def exchange(self, own):
+        await sleep(0.02)
+        names = [n for n in self.listed() if n not in self.world.scheduler.paused]
+        for name in names:
+            self.world.runners[name].hear(own)
+        return [self.world.runners[name].row() for name in names]
+
+
+class OpenGate(WorkGate):
+    def set_open(self, is_open):
+        pass
+
+    def running(self):
+        return 0
+
+
+class World:
+    """A fleet of four nodes, three operators, a log and two kinds of engines."""
+
+    def __init__(self, number):
+        self.random = random.Random(number)
+        self.scheduler = Scheduler()
+        self.log = LogModel(LogModelSettings(retention_s=FOLLOW.retention_s, seed=number))
+        self.oracle = Oracle()
+        self.records = []
+        self.delayed_ratio = self.lost_orders_ratio = 0.0
+        self.last_fault_s = 0.0
+        self.nodes, self.runners, self.controls = {}, {}, {}
+        self.zombies, self.answers = [], []
+        self.starts = self.outages = self.long_waits = 0
+        store = WeightStoreModel(load_s=3.0)
+        self.engines = {
+            "drafter-0": EngineOrdersModel(store, checks_fence=True),
+            "drafter-1": EngineOrdersModel(store, checks_fence=False),
+        }
+        self.append(CHANGES_STREAM, "start", Change("start", 0, "asha", START).to_data())
+        for name in NODES:
+            self.start(name)
+
+    def append(self, stream, record_id, data):
+        before = self.log.read(stream, 0, 1, self.scheduler.now_s)
+        outcome = self.log.append(stream, record_id, data, self.scheduler.now_s)
+        if stream == CHANGES_STREAM and not isinstance(before, ReadFailed):
+            page = self.log.read(stream, before.next_offset - 1, 1, self.scheduler.now_s)
+            for record in page.records:
+                self.oracle.append(record)
+                self.records.append((self.scheduler.now_s, record))
+        return outcome
+
+    def start(self, name):
+        self.starts += 1
+        node = Node(name, f"{name}#{self.starts}", SettingsReader("gj-west"))
+        self.nodes[name] = node
+        clock = lambda: self.scheduler.now_s  # noqa: E731
+        rng = random.Random(self.starts)
+        follower = SettingsFollower(
+            node.reader, Log(self, node), lambda view: None, Peers(self, node), FOLLOW, clock, rng
+        )
+        node.follower = follower
+        for step in (follower.step, follower.peer_step):
+            self.scheduler.start(self._loop(step), node.owner)
+        if name in self.engines:
+            self.controls[name] = Engine(self, self.engines[name])
+            runner = OrderRunner(
+                name,
+                "drafter",
+                lambda: node.reader.view,
+                self.controls[name],
+                Runners(self, name),
+                OpenGate(),
+                clock,
+                rng,
+                TurnLog(Log(self, node), "gj-west", "drafter"),
+            )
+            self.runners[name] = runner
+            self.scheduler.start(self._loop(runner.step), node.owner)
+
+    async def _loop(self, step):
+        while True:
+            pause_s = await step()
+            await sleep(pause_s if pause_s is not None else 1.0)
+
+    async def operate(self, name, edits, think_s):
+        session = OperatorSession(
+            Log(self), name, "", None, lambda: self.scheduler.now_s, sleep, self.random
+        )
+        if not await session.look():
+            return
+        await sleep(think_s)
+        self.answers.append(
+            await session.publish(edits, change_id=f"{name}-{self.random.random()}")
+        )
+
+    def live_nodes(self):
+        return list(self.nodes.values())
+
+    def check_nodes(self):
+        """No reader goes back, and each holds what the accepted records up to its version say."""
+        for node in [*self.nodes.values(), *self.zombies]:
+            version = node.reader.version
+            assert version >= node.highest, f"{node.name} went back"
+            if version == node.highest:
+                continue
+            node.highest = version
+            values = {str(p): v for p, v in node.reader.tree.values().items()}
+            assert values == self.oracle.values_at[version], f"{node.name} differs at {version}"
+            assert node.reader.view.version == version
+
+    def check_in_force(self):
+        """A change accepted while all is well is in force everywhere within 9 s."""
+        now_s = self.scheduler.now_s
+        for appended_s, record in self.records:
+            if appended_s > self.last_fault_s + AGREE_S and appended_s + IN_FORCE_S <= now_s:
+                assert all(n.reader.version >= record.offset for n in self.nodes.values())
+
+    def check_answers(self):
+        for answer in self.answers:
+            if isinstance(answer, Invalid):
+                continue
+            verdicts = self.oracle.verdicts.get(answer.change_id, [])
+            accepted = [offset for offset, stands in verdicts if stands]
+            assert len(accepted) <= 1
+            if isinstance(answer, InForce):
+                assert accepted == [answer.version]
+            elif isinstance(answer, Lost):
+                assert accepted == []
+                assert verdicts
+            elif isinstance(answer, NotPublished):
+                assert verdicts == []
+
+    def wanted(self):
+        values = self.oracle.values_at[-1]
+        version = values["service.drafter.model_version"]
+        adapters = tuple(sorted(values.get("service.drafter.adapters", [])))
+        return Wanted({"drafter": version}, adapters, "both", len(self.records))
