--- a/src/beryljunction/tables/turns.py
+++ b/src/beryljunction/tables/turns.py
@@ -77,10 +77,14 @@
     def _apply(self, record: LogRecord) -> None:
         """Apply one record; what is no such record is passed over by all readers alike."""
         data = record.data if isinstance(record.data, dict) else {}
-        taker, renewer, ender = (str(data.get(kind, "")) for kind in (_TAKE, _RENEW, _END))
+        taker, renewer, ender = (_name(data.get(kind)) for kind in (_TAKE, _RENEW, _END))
         if taker:
             self._turns.setdefault(taker, Turn(record.offset, record.offset))
         elif renewer in self._turns:
             self._turns[renewer] = attrs.evolve(self._turns[renewer], renewed_at=record.offset)
         elif ender in self._turns and self._turns[ender].renewed_at == data.get("offset"):
             del self._turns[ender]
+
+
+def _name(value: Any) -> str:
+    return value if isinstance(value, str) else ""
--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -1,3 +1,4 @@
+import os
 import random
 
 import anyio
@@ -28,6 +29,7 @@
 from beryljunction.systems.orders import Hold, NeedSlot, Order, OrderSystem
 from beryljunction.tables.orders import EngineState, Phase, Wanted
 
+TURN_SEEDS = int(os.environ.get("BERYL_FUZZ_TURNS", "10"))
 V2 = Wanted({"drafter": "v2"}, (), "both", 7)
 
 
@@ -366,6 +368,34 @@
 
         assert rollout.versions() == ["v2"] * 3
 
+    @pytest.mark.parametrize("seed", range(TURN_SEEDS))
+    def test_limits_hold_through_faults_that_come_together(self, seed):
+        # Lists lack endpoints for long, sidecars pause for up to a minute, the log goes down and
+        # loses answers. Callers must find min_serving engines and the store one load at any time,
+        # and when the faults end the roll-out must come to its end.
+        rollout = Rollout(count=6, seed=seed, has_log=True)
+        rollout.view = view(2, "v2", min_serving=4, parallel_loads=1)
+        rng = random.Random(seed)
+        for _ in range(30):
+            rollout.log.down = rng.random() < 0.2
+            rollout.paused = {i for i in rollout.runners if rng.random() < 0.2}
+            for peers in rollout.peers.values():
+                peers.hidden = {i for i in rollout.runners if rng.random() < 0.1}
+            lost = LogModelSettings(lost_answer_ratio=0.2, lost_append_ratio=0.2, seed=seed)
+            rollout.log.settings = lost if rng.random() < 0.5 else LogModelSettings()
+            rollout.run(rng.choice((1, 5, 20, 30)))
+
+        rollout.log.down = False
+        rollout.log.settings = LogModelSettings()
+        rollout.paused.clear()
+        for peers in rollout.peers.values():
+            peers.hidden = set()
+        rollout.run(600)
+
+        assert rollout.versions() == ["v2"] * 6
+        assert rollout.store.peak == 1
+        assert rollout.least_serving >= 4
+
     def test_a_roll_out_takes_three_appends_an_endpoint(self):
         rollout = Rollout(count=41, has_log=True, store=WeightStoreModel(load_s=3.0))
         rollout.view = view(2, "v2", min_serving=30, parallel_loads=8)
--- /dev/null
+++ b/testing/test_turns.py
@@ -0,0 +1,103 @@
+import random
+
+import pytest
+
+from beryljunction.platform import LogPage, LogRecord
+from beryljunction.systems.rollout import Go, RolloutLimits, Stay
+from beryljunction.systems.turns import EndTurn, RenewTurn, TakeTurn, TurnSystem
+from beryljunction.tables.orders import OrderRow, Phase
+from beryljunction.tables.turns import TurnQueue, end_record, renew_record, take_record
+
+LIMITS = RolloutLimits(min_serving=1, parallel_loads=1)
+
+
+def queue_of(*records, first_offset=1):
+    rows = tuple(LogRecord(i, f"r{i}", data) for i, data in enumerate(records, 1))
+    queue = TurnQueue()
+    queue.apply(LogPage(rows, first_offset, len(records) + 1))
+    return queue
+
+
+def serving(*names):
+    return [OrderRow(name, Phase.SERVING, done=False, serves=True, fence=1) for name in names]
+
+
+class TestTurnQueue:
+    @pytest.mark.parametrize(
+        "records",
+        [
+            [take_record("a"), take_record("a"), take_record("b")],
+            [take_record("b"), end_record("b", 1), take_record("a"), take_record("b")],
+            [take_record("a"), renew_record("a"), end_record("a", 1), take_record("b")],
+            [{"take": 7}, "poison", renew_record("b"), take_record("a"), take_record("b")],
+        ],
+        ids=["doubled-take", "taken-anew", "end-overtaken-by-a-renewal", "poison"],
+    )
+    def test_first_take_in_log_order_stands_before(self, records):
+        queue = queue_of(*records)
+
+        assert (set(queue.before("a")), set(queue.before("b"))) == (set(), {"a"})
+
+    def test_a_turn_ends_by_its_newest_renewal_or_with_its_last_record(self):
+        ended = queue_of(take_record("a"), renew_record("a"), end_record("a", 2))
+        dropped = queue_of(take_record("a"), take_record("b"), first_offset=2)
+
+        assert ended.turn("a") is None
+        assert (dropped.turn("a"), set(dropped.before("b"))) == (None, set())
+
+
+class TestTurnSystem:
+    def decide(self, system, queue, now_s, answers=(), interrupts=True, listed=("b",)):
+        return system.decide(queue, listed, answers, LIMITS, interrupts, now_s)
+
+    def test_a_turn_that_this_process_has_not_renewed_does_not_count(self):
+        # A sidecar is replaced, or wakes after a pause, and finds a turn in its name on the log.
+        # Others may have seen no renewal for 90 s and be about to end it, so that acting on it at
+        # once would let two load together.
+        system = TurnSystem("a", random.Random(1))
+        left = [take_record("a"), renew_record("a")]
+
+        found = self.decide(system, queue_of(*left), 0.0, serving("b"))
+        renewed = self.decide(system, queue_of(*left, renew_record("a")), 1.0, serving("b"))
+        woken = self.decide(system, queue_of(*left, renew_record("a")), 70.0, serving("b"))
+
+        assert (found, renewed, woken) == (RenewTurn(), Go(), RenewTurn())
+
+    def test_a_silent_turn_is_ended_only_when_unlisted_and_not_renewed(self):
+        system = TurnSystem("a", random.Random(1))
+        records = [take_record("c"), take_record("a")]
+        self.decide(system, queue_of(*records), 0.0)
+        records.append(renew_record("c"))
+        self.decide(system, queue_of(*records), 80.0)
+
+        renewed = self.decide(system, queue_of(*records), 160.0)
+        listed = self.decide(system, queue_of(*records), 165.0, listed=("b", "c"))
+        self.decide(system, queue_of(*records), 166.0)
+        silent = self.decide(system, queue_of(*records), 260.0)
+
+        assert isinstance(renewed, Stay)
+        assert isinstance(listed, Stay)
+        assert silent == EndTurn("c", 3)
+
+    def test_who_would_break_the_floor_queues_up_again_at_the_end(self):
+        system = TurnSystem("a", random.Random(1))
+        queue = queue_of(take_record("a"))
+        self.decide(system, queue, 0.0)
+        queue = queue_of(take_record("a"), renew_record("a"))
+
+        waits = self.decide(system, queue, 1.0)
+        yields = self.decide(system, queue, 12.0)
+
+        assert isinstance(waits, Stay)
+        assert yields == EndTurn("a", 2)
+
+    def test_takes_of_a_fleet_are_spread_and_repeated_when_unseen(self):
+        taken_s = []
+        for number in range(100):
+            system = TurnSystem("a", random.Random(number))
+            steps = [self.decide(system, TurnQueue(), second / 2) for second in range(60)]
+            taken_s.append([i / 2 for i, step in enumerate(steps) if step == TakeTurn()])
+
+        first = [times[0] for times in taken_s]
+        assert max(first.count(second) for second in set(first)) < 20
+        assert all(len(times) >= 3 for times in taken_s)
