--- a/testing/test_reader.py
+++ b/testing/test_reader.py
@@ -140,6 +140,18 @@
 
         assert late.reader.digest == running.reader.digest
 
+    def test_no_peer_is_met_while_the_log_answers(self):
+        fleet = Fleet()
+        ahead = SettingsReader("gj-west")
+        ahead.take_page(LogPage((LogRecord(1, "c1", change(1, 0)),), 1, 2))
+        follower = fleet.follower(peer=ahead)
+
+        for second in range(5):
+            fleet.now_s = float(second)
+            fleet.step(follower)
+
+        assert follower.reader.version == 0
+
     def test_a_reader_paused_beyond_the_retention_jumps_over_the_gap_by_a_peer(self):
         fleet = Fleet(retention_s=10.0)
         running = fleet.follower()
