--- a/src/beryljunction/fuzz/sidecars.py
+++ b/src/beryljunction/fuzz/sidecars.py
@@ -211,6 +211,10 @@
 
     def _run(self, call: RunCall, reader: tuple[str, int]) -> None:
         heard_age_s = call.heard_age_s
+        if call.idempotent and self.tombstones.names_earlier_start(call.heard):
+            refusal = Refusal(RefusalCode.STALE_STAMP, "an earlier start", Ran.UNKNOWN, 0.0)
+            self._reply(reader, RefusalReply(self._stamp(), refusal))
+            return
         arrival = self.tombstones.arrive(call.try_id, call.heard, heard_age_s, self.now_s)
         if arrival is Arrival.DUPLICATE:
             self._join(self.jobs.get(call.try_id), reader, 0)
--- a/src/beryljunction/sidecar/keeper.py
+++ b/src/beryljunction/sidecar/keeper.py
@@ -126,6 +126,9 @@
     def accept(self, envelope: Envelope, body: bytes) -> Run | Answer | Refusal:
         """Return the run to read, a new one or one under way already, an answer or a refusal."""
         heard = Stamp.from_text(envelope.heard)
+        if envelope.idempotent and self.tombstones.names_earlier_start(heard):
+            message = "sent to an earlier start of this sidecar, which may have run it; send again"
+            return Refusal(RefusalCode.STALE_STAMP, message, Ran.UNKNOWN, 0.0)
         try_id = _try_id(envelope)
         arrival = self.tombstones.arrive(try_id, heard, envelope.heard_age_s, boot_time_s())
         if arrival in _NOT_TAKEN:
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -72,6 +72,7 @@
         self._followed = False
         self._maybe_ran = False
         self._resorted = False
+        self._sent_again = False
         self._pointer: str | None = None
         self._backup = candidates[1] if len(candidates) > 1 else None
         first = candidates[0] if candidates else None
@@ -108,12 +109,11 @@
             return self._next(warm=True)
         if refusal.code is RefusalCode.LEAVING and self._left:
             return self._next()
+        if refusal.code is RefusalCode.STALE_STAMP and endpoint is not None:
+            return self._send_again(refusal, endpoint)
         if refusal.code is RefusalCode.OVERLOADED:
             return self._spill(refusal, endpoint)
-        if not self._left or not self._budget.spend():
-            return self._give_up(refusal)
-        self.retries += 1
-        return self._next()
+        return self._retry(refusal)
 
     def keepers(self, taker: Endpoint) -> list[Endpoint]:
         """Return the endpoints to tell that a later candidate has taken the chat.
@@ -143,6 +143,26 @@
             self._left.insert(0, home)
         return self._try(target, warm=True)
 
+    def _send_again(self, refusal: Refusal, endpoint: Endpoint) -> Step:
+        """Send once more to a sidecar that has started anew, under the stamp that it answered with.
+
+        Load: the first request of each entry after a sidecar's restart. Harm: paid out of the retry
+        budget, or given up where there is one endpoint only, each restart would cost callers. Once
+        a request is enough, since the answer brought the stamp of the present start.
+        """
+        if endpoint is self._previous_home and self._left:
+            return self._next(warm=True)
+        if self._sent_again:
+            return self._retry(refusal)
+        self._sent_again = True
+        return self._try(endpoint, warm=False)
+
+    def _retry(self, refusal: Refusal) -> Step:
+        if not self._left or not self._budget.spend():
+            return self._give_up(refusal)
+        self.retries += 1
+        return self._next()
+
     def _spill(self, refusal: Refusal, endpoint: Endpoint | None) -> Step:
         """Go on to the next candidate; after a few, back to the least loaded of them to wait.
 
--- a/src/beryljunction/systems/tombstones.py
+++ b/src/beryljunction/systems/tombstones.py
@@ -59,8 +59,9 @@
     """Remembers request ids; what it forgets it refuses, by the age of the stamp that came along.
 
     The stamp is the sidecar's own, copied by the entry, so no wall clock takes part. A request
-    without a stamp of this incarnation can't be told late from new: it is taken when it arrives
-    first, and "not run" is never said of it.
+    without a stamp can't be told late from new: it is taken when it arrives first, and "not run" is
+    never said of it. One with the stamp of another start is refused by the ledger, or, when it may
+    be repeated, by :meth:`names_earlier_start`.
     """
 
     def __init__(
@@ -102,6 +103,15 @@
             return Arrival.FRESH
         return Arrival.CLOSED if window in _LEFT_NO_ROW else Arrival.TOO_OLD
 
+    def names_earlier_start(self, heard: Stamp | None) -> bool:
+        """Whether a request was sent to a process that stood here before.
+
+        That one may have run it, or have said "not run" of it and be gone with its tombstone. A
+        late copy that was taken as new would make that "not run" false. So it is not run; its
+        sender, if it still waits, sends it again under the stamp that it hears now.
+        """
+        return heard is not None and not self._is_ours(heard)
+
     def ask(self, request_id: str, heard: Stamp | None, age_s: float, now_s: float) -> Asked:
         """Say what is known of a request; "not run" buries it.
 
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -21,6 +21,21 @@
     return AttemptSystem(ROWS[:count], RetryBudget(share, 2.0), idempotent, **fields)
 
 
+class TestRestartedSidecar:
+    def test_is_asked_once_more_under_its_new_stamp_without_the_budget(self):
+        # A service's one sidecar was replaced. The entry's next request names the earlier start
+        # and is not run; the answer brings the new stamp, and under it the request runs.
+        walk = AttemptSystem(ROWS[:1], RetryBudget(0.0, 0.0), idempotent=True)
+        walk.first()
+        stale = refusal(RefusalCode.STALE_STAMP, Ran.UNKNOWN)
+
+        again = walk.after(stale, ROWS[0])
+
+        assert again.endpoint == ROWS[0]
+        assert again.last_resort
+        assert walk.after(stale, ROWS[0]) == GiveUp(stale)
+
+
 class TestSpill:
     def test_ends_at_the_least_loaded_of_a_few_and_may_wait_there(self):
         walk = attempts()
--- a/testing/test_fuzz_answers.py
+++ b/testing/test_fuzz_answers.py
@@ -58,6 +58,22 @@
 
         assert [asked.ran for asked in fleet.world.oracle.asked] == [Ran.YES, Ran.YES]
 
+    def test_not_run_outlives_the_sidecar_that_said_it(self):
+        # Seed 913001. A chat sends requests while endpoints are leaving. One is still on its way
+        # when its sidecar says "never arrived". The sidecar is killed, its tombstone too, and then
+        # the request arrives at the next start, which took it for new and ran it.
+        fleet = FleetMachine()
+        fleet.begin(is_tight=True, entry="entry-0", kind=Kind.IDEMPOTENT, rounds=8)
+        for chat_key in (7, 7, 8):
+            fleet.lose_the_warm_endpoint(chat_key=chat_key, crashes=False, entry="entry-0")
+        fleet.advance(duration_s=4.0)
+        fleet.deliver(place=1)
+        fleet.sidecar_fault(by_s=-40.0, fault=SidecarFault.CRASH, scope=("ledger-0",))
+
+        fleet.teardown()
+
+        assert fleet.world.oracle.violations == []
+
 
 def forget_incarnation(patch):
     patch.setattr(TicketLedger, "_is_ours", lambda self, stamp: True)
