--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/attempts.py
@@ -74,6 +74,7 @@
         self._followed = False
         self._maybe_ran = False
         self._resorted = False
+        self._sent_again = False
         self._pointer: str | None = None
         self._backup = candidates[1] if len(candidates) > 1 else None
         first = candidates[0] if candidates else None
@@ -111,16 +112,15 @@
             return self._next(warm=True)
         if refusal.code is RefusalCode.LEAVING and self._left:
             return self._next()
+        if refusal.code is RefusalCode.STALE_STAMP and endpoint is not None:
+            return self._send_again(refusal, endpoint)
         if refusal.code is RefusalCode.OVERLOADED:
             return self._spill(refusal, endpoint)
         if refusal.code is RefusalCode.ENDPOINT_FAILED and refusal.ran is Ran.NO:
             step = self._fail_over()
             if step is not None:
                 return step
-        if not self._left or not self._budget.spend():
-            return self._give_up(refusal)
-        self.retries += 1
-        return self._next()
+        return self._retry(refusal)
 
     def keepers(self, taker: Endpoint) -> list[Endpoint]:
         """Return the endpoints to tell that a later candidate has taken the chat.
@@ -150,11 +150,32 @@
             self._left.insert(0, home)
         return self._try(target, warm=True)
 
+    def _send_again(self, refusal: Refusal, endpoint: Endpoint) -> Step:
+        """Send once more to a sidecar that has started anew, under the stamp that it answered with.
+
+        Load: the first request of each entry after a sidecar's restart. Harm: paid out of the retry
+        budget, or given up where there is one endpoint only, each restart would cost callers. Once
+        a request is enough, since the answer brought the stamp of the present start.
+        """
+        if endpoint is self._previous_home and self._left:
+            return self._next(warm=True)
+        if self._sent_again:
+            return self._retry(refusal)
+        self._sent_again = True
+        return self._try(endpoint, warm=False)
+
+    def _retry(self, refusal: Refusal) -> Step:
+        if not self._left or not self._budget.spend():
+            return self._give_up(refusal)
+        self.retries += 1
+        return self._next()
+
     def _spill(self, refusal: Refusal, endpoint: Endpoint | None) -> Step:
         """Go on to the next candidate; after a few, back to the least loaded of them to wait.
 
         Load: a burst that puts the first candidates above their bound. Harm: walking through every
-        endpoint multiplies the requests just when all are busy. Three more tries find room whenever
+        endpoint multiplies the requests just when all are busy, and one that is suspect may cost a
+        connection's timeout beside live ones with a queue. Three more tries find room whenever
         a fair share of the endpoints has any; else the request waits at the best place seen. Each
         try carries the loads of those before, so that the next endpoint's mean is fresh when it
         matters; a mean from exchanges alone would be a second old in a burst.
@@ -163,12 +184,17 @@
             self._spilled.append(endpoint)
         if refusal.load is not None:
             self._loads[refusal.load.endpoint_id] = refusal.load
-        if self._left and len(self._spilled) <= _MOST_SPILLS:
+        if self._live_is_left and len(self._spilled) <= _MOST_SPILLS:
             return self._next()
         if not self._spilled or self._resorted:
             return self._give_up(refusal)
         return self._resort()
 
+    @property
+    def _live_is_left(self) -> bool:
+        """Whether the next candidate is live; suspects stand at the end of the order."""
+        return bool(self._left) and self._left[0].state is EndpointState.LIVE
+
     def _fail_over(self) -> Try | None:
         """Go on from an endpoint that proved not to have run the request; None when it is enough.
 
@@ -178,7 +204,7 @@
         more at once means that most of the service is down, where each further try is a storm.
         """
         self.failovers += 1
-        if self._left and self._left[0].state is EndpointState.LIVE:
+        if self._live_is_left:
             return self._next() if self.failovers <= _MOST_FAILOVERS else None
         return self._resort() if self._spilled and not self._resorted else None
 
