--- a/src/beryljunction/bench/slopes/spending.py
+++ b/src/beryljunction/bench/slopes/spending.py
@@ -1,7 +1,7 @@
 """What running processes spend over a window of time."""
 
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable, Coroutine, Hashable, Sequence
+from typing import Any, TypeVar
 
 import anyio
 import attrs
@@ -10,10 +10,13 @@
 from beryljunction.bench.slopes.rig import Node, Rig
 from beryljunction.errors import InvariantError
 
-__all__ = ["Spent", "Window", "spend", "spend_under_load", "sum_cpu"]
+__all__ = ["Spent", "Window", "at_each", "spend", "spend_under_load", "sum_cpu"]
 
 _US = 1e6
 
+P = TypeVar("P", bound=Hashable)
+T = TypeVar("T")
+
 
 @attrs.frozen
 class Window:
@@ -21,11 +24,16 @@
 
     Attributes:
         sidecars: Numbers of sidecars that are started side by side.
+        rows: Sizes of the tables whose memory is counted.
+        side_by_side: Whether several fleets run at the same time. They take processor time from
+            each other, so it is for a first look only.
     """
 
     settle_s: float = 4.0
     measure_s: float = 8.0
     sidecars: tuple[int, ...] = (24, 29, 34, 38)
+    rows: tuple[int, ...] = (500, 1_000, 2_000, 4_000, 8_000)
+    side_by_side: bool = False
 
 
 @attrs.frozen
@@ -38,6 +46,23 @@
     frames_per_s: float
 
 
+async def at_each(
+    window: Window, points: Sequence[P], measure: Callable[[P], Awaitable[T]]
+) -> list[T]:
+    """Return what a measurement gives at each point, in their order."""
+    if not window.side_by_side:
+        return [await measure(point) for point in points]
+    measured: dict[P, T] = {}
+
+    async def one(point: P) -> None:
+        measured[point] = await measure(point)
+
+    async with anyio.create_task_group() as group:
+        for point in points:
+            group.start_soon(one, point)
+    return [measured[point] for point in points]
+
+
 async def spend(
     rig: Rig, nodes: list[Node], window: Window, count: LoadCount | None = None
 ) -> list[Spent]:
--- a/testing/test_slopes.py
+++ b/testing/test_slopes.py
@@ -1,16 +1,19 @@
 import os
 
+import anyio
 import pytest
 
 from beryljunction.bench.slopes import (
     SIZES,
     STATES,
     Point,
+    Window,
     estimate,
     fit,
     measure_slopes,
     measure_state,
 )
+from beryljunction.bench.slopes.spending import at_each
 from beryljunction.bench.usage import usage_of
 from beryljunction.errors import StartError
 
@@ -49,6 +52,18 @@
             measure_slopes(quick=True, only="no such subject")
 
 
+class TestAtEach:
+    @pytest.mark.parametrize("side_by_side", [False, True], ids=["in-turn", "side-by-side"])
+    def test_gives_the_points_in_the_order_of_their_counts(self, side_by_side):
+        async def measure(count: int) -> int:
+            await anyio.sleep(0.01 / count)
+            return -count
+
+        window = Window(side_by_side=side_by_side)
+
+        assert anyio.run(at_each, window, (1, 2, 4), measure) == [-1, -2, -4]
+
+
 class TestUsage:
     def test_of_this_process_has_memory(self):
         assert usage_of(os.getpid()).resident_bytes > 0
