Split messages and servers by their jobs

Each is a package of three modules now that re-exports the same names; no line of code changed but the comment on the servers' keep-alive, which names where the clients' 30 s are.

--- a/src/beryljunction/servers.py
+++ b/src/beryljunction/servers/listeners.py
@@ -1,44 +1,25 @@
-"""HTTP servers (uvicorn) and client pools (httpcore) as all processes use them."""
+"""HTTP servers (uvicorn) on listening sockets."""
 
 import asyncio
 import contextlib
 import logging
 import socket
 import ssl
-from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
-import httpcore
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from beryljunction.connections import StreamBackend
 from beryljunction.errors import StartError
+from beryljunction.servers.asgi import Asgi
+
+__all__ = ["Server", "bind"]
 
-__all__ = [
-    "Asgi",
-    "Receive",
-    "Scope",
-    "Send",
-    "Server",
-    "bind",
-    "client_pool",
-    "drop_idle",
-    "read_body",
-    "respond",
-    "wait_disconnect",
-]
-
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-Asgi = Callable[[Scope, Receive, Send], Awaitable[None]]
-
-_MAX_CONNECTIONS = 4096
 # A server that closes idle connections before its clients do would cut a request that is already
-# on its way: the caller would get "unknown" for nothing. So servers keep them longer.
-_KEEPALIVE_S = 30.0
+# on its way: the caller would get "unknown" for nothing. So servers keep them for longer than the
+# 30 s of a client pool (``pools.py``).
 _SERVER_KEEPALIVE_S = 75
 # A reader whose host died takes no byte and closes nothing. Its run would count as read, and be
 # held up by it, until TCP gives up after a quarter of an hour. Heartbeats see to it that there is
@@ -159,77 +140,3 @@
     def stop(self) -> None:
         """Stop taking connections; serving ends when nothing is in flight."""
         self.should_exit = True
-
-
-class _TlsPool(httpcore.AsyncConnectionPool):
-    """A pool that speaks only TLS, so that no call can leave out the scheme by oversight."""
-
-    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
-        request.url.scheme = b"https"
-        return await super().handle_async_request(request)
-
-
-def client_pool(
-    tls: ssl.SSLContext | None = None, backend: httpcore.AsyncNetworkBackend | None = None
-) -> httpcore.AsyncConnectionPool:
-    """Return a pool for calls to other processes; retries are decided by our systems, not by it.
-
-    With a TLS context every call is TLS, also those to an "http" URL.
-    """
-    kind = httpcore.AsyncConnectionPool if tls is None else _TlsPool
-    return kind(
-        ssl_context=tls,
-        network_backend=backend if backend is not None else StreamBackend(),
-        max_connections=_MAX_CONNECTIONS,
-        max_keepalive_connections=_MAX_CONNECTIONS,
-        keepalive_expiry=_KEEPALIVE_S,
-        retries=0,
-    )
-
-
-async def drop_idle(pool: httpcore.AsyncConnectionPool, base_url: str) -> None:
-    """Close a pool's idle connections to a server that has gone silent on one.
-
-    What lost track of that connection has mostly lost track of all that were open. An idle one that
-    is used again would be silent too, so the next try would not be on a new connection at all.
-    """
-    plain = httpcore.URL(base_url).origin
-    secure = httpcore.Origin(b"https", plain.host, plain.port)
-    for connection in tuple(pool.connections):
-        is_there = connection.can_handle_request(plain) or connection.can_handle_request(secure)
-        if is_there and connection.is_idle():
-            await connection.aclose()
-
-
-async def read_body(receive: Receive, limit_bytes: int, limit_s: float = 60.0) -> bytes | None:
-    """Read a request's body; None when it is too long or too slow, or the caller hung up."""
-    with anyio.move_on_after(limit_s):
-        message = await receive()
-        body = bytes(message.get("body", b""))
-        while message.get("more_body") and len(body) <= limit_bytes:
-            message = await receive()
-            body += message.get("body", b"")
-        whole = message["type"] == "http.request" and not message.get("more_body")
-        return body if whole and len(body) <= limit_bytes else None
-    return None
-
-
-async def wait_disconnect(receive: Receive, scope: anyio.CancelScope) -> None:
-    """Cancel a scope when the other side hangs up."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
-
-
-async def respond(
-    send: Send,
-    status: int,
-    body: bytes,
-    headers: list[tuple[bytes, bytes]] | None = None,
-    content_type: bytes = b"application/json",
-) -> None:
-    """Send a whole response."""
-    head = [(b"content-type", content_type), (b"content-length", b"%d" % len(body))]
-    start = {"type": "http.response.start", "status": status, "headers": head + (headers or [])}
-    await send(start)
-    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/beryljunction/wire/codec.py
@@ -0,0 +1,89 @@
+"""Messages as JSON, and errors as every caller gets them."""
+
+import json
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+
+from beryljunction.loads import LoadRow
+from beryljunction.outcomes import Ran, Refusal, RefusalCode
+
+__all__ = [
+    "decode",
+    "decode_rows",
+    "encode",
+    "encode_rows",
+    "refusal_body",
+    "refusal_from_body",
+]
+
+T = TypeVar("T")
+
+_CALLERS_FAULTS = frozenset(
+    (
+        RefusalCode.BAD_REQUEST,
+        RefusalCode.UNAUTHENTICATED,
+        RefusalCode.NOT_FOUND,
+        RefusalCode.TOO_LARGE,
+        RefusalCode.KEY_REUSED,
+    )
+)
+
+_converter = cattrs.Converter(omit_if_default=True)
+_row_converter = cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
+
+
+def encode(message: Any) -> bytes:
+    """Return an attrs message as compact JSON; fields that hold their default are left out."""
+    plain = _converter.unstructure(message)
+    return json.dumps(plain, separators=(",", ":")).encode()
+
+
+def decode(data: bytes, cls: type[T]) -> T:
+    """Return the message in JSON bytes.
+
+    Raises:
+        ValueError: When the bytes are not JSON or do not fit the class.
+    """
+    try:
+        return _converter.structure(json.loads(data), cls)
+    except (cattrs.BaseValidationError, KeyError, TypeError) as error:
+        raise ValueError(f"expected a {cls.__name__}, got {data[:80]!r}: {error}") from error
+
+
+def refusal_body(refusal: Refusal, request_id: str) -> bytes:
+    """Return the JSON body of an error, the same between our processes and to callers.
+
+    ``type`` and ``param`` are there for the usual chat clients, which expect them.
+    """
+    fields = attrs.asdict(refusal, filter=lambda _, value: value is not None)
+    kind = "invalid_request_error" if refusal.code in _CALLERS_FAULTS else "server_error"
+    error = {**fields, "type": kind, "param": None, "request_id": request_id}
+    return json.dumps({"error": error}).encode()
+
+
+def refusal_from_body(data: bytes) -> Refusal:
+    """Return the refusal in an error body; what can't be read proves nothing, so it is unknown."""
+    try:
+        fields = json.loads(data)["error"]
+        return _converter.structure(fields, Refusal)
+    except (cattrs.BaseValidationError, ValueError, KeyError, TypeError):
+        return Refusal(RefusalCode.OUTCOME_UNKNOWN, "unreadable answer", Ran.UNKNOWN)
+
+
+def encode_rows(rows: list[LoadRow]) -> bytes:
+    """Return load rows as JSON arrays without names, which would be most of their bytes."""
+    return json.dumps([attrs.astuple(row) for row in rows], separators=(",", ":")).encode()
+
+
+def decode_rows(data: bytes) -> list[LoadRow]:
+    """Return the load rows in JSON bytes.
+
+    Raises:
+        ValueError: When the bytes are not JSON or do not fit.
+    """
+    try:
+        return [_row_converter.structure(row, LoadRow) for row in json.loads(data)]
+    except (cattrs.BaseValidationError, KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"expected load rows, got {data[:80]!r}: {error}") from error
--- a/src/beryljunction/wire.py
+++ b/src/beryljunction/wire/messages.py
@@ -1,38 +1,12 @@
-"""Messages between the fleet's own processes: JSON in headers and bodies over HTTP.
-
-Every answer of a sidecar says in a header of its own what it is. Without it an entry would have to
-guess whether a 503 is the sidecar's refusal, which it may retry, or the endpoint's own answer,
-which belongs to the caller.
-"""
+"""What the fleet's processes tell each other."""
 
 import enum
-import json
-from typing import Any, TypeVar
 
 import attrs
-import cattrs
 
 from beryljunction.loads import LoadRow
-from beryljunction.outcomes import Ran, Refusal, RefusalCode
 
 __all__ = [
-    "ATTACH_PATH",
-    "CANCEL_PATH",
-    "CLAIM_PATH",
-    "DRAIN_PATH",
-    "ENVELOPE_HEADER",
-    "FLEET_KEY_HEADER",
-    "KEY_SHARDS",
-    "MOVED_PATH",
-    "OUTCOME_HEADER",
-    "PEERS_PATH",
-    "POINTERS_PATH",
-    "REQUEST_ID_HEADER",
-    "RUN_PATH",
-    "STAMP_HEADER",
-    "STATUS_PATH",
-    "STREAM_HEADER",
-    "TICKET_PATH",
     "Attach",
     "Cancel",
     "ChatMoved",
@@ -44,51 +18,8 @@
     "SidecarStatus",
     "TicketGrant",
     "TicketWish",
-    "claim_stream",
-    "decode",
-    "decode_rows",
-    "encode",
-    "encode_rows",
-    "refusal_body",
-    "refusal_from_body",
 ]
 
-FLEET_KEY_HEADER = b"beryl-fleet-key"
-ENVELOPE_HEADER = b"beryl-envelope"
-OUTCOME_HEADER = b"beryl-outcome"
-STAMP_HEADER = b"beryl-stamp"
-STREAM_HEADER = b"beryl-stream-id"
-REQUEST_ID_HEADER = b"beryl-request-id"
-RUN_PATH = "/beryl/v1/run"
-MOVED_PATH = "/beryl/v1/moved"
-POINTERS_PATH = "/beryl/v1/pointers"
-ATTACH_PATH = "/beryl/v1/attach"
-CANCEL_PATH = "/beryl/v1/cancel"
-CLAIM_PATH = "/beryl/v1/claim"
-TICKET_PATH = "/beryl/v1/ticket"
-DRAIN_PATH = "/beryl/v1/drain"
-STATUS_PATH = "/beryl/v1/status"
-PEERS_PATH = "/beryl/v1/peers"
-
-# All processes must agree on it. 64 streams of the log at five appends a second each stay within
-# what it takes, and each is read by the few sidecars that are or were its home.
-KEY_SHARDS = 64
-
-T = TypeVar("T")
-
-_CALLERS_FAULTS = frozenset(
-    (
-        RefusalCode.BAD_REQUEST,
-        RefusalCode.UNAUTHENTICATED,
-        RefusalCode.NOT_FOUND,
-        RefusalCode.TOO_LARGE,
-        RefusalCode.KEY_REUSED,
-    )
-)
-
-_converter = cattrs.Converter(omit_if_default=True)
-_row_converter = cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
-
 
 class Outcome(enum.StrEnum):
     """What the answer of a sidecar is.
@@ -257,63 +188,3 @@
     """Chat pointers that a leaving sidecar hands over."""
 
     rows: tuple[ChatMoved, ...]
-
-
-def claim_stream(shard: int) -> str:
-    """Return the name of the log stream that settles a shard's idempotency keys."""
-    return f"keys-{shard}"
-
-
-def encode(message: Any) -> bytes:
-    """Return an attrs message as compact JSON; fields that hold their default are left out."""
-    plain = _converter.unstructure(message)
-    return json.dumps(plain, separators=(",", ":")).encode()
-
-
-def decode(data: bytes, cls: type[T]) -> T:
-    """Return the message in JSON bytes.
-
-    Raises:
-        ValueError: When the bytes are not JSON or do not fit the class.
-    """
-    try:
-        return _converter.structure(json.loads(data), cls)
-    except (cattrs.BaseValidationError, KeyError, TypeError) as error:
-        raise ValueError(f"expected a {cls.__name__}, got {data[:80]!r}: {error}") from error
-
-
-def refusal_body(refusal: Refusal, request_id: str) -> bytes:
-    """Return the JSON body of an error, the same between our processes and to callers.
-
-    ``type`` and ``param`` are there for the usual chat clients, which expect them.
-    """
-    fields = attrs.asdict(refusal, filter=lambda _, value: value is not None)
-    kind = "invalid_request_error" if refusal.code in _CALLERS_FAULTS else "server_error"
-    error = {**fields, "type": kind, "param": None, "request_id": request_id}
-    return json.dumps({"error": error}).encode()
-
-
-def refusal_from_body(data: bytes) -> Refusal:
-    """Return the refusal in an error body; what can't be read proves nothing, so it is unknown."""
-    try:
-        fields = json.loads(data)["error"]
-        return _converter.structure(fields, Refusal)
-    except (cattrs.BaseValidationError, ValueError, KeyError, TypeError):
-        return Refusal(RefusalCode.OUTCOME_UNKNOWN, "unreadable answer", Ran.UNKNOWN)
-
-
-def encode_rows(rows: list[LoadRow]) -> bytes:
-    """Return load rows as JSON arrays without names, which would be most of their bytes."""
-    return json.dumps([attrs.astuple(row) for row in rows], separators=(",", ":")).encode()
-
-
-def decode_rows(data: bytes) -> list[LoadRow]:
-    """Return the load rows in JSON bytes.
-
-    Raises:
-        ValueError: When the bytes are not JSON or do not fit.
-    """
-    try:
-        return [_row_converter.structure(row, LoadRow) for row in json.loads(data)]
-    except (cattrs.BaseValidationError, KeyError, TypeError, IndexError) as error:
-        raise ValueError(f"expected load rows, got {data[:80]!r}: {error}") from error
--- /dev/null
+++ b/src/beryljunction/wire/paths.py
@@ -0,0 +1,48 @@
+"""Paths and headers by which the fleet's processes talk to each other."""
+
+__all__ = [
+    "ATTACH_PATH",
+    "CANCEL_PATH",
+    "CLAIM_PATH",
+    "DRAIN_PATH",
+    "ENVELOPE_HEADER",
+    "FLEET_KEY_HEADER",
+    "KEY_SHARDS",
+    "MOVED_PATH",
+    "OUTCOME_HEADER",
+    "PEERS_PATH",
+    "POINTERS_PATH",
+    "REQUEST_ID_HEADER",
+    "RUN_PATH",
+    "STAMP_HEADER",
+    "STATUS_PATH",
+    "STREAM_HEADER",
+    "TICKET_PATH",
+    "claim_stream",
+]
+
+FLEET_KEY_HEADER = b"beryl-fleet-key"
+ENVELOPE_HEADER = b"beryl-envelope"
+OUTCOME_HEADER = b"beryl-outcome"
+STAMP_HEADER = b"beryl-stamp"
+STREAM_HEADER = b"beryl-stream-id"
+REQUEST_ID_HEADER = b"beryl-request-id"
+RUN_PATH = "/beryl/v1/run"
+MOVED_PATH = "/beryl/v1/moved"
+POINTERS_PATH = "/beryl/v1/pointers"
+ATTACH_PATH = "/beryl/v1/attach"
+CANCEL_PATH = "/beryl/v1/cancel"
+CLAIM_PATH = "/beryl/v1/claim"
+TICKET_PATH = "/beryl/v1/ticket"
+DRAIN_PATH = "/beryl/v1/drain"
+STATUS_PATH = "/beryl/v1/status"
+PEERS_PATH = "/beryl/v1/peers"
+
+# All processes must agree on it. 64 streams of the log at five appends a second each stay within
+# what it takes, and each is read by the few sidecars that are or were its home.
+KEY_SHARDS = 64
+
+
+def claim_stream(shard: int) -> str:
+    """Return the name of the log stream that settles a shard's idempotency keys."""
+    return f"keys-{shard}"
