--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -81,6 +81,18 @@
         assert (step.endpoint.endpoint_id, step.last_resort, walk.retries) == ("e1", True, 0)
         assert isinstance(walk.after(refusal(RefusalCode.ENDPOINT_FAILED), ROWS[1]), GiveUp)
 
+    def test_does_not_walk_into_a_suspect_while_a_live_one_would_let_the_request_wait(self):
+        # An availability zone is cut off without a word. Each try there would take a connection's
+        # timeout, in front of live endpoints that have a place in their queue.
+        suspect = attrs.evolve(ROWS[2], state=EndpointState.SUSPECT)
+        walk = AttemptSystem([*ROWS[:2], suspect], RetryBudget(0.1, 2.0), True)
+        walk.first()
+        walk.after(overloaded(0, 9), ROWS[0])
+
+        step = walk.after(overloaded(1, 5), ROWS[1])
+
+        assert (step.endpoint.endpoint_id, step.last_resort) == ("e1", True)
+
     def test_costs_no_retry_budget(self):
         walk = attempts()
         walk.first()
