--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -22,6 +22,21 @@
     return AttemptSystem(ROWS[:count], RetryBudget(share, 2.0), idempotent, **fields)
 
 
+class TestRestartedSidecar:
+    def test_is_asked_once_more_under_its_new_stamp_without_the_budget(self):
+        # A service's one sidecar was replaced. The entry's next request names the earlier start
+        # and is not run; the answer brings the new stamp, and under it the request runs.
+        walk = AttemptSystem(ROWS[:1], RetryBudget(0.0, 0.0), idempotent=True)
+        walk.first()
+        stale = refusal(RefusalCode.STALE_STAMP, Ran.UNKNOWN)
+
+        again = walk.after(stale, ROWS[0])
+
+        assert again.endpoint == ROWS[0]
+        assert again.last_resort
+        assert walk.after(stale, ROWS[0]) == GiveUp(stale)
+
+
 class TestSpill:
     def test_ends_at_the_least_loaded_of_a_few_and_may_wait_there(self):
         walk = attempts()
@@ -66,6 +81,18 @@
         assert (step.endpoint.endpoint_id, step.last_resort, walk.retries) == ("e1", True, 0)
         assert isinstance(walk.after(refusal(RefusalCode.ENDPOINT_FAILED), ROWS[1]), GiveUp)
 
+    def test_does_not_walk_into_a_suspect_while_a_live_one_would_let_the_request_wait(self):
+        # An availability zone is cut off without a word. Each try there would take a connection's
+        # timeout, in front of live endpoints that have a place in their queue.
+        suspect = attrs.evolve(ROWS[2], state=EndpointState.SUSPECT)
+        walk = AttemptSystem([*ROWS[:2], suspect], RetryBudget(0.1, 2.0), True)
+        walk.first()
+        walk.after(overloaded(0, 9), ROWS[0])
+
+        step = walk.after(overloaded(1, 5), ROWS[1])
+
+        assert (step.endpoint.endpoint_id, step.last_resort) == ("e1", True)
+
     def test_costs_no_retry_budget(self):
         walk = attempts()
         walk.first()
