--- a/src/beryljunction/bench/slopes/carried.py
+++ b/src/beryljunction/bench/slopes/carried.py
@@ -1,6 +1,9 @@
 """How the cost of real processes grows with what they carry."""
 
 import functools
+import json
+
+import anyio
 
 from beryljunction.bench.slopes.fit import Point, Slope, fit
 from beryljunction.bench.slopes.load import LoadCount, open_streams, paced_calls
@@ -14,6 +17,8 @@
 _ENDPOINTS = 3
 _LONG_TOKENS = 100_000
 _SHORT_TOKENS = 400
+_LOADED_S = 30.0
+_POLL_S = 0.2
 
 
 async def idempotent_requests(window: Window) -> list[Slope]:
@@ -92,4 +97,21 @@
     sidecars = await rig.start_sidecars(endpoints)
     await rig.start_standins([node.row for node in sidecars], standins)
     entry = await rig.start_entry()
+    for standin in standins[:_ENDPOINTS]:
+        await _until_loaded(rig, standin)
     return entry, sidecars
+
+
+async def _until_loaded(rig: Rig, engine: StandInEndpoint) -> None:
+    """Wait until an engine has what the settings ask for.
+
+    While it loads, its sidecar opens no run. At the start of a fleet all engines load, so streams
+    that came at once would be refused, and the cost of refusals measured in place of theirs.
+    """
+    with anyio.fail_after(_LOADED_S):
+        while True:
+            response = await rig.pool.request("GET", f"http://{engine.listen}/v1/state")
+            state = json.loads(response.content)
+            if state.get("models") and not state.get("loading"):
+                return
+            await anyio.sleep(_POLL_S)
