--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -27,6 +27,8 @@
 
 _ENGINE = "engine"
 _SETTINGS_S = 0.5
+# No promise that another endpoint serves: in a fleet that has just started all of them load.
+_LOADING = "the engine is loading a model; ask another endpoint, or come back later"
 
 
 class _AdmissionGate(WorkGate):
@@ -36,8 +38,7 @@
         self._sidecar = sidecar
 
     def set_open(self, is_open: bool) -> None:
-        paused = "" if is_open else "the engine is loading a model; another endpoint serves it"
-        self._sidecar.admission.paused = paused
+        self._sidecar.admission.paused = "" if is_open else _LOADING
 
     def running(self) -> int:
         # What waits was admitted too and may start at any moment.
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/admission.py
@@ -324,7 +324,7 @@
         return self.weights.get(account, 1.0)
 
     def _spill(self, work: Work) -> Refuse:
-        message = "above the load bound; another endpoint has room"
+        message = "above the load bound; another endpoint may have room"
         return self._refuse(work, RefusalCode.OVERLOADED, message, _SPILL_RETRY_S)
 
     def _refuse_full(self, work: Work, now_s: float) -> Refuse:
