--- a/src/beryljunction/bench/policy/world.py
+++ b/src/beryljunction/bench/policy/world.py
@@ -96,6 +96,7 @@
         self.admission = AdmissionSystem(limits, load, pointers, random.Random(seed))
         self.asked: dict[int, tuple[Asked, int]] = {}
         self._evictions = 0
+        self._listed: set[str] = set()
         self.later(world.rng.uniform(0.0, 0.25), self._exchange)
         self.later(_TICK_S, self._timer)
 
@@ -239,9 +240,9 @@
         """Return the peers on the lagging list; load rows of those that left it are dropped."""
         listed = self.world.listed(self.world.now_s - _LIST_LAG_S)
         names = [row.endpoint_id for row in listed if row.service == self.service]
-        for peer in tuple(self.admission.load.peers):
-            if peer.row.endpoint_id not in names:
-                self.admission.load.silence(peer.row.endpoint_id)
+        for gone in self._listed.difference(names):
+            self.admission.load.silence(gone)
+        self._listed = set(names)
         return [self.world.sidecars[name] for name in names if name != self.name]
 
 
--- a/testing/test_peers.py
+++ b/testing/test_peers.py
@@ -159,6 +159,16 @@
         assert peer.load.peer("reel-llm-1") is not None
         peer.server.listener.close()
 
+    def test_endpoint_that_is_heard_of_before_it_is_listed_counts(self):
+        peer = Peer("a")
+        peer.exchange.set_peers({"reel-llm-1": "x:2"})
+        peer.know(2)
+
+        peer.exchange.set_peers({"reel-llm-1": "x:3"})
+
+        assert peer.load.peer("reel-llm-0") is not None
+        peer.server.listener.close()
+
     def test_message_without_the_fleet_key_changes_nothing(self):
         async def run():
             peer = Peer("a")
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -79,6 +79,11 @@
     def test_figures_are_the_same_each_time(self):
         assert run.__wrapped__("pause") == run("pause")
 
+    def test_load_stays_even_when_an_endpoint_is_back_before_the_list_has_it(self):
+        # An endpoint comes back and tells its peers before the lagging list names it. Counted only
+        # once it is listed, it takes the mean down all at once, after the others have filled up.
+        assert run_policy("churn", "sahyog", "current", 18).max_over_mean <= 1.25
+
     @pytest.mark.parametrize(("scenario", "seed"), [("skewed", 2), ("steady", 12)])
     def test_load_stays_even_when_the_mean_falls_fast(self, scenario, seed):
         # Two of the 20 seeds with nine endpoints. Demand falls, and the mean that the sidecars
