--- a/src/beryljunction/systems/load.py
+++ b/src/beryljunction/systems/load.py
@@ -207,12 +207,11 @@
 
     def merge(self, rows: list[LoadRow] | tuple[LoadRow, ...], now_s: float) -> None:
         """Take in rows from a peer or from an entry that was refused elsewhere."""
-        for row in rows:
-            if row.endpoint_id == self.endpoint_id:
-                continue
-            if self.peers.merge(row, now_s):
-                self._peers_s = -math.inf
-                self._oldest_peer_s = min(peer.since_s for peer in self.peers)
+        others = [row for row in rows if row.endpoint_id != self.endpoint_id]
+        newer = [self.peers.merge(row, now_s) for row in others]
+        if any(newer):
+            self._peers_s = -math.inf
+            self._oldest_peer_s = min(peer.since_s for peer in self.peers)
 
     def bound(self, now_s: float) -> LoadBound:
         """Return what may run here now.
