--- a/src/beryljunction/bench/control_messages.py
+++ b/src/beryljunction/bench/control_messages.py
@@ -10,7 +10,7 @@
 from beryljunction.loads import LoadRow
 from beryljunction.node.front import FleetFront
 from beryljunction.node.traffic import CountingBackend
-from beryljunction.platform import HostRow, HttpHostList, HttpLogClient
+from beryljunction.stores import HostRow, HttpHostList, HttpLogClient
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool, respond
 from beryljunction.settings import (
     CHANGES_STREAM,
--- a/src/beryljunction/bench/relay_parts.py
+++ b/src/beryljunction/bench/relay_parts.py
@@ -12,7 +12,7 @@
 import httpcore
 
 from beryljunction.node import Node
-from beryljunction.platform import HostRow
+from beryljunction.stores import HostRow
 from beryljunction.servers import (
     Asgi,
     Receive,
--- a/src/beryljunction/bench/settings_cost.py
+++ b/src/beryljunction/bench/settings_cost.py
@@ -8,7 +8,7 @@
 import attrs
 
 from beryljunction.node.traffic import CountingBackend
-from beryljunction.platform import HttpLogClient, LogRecord
+from beryljunction.stores import HttpLogClient, LogRecord
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.settings import (
     CHANGES_STREAM,
--- a/src/beryljunction/bench/slopes/known.py
+++ b/src/beryljunction/bench/slopes/known.py
@@ -13,7 +13,7 @@
 from beryljunction.bench.slopes.spending import Spent, Window, at_each, spend, spend_under_load
 from beryljunction.errors import InvariantError
 from beryljunction.local.demo_view import demo_view
-from beryljunction.platform import Appended, HostRow, HttpLogClient, LogClient
+from beryljunction.stores import Appended, HostRow, HttpLogClient, LogClient
 from beryljunction.settings import CHANGES_STREAM, AccountSettings
 from beryljunction.settings.changes import Change, Edit
 
--- a/src/beryljunction/cli/drain.py
+++ b/src/beryljunction/cli/drain.py
@@ -7,7 +7,7 @@
 
 from beryljunction.cli.asking import CONFIG, EXIT_INVALID, EXIT_OK, ask_fleet, print_failures
 from beryljunction.node import NodeStatus, OperatorClient
-from beryljunction.platform import HostRow
+from beryljunction.stores import HostRow
 
 __all__ = ["drain"]
 
--- a/src/beryljunction/cli/settings_desk.py
+++ b/src/beryljunction/cli/settings_desk.py
@@ -10,12 +10,12 @@
 from beryljunction.cli.settings_output import EXIT_OK, print_log_down, print_problems
 from beryljunction.errors import PlatformUnavailableError, SettingsError
 from beryljunction.node import OperatorClient
-from beryljunction.platform import HttpLogClient
 from beryljunction.servers import client_pool
 from beryljunction.settings.files import load_file
 from beryljunction.settings.operating import OperatorSession
 from beryljunction.settings.peers import HttpPeers
 from beryljunction.settings.schema import OperatorFile
+from beryljunction.stores import HttpLogClient
 
 __all__ = ["Desk", "with_session"]
 
--- a/src/beryljunction/engines/turns.py
+++ b/src/beryljunction/engines/turns.py
@@ -2,7 +2,7 @@
 
 import uuid
 
-from beryljunction.platform import LogClient, ReadFailed
+from beryljunction.stores import LogClient, ReadFailed
 from beryljunction.systems.turns import EndTurn
 from beryljunction.tables.turns import TurnQueue, end_record, renew_record, take_record
 
--- /dev/null
+++ b/src/beryljunction/gateway/following.py
@@ -0,0 +1,182 @@
+"""Follows the platform's store: the settings of the fleet, and the records of endpoints."""
+
+import time
+from collections.abc import Awaitable, Callable, Iterable
+
+import anyio
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import (
+    ENDPOINT_RECORDS,
+    FLEET_CONFIG,
+    FLEET_CONFIG_KEY,
+    Expired,
+    Newest,
+    Record,
+    Records,
+    Store,
+    Topic,
+    Unavailable,
+    Unusable,
+    decode_config,
+    decode_endpoint,
+)
+
+__all__ = ["FollowConfig", "FollowEndpoints"]
+
+# A waiting read ends after this time even without news, since only an answer confirms that the
+# settings are the newest. The age of that then stays under 3.1 s, of the 4 s at which an entry says
+# that it is not ready; longer waits save few calls.
+_CONFIG_WAIT_MS = 1_500
+# Time between two reads of the endpoints' records. Each endpoint writes every 1.2 s, so a waiting
+# read would return at each record; an endpoint that leaves has to be known within 2 s.
+_ENDPOINTS_PAUSE_S = 0.8
+# Pause after a read that failed: short against the seconds after which settings are too old.
+_FAILED_PAUSE_S = 0.25
+
+
+class _Follower:
+    """Reads a topic from its newest records on, and again from there when its history is gone."""
+
+    def __init__(self, store: Store, state: EntryState, topic: Topic) -> None:
+        self._store = store
+        self.state = state
+        self._topic = topic
+        self._offset: int | None = None
+        self._is_lost = False
+
+    async def step(
+        self,
+        wait_ms: int,
+        take_all: Callable[[Iterable[Record]], None],
+        take: Callable[[Iterable[Record]], None],
+    ) -> bool:
+        """Read once; False when there was no usable answer."""
+        if self._offset is None:
+            answer: Newest | Records | Expired | Unavailable = await self._store.newest(self._topic)
+        else:
+            answer = await self._store.read(self._topic, self._offset, wait_ms)
+        if isinstance(answer, Unavailable):
+            self._note_lost(answer.reason)
+            return False
+        if isinstance(answer, Expired):
+            self.state.events.write("history_expired", topic=self._topic.name, offset=self._offset)
+            self._offset = None
+            return await self.step(wait_ms, take_all, take)
+        self._note_regained()
+        self._offset = answer.next_offset
+        (take_all if isinstance(answer, Newest) else take)(answer.records)
+        return True
+
+    def _note_lost(self, reason: str) -> None:
+        if not self._is_lost:
+            self.state.events.write("store_lost", topic=self._topic.name, reason=reason)
+        self._is_lost = True
+
+    def _note_regained(self) -> None:
+        if self._is_lost:
+            self.state.events.write("store_regained", topic=self._topic.name)
+        self._is_lost = False
+
+
+class FollowConfig:
+    """Keeps the settings in force, and their lease, up to date."""
+
+    def __init__(self, store: Store, state: EntryState) -> None:
+        self._follower = _Follower(store, state, FLEET_CONFIG)
+        self._state = state
+        self._is_usable = True
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        await _repeat(self.step, 0.0)
+
+    async def step(self) -> bool:
+        """Read once; the lease is renewed from when the question was sent."""
+        asked_s = boot_time_s()
+        if not await self._follower.step(_CONFIG_WAIT_MS, self._take, self._take):
+            return False
+        if self._is_usable:
+            self._state.lease.confirm(asked_s)
+        return True
+
+    def _take(self, records: Iterable[Record]) -> None:
+        newest = None
+        for record in records:
+            if record.key == FLEET_CONFIG_KEY and record.value is not None:
+                newest = record.value
+        if newest is None:
+            return
+        config = decode_config(newest)
+        self._is_usable = not isinstance(config, Unusable)
+        if isinstance(config, Unusable):
+            self._state.events.write("settings_refused", problem=config.problem)
+        elif self._state.apply(config):
+            routes = sum(len(rows) for rows in config.routes.values())
+            self._state.events.write("settings_applied", version=config.version, routes=routes)
+
+
+class FollowEndpoints:
+    """Keeps the registry of endpoints up to date."""
+
+    def __init__(self, store: Store, state: EntryState) -> None:
+        self._follower = _Follower(store, state, ENDPOINT_RECORDS)
+        self._state = state
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        await _repeat(self.step, _ENDPOINTS_PAUSE_S)
+
+    async def step(self) -> bool:
+        """Read once."""
+        done = await self._follower.step(0, self._take_all, self._take)
+        if not done:
+            self._state.registry.store_lost()
+        return done
+
+    def _take_all(self, records: Iterable[Record]) -> None:
+        now_s = time.monotonic()
+        self._state.registry.store_read(now_s)
+        decoded = [decode_endpoint(row.key, row.value) for row in records if row.value is not None]
+        for problem in decoded:
+            if isinstance(problem, Unusable):
+                self._state.events.write("endpoint_refused", problem=problem.problem)
+        usable = [row for row in decoded if not isinstance(row, Unusable)]
+        self._state.registry.replace(usable, now_s)
+        self._state.events.write("endpoints_listed", endpoints=len(self._state.registry))
+
+    def _take(self, records: Iterable[Record]) -> None:
+        now_s = time.monotonic()
+        self._state.registry.store_read(now_s)
+        for record in records:
+            self._take_one(record, now_s)
+
+    def _take_one(self, record: Record, now_s: float) -> None:
+        registry, events = self._state.registry, self._state.events
+        if record.value is None:
+            if registry.remove(record.key, now_s) is not None:
+                events.write("endpoint_gone", endpoint=record.key)
+            return
+        decoded = decode_endpoint(record.key, record.value)
+        if isinstance(decoded, Unusable):
+            events.write("endpoint_refused", problem=decoded.problem)
+            registry.remove(record.key, now_s)
+            return
+        was_known = registry.find(record.key)
+        was_draining = was_known is not None and was_known.record.is_draining
+        is_same = was_known is not None and was_known.record.is_same_start(decoded)
+        registry.put(decoded, now_s)
+        if not is_same or decoded.is_draining != was_draining:
+            events.write(
+                "endpoint_draining" if decoded.is_draining else "endpoint_joined",
+                endpoint=decoded.endpoint_id,
+                service=decoded.service,
+                born_ms=decoded.born_ms,
+            )
+
+
+async def _repeat(step: Callable[[], Awaitable[bool]], pause_s: float) -> None:
+    while True:
+        done = await step()
+        await anyio.sleep(pause_s if done else _FAILED_PAUSE_S)
--- /dev/null
+++ b/src/beryljunction/gateway/messages.py
@@ -0,0 +1,105 @@
+"""HTTP messages as they are read from callers and endpoints."""
+
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = ["Head", "Headers", "HttpRequest", "hop_by_hop", "phrase_of"]
+
+Headers = list[tuple[bytes, bytes]]
+
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"content-length",
+        b"upgrade",
+        b"expect",
+    )
+)
+_PHRASES = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@attrs.define
+class HttpRequest:
+    """A caller's request, read whole.
+
+    Attributes:
+        target: Path and query, byte for byte.
+        headers: Names in lower case.
+        arrived_s: When its first byte was read, by the clock that goes on through a pause.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    arrived_s: float
+    body: bytes = b""
+    keeps_alive: bool = True
+    is_http_10: bool = False
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Return all values of a header."""
+        return [value for key, value in self.headers if key == name]
+
+    def value(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@attrs.frozen
+class Head:
+    """Status and headers of an endpoint's answer; names in lower case."""
+
+    status: int
+    headers: Headers
+
+    def value(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+def hop_by_hop(headers: Iterable[tuple[bytes, bytes]], kept: frozenset[bytes]) -> frozenset[bytes]:
+    """Return the names of headers that concern one connection only.
+
+    Args:
+        headers: Headers of a message.
+        kept: Names that stay, even when the message's Connection header lists them: a caller could
+            else have the identity of its request removed on the way.
+    """
+    listed = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return _HOP_BY_HOP | (listed - kept)
+
+
+def phrase_of(status: int) -> bytes:
+    """Return the reason phrase of a status line."""
+    return _PHRASES.get(status, b"Status")
--- /dev/null
+++ b/src/beryljunction/gateway/probes.py
@@ -0,0 +1,38 @@
+"""Answers the balancer's question whether this entry is ready, and serves metrics."""
+
+from collections.abc import Callable
+
+from beryljunction.gateway.callers import CallerConnection, CallerHandler
+from beryljunction.gateway.messages import HttpRequest
+from beryljunction.routing import CallerLimits
+
+__all__ = ["ProbeHandler"]
+
+METRICS_PATH = "/metrics"
+
+
+class ProbeHandler(CallerHandler):
+    """Says 200 to any question while the entry is ready, else 503."""
+
+    def __init__(self, is_ready: Callable[[], bool], render: Callable[[], bytes]) -> None:
+        self.limits = CallerLimits()
+        self.leaving = False
+        self._is_ready = is_ready
+        self._render = render
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Do nothing."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Do nothing."""
+
+    def requested(self, connection: CallerConnection, request: HttpRequest) -> None:
+        """Answer at once."""
+        if request.path == METRICS_PATH:
+            headers = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
+            connection.answer(200, headers, self._render())
+            return
+        connection.answer(200 if self._is_ready() else 503, [], b"")
+
+    def rejected(self, status: int, problem: str) -> None:
+        """Do nothing."""
--- /dev/null
+++ b/src/beryljunction/gateway/process.py
@@ -0,0 +1,114 @@
+"""The life of an entry on the platform: start, ready, stop without cutting an answer."""
+
+import asyncio
+import signal
+import time
+
+import anyio
+import anyio.abc
+
+from beryljunction.errors import SettingsError, StartError
+from beryljunction.gateway.callers import CallerConnection
+from beryljunction.gateway.events import Events
+from beryljunction.gateway.following import FollowConfig, FollowEndpoints
+from beryljunction.gateway.front import Front
+from beryljunction.gateway.probes import ProbeHandler
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import HostSettings, HttpStore, read_host_settings
+
+__all__ = ["EntryProcess"]
+
+# The balancer asks once a second and takes two misses; new connections come until then.
+_BALANCER_NOTICES_S = 2.6
+# Time left for the process to end before it would be killed.
+_END_MARGIN_S = 0.6
+_STOP_STEP_S = 0.1
+_BACKLOG = 1_024
+
+
+class EntryProcess:
+    """One entry: listeners, followers of the store, and the stop."""
+
+    def __init__(self, host: HostSettings, events: Events) -> None:
+        self._host = host
+        self._events = events
+        self._state = EntryState(host, events)
+        self._stopping = anyio.Event()
+
+    def _is_ready(self) -> bool:
+        return not self._stopping.is_set() and self._state.is_ready()
+
+    def _render(self) -> bytes:
+        return b""
+
+    async def run(self) -> None:
+        """Run until stopped.
+
+        Raises:
+            StartError: An address can't be listened on.
+        """
+        self._events.write("started", callers=_text(self._host.callers))
+        async with HttpStore(self._host.store) as store, anyio.create_task_group() as group:
+            front = Front(self._state, group)
+            probes = ProbeHandler(self._is_ready, self._render)
+            listener = await _listen(front, self._host.callers)
+            await _listen(probes, self._host.probes)
+            group.start_soon(FollowConfig(store, self._state).run)
+            group.start_soon(FollowEndpoints(store, self._state).run)
+            group.start_soon(front.sweep)
+            group.start_soon(self._take_signals)
+            await self._stopping.wait()
+            await self._wind_down(front, listener)
+            group.cancel_scope.cancel()
+        self._events.write("stopped")
+
+    async def _wind_down(self, front: Front, listener: asyncio.Server) -> None:
+        """Serve on until the balancer has noticed, then end what is in flight and close.
+
+        Kept connections are closed between requests: with their next answer, or when the listener
+        closes while nothing is being read on them.
+        """
+        started_s = time.monotonic()
+        ends_s = started_s + self._host.bounds.grace_s - _END_MARGIN_S
+        front.leave()
+        self._events.write("stopping", in_flight=front.in_flight)
+        await anyio.sleep(_BALANCER_NOTICES_S)
+        listener.close()
+        while time.monotonic() < ends_s:
+            front.close_idle()
+            if front.in_flight == 0:
+                break
+            await anyio.sleep(_STOP_STEP_S)
+        if front.in_flight:
+            self._events.write("cut", in_flight=front.in_flight)
+
+    async def _take_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self._stopping.set()
+
+    def _reload(self) -> None:
+        """Read the settings file again; the last good one holds where the new one can't be used."""
+        try:
+            read_host_settings()
+        except SettingsError as error:
+            self._events.write("reload_refused", problem=str(error))
+            return
+        self._events.write("reloaded")
+
+
+async def _listen(handler: Front | ProbeHandler, address: tuple[str, int]) -> asyncio.Server:
+    loop = asyncio.get_running_loop()
+    try:
+        return await loop.create_server(
+            lambda: CallerConnection(handler), *address, backlog=_BACKLOG, reuse_address=True
+        )
+    except OSError as error:
+        raise StartError(f"{_text(address)}: expected a free address, got {error}") from error
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/src/beryljunction/gateway/state.py
@@ -0,0 +1,80 @@
+"""What an entry knows: settings, endpoints, shares of second sends, and the decisions over them."""
+
+import random
+import time
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.events import Events
+from beryljunction.platform import HostSettings
+from beryljunction.routing import (
+    Demand,
+    EndpointRegistry,
+    FleetConfig,
+    KnownEndpoint,
+    PlainPlacement,
+    RetryShare,
+    SettingsLease,
+    WarmPlacement,
+)
+
+__all__ = ["EntryState"]
+
+
+class EntryState:
+    """Tables and systems of one entry.
+
+    Attributes:
+        config: Settings in force; None before the first were read.
+    """
+
+    def __init__(self, host: HostSettings, events: Events) -> None:
+        bounds = host.bounds
+        self.host = host
+        self.events = events
+        self.config: FleetConfig | None = None
+        self.lease = SettingsLease(bounds.revocation_ms / 1000, bounds.apply_ms / 1000)
+        self.registry = EndpointRegistry(host.heartbeat_ms / 1000)
+        self.random = random.Random()
+        self._warm = WarmPlacement()
+        self._plain = PlainPlacement(host.availability_zone, self.random)
+        self._shares: dict[str, RetryShare] = {}
+
+    def apply(self, config: FleetConfig) -> bool:
+        """Put settings in force; never older ones than those that are."""
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        return True
+
+    def share(self, service: str) -> RetryShare:
+        """Return this entry's share of second sends to a service."""
+        share = self._shares.get(service)
+        if share is None:
+            bounds = self.host.bounds
+            share = self._shares[service] = RetryShare(
+                bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_slack
+            )
+        return share
+
+    def choose(
+        self, service: str, demand: Demand, tried: set[KnownEndpoint]
+    ) -> KnownEndpoint | None:
+        """Return the endpoint that is to get a request; sound ones go before doubtful ones."""
+        now_s = time.monotonic()
+        usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
+        sound = [
+            row
+            for row in usable
+            if not row.is_suspect(now_s) and not self.registry.is_silent(row, now_s)
+        ]
+        placement = self._warm if self._is_engine(service) else self._plain
+        return placement.choose(sound or usable, demand, now_s)
+
+    def _is_engine(self, service: str) -> bool:
+        known = self.config.services.get(service) if self.config is not None else None
+        return known is not None and known.is_engine
+
+    def is_ready(self) -> bool:
+        """Return whether callers can be served here."""
+        is_known = self.config is not None and self.registry.is_loaded
+        return is_known and self.lease.is_ready(boot_time_s())
--- a/src/beryljunction/local/demo_view.py
+++ b/src/beryljunction/local/demo_view.py
@@ -7,7 +7,7 @@
 import attrs
 
 from beryljunction.errors import SettingsError
-from beryljunction.platform import LogClient
+from beryljunction.stores import LogClient
 from beryljunction.settings import AccountSettings, Edit, FleetView, ServiceSettings
 from beryljunction.settings.operating import Invalid, OperatorSession
 
--- a/src/beryljunction/local/files.py
+++ b/src/beryljunction/local/files.py
@@ -15,7 +15,7 @@
     demo_view,
     leaves_of_view,
 )
-from beryljunction.platform import HostRow
+from beryljunction.stores import HostRow
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
 from beryljunction.settings.schema import OperatorFile
 
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -17,7 +17,7 @@
 )
 from beryljunction.local.standins import start_endpoint
 from beryljunction.node import Node
-from beryljunction.platform import HostRow
+from beryljunction.stores import HostRow
 from beryljunction.servers import Asgi, Server, bind
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, TlsSettings
 from beryljunction.standins import (
--- a/src/beryljunction/logs.py
+++ b/src/beryljunction/logs.py
@@ -11,7 +11,7 @@
 
 from beryljunction.timeline import ORDINARY_KINDS, Event
 
-__all__ = ["EventLog", "configure_logs"]
+__all__ = ["EventLog", "configure_logs", "key_value_formatter"]
 
 _SAFE = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-")
 _HASH_RANGE = 2**64
@@ -35,16 +35,19 @@
         return moment.isoformat(timespec="milliseconds")
 
 
+def key_value_formatter() -> logging.Formatter:
+    """Return a formatter that writes one line of key=value pairs."""
+    return _Formatter(
+        "%(asctime)s %(levelname)s %(message)s",
+        rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+        json_serializer=_key_value,
+    )
+
+
 def configure_logs(level: str = "INFO") -> None:
     """Send the logs of this process to standard error."""
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        _Formatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
-            rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
-            json_serializer=_key_value,
-        )
-    )
+    handler.setFormatter(key_value_formatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
     # uvicorn tells at INFO what the time line's own events say better.
     logging.getLogger("uvicorn.error").setLevel(logging.WARNING)
--- a/src/beryljunction/node/client.py
+++ b/src/beryljunction/node/client.py
@@ -11,7 +11,7 @@
 
 from beryljunction.node.operator import EVENTS_PATH
 from beryljunction.node.roles import NodeStatus
-from beryljunction.platform import HostRow, HttpHostList
+from beryljunction.stores import HostRow, HttpHostList
 from beryljunction.timeline import HLC_HEADER, Event, HybridClock
 from beryljunction.wire import DRAIN_PATH, STATUS_PATH, Drain, decode, encode
 
--- a/src/beryljunction/node/entry_role.py
+++ b/src/beryljunction/node/entry_role.py
@@ -8,7 +8,7 @@
 
 from beryljunction.entry import EntryApp
 from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
-from beryljunction.platform import HostRow
+from beryljunction.stores import HostRow
 from beryljunction.settings import EntryFile, FleetView
 from beryljunction.systems import ListedEndpoint
 from beryljunction.tables import EndpointTable
--- a/src/beryljunction/node/hosts.py
+++ b/src/beryljunction/node/hosts.py
@@ -7,7 +7,7 @@
 import anyio
 
 from beryljunction.errors import PlatformUnavailableError
-from beryljunction.platform import HostChanges, HostList, HostRow
+from beryljunction.stores import HostChanges, HostList, HostRow
 from beryljunction.timeline import Timeline
 
 __all__ = ["HostFollower", "HostView"]
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -22,7 +22,7 @@
 from beryljunction.node.sidecar_role import SidecarRole
 from beryljunction.node.traffic import CountingBackend
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.platform import HttpHostList, HttpLogClient
+from beryljunction.stores import HttpHostList, HttpLogClient
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool
 from beryljunction.settings import (
     SETTINGS_PATH,
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -8,7 +8,7 @@
 import attrs
 import httpcore
 
-from beryljunction.platform import HostRow, LogClient
+from beryljunction.stores import HostRow, LogClient
 from beryljunction.servers import Asgi
 from beryljunction.settings import FleetView, ProcessSettings
 from beryljunction.stops import Stoppable
--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -15,7 +15,7 @@
     answer_orders,
 )
 from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
-from beryljunction.platform import HostRow
+from beryljunction.stores import HostRow
 from beryljunction.servers import Receive, Scope, Send, client_pool
 from beryljunction.settings import FleetView, ServiceSettings, SidecarFile
 from beryljunction.sidecar import SidecarApp
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -1,44 +1,37 @@
-"""The platform as the fleet meets it: log, host list, weight store."""
+"""Adapter to the users' platform: its words are decoded here, once, into the project's types."""
 
-from beryljunction.platform.hosts import HostChanges, HostList, HostRow, HttpHostList
-from beryljunction.platform.log import (
-    Appended,
-    AppendOutcome,
-    AppendRefused,
-    AppendUnknown,
-    HttpLogClient,
-    LogClient,
-    LogPage,
-    LogRecord,
-    ReadFailed,
-    ReadOutcome,
-)
-from beryljunction.platform.weights import (
-    HttpWeightStore,
-    LoadBegun,
-    LoadRefused,
-    LoadUnknown,
-    WeightStore,
+from beryljunction.platform.hostfile import HostBounds, HostSettings, read_host_settings
+from beryljunction.platform.records import Unusable, decode_config, decode_endpoint
+from beryljunction.platform.store import (
+    ENDPOINT_RECORDS,
+    FLEET_CONFIG,
+    FLEET_CONFIG_KEY,
+    Expired,
+    HttpStore,
+    Newest,
+    Record,
+    Records,
+    Store,
+    Topic,
+    Unavailable,
 )
 
 __all__ = [
-    "HostChanges",
-    "HostList",
-    "HostRow",
-    "HttpHostList",
-    "HttpWeightStore",
-    "LoadBegun",
-    "LoadRefused",
-    "LoadUnknown",
-    "WeightStore",
-    "AppendOutcome",
-    "AppendRefused",
-    "AppendUnknown",
-    "Appended",
-    "HttpLogClient",
-    "LogClient",
-    "LogPage",
-    "LogRecord",
-    "ReadFailed",
-    "ReadOutcome",
+    "ENDPOINT_RECORDS",
+    "Expired",
+    "FLEET_CONFIG",
+    "FLEET_CONFIG_KEY",
+    "HostBounds",
+    "HostSettings",
+    "HttpStore",
+    "Newest",
+    "Record",
+    "Records",
+    "Store",
+    "Topic",
+    "Unavailable",
+    "Unusable",
+    "decode_config",
+    "decode_endpoint",
+    "read_host_settings",
 ]
--- /dev/null
+++ b/src/beryljunction/platform/hostfile.py
@@ -0,0 +1,165 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+import attrs
+
+from beryljunction.errors import SettingsError
+
+__all__ = ["ADDRESS_FORM", "HostBounds", "HostSettings", "SETTINGS_VARIABLE", "read_host_settings"]
+
+SETTINGS_VARIABLE = "BERYLJUNCTION_CONFIG"
+ADDRESS_FORM = "IP:PORT"
+
+Address = tuple[str, int]
+
+
+@attrs.frozen
+class HostBounds:
+    """Promises of the deployment, with the defaults of its smallest site where a file lacks one.
+
+    Attributes:
+        grace_s: Time between the request to stop and the kill.
+        repeat_ratio: Second sends that the fleet may make for each request.
+        repeat_window_s: Sliding time of that ratio.
+        repeat_slack: Second sends of the whole fleet on top of the ratio.
+        imbalance_factor: Multiple of a service's mean load that no endpoint may carry.
+        warm_s: Time after which a prompt part that nobody used counts as new.
+    """
+
+    revocation_ms: int = 5_000
+    apply_ms: int = 2_000
+    drain_ms: int = 2_000
+    grace_s: float = 8.0
+    repeat_ratio: float = 0.2
+    repeat_window_s: float = 10.0
+    repeat_slack: int = 0
+    imbalance_factor: float = 2.0
+    warm_s: float = 10.0
+
+
+@attrs.frozen
+class HostSettings:
+    """What a process learns from the platform when it starts.
+
+    Attributes:
+        callers: Where callers are taken.
+        probes: Where the balancer asks whether the process is ready.
+        heartbeat_ms: Time between the records that an endpoint writes of itself.
+    """
+
+    host: str
+    availability_zone: str
+    region: str
+    callers: Address
+    probes: Address
+    store: Address
+    heartbeat_ms: int
+    descriptors: int
+    bounds: HostBounds
+
+
+def read_host_settings(path: str | None = None) -> HostSettings:
+    """Read the settings file.
+
+    Raises:
+        SettingsError: With one line for each field that is missing or wrong.
+    """
+    file = pathlib.Path(path or os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        table = tomllib.loads(file.read_text())
+    except OSError as error:
+        raise SettingsError([f"{file}: expected a readable file, got {error.strerror}"]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{file}: expected TOML, got {error}"]) from error
+    reading = _Reading(table, str(file))
+    settings = reading.settings()
+    if reading.problems:
+        raise SettingsError(reading.problems)
+    return settings
+
+
+class _Reading:
+    """Reads fields and collects what is wrong with them; unknown fields are left alone."""
+
+    def __init__(self, table: dict[str, Any], file: str) -> None:
+        self._table = table
+        self._file = file
+        self.problems: list[str] = []
+
+    def settings(self) -> HostSettings:
+        """Return the settings; only usable when there are no problems."""
+        return HostSettings(
+            host=self._text("node-name"),
+            availability_zone=self._text("zone"),
+            region=self._text("region"),
+            callers=self._address("listen-addresses", "front"),
+            probes=self._address("listen-addresses", "ready"),
+            store=self._address("platform", "address"),
+            heartbeat_ms=int(self._number(1_200, "heartbeat-interval-ms")),
+            descriptors=int(self._number(1_024, "limits", "file-descriptors")),
+            bounds=self._bounds(),
+        )
+
+    def _bounds(self) -> HostBounds:
+        names = {
+            "revocation_ms": "revocation-ms",
+            "apply_ms": "configuration-apply-ms",
+            "drain_ms": "drain-ms",
+            "grace_s": "grace-period-s",
+            "repeat_ratio": "retry-budget-ratio",
+            "repeat_window_s": "retry-window-s",
+            "repeat_slack": "retry-budget-slack",
+            "imbalance_factor": "load-imbalance-factor",
+            # The name says when to come back; it holds how long a part that was read counts.
+            "warm_s": "retry-after-s",
+        }
+        defaults = HostBounds()
+        values = {
+            field: self._number(getattr(defaults, field), "bounds", name)
+            for field, name in names.items()
+        }
+        return HostBounds(**values)  # type: ignore[arg-type]
+
+    def _get(self, *path: str) -> Any:
+        value: Any = self._table
+        for name in path:
+            value = value.get(name) if isinstance(value, dict) else None
+        return value
+
+    def _text(self, *path: str) -> str:
+        value = self._get(*path)
+        if isinstance(value, str) and value:
+            return value
+        return str(self._wrong(path, "a text", value, ""))
+
+    def _number(self, default: float, *path: str) -> float:
+        value = self._get(*path)
+        if value is None:
+            return default
+        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
+            return value
+        return float(self._wrong(path, "a number of 0 or more", value, default))
+
+    def _address(self, *path: str) -> Address:
+        value = self._get(*path)
+        address = parse_address(value)
+        return address if address else self._wrong(path, ADDRESS_FORM, value, ("", 0))
+
+    def _wrong(self, path: tuple[str, ...], expected: str, got: Any, default: Any) -> Any:
+        place = ".".join(path)
+        self.problems.append(f"{self._file}: {place}: expected {expected}, got {got!r}")
+        return default
+
+
+def parse_address(value: Any) -> Address | None:
+    """Return the parts of an IP:PORT text; None for anything else."""
+    if not isinstance(value, str):
+        return None
+    host, colon, port = value.rpartition(":")
+    if not (host and colon and port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        return None
+    return host, int(port)
--- /dev/null
+++ b/src/beryljunction/platform/records.py
@@ -0,0 +1,195 @@
+"""Decodes the records that the operator and the endpoints write to the platform's store."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from beryljunction.platform.hostfile import parse_address
+from beryljunction.routing import (
+    Account,
+    CallerLimits,
+    EndpointRecord,
+    FleetConfig,
+    Repeat,
+    Route,
+    Service,
+    WeightedService,
+)
+
+__all__ = ["Unusable", "decode_config", "decode_endpoint"]
+
+_REPEATS = {"idempotent": Repeat.FREELY, "non_idempotent": Repeat.NEVER}
+_STREAM_KIND = "streaming"
+
+
+@attrs.frozen
+class Unusable:
+    """A record that can't be used, with the place, what was expected and what was got."""
+
+    problem: str
+
+
+class _FieldError(ValueError):
+    """A field is missing or of another type."""
+
+
+def decode_endpoint(endpoint_id: str, value: bytes) -> EndpointRecord | Unusable:
+    """Return what an endpoint says of itself.
+
+    Any record that lacks a field may be another writer's, so it names no endpoint.
+    """
+    try:
+        fields = _table(json.loads(value), "record")
+        state = _text(fields, "state")
+        if state not in ("ready", "draining"):
+            raise _FieldError(f"state: expected ready or draining, got {state!r}")
+        address = parse_address(fields.get("address"))
+        if address is None:
+            raise _FieldError(f"address: expected IP:PORT, got {fields.get('address')!r}")
+        return EndpointRecord(
+            endpoint_id=endpoint_id,
+            born_ms=_born_ms(fields),
+            service=_text(fields, "service"),
+            address=address,
+            availability_zone=_text(fields, "zone"),
+            slots=_whole(fields, "slots", 1),
+            is_draining=state == "draining",
+            slow_ms=_whole(fields, "cold-remaining-ms", 0, default=0),
+        )
+    except ValueError as error:
+        return Unusable(f"{endpoint_id}: {error}")
+
+
+def decode_config(value: bytes) -> FleetConfig | Unusable:
+    """Return the settings of the whole fleet."""
+    try:
+        fields = _table(json.loads(value), "configuration")
+        routes = [_route(row) for row in _rows(fields, "routes")]
+        services = [_service(row) for row in _rows(fields, "services")]
+        return FleetConfig(
+            version=_whole(fields, "version", 0),
+            routes=FleetConfig.index(routes),
+            services={service.name: service for service in services},
+            limits=_limits(fields.get("limits")),
+            accounts=_accounts(fields),
+        )
+    except ValueError as error:
+        return Unusable(str(error))
+
+
+def _born_ms(fields: Mapping[str, Any]) -> int:
+    """Return the Unix milliseconds of the endpoint's start; it tells two starts of one id apart."""
+    return _whole(fields, "born", 0, default=0)
+
+
+def _route(fields: Mapping[str, Any]) -> Route:
+    kind = _text(fields, "kind")
+    streamed = kind == _STREAM_KIND
+    if not streamed and kind not in _REPEATS:
+        raise _FieldError(f"kind: expected a known kind of route, got {kind!r}")
+    resumes = streamed and fields.get("resume-streams") is True
+    return Route(
+        name=_text(fields, "name"),
+        host=_text(fields, "host"),
+        path_prefix=_text(fields, "path-prefix"),
+        targets=_targets(fields),
+        repeat=Repeat.RESUME if resumes else _REPEATS.get(kind, Repeat.NEVER),
+        streamed=streamed,
+        has_prompt=fields.get("sticky-sessions") is True,
+        timeout_ms=_whole(fields, "timeout-ms", 1),
+        target_latency_ms=_whole(fields, "target-latency-ms", 0, default=0),
+        max_attempts=_whole(fields, "max-attempts", 1, default=1),
+        priority=_whole(fields, "priority", 0, default=0),
+        allows_anonymous=fields.get("allow-anonymous") is True,
+    )
+
+
+def _targets(fields: Mapping[str, Any]) -> tuple[WeightedService, ...]:
+    """Return the services of a route: one by its name, or several with weights."""
+    split = fields.get("traffic-split")
+    if not split:
+        return (WeightedService(_text(fields, "service"), 1.0),)
+    targets = [
+        WeightedService(_text(row, "service"), _number(row, "weight"))
+        for row in _rows(fields, "traffic-split")
+    ]
+    used = tuple(target for target in targets if target.weight > 0)
+    if not used:
+        raise _FieldError("traffic-split: expected a weight above 0, got none")
+    return used
+
+
+def _service(fields: Mapping[str, Any]) -> Service:
+    return Service(
+        name=_text(fields, "name"),
+        is_engine=isinstance(fields.get("engine"), dict),
+        connection_limit=_whole(fields, "connection-limit", 0, default=0),
+    )
+
+
+def _limits(value: Any) -> CallerLimits:
+    if value is None:
+        return CallerLimits()
+    fields = _table(value, "limits")
+    default = CallerLimits()
+    return CallerLimits(
+        header_bytes=_whole(fields, "max-header-bytes", 1, default.header_bytes),
+        body_bytes=_whole(fields, "max-body-bytes", 0, default.body_bytes),
+        header_timeout_ms=_whole(fields, "header-timeout-ms", 1, default.header_timeout_ms),
+        idle_timeout_ms=_whole(fields, "idle-timeout-ms", 1, default.idle_timeout_ms),
+    )
+
+
+def _accounts(fields: Mapping[str, Any]) -> dict[str, Account] | None:
+    if fields.get("tenants") is None:
+        return None
+    accounts: dict[str, Account] = {}
+    for row in _rows(fields, "tenants"):
+        priority = row.get("priority")
+        is_set = isinstance(priority, int) and not isinstance(priority, bool)
+        account = Account(_text(row, "name"), priority if is_set else None)
+        keys = row.get("api-keys")
+        if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+            raise _FieldError(f"tenants.{account.name}.api-keys: expected a list of texts")
+        accounts.update((key, account) for key in keys)
+    return accounts
+
+
+def _table(value: Any, place: str) -> Mapping[str, Any]:
+    if isinstance(value, dict):
+        return value
+    raise _FieldError(f"{place}: expected a table, got {type(value).__name__}")
+
+
+def _rows(fields: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
+    value = fields.get(name)
+    if not isinstance(value, list):
+        raise _FieldError(f"{name}: expected a list, got {type(value).__name__}")
+    return [_table(row, name) for row in value]
+
+
+def _text(fields: Mapping[str, Any], name: str) -> str:
+    value = fields.get(name)
+    if isinstance(value, str) and value:
+        return value
+    raise _FieldError(f"{name}: expected a text, got {type(value).__name__}")
+
+
+def _whole(fields: Mapping[str, Any], name: str, least: int, default: int | None = None) -> int:
+    value = fields.get(name)
+    if value is None and default is not None:
+        return default
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if isinstance(value, int) and not isinstance(value, bool) and value >= least:
+        return value
+    raise _FieldError(f"{name}: expected a whole number of {least} or more, got {value!r}")
+
+
+def _number(fields: Mapping[str, Any], name: str) -> float:
+    value = fields.get(name)
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return float(value)
+    raise _FieldError(f"{name}: expected a number, got {value!r}")
--- /dev/null
+++ b/src/beryljunction/routing/__init__.py
@@ -0,0 +1,49 @@
+"""Decisions of an entry that calls endpoints directly: no input or output, no clock."""
+
+from beryljunction.routing.admitting import Admitted, Denial, DenialReason, admit
+from beryljunction.routing.attempts import AttemptPlan, Outcome, Verdict
+from beryljunction.routing.budget import RetryShare
+from beryljunction.routing.endpoints import (
+    EndpointRecord,
+    EndpointRegistry,
+    KnownEndpoint,
+    LoadReport,
+)
+from beryljunction.routing.fleet import (
+    Account,
+    CallerLimits,
+    FleetConfig,
+    Repeat,
+    Route,
+    Service,
+    WeightedService,
+)
+from beryljunction.routing.lease import SettingsLease
+from beryljunction.routing.placement import Demand, Placement, PlainPlacement, WarmPlacement
+
+__all__ = [
+    "Account",
+    "Admitted",
+    "AttemptPlan",
+    "CallerLimits",
+    "Demand",
+    "Denial",
+    "DenialReason",
+    "EndpointRecord",
+    "EndpointRegistry",
+    "FleetConfig",
+    "KnownEndpoint",
+    "LoadReport",
+    "Outcome",
+    "Placement",
+    "PlainPlacement",
+    "Repeat",
+    "RetryShare",
+    "Route",
+    "Service",
+    "SettingsLease",
+    "Verdict",
+    "WarmPlacement",
+    "WeightedService",
+    "admit",
+]
--- /dev/null
+++ b/src/beryljunction/routing/endpoints.py
@@ -0,0 +1,213 @@
+"""The endpoints that requests may go to, and what this process knows of each."""
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = ["EndpointRecord", "EndpointRegistry", "KnownEndpoint", "LoadReport"]
+
+# An endpoint writes of itself again within this time after the store is back; one that is missing
+# for longer has left (the platform's promise is about 2 s).
+_LAPSE_S = 2.0
+# A load that an endpoint reported says little after some requests have come and gone; over this
+# time its part that other entries caused fades out.
+_REPORT_FADES_S = 4.0
+# Beats without a new record after which an endpoint is taken to be silent; it is removed by the
+# store after three.
+_SILENT_BEATS = 2.4
+# First time that a failed endpoint is passed over, doubled with each further failure. Short, since
+# passing over a sound one costs its cached prefixes.
+_SUSPECT_S = 0.5
+_SUSPECT_MOST_S = 4.0
+_SUSPECT_DOUBLINGS = 3
+
+
+@attrs.frozen
+class EndpointRecord:
+    """What an endpoint says of itself.
+
+    Attributes:
+        born_ms: Unix milliseconds of its start; another start under the same id knows nothing.
+        slots: Requests that it runs at the same time.
+        slow_ms: How much longer it is slow after its start.
+    """
+
+    endpoint_id: str
+    born_ms: int
+    service: str
+    address: tuple[str, int]
+    availability_zone: str
+    slots: int
+    is_draining: bool
+    slow_ms: int
+
+    def is_same_start(self, other: "EndpointRecord") -> bool:
+        """Return whether both are of one start at one address."""
+        mine = (self.endpoint_id, self.born_ms, self.address, self.service)
+        return mine == (other.endpoint_id, other.born_ms, other.address, other.service)
+
+
+@attrs.frozen
+class LoadReport:
+    """Load that an endpoint stated in an answer.
+
+    Attributes:
+        own: Requests of this process that the endpoint had then.
+    """
+
+    running: int
+    waiting: int
+    own: int
+    at_s: float
+
+
+@attrs.define(eq=False)
+class KnownEndpoint:
+    """An endpoint with what this process knows of its present start.
+
+    Attributes:
+        in_flight: Requests of this process that it has.
+        beat_s: When its last record was read.
+        lapsed_s: When its record went away in an outage of the store; None while it is there.
+    """
+
+    record: EndpointRecord
+    beat_s: float
+    in_flight: int = 0
+    report: LoadReport | None = None
+    lapsed_s: float | None = None
+    failures: int = 0
+    suspect_until_s: float = -math.inf
+
+    @property
+    def start(self) -> tuple[str, int]:
+        """What tells this start from any other."""
+        return self.record.endpoint_id, self.record.born_ms
+
+    def load(self, now_s: float) -> float:
+        """Return the estimated number of requests that it has, of all entries."""
+        if self.report is None:
+            return float(self.in_flight)
+        others = max(0, self.report.running + self.report.waiting - self.report.own)
+        freshness = max(0.0, 1.0 - (now_s - self.report.at_s) / _REPORT_FADES_S)
+        return self.in_flight + others * freshness
+
+    def note_failure(self, now_s: float) -> None:
+        """Pass it over for a moment; longer with each failure that follows."""
+        doublings = min(self.failures, _SUSPECT_DOUBLINGS)
+        self.suspect_until_s = now_s + min(_SUSPECT_MOST_S, _SUSPECT_S * 2**doublings)
+        self.failures += 1
+
+    def note_answer(self) -> None:
+        """Trust it again."""
+        self.failures = 0
+        self.suspect_until_s = -math.inf
+
+    def is_suspect(self, now_s: float) -> bool:
+        """Return whether it failed a moment ago."""
+        return now_s < self.suspect_until_s
+
+
+class EndpointRegistry:
+    """Membership of endpoints, from the records that they write.
+
+    Load: an endpoint leaves, by a record that says so or by its record going away. Harm: what is
+    sent to it after a few seconds meets nobody, or the next owner of its address. It is dropped
+    when the record is read. The one exception is an outage of the store, in which records of sound
+    endpoints expire: dropping those would leave callers with none, so they are kept for the time in
+    which a sound endpoint writes again.
+
+    Args:
+        heartbeat_s: Time between the records of an endpoint.
+    """
+
+    def __init__(self, heartbeat_s: float) -> None:
+        self._heartbeat_s = heartbeat_s
+        self._rows: dict[str, KnownEndpoint] = {}
+        self._regained_s = -math.inf
+        self._is_lost = False
+        self._last_read_s = -math.inf
+        self.is_loaded = False
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def store_lost(self) -> None:
+        """Note that reading failed."""
+        self._is_lost = True
+
+    def store_read(self, now_s: float) -> bool:
+        """Note that reading works; True when it did not before."""
+        regained = self._is_lost
+        if regained:
+            self._regained_s = now_s
+        self._is_lost = False
+        self._last_read_s = now_s
+        return regained
+
+    def find(self, endpoint_id: str) -> KnownEndpoint | None:
+        """Return what is known of an endpoint."""
+        return self._rows.get(endpoint_id)
+
+    def put(self, record: EndpointRecord, now_s: float) -> KnownEndpoint:
+        """Take in a record; a new start replaces what was known of the one before."""
+        known = self._rows.get(record.endpoint_id)
+        if known is None or not known.record.is_same_start(record):
+            known = self._rows[record.endpoint_id] = KnownEndpoint(record, now_s)
+        known.record = record
+        known.beat_s = now_s
+        known.lapsed_s = None
+        return known
+
+    def remove(self, endpoint_id: str, now_s: float) -> KnownEndpoint | None:
+        """Take in that a record is gone; None when nothing was known of it."""
+        known = self._rows.get(endpoint_id)
+        if known is None:
+            return None
+        may_be_lapse = now_s - self._regained_s < _LAPSE_S and not known.record.is_draining
+        if may_be_lapse and known.lapsed_s is None:
+            known.lapsed_s = now_s
+        elif not may_be_lapse:
+            del self._rows[endpoint_id]
+        return known
+
+    def replace(self, records: Iterable[EndpointRecord], now_s: float) -> None:
+        """Take in a full list."""
+        kept = set()
+        for record in records:
+            kept.add(record.endpoint_id)
+            self.put(record, now_s)
+        for endpoint_id in self._rows.keys() - kept:
+            self.remove(endpoint_id, now_s)
+        self.is_loaded = True
+
+    def expire(self, now_s: float) -> None:
+        """Drop endpoints whose record did not come back after the store did."""
+        if now_s - self._regained_s < _LAPSE_S:
+            return
+        for endpoint_id in [key for key, row in self._rows.items() if row.lapsed_s is not None]:
+            del self._rows[endpoint_id]
+
+    def usable(self, service: str, now_s: float) -> list[KnownEndpoint]:
+        """Return the endpoints of a service that may get new requests."""
+        self.expire(now_s)
+        return [
+            row
+            for row in self._rows.values()
+            if row.record.service == service and not row.record.is_draining
+        ]
+
+    def is_usable(self, known: KnownEndpoint) -> bool:
+        """Return whether this start of the endpoint may still get requests."""
+        return self._rows.get(known.record.endpoint_id) is known and not known.record.is_draining
+
+    def is_silent(self, known: KnownEndpoint, now_s: float) -> bool:
+        """Return whether it missed beats while the store was there to take them.
+
+        A silent endpoint is most likely dead or cut off; it is tried after the others.
+        """
+        limit_s = self._heartbeat_s * _SILENT_BEATS
+        if self._is_lost or now_s - self._regained_s < limit_s:
+            return False
+        return self._last_read_s - known.beat_s > limit_s
--- /dev/null
+++ b/src/beryljunction/routing/fleet.py
@@ -0,0 +1,141 @@
+"""The fleet's settings as routing decisions see them: routes, services, client accounts."""
+
+import enum
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+__all__ = [
+    "Account",
+    "CallerLimits",
+    "FleetConfig",
+    "Repeat",
+    "Route",
+    "Service",
+    "WeightedService",
+]
+
+
+class Repeat(enum.Enum):
+    """What may be done again with a request of a route.
+
+    Attributes:
+        FREELY: Idempotent: it may run more than once.
+        RESUME: A stream that another endpoint may take up after the last event seen.
+        NEVER: It runs at most once for each attempt of its caller.
+    """
+
+    FREELY = "freely"
+    RESUME = "resume"
+    NEVER = "never"
+
+
+@attrs.frozen
+class WeightedService:
+    """One target of a route that is split over services."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where requests of a host and path prefix go, and how they may be handled.
+
+    Attributes:
+        targets: Services with their shares; never empty.
+        streamed: Whether answers are event streams.
+        has_prompt: Whether requests name the parts of their prompt.
+        max_attempts: Endpoints that one request may be sent to.
+        priority: Rank, 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    targets: tuple[WeightedService, ...]
+    repeat: Repeat
+    streamed: bool
+    has_prompt: bool
+    timeout_ms: int
+    target_latency_ms: int
+    max_attempts: int
+    priority: int
+    allows_anonymous: bool
+
+    def service_for(self, draw: float) -> str:
+        """Return the service that a number in [0, 1) falls to."""
+        left = draw * sum(target.weight for target in self.targets)
+        for target in self.targets:
+            left -= target.weight
+            if left < 0:
+                return target.service
+        return self.targets[-1].service
+
+
+@attrs.frozen
+class Service:
+    """A group of endpoints that serve the same.
+
+    Attributes:
+        is_engine: Whether its endpoints serve a model and keep prompt prefixes.
+    """
+
+    name: str
+    is_engine: bool
+    connection_limit: int
+
+
+@attrs.frozen
+class Account:
+    """A client account; `priority` goes before the route's when it is set."""
+
+    name: str
+    priority: int | None
+
+
+@attrs.frozen
+class CallerLimits:
+    """What callers may send, and how long they may take.
+
+    The defaults hold until the first settings are read; they are the usual ones of HTTP servers.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 60_000
+
+
+@attrs.frozen
+class FleetConfig:
+    """One version of the fleet's settings.
+
+    Attributes:
+        routes: By host in lower case, the longest path prefix first.
+        accounts: By API key; None when the fleet has no client accounts.
+    """
+
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]
+    services: Mapping[str, Service]
+    limits: CallerLimits
+    accounts: Mapping[str, Account] | None
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        for route in self.routes.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    @staticmethod
+    def index(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+        """Return routes by host, the longest prefix first."""
+        by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        return {
+            host: tuple(sorted(rows, key=lambda row: -len(row.path_prefix)))
+            for host, rows in by_host.items()
+        }
--- a/src/beryljunction/settings/following.py
+++ b/src/beryljunction/settings/following.py
@@ -10,7 +10,7 @@
 import anyio.abc
 import attrs
 
-from beryljunction.platform.log import AppendRefused, LogClient, ReadFailed
+from beryljunction.stores.log import AppendRefused, LogClient, ReadFailed
 from beryljunction.settings.changes import CHANGES_STREAM, SNAPSHOTS_STREAM
 from beryljunction.settings.reader import SettingsReader
 from beryljunction.settings.schema import FleetView
--- a/src/beryljunction/settings/operating.py
+++ b/src/beryljunction/settings/operating.py
@@ -10,7 +10,7 @@
 import anyio
 import attrs
 
-from beryljunction.platform.log import LogClient, ReadFailed
+from beryljunction.stores.log import LogClient, ReadFailed
 from beryljunction.settings.changes import (
     CHANGES_STREAM,
     SNAPSHOTS_STREAM,
--- a/src/beryljunction/settings/reader.py
+++ b/src/beryljunction/settings/reader.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from beryljunction.platform.log import LogPage
+from beryljunction.stores.log import LogPage
 from beryljunction.settings.changes import Accepted, Change, Skipped, Verdict
 from beryljunction.settings.resolving import resolve
 from beryljunction.settings.schema import FleetView
--- a/src/beryljunction/settings/tree.py
+++ b/src/beryljunction/settings/tree.py
@@ -12,7 +12,7 @@
 import attrs
 import xxhash
 
-from beryljunction.platform.log import LogRecord
+from beryljunction.stores.log import LogRecord
 from beryljunction.settings.changes import (
     Accepted,
     Change,
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -12,7 +12,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.platform import HttpLogClient
+from beryljunction.stores import HttpLogClient
 from beryljunction.servers import Receive, Scope, Send, client_pool, read_body
 from beryljunction.settings import FleetView, SidecarFile
 from beryljunction.sidecar.calls import Call, Handler
--- a/src/beryljunction/sidecar/keys.py
+++ b/src/beryljunction/sidecar/keys.py
@@ -5,7 +5,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.errors import SettingsError
-from beryljunction.platform import Appended, LogClient, LogPage
+from beryljunction.stores import Appended, LogClient, LogPage
 from beryljunction.systems import (
     ClaimBatch,
     ClaimLimits,
--- a/src/beryljunction/standins/hosts.py
+++ b/src/beryljunction/standins/hosts.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from beryljunction.platform.hosts import HOSTS_PATH, HostChanges, HostRow
+from beryljunction.stores.hosts import HOSTS_PATH, HostChanges, HostRow
 from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 from beryljunction.standins.faults import HostListFaults
 from beryljunction.wire import decode, encode
--- a/src/beryljunction/standins/log.py
+++ b/src/beryljunction/standins/log.py
@@ -12,7 +12,7 @@
 import anyio
 import attrs
 
-from beryljunction.platform.log import (
+from beryljunction.stores.log import (
     Appended,
     AppendOutcome,
     AppendRefused,
--- /dev/null
+++ b/src/beryljunction/stores/__init__.py
@@ -0,0 +1,44 @@
+"""The platform as the fleet meets it: log, host list, weight store."""
+
+from beryljunction.stores.hosts import HostChanges, HostList, HostRow, HttpHostList
+from beryljunction.stores.log import (
+    Appended,
+    AppendOutcome,
+    AppendRefused,
+    AppendUnknown,
+    HttpLogClient,
+    LogClient,
+    LogPage,
+    LogRecord,
+    ReadFailed,
+    ReadOutcome,
+)
+from beryljunction.stores.weights import (
+    HttpWeightStore,
+    LoadBegun,
+    LoadRefused,
+    LoadUnknown,
+    WeightStore,
+)
+
+__all__ = [
+    "HostChanges",
+    "HostList",
+    "HostRow",
+    "HttpHostList",
+    "HttpWeightStore",
+    "LoadBegun",
+    "LoadRefused",
+    "LoadUnknown",
+    "WeightStore",
+    "AppendOutcome",
+    "AppendRefused",
+    "AppendUnknown",
+    "Appended",
+    "HttpLogClient",
+    "LogClient",
+    "LogPage",
+    "LogRecord",
+    "ReadFailed",
+    "ReadOutcome",
+]
--- a/src/beryljunction/systems/publishing.py
+++ b/src/beryljunction/systems/publishing.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from beryljunction.platform.log import Appended, AppendOutcome, AppendRefused
+from beryljunction.stores.log import Appended, AppendOutcome, AppendRefused
 from beryljunction.settings.changes import Accepted, Change, Refused
 from beryljunction.settings.reader import Judged
 
--- a/src/beryljunction/tables/turns.py
+++ b/src/beryljunction/tables/turns.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from beryljunction.platform.log import LogPage, LogRecord
+from beryljunction.stores.log import LogPage, LogRecord
 
 __all__ = ["Turn", "TurnQueue", "end_record", "renew_record", "take_record"]
 
--- a/testing/settings_world.py
+++ b/testing/settings_world.py
@@ -15,7 +15,7 @@
     TurnLog,
     WorkGate,
 )
-from beryljunction.platform import AppendUnknown, LogClient, ReadFailed
+from beryljunction.stores import AppendUnknown, LogClient, ReadFailed
 from beryljunction.settings import (
     CHANGES_STREAM,
     Change,
--- a/testing/test_agreement.py
+++ b/testing/test_agreement.py
@@ -7,7 +7,7 @@
 import httpcore
 import pytest
 
-from beryljunction.platform import LogClient, LogPage, LogRecord, ReadFailed
+from beryljunction.stores import LogClient, LogPage, LogRecord, ReadFailed
 from beryljunction.settings import (
     Change,
     Edit,
--- a/testing/test_fuzz_records.py
+++ b/testing/test_fuzz_records.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beryljunction.platform import LogPage, LogRecord
+from beryljunction.stores import LogPage, LogRecord
 from beryljunction.settings import SettingsReader
 
 SCALARS = st.none() | st.booleans() | st.integers(-5, 5) | st.floats() | st.text(max_size=5)
--- a/testing/test_hosts.py
+++ b/testing/test_hosts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from beryljunction.errors import PlatformUnavailableError
-from beryljunction.platform import HostRow, HttpHostList
+from beryljunction.stores import HostRow, HttpHostList
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.standins import HostListFaults, HostListModel, HostListStandIn
 
--- a/testing/test_log.py
+++ b/testing/test_log.py
@@ -1,7 +1,7 @@
 import anyio
 import pytest
 
-from beryljunction.platform import (
+from beryljunction.stores import (
     Appended,
     AppendRefused,
     AppendUnknown,
--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -20,7 +20,7 @@
 from beryljunction.errors import PlatformUnavailableError
 from beryljunction.local import DEMO_KEY, FleetPlan, StandInsFile, demo_view, write_files
 from beryljunction.node import EntryRole, HostFollower, HostView, RoleTools, SidecarRole
-from beryljunction.platform import HostChanges, HostList, HostRow
+from beryljunction.stores import HostChanges, HostList, HostRow
 from beryljunction.servers import client_pool
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, load_file
 from beryljunction.tables import EndpointState
--- a/testing/test_publish.py
+++ b/testing/test_publish.py
@@ -8,7 +8,7 @@
 import pytest
 
 from beryljunction.cli import operator
-from beryljunction.platform import Appended, AppendRefused, AppendUnknown, HostRow, LogRecord
+from beryljunction.stores import Appended, AppendRefused, AppendUnknown, HostRow, LogRecord
 from beryljunction.servers import Server, bind
 from beryljunction.settings import (
     CHANGES_STREAM,
--- a/testing/test_reader.py
+++ b/testing/test_reader.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from beryljunction.platform import LogPage, LogRecord
+from beryljunction.stores import LogPage, LogRecord
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.settings import (
     CHANGES_STREAM,
--- a/testing/test_sockets.py
+++ b/testing/test_sockets.py
@@ -14,7 +14,7 @@
 import tomli_w
 
 import beryljunction
-from beryljunction.platform import HostRow
+from beryljunction.stores import HostRow
 from beryljunction.settings import EntryFile, SidecarFile
 from beryljunction.standins import HostListStandIn
 from beryljunction.tables import Endpoint
--- a/testing/test_tree.py
+++ b/testing/test_tree.py
@@ -1,6 +1,6 @@
 import pytest
 
-from beryljunction.platform import LogRecord
+from beryljunction.stores import LogRecord
 from beryljunction.settings import (
     Accepted,
     Change,
--- a/testing/test_turns.py
+++ b/testing/test_turns.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from beryljunction.platform import LogPage, LogRecord
+from beryljunction.stores import LogPage, LogRecord
 from beryljunction.systems.rollout import Go, RolloutLimits, Stay
 from beryljunction.systems.turns import EndTurn, RenewTurn, TakeTurn, TurnSystem
 from beryljunction.tables.orders import OrderRow, Phase
