--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -191,6 +191,14 @@
             self._give_up(plan.give_up(), "retry_budget")
             return None, ""
         call.send(self._message(endpoint, again))
+        self._log(
+            "sent",
+            endpoint=endpoint.record.endpoint_id,
+            load=round(endpoint.load(time.monotonic()), 1),
+            own=endpoint.in_flight,
+            route=again.route.name,
+            left_ms=int(self._left_s() * 1000),
+        )
         head = await call.head()
         if head is None:
             endpoint.note_failure(time.monotonic())
--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -29,9 +29,11 @@
 # settings are the newest. The age of that then stays under 3.1 s, of the 4 s at which an entry says
 # that it is not ready; longer waits save few calls.
 _CONFIG_WAIT_MS = 1_500
-# Time between two reads of the endpoints' records. Each endpoint writes every 1.2 s, so a waiting
-# read would return at each record; an endpoint that leaves has to be known within 2 s.
-_ENDPOINTS_PAUSE_S = 0.8
+# Endpoints write when something changes, some at every heartbeat. A waiting read tells of a change
+# at once; where records come all the time, reads keep this distance, so that their number does not
+# grow with that of the endpoints. One that leaves has to be known within 2 s.
+_ENDPOINTS_WAIT_MS = 2_000
+_ENDPOINTS_DISTANCE_S = 0.5
 # Pause after a read that failed: short against the seconds after which settings are too old.
 _FAILED_PAUSE_S = 0.25
 
@@ -126,11 +128,11 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        await _repeat(self.step, _ENDPOINTS_PAUSE_S)
+        await _repeat(self.step, _ENDPOINTS_DISTANCE_S)
 
     async def step(self) -> bool:
         """Read once."""
-        done = await self._follower.step(0, self._take_all, self._take)
+        done = await self._follower.step(_ENDPOINTS_WAIT_MS, self._take_all, self._take)
         if not done:
             self._state.registry.store_lost()
         return done
@@ -166,7 +168,7 @@
         was_known = registry.find(record.key)
         was_draining = was_known is not None and was_known.record.is_draining
         is_same = was_known is not None and was_known.record.is_same_start(decoded)
-        registry.put(decoded, now_s)
+        registry.put(decoded)
         if not is_same or decoded.is_draining != was_draining:
             events.write(
                 "endpoint_draining" if decoded.is_draining else "endpoint_joined",
@@ -176,7 +178,10 @@
             )
 
 
-async def _repeat(step: Callable[[], Awaitable[bool]], pause_s: float) -> None:
+async def _repeat(step: Callable[[], Awaitable[bool]], distance_s: float) -> None:
+    """Step on and on, at this distance at least."""
     while True:
+        started_s = time.monotonic()
         done = await step()
-        await anyio.sleep(pause_s if done else _FAILED_PAUSE_S)
+        rest_s = started_s + distance_s - time.monotonic() if done else _FAILED_PAUSE_S
+        await anyio.sleep(max(0.0, rest_s))
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -33,7 +33,7 @@
         self.events = events
         self.config: FleetConfig | None = None
         self.lease = SettingsLease(bounds.revocation_ms / 1000, bounds.apply_ms / 1000)
-        self.registry = EndpointRegistry(host.heartbeat_ms / 1000)
+        self.registry = EndpointRegistry()
         self.random = random.Random()
         self._warm = WarmPlacement()
         self._plain = PlainPlacement(host.availability_zone, self.random)
@@ -62,11 +62,7 @@
         """Return the endpoint that is to get a request; sound ones go before doubtful ones."""
         now_s = time.monotonic()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
-        sound = [
-            row
-            for row in usable
-            if not row.is_suspect(now_s) and not self.registry.is_silent(row, now_s)
-        ]
+        sound = [row for row in usable if not row.is_suspect(now_s)]
         placement = self._warm if self._is_engine(service) else self._plain
         return placement.choose(sound or usable, demand, now_s)
 
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -13,9 +13,6 @@
 # A load that an endpoint reported says little after some requests have come and gone; over this
 # time its part that other entries caused fades out.
 _REPORT_FADES_S = 4.0
-# Beats without a new record after which an endpoint is taken to be silent; it is removed by the
-# store after three.
-_SILENT_BEATS = 2.4
 # First time that a failed endpoint is passed over, doubled with each further failure. Short, since
 # passing over a sound one costs its cached prefixes.
 _SUSPECT_S = 0.5
@@ -68,12 +65,10 @@
 
     Attributes:
         in_flight: Requests of this process that it has.
-        beat_s: When its last record was read.
         lapsed_s: When its record went away in an outage of the store; None while it is there.
     """
 
     record: EndpointRecord
-    beat_s: float
     in_flight: int = 0
     report: LoadReport | None = None
     lapsed_s: float | None = None
@@ -117,17 +112,12 @@
     when the record is read. The one exception is an outage of the store, in which records of sound
     endpoints expire: dropping those would leave callers with none, so they are kept for the time in
     which a sound endpoint writes again.
-
-    Args:
-        heartbeat_s: Time between the records of an endpoint.
     """
 
-    def __init__(self, heartbeat_s: float) -> None:
-        self._heartbeat_s = heartbeat_s
+    def __init__(self) -> None:
         self._rows: dict[str, KnownEndpoint] = {}
         self._regained_s = -math.inf
         self._is_lost = False
-        self._last_read_s = -math.inf
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -143,20 +133,18 @@
         if regained:
             self._regained_s = now_s
         self._is_lost = False
-        self._last_read_s = now_s
         return regained
 
     def find(self, endpoint_id: str) -> KnownEndpoint | None:
         """Return what is known of an endpoint."""
         return self._rows.get(endpoint_id)
 
-    def put(self, record: EndpointRecord, now_s: float) -> KnownEndpoint:
+    def put(self, record: EndpointRecord) -> KnownEndpoint:
         """Take in a record; a new start replaces what was known of the one before."""
         known = self._rows.get(record.endpoint_id)
         if known is None or not known.record.is_same_start(record):
-            known = self._rows[record.endpoint_id] = KnownEndpoint(record, now_s)
+            known = self._rows[record.endpoint_id] = KnownEndpoint(record)
         known.record = record
-        known.beat_s = now_s
         known.lapsed_s = None
         return known
 
@@ -177,7 +165,7 @@
         kept = set()
         for record in records:
             kept.add(record.endpoint_id)
-            self.put(record, now_s)
+            self.put(record)
         for endpoint_id in self._rows.keys() - kept:
             self.remove(endpoint_id, now_s)
         self.is_loaded = True
@@ -201,13 +189,3 @@
     def is_usable(self, known: KnownEndpoint) -> bool:
         """Return whether this start of the endpoint may still get requests."""
         return self._rows.get(known.record.endpoint_id) is known and not known.record.is_draining
-
-    def is_silent(self, known: KnownEndpoint, now_s: float) -> bool:
-        """Return whether it missed beats while the store was there to take them.
-
-        A silent endpoint is most likely dead or cut off; it is tried after the others.
-        """
-        limit_s = self._heartbeat_s * _SILENT_BEATS
-        if self._is_lost or now_s - self._regained_s < limit_s:
-            return False
-        return self._last_read_s - known.beat_s > limit_s
