--- a/src/beryljunction/bench/control_messages.py
+++ b/src/beryljunction/bench/control_messages.py
@@ -10,7 +10,6 @@
 from beryljunction.loads import LoadRow
 from beryljunction.node.front import FleetFront
 from beryljunction.node.traffic import CountingBackend
-from beryljunction.stores import HostRow, HttpHostList, HttpLogClient
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool, respond
 from beryljunction.settings import (
     CHANGES_STREAM,
@@ -21,6 +20,7 @@
 )
 from beryljunction.sidecar.peers import PeerExchange
 from beryljunction.standins import HostListStandIn, LogStandIn
+from beryljunction.stores import HostRow, HttpHostList, HttpLogClient
 from beryljunction.systems import LoadSystem
 from beryljunction.wire import PEERS_PATH, encode_rows
 
--- a/src/beryljunction/bench/relay_parts.py
+++ b/src/beryljunction/bench/relay_parts.py
@@ -12,7 +12,6 @@
 import httpcore
 
 from beryljunction.node import Node
-from beryljunction.stores import HostRow
 from beryljunction.servers import (
     Asgi,
     Receive,
@@ -32,6 +31,7 @@
     ServiceSettings,
     SidecarFile,
 )
+from beryljunction.stores import HostRow
 
 __all__ = ["BENCH_KEY", "MODEL"]
 
--- a/src/beryljunction/bench/settings_cost.py
+++ b/src/beryljunction/bench/settings_cost.py
@@ -8,7 +8,6 @@
 import attrs
 
 from beryljunction.node.traffic import CountingBackend
-from beryljunction.stores import HttpLogClient, LogRecord
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.settings import (
     CHANGES_STREAM,
@@ -22,6 +21,7 @@
     reads_of,
 )
 from beryljunction.standins import LogStandIn
+from beryljunction.stores import HttpLogClient, LogRecord
 
 __all__ = ["RaceShares", "SettingsCost", "measure_races", "measure_settings_cost"]
 
--- a/src/beryljunction/bench/slopes/known.py
+++ b/src/beryljunction/bench/slopes/known.py
@@ -13,9 +13,9 @@
 from beryljunction.bench.slopes.spending import Spent, Window, at_each, spend, spend_under_load
 from beryljunction.errors import InvariantError
 from beryljunction.local.demo_view import demo_view
-from beryljunction.stores import Appended, HostRow, HttpLogClient, LogClient
 from beryljunction.settings import CHANGES_STREAM, AccountSettings
 from beryljunction.settings.changes import Change, Edit
+from beryljunction.stores import Appended, HostRow, HttpLogClient, LogClient
 
 __all__ = ["accounts_known", "changes_a_second", "endpoints_known", "sidecars_of_a_service"]
 
--- a/src/beryljunction/bench/slopes/rig.py
+++ b/src/beryljunction/bench/slopes/rig.py
@@ -23,9 +23,9 @@
 from beryljunction.errors import StartError
 from beryljunction.local.demo_view import DEMO_REGION, DEMO_ZONES, leaves_of_view
 from beryljunction.local.files import StandInEndpoint, StandInsFile
-from beryljunction.stores import HostRow
 from beryljunction.servers import client_pool
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
+from beryljunction.stores import HostRow
 
 __all__ = ["Node", "Rig", "free_address", "open_rig"]
 
--- a/src/beryljunction/cli/platform_entry.py
+++ b/src/beryljunction/cli/platform_entry.py
@@ -17,7 +17,7 @@
     try:
         host = read_host_settings()
         events = Events(host.host, host.availability_zone)
-        anyio.run(EntryProcess(host, events).run)
+        anyio.run(EntryProcess(host, events).run_until_signal)
     except BerylError as error:
         print(error, file=sys.stderr)
         return 2
--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -3,6 +3,8 @@
 import abc
 import asyncio
 import collections
+import socket
+import struct
 from typing import cast
 
 import anyio
@@ -20,6 +22,8 @@
 # A connection that is closed with unread bytes is reset, and the answer is lost with it; what a
 # caller still sends is read and dropped for this long, in seconds.
 _LINGER_S = 0.5
+# Linger on, for no time: the close is a reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -113,9 +117,17 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Break the connection, so that an answer under way is visibly incomplete."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Break the connection, so that an answer under way is visibly incomplete.
+
+        Chunks lack their end then. Where the end of the connection is all that ends an answer, an
+        orderly close would make half of one look whole, so the connection is reset.
+        """
+        if self._transport is None:
+            return
+        if not self._is_chunked:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
 
     # Reading
 
@@ -126,7 +138,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(400, "expected no change of protocol")
+            pass  # Rejected at the end of its headers.
         except httptools.HttpParserError as error:
             if not self._discards:
                 self._reject(400, f"expected an HTTP/1.1 request, got {error}")
@@ -161,7 +173,10 @@
         request.is_http_10 = self._parser.get_http_version() == "1.0"
         self.begun_s = None
         length = request.value(b"content-length")
-        if length is not None and int(length) > self._handler.limits.body_bytes:
+        if self._parser.should_upgrade():
+            # The parser takes no body after such a head, so one would be lost on the way.
+            self._reject(400, "expected no change of protocol")
+        elif length is not None and int(length) > self._handler.limits.body_bytes:
             self._reject(413, f"expected at most {self._handler.limits.body_bytes} bytes")
         elif request.value(b"expect") is not None and self.is_open and self._serving is None:
             self._write(_CONTINUE)
--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -65,9 +65,8 @@
         self.writer = writer if writer is not None else LineWriter(sys.stdout.fileno())
         handler = logging.StreamHandler(self.writer)
         handler.setFormatter(key_value_formatter())
-        self._logger = logging.getLogger(f"beryljunction.entry.{id(self)}")
-        self._logger.propagate = False
-        self._logger.setLevel(logging.INFO)
+        # A logger of its own, so that entries which share a process in tests don't share lines.
+        self._logger = logging.Logger("beryljunction.entry", logging.INFO)
         self._logger.addHandler(handler)
         self._second = 0
         self._lines = 0
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -41,6 +41,17 @@
     def _render(self) -> bytes:
         return b""
 
+    def stop(self) -> None:
+        """Begin to stop; a second call changes nothing."""
+        self._stopping.set()
+
+    async def run_until_signal(self) -> None:
+        """Run until SIGTERM or SIGINT; further ones don't hurry a stop that is under way."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._take_signals)
+            await self.run()
+            group.cancel_scope.cancel()
+
     async def run(self) -> None:
         """Run until stopped.
 
@@ -56,7 +67,6 @@
             group.start_soon(FollowConfig(store, self._state).run)
             group.start_soon(FollowEndpoints(store, self._state).run)
             group.start_soon(front.sweep)
-            group.start_soon(self._take_signals)
             await self._stopping.wait()
             await self._wind_down(front, listener)
             group.cancel_scope.cancel()
@@ -88,7 +98,7 @@
                 if number == signal.SIGHUP:
                     self._reload()
                 else:
-                    self._stopping.set()
+                    self.stop()
 
     def _reload(self) -> None:
         """Read the settings file again; the last good one holds where the new one can't be used."""
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -32,7 +32,7 @@
         self.host = host
         self.events = events
         self.config: FleetConfig | None = None
-        self.lease = SettingsLease(bounds.revocation_ms / 1000, bounds.apply_ms / 1000)
+        self.lease = SettingsLease(bounds.revocation_ms / 1000)
         self.registry = EndpointRegistry()
         self.random = random.Random()
         self._warm = WarmPlacement()
--- a/src/beryljunction/local/demo_view.py
+++ b/src/beryljunction/local/demo_view.py
@@ -7,9 +7,9 @@
 import attrs
 
 from beryljunction.errors import SettingsError
-from beryljunction.stores import LogClient
 from beryljunction.settings import AccountSettings, Edit, FleetView, ServiceSettings
 from beryljunction.settings.operating import Invalid, OperatorSession
+from beryljunction.stores import LogClient
 
 __all__ = [
     "DEMO_KEY",
--- a/src/beryljunction/local/files.py
+++ b/src/beryljunction/local/files.py
@@ -15,9 +15,9 @@
     demo_view,
     leaves_of_view,
 )
-from beryljunction.stores import HostRow
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile
 from beryljunction.settings.schema import OperatorFile
+from beryljunction.stores import HostRow
 
 __all__ = ["FleetPlan", "StandInEndpoint", "StandInsFile", "write_files"]
 
--- a/src/beryljunction/local/fleet.py
+++ b/src/beryljunction/local/fleet.py
@@ -17,7 +17,6 @@
 )
 from beryljunction.local.standins import start_endpoint
 from beryljunction.node import Node
-from beryljunction.stores import HostRow
 from beryljunction.servers import Asgi, Server, bind
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, TlsSettings
 from beryljunction.standins import (
@@ -28,6 +27,7 @@
     ModelLogClient,
     PlainStandIn,
 )
+from beryljunction.stores import HostRow
 
 __all__ = ["LocalEndpoint", "LocalFleet"]
 
--- a/src/beryljunction/logs.py
+++ b/src/beryljunction/logs.py
@@ -38,7 +38,7 @@
 def key_value_formatter() -> logging.Formatter:
     """Return a formatter that writes one line of key=value pairs."""
     return _Formatter(
-        "%(asctime)s %(levelname)s %(message)s",
+        "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
         json_serializer=_key_value,
     )
--- a/src/beryljunction/node/entry_role.py
+++ b/src/beryljunction/node/entry_role.py
@@ -8,8 +8,8 @@
 
 from beryljunction.entry import EntryApp
 from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
-from beryljunction.stores import HostRow
 from beryljunction.settings import EntryFile, FleetView
+from beryljunction.stores import HostRow
 from beryljunction.systems import ListedEndpoint
 from beryljunction.tables import EndpointTable
 
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -22,7 +22,6 @@
 from beryljunction.node.sidecar_role import SidecarRole
 from beryljunction.node.traffic import CountingBackend
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.stores import HttpHostList, HttpLogClient
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool
 from beryljunction.settings import (
     SETTINGS_PATH,
@@ -38,6 +37,7 @@
     answer_settings,
 )
 from beryljunction.stops import SETTLE_S, GracefulStop
+from beryljunction.stores import HttpHostList, HttpLogClient
 from beryljunction.tls import TlsContexts
 
 __all__ = ["Node"]
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -8,10 +8,10 @@
 import attrs
 import httpcore
 
-from beryljunction.stores import HostRow, LogClient
 from beryljunction.servers import Asgi
 from beryljunction.settings import FleetView, ProcessSettings
 from beryljunction.stops import Stoppable
+from beryljunction.stores import HostRow, LogClient
 from beryljunction.timeline import Timeline
 
 __all__ = ["LEAVING", "NodeRole", "NodeStatus", "RoleTools"]
--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -15,11 +15,11 @@
     answer_orders,
 )
 from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
-from beryljunction.stores import HostRow
 from beryljunction.servers import Receive, Scope, Send, client_pool
 from beryljunction.settings import FleetView, ServiceSettings, SidecarFile
 from beryljunction.sidecar import SidecarApp
 from beryljunction.sidecar.peers import PeerExchange
+from beryljunction.stores import HostRow
 from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.wire import PEERS_PATH
 
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -31,8 +31,6 @@
     """
 
     revocation_ms: int = 5_000
-    apply_ms: int = 2_000
-    drain_ms: int = 2_000
     grace_s: float = 8.0
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
@@ -107,8 +105,6 @@
     def _bounds(self) -> HostBounds:
         names = {
             "revocation_ms": "revocation-ms",
-            "apply_ms": "configuration-apply-ms",
-            "drain_ms": "drain-ms",
             "grace_s": "grace-period-s",
             "repeat_ratio": "retry-budget-ratio",
             "repeat_window_s": "retry-window-s",
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -41,7 +41,7 @@
     Any record that lacks a field may be another writer's, so it names no endpoint.
     """
     try:
-        fields = _table(json.loads(value), "record")
+        fields = _table(_json(value), "record")
         state = _text(fields, "state")
         if state not in ("ready", "draining"):
             raise _FieldError(f"state: expected ready or draining, got {state!r}")
@@ -58,14 +58,14 @@
             is_draining=state == "draining",
             slow_ms=_whole(fields, "cold-remaining-ms", 0, default=0),
         )
-    except ValueError as error:
+    except _FieldError as error:
         return Unusable(f"{endpoint_id}: {error}")
 
 
 def decode_config(value: bytes) -> FleetConfig | Unusable:
     """Return the settings of the whole fleet."""
     try:
-        fields = _table(json.loads(value), "configuration")
+        fields = _table(_json(value), "configuration")
         routes = [_route(row) for row in _rows(fields, "routes")]
         services = [_service(row) for row in _rows(fields, "services")]
         return FleetConfig(
@@ -75,7 +75,7 @@
             limits=_limits(fields.get("limits")),
             accounts=_accounts(fields),
         )
-    except ValueError as error:
+    except _FieldError as error:
         return Unusable(str(error))
 
 
@@ -157,6 +157,13 @@
     return accounts
 
 
+def _json(value: bytes) -> Any:
+    try:
+        return json.loads(value)
+    except (ValueError, RecursionError) as error:
+        raise _FieldError(f"expected JSON, got {error}") from error
+
+
 def _table(value: Any, place: str) -> Mapping[str, Any]:
     if isinstance(value, dict):
         return value
--- a/src/beryljunction/routing/lease.py
+++ b/src/beryljunction/routing/lease.py
@@ -22,11 +22,9 @@
 
     Attributes:
         revocation_s: Longest time that a key may be honoured after it was taken away.
-        apply_s: Time within which settings are to be in force everywhere.
     """
 
     revocation_s: float
-    apply_s: float
     _confirmed_s: float | None = None
 
     def confirm(self, asked_s: float) -> None:
@@ -45,9 +43,11 @@
     def allows_denial(self, now_s: float) -> bool:
         """Return whether an unknown route or key may be called unknown.
 
-        Older settings may lack what was added since; then the truth is "not known here".
+        A process that is in touch hears of changes at once, however old its last confirmation; one
+        that is not ready has lost touch, and its settings may lack what was added since. Then the
+        truth is "not known here".
         """
-        return self.age_s(now_s) < self.apply_s + _MARGIN_S
+        return self.is_ready(now_s)
 
     def is_ready(self, now_s: float) -> bool:
         """Return whether new callers are welcome."""
--- a/src/beryljunction/settings/following.py
+++ b/src/beryljunction/settings/following.py
@@ -10,10 +10,10 @@
 import anyio.abc
 import attrs
 
-from beryljunction.stores.log import AppendRefused, LogClient, ReadFailed
 from beryljunction.settings.changes import CHANGES_STREAM, SNAPSHOTS_STREAM
 from beryljunction.settings.reader import SettingsReader
 from beryljunction.settings.schema import FleetView
+from beryljunction.stores.log import AppendRefused, LogClient, ReadFailed
 from beryljunction.systems.snapshots import SnapshotSchedule
 
 __all__ = ["FollowSettings", "NoPeers", "PeerSource", "SettingsFollower"]
--- a/src/beryljunction/settings/operating.py
+++ b/src/beryljunction/settings/operating.py
@@ -10,7 +10,6 @@
 import anyio
 import attrs
 
-from beryljunction.stores.log import LogClient, ReadFailed
 from beryljunction.settings.changes import (
     CHANGES_STREAM,
     SNAPSHOTS_STREAM,
@@ -21,6 +20,7 @@
 from beryljunction.settings.paths import Path, Scope, parse_path, parse_scope
 from beryljunction.settings.reader import Judged, SettingsReader
 from beryljunction.settings.validating import problems_of, reads_of
+from beryljunction.stores.log import LogClient, ReadFailed
 from beryljunction.systems.publishing import (
     AppendNow,
     PublishAnswer,
--- a/src/beryljunction/settings/reader.py
+++ b/src/beryljunction/settings/reader.py
@@ -8,11 +8,11 @@
 
 import attrs
 
-from beryljunction.stores.log import LogPage
 from beryljunction.settings.changes import Accepted, Change, Skipped, Verdict
 from beryljunction.settings.resolving import resolve
 from beryljunction.settings.schema import FleetView
 from beryljunction.settings.tree import SettingsTree
+from beryljunction.stores.log import LogPage
 
 __all__ = ["Alarms", "Judged", "SettingsReader"]
 
--- a/src/beryljunction/settings/tree.py
+++ b/src/beryljunction/settings/tree.py
@@ -12,7 +12,6 @@
 import attrs
 import xxhash
 
-from beryljunction.stores.log import LogRecord
 from beryljunction.settings.changes import (
     Accepted,
     Change,
@@ -23,6 +22,7 @@
     Verdict,
 )
 from beryljunction.settings.paths import Path, Scope, parse_path, parse_scope
+from beryljunction.stores.log import LogRecord
 
 __all__ = ["Leaf", "SettingsTree"]
 
--- a/src/beryljunction/sidecar/app.py
+++ b/src/beryljunction/sidecar/app.py
@@ -12,7 +12,6 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.stores import HttpLogClient
 from beryljunction.servers import Receive, Scope, Send, client_pool, read_body
 from beryljunction.settings import FleetView, SidecarFile
 from beryljunction.sidecar.calls import Call, Handler
@@ -24,6 +23,7 @@
 from beryljunction.sidecar.readers import Place, serve_reader
 from beryljunction.sidecar.writers import Writer
 from beryljunction.stops import Stoppable
+from beryljunction.stores import HttpLogClient
 from beryljunction.systems import HandoverLimits, HandoverSystem
 from beryljunction.tables import Answer, EndpointTable
 from beryljunction.timeline import HLC_HEADER, Timeline
--- a/src/beryljunction/standins/__init__.py
+++ b/src/beryljunction/standins/__init__.py
@@ -7,6 +7,11 @@
 from beryljunction.standins.model import CacheChange, EngineModel
 from beryljunction.standins.orders import EngineOrdersModel, answer_engine_orders
 from beryljunction.standins.plain import PlainStandIn
+from beryljunction.standins.platform_store import (
+    PlatformStoreFaults,
+    PlatformStoreModel,
+    PlatformStoreStandIn,
+)
 from beryljunction.standins.weights import WeightStandIn, WeightStoreModel
 
 __all__ = [
@@ -23,6 +28,9 @@
     "LogStandIn",
     "ModelLogClient",
     "PlainStandIn",
+    "PlatformStoreFaults",
+    "PlatformStoreModel",
+    "PlatformStoreStandIn",
     "WeightStandIn",
     "WeightStoreModel",
     "answer_engine_orders",
--- a/src/beryljunction/standins/hosts.py
+++ b/src/beryljunction/standins/hosts.py
@@ -8,9 +8,9 @@
 import anyio
 import attrs
 
-from beryljunction.stores.hosts import HOSTS_PATH, HostChanges, HostRow
 from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 from beryljunction.standins.faults import HostListFaults
+from beryljunction.stores.hosts import HOSTS_PATH, HostChanges, HostRow
 from beryljunction.wire import decode, encode
 
 __all__ = ["HostListModel", "HostListStandIn"]
--- a/src/beryljunction/standins/log.py
+++ b/src/beryljunction/standins/log.py
@@ -12,6 +12,7 @@
 import anyio
 import attrs
 
+from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 from beryljunction.stores.log import (
     Appended,
     AppendOutcome,
@@ -23,7 +24,6 @@
     ReadFailed,
     ReadOutcome,
 )
-from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 
 __all__ = ["LogModel", "LogModelSettings", "LogStandIn", "ModelLogClient"]
 
--- /dev/null
+++ b/src/beryljunction/standins/platform_store.py
@@ -0,0 +1,228 @@
+"""A small store of the users' platform: topics with offsets, newest records of keys, faults."""
+
+import base64
+import collections
+import json
+import random
+import struct
+import time
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import anyio
+import attrs
+
+from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
+
+__all__ = ["PlatformStoreFaults", "PlatformStoreModel", "PlatformStoreStandIn"]
+
+_PAGE_ITEMS = 500
+_BODY_BYTES = 4_194_304
+_POLL_S = 0.005
+_KEYED_PREFIX = "keyed."
+
+
+@attrs.define
+class PlatformStoreFaults:
+    """What the store does wrong, switched while it runs.
+
+    Attributes:
+        busy: Every call is answered 503.
+        silent: Calls get no answer, and nothing is done.
+        lost_ratio: Share of calls that are done and whose answer never comes.
+        late_s: Time after which a lost append takes effect.
+        refused_hosts: Addresses whose calls are answered 429 while others are served.
+    """
+
+    busy: bool = False
+    silent: bool = False
+    lost_ratio: float = 0.0
+    late_s: float = 0.0
+    refused_hosts: frozenset[str] = frozenset()
+    seed: int = 0
+
+
+@attrs.define
+class _Part:
+    records: collections.deque[tuple[float, bytes]] = attrs.field(factory=collections.deque)
+    first: int = 0
+    newest: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+@attrs.frozen
+class Gone:
+    """The asked offset has expired; `first` is the oldest that is kept."""
+
+    first: int
+
+
+@attrs.frozen
+class Slice:
+    """Records from an offset on."""
+
+    records: tuple[bytes, ...]
+    end: int
+    first: int
+
+
+class PlatformStoreModel:
+    """The store without sockets or a clock: the time is handed in.
+
+    Args:
+        retention_s: Age at which a record expires; the newest of each key stays.
+    """
+
+    def __init__(self, retention_s: float = 20.0) -> None:
+        self._retention_s = retention_s
+        self._parts: dict[tuple[str, int], _Part] = {}
+
+    def append(
+        self, topic: str, records: list[bytes], now_s: float, part: int = 0, at: int | None = None
+    ) -> int | None:
+        """Append all records or none; return the offset of the first, None where `at` is wrong."""
+        row = self._part(topic, part, now_s)
+        if at is not None and at != row.end:
+            return None
+        offset = row.end
+        for record in records:
+            if topic.startswith(_KEYED_PREFIX):
+                self._keep(row, record)
+            row.records.append((now_s, record))
+        return offset
+
+    def put(self, topic: str, key: str, value: bytes | None, now_s: float) -> None:
+        """Append the record of a key; None removes the key."""
+        name = key.encode()
+        self.append(topic, [bytes([len(name)]) + name + (value or b"")], now_s)
+
+    def read(self, topic: str, offset: int, now_s: float, part: int = 0) -> Slice | Gone:
+        """Return the records from an offset on."""
+        row = self._part(topic, part, now_s)
+        if offset < row.first:
+            return Gone(row.first)
+        records = tuple(data for _, data in list(row.records)[offset - row.first :])
+        return Slice(records, row.end, row.first)
+
+    def newest(
+        self, topic: str, after: str, now_s: float, part: int = 0
+    ) -> tuple[list[tuple[str, int, bytes]], bool, int]:
+        """Return a page of the newest records of keys, whether there are more, and the end."""
+        row = self._part(topic, part, now_s)
+        keys = sorted(key for key in row.newest if key > after)
+        page = [(key, *row.newest[key]) for key in keys[:_PAGE_ITEMS]]
+        return page, len(keys) > _PAGE_ITEMS, row.end
+
+    def compact(self, topic: str, part: int = 0) -> None:
+        """Drop the history; the newest of each key stays."""
+        row = self._parts.get((topic, part))
+        if row is not None:
+            row.first = row.end
+            row.records.clear()
+
+    def _part(self, topic: str, part: int, now_s: float) -> _Part:
+        row = self._parts.setdefault((topic, part), _Part())
+        while row.records and row.records[0][0] + self._retention_s < now_s:
+            row.records.popleft()
+            row.first += 1
+        return row
+
+    def _keep(self, row: _Part, record: bytes) -> None:
+        key_end = 1 + record[0]
+        key, value = record[1:key_end].decode(), record[key_end:]
+        if value:
+            row.newest[key] = (row.end, value)
+        else:
+            row.newest.pop(key, None)
+
+
+class PlatformStoreStandIn:
+    """ASGI application that serves a model, faults included.
+
+    Attributes:
+        calls: Calls so far by path.
+    """
+
+    def __init__(
+        self,
+        model: PlatformStoreModel | None = None,
+        now_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.model = model if model is not None else PlatformStoreModel()
+        self.faults = PlatformStoreFaults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._now_s = now_s
+        self._random = random.Random(self.faults.seed)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        body = await read_body(receive, _BODY_BYTES)
+        path = scope["path"].rpartition("/")[2]
+        self.calls[path] += 1
+        query = {key: row[0] for key, row in parse_qs(scope["query_string"].decode()).items()}
+        if self.faults.silent:
+            await wait_disconnect(receive, anyio.CancelScope())
+            return
+        client = (scope.get("client") or ("",))[0]
+        if self.faults.busy or client in self.faults.refused_hosts:
+            await respond(send, 503 if self.faults.busy else 429, b"{}")
+            return
+        is_lost = self._random.random() < self.faults.lost_ratio
+        async with anyio.create_task_group() as group:
+            group.start_soon(wait_disconnect, receive, group.cancel_scope)
+            status, answer = await self._answer(path, query, body or b"")
+            if is_lost:
+                await anyio.sleep_forever()
+            await respond(send, status, answer)
+            group.cancel_scope.cancel()
+
+    async def _answer(self, path: str, query: dict[str, str], body: bytes) -> tuple[int, bytes]:
+        if path == "log-read":
+            return await self._read(query)
+        if path == "log-newest":
+            return self._newest(query)
+        if path == "log-append":
+            return self._append(query, body)
+        return 404, b"{}"
+
+    async def _read(self, query: dict[str, str]) -> tuple[int, bytes]:
+        topic, offset = query["topic"], int(query["from"])
+        end_s = self._now_s() + int(query.get("wait-ms", 0)) / 1000
+        while True:
+            now_s = self._now_s()
+            page = self.model.read(topic, offset, now_s, int(query["part"]))
+            if isinstance(page, Gone):
+                return 410, json.dumps({"first": page.first}).encode()
+            if page.records or now_s >= end_s:
+                data = b"".join(struct.pack(">I", len(row)) + row for row in page.records)
+                return 200, struct.pack(">QQ", page.end, page.first) + data
+            await anyio.sleep(_POLL_S)
+
+    def _newest(self, query: dict[str, str]) -> tuple[int, bytes]:
+        after = query.get("after", "")
+        rows, has_more, end = self.model.newest(
+            query["topic"], after, self._now_s(), int(query["part"])
+        )
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, offset, value in rows
+        ]
+        return 200, json.dumps({"items": items, "has-more": has_more, "end": end}).encode()
+
+    def _append(self, query: dict[str, str], body: bytes) -> tuple[int, bytes]:
+        records: list[bytes] = []
+        position = 0
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            records.append(body[position + 4 : position + 4 + length])
+            position += 4 + length
+        at = int(query["at"]) if "at" in query else None
+        part = int(query["part"])
+        offset = self.model.append(query["topic"], records, self._now_s(), part, at)
+        if offset is None:
+            end = self.model.read(query["topic"], 0, self._now_s(), part)
+            return 412, json.dumps({"end": getattr(end, "end", 0)}).encode()
+        return 200, json.dumps({"offset": offset, "end": offset + len(records)}).encode()
--- a/src/beryljunction/systems/publishing.py
+++ b/src/beryljunction/systems/publishing.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from beryljunction.stores.log import Appended, AppendOutcome, AppendRefused
 from beryljunction.settings.changes import Accepted, Change, Refused
 from beryljunction.settings.reader import Judged
+from beryljunction.stores.log import Appended, AppendOutcome, AppendRefused
 
 __all__ = [
     "AppendNow",
--- /dev/null
+++ b/testing/platform_world.py
@@ -0,0 +1,301 @@
+"""An entry on loopback with the store's stand-in and endpoints that do as a test says."""
+
+import asyncio
+import contextlib
+import json
+import re
+import socket
+import struct
+import time
+
+import anyio
+
+from beryljunction.gateway.events import Events
+from beryljunction.gateway.process import EntryProcess
+from beryljunction.platform import HostBounds, HostSettings
+from beryljunction.servers import Server, bind
+from beryljunction.standins import PlatformStoreStandIn
+
+__all__ = ["Answer", "Lines", "ScriptedEndpoint", "World", "event", "open_world", "reset", "route"]
+
+SIGNATURE = "x-server-signature: signed"
+
+
+class Lines:
+    """Collects log lines in place of standard output."""
+
+    def __init__(self):
+        self.lines = []
+        self.dropped = 0
+
+    def write(self, text):
+        self.lines.append(text.strip())
+
+    def flush(self):
+        pass
+
+    def of(self, name):
+        return [line for line in self.lines if f"event={name} " in line + " "]
+
+
+def route(prefix="/pay/", service="plain", kind="non_idempotent", **fields):
+    values = {
+        "name": f"r{prefix}",
+        "host": "shop.example",
+        "path-prefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeout-ms": 1_500,
+        "target-latency-ms": 200,
+        "max-attempts": 1,
+        "priority": 1,
+        "allow-anonymous": False,
+        "sticky-sessions": False,
+        "resume-streams": False,
+    }
+    values.update(fields)
+    return values
+
+
+def reset(writer):
+    """Reset a connection; closing alone would end it in an orderly way."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def event(number):
+    return f"id: {number}\ndata: piece{number}\n\n".encode()
+
+
+class Answer:
+    """Builds the bytes of an endpoint's answer to a request."""
+
+    def __init__(self, head, request_id):
+        self.head = head
+        self.request_id = request_id
+
+    def whole(self, status="200 OK", body=b"done", extra=()):
+        lines = [f"HTTP/1.1 {status}", f"x-request-id: {self.request_id}", SIGNATURE, *extra]
+        lines.append(f"content-length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def declined(self, status="503 Service Unavailable"):
+        return self.whole(status, b"", ["x-not-executed: 1"])
+
+    def stream_head(self, chunked=True):
+        lines = ["HTTP/1.1 200 OK", f"x-request-id: {self.request_id}", SIGNATURE]
+        lines.append("content-type: text/event-stream")
+        if chunked:
+            lines.append("transfer-encoding: chunked")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    @staticmethod
+    def chunk(data):
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class ScriptedEndpoint:
+    """A raw server; `script(answer, writer, number)` says what it does with its n-th request."""
+
+    def __init__(self, name, service, script=None):
+        self.name = name
+        self.service = service
+        self.script = script
+        self.requests = []
+        self.ended = []
+        self.port = 0
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            length = re.search(r"content-length: (\d+)", head)
+            body = await reader.readexactly(int(length[1])) if length else b""
+            number = len(self.requests)
+            self.requests.append((head, body))
+            found = re.search(r"x-request-id: (\S+)", head)
+            answer = Answer(head, found[1] if found else "")
+            watch = asyncio.ensure_future(self._watch(reader, number))
+            if self.script is None:
+                writer.write(answer.whole())
+            else:
+                await self.script(answer, writer, number)
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+            writer.close()
+            watch.cancel()
+
+    async def _watch(self, reader, number):
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        self.ended.append((number, time.monotonic()))
+
+    def record(self, **fields):
+        values = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence-number": 1,
+            "born": 1,
+        }
+        values.update(fields)
+        return json.dumps(values).encode()
+
+
+class World:
+    """Everything around one entry."""
+
+    def __init__(self, group, bounds):
+        self.group = group
+        self.bounds = bounds
+        self.store = PlatformStoreStandIn()
+        self.lines = Lines()
+        self.version = 0
+        self.endpoints = {}
+        self.entry = None
+        self.host = None
+
+    async def start_store(self):
+        server = Server(self.store, bind("127.0.0.1:0"))
+        await self.group.start(server.run_until_stopped)
+        self.store_address = ("127.0.0.1", int(server.address.rpartition(":")[2]))
+
+    def configure(self, *routes, tenants=None, **fields):
+        self.version += 3
+        names = {row["service"] for row in routes}
+        services = [
+            {"name": name, "connection-limit": 90, **({"engine": {}} if name == "engine" else {})}
+            for name in sorted(names)
+        ]
+        if tenants is None:
+            tenants = [{"name": "acme", "api-keys": ["key"]}]
+        limits = {
+            "max-header-bytes": 4096,
+            "max-body-bytes": 100_000,
+            "header-timeout-ms": 500,
+            "idle-timeout-ms": 3_000,
+        }
+        config = {"version": self.version, "routes": list(routes), "services": services}
+        config.update({"limits": limits, "tenants": tenants, **fields})
+        self.put("keyed.op", "config", json.dumps(config).encode())
+
+    def put(self, topic, key, value):
+        self.store.model.put(topic, key, value, time.monotonic())
+
+    async def add_endpoint(self, name, service="plain", script=None):
+        endpoint = ScriptedEndpoint(name, service, script)
+        server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+        endpoint.server = server
+        endpoint.port = server.sockets[0].getsockname()[1]
+        self.endpoints[name] = endpoint
+        self.put("keyed.servers", name, endpoint.record())
+        return endpoint
+
+    async def start_entry(self):
+        ports = [_free_port() for _ in range(2)]
+        self.host = HostSettings(
+            host="entry-1",
+            availability_zone="a",
+            region="r",
+            callers=("127.0.0.1", ports[0]),
+            probes=("127.0.0.1", ports[1]),
+            store=self.store_address,
+            heartbeat_ms=1_200,
+            descriptors=1_024,
+            bounds=self.bounds,
+        )
+        self.entry = EntryProcess(self.host, Events("entry-1", "a", self.lines))
+        self.group.start_soon(self.entry.run)
+        await self.until(self.is_ready)
+
+    async def is_ready(self):
+        with contextlib.suppress(OSError):
+            return (await self.send_to(self.host.probes, b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
+        return False
+
+    @staticmethod
+    async def until(check, limit_s=10.0):
+        with anyio.fail_after(limit_s):
+            while not await check():
+                await anyio.sleep(0.02)
+
+    async def known(self, count):
+        """Wait until the entry has read of this many endpoints."""
+
+        async def check():
+            return len(self.entry._state.registry) == count
+
+        await self.until(check)
+
+    async def connect(self):
+        return await asyncio.open_connection(*self.host.callers)
+
+    @staticmethod
+    def message(path="/pay/1", body=b"", method="POST", request_id="q1", headers=()):
+        lines = [f"{method} {path} HTTP/1.1", "Host: shop.example", f"X-Request-Id: {request_id}"]
+        lines += ["X-Credential: key", "X-Deadline-Ms: 2000", *headers]
+        if method != "GET":
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    async def ask(self, **fields):
+        """Send one request on a connection of its own; return status, head, body, whole."""
+        return await self.send_to(self.host.callers, self.message(**fields))
+
+    @staticmethod
+    async def send_to(address, data):
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            writer.write(data)
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+async def read_answer(reader):
+    """Return status, head, body, and whether the framing says that it is complete."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return 0, "", b"", False
+    status = int(head.split()[1])
+    length = re.search(r"content-length: (\d+)", head)
+    if length:
+        return status, head, await reader.readexactly(int(length[1])), True
+    body = b""
+    while True:
+        try:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            data = await reader.readexactly(size + 2)
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            return status, head, body, False
+        if size == 0:
+            return status, head, body, True
+        body += data[:-2]
+
+
+def _free_port():
+    listener = bind("127.0.0.1:0")
+    port = listener.getsockname()[1]
+    listener.close()
+    return port
+
+
+@contextlib.asynccontextmanager
+async def open_world(*routes, bounds=None, start=True):
+    """Open a world with a configuration and, unless told otherwise, a ready entry."""
+    async with anyio.create_task_group() as group:
+        world = World(group, bounds or HostBounds())
+        await world.start_store()
+        if routes:
+            world.configure(*routes)
+        if start:
+            await world.start_entry()
+        try:
+            yield world
+        finally:
+            group.cancel_scope.cancel()
--- a/testing/settings_world.py
+++ b/testing/settings_world.py
@@ -15,7 +15,6 @@
     TurnLog,
     WorkGate,
 )
-from beryljunction.stores import AppendUnknown, LogClient, ReadFailed
 from beryljunction.settings import (
     CHANGES_STREAM,
     Change,
@@ -29,6 +28,7 @@
 )
 from beryljunction.settings.operating import Invalid, OperatorSession
 from beryljunction.standins import EngineOrdersModel, LogModel, LogModelSettings, WeightStoreModel
+from beryljunction.stores import AppendUnknown, LogClient, ReadFailed
 from beryljunction.systems.publishing import InForce, Lost, NotPublished
 from beryljunction.systems.rotation import PeerRotation
 from beryljunction.tables.orders import Wanted
--- a/testing/test_agreement.py
+++ b/testing/test_agreement.py
@@ -7,7 +7,6 @@
 import httpcore
 import pytest
 
-from beryljunction.stores import LogClient, LogPage, LogRecord, ReadFailed
 from beryljunction.settings import (
     Change,
     Edit,
@@ -15,6 +14,7 @@
     SettingsFollower,
     SettingsReader,
 )
+from beryljunction.stores import LogClient, LogPage, LogRecord, ReadFailed
 from beryljunction.systems.rotation import PeerRotation
 from virtual_time import Scheduler, sleep
 
--- /dev/null
+++ b/testing/test_following.py
@@ -0,0 +1,187 @@
+import anyio
+import pytest
+
+from beryljunction.platform import HostBounds
+from platform_world import open_world, route
+
+FAST = HostBounds(revocation_ms=3_000)
+
+
+class TestSettings:
+    def test_change_is_in_force_at_once(self):
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                before = (await world.ask(path="/new/"))[0]
+                world.configure(route(), route("/new/"))
+                await anyio.sleep(0.2)
+                return before, (await world.ask(path="/new/"))[0]
+
+        assert anyio.run(run) == (404, 200)
+
+    @pytest.mark.parametrize(
+        "value", [b"\xff\x00", b"[]", b'{"version": 9}', b'{"version": "x", "routes": []}']
+    )
+    def test_settings_that_cannot_be_used_leave_the_last_good_ones_in_force(self, value):
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                world.put("keyed.op", "config", value)
+                await anyio.sleep(0.2)
+                return (await world.ask())[0], world.lines.of("settings_refused")
+
+        status, lines = anyio.run(run)
+
+        assert status == 200
+        assert len(lines) == 1
+        assert "expected" in lines[0]
+
+    def test_nothing_older_is_ever_applied(self):
+        """The store's history is rewound, and an older version is the newest record for a while.
+
+        A process that followed it would answer 404 for a route that it has served.
+        """
+
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                record = world.store.model.newest("keyed.op", "", 0.0)[0][0][2]
+                world.configure(route(), route("/new/"))
+                await anyio.sleep(0.2)
+                world.put("keyed.op", "config", record)
+                await anyio.sleep(0.2)
+                return (await world.ask(path="/new/"))[0]
+
+        assert anyio.run(run) == 200
+
+    def test_expired_history_is_read_again_from_the_newest_records(self):
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                world.store.faults.busy = True
+                await anyio.sleep(0.3)
+                world.configure(route(), route("/new/"))
+                await world.add_endpoint("e2")
+                world.put("keyed.servers", "e1", None)
+                for topic in ("keyed.op", "keyed.servers"):
+                    world.store.model.compact(topic)
+                world.store.faults.busy = False
+                await anyio.sleep(1.0)
+                return (await world.ask(path="/new/"))[0], world.lines.of("history_expired")
+
+        status, lines = anyio.run(run)
+
+        assert status == 200
+        assert lines
+
+
+class TestKeys:
+    def test_key_taken_away_is_refused(self):
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                world.configure(route(), tenants=[{"name": "acme", "api-keys": ["other"]}])
+                await anyio.sleep(0.2)
+                return (await world.ask())[0]
+
+        assert anyio.run(run) == 401
+
+    @pytest.mark.parametrize("fault", ["busy", "silent"])
+    def test_cut_off_host_stops_honouring_keys(self, fault):
+        """The store turns this host away, and a key is taken away meanwhile.
+
+        The caller is served for a while, then refused as not run. Not ready comes before that.
+        Nothing reaches an endpoint later than the bound. After the return the key is denied.
+        """
+
+        async def run():
+            async with open_world(route(), bounds=FAST) as world:
+                one = await world.add_endpoint("e1")
+                await world.known(1)
+                setattr(world.store.faults, fault, True)
+                begun_s = anyio.current_time()
+                world.configure(route(), tenants=[{"name": "acme", "api-keys": ["other"]}])
+                first = (await world.ask())[0]
+                await anyio.sleep_until(begun_s + 3.0)
+                sends = len(one.requests)
+                cut_off = (await world.ask(request_id="q2"))[0]
+                ready = await world.is_ready()
+                setattr(world.store.faults, fault, False)
+                await world.until(world.is_ready, 5.0)
+                back = (await world.ask(request_id="q3"))[0]
+                return first, cut_off, ready, back, len(one.requests) - sends
+
+        assert anyio.run(run) == (200, 503, False, 401, 0)
+
+    def test_route_without_keys_goes_on_through_an_outage(self):
+        async def run():
+            free = route(**{"allow-anonymous": True})
+            async with open_world(free, bounds=FAST) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                world.store.faults.busy = True
+                await anyio.sleep(3.2)
+                data = world.message().replace(b"X-Credential: key\r\n", b"")
+                return (await world.send_to(world.host.callers, data))[0]
+
+        assert anyio.run(run) == 200
+
+
+class TestEndpoints:
+    def test_draining_endpoint_gets_nothing_more(self):
+        async def run():
+            async with open_world(route()) as world:
+                one = await world.add_endpoint("e1")
+                await world.add_endpoint("e2")
+                await world.known(2)
+                world.put("keyed.servers", "e1", one.record(state="draining"))
+                await anyio.sleep(0.6)
+                statuses = [(await world.ask(request_id=f"q{n}"))[0] for n in range(8)]
+                return statuses, len(one.requests)
+
+        assert anyio.run(run) == ([200] * 8, 0)
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"\xfe\xed",
+            b"{}",
+            b'{"service": "plain", "address": 7, "zone": "a", "slots": 4, "state": "ready"}',
+            b'{"service":"plain","address":"127.0.0.1:9","zone":"a","slots":4,"state":"lost"}',
+            b'{"service":["plain"],"address":"127.0.0.1:9","zone":"a","slots":4,"state":"ready"}',
+        ],
+    )
+    def test_record_of_another_writer_names_no_endpoint_and_harms_no_other(self, value):
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                world.put("keyed.servers", "x1", value)
+                await world.add_endpoint("e2")
+                await world.known(2)
+                return (await world.ask())[0], world.lines.of("endpoint_refused")
+
+        status, lines = anyio.run(run)
+
+        assert status == 200
+        assert len(lines) == 1
+
+    def test_reads_do_not_grow_with_the_records(self):
+        """Endpoints may write at every heartbeat. Each read of the store is paid for."""
+
+        async def run():
+            async with open_world(route()) as world:
+                one = await world.add_endpoint("e1")
+                await world.known(1)
+                before = world.store.calls["log-read"]
+                for _ in range(60):
+                    world.put("keyed.servers", "e1", one.record())
+                    await anyio.sleep(0.05)
+                return world.store.calls["log-read"] - before
+
+        assert anyio.run(run) < 14
--- a/testing/test_fuzz_records.py
+++ b/testing/test_fuzz_records.py
@@ -3,8 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beryljunction.stores import LogPage, LogRecord
 from beryljunction.settings import SettingsReader
+from beryljunction.stores import LogPage, LogRecord
 
 SCALARS = st.none() | st.booleans() | st.integers(-5, 5) | st.floats() | st.text(max_size=5)
 JSON = st.recursive(
--- a/testing/test_hosts.py
+++ b/testing/test_hosts.py
@@ -3,9 +3,9 @@
 import pytest
 
 from beryljunction.errors import PlatformUnavailableError
-from beryljunction.stores import HostRow, HttpHostList
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.standins import HostListFaults, HostListModel, HostListStandIn
+from beryljunction.stores import HostRow, HttpHostList
 
 ROW = HostRow("host-a", "drafter-0", "drafter", "ahd-a", "gj-west", "127.0.0.1:1")
 
--- a/testing/test_log.py
+++ b/testing/test_log.py
@@ -1,6 +1,8 @@
 import anyio
 import pytest
 
+from beryljunction.servers import Server, bind, client_pool
+from beryljunction.standins import LogModel, LogModelSettings, LogStandIn
 from beryljunction.stores import (
     Appended,
     AppendRefused,
@@ -8,8 +10,6 @@
     HttpLogClient,
     ReadFailed,
 )
-from beryljunction.servers import Server, bind, client_pool
-from beryljunction.standins import LogModel, LogModelSettings, LogStandIn
 
 
 class TestLogModel:
--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -20,9 +20,9 @@
 from beryljunction.errors import PlatformUnavailableError
 from beryljunction.local import DEMO_KEY, FleetPlan, StandInsFile, demo_view, write_files
 from beryljunction.node import EntryRole, HostFollower, HostView, RoleTools, SidecarRole
-from beryljunction.stores import HostChanges, HostList, HostRow
 from beryljunction.servers import client_pool
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, SidecarFile, load_file
+from beryljunction.stores import HostChanges, HostList, HostRow
 from beryljunction.tables import EndpointState
 from beryljunction.timeline import Timeline
 from ports import free_ports
--- a/testing/test_operator_key.py
+++ b/testing/test_operator_key.py
@@ -14,10 +14,10 @@
 from beryljunction.cli.timeline import timeline
 from beryljunction.errors import StartError
 from beryljunction.node import Node
-from beryljunction.stores import HostRow
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.settings import EntryFile, FleetView, ProcessSettings, TlsSettings
 from beryljunction.standins import HostListStandIn
+from beryljunction.stores import HostRow
 from beryljunction.tls import client_context
 
 CERTIFICATES = pathlib.Path(__file__).parent / "certificates"
--- a/testing/test_publish.py
+++ b/testing/test_publish.py
@@ -8,7 +8,6 @@
 import pytest
 
 from beryljunction.cli import operator
-from beryljunction.stores import Appended, AppendRefused, AppendUnknown, HostRow, LogRecord
 from beryljunction.servers import Server, bind
 from beryljunction.settings import (
     CHANGES_STREAM,
@@ -25,6 +24,7 @@
     LogStandIn,
     ModelLogClient,
 )
+from beryljunction.stores import Appended, AppendRefused, AppendUnknown, HostRow, LogRecord
 from beryljunction.systems.publishing import (
     AppendNow,
     InForce,
--- a/testing/test_reader.py
+++ b/testing/test_reader.py
@@ -3,7 +3,6 @@
 import anyio
 import pytest
 
-from beryljunction.stores import LogPage, LogRecord
 from beryljunction.servers import Server, bind, client_pool
 from beryljunction.settings import (
     CHANGES_STREAM,
@@ -18,6 +17,7 @@
     answer_settings,
 )
 from beryljunction.standins import LogModel, LogModelSettings, ModelLogClient
+from beryljunction.stores import LogPage, LogRecord
 from beryljunction.systems.snapshots import SnapshotSchedule
 
 POLL = FollowSettings(poll_s=0.0, retention_s=80.0)
--- /dev/null
+++ b/testing/test_retry_share.py
@@ -0,0 +1,48 @@
+import pytest
+
+from beryljunction.routing import RetryShare
+
+
+class TestRetryShare:
+    def test_repeats_are_a_ratio_of_the_requests(self):
+        share = RetryShare(ratio=0.2, window_s=10.0, slack=0)
+        for _ in range(10):
+            share.count_request(0.0)
+
+        assert [share.spend(0.1) for _ in range(3)] == [True, True, False]
+
+    def test_requests_and_repeats_leave_the_window_together(self):
+        share = RetryShare(ratio=0.2, window_s=10.0, slack=0)
+        for _ in range(5):
+            share.count_request(0.0)
+        assert share.spend(0.0)
+
+        for _ in range(5):
+            share.count_request(11.0)
+
+        assert share.spend(11.0)
+        assert not share.spend(11.0)
+
+    def test_an_idle_entry_has_only_its_part_of_the_allowance(self):
+        share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
+
+        assert [share.spend(0.0) for _ in range(3)] == [True, True, False]
+
+    @pytest.mark.parametrize("entries", [1, 4, 29])
+    def test_any_number_of_entries_keeps_the_bound_of_the_fleet(self, entries):
+        """Every endpoint fails, and each entry would send all it has once more.
+
+        Callers see failures either way. Were each entry's share a fixed number, thirty of them
+        would drown the endpoints that come back. Entries know nothing of each other here.
+        """
+        ratio, slack = 0.2, 54
+        shares = [RetryShare(ratio, 10.0, slack) for _ in range(entries)]
+        requests = repeats = 0
+        for tick in range(400):
+            for share in shares:
+                share.count_request(tick * 0.02)
+                requests += 1
+                repeats += share.spend(tick * 0.02)
+
+        assert repeats <= requests * ratio + slack
+        assert repeats >= requests * ratio * 0.9
--- a/testing/test_sockets.py
+++ b/testing/test_sockets.py
@@ -14,9 +14,9 @@
 import tomli_w
 
 import beryljunction
-from beryljunction.stores import HostRow
 from beryljunction.settings import EntryFile, SidecarFile
 from beryljunction.standins import HostListStandIn
+from beryljunction.stores import HostRow
 from beryljunction.tables import Endpoint
 from path_fakes import (
     AUTH,
--- a/testing/test_tree.py
+++ b/testing/test_tree.py
@@ -1,6 +1,5 @@
 import pytest
 
-from beryljunction.stores import LogRecord
 from beryljunction.settings import (
     Accepted,
     Change,
@@ -15,6 +14,7 @@
     resolve,
 )
 from beryljunction.settings.validating import tree_of
+from beryljunction.stores import LogRecord
 
 DRAFTER = {"service": {"drafter": {"kind": "engine", "models": ["drafter"]}}}
 
--- /dev/null
+++ b/testing/test_warm_placement.py
@@ -0,0 +1,116 @@
+import collections
+import random
+
+from beryljunction.routing import Demand, LoadReport, PlainPlacement, WarmPlacement
+from routing_fakes import known
+
+
+def rows_of(count):
+    return [known(f"e{number}") for number in range(count)]
+
+
+def demand(session):
+    return Demand(("common", session))
+
+
+class TestWarmPlacement:
+    def test_entries_that_never_speak_agree_on_a_home(self):
+        rows = rows_of(5)
+
+        homes = {WarmPlacement().choose(rows, demand("chat"), 0.0).start for _ in range(4)}
+
+        assert len(homes) == 1
+
+    def test_sessions_spread_over_all_endpoints(self):
+        placement, rows = WarmPlacement(), rows_of(5)
+
+        counts = collections.Counter(
+            placement.choose(rows, demand(f"chat{n}"), 0.0).start for n in range(500)
+        )
+
+        assert len(counts) == 5
+        assert max(counts.values()) < 140
+
+    def test_session_stays_when_an_endpoint_is_added(self):
+        """Engines are added while chats go on.
+
+        A chat whose home by hash is the new engine would read its whole prefix again there, though
+        the engine that has it is idle.
+        """
+        placement, rows = WarmPlacement(), rows_of(4)
+        before = {n: placement.choose(rows, demand(f"chat{n}"), 0.0).start for n in range(100)}
+
+        rows.append(known("new"))
+        after = {n: placement.choose(rows, demand(f"chat{n}"), 1.0).start for n in range(100)}
+
+        assert after == before
+        fresh = {placement.choose(rows, demand(f"fresh{n}"), 1.0).start for n in range(100)}
+        assert ("new", 1) in fresh
+
+    def test_only_sessions_of_a_lost_endpoint_move(self):
+        placement, rows = WarmPlacement(), rows_of(5)
+        before = {n: placement.choose(rows, demand(f"chat{n}"), 0.0).start for n in range(100)}
+        lost = rows.pop(2).start
+
+        after = {n: placement.choose(rows, demand(f"chat{n}"), 1.0).start for n in range(100)}
+
+        assert all(after[n] == before[n] for n in before if before[n] != lost)
+
+    def test_session_goes_on_elsewhere_when_its_home_carries_too_much(self):
+        """One chat gets a large part of all requests.
+
+        Its engine would run far more than the others, and every stream beside it would slow down.
+        """
+        placement, rows = WarmPlacement(), rows_of(5)
+        for _ in range(60):
+            placement.choose(rows, demand("hot"), 0.0).in_flight += 1
+
+        loads = [row.in_flight for row in rows]
+        mean = sum(loads) / len(loads)
+        assert max(loads) <= 2 * mean + 3
+
+    def test_second_home_of_a_hot_session_is_used_again(self):
+        placement, rows = WarmPlacement(), rows_of(8)
+        used = set()
+        for _ in range(12):
+            row = placement.choose(rows, demand("hot"), 0.0)
+            row.in_flight += 1
+            used.add(row.start)
+        for row in rows:
+            row.in_flight = 0
+
+        again = {placement.choose(rows, demand("hot"), 5.0).start for _ in range(3)}
+
+        assert again <= used
+
+    def test_loads_that_others_caused_count(self):
+        placement, rows = WarmPlacement(), rows_of(3)
+        home = placement.choose(rows, demand("chat"), 0.0)
+        home.report = LoadReport(running=30, waiting=0, own=0, at_s=0.0)
+
+        assert placement.choose(rows, demand("chat"), 0.1) is not home
+
+    def test_nothing_to_choose_from(self):
+        assert WarmPlacement().choose([], demand("chat"), 0.0) is None
+
+
+class TestPlainPlacement:
+    def test_emptiest_goes_first(self):
+        rows = [known("a", in_flight=2), known("b", in_flight=1), known("c", in_flight=3)]
+        placement = PlainPlacement("a", random.Random(1))
+
+        assert placement.choose(rows, Demand(), 0.0).record.endpoint_id == "b"
+
+    def test_own_zone_goes_first_among_equals(self):
+        rows = [known("far", availability_zone="b"), known("near", availability_zone="a")]
+        placement = PlainPlacement("a", random.Random(1))
+
+        assert placement.choose(rows, Demand(), 0.0).record.endpoint_id == "near"
+
+    def test_entries_with_the_same_loads_do_not_all_pick_the_same(self):
+        rows = [known(name) for name in "abc"]
+        placement = PlainPlacement("a", random.Random(1))
+
+        chosen = {placement.choose(rows, Demand(), 0.0).record.endpoint_id for _ in range(50)}
+
+        assert chosen == {"a", "b", "c"}
