--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -31,6 +31,7 @@
     KnownEndpoint,
     LoadReport,
     Outcome,
+    PromptParts,
     Repeat,
     Verdict,
     admit,
@@ -128,10 +129,10 @@
 
     async def _walk(self, admitted: Admitted, service: str, plan: AttemptPlan) -> None:
         """Send to one endpoint after the other until one has answered or nothing is left to do."""
-        parts = self._needs.prompt_parts if self._needs is not None else ()
-        demand = Demand(parts[:-1] if len(parts) > 1 else parts)
+        self._service = service
+        self._demand = Demand(self._shared_parts())
         while True:
-            endpoint = self._state.choose(service, demand, self._tried)
+            endpoint = self._state.choose(service, self._demand, self._tried)
             if endpoint is None or self._left_s() < _LEAST_LEFT_S:
                 self._give_up(plan.give_up(), "no_endpoint" if endpoint is None else "no_time")
                 return
@@ -151,6 +152,12 @@
                 self._give_up(verdict, outcome.value)
                 return
 
+    def _shared_parts(self) -> PromptParts:
+        """Return the parts that other requests have too: all but the last, which is its own."""
+        assert self._needs is not None
+        ids, tokens = self._needs.prompt_parts, self._needs.prompt_tokens
+        return PromptParts(ids[:-1], tokens[:-1]) if len(ids) > 1 else PromptParts(ids, tokens)
+
     async def _try(
         self, endpoint: KnownEndpoint, admitted: Admitted, plan: AttemptPlan
     ) -> tuple[Outcome | None, str]:
@@ -310,6 +317,7 @@
             max(1, int(self._left_s() * 1000)),
             account.name if account is not None else None,
             urgency,
+            self._state.source(self._service, endpoint, self._demand),
         )
         had_body = request.value(b"content-length") or request.value(b"transfer-encoding")
         if had_body is not None:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -11,6 +11,7 @@
     EndpointRegistry,
     FleetConfig,
     KnownEndpoint,
+    Placement,
     PlainPlacement,
     RetryShare,
     SettingsLease,
@@ -63,8 +64,19 @@
         now_s = time.monotonic()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
         sound = [row for row in usable if not row.is_suspect(now_s)]
-        placement = self._warm if self._is_engine(service) else self._plain
-        return placement.choose(sound or usable, demand, now_s)
+        return self._placement(service).choose(sound or usable, demand, now_s)
+
+    def source(self, service: str, chosen: KnownEndpoint, demand: Demand) -> tuple[str, int] | None:
+        """Return the address of who keeps more of a prompt than the chosen endpoint."""
+        now_s = time.monotonic()
+        rows = self.registry.reachable(service, now_s)
+        found = self._placement(service).source(rows, chosen, demand, now_s)
+        known = self.config.services.get(service) if self.config is not None else None
+        can_fetch = known is not None and known.can_fetch
+        return found.record.address if found is not None and can_fetch else None
+
+    def _placement(self, service: str) -> Placement:
+        return self._warm if self._is_engine(service) else self._plain
 
     def _is_engine(self, service: str) -> bool:
         known = self.config.services.get(service) if self.config is not None else None
--- a/src/beryljunction/platform/headers.py
+++ b/src/beryljunction/platform/headers.py
@@ -9,6 +9,7 @@
     "DEADLINE_LEFT_MS",
     "ENDPOINT_ONLY",
     "EXPECTED_ENDPOINT",
+    "FETCH_FROM",
     "LAST_EVENT",
     "LOAD",
     "NOT_RUN",
@@ -29,6 +30,8 @@
 TENANT = b"x-tenant"
 # Endpoint id that must answer; any other endpoint at the address refuses with 421.
 EXPECTED_ENDPOINT = b"x-expect-instance"
+# IP:PORT of an endpoint to fetch cached parts of the prompt from, before the rest is read.
+FETCH_FROM = b"kv-fetch"
 # Prompt parts in order, "ID:TOKENS,...".
 PROMPT_PARTS = b"x-prompt-prefix"
 # "PROMPT,OUTPUT" tokens; the second is the most that the answer may have.
@@ -56,7 +59,7 @@
         b"x-pin-ms",
         b"x-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        FETCH_FROM,
     )
 )
 
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -122,9 +122,12 @@
 
 
 def _service(fields: Mapping[str, Any]) -> Service:
+    engine = fields.get("engine")
+    traits = engine if isinstance(engine, dict) else {}
     return Service(
         name=_text(fields, "name"),
-        is_engine=isinstance(fields.get("engine"), dict),
+        is_engine=isinstance(engine, dict),
+        can_fetch=bool(traits.get("kv-token-bytes")) and bool(traits.get("link-mbps")),
         connection_limit=_whole(fields, "connection-limit", 0, default=0),
     )
 
--- a/src/beryljunction/platform/requests.py
+++ b/src/beryljunction/platform/requests.py
@@ -83,6 +83,7 @@
     left_ms: int,
     account: str | None,
     urgency: int,
+    fetch_from: tuple[str, int] | None = None,
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers that an endpoint gets.
 
@@ -93,6 +94,7 @@
         left_ms: Time that the caller still waits.
         account: Client account of the caller; None for an anonymous one.
         urgency: 0 is served first.
+        fetch_from: Endpoint that keeps more of the prompt.
     """
     kept = [
         (name, value)
@@ -102,6 +104,8 @@
     kept.append((headers.DEADLINE_LEFT_MS, b"%d" % left_ms))
     kept.append((headers.EXPECTED_ENDPOINT, endpoint_id.encode()))
     kept.append((headers.URGENCY, b"%d" % max(0, min(9, urgency))))
+    if fetch_from is not None:
+        kept.append((headers.FETCH_FROM, b"%b:%d" % (fetch_from[0].encode(), fetch_from[1])))
     if account is not None:
         kept.append((headers.TENANT, account.encode()))
     return kept
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -20,6 +20,7 @@
 )
 from beryljunction.routing.lease import SettingsLease
 from beryljunction.routing.placement import Demand, Placement, PlainPlacement, WarmPlacement
+from beryljunction.routing.warmth import PromptParts, WarmthMap
 
 __all__ = [
     "Account",
@@ -37,6 +38,7 @@
     "Outcome",
     "Placement",
     "PlainPlacement",
+    "PromptParts",
     "Repeat",
     "RetryShare",
     "Route",
@@ -44,6 +46,7 @@
     "SettingsLease",
     "Verdict",
     "WarmPlacement",
+    "WarmthMap",
     "WeightedService",
     "admit",
 ]
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -186,6 +186,14 @@
             if row.record.service == service and not row.record.is_draining
         ]
 
+    def reachable(self, service: str, now_s: float) -> list[KnownEndpoint]:
+        """Return the endpoints of a service that answer, leaving ones too."""
+        return [
+            row
+            for row in self._rows.values()
+            if row.record.service == service and not row.is_suspect(now_s)
+        ]
+
     def is_usable(self, known: KnownEndpoint) -> bool:
         """Return whether this start of the endpoint may still get requests."""
         return self._rows.get(known.record.endpoint_id) is known and not known.record.is_draining
--- a/src/beryljunction/routing/fleet.py
+++ b/src/beryljunction/routing/fleet.py
@@ -79,10 +79,12 @@
 
     Attributes:
         is_engine: Whether its endpoints serve a model and keep prompt prefixes.
+        can_fetch: Whether its endpoints can fetch cached prefixes from each other.
     """
 
     name: str
     is_engine: bool
+    can_fetch: bool
     connection_limit: int
 
 
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -1,7 +1,6 @@
 """Chooses an endpoint: for prompts where their prefix is cached, else where there is room."""
 
 import abc
-import collections
 import random
 from collections.abc import Sequence
 
@@ -9,20 +8,17 @@
 import xxhash
 
 from beryljunction.routing.endpoints import KnownEndpoint
+from beryljunction.routing.warmth import PromptParts, WarmthMap
 
 __all__ = ["Demand", "Placement", "PlainPlacement", "WarmPlacement"]
 
-# A session stays where it was for this long after its last request: cached parts outlive it by
-# far, and a session that moves reads its whole prefix again.
-_WARM_S = 30.0
-_MOST_SESSIONS = 50_000
-# By session: when it last used a start of an endpoint.
-_Homes = collections.OrderedDict[str, dict[tuple[str, int], float]]
 # An endpoint above this multiple of the mean, plus the allowance for small numbers, is passed over.
 # It stays under the fleet's bound of 2 x mean + 3, with room for requests that other entries have
 # sent since the last report.
 _BOUND_RATIO = 1.4
 _BOUND_ALLOWANCE = 2.0
+# A fetch takes some 2 ms to set up; fewer tokens than this are read in that time.
+_LEAST_FETCHED_TOKENS = 96
 # A plain endpoint in another availability zone counts as this much fuller (share of its slots):
 # the way there costs 0.5 to 1.4 ms of some 45 ms of work.
 _OTHER_ZONE_SHARE = 0.05
@@ -30,13 +26,9 @@
 
 @attrs.frozen
 class Demand:
-    """What placement knows of a request.
+    """What placement knows of a request."""
 
-    Attributes:
-        shared_parts: Ids of the prompt parts that other requests have too, in order.
-    """
-
-    shared_parts: tuple[str, ...] = ()
+    parts: PromptParts = PromptParts()
 
 
 class Placement(abc.ABC):
@@ -48,6 +40,18 @@
     ) -> KnownEndpoint | None:
         """Return the endpoint that is to get the request; None when there is none."""
 
+    def source(
+        self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, demand: Demand, now_s: float
+    ) -> KnownEndpoint | None:
+        """Return where the chosen endpoint is to fetch cached parts from; None for nowhere.
+
+        Called once a request is about to be sent there.
+
+        Args:
+            rows: Endpoints that can be reached, leaving ones too.
+        """
+        return None
+
 
 class PlainPlacement(Placement):
     """The emptiest endpoint, nearer ones first.
@@ -79,15 +83,14 @@
 
     Load: sessions of thousands of prompt tokens return every few seconds. Harm: read again
     elsewhere, a prefix of 6,000 tokens delays the first token, and every stream beside it, by some
-    160 ms. Rendezvous order makes entries that never speak to each other agree on a home; what this
-    entry has placed before goes first, so that an endpoint that is added takes new sessions and
-    none that is warm elsewhere.
+    160 ms. Rendezvous order makes entries that never speak to each other agree on a home; where
+    this entry knows the prefix to be goes first, so that an endpoint that is added takes new
+    sessions and none that is warm elsewhere. A session that has to move fetches its prefix from
+    where it was: 8,600 tokens take some 10 ms that way, and 225 ms to read.
     """
 
     def __init__(self) -> None:
-        self._homes: collections.OrderedDict[str, dict[tuple[str, int], float]] = (
-            collections.OrderedDict()
-        )
+        self._warmth = WarmthMap()
 
     def choose(
         self, rows: Sequence[KnownEndpoint], demand: Demand, now_s: float
@@ -95,38 +98,36 @@
         """Return the first endpoint in order of warmth that is under the bound."""
         if not rows:
             return None
-        session = demand.shared_parts[-1] if demand.shared_parts else ""
-        loads = {id(row): row.load(now_s) for row in rows}
+        loads = {row.start: row.load(now_s) for row in rows}
         bound = _BOUND_RATIO * sum(loads.values()) / len(rows) + _BOUND_ALLOWANCE
-        if not session:
-            return min(rows, key=lambda row: loads[id(row)])
-        chosen = next(
-            (row for row in self._order(rows, session, now_s) if loads[id(row)] < bound),
-            None,
-        )
+        order = self._order(rows, demand.parts, now_s)
+        chosen = next((row for row in order if loads[row.start] < bound), None)
         if chosen is None:
-            chosen = min(rows, key=lambda row: loads[id(row)])
-        self._remember(session, chosen, now_s)
+            chosen = min(rows, key=lambda row: loads[row.start])
         return chosen
 
+    def source(
+        self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, demand: Demand, now_s: float
+    ) -> KnownEndpoint | None:
+        """Return who is believed to keep more of the prompt than the chosen endpoint does."""
+        here = self._warmth.kept_tokens(chosen.start, demand.parts, now_s)
+        others = [row for row in rows if row.start != chosen.start]
+        source, kept = self._warmth.best_source(others, demand.parts, now_s)
+        self._warmth.note(chosen.start, demand.parts, now_s)
+        return source if kept - here >= _LEAST_FETCHED_TOKENS else None
+
     def _order(
-        self, rows: Sequence[KnownEndpoint], session: str, now_s: float
+        self, rows: Sequence[KnownEndpoint], parts: PromptParts, now_s: float
     ) -> list[KnownEndpoint]:
-        homes = self._homes.get(session, {})
+        """Return warm endpoints, then the others, each in rendezvous order of the session."""
+        warm = self._warmth.warm(rows, parts, now_s) if parts.ids else set()
+        session = parts.ids[-1] if parts.ids else ""
 
         def rank(row: KnownEndpoint) -> tuple[bool, int]:
-            is_cold = now_s - homes.get(row.start, -_WARM_S) >= _WARM_S
-            return is_cold, _score(session, row.record.endpoint_id)
+            return row.start not in warm, _score(session, row.record.endpoint_id)
 
         return sorted(rows, key=rank)
 
-    def _remember(self, session: str, chosen: KnownEndpoint, now_s: float) -> None:
-        homes = self._homes.setdefault(session, {})
-        self._homes.move_to_end(session)
-        homes[chosen.start] = now_s
-        if len(self._homes) > _MOST_SESSIONS:
-            self._homes.popitem(last=False)
-
 
 def _score(session: str, endpoint_id: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{session}/{endpoint_id}".encode())
--- a/testing/routing_fakes.py
+++ b/testing/routing_fakes.py
@@ -50,7 +50,7 @@
     return FleetConfig(
         version=version,
         routes=FleetConfig.index(routes),
-        services={name: Service(name, name == "engine", 100) for name in services},
+        services={name: Service(name, name == "engine", True, 100) for name in services},
         limits=limits or CallerLimits(),
         accounts=accounts,
     )
--- a/testing/test_warm_placement.py
+++ b/testing/test_warm_placement.py
@@ -1,7 +1,7 @@
 import collections
 import random
 
-from beryljunction.routing import Demand, LoadReport, PlainPlacement, WarmPlacement
+from beryljunction.routing import Demand, LoadReport, PlainPlacement, PromptParts, WarmPlacement
 from routing_fakes import known
 
 
@@ -9,15 +9,22 @@
     return [known(f"e{number}") for number in range(count)]
 
 
+def place(placement, rows, wanted, now_s):
+    """Choose, and note that the request is sent there."""
+    row = placement.choose(rows, wanted, now_s)
+    placement.source(rows, row, wanted, now_s)
+    return row
+
+
 def demand(session):
-    return Demand(("common", session))
+    return Demand(PromptParts(("common", session), (500, 2_000)))
 
 
 class TestWarmPlacement:
     def test_entries_that_never_speak_agree_on_a_home(self):
         rows = rows_of(5)
 
-        homes = {WarmPlacement().choose(rows, demand("chat"), 0.0).start for _ in range(4)}
+        homes = {place(WarmPlacement(), rows, demand("chat"), 0.0).start for _ in range(4)}
 
         assert len(homes) == 1
 
@@ -25,7 +32,7 @@
         placement, rows = WarmPlacement(), rows_of(5)
 
         counts = collections.Counter(
-            placement.choose(rows, demand(f"chat{n}"), 0.0).start for n in range(500)
+            place(placement, rows, demand(f"chat{n}"), 0.0).start for n in range(500)
         )
 
         assert len(counts) == 5
@@ -38,21 +45,21 @@
         the engine that has it is idle.
         """
         placement, rows = WarmPlacement(), rows_of(4)
-        before = {n: placement.choose(rows, demand(f"chat{n}"), 0.0).start for n in range(100)}
+        before = {n: place(placement, rows, demand(f"chat{n}"), 0.0).start for n in range(100)}
 
         rows.append(known("new"))
-        after = {n: placement.choose(rows, demand(f"chat{n}"), 1.0).start for n in range(100)}
+        after = {n: place(placement, rows, demand(f"chat{n}"), 1.0).start for n in range(100)}
 
         assert after == before
-        fresh = {placement.choose(rows, demand(f"fresh{n}"), 1.0).start for n in range(100)}
+        fresh = {place(placement, rows, demand(f"fresh{n}"), 1.0).start for n in range(100)}
         assert ("new", 1) in fresh
 
     def test_only_sessions_of_a_lost_endpoint_move(self):
         placement, rows = WarmPlacement(), rows_of(5)
-        before = {n: placement.choose(rows, demand(f"chat{n}"), 0.0).start for n in range(100)}
+        before = {n: place(placement, rows, demand(f"chat{n}"), 0.0).start for n in range(100)}
         lost = rows.pop(2).start
 
-        after = {n: placement.choose(rows, demand(f"chat{n}"), 1.0).start for n in range(100)}
+        after = {n: place(placement, rows, demand(f"chat{n}"), 1.0).start for n in range(100)}
 
         assert all(after[n] == before[n] for n in before if before[n] != lost)
 
@@ -63,7 +70,7 @@
         """
         placement, rows = WarmPlacement(), rows_of(5)
         for _ in range(60):
-            placement.choose(rows, demand("hot"), 0.0).in_flight += 1
+            place(placement, rows, demand("hot"), 0.0).in_flight += 1
 
         loads = [row.in_flight for row in rows]
         mean = sum(loads) / len(loads)
@@ -73,22 +80,22 @@
         placement, rows = WarmPlacement(), rows_of(8)
         used = set()
         for _ in range(12):
-            row = placement.choose(rows, demand("hot"), 0.0)
+            row = place(placement, rows, demand("hot"), 0.0)
             row.in_flight += 1
             used.add(row.start)
         for row in rows:
             row.in_flight = 0
 
-        again = {placement.choose(rows, demand("hot"), 5.0).start for _ in range(3)}
+        again = {place(placement, rows, demand("hot"), 5.0).start for _ in range(3)}
 
         assert again <= used
 
     def test_loads_that_others_caused_count(self):
         placement, rows = WarmPlacement(), rows_of(3)
-        home = placement.choose(rows, demand("chat"), 0.0)
+        home = place(placement, rows, demand("chat"), 0.0)
         home.report = LoadReport(running=30, waiting=0, own=0, at_s=0.0)
 
-        assert placement.choose(rows, demand("chat"), 0.1) is not home
+        assert place(placement, rows, demand("chat"), 0.1) is not home
 
     def test_nothing_to_choose_from(self):
         assert WarmPlacement().choose([], demand("chat"), 0.0) is None
