--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -2,7 +2,7 @@
 
 import abc
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 import xxhash
@@ -15,8 +15,8 @@
 # An endpoint above this multiple of the mean, plus the allowance for small numbers, is passed over.
 # It stays under the fleet's bound of 2 x mean + 3, with room for requests that other entries have
 # sent since the last report.
-_BOUND_RATIO = 1.4
-_BOUND_ALLOWANCE = 2.0
+_BOUND_RATIO = 1.6
+_BOUND_ALLOWANCE = 2.5
 # A fetch takes some 2 ms to set up; fewer tokens than this are read in that time.
 _LEAST_FETCHED_TOKENS = 96
 # A plain endpoint in another availability zone counts as this much fuller (share of its slots):
@@ -109,11 +109,22 @@
     def source(
         self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, demand: Demand, now_s: float
     ) -> KnownEndpoint | None:
-        """Return who is believed to keep more of the prompt than the chosen endpoint does."""
-        here = self._warmth.kept_tokens(chosen.start, demand.parts, now_s)
+        """Return who is believed to keep more of the prompt than the chosen endpoint does.
+
+        A session that this entry has not seen may have been placed by another one. That was then
+        most likely at the first endpoint in rendezvous order; asking one that keeps nothing costs
+        the set-up of a fetch only.
+        """
+        parts = demand.parts
+        here = self._warmth.kept_tokens(chosen.start, parts, now_s)
+        total = sum(parts.tokens)
         others = [row for row in rows if row.start != chosen.start]
-        source, kept = self._warmth.best_source(others, demand.parts, now_s)
-        self._warmth.note(chosen.start, demand.parts, now_s)
+        source, kept = self._warmth.best_source(others, parts, now_s)
+        self._warmth.note(chosen.start, parts, now_s)
+        if max(here, kept) < total and others:
+            home = min(others, key=_rank(parts))
+            if kept <= here or _rank(parts)(home) < _rank(parts)(chosen):
+                source, kept = home, total
         return source if kept - here >= _LEAST_FETCHED_TOKENS else None
 
     def _order(
@@ -121,13 +132,15 @@
     ) -> list[KnownEndpoint]:
         """Return warm endpoints, then the others, each in rendezvous order of the session."""
         warm = self._warmth.warm(rows, parts, now_s) if parts.ids else set()
-        session = parts.ids[-1] if parts.ids else ""
+        rank = _rank(parts)
+        return sorted(rows, key=lambda row: (row.start not in warm, rank(row)))
 
-        def rank(row: KnownEndpoint) -> tuple[bool, int]:
-            return row.start not in warm, _score(session, row.record.endpoint_id)
 
-        return sorted(rows, key=rank)
+def _rank(parts: PromptParts) -> Callable[[KnownEndpoint], int]:
+    """Return the place of an endpoint in the rendezvous order of a prompt's session."""
+    session = parts.ids[-1] if parts.ids else ""
 
+    def rank(row: KnownEndpoint) -> int:
+        return xxhash.xxh3_64_intdigest(f"{session}/{row.record.endpoint_id}".encode())
 
-def _score(session: str, endpoint_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{session}/{endpoint_id}".encode())
+    return rank
