--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -158,7 +158,10 @@
             return AttemptEnd()
         call.send(self._message(endpoint, admitted))
         self._log_send(endpoint, admitted, plan)
+        sent_s = time.monotonic()
         head = await call.head()
+        if not admitted.route.streamed:
+            endpoint.pace.note((time.monotonic() - sent_s) * 1000, time.monotonic())
         if head is None:
             endpoint.note_failure(time.monotonic())
             return AttemptEnd(Outcome.FAILED, call.problem)
@@ -175,7 +178,7 @@
             endpoint.note_failure(time.monotonic())
             return AttemptEnd(Outcome.FAILED, "answer to another request")
         endpoint.note_answer()
-        relay = Relay(call, head, self._delivery)
+        relay = Relay(call, head, self._delivery, endpoint.pace)
         if admitted.route.streamed and head.status == 200:
             return await relay.stream()
         return await relay.hold(admitted.route.repeat)
--- a/src/beryljunction/gateway/relay.py
+++ b/src/beryljunction/gateway/relay.py
@@ -1,12 +1,14 @@
 """Reads an endpoint's answer and hands it on: whole, as events, or not at all."""
 
+import time
+
 import attrs
 
 from beryljunction.gateway.calls import EndpointCall
 from beryljunction.gateway.delivery import Delivery
 from beryljunction.gateway.eventstream import EventSplitter
 from beryljunction.gateway.messages import Head
-from beryljunction.routing import Outcome, Repeat
+from beryljunction.routing import Outcome, Pace, Repeat
 
 __all__ = ["AttemptEnd", "Relay"]
 
@@ -32,10 +34,11 @@
 class Relay:
     """Hands one endpoint's answer to a caller."""
 
-    def __init__(self, call: EndpointCall, head: Head, delivery: Delivery) -> None:
+    def __init__(self, call: EndpointCall, head: Head, delivery: Delivery, pace: Pace) -> None:
         self._call = call
         self._head = head
         self._delivery = delivery
+        self._pace = pace
 
     async def hold(self, repeat: Repeat) -> AttemptEnd:
         """Read the answer whole, then hand it on; one that is very large goes on as it comes."""
@@ -71,11 +74,23 @@
     async def stream(self) -> AttemptEnd:
         """Hand events on as they come: whole ones only, and each once."""
         splitter = EventSplitter()
+        before_s: float | None = None
         while (part := await self._call.part()) is not None:
-            await self._delivery.write_events(self._head, splitter.feed(part))
+            events = splitter.feed(part)
+            before_s = self._note_pace(before_s, len(events))
+            await self._delivery.write_events(self._head, events)
             if splitter.is_overlong:
                 return AttemptEnd(Outcome.FAILED, "an event without end")
         if not self._call.is_complete or splitter.rest:
             return AttemptEnd(Outcome.FAILED, self._call.problem or "an event that ends early")
         self._delivery.end(self._head)
         return AttemptEnd()
+
+    def _note_pace(self, before_s: float | None, count: int) -> float | None:
+        """Measure the time between events; the first one's is the prompt's, not a step's."""
+        if not count:
+            return before_s
+        now_s = time.monotonic()
+        if before_s is not None:
+            self._pace.note((now_s - before_s) * 1000 / count, now_s)
+        return now_s
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -8,6 +8,7 @@
     EndpointRegistry,
     KnownEndpoint,
     LoadReport,
+    Pace,
 )
 from beryljunction.routing.fleet import (
     Account,
@@ -36,6 +37,7 @@
     "KnownEndpoint",
     "LoadReport",
     "Outcome",
+    "Pace",
     "Placement",
     "PlainPlacement",
     "PromptParts",
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-__all__ = ["EndpointRecord", "EndpointRegistry", "KnownEndpoint", "LoadReport"]
+__all__ = ["EndpointRecord", "EndpointRegistry", "KnownEndpoint", "LoadReport", "Pace"]
 
 # An endpoint writes of itself again within this time after the store is back; one that is missing
 # for longer has left (the platform's promise is about 2 s).
@@ -13,6 +13,11 @@
 # A load that an endpoint reported says little after some requests have come and gone; over this
 # time its part that other entries caused fades out.
 _REPORT_FADES_S = 4.0
+# Weight of a new measurement of an endpoint's pace: about the last ten count.
+_PACE_WEIGHT = 0.1
+# A pace that was not measured for this long says nothing any more, so that an endpoint that was
+# slow gets requests again and can show whether it still is.
+_PACE_KEPT_S = 3.0
 # First time that a failed endpoint is passed over, doubled with each further failure. Short, since
 # passing over a sound one costs its cached prefixes.
 _SUSPECT_S = 0.5
@@ -59,6 +64,30 @@
     at_s: float
 
 
+@attrs.define
+class Pace:
+    """Time that an endpoint takes for one piece of work, smoothed.
+
+    A piece is an event of a stream, or a whole call of a plain service; both are comparable among
+    the endpoints of a service.
+    """
+
+    mean_ms: float = 0.0
+    at_s: float = -math.inf
+
+    def note(self, took_ms: float, now_s: float) -> None:
+        """Take in a measurement."""
+        if now_s - self.at_s > _PACE_KEPT_S:
+            self.mean_ms = took_ms
+        else:
+            self.mean_ms += _PACE_WEIGHT * (took_ms - self.mean_ms)
+        self.at_s = now_s
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether it was measured a short while ago."""
+        return now_s - self.at_s <= _PACE_KEPT_S
+
+
 @attrs.define(eq=False)
 class KnownEndpoint:
     """An endpoint with what this process knows of its present start.
@@ -72,6 +101,7 @@
     in_flight: int = 0
     report: LoadReport | None = None
     lapsed_s: float | None = None
+    pace: Pace = attrs.field(factory=Pace)
     failures: int = 0
     suspect_until_s: float = -math.inf
 
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -2,6 +2,7 @@
 
 import abc
 import random
+import statistics
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -19,6 +20,12 @@
 _BOUND_ALLOWANCE = 2.5
 # A fetch takes some 2 ms to set up; fewer tokens than this are read in that time.
 _LEAST_FETCHED_TOKENS = 96
+# Endpoints with a measured pace that make a median worth comparing with.
+_LEAST_PACES = 3
+# Workers of one service differ by up to 1.3 when sound; from here on one is slow. The most keeps
+# an endpoint with one stalled stream from being shut out for good.
+_LEAST_SLOWNESS = 1.6
+_MOST_SLOWNESS = 6.0
 # A plain endpoint in another availability zone counts as this much fuller (share of its slots):
 # the way there costs 0.5 to 1.4 ms of some 45 ms of work.
 _OTHER_ZONE_SHARE = 0.05
@@ -31,6 +38,25 @@
     parts: PromptParts = PromptParts()
 
 
+def weighted_loads(rows: Sequence[KnownEndpoint], now_s: float) -> dict[tuple[str, int], float]:
+    """Return the load of each endpoint, a slow one's counted as much higher as it is slower.
+
+    Load: an endpoint runs several times slower than its peers while it answers and looks healthy.
+    Harm: by the number of its requests it is as free as the others, and each that goes there is
+    late. Measured against the median of its peers, it is as full as its work takes longer.
+    """
+    paces = [row.pace.mean_ms for row in rows if row.pace.is_fresh(now_s)]
+    median_ms = statistics.median(paces) if len(paces) >= _LEAST_PACES else 0.0
+    return {row.start: row.load(now_s) * _slowness(row, median_ms, now_s) for row in rows}
+
+
+def _slowness(row: KnownEndpoint, median_ms: float, now_s: float) -> float:
+    if median_ms <= 0.0 or not row.pace.is_fresh(now_s):
+        return 1.0
+    ratio = row.pace.mean_ms / median_ms
+    return min(_MOST_SLOWNESS, ratio) if ratio >= _LEAST_SLOWNESS else 1.0
+
+
 class Placement(abc.ABC):
     """Chooses one of several usable endpoints."""
 
@@ -69,10 +95,11 @@
         self, rows: Sequence[KnownEndpoint], demand: Demand, now_s: float
     ) -> KnownEndpoint | None:
         """Return the emptiest endpoint."""
-        return min(rows, key=lambda row: self._fullness(row, now_s), default=None)
+        loads = weighted_loads(rows, now_s)
+        return min(rows, key=lambda row: self._fullness(row, loads[row.start]), default=None)
 
-    def _fullness(self, row: KnownEndpoint, now_s: float) -> tuple[float, float]:
-        share = row.load(now_s) / max(1, row.record.slots)
+    def _fullness(self, row: KnownEndpoint, load: float) -> tuple[float, float]:
+        share = load / max(1, row.record.slots)
         if row.record.availability_zone != self._zone:
             share += _OTHER_ZONE_SHARE
         return share, self._draw.random()
@@ -98,7 +125,7 @@
         """Return the first endpoint in order of warmth that is under the bound."""
         if not rows:
             return None
-        loads = {row.start: row.load(now_s) for row in rows}
+        loads = weighted_loads(rows, now_s)
         bound = _BOUND_RATIO * sum(loads.values()) / len(rows) + _BOUND_ALLOWANCE
         order = self._order(rows, demand.parts, now_s)
         chosen = next((row for row in order if loads[row.start] < bound), None)
