--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -100,7 +100,9 @@
     def _shared_parts(self) -> PromptParts:
         """Return the parts that other requests have too: all but the last, which is its own."""
         ids, tokens = self._needs.prompt_parts, self._needs.prompt_tokens
-        return PromptParts(ids[:-1], tokens[:-1]) if len(ids) > 1 else PromptParts(ids, tokens)
+        if len(ids) > 1:
+            return PromptParts(ids[:-1], tokens[:-1], tokens[-1])
+        return PromptParts(ids, tokens)
 
     async def _walk(self, plan: AttemptPlan) -> None:
         """Send to one endpoint after the other until one has answered or nothing is left to do."""
@@ -156,10 +158,15 @@
         if not plan.before_send(time.monotonic()):
             self._give_up(plan.give_up(), "retry_budget")
             return AttemptEnd()
+        unread = self._state.unread_tokens(self._service, endpoint, self._demand)
         call.send(self._message(endpoint, admitted))
         self._log_send(endpoint, admitted, plan)
         sent_s = time.monotonic()
-        head = await call.head()
+        endpoint.reading_tokens += unread
+        try:
+            head = await call.head()
+        finally:
+            endpoint.reading_tokens -= unread
         if not admitted.route.streamed:
             endpoint.pace.note((time.monotonic() - sent_s) * 1000, time.monotonic())
         if head is None:
@@ -274,6 +281,7 @@
             attempt=plan.sends,
             load=round(endpoint.load(time.monotonic()), 1),
             session=parts[-1] if parts else "",
+            reading=endpoint.reading_tokens,
             left_ms=int(self._left_s() * 1000),
             settings_version=self._state.config.version if self._state.config else None,
         )
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -75,6 +75,12 @@
         can_fetch = known is not None and known.can_fetch
         return found.record.address if found is not None and can_fetch else None
 
+    def unread_tokens(self, service: str, chosen: KnownEndpoint, demand: Demand) -> int:
+        """Return the prompt tokens that the chosen endpoint will have to read."""
+        now_s = time.monotonic()
+        rows = self.registry.reachable(service, now_s)
+        return self._placement(service).unread_tokens(rows, chosen, demand, now_s)
+
     def _placement(self, service: str) -> Placement:
         return self._warm if self._is_engine(service) else self._plain
 
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -94,11 +94,13 @@
 
     Attributes:
         in_flight: Requests of this process that it has.
+        reading_tokens: Prompt tokens that it is believed to read for this process right now.
         lapsed_s: When its record went away in an outage of the store; None while it is there.
     """
 
     record: EndpointRecord
     in_flight: int = 0
+    reading_tokens: int = 0
     report: LoadReport | None = None
     lapsed_s: float | None = None
     pace: Pace = attrs.field(factory=Pace)
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -2,7 +2,6 @@
 
 import abc
 import random
-import statistics
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -20,6 +19,14 @@
 _BOUND_ALLOWANCE = 2.5
 # A fetch takes some 2 ms to set up; fewer tokens than this are read in that time.
 _LEAST_FETCHED_TOKENS = 96
+# Prompt tokens that an engine reads in a millisecond, as the users' engines do (38.4). An engine of
+# another speed only shifts what counts as too slow.
+_READ_TOKENS_PER_MS = 38.0
+# What this entry has an engine read stands for some more that other entries send there.
+_OTHERS_FACTOR = 1.5
+# A request goes to the second endpoint in order when the first will be reading other prompts for
+# this much longer. Aims for a first token are 400 ms and up; less scatters sessions.
+_PATIENCE_MS = 250.0
 # Endpoints with a measured pace that make a median worth comparing with.
 _LEAST_PACES = 3
 # Workers of one service differ by up to 1.3 when sound; from here on one is slow. The most keeps
@@ -46,7 +53,7 @@
     late. Measured against the median of its peers, it is as full as its work takes longer.
     """
     paces = [row.pace.mean_ms for row in rows if row.pace.is_fresh(now_s)]
-    median_ms = statistics.median(paces) if len(paces) >= _LEAST_PACES else 0.0
+    median_ms = sorted(paces)[len(paces) // 2] if len(paces) >= _LEAST_PACES else 0.0
     return {row.start: row.load(now_s) * _slowness(row, median_ms, now_s) for row in rows}
 
 
@@ -75,9 +82,21 @@
 
         Args:
             rows: Endpoints that can be reached, leaving ones too.
+            chosen: The endpoint that gets the request.
+            demand: What is known of the request.
+            now_s: Time on the monotonic clock.
         """
         return None
 
+    def unread_tokens(
+        self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, demand: Demand, now_s: float
+    ) -> int:
+        """Return how many prompt tokens the chosen endpoint will have to read.
+
+        Asked before `source`, which notes that they are read.
+        """
+        return 0
+
 
 class PlainPlacement(Placement):
     """The emptiest endpoint, nearer ones first.
@@ -128,10 +147,20 @@
         loads = weighted_loads(rows, now_s)
         bound = _BOUND_RATIO * sum(loads.values()) / len(rows) + _BOUND_ALLOWANCE
         order = self._order(rows, demand.parts, now_s)
-        chosen = next((row for row in order if loads[row.start] < bound), None)
-        if chosen is None:
-            chosen = min(rows, key=lambda row: loads[row.start])
-        return chosen
+        open_rows = [row for row in order if loads[row.start] < bound]
+        if not open_rows:
+            return min(rows, key=lambda row: loads[row.start])
+        first, *others = open_rows
+        if others and _queue_ms(first) - _queue_ms(others[0]) > _PATIENCE_MS:
+            return others[0]
+        return first
+
+    def unread_tokens(
+        self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, demand: Demand, now_s: float
+    ) -> int:
+        """Return how many tokens nobody is known to keep, and the request's own."""
+        _, kept = self._warmth.best_source(rows, demand.parts, now_s)
+        return demand.parts.shared_tokens - kept + demand.parts.own_tokens
 
     def source(
         self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, demand: Demand, now_s: float
@@ -144,7 +173,7 @@
         """
         parts = demand.parts
         here = self._warmth.kept_tokens(chosen.start, parts, now_s)
-        total = sum(parts.tokens)
+        total = parts.shared_tokens
         others = [row for row in rows if row.start != chosen.start]
         source, kept = self._warmth.best_source(others, parts, now_s)
         self._warmth.note(chosen.start, parts, now_s)
@@ -163,6 +192,11 @@
         return sorted(rows, key=lambda row: (row.start not in warm, rank(row)))
 
 
+def _queue_ms(row: KnownEndpoint) -> float:
+    """Return for how long an endpoint will be reading prompts that it has already."""
+    return row.reading_tokens * _OTHERS_FACTOR / _READ_TOKENS_PER_MS
+
+
 def _rank(parts: PromptParts) -> Callable[[KnownEndpoint], int]:
     """Return the place of an endpoint in the rendezvous order of a prompt's session."""
     session = parts.ids[-1] if parts.ids else ""
--- a/src/beryljunction/routing/warmth.py
+++ b/src/beryljunction/routing/warmth.py
@@ -23,10 +23,17 @@
     Attributes:
         ids: Ids of the parts.
         tokens: Tokens of each part.
+        own_tokens: Tokens of the part that is the request's own.
     """
 
     ids: tuple[str, ...] = ()
     tokens: tuple[int, ...] = ()
+    own_tokens: int = 0
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of all parts that other requests have too."""
+        return sum(self.tokens)
 
 
 class WarmthMap:
@@ -60,7 +67,7 @@
     def best_source(
         self, rows: Iterable[KnownEndpoint], parts: PromptParts, now_s: float
     ) -> tuple[KnownEndpoint | None, int]:
-        """Return the endpoint that is believed to keep the most leading tokens, and their number."""
+        """Return the endpoint that keeps the most leading tokens, as believed, and their number."""
         best, most = None, 0
         for row in rows:
             kept = self.kept_tokens(row.start, parts, now_s)
@@ -72,5 +79,5 @@
         self, rows: Sequence[KnownEndpoint], parts: PromptParts, now_s: float
     ) -> set[tuple[str, int]]:
         """Return the starts that are believed to keep all parts."""
-        total = sum(parts.tokens)
+        total = parts.shared_tokens
         return {row.start for row in rows if self.kept_tokens(row.start, parts, now_s) >= total}
