--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+from beryljunction.gateway.metrics import EntryMetrics
 from beryljunction.logs import key_value_formatter
 
 __all__ = ["Events", "LineWriter"]
@@ -55,6 +56,9 @@
 class Events:
     """Writes events, bounded in number a second.
 
+    Attributes:
+        metrics: Counts every event, written or left out.
+
     Args:
         host: Name of this host, on every line.
         writer: Where lines go; standard output when None.
@@ -71,9 +75,11 @@
         self._second = 0
         self._lines = 0
         self.left_out = 0
+        self.metrics = EntryMetrics()
 
     def write(self, event: str, exc_info: bool = False, **fields: Any) -> None:
         """Write one event, with the exception being handled where that is asked for."""
+        self.metrics.count(event, fields)
         second = int(time.monotonic())
         if second != self._second:
             self._start_second(second)
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -277,13 +277,14 @@
         self._log(
             "sent",
             route=admitted.route.name,
+            service=self._service,
+            account=admitted.account.name if admitted.account is not None else "",
             endpoint=endpoint.record.endpoint_id,
             attempt=plan.sends,
             load=round(endpoint.load(time.monotonic()), 1),
             session=parts[-1] if parts else "",
             reading=endpoint.reading_tokens,
             left_ms=int(self._left_s() * 1000),
-            settings_version=self._state.config.version if self._state.config else None,
         )
 
     def _log_end(self) -> None:
@@ -297,5 +298,11 @@
         )
 
     def _log(self, event: str, **fields: Any) -> None:
-        age_s = round(self._state.lease.age_s(boot_time_s()), 3)
-        self._state.events.write(event, request_id=self._request_id, settings_age_s=age_s, **fields)
+        state = self._state
+        state.events.write(
+            event,
+            request_id=self._request_id,
+            settings_version=state.config.version if state.config is not None else 0,
+            settings_age_s=round(state.lease.age_s(boot_time_s()), 3),
+            **fields,
+        )
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.abc
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.errors import SettingsError, StartError
 from beryljunction.gateway.callers import CallerConnection
 from beryljunction.gateway.events import Events
@@ -38,8 +39,23 @@
     def _is_ready(self) -> bool:
         return not self._stopping.is_set() and self._state.is_ready()
 
-    def _render(self) -> bytes:
-        return b""
+    def _watch_gauges(self, front: Front) -> None:
+        state, metrics = self._state, self._events.metrics
+        metrics.watch(
+            "beryl_settings_age_seconds",
+            "Age of the last confirmation of the settings.",
+            lambda: state.lease.age_s(boot_time_s()),
+        )
+        metrics.watch(
+            "beryl_settings_version",
+            "Version of the settings in force.",
+            lambda: state.config.version if state.config is not None else 0,
+        )
+        metrics.watch("beryl_endpoints", "Endpoints known.", lambda: len(state.registry))
+        metrics.watch("beryl_requests_in_flight", "Requests here.", lambda: front.in_flight)
+        metrics.watch("beryl_ready", "Whether callers are welcome.", self._is_ready)
+        metrics.watch("beryl_repeats_left", "Second sends left.", state.repeats_left)
+        metrics.watch("beryl_log_lines_left_out", "Lines left out.", lambda: self._events.left_out)
 
     def stop(self) -> None:
         """Begin to stop; a second call changes nothing."""
@@ -61,9 +77,12 @@
         self._events.write("started", callers=_text(self._host.callers))
         async with HttpStore(self._host.store) as store, anyio.create_task_group() as group:
             front = Front(self._state, group)
-            probes = ProbeHandler(self._is_ready, self._render)
+            probes = ProbeHandler(self._is_ready, self._events.metrics.render)
             listener = await _listen(front, self._host.callers)
             await _listen(probes, self._host.probes)
+            if self._host.metrics is not None:
+                await _listen(probes, self._host.metrics)
+            self._watch_gauges(front)
             group.start_soon(FollowConfig(store, self._state).run)
             group.start_soon(FollowEndpoints(store, self._state).run)
             group.start_soon(front.sweep)
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -57,6 +57,10 @@
             )
         return share
 
+    def repeats_left(self) -> float:
+        """Return the second sends left, over all services."""
+        return sum(share.left for share in self._shares.values())
+
     def choose(
         self, service: str, demand: Demand, tried: set[KnownEndpoint]
     ) -> KnownEndpoint | None:
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -12,6 +12,8 @@
 __all__ = ["ADDRESS_FORM", "HostBounds", "HostSettings", "SETTINGS_VARIABLE", "read_host_settings"]
 
 SETTINGS_VARIABLE = "BERYLJUNCTION_CONFIG"
+# The platform's file names no address for metrics; the deploy file sets the port of its own.
+METRICS_PORT_VARIABLE = "BERYL_METRICS_PORT"
 ADDRESS_FORM = "IP:PORT"
 
 Address = tuple[str, int]
@@ -46,6 +48,7 @@
     Attributes:
         callers: Where callers are taken.
         probes: Where the balancer asks whether the process is ready.
+        metrics: Where metrics are served besides the probes' address; None for nowhere.
         heartbeat_ms: Time between the records that an endpoint writes of itself.
     """
 
@@ -58,6 +61,7 @@
     heartbeat_ms: int
     descriptors: int
     bounds: HostBounds
+    metrics: Address | None = None
 
 
 def read_host_settings(path: str | None = None) -> HostSettings:
@@ -100,8 +104,18 @@
             heartbeat_ms=int(self._number(1_200, "heartbeat-interval-ms")),
             descriptors=int(self._number(1_024, "limits", "file-descriptors")),
             bounds=self._bounds(),
+            metrics=self._metrics(),
         )
 
+    def _metrics(self) -> Address | None:
+        port = os.environ.get(METRICS_PORT_VARIABLE)
+        if port is None:
+            return None
+        address = parse_address(f"{self._text('ip-address')}:{port}")
+        if address is None:
+            self.problems.append(f"{METRICS_PORT_VARIABLE}: expected a port, got {port!r}")
+        return address
+
     def _bounds(self) -> HostBounds:
         names = {
             "revocation_ms": "revocation-ms",
