--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,10 @@
 export PYTHONHASHSEED := 0
 STAMP := $(VENV)/.installed
 
-.PHONY: help install demo test lint format fuzz clean
+.PHONY: help install demo explain-check test lint format fuzz clean
 
 help: ## List the targets.
-	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
 install: $(STAMP) ## Make the virtual environment from the lock files.
 
@@ -21,6 +21,9 @@
 demo: install ## Run the main job with embedded stand-ins and print what held.
 	$(BIN)/beryl-local demo
 
+explain-check: install ## Play three failures and name their causes from the logs alone.
+	$(BIN)/python -m pytest testing/test_explain.py
+
 test: install ## Run the tests.
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/src/beryljunction/cli/explain.py
@@ -0,0 +1,36 @@
+"""beryl explain: the story of one request, from log files."""
+
+import pathlib
+import sys
+
+from beryljunction.explain import explain as explain_request
+from beryljunction.explain import parse_line
+
+__all__ = ["explain"]
+
+
+def explain(request_id: str, *logs: pathlib.Path) -> int:
+    """Tell what happened to a request, from the logs of any processes in any order.
+
+    Exit codes: 0 it was found, 1 no line names it, 2 a file can't be read.
+
+    :param request_id: Id that the caller sent with the request.
+    :param logs: Log files; lines that are no events are passed over.
+    """
+    lines = []
+    for path in logs:
+        try:
+            text = path.read_text(errors="replace")
+        except OSError as error:
+            message = f"{path}: expected a readable log file, got {error.strerror}"
+            print(message, file=sys.stderr)
+            return 2
+        lines += [line for line in map(parse_line, text.splitlines()) if line is not None]
+    story = explain_request(request_id, lines)
+    if story is None:
+        message = f"{request_id}: expected a line with this request id, got none in {len(lines)}"
+        print(f"{message} events; give the logs of all entries", file=sys.stderr)
+        return 1
+    print("\n".join(story.sentences))
+    print(f"cause: {story.cause}")
+    return 0
--- a/src/beryljunction/cli/operator.py
+++ b/src/beryljunction/cli/operator.py
@@ -6,6 +6,7 @@
 
 from beryljunction.cli import settings
 from beryljunction.cli.drain import drain
+from beryljunction.cli.explain import explain
 from beryljunction.cli.status import status
 from beryljunction.cli.timeline import timeline
 
@@ -13,6 +14,7 @@
 
 _COMMANDS = {
     "drain": drain,
+    "explain": explain,
     "settings": settings.COMMANDS,
     "status": status,
     "timeline": timeline,
