--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/python -m pytest testing/test_explain.py
 
 test: install ## Run the tests.
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 5 --dist worksteal
 
 lint: install ## Check formatting, lint rules and types.
 	$(BIN)/black --check --quiet src testing
--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -108,7 +108,8 @@
     after_ms = (line.at - begins).total_seconds() * 1000
     tell = _SENTENCES.get(line.event)
     text = tell(line) if tell is not None else f"{line.event}"
-    return f"{line.at:%H:%M:%S}.{line.at.microsecond // 1000:03} ({after_ms:+.0f} ms) {line.host}: {text}"
+    moment = f"{line.at:%H:%M:%S}.{line.at.microsecond // 1000:03}"
+    return f"{moment} ({after_ms:+.0f} ms) {line.host}: {text}"
 
 
 def _sent(line: LogLine) -> str:
@@ -168,7 +169,8 @@
             return _cause_of(by_event[event], by_event, world)
     if "attempt_ended" in by_event and by_event["attempt_ended"].get("outcome") == "errored":
         line = by_event["attempt_ended"]
-        return f"endpoint {line.get('endpoint')} answered with an error of its own ({line.get('detail')})"
+        own_error = f"an error of its own ({line.get('detail')})"
+        return f"endpoint {line.get('endpoint')} answered with {own_error}"
     if "answered" in by_event:
         return "none: the caller has its whole answer"
     return "the caller left before its answer was whole"
@@ -197,9 +199,8 @@
 
 def _unknown_key(end: LogLine, _: dict[str, LogLine]) -> str:
     version = end.get("settings_version")
-    return (
-        f"no client account holds the API key in settings {version}: it was taken away or is wrong"
-    )
+    why = "it was taken away or is wrong"
+    return f"no client account holds the API key in settings {version}: {why}"
 
 
 def _lost_answer(_: LogLine, by_event: dict[str, LogLine]) -> str:
