--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -30,10 +30,11 @@
 # that it is not ready; longer waits save few calls.
 _CONFIG_WAIT_MS = 1_500
 # Endpoints write when something changes, some at every heartbeat. A waiting read tells of a change
-# at once; where records come all the time, reads keep this distance, so that their number does not
-# grow with that of the endpoints. One that leaves has to be known within 2 s.
-_ENDPOINTS_WAIT_MS = 2_000
-_ENDPOINTS_DISTANCE_S = 0.5
+# at once; where records come all the time, reads keep a distance, so that their number does not grow
+# with that of the endpoints. One that leaves has to be known within the drain time, so the distance
+# is this share of it. A connection that goes silent for good is found after the wait and a second.
+_ENDPOINTS_WAIT_MS = 4_000
+_ENDPOINTS_DISTANCE_RATIO = 0.4
 # Pause after a read that failed: short against the seconds after which settings are too old.
 _FAILED_PAUSE_S = 0.25
 
@@ -128,7 +129,8 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        await _repeat(self.step, _ENDPOINTS_DISTANCE_S)
+        drain_s = self._state.host.bounds.drain_ms / 1000
+        await _repeat(self.step, drain_s * _ENDPOINTS_DISTANCE_RATIO)
 
     async def step(self) -> bool:
         """Read once."""
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -24,6 +24,7 @@
     """Promises of the deployment, with the defaults of its smallest site where a file lacks one.
 
     Attributes:
+        drain_ms: Time after which an endpoint that leaves gets nothing more.
         grace_s: Time between the request to stop and the kill.
         repeat_ratio: Second sends that the fleet may make for each request.
         repeat_window_s: Sliding time of that ratio.
@@ -33,6 +34,7 @@
     """
 
     revocation_ms: int = 5_000
+    drain_ms: int = 2_000
     grace_s: float = 8.0
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
@@ -119,6 +121,7 @@
     def _bounds(self) -> HostBounds:
         names = {
             "revocation_ms": "revocation-ms",
+            "drain_ms": "drain-ms",
             "grace_s": "grace-period-s",
             "repeat_ratio": "retry-budget-ratio",
             "repeat_window_s": "retry-window-s",
