--- /dev/null
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -0,0 +1,335 @@
+"""Endpoints, callers and the store of the fuzz; each does only as the history says."""
+
+import asyncio
+import enum
+import json
+import re
+from typing import TypeVar
+
+import attrs
+
+from beryljunction.fuzz.platform.oracle import Asked, PlatformOracle, Run
+from beryljunction.fuzz.platform.virtual import Side, VirtualLoop
+from beryljunction.platform import (
+    Expired,
+    Newest,
+    Record,
+    Records,
+    Store,
+    Topic,
+    Unavailable,
+)
+from beryljunction.standins.platform_store import Gone, PlatformStoreModel
+
+__all__ = ["Behaviour", "FuzzCaller", "FuzzEndpoint", "FuzzStore", "StoreFault"]
+
+_Answer = TypeVar("_Answer")
+_WORK_S = 0.03
+_STORE_S = 0.004
+_SLOW_S = 0.6
+
+
+class Behaviour(enum.StrEnum):
+    """What an endpoint does with a request."""
+
+    WHOLE = "whole"
+    DECLINE = "decline"
+    LOSE_ANSWER = "lose_answer"
+    CUT = "cut"
+    CUT_IN_EVENT = "cut_in_event"
+    RUBBISH = "rubbish"
+    ANOTHERS = "anothers"
+    TWICE = "twice"
+    HANG = "hang"
+    ERROR = "error"
+    SLOW = "slow"
+
+
+class StoreFault(enum.StrEnum):
+    """What the store does to an entry."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    LATE = "late"
+
+
+class FuzzStore(Store):
+    """The stand-in's model, with faults for one entry."""
+
+    def __init__(self, model: PlatformStoreModel, loop: VirtualLoop) -> None:
+        self._model = model
+        self._loop = loop
+        self.fault = StoreFault.NONE
+
+    async def read(
+        self, topic: Topic, offset: int, wait_ms: int
+    ) -> Records | Expired | Unavailable:
+        """Return the records from an offset on."""
+        fault = await self._begin(wait_ms / 1000)
+        if fault is not None:
+            return fault
+        ends_s = self._loop.now_s + wait_ms / 1000
+        while True:
+            page = self._model.read(topic.name, offset, self._loop.world_s)
+            if isinstance(page, Gone):
+                return Expired()
+            if page.records or self._loop.now_s >= ends_s:
+                answer = Records(tuple(map(_record, page.records)), page.end)
+                return await self._finish(answer)
+            if self.fault in (StoreFault.BUSY, StoreFault.SILENT):
+                return Unavailable("cut while waiting")
+            await asyncio.sleep(0.02)
+
+    async def newest(self, topic: Topic) -> Newest | Unavailable:
+        """Return the newest record of each key."""
+        fault = await self._begin(0.0)
+        if fault is not None:
+            return fault
+        rows, _, end = self._model.newest(topic.name, "", self._loop.world_s)
+        records = tuple(Record(key, value) for key, _, value in rows)
+        return await self._finish(Newest(records, end))
+
+    async def _begin(self, wait_s: float) -> Unavailable | None:
+        await asyncio.sleep(_STORE_S)
+        if self.fault is StoreFault.BUSY:
+            return Unavailable("busy")
+        if self.fault is StoreFault.SILENT:
+            await asyncio.sleep(wait_s + 1.0)
+            return Unavailable("silent")
+        return None
+
+    async def _finish(self, answer: _Answer) -> _Answer:
+        """Hand an answer out; a late one is of the time when it was made."""
+        if self.fault is StoreFault.LATE:
+            await asyncio.sleep(2.0)
+        return answer
+
+
+def _record(data: bytes) -> Record:
+    key_end = 1 + data[0]
+    return Record(data[1:key_end].decode(), data[key_end:] or None)
+
+
+@attrs.define
+class FuzzEndpoint:
+    """One start of an endpoint.
+
+    Attributes:
+        behaviour: What it does with the next requests.
+    """
+
+    name: str
+    service: str
+    address: tuple[str, int]
+    loop: VirtualLoop
+    oracle: PlatformOracle
+    born_ms: int = 1
+    behaviour: Behaviour = Behaviour.WHOLE
+
+    def record(self, state: str = "ready") -> bytes:
+        """Return what it writes of itself."""
+        fields = {
+            "service": self.service,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "zone": "a",
+            "slots": 4,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "born": self.born_ms,
+        }
+        return json.dumps(fields).encode()
+
+    def accept(self) -> "_Served":
+        """Return the protocol of a new connection."""
+        return _Served(self)
+
+
+class _Served(asyncio.Protocol):
+    """Reads one request and answers as its endpoint behaves."""
+
+    def __init__(self, endpoint: FuzzEndpoint) -> None:
+        self._endpoint = endpoint
+        self._data = b""
+        self._side: Side | None = None
+        self._request_id = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the connection."""
+        assert isinstance(transport, Side)
+        self._side = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Begin when the headers are there; requests of the fuzz have no bodies."""
+        self._data += data
+        if b"\r\n\r\n" in self._data:
+            head, self._data = self._data.decode("latin-1"), b""
+            self._endpoint.loop.create_task(self._serve(head))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that nobody listens."""
+        self._side = None
+        if self._request_id:
+            endpoint = self._endpoint
+            endpoint.oracle.released_s[self._request_id] = endpoint.loop.world_s
+
+    async def _serve(self, head: str) -> None:
+        endpoint = self._endpoint
+        fields = dict(re.findall(r"(?m)^([\w-]+): (.*?)\r$", head.lower()))
+        behaviour = endpoint.behaviour
+        expected = fields.get("x-expect-instance", "")
+        is_expected = expected in ("", endpoint.name)
+        ran = is_expected and behaviour is not Behaviour.DECLINE
+        run = Run(
+            fields.get("x-request-id", ""),
+            endpoint.name,
+            endpoint.service,
+            fields.get("x-tenant", ""),
+            endpoint.loop.world_s,
+            ran,
+            expected,
+            "x-credential" in fields,
+            hangs=ran and behaviour is Behaviour.HANG,
+        )
+        self._request_id = run.request_id
+        endpoint.oracle.runs.append(run)
+        if not is_expected:
+            self._write(_head("421 Misdirected Request", run.request_id, ["content-length: 0"]))
+            return
+        await asyncio.sleep(_SLOW_S if behaviour is Behaviour.SLOW else _WORK_S)
+        start = int(fields.get("last-event-id", 0)) + 1
+        streamed = endpoint.oracle.asked[run.request_id].streamed
+        if streamed and behaviour in _STREAMED:
+            await self._stream(run.request_id, start, behaviour)
+        else:
+            self._answer(run.request_id, behaviour)
+
+    def _write(self, data: bytes) -> None:
+        if self._side is not None:
+            self._side.write(data)
+
+    def _reset(self) -> None:
+        if self._side is not None:
+            self._side.reset()
+
+    def _answer(self, request_id: str, behaviour: Behaviour) -> None:
+        body = self._endpoint.oracle.body_of(request_id)
+        length = [f"content-length: {len(body)}"]
+        if behaviour is Behaviour.DECLINE:
+            lines = ["content-length: 0", "x-not-executed: 1"]
+            self._write(_head("503 Service Unavailable", request_id, lines))
+        elif behaviour is Behaviour.LOSE_ANSWER:
+            self._reset()
+        elif behaviour in (Behaviour.CUT, Behaviour.CUT_IN_EVENT):
+            self._write(_head("200 OK", request_id, length) + body[:4])
+            self._reset()
+        elif behaviour is Behaviour.RUBBISH:
+            self._write(b"\x00\x01 not an answer\r\n\r\n")
+        elif behaviour is Behaviour.ANOTHERS:
+            other = b"answer to q-other"
+            lines = [f"content-length: {len(other)}"]
+            self._write(_head("200 OK", "q-other", lines) + other)
+        elif behaviour is Behaviour.ERROR:
+            self._write(_head("500 Internal Server Error", request_id, length) + body)
+        elif behaviour is not Behaviour.HANG:
+            whole = _head("200 OK", request_id, length) + body
+            self._write(whole * 2 if behaviour is Behaviour.TWICE else whole)
+
+    async def _stream(self, request_id: str, start: int, behaviour: Behaviour) -> None:
+        lines = ["transfer-encoding: chunked", "content-type: text/event-stream"]
+        self._write(_head("200 OK", request_id, lines))
+        # A worker that takes a stream up may send the last known event once more.
+        for number in range(max(1, start - 1), self._endpoint.oracle.pieces + 1):
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            if behaviour is Behaviour.CUT_IN_EVENT and number == start + 1:
+                event = event[:7]
+            self._write(b"%x\r\n%b\r\n" % (len(event), event))
+            if behaviour in (Behaviour.CUT, Behaviour.CUT_IN_EVENT) and number == start + 1:
+                await asyncio.sleep(0.01)
+                self._reset()
+                return
+            await asyncio.sleep(0.01)
+        self._write(b"0\r\n\r\n")
+
+
+_STREAMED = frozenset(
+    (
+        Behaviour.WHOLE,
+        Behaviour.CUT,
+        Behaviour.CUT_IN_EVENT,
+        Behaviour.SLOW,
+        Behaviour.TWICE,
+    )
+)
+
+
+def _head(status: str, request_id: str, lines: list[str]) -> bytes:
+    head = [f"HTTP/1.1 {status}", f"x-request-id: {request_id}", "x-server-signature: s", *lines]
+    return "\r\n".join(head).encode() + b"\r\n\r\n"
+
+
+class FuzzCaller(asyncio.Protocol):
+    """Sends one request and reads what it is answered."""
+
+    def __init__(self, asked: Asked, loop: VirtualLoop, entry: str) -> None:
+        self.asked = asked
+        self.entry = entry
+        self._loop = loop
+        self._data = b""
+        self._side: Side | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        assert isinstance(transport, Side)
+        self._side = transport
+        asked = self.asked
+        if asked.left_s is not None:
+            self._side.close()
+            return
+        lines = [
+            f"GET /{asked.service}/{'s' if asked.streamed else 'c'}/ HTTP/1.1",
+            "Host: h",
+            f"X-Request-Id: {asked.request_id}",
+            f"X-Credential: {asked.api_key}",
+            f"X-Deadline-Ms: {int(asked.limit_s * 1000)}",
+        ]
+        self._side.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    def leave(self) -> None:
+        """Close before the answer is whole."""
+        if self.asked.ended_s is not None or self.asked.left_s is not None:
+            return
+        self.asked.left_s = self._loop.world_s
+        if self._side is not None:
+            self._side.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Read on."""
+        self._data += data
+        head, _, body = self._data.partition(b"\r\n\r\n")
+        if not self.asked.status and body is not None and b"\r\n\r\n" in self._data:
+            self.asked.status = int(head.split()[1])
+        if not self.asked.status:
+            return
+        length = re.search(rb"(?i)content-length: (\d+)", head)
+        if length is not None:
+            self.asked.body = body
+            self.asked.is_whole = len(body) >= int(length[1])
+        else:
+            self.asked.pieces = [int(number) for number in re.findall(rb"data: (\d+)\n\n", body)]
+            self.asked.is_whole = body.endswith(b"0\r\n\r\n") and b"\r\n0\r\n\r\n" in body
+        if self.asked.is_whole:
+            self._end()
+
+    def eof_received(self) -> bool:
+        """Take the end of the connection for the end of the answer."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end."""
+        self._side = None
+        self._end()
+
+    def _end(self) -> None:
+        if self.asked.ended_s is None and self.asked.left_s is None:
+            self.asked.ended_s = self._loop.world_s
--- /dev/null
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -0,0 +1,174 @@
+"""What callers were told and what endpoints ran, and the promises over both."""
+
+import attrs
+
+__all__ = ["Asked", "Bounds", "PlatformOracle", "Run"]
+
+_EPSILON_S = 0.3
+
+
+@attrs.frozen
+class Bounds:
+    """Times and numbers of the promises; times are in seconds."""
+
+    revocation_s: float = 5.0
+    drain_s: float = 2.0
+    left_s: float = 0.5
+    repeat_ratio: float = 0.2
+    repeat_slack: int = 20
+
+
+@attrs.define(eq=False)
+class Asked:
+    """One request of a caller.
+
+    Attributes:
+        may_repeat: Whether it may run more than once.
+        left_s: When its caller left; None while it is there.
+        status: What it was answered; 0 for nothing.
+        pieces: Events that arrived, by number.
+        is_whole: Whether the answer looks complete.
+    """
+
+    request_id: str
+    service: str
+    api_key: str
+    may_repeat: bool
+    streamed: bool
+    sent_s: float
+    limit_s: float
+    left_s: float | None = None
+    status: int = 0
+    body: bytes = b""
+    pieces: list[int] = attrs.field(factory=list)
+    is_whole: bool = False
+    ended_s: float | None = None
+
+
+@attrs.frozen
+class Run:
+    """One arrival at an endpoint.
+
+    Attributes:
+        ran: Whether the endpoint began to work on it.
+        expected: The endpoint that the request named.
+        hangs: Whether it works on without an end, until its connection is closed.
+    """
+
+    request_id: str
+    endpoint_id: str
+    service: str
+    account: str
+    at_s: float
+    ran: bool
+    expected: str
+    had_key: bool
+    hangs: bool = False
+
+
+class PlatformOracle:
+    """Judges a history.
+
+    Attributes:
+        pieces: Number of events of a whole stream.
+    """
+
+    pieces = 5
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.asked: dict[str, Asked] = {}
+        self.runs: list[Run] = []
+        self.released_s: dict[str, float] = {}
+        self.accounts: dict[str, str] = {}
+        self.revoked_s: dict[str, float] = {}
+        self.draining_s: dict[str, float] = {}
+        self.outages: list[tuple[float, float]] = []
+
+    def body_of(self, request_id: str) -> bytes:
+        """Return the answer that an endpoint makes for a request."""
+        return f"answer to {request_id}".encode()
+
+    def violations(self) -> list[str]:
+        """Return one line for each broken promise."""
+        found = []
+        for request in self.asked.values():
+            found += self._of_request(request)
+        for run in self.runs:
+            found += self._of_run(run)
+        return found + self._of_repeats()
+
+    def _of_request(self, request: Asked) -> list[str]:
+        found = []
+        name = request.request_id
+        ran = [run for run in self.runs if run.request_id == name and run.ran]
+        if len(ran) > 1 and not request.may_repeat:
+            found.append(f"{name}: ran {len(ran)} times")
+        if request.status in (429, 503) and ran:
+            found.append(f"{name}: told {request.status}, though it ran")
+        found += self._of_answer(request)
+        if request.left_s is None and request.ended_s is None:
+            found.append(f"{name}: no final answer")
+        if request.ended_s is not None and request.left_s is None:
+            late_s = request.ended_s - request.sent_s - request.limit_s
+            if late_s > 0.5:
+                found.append(f"{name}: final answer {late_s:.2f} s after its time")
+        return found
+
+    def _of_answer(self, request: Asked) -> list[str]:
+        name = request.request_id
+        if request.status != 200:
+            return []
+        if not request.streamed:
+            is_own = request.body == self.body_of(name)
+            return [] if is_own or not request.is_whole else [f"{name}: another's answer"]
+        expected = list(range(1, len(request.pieces) + 1))
+        if request.pieces != expected:
+            return [f"{name}: events {request.pieces}"]
+        if request.is_whole and len(request.pieces) != self.pieces:
+            return [f"{name}: looks complete with {len(request.pieces)} events"]
+        return []
+
+    def _of_run(self, run: Run) -> list[str]:
+        found = []
+        request = self.asked.get(run.request_id)
+        if request is None:
+            return [f"{run.request_id}: nobody asked for it"]
+        if run.had_key:
+            found.append(f"{run.request_id}: its API key was passed on")
+        if run.ran and run.service != request.service:
+            found.append(f"{run.request_id}: ran at service {run.service}")
+        if run.ran and run.account != self.accounts.get(request.api_key, ""):
+            found.append(f"{run.request_id}: ran for account {run.account!r}")
+        revoked_s = self.revoked_s.get(request.api_key)
+        if run.ran and revoked_s is not None:
+            late_s = request.sent_s - revoked_s - self.bounds.revocation_s
+            if late_s > 0:
+                found.append(f"{run.request_id}: its key was gone for {late_s:.2f} s too long")
+        draining_s = self.draining_s.get(run.endpoint_id)
+        if draining_s is not None and self._in_touch(draining_s, run.at_s):
+            late_s = run.at_s - draining_s - self.bounds.drain_s
+            if late_s > 0 and run.ran:
+                found.append(f"{run.request_id}: reached {run.endpoint_id} {late_s:.2f} s late")
+        if request.left_s is not None and run.at_s - request.left_s > self.bounds.left_s:
+            found.append(f"{run.request_id}: sent after its caller had left")
+        return found + self._of_work(run, request)
+
+    def _of_work(self, run: Run, request: Asked) -> list[str]:
+        """Judge an endpoint that works for a caller who has left."""
+        if not run.hangs or request.left_s is None:
+            return []
+        released_s = self.released_s.get(run.request_id, float("inf"))
+        late_s = released_s - max(request.left_s, run.at_s) - self.bounds.left_s
+        is_late = late_s > 0 and self._in_touch(request.left_s, released_s)
+        return [f"{run.request_id}: worked on after its caller had left"] if is_late else []
+
+    def _in_touch(self, from_s: float, to_s: float) -> bool:
+        """Whether no outage touched this time, nor the three seconds before it."""
+        return all(end_s + 3.0 < from_s or begin_s > to_s for begin_s, end_s in self.outages)
+
+    def _of_repeats(self) -> list[str]:
+        """Count arrivals beyond the first of each request, over the whole short history."""
+        repeats = len(self.runs) - len({run.request_id for run in self.runs})
+        allowed = len(self.asked) * self.bounds.repeat_ratio + self.bounds.repeat_slack
+        return [f"{repeats} second sends, {allowed:.0f} allowed"] if repeats > allowed else []
--- /dev/null
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -0,0 +1,286 @@
+"""Two entries, five endpoints, callers and a store, in one process and in virtual time."""
+
+import asyncio
+import json
+from typing import Any
+
+import anyio
+import attrs
+
+from beryljunction.fuzz.platform.actors import (
+    Behaviour,
+    FuzzCaller,
+    FuzzEndpoint,
+    FuzzStore,
+    StoreFault,
+)
+from beryljunction.fuzz.platform.oracle import Asked, Bounds, PlatformOracle
+from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
+from beryljunction.gateway.callers import CallerConnection
+from beryljunction.gateway.events import Events
+from beryljunction.gateway.following import FollowConfig, FollowEndpoints
+from beryljunction.gateway.front import Front
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import HostBounds, HostSettings
+from beryljunction.standins.platform_store import PlatformStoreModel
+
+__all__ = ["ENDPOINTS", "ENTRIES", "KEYS", "PlatformWorld"]
+
+ENTRIES = ("entry-0", "entry-1")
+# Endpoints by service: calls of "once" may run once, those of "free" are idempotent or resumable.
+ENDPOINTS = {"o1": "once", "o2": "once", "f1": "free", "f2": "free", "f3": "free"}
+KEYS = {"key-a": "acme", "key-b": "mill"}
+_TIMEOUT_MS = 2_000
+# A thirty-second of this is an entry's own allowance, 2 for each service.
+_SLACK = 64
+_BOUNDS = HostBounds(repeat_slack=_SLACK)
+_SETTLE_S = 2.0
+
+
+class _Silent:
+    """Takes log lines and keeps none."""
+
+    dropped = 0
+
+    def write(self, text: str) -> None:
+        """Drop a line."""
+
+    def flush(self) -> None:
+        """Do nothing."""
+
+
+@attrs.define(eq=False)
+class _Entry:
+    name: str
+    address: tuple[str, int]
+    store: FuzzStore
+    state: EntryState
+    task: asyncio.Task[None] | None = None
+    front: Front | None = None
+    fault_since_s: float | None = None
+
+
+class PlatformWorld:
+    """Everything that a history acts on."""
+
+    def __init__(self) -> None:
+        self.loop = VirtualLoop()
+        self._clock = virtual_clock(self.loop)
+        self._clock.__enter__()
+        self.oracle = PlatformOracle(Bounds(repeat_slack=len(ENTRIES) * 2 * 2))
+        self.oracle.accounts = dict(KEYS)
+        self.model = PlatformStoreModel(retention_s=1e9)
+        self.callers: list[FuzzCaller] = []
+        self.endpoints: dict[str, FuzzEndpoint] = {}
+        self.entries: dict[str, _Entry] = {}
+        self._version = 0
+        self._keys = dict(KEYS)
+        self.configure()
+        for number, (name, service) in enumerate(ENDPOINTS.items()):
+            self.start_endpoint(name, service, ("10.0.1.1", 9_000 + number), 1)
+        for number, name in enumerate(ENTRIES):
+            self.start_entry(name, ("10.0.0.1", 8_000 + number))
+        self.advance(_SETTLE_S)
+
+    # Operator
+
+    def configure(self) -> None:
+        """Write a new version of the settings."""
+        self._version += 2
+        routes = [
+            _route("/once/c/", "once", "non_idempotent"),
+            _route("/once/s/", "once", "streaming"),
+            _route("/free/c/", "free", "idempotent"),
+            _route("/free/s/", "free", "streaming", resumes=True),
+        ]
+        tenants: dict[str, list[str]] = {name: [] for name in KEYS.values()}
+        for key, name in self._keys.items():
+            tenants[name].append(key)
+        config = {
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": "once"}, {"name": "free"}],
+            "tenants": [{"name": name, "api-keys": keys} for name, keys in tenants.items()],
+        }
+        self._put("keyed.op", "config", json.dumps(config).encode())
+
+    def revoke(self, key: str) -> None:
+        """Take a key away."""
+        if self._keys.pop(key, None) is not None:
+            self.configure()
+            self.oracle.revoked_s[key] = self.loop.world_s
+
+    def rewind(self) -> None:
+        """Let an old version of the settings come once more; callers come right after it."""
+        self.model.replay_first("keyed.op", self.loop.world_s)
+        self.advance(0.3)
+        for entry in ENTRIES:
+            for key in KEYS:
+                self.ask(entry, "once", False, key)
+
+    def _put(self, topic: str, key: str, value: bytes | None) -> None:
+        self.model.put(topic, key, value, self.loop.world_s)
+
+    # Endpoints
+
+    def start_endpoint(
+        self, name: str, service: str, address: tuple[str, int], born_ms: int
+    ) -> None:
+        """Start an endpoint and let it write of itself."""
+        endpoint = FuzzEndpoint(name, service, address, self.loop, self.oracle, born_ms)
+        self.endpoints[name] = endpoint
+        self.oracle.draining_s.pop(name, None)
+        self.loop.network.listeners[address] = endpoint.accept
+        self._put("keyed.servers", name, endpoint.record())
+
+    def drain(self, name: str) -> None:
+        """Let an endpoint say that it is leaving; it serves on."""
+        self._put("keyed.servers", name, self.endpoints[name].record("draining"))
+        self.oracle.draining_s.setdefault(name, self.loop.world_s)
+
+    def vanish(self, name: str) -> None:
+        """Remove an endpoint's record; it serves on."""
+        self._put("keyed.servers", name, None)
+        self.oracle.draining_s.setdefault(name, self.loop.world_s)
+
+    def born_again(self, name: str) -> None:
+        """Start an endpoint again under its id."""
+        old = self.endpoints[name]
+        self.start_endpoint(name, old.service, old.address, old.born_ms + 1)
+
+    def reuse_address(self, name: str) -> None:
+        """Let an endpoint crash, and a new one of the other service have its address."""
+        old = self.endpoints[name]
+        self._put("keyed.servers", name, None)
+        other = "free" if old.service == "once" else "once"
+        fresh = f"{name}-{old.born_ms}"
+        stranger = FuzzEndpoint(fresh, other, old.address, self.loop, self.oracle)
+        self.loop.network.listeners[old.address] = stranger.accept
+
+    def misplace(self, name: str) -> None:
+        """Give an endpoint's address to one of the other service; its record stays for a while."""
+        old = self.endpoints[name]
+        other = "free" if old.service == "once" else "once"
+        stranger = FuzzEndpoint(f"{name}-x", other, old.address, self.loop, self.oracle)
+        self.loop.network.listeners[old.address] = stranger.accept
+
+    # Entries
+
+    def start_entry(self, name: str, address: tuple[str, int]) -> None:
+        """Start an entry that knows nothing."""
+        store = FuzzStore(self.model, self.loop)
+        host = HostSettings(
+            name, "a", "r", address, ("10.0.0.1", 1), ("10.0.0.2", 1), 1_200, 1_024, _BOUNDS
+        )
+        events = Events(name, "a", _Silent())  # type: ignore[arg-type]
+        entry = _Entry(name, address, store, EntryState(host, events))
+        self.entries[name] = entry
+        entry.task = self.loop.create_task(self._run_entry(entry))
+
+    async def _run_entry(self, entry: _Entry) -> None:
+        async with anyio.create_task_group() as group:
+            front = entry.front = Front(entry.state, group)
+            self.loop.network.listeners[entry.address] = lambda: CallerConnection(front)
+            group.start_soon(FollowConfig(entry.store, entry.state).run)
+            group.start_soon(FollowEndpoints(entry.store, entry.state).run)
+            await anyio.sleep_forever()
+
+    def kill_entry(self, name: str) -> None:
+        """Kill an entry, whose callers hear nothing more, and start it again."""
+        entry = self.entries[name]
+        self._end_fault(entry)
+        if entry.task is not None:
+            entry.task.cancel()
+        self.loop.network.listeners.pop(entry.address, None)
+        for caller in self.callers:
+            if caller.entry == name:
+                caller.leave()
+        self.advance(0.2)
+        self.start_entry(name, entry.address)
+
+    def store_fault(self, name: str, fault: StoreFault) -> None:
+        """Switch what the store does to an entry."""
+        entry = self.entries[name]
+        self._end_fault(entry)
+        entry.store.fault = fault
+        if fault is not StoreFault.NONE:
+            entry.fault_since_s = self.loop.world_s
+
+    def _end_fault(self, entry: _Entry) -> None:
+        if entry.fault_since_s is not None:
+            self.oracle.outages.append((entry.fault_since_s, self.loop.world_s))
+        entry.fault_since_s = None
+        entry.store.fault = StoreFault.NONE
+
+    def suspend(self, duration_s: float) -> None:
+        """Suspend all hosts: their timers stand still, the rest of the world goes on."""
+        begin_s = self.loop.world_s
+        self.loop.suspended_s += duration_s
+        self.oracle.outages.append((begin_s, self.loop.world_s))
+        for caller in self.callers:
+            if caller.asked.ended_s is None:
+                caller.asked.limit_s += duration_s
+
+    # Callers and time
+
+    def ask(self, entry: str, service: str, streamed: bool, key: str) -> FuzzCaller:
+        """Let a caller send a request."""
+        number = len(self.callers)
+        asked = Asked(
+            request_id=f"q{number}",
+            service=service,
+            api_key=key,
+            may_repeat=service == "free",
+            streamed=streamed,
+            sent_s=self.loop.world_s,
+            limit_s=_TIMEOUT_MS / 1000,
+        )
+        self.oracle.asked[asked.request_id] = asked
+        caller = FuzzCaller(asked, self.loop, entry)
+        self.callers.append(caller)
+        self.loop.create_task(self._connect(caller, self.entries[entry].address))
+        return caller
+
+    async def _connect(self, caller: FuzzCaller, address: tuple[str, int]) -> None:
+        try:
+            await self.loop.network.connect(lambda: caller, address)
+        except ConnectionRefusedError:
+            caller.asked.ended_s = self.loop.world_s
+
+    def advance(self, duration_s: float) -> None:
+        """Let time pass."""
+        self.loop.run_until_complete(asyncio.sleep(duration_s))
+
+    def finish(self) -> list[str]:
+        """End all faults, let requests end, and return what was broken."""
+        for entry in self.entries.values():
+            self._end_fault(entry)
+        self.advance(_TIMEOUT_MS / 1000 + 1.0)
+        return self.oracle.violations()
+
+    def close(self) -> None:
+        """End what still runs."""
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        self.loop.close()
+        self._clock.__exit__(None, None, None)
+
+
+def _route(prefix: str, service: str, kind: str, resumes: bool = False) -> dict[str, Any]:
+    return {
+        "name": f"r{prefix}",
+        "host": "h",
+        "path-prefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeout-ms": _TIMEOUT_MS,
+        "max-attempts": 2 if service == "free" else 1,
+        "resume-streams": resumes,
+    }
+
+
+def behave(world: PlatformWorld, name: str, behaviour: Behaviour) -> None:
+    """Switch what an endpoint does with the next requests."""
+    world.endpoints[name].behaviour = behaviour
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -1,6 +1,5 @@
 """Walks one caller's request to its answer."""
 
-import time
 from typing import Any
 
 import anyio
@@ -82,7 +81,7 @@
         self._service = route.service_for(self._state.random.random())
         self._demand = Demand(self._shared_parts())
         share = self._state.share(self._service)
-        share.count_request(time.monotonic())
+        share.count_request(boot_time_s())
         plan = AttemptPlan(route.repeat, route.max_attempts, share)
         with anyio.move_on_after(max(0.0, self._left_s())):
             await self._walk(plan)
@@ -136,7 +135,7 @@
             with call:
                 return await self._send(call, endpoint, plan)
         except EndpointUnreachable as error:
-            endpoint.note_failure(time.monotonic())
+            endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.NOT_SENT, str(error))
         finally:
             endpoint.in_flight -= 1
@@ -155,22 +154,22 @@
         if isinstance(admitted, Denial):
             self._give_up(plan.give_up(), admitted.reason.value, admitted)
             return AttemptEnd()
-        if not plan.before_send(time.monotonic()):
+        if not plan.before_send(boot_time_s()):
             self._give_up(plan.give_up(), "retry_budget")
             return AttemptEnd()
         unread = self._state.unread_tokens(self._service, endpoint, self._demand)
         call.send(self._message(endpoint, admitted))
         self._log_send(endpoint, admitted, plan)
-        sent_s = time.monotonic()
+        sent_s = boot_time_s()
         endpoint.reading_tokens += unread
         try:
             head = await call.head()
         finally:
             endpoint.reading_tokens -= unread
         if not admitted.route.streamed:
-            endpoint.pace.note((time.monotonic() - sent_s) * 1000, time.monotonic())
+            endpoint.pace.note((boot_time_s() - sent_s) * 1000, boot_time_s())
         if head is None:
-            endpoint.note_failure(time.monotonic())
+            endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.FAILED, call.problem)
         return await self._take(call, head, endpoint, admitted)
 
@@ -182,7 +181,7 @@
         if has_not_run(head.status, head.headers):
             return AttemptEnd(Outcome.DECLINED, str(head.status))
         if not is_answer_to(self._request_id, head.headers):
-            endpoint.note_failure(time.monotonic())
+            endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.FAILED, "answer to another request")
         endpoint.note_answer()
         relay = Relay(call, head, self._delivery, endpoint.pace)
@@ -219,7 +218,7 @@
         load = load_of(head.headers)
         if load is not None:
             running, waiting = load
-            now_s = time.monotonic()
+            now_s = boot_time_s()
             endpoint.report = LoadReport(running, waiting, endpoint.in_flight, now_s)
 
     # Ends without an endpoint's answer
@@ -281,7 +280,7 @@
             account=admitted.account.name if admitted.account is not None else "",
             endpoint=endpoint.record.endpoint_id,
             attempt=plan.sends,
-            load=round(endpoint.load(time.monotonic()), 1),
+            load=round(endpoint.load(boot_time_s()), 1),
             session=parts[-1] if parts else "",
             reading=endpoint.reading_tokens,
             left_ms=int(self._left_s() * 1000),
--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -1,6 +1,5 @@
 """Follows the platform's store: the settings of the fleet, and the records of endpoints."""
 
-import time
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
@@ -30,7 +29,7 @@
 # that it is not ready; longer waits save few calls.
 _CONFIG_WAIT_MS = 1_500
 # Endpoints write when something changes, some at every heartbeat. A waiting read tells of a change
-# at once; where records come all the time, reads keep a distance, so that their number does not grow
+# at once; where records come all the time, reads keep a distance, so their number does not grow
 # with that of the endpoints. One that leaves has to be known within the drain time, so the distance
 # is this share of it. A connection that goes silent for good is found after the wait and a second.
 _ENDPOINTS_WAIT_MS = 4_000
@@ -105,13 +104,13 @@
         return True
 
     def _take(self, records: Iterable[Record]) -> None:
-        newest = None
+        """Take in every version: the last record of several need not be the newest one."""
         for record in records:
             if record.key == FLEET_CONFIG_KEY and record.value is not None:
-                newest = record.value
-        if newest is None:
-            return
-        config = decode_config(newest)
+                self._take_one(record.value)
+
+    def _take_one(self, value: bytes) -> None:
+        config = decode_config(value)
         self._is_usable = not isinstance(config, Unusable)
         if isinstance(config, Unusable):
             self._state.events.write("settings_refused", problem=config.problem)
@@ -140,7 +139,7 @@
         return done
 
     def _take_all(self, records: Iterable[Record]) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._state.registry.store_read(now_s)
         decoded = [decode_endpoint(row.key, row.value) for row in records if row.value is not None]
         for problem in decoded:
@@ -151,7 +150,7 @@
         self._state.events.write("endpoints_listed", endpoints=len(self._state.registry))
 
     def _take(self, records: Iterable[Record]) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._state.registry.store_read(now_s)
         for record in records:
             self._take_one(record, now_s)
@@ -183,7 +182,7 @@
 async def _repeat(step: Callable[[], Awaitable[bool]], distance_s: float) -> None:
     """Step on and on, at this distance at least."""
     while True:
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         done = await step()
-        rest_s = started_s + distance_s - time.monotonic() if done else _FAILED_PAUSE_S
+        rest_s = started_s + distance_s - boot_time_s() if done else _FAILED_PAUSE_S
         await anyio.sleep(max(0.0, rest_s))
--- a/src/beryljunction/gateway/relay.py
+++ b/src/beryljunction/gateway/relay.py
@@ -1,9 +1,8 @@
 """Reads an endpoint's answer and hands it on: whole, as events, or not at all."""
 
-import time
-
 import attrs
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.calls import EndpointCall
 from beryljunction.gateway.delivery import Delivery
 from beryljunction.gateway.eventstream import EventSplitter
@@ -90,7 +89,7 @@
         """Measure the time between events; the first one's is the prompt's, not a step's."""
         if not count:
             return before_s
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if before_s is not None:
             self._pace.note((now_s - before_s) * 1000 / count, now_s)
         return now_s
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -1,7 +1,6 @@
 """What an entry knows: settings, endpoints, shares of second sends, and the decisions over them."""
 
 import random
-import time
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.events import Events
@@ -65,14 +64,14 @@
         self, service: str, demand: Demand, tried: set[KnownEndpoint]
     ) -> KnownEndpoint | None:
         """Return the endpoint that is to get a request; sound ones go before doubtful ones."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
         sound = [row for row in usable if not row.is_suspect(now_s)]
         return self._placement(service).choose(sound or usable, demand, now_s)
 
     def source(self, service: str, chosen: KnownEndpoint, demand: Demand) -> tuple[str, int] | None:
         """Return the address of who keeps more of a prompt than the chosen endpoint."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         rows = self.registry.reachable(service, now_s)
         found = self._placement(service).source(rows, chosen, demand, now_s)
         known = self.config.services.get(service) if self.config is not None else None
@@ -81,7 +80,7 @@
 
     def unread_tokens(self, service: str, chosen: KnownEndpoint, demand: Demand) -> int:
         """Return the prompt tokens that the chosen endpoint will have to read."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         rows = self.registry.reachable(service, now_s)
         return self._placement(service).unread_tokens(rows, chosen, demand, now_s)
 
--- a/src/beryljunction/standins/platform_store.py
+++ b/src/beryljunction/standins/platform_store.py
@@ -14,7 +14,7 @@
 
 from beryljunction.servers import Receive, Scope, Send, read_body, respond, wait_disconnect
 
-__all__ = ["PlatformStoreFaults", "PlatformStoreModel", "PlatformStoreStandIn"]
+__all__ = ["Gone", "PlatformStoreFaults", "PlatformStoreModel", "PlatformStoreStandIn", "Slice"]
 
 _PAGE_ITEMS = 500
 _BODY_BYTES = 4_194_304
@@ -116,6 +116,12 @@
         page = [(key, *row.newest[key]) for key in keys[:_PAGE_ITEMS]]
         return page, len(keys) > _PAGE_ITEMS, row.end
 
+    def replay_first(self, topic: str, now_s: float, part: int = 0) -> None:
+        """Append the oldest record that is kept once more; the newest of its key stays."""
+        row = self._part(topic, part, now_s)
+        if row.records:
+            row.records.append((now_s, row.records[0][1]))
+
     def compact(self, topic: str, part: int = 0) -> None:
         """Drop the history; the newest of each key stays."""
         row = self._parts.get((topic, part))
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -57,6 +57,28 @@
 
         assert anyio.run(run) == 200
 
+    def test_old_version_behind_a_new_one_does_not_hide_it(self):
+        """A key is taken away, and the version before comes once more in the same read.
+
+        Found by the fuzz: only the last record was looked at, so the newer version was passed over,
+        and the key was honoured while every read confirmed the settings.
+        """
+
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                old = world.store.model.newest("keyed.op", "", 0.0)[0][0][2]
+                world.store.faults.busy = True
+                await anyio.sleep(2.0)
+                world.configure(route(), tenants=[{"name": "acme", "api-keys": ["other"]}])
+                world.put("keyed.op", "config", old)
+                world.store.faults.busy = False
+                await anyio.sleep(1.0)
+                return (await world.ask())[0]
+
+        assert anyio.run(run) == 401
+
     def test_expired_history_is_read_again_from_the_newest_records(self):
         async def run():
             async with open_world(route()) as world:
--- /dev/null
+++ b/testing/test_fuzz_platform.py
@@ -0,0 +1,168 @@
+import pytest
+
+from beryljunction import clocks
+from beryljunction.fuzz.platform import PlatformProfile, run_platform_fuzz
+from beryljunction.gateway import exchange, following, front, relay
+from beryljunction.gateway.delivery import Delivery
+from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import headers
+from beryljunction.routing import (
+    AttemptPlan,
+    EndpointRegistry,
+    Outcome,
+    RetryShare,
+    SettingsLease,
+    Verdict,
+)
+
+# Enough for each removed safeguard to be found by the seeds below; each run takes up to 20 s.
+_SEARCH = 200
+_SEEDS = (1, 2, 3)
+
+
+class TestPlatformFuzz:
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_every_promise_holds(self, seed):
+        assert run_platform_fuzz(PlatformProfile(examples=60, steps=25, seed=seed)) == ""
+
+
+def keys_on_old_settings(patch):
+    patch.setattr(SettingsLease, "allows_keys", lambda self, now_s: True)
+
+
+def age_from_the_answer(patch):
+    confirm = SettingsLease.confirm
+    patch.setattr(
+        SettingsLease, "confirm", lambda self, asked_s: confirm(self, clocks.boot_time_s())
+    )
+
+
+def age_without_suspensions(patch):
+    def loop_time():
+        return clocks.time.loop.now_s if hasattr(clocks.time, "loop") else clocks.time.monotonic()
+
+    for module in (exchange, following, front):
+        patch.setattr(module, "boot_time_s", loop_time)
+
+
+def send_again_what_may_have_run(patch):
+    def after(self, outcome):
+        again = outcome is not Outcome.ERRORED and self.sends < 3
+        return Verdict.AGAIN if again else self.give_up()
+
+    patch.setattr(AttemptPlan, "after", after)
+
+
+def call_everything_not_run(patch):
+    patch.setattr(AttemptPlan, "give_up", lambda self: Verdict.REFUSE)
+
+
+def take_answers_of_other_requests(patch):
+    patch.setattr(exchange, "is_answer_to", lambda request_id, lines: True)
+
+
+def hand_on_parts_of_events(patch):
+    def feed(self, data):
+        return [StreamEvent(data, None)]
+
+    patch.setattr(EventSplitter, "feed", feed)
+
+
+def hand_on_events_twice(patch):
+    patch.setattr(Delivery, "_is_new", lambda self, event: True)
+
+
+def end_broken_streams_as_whole(patch):
+    patch.setattr(Delivery, "break_off", lambda self: self._caller.end())
+
+
+def go_on_using_leaving_endpoints(patch):
+    usable = EndpointRegistry.reachable
+    patch.setattr(EndpointRegistry, "usable", usable)
+    patch.setattr(EndpointRegistry, "is_usable", lambda self, known: True)
+
+
+def keep_vanished_endpoints(patch):
+    patch.setattr(EndpointRegistry, "remove", lambda self, endpoint_id, now_s: None)
+
+
+def apply_older_settings(patch):
+    def apply(self, config):
+        self.config = config
+        return True
+
+    patch.setattr(EntryState, "apply", apply)
+
+
+def work_on_for_callers_who_left(patch):
+    patch.setattr(front.Front, "closed", lambda self, connection: None)
+
+
+def repeat_without_budget(patch):
+    patch.setattr(RetryShare, "spend", lambda self, now_s: True)
+
+
+def name_no_endpoint(patch):
+    original = exchange.endpoint_headers
+
+    def without(*args):
+        return [line for line in original(*args) if line[0] != headers.EXPECTED_ENDPOINT]
+
+    patch.setattr(exchange, "endpoint_headers", without)
+
+
+def pass_keys_on(patch):
+    original = exchange.endpoint_headers
+
+    def with_key(lines, *args):
+        return [*original(lines, *args), (headers.API_KEY, b"key-a")]
+
+    patch.setattr(exchange, "endpoint_headers", with_key)
+
+
+def take_cut_answers_for_whole(patch):
+    async def hold(self, repeat):
+        parts = []
+        while (part := await self._call.part()) is not None:
+            parts.append(part)
+        self._delivery.pass_answer(self._head, b"".join(parts))
+        return relay.AttemptEnd()
+
+    patch.setattr(relay.Relay, "hold", hold)
+
+
+SAFEGUARDS = (
+    keys_on_old_settings,
+    age_from_the_answer,
+    age_without_suspensions,
+    send_again_what_may_have_run,
+    call_everything_not_run,
+    take_answers_of_other_requests,
+    hand_on_parts_of_events,
+    hand_on_events_twice,
+    end_broken_streams_as_whole,
+    go_on_using_leaving_endpoints,
+    keep_vanished_endpoints,
+    apply_older_settings,
+    work_on_for_callers_who_left,
+    repeat_without_budget,
+    name_no_endpoint,
+    pass_keys_on,
+    take_cut_answers_for_whole,
+)
+
+
+class TestSafeguards:
+    """Each safeguard is taken out alone; a search that misses that would miss a real fault too."""
+
+    @pytest.mark.parametrize("remove", SAFEGUARDS, ids=lambda remove: remove.__name__)
+    def test_fuzz_finds_a_removed_safeguard(self, remove, monkeypatch):
+        remove(monkeypatch)
+
+        found = (
+            run_platform_fuzz(PlatformProfile(examples=_SEARCH, steps=25, seed=seed))
+            for seed in _SEEDS
+        )
+
+        assert any(found)
