--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -25,7 +25,7 @@
 __all__ = ["FollowConfig", "FollowEndpoints"]
 
 # A waiting read tells of new settings at once. It confirms nothing until it ends, so a second,
-# short read every so often confirms that there are none; the age of the settings then stays under 1.6 s.
+# short read every so often confirms that there are none; the settings' age then stays under 1.6 s.
 # With waiting reads of 1.5 s alone, for the same number of calls, it was up to 3.1 s, and an outage
 # of the store of 4.4 s had keys refused for 1.9 s of it.
 _CONFIG_WAIT_MS = 10_000
