--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -12,6 +12,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.messages import Headers, HttpRequest, phrase_of
+from beryljunction.gateway.sockets import CALLER_TIMEOUTS, set_timeouts
 from beryljunction.routing import CallerLimits
 
 __all__ = ["CallerConnection", "CallerHandler"]
@@ -80,6 +81,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start reading."""
         self._transport = cast(asyncio.Transport, transport)
+        set_timeouts(transport.get_extra_info("socket"), CALLER_TIMEOUTS)
         self.idle_since_s = boot_time_s()
         self._handler.opened(self)
 
--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import collections
-import socket
 from typing import Self, cast
 
 import anyio
 import httptools
 
 from beryljunction.gateway.messages import Head, Headers
+from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
 
 __all__ = ["EndpointCall", "EndpointUnreachable", "open_call"]
 
@@ -16,12 +16,6 @@
 # and a lost packet is sent again only after a second. Aims are 200 ms and up, and nothing has been
 # sent yet, so going elsewhere soon costs nothing.
 _CONNECT_S = 0.25
-# A connection on which sent bytes go unacknowledged, or that stays silent with nobody at the other
-# end, is given up after this time; without it a cut-off host would hang until the deadline.
-_UNACKED_MS = 1_500
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
 # Bytes of an answer kept for a caller that reads slowly, before the endpoint is held back.
 _MOST_BUFFERED_BYTES = 262_144
 
@@ -58,7 +52,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time-outs of the socket."""
         self._transport = cast(asyncio.Transport, transport)
-        _set_timeouts(transport.get_extra_info("socket"))
+        set_timeouts(transport.get_extra_info("socket"), ENDPOINT_TIMEOUTS)
 
     def send(self, data: bytes) -> None:
         """Write the request."""
@@ -179,11 +173,3 @@
     except (OSError, TimeoutError) as error:
         raise EndpointUnreachable(str(error) or type(error).__name__) from error
     return call
-
-
-def _set_timeouts(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKED_MS)
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -160,14 +160,25 @@
         unread = self._state.unread_tokens(self._service, endpoint, self._demand)
         call.send(self._message(endpoint, admitted))
         self._log_send(endpoint, admitted, plan)
-        sent_s = boot_time_s()
+        sent_s = endpoint.waits[call] = boot_time_s()
         endpoint.reading_tokens += unread
         try:
             head = await call.head()
         finally:
             endpoint.reading_tokens -= unread
+            if endpoint.is_stalled(boot_time_s()):
+                endpoint.faults.note(is_bad=True, now_s=boot_time_s())
+            del endpoint.waits[call]
         if not admitted.route.streamed:
             endpoint.pace.note((boot_time_s() - sent_s) * 1000, boot_time_s())
+        end = await self._judge(call, head, endpoint, admitted)
+        is_bad = end.outcome is not None or (head is not None and head.status >= 500)
+        endpoint.faults.note(is_bad, boot_time_s())
+        return end
+
+    async def _judge(
+        self, call: EndpointCall, head: Head | None, endpoint: KnownEndpoint, admitted: Admitted
+    ) -> AttemptEnd:
         if head is None:
             endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.FAILED, call.problem)
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -15,6 +15,7 @@
     RetryShare,
     SettingsLease,
     WarmPlacement,
+    sound_rows,
 )
 
 __all__ = ["EntryState"]
@@ -66,8 +67,8 @@
         """Return the endpoint that is to get a request; sound ones go before doubtful ones."""
         now_s = boot_time_s()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
-        sound = [row for row in usable if not row.is_suspect(now_s)]
-        return self._placement(service).choose(sound or usable, demand, now_s)
+        sound = sound_rows(usable, now_s)
+        return self._placement(service).choose(sound, demand, now_s)
 
     def source(self, service: str, chosen: KnownEndpoint, demand: Demand) -> tuple[str, int] | None:
         """Return the address of who keeps more of a prompt than the chosen endpoint."""
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -20,7 +20,13 @@
     WeightedService,
 )
 from beryljunction.routing.lease import SettingsLease
-from beryljunction.routing.placement import Demand, Placement, PlainPlacement, WarmPlacement
+from beryljunction.routing.placement import (
+    Demand,
+    Placement,
+    PlainPlacement,
+    WarmPlacement,
+    sound_rows,
+)
 from beryljunction.routing.warmth import PromptParts, WarmthMap
 
 __all__ = [
@@ -51,4 +57,5 @@
     "WarmthMap",
     "WeightedService",
     "admit",
+    "sound_rows",
 ]
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -18,6 +18,13 @@
 # A pace that was not measured for this long says nothing any more, so that an endpoint that was
 # slow gets requests again and can show whether it still is.
 _PACE_KEPT_S = 3.0
+# Weight of a new outcome in the share of bad ones: about the last four count.
+_FAULT_WEIGHT = 0.25
+# Without new outcomes the share halves in this time, so that a grey endpoint is tried again.
+_FAULT_HALVES_S = 2.0
+# An endpoint that has kept a request of this process waiting for so long hangs, or reads several
+# of the longest prompts; others are better off elsewhere until it answers.
+_STALL_S = 1.0
 # First time that a failed endpoint is passed over, doubled with each further failure. Short, since
 # passing over a sound one costs its cached prefixes.
 _SUSPECT_S = 0.5
@@ -88,6 +95,26 @@
         return now_s - self.at_s <= _PACE_KEPT_S
 
 
+@attrs.define
+class FaultShare:
+    """Share of an endpoint's outcomes that were bad: errors, refusals, lost or missing answers."""
+
+    _ratio: float = 0.0
+    _at_s: float = -math.inf
+
+    def note(self, is_bad: bool, now_s: float) -> None:
+        """Take in an outcome."""
+        ratio = self.at(now_s)
+        self._ratio = ratio + _FAULT_WEIGHT * (float(is_bad) - ratio)
+        self._at_s = now_s
+
+    def at(self, now_s: float) -> float:
+        """Return the share now."""
+        if self._ratio == 0.0:
+            return 0.0
+        return float(self._ratio * 0.5 ** ((now_s - self._at_s) / _FAULT_HALVES_S))
+
+
 @attrs.define(eq=False)
 class KnownEndpoint:
     """An endpoint with what this process knows of its present start.
@@ -95,6 +122,7 @@
     Attributes:
         in_flight: Requests of this process that it has.
         reading_tokens: Prompt tokens that it is believed to read for this process right now.
+        waits: When each request was sent that has no answer yet.
         lapsed_s: When its record went away in an outage of the store; None while it is there.
     """
 
@@ -104,6 +132,8 @@
     report: LoadReport | None = None
     lapsed_s: float | None = None
     pace: Pace = attrs.field(factory=Pace)
+    faults: FaultShare = attrs.field(factory=FaultShare)
+    waits: dict[object, float] = attrs.field(factory=dict)
     failures: int = 0
     suspect_until_s: float = -math.inf
 
@@ -131,6 +161,10 @@
         self.failures = 0
         self.suspect_until_s = -math.inf
 
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether a request has waited there for its answer for too long."""
+        return any(now_s - sent_s > _STALL_S for sent_s in self.waits.values())
+
     def is_suspect(self, now_s: float) -> bool:
         """Return whether it failed a moment ago."""
         return now_s < self.suspect_until_s
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -10,7 +10,7 @@
 from beryljunction.routing.endpoints import KnownEndpoint
 from beryljunction.routing.warmth import PromptParts, WarmthMap
 
-__all__ = ["Demand", "Placement", "PlainPlacement", "WarmPlacement"]
+__all__ = ["Demand", "Placement", "PlainPlacement", "WarmPlacement", "sound_rows"]
 
 # An endpoint above this multiple of the mean, plus the allowance for small numbers, is passed over.
 # It stays under the fleet's bound of 2 x mean + 3, with room for requests that other entries have
@@ -33,6 +33,10 @@
 # an endpoint with one stalled stream from being shut out for good.
 _LEAST_SLOWNESS = 1.6
 _MOST_SLOWNESS = 6.0
+# Share of bad outcomes from which an endpoint is passed over: two of about four. Sound plain
+# endpoints answer up to one request in seven with an error of the application's own.
+_LEAST_FAULT_SHARE = 0.4
+_FAULT_SHARE_FACTOR = 2.5
 # A plain endpoint in another availability zone counts as this much fuller (share of its slots):
 # the way there costs 0.5 to 1.4 ms of some 45 ms of work.
 _OTHER_ZONE_SHARE = 0.05
@@ -64,6 +68,25 @@
     return min(_MOST_SLOWNESS, ratio) if ratio >= _LEAST_SLOWNESS else 1.0
 
 
+def sound_rows(rows: Sequence[KnownEndpoint], now_s: float) -> list[KnownEndpoint]:
+    """Return the endpoints that are worth sending to; all of them when none is.
+
+    Load: an endpoint fails part of its requests, refuses them, or keeps them waiting, while its
+    record and its health look good. Harm: it is often the emptiest, so it attracts more and more
+    requests, of which those that may run once are lost. It is passed over when its share of bad
+    outcomes is several times that of its peers; where all fail alike, none is.
+    """
+    shares = {row.start: row.faults.at(now_s) for row in rows}
+    median = sorted(shares.values())[len(shares) // 2] if shares else 0.0
+    limit = max(_LEAST_FAULT_SHARE, _FAULT_SHARE_FACTOR * median)
+    sound = [
+        row
+        for row in rows
+        if not row.is_suspect(now_s) and not row.is_stalled(now_s) and shares[row.start] < limit
+    ]
+    return sound or list(rows)
+
+
 class Placement(abc.ABC):
     """Chooses one of several usable endpoints."""
 
--- a/testing/test_warm_placement.py
+++ b/testing/test_warm_placement.py
@@ -1,7 +1,14 @@
 import collections
 import random
 
-from beryljunction.routing import Demand, LoadReport, PlainPlacement, PromptParts, WarmPlacement
+from beryljunction.routing import (
+    Demand,
+    LoadReport,
+    PlainPlacement,
+    PromptParts,
+    WarmPlacement,
+    sound_rows,
+)
 from routing_fakes import known
 
 
@@ -121,3 +128,39 @@
         chosen = {placement.choose(rows, Demand(), 0.0).record.endpoint_id for _ in range(50)}
 
         assert chosen == {"a", "b", "c"}
+
+
+class TestSoundRows:
+    def test_endpoint_that_fails_more_than_its_peers_is_passed_over(self):
+        """One of four endpoints fails half of its requests at once, and looks healthy and empty.
+
+        Callers whose requests may run once lose them there; being emptiest, it would get the most.
+        """
+        rows = rows_of(4)
+        for _ in range(8):
+            for row in rows:
+                row.faults.note(is_bad=row is rows[0], now_s=0.0)
+
+        assert sound_rows(rows, 0.1) == rows[1:]
+
+    def test_it_is_tried_again_after_a_while(self):
+        rows = rows_of(4)
+        for _ in range(8):
+            rows[0].faults.note(is_bad=True, now_s=0.0)
+
+        assert rows[0] in sound_rows(rows, 4.0)
+
+    def test_none_is_passed_over_when_all_fail_alike(self):
+        rows = rows_of(4)
+        for _ in range(8):
+            for row in rows:
+                row.faults.note(is_bad=True, now_s=0.0)
+
+        assert sound_rows(rows, 0.1) == rows
+
+    def test_endpoint_that_keeps_a_request_waiting_is_passed_over(self):
+        rows = rows_of(3)
+        rows[1].waits["call"] = 10.0
+
+        assert rows[1] in sound_rows(rows, 10.9)
+        assert rows[1] not in sound_rows(rows, 11.1)
