--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -1,32 +1,18 @@
-"""Endpoints, callers and the store of the fuzz; each does only as the history says."""
+"""Endpoints and callers of the fuzz; each does only as the history says."""
 
 import asyncio
 import enum
 import json
 import re
-from typing import TypeVar
 
 import attrs
 
 from beryljunction.fuzz.platform.oracle import Asked, PlatformOracle, Run
 from beryljunction.fuzz.platform.virtual import Side, VirtualLoop
-from beryljunction.platform import (
-    Expired,
-    Newest,
-    Record,
-    Records,
-    Store,
-    Topic,
-    Unavailable,
-)
-from beryljunction.standins.platform_store import Gone, PlatformStoreModel
 
-__all__ = ["Behaviour", "FuzzCaller", "FuzzEndpoint", "FuzzStore", "StoreFault"]
+__all__ = ["Behaviour", "FuzzCaller", "FuzzEndpoint"]
 
-_Answer = TypeVar("_Answer")
 _WORK_S = 0.03
-_STORE_S = 0.004
-_LATE_S = 2.0
 _SLOW_S = 0.6
 
 
@@ -46,72 +32,6 @@
     SLOW = "slow"
 
 
-class StoreFault(enum.StrEnum):
-    """What the store does to an entry."""
-
-    NONE = "none"
-    BUSY = "busy"
-    SILENT = "silent"
-    LATE = "late"
-
-
-class FuzzStore(Store):
-    """The stand-in's model, with faults for one entry."""
-
-    def __init__(self, model: PlatformStoreModel, loop: VirtualLoop) -> None:
-        self._model = model
-        self._loop = loop
-        self.fault = StoreFault.NONE
-
-    async def read(
-        self, topic: Topic, offset: int, wait_ms: int
-    ) -> Records | Expired | Unavailable:
-        """Return the records from an offset on."""
-        fault = await self._begin(wait_ms / 1000)
-        if fault is not None:
-            return fault
-        ends_s = self._loop.now_s + wait_ms / 1000
-        while True:
-            page = self._model.read(topic.name, offset, self._loop.world_s)
-            if isinstance(page, Gone):
-                return Expired()
-            if page.records or self._loop.now_s >= ends_s:
-                answer = Records(tuple(map(_record, page.records)), page.end)
-                return await self._finish(answer)
-            if self.fault in (StoreFault.BUSY, StoreFault.SILENT):
-                return Unavailable("cut while waiting")
-            await asyncio.sleep(0.02)
-
-    async def newest(self, topic: Topic) -> Newest | Unavailable:
-        """Return the newest record of each key."""
-        fault = await self._begin(0.0)
-        if fault is not None:
-            return fault
-        rows, _, end = self._model.newest(topic.name, "", self._loop.world_s)
-        records = tuple(Record(key, value) for key, _, value in rows)
-        return await self._finish(Newest(records, end))
-
-    async def _begin(self, wait_s: float) -> Unavailable | None:
-        await asyncio.sleep(_STORE_S)
-        if self.fault is StoreFault.BUSY:
-            return Unavailable("busy")
-        if self.fault is StoreFault.SILENT:
-            await asyncio.sleep(wait_s + 1.0)
-            return Unavailable("silent")
-        return None
-
-    async def _finish(self, answer: _Answer) -> _Answer | Unavailable:
-        """Hand an answer out; a late one is of the time when it was made."""
-        if self.fault is StoreFault.LATE:
-            await asyncio.sleep(_LATE_S)
-        return Unavailable("silent") if self.fault is StoreFault.SILENT else answer
-
-
-def _record(data: bytes) -> Record:
-    key_end = 1 + data[0]
-    return Record(data[1:key_end].decode(), data[key_end:] or None)
-
-
 @attrs.define
 class FuzzEndpoint:
     """One start of an endpoint.
--- a/src/beryljunction/fuzz/platform/machine.py
+++ b/src/beryljunction/fuzz/platform/machine.py
@@ -11,7 +11,8 @@
     run_state_machine_as_test,
 )
 
-from beryljunction.fuzz.platform.actors import Behaviour, StoreFault
+from beryljunction.fuzz.platform.actors import Behaviour
+from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENDPOINTS, ENTRIES, KEYS, PlatformWorld, behave
 
 __all__ = ["PlatformMachine", "PlatformProfile", "run_platform_fuzz"]
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -7,14 +7,9 @@
 import anyio
 import attrs
 
-from beryljunction.fuzz.platform.actors import (
-    Behaviour,
-    FuzzCaller,
-    FuzzEndpoint,
-    FuzzStore,
-    StoreFault,
-)
+from beryljunction.fuzz.platform.actors import Behaviour, FuzzCaller, FuzzEndpoint
 from beryljunction.fuzz.platform.oracle import Asked, Bounds, PlatformOracle
+from beryljunction.fuzz.platform.stores import FuzzStore, StoreFault
 from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
 from beryljunction.gateway.callers import CallerConnection
 from beryljunction.gateway.events import Events
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -7,18 +7,16 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.calls import EndpointCall, EndpointUnreachable, open_call
 from beryljunction.gateway.delivery import Answering, Delivery
-from beryljunction.gateway.messages import Head, Headers, HttpRequest, hop_by_hop
+from beryljunction.gateway.messages import Head, Headers, HttpRequest
+from beryljunction.gateway.outgoing import endpoint_message
 from beryljunction.gateway.relay import AttemptEnd, Relay
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform.headers import REQUEST_ID, RETRY_AFTER_S
 from beryljunction.platform.requests import (
-    MUST_STAY,
-    endpoint_headers,
     has_not_run,
     is_answer_to,
     load_of,
     read_needs,
-    with_last_event,
 )
 from beryljunction.routing import (
     Admitted,
@@ -201,29 +199,14 @@
         return await relay.hold(admitted.route.repeat)
 
     def _message(self, endpoint: KnownEndpoint, admitted: Admitted) -> bytes:
-        """Return the request as the endpoint gets it: target and body byte for byte."""
-        request, route, account = self._request, admitted.route, admitted.account
-        lines = request.headers
-        if self._delivery.position is not None:
-            lines = with_last_event(lines, self._delivery.position)
-        urgency = route.priority
-        if account is not None and account.priority is not None:
-            urgency = account.priority
-        headers = endpoint_headers(
-            lines,
-            hop_by_hop(request.headers, MUST_STAY),
+        return endpoint_message(
+            self._request,
+            admitted,
             endpoint.record.endpoint_id,
             max(1, int(self._left_s() * 1000)),
-            account.name if account is not None else None,
-            urgency,
+            self._delivery.position,
             self._state.source(self._service, endpoint, self._demand),
         )
-        had_body = request.value(b"content-length") or request.value(b"transfer-encoding")
-        if had_body is not None:
-            headers.append((b"content-length", b"%d" % len(request.body)))
-        start = b"%b %b HTTP/1.1\r\n" % (request.method, request.target)
-        head = b"".join(b"%b: %b\r\n" % line for line in headers)
-        return start + head + b"\r\n" + request.body
 
     def _note_load(self, endpoint: KnownEndpoint, head: Head) -> None:
         load = load_of(head.headers)
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -2,7 +2,7 @@
 
 from beryljunction import clocks
 from beryljunction.fuzz.platform import PlatformProfile, run_platform_fuzz
-from beryljunction.gateway import exchange, following, front, relay
+from beryljunction.gateway import exchange, following, front, outgoing, relay
 from beryljunction.gateway.delivery import Delivery
 from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
 from beryljunction.gateway.state import EntryState
@@ -104,21 +104,21 @@
 
 
 def name_no_endpoint(patch):
-    original = exchange.endpoint_headers
+    original = outgoing.endpoint_headers
 
     def without(*args):
         return [line for line in original(*args) if line[0] != headers.EXPECTED_ENDPOINT]
 
-    patch.setattr(exchange, "endpoint_headers", without)
+    patch.setattr(outgoing, "endpoint_headers", without)
 
 
 def pass_keys_on(patch):
-    original = exchange.endpoint_headers
+    original = outgoing.endpoint_headers
 
     def with_key(lines, *args):
         return [*original(lines, *args), (headers.API_KEY, b"key-a")]
 
-    patch.setattr(exchange, "endpoint_headers", with_key)
+    patch.setattr(outgoing, "endpoint_headers", with_key)
 
 
 def take_cut_answers_for_whole(patch):
