--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -141,7 +141,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        drain_s = self._state.host.bounds.drain_ms / 1000
+        drain_s = self._state.bounds.drain_ms / 1000
         await _repeat(self.step, drain_s * _ENDPOINTS_DISTANCE_RATIO)
 
     async def step(self) -> bool:
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -1,6 +1,7 @@
 """The life of an entry on the platform: start, ready, stop without cutting an answer."""
 
 import asyncio
+import os
 import signal
 import time
 
@@ -15,7 +16,12 @@
 from beryljunction.gateway.front import Front
 from beryljunction.gateway.probes import ProbeHandler
 from beryljunction.gateway.state import EntryState
-from beryljunction.platform import HostSettings, HttpStore, read_host_settings
+from beryljunction.platform import (
+    SETTINGS_VARIABLE,
+    HostSettings,
+    HttpStore,
+    read_host_settings,
+)
 
 __all__ = ["EntryProcess"]
 
@@ -25,6 +31,8 @@
 _END_MARGIN_S = 0.6
 _STOP_STEP_S = 0.1
 _BACKLOG = 1_024
+# The platform may change the settings file without a signal; a look costs one system call.
+_FILE_CHECK_S = 2.0
 
 
 class EntryProcess:
@@ -86,6 +94,7 @@
             group.start_soon(FollowConfig(store, self._state).run)
             group.start_soon(FollowEndpoints(store, self._state).run)
             group.start_soon(front.sweep)
+            group.start_soon(self._watch_file)
             await self._stopping.wait()
             await self._wind_down(front, listener)
             group.cancel_scope.cancel()
@@ -115,18 +124,33 @@
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self._reload()
+                    self.reload()
                 else:
                     self.stop()
 
-    def _reload(self) -> None:
-        """Read the settings file again; the last good one holds where the new one can't be used."""
+    async def _watch_file(self) -> None:
+        """Reload when the settings file has changed without a signal."""
+        seen = _file_stamp()
+        while True:
+            await anyio.sleep(_FILE_CHECK_S)
+            stamp = _file_stamp()
+            if stamp != seen:
+                seen = stamp
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the settings file again; the last good one holds where the new one can't be used.
+
+        Bounds are put in force at once. Addresses are those of the start: a process that listened
+        elsewhere in the middle of its life would lose its callers.
+        """
         try:
-            read_host_settings()
+            host = read_host_settings()
         except SettingsError as error:
             self._events.write("reload_refused", problem=str(error))
             return
-        self._events.write("reloaded")
+        self._state.apply_bounds(host.bounds)
+        self._events.write("reloaded", revocation_ms=host.bounds.revocation_ms)
 
 
 async def _listen(handler: Front | ProbeHandler, address: tuple[str, int]) -> asyncio.Server:
@@ -139,5 +163,13 @@
         raise StartError(f"{_text(address)}: expected a free address, got {error}") from error
 
 
+def _file_stamp() -> int:
+    """Return when the settings file was changed; 0 while there is none."""
+    try:
+        return os.stat(os.environ.get(SETTINGS_VARIABLE, "")).st_mtime_ns
+    except OSError:
+        return 0
+
+
 def _text(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -4,7 +4,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.events import Events
-from beryljunction.platform import HostSettings
+from beryljunction.platform import HostBounds, HostSettings
 from beryljunction.routing import (
     Demand,
     EndpointRegistry,
@@ -26,10 +26,11 @@
 
     Attributes:
         config: Settings in force; None before the first were read.
+        bounds: Promises of the deployment in force.
     """
 
     def __init__(self, host: HostSettings, events: Events) -> None:
-        bounds = host.bounds
+        bounds = self.bounds = host.bounds
         self.host = host
         self.events = events
         self.config: FleetConfig | None = None
@@ -40,6 +41,14 @@
         self._plain = PlainPlacement(host.availability_zone, self.random)
         self._shares: dict[str, RetryShare] = {}
 
+    def apply_bounds(self, bounds: HostBounds) -> None:
+        """Put other bounds of the deployment in force."""
+        if bounds == self.bounds:
+            return
+        self.bounds = bounds
+        self.lease.revocation_s = bounds.revocation_ms / 1000
+        self._shares.clear()
+
     def apply(self, config: FleetConfig) -> bool:
         """Put settings in force; never older ones than those that are."""
         if self.config is not None and config.version <= self.config.version:
@@ -51,7 +60,7 @@
         """Return this entry's share of second sends to a service."""
         share = self._shares.get(service)
         if share is None:
-            bounds = self.host.bounds
+            bounds = self.bounds
             share = self._shares[service] = RetryShare(
                 bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_slack
             )
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -1,6 +1,11 @@
 """Adapter to the users' platform: its words are decoded here, once, into the project's types."""
 
-from beryljunction.platform.hostfile import HostBounds, HostSettings, read_host_settings
+from beryljunction.platform.hostfile import (
+    SETTINGS_VARIABLE,
+    HostBounds,
+    HostSettings,
+    read_host_settings,
+)
 from beryljunction.platform.records import Unusable, decode_config, decode_endpoint
 from beryljunction.platform.store import (
     ENDPOINT_RECORDS,
@@ -27,6 +32,7 @@
     "Newest",
     "Record",
     "Records",
+    "SETTINGS_VARIABLE",
     "Store",
     "Topic",
     "Unavailable",
--- a/testing/test_gateway_process.py
+++ b/testing/test_gateway_process.py
@@ -153,6 +153,67 @@
     return bool(world.lines.of("stopped"))
 
 
+class TestReload:
+    def test_bounds_of_a_changed_file_are_in_force_and_a_bad_file_changes_nothing(
+        self, tmp_path, monkeypatch
+    ):
+        """The platform writes the file anew, once well and once not.
+
+        A process that took a bad file for empty bounds would honour keys for longer than allowed.
+        """
+        path = tmp_path / "node.toml"
+        monkeypatch.setenv("BERYLJUNCTION_CONFIG", str(path))
+
+        async def run():
+            async with open_world(route()) as world:
+                path.write_text(FILE)
+                world.entry.reload()
+                good_s = world.entry._state.lease.revocation_s
+                path.write_text(FILE.replace("2500", '"soon"'))
+                world.entry.reload()
+                kept_s = world.entry._state.lease.revocation_s
+                return good_s, kept_s, world.lines.of("reload_refused")
+
+        good_s, kept_s, refused = anyio.run(run)
+
+        assert (good_s, kept_s) == (2.5, 2.5)
+        assert "bounds.revocation-ms: expected a number" in refused[0]
+
+
+FILE = """
+node-name = "entry-1"
+zone = "a"
+region = "r"
+[listen-addresses]
+front = "127.0.0.1:8001"
+ready = "127.0.0.1:8002"
+[bounds]
+revocation-ms = 2500
+[platform]
+address = "127.0.0.1:8003"
+"""
+
+
+class TestRestart:
+    def test_another_start_serves_within_a_second(self):
+        """An entry is killed; its next start knows nothing and reads all it needs."""
+
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                begun_s = anyio.current_time()
+                await world.start_entry()
+                await world.known(1)
+                status = (await world.ask())[0]
+                return status, anyio.current_time() - begun_s
+
+        status, took_s = anyio.run(run)
+
+        assert status == 200
+        assert took_s < 1.0
+
+
 class TestStart:
     def test_address_in_use_is_a_clear_error(self):
         async def run():
