--- a/src/beryljunction/cli/local.py
+++ b/src/beryljunction/cli/local.py
@@ -16,6 +16,7 @@
     run_demo,
     run_standins,
     serve_fleet,
+    serve_platform,
     write_files,
 )
 
@@ -41,6 +42,19 @@
     return 0
 
 
+def platform() -> int:
+    """Keep the path on the users' platform up for trying with curl, until interrupted.
+
+    The store's stand-in, two endpoints of each of two services and an entry, in one process. The
+    log goes to standard output, what to try to standard error.
+    """
+    try:
+        anyio.run(serve_platform)
+    except KeyboardInterrupt:
+        return 0
+    return 0
+
+
 def files(directory: pathlib.Path, *, first_port: int = 7400) -> int:
     """Write the process files of a small fleet, for running it as separate processes.
 
@@ -70,4 +84,4 @@
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(defopt.run([demo, serve, files, standins]))
+    sys.exit(defopt.run([demo, serve, platform, files, standins]))
--- a/src/beryljunction/standins/__init__.py
+++ b/src/beryljunction/standins/__init__.py
@@ -7,6 +7,7 @@
 from beryljunction.standins.model import CacheChange, EngineModel
 from beryljunction.standins.orders import EngineOrdersModel, answer_engine_orders
 from beryljunction.standins.plain import PlainStandIn
+from beryljunction.standins.platform_endpoint import PlatformEndpointStandIn
 from beryljunction.standins.platform_store import (
     PlatformStoreFaults,
     PlatformStoreModel,
@@ -28,6 +29,7 @@
     "LogStandIn",
     "ModelLogClient",
     "PlainStandIn",
+    "PlatformEndpointStandIn",
     "PlatformStoreFaults",
     "PlatformStoreModel",
     "PlatformStoreStandIn",
--- /dev/null
+++ b/testing/test_local_platform.py
@@ -0,0 +1,40 @@
+import anyio
+
+from beryljunction.gateway.events import Events
+from beryljunction.local import LocalPlatform
+from platform_world import Lines, World
+
+HEAD = (
+    b"POST %b HTTP/1.1\r\nHost: demo.example\r\nX-Request-Id: q1\r\nX-Credential: demo-key\r\n"
+    b"X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class TestLocalPlatform:
+    def test_a_stream_and_a_call_come_whole_through_the_entry(self):
+        async def run():
+            async with anyio.create_task_group() as group:
+                local = LocalPlatform(group)
+                await local.start(Events("entry-local", "local", Lines()))
+
+                async def is_ready():
+                    try:
+                        data = b"GET / HTTP/1.1\r\n\r\n"
+                        return (await World.send_to(local.host.probes, data))[0] == 200
+                    except OSError:
+                        return False
+
+                await World.until(is_ready)
+                stream = await World.send_to(local.host.callers, HEAD % b"/chat/1")
+                call = await World.send_to(local.host.callers, HEAD % b"/notes/1")
+                runs = sum(len(endpoint.runs) for endpoint in local.endpoints.values())
+                group.cancel_scope.cancel()
+                return stream, call, runs
+
+        stream, call, runs = anyio.run(run)
+
+        assert (stream[0], stream[3]) == (200, True)
+        assert stream[2].count(b"data: token") == 8
+        assert call[0] == 200
+        assert b'"endpoint": "ledger-' in call[2]
+        assert runs == 2
