--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -36,10 +36,6 @@
 
 # A request with less time left than this can't be answered in time by any endpoint.
 _LEAST_LEFT_S = 0.02
-# Callers come back after this time, spread, and within a third of the time that they have left.
-_RETRY_AFTER_S = 0.25
-_RETRY_SPREAD_S = 0.5
-_LEFT_SHARE = 1 / 3.0
 _DENIAL_STATUS = {DenialReason.NO_ROUTE: 404, DenialReason.UNKNOWN_KEY: 401}
 _NO_DEADLINE_MS = 60_000
 
@@ -54,6 +50,7 @@
         self._tried: set[KnownEndpoint] = set()
         self._error: tuple[Head, bytes] | None = None
         self._request_id = ""
+        self._service = ""
 
     async def run(self) -> None:
         """Serve the request; cancelled when its caller leaves."""
@@ -255,13 +252,12 @@
         self._delivery.answer(status, headers, f"{reason}\n".encode())
 
     def _pause_s(self) -> float:
-        """Return when to come back: spread, so that callers refused together don't return so."""
-        pause_s = _RETRY_AFTER_S + self._state.random.random() * _RETRY_SPREAD_S
+        """Return when a caller is to come back that was refused."""
         deadline_ms = self._needs.deadline_ms
-        if deadline_ms is None:
-            return pause_s
-        left_s = self._request.arrived_s + deadline_ms / 1000 - boot_time_s()
-        return max(0.01, min(pause_s, left_s * _LEFT_SHARE))
+        left_s = None
+        if deadline_ms is not None:
+            left_s = self._request.arrived_s + deadline_ms / 1000 - boot_time_s()
+        return self._state.retry_after_s(self._service, self._tried, left_s)
 
     # Log
 
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -15,6 +15,7 @@
     RetryShare,
     SettingsLease,
     WarmPlacement,
+    retry_after_s,
     sound_rows,
 )
 
@@ -79,6 +80,13 @@
         sound = sound_rows(usable, now_s)
         return self._placement(service).choose(sound, demand, now_s)
 
+    def retry_after_s(self, service: str, tried: set[KnownEndpoint], left_s: float | None) -> float:
+        """Return the pause that a refused caller is told."""
+        now_s = boot_time_s()
+        usable = self.registry.usable(service, now_s)
+        rows = [row for row in sound_rows(usable, now_s) if row not in tried]
+        return retry_after_s(rows, left_s, self.random, now_s)
+
     def source(self, service: str, chosen: KnownEndpoint, demand: Demand) -> tuple[str, int] | None:
         """Return the address of who keeps more of a prompt than the chosen endpoint."""
         now_s = boot_time_s()
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -27,6 +27,7 @@
     WarmPlacement,
     sound_rows,
 )
+from beryljunction.routing.refusing import retry_after_s
 from beryljunction.routing.warmth import PromptParts, WarmthMap
 
 __all__ = [
@@ -57,5 +58,6 @@
     "WarmthMap",
     "WeightedService",
     "admit",
+    "retry_after_s",
     "sound_rows",
 ]
