--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -164,9 +164,7 @@
     def start_entry(self, name: str, address: tuple[str, int]) -> None:
         """Start an entry that knows nothing."""
         store = FuzzStore(self.model, self.loop)
-        host = HostSettings(
-            name, "a", "r", address, ("10.0.0.1", 1), ("10.0.0.2", 1), 1_200, 1_024, _BOUNDS
-        )
+        host = HostSettings(name, "a", "r", address, ("10.0.0.1", 1), ("10.0.0.2", 1), _BOUNDS)
         events = Events(name, "a", _Silent())  # type: ignore[arg-type]
         entry = _Entry(name, address, store, EntryState(host, events))
         entry.state.random.seed(name)
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -161,9 +161,7 @@
             head = await call.head()
         finally:
             endpoint.reading_tokens -= unread
-            if endpoint.is_stalled(boot_time_s()):
-                endpoint.faults.note(is_bad=True, now_s=boot_time_s())
-            del endpoint.waits[call]
+            endpoint.end_wait(call, boot_time_s())
         if not admitted.route.streamed:
             endpoint.pace.note((boot_time_s() - sent_s) * 1000, boot_time_s())
         end = await self._judge(call, head, endpoint, admitted)
--- a/src/beryljunction/local/platform.py
+++ b/src/beryljunction/local/platform.py
@@ -62,8 +62,6 @@
             callers=_free_address(),
             probes=_free_address(),
             store=store,
-            heartbeat_ms=1_200,
-            descriptors=1_024,
             bounds=HostBounds(),
         )
         entry = EntryProcess(self.host, events or Events("entry-local", "local"))
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -29,8 +29,6 @@
         repeat_ratio: Second sends that the fleet may make for each request.
         repeat_window_s: Sliding time of that ratio.
         repeat_slack: Second sends of the whole fleet on top of the ratio.
-        imbalance_factor: Multiple of a service's mean load that no endpoint may carry.
-        warm_s: Time after which a prompt part that nobody used counts as new.
     """
 
     revocation_ms: int = 5_000
@@ -39,8 +37,6 @@
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_slack: int = 0
-    imbalance_factor: float = 2.0
-    warm_s: float = 10.0
 
 
 @attrs.frozen
@@ -51,7 +47,6 @@
         callers: Where callers are taken.
         probes: Where the balancer asks whether the process is ready.
         metrics: Where metrics are served besides the probes' address; None for nowhere.
-        heartbeat_ms: Time between the records that an endpoint writes of itself.
     """
 
     host: str
@@ -60,8 +55,6 @@
     callers: Address
     probes: Address
     store: Address
-    heartbeat_ms: int
-    descriptors: int
     bounds: HostBounds
     metrics: Address | None = None
 
@@ -103,8 +96,6 @@
             callers=self._address("listen-addresses", "front"),
             probes=self._address("listen-addresses", "ready"),
             store=self._address("platform", "address"),
-            heartbeat_ms=int(self._number(1_200, "heartbeat-interval-ms")),
-            descriptors=int(self._number(1_024, "limits", "file-descriptors")),
             bounds=self._bounds(),
             metrics=self._metrics(),
         )
@@ -126,9 +117,6 @@
             "repeat_ratio": "retry-budget-ratio",
             "repeat_window_s": "retry-window-s",
             "repeat_slack": "retry-budget-slack",
-            "imbalance_factor": "load-imbalance-factor",
-            # The name says when to come back; it holds how long a part that was read counts.
-            "warm_s": "retry-after-s",
         }
         defaults = HostBounds()
         values = {
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -97,9 +97,7 @@
         # A kind that isn't known here is treated as the most careful one.
         repeat=Repeat.RESUME if resumes else _REPEATS.get(kind, Repeat.NEVER),
         streamed=streamed,
-        has_prompt=fields.get("sticky-sessions") is True,
         timeout_ms=_whole(fields, "timeout-ms", 1),
-        target_latency_ms=_whole(fields, "target-latency-ms", 0, default=0),
         max_attempts=_whole(fields, "max-attempts", 1, default=1),
         priority=_whole(fields, "priority", 0, default=0),
         allows_anonymous=fields.get("allow-anonymous") is True,
@@ -128,7 +126,6 @@
         name=_text(fields, "name"),
         is_engine=isinstance(engine, dict),
         can_fetch=bool(traits.get("kv-token-bytes")) and bool(traits.get("link-mbps")),
-        connection_limit=_whole(fields, "connection-limit", 0, default=0),
     )
 
 
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -161,6 +161,11 @@
         self.failures = 0
         self.suspect_until_s = -math.inf
 
+    def end_wait(self, request: object, now_s: float) -> None:
+        """Note that a request waits no longer; one that waited for too long counts as bad."""
+        if now_s - self.waits.pop(request) > _STALL_S:
+            self.faults.note(is_bad=True, now_s=now_s)
+
     def is_stalled(self, now_s: float) -> bool:
         """Return whether a request has waited there for its answer for too long."""
         return any(now_s - sent_s > _STALL_S for sent_s in self.waits.values())
--- a/src/beryljunction/routing/fleet.py
+++ b/src/beryljunction/routing/fleet.py
@@ -45,7 +45,6 @@
     Attributes:
         targets: Services with their shares; never empty.
         streamed: Whether answers are event streams.
-        has_prompt: Whether requests name the parts of their prompt.
         max_attempts: Endpoints that one request may be sent to.
         priority: Rank, 0 is the most urgent.
     """
@@ -56,9 +55,7 @@
     targets: tuple[WeightedService, ...]
     repeat: Repeat
     streamed: bool
-    has_prompt: bool
     timeout_ms: int
-    target_latency_ms: int
     max_attempts: int
     priority: int
     allows_anonymous: bool
@@ -85,7 +82,6 @@
     name: str
     is_engine: bool
     can_fetch: bool
-    connection_limit: int
 
 
 @attrs.frozen
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -171,7 +171,7 @@
         bound = _BOUND_RATIO * sum(loads.values()) / len(rows) + _BOUND_ALLOWANCE
         order = self._order(rows, demand.parts, now_s)
         open_rows = [row for row in order if loads[row.start] < bound]
-        if not open_rows:
+        if not open_rows or not demand.parts.ids:
             return min(rows, key=lambda row: loads[row.start])
         first, *others = open_rows
         if others and _queue_ms(first) - _queue_ms(others[0]) > _PATIENCE_MS:
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -204,8 +204,6 @@
             callers=("127.0.0.1", ports[0]),
             probes=("127.0.0.1", ports[1]),
             store=self.store_address,
-            heartbeat_ms=1_200,
-            descriptors=1_024,
             bounds=self.bounds,
         )
         self.entry = EntryProcess(self.host, Events("entry-1", "a", self.lines))
--- a/testing/routing_fakes.py
+++ b/testing/routing_fakes.py
@@ -33,9 +33,7 @@
         "targets": (WeightedService(service, 1.0),),
         "repeat": Repeat.NEVER,
         "streamed": False,
-        "has_prompt": False,
         "timeout_ms": 2_000,
-        "target_latency_ms": 200,
         "max_attempts": 1,
         "priority": 1,
         "allows_anonymous": False,
@@ -50,7 +48,7 @@
     return FleetConfig(
         version=version,
         routes=FleetConfig.index(routes),
-        services={name: Service(name, name == "engine", True, 100) for name in services},
+        services={name: Service(name, name == "engine", True) for name in services},
         limits=limits or CallerLimits(),
         accounts=accounts,
     )
--- a/testing/test_warm_placement.py
+++ b/testing/test_warm_placement.py
@@ -104,6 +104,17 @@
 
         assert place(placement, rows, demand("chat"), 0.1) is not home
 
+    def test_requests_without_a_prompt_go_where_there_is_room(self):
+        """Calls of a model's service that name no prompt parts have no home.
+
+        By the order of an empty session all would go to one endpoint, up to its bound.
+        """
+        placement, rows = WarmPlacement(), rows_of(4)
+        for _ in range(8):
+            placement.choose(rows, Demand(), 0.0).in_flight += 1
+
+        assert [row.in_flight for row in rows] == [2, 2, 2, 2]
+
     def test_nothing_to_choose_from(self):
         assert WarmPlacement().choose([], demand("chat"), 0.0) is None
 
