--- a/testing/test_gateway_process.py
+++ b/testing/test_gateway_process.py
@@ -121,6 +121,31 @@
 
         assert anyio.run(run)
 
+    def test_stops_in_a_row_and_a_change_of_settings_cut_nothing(self):
+        """The platform asks three times to stop while the settings change and a caller waits.
+
+        The caller has its answer by the settings under which it was sent; a caller that comes after
+        the change is served by the new ones; the second and third stop change nothing.
+        """
+
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1", script=slow)
+                await world.known(1)
+                reader, writer = await world.connect()
+                writer.write(world.message())
+                await anyio.sleep(0.1)
+                world.entry.stop()
+                world.configure(route("/new/"))
+                world.entry.stop()
+                await anyio.sleep(0.2)
+                world.entry.stop()
+                late = (await world.ask(path="/new/", request_id="q2"))[0]
+                gone = (await world.ask(request_id="q3"))[0]
+                return (await read_answer(reader))[0], late, gone
+
+        assert anyio.run(run) == (200, 200, 404)
+
     def test_stop_is_over_before_the_kill(self):
         """A caller's request outlasts the grace period of 2 s.
 
