--- a/src/beryljunction/listening.py
+++ b/src/beryljunction/listening.py
@@ -4,8 +4,8 @@
 
 __all__ = ["CALLERS_VARIABLE", "listen_early", "open_listener"]
 
-# The deploy file hands the callers' address over here, since the modules that read the settings file
-# take longer to load than the socket does to open.
+# The deploy file hands the callers' address over here, since the modules that read the settings
+# file take longer to load than the socket does to open.
 CALLERS_VARIABLE = "BERYL_CALLERS"
 # Connections that wait to be accepted; a burst of callers after a start is some hundreds.
 _BACKLOG = 1_024
