--- a/src/beryljunction/fuzz/platform/stores.py
+++ b/src/beryljunction/fuzz/platform/stores.py
@@ -5,7 +5,16 @@
 from typing import TypeVar
 
 from beryljunction.fuzz.platform.virtual import VirtualLoop
-from beryljunction.platform import Expired, Newest, Record, Records, Store, Topic, Unavailable
+from beryljunction.platform import (
+    Expired,
+    Newest,
+    Record,
+    Records,
+    Store,
+    Topic,
+    Unavailable,
+    Written,
+)
 from beryljunction.standins.platform_store import Gone, PlatformStoreModel
 
 __all__ = ["FuzzStore", "StoreFault"]
@@ -60,6 +69,14 @@
         records = tuple(Record(key, value) for key, _, value in rows)
         return await self._finish(Newest(records, end))
 
+    async def put(self, topic: Topic, key: str, value: bytes | None) -> Written:
+        """Write the record of a key."""
+        fault = await self._begin(0.0)
+        if fault is not None:
+            return Written.NOT_DONE if fault.reason == "busy" else Written.UNKNOWN
+        self._model.put(topic.name, key, value, self._loop.world_s)
+        return Written.DONE
+
     async def _begin(self, wait_s: float) -> Unavailable | None:
         await asyncio.sleep(_STORE_S)
         if self.fault is StoreFault.BUSY:
--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -21,8 +21,9 @@
     decode_config,
     decode_endpoint,
 )
+from beryljunction.routing import FleetConfig
 
-__all__ = ["FollowConfig", "FollowEndpoints"]
+__all__ = ["FollowConfig", "FollowEndpoints", "Follower", "repeat"]
 
 # A waiting read tells of new settings at once. It confirms nothing until it ends, so a second,
 # short read every so often confirms that there are none; the settings' age then stays under 1.6 s.
@@ -42,7 +43,7 @@
 _FAILED_PAUSE_S = 0.25
 
 
-class _Follower:
+class Follower:
     """Reads a topic from its newest records on, and again from there when its history is gone."""
 
     def __init__(self, store: Store, state: EntryState, topic: Topic) -> None:
@@ -75,6 +76,15 @@
         (take_all if isinstance(answer, Newest) else take)(answer.records)
         return True
 
+    @property
+    def offset(self) -> int | None:
+        """Position up to which records are taken in; None before the first read."""
+        return self._offset
+
+    def skip_to(self, offset: int) -> None:
+        """Read on from there: what lies before came another way."""
+        self._offset = max(self._offset or 0, offset)
+
     def _note_lost(self, reason: str) -> None:
         if not self._is_lost:
             self.state.events.write("store_lost", topic=self._topic.name, reason=reason)
@@ -90,15 +100,15 @@
     """Keeps the settings in force, and their lease, up to date."""
 
     def __init__(self, store: Store, state: EntryState) -> None:
-        self._follower = _Follower(store, state, FLEET_CONFIG)
+        self._follower = Follower(store, state, FLEET_CONFIG)
         self._state = state
         self._is_usable = True
 
     async def run(self) -> None:
         """Follow until cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(_repeat, self.confirm, _CONFIG_CONFIRM_S)
-            group.start_soon(_repeat, self.wait, 0.0, _CONFIG_WAIT_FAILED_PAUSE_S)
+            group.start_soon(repeat, self.confirm, _CONFIG_CONFIRM_S)
+            group.start_soon(repeat, self.wait, 0.0, _CONFIG_WAIT_FAILED_PAUSE_S)
 
     async def confirm(self) -> bool:
         """Read what there is; the lease is renewed from when the question was sent."""
@@ -108,6 +118,14 @@
         """Read what comes."""
         return await self._step(_CONFIG_WAIT_MS)
 
+    def take_from_peer(self, value: bytes) -> None:
+        """Take in settings that another entry has read; older ones change nothing."""
+        config = decode_config(value)
+        if isinstance(config, Unusable):
+            self._state.events.write("settings_refused", problem=config.problem)
+        else:
+            self._apply(config, value)
+
     async def _step(self, wait_ms: int) -> bool:
         asked_s = boot_time_s()
         if not await self._follower.step(wait_ms, self._take, self._take):
@@ -127,7 +145,11 @@
         self._is_usable = not isinstance(config, Unusable)
         if isinstance(config, Unusable):
             self._state.events.write("settings_refused", problem=config.problem)
-        elif self._state.apply(config):
+        else:
+            self._apply(config, value)
+
+    def _apply(self, config: FleetConfig, value: bytes) -> None:
+        if self._state.apply(config, value):
             routes = sum(len(rows) for rows in config.routes.values())
             self._state.events.write("settings_applied", version=config.version, routes=routes)
 
@@ -136,13 +158,31 @@
     """Keeps the registry of endpoints up to date."""
 
     def __init__(self, store: Store, state: EntryState) -> None:
-        self._follower = _Follower(store, state, ENDPOINT_RECORDS)
+        self._follower = Follower(store, state, ENDPOINT_RECORDS)
         self._state = state
+        self._values: dict[str, bytes] = {}
+
+    @property
+    def offset(self) -> int | None:
+        """Position up to which records are taken in; None before the first read."""
+        return self._follower.offset
+
+    def records(self) -> tuple[Record, ...]:
+        """Return the record of each endpoint that is known, as the endpoint wrote it."""
+        find = self._state.registry.find
+        rows = self._values.items()
+        return tuple(Record(key, value) for key, value in rows if find(key) is not None)
+
+    def take_from_peer(self, offset: int, records: Iterable[Record]) -> None:
+        """Take in the full list of an entry that has read further."""
+        if offset > (self.offset or 0):
+            self._follower.skip_to(offset)
+            self._replace(records)
 
     async def run(self) -> None:
         """Follow until cancelled."""
         drain_s = self._state.bounds.drain_ms / 1000
-        await _repeat(self.step, drain_s * _ENDPOINTS_DISTANCE_RATIO)
+        await repeat(self.step, drain_s * _ENDPOINTS_DISTANCE_RATIO)
 
     async def step(self) -> bool:
         """Read once."""
@@ -152,14 +192,17 @@
         return done
 
     def _take_all(self, records: Iterable[Record]) -> None:
-        now_s = boot_time_s()
-        self._state.registry.store_read(now_s)
-        decoded = [decode_endpoint(row.key, row.value) for row in records if row.value is not None]
+        self._state.registry.store_read(boot_time_s())
+        self._replace(records)
+
+    def _replace(self, records: Iterable[Record]) -> None:
+        self._values = {row.key: row.value for row in records if row.value is not None}
+        decoded = [decode_endpoint(key, value) for key, value in self._values.items()]
         for problem in decoded:
             if isinstance(problem, Unusable):
                 self._state.events.write("endpoint_refused", problem=problem.problem)
         usable = [row for row in decoded if not isinstance(row, Unusable)]
-        self._state.registry.replace(usable, now_s)
+        self._state.registry.replace(usable, boot_time_s())
         self._state.events.write("endpoints_listed", endpoints=len(self._state.registry))
 
     def _take(self, records: Iterable[Record]) -> None:
@@ -179,6 +222,7 @@
             events.write("endpoint_refused", problem=decoded.problem)
             registry.remove(record.key, now_s)
             return
+        self._values[record.key] = record.value
         was_known = registry.find(record.key)
         was_draining = was_known is not None and was_known.record.is_draining
         is_same = was_known is not None and was_known.record.is_same_start(decoded)
@@ -192,7 +236,7 @@
             )
 
 
-async def _repeat(
+async def repeat(
     step: Callable[[], Awaitable[bool]],
     distance_s: float,
     failed_pause_s: float = _FAILED_PAUSE_S,
--- /dev/null
+++ b/src/beryljunction/gateway/peers.py
@@ -0,0 +1,254 @@
+"""Entries tell each other what the store has told them, with its age."""
+
+import abc
+import json
+from typing import Any
+
+import anyio
+import attrs
+import httpcore
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.callers import CallerConnection, CallerHandler
+from beryljunction.gateway.following import FollowConfig, FollowEndpoints
+from beryljunction.gateway.messages import HttpRequest
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import Record
+from beryljunction.routing import Address, CallerLimits, PeerTable, needs_peers
+
+__all__ = ["FollowPeers", "HttpPeerLink", "Known", "PeerHandler", "PeerLink", "known_here"]
+
+_PATH = "/v1/known"
+# Pause between questions, while they are needed: two fit between the age from which peers are asked
+# and that from which callers are sent elsewhere.
+_STEP_S = 0.5
+# A peer answers in a few ms, also from another zone; one that is dark never does.
+_ANSWER_S = 0.3
+
+
+@attrs.frozen
+class Known:
+    """What an entry has from the store.
+
+    Attributes:
+        version: Version of its settings.
+        age_s: Age of its confirmation that they are the newest, when it answered.
+        config: The settings as the operator wrote them; None where the asking entry has them.
+        offset: Position in the endpoints' records up to which they are taken in.
+        endpoints: The record of each endpoint; None where the asking entry has them.
+    """
+
+    version: int
+    age_s: float
+    config: bytes | None
+    offset: int
+    endpoints: tuple[Record, ...] | None
+
+    def encode(self) -> bytes:
+        """Return it as JSON; records are bytes of the platform's, so each byte is a character."""
+        endpoints = None
+        if self.endpoints is not None:
+            endpoints = {row.key: (row.value or b"").decode("latin-1") for row in self.endpoints}
+        values = {
+            "version": self.version,
+            "age_s": round(self.age_s, 3),
+            "config": None if self.config is None else self.config.decode("latin-1"),
+            "offset": self.offset,
+            "endpoints": endpoints,
+        }
+        return json.dumps(values).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Known":
+        """Read it from JSON.
+
+        Raises:
+            ValueError: It is no message of this kind.
+        """
+        try:
+            values = json.loads(data)
+            config, endpoints = values["config"], values["endpoints"]
+            rows = None
+            if endpoints is not None:
+                rows = tuple(Record(key, row.encode("latin-1")) for key, row in endpoints.items())
+            return cls(
+                version=int(values["version"]),
+                age_s=_age(values["age_s"]),
+                config=None if config is None else config.encode("latin-1"),
+                offset=int(values["offset"]),
+                endpoints=rows,
+            )
+        except (KeyError, TypeError, AttributeError, UnicodeError) as error:
+            raise ValueError(f"expected what a peer knows, got {error!r}") from error
+
+
+def _age(value: Any) -> float:
+    age_s = float(value)
+    if not 0.0 <= age_s < float("inf"):
+        raise ValueError(f"expected an age of 0 s or more, got {value!r}")
+    # It was rounded to milliseconds; what was cut off must not make it younger.
+    return age_s + 0.001
+
+
+def known_here(
+    state: EntryState, endpoints: FollowEndpoints, version: int, offset: int
+) -> Known | None:
+    """Return what this entry knows beyond what the asking one has; None before the first read.
+
+    Args:
+        state: Settings and their age.
+        endpoints: Holder of the endpoints' records.
+        version: Version of the settings that the asking entry has.
+        offset: Position in the endpoints' records that it has.
+    """
+    config = state.config
+    age_s = state.lease.age_s(boot_time_s())
+    if config is None or endpoints.offset is None or age_s == float("inf"):
+        return None
+    return Known(
+        config.version,
+        age_s,
+        state.config_record if config.version > version else None,
+        endpoints.offset,
+        endpoints.records() if endpoints.offset > offset else None,
+    )
+
+
+class PeerHandler(CallerHandler):
+    """Answers other entries."""
+
+    def __init__(self, state: EntryState, endpoints: FollowEndpoints) -> None:
+        self.limits = CallerLimits()
+        self.leaving = False
+        self._state = state
+        self._endpoints = endpoints
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Do nothing."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Do nothing."""
+
+    def rejected(self, status: int, problem: str) -> None:
+        """Log what was no request."""
+        self._state.events.write("peer_rejected", status=status, problem=problem)
+
+    def requested(self, connection: CallerConnection, request: HttpRequest) -> None:
+        """Answer at once."""
+        asked = _read_question(request.target.decode("latin-1"))
+        if asked is None:
+            connection.answer(404, [], b"")
+            return
+        known = known_here(self._state, self._endpoints, *asked)
+        if known is None:
+            connection.answer(503, [], b"")
+            return
+        connection.answer(200, [(b"content-type", b"application/json")], known.encode())
+
+
+def _question(version: int, offset: int) -> str:
+    return f"{_PATH}/{version}/{offset}"
+
+
+def _read_question(target: str) -> tuple[int, int] | None:
+    path, _, offset = target.rpartition("/")
+    path, _, version = path.rpartition("/")
+    if path != _PATH or not (version.isdecimal() and offset.isdecimal()):
+        return None
+    return int(version), int(offset)
+
+
+class PeerLink(abc.ABC):
+    """Asks another entry."""
+
+    @abc.abstractmethod
+    async def ask(self, address: Address, version: int, offset: int) -> Known | str:
+        """Return what it knows beyond this version and offset, or why there is no answer."""
+
+
+class HttpPeerLink(PeerLink):
+    """Asks over HTTP, on a connection a question: they are few, and an open one may be dead."""
+
+    async def ask(self, address: Address, version: int, offset: int) -> Known | str:
+        """Return what it knows beyond this version and offset, or why there is no answer."""
+        url = f"http://{address[0]}:{address[1]}{_question(version, offset)}"
+        try:
+            with anyio.fail_after(_ANSWER_S):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    response = await pool.request("GET", url, headers={"connection": "close"})
+            if response.status != 200:
+                return f"expected status 200, got {response.status}"
+            return Known.decode(response.content)
+        except (
+            TimeoutError,
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            ValueError,
+        ) as error:
+            return f"{type(error).__name__} {error}".strip()
+
+
+class FollowPeers:
+    """Keeps the settings confirmed by way of other entries while the store is out of reach.
+
+    The age is handed on with the settings, and counted from when the question was sent, so it never
+    gets younger on the way: entries that are all cut off can't keep each other's settings in force.
+    """
+
+    def __init__(
+        self,
+        link: PeerLink,
+        state: EntryState,
+        config: FollowConfig,
+        endpoints: FollowEndpoints,
+        peers: PeerTable,
+    ) -> None:
+        self._link = link
+        self._state = state
+        self._config = config
+        self._endpoints = endpoints
+        self._peers = peers
+        self._is_helped = False
+
+    async def run(self) -> None:
+        """Ask when it is needed, until cancelled."""
+        while True:
+            await anyio.sleep(_STEP_S)
+            await self.step()
+
+    async def step(self) -> None:
+        """Ask one peer if the store seems to be out of reach."""
+        lease = self._state.lease
+        if not needs_peers(lease.age_s(boot_time_s()), lease.revocation_s):
+            self._note_help(False, "")
+            return
+        chosen = self._peers.choose(boot_time_s())
+        if chosen is None:
+            return
+        host, address = chosen
+        asked_s = boot_time_s()
+        version = self._state.config.version if self._state.config is not None else 0
+        answer = await self._link.ask(address, version, self._endpoints.offset or 0)
+        has_helped = isinstance(answer, Known) and self._take(answer, asked_s)
+        self._peers.note(host, has_helped, boot_time_s())
+        self._note_help(has_helped, host)
+
+    def _take(self, known: Known, asked_s: float) -> bool:
+        """Take in what a peer knows; True when it knew more than this entry did."""
+        if known.config is not None:
+            self._config.take_from_peer(known.config)
+        if known.endpoints is not None:
+            self._endpoints.take_from_peer(known.offset, known.endpoints)
+        config = self._state.config
+        if config is None or config.version < known.version:
+            return False
+        before_s = self._state.lease.age_s(boot_time_s())
+        self._state.lease.confirm(asked_s - known.age_s)
+        return self._state.lease.age_s(boot_time_s()) < before_s
+
+    def _note_help(self, is_helped: bool, host: str) -> None:
+        if is_helped != self._is_helped:
+            self._is_helped = is_helped
+            event = "settings_by_peer" if is_helped else "settings_by_peer_ended"
+            self._state.events.write(event, peer=host)
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -11,10 +11,12 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.errors import SettingsError, StartError
-from beryljunction.gateway.callers import CallerConnection
+from beryljunction.gateway.announcing import Announcing
+from beryljunction.gateway.callers import CallerConnection, CallerHandler
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
 from beryljunction.gateway.front import Front
+from beryljunction.gateway.peers import FollowPeers, HttpPeerLink, PeerHandler
 from beryljunction.gateway.probes import ProbeHandler
 from beryljunction.gateway.state import EntryState
 from beryljunction.listening import open_listener
@@ -22,8 +24,10 @@
     SETTINGS_VARIABLE,
     HostSettings,
     HttpStore,
+    Store,
     read_host_settings,
 )
+from beryljunction.routing import PeerTable
 
 __all__ = ["EntryProcess"]
 
@@ -104,20 +108,41 @@
             if self._host.metrics is not None:
                 await _listen(probes, self._host.metrics)
             self._watch_gauges(front)
-            config, endpoints = FollowConfig(store, self._state), FollowEndpoints(
-                store, self._state
-            )
+            config = FollowConfig(store, self._state)
+            endpoints = FollowEndpoints(store, self._state)
             await _read_first(config, endpoints)
             listener = await _serve(front, callers)
             group.start_soon(config.run)
             group.start_soon(endpoints.run)
             group.start_soon(front.sweep)
             group.start_soon(self._watch_file)
+            announcing = await self._join_peers(group, store, config, endpoints)
             await self._stopping.wait()
             await self._wind_down(front, listener)
+            if announcing is not None:
+                await announcing.withdraw()
             group.cancel_scope.cancel()
         self._events.write("stopped")
 
+    async def _join_peers(
+        self,
+        group: anyio.abc.TaskGroup,
+        store: Store,
+        config: FollowConfig,
+        endpoints: FollowEndpoints,
+    ) -> Announcing | None:
+        """Answer other entries, and ask them while the store is out of reach."""
+        address = self._host.peers
+        if address is None:
+            return None
+        await _listen(PeerHandler(self._state, endpoints), address)
+        peers = PeerTable(self._state.random)
+        announcing = Announcing(store, self._state, peers, address)
+        follow = FollowPeers(HttpPeerLink(), self._state, config, endpoints, peers)
+        group.start_soon(announcing.run)
+        group.start_soon(follow.run)
+        return announcing
+
     def _callers_socket(self) -> socket.socket:
         """Return the socket that callers connect to; the early one where it is at that address."""
         early, address = self._early, self._host.callers
@@ -188,11 +213,11 @@
             group.start_soon(endpoints.step)
 
 
-async def _listen(handler: ProbeHandler, address: tuple[str, int]) -> asyncio.Server:
+async def _listen(handler: CallerHandler, address: tuple[str, int]) -> asyncio.Server:
     return await _serve(handler, _open(address))
 
 
-async def _serve(handler: Front | ProbeHandler, listener: socket.socket) -> asyncio.Server:
+async def _serve(handler: CallerHandler, listener: socket.socket) -> asyncio.Server:
     loop = asyncio.get_running_loop()
     return await loop.create_server(lambda: CallerConnection(handler), sock=listener)
 
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -31,6 +31,7 @@
 
     Attributes:
         config: Settings in force; None before the first were read.
+        config_record: The same as the operator wrote them.
         bounds: Promises of the deployment in force.
     """
 
@@ -39,6 +40,7 @@
         self.host = host
         self.events = events
         self.config: FleetConfig | None = None
+        self.config_record = b""
         self.lease = SettingsLease(bounds.revocation_ms / 1000)
         self.registry = EndpointRegistry()
         self.random = random.Random()
@@ -54,11 +56,12 @@
         self.lease.revocation_s = bounds.revocation_ms / 1000
         self._shares.clear()
 
-    def apply(self, config: FleetConfig) -> bool:
+    def apply(self, config: FleetConfig, record: bytes) -> bool:
         """Put settings in force; never older ones than those that are."""
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
+        self.config_record = record
         return True
 
     def share(self, service: str) -> RetryShare:
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -4,11 +4,13 @@
     SETTINGS_VARIABLE,
     HostBounds,
     HostSettings,
+    parse_address,
     read_host_settings,
 )
 from beryljunction.platform.records import Unusable, decode_config, decode_endpoint
 from beryljunction.platform.store import (
     ENDPOINT_RECORDS,
+    ENTRY_ADDRESSES,
     FLEET_CONFIG,
     FLEET_CONFIG_KEY,
     Expired,
@@ -19,10 +21,12 @@
     Store,
     Topic,
     Unavailable,
+    Written,
 )
 
 __all__ = [
     "ENDPOINT_RECORDS",
+    "ENTRY_ADDRESSES",
     "Expired",
     "FLEET_CONFIG",
     "FLEET_CONFIG_KEY",
@@ -37,7 +41,9 @@
     "Topic",
     "Unavailable",
     "Unusable",
+    "Written",
     "decode_config",
     "decode_endpoint",
+    "parse_address",
     "read_host_settings",
 ]
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -9,7 +9,14 @@
 
 from beryljunction.errors import SettingsError
 
-__all__ = ["ADDRESS_FORM", "HostBounds", "HostSettings", "SETTINGS_VARIABLE", "read_host_settings"]
+__all__ = [
+    "ADDRESS_FORM",
+    "HostBounds",
+    "HostSettings",
+    "SETTINGS_VARIABLE",
+    "parse_address",
+    "read_host_settings",
+]
 
 SETTINGS_VARIABLE = "BERYLJUNCTION_CONFIG"
 # The platform's file names no address for metrics; the deploy file sets the port of its own.
@@ -47,6 +54,7 @@
         callers: Where callers are taken.
         probes: Where the balancer asks whether the process is ready.
         metrics: Where metrics are served besides the probes' address; None for nowhere.
+        peers: Where other entries may ask this one; None for nowhere.
     """
 
     host: str
@@ -57,6 +65,7 @@
     store: Address
     bounds: HostBounds
     metrics: Address | None = None
+    peers: Address | None = None
 
 
 def read_host_settings(path: str | None = None) -> HostSettings:
@@ -98,8 +107,20 @@
             store=self._address("platform", "address"),
             bounds=self._bounds(),
             metrics=self._metrics(),
+            peers=self._peers(),
         )
 
+    def _peers(self) -> Address | None:
+        """Return the first port that is free for the fleet's own use; None where none is named."""
+        ports = self._get("internal-port-range")
+        if ports is None:
+            return None
+        first = ports[0] if isinstance(ports, list) and ports else ports
+        address = parse_address(f"{self._text('ip-address')}:{first}")
+        if address is None:
+            self._wrong(("internal-port-range",), "a list of ports", ports, None)
+        return address
+
     def _metrics(self) -> Address | None:
         port = os.environ.get(METRICS_PORT_VARIABLE)
         if port is None:
--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -2,6 +2,7 @@
 
 import abc
 import base64
+import enum
 import json
 import struct
 from types import TracebackType
@@ -12,6 +13,7 @@
 
 __all__ = [
     "ENDPOINT_RECORDS",
+    "ENTRY_ADDRESSES",
     "Expired",
     "FLEET_CONFIG",
     "FLEET_CONFIG_KEY",
@@ -22,9 +24,11 @@
     "Store",
     "Topic",
     "Unavailable",
+    "Written",
 ]
 
 _READ_PATH = "/beryljunction/log-read"
+_APPEND_PATH = "/beryljunction/log-append"
 _NEWEST_PATH = "/beryljunction/log-newest"
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
@@ -32,8 +36,8 @@
 # takes longer than this on top of the asked wait is taken as lost; asking again is harmless.
 _ANSWER_S = 1.0
 _CONNECT_S = 1.0
-# Two waiting reads and a short one go on at the same time.
-_CONNECTIONS = 3
+# Three waiting reads and a short one go on at the same time.
+_CONNECTIONS = 4
 
 
 @attrs.frozen
@@ -48,6 +52,22 @@
 FLEET_CONFIG_KEY = "config"
 # What the endpoints write, each under its id.
 ENDPOINT_RECORDS = Topic("keyed.servers")
+# What the entries write: under each host's name, where other entries may ask it.
+ENTRY_ADDRESSES = Topic("keyed.entries")
+
+
+class Written(enum.Enum):
+    """How writing ended.
+
+    Attributes:
+        DONE: The store has it.
+        NOT_DONE: The store turned it away.
+        UNKNOWN: There was no answer; it may be done, now or seconds later.
+    """
+
+    DONE = "done"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
 
 
 @attrs.frozen
@@ -95,7 +115,7 @@
 
 
 class Store(abc.ABC):
-    """What the fleet reads of the platform's store."""
+    """What the fleet reads of the platform's store, and writes to it."""
 
     @abc.abstractmethod
     async def read(
@@ -107,6 +127,10 @@
     async def newest(self, topic: Topic) -> Newest | Unavailable:
         """Return the newest record of each key."""
 
+    @abc.abstractmethod
+    async def put(self, topic: Topic, key: str, value: bytes | None) -> Written:
+        """Write the record of a key; None removes the key. Repeating it does no harm."""
+
 
 class HttpStore(Store):
     """Speaks to the store over HTTP.
@@ -138,7 +162,7 @@
         query = f"?topic={topic.name}&part=0&from={offset}"
         if wait_ms:
             query += f"&wait-ms={wait_ms}"
-        answer = await self._get(_READ_PATH + query, wait_ms / 1000)
+        answer = await self._call("GET", _READ_PATH + query, wait_ms / 1000)
         if isinstance(answer, Unavailable):
             return answer
         status, body = answer
@@ -172,8 +196,18 @@
                 return Newest(tuple(records), first_end)
             after = page.records[-1].key
 
+    async def put(self, topic: Topic, key: str, value: bytes | None) -> Written:
+        """Write the record of a key; None removes the key. Repeating it does no harm."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + (value or b"")
+        path = f"{_APPEND_PATH}?topic={topic.name}&part=0"
+        answer = await self._call("POST", path, 0.0, _LENGTH.pack(len(content)) + content)
+        if isinstance(answer, Unavailable):
+            return Written.UNKNOWN
+        return Written.DONE if answer[0] == 200 else Written.NOT_DONE
+
     async def _page(self, path: str) -> "_Page | Unavailable":
-        answer = await self._get(path, 0.0)
+        answer = await self._call("GET", path, 0.0)
         if isinstance(answer, Unavailable):
             return answer
         status, body = answer
@@ -184,7 +218,9 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return Unavailable(f"expected a page of records, got {error!r}")
 
-    async def _get(self, path: str, wait_s: float) -> tuple[int, bytes] | Unavailable:
+    async def _call(
+        self, method: str, path: str, wait_s: float, body: bytes | None = None
+    ) -> tuple[int, bytes] | Unavailable:
         timeout = {
             "connect": _CONNECT_S,
             "read": wait_s + _ANSWER_S,
@@ -193,7 +229,7 @@
         }
         try:
             response = await self._pool.request(
-                "GET", self._origin + path, extensions={"timeout": timeout}
+                method, self._origin + path, content=body, extensions={"timeout": timeout}
             )
         except (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError) as error:
             return Unavailable(f"{type(error).__name__} {error}".strip())
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -20,6 +20,7 @@
     WeightedService,
 )
 from beryljunction.routing.lease import SettingsLease
+from beryljunction.routing.peers import Address, PeerTable, needs_peers
 from beryljunction.routing.placement import (
     Demand,
     Placement,
@@ -33,6 +34,7 @@
 
 __all__ = [
     "Account",
+    "Address",
     "Admitted",
     "AttemptPlan",
     "CallerLimits",
@@ -47,6 +49,7 @@
     "Outcome",
     "Pace",
     "Placement",
+    "PeerTable",
     "PlainPlacement",
     "PromptParts",
     "Reading",
@@ -60,6 +63,7 @@
     "WarmthMap",
     "WeightedService",
     "admit",
+    "needs_peers",
     "retry_after_s",
     "sound_rows",
 ]
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -88,7 +88,7 @@
 
 
 def apply_older_settings(patch):
-    def apply(self, config):
+    def apply(self, config, record):
         self.config = config
         return True
 
