--- a/src/beryljunction/fuzz/platform/machine.py
+++ b/src/beryljunction/fuzz/platform/machine.py
@@ -76,10 +76,10 @@
         if place < len(self.world.callers):
             self.world.callers[-1 - place].leave()
 
-    @rule(entry=_ENTRY, fault=st.sampled_from(tuple(StoreFault)))
-    def store_fault(self, entry: str, fault: StoreFault) -> None:
-        """The store turns to or from an entry."""
-        self.world.store_fault(entry, fault)
+    @rule(entry=_ENTRY, fault=st.sampled_from(tuple(StoreFault)), is_alone=st.booleans())
+    def store_fault(self, entry: str, fault: StoreFault, is_alone: bool) -> None:
+        """The store turns to or from an entry, which may be cut off from its peers too."""
+        self.world.store_fault(entry, fault, is_alone)
 
     @rule(duration_s=st.sampled_from((1.0, 6.0)), key=st.sampled_from((None, *KEYS)))
     def suspend(self, duration_s: float, key: str | None) -> None:
@@ -102,6 +102,16 @@
             self.world.advance(0.7)
             self.world.ask(entry, "once", False, key)
 
+    @rule(fault=st.sampled_from((StoreFault.BUSY, StoreFault.SILENT)), key=_KEY)
+    def revoke_behind_faults_of_all(self, fault: StoreFault, key: str) -> None:
+        """A key is taken away while no entry reaches the store, but each reaches its peer."""
+        for entry in ENTRIES:
+            self.world.store_fault(entry, fault, is_alone=False)
+        self.world.revoke(key)
+        for number in range(9):
+            self.world.advance(0.7)
+            self.world.ask(ENTRIES[number % len(ENTRIES)], "once", False, key)
+
     @rule(entry=_ENTRY, key=_KEY, late_s=st.sampled_from((0.5, 1.6, 2.5)))
     def revoke_between_late_answers(self, entry: str, key: str, late_s: float) -> None:
         """The store's answers come late, a key is taken away, then there are none any more."""
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -15,8 +15,10 @@
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
 from beryljunction.gateway.front import Front
+from beryljunction.gateway.peers import FollowPeers, Known, PeerLink, known_here
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import HostBounds, HostSettings
+from beryljunction.routing import Address, PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
 
 __all__ = ["ENDPOINTS", "ENTRIES", "KEYS", "PlatformWorld"]
@@ -30,6 +32,7 @@
 _SLACK = 64
 _BOUNDS = HostBounds(repeat_slack=_SLACK)
 _SETTLE_S = 2.0
+_PEER_S = 0.002
 
 
 class _Silent:
@@ -53,6 +56,31 @@
     task: asyncio.Task[None] | None = None
     front: Front | None = None
     fault_since_s: float | None = None
+    endpoints: FollowEndpoints | None = None
+    is_alone: bool = False
+
+
+class _FuzzPeerLink(PeerLink):
+    """Asks another entry of the world, unless one of both is cut off from it.
+
+    Args:
+        entry: The one that asks.
+        entries: All, by name.
+    """
+
+    def __init__(self, entry: _Entry, entries: dict[str, _Entry]) -> None:
+        self._entry = entry
+        self._entries = entries
+
+    async def ask(self, address: Address, version: int, offset: int) -> Known | str:
+        """Return what the other entry knows."""
+        await asyncio.sleep(_PEER_S)
+        peer = next(row for row in self._entries.values() if row.address == address)
+        if self._entry.is_alone or peer.is_alone or peer.endpoints is None:
+            return "no answer"
+        known = known_here(peer.state, peer.endpoints, version, offset)
+        await asyncio.sleep(_PEER_S)
+        return "nothing known" if known is None else Known.decode(known.encode())
 
 
 class PlatformWorld:
@@ -175,8 +203,14 @@
         async with anyio.create_task_group() as group:
             front = entry.front = Front(entry.state, group)
             self.loop.network.listeners[entry.address] = lambda: CallerConnection(front)
-            group.start_soon(FollowConfig(entry.store, entry.state).run)
-            group.start_soon(FollowEndpoints(entry.store, entry.state).run)
+            config = FollowConfig(entry.store, entry.state)
+            endpoints = entry.endpoints = FollowEndpoints(entry.store, entry.state)
+            group.start_soon(config.run)
+            group.start_soon(endpoints.run)
+            peers = PeerTable(entry.state.random)
+            peers.replace({row.name: row.address for row in self.entries.values() if row != entry})
+            link = _FuzzPeerLink(entry, self.entries)
+            group.start_soon(FollowPeers(link, entry.state, config, endpoints, peers).run)
             await anyio.sleep_forever()
 
     def kill_entry(self, name: str) -> None:
@@ -192,11 +226,12 @@
         self.advance(0.2)
         self.start_entry(name, entry.address)
 
-    def store_fault(self, name: str, fault: StoreFault) -> None:
-        """Switch what the store does to an entry."""
+    def store_fault(self, name: str, fault: StoreFault, is_alone: bool = True) -> None:
+        """Switch what the store does to an entry, and whether its peers can be asked."""
         entry = self.entries[name]
         self._end_fault(entry)
         entry.store.fault = fault
+        entry.is_alone = is_alone and fault is not StoreFault.NONE
         if fault is not StoreFault.NONE:
             entry.fault_since_s = self.loop.world_s
 
@@ -205,6 +240,7 @@
             self.oracle.outages.append((entry.fault_since_s, self.loop.world_s))
         entry.fault_since_s = None
         entry.store.fault = StoreFault.NONE
+        entry.is_alone = False
 
     def suspend(self, duration_s: float) -> None:
         """Suspend all hosts: their timers stand still, the rest of the world goes on."""
--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -1,5 +1,6 @@
 """Follows the platform's store: the settings of the fleet, and the records of endpoints."""
 
+import math
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
@@ -103,6 +104,7 @@
         self._follower = Follower(store, state, FLEET_CONFIG)
         self._state = state
         self._is_usable = True
+        self._asked_s = -math.inf
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -118,6 +120,10 @@
         """Read what comes."""
         return await self._step(_CONFIG_WAIT_MS)
 
+    def age_s(self, now_s: float) -> float:
+        """Return the age of this entry's own last confirmation; infinite before the first."""
+        return now_s - self._asked_s
+
     def take_from_peer(self, value: bytes) -> None:
         """Take in settings that another entry has read; older ones change nothing."""
         config = decode_config(value)
@@ -131,6 +137,7 @@
         if not await self._follower.step(wait_ms, self._take, self._take):
             return False
         if self._is_usable:
+            self._asked_s = max(self._asked_s, asked_s)
             self._state.lease.confirm(asked_s)
         return True
 
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -218,9 +218,9 @@
             await self.step()
 
     async def step(self) -> None:
-        """Ask one peer if the store seems to be out of reach."""
+        """Ask one peer if the store seems to be out of reach, by this entry's own reads."""
         lease = self._state.lease
-        if not needs_peers(lease.age_s(boot_time_s()), lease.revocation_s):
+        if not needs_peers(self._config.age_s(boot_time_s()), lease.revocation_s):
             self._note_help(False, "")
             return
         chosen = self._peers.choose(boot_time_s())
@@ -235,7 +235,7 @@
         self._note_help(has_helped, host)
 
     def _take(self, known: Known, asked_s: float) -> bool:
-        """Take in what a peer knows; True when it knew more than this entry did."""
+        """Take in what a peer knows; True when it is in touch with the store itself."""
         if known.config is not None:
             self._config.take_from_peer(known.config)
         if known.endpoints is not None:
@@ -243,9 +243,9 @@
         config = self._state.config
         if config is None or config.version < known.version:
             return False
-        before_s = self._state.lease.age_s(boot_time_s())
-        self._state.lease.confirm(asked_s - known.age_s)
-        return self._state.lease.age_s(boot_time_s()) < before_s
+        lease = self._state.lease
+        lease.confirm(asked_s - known.age_s)
+        return not needs_peers(known.age_s, lease.revocation_s)
 
     def _note_help(self, is_helped: bool, host: str) -> None:
         if is_helped != self._is_helped:
--- a/src/beryljunction/routing/peers.py
+++ b/src/beryljunction/routing/peers.py
@@ -14,7 +14,7 @@
 _ASK_RATIO = 0.4
 # Peers that are remembered: enough that some are alive after a zone is lost, and 4 KB in all.
 _MOST_PEERS = 64
-# A peer that gave nothing new is passed over for this long; it may be cut off in the same way.
+# A peer that does not answer, or is out of touch itself, is passed over for this long.
 _PASSED_OVER_S = 2.0
 
 
--- /dev/null
+++ b/testing/test_entry_peers.py
@@ -0,0 +1,260 @@
+import json
+import random
+
+import anyio
+import attrs
+import pytest
+
+from beryljunction.gateway import following, peers, state
+from beryljunction.gateway.events import Events
+from beryljunction.gateway.following import FollowConfig, FollowEndpoints
+from beryljunction.gateway.peers import FollowPeers, Known, PeerLink, known_here
+from beryljunction.gateway.process import EntryProcess
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import HostBounds, HostSettings, Record, Unavailable, Written
+from beryljunction.platform.store import Store
+from beryljunction.routing import PeerTable, needs_peers
+from beryljunction.servers import Server, bind
+from beryljunction.standins import PlatformStoreStandIn
+from platform_world import Lines, open_world, route
+
+FAST = HostBounds(revocation_ms=3_000)
+CONFIG = json.dumps({"version": 3, "routes": [], "services": [], "tenants": []}).encode()
+KNOWN = Known(3, 0.5, b'{"\xff', 7, (Record("e1", b"\x00\xfe"),))
+
+
+class TestKnown:
+    @pytest.mark.parametrize("known", [KNOWN, attrs.evolve(KNOWN, config=None, endpoints=None)])
+    def test_any_bytes_come_back_and_the_age_does_not_get_less(self, known):
+        again = Known.decode(known.encode())
+
+        assert attrs.evolve(again, age_s=0.5) == known
+        assert again.age_s > known.age_s
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"age_s": -1}, {"age_s": "NaN"}, {"version": "x"}, {"endpoints": [1]}, {"config": 4}],
+    )
+    def test_message_that_is_none_is_an_error(self, change):
+        values = json.loads(KNOWN.encode()) | change
+
+        with pytest.raises(ValueError):
+            Known.decode(json.dumps(values).encode())
+
+    @pytest.mark.parametrize("data", [b"", b"[]", b"{}", b"\xff"])
+    def test_bytes_that_are_none_are_an_error(self, data):
+        with pytest.raises(ValueError):
+            Known.decode(data)
+
+
+class TestNeed:
+    @pytest.mark.parametrize(
+        ("age_s", "needs"), [(1.6, False), (2.0, True), (9.0, True), (float("inf"), False)]
+    )
+    def test_peers_are_asked_once_the_store_seems_out_of_reach(self, age_s, needs):
+        assert needs_peers(age_s, 5.0) is needs
+
+
+class TestPeerTable:
+    def table(self, *hosts):
+        table = PeerTable(random.Random(1))
+        table.replace({host: (host, 1) for host in hosts})
+        return table
+
+    def test_the_one_that_helped_is_asked_again_until_it_does_not(self):
+        table = self.table("a", "b", "c")
+        table.note("b", has_helped=True, now_s=0.0)
+
+        assert {table.choose(0.0)[0] for _ in range(20)} == {"b"}
+
+        table.note("b", has_helped=False, now_s=0.0)
+
+        assert "b" not in {table.choose(1.0)[0] for _ in range(40)}
+        assert "b" in {table.choose(3.0)[0] for _ in range(40)}
+
+    def test_nobody_is_asked_when_all_are_passed_over_or_gone(self):
+        table = self.table("a")
+        table.note("a", has_helped=False, now_s=0.0)
+
+        assert table.choose(1.0) is None
+
+        table.remove("a")
+
+        assert table.choose(9.0) is None
+
+    def test_entries_that_wrote_longest_ago_yield(self):
+        table = self.table(*(f"h{number}" for number in range(70)))
+
+        assert len(table) == 64
+        assert "h0" not in {table.choose(0.0)[0] for _ in range(500)}
+
+
+class NoStore(Store):
+    async def read(self, topic, offset, wait_ms):
+        return Unavailable("cut")
+
+    async def newest(self, topic):
+        return Unavailable("cut")
+
+    async def put(self, topic, key, value):
+        return Written.NOT_DONE
+
+
+class Entry(PeerLink):
+    """An entry without sockets that has read the settings at time 0 and is cut off since."""
+
+    def __init__(self, name, lines):
+        host = HostSettings(name, "a", "r", ("", 1), ("", 2), ("", 3), HostBounds())
+        self.state = EntryState(host, Events(name, "a", lines))
+        self.config = FollowConfig(NoStore(), self.state)
+        self.endpoints = FollowEndpoints(NoStore(), self.state)
+        self.config.take_from_peer(CONFIG)
+        self.endpoints.take_from_peer(1, ())
+        self.state.lease.confirm(0.0)
+        self.config._asked_s = 0.0
+        self.table = PeerTable(random.Random(1))
+        self.table.put("other", ("other", 1))
+
+    def asks(self, other):
+        self.other = other
+        self.peers = FollowPeers(self, self.state, self.config, self.endpoints, self.table)
+
+    async def ask(self, address, version, offset):
+        known = known_here(self.other.state, self.other.endpoints, version, offset)
+        return Known.decode(known.encode()) if known is not None else "nothing known"
+
+
+class TestAge:
+    def test_entries_that_are_all_cut_off_do_not_keep_settings_in_force(self, monkeypatch):
+        """No entry reaches the store, and each asks the other, again and again.
+
+        If the age got lost on the way, a key that was taken away would be honoured without end. It
+        is handed on and only grows, so both stop honouring keys at the bound.
+        """
+        now = [0.0]
+        for module in (peers, following, state):
+            monkeypatch.setattr(module, "boot_time_s", lambda: now[0])
+        one, two = Entry("one", Lines()), Entry("two", Lines())
+        one.asks(two)
+        two.asks(one)
+
+        async def run():
+            ages = []
+            for step in range(12):
+                now[0] = 0.5 * step
+                await one.peers.step()
+                await two.peers.step()
+                ages.append((one.state.lease.age_s(now[0]), two.state.lease.age_s(now[0])))
+            return ages
+
+        assert anyio.run(run) == [(0.5 * step, 0.5 * step) for step in range(12)]
+        assert not one.state.lease.allows_keys(5.0)
+
+    def test_settings_that_are_older_than_the_peers_are_not_confirmed(self, monkeypatch):
+        """A peer tells of a newer version, which can't be read here; its age is of that version."""
+        monkeypatch.setattr(peers, "boot_time_s", lambda: 3.0)
+        one, two = Entry("one", Lines()), Entry("two", Lines())
+        two.config.take_from_peer(CONFIG.replace(b"3", b"8"))
+        two.state.lease.confirm(2.9)
+        two.state.config_record = b"unreadable"
+        one.asks(two)
+
+        anyio.run(one.peers.step)
+
+        assert one.state.config.version == 3
+        assert one.state.lease.age_s(3.0) == 3.0
+
+
+@attrs.define
+class Pair:
+    """A world with a second entry, whose store is the same with faults of its own."""
+
+    world: object
+    store: PlatformStoreStandIn
+    host: HostSettings
+
+    async def ask(self, **fields):
+        return (await self.world.send_to(self.host.callers, self.world.message(**fields)))[0]
+
+
+async def start_pair(world):
+    ports = [bind("127.0.0.1:0") for _ in range(4)]
+    addresses = [("127.0.0.1", port.getsockname()[1]) for port in ports]
+    for port in ports:
+        port.close()
+    store = PlatformStoreStandIn(world.store.model)
+    server = Server(store, bind("127.0.0.1:0"))
+    await world.group.start(server.run_until_stopped)
+    store_address = ("127.0.0.1", int(server.address.rpartition(":")[2]))
+    host = attrs.evolve(
+        world.host,
+        host="entry-2",
+        callers=addresses[0],
+        probes=addresses[1],
+        store=store_address,
+        peers=addresses[2],
+    )
+    first = attrs.evolve(
+        world.host, host="entry-3", callers=("127.0.0.1", 0), probes=("127.0.0.1", 0)
+    )
+    first = attrs.evolve(first, peers=addresses[3])
+    for settings in (first, host):
+        process = EntryProcess(settings, Events(settings.host, "a", world.lines))
+        world.group.start_soon(process.run)
+    pair = Pair(world, store, host)
+
+    async def knows_its_peer():
+        rows = world.store.model.newest("keyed.entries", "", 0.0)[0]
+        return len(rows) == 2
+
+    await world.until(knows_its_peer)
+    await anyio.sleep(0.3)
+    return pair
+
+
+class TestCutOff:
+    @pytest.mark.parametrize("fault", ["busy", "silent"])
+    def test_callers_are_served_while_the_store_turns_one_host_away(self, fault):
+        """The store turns one host away for longer than settings may be old; others reach it.
+
+        Its callers were refused, or moved to another host and came late. It asks a peer instead,
+        which tells it of a new endpoint and a new route, too.
+        """
+
+        async def run():
+            async with open_world(route(), bounds=FAST) as world:
+                await world.add_endpoint("e1")
+                pair = await start_pair(world)
+                setattr(pair.store.faults, fault, True)
+                await anyio.sleep(4.0)
+                before = await pair.ask()
+                world.configure(route("/new/", service="other"))
+                await world.add_endpoint("e2", service="other")
+                await anyio.sleep(1.5)
+                after = await pair.ask(path="/new/1", request_id="q2")
+                return before, after, world.lines.of("settings_by_peer")
+
+        before, after, lines = anyio.run(run)
+
+        assert (before, after) == (200, 200)
+        assert len(lines) == 1
+
+    def test_key_taken_away_meanwhile_is_refused(self):
+        """A host that is turned away goes on by its peer's word, and a key is taken away.
+
+        The peer knows of it at once, and tells it with its next answer; nothing is sent for that
+        key later than the bound.
+        """
+
+        async def run():
+            async with open_world(route(), bounds=FAST) as world:
+                one = await world.add_endpoint("e1")
+                pair = await start_pair(world)
+                pair.store.faults.busy = True
+                await anyio.sleep(2.5)
+                world.configure(route(), tenants=[{"name": "acme", "api-keys": ["other"]}])
+                await anyio.sleep(1.0)
+                sends = len(one.requests)
+                return await pair.ask(), len(one.requests) - sends
+
+        assert anyio.run(run) == (401, 0)
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -1,8 +1,9 @@
+import attrs
 import pytest
 
 from beryljunction import clocks
 from beryljunction.fuzz.platform import PlatformProfile, run_platform_fuzz
-from beryljunction.gateway import exchange, following, front, outgoing, relay
+from beryljunction.gateway import exchange, following, front, outgoing, peers, relay
 from beryljunction.gateway.delivery import Delivery
 from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
 from beryljunction.gateway.state import EntryState
@@ -38,11 +39,16 @@
     )
 
 
+def age_lost_between_peers(patch):
+    decode = peers.Known.decode
+    patch.setattr(peers.Known, "decode", lambda data: attrs.evolve(decode(data), age_s=0.0))
+
+
 def age_without_suspensions(patch):
     def loop_time():
         return clocks.time.loop.now_s if hasattr(clocks.time, "loop") else clocks.time.monotonic()
 
-    for module in (exchange, following, front):
+    for module in (exchange, following, front, peers):
         patch.setattr(module, "boot_time_s", loop_time)
 
 
@@ -135,6 +141,7 @@
 SAFEGUARDS = (
     keys_on_old_settings,
     age_from_the_answer,
+    age_lost_between_peers,
     age_without_suspensions,
     send_again_what_may_have_run,
     call_everything_not_run,
