--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -82,6 +82,10 @@
         await asyncio.sleep(_PEER_S)
         return "nothing known" if known is None else Known.decode(known.encode())
 
+    async def tell(self, address: Address, moved: bytes) -> bool:
+        """Tell nothing: the world has no engines."""
+        return False
+
 
 class PlatformWorld:
     """Everything that a history acts on."""
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Entries tell each other what the store has told them, with its age."""
+"""Entries tell each other what the store has told them, with its age, and where sessions are."""
 
 import abc
 import json
@@ -12,18 +12,23 @@
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
 from beryljunction.gateway.messages import HttpRequest
+from beryljunction.gateway.moved import decode_moved
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import Record
 from beryljunction.routing import Address, CallerLimits, PeerTable, needs_peers
 
 __all__ = ["FollowPeers", "HttpPeerLink", "Known", "PeerHandler", "PeerLink", "known_here"]
 
-_PATH = "/v1/known"
+_KNOWN_PATH = "/v1/known"
+_MOVED_PATH = "/v1/moved"
 # Pause between questions, while they are needed: two fit between the age from which peers are asked
 # and that from which callers are sent elsewhere.
 _STEP_S = 0.5
 # A peer answers in a few ms, also from another zone; one that is dark never does.
 _ANSWER_S = 0.3
+# As many as there are peers in a zone today; others are opened when they are needed.
+_KEPT_CONNECTIONS = 8
+_NO_ANSWER = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
 
 
 @attrs.frozen
@@ -135,6 +140,9 @@
 
     def requested(self, connection: CallerConnection, request: HttpRequest) -> None:
         """Answer at once."""
+        if request.path == _MOVED_PATH:
+            self._learn(connection, request.body)
+            return
         asked = _read_question(request.target.decode("latin-1"))
         if asked is None:
             connection.answer(404, [], b"")
@@ -145,15 +153,24 @@
             return
         connection.answer(200, [(b"content-type", b"application/json")], known.encode())
 
+    def _learn(self, connection: CallerConnection, body: bytes) -> None:
+        try:
+            self._state.learn(decode_moved(body))
+        except ValueError as error:
+            self._state.events.write("peer_rejected", status=400, problem=str(error))
+            connection.answer(400, [], b"")
+            return
+        connection.answer(200, [], b"")
+
 
 def _question(version: int, offset: int) -> str:
-    return f"{_PATH}/{version}/{offset}"
+    return f"{_KNOWN_PATH}/{version}/{offset}"
 
 
 def _read_question(target: str) -> tuple[int, int] | None:
     path, _, offset = target.rpartition("/")
     path, _, version = path.rpartition("/")
-    if path != _PATH or not (version.isdecimal() and offset.isdecimal()):
+    if path != _KNOWN_PATH or not (version.isdecimal() and offset.isdecimal()):
         return None
     return int(version), int(offset)
 
@@ -165,9 +182,30 @@
     async def ask(self, address: Address, version: int, offset: int) -> Known | str:
         """Return what it knows beyond this version and offset, or why there is no answer."""
 
+    @abc.abstractmethod
+    async def tell(self, address: Address, moved: bytes) -> bool:
+        """Tell it of moved sessions; False when it did not answer."""
+
 
 class HttpPeerLink(PeerLink):
-    """Asks over HTTP, on a connection a question: they are few, and an open one may be dead."""
+    """Speaks to other entries over HTTP.
+
+    Questions are few, and go on a connection each, since an open one may be dead. What is told
+    goes on kept ones; what is lost on a dead one costs a warm prefix.
+    """
+
+    def __init__(self) -> None:
+        self._pool = httpcore.AsyncConnectionPool(max_keepalive_connections=_KEPT_CONNECTIONS)
+
+    async def tell(self, address: Address, moved: bytes) -> bool:
+        """Tell it of moved sessions; False when it did not answer."""
+        url = f"http://{address[0]}:{address[1]}{_MOVED_PATH}"
+        try:
+            with anyio.fail_after(_ANSWER_S):
+                response = await self._pool.request("POST", url, content=moved)
+        except (TimeoutError, *_NO_ANSWER):
+            return False
+        return response.status == 200
 
     async def ask(self, address: Address, version: int, offset: int) -> Known | str:
         """Return what it knows beyond this version and offset, or why there is no answer."""
@@ -179,13 +217,7 @@
             if response.status != 200:
                 return f"expected status 200, got {response.status}"
             return Known.decode(response.content)
-        except (
-            TimeoutError,
-            httpcore.TimeoutException,
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            ValueError,
-        ) as error:
+        except (TimeoutError, ValueError, *_NO_ANSWER) as error:
             return f"{type(error).__name__} {error}".strip()
 
 
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -18,6 +18,7 @@
 from beryljunction.gateway.front import Front
 from beryljunction.gateway.peers import FollowPeers, HttpPeerLink, PeerHandler
 from beryljunction.gateway.probes import ProbeHandler
+from beryljunction.gateway.sharing import ShareMoved
 from beryljunction.gateway.state import EntryState
 from beryljunction.listening import open_listener
 from beryljunction.platform import (
@@ -138,9 +139,10 @@
         await _listen(PeerHandler(self._state, endpoints), address)
         peers = PeerTable(self._state.random)
         announcing = Announcing(store, self._state, peers, address)
-        follow = FollowPeers(HttpPeerLink(), self._state, config, endpoints, peers)
+        link = HttpPeerLink()
         group.start_soon(announcing.run)
-        group.start_soon(follow.run)
+        group.start_soon(FollowPeers(link, self._state, config, endpoints, peers).run)
+        group.start_soon(ShareMoved(link, self._state.moved, peers).run)
         return announcing
 
     def _callers_socket(self) -> socket.socket:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -1,6 +1,7 @@
 """What an entry knows: settings, endpoints, shares of second sends, and the decisions over them."""
 
 import random
+from collections.abc import Iterable
 
 import attrs
 
@@ -12,6 +13,8 @@
     EndpointRegistry,
     FleetConfig,
     KnownEndpoint,
+    MovedSession,
+    MovedSessions,
     Placement,
     PlainPlacement,
     Reading,
@@ -103,6 +106,17 @@
         can_fetch = known is not None and known.can_fetch
         return reading if can_fetch else attrs.evolve(reading, source=None)
 
+    @property
+    def moved(self) -> MovedSessions:
+        """Sessions that other entries would look for at another endpoint."""
+        return self._warm.moved
+
+    def learn(self, sessions: Iterable[MovedSession]) -> None:
+        """Take in where another entry has placed sessions."""
+        now_s = boot_time_s()
+        for session in sessions:
+            self._warm.learn(session, now_s)
+
     def _placement(self, service: str) -> Placement:
         known = self._known_service(service)
         return self._warm if known is not None and known.is_engine else self._plain
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -20,6 +20,7 @@
     WeightedService,
 )
 from beryljunction.routing.lease import SettingsLease
+from beryljunction.routing.moved import MovedSession, MovedSessions
 from beryljunction.routing.peers import Address, PeerTable, needs_peers
 from beryljunction.routing.placement import (
     Demand,
@@ -46,6 +47,8 @@
     "FleetConfig",
     "KnownEndpoint",
     "LoadReport",
+    "MovedSession",
+    "MovedSessions",
     "Outcome",
     "Pace",
     "Placement",
--- a/src/beryljunction/routing/peers.py
+++ b/src/beryljunction/routing/peers.py
@@ -45,7 +45,7 @@
         return len(self._addresses)
 
     def put(self, host: str, address: Address) -> None:
-        """Take in the address of an entry; the ones that were written longest ago yield."""
+        """Take in the address of an entry; beyond the limit the one at the front yields."""
         self._addresses.pop(host, None)
         self._addresses[host] = address
         self._passed_over.pop(host, None)
@@ -64,6 +64,15 @@
         for host, address in addresses.items():
             self.put(host, address)
 
+    def in_turn(self) -> list[tuple[str, Address]]:
+        """Return all, those first whose turn was longest ago."""
+        return list(self._addresses.items())
+
+    def move_on(self, host: str) -> None:
+        """Note that an entry has had its turn."""
+        if host in self._addresses:
+            self._addresses[host] = self._addresses.pop(host)
+
     def choose(self, now_s: float) -> tuple[str, Address] | None:
         """Return the entry to ask: the one that helped last, else any; None for none."""
         if self._helper in self._addresses:
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from beryljunction.routing.endpoints import KnownEndpoint
+from beryljunction.routing.moved import MovedSession, MovedSessions
 from beryljunction.routing.warmth import PromptParts, WarmthMap
 
 __all__ = ["Demand", "Placement", "PlainPlacement", "Reading", "WarmPlacement", "sound_rows"]
@@ -158,10 +159,14 @@
     this entry knows the prefix to be goes first, so that an endpoint that is added takes new
     sessions and none that is warm elsewhere. A session that has to move fetches its prefix from
     where it was: 8,600 tokens take some 10 ms that way, and 225 ms to read.
+
+    Attributes:
+        moved: Sessions that other entries would look for at another endpoint.
     """
 
     def __init__(self) -> None:
         self._warmth = WarmthMap()
+        self.moved = MovedSessions()
 
     def choose(
         self, rows: Sequence[KnownEndpoint], demand: Demand, now_s: float
@@ -196,7 +201,8 @@
         source, kept = self._warmth.best_source(others, parts, now_s)
         known = max(kept, here if len(others) < len(rows) else 0)
         unread_tokens = total - known + parts.own_tokens
-        self._warmth.note(chosen.start, parts, now_s)
+        self._warmth.note(chosen.start, parts.ids, now_s)
+        self._note_moved(rows, chosen, parts, now_s)
         if max(here, kept) < total and others:
             home = min(others, key=_rank(parts))
             if kept <= here or _rank(parts)(home) < _rank(parts)(chosen):
@@ -204,6 +210,17 @@
         is_worth_it = kept - here >= _LEAST_FETCHED_TOKENS
         return Reading(source if is_worth_it else None, unread_tokens)
 
+    def learn(self, session: MovedSession, now_s: float) -> None:
+        """Take in where another entry has placed a session."""
+        self._warmth.note(session.start, session.part_ids, now_s)
+
+    def _note_moved(
+        self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, parts: PromptParts, now_s: float
+    ) -> None:
+        staying = [row for row in rows if not row.record.is_draining]
+        if parts.ids and staying and min(staying, key=_rank(parts)) is not chosen:
+            self.moved.note(MovedSession(parts.ids, chosen.start), now_s)
+
     def _order(
         self, rows: Sequence[KnownEndpoint], parts: PromptParts, now_s: float
     ) -> list[KnownEndpoint]:
--- a/src/beryljunction/routing/warmth.py
+++ b/src/beryljunction/routing/warmth.py
@@ -46,9 +46,9 @@
         self._parts: collections.OrderedDict[str, dict[tuple[str, int], float]]
         self._parts = collections.OrderedDict()
 
-    def note(self, start: tuple[str, int], parts: PromptParts, now_s: float) -> None:
+    def note(self, start: tuple[str, int], part_ids: Iterable[str], now_s: float) -> None:
         """Note that a start of an endpoint reads these parts."""
-        for part in parts.ids:
+        for part in part_ids:
             self._parts.setdefault(part, {})[start] = now_s
             self._parts.move_to_end(part)
         while len(self._parts) > _MOST_PARTS:
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -123,6 +123,9 @@
         known = known_here(self.other.state, self.other.endpoints, version, offset)
         return Known.decode(known.encode()) if known is not None else "nothing known"
 
+    async def tell(self, address, moved):
+        return False
+
 
 class TestAge:
     def test_entries_that_are_all_cut_off_do_not_keep_settings_in_force(self, monkeypatch):
