--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -234,6 +234,8 @@
         was_draining = was_known is not None and was_known.record.is_draining
         is_same = was_known is not None and was_known.record.is_same_start(decoded)
         registry.put(decoded)
+        if not is_same:
+            self._state.joined(decoded.endpoint_id)
         if not is_same or decoded.is_draining != was_draining:
             events.write(
                 "endpoint_draining" if decoded.is_draining else "endpoint_joined",
--- a/src/beryljunction/gateway/sharing.py
+++ b/src/beryljunction/gateway/sharing.py
@@ -22,7 +22,6 @@
     _link: PeerLink
     _moved: MovedSessions
     _peers: PeerTable
-    _heard: dict[str, int] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Tell peers until cancelled."""
@@ -34,10 +33,9 @@
         """Tell the next peer that has not heard all; one that does not answer misses it."""
         end = self._moved.end
         for host, address in self._peers.in_turn():
-            rows = tuple(self._moved.since(self._heard.get(host, 0)))
+            rows = tuple(self._moved.since(self._peers.heard(host)))
             if not rows:
                 continue
-            self._heard[host] = end
-            self._peers.move_on(host)
+            self._peers.tell(host, end)
             await self._link.tell(address, encode_moved(rows))
             return
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -111,6 +111,10 @@
         """Sessions that other entries would look for at another endpoint."""
         return self._warm.moved
 
+    def joined(self, endpoint_id: str) -> None:
+        """Take in that an endpoint is new."""
+        self._warm.joined(endpoint_id, boot_time_s())
+
     def learn(self, sessions: Iterable[MovedSession]) -> None:
         """Take in where another entry has placed sessions."""
         now_s = boot_time_s()
--- a/src/beryljunction/routing/peers.py
+++ b/src/beryljunction/routing/peers.py
@@ -39,16 +39,19 @@
     _draw: random.Random
     _addresses: dict[str, Address] = attrs.field(factory=dict)
     _passed_over: dict[str, float] = attrs.field(factory=dict)
+    _heard: dict[str, int] = attrs.field(factory=dict)
     _helper: str | None = None
 
     def __len__(self) -> int:
         return len(self._addresses)
 
     def put(self, host: str, address: Address) -> None:
-        """Take in the address of an entry; beyond the limit the one at the front yields."""
-        self._addresses.pop(host, None)
+        """Take in the address that an entry wrote when it started; it has heard nothing yet.
+
+        Beyond the limit the entry at the front yields.
+        """
+        self.remove(host)
         self._addresses[host] = address
-        self._passed_over.pop(host, None)
         while len(self._addresses) > _MOST_PEERS:
             self.remove(next(iter(self._addresses)))
 
@@ -56,22 +59,28 @@
         """Forget an entry."""
         self._addresses.pop(host, None)
         self._passed_over.pop(host, None)
+        self._heard.pop(host, None)
 
     def replace(self, addresses: Mapping[str, Address]) -> None:
         """Take in a full list."""
         for host in self._addresses.keys() - addresses.keys():
             self.remove(host)
         for host, address in addresses.items():
-            self.put(host, address)
+            if self._addresses.get(host) != address:
+                self.put(host, address)
 
     def in_turn(self) -> list[tuple[str, Address]]:
         """Return all, those first whose turn was longest ago."""
         return list(self._addresses.items())
 
-    def move_on(self, host: str) -> None:
-        """Note that an entry has had its turn."""
-        if host in self._addresses:
-            self._addresses[host] = self._addresses.pop(host)
+    def heard(self, host: str) -> int:
+        """Return up to which number of what is told to all an entry was told."""
+        return self._heard.get(host, 0)
+
+    def tell(self, host: str, end: int) -> None:
+        """Note that an entry has had its turn, and is told all up to a number."""
+        self._addresses[host] = self._addresses.pop(host)
+        self._heard[host] = end
 
     def choose(self, now_s: float) -> tuple[str, Address] | None:
         """Return the entry to ask: the one that helped last, else any; None for none."""
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -1,6 +1,7 @@
 """Chooses an endpoint: for prompts where their prefix is cached, else where there is room."""
 
 import abc
+import collections
 import random
 from collections.abc import Callable, Sequence
 
@@ -38,6 +39,10 @@
 # endpoints answer up to one request in seven with an error of the application's own.
 _LEAST_FAULT_SHARE = 0.4
 _FAULT_SHARE_FACTOR = 2.5
+# Sessions whose place is remembered, and for how long (engines keep prefixes longer): at some 300
+# bytes each they take 1.2 MB at most.
+_MOST_PLACED = 4_096
+_KNOWN_S = 30.0
 # A plain endpoint in another availability zone counts as this much fuller (share of its slots):
 # the way there costs 0.5 to 1.4 ms of some 45 ms of work.
 _OTHER_ZONE_SHARE = 0.05
@@ -167,6 +172,8 @@
     def __init__(self) -> None:
         self._warmth = WarmthMap()
         self.moved = MovedSessions()
+        self._placed: collections.OrderedDict[str, tuple[MovedSession, float]]
+        self._placed = collections.OrderedDict()
 
     def choose(
         self, rows: Sequence[KnownEndpoint], demand: Demand, now_s: float
@@ -202,10 +209,10 @@
         known = max(kept, here if len(others) < len(rows) else 0)
         unread_tokens = total - known + parts.own_tokens
         self._warmth.note(chosen.start, parts.ids, now_s)
-        self._note_moved(rows, chosen, parts, now_s)
+        self._note_placed(rows, chosen, parts, now_s)
         if max(here, kept) < total and others:
-            home = min(others, key=_rank(parts))
-            if kept <= here or _rank(parts)(home) < _rank(parts)(chosen):
+            home, rank = _home(others, parts), _rank(parts.ids)
+            if kept <= here or rank(home.record.endpoint_id) < rank(chosen.record.endpoint_id):
                 source, kept = home, total
         is_worth_it = kept - here >= _LEAST_FETCHED_TOKENS
         return Reading(source if is_worth_it else None, unread_tokens)
@@ -214,20 +221,39 @@
         """Take in where another entry has placed a session."""
         self._warmth.note(session.start, session.part_ids, now_s)
 
-    def _note_moved(
+    def joined(self, endpoint_id: str, now_s: float) -> None:
+        """Take in that an endpoint is new: it is the home of some sessions that lie elsewhere.
+
+        Load: endpoints are added or replaced. Harm: entries that have not seen such a session take
+        the new endpoint for its home, and the one that is next in order, which may be new too, for
+        the one that keeps its prefix; it is read again.
+        """
+        for session, placed_s in self._placed.values():
+            rank = _rank(session.part_ids)
+            if now_s - placed_s < _KNOWN_S and rank(endpoint_id) < rank(session.start[0]):
+                self.moved.note(session, now_s)
+
+    def _note_placed(
         self, rows: Sequence[KnownEndpoint], chosen: KnownEndpoint, parts: PromptParts, now_s: float
     ) -> None:
+        if not parts.ids:
+            return
+        session = MovedSession(parts.ids, chosen.start)
+        self._placed[parts.ids[-1]] = session, now_s
+        self._placed.move_to_end(parts.ids[-1])
+        while len(self._placed) > _MOST_PLACED:
+            self._placed.popitem(last=False)
         staying = [row for row in rows if not row.record.is_draining]
-        if parts.ids and staying and min(staying, key=_rank(parts)) is not chosen:
-            self.moved.note(MovedSession(parts.ids, chosen.start), now_s)
+        if staying and _home(staying, parts) is not chosen:
+            self.moved.note(session, now_s)
 
     def _order(
         self, rows: Sequence[KnownEndpoint], parts: PromptParts, now_s: float
     ) -> list[KnownEndpoint]:
         """Return warm endpoints, then the others, each in rendezvous order of the session."""
         warm = self._warmth.warm(rows, parts, now_s) if parts.ids else set()
-        rank = _rank(parts)
-        return sorted(rows, key=lambda row: (row.start not in warm, rank(row)))
+        rank = _rank(parts.ids)
+        return sorted(rows, key=lambda row: (row.start not in warm, rank(row.record.endpoint_id)))
 
 
 def _queue_ms(row: KnownEndpoint) -> float:
@@ -235,11 +261,17 @@
     return row.reading_tokens * _OTHERS_FACTOR / _READ_TOKENS_PER_MS
 
 
-def _rank(parts: PromptParts) -> Callable[[KnownEndpoint], int]:
-    """Return the place of an endpoint in the rendezvous order of a prompt's session."""
-    session = parts.ids[-1] if parts.ids else ""
+def _home(rows: Sequence[KnownEndpoint], parts: PromptParts) -> KnownEndpoint:
+    """Return the first endpoint in the rendezvous order of a prompt's session."""
+    rank = _rank(parts.ids)
+    return min(rows, key=lambda row: rank(row.record.endpoint_id))
+
+
+def _rank(part_ids: Sequence[str]) -> Callable[[str], int]:
+    """Return the place of an endpoint's id in the rendezvous order of a session."""
+    session = part_ids[-1] if part_ids else ""
 
-    def rank(row: KnownEndpoint) -> int:
-        return xxhash.xxh3_64_intdigest(f"{session}/{row.record.endpoint_id}".encode())
+    def rank(endpoint_id: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{session}/{endpoint_id}".encode())
 
     return rank
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from beryljunction.gateway.callers import CallerConnection
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.process import EntryProcess
 from beryljunction.platform import HostBounds, HostSettings
@@ -212,6 +213,13 @@
         self.group.start_soon(self.entry.run)
         await self.until(self.is_ready)
 
+    @staticmethod
+    async def serve(handler):
+        """Serve connections by a handler; return the address."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: CallerConnection(handler), "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[:2]
+
     async def is_ready(self):
         with contextlib.suppress(OSError):
             return (await self.send_to(self.host.probes, b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
--- /dev/null
+++ b/testing/test_moved.py
@@ -0,0 +1,111 @@
+from beryljunction.routing import (
+    Demand,
+    MovedSession,
+    MovedSessions,
+    PromptParts,
+    WarmPlacement,
+)
+from routing_fakes import known
+
+SESSION = MovedSession(("common", "chat"), ("e1", 1))
+
+
+def demand(session):
+    return Demand(PromptParts(("common", session), (500, 2_000)))
+
+
+class Entries:
+    """Two entries that place sessions on the same endpoints."""
+
+    def __init__(self, count=5):
+        self.rows = [known(f"e{number}") for number in range(count)]
+        self.one, self.two = WarmPlacement(), WarmPlacement()
+
+    def send(self, entry, session, now_s):
+        """Choose and send; return the endpoint and where it fetches the prefix from."""
+        row = entry.choose(self.rows, demand(session), now_s)
+        reading = entry.reading(self.rows, row, demand(session), now_s)
+        return row, reading
+
+    def move(self, session, now_s):
+        """Let the first entry place a session while its home and the next in order are full."""
+        for _ in range(2):
+            home = WarmPlacement().choose(
+                [row for row in self.rows if not row.in_flight], demand(session), now_s
+            )
+            home.in_flight = 40
+        moved, _ = self.send(self.one, session, now_s)
+        for row in self.rows:
+            row.in_flight = 0
+        return moved
+
+    def tell(self, now_s):
+        for session in self.one.moved.since(0):
+            self.two.learn(session, now_s)
+
+
+class TestMovedSessions:
+    def test_each_row_is_told_once_and_again_before_it_is_forgotten(self):
+        moved = MovedSessions()
+
+        moved.note(SESSION, 0.0)
+        moved.note(SESSION, 10.0)
+
+        assert (moved.end, list(moved.since(0)), list(moved.since(1))) == (1, [SESSION], [])
+
+        moved.note(SESSION, 16.0)
+
+        assert (moved.end, list(moved.since(1))) == (2, [SESSION])
+
+    def test_peer_that_has_heard_nothing_for_long_gets_the_newest(self):
+        moved = MovedSessions()
+        for number in range(1_000):
+            moved.note(MovedSession(("common", f"chat{number}"), ("e1", 1)), 0.0)
+
+        rows = list(moved.since(3))
+
+        assert len(rows) == 256
+        assert rows[-1].part_ids[-1] == "chat999"
+
+
+class TestSessionsOfTwoEntries:
+    def test_moved_session_is_found_by_the_entry_that_did_not_move_it(self):
+        """One entry sends a session past its full home; it comes back by another entry.
+
+        That one would ask the home, which has read nothing of it, and name the next in order as
+        the one that keeps it, which is wrong as well: the prefix is read again.
+        """
+        entries = Entries()
+        moved = entries.move("chat", 0.0)
+        untold, _ = entries.send(WarmPlacement(), "chat", 1.0)
+
+        entries.tell(1.0)
+        found, reading = entries.send(entries.two, "chat", 1.0)
+
+        assert untold is not moved
+        assert (found, reading.unread_tokens) == (moved, 0)
+
+    def test_session_at_its_home_is_not_told(self):
+        entries = Entries()
+        for number in range(50):
+            entries.send(entries.one, f"chat{number}", 0.0)
+
+        assert entries.one.moved.end == 0
+
+    def test_sessions_whose_home_is_a_new_endpoint_are_told_when_it_joins(self):
+        """Two engines are added one after the other while chats go on.
+
+        An entry that has not seen a chat sends it to a new engine and names the other new one as
+        the one that keeps the prefix. It is told before, so the chat stays where it is warm.
+        """
+        entries = Entries()
+        before = {n: entries.send(entries.one, f"chat{n}", 0.0)[0] for n in range(100)}
+
+        for name in ("new1", "new2"):
+            entries.rows.append(known(name))
+            entries.one.joined(name, 1.0)
+        entries.tell(1.0)
+        after = {n: entries.send(entries.two, f"chat{n}", 2.0)[0] for n in range(100)}
+
+        assert after == before
+        assert entries.one.moved.end < 60
