--- a/src/beryljunction/cli/asking.py
+++ b/src/beryljunction/cli/asking.py
@@ -14,6 +14,7 @@
 from beryljunction.servers import client_pool
 from beryljunction.settings import load_file
 from beryljunction.settings.schema import OperatorFile
+from beryljunction.stores import HostRow
 from beryljunction.tls import client_context
 
 __all__ = [
@@ -25,6 +26,7 @@
     "ask_fleet",
     "operator_client",
     "print_failures",
+    "rows_of",
 ]
 
 CONFIG = pathlib.Path(os.environ.get("BERYL_CONFIG", "beryl.toml"))
@@ -35,7 +37,10 @@
 
 
 def ask_fleet(
-    config: pathlib.Path, hosts: str, command: Callable[[OperatorClient], Awaitable[int]]
+    config: pathlib.Path,
+    hosts: str,
+    command: Callable[[OperatorClient], Awaitable[int]],
+    at: str = "",
 ) -> int:
     """Run a command against the processes on the host list and return its exit code.
 
@@ -43,6 +48,7 @@
         config: The operator's file.
         hosts: Base URL of the list; empty for the one in the file.
         command: What to ask; returns the exit code.
+        at: Addresses of processes, for which no list is needed.
     """
 
     async def run(file: OperatorFile) -> int:
@@ -50,7 +56,7 @@
             return await command(client)
 
     try:
-        return anyio.run(run, _operator_file(config, hosts))
+        return anyio.run(run, _operator_file(config, hosts, at))
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID
@@ -75,9 +81,17 @@
         yield OperatorClient(pool, file.hosts_address, nodes, file.operator_key)
 
 
-def _operator_file(config: pathlib.Path, hosts: str) -> OperatorFile:
-    """Return the operator's file; with a host list named, one that is not there is no problem."""
-    if hosts and not config.exists():
+async def rows_of(client: OperatorClient, at: str) -> list[HostRow]:
+    """Return the processes at these addresses, or all on the host list when none is named."""
+    if not at:
+        return await client.rows()
+    addresses = [text.strip() for text in at.split(",")]
+    return [HostRow(text, "", "", "", "", text, operator_address=text) for text in addresses]
+
+
+def _operator_file(config: pathlib.Path, hosts: str, at: str) -> OperatorFile:
+    """Return the operator's file; with processes or a list named, it need not be there."""
+    if (hosts or at) and not config.exists():
         return OperatorFile("", "", hosts_address=hosts)
     file = load_file(config, OperatorFile)
     return attrs.evolve(file, hosts_address=hosts or file.hosts_address)
--- a/src/beryljunction/cli/drain.py
+++ b/src/beryljunction/cli/drain.py
@@ -6,7 +6,8 @@
 import anyio
 
 from beryljunction.cli.asking import CONFIG, EXIT_INVALID, EXIT_OK, ask_fleet, print_failures
-from beryljunction.node import NodeStatus, OperatorClient
+from beryljunction.node import OperatorClient
+from beryljunction.operators import NodeStatus
 from beryljunction.stores import HostRow
 
 __all__ = ["drain"]
--- a/src/beryljunction/cli/operator.py
+++ b/src/beryljunction/cli/operator.py
@@ -4,7 +4,7 @@
 
 import defopt
 
-from beryljunction.cli import settings
+from beryljunction.cli import deploy, settings
 from beryljunction.cli.drain import drain
 from beryljunction.cli.explain import explain
 from beryljunction.cli.status import status
@@ -13,6 +13,7 @@
 __all__ = ["main"]
 
 _COMMANDS = {
+    "deploy": deploy.COMMANDS,
     "drain": drain,
     "explain": explain,
     "settings": settings.COMMANDS,
--- a/src/beryljunction/cli/status.py
+++ b/src/beryljunction/cli/status.py
@@ -5,15 +5,29 @@
 
 import attrs
 
-from beryljunction.cli.asking import CONFIG, ask_fleet, print_failures
-from beryljunction.node import NodeStatus, OperatorClient
+from beryljunction.cli.asking import CONFIG, ask_fleet, print_failures, rows_of
+from beryljunction.node import OperatorClient
+from beryljunction.operators import NodeStatus
 
 __all__ = ["status"]
 
-_COLUMNS = ("host", "zone", "role", "endpoint", "state", "settings", "list", "running", "waiting")
+_COLUMNS = (
+    "host",
+    "zone",
+    "role",
+    "endpoint",
+    "state",
+    "settings",
+    "age",
+    "list",
+    "running",
+    "waiting",
+)
 
 
-def status(*, config: pathlib.Path = CONFIG, hosts: str = "", json: bool = False) -> int:
+def status(
+    *, config: pathlib.Path = CONFIG, hosts: str = "", at: str = "", json: bool = False
+) -> int:
     """Show for each process its state, the versions that it has and its load.
 
     Exit codes: 0 all processes answered, 1 some did not (named on standard error), 4 the host
@@ -21,11 +35,12 @@
 
     :param config: The operator's file.
     :param hosts: Base URL of the platform's host list, instead of the one in the file.
+    :param at: Addresses of processes with commas between them, IP:PORT, instead of a host list.
     :param json: Print one JSON object a line.
     """
 
     async def run(client: OperatorClient) -> int:
-        answers = await client.status(await client.rows())
+        answers = await client.status(await rows_of(client, at))
         nodes = sorted(answers.values.values(), key=lambda node: (node.role, node.host))
         if json:
             for node in nodes:
@@ -34,7 +49,7 @@
             print_table([_COLUMNS, *(_row_of(node) for node in nodes)])
         return print_failures(answers.failures)
 
-    return ask_fleet(config, hosts, run)
+    return ask_fleet(config, hosts, run, at)
 
 
 def print_table(rows: list[tuple[str, ...]]) -> None:
@@ -53,6 +68,7 @@
         node.endpoint_id or "-",
         node.not_ready or "ready",
         str(node.settings_version),
+        "-" if node.settings_age_s is None else f"{node.settings_age_s:.1f} s",
         str(node.hosts_version),
         str(node.running if node.role == "sidecar" else node.in_flight),
         str(node.waiting),
--- a/src/beryljunction/cli/timeline.py
+++ b/src/beryljunction/cli/timeline.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from beryljunction.cli.asking import CONFIG, ask_fleet, print_failures
+from beryljunction.cli.asking import CONFIG, ask_fleet, print_failures, rows_of
 from beryljunction.node import OperatorClient
 from beryljunction.timeline import Event, merge_events
 
@@ -17,6 +17,7 @@
     *,
     config: pathlib.Path = CONFIG,
     hosts: str = "",
+    at: str = "",
     request: str | None = None,
     last: int = 200,
     json: bool = False,
@@ -28,18 +29,19 @@
 
     :param config: The operator's file.
     :param hosts: Base URL of the platform's host list, instead of the one in the file.
+    :param at: Addresses of processes with commas between them, IP:PORT, instead of a host list.
     :param request: Only this request; its id is in the answer's beryl-request-id header.
     :param last: Newest events to show.
     :param json: Print one JSON object a line.
     """
 
     async def run(client: OperatorClient) -> int:
-        answers = await client.events(await client.rows(), request, last)
+        answers = await client.events(await rows_of(client, at), request, last)
         for event in merge_events(*answers.values.values())[-last:]:
             print(json_module.dumps(attrs.asdict(event)) if json else line_of(event))
         return print_failures(answers.failures)
 
-    return ask_fleet(config, hosts, run)
+    return ask_fleet(config, hosts, run, at)
 
 
 def line_of(event: Event) -> str:
--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -25,6 +25,8 @@
         "store_regained",
         "settings_applied",
         "settings_refused",
+        "settings_by_peer",
+        "settings_by_peer_ended",
         "history_expired",
     )
 )
@@ -152,6 +154,8 @@
     "store_lost": lambda line: f"lost the store ({line.get('topic')}: {line.get('reason')})",
     "store_regained": lambda line: f"has the store again ({line.get('topic')})",
     "settings_applied": lambda line: f"put settings {line.get('version')} in force",
+    "settings_by_peer": lambda line: f"has its settings confirmed by {line.get('peer')}",
+    "settings_by_peer_ended": lambda line: "is no longer confirmed by a peer",
     "settings_refused": lambda line: f"kept its settings: {line.get('problem')}",
     "endpoint_gone": lambda line: f"endpoint {line.get('endpoint')} is gone from the store",
     "endpoint_draining": lambda line: f"endpoint {line.get('endpoint')} is leaving",
--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from beryljunction.gateway.metrics import EntryMetrics
-from beryljunction.logs import key_value_formatter
+from beryljunction.logs import key_value_formatter, key_value_text
+from beryljunction.timeline import Timeline
 
 __all__ = ["Events", "LineWriter"]
 
@@ -16,6 +17,8 @@
 _MOST_LINES_PER_S = 200
 # Bytes kept for a reader of standard output that has fallen behind.
 _MOST_BACKLOG_BYTES = 65_536
+# Events kept for operators, ordinary and others each: 10 s at the most lines a second, 1 MB.
+_KEPT_EVENTS = 2_000
 
 
 class LineWriter:
@@ -58,6 +61,7 @@
 
     Attributes:
         metrics: Counts every event, written or left out.
+        timeline: Keeps the latest events for operators; None while nobody may ask for them.
 
     Args:
         host: Name of this host, on every line.
@@ -76,10 +80,20 @@
         self._lines = 0
         self.left_out = 0
         self.metrics = EntryMetrics()
+        self.timeline: Timeline | None = None
+
+    def keep_latest(self) -> None:
+        """Keep the latest events from now on."""
+        host, zone = self._common["host"], self._common["availability_zone"]
+        self.timeline = Timeline(host, zone, ring_events=_KEPT_EVENTS)
 
     def write(self, event: str, exc_info: bool = False, **fields: Any) -> None:
         """Write one event, with the exception being handled where that is asked for."""
         self.metrics.count(event, fields)
+        if self.timeline is not None:
+            request_id = str(fields.get("request_id", ""))
+            rest = {key: value for key, value in fields.items() if key != "request_id"}
+            self.timeline.add(event, request_id, key_value_text(rest))
         second = int(time.monotonic())
         if second != self._second:
             self._start_second(second)
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -1,6 +1,7 @@
 """The life of an entry on the platform: start, ready, stop without cutting an answer."""
 
 import asyncio
+import math
 import os
 import signal
 import socket
@@ -16,11 +17,13 @@
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
 from beryljunction.gateway.front import Front
+from beryljunction.gateway.operators import OperatorHandler, operator_digests
 from beryljunction.gateway.peers import FollowPeers, HttpPeerLink, PeerHandler
 from beryljunction.gateway.probes import ProbeHandler
 from beryljunction.gateway.sharing import ShareMoved
 from beryljunction.gateway.state import EntryState
 from beryljunction.listening import open_listener
+from beryljunction.operators import NodeStatus
 from beryljunction.platform import (
     SETTINGS_VARIABLE,
     HostSettings,
@@ -83,6 +86,34 @@
         metrics.watch("beryl_repeats_left", "Second sends left.", state.repeats_left)
         metrics.watch("beryl_log_lines_left_out", "Lines left out.", lambda: self._events.left_out)
 
+    def _operator_handler(self, front: Front) -> OperatorHandler:
+        """Return what serves the metrics' address; events are kept only where a key is set."""
+        digests = operator_digests(self._host.operator_keys)
+        if digests:
+            self._events.keep_latest()
+        return OperatorHandler(self._is_ready, self._events, lambda: self._status(front), digests)
+
+    def _status(self, front: Front) -> NodeStatus:
+        state = self._state
+        age_s = state.lease.age_s(boot_time_s())
+        return NodeStatus(
+            role="entry",
+            host=self._host.host,
+            availability_zone=self._host.availability_zone,
+            settings_version=state.config.version if state.config is not None else 0,
+            settings_age_s=round(age_s, 3) if math.isfinite(age_s) else None,
+            not_ready="" if self._is_ready() else self._why_not_ready(),
+            endpoints=len(state.registry),
+            in_flight=front.in_flight,
+        )
+
+    def _why_not_ready(self) -> str:
+        if self._stopping.is_set():
+            return "leaving"
+        if self._state.config is None:
+            return "no settings"
+        return "settings too old" if self._state.registry.is_loaded else "no endpoints"
+
     def stop(self) -> None:
         """Begin to stop; a second call changes nothing."""
         self._stopping.set()
@@ -107,7 +138,7 @@
             callers = self._callers_socket()
             await _listen(probes, self._host.probes)
             if self._host.metrics is not None:
-                await _listen(probes, self._host.metrics)
+                await _listen(self._operator_handler(front), self._host.metrics)
             self._watch_gauges(front)
             config = FollowConfig(store, self._state)
             endpoints = FollowEndpoints(store, self._state)
--- a/src/beryljunction/logs.py
+++ b/src/beryljunction/logs.py
@@ -11,14 +11,14 @@
 
 from beryljunction.timeline import ORDINARY_KINDS, Event
 
-__all__ = ["EventLog", "configure_logs", "key_value_formatter"]
+__all__ = ["EventLog", "configure_logs", "key_value_formatter", "key_value_text"]
 
 _SAFE = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-")
 _HASH_RANGE = 2**64
 
 
-def _key_value(fields: dict[str, Any], *_: Any, **__: Any) -> str:
-    """Serialize for python-json-logger's hook; values with other characters are JSON strings."""
+def key_value_text(fields: dict[str, Any], *_: Any, **__: Any) -> str:
+    """Serialize, also for python-json-logger's hook; values with other characters become JSON."""
     return " ".join(f"{key}={_value(value)}" for key, value in fields.items())
 
 
@@ -40,7 +40,7 @@
     return _Formatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
-        json_serializer=_key_value,
+        json_serializer=key_value_text,
     )
 
 
--- a/src/beryljunction/node/__init__.py
+++ b/src/beryljunction/node/__init__.py
@@ -4,8 +4,9 @@
 from beryljunction.node.entry_role import EntryRole
 from beryljunction.node.hosts import HostFollower, HostView
 from beryljunction.node.process import Node
-from beryljunction.node.roles import NodeRole, NodeStatus, RoleTools
+from beryljunction.node.roles import NodeRole, RoleTools
 from beryljunction.node.sidecar_role import SidecarRole
+from beryljunction.operators import NodeStatus
 
 __all__ = [
     "Answers",
--- a/src/beryljunction/node/client.py
+++ b/src/beryljunction/node/client.py
@@ -9,11 +9,10 @@
 import attrs
 import httpcore
 
-from beryljunction.node.operator import EVENTS_PATH
-from beryljunction.node.roles import NodeStatus
+from beryljunction.operators import EVENTS_PATH, STATUS_PATH, NodeStatus
 from beryljunction.stores import HostRow, HttpHostList
 from beryljunction.timeline import HLC_HEADER, Event, HybridClock
-from beryljunction.wire import DRAIN_PATH, STATUS_PATH, Drain, decode, encode
+from beryljunction.wire import DRAIN_PATH, Drain, decode, encode
 
 __all__ = ["Answers", "OperatorClient"]
 
--- a/src/beryljunction/node/entry_role.py
+++ b/src/beryljunction/node/entry_role.py
@@ -7,7 +7,8 @@
 import attrs
 
 from beryljunction.entry import EntryApp
-from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
+from beryljunction.node.roles import LEAVING, NodeRole, RoleTools
+from beryljunction.operators import NodeStatus
 from beryljunction.settings import EntryFile, FleetView
 from beryljunction.stores import HostRow
 from beryljunction.systems import ListedEndpoint
--- a/src/beryljunction/node/operator.py
+++ b/src/beryljunction/node/operator.py
@@ -1,7 +1,5 @@
 """What operators and their tools ask a process, on a listener of its own."""
 
-import hashlib
-import hmac
 import ipaddress
 import json
 import re
@@ -15,18 +13,16 @@
 
 from beryljunction.errors import StartError
 from beryljunction.metrics import Metrics
-from beryljunction.node.roles import NodeStatus
+from beryljunction.operators import EVENTS_PATH, STATUS_PATH, NodeStatus, shows_key
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.servers import Asgi, Receive, Scope, Send, respond
 from beryljunction.settings import ProcessSettings
 from beryljunction.timeline import HLC_HEADER, Timeline
-from beryljunction.wire import DRAIN_PATH, STATUS_PATH, Drain, decode, encode, refusal_body
+from beryljunction.wire import DRAIN_PATH, Drain, decode, encode, refusal_body
 
-__all__ = ["EVENTS_PATH", "OperatorKeys", "operator_app", "operator_keys"]
+__all__ = ["OperatorKeys", "operator_app", "operator_keys"]
 
-EVENTS_PATH = "/beryl/v1/events"
 _LAST_EVENTS = 1_000
-_BEARER = b"Bearer "
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 # The platform's probes and scrapers hold no key of ours. What they see names no request, client
 # account or chat, and none of it changes anything; without them a restart or an alarm would hang on
@@ -59,10 +55,7 @@
 
     def _knows(self, scope: Scope) -> bool:
         given: bytes = dict(scope["headers"]).get(b"authorization", b"")
-        digest = hashlib.sha256(given.removeprefix(_BEARER)).hexdigest()
-        # All are compared, so that the time does not tell which one came near.
-        matches = [hmac.compare_digest(digest, known) for known in self._digests]
-        return any(matches) and given.startswith(_BEARER)
+        return shows_key(given, self._digests)
 
 
 def operator_keys(process: ProcessSettings) -> tuple[str, ...]:
--- a/src/beryljunction/node/process.py
+++ b/src/beryljunction/node/process.py
@@ -18,9 +18,10 @@
 from beryljunction.node.front import FleetFront
 from beryljunction.node.hosts import HostFollower
 from beryljunction.node.operator import OperatorKeys, operator_app, operator_keys
-from beryljunction.node.roles import NodeRole, NodeStatus, RoleTools
+from beryljunction.node.roles import NodeRole, RoleTools
 from beryljunction.node.sidecar_role import SidecarRole
 from beryljunction.node.traffic import CountingBackend
+from beryljunction.operators import NodeStatus
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.servers import Asgi, Receive, Scope, Send, Server, bind, client_pool
 from beryljunction.settings import (
--- a/src/beryljunction/node/roles.py
+++ b/src/beryljunction/node/roles.py
@@ -8,13 +8,14 @@
 import attrs
 import httpcore
 
+from beryljunction.operators import NodeStatus
 from beryljunction.servers import Asgi
 from beryljunction.settings import FleetView, ProcessSettings
 from beryljunction.stops import Stoppable
 from beryljunction.stores import HostRow, LogClient
 from beryljunction.timeline import Timeline
 
-__all__ = ["LEAVING", "NodeRole", "NodeStatus", "RoleTools"]
+__all__ = ["LEAVING", "NodeRole", "RoleTools"]
 
 LEAVING = "leaving"
 
@@ -40,36 +41,6 @@
     log: LogClient | None = None
 
 
-@attrs.frozen
-class NodeStatus:
-    """What a process says of itself to an operator.
-
-    Attributes:
-        settings_version: Version of the settings in force here.
-        hosts_version: Version of the host list here.
-        not_ready: Why the process takes no work; empty when it does.
-        in_flight: Requests that are not over here.
-        running: Requests that run at the endpoint.
-        waiting: Requests that wait for the endpoint.
-        orders: What the sidecar does about the models of its engine, and why.
-    """
-
-    role: str
-    host: str
-    availability_zone: str
-    settings_version: int = 0
-    hosts_version: int = 0
-    not_ready: str = ""
-    endpoint_id: str = ""
-    service: str = ""
-    incarnation: str = ""
-    endpoints: int = 0
-    in_flight: int = 0
-    running: int = 0
-    waiting: int = 0
-    orders: str = ""
-
-
 class NodeRole(abc.ABC):
     """The part of a process that differs between entry and sidecar.
 
--- a/src/beryljunction/node/sidecar_role.py
+++ b/src/beryljunction/node/sidecar_role.py
@@ -14,7 +14,8 @@
     WorkGate,
     answer_orders,
 )
-from beryljunction.node.roles import LEAVING, NodeRole, NodeStatus, RoleTools
+from beryljunction.node.roles import LEAVING, NodeRole, RoleTools
+from beryljunction.operators import NodeStatus
 from beryljunction.servers import Receive, Scope, Send, client_pool
 from beryljunction.settings import FleetView, ServiceSettings, SidecarFile
 from beryljunction.sidecar import SidecarApp
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -21,6 +21,8 @@
 SETTINGS_VARIABLE = "BERYLJUNCTION_CONFIG"
 # The platform's file names no address for metrics; the deploy file sets the port of its own.
 METRICS_PORT_VARIABLE = "BERYL_METRICS_PORT"
+# SHA-256 digests of the operators' keys, with commas between them.
+OPERATOR_KEYS_VARIABLE = "BERYL_OPERATOR_KEYS_SHA256"
 ADDRESS_FORM = "IP:PORT"
 
 Address = tuple[str, int]
@@ -55,6 +57,7 @@
         probes: Where the balancer asks whether the process is ready.
         metrics: Where metrics are served besides the probes' address; None for nowhere.
         peers: Where other entries may ask this one; None for nowhere.
+        operator_keys: Digests of the keys that operators may show at the metrics' address.
     """
 
     host: str
@@ -66,6 +69,7 @@
     bounds: HostBounds
     metrics: Address | None = None
     peers: Address | None = None
+    operator_keys: str = ""
 
 
 def read_host_settings(path: str | None = None) -> HostSettings:
@@ -74,7 +78,10 @@
     Raises:
         SettingsError: With one line for each field that is missing or wrong.
     """
-    file = pathlib.Path(path or os.environ.get(SETTINGS_VARIABLE, ""))
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError([f"{SETTINGS_VARIABLE}: expected the path of a file, got nothing"])
+    file = pathlib.Path(path)
     try:
         table = tomllib.loads(file.read_text())
     except OSError as error:
@@ -108,6 +115,7 @@
             bounds=self._bounds(),
             metrics=self._metrics(),
             peers=self._peers(),
+            operator_keys=os.environ.get(OPERATOR_KEYS_VARIABLE, ""),
         )
 
     def _peers(self) -> Address | None:
--- a/src/beryljunction/sidecar/control.py
+++ b/src/beryljunction/sidecar/control.py
@@ -5,6 +5,7 @@
 import anyio.abc
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.operators import STATUS_PATH
 from beryljunction.settings import SidecarFile
 from beryljunction.sidecar.calls import Call, Handler
 from beryljunction.sidecar.keeper import RunKeeper
@@ -16,7 +17,6 @@
     DRAIN_PATH,
     MOVED_PATH,
     POINTERS_PATH,
-    STATUS_PATH,
     TICKET_PATH,
     ChatMoved,
     Drain,
--- a/src/beryljunction/timeline.py
+++ b/src/beryljunction/timeline.py
@@ -76,12 +76,18 @@
     ones fill theirs within a minute, and the refusal that an operator looks for must outlive that.
     """
 
-    def __init__(self, host: str, availability_zone: str, clock: HybridClock | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        availability_zone: str,
+        clock: HybridClock | None = None,
+        ring_events: int = _RING_EVENTS,
+    ) -> None:
         self.clock = clock if clock is not None else HybridClock()
         self._host = host
         self._zone = availability_zone
-        self._ordinary: collections.deque[Event] = collections.deque(maxlen=_RING_EVENTS)
-        self._notable: collections.deque[Event] = collections.deque(maxlen=_RING_EVENTS)
+        self._ordinary: collections.deque[Event] = collections.deque(maxlen=ring_events)
+        self._notable: collections.deque[Event] = collections.deque(maxlen=ring_events)
         self._listeners: list[Callable[[Event], None]] = []
 
     def listen(self, listener: Callable[[Event], None]) -> None:
--- a/src/beryljunction/wire/paths.py
+++ b/src/beryljunction/wire/paths.py
@@ -16,7 +16,6 @@
     "REQUEST_ID_HEADER",
     "RUN_PATH",
     "STAMP_HEADER",
-    "STATUS_PATH",
     "STREAM_HEADER",
     "TICKET_PATH",
     "claim_stream",
@@ -37,7 +36,6 @@
 CLAIM_PATH = "/beryl/v1/claim"
 TICKET_PATH = "/beryl/v1/ticket"
 DRAIN_PATH = "/beryl/v1/drain"
-STATUS_PATH = "/beryl/v1/status"
 PEERS_PATH = "/beryl/v1/peers"
 
 # All processes must agree on it. 64 streams of the log at five appends a second each stay within
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -150,8 +150,9 @@
 class World:
     """Everything around one entry."""
 
-    def __init__(self, group, bounds):
+    def __init__(self, group, bounds, operator_keys):
         self.group = group
+        self.operator_keys = operator_keys
         self.bounds = bounds
         self.store = PlatformStoreStandIn()
         self.lines = Lines()
@@ -197,7 +198,7 @@
         return endpoint
 
     async def start_entry(self, early=None):
-        ports = [_free_port() for _ in range(2)]
+        ports = [_free_port() for _ in range(3)]
         if early is not None:
             ports[0] = early.getsockname()[1]
         self.host = HostSettings(
@@ -208,6 +209,8 @@
             probes=("127.0.0.1", ports[1]),
             store=self.store_address,
             bounds=self.bounds,
+            metrics=None if self.operator_keys is None else ("127.0.0.1", ports[2]),
+            operator_keys=self.operator_keys or "",
         )
         self.entry = EntryProcess(self.host, Events("entry-1", "a", self.lines), early)
         self.group.start_soon(self.entry.run)
@@ -294,10 +297,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_world(*routes, bounds=None, start=True):
-    """Open a world with a configuration and, unless told otherwise, a ready entry."""
+async def open_world(*routes, bounds=None, start=True, operator_keys=None):
+    """Open a world with a configuration and, unless told otherwise, a ready entry.
+
+    With operator keys given, also an empty text, the entry serves the metrics' address.
+    """
     async with anyio.create_task_group() as group:
-        world = World(group, bounds or HostBounds())
+        world = World(group, bounds or HostBounds(), operator_keys)
         await world.start_store()
         if routes:
             world.configure(*routes)
--- /dev/null
+++ b/testing/test_gateway_operators.py
@@ -0,0 +1,90 @@
+import hashlib
+import json
+
+import anyio
+import pytest
+
+from beryljunction.cli.status import status
+from beryljunction.cli.timeline import timeline
+from beryljunction.gateway.operators import operator_digests
+from platform_world import open_world, route
+
+KEY = "operator-key"
+DIGEST = hashlib.sha256(KEY.encode()).hexdigest()
+
+
+class TestDigests:
+    @pytest.mark.parametrize("text", ["", "x", DIGEST.upper(), f"{DIGEST} "])
+    def test_what_is_no_digest_is_left_out(self, text):
+        assert operator_digests(text) == ()
+
+    def test_several_may_be_in_force(self):
+        assert operator_digests(f"{DIGEST},{'0' * 64}") == (DIGEST, "0" * 64)
+
+
+class TestOperatorHandler:
+    async def asked(self, world, path, key):
+        data = f"GET {path} HTTP/1.1\r\nAuthorization: Bearer {key}\r\n\r\n".encode()
+        answer = await world.send_to(world.host.metrics, data)
+        return answer[0], answer[2]
+
+    def test_status_and_events_need_a_key(self):
+        async def run():
+            async with open_world(route(), operator_keys=DIGEST) as world:
+                await world.ask(request_id="mine")
+                await world.ask(path="/nowhere/", request_id="other")
+                events = "/beryl/v1/events?request_id=mine"
+                return (
+                    await self.asked(world, "/beryl/v1/status", KEY),
+                    await self.asked(world, events, KEY),
+                    await self.asked(world, events, "wrong"),
+                    await self.asked(world, "/metrics", "wrong"),
+                )
+
+        told, events, wrong, metrics = anyio.run(run)
+        values = json.loads(told[1])
+
+        assert (told[0], events[0], wrong[0], metrics[0]) == (200, 200, 401, 200)
+        assert (values["settings_version"], values["not_ready"]) == (3, "")
+        assert 0 <= values["settings_age_s"] < 3
+        assert {row[5] for row in json.loads(events[1])["events"]} == {"mine"}
+        assert wrong[1] == b""
+
+    def test_without_keys_in_the_settings_nobody_may_ask(self):
+        async def run():
+            async with open_world(route(), operator_keys="") as world:
+                return await self.asked(world, "/beryl/v1/status", KEY)
+
+        assert anyio.run(run)[0] == 401
+
+
+class TestCommands:
+    def test_entries_are_asked_by_their_addresses(self, capsys, tmp_path):
+        """`beryl status` and `beryl timeline` reach entries on the platform, which have no list."""
+        config = tmp_path / "beryl.toml"
+
+        async def run():
+            async with open_world(route(), operator_keys=DIGEST) as world:
+                await world.ask(request_id="mine")
+                at = ":".join(map(str, world.host.metrics))
+                config.write_text(FILE)
+                return [
+                    await anyio.to_thread.run_sync(lambda: status(config=config, at=at)),
+                    await anyio.to_thread.run_sync(
+                        lambda: timeline(config=config, at=at, request="mine")
+                    ),
+                ]
+
+        codes = anyio.run(run)
+        text = capsys.readouterr().out
+
+        assert codes == [0, 0]
+        assert "entry-1" in text
+        assert "no_endpoint" in text
+
+
+FILE = f"""
+operator = "ops"
+log_address = "http://127.0.0.1:1"
+operator_key = "{KEY}"
+"""
