--- a/src/beryljunction/bench/control.py
+++ b/src/beryljunction/bench/control.py
@@ -11,9 +11,9 @@
 
 from beryljunction.bench.control_messages import MessageBytes, busy_row, measure_messages
 from beryljunction.settings import FollowSettings
+from beryljunction.settings.rotation import PeerRotation
+from beryljunction.settings.snapshots import SnapshotSchedule
 from beryljunction.systems import LoadSystem
-from beryljunction.systems.rotation import PeerRotation
-from beryljunction.systems.snapshots import SnapshotSchedule
 from beryljunction.wire import encode_rows
 
 __all__ = ["CONTROL_SIZES", "ControlFigures", "ControlSize", "measure_control"]
--- a/src/beryljunction/cli/settings_change.py
+++ b/src/beryljunction/cli/settings_change.py
@@ -14,8 +14,8 @@
 from beryljunction.settings.files import load_toml
 from beryljunction.settings.operating import Invalid
 from beryljunction.settings.paths import Path, parse_path
+from beryljunction.settings.publishing import InForce
 from beryljunction.settings.validating import edits_between, leaves_of
-from beryljunction.systems.publishing import InForce
 
 __all__ = ["set_", "unset"]
 
--- a/src/beryljunction/cli/settings_output.py
+++ b/src/beryljunction/cli/settings_output.py
@@ -8,8 +8,8 @@
 
 from beryljunction.settings.changes import Accepted, Edit, Refused
 from beryljunction.settings.paths import Path, parse_path
+from beryljunction.settings.publishing import Lost, NotPublished, PublishAnswer, Unknown
 from beryljunction.settings.reader import Judged
-from beryljunction.systems.publishing import Lost, NotPublished, PublishAnswer, Unknown
 
 __all__ = [
     "EXIT_INVALID",
--- a/src/beryljunction/engines/control.py
+++ b/src/beryljunction/engines/control.py
@@ -25,7 +25,7 @@
 import attrs
 import httpcore
 
-from beryljunction.systems.orders import Order
+from beryljunction.systems.recovery.orders import Order
 from beryljunction.tables.orders import EngineState
 
 __all__ = [
--- a/src/beryljunction/engines/orders.py
+++ b/src/beryljunction/engines/orders.py
@@ -11,9 +11,9 @@
 from beryljunction.engines.peers import OrderPeers
 from beryljunction.engines.turns import TurnLog
 from beryljunction.settings.schema import FleetView
-from beryljunction.systems.orders import Hold, NeedSlot, Order, OrderSystem, wanted_of
-from beryljunction.systems.rollout import Go, RolloutLimits, RolloutSystem, Stay
-from beryljunction.systems.turns import EndTurn, RenewTurn, TakeTurn, TurnStep, TurnSystem
+from beryljunction.systems.recovery.orders import Hold, NeedSlot, Order, OrderSystem, wanted_of
+from beryljunction.systems.recovery.rollout import Go, RolloutLimits, RolloutSystem, Stay
+from beryljunction.systems.recovery.turns import EndTurn, RenewTurn, TakeTurn, TurnStep, TurnSystem
 from beryljunction.tables.orders import EngineState, OrderRow, OrderRowTable, Phase, Wanted
 
 __all__ = ["OrderRunner", "WorkGate"]
--- a/src/beryljunction/engines/turns.py
+++ b/src/beryljunction/engines/turns.py
@@ -3,7 +3,7 @@
 import uuid
 
 from beryljunction.stores import LogClient, ReadFailed
-from beryljunction.systems.turns import EndTurn
+from beryljunction.systems.recovery.turns import EndTurn
 from beryljunction.tables.turns import TurnQueue, end_record, renew_record, take_record
 
 __all__ = ["TurnLog"]
--- a/src/beryljunction/entry/tickets.py
+++ b/src/beryljunction/entry/tickets.py
@@ -20,7 +20,7 @@
     key_refusal,
     rendezvous_score,
 )
-from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, TicketStep, UseTicket
+from beryljunction.systems.state.ticket_attempts import Mint, TicketAttempts, TicketStep, UseTicket
 from beryljunction.tables import Endpoint, EndpointState, EndpointTable
 from beryljunction.wire import KEY_SHARDS, Envelope, KeyWish, claim_stream
 
--- a/src/beryljunction/fuzz/entries.py
+++ b/src/beryljunction/fuzz/entries.py
@@ -39,7 +39,7 @@
     key_digest,
     key_refusal,
 )
-from beryljunction.systems.ticket_attempts import TicketAttempts, TicketStep, UseTicket
+from beryljunction.systems.state.ticket_attempts import TicketAttempts, TicketStep, UseTicket
 from beryljunction.tables import Endpoint, EndpointTable, Stamp
 
 __all__ = ["Entry", "WAIT_S"]
--- a/src/beryljunction/settings/following.py
+++ b/src/beryljunction/settings/following.py
@@ -13,8 +13,8 @@
 from beryljunction.settings.changes import CHANGES_STREAM, SNAPSHOTS_STREAM
 from beryljunction.settings.reader import SettingsReader
 from beryljunction.settings.schema import FleetView
+from beryljunction.settings.snapshots import SnapshotSchedule
 from beryljunction.stores.log import AppendRefused, LogClient, ReadFailed
-from beryljunction.systems.snapshots import SnapshotSchedule
 
 __all__ = ["FollowSettings", "NoPeers", "PeerSource", "SettingsFollower"]
 
--- a/src/beryljunction/settings/operating.py
+++ b/src/beryljunction/settings/operating.py
@@ -18,15 +18,15 @@
 )
 from beryljunction.settings.following import FollowSettings, PeerSource, SettingsFollower
 from beryljunction.settings.paths import Path, Scope, parse_path, parse_scope
-from beryljunction.settings.reader import Judged, SettingsReader
-from beryljunction.settings.validating import problems_of, reads_of
-from beryljunction.stores.log import LogClient, ReadFailed
-from beryljunction.systems.publishing import (
+from beryljunction.settings.publishing import (
     AppendNow,
     PublishAnswer,
     PublishSystem,
     ReadOn,
 )
+from beryljunction.settings.reader import Judged, SettingsReader
+from beryljunction.settings.validating import problems_of, reads_of
+from beryljunction.stores.log import LogClient, ReadFailed
 
 __all__ = ["Invalid", "OperatorSession"]
 
--- a/src/beryljunction/settings/peers.py
+++ b/src/beryljunction/settings/peers.py
@@ -12,7 +12,7 @@
 from beryljunction.servers import Receive, Scope, Send, read_body, respond
 from beryljunction.settings.following import PeerSource
 from beryljunction.settings.reader import SettingsReader
-from beryljunction.systems.rotation import PeerRotation
+from beryljunction.settings.rotation import PeerRotation
 from beryljunction.wire import FLEET_KEY_HEADER
 
 __all__ = ["SETTINGS_PATH", "HttpPeers", "answer_settings"]
--- a/src/beryljunction/sidecar/peers.py
+++ b/src/beryljunction/sidecar/peers.py
@@ -14,8 +14,8 @@
 import httpcore
 
 from beryljunction.servers import Receive, Scope, Send, read_body, respond
+from beryljunction.settings.rotation import PeerRotation
 from beryljunction.systems import LoadSystem
-from beryljunction.systems.rotation import PeerRotation
 from beryljunction.wire import FLEET_KEY_HEADER, PEERS_PATH, decode_rows, encode_rows
 
 __all__ = ["PeerExchange"]
--- a/src/beryljunction/standins/orders.py
+++ b/src/beryljunction/standins/orders.py
@@ -6,7 +6,7 @@
 
 from beryljunction.servers import Receive, Scope, Send, read_body, respond
 from beryljunction.standins.weights import WeightStoreModel
-from beryljunction.systems.orders import Order
+from beryljunction.systems.recovery.orders import Order
 from beryljunction.tables.orders import EngineState
 
 __all__ = ["EngineOrdersModel", "answer_engine_orders"]
--- a/src/beryljunction/systems/__init__.py
+++ b/src/beryljunction/systems/__init__.py
@@ -1,6 +1,19 @@
 """Decisions: each system works over tables, with the time handed in and no input or output."""
 
-from beryljunction.systems.admission import (
+from beryljunction.systems.recovery.handover import (
+    Handed,
+    HandoverLimits,
+    HandoverSystem,
+    Transfer,
+    successor_of,
+    wants_prefix,
+)
+from beryljunction.systems.recovery.membership import (
+    ListedEndpoint,
+    MembershipLimits,
+    MembershipSystem,
+)
+from beryljunction.systems.requests.admission import (
     Admission,
     AdmissionLimits,
     AdmissionSystem,
@@ -8,18 +21,21 @@
     Start,
     Wait,
 )
-from beryljunction.systems.attempts import AttemptSystem, GiveUp, Step, Try
-from beryljunction.systems.claims import ClaimLimits, ClaimSystem
-from beryljunction.systems.forward import ForwardClock, Window
-from beryljunction.systems.handover import (
-    Handed,
-    HandoverLimits,
-    HandoverSystem,
-    Transfer,
-    successor_of,
-    wants_prefix,
+from beryljunction.systems.requests.attempts import AttemptSystem, GiveUp, Step, Try
+from beryljunction.systems.requests.load import LoadBound, LoadLimits, LoadSystem, SpeedMeter
+from beryljunction.systems.requests.placement import (
+    PlacementQuery,
+    PlacementSystem,
+    chat_key_of,
+    rendezvous_score,
 )
-from beryljunction.systems.key_claims import (
+from beryljunction.systems.requests.queueing import FairQueue
+from beryljunction.systems.requests.rates import DrainMeter
+from beryljunction.systems.requests.retries import RetryBudget
+from beryljunction.systems.requests.uploads import Upload, UploadSystem
+from beryljunction.systems.state.claims import ClaimLimits, ClaimSystem
+from beryljunction.systems.state.forward import ForwardClock, Window
+from beryljunction.systems.state.key_claims import (
     ClaimBatch,
     KeyClaim,
     KeyLost,
@@ -31,19 +47,8 @@
     key_digest,
     key_refusal,
 )
-from beryljunction.systems.load import LoadBound, LoadLimits, LoadSystem, SpeedMeter
-from beryljunction.systems.membership import ListedEndpoint, MembershipLimits, MembershipSystem
-from beryljunction.systems.placement import (
-    PlacementQuery,
-    PlacementSystem,
-    chat_key_of,
-    rendezvous_score,
-)
-from beryljunction.systems.pointers import PointerSystem
-from beryljunction.systems.queueing import FairQueue
-from beryljunction.systems.rates import DrainMeter
-from beryljunction.systems.retries import RetryBudget
-from beryljunction.systems.ticket_claims import (
+from beryljunction.systems.state.pointers import PointerSystem
+from beryljunction.systems.state.ticket_claims import (
     AlreadyRunning,
     Ask,
     Burned,
@@ -60,10 +65,9 @@
     WrongIncarnation,
     claim_refusal,
 )
-from beryljunction.systems.ticket_mint import TicketMint, body_digest
-from beryljunction.systems.tickets import LedgerLimits, TicketLedger
-from beryljunction.systems.tombstones import Arrival, Asked, TombstoneLimits, TombstoneSystem
-from beryljunction.systems.uploads import Upload, UploadSystem
+from beryljunction.systems.state.ticket_mint import TicketMint, body_digest
+from beryljunction.systems.state.tickets import LedgerLimits, TicketLedger
+from beryljunction.systems.state.tombstones import Arrival, Asked, TombstoneLimits, TombstoneSystem
 
 __all__ = [
     "Admission",
--- /dev/null
+++ b/src/beryljunction/systems/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints that join, leave, load and hand on."""
--- a/src/beryljunction/systems/handover.py
+++ b/src/beryljunction/systems/recovery/handover.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from beryljunction.systems.placement import PlacementQuery, PlacementSystem
+from beryljunction.systems.requests.placement import PlacementQuery, PlacementSystem
 from beryljunction.tables import ChatPointer, Endpoint, EndpointTable, PrefixTable
 
 __all__ = ["HandoverLimits", "HandoverSystem", "Handed", "Transfer", "successor_of", "wants_prefix"]
--- a/src/beryljunction/systems/rollout.py
+++ b/src/beryljunction/systems/recovery/rollout.py
@@ -4,7 +4,7 @@
 each leaves room for everyone before it who might start at the same moment. This is for engines
 that serve nothing while the log is down, and for fleets without a log: two endpoints that miss
 each other for longer than the settling time load together, which turns rule out
-(:mod:`beryljunction.systems.turns`).
+(:mod:`beryljunction.systems.recovery.turns`).
 """
 
 from collections.abc import Iterable
--- a/src/beryljunction/systems/turns.py
+++ b/src/beryljunction/systems/recovery/turns.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from beryljunction.systems.rollout import Go, RolloutLimits, Stay
+from beryljunction.systems.recovery.rollout import Go, RolloutLimits, Stay
 from beryljunction.tables.orders import OrderRow
 from beryljunction.tables.turns import Turn, TurnQueue
 
--- /dev/null
+++ b/src/beryljunction/systems/requests/__init__.py
@@ -0,0 +1,1 @@
+"""A request's path: admitted, queued, placed, tried again."""
--- a/src/beryljunction/systems/admission.py
+++ b/src/beryljunction/systems/requests/admission.py
@@ -13,10 +13,10 @@
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.settings.schema import ServiceSettings
-from beryljunction.systems.load import LoadBound, LoadLimits, LoadSystem
-from beryljunction.systems.pointers import PointerSystem
-from beryljunction.systems.queueing import FairQueue
-from beryljunction.systems.rates import DrainMeter
+from beryljunction.systems.requests.load import LoadBound, LoadLimits, LoadSystem
+from beryljunction.systems.requests.queueing import FairQueue
+from beryljunction.systems.requests.rates import DrainMeter
+from beryljunction.systems.state.pointers import PointerSystem
 from beryljunction.tables import AccountQueue, RequestTable, Work
 
 __all__ = ["Admission", "AdmissionLimits", "AdmissionSystem", "Refuse", "Start", "Wait"]
--- a/src/beryljunction/systems/attempts.py
+++ b/src/beryljunction/systems/requests/attempts.py
@@ -6,7 +6,7 @@
 
 from beryljunction.loads import LoadRow
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.systems.retries import RetryBudget
+from beryljunction.systems.requests.retries import RetryBudget
 from beryljunction.tables import Endpoint, EndpointState
 
 __all__ = ["AttemptSystem", "GiveUp", "Step", "Try"]
--- a/src/beryljunction/systems/claims.py
+++ b/src/beryljunction/systems/state/claims.py
@@ -15,8 +15,8 @@
 
 import attrs
 
-from beryljunction.systems.held_keys import HeldClaim, HeldKeys
-from beryljunction.systems.key_claims import (
+from beryljunction.systems.state.held_keys import HeldClaim, HeldKeys
+from beryljunction.systems.state.key_claims import (
     ClaimBatch,
     KeyClaim,
     KeyLost,
--- a/src/beryljunction/systems/held_keys.py
+++ b/src/beryljunction/systems/state/held_keys.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from beryljunction.systems.key_claims import KeyClaim
+from beryljunction.systems.state.key_claims import KeyClaim
 
 __all__ = ["HeldClaim", "HeldKeys"]
 
--- a/src/beryljunction/systems/ticket_attempts.py
+++ b/src/beryljunction/systems/state/ticket_attempts.py
@@ -3,7 +3,7 @@
 import attrs
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
-from beryljunction.systems.attempts import GiveUp
+from beryljunction.systems.requests.attempts import GiveUp
 from beryljunction.tables import Endpoint
 
 __all__ = ["Mint", "TicketAttempts", "TicketStep", "UseTicket"]
--- a/src/beryljunction/systems/tickets.py
+++ b/src/beryljunction/systems/state/tickets.py
@@ -12,8 +12,8 @@
 
 from beryljunction.errors import InvariantError
 from beryljunction.outcomes import Ran, Refusal
-from beryljunction.systems.forward import ForwardClock, Window
-from beryljunction.systems.ticket_claims import (
+from beryljunction.systems.state.forward import ForwardClock, Window
+from beryljunction.systems.state.ticket_claims import (
     AlreadyRunning,
     Ask,
     Burned,
@@ -29,7 +29,7 @@
     Unverified,
     WrongIncarnation,
 )
-from beryljunction.systems.ticket_mint import TicketMint
+from beryljunction.systems.state.ticket_mint import TicketMint
 from beryljunction.tables import Answer, Stamp, Ticket, TicketRow, TicketState, TicketTable
 
 __all__ = ["LedgerLimits", "TicketLedger"]
--- a/src/beryljunction/systems/tombstones.py
+++ b/src/beryljunction/systems/state/tombstones.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from beryljunction.systems.forward import ForwardClock, Window
+from beryljunction.systems.state.forward import ForwardClock, Window
 from beryljunction.tables import Stamp
 
 __all__ = ["Arrival", "Asked", "TombstoneLimits", "TombstoneSystem"]
--- a/testing/settings_safeguards.py
+++ b/testing/settings_safeguards.py
@@ -5,8 +5,8 @@
     SettingsReader,
     SettingsTree,
 )
-from beryljunction.systems.orders import Hold, NeedSlot, OrderSystem
-from beryljunction.systems.publishing import PublishSystem
+from beryljunction.settings.publishing import PublishSystem
+from beryljunction.systems.recovery.orders import Hold, NeedSlot, OrderSystem
 from settings_world import NODES, Oracle, Peers, covers_as_written
 
 
--- a/testing/settings_world.py
+++ b/testing/settings_world.py
@@ -27,10 +27,10 @@
     parse_path,
 )
 from beryljunction.settings.operating import Invalid, OperatorSession
+from beryljunction.settings.publishing import InForce, Lost, NotPublished
+from beryljunction.settings.rotation import PeerRotation
 from beryljunction.standins import EngineOrdersModel, LogModel, LogModelSettings, WeightStoreModel
 from beryljunction.stores import AppendUnknown, LogClient, ReadFailed
-from beryljunction.systems.publishing import InForce, Lost, NotPublished
-from beryljunction.systems.rotation import PeerRotation
 from beryljunction.tables.orders import Wanted
 from virtual_time import Scheduler, sleep
 
--- a/testing/test_agreement.py
+++ b/testing/test_agreement.py
@@ -14,8 +14,8 @@
     SettingsFollower,
     SettingsReader,
 )
+from beryljunction.settings.rotation import PeerRotation
 from beryljunction.stores import LogClient, LogPage, LogRecord, ReadFailed
-from beryljunction.systems.rotation import PeerRotation
 from virtual_time import Scheduler, sleep
 
 AGREE_S = 5.0
--- a/testing/test_fuzz_answers.py
+++ b/testing/test_fuzz_answers.py
@@ -17,7 +17,7 @@
     TicketLedger,
     TombstoneSystem,
 )
-from beryljunction.systems.ticket_attempts import TicketAttempts
+from beryljunction.systems.state.ticket_attempts import TicketAttempts
 from beryljunction.tables import TicketState
 
 
--- a/testing/test_node_orders.py
+++ b/testing/test_node_orders.py
@@ -5,8 +5,8 @@
 from beryljunction.local import LocalFleet, demo_view
 from beryljunction.settings import Edit
 from beryljunction.settings.operating import OperatorSession
+from beryljunction.settings.publishing import InForce
 from beryljunction.standins import ModelLogClient
-from beryljunction.systems.publishing import InForce
 
 LIMIT_S = 60.0
 
--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -26,7 +26,7 @@
     WeightStoreModel,
 )
 from beryljunction.standins.orders import answer_engine_orders
-from beryljunction.systems.orders import Hold, NeedSlot, Order, OrderSystem
+from beryljunction.systems.recovery.orders import Hold, NeedSlot, Order, OrderSystem
 from beryljunction.tables.orders import EngineState, Phase, Wanted
 
 TURN_SEEDS = int(os.environ.get("BERYL_FUZZ_TURNS", "10"))
--- a/testing/test_publish.py
+++ b/testing/test_publish.py
@@ -17,6 +17,14 @@
     answer_settings,
 )
 from beryljunction.settings.operating import Invalid, OperatorSession
+from beryljunction.settings.publishing import (
+    AppendNow,
+    InForce,
+    Lost,
+    NotPublished,
+    PublishSystem,
+    Unknown,
+)
 from beryljunction.standins import (
     HostListStandIn,
     LogModel,
@@ -25,14 +33,6 @@
     ModelLogClient,
 )
 from beryljunction.stores import Appended, AppendRefused, AppendUnknown, HostRow, LogRecord
-from beryljunction.systems.publishing import (
-    AppendNow,
-    InForce,
-    Lost,
-    NotPublished,
-    PublishSystem,
-    Unknown,
-)
 
 DRAFTER = (Edit("service.drafter.kind", "engine"), Edit("service.drafter.models", ["drafter"]))
 
--- a/testing/test_reader.py
+++ b/testing/test_reader.py
@@ -16,9 +16,9 @@
     SettingsReader,
     answer_settings,
 )
+from beryljunction.settings.snapshots import SnapshotSchedule
 from beryljunction.standins import LogModel, LogModelSettings, ModelLogClient
 from beryljunction.stores import LogPage, LogRecord
-from beryljunction.systems.snapshots import SnapshotSchedule
 
 POLL = FollowSettings(poll_s=0.0, retention_s=80.0)
 
--- a/testing/test_ticket_attempts.py
+++ b/testing/test_ticket_attempts.py
@@ -2,7 +2,7 @@
 
 from beryljunction.outcomes import Ran, Refusal, RefusalCode
 from beryljunction.systems import GiveUp
-from beryljunction.systems.ticket_attempts import Mint, TicketAttempts, UseTicket
+from beryljunction.systems.state.ticket_attempts import Mint, TicketAttempts, UseTicket
 from beryljunction.tables import Endpoint
 
 FIRST, SECOND = (Endpoint(f"ledger-{i}", "ledger", "gnr-a", "") for i in range(2))
--- a/testing/test_turns.py
+++ b/testing/test_turns.py
@@ -3,8 +3,8 @@
 import pytest
 
 from beryljunction.stores import LogPage, LogRecord
-from beryljunction.systems.rollout import Go, RolloutLimits, Stay
-from beryljunction.systems.turns import EndTurn, RenewTurn, TakeTurn, TurnSystem
+from beryljunction.systems.recovery.rollout import Go, RolloutLimits, Stay
+from beryljunction.systems.recovery.turns import EndTurn, RenewTurn, TakeTurn, TurnSystem
 from beryljunction.tables.orders import OrderRow, Phase
 from beryljunction.tables.turns import TurnQueue, end_record, renew_record, take_record
 
