--- /dev/null
+++ b/src/beryljunction/fuzz/platform/entries.py
@@ -0,0 +1,59 @@
+"""One entry of the fuzz, and the way by which entries ask each other."""
+
+import asyncio
+
+import attrs
+
+from beryljunction.fuzz.platform.stores import FuzzStore
+from beryljunction.gateway.following import FollowEndpoints
+from beryljunction.gateway.front import Front
+from beryljunction.gateway.known import Known, known_here
+from beryljunction.gateway.peers import PeerLink
+from beryljunction.gateway.state import EntryState
+from beryljunction.routing import Address
+
+__all__ = ["FuzzEntry", "FuzzPeerLink"]
+
+_PEER_S = 0.002
+
+
+@attrs.define(eq=False)
+class FuzzEntry:
+    """An entry with its store, and what cuts it off."""
+
+    name: str
+    address: tuple[str, int]
+    store: FuzzStore
+    state: EntryState
+    task: asyncio.Task[None] | None = None
+    front: Front | None = None
+    fault_since_s: float | None = None
+    endpoints: FollowEndpoints | None = None
+    is_alone: bool = False
+
+
+class FuzzPeerLink(PeerLink):
+    """Asks another entry of the world, unless one of both is cut off from it.
+
+    Args:
+        entry: The one that asks.
+        entries: All, by name.
+    """
+
+    def __init__(self, entry: FuzzEntry, entries: dict[str, FuzzEntry]) -> None:
+        self._entry = entry
+        self._entries = entries
+
+    async def ask(self, address: Address, version: int, offset: int) -> Known | str:
+        """Return what the other entry knows."""
+        await asyncio.sleep(_PEER_S)
+        peer = next(row for row in self._entries.values() if row.address == address)
+        if self._entry.is_alone or peer.is_alone or peer.endpoints is None:
+            return "no answer"
+        known = known_here(peer.state, peer.endpoints, version, offset)
+        await asyncio.sleep(_PEER_S)
+        return "nothing known" if known is None else Known.decode(known.encode())
+
+    async def tell(self, address: Address, moved: bytes) -> bool:
+        """Tell nothing: the world has no engines."""
+        return False
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 import anyio
-import attrs
 
 from beryljunction.fuzz.platform.actors import Behaviour, FuzzCaller, FuzzEndpoint
+from beryljunction.fuzz.platform.entries import FuzzEntry, FuzzPeerLink
 from beryljunction.fuzz.platform.oracle import Asked, Bounds, PlatformOracle
 from beryljunction.fuzz.platform.stores import FuzzStore, StoreFault
 from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
@@ -15,10 +15,10 @@
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
 from beryljunction.gateway.front import Front
-from beryljunction.gateway.peers import FollowPeers, Known, PeerLink, known_here
+from beryljunction.gateway.peers import FollowPeers
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import HostBounds, HostSettings
-from beryljunction.routing import Address, PeerTable
+from beryljunction.routing import PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
 
 __all__ = ["ENDPOINTS", "ENTRIES", "KEYS", "PlatformWorld"]
@@ -32,7 +32,6 @@
 _SLACK = 64
 _BOUNDS = HostBounds(repeat_slack=_SLACK)
 _SETTLE_S = 2.0
-_PEER_S = 0.002
 
 
 class _Silent:
@@ -47,46 +46,6 @@
         """Do nothing."""
 
 
-@attrs.define(eq=False)
-class _Entry:
-    name: str
-    address: tuple[str, int]
-    store: FuzzStore
-    state: EntryState
-    task: asyncio.Task[None] | None = None
-    front: Front | None = None
-    fault_since_s: float | None = None
-    endpoints: FollowEndpoints | None = None
-    is_alone: bool = False
-
-
-class _FuzzPeerLink(PeerLink):
-    """Asks another entry of the world, unless one of both is cut off from it.
-
-    Args:
-        entry: The one that asks.
-        entries: All, by name.
-    """
-
-    def __init__(self, entry: _Entry, entries: dict[str, _Entry]) -> None:
-        self._entry = entry
-        self._entries = entries
-
-    async def ask(self, address: Address, version: int, offset: int) -> Known | str:
-        """Return what the other entry knows."""
-        await asyncio.sleep(_PEER_S)
-        peer = next(row for row in self._entries.values() if row.address == address)
-        if self._entry.is_alone or peer.is_alone or peer.endpoints is None:
-            return "no answer"
-        known = known_here(peer.state, peer.endpoints, version, offset)
-        await asyncio.sleep(_PEER_S)
-        return "nothing known" if known is None else Known.decode(known.encode())
-
-    async def tell(self, address: Address, moved: bytes) -> bool:
-        """Tell nothing: the world has no engines."""
-        return False
-
-
 class PlatformWorld:
     """Everything that a history acts on."""
 
@@ -99,7 +58,7 @@
         self.model = PlatformStoreModel(retention_s=1e9)
         self.callers: list[FuzzCaller] = []
         self.endpoints: dict[str, FuzzEndpoint] = {}
-        self.entries: dict[str, _Entry] = {}
+        self.entries: dict[str, FuzzEntry] = {}
         self._version = 0
         self._keys = dict(KEYS)
         self.configure()
@@ -198,12 +157,12 @@
         store = FuzzStore(self.model, self.loop)
         host = HostSettings(name, "a", "r", address, ("10.0.0.1", 1), ("10.0.0.2", 1), _BOUNDS)
         events = Events(name, "a", _Silent())  # type: ignore[arg-type]
-        entry = _Entry(name, address, store, EntryState(host, events))
+        entry = FuzzEntry(name, address, store, EntryState(host, events))
         entry.state.random.seed(name)
         self.entries[name] = entry
         entry.task = self.loop.create_task(self._run_entry(entry))
 
-    async def _run_entry(self, entry: _Entry) -> None:
+    async def _run_entry(self, entry: FuzzEntry) -> None:
         async with anyio.create_task_group() as group:
             front = entry.front = Front(entry.state, group)
             self.loop.network.listeners[entry.address] = lambda: CallerConnection(front)
@@ -213,7 +172,7 @@
             group.start_soon(endpoints.run)
             peers = PeerTable(entry.state.random)
             peers.replace({row.name: row.address for row in self.entries.values() if row != entry})
-            link = _FuzzPeerLink(entry, self.entries)
+            link = FuzzPeerLink(entry, self.entries)
             group.start_soon(FollowPeers(link, entry.state, config, endpoints, peers).run)
             await anyio.sleep_forever()
 
@@ -239,7 +198,7 @@
         if fault is not StoreFault.NONE:
             entry.fault_since_s = self.loop.world_s
 
-    def _end_fault(self, entry: _Entry) -> None:
+    def _end_fault(self, entry: FuzzEntry) -> None:
         if entry.fault_since_s is not None:
             self.oracle.outages.append((entry.fault_since_s, self.loop.world_s))
         entry.fault_since_s = None
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -1,23 +1,20 @@
 """Entries tell each other what the store has told them, with its age, and where sessions are."""
 
 import abc
-import json
-from typing import Any
 
 import anyio
-import attrs
 import httpcore
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
+from beryljunction.gateway.known import Known, known_here
 from beryljunction.gateway.messages import HttpRequest
 from beryljunction.gateway.moved import decode_moved
 from beryljunction.gateway.state import EntryState
-from beryljunction.platform import Record
 from beryljunction.routing import Address, CallerLimits, PeerTable, needs_peers
 
-__all__ = ["FollowPeers", "HttpPeerLink", "Known", "PeerHandler", "PeerLink", "known_here"]
+__all__ = ["FollowPeers", "HttpPeerLink", "PeerHandler", "PeerLink"]
 
 _KNOWN_PATH = "/v1/known"
 _MOVED_PATH = "/v1/moved"
@@ -31,94 +28,6 @@
 _NO_ANSWER = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
 
 
-@attrs.frozen
-class Known:
-    """What an entry has from the store.
-
-    Attributes:
-        version: Version of its settings.
-        age_s: Age of its confirmation that they are the newest, when it answered.
-        config: The settings as the operator wrote them; None where the asking entry has them.
-        offset: Position in the endpoints' records up to which they are taken in.
-        endpoints: The record of each endpoint; None where the asking entry has them.
-    """
-
-    version: int
-    age_s: float
-    config: bytes | None
-    offset: int
-    endpoints: tuple[Record, ...] | None
-
-    def encode(self) -> bytes:
-        """Return it as JSON; records are bytes of the platform's, so each byte is a character."""
-        endpoints = None
-        if self.endpoints is not None:
-            endpoints = {row.key: (row.value or b"").decode("latin-1") for row in self.endpoints}
-        values = {
-            "version": self.version,
-            "age_s": round(self.age_s, 3),
-            "config": None if self.config is None else self.config.decode("latin-1"),
-            "offset": self.offset,
-            "endpoints": endpoints,
-        }
-        return json.dumps(values).encode()
-
-    @classmethod
-    def decode(cls, data: bytes) -> "Known":
-        """Read it from JSON.
-
-        Raises:
-            ValueError: It is no message of this kind.
-        """
-        try:
-            values = json.loads(data)
-            config, endpoints = values["config"], values["endpoints"]
-            rows = None
-            if endpoints is not None:
-                rows = tuple(Record(key, row.encode("latin-1")) for key, row in endpoints.items())
-            return cls(
-                version=int(values["version"]),
-                age_s=_age(values["age_s"]),
-                config=None if config is None else config.encode("latin-1"),
-                offset=int(values["offset"]),
-                endpoints=rows,
-            )
-        except (KeyError, TypeError, AttributeError, UnicodeError) as error:
-            raise ValueError(f"expected what a peer knows, got {error!r}") from error
-
-
-def _age(value: Any) -> float:
-    age_s = float(value)
-    if not 0.0 <= age_s < float("inf"):
-        raise ValueError(f"expected an age of 0 s or more, got {value!r}")
-    # It was rounded to milliseconds; what was cut off must not make it younger.
-    return age_s + 0.001
-
-
-def known_here(
-    state: EntryState, endpoints: FollowEndpoints, version: int, offset: int
-) -> Known | None:
-    """Return what this entry knows beyond what the asking one has; None before the first read.
-
-    Args:
-        state: Settings and their age.
-        endpoints: Holder of the endpoints' records.
-        version: Version of the settings that the asking entry has.
-        offset: Position in the endpoints' records that it has.
-    """
-    config = state.config
-    age_s = state.lease.age_s(boot_time_s())
-    if config is None or endpoints.offset is None or age_s == float("inf"):
-        return None
-    return Known(
-        config.version,
-        age_s,
-        state.config_record if config.version > version else None,
-        endpoints.offset,
-        endpoints.records() if endpoints.offset > offset else None,
-    )
-
-
 class PeerHandler(CallerHandler):
     """Answers other entries."""
 
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -5,10 +5,11 @@
 import attrs
 import pytest
 
-from beryljunction.gateway import following, peers, state
+from beryljunction.gateway import following, known, peers, state
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
-from beryljunction.gateway.peers import FollowPeers, Known, PeerLink, known_here
+from beryljunction.gateway.known import Known, known_here
+from beryljunction.gateway.peers import FollowPeers, PeerLink
 from beryljunction.gateway.process import EntryProcess
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import HostBounds, HostSettings, Record, Unavailable, Written
@@ -135,7 +136,7 @@
         is handed on and only grows, so both stop honouring keys at the bound.
         """
         now = [0.0]
-        for module in (peers, following, state):
+        for module in (peers, known, following, state):
             monkeypatch.setattr(module, "boot_time_s", lambda: now[0])
         one, two = Entry("one", Lines()), Entry("two", Lines())
         one.asks(two)
@@ -155,7 +156,8 @@
 
     def test_settings_that_are_older_than_the_peers_are_not_confirmed(self, monkeypatch):
         """A peer tells of a newer version, which can't be read here; its age is of that version."""
-        monkeypatch.setattr(peers, "boot_time_s", lambda: 3.0)
+        for module in (peers, known):
+            monkeypatch.setattr(module, "boot_time_s", lambda: 3.0)
         one, two = Entry("one", Lines()), Entry("two", Lines())
         two.config.take_from_peer(CONFIG.replace(b"3", b"8"))
         two.state.lease.confirm(2.9)
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -3,9 +3,10 @@
 
 from beryljunction import clocks
 from beryljunction.fuzz.platform import PlatformProfile, run_platform_fuzz
-from beryljunction.gateway import exchange, following, front, outgoing, peers, relay
+from beryljunction.gateway import exchange, following, front, known, outgoing, peers, relay
 from beryljunction.gateway.delivery import Delivery
 from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
+from beryljunction.gateway.known import Known
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import headers
 from beryljunction.routing import (
@@ -40,15 +41,15 @@
 
 
 def age_lost_between_peers(patch):
-    decode = peers.Known.decode
-    patch.setattr(peers.Known, "decode", lambda data: attrs.evolve(decode(data), age_s=0.0))
+    decode = Known.decode
+    patch.setattr(Known, "decode", lambda data: attrs.evolve(decode(data), age_s=0.0))
 
 
 def age_without_suspensions(patch):
     def loop_time():
         return clocks.time.loop.now_s if hasattr(clocks.time, "loop") else clocks.time.monotonic()
 
-    for module in (exchange, following, front, peers):
+    for module in (exchange, following, front, known, peers):
         patch.setattr(module, "boot_time_s", loop_time)
 
 
