--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -163,11 +163,18 @@
         config: FollowConfig,
         endpoints: FollowEndpoints,
     ) -> Announcing | None:
-        """Answer other entries, and ask them while the store is out of reach."""
+        """Answer other entries, and ask them while the store is out of reach.
+
+        Callers are served without it, so an address that can't be had is only logged.
+        """
         address = self._host.peers
         if address is None:
             return None
-        await _listen(PeerHandler(self._state, endpoints), address)
+        try:
+            await _listen(PeerHandler(self._state, endpoints), address)
+        except StartError as error:
+            self._events.write("peers_unavailable", problem=str(error))
+            return None
         peers = PeerTable(self._state.random)
         announcing = Announcing(store, self._state, peers, address)
         link = HttpPeerLink()
