--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -98,16 +98,28 @@
 
 
 class FollowConfig:
-    """Keeps the settings in force, and their lease, up to date."""
+    """Keeps the settings in force, and their lease, up to date.
+
+    Attributes:
+        is_known: Set once the store was read.
+    """
 
     def __init__(self, store: Store, state: EntryState) -> None:
         self._follower = Follower(store, state, FLEET_CONFIG)
         self._state = state
         self._is_usable = True
         self._asked_s = -math.inf
+        self.is_known = anyio.Event()
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow until cancelled.
+
+        One read at a time until the first is done: settings of some hundred routes take a second on
+        a link of 5 Mbit/s, and each read beside it makes that longer.
+        """
+        while not await self.confirm():
+            await anyio.sleep(_FAILED_PAUSE_S)
+        self.is_known.set()
         async with anyio.create_task_group() as group:
             group.start_soon(repeat, self.confirm, _CONFIG_CONFIRM_S)
             group.start_soon(repeat, self.wait, 0.0, _CONFIG_WAIT_FAILED_PAUSE_S)
@@ -162,12 +174,17 @@
 
 
 class FollowEndpoints:
-    """Keeps the registry of endpoints up to date."""
+    """Keeps the registry of endpoints up to date.
+
+    Attributes:
+        is_known: Set once the store was read.
+    """
 
     def __init__(self, store: Store, state: EntryState) -> None:
         self._follower = Follower(store, state, ENDPOINT_RECORDS)
         self._state = state
         self._values: dict[str, bytes] = {}
+        self.is_known = anyio.Event()
 
     @property
     def offset(self) -> int | None:
@@ -194,7 +211,9 @@
     async def step(self) -> bool:
         """Read once."""
         done = await self._follower.step(_ENDPOINTS_WAIT_MS, self._take_all, self._take)
-        if not done:
+        if done:
+            self.is_known.set()
+        else:
             self._state.registry.store_lost()
         return done
 
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -142,10 +142,12 @@
             self._watch_gauges(front)
             config = FollowConfig(store, self._state)
             endpoints = FollowEndpoints(store, self._state)
-            await _read_first(config, endpoints)
-            listener = await _serve(front, callers)
             group.start_soon(config.run)
             group.start_soon(endpoints.run)
+            with anyio.move_on_after(_FIRST_READ_S):
+                await config.is_known.wait()
+                await endpoints.is_known.wait()
+            listener = await _serve(front, callers)
             group.start_soon(front.sweep)
             group.start_soon(self._watch_file)
             announcing = await self._join_peers(group, store, config, endpoints)
@@ -245,14 +247,6 @@
         self._events.write("reloaded", revocation_ms=host.bounds.revocation_ms)
 
 
-async def _read_first(config: FollowConfig, endpoints: FollowEndpoints) -> None:
-    """Read what there is before callers are taken: without it each would be refused."""
-    with anyio.move_on_after(_FIRST_READ_S):
-        async with anyio.create_task_group() as group:
-            group.start_soon(config.confirm)
-            group.start_soon(endpoints.step)
-
-
 async def _listen(handler: CallerHandler, address: tuple[str, int]) -> asyncio.Server:
     return await _serve(handler, _open(address))
 
--- a/src/beryljunction/routing/refusing.py
+++ b/src/beryljunction/routing/refusing.py
@@ -1,5 +1,6 @@
 """When a refused caller is to come back."""
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -17,6 +18,8 @@
 # Callers honour a pause of up to a third of the time that they have left.
 _LEFT_SHARE = 1 / 3
 _LEAST_S = 0.01
+# A pause is told in hundredths of a second, rounded down: up, it could pass the caller's third.
+_STEPS_PER_S = 100
 # An endpoint under this share of its slots has room for one that comes back.
 _ROOM_SHARE = 0.8
 
@@ -41,6 +44,6 @@
         (_ROOM_PAUSE_S, _ROOM_SPREAD_S) if has_room else (_FULL_PAUSE_S, _FULL_SPREAD_S)
     )
     pause_s += draw.random() * spread_s
-    if left_s is None:
-        return pause_s
-    return max(_LEAST_S, min(pause_s, left_s * _LEFT_SHARE))
+    if left_s is not None:
+        pause_s = min(pause_s, left_s * _LEFT_SHARE)
+    return max(_LEAST_S, math.floor(pause_s * _STEPS_PER_S) / _STEPS_PER_S)
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -1,9 +1,22 @@
+import json
+
 import anyio
 import pytest
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.platform import HostBounds
-from platform_world import open_world, route
+from beryljunction.gateway.events import Events
+from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import (
+    HostBounds,
+    HostSettings,
+    Newest,
+    Record,
+    Store,
+    Unavailable,
+    Written,
+)
+from platform_world import Lines, open_world, route
 
 FAST = HostBounds(revocation_ms=3_000)
 
@@ -102,6 +115,55 @@
         assert lines
 
 
+class TestFirstRead:
+    def test_slow_store_is_read_once_at_a_time(self):
+        """All hosts start, and the settings are large for their links.
+
+        Reads beside each other, or one that is given up and begun anew, would make each other
+        longer, and callers are refused meanwhile. One read goes on until it is done.
+        """
+        state, store = (
+            EntryState(
+                HostSettings("e", "a", "r", ("", 1), ("", 2), ("", 3), HostBounds()),
+                Events("e", "a", Lines()),
+            ),
+            SlowStore(),
+        )
+        follow = FollowConfig(store, state)
+
+        async def run():
+            with anyio.move_on_after(1.6):
+                await follow.run()
+
+        anyio.run(run)
+
+        assert (store.most, store.begun, state.config.version) == (1, 2, 3)
+
+
+class SlowStore(Store):
+    """Answers the first read of the newest records after half a second, later ones never."""
+
+    def __init__(self):
+        self.open = self.most = self.begun = 0
+
+    async def newest(self, topic):
+        self.open += 1
+        self.begun += 1
+        self.most = max(self.most, self.open)
+        await anyio.sleep(0.5)
+        self.open -= 1
+        if self.begun == 1:
+            return Unavailable("cut")
+        config = json.dumps({"version": 3, "routes": [], "services": [], "tenants": []})
+        return Newest((Record("config", config.encode()),), 1)
+
+    async def read(self, topic, offset, wait_ms):
+        await anyio.sleep_forever()
+
+    async def put(self, topic, key, value):
+        return Written.NOT_DONE
+
+
 class TestKeys:
     def test_key_taken_away_is_refused(self):
         async def run():
--- a/testing/test_refusing.py
+++ b/testing/test_refusing.py
@@ -33,3 +33,23 @@
     def test_never_more_than_a_third_of_the_time_left(self):
         assert max(pauses([], left_s=0.6)) <= 0.2 + 1e-9
         assert min(pauses([], left_s=-1.0)) == 0.01
+
+
+class TestRounding:
+    def test_pause_as_it_is_written_stays_within_a_third_of_the_time_left(self):
+        """A caller honours a pause of up to a third of its time, told in hundredths of a second.
+
+        Rounded to the nearest, a third of 1.999 s was written as 0.67, which is more: the caller
+        would not honour it.
+        """
+        for left_ms in range(40, 3_000, 7):
+            pause_s = retry_after_s([], left_ms / 1000, FullDraw(), 0.0)
+
+            assert 0 < float(f"{pause_s:.2f}") <= left_ms / 3_000 + 1e-9
+
+
+class FullDraw:
+    """Draws the longest pause."""
+
+    def random(self):
+        return 0.999
