One way to take in a version of the settings

Reading a peer's settings repeated the decoding, the log line and the applying of the store's reader; both call one method now, which says whether the version could be read. A copy of a tuple goes.

--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -22,7 +22,6 @@
     decode_config,
     decode_endpoint,
 )
-from beryljunction.routing import FleetConfig
 
 __all__ = ["FollowConfig", "FollowEndpoints", "Follower", "repeat"]
 
@@ -138,11 +137,7 @@
 
     def take_from_peer(self, value: bytes) -> None:
         """Take in settings that another entry has read; older ones change nothing."""
-        config = decode_config(value)
-        if isinstance(config, Unusable):
-            self._state.events.write("settings_refused", problem=config.problem)
-        else:
-            self._apply(config, value)
+        self._take_one(value)
 
     async def _step(self, wait_ms: int) -> bool:
         asked_s = boot_time_s()
@@ -157,20 +152,18 @@
         """Take in every version: the last record of several need not be the newest one."""
         for record in records:
             if record.key == FLEET_CONFIG_KEY and record.value is not None:
-                self._take_one(record.value)
+                self._is_usable = self._take_one(record.value)
 
-    def _take_one(self, value: bytes) -> None:
+    def _take_one(self, value: bytes) -> bool:
+        """Take in a version; False when it can't be read."""
         config = decode_config(value)
-        self._is_usable = not isinstance(config, Unusable)
         if isinstance(config, Unusable):
             self._state.events.write("settings_refused", problem=config.problem)
-        else:
-            self._apply(config, value)
-
-    def _apply(self, config: FleetConfig, value: bytes) -> None:
+            return False
         if self._state.apply(config, value):
             routes = sum(len(rows) for rows in config.routes.values())
             self._state.events.write("settings_applied", version=config.version, routes=routes)
+        return True
 
 
 class FollowEndpoints:
--- a/src/beryljunction/gateway/sharing.py
+++ b/src/beryljunction/gateway/sharing.py
@@ -33,7 +33,7 @@
         """Tell the next peer that has not heard all; one that does not answer misses it."""
         end = self._moved.end
         for host, address in self._peers.in_turn():
-            rows = tuple(self._moved.since(self._peers.heard(host)))
+            rows = self._moved.since(self._peers.heard(host))
             if not rows:
                 continue
             self._peers.tell(host, end)
--- a/src/beryljunction/routing/moved.py
+++ b/src/beryljunction/routing/moved.py
@@ -1,7 +1,6 @@
 """Sessions that this entry has placed where other entries would not look for them."""
 
 import collections
-from collections.abc import Iterable
 
 import attrs
 
@@ -58,7 +57,7 @@
         self._rows.append(session)
         self._end += 1
 
-    def since(self, number: int) -> Iterable[MovedSession]:
+    def since(self, number: int) -> tuple[MovedSession, ...]:
         """Return the rows from a number on, as far as they are kept."""
         count = min(len(self._rows), self._end - number)
         return tuple(self._rows)[len(self._rows) - count :] if count > 0 else ()
