--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from beryljunction.gateway import following, known, peers, state
+from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import FollowConfig, FollowEndpoints
 from beryljunction.gateway.known import Known, known_here
@@ -318,3 +319,24 @@
         table.note_confirmed("z", 9.9)
 
         assert table.freshest(10.0) is None
+
+
+class TestFleetSize:
+    def test_allowance_is_shared_by_more_entries_than_are_kept_as_peers(self):
+        """A fleet of a hundred entries; each keeps the addresses of some of them.
+
+        Were the allowance of second sends shared by those, the sum would pass that of the fleet.
+        """
+        entry = Entry("e", Lines())
+        bounds = attrs.evolve(entry.state.bounds, repeat_slack=54)
+        entry.state.apply_bounds(bounds)
+        announcing = Announcing(NoStore(), entry.state, entry.table, ("127.0.0.1", 1))
+        records = [Record(f"h{number}", b"127.0.0.1:9") for number in range(99)]
+
+        announcing._take_all(records)
+        before = entry.state.share("engine").left
+        announcing._take([Record("h99", b"127.0.0.1:9"), Record("h0", None)])
+
+        assert len(entry.table) == 64
+        assert before == 54 / 100
+        assert entry.state.share("engine").left == 54 / 100
--- a/testing/test_imbalance.py
+++ b/testing/test_imbalance.py
@@ -33,6 +33,8 @@
             Fleet(entries=68, engines=86, rate=700, length_s=5.0),
             # 8,000 requests a second before 700 engines, as at the fleet's target, for 150 of them.
             Fleet(entries=350, engines=150, rate=1_700, length_s=4.0),
+            # The same entries almost idle: two requests a second each.
+            Fleet(entries=350, engines=150, rate=700, length_s=5.0),
         ],
         ids=lambda fleet: f"{fleet.entries}-entries-{fleet.rate}",
     )
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -118,3 +118,37 @@
         assert model.append("own", [b"x"], 0.0, at=1) is None
         assert model.append("own", [b"x", b"y"], 0.0, at=0) == 0
         assert model.read("own", 0, 0.0).end == 2
+
+    def test_answer_that_has_begun_is_receiving_until_it_ends(self):
+        """A read of large settings goes on for a while on a thin link.
+
+        A second read beside it would fetch the same, so who wants to read can see that it is on its
+        way. A read that only waits does not count, and one that breaks off no longer does.
+        """
+        begin, go_on = anyio.Event(), anyio.Event()
+        seen = []
+
+        async def answer(stream):
+            async with stream:
+                await stream.receive()
+                await begin.wait()
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + bytes(8))
+                await go_on.wait()
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                group.start_soon(listener.serve, answer)
+                address = listener.extra(anyio.abc.SocketAttribute.local_address)
+                async with HttpStore(address) as store, anyio.create_task_group() as reading:
+                    reading.start_soon(store.read, ENDPOINT_RECORDS, 0, 1_000)
+                    for event in (begin, go_on, None):
+                        await anyio.sleep(0.1)
+                        seen.append(store.is_receiving(ENDPOINT_RECORDS))
+                        if event is not None:
+                            event.set()
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+        assert seen == [False, True, False]
