Settings are confirmed by the store alone again: the confirmation by peers is dropped

Cause: test_key_taken_away_meanwhile_is_refused failed once (key honoured 1.0 s after it was taken away; the bound of 3 s was kept, the promise of the test not). An entry that the store turns away, but that a fresh peer confirms, does not find out that the store is away until a peer has newer settings; then it reads in vain and waits for its own age before it asks for them. Ruled out: load alone (the path explains up to 1.5 s). Rows of one message of news 12 to 10, so that 8 messages a second stay under 4 KB/s (490 bytes each with a frame). Conclusion: reverted, test unchanged.

--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -31,9 +31,6 @@
 # of the store of 4.4 s had keys refused for 1.9 s of it.
 _CONFIG_WAIT_MS = 10_000
 _CONFIG_CONFIRM_S = 1.5
-# From this age on settings may be confirmed anew; the spread up to the above is several times the
-# 0.1 to 0.3 s in which entries hear that one of them has done so.
-_CONFIG_EARLIEST_S = 0.9
 # A short read waits for a waiting one whose answer has begun: beside it, it would fetch the same
 # settings a second time. 1,200 routes are 0.4 MB and take 0.35 s on a link of 10 Mbit/s; with two
 # reads of each of 12 versions in 13 s, one in four first tokens by such links was late.
@@ -90,11 +87,6 @@
         """Position up to which records are taken in; None before the first read."""
         return self._offset
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether the last read failed."""
-        return self._is_lost
-
     def skip_to(self, offset: int) -> None:
         """Read on from there: what lies before came another way."""
         self._offset = max(self._offset or 0, offset)
@@ -114,7 +106,6 @@
     """Keeps the settings in force, and their lease, up to date.
 
     Attributes:
-        by_peer: Confirms the settings by another entry, if one has just confirmed its own.
         is_known: Set once the store was read.
     """
 
@@ -124,7 +115,6 @@
         self._state = state
         self._is_usable = True
         self._asked_s = -math.inf
-        self.by_peer: Callable[[], Awaitable[bool]] = _no_peer
         self.is_known = anyio.Event()
 
     async def run(self) -> None:
@@ -137,7 +127,7 @@
             await anyio.sleep(_FAILED_PAUSE_S)
         self.is_known.set()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._keep_confirmed)
+            group.start_soon(repeat, self.confirm, _CONFIG_CONFIRM_S)
             group.start_soon(repeat, self.wait, 0.0, _CONFIG_WAIT_FAILED_PAUSE_S)
 
     async def confirm(self) -> bool:
@@ -147,33 +137,12 @@
                 await anyio.sleep(_RECEIVING_STEP_S)
         return await self._step(0)
 
-    async def _keep_confirmed(self) -> None:
-        """Confirm the settings before they are old, by a peer or by the store.
-
-        The age at which that is due is drawn anew each time: entries that start together would
-        otherwise all ask the store at one moment, when no peer knows more.
-        """
-        while True:
-            due_s = self._state.random.uniform(_CONFIG_EARLIEST_S, _CONFIG_CONFIRM_S)
-            rest_s = due_s - self._state.lease.age_s(boot_time_s())
-            await anyio.sleep(max(_FAILED_PAUSE_S, rest_s))
-            if await self._is_confirmed_by_peer():
-                self._asked_s = boot_time_s()
-            elif await self.confirm() and not self._is_usable:
-                await anyio.sleep(_CONFIG_CONFIRM_S)
-
-    async def _is_confirmed_by_peer(self) -> bool:
-        """Ask a peer, unless the store is out of reach: then peers are asked at another pace."""
-        if self._follower.is_lost or not await self.by_peer():
-            return False
-        return self._state.lease.age_s(boot_time_s()) < _CONFIG_EARLIEST_S
-
     async def wait(self) -> bool:
         """Read what comes."""
         return await self._step(_CONFIG_WAIT_MS)
 
     def age_s(self, now_s: float) -> float:
-        """Return for how long the store was out of reach, as far as this entry has tried it."""
+        """Return the age of this entry's own last confirmation; infinite before the first."""
         return now_s - self._asked_s
 
     def take_from_peer(self, value: bytes) -> None:
@@ -298,10 +267,6 @@
             )
 
 
-async def _no_peer() -> bool:
-    return False
-
-
 async def repeat(
     step: Callable[[], Awaitable[bool]],
     distance_s: float,
--- a/src/beryljunction/gateway/news.py
+++ b/src/beryljunction/gateway/news.py
@@ -27,13 +27,10 @@
         life: Differs for each start of that entry.
         moved: Sessions that are not where the other would look for them.
         loads: Endpoints that are fuller than their peers.
-        settings_age_s: Age of the last confirmation of its settings; None before the first. It says
-            whom to ask and confirms nothing, since a message may be on its way for any time.
     """
 
     host: str
     life: str
-    settings_age_s: float | None = None
     moved: tuple[MovedSession, ...] = ()
     loads: tuple[LoadNews, ...] = ()
 
@@ -42,7 +39,6 @@
         values = {
             "host": self.host,
             "life": self.life,
-            "age": None if self.settings_age_s is None else round(self.settings_age_s, 2),
             "moved": [[*row.start, *row.part_ids] for row in self.moved],
             "loads": [[*row.start, row.requests, round(row.age_s, 2)] for row in self.loads],
         }
@@ -62,7 +58,6 @@
             return cls(
                 host=_id(values["host"]),
                 life=_id(values["life"]),
-                settings_age_s=None if values["age"] is None else _age(values["age"]),
                 moved=tuple(_decode_moved(*row) for row in moved),
                 loads=tuple(_decode_load(*row) for row in loads),
             )
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -25,8 +25,6 @@
 _ANSWER_S = 0.3
 # As many as there are peers in a zone today; others are opened when they are needed.
 _KEPT_CONNECTIONS = 8
-# A version and an offset beyond any that there are: an answer holds no settings and no records.
-_ALL_KNOWN = 2**53
 _NO_ANSWER = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
 
 
@@ -73,8 +71,6 @@
             connection.answer(400, [], b"")
             return
         self._peers.greet(news.host, news.life)
-        if news.settings_age_s is not None:
-            self._peers.note_confirmed(news.host, boot_time_s() - news.settings_age_s)
         self._state.learn(news.moved, news.loads)
         connection.answer(200, [], b"")
 
@@ -174,28 +170,13 @@
         chosen = self._peers.choose(boot_time_s())
         if chosen is None:
             return
-        version = self._state.config.version if self._state.config is not None else 0
-        has_helped = await self._ask(*chosen, version, self._endpoints.offset or 0)
-        self._note_help(has_helped, chosen[0])
-
-    async def confirm(self) -> bool:
-        """Confirm the settings by a peer that has just done so itself; False where there is none.
-
-        The age that it hands on counts from the question, as when the store is out of reach. Only
-        the age is asked for: what is new comes by this entry's own waiting reads, and twice it
-        would load the link; an endpoint's record that such a read brings later, though it is older,
-        would replace the newer one and have a leaving endpoint used again.
-        """
-        chosen = self._peers.freshest(boot_time_s())
-        return chosen is not None and await self._ask(*chosen, _ALL_KNOWN, _ALL_KNOWN)
-
-    async def _ask(self, host: str, address: Address, version: int, offset: int) -> bool:
-        """Ask for what an entry knows beyond a version and an offset; True if it is in touch."""
+        host, address = chosen
         asked_s = boot_time_s()
-        answer = await self._link.ask(address, version, offset)
+        version = self._state.config.version if self._state.config is not None else 0
+        answer = await self._link.ask(address, version, self._endpoints.offset or 0)
         has_helped = isinstance(answer, Known) and self._take(answer, asked_s)
         self._peers.note(host, has_helped, boot_time_s())
-        return has_helped
+        self._note_help(has_helped, host)
 
     def _take(self, known: Known, asked_s: float) -> bool:
         """Take in what a peer knows; True when it is in touch with the store itself."""
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -181,9 +181,7 @@
         announcing = Announcing(store, self._state, peers, address)
         link = HttpPeerLink()
         group.start_soon(announcing.run)
-        follow = FollowPeers(link, self._state, config, endpoints, peers)
-        config.by_peer = follow.confirm
-        group.start_soon(follow.run)
+        group.start_soon(FollowPeers(link, self._state, config, endpoints, peers).run)
         life = f"{self._state.random.getrandbits(48):x}"
         group.start_soon(ShareNews(link, self._state, peers, life).run)
         return announcing
--- a/src/beryljunction/gateway/sharing.py
+++ b/src/beryljunction/gateway/sharing.py
@@ -1,7 +1,5 @@
 """Tells the other entries where sessions are that moved, and which endpoints are full."""
 
-import math
-
 import anyio
 import attrs
 
@@ -9,7 +7,7 @@
 from beryljunction.gateway.news import News
 from beryljunction.gateway.peers import PeerLink
 from beryljunction.gateway.state import EntryState
-from beryljunction.routing import LoadNews, MovedSession, PeerTable, loads_to_tell
+from beryljunction.routing import PeerTable, loads_to_tell
 
 __all__ = ["ShareNews"]
 
@@ -38,11 +36,12 @@
             await self.step()
 
     async def step(self) -> None:
-        """Tell the next peer how old the settings are here, and all that it has not heard.
+        """Tell the next peer that has not heard all.
 
         Load: a peer is cut off for a while, or starts anew. Harm: sessions that moved meanwhile are
         looked for at their homes there, and read again. What was not answered is told again, and
-        each message says which start of this entry it is of, so that a new one is told all.
+        each message says which start of this entry it is of, so that a new one is told all. A first
+        one goes to each peer also when there is nothing to tell.
         """
         now_s = boot_time_s()
         loads = loads_to_tell(self._state.registry.rows, now_s)
@@ -52,22 +51,13 @@
                 continue
             heard = self._peers.heard(host)
             untold = moved.since(heard or 0)
+            if heard is not None and not untold and not loads:
+                continue
             rows, end = untold[:_MOST_MOVED], moved.end - len(untold[_MOST_MOVED:])
             self._peers.take_turn(host)
-            if await self._link.tell(address, self._news(rows, loads, now_s).encode()):
+            news = News(self._state.host.host, self._life, rows, loads)
+            if await self._link.tell(address, news.encode()):
                 self._peers.note_told(host, end)
             else:
                 self._peers.note_silent(host, now_s)
             return
-
-    def _news(
-        self, moved: tuple[MovedSession, ...], loads: tuple[LoadNews, ...], now_s: float
-    ) -> News:
-        age_s = self._state.lease.age_s(now_s)
-        return News(
-            self._state.host.host,
-            self._life,
-            age_s if math.isfinite(age_s) else None,
-            moved,
-            loads,
-        )
--- a/src/beryljunction/routing/loadnews.py
+++ b/src/beryljunction/routing/loadnews.py
@@ -10,8 +10,9 @@
 
 # An older load is not told: by the time it arrives most of those requests have ended.
 _MOST_AGE_S = 2.0
-# Rows of one message, 30 bytes each: 8 messages a second stay under the 4 KB/s of control.
-_MOST_ROWS = 12
+# Rows of one message, 30 bytes each: with its frame and a moved session it has 490 bytes, and 8
+# messages a second stay under the 4 KB/s of control.
+_MOST_ROWS = 10
 
 
 @attrs.frozen
--- a/src/beryljunction/routing/peers.py
+++ b/src/beryljunction/routing/peers.py
@@ -14,9 +14,6 @@
 _ASK_RATIO = 0.4
 # Peers that are remembered: enough that some are alive after a zone is lost, and 4 KB in all.
 _MOST_PEERS = 64
-# An entry whose settings were confirmed within this time is worth asking in place of the store:
-# what it says is good for another second then.
-_FRESH_S = 0.6
 # A peer that does not answer, or is out of touch itself, is passed over for this long.
 _PASSED_OVER_S = 2.0
 
@@ -44,7 +41,6 @@
     _passed_over: dict[str, float] = attrs.field(factory=dict)
     _heard: dict[str, int] = attrs.field(factory=dict)
     _lives: dict[str, str] = attrs.field(factory=dict)
-    _confirmed_s: dict[str, float] = attrs.field(factory=dict)
     _helper: str | None = None
 
     def __len__(self) -> int:
@@ -66,7 +62,6 @@
         self._passed_over.pop(host, None)
         self._heard.pop(host, None)
         self._lives.pop(host, None)
-        self._confirmed_s.pop(host, None)
 
     def replace(self, addresses: Mapping[str, Address]) -> None:
         """Take in a full list."""
@@ -113,26 +108,6 @@
         self._heard.pop(host, None)
         self._passed_over.pop(host, None)
 
-    def note_confirmed(self, host: str, at_s: float) -> None:
-        """Take in when an entry had its settings confirmed last, by its word."""
-        if host in self._addresses:
-            self._confirmed_s[host] = at_s
-
-    def freshest(self, now_s: float) -> tuple[str, Address] | None:
-        """Return the entry whose settings were confirmed last, if that was a short while ago.
-
-        Load: many entries that each confirm their settings by the store. Harm: the number of calls
-        grows with that of the entries; with 22 of them it was 1.5 calls a second each, and the
-        largest running cost that the fleet itself makes. One that has just asked stands for others.
-        """
-        hosts = [host for host in self._confirmed_s if self.may_answer(host, now_s)]
-        if not hosts:
-            return None
-        host = max(hosts, key=self._confirmed_s.__getitem__)
-        if now_s - self._confirmed_s[host] > _FRESH_S:
-            return None
-        return host, self._addresses[host]
-
     def choose(self, now_s: float) -> tuple[str, Address] | None:
         """Return the entry to ask: the one that helped last, else any; None for none."""
         if self._helper in self._addresses:
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -288,39 +288,6 @@
         assert "expected a free address" in lines[0]
 
 
-class TestFreshest:
-    def table(self):
-        table = PeerTable(random.Random(1))
-        table.replace({host: (host, 1) for host in ("a", "b")})
-        return table
-
-    def test_entry_that_has_confirmed_last_is_asked(self):
-        table = self.table()
-        table.note_confirmed("a", 9.7)
-        table.note_confirmed("b", 9.9)
-
-        assert table.freshest(10.0)[0] == "b"
-
-    def test_one_that_confirmed_long_ago_is_not(self):
-        table = self.table()
-        table.note_confirmed("a", 9.0)
-
-        assert table.freshest(10.0) is None
-
-    def test_one_that_does_not_answer_is_not(self):
-        table = self.table()
-        table.note_confirmed("a", 9.9)
-        table.note_silent("a", 9.95)
-
-        assert table.freshest(10.0) is None
-
-    def test_word_of_an_unknown_entry_is_left(self):
-        table = self.table()
-        table.note_confirmed("z", 9.9)
-
-        assert table.freshest(10.0) is None
-
-
 class TestFleetSize:
     def test_allowance_is_shared_by_more_entries_than_are_kept_as_peers(self):
         """A fleet of a hundred entries; each keeps the addresses of some of them.
--- a/testing/test_sharing.py
+++ b/testing/test_sharing.py
@@ -27,7 +27,7 @@
 
 
 def news(*moved, loads=()):
-    return News("b", "1", 0.5, tuple(moved), tuple(loads))
+    return News("b", "1", tuple(moved), tuple(loads))
 
 
 class TestMessage:
@@ -51,7 +51,7 @@
         ],
     )
     def test_moved_sessions_that_no_entry_writes_are_an_error(self, rows):
-        values = {"host": "b", "life": "1", "age": None, "loads": [], "moved": rows}
+        values = {"host": "b", "life": "1", "loads": [], "moved": rows}
 
         with pytest.raises(ValueError):
             News.decode(json.dumps(values).encode())
@@ -73,7 +73,7 @@
         ],
     )
     def test_loads_that_no_entry_writes_are_an_error(self, rows):
-        values = {"host": "b", "life": "1", "age": None, "loads": rows, "moved": []}
+        values = {"host": "b", "life": "1", "loads": rows, "moved": []}
 
         with pytest.raises(ValueError):
             News.decode(json.dumps(values).encode())
