--- a/src/beryljunction/routing/loadnews.py
+++ b/src/beryljunction/routing/loadnews.py
@@ -34,10 +34,10 @@
 
     Load: many entries that each send an endpoint a request now and then. Harm: an entry learns an
     endpoint's load from that endpoint's answers only, once in 20 s before 86 endpoints, so sessions
-    that share a home pile up there unseen; of 230 requests a second that 68 entries place, 1.2 in
-    100 went to endpoints above the fleet's bound (testing/test_imbalance.py, mean of the seeds).
-    Told of the full ones, and telling them on, 0.6 do. Emptier ones are left out: sending there
-    does no harm.
+    that share a home pile up there unseen; of 230 requests a second that 68 entries place, 1.75 in
+    100 went to endpoints above the fleet's bound. Told of the full ones, and telling them on, 0.77
+    do (testing/imbalance_world.py, means of 8 seeds). Emptier ones are left out: sending there does
+    no harm.
     """
     fresh = [row for row in rows if row.report and now_s - row.report.at_s < _MOST_AGE_S]
     means = _means(fresh)
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -288,9 +288,9 @@
     Load: many entries that each see little of what the others send. Harm: an endpoint that looks
     just under the bound has got more since; the less recent its report, the further it may be over
     the fleet's bound. The number that came since is that of a random process, so its spread, the
-    root of what is expected, is left free: with 68 entries before 86 endpoints 0.6 in 100 requests
-    went to endpoints above the fleet's bound, 1.0 without it, and 1.6 where entries don't tell each
-    other of full ones either (testing/imbalance_world.py, means of 6 to 8 seeds).
+    root of what is expected, is left free: with 68 entries before 86 endpoints 0.77 in 100 requests
+    went to endpoints above the fleet's bound; it was 0.99 with an allowance of 2.5, a fading of 4 s
+    and no such margin (testing/imbalance_world.py, means of 8 seeds).
     """
     return _BOUND_RATIO * mean + _BOUND_ALLOWANCE - math.sqrt(row.unseen(mean, now_s))
 
