--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -1,6 +1,7 @@
 """beryl-bench: measures policy, relay and cost."""
 
 import json as jsonlib
+import pathlib
 import statistics
 import sys
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 import attrs
 import defopt
 
+from beryljunction.bench import ablation as ablation_bench
 from beryljunction.bench.control import measure_control
 from beryljunction.bench.handover import HandoverLoad, measure_handover
 from beryljunction.bench.policy import policy
@@ -31,6 +33,8 @@
 
 __all__ = ["main"]
 
+_JOURNAL = pathlib.Path("journal")
+
 
 def relay(
     *, streams: int = 60, frame_ms: float = 20.0, duration_s: float = 8.0, json: bool = False
@@ -139,8 +143,26 @@
     return 0
 
 
+def ablation(*, journal: pathlib.Path = _JOURNAL, plot: pathlib.Path | None = None) -> int:
+    """Print what each mechanism is worth, from the journal entries of plays with it off.
+
+    :param journal: Folder of journal entries.
+    :param plot: File for a picture of the differences; needs the extra "plots".
+    """
+    rows = ablation_bench.compare(ablation_bench.read_plays(journal))
+    if not rows:
+        print(f"{journal}: expected plays with a mechanism off and all on, got none; see")
+        print("docs/ablation.md for how they are made")
+        return 1
+    print(ablation_bench.markdown(rows))
+    if plot is not None:
+        ablation_bench.plot(rows, plot)
+    return 0
+
+
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
+    ablation,
     handover,
     control,
     policy,
--- /dev/null
+++ b/src/beryljunction/cli/mechanisms.py
@@ -0,0 +1,55 @@
+"""Shows which mechanisms of the entries' decisions the deploy file has switched on."""
+
+import json as json_module
+import pathlib
+import sys
+
+from beryljunction.cli.asking import EXIT_INVALID, EXIT_OK
+from beryljunction.errors import SettingsError
+from beryljunction.platform.deployfile import read_deploy_file
+from beryljunction.routing import Mechanism, mechanisms_of
+
+__all__ = ["DEPLOY_FILE", "MECHANISMS", "explain_mechanisms"]
+
+DEPLOY_FILE = pathlib.Path("deploy/system.toml")
+# Path under which the switches stand in what operators ask for.
+MECHANISMS = "mechanisms"
+
+
+def explain_mechanisms(path: str, deploy: pathlib.Path, json: bool) -> int:
+    """Print one switch or all, for each role, with where its value comes from.
+
+    Args:
+        path: "mechanisms", or that with the name of one behind a dot.
+        deploy: The deploy file.
+        json: Print one JSON object a line.
+    """
+    wanted = path.removeprefix(MECHANISMS).removeprefix(".")
+    try:
+        roles = read_deploy_file(deploy)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
+    rows = [
+        (role.name, row)
+        for role in roles
+        for row in mechanisms_of(role.mechanisms)
+        if wanted in ("", row.name)
+    ]
+    if not rows:
+        print(f"{path}: expected the name of a mechanism, got {wanted!r}", file=sys.stderr)
+        return EXIT_INVALID
+    for role_name, row in rows:
+        print(_json(role_name, row) if json else _line(role_name, row, deploy))
+    return EXIT_OK
+
+
+def _line(role_name: str, row: Mechanism, deploy: pathlib.Path) -> str:
+    source = "default" if row.is_on else str(deploy)
+    state = "on" if row.is_on else "off"
+    return f"{MECHANISMS}.{row.name} = {state} ({role_name}, {source}): {row.guards}"
+
+
+def _json(role_name: str, row: Mechanism) -> str:
+    values = {"role": role_name, "name": row.name, "on": row.is_on, "guards": row.guards}
+    return json_module.dumps(values)
--- a/src/beryljunction/cli/settings.py
+++ b/src/beryljunction/cli/settings.py
@@ -11,6 +11,7 @@
 import tomli_w
 
 from beryljunction.cli.asking import CONFIG
+from beryljunction.cli.mechanisms import DEPLOY_FILE, MECHANISMS, explain_mechanisms
 from beryljunction.cli.settings_change import set_, unset
 from beryljunction.cli.settings_desk import Desk, with_session
 from beryljunction.cli.settings_output import (
@@ -99,13 +100,23 @@
     return with_session(config, run, json)
 
 
-def explain(path: str, *, config: pathlib.Path = CONFIG, json: bool = False) -> int:
+def explain(
+    path: str,
+    *,
+    config: pathlib.Path = CONFIG,
+    deploy: pathlib.Path = DEPLOY_FILE,
+    json: bool = False,
+) -> int:
     """Show where the value in force at a path comes from.
 
-    :param path: For example region.gj-west.service.drafter.max_running.
+    :param path: For example region.gj-west.service.drafter.max_running; mechanisms, or one of them
+        such as mechanisms.fetch, for what entries on the platform have switched on.
     :param config: The operator's file.
+    :param deploy: The deploy file, which switches mechanisms.
     :param json: Print one JSON object.
     """
+    if path == MECHANISMS or path.startswith(f"{MECHANISMS}."):
+        return explain_mechanisms(path, deploy, json)
 
     async def run(desk: Desk) -> int:
         origin = _origin_of(desk, path)
--- a/src/beryljunction/cli/status.py
+++ b/src/beryljunction/cli/status.py
@@ -22,6 +22,7 @@
     "list",
     "running",
     "waiting",
+    "reads from",
 )
 
 
@@ -72,4 +73,5 @@
         str(node.hosts_version),
         str(node.running if node.role == "sidecar" else node.in_flight),
         str(node.waiting),
+        node.reads_from or "-",
     )
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -83,6 +83,12 @@
             "Version of the settings in force.",
             lambda: state.config.version if state.config is not None else 0,
         )
+        metrics.watch(
+            "beryl_reads_store",
+            "Whether it reads the store for others.",
+            lambda: state.fan_out.is_reader,
+        )
+        metrics.watch("beryl_entries", "Entries known.", lambda: len(state.fan_out))
         metrics.watch("beryl_endpoints", "Endpoints known.", lambda: len(state.registry))
         metrics.watch("beryl_requests_in_flight", "Requests here.", lambda: front.in_flight)
         metrics.watch("beryl_ready", "Whether callers are welcome.", self._is_ready)
@@ -108,8 +114,14 @@
             not_ready="" if self._is_ready() else self._why_not_ready(),
             endpoints=len(state.registry),
             in_flight=front.in_flight,
+            reads_from=self._reads_from(),
         )
 
+    def _reads_from(self) -> str:
+        fan_out = self._state.fan_out
+        is_told = self._state.mechanisms.shared_reads and not fan_out.is_reader
+        return ",".join(fan_out.upstream()) if is_told else "store"
+
     def _why_not_ready(self) -> str:
         if self._stopping.is_set():
             return "leaving"
--- a/src/beryljunction/operators.py
+++ b/src/beryljunction/operators.py
@@ -25,6 +25,8 @@
         in_flight: Requests that are not over here.
         running: Requests that run at the endpoint.
         waiting: Requests that wait for the endpoint.
+        reads_from: Hosts that tell an entry what the store has told them; "store" where it reads
+            for itself.
         orders: What the sidecar does about the models of its engine, and why.
     """
 
@@ -43,6 +45,7 @@
     running: int = 0
     waiting: int = 0
     orders: str = ""
+    reads_from: str = ""
 
 
 def shows_key(authorization: bytes, digests: tuple[str, ...]) -> bool:
--- a/src/beryljunction/platform/deployfile.py
+++ b/src/beryljunction/platform/deployfile.py
@@ -8,6 +8,8 @@
 import attrs
 
 from beryljunction.errors import SettingsError
+from beryljunction.platform.hostfile import MECHANISMS_VARIABLE
+from beryljunction.routing import Mechanisms
 
 __all__ = ["DeployedRole", "read_deploy_file"]
 
@@ -31,6 +33,7 @@
     command: tuple[str, ...]
     host_class: str
     serves: tuple[str, ...]
+    mechanisms: Mechanisms = Mechanisms()
 
 
 def read_deploy_file(path: pathlib.Path) -> tuple[DeployedRole, ...]:
@@ -49,7 +52,13 @@
     if problems:
         raise SettingsError(problems)
     return tuple(
-        DeployedRole(name, tuple(role["run"].split()), role["on"], tuple(role.get("serves", ())))
+        DeployedRole(
+            name,
+            tuple(role["run"].split()),
+            role["on"],
+            tuple(role.get("serves", ())),
+            Mechanisms.parse(role.get("env", {}).get(MECHANISMS_VARIABLE, "")),
+        )
         for name, role in table["roles"].items()
     )
 
@@ -104,6 +113,16 @@
             yield f"{place}env.{name}: expected capitals, digits and _, and no name of a runtime"
         if not isinstance(value, str):
             yield f"{place}env.{name}: expected a text, got {value!r}"
+        elif name == MECHANISMS_VARIABLE:
+            yield from (f"{place}env.{name}: {problem}" for problem in _of_mechanisms(value))
+
+
+def _of_mechanisms(text: str) -> list[str]:
+    try:
+        Mechanisms.parse(text)
+    except SettingsError as error:
+        return error.problems
+    return []
 
 
 def _of_classes(roles: dict[str, dict[str, Any]]) -> Iterator[str]:
--- a/testing/test_mechanisms.py
+++ b/testing/test_mechanisms.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from beryljunction.cli.deploy import check
+from beryljunction.cli.settings import explain
 from beryljunction.errors import SettingsError
 from beryljunction.platform import read_host_settings
 from beryljunction.routing import (
@@ -225,3 +227,37 @@
 
         assert plan.after(Outcome.ERRORED) is Verdict.DELIVER
         assert plan.after(Outcome.DECLINED) is Verdict.FAIL
+
+
+class TestOperators:
+    DEPLOY = (
+        'build = "true"\n[roles.entry]\nrun = "python3 -m x"\non = "front"\nserves = ["front"]\n'
+    )
+
+    def file(self, tmp_path, words):
+        path = tmp_path / "system.toml"
+        path.write_text(f'{self.DEPLOY}env = {{ BERYL_MECHANISMS = "{words}" }}\n')
+        return path
+
+    def test_explain_shows_what_is_on_and_what_it_guards(self, tmp_path, capsys):
+        path = self.file(tmp_path, "fetch=off")
+
+        assert explain("mechanisms.fetch", deploy=path) == 0
+        assert explain("mechanisms", deploy=path) == 0
+
+        lines = capsys.readouterr().out.splitlines()
+        assert lines[0].startswith("mechanisms.fetch = off (entry, ")
+        assert len(lines) == 1 + len(NAMES)
+        assert sum(" = on (entry, default): " in line for line in lines) == len(NAMES) - 1
+
+    def test_wrong_words_are_told_before_the_deployment(self, tmp_path, capsys):
+        path = self.file(tmp_path, "fetch=maybe")
+
+        assert check(path) == 2
+        assert explain("mechanisms", deploy=path) == 2
+        assert explain("mechanisms.fetsh", deploy=self.file(tmp_path, "")) == 2
+
+        told = capsys.readouterr().err.splitlines()
+        place = "roles.entry.env.BERYL_MECHANISMS: fetch=maybe: "
+        assert place + "expected on or off, got 'maybe'" in told[0]
+        assert told[2] == "mechanisms.fetsh: expected the name of a mechanism, got 'fetsh'"
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -1,8 +1,11 @@
 import json
+import random
 
 import anyio
+import attrs
 import pytest
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.passing import HttpUpdateLink
 from beryljunction.gateway.updates import Reply, TopicUpdate, Update
 from beryljunction.platform import Record
@@ -232,6 +235,99 @@
             assert world.broken == []
 
 
+class History:
+    """Acts on a fleet at random: what hosts, links, the store and the operator may do."""
+
+    FAULTS = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.LATE)
+
+    def __init__(self, world, seed):
+        self.world = world
+        self.draw = random.Random(seed)
+
+    def play(self, steps=16):
+        for _ in range(steps):
+            some = self.draw.sample(sorted(self.world.members), self.draw.choice((1, 2, 6, 12)))
+            self.draw.choice(
+                (self.fault, self.cut, self.hold, self.restart, self.readers, self.storm, self.heal)
+            )(some)
+            self.world.configure()
+            self.world.advance(self.draw.choice((0.05, 0.3, 1.0, 2.5)))
+
+    def fault(self, some):
+        self.world.fault(self.draw.choice(self.FAULTS), some)
+
+    def cut(self, some):
+        for name in some:
+            self.world.members[name].is_cut = True
+
+    def hold(self, some):
+        for name in some:
+            member = self.world.members[name]
+            member.held_until_s = self.world.loop.now_s + self.draw.choice((1.0, 4.0))
+            member.store.fault = StoreFault.SILENT
+
+    def restart(self, some):
+        for name in some:
+            address = self.world.members[name].address
+            self.world.kill(name)
+            self.world.start(name, address)
+
+    def readers(self, some):
+        self.world.fault(self.draw.choice(self.FAULTS), self.world.readers())
+
+    def storm(self, some):
+        for _ in range(6):
+            self.world.configure()
+            self.world.advance(0.2)
+
+    def heal(self, some):
+        for row in self.world.members.values():
+            row.is_cut, row.held_until_s, row.store.fault = False, 0.0, StoreFault.NONE
+
+
+class TestHistories:
+    """Entries are paused, cut off, started again and turned away by the store, in any order.
+
+    At no time may one hold settings as confirmed later than newer ones were written; once all is
+    well again, all have the newest within the seconds in which the store is found again.
+    """
+
+    @pytest.mark.parametrize("seed", range(1, 13))
+    def test_nothing_old_is_held_as_new(self, seed):
+        with FleetWorld(22, seed=seed) as world:
+            world.advance(4.0)
+            history = History(world, seed)
+            history.play()
+            history.heal(())
+            world.advance(8.0)
+
+            version = world.version
+            assert world.broken == []
+            assert world.all_know(lambda state: state.config.version == version)
+            assert world.oldest_in(4.0) < NOT_READY_S
+
+    def test_messages_counted_from_their_arrival_are_found(self, monkeypatch):
+        """Without the receiver's own clock in them, messages that lay in a socket look new."""
+
+        def decode(data):
+            update = ORIGINAL(data)
+            return attrs.evolve(update, clock_s=boot_time_s() - 0.1 - max(0.0, update.confirmed_s))
+
+        monkeypatch.setattr(Update, "decode", decode)
+
+        assert any(self.breaks(seed) for seed in range(1, 13))
+
+    @staticmethod
+    def breaks(seed):
+        with FleetWorld(22, seed=seed) as world:
+            world.advance(4.0)
+            History(world, seed).play()
+            return bool(world.broken)
+
+
+ORIGINAL = Update.decode
+
+
 class TestOracle:
     """What the world looks for is found when the rule of the age, or the fallback, is taken out."""
 
