--- a/src/beryljunction/bench/ablation.py
+++ b/src/beryljunction/bench/ablation.py
@@ -15,7 +15,7 @@
 ALL_ON = "all"
 _REASON = re.compile(r"^Ablation: off=(?P<off>\S+) day=(?P<day>\S+) seed=(?P<seed>\d+)$")
 # Prices that mechanisms move, by the names that plays are reported with.
-_PRICES = ("GB of KV cache moved", "1,000 tokens of shared parts read again", "cloud calls")
+_PRICES = ("GB of prompt memory moved", "1,000 tokens of shared parts read again", "cloud calls")
 
 
 @attrs.frozen
