A position behind the end of a topic is started anew from; times of the future are refused

Found by reading: an entry that is told a position that never was would read from there for ever. Test: the store's client answers such a read as expired, and the newest records follow. A wrong time of the store's return would have lengthened the span in which lapsed records are kept.

--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -78,7 +78,7 @@
     confirmed_s: float = -math.inf
 
     def lacks(self, other: "_Known") -> bool:
-        """Return whether the other one knows more, or is fresher by what is worth a message."""
+        """Return whether the other one knows more, or something fresh enough for a message."""
         return (
             self.version < other.version
             or self.endpoints < other.endpoints
@@ -237,10 +237,11 @@
 
     def _take(self, update: Update) -> None:
         asked_s = update.clock_s + update.confirmed_s
-        if asked_s > boot_time_s():
-            raise ValueError(f"expected a confirmation of the past, got {update.confirmed_s} s")
+        regained_s = update.clock_s + (update.regained_s or 0.0)
+        if max(asked_s, regained_s) > boot_time_s():
+            raise ValueError(f"expected times of the past, got {asked_s} s and {regained_s} s")
         if update.regained_s is not None:
-            self._state.registry.note_regained(update.clock_s + update.regained_s)
+            self._state.registry.note_regained(regained_s)
         if update.entries is not None:
             self._entries.take_update(update.entries)
         if update.endpoints is not None:
--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -274,11 +274,15 @@
     return _Page(records, int(page["end"]), bool(page.get("has-more")))
 
 
-def _decode_records(body: bytes, offset: int) -> Records:
-    """Decode the end and first offset (8 bytes each), then length-prefixed records."""
+def _decode_records(body: bytes, offset: int) -> Records | Expired:
+    """Decode the end and first offset (8 bytes each), then length-prefixed records.
+
+    A position behind the end was never read here: another entry told it wrongly, and reading on
+    from there would wait for ever. The newest records say where the topic really is.
+    """
     end, first = _ENDS.unpack_from(body)
     if offset > end:
-        raise ValueError(f"an end of {end} before the asked offset {offset}")
+        return Expired()
     start = max(offset, first)
     position = _ENDS.size
     records: list[Record] = []
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -411,6 +411,7 @@
                 b"{}",
                 Update("stranger", life, 0.0, 0.0, None, 99).encode(),
                 Update("front-1", life, 1e6, 1e6, None, 99).encode(),
+                Update("front-1", life, 0.0, 0.0, 1e6, 99).encode(),
             ]
 
             for message in messages:
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -41,6 +41,15 @@
         assert [(row.key, row.value) for row in answer.records] == [("a", b"1"), ("a", None)]
         assert answer.next_offset == 2
 
+    def test_position_behind_the_end_is_one_to_start_anew_from(self):
+        """An entry was told a position by another one that never was; it would wait there."""
+
+        async def play(store, stand_in):
+            stand_in.model.put(TOPIC, "a", b"1", time.monotonic())
+            return await store.read(ENDPOINT_RECORDS, 99, 0)
+
+        assert played(play) == Expired()
+
     def test_waiting_read_returns_at_the_first_record(self):
         async def play(store, stand_in):
             async def write():
