--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -19,9 +19,9 @@
 __all__ = ["UPDATE_PATH", "HttpUpdateLink", "PassOn", "TakeUpdates", "UpdateLink"]
 
 UPDATE_PATH = "/v1/update"
-# An entry below is told again when what is known is younger by this much. The store is asked by
-# each reader every 1.5 s, so an entry's knowledge is 1.9 s old at most, and one message of 0.35 KB
-# to each of eight entries costs 2.4 KB/s at most.
+# An entry below is told again when what is known is younger by this much. Each reader asks the
+# store every 1.5 s, so the settings are 1.5 s old at most on all levels, and a message of 0.35 KB
+# to each of eight entries comes to 2.8 KB/s (68 entries in virtual time, the most of any).
 _FRESHER_S = 0.9
 # Larger settings are read from the store by each entry: passed on by one host to eight others they
 # would take seconds on a link of 20 Mbit/s, which callers share.
--- a/src/beryljunction/routing/fanout.py
+++ b/src/beryljunction/routing/fanout.py
@@ -16,8 +16,8 @@
 # are three levels, and one tells 8 others at most, 11 where it is a reader.
 _WIDTH = 4
 # Share of the bound on the settings' age from which an entry below the readers asks the store for
-# itself. The age stays under 1.9 s of 5 while one of its two sources works; ready is given up at
-# 3 s. The levels ask one after the other, so that those below hear from one that has asked.
+# itself. The age stays under 2 s of 5 while one of its two sources works; ready is given up at 3 s.
+# The levels ask one after the other, so that those below hear from one that has asked.
 _ASK_RATIO = 0.45
 _ASK_RATIO_STEP = 0.05
 _MOST_ASK_RATIO = 0.55
