--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -223,6 +223,28 @@
             assert world.oldest_in(5.0) < 2.2
             assert world.broken == []
 
+    def test_return_of_many_is_no_herd_on_the_store(self):
+        """37 of 68 entries are killed at the same moment, and start again two seconds later.
+
+        Each needs the newest records once, and writes its address. Those that stayed are told by
+        others meanwhile; from the fourth second on the calls are those of a calm fleet.
+        """
+        with FleetWorld(68) as world:
+            world.advance(STARTED_S)
+            lost = list(world.members)[:37]
+            addresses = {name: world.members[name].address for name in lost}
+            for name in lost:
+                world.kill(name)
+            assert world.oldest_in(2.0) < NOT_READY_S
+            for name, address in addresses.items():
+                world.start(name, address)
+            calls = [world.calls_in(1.0) for _ in range(6)]
+
+            assert sum(calls[:4]) < len(lost) * 6 + 4 * 2.0 * 8
+            assert max(calls[4:]) < 2.0 * 8
+            assert world.oldest_in(3.0) < 2.0
+            assert world.broken == []
+
     def test_fleet_whose_lists_differ_loses_nothing(self):
         """An entry has not heard of half of the others, so it tells and expects the wrong ones."""
         with FleetWorld(22) as world:
