--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -1,5 +1,6 @@
 """Lets the suite pass over the tests in KNOWN-RED.txt, and over no others, and prints them."""
 
+import json
 import pathlib
 
 import pytest
@@ -26,3 +27,15 @@
     for item in items:
         if item.nodeid in reasons:
             item.add_marker(pytest.mark.xfail(reason=f"known red: {reasons[item.nodeid]}"))
+
+
+@pytest.fixture
+def journal(tmp_path):
+    """Return a function that writes entries of a journal and returns its folder."""
+
+    def write(*entries):
+        for number, values in enumerate(entries):
+            (tmp_path / f"{number:03}.json").write_text(json.dumps(values))
+        return tmp_path
+
+    return write
--- a/testing/test_ablation.py
+++ b/testing/test_ablation.py
@@ -1,5 +1,3 @@
-import json
-
 import pytest
 
 from beryljunction.bench.ablation import compare, markdown, plot, read_plays
@@ -18,16 +16,6 @@
     return {"why": why, "ok": True, "site": "small", "days": [values], **fields}
 
 
-@pytest.fixture
-def journal(tmp_path):
-    def write(*entries):
-        for number, values in enumerate(entries):
-            (tmp_path / f"{number:03}.json").write_text(json.dumps(values))
-        return tmp_path
-
-    return write
-
-
 class TestComparison:
     def test_plays_are_compared_with_all_on_over_the_same_day_and_seed(self, journal):
         folder = journal(
--- a/testing/test_regression.py
+++ b/testing/test_regression.py
@@ -1,5 +1,3 @@
-import json
-
 import pytest
 
 from beryljunction.bench.regression import changes, read_scores
@@ -16,16 +14,6 @@
     return {"cmd": "score", "ok": True, "site": site, "why": "x", "days": days, **fields}
 
 
-@pytest.fixture
-def journal(tmp_path):
-    def write(*entries):
-        for number, values in enumerate(entries):
-            (tmp_path / f"{number:03}.json").write_text(json.dumps(values))
-        return tmp_path
-
-    return write
-
-
 class TestRegression:
     def test_newest_score_is_held_against_the_one_before(self, journal):
         folder = journal(entry(0.5), entry(0.8), entry(0.79), entry(0.7, site="other"))
