An entry whose own reads of the store succeed logs no help by another one

Only a log line was wrong, no decision. Change: help is noted only where the entry's own last read failed. Test without load that failed first.

--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -52,6 +52,7 @@
         self._turn = turn
         self._told_version = -1
         self._read_s = -math.inf
+        self._is_turned_away = False
         self._told_by = ""
         self._is_usable = True
         self._asked_s = -math.inf
@@ -91,7 +92,9 @@
         with anyio.move_on_after(_RECEIVING_MOST_S):
             while self._store.is_receiving(FLEET_CONFIG):
                 await anyio.sleep(_RECEIVING_STEP_S)
-        return await self._step(0)
+        is_read = await self._step(0)
+        self._is_turned_away = not is_read
+        return is_read
 
     async def wait(self) -> bool:
         """Read what comes."""
@@ -109,8 +112,9 @@
 
         Empty for none.
         """
-        is_turned_away = needs_peers(now_s - self._read_s, self._state.lease.revocation_s)
-        return self._told_by if is_turned_away and self._turn.waits_for_news else ""
+        is_old = needs_peers(now_s - self._read_s, self._state.lease.revocation_s)
+        is_helped = self._is_turned_away and is_old and self._turn.waits_for_news
+        return self._told_by if is_helped else ""
 
     def take_update(self, host: str, version: int, value: bytes | None, asked_s: float) -> None:
         """Take in which settings were the newest when the store was asked, and what they are.
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -304,6 +304,7 @@
     def __init__(self):
         self.short_reads = 0
         self.receiving = False
+        self.is_away = False
 
     def is_receiving(self, topic):
         return self.receiving
@@ -316,7 +317,7 @@
         if wait_ms:
             await anyio.sleep_forever()
         self.short_reads += 1
-        return Records((), offset)
+        return Unavailable("busy") if self.is_away else Records((), offset)
 
     async def put(self, topic, key, value):
         return Written.NOT_DONE
@@ -357,3 +358,32 @@
         anyio.run(run)
 
         assert reads == [0, 1, 2]
+
+
+class TestHelper:
+    def test_reader_whose_reads_succeed_goes_on_by_nobody(self):
+        """A busy host reads a little late, while another entry has just told it the same.
+
+        Were that called help, operators would look for a fault of the store where there is none.
+        Only a read that failed says that the store turns this entry away.
+        """
+        store = StoreOfReads()
+        follow = follow_config(store)
+        names = []
+
+        async def run():
+            await follow.confirm()
+            read_s = boot_time_s()
+            follow.take_update("other", 3, None, read_s)
+            names.append(follow.helper(read_s + 3.0))
+            store.is_away = True
+            await follow.confirm()
+            names.append(follow.helper(read_s + 3.0))
+            names.append(follow.helper(read_s + 0.5))
+            store.is_away = False
+            await follow.confirm()
+            names.append(follow.helper(read_s + 3.0))
+
+        anyio.run(run)
+
+        assert names == ["", "other", "", ""]
