settings_by_peer begins and ends with the entry's own reads, not with single answers of peers

Change: the line is written when the entry's own last read failed and another entry has helped, and the end when a read works again. Log lines only: when peers are asked, and what is taken in, is as it was.

--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -43,6 +43,7 @@
 
     Attributes:
         is_known: Set once the store was read.
+        told_by: Host of the entry that told it last what the newest settings are.
     """
 
     def __init__(self, store: Store, state: EntryState, turn: ReadingTurn = ALWAYS) -> None:
@@ -51,9 +52,8 @@
         self._state = state
         self._turn = turn
         self._told_version = -1
-        self._read_s = -math.inf
-        self._is_turned_away = False
-        self._told_by = ""
+        self._has_failed = False
+        self.told_by = ""
         self._is_usable = True
         self._asked_s = -math.inf
         self.is_known = anyio.Event()
@@ -93,7 +93,7 @@
             while self._store.is_receiving(FLEET_CONFIG):
                 await anyio.sleep(_RECEIVING_STEP_S)
         is_read = await self._step(0)
-        self._is_turned_away = not is_read
+        self._has_failed = not is_read
         return is_read
 
     async def wait(self) -> bool:
@@ -107,14 +107,13 @@
         """
         return now_s - self._asked_s
 
-    def helper(self, now_s: float) -> str:
-        """Return the entry by whose word this one goes on as a reader that the store turns away.
+    def is_turned_away(self, now_s: float) -> bool:
+        """Return whether this entry wants to read the store, and its last read failed.
 
-        Empty for none.
+        A read that is only late says nothing: the host may be busy.
         """
-        is_old = needs_peers(now_s - self._read_s, self._state.lease.revocation_s)
-        is_helped = self._is_turned_away and is_old and self._turn.waits_for_news
-        return self._told_by if is_helped else ""
+        is_due = needs_peers(self.age_s(now_s), self._state.lease.revocation_s)
+        return self._has_failed and (is_due or self._turn.waits_for_news)
 
     def take_update(self, host: str, version: int, value: bytes | None, asked_s: float) -> None:
         """Take in which settings were the newest when the store was asked, and what they are.
@@ -130,7 +129,7 @@
         self._told_version = max(self._told_version, version)
         config = self._state.config
         if config is not None and config.version >= version:
-            self._told_by = host
+            self.told_by = host
             self._asked_s = max(self._asked_s, asked_s)
             self._state.lease.confirm(asked_s)
 
@@ -143,7 +142,6 @@
         if not await self._topic.step(wait_ms, self._take, self._take):
             return False
         if self._is_usable:
-            self._read_s = max(self._read_s, asked_s)
             self._asked_s = max(self._asked_s, asked_s)
             self._state.lease.confirm(asked_s)
             self._state.news.set()
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -186,8 +186,7 @@
         """Ask one peer if the store seems to be out of reach, by this entry's own reads."""
         lease = self._state.lease
         if not needs_peers(self._config.age_s(boot_time_s()), lease.revocation_s):
-            helper = self._config.helper(boot_time_s())
-            self._note_help(bool(helper), helper)
+            self._note_help(self._config.told_by)
             return
         chosen = self._peers.choose(boot_time_s())
         if chosen is None:
@@ -198,7 +197,7 @@
         answer = await self._link.ask(address, version, self._endpoints.offset or 0)
         has_helped = isinstance(answer, Known) and self._take(answer, asked_s)
         self._peers.note(host, has_helped, boot_time_s())
-        self._note_help(has_helped, host)
+        self._note_help(host if has_helped else "")
 
     def _take(self, known: Known, asked_s: float) -> bool:
         """Take in what a peer knows; True when it is in touch with the store itself."""
@@ -215,7 +214,14 @@
         self._state.news.set()
         return not needs_peers(known.age_s, lease.revocation_s)
 
-    def _note_help(self, is_helped: bool, host: str) -> None:
+    def _note_help(self, host: str) -> None:
+        """Log when this entry begins to go on by another one's word, and when its reads work again.
+
+        Args:
+            host: The entry that has helped just now; empty for none.
+        """
+        is_turned_away = self._config.is_turned_away(boot_time_s())
+        is_helped = is_turned_away and (bool(host) or self._is_helped)
         if is_helped != self._is_helped:
             self._is_helped = is_helped
             event = "settings_by_peer" if is_helped else "settings_by_peer_ended"
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -360,30 +360,31 @@
         assert reads == [0, 1, 2]
 
 
-class TestHelper:
-    def test_reader_whose_reads_succeed_goes_on_by_nobody(self):
+class TestTurnedAway:
+    def test_only_a_read_that_failed_says_that_the_store_turns_an_entry_away(self):
         """A busy host reads a little late, while another entry has just told it the same.
 
-        Were that called help, operators would look for a fault of the store where there is none.
-        Only a read that failed says that the store turns this entry away.
+        Were that taken for being turned away, operators would look for a fault of the store where
+        there is none.
         """
         store = StoreOfReads()
         follow = follow_config(store)
-        names = []
+        seen = []
 
         async def run():
             await follow.confirm()
-            read_s = boot_time_s()
-            follow.take_update("other", 3, None, read_s)
-            names.append(follow.helper(read_s + 3.0))
+            later_s = boot_time_s() + 3.0
+            seen.append(follow.is_turned_away(later_s))
             store.is_away = True
             await follow.confirm()
-            names.append(follow.helper(read_s + 3.0))
-            names.append(follow.helper(read_s + 0.5))
+            seen.append(follow.is_turned_away(later_s))
+            follow.take_update("other", 3, None, later_s)
+            seen.append(follow.is_turned_away(later_s))
             store.is_away = False
             await follow.confirm()
-            names.append(follow.helper(read_s + 3.0))
+            seen.append(follow.is_turned_away(later_s))
 
         anyio.run(run)
 
-        assert names == ["", "other", "", ""]
+        assert seen == [False, True, True, False]
+        assert follow.told_by == "other"
