--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 STAMP := $(VENV)/.installed
 
-.PHONY: help install demo explain-check test lint format fuzz clean
+.PHONY: help install demo explain-check test lint format fuzz regression clean
 
 help: ## List the targets.
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -39,5 +39,13 @@
 fuzz: install ## Run the stateful fuzz long (BERYL_FUZZ_SEED, _EXAMPLES, _STEPS).
 	$(BIN)/python -m beryljunction.fuzz
 
+# Site files of the deployments that every change is played on, and the users' bench; neither is a
+# part of this repository: make regression FLEETBENCH=... SITES="a.toml b.toml" WHY="..."
+regression: install ## Score the chosen deployments and compare with the last committed figures.
+	@test -n "$(FLEETBENCH)" -a -n "$(SITES)" -a -n "$(WHY)" || \
+		{ echo "regression: expected FLEETBENCH, SITES and WHY, got one of them empty" >&2; exit 2; }
+	for site in $(SITES); do $(FLEETBENCH) score $$site --jobs 3 --why "$(WHY)" || exit 1; done
+	$(BIN)/beryl-bench regression
+
 clean: ## Remove the virtual environment and caches.
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache
--- a/src/beryljunction/cli/bench.py
+++ b/src/beryljunction/cli/bench.py
@@ -14,6 +14,7 @@
 from beryljunction.bench.control import measure_control
 from beryljunction.bench.handover import HandoverLoad, measure_handover
 from beryljunction.bench.policy import policy
+from beryljunction.bench.regression import changes, read_scores
 from beryljunction.bench.relay import RelayLoad, measure_relay
 from beryljunction.bench.report import report
 from beryljunction.bench.settings_cost import (
@@ -160,12 +161,28 @@
     return 0
 
 
+def regression(*, journal: pathlib.Path = _JOURNAL) -> int:
+    """Compare the newest score of each deployment with the one before; exit 1 where one has lost.
+
+    :param journal: Folder of journal entries.
+    """
+    found = changes(read_scores(journal))
+    print(f"{'deployment':24} {'before':>7} {'now':>7}  rules broken")
+    for row in found:
+        before = "-" if row.old is None else f"{row.old.trouble_mean:.3f}"
+        broken = ", ".join(row.new.broken) or "none"
+        mark = "  LOST" if row.has_lost else ""
+        print(f"{row.new.site:24} {before:>7} {row.new.trouble_mean:7.3f}  {broken}{mark}")
+    return int(any(row.has_lost for row in found))
+
+
 # Each measurement is a function here over a module of beryljunction.bench.
 _BENCHES: list[Callable[..., int]] = [
     ablation,
     handover,
     control,
     policy,
+    regression,
     relay,
     report,
     settings,
