--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -43,10 +43,16 @@
         return self._topic.offset
 
     def records(self) -> tuple[Record, ...]:
-        """Return the record of each endpoint that is known, as the endpoint wrote it."""
-        find = self._state.registry.find
-        rows = self._values.items()
-        return tuple(Record(key, value) for key, value in rows if find(key) is not None)
+        """Return the record of each endpoint that has one, as the endpoint wrote it.
+
+        An endpoint that is kept without a record is left out: whoever took it for present would
+        never read that its record went away.
+        """
+        return tuple(Record(key, value) for key, value in self._values.items() if self._has(key))
+
+    def _has(self, endpoint_id: str) -> bool:
+        known = self._state.registry.find(endpoint_id)
+        return known is not None and known.lapses_s is None
 
     def take_from_peer(self, offset: int, records: Iterable[Record]) -> None:
         """Take in the full list of an entry that has read further."""
@@ -78,18 +84,12 @@
         """Read once."""
         asked_s = boot_time_s()
         wait_ms = _ENDPOINTS_WAIT_MS if self._turn.waits_for_news else 0
-        done = await self._topic.step(wait_ms, self._take_all, self._take)
+        done = await self._topic.step(wait_ms, self._replace, self._take_records)
         if done:
             self.confirm(asked_s)
             self.is_known.set()
-        else:
-            self._state.registry.store_lost()
         return done
 
-    def _take_all(self, records: Iterable[Record]) -> None:
-        self._state.registry.store_read(boot_time_s())
-        self._replace(records)
-
     def _replace(self, records: Iterable[Record]) -> None:
         self._values = {row.key: row.value for row in records if row.value is not None}
         decoded = [decode_endpoint(key, value) for key, value in self._values.items()]
@@ -100,10 +100,6 @@
         self._state.registry.replace(usable, boot_time_s())
         self._state.events.write("endpoints_listed", endpoints=len(self._state.registry))
 
-    def _take(self, records: Iterable[Record]) -> None:
-        self._state.registry.store_read(boot_time_s())
-        self._take_records(records)
-
     def _take_records(self, records: Iterable[Record]) -> None:
         now_s = boot_time_s()
         for record in records:
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -181,7 +181,7 @@
         if reply is None:
             return Update(host, "", 0.0, 0.0, None, version)
         is_sent = reply.version < version and len(state.config_record) <= _MOST_CONFIG_BYTES
-        regained_s = state.registry.regained_s
+        regained_s = state.contact.regained_s
         is_told = boot_time_s() - regained_s < _REGAINED_TOLD_S
         return Update(
             host,
@@ -240,8 +240,8 @@
         regained_s = update.clock_s + (update.regained_s or 0.0)
         if max(asked_s, regained_s) > boot_time_s():
             raise ValueError(f"expected times of the past, got {asked_s} s and {regained_s} s")
-        if update.regained_s is not None:
-            self._state.registry.note_regained(regained_s)
+        is_return = update.regained_s is not None
+        self._state.contact.note_update(asked_s, regained_s if is_return else None, boot_time_s())
         if update.entries is not None:
             self._entries.take_update(update.entries)
         if update.endpoints is not None:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -24,6 +24,7 @@
     RetryShare,
     Service,
     SettingsLease,
+    StoreContact,
     WarmPlacement,
     hear_loads,
     retry_after_s,
@@ -41,6 +42,7 @@
         config_record: The same as the operator wrote them.
         bounds: Promises of the deployment in force.
         mechanisms: Which mechanisms of the decisions are on.
+        contact: When the store last answered, and when it came back.
         fan_out: Which entries read the store, and who tells whom.
         news: Set when something came from the store.
     """
@@ -52,7 +54,8 @@
         self.config: FleetConfig | None = None
         self.config_record = b""
         self.lease = SettingsLease(bounds.revocation_ms / 1000)
-        self.registry = EndpointRegistry()
+        self.contact = StoreContact(2 * bounds.heartbeat_ms / 1000)
+        self.registry = EndpointRegistry(self.contact)
         self.fan_out = FanOut(host.host)
         self.news = Signal()
         self.random = random.Random()
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -40,12 +40,14 @@
     ) -> bool:
         """Read once; False when there was no usable answer."""
         asked = self._offset
+        asked_s = boot_time_s()
         if asked is None:
             answer: Newest | Records | Expired | Unavailable = await self._store.newest(self._topic)
         else:
             answer = await self._store.read(self._topic, asked, wait_ms)
         if isinstance(answer, Unavailable):
             self._note_lost(answer.reason)
+            self.state.contact.note_failure()
             return False
         if isinstance(answer, Expired):
             if self._offset == asked:
@@ -53,6 +55,7 @@
                 self._offset = None
             return await self.step(wait_ms, take_all, take)
         self._note_regained()
+        self.state.contact.note_answer(asked_s, boot_time_s())
         if isinstance(answer, Newest):
             self._replace(answer.records, answer.next_offset, take_all)
         elif isinstance(answer, Records):
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -43,6 +43,7 @@
         repeat_ratio: Second sends that the fleet may make for each request.
         repeat_window_s: Sliding time of that ratio.
         repeat_slack: Second sends of the whole fleet on top of the ratio.
+        heartbeat_ms: Time between two writes of an endpoint's record; three missed ones expire it.
     """
 
     revocation_ms: int = 5_000
@@ -51,6 +52,7 @@
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_slack: int = 0
+    heartbeat_ms: int = 1_000
 
 
 @attrs.frozen
@@ -167,6 +169,7 @@
             field: self._number(getattr(defaults, field), "bounds", name)
             for field, name in names.items()
         }
+        values["heartbeat_ms"] = self._number(defaults.heartbeat_ms, "heartbeat-interval-ms")
         return HostBounds(**values)  # type: ignore[arg-type]
 
     def _get(self, *path: str) -> Any:
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -3,6 +3,7 @@
 from beryljunction.routing.admitting import Admitted, Denial, DenialReason, admit
 from beryljunction.routing.attempts import AttemptPlan, Outcome, Verdict
 from beryljunction.routing.budget import RetryShare
+from beryljunction.routing.contact import StoreContact
 from beryljunction.routing.endpoints import (
     EndpointRecord,
     EndpointRegistry,
@@ -71,6 +72,7 @@
     "Route",
     "Service",
     "SettingsLease",
+    "StoreContact",
     "Verdict",
     "WarmPlacement",
     "WarmthMap",
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from beryljunction.routing.contact import StoreContact
+
 __all__ = ["EndpointRecord", "EndpointRegistry", "KnownEndpoint", "LoadReport", "Pace"]
 
 # An endpoint writes of itself again within this time after the store is back; one that is missing
@@ -125,14 +127,15 @@
         in_flight: Requests of this process that it has.
         reading_tokens: Prompt tokens that it is believed to read for this process right now.
         waits: When each request was sent that has no answer yet.
-        lapsed_s: When its record went away in an outage of the store; None while it is there.
+        lapses_s: Until when it is kept without a record, which an outage of the store may have
+            let expire; None while the record is there.
     """
 
     record: EndpointRecord
     in_flight: int = 0
     reading_tokens: int = 0
     report: LoadReport | None = None
-    lapsed_s: float | None = None
+    lapses_s: float | None = None
     pace: Pace = attrs.field(factory=Pace)
     faults: FaultShare = attrs.field(factory=FaultShare)
     waits: dict[object, float] = attrs.field(factory=dict)
@@ -200,17 +203,18 @@
 class EndpointRegistry:
     """Membership of endpoints, from the records that they write.
 
-    Load: an endpoint leaves, by a record that says so or by its record going away. Harm: what is
-    sent to it after a few seconds meets nobody, or the next owner of its address. It is dropped
-    when the record is read. The one exception is an outage of the store, in which records of sound
-    endpoints expire: dropping those would leave callers with none, so they are kept for the time in
-    which a sound endpoint writes again.
+    An endpoint is dropped when its record says that it leaves, or goes away: requests that are sent
+    later meet nobody, or the next owner of its address. The exception is an outage of the store, in
+    which records of live endpoints expire; such an endpoint is kept until a deadline that is fixed
+    when its record goes, by which a live one has written again.
+
+    Args:
+        contact: When the store came back.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, contact: StoreContact | None = None) -> None:
         self._rows: dict[str, KnownEndpoint] = {}
-        self._regained_s = -math.inf
-        self._is_lost = False
+        self._contact = contact or StoreContact()
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -221,29 +225,6 @@
         """All endpoints that are known."""
         return list(self._rows.values())
 
-    def store_lost(self) -> None:
-        """Note that reading failed."""
-        self._is_lost = True
-
-    def store_read(self, now_s: float) -> bool:
-        """Note that reading works; True when it did not before."""
-        regained = self._is_lost
-        if regained:
-            self._regained_s = now_s
-        self._is_lost = False
-        return regained
-
-    @property
-    def regained_s(self) -> float:
-        """When the store came back; minus infinity where it was not away."""
-        return self._regained_s
-
-    def note_regained(self, at_s: float) -> None:
-        """Take in when the store came back to an entry that this one goes on by."""
-        if at_s > self._regained_s:
-            self._regained_s = at_s
-            self._is_lost = False
-
     def find(self, endpoint_id: str) -> KnownEndpoint | None:
         """Return what is known of an endpoint."""
         return self._rows.get(endpoint_id)
@@ -254,7 +235,7 @@
         if known is None or not known.record.is_same_start(record):
             known = self._rows[record.endpoint_id] = KnownEndpoint(record)
         known.record = record
-        known.lapsed_s = None
+        known.lapses_s = None
         return known
 
     def remove(self, endpoint_id: str, now_s: float) -> KnownEndpoint | None:
@@ -262,10 +243,9 @@
         known = self._rows.get(endpoint_id)
         if known is None:
             return None
-        may_be_lapse = now_s - self._regained_s < _LAPSE_S and not known.record.is_draining
-        if may_be_lapse and known.lapsed_s is None:
-            known.lapsed_s = now_s
-        elif not may_be_lapse:
+        if known.lapses_s is None:
+            known.lapses_s = self._contact.regained_s + _LAPSE_S
+        if known.record.is_draining or known.lapses_s <= now_s:
             del self._rows[endpoint_id]
         return known
 
@@ -281,10 +261,9 @@
 
     def expire(self, now_s: float) -> None:
         """Drop endpoints whose record did not come back after the store did."""
-        if now_s - self._regained_s < _LAPSE_S:
-            return
-        for endpoint_id in [key for key, row in self._rows.items() if row.lapsed_s is not None]:
-            del self._rows[endpoint_id]
+        for endpoint_id, row in list(self._rows.items()):
+            if row.lapses_s is not None and row.lapses_s <= now_s:
+                del self._rows[endpoint_id]
 
     def usable(self, service: str, now_s: float) -> list[KnownEndpoint]:
         """Return the endpoints of a service that may get new requests."""
--- /dev/null
+++ b/testing/test_contact.py
@@ -0,0 +1,74 @@
+import math
+
+from beryljunction.routing import StoreContact
+
+
+def contact_at(confirmed_s=10.0):
+    contact = StoreContact(least_outage_s=2.0)
+    contact.note_answer(confirmed_s, confirmed_s)
+    return contact
+
+
+class TestOwnReads:
+    def test_first_answer_is_no_return(self):
+        assert contact_at().regained_s == -math.inf
+
+    def test_answer_after_an_outage_is_a_return(self):
+        contact = contact_at(10.0)
+
+        contact.note_failure()
+        contact.note_answer(14.0, 14.1)
+
+        assert contact.regained_s == 14.1
+
+    def test_outage_too_short_for_a_record_to_expire_is_no_return(self):
+        contact = contact_at(10.0)
+
+        contact.note_failure()
+        contact.note_answer(11.9, 11.9)
+
+        assert contact.regained_s == -math.inf
+
+    def test_late_answer_without_a_failed_read_is_no_return(self):
+        contact = contact_at(10.0)
+
+        contact.note_answer(14.0, 14.1)
+
+        assert contact.regained_s == -math.inf
+
+
+class TestUpdates:
+    def test_host_that_was_rejected_alone_sees_no_return(self):
+        """Guards against a departed endpoint being kept because one host regained the store."""
+        contact = contact_at(10.0)
+        contact.note_failure()
+        for asked_s in (11.0, 12.0, 13.0, 14.0):
+            contact.note_update(asked_s, None, asked_s + 0.1)
+
+        contact.note_answer(14.5, 14.5)
+
+        assert contact.regained_s == -math.inf
+
+    def test_return_seen_by_a_cut_off_host_is_none_for_others(self):
+        """Guards against one host's own return being spread as the store's."""
+        contact = contact_at(14.0)
+
+        contact.note_update(14.4, 14.5, 14.6)
+
+        assert contact.regained_s == -math.inf
+
+    def test_return_of_the_store_is_taken_from_others(self):
+        contact = contact_at(10.0)
+
+        contact.note_update(14.4, 14.5, 14.6)
+
+        assert contact.regained_s == 14.5
+
+    def test_own_answer_after_anothers_word_moves_nothing(self):
+        contact = contact_at(10.0)
+        contact.note_failure()
+        contact.note_update(14.4, 14.5, 14.6)
+
+        contact.note_answer(16.0, 16.0)
+
+        assert contact.regained_s == 14.5
--- a/testing/test_endpoint_registry.py
+++ b/testing/test_endpoint_registry.py
@@ -1,14 +1,21 @@
-from beryljunction.routing import EndpointRegistry, LoadReport
+from beryljunction.routing import EndpointRegistry, LoadReport, StoreContact
 from routing_fakes import endpoint
 
 
-def registry_of(*records):
-    registry = EndpointRegistry()
-    registry.store_read(0.0)
+def registry_of(*records, contact=None):
+    registry = EndpointRegistry(contact)
     registry.replace(records, 0.0)
     return registry
 
 
+def regained(at_s):
+    """Return the contact of an entry to which the store came back."""
+    contact = StoreContact()
+    contact.note_failure()
+    contact.note_answer(at_s, at_s)
+    return contact
+
+
 def names(registry, now_s=100.0, service="engine"):
     return sorted(row.record.endpoint_id for row in registry.usable(service, now_s))
 
@@ -81,9 +88,7 @@
         Callers would be refused for lack of endpoints until each has written again, which takes
         about two seconds after the store is back.
         """
-        registry = registry_of(endpoint("a"), endpoint("b"))
-        registry.store_lost()
-        assert registry.store_read(60.0)
+        registry = registry_of(endpoint("a"), endpoint("b"), contact=regained(60.0))
 
         registry.remove("a", 60.1)
         registry.remove("b", 60.1)
@@ -93,33 +98,40 @@
         assert names(registry, 62.5) == ["a"]
 
     def test_endpoint_that_was_leaving_before_the_outage_is_no_lapse(self):
-        registry = registry_of(endpoint("a"), endpoint("b", is_draining=True))
-        registry.store_lost()
-        registry.store_read(60.0)
+        leaving = endpoint("b", is_draining=True)
+        registry = registry_of(endpoint("a"), leaving, contact=regained(60.0))
 
         registry.remove("b", 60.1)
 
         assert registry.find("b") is None
 
     def test_removal_long_after_an_outage_is_final(self):
-        registry = registry_of(endpoint("a"))
-        registry.store_lost()
-        registry.store_read(60.0)
+        registry = registry_of(endpoint("a"), contact=regained(60.0))
 
         registry.remove("a", 63.0)
 
         assert names(registry, 63.0) == []
 
     def test_full_list_after_an_outage_lapses_too(self):
-        registry = registry_of(endpoint("a"), endpoint("b"))
-        registry.store_lost()
-        registry.store_read(60.0)
+        registry = registry_of(endpoint("a"), endpoint("b"), contact=regained(60.0))
 
         registry.replace([endpoint("b")], 60.0)
 
         assert names(registry, 61.0) == ["a", "b"]
         assert names(registry, 62.1) == ["b"]
 
+    def test_later_return_moves_no_deadline(self):
+        """Guards against an endpoint that left being kept with each host that comes back."""
+        contact = regained(60.0)
+        registry = registry_of(endpoint("a"), contact=contact)
+        registry.remove("a", 60.1)
+
+        contact.note_failure()
+        contact.note_answer(63.0, 63.0)
+        registry.remove("a", 63.0)
+
+        assert names(registry, 63.1) == []
+
 
 class TestLoad:
     def test_own_requests_count_at_once(self):
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -211,6 +211,29 @@
             now_s = world.loop.world_s
             assert world.all_know(lambda state: len(state.registry.usable("s", now_s)) == 3)
 
+    def test_endpoint_that_left_in_an_outage_is_gone_while_hosts_come_back_one_by_one(self):
+        """Guards against each host's own return keeping a departed endpoint for two more seconds.
+
+        The store is back for most, and rejects a few hosts for another second or two.
+        """
+        with FleetWorld(22) as world:
+            world.advance(STARTED_S)
+            world.fault(StoreFault.BUSY)
+            world.advance(1.0)
+            world.put("keyed.servers", "e0", None)
+            world.advance(2.5)
+            readers = world.readers()
+            others = [name for name in world.members if name not in readers[2:]]
+            world.fault(StoreFault.NONE, others)
+            for number in range(34):
+                world.endpoint(f"e{1 + number % 3}")
+                world.advance(0.1)
+                if number == 17:
+                    world.fault(StoreFault.NONE, readers[2:])
+
+            now_s = world.loop.world_s
+            assert world.all_know(lambda state: len(state.registry.usable("s", now_s)) == 3)
+
     def test_paused_entry_does_not_take_old_messages_for_new(self):
         """A host is paused while a key is taken away; on waking it finds what it was told before.
 
