--- a/src/beryljunction/gateway/announcing.py
+++ b/src/beryljunction/gateway/announcing.py
@@ -124,7 +124,7 @@
         addresses = dict(self._decode(records))
         self._peers.replace(addresses)
         self._state.fan_out.replace(addresses)
-        self._note_entries()
+        self._state.note_entries()
 
     def _take(self, records: Iterable[Record]) -> None:
         gone = [record.key for record in records if record.value is None]
@@ -134,11 +134,7 @@
         for host, address in addresses.items():
             self._peers.put(host, address)
         self._state.fan_out.update(addresses, gone)
-        self._note_entries()
-
-    def _note_entries(self) -> None:
-        """Tell how many entries may be alive: the table of peers holds only some of many."""
-        self._state.note_entries(len(self._state.fan_out))
+        self._state.note_entries()
 
     def _decode(self, records: Iterable[Record]) -> list[tuple[str, Address]]:
         """Return the addresses that can be read, without this entry's own."""
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -105,7 +105,8 @@
         while True:
             endpoint = self._state.choose(self._service, self._demand, self._tried)
             if endpoint is None or self._left_s() < _LEAST_LEFT_S:
-                self._give_up(plan.give_up(), "no_endpoint" if endpoint is None else "no_time")
+                reason = self._state.why_none(self._service) if endpoint is None else "no_time"
+                self._give_up(plan.give_up(), reason)
                 return
             self._tried.add(endpoint)
             end = await self._try(endpoint, plan)
@@ -145,8 +146,9 @@
         Settings and membership may have changed, or their age may have passed what is allowed,
         while the connection was being made or this process was paused.
         """
-        if not self._state.registry.is_usable(endpoint):
-            return AttemptEnd(Outcome.NOT_SENT, "endpoint is leaving")
+        problem = self._state.may_send(self._service, endpoint)
+        if problem:
+            return AttemptEnd(Outcome.NOT_SENT, problem)
         admitted = self._admit()
         if isinstance(admitted, Denial):
             self._give_up(plan.give_up(), admitted.reason.value, admitted)
@@ -155,6 +157,7 @@
             self._give_up(plan.give_up(), "retry_budget")
             return AttemptEnd()
         reading = self._state.reading(self._service, endpoint, self._demand)
+        self._state.note_send(self._service, endpoint)
         call.send(self._message(endpoint, admitted, reading.source))
         self._log_send(endpoint, admitted, plan, reading)
         sent_s = endpoint.waits[call] = boot_time_s()
--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -16,6 +16,7 @@
     Store,
     Unusable,
     decode_config,
+    decode_evacuation,
 )
 from beryljunction.routing import needs_peers
 
@@ -143,7 +144,7 @@
 
     async def _step(self, wait_ms: int) -> bool:
         asked_s = boot_time_s()
-        if not await self._topic.step(wait_ms, self._take, self._take):
+        if not await self._topic.step(wait_ms, self._replace, self._take):
             return False
         if self._is_usable:
             self._asked_s = max(self._asked_s, asked_s)
@@ -151,12 +152,35 @@
             self._state.news.set()
         return True
 
+    def _replace(self, records: Iterable[Record]) -> None:
+        """Take in the newest record of each key."""
+        rows = list(records)
+        self._take_versions(rows)
+        zones = [zone for zone, is_evacuated in self._zones(rows).items() if is_evacuated]
+        self._state.replace_evacuations(zones, self._topic.offset or 0)
+
     def _take(self, records: Iterable[Record]) -> None:
+        rows = list(records)
+        self._take_versions(rows)
+        self._state.update_evacuations(self._zones(rows), self._topic.offset or 0)
+
+    def _take_versions(self, records: Iterable[Record]) -> None:
         """Take in every version: the last record of several need not be the newest one."""
         for record in records:
             if record.key == FLEET_CONFIG_KEY and record.value is not None:
                 self._is_usable = self._take_one(record.value)
 
+    def _zones(self, records: Iterable[Record]) -> dict[str, bool]:
+        """Return the zones that the records name, and whether each is evacuated after them."""
+        zones: dict[str, bool] = {}
+        for record in records:
+            zone = decode_evacuation(record.key)
+            if isinstance(zone, Unusable):
+                self._state.events.write("evacuation_refused", problem=zone.problem)
+            elif zone is not None:
+                zones[zone] = record.value is not None
+        return zones
+
     def _take_one(self, value: bytes) -> bool:
         """Take in a version; False when it can't be read."""
         config = decode_config(value)
--- a/src/beryljunction/gateway/known.py
+++ b/src/beryljunction/gateway/known.py
@@ -8,9 +8,10 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.membership import FollowEndpoints
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.updates import ZoneUpdate
 from beryljunction.platform import Record
 
-__all__ = ["Known", "known_here"]
+__all__ = ["Known", "known_here", "zones_here"]
 
 
 @attrs.frozen
@@ -20,6 +21,7 @@
     Attributes:
         version: Version of its settings.
         age_s: Age of its confirmation that they are the newest, when it answered.
+        evacuations: Availability zones under evacuation.
         config: The settings as the operator wrote them; None where the asking entry has them.
         offset: Position in the endpoints' records up to which they are taken in.
         endpoints: The record of each endpoint; None where the asking entry has them.
@@ -27,6 +29,7 @@
 
     version: int
     age_s: float
+    evacuations: ZoneUpdate
     config: bytes | None
     offset: int
     endpoints: tuple[Record, ...] | None
@@ -39,6 +42,7 @@
         values = {
             "version": self.version,
             "age_s": round(self.age_s, 3),
+            "evacuations": self.evacuations.encode(),
             "config": None if self.config is None else self.config.decode("latin-1"),
             "offset": self.offset,
             "endpoints": endpoints,
@@ -61,6 +65,7 @@
             return cls(
                 version=int(values["version"]),
                 age_s=_age(values["age_s"]),
+                evacuations=ZoneUpdate.decode(values["evacuations"]),
                 config=None if config is None else config.encode("latin-1"),
                 offset=int(values["offset"]),
                 endpoints=rows,
@@ -77,6 +82,11 @@
     return age_s + 0.001
 
 
+def zones_here(state: EntryState) -> ZoneUpdate:
+    """Return the availability zones under evacuation, as this entry knows them."""
+    return ZoneUpdate(state.evacuations.position, tuple(state.evacuations.zones))
+
+
 def known_here(
     state: EntryState, endpoints: FollowEndpoints, version: int, offset: int
 ) -> Known | None:
@@ -95,6 +105,7 @@
     return Known(
         config.version,
         age_s,
+        zones_here(state),
         state.config_record if config.version > version else None,
         endpoints.offset,
         endpoints.records() if endpoints.offset > offset else None,
--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -120,7 +120,9 @@
         was_known = registry.find(record.key)
         was_draining = was_known is not None and was_known.record.is_draining
         is_same = was_known is not None and was_known.record.is_same_start(decoded)
-        registry.put(decoded)
+        registry.put(decoded, now_s)
+        if decoded.cold_ms is None:
+            events.write("endpoint_cold_unreadable", endpoint=decoded.endpoint_id)
         if not is_same:
             self._state.joined(decoded.endpoint_id)
         if not is_same or decoded.is_draining != was_draining:
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -11,6 +11,7 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.known import zones_here
 from beryljunction.gateway.membership import FollowEndpoints
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.updates import Reply, Update
@@ -67,12 +68,14 @@
 
     Attributes:
         version: Version of the settings.
+        evacuations: Position in the operator's records, up to which zones are known.
         endpoints: Position in the endpoints' records.
         entries: Position in the entries' addresses.
         confirmed_s: When the store was asked whether the settings are the newest.
     """
 
     version: int = -1
+    evacuations: int = -1
     endpoints: int = -1
     entries: int = -1
     confirmed_s: float = -math.inf
@@ -81,6 +84,7 @@
         """Return whether the other one knows more, or something fresh enough for a message."""
         return (
             self.version < other.version
+            or self.evacuations < other.evacuations
             or self.endpoints < other.endpoints
             or self.entries < other.entries
             or other.confirmed_s - self.confirmed_s >= _FRESHER_S
@@ -170,7 +174,8 @@
         if state.config is None or self._endpoints.offset is None or self._entries.offset is None:
             return _Known()
         offsets = self._endpoints.offset, self._entries.offset
-        return _Known(state.config.version, *offsets, state.lease.confirmed_s)
+        zones = state.evacuations.position
+        return _Known(state.config.version, zones, *offsets, state.lease.confirmed_s)
 
     def _update(self, below: _Below) -> Update:
         """Return what one entry lacks, by its last word."""
@@ -190,6 +195,7 @@
             state.lease.confirmed_s - below.heard_s,
             regained_s - below.heard_s if is_told else None,
             version,
+            zones_here(state),
             state.config_record if is_sent else None,
             self._endpoints.update_since(reply.endpoints),
             self._entries.update_since(reply.entries),
@@ -242,6 +248,8 @@
             raise ValueError(f"expected times of the past, got {asked_s} s and {regained_s} s")
         is_return = update.regained_s is not None
         self._state.contact.note_update(asked_s, regained_s if is_return else None, boot_time_s())
+        evacuations = update.evacuations
+        self._state.replace_evacuations(evacuations.zones, evacuations.position)
         if update.entries is not None:
             self._entries.take_update(update.entries)
         if update.endpoints is not None:
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -202,6 +202,7 @@
     def _take(self, known: Known, asked_s: float) -> bool:
         """Take in what a peer knows; True when it is in touch with the store itself."""
         self._state.contact.note_update(asked_s - known.age_s, None, boot_time_s())
+        self._state.replace_evacuations(known.evacuations.zones, known.evacuations.position)
         if known.config is not None:
             self._config.take_from_peer(known.config)
         if known.endpoints is not None:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -1,7 +1,7 @@
 """What an entry knows: settings, endpoints, shares of second sends, and the decisions over them."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -10,8 +10,11 @@
 from beryljunction.gateway.signals import Signal
 from beryljunction.platform import HostBounds, HostSettings
 from beryljunction.routing import (
+    ColdLimit,
+    ColdShare,
     Demand,
     EndpointRegistry,
+    Evacuations,
     FanOut,
     FleetConfig,
     KnownEndpoint,
@@ -26,6 +29,7 @@
     SettingsLease,
     StoreContact,
     WarmPlacement,
+    ZoneChange,
     hear_loads,
     retry_after_s,
     sound_rows,
@@ -43,6 +47,8 @@
         bounds: Promises of the deployment in force.
         mechanisms: Which mechanisms of the decisions are on.
         contact: When the store last answered, and when it came back.
+        evacuations: Availability zones that get no new requests.
+        cold: This entry's share of the requests to endpoints that are warming up.
         fan_out: Which entries read the store, and who tells whom.
         news: Set when something came from the store.
     """
@@ -56,6 +62,8 @@
         self.lease = SettingsLease(bounds.revocation_ms / 1000)
         self.contact = StoreContact(2 * bounds.heartbeat_ms / 1000)
         self.registry = EndpointRegistry(self.contact)
+        self.evacuations = Evacuations()
+        self.cold = ColdShare(host.host, _cold_limit(bounds), boot_time_s())
         self.fan_out = FanOut(host.host)
         self.news = Signal()
         self.random = random.Random()
@@ -71,6 +79,7 @@
             return
         self.bounds = bounds
         self.lease.revocation_s = bounds.revocation_ms / 1000
+        self.cold.limit = _cold_limit(bounds)
         self._shares.clear()
 
     def apply(self, config: FleetConfig, record: bytes) -> bool:
@@ -81,6 +90,21 @@
         self.config_record = record
         return True
 
+    def replace_evacuations(self, zones: Iterable[str], position: int) -> None:
+        """Take in all availability zones under evacuation, as of a position in the records."""
+        self._note_zones(self.evacuations.replace(zones, position, boot_time_s()))
+
+    def update_evacuations(self, states: Mapping[str, bool], position: int) -> None:
+        """Take in availability zones that were evacuated or taken back."""
+        self._note_zones(self.evacuations.update(states, position, boot_time_s()))
+
+    def _note_zones(self, changes: Collection[ZoneChange]) -> None:
+        for change in changes:
+            event = "zone_evacuated" if change.is_evacuated else "zone_returned"
+            self.events.write(event, zone=change.zone, position=self.evacuations.position)
+        if changes:
+            self.registry.evacuate(self.evacuations.zones, boot_time_s())
+
     def share(self, service: str) -> RetryShare:
         """Return this entry's share of second sends to a service."""
         share = self._shares.get(service)
@@ -91,8 +115,10 @@
             )
         return share
 
-    def note_entries(self, entries: int) -> None:
-        """Take in how many entries may be alive, this one too."""
+    def note_entries(self) -> None:
+        """Take in the list of entries: how many may be alive, and which."""
+        entries = len(self.fan_out)
+        self.cold.note_entries(self.fan_out.hosts)
         self._entries = max(self._entries, entries)
         for share in self._shares.values():
             share.note_entries(entries)
@@ -106,10 +132,45 @@
     ) -> KnownEndpoint | None:
         """Return the endpoint that is to get a request; sound ones go before doubtful ones."""
         now_s = boot_time_s()
-        usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
+        usable = [
+            row
+            for row in self.registry.usable(service, now_s)
+            if row not in tried and self.cold.allows(row, self.known_service(service), now_s)
+        ]
         sound = sound_rows(usable, now_s, self.mechanisms)
         return self._placement(service).choose(sound, demand, now_s)
 
+    def may_send(self, service: str, endpoint: KnownEndpoint) -> str:
+        """Return why a request may not go to an endpoint at this moment; empty where it may."""
+        now_s = boot_time_s()
+        if not self.registry.is_usable(endpoint):
+            is_known = self.registry.find(endpoint.record.endpoint_id) is endpoint
+            return "zone is evacuated" if is_known and endpoint.is_evacuated else "endpoint left"
+        is_allowed = self.cold.allows(endpoint, self.known_service(service), now_s)
+        return "" if is_allowed else "endpoint is cold"
+
+    def note_send(self, service: str, endpoint: KnownEndpoint) -> None:
+        """Count a request that goes to an endpoint now."""
+        self.cold.note_send(endpoint, self.known_service(service), boot_time_s())
+
+    def why_none(self, service: str) -> str:
+        """Return why no endpoint of a service can be chosen."""
+        now_s = boot_time_s()
+        known = self.known_service(service)
+        usable = self.registry.usable(service, now_s)
+        if not usable and any(row.is_evacuated for row in self.registry.of(service)):
+            return "zones_evacuated"
+        is_limited = any(not self.cold.allows(row, known, now_s) for row in usable)
+        return "endpoints_cold" if is_limited else "no_endpoint"
+
+    def cold_endpoints(self) -> int:
+        """Return how many endpoints are, or may be, warming up."""
+        now_s = boot_time_s()
+        rows = self.registry.rows
+        return sum(
+            self.cold.is_cold(row, self.known_service(row.record.service), now_s) for row in rows
+        )
+
     def retry_after_s(
         self, service: str, tried: set[KnownEndpoint], left_s: float | None
     ) -> float | None:
@@ -127,7 +188,7 @@
         now_s = boot_time_s()
         rows = self.registry.reachable(service, now_s)
         reading = self._placement(service).reading(rows, chosen, demand, now_s)
-        known = self._known_service(service)
+        known = self.known_service(service)
         can_fetch = known is not None and known.can_fetch
         return reading if can_fetch else attrs.evolve(reading, source=None)
 
@@ -153,13 +214,18 @@
             hear_loads(self.registry.rows, loads, now_s)
 
     def _placement(self, service: str) -> Placement:
-        known = self._known_service(service)
+        known = self.known_service(service)
         return self._warm if known is not None and known.is_engine else self._plain
 
-    def _known_service(self, service: str) -> Service | None:
+    def known_service(self, service: str) -> Service | None:
+        """Return what the settings say of a service; None where they don't name it."""
         return self.config.services.get(service) if self.config is not None else None
 
     def is_ready(self) -> bool:
         """Return whether callers can be served here."""
         is_known = self.config is not None and self.registry.is_loaded
         return is_known and self.lease.is_ready(boot_time_s())
+
+
+def _cold_limit(bounds: HostBounds) -> ColdLimit:
+    return ColdLimit(bounds.cold_overshoot, bounds.cold_slack)
--- a/src/beryljunction/gateway/updates.py
+++ b/src/beryljunction/gateway/updates.py
@@ -8,11 +8,12 @@
 
 from beryljunction.platform import Record
 
-__all__ = ["Reply", "TopicUpdate", "Update"]
+__all__ = ["Reply", "TopicUpdate", "Update", "ZoneUpdate"]
 
 # Records of one message: more than a fleet has endpoints or entries is no message of this fleet.
 _MOST_RECORDS = 4_096
 _MOST_NAME_CHARS = 128
+_MOST_ZONES = 256
 # A span between two moments of one exchange; messages follow each other within seconds.
 _MOST_SPAN_S = 86_400.0
 
@@ -67,6 +68,33 @@
     end: int
 
 
+@attrs.frozen
+class ZoneUpdate:
+    """The availability zones under evacuation.
+
+    Attributes:
+        position: Position in the operator's records up to which they are taken in.
+    """
+
+    position: int
+    zones: tuple[str, ...]
+
+    def encode(self) -> list[Any]:
+        """Return it as a part of a JSON message."""
+        return [self.position, *self.zones]
+
+    @classmethod
+    def decode(cls, values: Any) -> "ZoneUpdate":
+        """Read it from a part of a JSON message.
+
+        Raises:
+            ValueError: It is no such part.
+        """
+        if not isinstance(values, list) or not 0 < len(values) <= _MOST_ZONES:
+            raise ValueError(f"expected a list of zones, got {values!r:.80}")
+        return cls(int(values[0]), tuple(_name(zone) for zone in values[1:]))
+
+
 @attrs.frozen
 class Update:
     """What an entry tells one below it.
@@ -82,6 +110,7 @@
         confirmed_s: When the store was asked whether these settings are the newest.
         regained_s: When the store came back; None where it was not away.
         version: Version of the settings.
+        evacuations: Availability zones under evacuation.
         config: The settings as the operator wrote them; None where they are not sent along.
         endpoints: Records of endpoints that the other lacks; None for none.
         entries: Addresses of entries that the other lacks; None for none.
@@ -93,6 +122,7 @@
     confirmed_s: float
     regained_s: float | None
     version: int
+    evacuations: ZoneUpdate = ZoneUpdate(-1, ())
     config: bytes | None = None
     endpoints: TopicUpdate | None = None
     entries: TopicUpdate | None = None
@@ -102,7 +132,8 @@
         times = [self.clock_s, self.confirmed_s, self.regained_s]
         config = None if self.config is None else self.config.decode("latin-1")
         topics = [_encode_topic(self.endpoints), _encode_topic(self.entries)]
-        values = [self.host, self.life, *times, self.version, config, *topics]
+        zones = self.evacuations.encode()
+        values = [self.host, self.life, *times, self.version, zones, config, *topics]
         return json.dumps(values, separators=(",", ":")).encode()
 
     @classmethod
@@ -113,7 +144,7 @@
             ValueError: It is no message of this kind.
         """
         try:
-            host, life, *times, version, config, endpoints, entries = json.loads(data)
+            host, life, *times, version, zones, config, endpoints, entries = json.loads(data)
             clock_s, confirmed_s, regained_s = times
             return cls(
                 host=_name(host),
@@ -122,6 +153,7 @@
                 confirmed_s=_span(confirmed_s),
                 regained_s=None if regained_s is None else _span(regained_s),
                 version=int(version),
+                evacuations=ZoneUpdate.decode(zones),
                 config=None if config is None else config.encode("latin-1"),
                 endpoints=_decode_topic(endpoints),
                 entries=_decode_topic(entries),
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -8,7 +8,12 @@
     parse_address,
     read_host_settings,
 )
-from beryljunction.platform.records import Unusable, decode_config, decode_endpoint
+from beryljunction.platform.records import (
+    Unusable,
+    decode_config,
+    decode_endpoint,
+    decode_evacuation,
+)
 from beryljunction.platform.store import (
     ENDPOINT_RECORDS,
     ENTRY_ADDRESSES,
@@ -45,6 +50,7 @@
     "Written",
     "decode_config",
     "decode_endpoint",
+    "decode_evacuation",
     "format_address",
     "parse_address",
     "read_host_settings",
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -43,6 +43,8 @@
         repeat_ratio: Second sends that the fleet may make for each request.
         repeat_window_s: Sliding time of that ratio.
         repeat_slack: Second sends of the whole fleet on top of the ratio.
+        cold_overshoot: Multiple of its own rate that an endpoint may get while it warms up.
+        cold_slack: Requests a second on top of that.
         heartbeat_ms: Time between two writes of an endpoint's record; three missed ones expire it.
     """
 
@@ -52,6 +54,8 @@
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_slack: int = 0
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
     heartbeat_ms: int = 1_000
 
 
@@ -163,6 +167,8 @@
             "repeat_ratio": "retry-budget-ratio",
             "repeat_window_s": "retry-window-s",
             "repeat_slack": "retry-budget-slack",
+            "cold_overshoot": "cold-overshoot",
+            "cold_slack": "cold-slack",
         }
         defaults = HostBounds()
         values = {
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -19,10 +19,13 @@
     WeightedService,
 )
 
-__all__ = ["Unusable", "decode_config", "decode_endpoint"]
+__all__ = ["Unusable", "decode_config", "decode_endpoint", "decode_evacuation"]
 
 _REPEATS = {"idempotent": Repeat.FREELY, "non_idempotent": Repeat.NEVER}
 _STREAM_KIND = "streaming"
+_EVACUATION_PREFIX = "evacuate/"
+# No endpoint warms up for longer; a larger number is a fault of its writer.
+_MOST_COLD_MS = 600_000
 
 
 @attrs.frozen
@@ -57,12 +60,34 @@
             availability_zone=_text(fields, "zone"),
             slots=_whole(fields, "slots", 1),
             is_draining=state == "draining",
-            slow_ms=_whole(fields, "cold-remaining-ms", 0, default=0),
+            cold_ms=_cold_ms(fields),
+            sequence=_whole(fields, "sequence-number", 0, default=0),
         )
     except _FieldError as error:
         return Unusable(f"{endpoint_id}: {error}")
 
 
+def _cold_ms(fields: Mapping[str, Any]) -> int | None:
+    """Return how much longer the endpoint warms up; None for a number that can't be meant."""
+    value = fields.get("cold-remaining-ms", 0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _FieldError(f"cold-remaining-ms: expected a number, got {value!r}")
+    return int(value) if 0 <= value <= _MOST_COLD_MS else None
+
+
+def decode_evacuation(key: str) -> str | Unusable | None:
+    """Return the availability zone that a key of the operator's empties; None for other keys.
+
+    The record itself says nothing more: the zone is empty while the record is there.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    zone = key.removeprefix(_EVACUATION_PREFIX)
+    if not zone or "\ufffd" in zone:
+        return Unusable(f"{key!r}: expected {_EVACUATION_PREFIX}ZONE, got no zone's name")
+    return zone
+
+
 def decode_config(value: bytes) -> FleetConfig | Unusable:
     """Return the settings of the whole fleet."""
     try:
@@ -126,6 +151,8 @@
         name=_text(fields, "name"),
         is_engine=isinstance(engine, dict),
         can_fetch=bool(traits.get("kv-token-bytes")) and bool(traits.get("link-mbps")),
+        cold_start_s=_amount(fields, "cold-start-s"),
+        cold_per_s=_amount(fields, "cold-per-s"),
     )
 
 
@@ -195,6 +222,14 @@
     raise _FieldError(f"{name}: expected a number of {least} or more, got {value!r}")
 
 
+def _amount(fields: Mapping[str, Any], name: str) -> float:
+    """Return a number of 0 or more; 0 where there is none."""
+    value = _number(fields, name) if fields.get(name) is not None else 0.0
+    if math.isfinite(value) and value >= 0.0:
+        return value
+    raise _FieldError(f"{name}: expected a number of 0 or more, got {value!r}")
+
+
 def _number(fields: Mapping[str, Any], name: str) -> float:
     value = fields.get(name)
     if isinstance(value, int | float) and not isinstance(value, bool):
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -3,6 +3,7 @@
 from beryljunction.routing.admitting import Admitted, Denial, DenialReason, admit
 from beryljunction.routing.attempts import AttemptPlan, Outcome, Verdict
 from beryljunction.routing.budget import RetryShare
+from beryljunction.routing.cold import ColdLimit, ColdShare
 from beryljunction.routing.contact import StoreContact
 from beryljunction.routing.endpoints import (
     EndpointRecord,
@@ -11,6 +12,7 @@
     LoadReport,
     Pace,
 )
+from beryljunction.routing.evacuations import Evacuations, ZoneChange
 from beryljunction.routing.fanout import FanOut
 from beryljunction.routing.fleet import (
     Account,
@@ -45,11 +47,14 @@
     "Admitted",
     "AttemptPlan",
     "CallerLimits",
+    "ColdLimit",
+    "ColdShare",
     "Demand",
     "Denial",
     "DenialReason",
     "EndpointRecord",
     "EndpointRegistry",
+    "Evacuations",
     "FanOut",
     "FleetConfig",
     "KnownEndpoint",
@@ -77,6 +82,7 @@
     "WarmPlacement",
     "WarmthMap",
     "WeightedService",
+    "ZoneChange",
     "admit",
     "hear_loads",
     "loads_to_tell",
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -1,5 +1,6 @@
 """The endpoints that requests may go to, and what this process knows of each."""
 
+import collections
 import math
 from collections.abc import Iterable
 
@@ -43,7 +44,8 @@
     Attributes:
         born_ms: Unix milliseconds of its start; another start under the same id knows nothing.
         slots: Requests that it runs at the same time.
-        slow_ms: How much longer it is slow after its start.
+        sequence: Number of the record among those of its start.
+        cold_ms: How much longer it is warming up; None where it says nothing that can be used.
     """
 
     endpoint_id: str
@@ -53,7 +55,8 @@
     availability_zone: str
     slots: int
     is_draining: bool
-    slow_ms: int
+    cold_ms: int | None = 0
+    sequence: int = 0
 
     def is_same_start(self, other: "EndpointRecord") -> bool:
         """Return whether both are of one start at one address."""
@@ -129,6 +132,11 @@
         waits: When each request was sent that has no answer yet.
         lapses_s: Until when it is kept without a record, which an outage of the store may have
             let expire; None while the record is there.
+        is_evacuated: Whether its availability zone gets no new requests.
+        serving_since_s: From when it has got requests; minus infinity for all the time.
+        cold_until_s: When it will have warmed up, by its own word.
+        may_be_cold_s: When it last may have started anew or cooled down without a word of it.
+        cold_sends_s: When this process sent it requests in the last second or so.
     """
 
     record: EndpointRecord
@@ -136,6 +144,11 @@
     reading_tokens: int = 0
     report: LoadReport | None = None
     lapses_s: float | None = None
+    is_evacuated: bool = False
+    serving_since_s: float = -math.inf
+    cold_until_s: float = -math.inf
+    may_be_cold_s: float = -math.inf
+    cold_sends_s: collections.deque[float] = attrs.field(factory=collections.deque)
     pace: Pace = attrs.field(factory=Pace)
     faults: FaultShare = attrs.field(factory=FaultShare)
     waits: dict[object, float] = attrs.field(factory=dict)
@@ -147,6 +160,18 @@
         """What tells this start from any other."""
         return self.record.endpoint_id, self.record.born_ms
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it may get new requests, as far as its record and the operator say."""
+        return not (self.record.is_draining or self.is_evacuated)
+
+    def note_cold(self, cold_ms: int | None, now_s: float) -> None:
+        """Take in how much longer it is warming up; None where that is not known."""
+        if cold_ms is None:
+            self.may_be_cold_s = now_s
+        else:
+            self.cold_until_s = now_s + cold_ms / 1000 if cold_ms else -math.inf
+
     def load(self, now_s: float) -> float:
         """Return the estimated number of requests that it has, of all entries."""
         if self.report is None:
@@ -180,6 +205,8 @@
         doublings = min(self.failures, _SUSPECT_DOUBLINGS)
         self.suspect_until_s = now_s + min(_SUSPECT_MOST_S, _SUSPECT_S * 2**doublings)
         self.failures += 1
+        # It may have crashed, and have started again before its record says so.
+        self.may_be_cold_s = now_s
 
     def note_answer(self) -> None:
         """Trust it again."""
@@ -215,6 +242,7 @@
     def __init__(self, contact: StoreContact | None = None) -> None:
         self._rows: dict[str, KnownEndpoint] = {}
         self._contact = contact or StoreContact()
+        self._evacuated: frozenset[str] = frozenset()
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -229,15 +257,36 @@
         """Return what is known of an endpoint."""
         return self._rows.get(endpoint_id)
 
-    def put(self, record: EndpointRecord) -> KnownEndpoint:
+    def put(self, record: EndpointRecord, now_s: float) -> KnownEndpoint:
         """Take in a record; a new start replaces what was known of the one before."""
         known = self._rows.get(record.endpoint_id)
         if known is None or not known.record.is_same_start(record):
-            known = self._rows[record.endpoint_id] = KnownEndpoint(record)
+            known = self._rows[record.endpoint_id] = self._new(record, now_s)
+        elif known.record != record:
+            known.note_cold(record.cold_ms, now_s)
         known.record = record
         known.lapses_s = None
         return known
 
+    def _new(self, record: EndpointRecord, now_s: float) -> KnownEndpoint:
+        known = KnownEndpoint(record, is_evacuated=record.availability_zone in self._evacuated)
+        known.note_cold(record.cold_ms, now_s)
+        if self.is_loaded:
+            known.serving_since_s = now_s
+        return known
+
+    def evacuate(self, zones: frozenset[str], now_s: float) -> None:
+        """Take in which availability zones get no new requests.
+
+        Endpoints of a zone that gets them again may have cooled down meanwhile.
+        """
+        self._evacuated = zones
+        for row in self._rows.values():
+            is_evacuated = row.record.availability_zone in zones
+            if row.is_evacuated and not is_evacuated:
+                row.serving_since_s = row.may_be_cold_s = now_s
+            row.is_evacuated = is_evacuated
+
     def remove(self, endpoint_id: str, now_s: float) -> KnownEndpoint | None:
         """Take in that a record is gone; None when nothing was known of it."""
         known = self._rows.get(endpoint_id)
@@ -254,7 +303,7 @@
         kept = set()
         for record in records:
             kept.add(record.endpoint_id)
-            self.put(record)
+            self.put(record, now_s)
         for endpoint_id in self._rows.keys() - kept:
             self.remove(endpoint_id, now_s)
         self.is_loaded = True
@@ -265,14 +314,14 @@
             if row.lapses_s is not None and row.lapses_s <= now_s:
                 del self._rows[endpoint_id]
 
+    def of(self, service: str) -> list[KnownEndpoint]:
+        """Return all endpoints of a service that are known."""
+        return [row for row in self._rows.values() if row.record.service == service]
+
     def usable(self, service: str, now_s: float) -> list[KnownEndpoint]:
         """Return the endpoints of a service that may get new requests."""
         self.expire(now_s)
-        return [
-            row
-            for row in self._rows.values()
-            if row.record.service == service and not row.record.is_draining
-        ]
+        return [row for row in self._rows.values() if row.record.service == service and row.is_open]
 
     def reachable(self, service: str, now_s: float) -> list[KnownEndpoint]:
         """Return the endpoints of a service that answer, leaving ones too."""
@@ -284,4 +333,4 @@
 
     def is_usable(self, known: KnownEndpoint) -> bool:
         """Return whether this start of the endpoint may still get requests."""
-        return self._rows.get(known.record.endpoint_id) is known and not known.record.is_draining
+        return self._rows.get(known.record.endpoint_id) is known and known.is_open
--- a/src/beryljunction/routing/fanout.py
+++ b/src/beryljunction/routing/fanout.py
@@ -71,6 +71,11 @@
         """Return where each of the other entries can be reached."""
         return self._addresses
 
+    @property
+    def hosts(self) -> list[str]:
+        """Hosts of all entries that are listed, this one's too."""
+        return self._order
+
     @property
     def is_reader(self) -> bool:
         """Whether this entry reads the store for others."""
--- a/src/beryljunction/routing/fleet.py
+++ b/src/beryljunction/routing/fleet.py
@@ -77,11 +77,15 @@
     Attributes:
         is_engine: Whether its endpoints serve a model and keep prompt prefixes.
         can_fetch: Whether its endpoints can fetch cached prefixes from each other.
+        cold_start_s: How long an endpoint warms up after its start.
+        cold_per_s: Requests a second that an endpoint bears meanwhile; 0 for no limit.
     """
 
     name: str
     is_engine: bool
     can_fetch: bool
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/beryljunction/routing/warm_placement.py
+++ b/src/beryljunction/routing/warm_placement.py
@@ -32,6 +32,8 @@
 # bytes each they take 1.2 MB at most.
 _MOST_PLACED = 4_096
 _KNOWN_S = 30.0
+# Sessions return every few seconds; by then most have come back to an endpoint that serves anew.
+_SETTLED_S = 15.0
 
 
 class WarmPlacement(Placement):
@@ -106,9 +108,9 @@
         if not self._mechanisms.fetch:
             return Reading(None, unread_tokens)
         if self._mechanisms.home and max(here, kept) < total and others:
-            home, rank = _home(others, parts), _rank(parts.ids)
-            if kept <= here or rank(home.record.endpoint_id) < rank(chosen.record.endpoint_id):
-                source, kept = home, total
+            keeper = _keeper(others, parts, now_s)
+            if keeper is not None and (kept <= here or _is_before(keeper, chosen, parts, now_s)):
+                source, kept = keeper, total
         is_worth_it = kept - here >= _LEAST_FETCHED_TOKENS
         return Reading(source if is_worth_it else None, unread_tokens)
 
@@ -144,7 +146,7 @@
         self._placed.move_to_end(parts.ids[-1])
         while len(self._placed) > _MOST_PLACED:
             self._placed.popitem(last=False)
-        staying = [row for row in rows if not row.record.is_draining]
+        staying = [row for row in rows if row.is_open]
         if staying and _home(staying, parts) is not chosen:
             self.moved.note(session, now_s)
 
@@ -200,6 +202,33 @@
     return min(rows, key=lambda row: rank(row.record.endpoint_id))
 
 
+def _is_settled(row: KnownEndpoint, now_s: float) -> bool:
+    """Return whether it has served for so long that its sessions have found it."""
+    return now_s - row.serving_since_s > _SETTLED_S
+
+
+def _keeper(
+    rows: Sequence[KnownEndpoint], parts: PromptParts, now_s: float
+) -> KnownEndpoint | None:
+    """Return who most likely keeps a session that this entry has not seen.
+
+    An endpoint that has just started, or whose zone was just taken back, has not read it yet: while
+    it was away the first of the others in rendezvous order did.
+    """
+    settled = [row for row in rows if _is_settled(row, now_s)]
+    return _home(settled or rows, parts) if rows else None
+
+
+def _is_before(
+    keeper: KnownEndpoint, chosen: KnownEndpoint, parts: PromptParts, now_s: float
+) -> bool:
+    """Return whether other entries would have looked for the session at the keeper first."""
+    if not _is_settled(chosen, now_s):
+        return True
+    rank = _rank(parts.ids)
+    return rank(keeper.record.endpoint_id) < rank(chosen.record.endpoint_id)
+
+
 def _rank(part_ids: Sequence[str]) -> Callable[[str], int]:
     """Return the place of an endpoint's id in the rendezvous order of a session."""
     session = part_ids[-1] if part_ids else ""
--- a/testing/routing_fakes.py
+++ b/testing/routing_fakes.py
@@ -16,7 +16,7 @@
 
 
 def endpoint(name, service="engine", born_ms=1, port=9000, **fields):
-    values = {"availability_zone": "a", "slots": 4, "is_draining": False, "slow_ms": 0}
+    values = {"availability_zone": "a", "slots": 4, "is_draining": False, "cold_ms": 0}
     values.update(fields)
     return EndpointRecord(name, born_ms, service, ("127.0.0.1", port), **values)
 
--- /dev/null
+++ b/testing/test_cold.py
@@ -0,0 +1,208 @@
+import collections
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beryljunction.platform import Unusable, decode_endpoint
+from beryljunction.routing import ColdLimit, ColdShare, EndpointRegistry, Service
+from beryljunction.routing.cold import share_of
+from routing_fakes import endpoint
+
+SERVICE = Service("engine", True, True, cold_start_s=3.0, cold_per_s=11.0)
+LIMIT = ColdLimit(overshoot=1.5, slack=5.0)
+ALLOWED = 21.5
+
+
+def row_of(cold_ms=3_000):
+    registry = EndpointRegistry()
+    registry.replace([endpoint("old")], 0.0)
+    return registry.put(endpoint("new", cold_ms=cold_ms), 10.0)
+
+
+def share_for(hosts, host="h0", started_s=-100.0):
+    share = ColdShare(host, LIMIT, started_s)
+    share.note_entries(hosts)
+    return share
+
+
+def hosts_of(count):
+    return [f"h{number}" for number in range(count)]
+
+
+class TestShares:
+    @given(
+        entries=st.integers(1, 700),
+        per_s=st.floats(0.0, 500.0, allow_nan=False),
+    )
+    def test_sum_of_all_entries_keeps_the_limit(self, entries, per_s):
+        assert sum(share_of(place, entries, per_s) for place in range(entries)) <= per_s
+
+    @pytest.mark.parametrize(("entries", "own", "serving"), [(1, 18, 1), (4, 4, 4), (24, 1, 18)])
+    def test_share_uses_most_of_the_limit(self, entries, own, serving):
+        shares = [share_of(place, entries, ALLOWED) for place in range(entries)]
+
+        assert shares[0] == own
+        assert sum(1 for share in shares if share) == serving
+
+
+class TestColdness:
+    def test_endpoint_is_cold_for_as_long_as_it_says(self):
+        share, row = share_for(hosts_of(2)), row_of()
+
+        assert share.is_cold(row, SERVICE, 12.9)
+        assert not share.is_cold(row, SERVICE, 13.1)
+
+    def test_service_without_a_rate_has_no_limit(self):
+        plain = Service("plain", False, False, cold_start_s=3.0)
+
+        assert not share_for(hosts_of(2)).is_cold(row_of(), plain, 10.1)
+
+    def test_same_record_read_again_makes_it_no_colder(self):
+        registry = EndpointRegistry()
+        record = endpoint("a", cold_ms=3_000)
+        row = registry.put(record, 10.0)
+
+        registry.put(record, 20.0)
+
+        assert not share_for(hosts_of(2)).is_cold(row, SERVICE, 20.1)
+
+    def test_endpoint_may_cool_down_again(self):
+        registry = EndpointRegistry()
+        row = registry.put(endpoint("a", sequence=1), 10.0)
+
+        registry.put(endpoint("a", sequence=9, cold_ms=3_000), 20.0)
+
+        assert share_for(hosts_of(2)).is_cold(row, SERVICE, 20.1)
+
+    def test_endpoint_that_failed_may_have_started_anew(self):
+        """Guards against a crash that its record does not show yet, under the same id."""
+        row = row_of(cold_ms=0)
+
+        row.note_failure(20.0)
+
+        assert share_for(hosts_of(2)).is_cold(row, SERVICE, 22.9)
+
+    @pytest.mark.parametrize("value", ["-5", "1e300", "NaN", "Infinity"])
+    def test_number_that_cannot_be_meant_counts_as_cold(self, value):
+        text = (
+            '{"service":"engine","address":"10.0.0.1:9","zone":"a","slots":4,"state":"ready",'
+            f'"cold-remaining-ms":{value}}}'
+        )
+
+        record = decode_endpoint("a", text.encode())
+        row = EndpointRegistry().put(record, 10.0)
+
+        assert record.cold_ms is None
+        assert share_for(hosts_of(2)).is_cold(row, SERVICE, 12.9)
+
+    def test_value_of_another_type_is_another_writers_record(self):
+        text = (
+            '{"service":"engine","address":"10.0.0.1:9","zone":"a","slots":4,"state":"ready",'
+            '"cold-remaining-ms":"soon"}'
+        )
+
+        assert isinstance(decode_endpoint("a", text.encode()), Unusable)
+
+
+class TestSending:
+    def test_share_is_used_up_and_comes_back(self):
+        share, row = share_for(hosts_of(1)), row_of()
+
+        for _ in range(18):
+            assert share.allows(row, SERVICE, 10.0)
+            share.note_send(row, SERVICE, 10.0)
+
+        assert not share.allows(row, SERVICE, 11.0)
+        assert share.allows(row, SERVICE, 11.1)
+
+    def test_warm_endpoint_takes_any_number(self):
+        share, row = share_for(hosts_of(1)), row_of(cold_ms=0)
+
+        for _ in range(50):
+            share.note_send(row, SERVICE, 10.0)
+
+        assert share.allows(row, SERVICE, 10.0)
+
+    def test_requests_sent_before_it_was_known_to_be_cold_count(self):
+        share, row = share_for(hosts_of(1)), row_of(cold_ms=0)
+
+        for _ in range(18):
+            share.note_send(row, SERVICE, 10.0)
+        row.note_failure(10.1)
+
+        assert not share.allows(row, SERVICE, 10.2)
+
+    def test_entry_that_does_not_know_the_others_sends_nothing(self):
+        share = ColdShare("h0", LIMIT, started_s=-100.0)
+
+        assert not share.allows(row_of(), SERVICE, 10.0)
+
+    def test_entry_that_has_just_started_sends_nothing(self):
+        """Guards against a restart that forgets what the process before it has sent."""
+        share = share_for(hosts_of(1), started_s=9.5)
+
+        assert not share.allows(row_of(), SERVICE, 10.0)
+        assert share.allows(row_of(), SERVICE, 10.6)
+
+
+class Fleet:
+    """Entries that send as much as they may to one cold endpoint, and don't know of each other."""
+
+    def __init__(self, seed, entries):
+        self.draw = random.Random(seed)
+        self.hosts = hosts_of(entries)
+        self.members = {}
+        self.sent_s = collections.deque()
+        self.worst = 0
+        for host in self.hosts:
+            self.start(host, -100.0)
+
+    def start(self, host, now_s):
+        share = ColdShare(host, LIMIT, now_s)
+        known = [other for other in self.hosts if other == host or self.draw.random() > 0.02]
+        share.note_entries(known if len(known) > len(self.hosts) - 3 else self.hosts)
+        self.members[host] = share, EndpointRegistry().put(endpoint("e", cold_ms=600_000), now_s)
+
+    def play(self, seconds=20.0):
+        now_s = 0.0
+        while now_s < seconds:
+            now_s += 0.01
+            if self.draw.random() < 0.005:
+                self.start(self.draw.choice(self.hosts), now_s)
+            for host in self.draw.choices(self.hosts, k=6):
+                self.send(host, now_s)
+        return self.worst
+
+    def send(self, host, now_s):
+        share, row = self.members[host]
+        if share.allows(row, SERVICE, now_s):
+            share.note_send(row, SERVICE, now_s)
+            self.sent_s.append(now_s)
+        while now_s - self.sent_s[0] >= 1.0 if self.sent_s else False:
+            self.sent_s.popleft()
+        self.worst = max(self.worst, len(self.sent_s))
+
+
+class TestFleet:
+    """No second sees more requests than the endpoint bears, whoever starts or pauses."""
+
+    @pytest.mark.parametrize("entries", [1, 4, 19, 24, 68, 350])
+    @pytest.mark.parametrize("seed", range(1, 5))
+    def test_limit_holds_over_all_entries(self, seed, entries):
+        assert Fleet(seed, entries).play() <= ALLOWED
+
+    @pytest.mark.parametrize("entries", [1, 4, 24])
+    def test_limit_is_used(self, entries):
+        assert Fleet(1, entries).play() >= 0.5 * ALLOWED
+
+    def test_entries_that_forget_what_they_sent_are_found(self, monkeypatch):
+        monkeypatch.setattr("beryljunction.routing.cold._WINDOW_S", 0.4)
+
+        assert max(Fleet(seed, 4).play() for seed in range(1, 5)) > ALLOWED
+
+    def test_share_of_each_entry_alone_is_found(self, monkeypatch):
+        monkeypatch.setattr("beryljunction.routing.cold.share_of", lambda *_: 1)
+
+        assert max(Fleet(seed, 68).play() for seed in range(1, 5)) > ALLOWED
--- a/testing/test_endpoint_registry.py
+++ b/testing/test_endpoint_registry.py
@@ -24,7 +24,7 @@
     def test_draining_endpoint_gets_nothing_more(self):
         registry = registry_of(endpoint("a"), endpoint("b"))
 
-        registry.put(endpoint("a", is_draining=True))
+        registry.put(endpoint("a", is_draining=True), 50.0)
 
         assert names(registry) == ["b"]
 
@@ -58,7 +58,7 @@
         before.in_flight = 7
         before.report = LoadReport(9, 3, 7, 0.0)
 
-        after = registry.put(endpoint("a", born_ms=2))
+        after = registry.put(endpoint("a", born_ms=2), 50.0)
 
         assert after is not before
         assert after.load(1.0) == 0.0
@@ -69,16 +69,16 @@
         registry = registry_of(endpoint("a", port=9000))
         before = registry.find("a")
 
-        registry.put(endpoint("a", port=9001))
+        registry.put(endpoint("a", port=9001), 50.0)
 
         assert not registry.is_usable(before)
 
     def test_refreshed_record_keeps_what_is_known(self):
-        registry = registry_of(endpoint("a", slow_ms=500))
+        registry = registry_of(endpoint("a", cold_ms=500))
         before = registry.find("a")
 
-        assert registry.put(endpoint("a", slow_ms=0)) is before
-        assert before.record.slow_ms == 0
+        assert registry.put(endpoint("a", cold_ms=0), 50.0) is before
+        assert before.record.cold_ms == 0
 
 
 class TestLapses:
@@ -93,7 +93,7 @@
         registry.remove("a", 60.1)
         registry.remove("b", 60.1)
         assert names(registry, 61.0) == ["a", "b"]
-        registry.put(endpoint("a"))
+        registry.put(endpoint("a"), 50.0)
 
         assert names(registry, 62.5) == ["a"]
 
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -14,6 +14,7 @@
 from beryljunction.gateway.peers import FollowPeers, PeerLink
 from beryljunction.gateway.process import EntryProcess
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.updates import ZoneUpdate
 from beryljunction.listening import open_listener
 from beryljunction.platform import HostBounds, HostSettings, Record, Unavailable, Written
 from beryljunction.platform.store import Store
@@ -24,7 +25,7 @@
 
 FAST = HostBounds(revocation_ms=3_000)
 CONFIG = json.dumps({"version": 3, "routes": [], "services": [], "tenants": []}).encode()
-KNOWN = Known(3, 0.5, b'{"\xff', 7, (Record("e1", b"\x00\xfe"),))
+KNOWN = Known(3, 0.5, ZoneUpdate(9, ("a",)), b'{"\xff', 7, (Record("e1", b"\x00\xfe"),))
 
 
 class TestKnown:
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -7,7 +7,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.passing import HttpUpdateLink
-from beryljunction.gateway.updates import Reply, TopicUpdate, Update
+from beryljunction.gateway.updates import Reply, TopicUpdate, Update, ZoneUpdate
 from beryljunction.platform import Record
 from fanout_world import FleetWorld, StoreFault
 from platform_world import open_world, route
@@ -429,7 +429,15 @@
 
 class TestMessages:
     UPDATE = Update(
-        "a", "1", 5.0, -0.5, None, 7, b'{"x": "\xff"}', TopicUpdate((Record("e", None),), 3, 4)
+        "a",
+        "1",
+        5.0,
+        -0.5,
+        None,
+        7,
+        ZoneUpdate(12, ("north",)),
+        b'{"x": "\xff"}',
+        TopicUpdate((Record("e", None),), 3, 4),
     )
 
     def test_forms_are_read_as_they_were_written(self):
@@ -449,10 +457,16 @@
             (4, True),
             (5, "x"),
             (6, 3),
-            (7, [1]),
-            (7, [3, 4, [["e", 7]]]),
-            (7, [3, 4, [["e", None]] * 5_000]),
-            (8, {}),
+            (6, []),
+            (6, ["north"]),
+            (6, [3, 4]),
+            (6, [3, "x" * 129]),
+            (6, [3, *["north"] * 256]),
+            (7, 3),
+            (8, [1]),
+            (8, [3, 4, [["e", 7]]]),
+            (8, [3, 4, [["e", None]] * 5_000]),
+            (9, {}),
         ],
     )
     def test_what_no_entry_writes_is_an_error(self, place, value):
--- a/testing/test_sharing.py
+++ b/testing/test_sharing.py
@@ -201,7 +201,7 @@
     def test_full_endpoints_are_told_and_emptier_ones_are_not(self):
         share = self.share("a")
         for number, running in enumerate((2, 2, 9)):
-            row = self.state.registry.put(endpoint(f"e{number}"))
+            row = self.state.registry.put(endpoint(f"e{number}"), 0.0)
             row.report = LoadReport(running, 1, 0, boot_time_s())
 
         anyio.run(share.step)
