Random histories of endpoints that leave, evacuations and hosts that the store takes back late

22 entries in virtual time; the oracle goes by each entry's own last confirmation. Four removed safeguards are found.

--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -23,7 +23,7 @@
 from beryljunction.routing import PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
 
-__all__ = ["FleetWorld", "StoreFault"]
+__all__ = ["FleetWorld", "History", "RecordHistory", "StoreFault"]
 
 # A message to another entry takes this long one way; one without an answer is given up on.
 WAY_S = 0.002
@@ -262,3 +262,185 @@
 
     def all_know(self, check):
         return all(check(row.state) for row in self.members.values())
+
+
+class History:
+    """Acts on a fleet at random: what hosts, links, the store and the operator may do."""
+
+    FAULTS = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.LATE)
+
+    def __init__(self, world, seed):
+        self.world = world
+        self.draw = random.Random(seed)
+
+    def play(self, steps=16):
+        for _ in range(steps):
+            some = self.draw.sample(sorted(self.world.members), self.draw.choice((1, 2, 6, 12)))
+            self.draw.choice(
+                (self.fault, self.cut, self.hold, self.restart, self.readers, self.storm, self.heal)
+            )(some)
+            self.world.configure()
+            self.world.advance(self.draw.choice((0.05, 0.3, 1.0, 2.5)))
+
+    def fault(self, some):
+        self.world.fault(self.draw.choice(self.FAULTS), some)
+
+    def cut(self, some):
+        for name in some:
+            self.world.members[name].is_cut = True
+
+    def hold(self, some):
+        for name in some:
+            member = self.world.members[name]
+            member.held_until_s = self.world.loop.now_s + self.draw.choice((1.0, 4.0))
+            member.store.fault = StoreFault.SILENT
+
+    def restart(self, some):
+        for name in some:
+            address = self.world.members[name].address
+            self.world.kill(name)
+            self.world.start(name, address)
+
+    def readers(self, some):
+        self.world.fault(self.draw.choice(self.FAULTS), self.world.readers())
+
+    def storm(self, some):
+        for _ in range(6):
+            self.world.configure()
+            self.world.advance(0.2)
+
+    def heal(self, some):
+        for row in self.world.members.values():
+            row.is_cut, row.held_until_s, row.store.fault = False, 0.0, StoreFault.NONE
+
+
+class RecordHistory(History):
+    """The same while endpoints come and go and an operator empties availability zones.
+
+    Attributes:
+        found: What an entry held that its own last confirmation rules out.
+    """
+
+    # The age of the settings above which an entry may have missed what expired in an outage; with
+    # the two seconds in which an expired record comes back, and the way to all levels.
+    MISSED_S = 1.9
+    KEPT_S = 2.8
+    # A waiting read that the store leaves without an answer is given up on after so long.
+    HANGS_S = 5.0
+    ZONES = ("a", "b", "c")
+
+    def __init__(self, world, seed):
+        super().__init__(world, seed)
+        self.departed_s = {}
+        self.zone_s = {}
+        self.missed_s = {}
+        self.hung_s = 0.0
+        self.number = 0
+        self.found = []
+
+    def play(self, steps=16):
+        actions = (
+            self.fault,
+            self.one_by_one,
+            self.one_by_one,
+            self.hold_while_zones_change,
+            self.outage,
+            self.cut,
+            self.restart,
+            self.leave,
+            self.operator,
+            self.operator,
+            self.expire,
+            self.heal,
+        )
+        for _ in range(steps):
+            names = sorted(self.world.members)
+            some = self.draw.sample(names, min(len(names), self.draw.choice((1, 2, 6, 12))))
+            self.draw.choice(actions)(some)
+            self.advance(self.draw.choice((0.3, 1.0, 2.5)))
+
+    def advance(self, duration_s):
+        """Let time pass while endpoints write their records again and again."""
+        for _ in range(max(1, round(duration_s / 0.25))):
+            for name in ("e1", "e2", "e3"):
+                self.world.endpoint(name)
+            self.world.advance(0.25)
+            self.look()
+
+    def one_by_one(self, some):
+        """An endpoint leaves in an outage, after which the store takes some hosts back late."""
+        self.heal(())
+        name = self.join()
+        self.world.fault(StoreFault.BUSY)
+        self.advance(2.5)
+        self.depart(name)
+        late = [name for name in some if name in self.world.readers()] or some
+        self.world.fault(StoreFault.NONE, [name for name in self.world.members if name not in late])
+        for name in late:
+            self.advance(1.5)
+            self.world.fault(StoreFault.NONE, [name])
+
+    def hold_while_zones_change(self, some):
+        """Messages wait in the sockets of some hosts, which ask their peers meanwhile."""
+        self.hold(some)
+        for _ in range(4):
+            self.operator(some)
+            self.advance(0.75)
+
+    def outage(self, some):
+        self.world.fault(self.draw.choice(self.FAULTS))
+        self.advance(self.draw.choice((1.0, 3.0)))
+        self.world.fault(StoreFault.NONE)
+
+    def leave(self, some):
+        """An endpoint comes, is known to all that can know of it, and leaves."""
+        self.depart(self.join())
+
+    def join(self):
+        self.number += 1
+        name = f"x{self.number}"
+        self.world.endpoint(name)
+        self.advance(1.5)
+        return name
+
+    def depart(self, name):
+        self.world.put("keyed.servers", name, None)
+        self.departed_s[name] = self.world.loop.world_s
+
+    def operator(self, some):
+        """An operator empties a zone or takes it back, and may race himself."""
+        for _ in range(self.draw.choice((1, 1, 2, 5))):
+            zone = self.draw.choice(self.ZONES)
+            is_evacuated = not self.zone_s.get(zone, (False, 0.0))[0]
+            self.world.put("keyed.op", f"evacuate/{zone}", b"{}" if is_evacuated else None)
+            self.zone_s[zone] = is_evacuated, self.world.loop.world_s
+            self.world.advance(0.01, step_s=0.01)
+
+    def expire(self, some):
+        for topic in ("keyed.op", "keyed.servers"):
+            self.world.model.compact(topic)
+
+    def look(self):
+        now_s = self.world.loop.world_s
+        if any(row.store.fault in self.FAULTS[1:] for row in self.world.members.values()):
+            self.hung_s = now_s + self.HANGS_S
+        for row in self.world.members.values():
+            state = row.state
+            if state.config is None:
+                continue
+            if state.lease.age_s(now_s) > self.MISSED_S:
+                self.missed_s[row.name] = now_s
+            self.look_at_zones(row.name, state)
+            self.look_at_endpoints(row.name, state, now_s)
+
+    def look_at_zones(self, name, state):
+        for zone, (is_evacuated, at_s) in self.zone_s.items():
+            if state.lease.confirmed_s > at_s and (zone in state.evacuations.zones) != is_evacuated:
+                self.found.append((name, zone, is_evacuated))
+
+    def look_at_endpoints(self, name, state, now_s):
+        usable = {row.record.endpoint_id for row in state.registry.usable("s", now_s)}
+        for endpoint, departed_s in self.departed_s.items():
+            since_s = max(departed_s, self.hung_s, self.missed_s.get(name, 0.0))
+            if endpoint in usable and now_s - since_s > self.KEPT_S:
+                self.found.append((name, endpoint, now_s - departed_s))
--- /dev/null
+++ b/testing/test_histories.py
@@ -0,0 +1,91 @@
+"""Random histories of endpoints, evacuations and a store that rejects some hosts."""
+
+import pytest
+
+from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.platform import Record
+from beryljunction.routing import EndpointRegistry, Evacuations, StoreContact
+from fanout_world import FleetWorld, RecordHistory
+
+SEEDS = range(1, 9)
+ORIGINAL = EndpointRegistry.expire
+
+
+def play(seed, entries=22):
+    with FleetWorld(entries, seed=seed) as world:
+        world.advance(4.0)
+        history = RecordHistory(world, seed)
+        history.play()
+        history.heal(())
+        history.advance(6.0)
+        return history.found
+
+
+class TestRecords:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_what_is_confirmed_is_complete(self, seed):
+        assert play(seed) == []
+
+    @pytest.mark.parametrize("entries", [1, 5, 68])
+    def test_size_of_the_fleet_changes_nothing(self, entries):
+        assert play(3, entries) == []
+
+
+class TestOracle:
+    """Each safeguard that is taken out is found."""
+
+    def finds(self):
+        return any(play(seed) for seed in SEEDS)
+
+    def test_deadline_that_the_return_of_each_host_moves(self, monkeypatch):
+        def note_answer(self, asked_s, now_s):
+            if self._has_failed:
+                self.regained_s = now_s
+            self._has_failed = False
+
+        def note_update(self, asked_s, regained_s, now_s):
+            self.regained_s = max(self.regained_s, regained_s or 0.0)
+
+        def expire(self, now_s):
+            for row in self._rows.values():
+                if row.lapses_s is not None:
+                    row.lapses_s = self._contact.regained_s + 2.0
+            ORIGINAL(self, now_s)
+
+        monkeypatch.setattr(StoreContact, "note_answer", note_answer)
+        monkeypatch.setattr(StoreContact, "note_update", note_update)
+        monkeypatch.setattr(EndpointRegistry, "expire", expire)
+
+        assert self.finds()
+
+    def test_expired_records_in_full_lists(self, monkeypatch):
+        monkeypatch.setattr(
+            FollowEndpoints,
+            "records",
+            lambda self: tuple(
+                Record(key, value)
+                for key, value in self._values.items()
+                if self._state.registry.find(key) is not None
+            ),
+        )
+
+        assert self.finds()
+
+    def test_older_word_on_zones(self, monkeypatch):
+        replace = Evacuations.replace
+        monkeypatch.setattr(
+            Evacuations,
+            "replace",
+            lambda self, zones, position, now_s: replace(
+                self, zones, max(position, self.position), now_s
+            ),
+        )
+
+        assert self.finds()
+
+    def test_zones_that_no_update_carries(self, monkeypatch):
+        monkeypatch.setattr(
+            "beryljunction.gateway.state.EntryState.replace_evacuations", lambda *_: None
+        )
+
+        assert self.finds()
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -1,5 +1,4 @@
 import json
-import random
 
 import anyio
 import attrs
@@ -9,7 +8,7 @@
 from beryljunction.gateway.passing import HttpUpdateLink
 from beryljunction.gateway.updates import Reply, TopicUpdate, Update, ZoneUpdate
 from beryljunction.platform import Record
-from fanout_world import FleetWorld, StoreFault
+from fanout_world import FleetWorld, History, StoreFault
 from platform_world import open_world, route
 
 # Ready is given up at this age, and callers are sent elsewhere.
@@ -303,56 +302,6 @@
             assert world.broken == []
 
 
-class History:
-    """Acts on a fleet at random: what hosts, links, the store and the operator may do."""
-
-    FAULTS = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.LATE)
-
-    def __init__(self, world, seed):
-        self.world = world
-        self.draw = random.Random(seed)
-
-    def play(self, steps=16):
-        for _ in range(steps):
-            some = self.draw.sample(sorted(self.world.members), self.draw.choice((1, 2, 6, 12)))
-            self.draw.choice(
-                (self.fault, self.cut, self.hold, self.restart, self.readers, self.storm, self.heal)
-            )(some)
-            self.world.configure()
-            self.world.advance(self.draw.choice((0.05, 0.3, 1.0, 2.5)))
-
-    def fault(self, some):
-        self.world.fault(self.draw.choice(self.FAULTS), some)
-
-    def cut(self, some):
-        for name in some:
-            self.world.members[name].is_cut = True
-
-    def hold(self, some):
-        for name in some:
-            member = self.world.members[name]
-            member.held_until_s = self.world.loop.now_s + self.draw.choice((1.0, 4.0))
-            member.store.fault = StoreFault.SILENT
-
-    def restart(self, some):
-        for name in some:
-            address = self.world.members[name].address
-            self.world.kill(name)
-            self.world.start(name, address)
-
-    def readers(self, some):
-        self.world.fault(self.draw.choice(self.FAULTS), self.world.readers())
-
-    def storm(self, some):
-        for _ in range(6):
-            self.world.configure()
-            self.world.advance(0.2)
-
-    def heal(self, some):
-        for row in self.world.members.values():
-            row.is_cut, row.held_until_s, row.store.fault = False, 0.0, StoreFault.NONE
-
-
 class TestHistories:
     """Entries are paused, cut off, started again and turned away by the store, in any order.
 
