Records go to an entry once and in small messages; an absent store is asked by few

Cause: each record of an endpoint came from both sources of an entry, and where more than 256 had come since the last message the newest of all went out, 0.9 MB before 3,003 endpoints, to each of eight entries (864 KB/s at the busiest of 300). Now the second source sends what the answer to a message without records shows to be missing, and lists above 16 KB are read from the store by each. What an entry is told confirms its list of endpoints only up to the position that it has. In an outage each entry asked for two or three topics four times a second; now one read of a reader finds out, the others rest until it is answered, two seconds at most.

--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -7,7 +7,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.state import EntryState
-from beryljunction.gateway.topics import FAILED_PAUSE_S, TopicReader, paced
+from beryljunction.gateway.topics import FAILED_PAUSE_S, TopicReader, paced, rest_until_back
 from beryljunction.gateway.turns import ALWAYS, ReadingTurn
 from beryljunction.platform import (
     FLEET_CONFIG,
@@ -78,13 +78,16 @@
     async def _confirm_in_turn(self) -> None:
         while True:
             await self._turn.wait(self._need_age_s)
-            is_reader = self._turn.waits_for_news
-            await paced(self.confirm, _CONFIG_CONFIRM_S if is_reader else _TOLD_DISTANCE_S)
+            if self._turn.waits_for_news:
+                await paced(self.confirm, _CONFIG_CONFIRM_S)
+            elif not await paced(self.confirm, _TOLD_DISTANCE_S):
+                await rest_until_back(self._state.contact)
 
     async def _wait_as_reader(self) -> None:
         while True:
             await self._turn.wait_for_reader()
-            await paced(self.wait, 0.0, _CONFIG_WAIT_FAILED_PAUSE_S)
+            if not await paced(self.wait, 0.0, _CONFIG_WAIT_FAILED_PAUSE_S):
+                await rest_until_back(self._state.contact)
 
     def _need_age_s(self, now_s: float) -> float:
         """Return the age of the settings; infinite where newer ones are known to exist."""
--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -7,7 +7,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.state import EntryState
-from beryljunction.gateway.topics import TopicReader, paced
+from beryljunction.gateway.topics import TopicReader, paced, rest_until_back
 from beryljunction.gateway.turns import ALWAYS, ReadingTurn
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import ENDPOINT_RECORDS, Record, Store, Unusable, decode_endpoint
@@ -34,6 +34,7 @@
         self._state = state
         self._turn = turn
         self._asked_s = -math.inf
+        self._behind_to = -1
         self._values: dict[str, bytes] = {}
         self.is_known = anyio.Event()
 
@@ -70,15 +71,29 @@
         """Note that the records were complete when the store was asked."""
         self._asked_s = max(self._asked_s, asked_s)
 
+    def confirm_to(self, end: int, asked_s: float) -> None:
+        """Note that the records end at a position, as of when the store was asked."""
+        if self._position >= end:
+            self.confirm(asked_s)
+
+    def note_behind(self, end: int) -> None:
+        """Note that there are records up to a position, which have to be read."""
+        self._behind_to = max(self._behind_to, end)
+
+    @property
+    def _position(self) -> int:
+        return -1 if self.offset is None else self.offset
+
     def _age_s(self, now_s: float) -> float:
-        return now_s - self._asked_s
+        return math.inf if self._position < self._behind_to else now_s - self._asked_s
 
     async def run(self) -> None:
         """Follow until cancelled."""
         distance_s = self._state.bounds.drain_ms / 1000 * _ENDPOINTS_DISTANCE_RATIO
         while True:
             await self._turn.wait(self._age_s)
-            await paced(self.step, distance_s)
+            if not await paced(self.step, distance_s, 0.0):
+                await rest_until_back(self._state.contact)
 
     async def step(self) -> bool:
         """Read once."""
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -27,6 +27,11 @@
 # Larger settings are read from the store by each entry: passed on by one host to eight others,
 # 60 KB take a second of a link of 5 Mbit/s, which callers share.
 _MOST_CONFIG_BYTES = 4_096
+# More records of endpoints are read from the store by each entry, for the same reason: the newest
+# of 3,000 endpoints are 0.9 MB.
+_MOST_RECORDS_BYTES = 16_384
+# The other source of an entry sends it the records after this time, unless it has them by then.
+_SECOND_SOURCE_S = 0.1
 # An entry answers in a few ms, also from another zone; one that is dark never does.
 _ANSWER_S = 0.3
 # One that did not answer is left out for this long: its other source goes on.
@@ -99,11 +104,13 @@
         reply: Its last word; None before the first.
         heard_s: When that was taken in.
         told: What it was told of; what it could not use is told again with the next confirmation.
+        lacks_records: Whether its last word shows that nobody has sent it the newest records.
     """
 
     reply: Reply | None = None
     heard_s: float = 0.0
     told: _Known = _Known()
+    lacks_records: bool = False
     left_out_until_s: float = -math.inf
     is_busy: bool = False
 
@@ -146,16 +153,23 @@
     async def _tell(self, host: str, address: Address, below: _Below) -> None:
         """Tell one entry until it lacks nothing."""
         while below.told.lacks(self._known()):
-            if not await self._tell_once(address, below):
+            if not await self._tell_once(host, address, below):
                 below.left_out_until_s = boot_time_s() + _LEFT_OUT_S
                 below.reply, below.told = None, _Known()
                 self._state.events.write("update_unanswered", peer=host)
                 break
+            if below.lacks_records:
+                await anyio.sleep(_SECOND_SOURCE_S)
         below.is_busy = False
 
-    async def _tell_once(self, address: Address, below: _Below) -> bool:
-        """Tell one entry; False when it did not answer."""
-        known, update = self._known(), self._update(below)
+    async def _tell_once(self, host: str, address: Address, below: _Below) -> bool:
+        """Tell one entry; False when it did not answer.
+
+        Records go out with the first message of its first source. The other one, which knows the
+        same, sends what the answer to a message without records shows to be missing.
+        """
+        has_records = below.lacks_records or self._state.fan_out.is_first_source_of(host)
+        known, update = self._known(), self._update(below, has_records)
         answer = await self._link.update(address, update.encode())
         if answer is None:
             return False
@@ -166,7 +180,13 @@
             return False
         below.heard_s = boot_time_s()
         # Only what was told to this start of the entry counts; the first message only asks.
-        below.told = known if below.reply.life == update.life else _Known()
+        is_same_start = below.reply.life == update.life
+        below.told = known if is_same_start else _Known()
+        is_behind = below.reply.endpoints < known.endpoints or below.reply.entries < known.entries
+        below.lacks_records = is_same_start and is_behind and not has_records
+        if below.lacks_records:
+            positions = {"endpoints": below.reply.endpoints, "entries": below.reply.entries}
+            below.told = attrs.evolve(known, **positions)
         return True
 
     def _known(self) -> _Known:
@@ -177,8 +197,8 @@
         zones = state.evacuations.position
         return _Known(state.config.version, zones, *offsets, state.lease.confirmed_s)
 
-    def _update(self, below: _Below) -> Update:
-        """Return what one entry lacks, by its last word."""
+    def _update(self, below: _Below, has_records: bool) -> Update:
+        """Return what one entry lacks, by its last word; records only where they are to be sent."""
         state, reply = self._state, below.reply
         host = state.host.host
         assert state.config is not None
@@ -188,6 +208,8 @@
         is_sent = reply.version < version and len(state.config_record) <= _MOST_CONFIG_BYTES
         regained_s = state.contact.regained_s
         is_told = boot_time_s() - regained_s < _REGAINED_TOLD_S
+        endpoints = self._endpoints.update_since(reply.endpoints) if has_records else None
+        is_cut_short = endpoints is not None and endpoints.size_bytes > _MOST_RECORDS_BYTES
         return Update(
             host,
             reply.life,
@@ -196,9 +218,11 @@
             regained_s - below.heard_s if is_told else None,
             version,
             zones_here(state),
+            -1 if self._endpoints.offset is None else self._endpoints.offset,
+            is_cut_short,
             state.config_record if is_sent else None,
-            self._endpoints.update_since(reply.endpoints),
-            self._entries.update_since(reply.entries),
+            None if is_cut_short else endpoints,
+            self._entries.update_since(reply.entries) if has_records else None,
         )
 
 
@@ -255,7 +279,9 @@
         if update.endpoints is not None:
             self._endpoints.take_update(update.endpoints)
         self._entries.heard()
-        self._endpoints.confirm(asked_s)
+        self._endpoints.confirm_to(update.endpoints_end, asked_s)
+        if update.is_cut_short:
+            self._endpoints.note_behind(update.endpoints_end)
         self._config.take_update(update.host, update.version, update.config, asked_s)
         self._state.news.set()
 
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -9,11 +9,14 @@
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import Expired, Newest, Record, Records, Store, Topic, Unavailable
+from beryljunction.routing import StoreContact
 
-__all__ = ["FAILED_PAUSE_S", "Take", "TopicReader", "paced"]
+__all__ = ["FAILED_PAUSE_S", "Take", "TopicReader", "paced", "rest_until_back"]
 
 # Pause after a read that failed: short against the seconds after which settings are too old.
 FAILED_PAUSE_S = 0.25
+# Longest rest of a reader that leaves it to another one to find out when the store is back.
+_LONGEST_REST_S = 2.0
 # Records kept for entries that go on by this one; one that lacks more gets the newest of each key.
 _MOST_RECENT = 256
 
@@ -131,13 +134,24 @@
         self._is_lost = False
 
 
+async def rest_until_back(contact: StoreContact) -> None:
+    """Rest after a failed read until another one was answered, or for a while.
+
+    One read after the other finds out when the store is back; each refused call is paid for.
+    """
+    failed_s = boot_time_s()
+    while contact.confirmed_s < failed_s and boot_time_s() - failed_s < _LONGEST_REST_S:
+        await anyio.sleep(FAILED_PAUSE_S)
+
+
 async def paced(
     step: Callable[[], Awaitable[bool]],
     distance_s: float,
     failed_pause_s: float = FAILED_PAUSE_S,
-) -> None:
-    """Step once, and rest so that steps are at least this distance apart."""
+) -> bool:
+    """Step once, and rest so that steps are at least this distance apart; False if it failed."""
     started_s = boot_time_s()
     done = await step()
     rest_s = started_s + distance_s - boot_time_s() if done else failed_pause_s
     await anyio.sleep(max(0.0, rest_s))
+    return done
--- a/src/beryljunction/gateway/updates.py
+++ b/src/beryljunction/gateway/updates.py
@@ -67,6 +67,11 @@
     first: int | None
     end: int
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the records."""
+        return sum(len(row.key) + len(row.value or b"") for row in self.records)
+
 
 @attrs.frozen
 class ZoneUpdate:
@@ -111,6 +116,10 @@
         regained_s: When the store came back; None where it was not away.
         version: Version of the settings.
         evacuations: Availability zones under evacuation.
+        endpoints_end: Position up to which the entry that tells has the endpoints' records; -1 for
+            none.
+        is_cut_short: Whether records of endpoints are missing here because they are too many: the
+            entry that is told reads them from the store.
         config: The settings as the operator wrote them; None where they are not sent along.
         endpoints: Records of endpoints that the other lacks; None for none.
         entries: Addresses of entries that the other lacks; None for none.
@@ -123,6 +132,8 @@
     regained_s: float | None
     version: int
     evacuations: ZoneUpdate = ZoneUpdate(-1, ())
+    endpoints_end: int = -1
+    is_cut_short: bool = False
     config: bytes | None = None
     endpoints: TopicUpdate | None = None
     entries: TopicUpdate | None = None
@@ -132,8 +143,8 @@
         times = [self.clock_s, self.confirmed_s, self.regained_s]
         config = None if self.config is None else self.config.decode("latin-1")
         topics = [_encode_topic(self.endpoints), _encode_topic(self.entries)]
-        zones = self.evacuations.encode()
-        values = [self.host, self.life, *times, self.version, zones, config, *topics]
+        known = [self.version, self.evacuations.encode(), self.endpoints_end, self.is_cut_short]
+        values = [self.host, self.life, *times, *known, config, *topics]
         return json.dumps(values, separators=(",", ":")).encode()
 
     @classmethod
@@ -144,8 +155,8 @@
             ValueError: It is no message of this kind.
         """
         try:
-            host, life, *times, version, zones, config, endpoints, entries = json.loads(data)
-            clock_s, confirmed_s, regained_s = times
+            host, life, *rest, config, endpoints, entries = json.loads(data)
+            clock_s, confirmed_s, regained_s, version, zones, end, is_cut_short = rest
             return cls(
                 host=_name(host),
                 life=_name(life),
@@ -154,6 +165,8 @@
                 regained_s=None if regained_s is None else _span(regained_s),
                 version=int(version),
                 evacuations=ZoneUpdate.decode(zones),
+                endpoints_end=int(end),
+                is_cut_short=bool(is_cut_short),
                 config=None if config is None else config.encode("latin-1"),
                 endpoints=_decode_topic(endpoints),
                 entries=_decode_topic(entries),
--- a/src/beryljunction/routing/fanout.py
+++ b/src/beryljunction/routing/fanout.py
@@ -106,6 +106,14 @@
             rows = rows + self._order[first : first + _WIDTH]
         return {host: self._addresses[host] for host in rows if host != self.host}
 
+    def is_first_source_of(self, host: str) -> bool:
+        """Return whether this entry is the first of the two that tell another one.
+
+        The store's readers have it from the store; they are told by others in case that fails.
+        """
+        first = _READERS + self._position * _WIDTH
+        return host in self._order[first : first + _WIDTH]
+
     def ask_after_s(self, revocation_s: float, draw: float) -> float:
         """Return the age of what it knows from which this entry asks the store for itself.
 
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -302,6 +302,71 @@
             assert world.broken == []
 
 
+class TestRecordsOfEndpoints:
+    def test_newest_of_thousands_are_read_from_the_store_by_each(self):
+        """Guards against the full list being passed on: 0.9 MB to each of eight entries, twice."""
+        with FleetWorld(68) as world:
+            world.advance(STARTED_S)
+            for row in world.members.values():
+                row.sent_bytes = 0
+            for number in range(2_000):
+                world.endpoint(f"many{number}")
+            world.advance(2.0)
+
+            assert world.all_know(lambda state: len(state.registry) == 2_004)
+            assert max(row.sent_bytes for row in world.members.values()) < 60_000
+
+    def test_records_come_from_one_source(self):
+        with FleetWorld(68) as world:
+            world.advance(STARTED_S)
+            for row in world.members.values():
+                row.sent_bytes = 0
+            for number in range(40):
+                world.endpoint(f"some{number}")
+            world.advance(0.5)
+            records = world.members["front-0"].endpoints.records()
+            size = sum(len(row.value) for row in records)
+            sent = sum(row.sent_bytes for row in world.members.values())
+
+            assert world.all_know(lambda state: len(state.registry) == 44)
+            assert sent < 68 * 2.2 * size
+
+    def test_second_source_sends_what_the_first_did_not(self):
+        with FleetWorld(68) as world:
+            world.advance(STARTED_S)
+            told = next(row for row in world.members.values() if row.state.fan_out.depth == 2)
+            first, _ = told.state.fan_out.upstream()
+            world.kill(first)
+            world.endpoint("e9")
+            world.advance(0.4)
+
+            assert told.state.registry.find("e9") is not None
+
+
+class TestOutage:
+    @pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.SILENT])
+    def test_store_that_is_away_is_asked_by_few(self, fault):
+        """Guards against every entry asking for each topic four times a second in an outage."""
+        with FleetWorld(24) as world:
+            world.advance(STARTED_S)
+            world.fault(fault)
+
+            assert world.calls_in(8.0) < 8.0 * 24 * 1.5
+
+    @pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.SILENT])
+    def test_its_return_is_noticed_at_once(self, fault):
+        with FleetWorld(24) as world:
+            world.advance(STARTED_S)
+            world.fault(fault)
+            world.advance(6.0)
+            world.fault(StoreFault.NONE)
+            world.configure()
+            world.advance(1.5)
+
+            version = world.version
+            assert world.all_know(lambda state: state.config.version == version)
+
+
 class TestHistories:
     """Entries are paused, cut off, started again and turned away by the store, in any order.
 
@@ -385,6 +450,8 @@
         None,
         7,
         ZoneUpdate(12, ("north",)),
+        14,
+        True,
         b'{"x": "\xff"}',
         TopicUpdate((Record("e", None),), 3, 4),
     )
@@ -411,11 +478,12 @@
             (6, [3, 4]),
             (6, [3, "x" * 129]),
             (6, [3, *["north"] * 256]),
-            (7, 3),
-            (8, [1]),
-            (8, [3, 4, [["e", 7]]]),
-            (8, [3, 4, [["e", None]] * 5_000]),
-            (9, {}),
+            (7, "x"),
+            (9, 3),
+            (10, [1]),
+            (10, [3, 4, [["e", 7]]]),
+            (10, [3, 4, [["e", None]] * 5_000]),
+            (11, {}),
         ],
     )
     def test_what_no_entry_writes_is_an_error(self, place, value):
