Operators see evacuated zones and cold endpoints; explain tells a lost host from a caller who left

beryl status and metrics show both; refusals say zones_evacuated or endpoints_cold. A request whose host's log ends, or starts anew, before the request's end was said to have ended because its caller left; the test failed first.

--- a/src/beryljunction/cli/status.py
+++ b/src/beryljunction/cli/status.py
@@ -23,6 +23,8 @@
     "running",
     "waiting",
     "reads from",
+    "evacuated",
+    "cold",
 )
 
 
@@ -74,4 +76,6 @@
         str(node.running if node.role == "sidecar" else node.in_flight),
         str(node.waiting),
         node.reads_from or "-",
+        node.evacuated or "-",
+        str(node.cold_endpoints),
     )
--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -28,6 +28,8 @@
         "settings_by_peer",
         "settings_by_peer_ended",
         "history_expired",
+        "zone_evacuated",
+        "zone_returned",
     )
 )
 _ENDPOINT_EVENTS = frozenset(("endpoint_draining", "endpoint_gone", "endpoint_joined"))
@@ -88,7 +90,8 @@
     world = _world(ordered, own)
     steps = sorted([*world, *own], key=lambda line: line.at)
     sentences = tuple(_sentence(line, own[0].at) for line in steps)
-    return Story(sentences, _cause(own, world))
+    later = [line for line in ordered if line.host == own[-1].host and line.at > own[-1].at]
+    return Story(sentences, _cause(own, world, later))
 
 
 def _world(ordered: list[LogLine], own: list[LogLine]) -> list[LogLine]:
@@ -160,13 +163,21 @@
     "endpoint_gone": lambda line: f"endpoint {line.get('endpoint')} is gone from the store",
     "endpoint_draining": lambda line: f"endpoint {line.get('endpoint')} is leaving",
     "endpoint_joined": lambda line: f"endpoint {line.get('endpoint')} has joined",
+    "zone_evacuated": lambda line: f"sends nothing new to zone {line.get('zone')}, by the operator",
+    "zone_returned": lambda line: f"sends to zone {line.get('zone')} again",
     "stopping": lambda line: f"began to stop with {line.get('in_flight')} requests in flight",
     "cut": lambda line: f"ended with {line.get('in_flight')} requests in flight",
 }
 
 
-def _cause(own: list[LogLine], world: list[LogLine]) -> str:
-    """Return why the request ended as it did, from its last decision and what was known."""
+def _cause(own: list[LogLine], world: list[LogLine], later: list[LogLine]) -> str:
+    """Return why the request ended as it did, from its last decision and what was known.
+
+    Args:
+        own: Lines that name the request.
+        world: What its hosts knew.
+        later: What its last host wrote after it.
+    """
     by_event = {line.event: line for line in own}
     for event in ("refused", "failed", "broken_off"):
         if event in by_event:
@@ -177,7 +188,24 @@
         return f"endpoint {line.get('endpoint')} answered with {own_error}"
     if "answered" in by_event:
         return "none: the caller has its whole answer"
-    return "the caller left before its answer was whole"
+    if "not_answered" in by_event:
+        return "the caller left before its answer was whole"
+    return _unfinished(own[-1], later)
+
+
+def _unfinished(last: LogLine, later: list[LogLine]) -> str:
+    """Return what is known of a request whose end no line tells."""
+    if not later:
+        return (
+            f"the log of {last.host} ends at {last.at:%H:%M:%S} with the request in flight: its "
+            "process was killed, lost power or hangs; the endpoint may have run it"
+        )
+    if any(line.event == "started" for line in later):
+        return (
+            f"{last.host} started anew after {last.at:%H:%M:%S}, with the request in flight; the "
+            "endpoint may have run it"
+        )
+    return f"not known: {last.host} goes on, and no line tells the request's end"
 
 
 def _cause_of(end: LogLine, by_event: dict[str, LogLine], world: list[LogLine]) -> str:
@@ -235,6 +263,13 @@
     "no_route": lambda end, _: f"settings {end.get('settings_version')} have no route for it",
     "no_settings": lambda *_: "the host had read no settings yet; the request has not run",
     "no_endpoint": lambda *_: "no endpoint of the service was left to send it to",
+    "zones_evacuated": lambda *_: (
+        "all endpoints that are left are in zones that the operator empties; it has not run"
+    ),
+    "endpoints_cold": lambda *_: (
+        "the endpoints that are left have just started and get no more requests this second; "
+        "it has not run"
+    ),
     "failed": _lost_answer,
     "declined": _declined,
     "not_sent": lambda *_: "no endpoint could be connected to; the request has not run",
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -90,6 +90,16 @@
         )
         metrics.watch("beryl_entries", "Entries known.", lambda: len(state.fan_out))
         metrics.watch("beryl_endpoints", "Endpoints known.", lambda: len(state.registry))
+        metrics.watch(
+            "beryl_zones_evacuated",
+            "Availability zones that get no new requests.",
+            lambda: len(state.evacuations.since_s),
+        )
+        metrics.watch(
+            "beryl_endpoints_cold",
+            "Endpoints that are, or may be, warming up.",
+            state.cold_endpoints,
+        )
         metrics.watch("beryl_requests_in_flight", "Requests here.", lambda: front.in_flight)
         metrics.watch("beryl_ready", "Whether callers are welcome.", self._is_ready)
         metrics.watch("beryl_repeats_left", "Second sends left.", state.repeats_left)
@@ -115,8 +125,15 @@
             endpoints=len(state.registry),
             in_flight=front.in_flight,
             reads_from=self._reads_from(),
+            evacuated=self._evacuated(),
+            cold_endpoints=state.cold_endpoints(),
         )
 
+    def _evacuated(self) -> str:
+        now_s = boot_time_s()
+        zones = sorted(self._state.evacuations.since_s.items())
+        return ", ".join(f"{zone} ({now_s - since_s:.0f} s)" for zone, since_s in zones)
+
     def _reads_from(self) -> str:
         fan_out = self._state.fan_out
         is_told = self._state.mechanisms.shared_reads and not fan_out.is_reader
--- a/src/beryljunction/operators.py
+++ b/src/beryljunction/operators.py
@@ -27,6 +27,9 @@
         waiting: Requests that wait for the endpoint.
         reads_from: Hosts that tell an entry what the store has told them; "store" where it reads
             for itself.
+        evacuated: Availability zones that get no new requests, with the time since this process
+            learned of it, as in "north (12 s)".
+        cold_endpoints: Endpoints that are, or may be, warming up.
         orders: What the sidecar does about the models of its engine, and why.
     """
 
@@ -46,6 +49,8 @@
     waiting: int = 0
     orders: str = ""
     reads_from: str = ""
+    evacuated: str = ""
+    cold_endpoints: int = 0
 
 
 def shows_key(authorization: bytes, digests: tuple[str, ...]) -> bool:
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -244,6 +244,10 @@
 
         await self.until(check)
 
+    async def evacuated(self):
+        """Return whether the entry has read of an evacuation."""
+        return bool(self.entry._state.evacuations.zones)
+
     async def connect(self):
         return await asyncio.open_connection(*self.host.callers)
 
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -70,6 +70,52 @@
         assert any("put settings 6 in force" in text for text in story.sentences)
         assert not any("key=" in line for line in lines)
 
+    def test_request_while_all_zones_are_evacuated(self):
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                world.put("keyed.op", "evacuate/a", b"{}")
+                await world.until(world.evacuated)
+                status = (await world.ask(request_id="none1"))[0]
+                return status, world.lines.lines
+
+        status, lines = anyio.run(run)
+        story = story_of("none1", lines)
+
+        assert status == 503
+        assert "zones that the operator empties; it has not run" in story.cause
+        assert any("sends nothing new to zone a" in text for text in story.sentences)
+
+
+class TestUnfinished:
+    """Guards against a host that lost power being told as a caller who left."""
+
+    SENT = "time=2026-01-01T00:00:01+00:00 event=sent host=h1 request_id=q1 endpoint=e1"
+
+    def cause(self, *lines):
+        return story_of("q1", [self.SENT, *lines]).cause
+
+    def test_host_that_stays_silent(self):
+        other = "time=2026-01-01T00:00:09+00:00 event=started host=h2"
+
+        assert "the log of h1 ends at 00:00:01" in self.cause(other)
+
+    def test_host_that_starts_anew(self):
+        again = "time=2026-01-01T00:00:03+00:00 event=started host=h1"
+
+        assert "h1 started anew" in self.cause(again)
+
+    def test_host_that_goes_on_without_a_line_of_its_end(self):
+        left_out = "time=2026-01-01T00:00:03+00:00 event=lines_left_out host=h1"
+
+        assert "not known" in self.cause(left_out)
+
+    def test_caller_who_left(self):
+        end = "time=2026-01-01T00:00:02+00:00 event=not_answered host=h1 request_id=q1 whole_ms=9"
+
+        assert self.cause(end) == "the caller left before its answer was whole"
+
 
 class TestParseLine:
     @pytest.mark.parametrize("text", ["", "Traceback (most recent call last):", "time=now event=x"])
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -4,6 +4,7 @@
 import anyio
 import pytest
 
+from beryljunction.platform import HostBounds
 from platform_world import event, open_world, read_answer, reset, route
 
 STREAM = {"kind": "streaming", "service": "plain", "target-gap-ms": 400}
@@ -428,3 +429,111 @@
 
         assert whole
         assert body == b"".join(event(position) for position in range(1, 6))
+
+
+class TestEvacuation:
+    async def evacuate(self, world, *zones):
+        for zone in zones:
+            world.put("keyed.op", f"evacuate/{zone}", b"{}")
+        await world.until(world.evacuated)
+
+    async def add(self, world, name, zone):
+        endpoint = await world.add_endpoint(name)
+        world.put("keyed.servers", name, endpoint.record(zone=zone))
+        return endpoint
+
+    def test_requests_go_to_other_zones(self):
+        async def run():
+            async with open_world(route()) as world:
+                one, two = await self.add(world, "e1", "a"), await self.add(world, "e2", "b")
+                await world.known(2)
+                await self.evacuate(world, "a")
+                answers = [(await world.ask(request_id=f"q{n}"))[0] for n in range(6)]
+                return answers, len(one.requests), len(two.requests)
+
+        assert anyio.run(run) == ([200] * 6, 0, 6)
+
+    def test_request_is_refused_at_once_where_no_zone_is_left(self):
+        async def run():
+            async with open_world(route()) as world:
+                one = await self.add(world, "e1", "a")
+                await world.known(1)
+                await self.evacuate(world, "a")
+                with anyio.fail_after(0.2):
+                    answer = await world.ask()
+                return answer, one.requests
+
+        (status, head, body, _), requests = anyio.run(run)
+
+        assert (status, body, requests) == (503, b"zones_evacuated\n", [])
+        assert "retry-after" in head
+
+    def test_request_that_runs_is_left_alone(self):
+        async def slow(answer, writer, number):
+            await asyncio.sleep(0.5)
+            writer.write(answer.whole())
+
+        async def run():
+            async with open_world(route()) as world:
+                one = await self.add(world, "e1", "a")
+                one.script = slow
+                await world.known(1)
+                async with anyio.create_task_group() as group:
+                    answers = []
+
+                    async def ask():
+                        answers.append((await world.ask())[0])
+
+                    group.start_soon(ask)
+                    await anyio.sleep(0.1)
+                    await self.evacuate(world, "a")
+                return answers
+
+        assert anyio.run(run) == [200]
+
+
+class TestColdEndpoints:
+    """An endpoint that has just started gets its share, and a warm one the rest."""
+
+    BOUNDS = HostBounds(cold_overshoot=1.0, cold_slack=0.0)
+    # Four requests a second, of which three are shared out among the entries.
+    SERVICES = ({"name": "plain", "cold-start-s": 3, "cold-per-s": 4},)
+
+    async def ask_many(self, world, count):
+        world.entry._state.cold.note_entries(["entry-1"])
+        await anyio.sleep(1.1)
+        return [(await world.ask(request_id=f"q{n}"))[0] for n in range(count)]
+
+    def test_the_rest_goes_to_a_warm_one(self):
+        async def run():
+            async with open_world(bounds=self.BOUNDS, start=False) as world:
+                world.configure(route(), services=list(self.SERVICES))
+                cold, warm = await world.add_endpoint("e1"), await world.add_endpoint("e2")
+                await world.start_entry()
+                await world.known(2)
+                world.put("keyed.servers", "e1", cold.record(**{"cold-remaining-ms": 60_000}))
+                answers = await self.ask_many(world, 16)
+                return answers, len(cold.requests), len(warm.requests)
+
+        answers, cold, warm = anyio.run(run)
+
+        assert answers == [200] * 16
+        assert 0 < cold <= 3
+        assert cold + warm == 16
+
+    def test_what_no_endpoint_bears_is_refused_as_not_run(self):
+        async def run():
+            async with open_world(bounds=self.BOUNDS, start=False) as world:
+                world.configure(route(), services=list(self.SERVICES))
+                cold = await world.add_endpoint("e1")
+                world.put("keyed.servers", "e1", cold.record(**{"cold-remaining-ms": 60_000}))
+                await world.start_entry()
+                await world.known(1)
+                answers = await self.ask_many(world, 5)
+                return answers, len(cold.requests), world.lines.of("refused")
+
+        answers, sent, refused = anyio.run(run)
+
+        assert answers == [200, 200, 200, 503, 503]
+        assert sent == 3
+        assert all("reason=endpoints_cold" in line for line in refused)
--- a/testing/test_gateway_operators.py
+++ b/testing/test_gateway_operators.py
@@ -50,6 +50,22 @@
         assert {row[5] for row in json.loads(events[1])["events"]} == {"mine"}
         assert wrong[1] == b""
 
+    def test_status_names_evacuated_zones(self):
+        async def run():
+            async with open_world(route(), operator_keys=DIGEST) as world:
+                world.put("keyed.op", "evacuate/north", b"{}")
+                await world.until(world.evacuated)
+                return (
+                    await self.asked(world, "/beryl/v1/status", KEY),
+                    await self.asked(world, "/metrics", KEY),
+                )
+
+        told, metrics = anyio.run(run)
+
+        assert json.loads(told[1])["evacuated"] == "north (0 s)"
+        assert b"beryl_zones_evacuated 1.0" in metrics[1]
+        assert b"beryl_endpoints_cold 0.0" in metrics[1]
+
     def test_without_keys_in_the_settings_nobody_may_ask(self):
         async def run():
             async with open_world(route(), operator_keys="") as world:
