--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -132,13 +132,11 @@
     ) -> KnownEndpoint | None:
         """Return the endpoint that is to get a request; sound ones go before doubtful ones."""
         now_s = boot_time_s()
-        usable = [
-            row
-            for row in self.registry.usable(service, now_s)
-            if row not in tried and self.cold.allows(row, self.known_service(service), now_s)
-        ]
-        sound = sound_rows(usable, now_s, self.mechanisms)
-        return self._placement(service).choose(sound, demand, now_s)
+        usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
+        allowed = self.cold.allowed(usable, self.known_service(service), now_s)
+        sound = sound_rows(allowed, now_s, self.mechanisms)
+        closed = self.registry.evacuated(service)
+        return self._placement(service).choose(sound, attrs.evolve(demand, closed=closed), now_s)
 
     def may_send(self, service: str, endpoint: KnownEndpoint) -> str:
         """Return why a request may not go to an endpoint at this moment; empty where it may."""
@@ -158,9 +156,9 @@
         now_s = boot_time_s()
         known = self.known_service(service)
         usable = self.registry.usable(service, now_s)
-        if not usable and any(row.is_evacuated for row in self.registry.of(service)):
+        if not usable and self.registry.evacuated(service):
             return "zones_evacuated"
-        is_limited = any(not self.cold.allows(row, known, now_s) for row in usable)
+        is_limited = len(self.cold.allowed(usable, known, now_s)) < len(usable)
         return "endpoints_cold" if is_limited else "no_endpoint"
 
     def cold_endpoints(self) -> int:
--- a/src/beryljunction/routing/cold.py
+++ b/src/beryljunction/routing/cold.py
@@ -94,6 +94,14 @@
         recent = sum(1 for sent_s in row.cold_sends_s if now_s - sent_s <= _WINDOW_S)
         return recent < self._share(row.record.endpoint_id, service)
 
+    def allowed(
+        self, rows: Sequence[KnownEndpoint], service: Service | None, now_s: float
+    ) -> Sequence[KnownEndpoint]:
+        """Return the endpoints to which this entry may send a request now."""
+        if service is None or service.cold_per_s <= 0.0:
+            return rows
+        return [row for row in rows if self.allows(row, service, now_s)]
+
     def note_send(self, row: KnownEndpoint, service: Service | None, now_s: float) -> None:
         """Count a request to an endpoint, which may be found to be cold a moment later."""
         if service is None or service.cold_per_s <= 0.0:
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -314,9 +314,12 @@
             if row.lapses_s is not None and row.lapses_s <= now_s:
                 del self._rows[endpoint_id]
 
-    def of(self, service: str) -> list[KnownEndpoint]:
-        """Return all endpoints of a service that are known."""
-        return [row for row in self._rows.values() if row.record.service == service]
+    def evacuated(self, service: str) -> list[KnownEndpoint]:
+        """Return the endpoints of a service whose availability zone gets no new requests."""
+        if not self._evacuated:
+            return []
+        rows = self._rows.values()
+        return [row for row in rows if row.is_evacuated and row.record.service == service]
 
     def usable(self, service: str, now_s: float) -> list[KnownEndpoint]:
         """Return the endpoints of a service that may get new requests."""
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -20,9 +20,15 @@
 
 @attrs.frozen
 class Demand:
-    """What placement knows of a request."""
+    """What placement knows of a request.
+
+    Attributes:
+        parts: Its prompt.
+        closed: Endpoints of its service that it may not go to; they count in the mean load.
+    """
 
     parts: PromptParts = PromptParts()
+    closed: Sequence[KnownEndpoint] = ()
 
 
 @attrs.frozen
--- a/src/beryljunction/routing/warm_placement.py
+++ b/src/beryljunction/routing/warm_placement.py
@@ -66,7 +66,8 @@
             return None
         loads = weighted_loads(rows, now_s, self._mechanisms)
         order = self._order(rows, demand.parts, loads, now_s)
-        open_rows = iter(self._under_bound(order, loads, now_s))
+        mean = _mean_load([*loads.values(), *(row.load(now_s) for row in demand.closed)])
+        open_rows = iter(self._under_bound(order, loads, mean, now_s))
         first, second = next(open_rows, None), next(open_rows, None)
         if first is None or not demand.parts.ids:
             return min(rows, key=lambda row: loads[row.start])
@@ -168,15 +169,20 @@
         self,
         order: Sequence[KnownEndpoint],
         loads: Mapping[tuple[str, int], float],
+        mean: float,
         now_s: float,
     ) -> Sequence[KnownEndpoint]:
         if not self._mechanisms.bound:
             return order
-        mean = sum(loads.values()) / len(order)
         has_margin = self._mechanisms.bound_margin
         return [row for row in order if loads[row.start] < _bound(row, mean, has_margin, now_s)]
 
 
+def _mean_load(loads: Sequence[float]) -> float:
+    """Return the mean over a service, which those that get no requests lower."""
+    return sum(loads) / len(loads)
+
+
 def _bound(row: KnownEndpoint, mean: float, has_margin: bool, now_s: float) -> float:
     """Return the load from which an endpoint is passed over.
 
--- a/testing/test_warm_placement.py
+++ b/testing/test_warm_placement.py
@@ -1,6 +1,8 @@
 import collections
 import random
 
+import attrs
+
 from beryljunction.routing import (
     Demand,
     LoadReport,
@@ -175,3 +177,20 @@
 
         assert rows[1] in sound_rows(rows, 10.9)
         assert rows[1] not in sound_rows(rows, 11.1)
+
+
+class TestClosedEndpoints:
+    def test_bound_takes_its_mean_over_evacuated_ones_too(self):
+        """Guards against a third of the endpoints being idle, and the home above twice the mean.
+
+        Ten requests at each open endpoint are a mean of 6.7 over all; 14 is over 1.6 x 6.7 + 3.
+        """
+        rows = [known(f"e{number}", in_flight=10) for number in range(10)]
+        closed = [known(f"z{number}") for number in range(5)]
+        home = WarmPlacement().choose(rows, demand("chat"), 0.0)
+        home.in_flight = 14
+
+        wanted = attrs.evolve(demand("chat"), closed=closed)
+
+        assert WarmPlacement().choose(rows, demand("chat"), 0.0) is home
+        assert WarmPlacement().choose(rows, wanted, 0.0) is not home
