--- a/src/beryljunction/fuzz/platform/entries.py
+++ b/src/beryljunction/fuzz/platform/entries.py
@@ -7,7 +7,7 @@
 from beryljunction.fuzz.platform.stores import FuzzStore
 from beryljunction.gateway.front import Front
 from beryljunction.gateway.known import Known, known_here
-from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.peers import PeerLink
 from beryljunction.gateway.state import EntryState
 from beryljunction.routing import Address
@@ -28,7 +28,7 @@
     task: asyncio.Task[None] | None = None
     front: Front | None = None
     fault_since_s: float | None = None
-    endpoints: FollowEndpoints | None = None
+    endpoints: EndpointWatcher | None = None
     is_alone: bool = False
 
 
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -13,10 +13,10 @@
 from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
 from beryljunction.gateway.callers import CallerConnection
 from beryljunction.gateway.events import Events
-from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.front import Front
-from beryljunction.gateway.membership import FollowEndpoints
-from beryljunction.gateway.peers import FollowPeers
+from beryljunction.gateway.membership import EndpointWatcher
+from beryljunction.gateway.peers import PeerConfirmation
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import HostBounds, HostSettings
 from beryljunction.routing import PeerTable
@@ -167,14 +167,14 @@
         async with anyio.create_task_group() as group:
             front = entry.front = Front(entry.state, group)
             self.loop.network.listeners[entry.address] = lambda: CallerConnection(front)
-            config = FollowConfig(entry.store, entry.state)
-            endpoints = entry.endpoints = FollowEndpoints(entry.store, entry.state)
+            config = ConfigWatcher(entry.store, entry.state)
+            endpoints = entry.endpoints = EndpointWatcher(entry.store, entry.state)
             group.start_soon(config.run)
             group.start_soon(endpoints.run)
             peers = PeerTable(entry.state.random)
             peers.replace({row.name: row.address for row in self.entries.values() if row != entry})
             link = FuzzPeerLink(entry, self.entries)
-            group.start_soon(FollowPeers(link, entry.state, config, endpoints, peers).run)
+            group.start_soon(PeerConfirmation(link, entry.state, config, endpoints, peers).run)
             await anyio.sleep_forever()
 
     def kill_entry(self, name: str) -> None:
--- a/src/beryljunction/gateway/announcing.py
+++ b/src/beryljunction/gateway/announcing.py
@@ -6,9 +6,9 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.schedules import ALWAYS_POLL, PollSchedule
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.topics import TopicReader, paced
-from beryljunction.gateway.turns import ALWAYS, ReadingTurn
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import (
     ENTRY_ADDRESSES,
@@ -46,9 +46,9 @@
         state: EntryState,
         peers: PeerTable,
         address: Address,
-        turn: ReadingTurn = ALWAYS,
+        schedule: PollSchedule = ALWAYS_POLL,
     ) -> None:
-        self._turn = turn
+        self._schedule = schedule
         self._store = store
         self._host = state.host.host
         self._topic = TopicReader(store, state, ENTRY_ADDRESSES)
@@ -67,7 +67,7 @@
         while not await self.step():
             await anyio.sleep(_FAILED_PAUSE_S)
         while True:
-            await self._turn.wait(self._need_age_s)
+            await self._schedule.wait(self._need_age_s)
             await paced(self.step, _DISTANCE_S, _FAILED_PAUSE_S)
 
     def doubt(self) -> None:
@@ -108,7 +108,7 @@
 
     async def step(self) -> bool:
         """Read once."""
-        wait_ms = _WAIT_MS if self._turn.is_first else 0
+        wait_ms = _WAIT_MS if self._schedule.is_first else 0
         is_read = await self._topic.step(wait_ms, self._take_all, self._take)
         if is_read:
             self._is_doubtful = False
--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -6,9 +6,9 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.schedules import ALWAYS_POLL, FAILED_PAUSE_S, PollSchedule
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.topics import TopicReader, paced, rest_until_back
-from beryljunction.gateway.turns import ALWAYS, FAILED_PAUSE_S, ReadingTurn
 from beryljunction.platform import (
     FLEET_CONFIG,
     FLEET_CONFIG_KEY,
@@ -20,7 +20,7 @@
 )
 from beryljunction.routing import needs_peers
 
-__all__ = ["FollowConfig"]
+__all__ = ["ConfigWatcher"]
 
 # A waiting read tells of new settings at once. It confirms nothing until it ends, so a second,
 # short read every so often confirms that there are none; the settings' age then stays under 1.6 s.
@@ -42,7 +42,7 @@
 _CONFIG_WAIT_FAILED_PAUSE_S = 1.0
 
 
-class FollowConfig:
+class ConfigWatcher:
     """Keeps the settings in force, and their lease, up to date.
 
     Attributes:
@@ -50,11 +50,13 @@
         told_by: Host of the entry that told it last what the newest settings are.
     """
 
-    def __init__(self, store: Store, state: EntryState, turn: ReadingTurn = ALWAYS) -> None:
+    def __init__(
+        self, store: Store, state: EntryState, schedule: PollSchedule = ALWAYS_POLL
+    ) -> None:
         self._store = store
         self._topic = TopicReader(store, state, FLEET_CONFIG)
         self._state = state
-        self._turn = turn
+        self._schedule = schedule
         self._told_version = -1
         self._has_failed = False
         self.told_by = ""
@@ -77,13 +79,13 @@
 
     async def _confirm_in_turn(self) -> None:
         while True:
-            await self._turn.wait(self._need_age_s)
-            distance_s = _CONFIG_CONFIRM_S if self._turn.is_first else _TOLD_DISTANCE_S
-            await paced(self.confirm, distance_s, self._turn.failed_pause_s)
+            await self._schedule.wait(self._need_age_s)
+            distance_s = _CONFIG_CONFIRM_S if self._schedule.is_first else _TOLD_DISTANCE_S
+            await paced(self.confirm, distance_s, self._schedule.failed_pause_s)
 
     async def _wait_as_reader(self) -> None:
         while True:
-            await self._turn.wait_for_reader()
+            await self._schedule.wait_for_reader()
             if not await paced(self.wait, 0.0, _CONFIG_WAIT_FAILED_PAUSE_S):
                 await rest_until_back(self._state.contact)
 
@@ -121,7 +123,7 @@
         A read that is only late says nothing: the host may be busy.
         """
         is_due = needs_peers(self.age_s(now_s), self._state.lease.revocation_s)
-        return self._has_failed and (is_due or self._turn.is_reader)
+        return self._has_failed and (is_due or self._schedule.is_reader)
 
     def take_update(self, host: str, version: int, value: bytes | None, asked_s: float) -> None:
         """Take in which settings were the newest when the store was asked, and what they are.
--- a/src/beryljunction/gateway/known.py
+++ b/src/beryljunction/gateway/known.py
@@ -6,7 +6,7 @@
 import attrs
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.updates import ZoneUpdate
 from beryljunction.platform import Record
@@ -88,7 +88,7 @@
 
 
 def known_here(
-    state: EntryState, endpoints: FollowEndpoints, version: int, offset: int
+    state: EntryState, endpoints: EndpointWatcher, version: int, offset: int
 ) -> Known | None:
     """Return what this entry knows beyond what the asking one has; None before the first read.
 
--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -6,13 +6,13 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.schedules import ALWAYS_POLL, PollSchedule
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.topics import TopicReader, paced, rest_until_back
-from beryljunction.gateway.turns import ALWAYS, ReadingTurn
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import ENDPOINT_RECORDS, Record, Store, Unusable, decode_endpoint
 
-__all__ = ["FollowEndpoints"]
+__all__ = ["EndpointWatcher"]
 
 # Endpoints write when something changes, some at every heartbeat. A waiting read tells of a change
 # at once; where records come all the time, reads keep a distance, so their number does not grow
@@ -22,17 +22,19 @@
 _ENDPOINTS_DISTANCE_RATIO = 0.25
 
 
-class FollowEndpoints:
+class EndpointWatcher:
     """Keeps the registry of endpoints up to date.
 
     Attributes:
         is_known: Set once the store was read.
     """
 
-    def __init__(self, store: Store, state: EntryState, turn: ReadingTurn = ALWAYS) -> None:
+    def __init__(
+        self, store: Store, state: EntryState, schedule: PollSchedule = ALWAYS_POLL
+    ) -> None:
         self._topic = TopicReader(store, state, ENDPOINT_RECORDS)
         self._state = state
-        self._turn = turn
+        self._schedule = schedule
         self._asked_s = -math.inf
         self._behind_to = -1
         self._values: dict[str, bytes] = {}
@@ -91,14 +93,14 @@
         """Follow until cancelled."""
         distance_s = self._state.bounds.drain_ms / 1000 * _ENDPOINTS_DISTANCE_RATIO
         while True:
-            await self._turn.wait(self._age_s)
+            await self._schedule.wait(self._age_s)
             if not await paced(self.step, distance_s, 0.0):
                 await rest_until_back(self._state.contact)
 
     async def step(self) -> bool:
         """Read once."""
         asked_s = boot_time_s()
-        wait_ms = _ENDPOINTS_WAIT_MS if self._turn.is_first else 0
+        wait_ms = _ENDPOINTS_WAIT_MS if self._schedule.is_first else 0
         done = await self._topic.step(wait_ms, self._replace, self._take_records)
         if done:
             self.confirm(asked_s)
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -10,9 +10,9 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.announcing import Announcing
-from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import zones_here
-from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.updates import Reply, Update
 from beryljunction.routing import Address
@@ -122,7 +122,7 @@
         self,
         link: UpdateLink,
         state: EntryState,
-        endpoints: FollowEndpoints,
+        endpoints: EndpointWatcher,
         entries: Announcing,
     ) -> None:
         self._link = link
@@ -240,8 +240,8 @@
     def __init__(
         self,
         state: EntryState,
-        config: FollowConfig,
-        endpoints: FollowEndpoints,
+        config: ConfigWatcher,
+        endpoints: EndpointWatcher,
         entries: Announcing,
         life: str,
     ) -> None:
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -7,16 +7,16 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
-from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
-from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.messages import HttpRequest
 from beryljunction.gateway.news import News
 from beryljunction.gateway.passing import UPDATE_PATH, TakeUpdates
 from beryljunction.gateway.state import EntryState
 from beryljunction.routing import Address, CallerLimits, PeerTable, needs_peers
 
-__all__ = ["FollowPeers", "HttpPeerLink", "PeerHandler", "PeerLink"]
+__all__ = ["PeerConfirmation", "HttpPeerLink", "PeerHandler", "PeerLink"]
 
 _KNOWN_PATH = "/v1/known"
 _NEWS_PATH = "/v1/news"
@@ -36,7 +36,7 @@
     def __init__(
         self,
         state: EntryState,
-        endpoints: FollowEndpoints,
+        endpoints: EndpointWatcher,
         peers: PeerTable,
         updates: TakeUpdates | None = None,
     ) -> None:
@@ -154,7 +154,7 @@
             return f"{type(error).__name__} {error}".strip()
 
 
-class FollowPeers:
+class PeerConfirmation:
     """Keeps the settings confirmed by way of other entries while the store is out of reach.
 
     The age is handed on with the settings, and counted from when the question was sent, so it never
@@ -165,8 +165,8 @@
         self,
         link: PeerLink,
         state: EntryState,
-        config: FollowConfig,
-        endpoints: FollowEndpoints,
+        config: ConfigWatcher,
+        endpoints: EndpointWatcher,
         peers: PeerTable,
     ) -> None:
         self._link = link
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -15,16 +15,16 @@
 from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
 from beryljunction.gateway.events import Events
-from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.front import Front
-from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.operators import OperatorHandler, operator_digests
 from beryljunction.gateway.passing import HttpUpdateLink, PassOn, TakeUpdates
-from beryljunction.gateway.peers import FollowPeers, HttpPeerLink, PeerHandler
+from beryljunction.gateway.peers import HttpPeerLink, PeerConfirmation, PeerHandler
 from beryljunction.gateway.probes import ProbeHandler
+from beryljunction.gateway.schedules import ALWAYS_POLL, FanOutSchedule, PollSchedule
 from beryljunction.gateway.sharing import ShareNews
 from beryljunction.gateway.state import EntryState
-from beryljunction.gateway.turns import ALWAYS, FanOutTurn, ReadingTurn
 from beryljunction.listening import open_listener
 from beryljunction.operators import NodeStatus
 from beryljunction.platform import (
@@ -174,9 +174,9 @@
                 await _listen(self._operator_handler(front), self._host.metrics)
             self._watch_gauges(front)
             is_shared = self._state.mechanisms.shared_reads
-            turn = FanOutTurn(self._state) if is_shared else ALWAYS
-            config = FollowConfig(store, self._state, turn)
-            endpoints = FollowEndpoints(store, self._state, turn)
+            schedule = FanOutSchedule(self._state) if is_shared else ALWAYS_POLL
+            config = ConfigWatcher(store, self._state, schedule)
+            endpoints = EndpointWatcher(store, self._state, schedule)
             group.start_soon(config.run)
             group.start_soon(endpoints.run)
             with anyio.move_on_after(_FIRST_READ_S):
@@ -185,7 +185,7 @@
             listener = await _serve(front, callers)
             group.start_soon(front.sweep)
             group.start_soon(self._watch_file)
-            announcing = await self._join_peers(group, store, config, endpoints, turn)
+            announcing = await self._join_peers(group, store, config, endpoints, schedule)
             await self._stopping.wait()
             await self._wind_down(front, listener)
             if announcing is not None:
@@ -197,9 +197,9 @@
         self,
         group: anyio.abc.TaskGroup,
         store: Store,
-        config: FollowConfig,
-        endpoints: FollowEndpoints,
-        turn: ReadingTurn,
+        config: ConfigWatcher,
+        endpoints: EndpointWatcher,
+        schedule: PollSchedule,
     ) -> Announcing | None:
         """Answer other entries, and ask them while the store is out of reach.
 
@@ -209,7 +209,7 @@
         if address is None:
             return None
         peers = PeerTable(self._state.random)
-        announcing = Announcing(store, self._state, peers, address, turn)
+        announcing = Announcing(store, self._state, peers, address, schedule)
         life = f"{self._state.random.getrandbits(48):x}"
         updates = TakeUpdates(self._state, config, endpoints, announcing, life)
         try:
@@ -220,7 +220,7 @@
         link = HttpPeerLink()
         group.start_soon(announcing.run)
         if self._state.mechanisms.peer_help:
-            group.start_soon(FollowPeers(link, self._state, config, endpoints, peers).run)
+            group.start_soon(PeerConfirmation(link, self._state, config, endpoints, peers).run)
         if self._state.mechanisms.shared_reads:
             pass_on = PassOn(HttpUpdateLink(), self._state, endpoints, announcing)
             group.start_soon(pass_on.run)
--- a/src/beryljunction/gateway/turns.py
+++ b/src/beryljunction/gateway/schedules.py
@@ -9,7 +9,7 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.state import EntryState
 
-__all__ = ["ALWAYS", "FAILED_PAUSE_S", "FanOutTurn", "ReadingTurn"]
+__all__ = ["ALWAYS_POLL", "FAILED_PAUSE_S", "FanOutSchedule", "PollSchedule"]
 
 # An entry below the readers looks at least so often whether it has become one, or is behind.
 _LOOK_S = 0.25
@@ -22,7 +22,7 @@
 Age = Callable[[float], float]
 
 
-class ReadingTurn(abc.ABC):
+class PollSchedule(abc.ABC):
     """Says when an entry reads the store for itself."""
 
     @property
@@ -53,7 +53,7 @@
         """Return once this entry is one of the store's readers."""
 
 
-class _Always(ReadingTurn):
+class _AlwaysPoll(PollSchedule):
     """Each entry reads for itself all the time."""
 
     @property
@@ -75,10 +75,10 @@
         pass
 
 
-ALWAYS: ReadingTurn = _Always()
+ALWAYS_POLL: PollSchedule = _AlwaysPoll()
 
 
-class FanOutTurn(ReadingTurn):
+class FanOutSchedule(PollSchedule):
     """The first reader reads all the time, others once what they were told has become old."""
 
     def __init__(self, state: EntryState) -> None:
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -6,8 +6,8 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.schedules import FAILED_PAUSE_S
 from beryljunction.gateway.state import EntryState
-from beryljunction.gateway.turns import FAILED_PAUSE_S
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import Expired, Newest, Record, Records, Store, Topic, Unavailable
 from beryljunction.routing import StoreContact
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -12,13 +12,13 @@
 from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
 from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.events import Events
-from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
-from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.passing import PassOn, TakeUpdates, UpdateLink
-from beryljunction.gateway.peers import FollowPeers, PeerLink
+from beryljunction.gateway.peers import PeerConfirmation, PeerLink
+from beryljunction.gateway.schedules import ALWAYS_POLL, FanOutSchedule
 from beryljunction.gateway.state import EntryState
-from beryljunction.gateway.turns import ALWAYS, FanOutTurn
 from beryljunction.platform import HostBounds, HostSettings
 from beryljunction.routing import PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
@@ -70,8 +70,8 @@
     sent_bytes: int = 0
     task: asyncio.Task = None
     updates: TakeUpdates = None
-    config: FollowConfig = None
-    endpoints: FollowEndpoints = None
+    config: ConfigWatcher = None
+    endpoints: EndpointWatcher = None
 
 
 class Link(UpdateLink, PeerLink):
@@ -193,17 +193,17 @@
     async def _run(self, member):
         await anyio.sleep(member.state.random.random() * 0.3)
         state, store, link = member.state, member.store, Link(self, member)
-        turn = FanOutTurn(state) if self.is_shared else ALWAYS
-        config = member.config = FollowConfig(store, state, turn)
-        endpoints = member.endpoints = FollowEndpoints(store, state, turn)
+        schedule = FanOutSchedule(state) if self.is_shared else ALWAYS_POLL
+        config = member.config = ConfigWatcher(store, state, schedule)
+        endpoints = member.endpoints = EndpointWatcher(store, state, schedule)
         peers = PeerTable(state.random)
-        entries = Announcing(store, state, peers, member.address, turn)
+        entries = Announcing(store, state, peers, member.address, schedule)
         life = f"{state.random.random()}"
         member.updates = TakeUpdates(state, config, endpoints, entries, life)
         async with anyio.create_task_group() as group:
             for task in (config, endpoints, entries):
                 group.start_soon(task.run)
-            group.start_soon(FollowPeers(link, state, config, endpoints, peers).run)
+            group.start_soon(PeerConfirmation(link, state, config, endpoints, peers).run)
             if self.is_shared:
                 group.start_soon(PassOn(link, state, endpoints, entries).run)
 
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -8,10 +8,10 @@
 from beryljunction.gateway import following, known, peers, state
 from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.events import Events
-from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
-from beryljunction.gateway.membership import FollowEndpoints
-from beryljunction.gateway.peers import FollowPeers, PeerLink
+from beryljunction.gateway.membership import EndpointWatcher
+from beryljunction.gateway.peers import PeerConfirmation, PeerLink
 from beryljunction.gateway.process import EntryProcess
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.updates import ZoneUpdate
@@ -122,8 +122,8 @@
     def __init__(self, name, lines):
         host = HostSettings(name, "a", "r", ("", 1), ("", 2), ("", 3), HostBounds())
         self.state = EntryState(host, Events(name, "a", lines))
-        self.config = FollowConfig(NoStore(), self.state)
-        self.endpoints = FollowEndpoints(NoStore(), self.state)
+        self.config = ConfigWatcher(NoStore(), self.state)
+        self.endpoints = EndpointWatcher(NoStore(), self.state)
         self.config.take_from_peer(CONFIG)
         self.endpoints.take_from_peer(1, ())
         self.state.lease.confirm(0.0)
@@ -133,7 +133,7 @@
 
     def asks(self, other):
         self.other = other
-        self.peers = FollowPeers(self, self.state, self.config, self.endpoints, self.table)
+        self.peers = PeerConfirmation(self, self.state, self.config, self.endpoints, self.table)
 
     async def ask(self, address, version, offset):
         known = known_here(self.other.state, self.other.endpoints, version, offset)
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -5,7 +5,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.events import Events
-from beryljunction.gateway.following import FollowConfig
+from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import (
     HostBounds,
@@ -130,7 +130,7 @@
             ),
             SlowStore(),
         )
-        follow = FollowConfig(store, state)
+        follow = ConfigWatcher(store, state)
 
         async def run():
             with anyio.move_on_after(1.6):
@@ -325,7 +325,7 @@
 
 def follow_config(store):
     host = HostSettings("e", "a", "r", ("", 1), ("", 2), ("", 3), HostBounds())
-    return FollowConfig(store, EntryState(host, Events("e", "a", Lines())))
+    return ConfigWatcher(store, EntryState(host, Events("e", "a", Lines())))
 
 
 class TestConfirming:
--- a/testing/test_histories.py
+++ b/testing/test_histories.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from beryljunction.gateway.membership import FollowEndpoints
+from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.platform import Record
 from beryljunction.routing import EndpointRegistry, Evacuations, StoreContact
 from fanout_world import FleetWorld, RecordHistory
@@ -60,7 +60,7 @@
 
     def test_expired_records_in_full_lists(self, monkeypatch):
         monkeypatch.setattr(
-            FollowEndpoints,
+            EndpointWatcher,
             "records",
             lambda self: tuple(
                 Record(key, value)
