--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -125,7 +125,7 @@
         is_due = needs_peers(self.age_s(now_s), self._state.lease.revocation_s)
         return self._has_failed and (is_due or self._schedule.is_reader)
 
-    def take_update(self, host: str, version: int, value: bytes | None, asked_s: float) -> None:
+    def apply_update(self, host: str, version: int, value: bytes | None, asked_s: float) -> None:
         """Take in which settings were the newest when the store was asked, and what they are.
 
         Args:
--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -59,15 +59,15 @@
 
     def take_from_peer(self, offset: int, records: Iterable[Record]) -> None:
         """Take in the full list of an entry that has read further."""
-        self.take_update(TopicUpdate(tuple(records), None, offset))
+        self.apply_update(TopicUpdate(tuple(records), None, offset))
 
     def update_since(self, offset: int) -> TopicUpdate | None:
         """Return what came after a position; None for nothing."""
         return self._topic.update_since(offset, self.records)
 
-    def take_update(self, update: TopicUpdate) -> None:
+    def apply_update(self, update: TopicUpdate) -> None:
         """Take in what another entry has read."""
-        self._topic.take_update(update, self._replace, self._take_records)
+        self._topic.apply_update(update, self._replace, self._take_records)
 
     def confirm(self, asked_s: float) -> None:
         """Note that the records were complete when the store was asked."""
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -9,15 +9,15 @@
 import httpcore
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import zones_here
 from beryljunction.gateway.membership import EndpointWatcher
+from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.updates import Reply, Update
 from beryljunction.routing import Address
 
-__all__ = ["UPDATE_PATH", "HttpUpdateLink", "PassOn", "TakeUpdates", "UpdateLink"]
+__all__ = ["UPDATE_PATH", "HttpUpdateLink", "UpdatePublisher", "UpdateReceiver", "UpdateLink"]
 
 UPDATE_PATH = "/v1/update"
 # An entry below is told again when what is known is younger by this much. Each reader asks the
@@ -97,25 +97,25 @@
 
 
 @attrs.define
-class _Below:
+class _Subscriber:
     """An entry that is told.
 
     Attributes:
         reply: Its last word; None before the first.
-        heard_s: When that was taken in.
-        told: What it was told of; what it could not use is told again with the next confirmation.
+        replied_s: When that was received.
+        acked: What it has received; what it could not use is sent again with the next confirmation.
         lacks_records: Whether its last word shows that nobody has sent it the newest records.
     """
 
     reply: Reply | None = None
-    heard_s: float = 0.0
-    told: _Known = _Known()
+    replied_s: float = 0.0
+    acked: _Known = _Known()
     lacks_records: bool = False
     left_out_until_s: float = -math.inf
     is_busy: bool = False
 
 
-class PassOn:
+class UpdatePublisher:
     """Tells the entries below this one what it knows, as soon as there is something new."""
 
     def __init__(
@@ -123,13 +123,13 @@
         link: UpdateLink,
         state: EntryState,
         endpoints: EndpointWatcher,
-        entries: Announcing,
+        entries: Registration,
     ) -> None:
         self._link = link
         self._state = state
         self._endpoints = endpoints
         self._entries = entries
-        self._below: dict[str, _Below] = {}
+        self._subscribers: dict[str, _Subscriber] = {}
 
     async def run(self) -> None:
         """Tell until cancelled."""
@@ -141,52 +141,59 @@
     def step(self, group: anyio.abc.TaskGroup) -> None:
         """Begin to tell those that lack something."""
         downstream = self._state.fan_out.downstream()
-        self._below = {host: self._below.get(host) or _Below() for host in downstream}
+        self._subscribers = {
+            host: self._subscribers.get(host) or _Subscriber() for host in downstream
+        }
         now_s = boot_time_s()
         for host, address in downstream.items():
-            below = self._below[host]
-            is_left_out = below.is_busy or below.left_out_until_s > now_s
-            if not is_left_out and below.told.lacks(self._known()):
-                below.is_busy = True
-                group.start_soon(self._tell, host, address, below)
+            subscriber = self._subscribers[host]
+            is_left_out = subscriber.is_busy or subscriber.left_out_until_s > now_s
+            if not is_left_out and subscriber.acked.lacks(self._known()):
+                subscriber.is_busy = True
+                group.start_soon(self._send, host, address, subscriber)
 
-    async def _tell(self, host: str, address: Address, below: _Below) -> None:
+    async def _send(self, host: str, address: Address, subscriber: _Subscriber) -> None:
         """Tell one entry until it lacks nothing."""
-        while below.told.lacks(self._known()):
-            if not await self._tell_once(host, address, below):
-                below.left_out_until_s = boot_time_s() + _LEFT_OUT_S
-                below.reply, below.told = None, _Known()
+        while subscriber.acked.lacks(self._known()):
+            if not await self._send_once(host, address, subscriber):
+                subscriber.left_out_until_s = boot_time_s() + _LEFT_OUT_S
+                subscriber.reply, subscriber.acked = None, _Known()
                 self._state.events.write("update_unanswered", peer=host)
                 break
-            if below.lacks_records:
+            if subscriber.lacks_records:
                 await anyio.sleep(_SECOND_SOURCE_S)
-        below.is_busy = False
+        subscriber.is_busy = False
 
-    async def _tell_once(self, host: str, address: Address, below: _Below) -> bool:
+    async def _send_once(self, host: str, address: Address, subscriber: _Subscriber) -> bool:
         """Tell one entry; False when it did not answer.
 
         Records go out with the first message of its first source. The other one, which knows the
         same, sends what the answer to a message without records shows to be missing.
         """
-        has_records = below.lacks_records or self._state.fan_out.is_first_source_of(host)
-        known, update = self._known(), self._update(below, has_records)
+        has_records = subscriber.lacks_records or self._state.fan_out.is_first_source_of(host)
+        known, update = self._known(), self._update(subscriber, has_records)
         answer = await self._link.update(address, update.encode())
         if answer is None:
             return False
         try:
-            below.reply = Reply.decode(answer)
+            subscriber.reply = Reply.decode(answer)
         except ValueError as error:
             self._state.events.write("peer_rejected", status=200, problem=str(error))
             return False
-        below.heard_s = boot_time_s()
+        subscriber.replied_s = boot_time_s()
         # Only what was told to this start of the entry counts; the first message only asks.
-        is_same_start = below.reply.life == update.life
-        below.told = known if is_same_start else _Known()
-        is_behind = below.reply.endpoints < known.endpoints or below.reply.entries < known.entries
-        below.lacks_records = is_same_start and is_behind and not has_records
-        if below.lacks_records:
-            positions = {"endpoints": below.reply.endpoints, "entries": below.reply.entries}
-            below.told = attrs.evolve(known, **positions)
+        is_same_start = subscriber.reply.life == update.life
+        subscriber.acked = known if is_same_start else _Known()
+        is_behind = (
+            subscriber.reply.endpoints < known.endpoints or subscriber.reply.entries < known.entries
+        )
+        subscriber.lacks_records = is_same_start and is_behind and not has_records
+        if subscriber.lacks_records:
+            positions = {
+                "endpoints": subscriber.reply.endpoints,
+                "entries": subscriber.reply.entries,
+            }
+            subscriber.acked = attrs.evolve(known, **positions)
         return True
 
     def _known(self) -> _Known:
@@ -197,9 +204,9 @@
         zones = state.evacuations.position
         return _Known(state.config.version, zones, *offsets, state.lease.confirmed_s)
 
-    def _update(self, below: _Below, has_records: bool) -> Update:
+    def _update(self, subscriber: _Subscriber, has_records: bool) -> Update:
         """Return what one entry lacks, by its last word; records only where they are to be sent."""
-        state, reply = self._state, below.reply
+        state, reply = self._state, subscriber.reply
         host = state.host.host
         assert state.config is not None
         version = state.config.version
@@ -214,8 +221,8 @@
             host,
             reply.life,
             reply.clock_s,
-            state.lease.confirmed_s - below.heard_s,
-            regained_s - below.heard_s if is_told else None,
+            state.lease.confirmed_s - subscriber.replied_s,
+            regained_s - subscriber.replied_s if is_told else None,
             version,
             zones_here(state),
             -1 if self._endpoints.offset is None else self._endpoints.offset,
@@ -226,7 +233,7 @@
         )
 
 
-class TakeUpdates:
+class UpdateReceiver:
     """Takes in what entries above this one tell.
 
     Load: messages that were long on their way, from entries that were paused or cut off. Harm: what
@@ -242,7 +249,7 @@
         state: EntryState,
         config: ConfigWatcher,
         endpoints: EndpointWatcher,
-        entries: Announcing,
+        entries: Registration,
         life: str,
     ) -> None:
         self._state = state
@@ -275,14 +282,14 @@
         evacuations = update.evacuations
         self._state.replace_evacuations(evacuations.zones, evacuations.position)
         if update.entries is not None:
-            self._entries.take_update(update.entries)
+            self._entries.apply_update(update.entries)
         if update.endpoints is not None:
-            self._endpoints.take_update(update.endpoints)
+            self._endpoints.apply_update(update.endpoints)
         self._entries.heard()
         self._endpoints.confirm_to(update.endpoints_end, asked_s)
         if update.is_cut_short:
             self._endpoints.note_behind(update.endpoints_end)
-        self._config.take_update(update.host, update.version, update.config, asked_s)
+        self._config.apply_update(update.host, update.version, update.config, asked_s)
         self._state.news.set()
 
     def _reply(self) -> Reply:
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -12,7 +12,7 @@
 from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.messages import HttpRequest
 from beryljunction.gateway.news import News
-from beryljunction.gateway.passing import UPDATE_PATH, TakeUpdates
+from beryljunction.gateway.passing import UPDATE_PATH, UpdateReceiver
 from beryljunction.gateway.state import EntryState
 from beryljunction.routing import Address, CallerLimits, PeerTable, needs_peers
 
@@ -38,7 +38,7 @@
         state: EntryState,
         endpoints: EndpointWatcher,
         peers: PeerTable,
-        updates: TakeUpdates | None = None,
+        updates: UpdateReceiver | None = None,
     ) -> None:
         self._updates = updates
         self.limits = CallerLimits()
@@ -75,7 +75,9 @@
             return
         connection.answer(200, [(b"content-type", b"application/json")], known.encode())
 
-    def _take_update(self, connection: CallerConnection, body: bytes, updates: TakeUpdates) -> None:
+    def _take_update(
+        self, connection: CallerConnection, body: bytes, updates: UpdateReceiver
+    ) -> None:
         try:
             answer = updates.take(body)
         except ValueError as error:
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -12,16 +12,16 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.errors import SettingsError, StartError
-from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.front import Front
 from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.operators import OperatorHandler, operator_digests
-from beryljunction.gateway.passing import HttpUpdateLink, PassOn, TakeUpdates
+from beryljunction.gateway.passing import HttpUpdateLink, UpdatePublisher, UpdateReceiver
 from beryljunction.gateway.peers import HttpPeerLink, PeerConfirmation, PeerHandler
 from beryljunction.gateway.probes import ProbeHandler
+from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.schedules import ALWAYS_POLL, FanOutSchedule, PollSchedule
 from beryljunction.gateway.sharing import ShareNews
 from beryljunction.gateway.state import EntryState
@@ -185,11 +185,11 @@
             listener = await _serve(front, callers)
             group.start_soon(front.sweep)
             group.start_soon(self._watch_file)
-            announcing = await self._join_peers(group, store, config, endpoints, schedule)
+            registration = await self._join_peers(group, store, config, endpoints, schedule)
             await self._stopping.wait()
             await self._wind_down(front, listener)
-            if announcing is not None:
-                await announcing.withdraw()
+            if registration is not None:
+                await registration.withdraw()
             group.cancel_scope.cancel()
         self._events.write("stopped")
 
@@ -200,7 +200,7 @@
         config: ConfigWatcher,
         endpoints: EndpointWatcher,
         schedule: PollSchedule,
-    ) -> Announcing | None:
+    ) -> Registration | None:
         """Answer other entries, and ask them while the store is out of reach.
 
         Callers are served without it, so an address that can't be had is only logged.
@@ -209,23 +209,23 @@
         if address is None:
             return None
         peers = PeerTable(self._state.random)
-        announcing = Announcing(store, self._state, peers, address, schedule)
+        registration = Registration(store, self._state, peers, address, schedule)
         life = f"{self._state.random.getrandbits(48):x}"
-        updates = TakeUpdates(self._state, config, endpoints, announcing, life)
+        updates = UpdateReceiver(self._state, config, endpoints, registration, life)
         try:
             await _listen(PeerHandler(self._state, endpoints, peers, updates), address)
         except StartError as error:
             self._events.write("peers_unavailable", problem=str(error))
             return None
         link = HttpPeerLink()
-        group.start_soon(announcing.run)
+        group.start_soon(registration.run)
         if self._state.mechanisms.peer_help:
             group.start_soon(PeerConfirmation(link, self._state, config, endpoints, peers).run)
         if self._state.mechanisms.shared_reads:
-            pass_on = PassOn(HttpUpdateLink(), self._state, endpoints, announcing)
+            pass_on = UpdatePublisher(HttpUpdateLink(), self._state, endpoints, registration)
             group.start_soon(pass_on.run)
         group.start_soon(ShareNews(link, self._state, peers, life).run)
-        return announcing
+        return registration
 
     def _callers_socket(self) -> socket.socket:
         """Return the socket that callers connect to; the early one where it is at that address."""
--- a/src/beryljunction/gateway/announcing.py
+++ b/src/beryljunction/gateway/registration.py
@@ -20,7 +20,7 @@
 )
 from beryljunction.routing import Address, PeerTable
 
-__all__ = ["Announcing"]
+__all__ = ["Registration"]
 
 # Writing is repeated until it is done, which does no harm; the pause doubles up to the longest, so
 # that hosts which start while the store is away don't press on it.
@@ -37,7 +37,7 @@
 _WITHDRAW_S = 0.5
 
 
-class Announcing:
+class Registration:
     """Keeps this entry's address in the store, and the table of its peers up to date."""
 
     def __init__(
@@ -96,9 +96,9 @@
         """Return what came after a position; None for nothing."""
         return self._topic.update_since(offset, self._records)
 
-    def take_update(self, update: TopicUpdate) -> None:
+    def apply_update(self, update: TopicUpdate) -> None:
         """Take in what another entry has read."""
-        self._topic.take_update(update, self._take_all, self._take)
+        self._topic.apply_update(update, self._take_all, self._take)
 
     def _records(self) -> tuple[Record, ...]:
         """Return the address of each entry that is listed, this one's too."""
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -109,7 +109,7 @@
         first = len(self._recent) - (end - offset)
         return TopicUpdate(tuple(self._recent)[first:], offset, end)
 
-    def take_update(self, update: TopicUpdate, take_all: Take, take: Take) -> None:
+    def apply_update(self, update: TopicUpdate, take_all: Take, take: Take) -> None:
         """Take in what another entry has read, where it goes on from what is known here."""
         if update.first is None:
             if self._offset is None or update.end > self._offset:
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -10,13 +10,13 @@
 
 from beryljunction.fuzz.platform.stores import FuzzStore, StoreFault
 from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
-from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
 from beryljunction.gateway.membership import EndpointWatcher
-from beryljunction.gateway.passing import PassOn, TakeUpdates, UpdateLink
+from beryljunction.gateway.passing import UpdateLink, UpdatePublisher, UpdateReceiver
 from beryljunction.gateway.peers import PeerConfirmation, PeerLink
+from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.schedules import ALWAYS_POLL, FanOutSchedule
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import HostBounds, HostSettings
@@ -69,7 +69,7 @@
     is_cut: bool = False
     sent_bytes: int = 0
     task: asyncio.Task = None
-    updates: TakeUpdates = None
+    updates: UpdateReceiver = None
     config: ConfigWatcher = None
     endpoints: EndpointWatcher = None
 
@@ -197,15 +197,15 @@
         config = member.config = ConfigWatcher(store, state, schedule)
         endpoints = member.endpoints = EndpointWatcher(store, state, schedule)
         peers = PeerTable(state.random)
-        entries = Announcing(store, state, peers, member.address, schedule)
+        entries = Registration(store, state, peers, member.address, schedule)
         life = f"{state.random.random()}"
-        member.updates = TakeUpdates(state, config, endpoints, entries, life)
+        member.updates = UpdateReceiver(state, config, endpoints, entries, life)
         async with anyio.create_task_group() as group:
             for task in (config, endpoints, entries):
                 group.start_soon(task.run)
             group.start_soon(PeerConfirmation(link, state, config, endpoints, peers).run)
             if self.is_shared:
-                group.start_soon(PassOn(link, state, endpoints, entries).run)
+                group.start_soon(UpdatePublisher(link, state, endpoints, entries).run)
 
     def kill(self, name):
         """Kill an entry for good; its address stays in the store."""
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -6,13 +6,13 @@
 import pytest
 
 from beryljunction.gateway import following, known, peers, state
-from beryljunction.gateway.announcing import Announcing
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
 from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.peers import PeerConfirmation, PeerLink
 from beryljunction.gateway.process import EntryProcess
+from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.updates import ZoneUpdate
 from beryljunction.listening import open_listener
@@ -310,7 +310,7 @@
         entry = Entry("e", Lines())
         bounds = attrs.evolve(entry.state.bounds, repeat_slack=54)
         entry.state.apply_bounds(bounds)
-        announcing = Announcing(NoStore(), entry.state, entry.table, ("127.0.0.1", 1))
+        announcing = Registration(NoStore(), entry.state, entry.table, ("127.0.0.1", 1))
         records = [Record(f"h{number}", b"127.0.0.1:9") for number in range(99)]
 
         announcing._take_all(records)
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -378,7 +378,7 @@
             store.is_away = True
             await follow.confirm()
             seen.append(follow.is_turned_away(later_s))
-            follow.take_update("other", 3, None, later_s)
+            follow.apply_update("other", 3, None, later_s)
             seen.append(follow.is_turned_away(later_s))
             store.is_away = False
             await follow.confirm()
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -415,7 +415,7 @@
 
     def test_age_counted_from_arrival_is_found(self, monkeypatch):
         monkeypatch.setattr(
-            "beryljunction.gateway.following.ConfigWatcher.take_update",
+            "beryljunction.gateway.following.ConfigWatcher.apply_update",
             lambda self, host, version, value, asked_s: self._state.lease.confirm(
                 self._state.lease.confirmed_s + 1.0
             ),
