--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -23,19 +23,15 @@
 __all__ = ["ConfigWatcher"]
 
 # A waiting read tells of new settings at once. It confirms nothing until it ends, so a second,
-# short read every so often confirms that there are none; the settings' age then stays under 1.6 s.
-# With waiting reads of 1.5 s alone, for the same number of calls, it was up to 3.1 s, and an outage
-# of the store of 4.4 s had keys refused for 1.9 s of it.
+# short read every so often confirms that there are none.
 _CONFIG_WAIT_MS = 10_000
 _CONFIG_CONFIRM_S = 1.5
 # An entry that is told of newer settings reads them at once; versions that come faster than this
 # are read together. The shortest bound for putting settings in force is 2 s.
 _TOLD_DISTANCE_S = 0.3
 # A short read waits for a waiting one whose answer has begun: beside it, it would fetch the same
-# settings a second time. 1,200 routes are 0.4 MB and take 0.35 s on a link of 10 Mbit/s; where 12
-# versions came in 13 s, 1,031 of 15,000 requests took over half of their aim to arrive, 1,428 with
-# two reads of each (one day each, 22 entries).
-# A connection that goes silent in the middle costs this much of the settings' age at most.
+# settings, which may take a second on a thin link, a second time. A connection that goes silent in
+# the middle costs this much of the settings' age at most.
 _RECEIVING_MOST_S = 1.0
 _RECEIVING_STEP_S = 0.05
 # Pause of the waiting read after one that failed; the short reads find out when the store is back.
--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -14,10 +14,9 @@
 
 __all__ = ["EndpointWatcher"]
 
-# Endpoints write when something changes, some at every heartbeat. A waiting read tells of a change
-# at once; where records come all the time, reads keep a distance, so their number does not grow
-# with that of the endpoints. One that leaves has to be known within the drain time, so the distance
-# is this share of it. A connection that goes silent for good is found after the wait and a second.
+# A waiting read tells of a change at once. Where records come all the time, reads keep a distance,
+# so that their number does not grow with that of the endpoints; an endpoint that leaves has to be
+# known within the drain time, so the distance is this share of it.
 _ENDPOINTS_WAIT_MS = 2_000
 _ENDPOINTS_DISTANCE_RATIO = 0.25
 
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -1,4 +1,4 @@
-"""Passes what the store has told on to the entries below this one, and takes it from above."""
+"""Sends what the store has told to other entries, and receives it from them."""
 
 import abc
 import math
@@ -20,15 +20,12 @@
 __all__ = ["UPDATE_PATH", "HttpUpdateLink", "UpdatePublisher", "UpdateReceiver", "UpdateLink"]
 
 UPDATE_PATH = "/v1/update"
-# An entry below is told again when what is known is younger by this much. Each reader asks the
-# store every 1.5 s, so the settings are 1.5 s old at most on all levels, and a message of 0.35 KB
-# to each of eight entries comes to 2.8 KB/s (68 entries in virtual time, the most of any).
+# A subscriber gets a confirmation that is younger by this much than its last one.
 _FRESHER_S = 0.9
-# Larger settings are read from the store by each entry: passed on by one host to eight others,
-# 60 KB take a second of a link of 5 Mbit/s, which callers share.
+# Larger settings are read from the store by each entry: sent by one host to eight others, they fill
+# a thin link, which callers share.
 _MOST_CONFIG_BYTES = 4_096
-# More records of endpoints are read from the store by each entry, for the same reason: the newest
-# of 3,000 endpoints are 0.9 MB.
+# The same for records of endpoints.
 _MOST_RECORDS_BYTES = 16_384
 # The other source of an entry sends it the records after this time, unless it has them by then.
 _SECOND_SOURCE_S = 0.1
@@ -36,7 +33,7 @@
 _ANSWER_S = 0.3
 # One that did not answer is left out for this long: its other source goes on.
 _LEFT_OUT_S = 2.0
-# Lapses are let pass for two seconds after the store's return; older ones need not be told.
+# Expired records are waited for as long as this after the store's return.
 _REGAINED_TOLD_S = 2.0
 _CONNECTIONS = 12
 _NO_ANSWER = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
@@ -98,7 +95,7 @@
 
 @attrs.define
 class _Subscriber:
-    """An entry that is told.
+    """An entry that gets updates from this one.
 
     Attributes:
         reply: Its last word; None before the first.
@@ -116,7 +113,7 @@
 
 
 class UpdatePublisher:
-    """Tells the entries below this one what it knows, as soon as there is something new."""
+    """Sends what this entry knows to its subscribers, as soon as there is something new."""
 
     def __init__(
         self,
@@ -132,14 +129,14 @@
         self._subscribers: dict[str, _Subscriber] = {}
 
     async def run(self) -> None:
-        """Tell until cancelled."""
+        """Send until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
                 self.step(group)
                 await self._state.news.wait()
 
     def step(self, group: anyio.abc.TaskGroup) -> None:
-        """Begin to tell those that lack something."""
+        """Begin to send to those that lack something."""
         downstream = self._state.fan_out.downstream()
         self._subscribers = {
             host: self._subscribers.get(host) or _Subscriber() for host in downstream
@@ -153,7 +150,7 @@
                 group.start_soon(self._send, host, address, subscriber)
 
     async def _send(self, host: str, address: Address, subscriber: _Subscriber) -> None:
-        """Tell one entry until it lacks nothing."""
+        """Send to one subscriber until it lacks nothing."""
         while subscriber.acked.lacks(self._known()):
             if not await self._send_once(host, address, subscriber):
                 subscriber.left_out_until_s = boot_time_s() + _LEFT_OUT_S
@@ -165,7 +162,7 @@
         subscriber.is_busy = False
 
     async def _send_once(self, host: str, address: Address, subscriber: _Subscriber) -> bool:
-        """Tell one entry; False when it did not answer.
+        """Send one update; False when there was no answer.
 
         Records go out with the first message of its first source. The other one, which knows the
         same, sends what the answer to a message without records shows to be missing.
@@ -181,7 +178,7 @@
             self._state.events.write("peer_rejected", status=200, problem=str(error))
             return False
         subscriber.replied_s = boot_time_s()
-        # Only what was told to this start of the entry counts; the first message only asks.
+        # Only what this start of the subscriber has received counts; the first message only asks.
         is_same_start = subscriber.reply.life == update.life
         subscriber.acked = known if is_same_start else _Known()
         is_behind = (
@@ -234,11 +231,11 @@
 
 
 class UpdateReceiver:
-    """Takes in what entries above this one tell.
+    """Applies the updates that other entries send.
 
-    Load: messages that were long on their way, from entries that were paused or cut off. Harm: what
-    is old would look new, and a key that was taken away be honoured. Each message names the last
-    word that this start of the entry has sent; its times are spans from then.
+    A message may have waited in the socket of a paused host. It names the last reply of this start
+    of the entry, and its times are spans from then, so that old settings never look new and a
+    revoked key is not honoured.
 
     Args:
         life: Differs for each start of this entry.
