--- a/testing/test_warm_placement.py
+++ b/testing/test_warm_placement.py
@@ -183,7 +183,8 @@
     def test_bound_takes_its_mean_over_evacuated_ones_too(self):
         """Guards against a third of the endpoints being idle, and the home above twice the mean.
 
-        Ten requests at each open endpoint and 15 at one are a mean of 7 over all; 15 is over 1.6 x 7 + 3.
+        Ten requests at each open endpoint and 15 at one are a mean of 7 over all, and 15 is over
+        1.6 x 7 + 3.
         """
         rows = [known(f"e{number}", in_flight=10) for number in range(10)]
         closed = [known(f"z{number}") for number in range(5)]
