--- a/testing/test_hostfile.py
+++ b/testing/test_hostfile.py
@@ -37,6 +37,7 @@
         assert settings.callers == ("10.1.0.40", 8227)
         assert settings.store == ("10.200.1.7", 8223)
         assert settings.bounds.grace_s == 8
+        assert settings.bounds.heartbeat_ms == 1200
         assert settings.metrics is None
 
     def test_metrics_port_comes_from_the_deploy_file(self, tmp_path, monkeypatch):
@@ -72,3 +73,17 @@
     def test_missing_file(self):
         with pytest.raises(SettingsError, match="expected a readable file"):
             read_host_settings("/nowhere/node.toml")
+
+    def test_limits_of_cold_endpoints(self, tmp_path):
+        text = FILE.replace("[platform]", "cold-overshoot = 1.5\ncold-slack = 5\n[platform]")
+
+        bounds = read(tmp_path, text).bounds
+
+        assert (bounds.cold_overshoot, bounds.cold_slack) == (1.5, 5)
+
+    @pytest.mark.parametrize("value", ["-1", "true", '"much"'])
+    def test_limit_that_is_none_is_an_error(self, tmp_path, value):
+        text = FILE.replace("[platform]", f"cold-slack = {value}\n[platform]")
+
+        with pytest.raises(SettingsError, match="cold-slack: expected a number of 0 or more"):
+            read(tmp_path, text)
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -35,6 +35,20 @@
         assert decoded.accounts["k2"].priority == 3
         assert decoded.services["x"].is_engine
 
+    def test_service_says_what_its_cold_endpoints_bear(self):
+        row = {"name": "x", "cold-start-s": 3.0, "cold-per-s": 11}
+
+        service = config(services=[row]).services["x"]
+
+        assert (service.cold_start_s, service.cold_per_s) == (3.0, 11.0)
+
+    @pytest.mark.parametrize("value", [-1, True, "fast"])
+    def test_rate_that_is_none_is_refused(self, value):
+        refused = config(services=[{"name": "x", "cold-per-s": value}])
+
+        assert isinstance(refused, Unusable)
+        assert "cold-per-s" in refused.problem
+
     def test_split_follows_the_weights(self):
         route = config().route_for("shop.example", "/a/")
 
