One rendezvous rank, one form of a topic's position; a method private again

Read of the whole change: the rank of a name for a key stood in cold.py as in warm_placement.py; the position of a topic with -1 for none stood three times; EntryState.known_service had become public for nobody.

--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -74,7 +74,7 @@
 
     def confirm_to(self, end: int, asked_s: float) -> None:
         """Note that the records end at a position, as of when the store was asked."""
-        if self._position >= end:
+        if self.position >= end:
             self.confirm(asked_s)
 
     def note_behind(self, end: int) -> None:
@@ -82,11 +82,12 @@
         self._behind_to = max(self._behind_to, end)
 
     @property
-    def _position(self) -> int:
-        return -1 if self.offset is None else self.offset
+    def position(self) -> int:
+        """The same as a number; -1 before the first read."""
+        return self._topic.position
 
     def _age_s(self, now_s: float) -> float:
-        return math.inf if self._position < self._behind_to else now_s - self._asked_s
+        return math.inf if self.position < self._behind_to else now_s - self._asked_s
 
     async def run(self) -> None:
         """Follow until cancelled."""
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -222,7 +222,7 @@
             regained_s - subscriber.replied_s if is_told else None,
             version,
             zones_here(state),
-            -1 if self._endpoints.offset is None else self._endpoints.offset,
+            self._endpoints.position,
             is_cut_short,
             state.config_record if is_sent else None,
             None if is_cut_short else endpoints,
@@ -295,6 +295,6 @@
             self._life,
             boot_time_s(),
             config.version if config is not None else -1,
-            -1 if self._endpoints.offset is None else self._endpoints.offset,
-            -1 if self._entries.offset is None else self._entries.offset,
+            self._endpoints.position,
+            self._entries.position,
         )
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -92,6 +92,11 @@
         """Position up to which addresses are taken in; None before the first read."""
         return self._topic.offset
 
+    @property
+    def position(self) -> int:
+        """The same as a number; -1 before the first read."""
+        return self._topic.position
+
     def update_since(self, offset: int) -> TopicUpdate | None:
         """Return what came after a position; None for nothing."""
         return self._topic.update_since(offset, self._records)
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -133,7 +133,7 @@
         """Return the endpoint that is to get a request; sound ones go before doubtful ones."""
         now_s = boot_time_s()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
-        allowed = self.cold.allowed(usable, self.known_service(service), now_s)
+        allowed = self.cold.allowed(usable, self._known_service(service), now_s)
         sound = sound_rows(allowed, now_s, self.mechanisms)
         closed = self.registry.evacuated(service)
         return self._placement(service).choose(sound, attrs.evolve(demand, closed=closed), now_s)
@@ -144,17 +144,17 @@
         if not self.registry.is_usable(endpoint):
             is_known = self.registry.find(endpoint.record.endpoint_id) is endpoint
             return "zone is evacuated" if is_known and endpoint.is_evacuated else "endpoint left"
-        is_allowed = self.cold.allows(endpoint, self.known_service(service), now_s)
+        is_allowed = self.cold.allows(endpoint, self._known_service(service), now_s)
         return "" if is_allowed else "endpoint is cold"
 
     def note_send(self, service: str, endpoint: KnownEndpoint) -> None:
         """Count a request that goes to an endpoint now."""
-        self.cold.note_send(endpoint, self.known_service(service), boot_time_s())
+        self.cold.note_send(endpoint, self._known_service(service), boot_time_s())
 
     def why_none(self, service: str) -> str:
         """Return why no endpoint of a service can be chosen."""
         now_s = boot_time_s()
-        known = self.known_service(service)
+        known = self._known_service(service)
         usable = self.registry.usable(service, now_s)
         if not usable and self.registry.evacuated(service):
             return "zones_evacuated"
@@ -166,7 +166,7 @@
         now_s = boot_time_s()
         rows = self.registry.rows
         return sum(
-            self.cold.is_cold(row, self.known_service(row.record.service), now_s) for row in rows
+            self.cold.is_cold(row, self._known_service(row.record.service), now_s) for row in rows
         )
 
     def retry_after_s(
@@ -186,7 +186,7 @@
         now_s = boot_time_s()
         rows = self.registry.reachable(service, now_s)
         reading = self._placement(service).reading(rows, chosen, demand, now_s)
-        known = self.known_service(service)
+        known = self._known_service(service)
         can_fetch = known is not None and known.can_fetch
         return reading if can_fetch else attrs.evolve(reading, source=None)
 
@@ -212,11 +212,10 @@
             hear_loads(self.registry.rows, loads, now_s)
 
     def _placement(self, service: str) -> Placement:
-        known = self.known_service(service)
+        known = self._known_service(service)
         return self._warm if known is not None and known.is_engine else self._plain
 
-    def known_service(self, service: str) -> Service | None:
-        """Return what the settings say of a service; None where they don't name it."""
+    def _known_service(self, service: str) -> Service | None:
         return self.config.services.get(service) if self.config is not None else None
 
     def is_ready(self) -> bool:
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -122,6 +122,11 @@
         """Position up to which records are taken in; None before the first read."""
         return self._offset
 
+    @property
+    def position(self) -> int:
+        """The same as a number; -1 before the first read."""
+        return -1 if self._offset is None else self._offset
+
     def _note_lost(self, reason: str) -> None:
         if not self._is_lost:
             self.state.events.write("store_lost", topic=self._topic.name, reason=reason)
--- a/src/beryljunction/routing/cold.py
+++ b/src/beryljunction/routing/cold.py
@@ -4,10 +4,10 @@
 from collections.abc import Sequence
 
 import attrs
-import xxhash
 
 from beryljunction.routing.endpoints import KnownEndpoint
 from beryljunction.routing.fleet import Service
+from beryljunction.routing.rendezvous import rendezvous_rank
 
 __all__ = ["ColdLimit", "ColdShare", "share_of"]
 
@@ -125,9 +125,5 @@
 
         An entry that only some know of moves each of the others by one place at most.
         """
-        mine = _rank(endpoint_id, self._host)
-        return sum(1 for host in self._hosts if _rank(endpoint_id, host) < mine)
-
-
-def _rank(endpoint_id: str, host: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{endpoint_id}/{host}".encode())
+        mine = rendezvous_rank(endpoint_id, self._host)
+        return sum(1 for host in self._hosts if rendezvous_rank(endpoint_id, host) < mine)
--- a/src/beryljunction/routing/warm_placement.py
+++ b/src/beryljunction/routing/warm_placement.py
@@ -4,13 +4,12 @@
 import math
 from collections.abc import Callable, Collection, Mapping, Sequence
 
-import xxhash
-
 from beryljunction.routing.endpoints import KnownEndpoint
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
 from beryljunction.routing.moved import MovedSession, MovedSessions
 from beryljunction.routing.placement import Demand, Placement, Reading
 from beryljunction.routing.reading import ReadingPace
+from beryljunction.routing.rendezvous import rendezvous_rank
 from beryljunction.routing.soundness import weighted_loads
 from beryljunction.routing.warmth import PromptParts, WarmthMap
 
@@ -248,6 +247,6 @@
     session = part_ids[-1] if part_ids else ""
 
     def rank(endpoint_id: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{session}/{endpoint_id}".encode())
+        return rendezvous_rank(session, endpoint_id)
 
     return rank
