Log lines name a request by a digest of its content

On-call engineers could not tell a request that ends every endpoint from endpoints that crash by themselves: ids differ for each attempt of a caller, and nothing else in the log says that two requests are the same. The digest covers client account, method, host, target and body.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -31,6 +31,7 @@
     Reading,
     Verdict,
     admit,
+    request_digest,
 )
 
 __all__ = ["Exchange"]
@@ -52,6 +53,7 @@
         self._error: tuple[Head, bytes] | None = None
         self._request_id = ""
         self._service = ""
+        self._digest = ""
 
     async def run(self) -> None:
         """Serve the request; cancelled when its caller leaves."""
@@ -75,6 +77,7 @@
         limit_ms = min(self._needs.deadline_ms or _NO_DEADLINE_MS, route.timeout_ms)
         self._ends_s = self._request.arrived_s + limit_ms / 1000
         self._service = route.service_for(self._state.random.random())
+        self._digest = self._digest_for(admitted)
         self._demand = Demand(self._shared_parts())
         share = self._state.share(self._service)
         share.count_request(boot_time_s())
@@ -90,6 +93,12 @@
         path, now_s = self._request.path, boot_time_s()
         return admit(state.config, state.lease, needs.host, path, needs.api_key, now_s)
 
+    def _digest_for(self, admitted: Admitted) -> str:
+        request = self._request
+        account = admitted.account.name if admitted.account is not None else ""
+        host = self._needs.host
+        return request_digest(account, request.method, host, request.target, request.body)
+
     def _left_s(self) -> float:
         return self._ends_s - boot_time_s()
 
@@ -116,6 +125,7 @@
             verdict = plan.after(end.outcome)
             self._log(
                 "attempt_ended",
+                digest=self._digest,
                 endpoint=endpoint.record.endpoint_id,
                 outcome=end.outcome.value,
                 verdict=verdict.value,
@@ -274,6 +284,7 @@
             route=admitted.route.name,
             service=self._service,
             account=admitted.account.name if admitted.account is not None else "",
+            digest=self._digest,
             endpoint=endpoint.record.endpoint_id,
             attempt=plan.sends,
             load=round(endpoint.load(boot_time_s()), 1),
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -5,6 +5,7 @@
 from beryljunction.routing.budget import RetryShare
 from beryljunction.routing.cold import ColdLimit, ColdShare
 from beryljunction.routing.contact import StoreContact
+from beryljunction.routing.digest import request_digest
 from beryljunction.routing.endpoints import (
     EndpointRecord,
     EndpointRegistry,
@@ -88,6 +89,7 @@
     "loads_to_tell",
     "mechanisms_of",
     "needs_peers",
+    "request_digest",
     "retry_after_s",
     "sound_rows",
     "weighted_loads",
--- /dev/null
+++ b/testing/test_digest.py
@@ -0,0 +1,61 @@
+import anyio
+import pytest
+
+from beryljunction.routing import request_digest
+from platform_world import open_world, reset, route
+
+REQUEST = {
+    "account": "acme",
+    "method": b"POST",
+    "host": "shop.example",
+    "target": b"/pay/?n=1",
+    "body": b"x" * 10,
+}
+
+
+class TestDigest:
+    def test_same_request_has_the_same_digest(self):
+        again = {**REQUEST, "host": "Shop.Example"}
+
+        assert request_digest(**REQUEST) == request_digest(**again)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"account": "other"},
+            {"account": ""},
+            {"method": b"PUT"},
+            {"host": "two.example"},
+            {"target": b"/pay/?n=2"},
+            {"body": b"y" * 10},
+            {"body": b""},
+            {"target": b"/pay/?n=1x", "body": b"x" * 9},
+        ],
+        ids=lambda change: "-".join(change),
+    )
+    def test_any_other_request_has_another(self, change):
+        assert request_digest(**REQUEST) != request_digest(**{**REQUEST, **change})
+
+
+class TestLog:
+    def test_lines_of_a_request_that_comes_again_share_a_digest(self):
+        """Guards against an on-call engineer who can't see that one request ends all endpoints."""
+
+        async def end(answer, writer, number):
+            reset(writer)
+
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1", script=end)
+                await world.known(1)
+                for request_id, body in (("q1", b"same"), ("q2", b"same"), ("q3", b"other")):
+                    await world.ask(request_id=request_id, body=body)
+                lines = world.lines.of("sent") + world.lines.of("attempt_ended")
+            return [dict(part.partition("=")[::2] for part in line.split()) for line in lines]
+
+        digests = {}
+        for line in anyio.run(run):
+            digests.setdefault(line["request_id"], set()).add(line["digest"])
+
+        assert digests["q1"] == digests["q2"] != digests["q3"]
+        assert all(len(found) == 1 for found in digests.values())
