A failing test of a request that crashes each endpoint which runs it

The fuzz world gets endpoints that a request ends, with every request they have, and that are back under another id after 2 s; the oracle counts what is sent after three of them ended and the fleet had 3 s to know it.

--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -4,6 +4,7 @@
 import enum
 import json
 import re
+from collections.abc import Callable
 
 import attrs
 
@@ -13,6 +14,7 @@
 __all__ = ["Behaviour", "FuzzCaller", "FuzzEndpoint"]
 
 _WORK_S = 0.03
+_CRASH_S = 0.05
 _SLOW_S = 0.6
 
 
@@ -32,12 +34,14 @@
     SLOW = "slow"
 
 
-@attrs.define
+@attrs.define(eq=False)
 class FuzzEndpoint:
     """One start of an endpoint.
 
     Attributes:
         behaviour: What it does with the next requests.
+        on_crash: Called when it has crashed.
+        has_crashed: Whether its process is gone.
     """
 
     name: str
@@ -47,6 +51,9 @@
     oracle: PlatformOracle
     born_ms: int = 1
     behaviour: Behaviour = Behaviour.WHOLE
+    on_crash: Callable[["FuzzEndpoint"], None] | None = None
+    has_crashed: bool = False
+    _served: set["_Served"] = attrs.field(factory=set)
 
     def record(self, state: str = "ready") -> bytes:
         """Return what it writes of itself."""
@@ -63,7 +70,28 @@
 
     def accept(self) -> "_Served":
         """Return the protocol of a new connection."""
-        return _Served(self)
+        served = _Served(self)
+        self._served.add(served)
+        return served
+
+    def closed(self, served: "_Served") -> None:
+        """Take in that a connection is gone."""
+        self._served.discard(served)
+
+    def crash(self, deadly: str) -> None:
+        """End the process, and with it every request that it has.
+
+        Args:
+            deadly: Name of the request that ended it.
+        """
+        if self.has_crashed:
+            return
+        self.has_crashed = True
+        self.oracle.note_crash(deadly, self.loop.world_s)
+        for served in list(self._served):
+            served.reset()
+        if self.on_crash is not None:
+            self.on_crash(self)
 
 
 class _Served(asyncio.Protocol):
@@ -90,6 +118,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that nobody listens."""
         self._side = None
+        self._endpoint.closed(self)
         if self._request_id:
             endpoint = self._endpoint
             endpoint.oracle.released_s[self._request_id] = endpoint.loop.world_s
@@ -117,6 +146,11 @@
         if not is_expected:
             self._write(_head("421 Misdirected Request", run.request_id, ["content-length: 0"]))
             return
+        deadly = endpoint.oracle.asked[run.request_id].deadly if ran else ""
+        if deadly:
+            await asyncio.sleep(_CRASH_S)
+            endpoint.crash(deadly)
+            return
         await asyncio.sleep(_SLOW_S if behaviour is Behaviour.SLOW else _WORK_S)
         start = int(fields.get("last-event-id", 0)) + 1
         streamed = endpoint.oracle.asked[run.request_id].streamed
@@ -129,7 +163,8 @@
         if self._side is not None:
             self._side.write(data)
 
-    def _reset(self) -> None:
+    def reset(self) -> None:
+        """End the connection with a reset."""
         if self._side is not None:
             self._side.reset()
 
@@ -140,10 +175,10 @@
             lines = ["content-length: 0", "x-not-executed: 1"]
             self._write(_head("503 Service Unavailable", request_id, lines))
         elif behaviour is Behaviour.LOSE_ANSWER:
-            self._reset()
+            self.reset()
         elif behaviour in (Behaviour.CUT, Behaviour.CUT_IN_EVENT):
             self._write(_head("200 OK", request_id, length) + body[:4])
-            self._reset()
+            self.reset()
         elif behaviour is Behaviour.RUBBISH:
             self._write(b"\x00\x01 not an answer\r\n\r\n")
         elif behaviour is Behaviour.ANOTHERS:
@@ -167,7 +202,7 @@
             self._write(b"%x\r\n%b\r\n" % (len(event), event))
             if behaviour in (Behaviour.CUT, Behaviour.CUT_IN_EVENT) and number == start + 1:
                 await asyncio.sleep(0.01)
-                self._reset()
+                self.reset()
                 return
             await asyncio.sleep(0.01)
         self._write(b"0\r\n\r\n")
@@ -208,7 +243,7 @@
             self._side.close()
             return
         lines = [
-            f"GET /{asked.service}/{'s' if asked.streamed else 'c'}/ HTTP/1.1",
+            f"GET /{asked.service}/{'s' if asked.streamed else 'c'}/{asked.deadly} HTTP/1.1",
             "Host: h",
             f"X-Request-Id: {asked.request_id}",
             f"X-Credential: {asked.api_key}",
--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -1,5 +1,7 @@
 """What callers were told and what endpoints ran, and the promises over both."""
 
+import math
+
 import attrs
 
 __all__ = ["Asked", "Bounds", "PlatformOracle", "Run"]
@@ -16,6 +18,9 @@
     left_s: float = 0.5
     repeat_ratio: float = 0.2
     repeat_slack: int = 20
+    crashes: int = 3
+    sends_after_crashes: int = 3
+    touch_s: float = 3.0
 
 
 @attrs.define(eq=False)
@@ -24,6 +29,8 @@
 
     Attributes:
         may_repeat: Whether it may run more than once.
+        entry: The entry that it was sent to.
+        deadly: Name of a request that crashes each endpoint which runs it; empty for others.
         left_s: When its caller left; None while it is there.
         status: What it was answered; 0 for nothing.
         pieces: Events that arrived, by number.
@@ -37,6 +44,8 @@
     streamed: bool
     sent_s: float
     limit_s: float
+    entry: str = ""
+    deadly: str = ""
     left_s: float | None = None
     status: int = 0
     body: bytes = b""
@@ -84,6 +93,12 @@
         self.revoked_s: dict[str, float] = {}
         self.draining_s: dict[str, float] = {}
         self.outages: list[tuple[float, float]] = []
+        self.crashes_s: dict[str, list[float]] = {}
+        self.started_s: dict[str, float] = {}
+
+    def note_crash(self, deadly: str, at_s: float) -> None:
+        """Take in that a request has ended an endpoint."""
+        self.crashes_s.setdefault(deadly, []).append(at_s)
 
     def body_of(self, request_id: str) -> bytes:
         """Return the answer that an endpoint makes for a request."""
@@ -96,6 +111,8 @@
             found += self._of_request(request)
         for run in self.runs:
             found += self._of_run(run)
+        for deadly, crashes_s in self.crashes_s.items():
+            found += self._of_crashes(deadly, crashes_s)
         return found + self._of_repeats()
 
     def _of_request(self, request: Asked) -> list[str]:
@@ -163,6 +180,25 @@
         is_late = late_s > 0 and self._in_touch(request.left_s, released_s)
         return [f"{run.request_id}: worked on after its caller had left"] if is_late else []
 
+    def _of_crashes(self, deadly: str, crashes_s: list[float]) -> list[str]:
+        """Judge a request that was sent on though enough endpoints had ended under it."""
+        bounds = self.bounds
+        if len(crashes_s) < bounds.crashes:
+            return []
+        known_s = crashes_s[bounds.crashes - 1] + bounds.touch_s
+        late = [run for run in self.runs if run.at_s > known_s and self._is_of(run, deadly)]
+        if len(late) <= bounds.sends_after_crashes:
+            return []
+        ended = len(crashes_s)
+        return [f"{deadly}: sent {len(late)} times more, {ended} endpoints ended under it"]
+
+    def _is_of(self, run: Run, deadly: str) -> bool:
+        """Whether an entry in touch sent this request."""
+        asked = self.asked[run.request_id]
+        if asked.deadly != deadly or not self._in_touch(run.at_s, run.at_s):
+            return False
+        return run.at_s - self.started_s.get(asked.entry, -math.inf) > self.bounds.touch_s
+
     def _in_touch(self, from_s: float, to_s: float) -> bool:
         """Whether no outage touched this time, nor the three seconds before it."""
         return all(end_s + 3.0 < from_s or begin_s > to_s for begin_s, end_s in self.outages)
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -33,6 +33,9 @@
 _SLACK = 64
 _BOUNDS = HostBounds(repeat_slack=_SLACK)
 _SETTLE_S = 2.0
+# A crashed endpoint starts again under another id, at its address; its old record lapses later.
+_RESTART_S = 2.0
+_LAPSE_S = 3.6
 
 
 class _Silent:
@@ -115,20 +118,42 @@
     ) -> None:
         """Start an endpoint and let it write of itself."""
         endpoint = FuzzEndpoint(name, service, address, self.loop, self.oracle, born_ms)
+        endpoint.on_crash = self._restart_later
         self.endpoints[name] = endpoint
         self.oracle.draining_s.pop(name, None)
         self.loop.network.listeners[address] = endpoint.accept
         self._put("keyed.servers", name, endpoint.record())
 
+    def _restart_later(self, endpoint: FuzzEndpoint) -> None:
+        """Take a crashed endpoint from the network, and start it again after some seconds."""
+        if self.loop.network.listeners.get(endpoint.address) == endpoint.accept:
+            del self.loop.network.listeners[endpoint.address]
+        self.loop.call_later(_RESTART_S, self._restart, endpoint)
+
+    def _restart(self, crashed: FuzzEndpoint) -> None:
+        listeners = self.loop.network.listeners
+        if crashed.address in listeners:
+            return
+        base, _, number = crashed.name.partition(".")
+        name = f"{base}.{int(number or 0) + 1}"
+        fresh = FuzzEndpoint(name, crashed.service, crashed.address, self.loop, self.oracle)
+        fresh.on_crash = self._restart_later
+        self.endpoints[base] = fresh
+        listeners[crashed.address] = fresh.accept
+        self._put("keyed.servers", name, fresh.record())
+        self.loop.call_later(_LAPSE_S - _RESTART_S, self._put, "keyed.servers", crashed.name, None)
+
     def drain(self, name: str) -> None:
         """Let an endpoint say that it is leaving; it serves on."""
-        self._put("keyed.servers", name, self.endpoints[name].record("draining"))
-        self.oracle.draining_s.setdefault(name, self.loop.world_s)
+        endpoint = self.endpoints[name]
+        self._put("keyed.servers", endpoint.name, endpoint.record("draining"))
+        self.oracle.draining_s.setdefault(endpoint.name, self.loop.world_s)
 
     def vanish(self, name: str) -> None:
         """Remove an endpoint's record; it serves on."""
-        self._put("keyed.servers", name, None)
-        self.oracle.draining_s.setdefault(name, self.loop.world_s)
+        endpoint = self.endpoints[name]
+        self._put("keyed.servers", endpoint.name, None)
+        self.oracle.draining_s.setdefault(endpoint.name, self.loop.world_s)
 
     def born_again(self, name: str) -> None:
         """Start an endpoint again under its id."""
@@ -138,7 +163,7 @@
     def reuse_address(self, name: str) -> None:
         """Let an endpoint crash, and a new one of the other service have its address."""
         old = self.endpoints[name]
-        self._put("keyed.servers", name, None)
+        self._put("keyed.servers", old.name, None)
         other = "free" if old.service == "once" else "once"
         fresh = f"{name}-{old.born_ms}"
         stranger = FuzzEndpoint(fresh, other, old.address, self.loop, self.oracle)
@@ -161,6 +186,7 @@
         entry = FuzzEntry(name, address, store, EntryState(host, events))
         entry.state.random.seed(name)
         self.entries[name] = entry
+        self.oracle.started_s[name] = self.loop.world_s
         entry.task = self.loop.create_task(self._run_entry(entry))
 
     async def _run_entry(self, entry: FuzzEntry) -> None:
@@ -217,8 +243,10 @@
 
     # Callers and time
 
-    def ask(self, entry: str, service: str, streamed: bool, key: str) -> FuzzCaller:
-        """Let a caller send a request."""
+    def ask(
+        self, entry: str, service: str, streamed: bool, key: str, deadly: str = ""
+    ) -> FuzzCaller:
+        """Let a caller send a request; a deadly one crashes each endpoint that runs it."""
         number = len(self.callers)
         asked = Asked(
             request_id=f"q{number}",
@@ -228,6 +256,8 @@
             streamed=streamed,
             sent_s=self.loop.world_s,
             limit_s=_TIMEOUT_MS / 1000,
+            entry=entry,
+            deadly=deadly,
         )
         self.oracle.asked[asked.request_id] = asked
         caller = FuzzCaller(asked, self.loop, entry)
