A request under which three endpoints ended is sent to none

Callers saw waves of failures while all engines of a service ended again and again. Cause: a request that crashes each endpoint which runs it came again at any entry; entries know ids and endpoints, not contents, so every attempt of its caller ended one endpoint and its second send another. Class of fault: what one entry learns from a failure ends with the attempt that saw it.

A digest names the request. An attempt whose connection is cut probes the endpoint's port: one that refuses connections has ended, and the request is held to blame. Three owners of a digest, by rendezvous, count for all entries; at the third endpoint an owner tells every entry, and writes it beside the entries' addresses, where entries that start later read it without a call more. What was served in the last ten seconds, or is served after all, is not held to blame.

Ruled out as causes: crashes of the engines' own, overload (neither is in the test's world).

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -33,6 +33,8 @@
     )
 )
 _ENDPOINT_EVENTS = frozenset(("endpoint_draining", "endpoint_gone", "endpoint_joined"))
+# These tell of a request by its digest, on any host and long before it came again.
+_DIGEST_EVENTS = frozenset(("endpoint_ended", "request_quarantined"))
 
 
 @attrs.frozen
@@ -98,9 +100,12 @@
     """Return what the request's hosts knew around it: the store, settings, its endpoints."""
     hosts = {line.host for line in own}
     endpoints = {line.get("endpoint") for line in own} - {""}
+    digests = {line.get("digest") for line in own} - {""}
     begins = own[0].at - datetime.timedelta(seconds=_BEFORE_S)
 
     def matters(line: LogLine) -> bool:
+        if line.event in _DIGEST_EVENTS:
+            return line.get("digest") in digests and line.at <= own[-1].at
         if line.host not in hosts or not begins <= line.at <= own[-1].at:
             return False
         is_own_endpoint = line.event in _ENDPOINT_EVENTS and line.get("endpoint") in endpoints
@@ -161,6 +166,8 @@
     "settings_by_peer_ended": lambda line: "is no longer confirmed by a peer",
     "settings_refused": lambda line: f"kept its settings: {line.get('problem')}",
     "endpoint_gone": lambda line: f"endpoint {line.get('endpoint')} is gone from the store",
+    "endpoint_ended": lambda line: f"endpoint {line.get('endpoint')} ended under this request",
+    "request_quarantined": lambda line: "keeps this request from being sent",
     "endpoint_draining": lambda line: f"endpoint {line.get('endpoint')} is leaving",
     "endpoint_joined": lambda line: f"endpoint {line.get('endpoint')} has joined",
     "zone_evacuated": lambda line: f"sends nothing new to zone {line.get('zone')}, by the operator",
@@ -270,6 +277,9 @@
         "the endpoints that are left have just started and get no more requests this second; "
         "it has not run"
     ),
+    "quarantined": lambda *_: (
+        "several endpoints ended while they had this request, under whatever id; it is not sent"
+    ),
     "failed": _lost_answer,
     "declined": _declined,
     "not_sent": lambda *_: "no endpoint could be connected to; the request has not run",
--- a/src/beryljunction/fuzz/platform/entries.py
+++ b/src/beryljunction/fuzz/platform/entries.py
@@ -5,6 +5,7 @@
 import attrs
 
 from beryljunction.fuzz.platform.stores import FuzzStore
+from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.front import Front
 from beryljunction.gateway.known import Known, known_here
 from beryljunction.gateway.membership import EndpointWatcher
@@ -47,8 +48,8 @@
     async def ask(self, address: Address, version: int, offset: int) -> Known | str:
         """Return what the other entry knows."""
         await asyncio.sleep(_PEER_S)
-        peer = next(row for row in self._entries.values() if row.address == address)
-        if self._entry.is_alone or peer.is_alone or peer.endpoints is None:
+        peer = self._at(address)
+        if peer is None or peer.endpoints is None:
             return "no answer"
         known = known_here(peer.state, peer.endpoints, version, offset)
         await asyncio.sleep(_PEER_S)
@@ -57,3 +58,17 @@
     async def tell(self, address: Address, news: bytes) -> bool:
         """Tell nothing: the world has no engines."""
         return False
+
+    async def report(self, address: Address, crashes: bytes) -> bool:
+        """Tell of requests that end endpoints."""
+        await asyncio.sleep(_PEER_S)
+        peer = self._at(address)
+        if peer is None:
+            return False
+        peer.state.quarantine.take(CrashReport.decode(crashes))
+        return True
+
+    def _at(self, address: Address) -> FuzzEntry | None:
+        """Return the entry at an address; None where it can't be reached."""
+        peer = next(row for row in self._entries.values() if row.address == address)
+        return None if self._entry.is_alone or peer.is_alone else peer
--- a/src/beryljunction/fuzz/platform/machine.py
+++ b/src/beryljunction/fuzz/platform/machine.py
@@ -145,6 +145,15 @@
         caller.leave()
         self.world.advance(0.3)
 
+    @rule(entry=_ENTRY, service=_SERVICE, streamed=st.booleans(), count=st.integers(1, 9))
+    def deadly_request(self, entry: str, service: str, streamed: bool, count: int) -> None:
+        """A request that crashes endpoints comes several times, others beside it."""
+        for number in range(count):
+            at = ENTRIES[(ENTRIES.index(entry) + number) % len(ENTRIES)]
+            self.world.ask(at, service, streamed, "key-a", deadly="d1")
+            self.world.ask(entry, service, streamed, "key-a")
+            self.world.advance(0.5)
+
     @rule(name=_ENDPOINT, vanishes=st.booleans())
     def endpoint_leaves(self, name: str, vanishes: bool) -> None:
         """An endpoint leaves by word, or its record just goes; callers come afterwards."""
--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -124,6 +124,8 @@
         if request.status in (429, 503) and ran:
             found.append(f"{name}: told {request.status}, though it ran")
         found += self._of_answer(request)
+        if request.body.startswith(b"quarantined") and not self._may_be_quarantined(request):
+            found.append(f"{name}: quarantined without {self.bounds.crashes} crashes")
         if request.left_s is None and request.ended_s is None:
             found.append(f"{name}: no final answer")
         if request.ended_s is not None and request.left_s is None:
@@ -192,6 +194,13 @@
         ended = len(crashes_s)
         return [f"{deadly}: sent {len(late)} times more, {ended} endpoints ended under it"]
 
+    def _may_be_quarantined(self, request: Asked) -> bool:
+        """Whether enough endpoints had ended, under this request if it is a deadly one."""
+        names = [request.deadly] if request.deadly else list(self.crashes_s)
+        ended_s = request.ended_s if request.ended_s is not None else math.inf
+        crashes_s = [at_s for name in names for at_s in self.crashes_s.get(name, ())]
+        return sum(at_s <= ended_s for at_s in crashes_s) >= self.bounds.crashes
+
     def _is_of(self, run: Run, deadly: str) -> bool:
         """Whether an entry in touch sent this request."""
         asked = self.asked[run.request_id]
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -12,6 +12,7 @@
 from beryljunction.fuzz.platform.stores import FuzzStore, StoreFault
 from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
 from beryljunction.gateway.callers import CallerConnection
+from beryljunction.gateway.crashreporter import CrashReporter
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.front import Front
@@ -198,8 +199,11 @@
             group.start_soon(config.run)
             group.start_soon(endpoints.run)
             peers = PeerTable(entry.state.random)
-            peers.replace({row.name: row.address for row in self.entries.values() if row != entry})
+            others = {row.name: row.address for row in self.entries.values() if row != entry}
+            peers.replace(others)
+            entry.state.fan_out.replace(others)
             link = FuzzPeerLink(entry, self.entries)
+            group.start_soon(CrashReporter(link, entry.store, entry.state).run)
             group.start_soon(PeerConfirmation(link, entry.state, config, endpoints, peers).run)
             await anyio.sleep_forever()
 
--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -10,7 +10,7 @@
 from beryljunction.gateway.messages import Head, Headers
 from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
 
-__all__ = ["EndpointCall", "EndpointUnreachable", "open_call"]
+__all__ = ["EndpointCall", "EndpointUnreachable", "open_call", "refuses_connections"]
 
 # An endpoint on a sound host answers a connection attempt in a few ms; one that is dark never does,
 # and a lost packet is sent again only after a second. Aims are 200 ms and up, and nothing has been
@@ -33,6 +33,7 @@
     Attributes:
         is_complete: Whether the answer has ended where its framing says.
         problem: Why the answer can't be used; empty while it can.
+        is_cut: Whether the connection ended before the answer did.
     """
 
     def __init__(self, is_head: bool) -> None:
@@ -47,6 +48,7 @@
         self._news = anyio.Event()
         self.is_complete = False
         self.problem = ""
+        self.is_cut = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time-outs of the socket."""
@@ -81,6 +83,7 @@
         """Note a connection that ended before the answer did."""
         self._transport = None
         if not self.is_complete and not self.problem:
+            self.is_cut = True
             self._end(f"the end of the connection ({exc or 'closed'})")
         self._news.set()
 
@@ -172,3 +175,13 @@
     except (OSError, TimeoutError) as error:
         raise EndpointUnreachable(str(error) or type(error).__name__) from error
     return call
+
+
+async def refuses_connections(address: tuple[str, int]) -> bool:
+    """Return whether nothing listens at an address; False where that is not certain."""
+    try:
+        call = await open_call(address, is_head=False)
+    except EndpointUnreachable as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    with call:
+        return False
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -5,7 +5,12 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.calls import EndpointCall, EndpointUnreachable, open_call
+from beryljunction.gateway.calls import (
+    EndpointCall,
+    EndpointUnreachable,
+    open_call,
+    refuses_connections,
+)
 from beryljunction.gateway.delivery import Answering, Delivery
 from beryljunction.gateway.messages import Head, Headers, HttpRequest
 from beryljunction.gateway.outgoing import endpoint_message
@@ -40,6 +45,7 @@
 _LEAST_LEFT_S = 0.02
 _DENIAL_STATUS = {DenialReason.NO_ROUTE: 404, DenialReason.UNKNOWN_KEY: 401}
 _NO_DEADLINE_MS = 60_000
+_QUARANTINED = "quarantined"
 
 
 class Exchange:
@@ -111,7 +117,7 @@
 
     async def _walk(self, plan: AttemptPlan) -> None:
         """Send to one endpoint after the other until one has answered or nothing is left to do."""
-        while True:
+        while not self._is_quarantined(plan):
             endpoint = self._state.choose(self._service, self._demand, self._tried)
             if endpoint is None or self._left_s() < _LEAST_LEFT_S:
                 reason = self._state.why_none(self._service) if endpoint is None else "no_time"
@@ -135,6 +141,13 @@
                 self._give_up(verdict, end.outcome.value)
                 return
 
+    def _is_quarantined(self, plan: AttemptPlan) -> bool:
+        """Return whether the request ends endpoints; its caller has its answer then."""
+        if self._state.quarantine.left_s(self._digest) <= 0.0:
+            return False
+        self._give_up(plan.give_up(), _QUARANTINED)
+        return True
+
     async def _try(self, endpoint: KnownEndpoint, plan: AttemptPlan) -> AttemptEnd:
         """Connect to one endpoint and send to it."""
         endpoint.in_flight += 1
@@ -163,6 +176,8 @@
         if isinstance(admitted, Denial):
             self._give_up(plan.give_up(), admitted.reason.value, admitted)
             return AttemptEnd()
+        if self._is_quarantined(plan):
+            return AttemptEnd()
         if not plan.before_send(boot_time_s()):
             self._give_up(plan.give_up(), "retry_budget")
             return AttemptEnd()
@@ -185,8 +200,22 @@
         end = await self._take(call, head, endpoint, admitted)
         is_bad = end.outcome is not None or (head is not None and head.status >= 500)
         endpoint.faults.note(is_bad, boot_time_s())
+        await self._note_end(call, endpoint)
         return end
 
+    async def _note_end(self, call: EndpointCall, endpoint: KnownEndpoint) -> None:
+        """Tell a request that was served from one under which its endpoint ended.
+
+        An endpoint that still accepts connections has only lost this one; one that is leaving ends
+        by plan.
+        """
+        quarantine = self._state.quarantine
+        if self._delivery.is_whole and call.is_complete:
+            quarantine.note_served(self._digest)
+        may_have_crashed = call.is_cut and not endpoint.record.is_draining
+        if may_have_crashed and await refuses_connections(endpoint.record.address):
+            quarantine.note_crash(self._digest, endpoint)
+
     async def _take(
         self, call: EndpointCall, head: Head | None, endpoint: KnownEndpoint, admitted: Admitted
     ) -> AttemptEnd:
@@ -259,14 +288,17 @@
         headers: Headers = [(b"content-type", b"text/plain")]
         if self._request_id:
             headers.append((REQUEST_ID, self._request_id.encode("latin-1")))
-        pause_s = self._pause_s() if status == 503 else None
+        pause_s = self._pause_s(reason) if status == 503 else None
         if pause_s is not None:
             headers.append((RETRY_AFTER_S, b"%.2f" % pause_s))
-        self._log("refused" if status == 503 else "failed", status=status, reason=reason)
+        event = "refused" if status == 503 else "failed"
+        self._log(event, digest=self._digest, status=status, reason=reason)
         self._delivery.answer(status, headers, f"{reason}\n".encode())
 
-    def _pause_s(self) -> float | None:
+    def _pause_s(self, reason: str) -> float | None:
         """Return when a caller is to come back that was refused; None to say nothing."""
+        if reason == _QUARANTINED:
+            return self._state.quarantine.left_s(self._digest)
         deadline_ms = self._needs.deadline_ms
         left_s = None
         if deadline_ms is not None:
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -1,12 +1,14 @@
 """Entries tell each other what the store has told them, with its age, and their news."""
 
 import abc
+from collections.abc import Callable
 
 import anyio
 import httpcore
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
+from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
 from beryljunction.gateway.membership import EndpointWatcher
@@ -20,6 +22,7 @@
 
 _KNOWN_PATH = "/v1/known"
 _NEWS_PATH = "/v1/news"
+_CRASHES_PATH = "/v1/crashes"
 # Pause between questions, while they are needed: two fit between the age from which peers are asked
 # and that from which callers are sent elsewhere.
 _STEP_S = 0.5
@@ -40,7 +43,12 @@
         peers: PeerTable,
         updates: UpdateReceiver | None = None,
     ) -> None:
-        self._updates = updates
+        self._takers: dict[str, Callable[[bytes], bytes]] = {
+            _NEWS_PATH: self._learn,
+            _CRASHES_PATH: self._take_crashes,
+        }
+        if updates is not None:
+            self._takers[UPDATE_PATH] = updates.take
         self.limits = CallerLimits()
         self.leaving = False
         self._state = state
@@ -59,11 +67,9 @@
 
     def requested(self, connection: CallerConnection, request: HttpRequest) -> None:
         """Answer at once."""
-        if request.path == _NEWS_PATH:
-            self._learn(connection, request.body)
-            return
-        if request.path == UPDATE_PATH and self._updates is not None:
-            self._take_update(connection, request.body, self._updates)
+        take = self._takers.get(request.path)
+        if take is not None:
+            self._take(connection, request.body, take)
             return
         asked = _read_question(request.target.decode("latin-1"))
         if asked is None:
@@ -75,27 +81,27 @@
             return
         connection.answer(200, [(b"content-type", b"application/json")], known.encode())
 
-    def _take_update(
-        self, connection: CallerConnection, body: bytes, updates: UpdateReceiver
+    def _take(
+        self, connection: CallerConnection, body: bytes, take: Callable[[bytes], bytes]
     ) -> None:
+        """Take in a message, and answer what is to be said to it."""
         try:
-            answer = updates.take(body)
+            answer = take(body)
         except ValueError as error:
             self._state.events.write("peer_rejected", status=400, problem=str(error))
             connection.answer(400, [], b"")
             return
         connection.answer(200, [], answer)
 
-    def _learn(self, connection: CallerConnection, body: bytes) -> None:
-        try:
-            news = News.decode(body)
-        except ValueError as error:
-            self._state.events.write("peer_rejected", status=400, problem=str(error))
-            connection.answer(400, [], b"")
-            return
+    def _learn(self, body: bytes) -> bytes:
+        news = News.decode(body)
         self._peers.greet(news.host, news.life)
         self._state.learn(news.moved, news.loads)
-        connection.answer(200, [], b"")
+        return b""
+
+    def _take_crashes(self, body: bytes) -> bytes:
+        self._state.quarantine.take(CrashReport.decode(body))
+        return b""
 
 
 def _question(version: int, offset: int) -> str:
@@ -121,6 +127,10 @@
     async def tell(self, address: Address, news: bytes) -> bool:
         """Tell it news; False when it did not answer."""
 
+    @abc.abstractmethod
+    async def report(self, address: Address, crashes: bytes) -> bool:
+        """Tell it of requests that end endpoints; False when it did not answer."""
+
 
 class HttpPeerLink(PeerLink):
     """Speaks to other entries over HTTP.
@@ -134,10 +144,17 @@
 
     async def tell(self, address: Address, news: bytes) -> bool:
         """Tell it news; False when it did not answer."""
-        url = f"http://{address[0]}:{address[1]}{_NEWS_PATH}"
+        return await self._post(address, _NEWS_PATH, news)
+
+    async def report(self, address: Address, crashes: bytes) -> bool:
+        """Tell it of requests that end endpoints; False when it did not answer."""
+        return await self._post(address, _CRASHES_PATH, crashes)
+
+    async def _post(self, address: Address, path: str, message: bytes) -> bool:
+        url = f"http://{address[0]}:{address[1]}{path}"
         try:
             with anyio.fail_after(_ANSWER_S):
-                response = await self._pool.request("POST", url, content=news)
+                response = await self._pool.request("POST", url, content=message)
         except (TimeoutError, *_NO_ANSWER):
             return False
         return response.status == 200
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -13,6 +13,7 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.errors import SettingsError, StartError
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
+from beryljunction.gateway.crashreporter import CrashReporter
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.front import Front
@@ -100,6 +101,11 @@
             "Endpoints that are, or may be, warming up.",
             state.cold_endpoints,
         )
+        metrics.watch(
+            "beryl_requests_quarantined",
+            "Requests that may not be sent since endpoints ended under them.",
+            lambda: len(state.quarantine),
+        )
         metrics.watch("beryl_requests_in_flight", "Requests here.", lambda: front.in_flight)
         metrics.watch("beryl_ready", "Whether callers are welcome.", self._is_ready)
         metrics.watch("beryl_repeats_left", "Second sends left.", state.repeats_left)
@@ -225,6 +231,7 @@
             pass_on = UpdatePublisher(HttpUpdateLink(), self._state, endpoints, registration)
             group.start_soon(pass_on.run)
         group.start_soon(ShareNews(link, self._state, peers, life).run)
+        group.start_soon(CrashReporter(link, store, self._state).run)
         return registration
 
     def _callers_socket(self) -> socket.socket:
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -1,4 +1,4 @@
-"""Tells the other entries, through the store, where this one can be asked, and learns of them."""
+"""Keeps this entry's address in the store, and follows what all entries write there."""
 
 import math
 from collections.abc import Iterable
@@ -6,6 +6,7 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.quarantine import is_quarantine_key
 from beryljunction.gateway.schedules import ALWAYS_POLL, PollSchedule
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.topics import TopicReader, paced
@@ -38,7 +39,11 @@
 
 
 class Registration:
-    """Keeps this entry's address in the store, and the table of its peers up to date."""
+    """Keeps this entry's address in the store, and the table of its peers up to date.
+
+    The same topic holds the requests that are in quarantine, so that entries which start later know
+    of them without another read.
+    """
 
     def __init__(
         self,
@@ -106,10 +111,10 @@
         self._topic.apply_update(update, self._take_all, self._take)
 
     def _records(self) -> tuple[Record, ...]:
-        """Return the address of each entry that is listed, this one's too."""
+        """Return the address of each entry that is listed, this one's too, and the quarantine."""
         rows = self._state.fan_out.addresses().items()
         others = tuple(Record(host, format_address(address)) for host, address in rows)
-        return (Record(self._host, self._address), *others)
+        return (Record(self._host, self._address), *others, *self._state.quarantine.records())
 
     async def step(self) -> bool:
         """Read once."""
@@ -118,8 +123,14 @@
         if is_read:
             self._is_doubtful = False
             self.heard()
+        if self._schedule.is_first:
+            await self._remove_expired()
         return is_read
 
+    async def _remove_expired(self) -> None:
+        for key in self._state.quarantine.expired_keys():
+            await self._store.put(ENTRY_ADDRESSES, key, None)
+
     async def withdraw(self) -> None:
         """Remove the address; this entry ends."""
         with anyio.move_on_after(_WITHDRAW_S):
@@ -132,8 +143,9 @@
         self._state.note_entries()
 
     def _take(self, records: Iterable[Record]) -> None:
-        gone = [record.key for record in records if record.value is None]
-        addresses = dict(self._decode(records))
+        rows = list(records)
+        gone = [record.key for record in rows if record.value is None]
+        addresses = dict(self._decode(rows))
         for host in gone:
             self._peers.remove(host)
         for host, address in addresses.items():
@@ -145,6 +157,9 @@
         """Return the addresses that can be read, without this entry's own."""
         rows = []
         for record in records:
+            if is_quarantine_key(record.key):
+                self._state.quarantine.take_record(record)
+                continue
             address = parse_address((record.value or b"").decode("latin-1"))
             if address is not None and record.key != self._host:
                 rows.append((record.key, address))
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -7,6 +7,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.events import Events
+from beryljunction.gateway.quarantine import Quarantine
 from beryljunction.gateway.signals import Signal
 from beryljunction.platform import HostBounds, HostSettings
 from beryljunction.routing import (
@@ -50,6 +51,7 @@
         evacuations: Availability zones that get no new requests.
         cold: This entry's share of the requests to endpoints that are warming up.
         fan_out: Which entries read the store, and who tells whom.
+        quarantine: Requests that end the endpoints which run them.
         news: Set when something came from the store.
     """
 
@@ -65,6 +67,7 @@
         self.evacuations = Evacuations()
         self.cold = ColdShare(host.host, _cold_limit(bounds), boot_time_s())
         self.fan_out = FanOut(host.host)
+        self.quarantine = Quarantine(host.host, self.fan_out, events)
         self.news = Signal()
         self.random = random.Random()
         mechanisms = self.mechanisms = host.mechanisms
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -5,6 +5,7 @@
 from beryljunction.routing.budget import RetryShare
 from beryljunction.routing.cold import ColdLimit, ColdShare
 from beryljunction.routing.contact import StoreContact
+from beryljunction.routing.crashes import Crash, CrashTable, owners_of
 from beryljunction.routing.digest import request_digest
 from beryljunction.routing.endpoints import (
     EndpointRecord,
@@ -50,6 +51,8 @@
     "CallerLimits",
     "ColdLimit",
     "ColdShare",
+    "Crash",
+    "CrashTable",
     "Demand",
     "Denial",
     "DenialReason",
@@ -89,6 +92,7 @@
     "loads_to_tell",
     "mechanisms_of",
     "needs_peers",
+    "owners_of",
     "request_digest",
     "retry_after_s",
     "sound_rows",
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -10,6 +10,8 @@
 
 from beryljunction.fuzz.platform.stores import FuzzStore, StoreFault
 from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
+from beryljunction.gateway.crashreporter import CrashReporter
+from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.events import Events
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
@@ -121,6 +123,15 @@
     async def tell(self, address, news):
         return False
 
+    async def report(self, address, crashes):
+        other = await self._reach(address)
+        self.member.sent_bytes += FRAME_BYTES + len(crashes)
+        if other is None:
+            return False
+        other.state.quarantine.take(CrashReport.decode(crashes))
+        await anyio.sleep(WAY_S)
+        return True
+
 
 class FleetWorld:
     """The fleet; closed at the end."""
@@ -211,6 +222,7 @@
             for task in (config, endpoints, entries):
                 group.start_soon(task.run)
             group.start_soon(PeerConfirmation(link, state, config, endpoints, peers).run)
+            group.start_soon(CrashReporter(link, store, state).run)
             if self.is_shared:
                 group.start_soon(UpdatePublisher(link, state, endpoints, entries).run)
 
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -142,6 +142,9 @@
     async def tell(self, address, moved):
         return False
 
+    async def report(self, address, crashes):
+        return False
+
 
 class TestAge:
     def test_entries_that_are_all_cut_off_do_not_keep_settings_in_force(self, monkeypatch):
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -5,6 +5,7 @@
 from beryljunction.explain import explain, parse_line
 from beryljunction.platform import HostBounds
 from platform_world import open_world, reset, route
+from routing_fakes import known
 
 
 def story_of(request_id, lines):
@@ -87,6 +88,34 @@
         assert "zones that the operator empties; it has not run" in story.cause
         assert any("sends nothing new to zone a" in text for text in story.sentences)
 
+    def test_request_that_ends_endpoints(self):
+        async def end(answer, writer, number):
+            world.endpoints["e1"].server.close()
+            reset(writer)
+
+        async def run():
+            nonlocal world
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1", script=end)
+                await world.known(1)
+                await world.ask(request_id="bad1", body=b"bad")
+                (line,) = world.lines.of("endpoint_ended")
+                digest = parse_line(line).get("digest")
+                for number in range(2):
+                    world.entry._state.quarantine.note_crash(digest, known(f"x{number}"))
+                status = (await world.ask(request_id="bad2", body=b"bad"))[0]
+                return status, world.lines.lines
+
+        world = None
+        status, lines = anyio.run(run)
+        story = story_of("bad2", lines)
+
+        assert status == 503
+        assert "several endpoints ended while they had this request" in story.cause
+        ended = [text for text in story.sentences if "ended under this request" in text]
+        assert len(ended) == 3
+        assert any("keeps this request from being sent" in text for text in story.sentences)
+
 
 class TestUnfinished:
     """Guards against a host that lost power being told as a caller who left."""
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -4,13 +4,16 @@
 from beryljunction import clocks
 from beryljunction.fuzz.platform import PlatformProfile, run_platform_fuzz
 from beryljunction.gateway import exchange, following, front, known, outgoing, peers, relay
+from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.delivery import Delivery
 from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
 from beryljunction.gateway.known import Known
+from beryljunction.gateway.quarantine import Quarantine
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import headers
 from beryljunction.routing import (
     AttemptPlan,
+    CrashTable,
     EndpointRegistry,
     Outcome,
     RetryShare,
@@ -139,7 +142,25 @@
     patch.setattr(relay.Relay, "hold", hold)
 
 
+def send_what_is_quarantined(patch):
+    patch.setattr(CrashTable, "left_s", lambda self, digest, now_s: 0.0)
+
+
+def blame_requests_for_lost_connections(patch):
+    async def refuses(address):
+        return True
+
+    patch.setattr(exchange, "refuses_connections", refuses)
+
+
+def keep_crashes_to_oneself(patch):
+    patch.setattr(Quarantine, "report_for", lambda self, host: CrashReport())
+
+
 SAFEGUARDS = (
+    send_what_is_quarantined,
+    blame_requests_for_lost_connections,
+    keep_crashes_to_oneself,
     keys_on_old_settings,
     age_from_the_answer,
     age_lost_between_peers,
--- a/testing/test_sharing.py
+++ b/testing/test_sharing.py
@@ -96,6 +96,9 @@
         self.told.append((address[0], News.decode(news)))
         return address[0] not in self.silent
 
+    async def report(self, address, crashes):
+        return False
+
 
 def entry_state():
     free = ("127.0.0.1", 1)
