Log an endpoint that says in an answer that it leaves

The logs could not tell whether an entry had been told by an answer that an endpoint leaves, or had forgotten it. The header is decoded in the adapter, and callers don't get it. Nothing is decided by it yet.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -32,7 +32,9 @@
         "zone_returned",
     )
 )
-_ENDPOINT_EVENTS = frozenset(("endpoint_draining", "endpoint_gone", "endpoint_joined"))
+_ENDPOINT_EVENTS = frozenset(
+    ("endpoint_draining", "endpoint_gone", "endpoint_joined", "endpoint_leaving")
+)
 # These tell of a request by its digest, on any host and long before it came again.
 _DIGEST_EVENTS = frozenset(("endpoint_ended", "request_quarantined"))
 
@@ -168,6 +170,7 @@
     "endpoint_gone": lambda line: f"endpoint {line.get('endpoint')} is gone from the store",
     "endpoint_ended": lambda line: f"endpoint {line.get('endpoint')} ended under this request",
     "request_quarantined": lambda line: "keeps this request from being sent",
+    "endpoint_leaving": lambda line: f"endpoint {line.get('endpoint')} says that it leaves",
     "endpoint_draining": lambda line: f"endpoint {line.get('endpoint')} is leaving",
     "endpoint_joined": lambda line: f"endpoint {line.get('endpoint')} has joined",
     "zone_evacuated": lambda line: f"sends nothing new to zone {line.get('zone')}, by the operator",
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -20,6 +20,7 @@
 from beryljunction.platform.requests import (
     has_not_run,
     is_answer_to,
+    is_leaving,
     load_of,
     read_needs,
 )
@@ -224,6 +225,7 @@
             endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.FAILED, call.problem)
         self._note_load(endpoint, head)
+        self._note_leaving(endpoint, head)
         if has_not_run(head.status, head.headers):
             return AttemptEnd(Outcome.DECLINED, str(head.status))
         if not is_answer_to(self._request_id, head.headers):
@@ -254,6 +256,11 @@
             now_s = boot_time_s()
             endpoint.report = LoadReport(running, waiting, endpoint.in_flight, now_s)
 
+    def _note_leaving(self, endpoint: KnownEndpoint, head: Head) -> None:
+        if not endpoint.is_leaving and is_leaving(head.status, head.headers):
+            endpoint.is_leaving = True
+            self._log("endpoint_leaving", endpoint=endpoint.record.endpoint_id)
+
     # Ends without an endpoint's answer
 
     def _deny(self, denial: Denial) -> None:
--- a/src/beryljunction/platform/headers.py
+++ b/src/beryljunction/platform/headers.py
@@ -11,6 +11,7 @@
     "EXPECTED_ENDPOINT",
     "FETCH_FROM",
     "LAST_EVENT",
+    "LEAVING",
     "LOAD",
     "NOT_RUN",
     "PROMPT_PARTS",
@@ -41,6 +42,9 @@
 NOT_RUN = b"x-not-executed"
 # "RUNNING,WAITING,SLOTS" of the endpoint that answers.
 LOAD = b"x-server-load"
+# "1" on all answers of an endpoint that leaves; its record in the store may say so later.
+LEAVING = b"server-leaving"
+# In seconds. From an endpoint that declines: how long it wants nothing from this host.
 RETRY_AFTER_S = b"retry-after"
 
 # What the fleet sets itself or keeps from endpoints; dropped from callers' requests.
@@ -61,4 +65,4 @@
 )
 
 # What an endpoint tells its router; callers don't get it.
-ENDPOINT_ONLY = frozenset((LOAD, b"x-instance-id"))
+ENDPOINT_ONLY = frozenset((LOAD, LEAVING, b"x-instance-id"))
--- a/src/beryljunction/platform/requests.py
+++ b/src/beryljunction/platform/requests.py
@@ -12,6 +12,7 @@
     "endpoint_headers",
     "has_not_run",
     "is_answer_to",
+    "is_leaving",
     "load_of",
     "read_needs",
     "with_last_event",
@@ -130,6 +131,14 @@
     return echoed == request_id and b"content-encoding" not in names
 
 
+def is_leaving(status: int, lines: _Headers) -> bool:
+    """Return whether the endpoint that was asked says in its answer that it leaves.
+
+    An answer that says the address is another endpoint's now tells nothing of the one asked.
+    """
+    return status != _MISDIRECTED and (headers.LEAVING, b"1") in lines
+
+
 def load_of(lines: _Headers) -> tuple[int, int] | None:
     """Return the running and waiting requests that an endpoint states; None where it doesn't."""
     value = next((value for name, value in lines if name == headers.LOAD), b"")
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -133,6 +133,7 @@
         lapses_s: Until when it is kept without a record, which an outage of the store may have
             let expire; None while the record is there.
         is_evacuated: Whether its availability zone gets no new requests.
+        is_leaving: Whether it has said in an answer that it leaves.
         serving_since_s: From when it has got requests; minus infinity for all the time.
         cold_until_s: When it will have warmed up, by its own word.
         may_be_cold_s: When it last may have started anew or cooled down without a word of it.
@@ -145,6 +146,7 @@
     report: LoadReport | None = None
     lapses_s: float | None = None
     is_evacuated: bool = False
+    is_leaving: bool = False
     serving_since_s: float = -math.inf
     cold_until_s: float = -math.inf
     may_be_cold_s: float = -math.inf
