A failing test of an endpoint that says in answers alone that it leaves

The store is silent to the entry, and the endpoint goes on saying in its answers that it leaves. Seen: 16 requests reach it more than 2 s after the first such answer (aim: none).

--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -40,6 +40,7 @@
 
     Attributes:
         behaviour: What it does with the next requests.
+        is_leaving: Whether it says in its answers that it leaves.
         on_crash: Called when it has crashed.
         has_crashed: Whether its process is gone.
     """
@@ -51,6 +52,7 @@
     oracle: PlatformOracle
     born_ms: int = 1
     behaviour: Behaviour = Behaviour.WHOLE
+    is_leaving: bool = False
     on_crash: Callable[["FuzzEndpoint"], None] | None = None
     has_crashed: bool = False
     _served: set["_Served"] = attrs.field(factory=set)
@@ -140,11 +142,14 @@
             expected,
             "x-credential" in fields,
             hangs=ran and behaviour is Behaviour.HANG,
+            told_s=endpoint.oracle.told_of(fields.get("x-request-id", ""), endpoint.name),
         )
         self._request_id = run.request_id
         endpoint.oracle.runs.append(run)
         if not is_expected:
-            self._write(_head("421 Misdirected Request", run.request_id, ["content-length: 0"]))
+            self._write(
+                self._head("421 Misdirected Request", run.request_id, ["content-length: 0"])
+            )
             return
         deadly = endpoint.oracle.asked[run.request_id].deadly if ran else ""
         if deadly:
@@ -159,6 +164,14 @@
         else:
             self._answer(run.request_id, behaviour)
 
+    def _head(self, status: str, request_id: str, lines: list[str]) -> bytes:
+        """Return the head of an answer, with what the endpoint says of itself."""
+        endpoint = self._endpoint
+        if endpoint.is_leaving and not status.startswith("421"):
+            lines = [*lines, "server-leaving: 1"]
+            endpoint.oracle.note_leaving(self._request_id, endpoint.name, endpoint.loop.world_s)
+        return _head(status, request_id, lines)
+
     def _write(self, data: bytes) -> None:
         if self._side is not None:
             self._side.write(data)
@@ -173,27 +186,27 @@
         length = [f"content-length: {len(body)}"]
         if behaviour is Behaviour.DECLINE:
             lines = ["content-length: 0", "x-not-executed: 1"]
-            self._write(_head("503 Service Unavailable", request_id, lines))
+            self._write(self._head("503 Service Unavailable", request_id, lines))
         elif behaviour is Behaviour.LOSE_ANSWER:
             self.reset()
         elif behaviour in (Behaviour.CUT, Behaviour.CUT_IN_EVENT):
-            self._write(_head("200 OK", request_id, length) + body[:4])
+            self._write(self._head("200 OK", request_id, length) + body[:4])
             self.reset()
         elif behaviour is Behaviour.RUBBISH:
             self._write(b"\x00\x01 not an answer\r\n\r\n")
         elif behaviour is Behaviour.ANOTHERS:
             other = b"answer to q-other"
             lines = [f"content-length: {len(other)}"]
-            self._write(_head("200 OK", "q-other", lines) + other)
+            self._write(self._head("200 OK", "q-other", lines) + other)
         elif behaviour is Behaviour.ERROR:
-            self._write(_head("500 Internal Server Error", request_id, length) + body)
+            self._write(self._head("500 Internal Server Error", request_id, length) + body)
         elif behaviour is not Behaviour.HANG:
-            whole = _head("200 OK", request_id, length) + body
+            whole = self._head("200 OK", request_id, length) + body
             self._write(whole * 2 if behaviour is Behaviour.TWICE else whole)
 
     async def _stream(self, request_id: str, start: int, behaviour: Behaviour) -> None:
         lines = ["transfer-encoding: chunked", "content-type: text/event-stream"]
-        self._write(_head("200 OK", request_id, lines))
+        self._write(self._head("200 OK", request_id, lines))
         # A worker that takes a stream up may send the last known event once more.
         for number in range(max(1, start - 1), self._endpoint.oracle.pieces + 1):
             event = f"id: {number}\ndata: {number}\n\n".encode()
--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -62,6 +62,7 @@
         ran: Whether the endpoint began to work on it.
         expected: The endpoint that the request named.
         hangs: Whether it works on without an end, until its connection is closed.
+        told_s: When the endpoint had told the entry that it leaves; None where it had not.
     """
 
     request_id: str
@@ -73,6 +74,7 @@
     expected: str
     had_key: bool
     hangs: bool = False
+    told_s: float | None = None
 
 
 class PlatformOracle:
@@ -95,11 +97,27 @@
         self.outages: list[tuple[float, float]] = []
         self.crashes_s: dict[str, list[float]] = {}
         self.started_s: dict[str, float] = {}
+        self.told_s: dict[tuple[str, str], float] = {}
 
     def note_crash(self, deadly: str, at_s: float) -> None:
         """Take in that a request has ended an endpoint."""
         self.crashes_s.setdefault(deadly, []).append(at_s)
 
+    def note_leaving(self, request_id: str, endpoint_id: str, at_s: float) -> None:
+        """Take in that an endpoint has told an entry in an answer that it leaves."""
+        entry = self.asked[request_id].entry
+        self.told_s.setdefault((entry, endpoint_id), at_s)
+
+    def told_of(self, request_id: str, endpoint_id: str) -> float | None:
+        """Return when the entry that has a request was told that an endpoint leaves."""
+        asked = self.asked.get(request_id)
+        return self.told_s.get((asked.entry, endpoint_id)) if asked is not None else None
+
+    def forget(self, entry: str) -> None:
+        """Take in that an entry was ended or paused, and may have forgotten what it was told."""
+        for told in [told for told in self.told_s if told[0] == entry]:
+            del self.told_s[told]
+
     def body_of(self, request_id: str) -> bytes:
         """Return the answer that an endpoint makes for a request."""
         return f"answer to {request_id}".encode()
@@ -171,7 +189,14 @@
                 found.append(f"{run.request_id}: reached {run.endpoint_id} {late_s:.2f} s late")
         if request.left_s is not None and run.at_s - request.left_s > self.bounds.left_s:
             found.append(f"{run.request_id}: sent after its caller had left")
-        return found + self._of_work(run, request)
+        return found + self._of_leaving(run, request) + self._of_work(run, request)
+
+    def _of_leaving(self, run: Run, request: Asked) -> list[str]:
+        """Judge an endpoint that had told the entry that it leaves; no outage excuses that."""
+        if run.told_s is None or request.sent_s - run.told_s <= self.bounds.drain_s:
+            return []
+        ago_s = request.sent_s - run.told_s
+        return [f"{run.request_id}: {run.endpoint_id} said {ago_s:.2f} s ago that it leaves"]
 
     def _of_work(self, run: Run, request: Asked) -> list[str]:
         """Judge an endpoint that works for a caller who has left."""
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -150,6 +150,32 @@
         self._put("keyed.servers", endpoint.name, endpoint.record("draining"))
         self.oracle.draining_s.setdefault(endpoint.name, self.loop.world_s)
 
+    def leave_in_an_outage(self, name: str, entry: str, lapses: bool) -> None:
+        """Let an endpoint say in its answers alone that it leaves, while callers go on.
+
+        Args:
+            name: The endpoint.
+            entry: The entry to which the store is silent meanwhile.
+            lapses: Whether its record lapses in the outage, and comes back after it as it was.
+        """
+        endpoint = self.endpoints[name]
+        endpoint.is_leaving = True
+        record = endpoint.record()
+        self.store_fault(entry, StoreFault.SILENT)
+        if lapses:
+            self._put("keyed.servers", endpoint.name, None)
+        self._ask_on(entry, endpoint.service, 3.0)
+        self.store_fault(entry, StoreFault.NONE)
+        self._ask_on(entry, endpoint.service, 0.3)
+        if lapses:
+            self._put("keyed.servers", endpoint.name, record)
+        self._ask_on(entry, endpoint.service, 3.0)
+
+    def _ask_on(self, entry: str, service: str, length_s: float, gap_s: float = 0.15) -> None:
+        for _ in range(round(length_s / gap_s)):
+            self.ask(entry, service, False, "key-a")
+            self.advance(gap_s)
+
     def vanish(self, name: str) -> None:
         """Remove an endpoint's record; it serves on."""
         endpoint = self.endpoints[name]
@@ -210,6 +236,7 @@
     def kill_entry(self, name: str) -> None:
         """Kill an entry, whose callers hear nothing more, and start it again."""
         entry = self.entries[name]
+        self.oracle.forget(name)
         self._end_fault(entry)
         if entry.task is not None:
             entry.task.cancel()
@@ -239,6 +266,8 @@
     def suspend(self, duration_s: float) -> None:
         """Suspend all hosts: their timers stand still, the rest of the world goes on."""
         begin_s = self.loop.world_s
+        for name in ENTRIES:
+            self.oracle.forget(name)
         self.loop.suspended_s += duration_s
         self.oracle.outages.append((begin_s, self.loop.world_s))
         for caller in self.callers:
--- a/testing/test_endpoint_word.py
+++ b/testing/test_endpoint_word.py
@@ -1,6 +1,7 @@
 import anyio
 import pytest
 
+from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld
 from beryljunction.platform.requests import is_leaving
 from platform_world import open_world, route
 
@@ -43,3 +44,20 @@
         assert len(lines) == 1
         assert "endpoint=e1" in lines[0]
         assert "request_id=q1" in lines[0]
+
+
+class TestOutage:
+    """An endpoint leaves while the store is out of reach, and says so in its answers."""
+
+    def play(self, name, lapses):
+        world = PlatformWorld()
+        try:
+            world.advance(3.0)
+            world.leave_in_an_outage(name, ENTRIES[0], lapses)
+            return world.finish()
+        finally:
+            world.close()
+
+    def test_it_gets_no_more_requests(self):
+        """Guards against an endpoint that is left to the store, which is away."""
+        assert self.play("o1", lapses=False) == []
