An endpoint that asks for a pause gets nothing until it is over

An endpoint that turns a request away may say for how long it wants nothing from this host. An entry passed such an endpoint over only by its share of bad outcomes, so requests went on reaching it, each to be turned away and tried elsewhere or refused. The pause is kept with what the endpoint has said, is not ended by a shorter word or by its record, and is looked at again at the moment of sending. Callers whom nobody else can serve are refused at once and told to come back when the first pause ends.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -33,7 +33,13 @@
     )
 )
 _ENDPOINT_EVENTS = frozenset(
-    ("endpoint_draining", "endpoint_gone", "endpoint_joined", "endpoint_leaving")
+    (
+        "endpoint_draining",
+        "endpoint_gone",
+        "endpoint_joined",
+        "endpoint_leaving",
+        "endpoint_paused",
+    )
 )
 # These tell of a request by its digest, on any host and long before it came again.
 _DIGEST_EVENTS = frozenset(("endpoint_ended", "request_quarantined"))
@@ -171,6 +177,9 @@
     "endpoint_ended": lambda line: f"endpoint {line.get('endpoint')} ended under this request",
     "request_quarantined": lambda line: "keeps this request from being sent",
     "endpoint_leaving": lambda line: f"endpoint {line.get('endpoint')} says that it leaves",
+    "endpoint_paused": lambda line: (
+        f"endpoint {line.get('endpoint')} wants no requests for {line.get('pause_s')} s"
+    ),
     "endpoint_draining": lambda line: f"endpoint {line.get('endpoint')} is leaving",
     "endpoint_joined": lambda line: f"endpoint {line.get('endpoint')} has joined",
     "zone_evacuated": lambda line: f"sends nothing new to zone {line.get('zone')}, by the operator",
@@ -280,6 +289,9 @@
         "the endpoints that are left have just started and get no more requests this second; "
         "it has not run"
     ),
+    "endpoints_paused": lambda *_: (
+        "the endpoints that are left have asked for a pause; it has not run"
+    ),
     "quarantined": lambda *_: (
         "several endpoints ended while they had this request, under whatever id; it is not sent"
     ),
--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -15,6 +15,7 @@
 
 _WORK_S = 0.03
 _CRASH_S = 0.05
+_PAUSE_S = 3
 _SLOW_S = 0.6
 
 
@@ -23,6 +24,7 @@
 
     WHOLE = "whole"
     DECLINE = "decline"
+    PAUSE = "pause"
     LOSE_ANSWER = "lose_answer"
     CUT = "cut"
     CUT_IN_EVENT = "cut_in_event"
@@ -136,7 +138,7 @@
         behaviour = endpoint.behaviour
         expected = fields.get("x-expect-instance", "")
         is_expected = expected in ("", endpoint.name)
-        ran = is_expected and behaviour is not Behaviour.DECLINE
+        ran = is_expected and behaviour not in _DECLINING
         request_id = fields.get("x-request-id", "")
         told_s = endpoint.oracle.told_of(request_id, endpoint.start)
         run = Run(
@@ -150,6 +152,7 @@
             "x-credential" in fields,
             hangs=ran and behaviour is Behaviour.HANG,
             told_s=told_s if is_expected else None,
+            born_ms=endpoint.born_ms,
         )
         self._request_id = run.request_id
         endpoint.oracle.runs.append(run)
@@ -191,8 +194,14 @@
     def _answer(self, request_id: str, behaviour: Behaviour) -> None:
         body = self._endpoint.oracle.body_of(request_id)
         length = [f"content-length: {len(body)}"]
-        if behaviour is Behaviour.DECLINE:
+        if behaviour in _DECLINING:
             lines = ["content-length: 0", "x-not-executed: 1"]
+            if behaviour is Behaviour.PAUSE:
+                lines.append(f"retry-after: {_PAUSE_S}")
+                endpoint = self._endpoint
+                endpoint.oracle.note_pause(
+                    request_id, endpoint.start, endpoint.loop.world_s, _PAUSE_S
+                )
             self._write(self._head("503 Service Unavailable", request_id, lines))
         elif behaviour is Behaviour.LOSE_ANSWER:
             self.reset()
@@ -228,6 +237,7 @@
         self._write(b"0\r\n\r\n")
 
 
+_DECLINING = frozenset((Behaviour.DECLINE, Behaviour.PAUSE))
 _STREAMED = frozenset(
     (
         Behaviour.WHOLE,
--- a/src/beryljunction/fuzz/platform/machine.py
+++ b/src/beryljunction/fuzz/platform/machine.py
@@ -165,6 +165,15 @@
                 self.world.ask(entry, ENDPOINTS[name], False, "key-a")
         self.world.advance(0.05)
 
+    @rule(name=_ENDPOINT, entry=_ENTRY)
+    def endpoint_pauses(self, name: str, entry: str) -> None:
+        """An endpoint turns requests away for some seconds, while callers go on."""
+        behave(self.world, name, Behaviour.PAUSE)
+        for _ in range(10):
+            self.world.ask(entry, ENDPOINTS[name], False, "key-a")
+            self.world.advance(0.3)
+        behave(self.world, name, Behaviour.WHOLE)
+
     @rule(name=_ENDPOINT, entry=_ENTRY, lapses=st.booleans())
     def endpoint_leaves_in_an_outage(self, name: str, entry: str, lapses: bool) -> None:
         """An endpoint says in answers that it leaves; its record lapses, or stays as it was."""
--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -21,6 +21,8 @@
     crashes: int = 3
     sends_after_crashes: int = 3
     touch_s: float = 3.0
+    pause_noticed_s: float = 0.5
+    sends_in_pause: int = 2
 
 
 @attrs.define(eq=False)
@@ -62,6 +64,7 @@
         ran: Whether the endpoint began to work on it.
         expected: The endpoint that the request named.
         hangs: Whether it works on without an end, until its connection is closed.
+        born_ms: Birth of the endpoint's start.
         told_s: When the endpoint had told the entry that it leaves; None where it had not.
     """
 
@@ -75,6 +78,17 @@
     had_key: bool
     hangs: bool = False
     told_s: float | None = None
+    born_ms: int = 0
+
+
+@attrs.define
+class Pause:
+    """Time in which a start of an endpoint wants nothing from an entry."""
+
+    entry: str
+    start: tuple[str, int]
+    begin_s: float
+    end_s: float
 
 
 class PlatformOracle:
@@ -98,6 +112,7 @@
         self.crashes_s: dict[str, list[float]] = {}
         self.started_s: dict[str, float] = {}
         self.told_s: dict[tuple[str, tuple[str, int]], float] = {}
+        self.pauses: list[Pause] = []
 
     def note_crash(self, deadly: str, at_s: float) -> None:
         """Take in that a request has ended an endpoint."""
@@ -108,13 +123,23 @@
         entry = self.asked[request_id].entry
         self.told_s.setdefault((entry, start), at_s)
 
+    def note_pause(
+        self, request_id: str, start: tuple[str, int], at_s: float, pause_s: float
+    ) -> None:
+        """Take in that a start of an endpoint wants nothing from an entry for a while."""
+        begin_s = at_s + self.bounds.pause_noticed_s
+        self.pauses.append(Pause(self.asked[request_id].entry, start, begin_s, at_s + pause_s))
+
     def told_of(self, request_id: str, start: tuple[str, int]) -> float | None:
         """Return when the entry that has a request was told that a start leaves."""
         asked = self.asked.get(request_id)
         return self.told_s.get((asked.entry, start)) if asked is not None else None
 
-    def forget(self, entry: str) -> None:
-        """Take in that an entry was ended or paused, and may have forgotten what it was told."""
+    def forget(self, entry: str, now_s: float) -> None:
+        """Take in that an entry was ended or suspended, and may forget what it was told."""
+        for pause in self.pauses:
+            if pause.entry == entry:
+                pause.end_s = min(pause.end_s, now_s)
         for told in [told for told in self.told_s if told[0] == entry]:
             del self.told_s[told]
 
@@ -131,6 +156,8 @@
             found += self._of_run(run)
         for deadly, crashes_s in self.crashes_s.items():
             found += self._of_crashes(deadly, crashes_s)
+        for pause in self.pauses:
+            found += self._of_pause(pause)
         return found + self._of_repeats()
 
     def _of_request(self, request: Asked) -> list[str]:
@@ -219,6 +246,20 @@
         ended = len(crashes_s)
         return [f"{deadly}: sent {len(late)} times more, {ended} endpoints ended under it"]
 
+    def _of_pause(self, pause: Pause) -> list[str]:
+        """Judge what an entry sent to an endpoint that wanted nothing."""
+        sent = [
+            run.request_id
+            for run in self.runs
+            if pause.begin_s < run.at_s < pause.end_s
+            and (run.endpoint_id, run.born_ms) == pause.start
+            and run.expected == run.endpoint_id
+            and self.asked[run.request_id].entry == pause.entry
+        ]
+        if len(sent) <= self.bounds.sends_in_pause:
+            return []
+        return [f"{', '.join(sent[:3])}: {len(sent)} sent to {pause.start[0]} in its pause"]
+
     def _may_be_quarantined(self, request: Asked) -> bool:
         """Whether enough endpoints had ended, under this request if it is a deadly one."""
         names = [request.deadly] if request.deadly else list(self.crashes_s)
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -244,7 +244,7 @@
     def kill_entry(self, name: str) -> None:
         """Kill an entry, whose callers hear nothing more, and start it again."""
         entry = self.entries[name]
-        self.oracle.forget(name)
+        self.oracle.forget(name, self.loop.world_s)
         self._end_fault(entry)
         if entry.task is not None:
             entry.task.cancel()
@@ -275,7 +275,7 @@
         """Suspend all hosts: their timers stand still, the rest of the world goes on."""
         begin_s = self.loop.world_s
         for name in ENTRIES:
-            self.oracle.forget(name)
+            self.oracle.forget(name, self.loop.world_s)
         self.loop.suspended_s += duration_s
         self.oracle.outages.append((begin_s, self.loop.world_s))
         for caller in self.callers:
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -22,6 +22,7 @@
     is_answer_to,
     is_leaving,
     load_of,
+    pause_s_of,
     read_needs,
 )
 from beryljunction.routing import (
@@ -224,8 +225,7 @@
         if head is None:
             endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.FAILED, call.problem)
-        self._note_load(endpoint, head)
-        self._note_leaving(endpoint, head)
+        self._note_word(endpoint, head)
         if has_not_run(head.status, head.headers):
             return AttemptEnd(Outcome.DECLINED, str(head.status))
         if not is_answer_to(self._request_id, head.headers):
@@ -249,17 +249,20 @@
             source.record.address if source is not None else None,
         )
 
-    def _note_load(self, endpoint: KnownEndpoint, head: Head) -> None:
+    def _note_word(self, endpoint: KnownEndpoint, head: Head) -> None:
+        """Take in what an endpoint says of itself in an answer, whatever the answer is."""
+        now_s, status, endpoint_id = boot_time_s(), head.status, endpoint.record.endpoint_id
         load = load_of(head.headers)
         if load is not None:
             running, waiting = load
-            now_s = boot_time_s()
             endpoint.report = LoadReport(running, waiting, endpoint.in_flight, now_s)
-
-    def _note_leaving(self, endpoint: KnownEndpoint, head: Head) -> None:
-        if endpoint.leaving_s is None and is_leaving(head.status, head.headers):
+        if endpoint.leaving_s is None and is_leaving(status, head.headers):
             endpoint.leaving_s = wall_time_s()
-            self._log("endpoint_leaving", endpoint=endpoint.record.endpoint_id)
+            self._log("endpoint_leaving", endpoint=endpoint_id)
+        pause_s = pause_s_of(status, head.headers)
+        if pause_s > 0.0:
+            endpoint.note_pause(pause_s, now_s)
+            self._log("endpoint_paused", endpoint=endpoint_id, pause_s=round(pause_s, 2))
 
     # Ends without an endpoint's answer
 
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -147,6 +147,8 @@
         if not self.registry.is_usable(endpoint):
             is_known = self.registry.find(endpoint.record.endpoint_id) is endpoint
             return "zone is evacuated" if is_known and endpoint.is_evacuated else "endpoint left"
+        if endpoint.is_paused(now_s):
+            return "endpoint is paused"
         is_allowed = self.cold.allows(endpoint, self._known_service(service), now_s)
         return "" if is_allowed else "endpoint is cold"
 
@@ -159,6 +161,8 @@
         now_s = boot_time_s()
         known = self._known_service(service)
         usable = self.registry.usable(service, now_s)
+        if not usable and self.registry.open(service, now_s):
+            return "endpoints_paused"
         if not usable and self.registry.evacuated(service):
             return "zones_evacuated"
         is_limited = len(self.cold.allowed(usable, known, now_s)) < len(usable)
@@ -182,7 +186,8 @@
         usable = self.registry.usable(service, now_s)
         sound = sound_rows(usable, now_s, self.mechanisms)
         rows = [row for row in sound if row not in tried]
-        return retry_after_s(rows, left_s, self.random, now_s)
+        opens_in_s = 0.0 if usable else self.registry.opens_in_s(service, now_s)
+        return retry_after_s(rows, left_s, self.random, now_s, opens_in_s)
 
     def reading(self, service: str, chosen: KnownEndpoint, demand: Demand) -> Reading:
         """Return what the chosen endpoint is to read, and from where it may fetch."""
--- a/src/beryljunction/platform/requests.py
+++ b/src/beryljunction/platform/requests.py
@@ -14,6 +14,7 @@
     "is_answer_to",
     "is_leaving",
     "load_of",
+    "pause_s_of",
     "read_needs",
     "with_last_event",
 ]
@@ -35,6 +36,9 @@
 )
 _ONCE = (b"host", headers.REQUEST_ID, headers.API_KEY)
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+# No endpoint is away for longer; a larger number is a fault of its writer.
+_MOST_PAUSE_S = 3_600.0
 
 
 @attrs.frozen
@@ -139,6 +143,21 @@
     return status != _MISDIRECTED and (headers.LEAVING, b"1") in lines
 
 
+def pause_s_of(status: int, lines: _Headers) -> float:
+    """Return for how long an endpoint that turned a request away wants none; 0 where it is open.
+
+    What is no number of seconds says nothing.
+    """
+    if status != _UNAVAILABLE:
+        return 0.0
+    value = next((value for name, value in lines if name == headers.RETRY_AFTER_S), b"")
+    try:
+        pause_s = float(value)
+    except ValueError:
+        return 0.0
+    return min(pause_s, _MOST_PAUSE_S) if pause_s > 0.0 else 0.0
+
+
 def load_of(lines: _Headers) -> tuple[int, int] | None:
     """Return the running and waiting requests that an endpoint states; None where it doesn't."""
     value = next((value for name, value in lines if name == headers.LOAD), b"")
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -137,6 +137,7 @@
         is_evacuated: Whether its availability zone gets no new requests.
         leaving_s: Unix seconds at which it first said in an answer that it leaves; None where it
             has not.
+        paused_until_s: Until when it wants no requests of this process, by its own word.
         serving_since_s: From when it has got requests; minus infinity for all the time.
         cold_until_s: When it will have warmed up, by its own word.
         may_be_cold_s: When it last may have started anew or cooled down without a word of it.
@@ -150,6 +151,7 @@
     lapses_s: float | None = None
     is_evacuated: bool = False
     leaving_s: float | None = None
+    paused_until_s: float = -math.inf
     serving_since_s: float = -math.inf
     cold_until_s: float = -math.inf
     may_be_cold_s: float = -math.inf
@@ -175,6 +177,14 @@
         """Whether it leaves by plan, as its record or an answer of it says."""
         return self.record.is_draining or self.leaving_s is not None
 
+    def note_pause(self, pause_s: float, now_s: float) -> None:
+        """Take in for how long it wants no requests; a shorter word doesn't end a longer one."""
+        self.paused_until_s = max(self.paused_until_s, now_s + pause_s)
+
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether it wants no requests now."""
+        return now_s < self.paused_until_s
+
     def has_left_since(self, born_ms: int) -> bool:
         """Return whether an answer said that it leaves when a start of that birth was there."""
         return self.leaving_s is not None and born_ms <= self.leaving_s * 1000
@@ -298,8 +308,11 @@
             known = former
         else:
             known = KnownEndpoint(record)
-            if former is not None and former.has_left_since(record.born_ms):
-                known.leaving_s = former.leaving_s
+            if former is not None:
+                known.paused_until_s = former.paused_until_s
+                known.leaving_s = (
+                    former.leaving_s if former.has_left_since(record.born_ms) else None
+                )
         known.is_evacuated = record.availability_zone in self._evacuated
         known.note_cold(record.cold_ms, now_s)
         if self.is_loaded:
@@ -362,9 +375,18 @@
 
     def usable(self, service: str, now_s: float) -> list[KnownEndpoint]:
         """Return the endpoints of a service that may get new requests."""
+        return [row for row in self.open(service, now_s) if not row.is_paused(now_s)]
+
+    def open(self, service: str, now_s: float) -> list[KnownEndpoint]:
+        """Return the endpoints of a service that may get new requests, now or after a pause."""
         self.expire(now_s)
         return [row for row in self._rows.values() if row.record.service == service and row.is_open]
 
+    def opens_in_s(self, service: str, now_s: float) -> float:
+        """Return when the first paused endpoint of a service takes requests again; 0 for none."""
+        until_s = [row.paused_until_s for row in self.open(service, now_s)]
+        return max(0.0, min(until_s, default=now_s) - now_s)
+
     def reachable(self, service: str, now_s: float) -> list[KnownEndpoint]:
         """Return the endpoints of a service that answer, leaving ones too."""
         return [
--- a/src/beryljunction/routing/refusing.py
+++ b/src/beryljunction/routing/refusing.py
@@ -25,7 +25,11 @@
 
 
 def retry_after_s(
-    rows: Sequence[KnownEndpoint], left_s: float | None, draw: random.Random, now_s: float
+    rows: Sequence[KnownEndpoint],
+    left_s: float | None,
+    draw: random.Random,
+    now_s: float,
+    opens_in_s: float = 0.0,
 ) -> float:
     """Return the pause that a refused caller is told.
 
@@ -38,12 +42,13 @@
         left_s: Time that the caller still has; None where it has not said.
         draw: Source of the spread.
         now_s: Time on the clock of the endpoints' loads.
+        opens_in_s: Time until an endpoint takes requests at all.
     """
     has_room = any(row.load(now_s) < row.record.slots * _ROOM_SHARE for row in rows)
     pause_s, spread_s = (
         (_ROOM_PAUSE_S, _ROOM_SPREAD_S) if has_room else (_FULL_PAUSE_S, _FULL_SPREAD_S)
     )
-    pause_s += draw.random() * spread_s
+    pause_s = max(pause_s, opens_in_s) + draw.random() * spread_s
     if left_s is not None:
         pause_s = min(pause_s, left_s * _LEFT_SHARE)
     return max(_LEAST_S, math.floor(pause_s * _STEPS_PER_S) / _STEPS_PER_S)
--- a/testing/test_endpoint_word.py
+++ b/testing/test_endpoint_word.py
@@ -1,9 +1,12 @@
+import random
+
 import anyio
 import pytest
 
-from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld
-from beryljunction.platform.requests import is_leaving
-from beryljunction.routing import EndpointRegistry, StoreContact
+from beryljunction.fuzz.platform.actors import Behaviour
+from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld, behave
+from beryljunction.platform.requests import is_leaving, pause_s_of
+from beryljunction.routing import EndpointRegistry, StoreContact, retry_after_s
 from platform_world import open_world, route
 from routing_fakes import endpoint
 
@@ -48,6 +51,88 @@
         assert "request_id=q1" in lines[0]
 
 
+class TestPause:
+    @pytest.mark.parametrize(
+        ("value", "pause_s"), [(b"3", 3.0), (b"0.25", 0.25), (b" 2 ", 2.0), (b"1e9", 3_600.0)]
+    )
+    def test_endpoint_that_turns_a_request_away_may_ask_for_one(self, value, pause_s):
+        assert pause_s_of(503, [(b"retry-after", value)]) == pause_s
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"0", b"-1", b"nan", b"soon", b"Wed, 21 Oct 2026 07:28:00 GMT", b"\xff"]
+    )
+    def test_other_values_ask_for_none(self, value):
+        assert pause_s_of(503, [(b"retry-after", value)]) == 0.0
+
+    @pytest.mark.parametrize("status", [200, 421, 429, 500])
+    def test_other_answers_ask_for_none(self, status):
+        assert pause_s_of(status, [(b"retry-after", b"3")]) == 0.0
+
+    def test_endpoint_gets_nothing_until_it_is_over(self):
+        """Guards against requests that an endpoint has asked this host not to send."""
+        registry = EndpointRegistry()
+        registry.replace([endpoint("e1"), endpoint("e2")], 0.0)
+        registry.find("e1").note_pause(3.0, 0.0)
+        registry.find("e1").note_pause(1.0, 0.5)
+
+        def usable(now_s):
+            return [row.record.endpoint_id for row in registry.usable("engine", now_s)]
+
+        assert usable(2.9) == ["e2"]
+        assert usable(3.0) == ["e1", "e2"]
+
+    def test_record_that_comes_back_does_not_end_it(self):
+        registry = EndpointRegistry()
+        registry.put(endpoint("e1"), 0.0)
+        registry.find("e1").note_pause(3.0, 0.0)
+        registry.remove("e1", 0.5)
+        registry.put(endpoint("e1", born_ms=2), 1.0)
+
+        assert registry.usable("engine", 2.0) == []
+
+    def test_callers_are_served_elsewhere_or_told_when_it_ends(self):
+        """Guards against callers who are told to come back into the pause."""
+        paused = saying("x-not-executed: 1", "retry-after: 1", status="503 Busy")
+
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1", script=paused)
+                await world.known(1)
+                await world.ask(request_id="q1")
+                refused = await world.ask(request_id="q2", headers=("X-Deadline-Ms: 9000",))
+                await world.add_endpoint("e2")
+                await world.known(2)
+                served = await world.ask(request_id="q3")
+                return refused, served, len(world.endpoints["e1"].requests), world.lines
+
+        refused, served, requests, lines = anyio.run(run)
+
+        assert (refused[0], refused[2]) == (503, b"endpoints_paused\n")
+        assert served[0] == 200
+        assert requests == 1
+        assert "pause_s=1.0" in lines.of("endpoint_paused")[0]
+
+    @pytest.mark.parametrize("opens_in_s", [0.0, 2.0])
+    def test_refused_caller_comes_back_when_an_endpoint_opens(self, opens_in_s):
+        pause_s = retry_after_s([], 30.0, random.Random(1), 0.0, opens_in_s)
+
+        assert opens_in_s <= pause_s <= max(opens_in_s, 0.25) + 0.5
+
+    def test_endpoint_that_pauses_gets_no_more_than_what_was_on_its_way(self):
+        world = PlatformWorld()
+        try:
+            world.advance(3.0)
+            behave(world, "o1", Behaviour.PAUSE)
+            for number in range(40):
+                world.ask(ENTRIES[number % 2], "once", False, "key-a")
+                world.advance(0.2)
+
+            assert world.finish() == []
+            assert len(world.oracle.pauses) >= 2
+        finally:
+            world.close()
+
+
 class TestOutage:
     """An endpoint leaves while the store is out of reach, and says so in its answers."""
 
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -146,6 +146,10 @@
     patch.setattr(exchange, "is_leaving", lambda status, lines: False)
 
 
+def ignore_pauses_that_endpoints_ask_for(patch):
+    patch.setattr(exchange, "pause_s_of", lambda status, lines: 0.0)
+
+
 def forget_what_departed_endpoints_said(patch):
     drop = EndpointRegistry._drop
 
@@ -173,6 +177,7 @@
 
 SAFEGUARDS = (
     ignore_answers_that_say_leaving,
+    ignore_pauses_that_endpoints_ask_for,
     forget_what_departed_endpoints_said,
     send_what_is_quarantined,
     blame_requests_for_lost_connections,
