--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -1,20 +1,30 @@
 """Client of the platform's store: a log of topics, two of which hold the newest record of a key."""
 
 import abc
-import base64
 import collections
 import enum
 import json
 import struct
 from collections.abc import Callable, Sequence
 from types import TracebackType
-from typing import Any, Self
+from typing import Self
 
 import anyio
 import attrs
 import httpcore
 
-from beryljunction.platform.positions import MOST_ERA, era_of, offset_of, position_of
+from beryljunction.platform.positions import MOST_ERA, era_of, offset_of
+from beryljunction.platform.storeformat import (
+    Expired,
+    Newest,
+    Page,
+    Record,
+    Records,
+    Unavailable,
+    decode_page,
+    decode_records,
+    encode_record,
+)
 
 __all__ = [
     "ENDPOINT_RECORDS",
@@ -37,8 +47,6 @@
 _NEWEST_PATH = "/beryljunction/log-newest"
 # Number of times that the store was restored from an older copy, on each of its answers.
 _ERA_HEADER = b"store-era"
-_LENGTH = struct.Struct(">I")
-_ENDS = struct.Struct(">QQ")
 # A store under its slowest known trouble answers in 60 times its usual 4 ms, 0.24 s. An answer that
 # takes longer than this on top of the asked wait is taken as lost; asking again is harmless.
 _ANSWER_S = 1.0
@@ -78,50 +86,6 @@
     UNKNOWN = "unknown"
 
 
-@attrs.frozen
-class Record:
-    """The value that a key got; None where the key was removed."""
-
-    key: str
-    value: bytes | None
-
-
-@attrs.frozen
-class Records:
-    """Records from the asked position on.
-
-    Attributes:
-        next_offset: Position from which to read on.
-    """
-
-    records: tuple[Record, ...]
-    next_offset: int
-
-
-@attrs.frozen
-class Newest:
-    """The newest record of each key.
-
-    Attributes:
-        next_offset: Position from which to read what was written while the pages were fetched.
-    """
-
-    records: tuple[Record, ...]
-    next_offset: int
-
-
-@attrs.frozen
-class Expired:
-    """The asked records are no longer there; the newest of each key are to be fetched."""
-
-
-@attrs.frozen
-class Unavailable:
-    """No usable answer; reading again is harmless."""
-
-    reason: str
-
-
 class Store(abc.ABC):
     """What the fleet reads of the platform's store, and writes to it."""
 
@@ -207,7 +171,7 @@
         if answer.status != 200:
             return Unavailable(f"expected status 200 or 410, got {answer.status}")
         try:
-            return _decode_records(answer.body, offset)
+            return decode_records(answer.body, offset)
         except (ValueError, struct.error) as error:
             return Unavailable(f"expected records, got {error}")
 
@@ -239,19 +203,19 @@
         name = key.encode()
         content = bytes([len(name)]) + name + (value or b"")
         path = f"{_APPEND_PATH}?topic={topic.name}&part=0"
-        answer = await self._call("POST", path, 0.0, _LENGTH.pack(len(content)) + content)
+        answer = await self._call("POST", path, 0.0, encode_record(content))
         if isinstance(answer, Unavailable):
             return Written.UNKNOWN
         return Written.DONE if answer.status == 200 else Written.NOT_DONE
 
-    async def _page(self, path: str) -> "_Page | Unavailable":
+    async def _page(self, path: str) -> Page | Unavailable:
         answer = await self._call("GET", path, 0.0)
         if isinstance(answer, Unavailable):
             return answer
         if answer.status != 200:
             return Unavailable(f"expected status 200, got {answer.status}")
         try:
-            return _decode_page(json.loads(answer.body), answer.era)
+            return decode_page(json.loads(answer.body), answer.era)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return Unavailable(f"expected a page of records, got {error!r}")
 
@@ -326,47 +290,3 @@
     status: int
     body: bytes
     era: int
-
-
-@attrs.frozen
-class _Page:
-    records: tuple[Record, ...]
-    end: int
-    has_more: bool
-
-
-def _decode_page(page: Any, era: int) -> _Page:
-    records = tuple(
-        Record(row["key"], base64.b64decode(row["value"]) or None) for row in page["items"]
-    )
-    return _Page(records, position_of(era, int(page["end"])), bool(page.get("has-more")))
-
-
-def _decode_records(body: bytes, asked: int) -> Records | Expired:
-    """Decode the end and first offset (8 bytes each), then length-prefixed records.
-
-    A position behind the end was never read here: another entry told it wrongly, and reading on
-    from there would wait for ever. The newest records say where the topic really is.
-    """
-    end, first = _ENDS.unpack_from(body)
-    offset = offset_of(asked)
-    if offset > end:
-        return Expired()
-    start = max(offset, first)
-    position = _ENDS.size
-    records: list[Record] = []
-    while position < len(body):
-        (length,) = _LENGTH.unpack_from(body, position)
-        position += _LENGTH.size
-        if position + length > len(body):
-            raise ValueError("a record that ends early")
-        records.append(_decode_keyed(body[position : position + length]))
-        position += length
-    return Records(tuple(records), position_of(era_of(asked), start + len(records)))
-
-
-def _decode_keyed(content: bytes) -> Record:
-    """Decode one byte of key length, the key, and the value; no value removes the key."""
-    key_end = 1 + (content[0] if content else 0)
-    key = content[1:key_end].decode(errors="replace")
-    return Record(key, content[key_end:] or None)
