One check of the fields of messages between entries

News, updates and reports of crashes each had their own check of names, rows and births of endpoints, alike but for names. No behaviour changes.

--- a/src/beryljunction/gateway/crashreports.py
+++ b/src/beryljunction/gateway/crashreports.py
@@ -6,14 +6,11 @@
 
 import attrs
 
+from beryljunction.gateway.fields import read_rows, read_start, read_text
 from beryljunction.routing import Crash
 
 __all__ = ["CrashReport"]
 
-# Limits of a message that is taken in: more can't come from an entry of this fleet.
-_MOST_ROWS = 256
-_MOST_CHARS = 128
-
 
 @attrs.frozen
 class CrashReport:
@@ -48,34 +45,20 @@
         try:
             values = json.loads(data)
             return cls(
-                tuple(_crash(*row) for row in _rows(values["crashes"])),
-                tuple(_text(digest) for digest in _rows(values["served"])),
-                tuple(_quarantined(*row) for row in _rows(values["quarantined"])),
+                tuple(_crash(*row) for row in read_rows(values["crashes"], "crashes")),
+                tuple(read_text(digest) for digest in read_rows(values["served"], "digests")),
+                tuple(_quarantined(*row) for row in read_rows(values["quarantined"], "digests")),
             )
         except (KeyError, TypeError) as error:
             raise ValueError(f"expected a report of crashes, got {error!r}") from error
 
 
-def _rows(rows: Any) -> list[Any]:
-    if not isinstance(rows, list) or len(rows) > _MOST_ROWS:
-        raise ValueError(f"expected a list of {_MOST_ROWS} rows at most")
-    return rows
-
-
-def _text(text: Any) -> str:
-    if not isinstance(text, str) or len(text) > _MOST_CHARS:
-        raise ValueError(f"expected a text of {_MOST_CHARS} characters at most")
-    return text
-
-
 def _crash(digest: Any, endpoint_id: Any, born_ms: Any) -> Crash:
-    if not isinstance(born_ms, int):
-        raise ValueError(f"expected an endpoint's birth in ms, got {born_ms!r}")
-    return Crash(_text(digest), (_text(endpoint_id), born_ms))
+    return Crash(read_text(digest), read_start(endpoint_id, born_ms))
 
 
 def _quarantined(digest: Any, left_s: Any) -> tuple[str, float]:
     is_number = isinstance(left_s, int | float) and not isinstance(left_s, bool)
     if not is_number or not math.isfinite(left_s) or left_s < 0:
         raise ValueError(f"expected the seconds of a quarantine, got {left_s!r}")
-    return _text(digest), float(left_s)
+    return read_text(digest), float(left_s)
--- a/src/beryljunction/gateway/news.py
+++ b/src/beryljunction/gateway/news.py
@@ -6,14 +6,13 @@
 
 import attrs
 
+from beryljunction.gateway.fields import read_rows, read_start, read_text
 from beryljunction.routing import LoadNews, MovedSession
 
 __all__ = ["News"]
 
-# Limits of a message that is taken in: more can't come from an entry of this fleet.
-_MOST_ROWS = 256
+# More parts can't come from an entry of this fleet.
 _MOST_PARTS = 64
-_MOST_ID_CHARS = 128
 # No endpoint has so many requests; a larger number would only distort the mean.
 _MOST_REQUESTS = 100_000
 
@@ -53,11 +52,11 @@
         """
         try:
             values = json.loads(data)
-            moved = _rows(values["moved"], "moved sessions")
-            loads = _rows(values["loads"], "loads")
+            moved = read_rows(values["moved"], "moved sessions")
+            loads = read_rows(values["loads"], "loads")
             return cls(
-                host=_id(values["host"]),
-                life=_id(values["life"]),
+                host=read_text(values["host"]),
+                life=read_text(values["life"]),
                 moved=tuple(_decode_moved(*row) for row in moved),
                 loads=tuple(_decode_load(*row) for row in loads),
             )
@@ -65,34 +64,18 @@
             raise ValueError(f"expected news of an entry, got {error!r}") from error
 
 
-def _rows(rows: Any, what: str) -> list[Any]:
-    if not isinstance(rows, list) or len(rows) > _MOST_ROWS:
-        raise ValueError(f"expected a list of {_MOST_ROWS} {what} at most")
-    return rows
-
-
-def _id(text: Any) -> str:
-    if not isinstance(text, str) or len(text) > _MOST_ID_CHARS:
-        raise ValueError(f"expected an id of {_MOST_ID_CHARS} characters at most")
-    return text
-
-
-def _start(endpoint_id: Any, born_ms: Any) -> tuple[str, int]:
-    if not isinstance(born_ms, int):
-        raise ValueError(f"expected an endpoint's birth in ms, got {born_ms!r}")
-    return _id(endpoint_id), born_ms
-
-
 def _decode_moved(endpoint_id: Any, born_ms: Any, *part_ids: Any) -> MovedSession:
     if not 1 <= len(part_ids) <= _MOST_PARTS:
         raise ValueError(f"expected 1 to {_MOST_PARTS} parts, got {len(part_ids)}")
-    return MovedSession(tuple(_id(part) for part in part_ids), _start(endpoint_id, born_ms))
+    return MovedSession(
+        tuple(read_text(part) for part in part_ids), read_start(endpoint_id, born_ms)
+    )
 
 
 def _decode_load(endpoint_id: Any, born_ms: Any, requests: Any, age_s: Any) -> LoadNews:
     if not isinstance(requests, int) or not 0 <= requests <= _MOST_REQUESTS:
         raise ValueError(f"expected 0 to {_MOST_REQUESTS} requests, got {requests!r}")
-    return LoadNews(_start(endpoint_id, born_ms), requests, _age(age_s))
+    return LoadNews(read_start(endpoint_id, born_ms), requests, _age(age_s))
 
 
 def _age(age_s: Any) -> float:
--- a/src/beryljunction/gateway/updates.py
+++ b/src/beryljunction/gateway/updates.py
@@ -6,13 +6,13 @@
 
 import attrs
 
+from beryljunction.gateway.fields import read_text
 from beryljunction.platform import Record
 
 __all__ = ["Reply", "TopicUpdate", "Update", "ZoneUpdate"]
 
 # Records of one message: more than a fleet has endpoints or entries is no message of this fleet.
 _MOST_RECORDS = 4_096
-_MOST_NAME_CHARS = 128
 _MOST_ZONES = 256
 # A span between two moments of one exchange; messages follow each other within seconds.
 _MOST_SPAN_S = 86_400.0
@@ -49,7 +49,9 @@
         """
         try:
             life, clock_s, version, endpoints, entries = json.loads(data)
-            return cls(_name(life), _number(clock_s), int(version), int(endpoints), int(entries))
+            return cls(
+                read_text(life), _number(clock_s), int(version), int(endpoints), int(entries)
+            )
         except (TypeError, ValueError) as error:
             raise ValueError(f"expected the answer to an update, got {error!r}") from error
 
@@ -97,7 +99,7 @@
         """
         if not isinstance(values, list) or not 0 < len(values) <= _MOST_ZONES:
             raise ValueError(f"expected a list of zones, got {values!r:.80}")
-        return cls(int(values[0]), tuple(_name(zone) for zone in values[1:]))
+        return cls(int(values[0]), tuple(read_text(zone) for zone in values[1:]))
 
 
 @attrs.frozen
@@ -158,8 +160,8 @@
             host, life, *rest, config, endpoints, entries = json.loads(data)
             clock_s, confirmed_s, regained_s, version, zones, end, is_cut_short = rest
             return cls(
-                host=_name(host),
-                life=_name(life),
+                host=read_text(host),
+                life=read_text(life),
                 clock_s=_number(clock_s),
                 confirmed_s=_span(confirmed_s),
                 regained_s=None if regained_s is None else _span(regained_s),
@@ -192,18 +194,12 @@
     if not isinstance(rows, list) or len(rows) > _MOST_RECORDS:
         raise ValueError(f"expected {_MOST_RECORDS} records at most")
     records = tuple(
-        Record(_name(key), None if value is None else value.encode("latin-1"))
+        Record(read_text(key), None if value is None else value.encode("latin-1"))
         for key, value in rows
     )
     return TopicUpdate(records, None if first is None else int(first), int(end))
 
 
-def _name(text: Any) -> str:
-    if not isinstance(text, str) or len(text) > _MOST_NAME_CHARS:
-        raise ValueError(f"expected a name of {_MOST_NAME_CHARS} characters at most")
-    return text
-
-
 def _number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
         raise ValueError(f"expected a number, got {value!r}")
