--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -1,10 +1,8 @@
 """Walks one caller's request to its answer."""
 
-from typing import Any
-
 import anyio
 
-from beryljunction.clocks import boot_time_s, wall_time_s
+from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.calls import (
     EndpointCall,
     EndpointUnreachable,
@@ -12,6 +10,8 @@
     refuses_connections,
 )
 from beryljunction.gateway.delivery import Answering, Delivery
+from beryljunction.gateway.endpointword import note_word
+from beryljunction.gateway.exchangelog import ExchangeLog
 from beryljunction.gateway.messages import Head, Headers, HttpRequest
 from beryljunction.gateway.outgoing import endpoint_message
 from beryljunction.gateway.relay import AttemptEnd, Relay
@@ -20,9 +20,6 @@
 from beryljunction.platform.requests import (
     has_not_run,
     is_answer_to,
-    is_leaving,
-    load_of,
-    pause_s_of,
     read_needs,
 )
 from beryljunction.routing import (
@@ -32,10 +29,8 @@
     Denial,
     DenialReason,
     KnownEndpoint,
-    LoadReport,
     Outcome,
     PromptParts,
-    Reading,
     Verdict,
     admit,
     request_digest,
@@ -59,9 +54,8 @@
         self._delivery = Delivery(caller)
         self._tried: set[KnownEndpoint] = set()
         self._error: tuple[Head, bytes] | None = None
-        self._request_id = ""
         self._service = ""
-        self._digest = ""
+        self._log = ExchangeLog(state)
 
     async def run(self) -> None:
         """Serve the request; cancelled when its caller leaves."""
@@ -70,7 +64,7 @@
             self._finish(400, needs)
             return
         self._needs = needs
-        self._request_id = needs.request_id
+        self._log.request_id = needs.request_id
         admitted = self._admit()
         if isinstance(admitted, Denial):
             self._deny(admitted)
@@ -78,14 +72,14 @@
         try:
             await self._serve(admitted)
         finally:
-            self._log_end()
+            self._log.ended(self._delivery, self._request.arrived_s)
 
     async def _serve(self, admitted: Admitted) -> None:
         route = admitted.route
         limit_ms = min(self._needs.deadline_ms or _NO_DEADLINE_MS, route.timeout_ms)
         self._ends_s = self._request.arrived_s + limit_ms / 1000
         self._service = route.service_for(self._state.random.random())
-        self._digest = self._digest_for(admitted)
+        self._log.digest = self._digest_for(admitted)
         self._demand = Demand(self._shared_parts())
         share = self._state.share(self._service)
         share.count_request(boot_time_s())
@@ -131,9 +125,9 @@
                 return
             self._error = end.error or self._error
             verdict = plan.after(end.outcome)
-            self._log(
+            self._log.write(
                 "attempt_ended",
-                digest=self._digest,
+                digest=self._log.digest,
                 endpoint=endpoint.record.endpoint_id,
                 outcome=end.outcome.value,
                 verdict=verdict.value,
@@ -145,7 +139,7 @@
 
     def _is_quarantined(self, plan: AttemptPlan) -> bool:
         """Return whether the request ends endpoints; its caller has its answer then."""
-        if self._state.quarantine.left_s(self._digest) <= 0.0:
+        if self._state.quarantine.left_s(self._log.digest) <= 0.0:
             return False
         self._give_up(plan.give_up(), _QUARANTINED)
         return True
@@ -186,7 +180,16 @@
         reading = self._state.reading(self._service, endpoint, self._demand)
         self._state.note_send(self._service, endpoint)
         call.send(self._message(endpoint, admitted, reading.source))
-        self._log_send(endpoint, admitted, plan, reading)
+        self._log.sent(
+            endpoint,
+            admitted.route,
+            admitted.account,
+            self._demand,
+            reading,
+            service=self._service,
+            attempt=plan.sends,
+            left_ms=int(self._left_s() * 1000),
+        )
         sent_s = endpoint.waits[call] = boot_time_s()
         endpoint.reading_tokens += reading.unread_tokens
         try:
@@ -213,10 +216,10 @@
         """
         quarantine = self._state.quarantine
         if self._delivery.is_whole and call.is_complete:
-            quarantine.note_served(self._digest)
+            quarantine.note_served(self._log.digest)
         may_have_crashed = call.is_cut and not endpoint.has_said_leaving
         if may_have_crashed and await refuses_connections(endpoint.record.address):
-            quarantine.note_crash(self._digest, endpoint)
+            quarantine.note_crash(self._log.digest, endpoint)
 
     async def _take(
         self, call: EndpointCall, head: Head | None, endpoint: KnownEndpoint, admitted: Admitted
@@ -225,10 +228,10 @@
         if head is None:
             endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.FAILED, call.problem)
-        self._note_word(endpoint, head)
+        note_word(endpoint, head, self._log)
         if has_not_run(head.status, head.headers):
             return AttemptEnd(Outcome.DECLINED, str(head.status))
-        if not is_answer_to(self._request_id, head.headers):
+        if not is_answer_to(self._log.request_id, head.headers):
             endpoint.note_failure(boot_time_s())
             return AttemptEnd(Outcome.FAILED, "answer to another request")
         endpoint.note_answer()
@@ -249,21 +252,6 @@
             source.record.address if source is not None else None,
         )
 
-    def _note_word(self, endpoint: KnownEndpoint, head: Head) -> None:
-        """Take in what an endpoint says of itself in an answer, whatever the answer is."""
-        now_s, status, endpoint_id = boot_time_s(), head.status, endpoint.record.endpoint_id
-        load = load_of(head.headers)
-        if load is not None:
-            running, waiting = load
-            endpoint.report = LoadReport(running, waiting, endpoint.in_flight, now_s)
-        if endpoint.leaving_s is None and is_leaving(status, head.headers):
-            endpoint.leaving_s = wall_time_s()
-            self._log("endpoint_leaving", endpoint=endpoint_id)
-        pause_s = pause_s_of(status, head.headers)
-        if pause_s > 0.0:
-            endpoint.note_pause(pause_s, now_s)
-            self._log("endpoint_paused", endpoint=endpoint_id, pause_s=round(pause_s, 2))
-
     # Ends without an endpoint's answer
 
     def _deny(self, denial: Denial) -> None:
@@ -291,68 +279,26 @@
             self._finish(504 if plan.sends else 503, "deadline")
 
     def _break_off(self, reason: str) -> None:
-        self._log("broken_off", reason=reason)
+        self._log.write("broken_off", reason=reason)
         self._delivery.break_off()
 
     def _finish(self, status: int, reason: str) -> None:
         headers: Headers = [(b"content-type", b"text/plain")]
-        if self._request_id:
-            headers.append((REQUEST_ID, self._request_id.encode("latin-1")))
+        if self._log.request_id:
+            headers.append((REQUEST_ID, self._log.request_id.encode("latin-1")))
         pause_s = self._pause_s(reason) if status == 503 else None
         if pause_s is not None:
             headers.append((RETRY_AFTER_S, b"%.2f" % pause_s))
         event = "refused" if status == 503 else "failed"
-        self._log(event, digest=self._digest, status=status, reason=reason)
+        self._log.write(event, digest=self._log.digest, status=status, reason=reason)
         self._delivery.answer(status, headers, f"{reason}\n".encode())
 
     def _pause_s(self, reason: str) -> float | None:
         """Return when a caller is to come back that was refused; None to say nothing."""
         if reason == _QUARANTINED:
-            return self._state.quarantine.left_s(self._digest)
+            return self._state.quarantine.left_s(self._log.digest)
         deadline_ms = self._needs.deadline_ms
         left_s = None
         if deadline_ms is not None:
             left_s = self._request.arrived_s + deadline_ms / 1000 - boot_time_s()
         return self._state.retry_after_s(self._service, self._tried, left_s)
-
-    # Log
-
-    def _log_send(
-        self, endpoint: KnownEndpoint, admitted: Admitted, plan: AttemptPlan, reading: Reading
-    ) -> None:
-        parts = self._demand.parts.ids
-        self._log(
-            "sent",
-            route=admitted.route.name,
-            service=self._service,
-            account=admitted.account.name if admitted.account is not None else "",
-            digest=self._digest,
-            endpoint=endpoint.record.endpoint_id,
-            attempt=plan.sends,
-            load=round(endpoint.load(boot_time_s()), 1),
-            session=parts[-1] if parts else "",
-            reading=endpoint.reading_tokens,
-            unread=reading.unread_tokens,
-            fetch_from=reading.source.record.endpoint_id if reading.source is not None else "",
-            left_ms=int(self._left_s() * 1000),
-        )
-
-    def _log_end(self) -> None:
-        delivery, arrived_s = self._delivery, self._request.arrived_s
-        first_s = delivery.first_s
-        self._log(
-            "answered" if delivery.is_whole else "not_answered",
-            status=delivery.status,
-            first_ms=round((first_s - arrived_s) * 1000, 1) if first_s is not None else None,
-            whole_ms=round((boot_time_s() - arrived_s) * 1000, 1),
-        )
-
-    def _log(self, event: str, **fields: Any) -> None:
-        state = self._state
-        state.events.write(
-            event,
-            request_id=self._request_id,
-            settings_version=state.config.version if state.config is not None else 0,
-            settings_age_s=round(state.lease.age_s(boot_time_s()), 3),
-            **fields,
-        )
--- /dev/null
+++ b/src/beryljunction/gateway/exchangelog.py
@@ -0,0 +1,70 @@
+"""Log lines of one request."""
+
+from typing import Any
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.delivery import Delivery
+from beryljunction.gateway.state import EntryState
+from beryljunction.routing import Account, Demand, KnownEndpoint, Reading, Route
+
+__all__ = ["ExchangeLog"]
+
+
+class ExchangeLog:
+    """Writes events with what all lines of a request carry.
+
+    Attributes:
+        request_id: The caller's id of this attempt; empty until it is read.
+        digest: The same for the same request under another id; empty until it is admitted.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+        self.request_id = ""
+        self.digest = ""
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write an event with the version and age of the settings."""
+        config = self._state.config
+        self._state.events.write(
+            event,
+            request_id=self.request_id,
+            settings_version=config.version if config is not None else 0,
+            settings_age_s=round(self._state.lease.age_s(boot_time_s()), 3),
+            **fields,
+        )
+
+    def sent(
+        self,
+        endpoint: KnownEndpoint,
+        route: Route,
+        account: Account | None,
+        demand: Demand,
+        reading: Reading,
+        **fields: Any,
+    ) -> None:
+        """Write that the request went to an endpoint, and what decided that."""
+        parts = demand.parts.ids
+        self.write(
+            "sent",
+            route=route.name,
+            account=account.name if account is not None else "",
+            digest=self.digest,
+            endpoint=endpoint.record.endpoint_id,
+            load=round(endpoint.load(boot_time_s()), 1),
+            session=parts[-1] if parts else "",
+            reading=endpoint.reading_tokens,
+            unread=reading.unread_tokens,
+            fetch_from=reading.source.record.endpoint_id if reading.source is not None else "",
+            **fields,
+        )
+
+    def ended(self, delivery: Delivery, arrived_s: float) -> None:
+        """Write what the caller got."""
+        first_s = delivery.first_s
+        self.write(
+            "answered" if delivery.is_whole else "not_answered",
+            status=delivery.status,
+            first_ms=round((first_s - arrived_s) * 1000, 1) if first_s is not None else None,
+            whole_ms=round((boot_time_s() - arrived_s) * 1000, 1),
+        )
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -3,7 +3,16 @@
 
 from beryljunction import clocks
 from beryljunction.fuzz.platform import PlatformProfile, run_platform_fuzz
-from beryljunction.gateway import exchange, following, front, known, outgoing, peers, relay
+from beryljunction.gateway import (
+    endpointword,
+    exchange,
+    following,
+    front,
+    known,
+    outgoing,
+    peers,
+    relay,
+)
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.delivery import Delivery
 from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
@@ -143,11 +152,11 @@
 
 
 def ignore_answers_that_say_leaving(patch):
-    patch.setattr(exchange, "is_leaving", lambda status, lines: False)
+    patch.setattr(endpointword, "is_leaving", lambda status, lines: False)
 
 
 def ignore_pauses_that_endpoints_ask_for(patch):
-    patch.setattr(exchange, "pause_s_of", lambda status, lines: 0.0)
+    patch.setattr(endpointword, "pause_s_of", lambda status, lines: 0.0)
 
 
 def forget_what_departed_endpoints_said(patch):
