--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -7,13 +7,7 @@
 from beryljunction.routing.contact import StoreContact
 from beryljunction.routing.crashes import Crash, CrashTable, owners_of
 from beryljunction.routing.digest import request_digest
-from beryljunction.routing.endpoints import (
-    EndpointRecord,
-    EndpointRegistry,
-    KnownEndpoint,
-    LoadReport,
-    Pace,
-)
+from beryljunction.routing.endpoints import EndpointRegistry
 from beryljunction.routing.evacuations import Evacuations, ZoneChange
 from beryljunction.routing.fanout import FanOut
 from beryljunction.routing.fleet import (
@@ -25,6 +19,7 @@
     Service,
     WeightedService,
 )
+from beryljunction.routing.knownendpoint import EndpointRecord, KnownEndpoint, LoadReport, Pace
 from beryljunction.routing.lease import SettingsLease
 from beryljunction.routing.loadnews import LoadNews, hear_loads, loads_to_tell
 from beryljunction.routing.mechanisms import ALL_ON, Mechanism, Mechanisms, mechanisms_of
--- a/src/beryljunction/routing/cold.py
+++ b/src/beryljunction/routing/cold.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from beryljunction.routing.endpoints import KnownEndpoint
 from beryljunction.routing.fleet import Service
+from beryljunction.routing.knownendpoint import KnownEndpoint
 from beryljunction.routing.rendezvous import rendezvous_rank
 
 __all__ = ["ColdLimit", "ColdShare", "share_of"]
--- a/src/beryljunction/routing/loadnews.py
+++ b/src/beryljunction/routing/loadnews.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from beryljunction.routing.endpoints import KnownEndpoint
+from beryljunction.routing.knownendpoint import KnownEndpoint
 
 __all__ = ["LoadNews", "hear_loads", "loads_to_tell"]
 
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from beryljunction.routing.endpoints import KnownEndpoint
+from beryljunction.routing.knownendpoint import KnownEndpoint
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
 from beryljunction.routing.soundness import weighted_loads
 from beryljunction.routing.warmth import PromptParts
--- a/src/beryljunction/routing/soundness.py
+++ b/src/beryljunction/routing/soundness.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from beryljunction.routing.endpoints import KnownEndpoint
+from beryljunction.routing.knownendpoint import KnownEndpoint
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
 
 __all__ = ["sound_rows", "weighted_loads"]
--- a/src/beryljunction/routing/warm_placement.py
+++ b/src/beryljunction/routing/warm_placement.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Callable, Collection, Mapping, Sequence
 
-from beryljunction.routing.endpoints import KnownEndpoint
+from beryljunction.routing.knownendpoint import KnownEndpoint
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
 from beryljunction.routing.moved import MovedSession, MovedSessions
 from beryljunction.routing.placement import Demand, Placement, Reading
--- a/src/beryljunction/routing/warmth.py
+++ b/src/beryljunction/routing/warmth.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from beryljunction.routing.endpoints import KnownEndpoint
+from beryljunction.routing.knownendpoint import KnownEndpoint
 
 __all__ = ["PromptParts", "WarmthMap"]
 
