--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -67,7 +67,7 @@
 
     def __len__(self) -> int:
         """Return the number of quarantined requests."""
-        return len(self._table)
+        return len(self._table.quarantined(boot_time_s()))
 
     def left_s(self, digest: str) -> float:
         """Return how much longer a request may not be sent; 0 where it may."""
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -259,6 +259,20 @@
 
             assert quarantine.left_s("d") == 0.0
 
+    def test_quarantine_that_is_over_is_not_counted(self):
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            row = next(
+                row for row in world.members.values() if not row.state.fan_out.is_first_reader
+            )
+            row.state.quarantine.take(CrashReport((), (), (("bad", 5.0),)))
+
+            assert len(row.state.quarantine) == 1
+
+            world.advance(6.0)
+
+            assert len(row.state.quarantine) == 0
+
     def test_key_of_a_quarantine_that_is_over_is_removed(self):
         with FleetWorld(4) as world:
             world.advance(STARTED_S)
