Log how old the records of endpoints are at each send, and who vouched for them

Nothing told how old an entry's knowledge of endpoints is: the logs of the incident fit both hypotheses. 'sent' carries endpoints_age_s and endpoints_by, 'stands_in' names a topic that an entry begins to read in place of others; metrics and status show the age. No decision changes.

--- a/src/beryljunction/cli/status.py
+++ b/src/beryljunction/cli/status.py
@@ -19,6 +19,7 @@
     "state",
     "settings",
     "age",
+    "endpoints' age",
     "list",
     "running",
     "waiting",
@@ -71,7 +72,8 @@
         node.endpoint_id or "-",
         node.not_ready or "ready",
         str(node.settings_version),
-        "-" if node.settings_age_s is None else f"{node.settings_age_s:.1f} s",
+        _age_text(node.settings_age_s),
+        _age_text(node.endpoints_age_s),
         str(node.hosts_version),
         str(node.running if node.role == "sidecar" else node.in_flight),
         str(node.waiting),
@@ -79,3 +81,7 @@
         node.evacuated or "-",
         str(node.cold_endpoints),
     )
+
+
+def _age_text(age_s: float | None) -> str:
+    return "-" if age_s is None else f"{age_s:.1f} s"
--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -23,6 +23,7 @@
         "reload_refused",
         "store_lost",
         "store_regained",
+        "stands_in",
         "store_restored",
         "settings_applied",
         "settings_refused",
@@ -137,7 +138,8 @@
         f"sent to endpoint {line.get('endpoint')} of {line.get('service')}{account} by route "
         f"{line.get('route')}, attempt {line.get('attempt')}, {line.get('left_ms')} ms left; "
         f"its load was {line.get('load')}; settings {line.get('settings_version')}, confirmed "
-        f"{line.get('settings_age_s')} s before"
+        f"{line.get('settings_age_s')} s before, endpoints {line.get('endpoints_age_s')} s before"
+        f" by {line.get('endpoints_by')}"
     )
 
 
@@ -170,6 +172,9 @@
     ),
     "store_lost": lambda line: f"lost the store ({line.get('topic')}: {line.get('reason')})",
     "store_regained": lambda line: f"has the store again ({line.get('topic')})",
+    "stands_in": lambda line: (
+        f"reads {line.get('topic')} in place of others, {line.get('age_s')} s old here"
+    ),
     "store_restored": lambda line: (
         f"found the store restored from an older copy ({line.get('topic')}, era "
         f"{line.get('era_before')} to {line.get('era')})"
--- a/src/beryljunction/gateway/exchangelog.py
+++ b/src/beryljunction/gateway/exchangelog.py
@@ -45,12 +45,15 @@
     ) -> None:
         """Write that the request went to an endpoint, and what decided that."""
         parts = demand.parts.ids
+        known = self._state.endpoints_known
         self.write(
             "sent",
             route=route.name,
             account=account.name if account is not None else "",
             digest=self.digest,
             endpoint=endpoint.record.endpoint_id,
+            endpoints_age_s=round(known.age_s(boot_time_s()), 3),
+            endpoints_by=known.source,
             load=round(endpoint.load(boot_time_s()), 1),
             session=parts[-1] if parts else "",
             reading=endpoint.reading_tokens,
--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -75,7 +75,7 @@
 
     async def _confirm_in_turn(self) -> None:
         while True:
-            await self._schedule.wait(self._need_age_s)
+            await self._schedule.wait(FLEET_CONFIG, self._need_age_s)
             distance_s = _CONFIG_CONFIRM_S if self._schedule.is_first else _TOLD_DISTANCE_S
             await paced(self.confirm, distance_s, self._schedule.failed_pause_s)
 
--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -11,6 +11,7 @@
 from beryljunction.gateway.topics import TopicReader, paced, rest_until_back
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import ENDPOINT_RECORDS, Record, Store, Unusable, decode_endpoint
+from beryljunction.routing import STORE
 
 __all__ = ["EndpointWatcher"]
 
@@ -34,7 +35,6 @@
         self._topic = TopicReader(store, state, ENDPOINT_RECORDS)
         self._state = state
         self._schedule = schedule
-        self._asked_s = -math.inf
         self._behind_to = -1
         self._values: dict[str, bytes] = {}
         self.is_known = anyio.Event()
@@ -68,14 +68,14 @@
         """Take in what another entry has read."""
         self._topic.apply_update(update, self._replace, self._take_records)
 
-    def confirm(self, asked_s: float) -> None:
+    def confirm(self, asked_s: float, source: str = STORE) -> None:
         """Note that the records were complete when the store was asked."""
-        self._asked_s = max(self._asked_s, asked_s)
+        self._state.endpoints_known.confirm(asked_s, source)
 
-    def confirm_to(self, end: int, asked_s: float) -> None:
-        """Note that the records end at a position, as of when the store was asked."""
+    def confirm_to(self, end: int, asked_s: float, source: str) -> None:
+        """Note that another entry has the records up to a position, as of when it asked."""
         if self.position >= end:
-            self.confirm(asked_s)
+            self.confirm(asked_s, source)
 
     def note_behind(self, end: int) -> None:
         """Note that there are records up to a position, which have to be read."""
@@ -87,13 +87,14 @@
         return self._topic.position
 
     def _age_s(self, now_s: float) -> float:
-        return math.inf if self.position < self._behind_to else now_s - self._asked_s
+        is_behind = self.position < self._behind_to
+        return math.inf if is_behind else self._state.endpoints_known.age_s(now_s)
 
     async def run(self) -> None:
         """Follow until cancelled."""
         distance_s = self._state.bounds.drain_ms / 1000 * _ENDPOINTS_DISTANCE_RATIO
         while True:
-            await self._schedule.wait(self._age_s)
+            await self._schedule.wait(ENDPOINT_RECORDS, self._age_s)
             if not await paced(self.step, distance_s, 0.0):
                 await rest_until_back(self._state.contact)
 
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -283,7 +283,7 @@
         if update.endpoints is not None:
             self._endpoints.apply_update(update.endpoints)
         self._entries.heard()
-        self._endpoints.confirm_to(update.endpoints_end, asked_s)
+        self._endpoints.confirm_to(update.endpoints_end, asked_s, update.host)
         if update.is_cut_short:
             self._endpoints.note_behind(update.endpoints_end)
         self._config.apply_update(update.host, update.version, update.config, asked_s)
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -214,11 +214,11 @@
         asked_s = boot_time_s()
         version = self._state.config.version if self._state.config is not None else 0
         answer = await self._link.ask(address, version, self._endpoints.offset or 0)
-        has_helped = isinstance(answer, Known) and self._take(answer, asked_s)
+        has_helped = isinstance(answer, Known) and self._take(host, answer, asked_s)
         self._peers.note(host, has_helped, boot_time_s())
         self._note_help(host if has_helped else "")
 
-    def _take(self, known: Known, asked_s: float) -> bool:
+    def _take(self, host: str, known: Known, asked_s: float) -> bool:
         """Take in what a peer knows; True when it is in touch with the store itself."""
         self._state.contact.note_update(asked_s - known.age_s, None, boot_time_s())
         self._state.replace_evacuations(known.evacuations.zones, known.evacuations.position)
@@ -231,7 +231,7 @@
             return False
         lease = self._state.lease
         lease.confirm(asked_s - known.age_s)
-        self._endpoints.confirm(asked_s - known.age_s)
+        self._endpoints.confirm(asked_s - known.age_s, host)
         self._state.news.set()
         return not needs_peers(known.age_s, lease.revocation_s)
 
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -79,6 +79,11 @@
             "Age of the last confirmation of the settings.",
             lambda: state.lease.age_s(boot_time_s()),
         )
+        metrics.watch(
+            "beryl_endpoints_age_seconds",
+            "Age of the last confirmation of the endpoints' records.",
+            lambda: state.endpoints_known.age_s(boot_time_s()),
+        )
         metrics.watch(
             "beryl_settings_version",
             "Version of the settings in force.",
@@ -121,13 +126,14 @@
 
     def _status(self, front: Front) -> NodeStatus:
         state = self._state
-        age_s = state.lease.age_s(boot_time_s())
+        now_s = boot_time_s()
         return NodeStatus(
             role="entry",
             host=self._host.host,
             availability_zone=self._host.availability_zone,
             settings_version=state.config.version if state.config is not None else 0,
-            settings_age_s=round(age_s, 3) if math.isfinite(age_s) else None,
+            settings_age_s=_finite(state.lease.age_s(now_s)),
+            endpoints_age_s=_finite(state.endpoints_known.age_s(now_s)),
             not_ready="" if self._is_ready() else self._why_not_ready(),
             endpoints=len(state.registry),
             in_flight=front.in_flight,
@@ -325,5 +331,10 @@
         return 0
 
 
+def _finite(age_s: float) -> float | None:
+    """Return an age in whole milliseconds; None before the first confirmation."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 def _text(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -77,7 +77,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._write_again)
             while True:
-                await self._schedule.wait(self._need_age_s)
+                await self._schedule.wait(ENTRY_ADDRESSES, self._need_age_s)
                 if not await paced(self.step, _DISTANCE_S, 0.0):
                     await rest_until_back(self._state.contact, _FAILED_PAUSE_S)
 
--- a/src/beryljunction/gateway/schedules.py
+++ b/src/beryljunction/gateway/schedules.py
@@ -8,6 +8,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.state import EntryState
+from beryljunction.platform import Topic
 
 __all__ = ["ALWAYS_POLL", "FAILED_PAUSE_S", "FanOutSchedule", "PollSchedule"]
 
@@ -16,6 +17,8 @@
 # Pause after a read that failed: short against the seconds after which settings are too old.
 FAILED_PAUSE_S = 0.25
 _LONGEST_PAUSE_S = 2.0
+# A stand-in's first read of a topic after this long without one is logged.
+_STANDS_IN_ANEW_S = 5.0
 # Rests shorter than this would only be woken up from for nothing.
 _LEAST_REST_S = 0.01
 
@@ -41,11 +44,12 @@
         """Pause after a read that failed, until the next one looks whether the store is back."""
 
     @abc.abstractmethod
-    async def wait(self, age_s: Age) -> None:
+    async def wait(self, topic: Topic, age_s: Age) -> None:
         """Return once a read is due.
 
         Args:
-            age_s: Age at a time of what the read is for.
+            topic: What is to be read.
+            age_s: Age at a time of what is known of it.
         """
 
     @abc.abstractmethod
@@ -68,7 +72,7 @@
     def failed_pause_s(self) -> float:
         return FAILED_PAUSE_S
 
-    async def wait(self, age_s: Age) -> None:
+    async def wait(self, topic: Topic, age_s: Age) -> None:
         pass
 
     async def wait_for_reader(self) -> None:
@@ -84,6 +88,7 @@
     def __init__(self, state: EntryState) -> None:
         self._state = state
         self._draw = state.random.random()
+        self._read_s: dict[Topic, float] = {}
 
     @property
     def is_first(self) -> bool:
@@ -101,15 +106,25 @@
         rank = self._state.fan_out.reader_rank
         return min(_LONGEST_PAUSE_S, FAILED_PAUSE_S * (1 + 2 * rank))
 
-    async def wait(self, age_s: Age) -> None:
+    async def wait(self, topic: Topic, age_s: Age) -> None:
         """Return once a read is due."""
         fan_out, lease = self._state.fan_out, self._state.lease
         while not fan_out.is_first_reader:
-            left_s = fan_out.ask_after_s(lease.revocation_s, self._draw) - age_s(boot_time_s())
+            known_age_s = age_s(boot_time_s())
+            left_s = fan_out.ask_after_s(lease.revocation_s, self._draw) - known_age_s
             if left_s <= 0.0 or math.isnan(left_s):
+                self._note_stand_in(topic, known_age_s)
                 return
             await anyio.sleep(max(_LEAST_REST_S, min(left_s, _LOOK_S)))
 
+    def _note_stand_in(self, topic: Topic, known_age_s: float) -> None:
+        """Log when this entry begins to read a topic that others read while all is well."""
+        now_s = boot_time_s()
+        if now_s - self._read_s.get(topic, -math.inf) > _STANDS_IN_ANEW_S:
+            age_s = round(known_age_s, 3) if math.isfinite(known_age_s) else None
+            self._state.events.write("stands_in", topic=topic.name, age_s=age_s)
+        self._read_s[topic] = now_s
+
     async def wait_for_reader(self) -> None:
         """Return once this entry is one of the store's readers."""
         while not self._state.fan_out.is_reader:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -13,6 +13,7 @@
 from beryljunction.routing import (
     ColdLimit,
     ColdShare,
+    Confirmation,
     Demand,
     EndpointRegistry,
     Evacuations,
@@ -47,6 +48,7 @@
         config_record: The same as the operator wrote them.
         bounds: Promises of the deployment in force.
         mechanisms: Which mechanisms of the decisions are on.
+        endpoints_known: As of when the records of endpoints are complete here.
         contact: When the store last answered, and when it came back.
         evacuations: Availability zones that get no new requests.
         cold: This entry's share of the requests to endpoints that are warming up.
@@ -63,6 +65,7 @@
         self.config: FleetConfig | None = None
         self.config_record = b""
         self.lease = SettingsLease(bounds.revocation_ms / 1000)
+        self.endpoints_known = Confirmation()
         self.contact = StoreContact(2 * bounds.heartbeat_ms / 1000)
         self.registry = EndpointRegistry(self.contact)
         self.evacuations = Evacuations()
--- a/src/beryljunction/operators.py
+++ b/src/beryljunction/operators.py
@@ -20,6 +20,8 @@
         settings_version: Version of the settings in force here.
         settings_age_s: Age of the last confirmation that they are the newest; None where the
             process does not keep it.
+        endpoints_age_s: Age of the last confirmation that the records of endpoints are complete;
+            None where the process does not keep it.
         hosts_version: Version of the host list here.
         not_ready: Why the process takes no work; empty when it does.
         in_flight: Requests that are not over here.
@@ -38,6 +40,7 @@
     availability_zone: str
     settings_version: int = 0
     settings_age_s: float | None = None
+    endpoints_age_s: float | None = None
     hosts_version: int = 0
     not_ready: str = ""
     endpoint_id: str = ""
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -4,6 +4,7 @@
 from beryljunction.routing.attempts import AttemptPlan, Outcome, Verdict
 from beryljunction.routing.budget import RetryShare
 from beryljunction.routing.cold import ColdLimit, ColdShare
+from beryljunction.routing.confirmation import STORE, Confirmation
 from beryljunction.routing.contact import StoreContact
 from beryljunction.routing.crashes import Crash, CrashTable, owners_of
 from beryljunction.routing.digest import request_digest
@@ -46,6 +47,7 @@
     "CallerLimits",
     "ColdLimit",
     "ColdShare",
+    "Confirmation",
     "Crash",
     "CrashTable",
     "Demand",
@@ -75,6 +77,7 @@
     "RetryShare",
     "Route",
     "Service",
+    "STORE",
     "SettingsLease",
     "StoreContact",
     "Verdict",
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -21,7 +21,7 @@
 from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.schedules import ALWAYS_POLL, FanOutSchedule
 from beryljunction.gateway.state import EntryState
-from beryljunction.platform import HostBounds, HostSettings
+from beryljunction.platform import HostBounds, HostSettings, Unavailable
 from beryljunction.routing import PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
 
@@ -46,7 +46,24 @@
 
 
 class CountingStore(FuzzStore):
-    calls = 0
+    """Counts calls; the next read of a topic in `hanging` gets no answer, on its connection alone.
+
+    Attributes:
+        hanging: Names of topics.
+    """
+
+    def __init__(self, model, loop):
+        super().__init__(model, loop)
+        self.calls = 0
+        self.hanging = set()
+
+    async def read(self, topic, offset, wait_ms):
+        if topic.name in self.hanging:
+            self.hanging.remove(topic.name)
+            self.calls += 1
+            await anyio.sleep(wait_ms / 1000 + 1.0)
+            return Unavailable("silent")
+        return await super().read(topic, offset, wait_ms)
 
     async def _begin(self, wait_s):
         self.calls += 1
@@ -136,12 +153,13 @@
 class FleetWorld:
     """The fleet; closed at the end."""
 
-    def __init__(self, entries, is_shared=True, seed=1):
+    def __init__(self, entries, is_shared=True, seed=1, bounds=BOUNDS):
         self.loop = VirtualLoop()
         self.clock = virtual_clock(self.loop)
         self.clock.__enter__()
         self.draw = random.Random(seed)
         self.is_shared = is_shared
+        self.bounds = bounds
         self.model = PlatformStoreModel(retention_s=20.0)
         self.version = 0
         self.written_s = {}
@@ -200,7 +218,7 @@
         self.put("keyed.servers", name, json.dumps({**record, "born": 1}).encode())
 
     def start(self, name, address):
-        host = HostSettings(name, "a", "r", address, ("", 2), ("", 3), BOUNDS)
+        host = HostSettings(name, "a", "r", address, ("", 2), ("", 3), self.bounds)
         state = EntryState(host, Events(name, "a", NoLines()))
         state.random.seed(f"{name}/{self.draw.random()}")
         member = Member(name, state, CountingStore(self.model, self.loop), address)
@@ -279,6 +297,25 @@
         self.advance(duration_s)
         return max(self.ages_s)
 
+    def in_order(self):
+        """Return the names of all entries, the store's readers first."""
+        return next(iter(self.members.values())).state.fan_out.hosts
+
+    def lose(self, names):
+        """Silence the store to some entries, and cut them off from the others."""
+        self.fault(StoreFault.SILENT, names)
+        for name in names:
+            self.members[name].is_cut = True
+
+    def known_after(self, check, names, most_s=8.0):
+        """Return the seconds until a check of their state holds for all of these entries."""
+        begun_s = self.loop.now_s
+        while self.loop.now_s - begun_s < most_s:
+            if all(check(self.members[name].state) for name in names):
+                break
+            self.advance(0.02, step_s=0.02)
+        return self.loop.now_s - begun_s
+
     def all_know(self, check):
         return all(check(row.state) for row in self.members.values())
 
