Each kind of what the store holds has an age and a bound of its own

Callers: a request reached an endpoint 2.0 to 4.1 s after its record said that it leaves (2.0 s are allowed), served whole, by an entry in touch.

Cause: messages between entries carried one age, that of the settings, and the receiver took it for the age of its records of endpoints too. So did the answers of peers, and any message stood for "the list of entries is complete". While the first reader lacked the store and settings changed, the others vouched for each other's records, and none read them. Beside it, the turns of the stand-ins were shares of the 5 s for which settings hold (1.7 to 2.75 s); an endpoint that leaves and settings in force have 2 s.

Change: TopicReader keeps a Confirmation for its topic; messages carry how far and as of when a sender has endpoints and addresses, and a receiver that lacks records is not confirmed. AgeBound derives all paces from the bound of a kind: settings and evacuations the shortest of configuration-apply-ms, evacuation-ms and the age at which ready is given up; endpoints drain-ms; addresses 40 s. FanOut's turns are shares of it.

Ruled out: a request that waited in the entry (11 ms from caller to endpoint), a record taken back (none had been taken in), a larger herd: the calls of the fleet still don't grow with it.

The test of 350 levels compares with the age at which ready is given up, as before; its bound is now an argument. The silent case of entry_peers waits for its line: a stand-in that is told in time no longer reads for itself, so only the end of its waiting read shows that the store is silent.

--- a/src/beryljunction/gateway/following.py
+++ b/src/beryljunction/gateway/following.py
@@ -25,7 +25,6 @@
 # A waiting read tells of new settings at once. It confirms nothing until it ends, so a second,
 # short read every so often confirms that there are none.
 _CONFIG_WAIT_MS = 10_000
-_CONFIG_CONFIRM_S = 1.5
 # An entry that is told of newer settings reads them at once; versions that come faster than this
 # are read together. The shortest bound for putting settings in force is 2 s.
 _TOLD_DISTANCE_S = 0.3
@@ -75,9 +74,14 @@
 
     async def _confirm_in_turn(self) -> None:
         while True:
-            await self._schedule.wait(FLEET_CONFIG, self._need_age_s)
-            distance_s = _CONFIG_CONFIRM_S if self._schedule.is_first else _TOLD_DISTANCE_S
-            await paced(self.confirm, distance_s, self._schedule.failed_pause_s)
+            bound = self._state.settings_bound
+            await self._schedule.wait(FLEET_CONFIG, bound, self._need_age_s)
+            if not self._schedule.is_first:
+                await paced(self.confirm, _TOLD_DISTANCE_S, self._schedule.failed_pause_s)
+            elif await self.confirm():
+                await anyio.sleep(bound.until_confirm_s(boot_time_s()))
+            else:
+                await anyio.sleep(self._schedule.failed_pause_s)
 
     async def _wait_as_reader(self) -> None:
         while True:
--- a/src/beryljunction/gateway/known.py
+++ b/src/beryljunction/gateway/known.py
@@ -21,6 +21,7 @@
     Attributes:
         version: Version of its settings.
         age_s: Age of its confirmation that they are the newest, when it answered.
+        endpoints_age_s: The same of the endpoints' records.
         evacuations: Availability zones under evacuation.
         config: The settings as the operator wrote them; None where the asking entry has them.
         offset: Position in the endpoints' records up to which they are taken in.
@@ -29,6 +30,7 @@
 
     version: int
     age_s: float
+    endpoints_age_s: float
     evacuations: ZoneUpdate
     config: bytes | None
     offset: int
@@ -42,6 +44,7 @@
         values = {
             "version": self.version,
             "age_s": round(self.age_s, 3),
+            "endpoints_age_s": round(self.endpoints_age_s, 3),
             "evacuations": self.evacuations.encode(),
             "config": None if self.config is None else self.config.decode("latin-1"),
             "offset": self.offset,
@@ -65,6 +68,7 @@
             return cls(
                 version=int(values["version"]),
                 age_s=_age(values["age_s"]),
+                endpoints_age_s=_age(values["endpoints_age_s"]),
                 evacuations=ZoneUpdate.decode(values["evacuations"]),
                 config=None if config is None else config.encode("latin-1"),
                 offset=int(values["offset"]),
@@ -99,12 +103,14 @@
         offset: Position in the endpoints' records that it has.
     """
     config = state.config
-    age_s = state.lease.age_s(boot_time_s())
-    if config is None or endpoints.offset is None or age_s == float("inf"):
+    now_s = boot_time_s()
+    age_s, endpoints_age_s = state.lease.age_s(now_s), endpoints.known.age_s(now_s)
+    if config is None or endpoints.offset is None or max(age_s, endpoints_age_s) == float("inf"):
         return None
     return Known(
         config.version,
         age_s,
+        endpoints_age_s,
         zones_here(state),
         state.config_record if config.version > version else None,
         endpoints.offset,
--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -11,16 +11,10 @@
 from beryljunction.gateway.topics import TopicReader, paced, rest_until_back
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import ENDPOINT_RECORDS, Record, Store, Unusable, decode_endpoint
-from beryljunction.routing import STORE
+from beryljunction.routing import Confirmation
 
 __all__ = ["EndpointWatcher"]
 
-# A waiting read tells of a change at once. Where records come all the time, reads keep a distance,
-# so that their number does not grow with that of the endpoints; an endpoint that leaves has to be
-# known within the drain time, so the distance is this share of it.
-_ENDPOINTS_WAIT_MS = 2_000
-_ENDPOINTS_DISTANCE_RATIO = 0.25
-
 
 class EndpointWatcher:
     """Keeps the registry of endpoints up to date.
@@ -32,7 +26,7 @@
     def __init__(
         self, store: Store, state: EntryState, schedule: PollSchedule = ALWAYS_POLL
     ) -> None:
-        self._topic = TopicReader(store, state, ENDPOINT_RECORDS)
+        self._topic = TopicReader(store, state, ENDPOINT_RECORDS, state.endpoints_known)
         self._state = state
         self._schedule = schedule
         self._behind_to = -1
@@ -68,14 +62,14 @@
         """Take in what another entry has read."""
         self._topic.apply_update(update, self._replace, self._take_records)
 
-    def confirm(self, asked_s: float, source: str = STORE) -> None:
-        """Note that the records were complete when the store was asked."""
-        self._state.endpoints_known.confirm(asked_s, source)
+    @property
+    def known(self) -> Confirmation:
+        """As of when the records are complete here."""
+        return self._topic.known
 
     def confirm_to(self, end: int, asked_s: float, source: str) -> None:
         """Note that another entry has the records up to a position, as of when it asked."""
-        if self.position >= end:
-            self.confirm(asked_s, source)
+        self._topic.confirm_to(end, asked_s, source)
 
     def note_behind(self, end: int) -> None:
         """Note that there are records up to a position, which have to be read."""
@@ -88,23 +82,26 @@
 
     def _age_s(self, now_s: float) -> float:
         is_behind = self.position < self._behind_to
-        return math.inf if is_behind else self._state.endpoints_known.age_s(now_s)
+        return math.inf if is_behind else self.known.age_s(now_s)
 
     async def run(self) -> None:
-        """Follow until cancelled."""
-        distance_s = self._state.bounds.drain_ms / 1000 * _ENDPOINTS_DISTANCE_RATIO
+        """Follow until cancelled.
+
+        A waiting read tells of a change at once. Where records come all the time, reads keep a
+        distance, so that their number does not grow with that of the endpoints.
+        """
         while True:
-            await self._schedule.wait(ENDPOINT_RECORDS, self._age_s)
-            if not await paced(self.step, distance_s, 0.0):
+            bound = self._state.endpoints_bound
+            await self._schedule.wait(ENDPOINT_RECORDS, bound, self._age_s)
+            if not await paced(self.step, bound.read_interval_s, 0.0):
                 await rest_until_back(self._state.contact)
 
     async def step(self) -> bool:
         """Read once."""
-        asked_s = boot_time_s()
-        wait_ms = _ENDPOINTS_WAIT_MS if self._schedule.is_first else 0
-        done = await self._topic.step(wait_ms, self._replace, self._take_records)
+        bound = self._state.endpoints_bound
+        wait_s = bound.until_confirm_s(boot_time_s()) if self._schedule.is_first else 0.0
+        done = await self._topic.step(round(wait_s * 1000), self._replace, self._take_records)
         if done:
-            self.confirm(asked_s)
             self.is_known.set()
         return done
 
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -14,19 +14,19 @@
 from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.state import EntryState
-from beryljunction.gateway.updates import Reply, Update
-from beryljunction.routing import Address
+from beryljunction.gateway.updates import Progress, Reply, Update
+from beryljunction.routing import Address, Confirmation
 
 __all__ = ["UPDATE_PATH", "HttpUpdateLink", "UpdatePublisher", "UpdateReceiver", "UpdateLink"]
 
 UPDATE_PATH = "/v1/update"
-# A subscriber gets a confirmation that is younger by this much than its last one.
-_FRESHER_S = 0.9
 # Larger settings are read from the store by each entry: sent by one host to eight others, they fill
 # a thin link, which callers share.
 _MOST_CONFIG_BYTES = 4_096
 # The same for records of endpoints.
 _MOST_RECORDS_BYTES = 16_384
+# Confirmations of several kinds that come within this time go out in one message.
+_GATHER_S = 0.02
 # The other source of an entry sends it the records after this time, unless it has them by then.
 _SECOND_SOURCE_S = 0.1
 # An entry answers in a few ms, also from another zone; one that is dark never does.
@@ -74,6 +74,8 @@
         endpoints: Position in the endpoints' records.
         entries: Position in the entries' addresses.
         confirmed_s: When the store was asked whether the settings are the newest.
+        endpoints_confirmed_s: The same of the endpoints' records.
+        entries_confirmed_s: The same of the entries' addresses.
     """
 
     version: int = -1
@@ -81,15 +83,16 @@
     endpoints: int = -1
     entries: int = -1
     confirmed_s: float = -math.inf
+    endpoints_confirmed_s: float = -math.inf
+    entries_confirmed_s: float = -math.inf
 
-    def lacks(self, other: "_Known") -> bool:
-        """Return whether the other one knows more, or something fresh enough for a message."""
+    def is_behind(self, other: "_Known") -> bool:
+        """Return whether the other one knows of a change that is not known here."""
         return (
             self.version < other.version
             or self.evacuations < other.evacuations
             or self.endpoints < other.endpoints
             or self.entries < other.entries
-            or other.confirmed_s - self.confirmed_s >= _FRESHER_S
         )
 
 
@@ -145,13 +148,27 @@
         for host, address in downstream.items():
             subscriber = self._subscribers[host]
             is_left_out = subscriber.is_busy or subscriber.left_out_until_s > now_s
-            if not is_left_out and subscriber.acked.lacks(self._known()):
+            if not is_left_out and self._is_due(subscriber):
                 subscriber.is_busy = True
                 group.start_soon(self._send, host, address, subscriber)
 
+    def _is_due(self, subscriber: _Subscriber) -> bool:
+        """Return whether there is a change for it, or a confirmation fresh enough for a message."""
+        state, known, acked = self._state, self._known(), subscriber.acked
+        fresher = (
+            (known.confirmed_s, acked.confirmed_s, state.settings_bound),
+            (known.endpoints_confirmed_s, acked.endpoints_confirmed_s, state.endpoints_bound),
+            (known.entries_confirmed_s, acked.entries_confirmed_s, state.addresses_bound),
+        )
+        return acked.is_behind(known) or any(
+            here_s > there_s + bound.publish_interval_s for here_s, there_s, bound in fresher
+        )
+
     async def _send(self, host: str, address: Address, subscriber: _Subscriber) -> None:
         """Send to one subscriber until it lacks nothing."""
-        while subscriber.acked.lacks(self._known()):
+        if not subscriber.acked.is_behind(self._known()):
+            await anyio.sleep(_GATHER_S)
+        while self._is_due(subscriber):
             if not await self._send_once(host, address, subscriber):
                 subscriber.left_out_until_s = boot_time_s() + _LEFT_OUT_S
                 subscriber.reply, subscriber.acked = None, _Known()
@@ -199,7 +216,12 @@
             return _Known()
         offsets = self._endpoints.offset, self._entries.offset
         zones = state.evacuations.position
-        return _Known(state.config.version, zones, *offsets, state.lease.confirmed_s)
+        times = (
+            state.lease.confirmed_s,
+            self._endpoints.known.asked_s,
+            self._entries.known.asked_s,
+        )
+        return _Known(state.config.version, zones, *offsets, *times)
 
     def _update(self, subscriber: _Subscriber, has_records: bool) -> Update:
         """Return what one entry lacks, by its last word; records only where they are to be sent."""
@@ -222,7 +244,8 @@
             regained_s - subscriber.replied_s if is_told else None,
             version,
             zones_here(state),
-            self._endpoints.position,
+            _progress(self._endpoints.position, self._endpoints.known, subscriber.replied_s),
+            _progress(self._entries.position, self._entries.known, subscriber.replied_s),
             is_cut_short,
             state.config_record if is_sent else None,
             None if is_cut_short else endpoints,
@@ -230,6 +253,11 @@
         )
 
 
+def _progress(end: int, known: Confirmation, replied_s: float) -> Progress:
+    """Return how far records are known, as of a span from a subscriber's last word."""
+    return Progress(end, known.asked_s - replied_s if math.isfinite(known.asked_s) else None)
+
+
 class UpdateReceiver:
     """Applies the updates that other entries send.
 
@@ -272,8 +300,10 @@
     def _take(self, update: Update) -> None:
         asked_s = update.clock_s + update.confirmed_s
         regained_s = update.clock_s + (update.regained_s or 0.0)
-        if max(asked_s, regained_s) > boot_time_s():
-            raise ValueError(f"expected times of the past, got {asked_s} s and {regained_s} s")
+        spans = (update.endpoints_progress.confirmed_s, update.entries_progress.confirmed_s)
+        times = [asked_s, regained_s, *(update.clock_s + (span_s or 0.0) for span_s in spans)]
+        if max(times) > boot_time_s():
+            raise ValueError(f"expected times of the past, got {times} s")
         is_return = update.regained_s is not None
         self._state.contact.note_update(asked_s, regained_s if is_return else None, boot_time_s())
         evacuations = update.evacuations
@@ -282,13 +312,21 @@
             self._entries.apply_update(update.entries)
         if update.endpoints is not None:
             self._endpoints.apply_update(update.endpoints)
-        self._entries.heard()
-        self._endpoints.confirm_to(update.endpoints_end, asked_s, update.host)
+        self._confirm(self._endpoints, update.endpoints_progress, update)
+        self._confirm(self._entries, update.entries_progress, update)
         if update.is_cut_short:
-            self._endpoints.note_behind(update.endpoints_end)
+            self._endpoints.note_behind(update.endpoints_progress.end)
         self._config.apply_update(update.host, update.version, update.config, asked_s)
         self._state.news.set()
 
+    @staticmethod
+    def _confirm(
+        records: EndpointWatcher | Registration, progress: Progress, update: Update
+    ) -> None:
+        if progress.confirmed_s is not None:
+            asked_s = update.clock_s + progress.confirmed_s
+            records.confirm_to(progress.end, asked_s, update.host)
+
     def _reply(self) -> Reply:
         config = self._state.config
         return Reply(
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -231,7 +231,7 @@
             return False
         lease = self._state.lease
         lease.confirm(asked_s - known.age_s)
-        self._endpoints.confirm(asked_s - known.age_s, host)
+        self._endpoints.confirm_to(known.offset, asked_s - known.endpoints_age_s, host)
         self._state.news.set()
         return not needs_peers(known.age_s, lease.revocation_s)
 
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.quarantine import is_quarantine_key
 from beryljunction.gateway.schedules import ALWAYS_POLL, PollSchedule
 from beryljunction.gateway.signals import Signal
@@ -21,7 +20,7 @@
     format_address,
     parse_address,
 )
-from beryljunction.routing import Address, PeerTable
+from beryljunction.routing import Address, Confirmation, PeerTable
 
 __all__ = ["Registration"]
 
@@ -29,13 +28,9 @@
 # that hosts which start while the store is away don't press on it.
 _PAUSE_S = 1.0
 _LONGEST_PAUSE_S = 16.0
-# Entries come and go seldom: one waiting read, the longest that the store allows less a margin, and
-# a distance that bounds the reads while many start together.
-_WAIT_MS = 25_000
+# Bounds the reads while many entries start together.
 _DISTANCE_S = 2.0
 _FAILED_PAUSE_S = 5.0
-# An entry that nobody has told anything for so long looks for itself who is there.
-_UNHEARD_S = 30.0
 # Entries that find their records gone write them over this time.
 _SPREAD_S = 1.0
 # A stop can't wait for the store; a record that stays costs its readers one failed question.
@@ -60,11 +55,10 @@
         self._schedule = schedule
         self._store = store
         self._host = state.host.host
-        self._topic = TopicReader(store, state, ENTRY_ADDRESSES)
+        self._topic = TopicReader(store, state, ENTRY_ADDRESSES, state.addresses_known)
         self._is_doubtful = False
         self._lost = Signal()
         self._lost_records: list[Record] = []
-        self._heard_s = boot_time_s()
         self._state = state
         self._peers = peers
         self._address = format_address(address)
@@ -77,7 +71,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._write_again)
             while True:
-                await self._schedule.wait(ENTRY_ADDRESSES, self._need_age_s)
+                bound = self._state.addresses_bound
+                await self._schedule.wait(ENTRY_ADDRESSES, bound, self._need_age_s)
                 if not await paced(self.step, _DISTANCE_S, 0.0):
                     await rest_until_back(self._state.contact, _FAILED_PAUSE_S)
 
@@ -104,15 +99,20 @@
         """
         self._is_doubtful = True
 
-    def heard(self) -> None:
-        """Note that an entry above this one tells it what it lacks."""
-        self._heard_s = boot_time_s()
+    @property
+    def known(self) -> Confirmation:
+        """As of when the addresses are complete here."""
+        return self._topic.known
+
+    def confirm_to(self, end: int, asked_s: float, source: str) -> None:
+        """Note that another entry has the addresses up to a position, as of when it asked."""
+        self._topic.confirm_to(end, asked_s, source)
 
     def _need_age_s(self, now_s: float) -> float:
-        """Return infinity where the list has to be read, and 0 where it is told."""
-        is_old = now_s - self._heard_s > _UNHEARD_S
+        """Return the age of the list; infinite where it is known to lack something."""
         is_restored = era_of(max(0, self.position)) < self._state.era
-        return math.inf if self._is_doubtful or is_old or is_restored else 0.0
+        is_incomplete = self._is_doubtful or is_restored
+        return math.inf if is_incomplete else self.known.age_s(now_s)
 
     @property
     def offset(self) -> int | None:
@@ -140,11 +140,11 @@
 
     async def step(self) -> bool:
         """Read once."""
-        wait_ms = _WAIT_MS if self._schedule.is_first else 0
-        is_read = await self._topic.step(wait_ms, self._take_all, self._take)
+        bound = self._state.addresses_bound
+        wait_s = bound.confirm_interval_s if self._schedule.is_first else 0.0
+        is_read = await self._topic.step(round(wait_s * 1000), self._take_all, self._take)
         if is_read:
             self._is_doubtful = False
-            self.heard()
         if self._schedule.is_first:
             await self._remove_expired()
         return is_read
--- a/src/beryljunction/gateway/schedules.py
+++ b/src/beryljunction/gateway/schedules.py
@@ -9,6 +9,7 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import Topic
+from beryljunction.routing import AgeBound
 
 __all__ = ["ALWAYS_POLL", "FAILED_PAUSE_S", "FanOutSchedule", "PollSchedule"]
 
@@ -44,11 +45,12 @@
         """Pause after a read that failed, until the next one looks whether the store is back."""
 
     @abc.abstractmethod
-    async def wait(self, topic: Topic, age_s: Age) -> None:
+    async def wait(self, topic: Topic, bound: AgeBound, age_s: Age) -> None:
         """Return once a read is due.
 
         Args:
             topic: What is to be read.
+            bound: How old what is known of it may become.
             age_s: Age at a time of what is known of it.
         """
 
@@ -72,7 +74,7 @@
     def failed_pause_s(self) -> float:
         return FAILED_PAUSE_S
 
-    async def wait(self, topic: Topic, age_s: Age) -> None:
+    async def wait(self, topic: Topic, bound: AgeBound, age_s: Age) -> None:
         pass
 
     async def wait_for_reader(self) -> None:
@@ -106,12 +108,12 @@
         rank = self._state.fan_out.reader_rank
         return min(_LONGEST_PAUSE_S, FAILED_PAUSE_S * (1 + 2 * rank))
 
-    async def wait(self, topic: Topic, age_s: Age) -> None:
+    async def wait(self, topic: Topic, bound: AgeBound, age_s: Age) -> None:
         """Return once a read is due."""
-        fan_out, lease = self._state.fan_out, self._state.lease
+        fan_out = self._state.fan_out
         while not fan_out.is_first_reader:
             known_age_s = age_s(boot_time_s())
-            left_s = fan_out.ask_after_s(lease.revocation_s, self._draw) - known_age_s
+            left_s = fan_out.ask_after_s(bound.bound_s, self._draw) - known_age_s
             if left_s <= 0.0 or math.isnan(left_s):
                 self._note_stand_in(topic, known_age_s)
                 return
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -11,6 +11,7 @@
 from beryljunction.gateway.signals import Signal
 from beryljunction.platform import HostBounds, HostSettings
 from beryljunction.routing import (
+    AgeBound,
     ColdLimit,
     ColdShare,
     Confirmation,
@@ -39,6 +40,10 @@
 
 __all__ = ["EntryState"]
 
+# An entry that starts is listed everywhere within this time. One that is not yet listed answers
+# callers all the same; it is told nothing by others, and reads the store for itself.
+_ADDRESSES_BOUND = AgeBound(40.0)
+
 
 class EntryState:
     """Tables and systems of one entry.
@@ -49,6 +54,7 @@
         bounds: Promises of the deployment in force.
         mechanisms: Which mechanisms of the decisions are on.
         endpoints_known: As of when the records of endpoints are complete here.
+        addresses_known: The same of the addresses of entries.
         contact: When the store last answered, and when it came back.
         evacuations: Availability zones that get no new requests.
         cold: This entry's share of the requests to endpoints that are warming up.
@@ -66,6 +72,7 @@
         self.config_record = b""
         self.lease = SettingsLease(bounds.revocation_ms / 1000)
         self.endpoints_known = Confirmation()
+        self.addresses_known = Confirmation()
         self.contact = StoreContact(2 * bounds.heartbeat_ms / 1000)
         self.registry = EndpointRegistry(self.contact)
         self.evacuations = Evacuations()
@@ -90,6 +97,22 @@
         self.cold.limit = _cold_limit(bounds)
         self._shares.clear()
 
+    @property
+    def settings_bound(self) -> AgeBound:
+        """How long this entry may miss what the operator writes: settings and evacuations."""
+        in_force_s = min(self.bounds.apply_ms, self.bounds.evacuation_ms) / 1000
+        return AgeBound(min(in_force_s, self.lease.ready_s))
+
+    @property
+    def endpoints_bound(self) -> AgeBound:
+        """How long this entry may miss that an endpoint leaves."""
+        return AgeBound(self.bounds.drain_ms / 1000)
+
+    @property
+    def addresses_bound(self) -> AgeBound:
+        """How long this entry may miss that another one has started."""
+        return _ADDRESSES_BOUND
+
     def apply(self, config: FleetConfig, record: bytes) -> bool:
         """Put settings in force; never older ones than those that are."""
         if self.config is not None and config.version <= self.config.version:
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -19,7 +19,7 @@
     Unavailable,
     era_of,
 )
-from beryljunction.routing import StoreContact
+from beryljunction.routing import Confirmation, StoreContact
 
 __all__ = ["Take", "TopicReader", "paced", "rest_until_back"]
 
@@ -32,11 +32,19 @@
 
 
 class TopicReader:
-    """Reads a topic from its newest records on, and again from there when its history is gone."""
+    """Reads a topic from its newest records on, and again from there when its history is gone.
 
-    def __init__(self, store: Store, state: EntryState, topic: Topic) -> None:
+    Attributes:
+        known: As of when the records are complete here.
+
+    """
+
+    def __init__(
+        self, store: Store, state: EntryState, topic: Topic, known: Confirmation | None = None
+    ) -> None:
         self._store = store
         self.state = state
+        self.known = Confirmation() if known is None else known
         self._topic = topic
         self._offset: int | None = None
         self._recent: collections.deque[Record] = collections.deque()
@@ -50,7 +58,13 @@
         take_all: Take,
         take: Take,
     ) -> bool:
-        """Read once; False when there was no usable answer."""
+        """Read once; False when there was no usable answer.
+
+        Args:
+            wait_ms: How long the store may wait for a record.
+            take_all: Takes the newest record of each key.
+            take: Takes records that follow those known.
+        """
         asked = self._offset
         asked_s = boot_time_s()
         if asked is None:
@@ -67,13 +81,24 @@
                 self._offset = None
             return await self.step(wait_ms, take_all, take)
         self._note_regained()
-        self.state.contact.note_answer(asked_s, boot_time_s())
+        now_s = boot_time_s()
+        self.state.contact.note_answer(asked_s, now_s)
         if isinstance(answer, Newest):
             self._replace(answer.records, answer.next_offset, take_all)
         elif isinstance(answer, Records):
             self._add(answer.records, answer.next_offset, take)
+        self.known.confirm(_complete_at_s(answer, asked_s, now_s, wait_ms / 1000))
+        self.state.news.set()
         return True
 
+    def confirm_to(self, end: int, asked_s: float, source: str) -> None:
+        """Note that another entry has the records up to a position, as of when it asked.
+
+        Whoever lacks some of them is not confirmed: it has to get those first.
+        """
+        if self.position >= end:
+            self.known.confirm(asked_s, source)
+
     def _replace(self, records: Iterable[Record], end: int, take_all: Take) -> None:
         """Take in the newest record of each key, unless later ones are known."""
         if self._offset is not None and end < self._offset:
@@ -157,6 +182,15 @@
         self._is_lost = False
 
 
+def _complete_at_s(answer: Newest | Records, asked_s: float, now_s: float, wait_s: float) -> float:
+    """Return as of when nothing is missing after an answer.
+
+    A read that came back empty was held by the store for the whole wait.
+    """
+    is_waited_out = isinstance(answer, Records) and not answer.records and now_s >= asked_s + wait_s
+    return asked_s + wait_s if is_waited_out else asked_s
+
+
 async def rest_until_back(contact: StoreContact, longest_s: float = _LONGEST_REST_S) -> None:
     """Rest after a failed read until another one was answered, or for a while.
 
--- a/src/beryljunction/gateway/updates.py
+++ b/src/beryljunction/gateway/updates.py
@@ -9,7 +9,7 @@
 from beryljunction.gateway.fields import read_text
 from beryljunction.platform import Record
 
-__all__ = ["Reply", "TopicUpdate", "Update", "ZoneUpdate"]
+__all__ = ["Progress", "Reply", "TopicUpdate", "Update", "ZoneUpdate"]
 
 # Records of one message: more than a fleet has endpoints or entries is no message of this fleet.
 _MOST_RECORDS = 4_096
@@ -102,6 +102,33 @@
         return cls(int(values[0]), tuple(read_text(zone) for zone in values[1:]))
 
 
+@attrs.frozen
+class Progress:
+    """How far an entry has the records of a topic.
+
+    Attributes:
+        end: Position up to which it has them; -1 for none.
+        confirmed_s: When the store was asked whether that is all; None for never.
+    """
+
+    end: int = -1
+    confirmed_s: float | None = None
+
+    def encode(self) -> list[Any]:
+        """Return it as a part of a JSON message."""
+        return [self.end, None if self.confirmed_s is None else _round_down(self.confirmed_s)]
+
+    @classmethod
+    def decode(cls, values: Any) -> "Progress":
+        """Read it from a part of a JSON message.
+
+        Raises:
+            ValueError: It is no such part.
+        """
+        end, confirmed_s = values
+        return cls(int(end), None if confirmed_s is None else _span(confirmed_s))
+
+
 @attrs.frozen
 class Update:
     """What an entry tells one below it.
@@ -118,8 +145,8 @@
         regained_s: When the store came back; None where it was not away.
         version: Version of the settings.
         evacuations: Availability zones under evacuation.
-        endpoints_end: Position up to which the entry that tells has the endpoints' records; -1 for
-            none.
+        endpoints_progress: How far the entry that tells has the endpoints' records.
+        entries_progress: How far it has the entries' addresses.
         is_cut_short: Whether records of endpoints are missing here because they are too many: the
             entry that is told reads them from the store.
         config: The settings as the operator wrote them; None where they are not sent along.
@@ -134,7 +161,8 @@
     regained_s: float | None
     version: int
     evacuations: ZoneUpdate = ZoneUpdate(-1, ())
-    endpoints_end: int = -1
+    endpoints_progress: Progress = Progress()
+    entries_progress: Progress = Progress()
     is_cut_short: bool = False
     config: bytes | None = None
     endpoints: TopicUpdate | None = None
@@ -142,10 +170,11 @@
 
     def encode(self) -> bytes:
         """Return it as JSON; records are bytes of the platform's, so each byte is a character."""
-        times = [self.clock_s, self.confirmed_s, self.regained_s]
+        times = [self.clock_s, _round_down(self.confirmed_s), self.regained_s]
         config = None if self.config is None else self.config.decode("latin-1")
         topics = [_encode_topic(self.endpoints), _encode_topic(self.entries)]
-        known = [self.version, self.evacuations.encode(), self.endpoints_end, self.is_cut_short]
+        progress = [self.endpoints_progress.encode(), self.entries_progress.encode()]
+        known = [self.version, self.evacuations.encode(), *progress, self.is_cut_short]
         values = [self.host, self.life, *times, *known, config, *topics]
         return json.dumps(values, separators=(",", ":")).encode()
 
@@ -158,7 +187,8 @@
         """
         try:
             host, life, *rest, config, endpoints, entries = json.loads(data)
-            clock_s, confirmed_s, regained_s, version, zones, end, is_cut_short = rest
+            clock_s, confirmed_s, regained_s, version, zones, *progress, is_cut_short = rest
+            endpoints_progress, entries_progress = map(Progress.decode, progress)
             return cls(
                 host=read_text(host),
                 life=read_text(life),
@@ -167,7 +197,8 @@
                 regained_s=None if regained_s is None else _span(regained_s),
                 version=int(version),
                 evacuations=ZoneUpdate.decode(zones),
-                endpoints_end=int(end),
+                endpoints_progress=endpoints_progress,
+                entries_progress=entries_progress,
                 is_cut_short=bool(is_cut_short),
                 config=None if config is None else config.encode("latin-1"),
                 endpoints=_decode_topic(endpoints),
@@ -206,6 +237,11 @@
     return float(value)
 
 
+def _round_down(span_s: float) -> float:
+    """Return it in whole milliseconds; what is cut off must not make it younger."""
+    return math.floor(span_s * 1000) / 1000
+
+
 def _span(value: Any) -> float:
     span_s = _number(value)
     if abs(span_s) > _MOST_SPAN_S:
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -38,6 +38,9 @@
     """Promises of the deployment, with the defaults of its smallest site where a file lacks one.
 
     Attributes:
+        revocation_ms: Longest time that an API key may be honoured after it was taken away.
+        apply_ms: Time after which settings are in force on every host.
+        evacuation_ms: Time after which endpoints of an evacuated zone get nothing more.
         drain_ms: Time after which an endpoint that leaves gets nothing more.
         grace_s: Time between the request to stop and the kill.
         repeat_ratio: Second sends that the fleet may make for each request.
@@ -49,6 +52,8 @@
     """
 
     revocation_ms: int = 5_000
+    apply_ms: int = 2_000
+    evacuation_ms: int = 5_000
     drain_ms: int = 2_000
     grace_s: float = 8.0
     repeat_ratio: float = 0.2
@@ -162,6 +167,8 @@
     def _bounds(self) -> HostBounds:
         names = {
             "revocation_ms": "revocation-ms",
+            "apply_ms": "configuration-apply-ms",
+            "evacuation_ms": "evacuation-ms",
             "drain_ms": "drain-ms",
             "grace_s": "grace-period-s",
             "repeat_ratio": "retry-budget-ratio",
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -4,7 +4,7 @@
 from beryljunction.routing.attempts import AttemptPlan, Outcome, Verdict
 from beryljunction.routing.budget import RetryShare
 from beryljunction.routing.cold import ColdLimit, ColdShare
-from beryljunction.routing.confirmation import STORE, Confirmation
+from beryljunction.routing.confirmation import STORE, AgeBound, Confirmation
 from beryljunction.routing.contact import StoreContact
 from beryljunction.routing.crashes import Crash, CrashTable, owners_of
 from beryljunction.routing.digest import request_digest
@@ -42,6 +42,7 @@
     "ALL_ON",
     "Account",
     "Address",
+    "AgeBound",
     "Admitted",
     "AttemptPlan",
     "CallerLimits",
--- a/src/beryljunction/routing/fanout.py
+++ b/src/beryljunction/routing/fanout.py
@@ -16,17 +16,17 @@
 # Entries that each one has below it in the tree; it serves those of its partner too. 340 entries
 # are three levels, and one tells 8 others at most, 11 where it is a reader.
 _WIDTH = 4
-# Share of the bound on the settings' age from which an entry below the readers asks the store for
-# itself. The age stays under 2 s of 5 while one of its two sources works; ready is given up at 3 s.
-# The levels ask one after the other, so that those below hear from one that has asked.
-_ASK_RATIO = 0.45
-_ASK_RATIO_STEP = 0.05
-# The same for the readers behind the first: what it reads every 1.5 s of 5 is told to them at once.
-_BACKUP_RATIO = 0.3
-_BACKUP_RATIO_STEP = 0.04
-_MOST_ASK_RATIO = 0.55
+# Part of the bound on the age of records from which an entry below the readers asks the store for
+# itself; the age stays under half of it while one of its two sources works. The levels ask one
+# after the other, so that those below hear from one that has asked.
+_ASK_RATIO = 0.75
+_ASK_RATIO_STEP = 0.04
+_MOST_ASK_RATIO = 0.83
 # Spread of that moment, so that entries of a level which lose their sources don't ask together.
-_ASK_SPREAD_RATIO = 0.05
+_ASK_SPREAD_RATIO = 0.04
+# The same for the readers behind the first, which stand in before any entry below them asks.
+_BACKUP_RATIO = 0.55
+_BACKUP_RATIO_STEP = 0.05
 
 
 @attrs.define
@@ -128,18 +128,18 @@
         first = _READERS + self._position * _WIDTH
         return host in self._order[first : first + _WIDTH]
 
-    def ask_after_s(self, revocation_s: float, draw: float) -> float:
-        """Return the age of what it knows from which this entry asks the store for itself.
+    def ask_after_s(self, bound_s: float, draw: float) -> float:
+        """Return the age of records from which this entry asks the store for itself.
 
         Args:
-            revocation_s: Longest time that a key may be honoured after it was taken away.
+            bound_s: Longest time for which it may miss a change of them.
             draw: A number in [0, 1) that differs between entries.
         """
         if self.is_reader:
-            return revocation_s * (_BACKUP_RATIO + self.reader_rank * _BACKUP_RATIO_STEP)
+            return bound_s * (_BACKUP_RATIO + self.reader_rank * _BACKUP_RATIO_STEP)
         step = max(0, self.depth - 1) * _ASK_RATIO_STEP
         ratio = min(_MOST_ASK_RATIO, _ASK_RATIO + step)
-        return revocation_s * (ratio + draw * _ASK_SPREAD_RATIO)
+        return bound_s * (ratio + draw * _ASK_SPREAD_RATIO)
 
     @property
     def _position(self) -> int:
--- a/src/beryljunction/routing/lease.py
+++ b/src/beryljunction/routing/lease.py
@@ -57,6 +57,11 @@
         """
         return self.is_ready(now_s)
 
+    @property
+    def ready_s(self) -> float:
+        """Age of the settings from which new callers are not welcome."""
+        return self.revocation_s * _NOT_READY_RATIO
+
     def is_ready(self, now_s: float) -> bool:
         """Return whether new callers are welcome."""
-        return self.age_s(now_s) < self.revocation_s * _NOT_READY_RATIO
+        return self.age_s(now_s) < self.ready_s
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -153,13 +153,13 @@
 class FleetWorld:
     """The fleet; closed at the end."""
 
-    def __init__(self, entries, is_shared=True, seed=1, bounds=BOUNDS):
+    def __init__(self, entries, is_shared=True, seed=1, bounds=None):
         self.loop = VirtualLoop()
         self.clock = virtual_clock(self.loop)
         self.clock.__enter__()
         self.draw = random.Random(seed)
         self.is_shared = is_shared
-        self.bounds = bounds
+        self.bounds = bounds or BOUNDS
         self.model = PlatformStoreModel(retention_s=20.0)
         self.version = 0
         self.written_s = {}
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -25,7 +25,7 @@
 
 FAST = HostBounds(revocation_ms=3_000)
 CONFIG = json.dumps({"version": 3, "routes": [], "services": [], "tenants": []}).encode()
-KNOWN = Known(3, 0.5, ZoneUpdate(9, ("a",)), b'{"\xff', 7, (Record("e1", b"\x00\xfe"),))
+KNOWN = Known(3, 0.5, 0.7, ZoneUpdate(9, ("a",)), b'{"\xff', 7, (Record("e1", b"\x00\xfe"),))
 
 
 class TestKnown:
@@ -33,12 +33,20 @@
     def test_any_bytes_come_back_and_the_age_does_not_get_less(self, known):
         again = Known.decode(known.encode())
 
-        assert attrs.evolve(again, age_s=0.5) == known
+        assert attrs.evolve(again, age_s=0.5, endpoints_age_s=0.7) == known
         assert again.age_s > known.age_s
+        assert again.endpoints_age_s > known.endpoints_age_s
 
     @pytest.mark.parametrize(
         "change",
-        [{"age_s": -1}, {"age_s": "NaN"}, {"version": "x"}, {"endpoints": [1]}, {"config": 4}],
+        [
+            {"age_s": -1},
+            {"age_s": "NaN"},
+            {"endpoints_age_s": -1},
+            {"version": "x"},
+            {"endpoints": [1]},
+            {"config": 4},
+        ],
     )
     def test_message_that_is_none_is_an_error(self, change):
         values = json.loads(KNOWN.encode()) | change
@@ -252,6 +260,12 @@
                 await world.add_endpoint("e2", service="other")
                 await anyio.sleep(1.5)
                 after = await pair.ask(path="/new/1", request_id="q2")
+
+                async def is_logged():
+                    return world.lines.of("settings_by_peer")
+
+                # A waiting read that the store leaves without an answer ends 11 s after it began.
+                await world.until(is_logged)
                 return before, after, world.lines.of("settings_by_peer")
 
         before, after, lines = anyio.run(run)
--- a/testing/test_fanout.py
+++ b/testing/test_fanout.py
@@ -1,6 +1,6 @@
 import pytest
 
-from beryljunction.routing import FanOut
+from beryljunction.routing import AgeBound, FanOut, SettingsLease
 
 SIZES = (1, 2, 3, 4, 5, 7, 22, 29, 68, 151, 350)
 
@@ -66,10 +66,22 @@
     def test_levels_ask_one_after_the_other_before_ready_is_given_up(self):
         """All readers are lost; those below are to ask first, and the others hear from them."""
         ends = {}
+        ready_s = SettingsLease(5.0).ready_s
         for view in fleet(350).values():
-            first, last = view.ask_after_s(5.0, 0.0), view.ask_after_s(5.0, 0.999)
+            first, last = view.ask_after_s(ready_s, 0.0), view.ask_after_s(ready_s, 0.999)
             ends[view.depth] = first, last
 
         assert ends[1][1] <= ends[2][0]
         assert ends[2][1] <= ends[3][0]
         assert ends[3][1] <= 3.0
+
+    @pytest.mark.parametrize("bound_s", [1.0, 2.0, 3.0, 40.0])
+    def test_each_asks_within_the_bound_after_those_above_it(self, bound_s):
+        bound = AgeBound(bound_s)
+        views = list(fleet(350).values())
+        ranked = sorted(view.ask_after_s(bound_s, 0.0) for view in views if view.is_reader)
+        below = [view for view in views if not view.is_reader]
+
+        assert ranked[1] > max(2 * bound.read_interval_s, bound.confirm_interval_s)
+        assert ranked[-1] < min(view.ask_after_s(bound_s, 0.0) for view in below)
+        assert max(view.ask_after_s(bound_s, 0.999) for view in below) < 0.9 * bound_s
--- a/testing/test_knowledge_age.py
+++ b/testing/test_knowledge_age.py
@@ -2,11 +2,17 @@
 
 import random
 
+import pytest
+
 from beryljunction.platform import HostBounds
 from fanout_world import FleetWorld, StoreFault
 
-STARTED_S = 8.0
-SHORT = HostBounds(drain_ms=2_000)
+# Long enough for every wait that began before an entry knew of the others to be over.
+STARTED_S = 14.0
+# Two, three and four seconds, as deployments of three sizes have it.
+BOUNDS = [HostBounds(drain_ms=2_000), HostBounds(drain_ms=3_000), HostBounds(drain_ms=4_000)]
+SHORT = BOUNDS[0]
+ENDPOINTS = "keyed.servers"
 
 
 def is_leaving(state):
@@ -19,6 +25,24 @@
     return [draw.random() * 2.0 for _ in range(count)]
 
 
+class TestCalm:
+    @pytest.mark.parametrize("bounds", BOUNDS)
+    @pytest.mark.parametrize("entries", [4, 22, 350])
+    def test_no_entry_has_to_stand_in(self, entries, bounds):
+        """Guards against confirmations that reach an entry only once it reads for itself."""
+        with FleetWorld(entries, bounds=bounds) as world:
+            world.advance(STARTED_S)
+            names = world.in_order()
+            before = {name: world.members[name].store.calls for name in names}
+            world.advance(9.0)
+            calls = [world.members[name].store.calls - before[name] for name in names]
+
+            # Readers behind the first have one waiting read each, of ten seconds.
+            assert max(calls[1:4]) <= 1
+            assert sum(calls[4:]) == 0
+            assert calls[0] > 0
+
+
 class TestLeavingEndpoint:
     def test_changes_of_settings_do_not_vouch_for_records_of_endpoints(self):
         """Guards against requests to an endpoint that leaves while settings change all the time."""
@@ -32,6 +56,62 @@
 
                 assert known_after_storm(world, sound) <= SHORT.drain_ms / 1000
 
+    @pytest.mark.parametrize("entries", [4, 5, 22])
+    def test_hanging_read_of_the_first_reader_is_not_waited_for(self, entries):
+        """Guards against entries that vouch for records which they have not read."""
+        for hung_s, phase_s in zip((0.2, 0.6, 1.0, 2.2), phases(4), strict=True):
+            with FleetWorld(entries, bounds=SHORT) as world:
+                world.advance(STARTED_S + phase_s)
+                names = list(world.in_order())
+                world.members[names[0]].store.hanging.add(ENDPOINTS)
+                world.advance(hung_s)
+                world.endpoint("e3", "draining")
+
+                assert world.known_after(is_leaving, names) <= SHORT.drain_ms / 1000
+
+    @pytest.mark.parametrize("entries", [5, 22, 68])
+    @pytest.mark.parametrize("lost", [1, 2, 3])
+    def test_lost_readers_are_stood_in_for_in_time(self, entries, lost):
+        """Guards against turns of the stand-ins that are shares of another kind's bound."""
+        for seed, phase_s in enumerate(phases(4)):
+            with FleetWorld(entries, seed=seed, bounds=SHORT) as world:
+                world.advance(STARTED_S + phase_s)
+                names = list(world.in_order())
+                world.lose(names[:lost])
+                world.endpoint("e3", "draining")
+
+                assert world.known_after(is_leaving, names[lost:]) <= SHORT.drain_ms / 1000
+
+    @pytest.mark.parametrize("bounds", BOUNDS)
+    def test_all_readers_lost(self, bounds):
+        for seed, phase_s in enumerate(phases(4)):
+            with FleetWorld(22, seed=seed, bounds=bounds) as world:
+                world.advance(STARTED_S + phase_s)
+                names = list(world.in_order())
+                world.lose(names[:4])
+                world.endpoint("e3", "draining")
+
+                assert world.known_after(is_leaving, names[4:]) <= bounds.drain_ms / 1000
+
+
+class TestSettings:
+    @pytest.mark.parametrize("lost", [2, 3, 4])
+    @pytest.mark.parametrize("entries", [5, 22])
+    def test_are_in_force_in_time_while_readers_are_lost(self, entries, lost):
+        """Guards against entries below lost readers that serve by old settings for too long."""
+        for seed, phase_s in enumerate(phases(12)):
+            with FleetWorld(entries, seed=seed, bounds=SHORT) as world:
+                world.advance(STARTED_S + phase_s)
+                names = list(world.in_order())
+                world.lose(names[:lost])
+                world.configure()
+                version = world.version
+
+                known_s = world.known_after(
+                    lambda state, version=version: state.config.version == version, names[lost:]
+                )
+                assert known_s <= 2.0
+
 
 def storm(world, duration_s, gap_s=0.4):
     """Write settings again and again."""
--- a/testing/test_passing.py
+++ b/testing/test_passing.py
@@ -6,7 +6,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.passing import HttpUpdateLink
-from beryljunction.gateway.updates import Reply, TopicUpdate, Update, ZoneUpdate
+from beryljunction.gateway.updates import Progress, Reply, TopicUpdate, Update, ZoneUpdate
 from beryljunction.platform import Record
 from fanout_world import FleetWorld, History, StoreFault
 from platform_world import open_world, route
@@ -450,7 +450,8 @@
         None,
         7,
         ZoneUpdate(12, ("north",)),
-        14,
+        Progress(14, -0.25),
+        Progress(),
         True,
         b'{"x": "\xff"}',
         TopicUpdate((Record("e", None),), 3, 4),
@@ -479,11 +480,16 @@
             (6, [3, "x" * 129]),
             (6, [3, *["north"] * 256]),
             (7, "x"),
-            (9, 3),
-            (10, [1]),
-            (10, [3, 4, [["e", 7]]]),
-            (10, [3, 4, [["e", None]] * 5_000]),
-            (11, {}),
+            (7, [14]),
+            (7, ["x", 0.5]),
+            (7, [14, "now"]),
+            (7, [14, 1e9]),
+            (8, 3),
+            (10, 3),
+            (11, [1]),
+            (11, [3, 4, [["e", 7]]]),
+            (11, [3, 4, [["e", None]] * 5_000]),
+            (12, {}),
         ],
     )
     def test_what_no_entry_writes_is_an_error(self, place, value):
@@ -506,11 +512,14 @@
             one = world.members["front-0"]
             hello = Update("front-1", "", 0.0, 0.0, None, 0)
             life = Reply.decode(one.updates.take(hello.encode())).life
+            future = Update("front-1", life, 0.0, 0.0, None, 99)
             messages = [
                 b"{}",
                 Update("stranger", life, 0.0, 0.0, None, 99).encode(),
                 Update("front-1", life, 1e6, 1e6, None, 99).encode(),
                 Update("front-1", life, 0.0, 0.0, 1e6, 99).encode(),
+                attrs.evolve(future, endpoints_progress=Progress(3, 1e4)).encode(),
+                attrs.evolve(future, entries_progress=Progress(3, 1e4)).encode(),
             ]
 
             for message in messages:
