A lost answer about endpoints is asked for again at once

Callers: where one entry is left, or all others are lost, a request could reach an endpoint 2.5 s after it said that it leaves (2.0 s are allowed).

Cause: a read whose connection fell silent was given up on 1 s after its wait, and then rested until a read of any other topic was answered. Those come on their own turns; what one of them shows says nothing of this one.

Change: the first read of endpoints that gets no answer in a fifth of their bound is repeated at once on another connection, with the store's longer limit, so that a slow store or a thin link is not pressed. Only a second failure rests.

--- a/src/beryljunction/gateway/membership.py
+++ b/src/beryljunction/gateway/membership.py
@@ -30,6 +30,7 @@
         self._state = state
         self._schedule = schedule
         self._behind_to = -1
+        self._failures = 0
         self._values: dict[str, bytes] = {}
         self.is_known = anyio.Event()
 
@@ -93,16 +94,26 @@
         while True:
             bound = self._state.endpoints_bound
             await self._schedule.wait(ENDPOINT_RECORDS, bound, self._age_s)
-            if not await paced(self.step, bound.read_interval_s, 0.0):
+            if await paced(self.step, bound.read_interval_s, 0.0):
+                continue
+            # One lost answer says nothing of the store: only a second one is rested after.
+            if self._failures > 1:
                 await rest_until_back(self._state.contact)
 
     async def step(self) -> bool:
         """Read once."""
         bound = self._state.endpoints_bound
         wait_s = bound.until_confirm_s(boot_time_s()) if self._schedule.is_first else 0.0
-        done = await self._topic.step(round(wait_s * 1000), self._replace, self._take_records)
+        # A store that is slow, or a thin link, gets the store's own, longer limit after a failure.
+        timeout_s = None if self._failures else bound.answer_timeout_s
+        done = await self._topic.step(
+            round(wait_s * 1000), self._replace, self._take_records, timeout_s
+        )
         if done:
+            self._failures = 0
             self.is_known.set()
+        else:
+            self._failures += 1
         return done
 
     def _replace(self, records: Iterable[Record]) -> None:
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -57,6 +57,7 @@
         wait_ms: int,
         take_all: Take,
         take: Take,
+        answer_timeout_s: float | None = None,
     ) -> bool:
         """Read once; False when there was no usable answer.
 
@@ -64,13 +65,14 @@
             wait_ms: How long the store may wait for a record.
             take_all: Takes the newest record of each key.
             take: Takes records that follow those known.
+            answer_timeout_s: Time for an answer on top of that; None for the store's own limit.
         """
         asked = self._offset
         asked_s = boot_time_s()
         if asked is None:
             answer: Newest | Records | Expired | Unavailable = await self._store.newest(self._topic)
         else:
-            answer = await self._store.read(self._topic, asked, wait_ms)
+            answer = await self._read(asked, wait_ms, answer_timeout_s)
         if isinstance(answer, Unavailable):
             self._note_lost(answer.reason)
             self.state.contact.note_failure()
@@ -79,7 +81,7 @@
             if self._offset == asked:
                 self.state.events.write("history_expired", topic=self._topic.name, offset=asked)
                 self._offset = None
-            return await self.step(wait_ms, take_all, take)
+            return await self.step(wait_ms, take_all, take, answer_timeout_s)
         self._note_regained()
         now_s = boot_time_s()
         self.state.contact.note_answer(asked_s, now_s)
@@ -91,6 +93,15 @@
         self.state.news.set()
         return True
 
+    async def _read(
+        self, offset: int, wait_ms: int, answer_timeout_s: float | None
+    ) -> Records | Expired | Unavailable:
+        if answer_timeout_s is None:
+            return await self._store.read(self._topic, offset, wait_ms)
+        with anyio.move_on_after(wait_ms / 1000 + answer_timeout_s):
+            return await self._store.read(self._topic, offset, wait_ms)
+        return Unavailable(f"expected an answer within {answer_timeout_s:.2f} s")
+
     def confirm_to(self, end: int, asked_s: float, source: str) -> None:
         """Note that another entry has the records up to a position, as of when it asked.
 
--- a/src/beryljunction/routing/confirmation.py
+++ b/src/beryljunction/routing/confirmation.py
@@ -13,6 +13,7 @@
 _READ_RATIO = 0.25
 _CONFIRM_RATIO = 0.45
 _PUBLISH_RATIO = 0.4
+_ANSWER_RATIO = 0.2
 # A wait shorter than this part of the interval is not worth a call of its own.
 _LEAST_WAIT_RATIO = 0.1
 
@@ -77,3 +78,8 @@
     def publish_interval_s(self) -> float:
         """How much fresher a confirmation has to be to be passed on without a change."""
         return self.bound_s * _PUBLISH_RATIO
+
+    @property
+    def answer_timeout_s(self) -> float:
+        """Time that the store gets to answer, on top of what the read waits for."""
+        return self.bound_s * _ANSWER_RATIO
--- a/testing/test_knowledge_age.py
+++ b/testing/test_knowledge_age.py
@@ -93,6 +93,18 @@
 
                 assert world.known_after(is_leaving, names[4:]) <= bounds.drain_ms / 1000
 
+    def test_entry_that_is_alone_reads_again_after_a_hanging_read(self):
+        """Guards against a rest after one lost answer that lasts until another topic is read."""
+        for phase_s in phases(12):
+            with FleetWorld(1, bounds=SHORT) as world:
+                world.advance(STARTED_S)
+                names = world.in_order()
+                world.members[names[0]].store.hanging.add(ENDPOINTS)
+                world.advance(phase_s, step_s=0.01)
+                world.endpoint("e3", "draining")
+
+                assert world.known_after(is_leaving, names) <= SHORT.drain_ms / 1000
+
 
 class TestSettings:
     @pytest.mark.parametrize("lost", [2, 3, 4])
