Tests that hold two safeguards of the quarantine and the restored store

With the bound on counts of crashing requests taken out, or with reads that wait left waiting after a new era, all tests stayed green: the first looked at quarantined requests alone, the second made the store busy, which ends a waiting read by itself. Each safeguard taken out now fails a test; with both in place all pass. No code changes.

--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -43,6 +43,16 @@
         assert len(table) == 4_096
         assert table.left_s("d4999", 0.0) > 0.0
 
+    def test_counts_below_the_quarantine_are_bounded_too(self):
+        """Guards against memory that grows with each request under which an endpoint ended."""
+        table = CrashTable()
+        crashes(table, "e1", "e2", digest="first")
+        for number in range(4_096):
+            crashes(table, "e1", digest=f"d{number}")
+
+        assert crashes(table, "e3", digest="first") == [False]
+        assert crashes(table, "e2", "e3", digest="d4095") == [False, True]
+
 
 class TestServed:
     def test_served_request_has_crashed_nothing(self):
--- a/testing/test_restored_store.py
+++ b/testing/test_restored_store.py
@@ -138,7 +138,8 @@
 
         assert self.play(play)[0] == Expired()
 
-    def test_any_answer_ends_reads_that_wait_for_offsets_of_before(self):
+    @pytest.mark.parametrize("is_busy", [True, False])
+    def test_any_answer_ends_reads_that_wait_for_offsets_of_before(self, is_busy):
         """Guards against a read that waits for an offset until it is given out again."""
 
         async def play(stand_in, store):
@@ -153,7 +154,8 @@
                     group.start_soon(wait)
                     await anyio.sleep(0.1)
                     stand_in.model.restore(stand_in.model.copy())
-                    stand_in.faults.busy = True
+                    # A busy store ends the waiting read itself; else only the client can.
+                    stand_in.faults.busy = is_busy
                     await store.newest(FLEET_CONFIG)
             return found
 
