A message counts as an answer of the store at its latest, whatever was asked

When the store last answered the fleet was taken from the settings' time of a message alone; a message now carries three, and the latest is the truth. Taken too early, the end of a host's own trouble could look like an outage of the store, in which the records of endpoints that left are kept two seconds longer.

--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/passing.py
@@ -300,12 +300,14 @@
     def _take(self, update: Update) -> None:
         asked_s = update.clock_s + update.confirmed_s
         regained_s = update.clock_s + (update.regained_s or 0.0)
-        spans = (update.endpoints_progress.confirmed_s, update.entries_progress.confirmed_s)
-        times = [asked_s, regained_s, *(update.clock_s + (span_s or 0.0) for span_s in spans)]
-        if max(times) > boot_time_s():
-            raise ValueError(f"expected times of the past, got {times} s")
+        progress = (update.endpoints_progress, update.entries_progress)
+        spans = (update.confirmed_s, *(row.confirmed_s for row in progress))
+        answered_s = update.clock_s + max(span_s for span_s in spans if span_s is not None)
+        now_s = boot_time_s()
+        if max(answered_s, regained_s) > now_s:
+            raise ValueError(f"expected times of the past, got {answered_s} s and {regained_s} s")
         is_return = update.regained_s is not None
-        self._state.contact.note_update(asked_s, regained_s if is_return else None, boot_time_s())
+        self._state.contact.note_update(answered_s, regained_s if is_return else None, now_s)
         evacuations = update.evacuations
         self._state.replace_evacuations(evacuations.zones, evacuations.position)
         if update.entries is not None:
