Split publisher, receiver and link of updates between entries

Names follow the field: publishing, receiving, updatelink; the test module is named after the first. Doc comments in the touched modules say what the code does, without a load and a harm. No behaviour changes.

--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -14,8 +14,9 @@
 from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.messages import HttpRequest
 from beryljunction.gateway.news import News
-from beryljunction.gateway.passing import UPDATE_PATH, UpdateReceiver
+from beryljunction.gateway.receiving import UpdateReceiver
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.updatelink import UPDATE_PATH
 from beryljunction.routing import Address, CallerLimits, PeerTable, needs_peers
 
 __all__ = ["PeerConfirmation", "HttpPeerLink", "PeerHandler", "PeerLink"]
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -19,13 +19,15 @@
 from beryljunction.gateway.front import Front
 from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.operators import OperatorHandler, operator_digests
-from beryljunction.gateway.passing import HttpUpdateLink, UpdatePublisher, UpdateReceiver
 from beryljunction.gateway.peers import HttpPeerLink, PeerConfirmation, PeerHandler
 from beryljunction.gateway.probes import ProbeHandler
+from beryljunction.gateway.publishing import UpdatePublisher
+from beryljunction.gateway.receiving import UpdateReceiver
 from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.schedules import ALWAYS_POLL, FanOutSchedule, PollSchedule
 from beryljunction.gateway.sharing import ShareNews
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.updatelink import HttpUpdateLink
 from beryljunction.listening import open_listener
 from beryljunction.operators import NodeStatus
 from beryljunction.platform import (
@@ -239,8 +241,8 @@
         if self._state.mechanisms.peer_help:
             group.start_soon(PeerConfirmation(link, self._state, config, endpoints, peers).run)
         if self._state.mechanisms.shared_reads:
-            pass_on = UpdatePublisher(HttpUpdateLink(), self._state, endpoints, registration)
-            group.start_soon(pass_on.run)
+            publisher = UpdatePublisher(HttpUpdateLink(), self._state, endpoints, registration)
+            group.start_soon(publisher.run)
         group.start_soon(ShareNews(link, self._state, peers, life).run)
         group.start_soon(CrashReporter(link, store, self._state).run)
         return registration
--- a/src/beryljunction/gateway/passing.py
+++ b/src/beryljunction/gateway/publishing.py
@@ -1,25 +1,22 @@
-"""Sends what the store has told to other entries, and receives it from them."""
+"""Sends what the store has told to other entries."""
 
-import abc
 import math
 
 import anyio
 import anyio.abc
 import attrs
-import httpcore
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import zones_here
 from beryljunction.gateway.membership import EndpointWatcher
 from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.updatelink import UpdateLink
 from beryljunction.gateway.updates import Progress, Reply, Update
 from beryljunction.routing import Address, Confirmation
 
-__all__ = ["UPDATE_PATH", "HttpUpdateLink", "UpdatePublisher", "UpdateReceiver", "UpdateLink"]
+__all__ = ["UpdatePublisher"]
 
-UPDATE_PATH = "/v1/update"
 # Larger settings are read from the store by each entry: sent by one host to eight others, they fill
 # a thin link, which callers share.
 _MOST_CONFIG_BYTES = 4_096
@@ -29,39 +26,10 @@
 _GATHER_S = 0.02
 # The other source of an entry sends it the records after this time, unless it has them by then.
 _SECOND_SOURCE_S = 0.1
-# An entry answers in a few ms, also from another zone; one that is dark never does.
-_ANSWER_S = 0.3
 # One that did not answer is left out for this long: its other source goes on.
 _LEFT_OUT_S = 2.0
 # Expired records are waited for as long as this after the store's return.
 _REGAINED_TOLD_S = 2.0
-_CONNECTIONS = 12
-_NO_ANSWER = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
-
-
-class UpdateLink(abc.ABC):
-    """Tells another entry."""
-
-    @abc.abstractmethod
-    async def update(self, address: Address, message: bytes) -> bytes | None:
-        """Return its answer; None for none."""
-
-
-class HttpUpdateLink(UpdateLink):
-    """Speaks to other entries over HTTP, on connections that are kept."""
-
-    def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(max_keepalive_connections=_CONNECTIONS)
-
-    async def update(self, address: Address, message: bytes) -> bytes | None:
-        """Return its answer; None for none. A connection that went silent is closed."""
-        url = f"http://{address[0]}:{address[1]}{UPDATE_PATH}"
-        try:
-            with anyio.fail_after(_ANSWER_S):
-                response = await self._pool.request("POST", url, content=message)
-        except (TimeoutError, *_NO_ANSWER):
-            return None
-        return response.content if response.status == 200 else None
 
 
 @attrs.frozen
@@ -256,85 +224,3 @@
 def _progress(end: int, known: Confirmation, replied_s: float) -> Progress:
     """Return how far records are known, as of a span from a subscriber's last word."""
     return Progress(end, known.asked_s - replied_s if math.isfinite(known.asked_s) else None)
-
-
-class UpdateReceiver:
-    """Applies the updates that other entries send.
-
-    A message may have waited in the socket of a paused host. It names the last reply of this start
-    of the entry, and its times are spans from then, so that old settings never look new and a
-    revoked key is not honoured.
-
-    Args:
-        life: Differs for each start of this entry.
-    """
-
-    def __init__(
-        self,
-        state: EntryState,
-        config: ConfigWatcher,
-        endpoints: EndpointWatcher,
-        entries: Registration,
-        life: str,
-    ) -> None:
-        self._state = state
-        self._config = config
-        self._endpoints = endpoints
-        self._entries = entries
-        self._life = life
-
-    def take(self, message: bytes) -> bytes:
-        """Take in a message; return the answer.
-
-        Raises:
-            ValueError: It is no message of an entry of this fleet.
-        """
-        update = Update.decode(message)
-        if update.host not in self._state.fan_out:
-            self._entries.doubt()
-            raise ValueError(f"expected an entry that is listed, got {update.host!r}")
-        if update.life == self._life:
-            self._take(update)
-        return self._reply().encode()
-
-    def _take(self, update: Update) -> None:
-        asked_s = update.clock_s + update.confirmed_s
-        regained_s = update.clock_s + (update.regained_s or 0.0)
-        progress = (update.endpoints_progress, update.entries_progress)
-        spans = (update.confirmed_s, *(row.confirmed_s for row in progress))
-        answered_s = update.clock_s + max(span_s for span_s in spans if span_s is not None)
-        now_s = boot_time_s()
-        if max(answered_s, regained_s) > now_s:
-            raise ValueError(f"expected times of the past, got {answered_s} s and {regained_s} s")
-        is_return = update.regained_s is not None
-        self._state.contact.note_update(answered_s, regained_s if is_return else None, now_s)
-        evacuations = update.evacuations
-        self._state.replace_evacuations(evacuations.zones, evacuations.position)
-        if update.entries is not None:
-            self._entries.apply_update(update.entries)
-        if update.endpoints is not None:
-            self._endpoints.apply_update(update.endpoints)
-        self._confirm(self._endpoints, update.endpoints_progress, update)
-        self._confirm(self._entries, update.entries_progress, update)
-        if update.is_cut_short:
-            self._endpoints.note_behind(update.endpoints_progress.end)
-        self._config.apply_update(update.host, update.version, update.config, asked_s)
-        self._state.news.set()
-
-    @staticmethod
-    def _confirm(
-        records: EndpointWatcher | Registration, progress: Progress, update: Update
-    ) -> None:
-        if progress.confirmed_s is not None:
-            asked_s = update.clock_s + progress.confirmed_s
-            records.confirm_to(progress.end, asked_s, update.host)
-
-    def _reply(self) -> Reply:
-        config = self._state.config
-        return Reply(
-            self._life,
-            boot_time_s(),
-            config.version if config is not None else -1,
-            self._endpoints.position,
-            self._entries.position,
-        )
--- /dev/null
+++ b/src/beryljunction/gateway/receiving.py
@@ -0,0 +1,92 @@
+"""Applies what other entries have read from the store."""
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.following import ConfigWatcher
+from beryljunction.gateway.membership import EndpointWatcher
+from beryljunction.gateway.registration import Registration
+from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.updates import Progress, Reply, Update
+
+__all__ = ["UpdateReceiver"]
+
+
+class UpdateReceiver:
+    """Applies the updates that other entries send.
+
+    A message may have waited in the socket of a paused host. It names the last reply of this start
+    of the entry, and its times are spans from then, so that old settings never look new and a
+    revoked key is not honoured.
+
+    Args:
+        life: Differs for each start of this entry.
+    """
+
+    def __init__(
+        self,
+        state: EntryState,
+        config: ConfigWatcher,
+        endpoints: EndpointWatcher,
+        entries: Registration,
+        life: str,
+    ) -> None:
+        self._state = state
+        self._config = config
+        self._endpoints = endpoints
+        self._entries = entries
+        self._life = life
+
+    def take(self, message: bytes) -> bytes:
+        """Take in a message; return the answer.
+
+        Raises:
+            ValueError: It is no message of an entry of this fleet.
+        """
+        update = Update.decode(message)
+        if update.host not in self._state.fan_out:
+            self._entries.doubt()
+            raise ValueError(f"expected an entry that is listed, got {update.host!r}")
+        if update.life == self._life:
+            self._take(update)
+        return self._reply().encode()
+
+    def _take(self, update: Update) -> None:
+        asked_s = update.clock_s + update.confirmed_s
+        regained_s = update.clock_s + (update.regained_s or 0.0)
+        progress = (update.endpoints_progress, update.entries_progress)
+        spans = (update.confirmed_s, *(row.confirmed_s for row in progress))
+        answered_s = update.clock_s + max(span_s for span_s in spans if span_s is not None)
+        now_s = boot_time_s()
+        if max(answered_s, regained_s) > now_s:
+            raise ValueError(f"expected times of the past, got {answered_s} s and {regained_s} s")
+        is_return = update.regained_s is not None
+        self._state.contact.note_update(answered_s, regained_s if is_return else None, now_s)
+        evacuations = update.evacuations
+        self._state.replace_evacuations(evacuations.zones, evacuations.position)
+        if update.entries is not None:
+            self._entries.apply_update(update.entries)
+        if update.endpoints is not None:
+            self._endpoints.apply_update(update.endpoints)
+        self._confirm(self._endpoints, update.endpoints_progress, update)
+        self._confirm(self._entries, update.entries_progress, update)
+        if update.is_cut_short:
+            self._endpoints.note_behind(update.endpoints_progress.end)
+        self._config.apply_update(update.host, update.version, update.config, asked_s)
+        self._state.news.set()
+
+    @staticmethod
+    def _confirm(
+        records: EndpointWatcher | Registration, progress: Progress, update: Update
+    ) -> None:
+        if progress.confirmed_s is not None:
+            asked_s = update.clock_s + progress.confirmed_s
+            records.confirm_to(progress.end, asked_s, update.host)
+
+    def _reply(self) -> Reply:
+        config = self._state.config
+        return Reply(
+            self._life,
+            boot_time_s(),
+            config.version if config is not None else -1,
+            self._endpoints.position,
+            self._entries.position,
+        )
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -94,8 +94,7 @@
     def doubt(self) -> None:
         """Note that an entry tells this one which is not on its list: the list is old.
 
-        Load: all entries start together, and each reads a list that has only those which started
-        before it. Harm: one that is told by others than it expects would stay with that list.
+        Entries that start together read lists that have only those which started before them.
         """
         self._is_doubtful = True
 
--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -125,9 +125,8 @@
     def _add(self, records: Sequence[Record], end: int, take: Take) -> None:
         """Take in records that go on where the known ones end, or before that.
 
-        Load: this entry's own read is on its way while another one tells of what came after.
-        Harm: taken in last, the older record of an endpoint that is leaving would bring it back.
-        What lies before the known end is left out.
+        What lies before the known end is left out: an answer that was overtaken by an update of
+        another entry would bring back an endpoint that is leaving.
         """
         known = max(0, (self._offset or 0) - (end - len(records)))
         new = records[known:]
--- a/src/beryljunction/routing/fanout.py
+++ b/src/beryljunction/routing/fanout.py
@@ -33,10 +33,9 @@
 class FanOut:
     """A tree over the entries, which each entry works out for itself from the same list.
 
-    Load: dozens to hundreds of entries want the same few records of the store. Harm: each asks for
-    itself some two times a second, so the cost of reading grows with the fleet, and settings of a
-    storm are fetched by all at once. Nothing is agreed: entries whose lists differ have two that
-    tell the same, or none, and then ask for themselves.
+    Few entries read the store, and the others get its records from them, so that the calls do not
+    grow with the fleet. Nothing is agreed: an entry whose list differs from the others' gets the
+    same records twice, or none, and then reads for itself.
 
     The order is that of a hash of the hosts' names. The first few read the store; each of the
     others has two entries above it, so one that is killed, cut off or paused is not missed.
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -16,11 +16,13 @@
 from beryljunction.gateway.following import ConfigWatcher
 from beryljunction.gateway.known import Known, known_here
 from beryljunction.gateway.membership import EndpointWatcher
-from beryljunction.gateway.passing import UpdateLink, UpdatePublisher, UpdateReceiver
 from beryljunction.gateway.peers import PeerConfirmation, PeerLink
+from beryljunction.gateway.publishing import UpdatePublisher
+from beryljunction.gateway.receiving import UpdateReceiver
 from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.schedules import ALWAYS_POLL, FanOutSchedule
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.updatelink import UpdateLink
 from beryljunction.platform import HostBounds, HostSettings, Unavailable
 from beryljunction.routing import PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
--- a/testing/test_passing.py
+++ b/testing/test_publishing.py
@@ -5,7 +5,7 @@
 import pytest
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.passing import HttpUpdateLink
+from beryljunction.gateway.updatelink import HttpUpdateLink
 from beryljunction.gateway.updates import Progress, Reply, TopicUpdate, Update, ZoneUpdate
 from beryljunction.platform import Record
 from fanout_world import FleetWorld, History, StoreFault
