--- a/testing/test_gateway_operators.py
+++ b/testing/test_gateway_operators.py
@@ -47,6 +47,8 @@
         assert (told[0], events[0], wrong[0], metrics[0]) == (200, 200, 401, 200)
         assert (values["settings_version"], values["not_ready"]) == (3, "")
         assert 0 <= values["settings_age_s"] < 3
+        assert 0 <= values["endpoints_age_s"] < 3
+        assert b"beryl_endpoints_age_seconds" in metrics[1]
         assert {row[5] for row in json.loads(events[1])["events"]} == {"mine"}
         assert wrong[1] == b""
 
--- a/testing/test_knowledge_age.py
+++ b/testing/test_knowledge_age.py
@@ -1,11 +1,14 @@
 """Each kind of knowledge reaches all sound entries within its own bound, whatever others say."""
 
 import random
+import re
 
+import anyio
 import pytest
 
 from beryljunction.platform import HostBounds
 from fanout_world import FleetWorld, StoreFault
+from platform_world import open_world, route
 
 # Long enough for every wait that began before an entry knew of the others to be over.
 STARTED_S = 14.0
@@ -106,6 +109,42 @@
                 assert world.known_after(is_leaving, names) <= SHORT.drain_ms / 1000
 
 
+class TestLog:
+    def test_send_names_the_age_of_the_endpoints_and_who_vouched_for_it(self):
+        """Guards against an on-call engineer who can't tell why a host sends to one that left."""
+
+        async def run():
+            async with open_world(route()) as world:
+                await world.add_endpoint("e1")
+                await world.known(1)
+                await world.ask()
+                (line,) = world.lines.of("sent")
+            return dict(part.partition("=")[::2] for part in line.split())
+
+        sent = anyio.run(run)
+
+        assert 0.0 <= float(sent["endpoints_age_s"]) < SHORT.drain_ms / 1000
+        assert sent["endpoints_by"] == "store"
+
+    def test_entry_that_begins_to_stand_in_is_logged_once(self):
+        with FleetWorld(4, bounds=SHORT) as world:
+            world.advance(STARTED_S)
+            first, second, *_ = world.in_order()
+            events = world.members[second].state.events
+            world.lose([first])
+            before = stand_ins(events)
+            world.advance(6.0)
+
+            # One line for settings, one for endpoints; each read after them is not one more.
+            assert stand_ins(events) - before == 2
+
+
+def stand_ins(events):
+    text = events.metrics.render().decode()
+    found = re.search(r'beryl_events_total{event="stands_in"} (\S+)', text)
+    return float(found[1]) if found else 0.0
+
+
 class TestSettings:
     @pytest.mark.parametrize("lost", [2, 3, 4])
     @pytest.mark.parametrize("entries", [5, 22])
