An answer about endpoints that has begun is waited for

Callers on a thin link: none yet. The new limit on a read of endpoints, a fifth of their bound, counted the whole answer. Many records on a link of 5 Mbit/s take longer, were cut, and read again from the start.

The limit now ends only a read whose answer has not begun.

--- a/src/beryljunction/gateway/topics.py
+++ b/src/beryljunction/gateway/topics.py
@@ -65,7 +65,8 @@
             wait_ms: How long the store may wait for a record.
             take_all: Takes the newest record of each key.
             take: Takes records that follow those known.
-            answer_timeout_s: Time for an answer on top of that; None for the store's own limit.
+            answer_timeout_s: Time for an answer to begin on top of that; None for the store's own
+                limit.
         """
         asked = self._offset
         asked_s = boot_time_s()
@@ -98,9 +99,20 @@
     ) -> Records | Expired | Unavailable:
         if answer_timeout_s is None:
             return await self._store.read(self._topic, offset, wait_ms)
-        with anyio.move_on_after(wait_ms / 1000 + answer_timeout_s):
-            return await self._store.read(self._topic, offset, wait_ms)
-        return Unavailable(f"expected an answer within {answer_timeout_s:.2f} s")
+        answer: Records | Expired | Unavailable
+        answer = Unavailable(f"expected an answer within {answer_timeout_s:.2f} s")
+        async with anyio.create_task_group() as group:
+            limit_s = wait_ms / 1000 + answer_timeout_s
+            group.start_soon(self._give_up, group.cancel_scope, limit_s)
+            answer = await self._store.read(self._topic, offset, wait_ms)
+            group.cancel_scope.cancel()
+        return answer
+
+    async def _give_up(self, read: anyio.CancelScope, limit_s: float) -> None:
+        """End a read whose answer has not begun; many records on a thin link take longer."""
+        await anyio.sleep(limit_s)
+        if not self._store.is_receiving(self._topic):
+            read.cancel()
 
     def confirm_to(self, end: int, asked_s: float, source: str) -> None:
         """Note that another entry has the records up to a position, as of when it asked.
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -27,7 +27,7 @@
 from beryljunction.routing import PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
 
-__all__ = ["FleetWorld", "History", "RecordHistory", "StoreFault"]
+__all__ = ["CountingStore", "FleetWorld", "History", "RecordHistory", "StoreFault"]
 
 # A message to another entry takes this long one way; one without an answer is given up on.
 WAY_S = 0.002
