A removed safeguard of the fuzz is removed in every module that reads the clock

The fuzz without suspended time in ages patched the clock of some modules; those that judge records of endpoints since then kept the other clock, and entries ended with 'expected an age of 0 s or more, got -0.654'.

--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -9,9 +9,11 @@
     following,
     front,
     known,
+    membership,
     outgoing,
     peers,
     relay,
+    topics,
 )
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.delivery import Delivery
@@ -61,7 +63,7 @@
     def loop_time():
         return clocks.time.loop.now_s if hasattr(clocks.time, "loop") else clocks.time.monotonic()
 
-    for module in (exchange, following, front, known, peers):
+    for module in (exchange, following, front, known, membership, peers, topics):
         patch.setattr(module, "boot_time_s", loop_time)
 
 
