Log the connections at the end of an entry's drain, and requests that arrive after it

Cause to be found: an entry that stops closes a connection whose request it has sent to an endpoint. The logs had only the number of requests in flight, so three hypotheses could not be told apart: a request that is still being received, an endpoint that is gone, connections in the listener's backlog.

Change: event drained (in_flight, receiving, connections), event late_request (age of the connection, time since its first byte), gauges beryl_caller_connections and beryl_requests_receiving.

--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -73,6 +73,7 @@
         self._discards_input = False
         self._writable = anyio.Event()
         self._writable.set()
+        self.connected_s = 0.0
         self.idle_since_s = 0.0
         self.headers_started_s: float | None = None
 
@@ -82,7 +83,7 @@
         """Set the timeouts of the socket and tell the handler about the connection."""
         self._transport = cast(asyncio.Transport, transport)
         set_timeouts(transport.get_extra_info("socket"), CALLER_TIMEOUTS)
-        self.idle_since_s = boot_time_s()
+        self.connected_s = self.idle_since_s = boot_time_s()
         self._handler.on_connect(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -113,6 +114,11 @@
         """Whether no request is being read, queued or served."""
         return self._active is None and self._incoming is None and not self._pipelined
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request was received."""
+        return self._incoming is not None
+
     def close(self) -> None:
         """Close the connection after the data written so far is sent."""
         if self._transport is not None:
--- a/src/beryljunction/gateway/frontend.py
+++ b/src/beryljunction/gateway/frontend.py
@@ -24,6 +24,7 @@
     Attributes:
         is_draining: Whether the process is stopping; connections then close after their next
             answer.
+        is_drained: Whether the process has stopped waiting for requests.
     """
 
     def __init__(self, state: EntryState, group: anyio.abc.TaskGroup) -> None:
@@ -32,6 +33,7 @@
         self._connections: set[CallerConnection] = set()
         self._scopes: dict[CallerConnection, anyio.CancelScope] = {}
         self.is_draining = False
+        self.is_drained = False
 
     @property
     def limits(self) -> CallerLimits:  # type: ignore[override]
@@ -44,6 +46,16 @@
         """Number of requests that are not answered yet."""
         return len(self._scopes)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections."""
+        return len(self._connections)
+
+    @property
+    def receiving(self) -> int:
+        """Number of connections on which a part of a request was received."""
+        return sum(connection.is_receiving for connection in self._connections)
+
     def on_connect(self, connection: CallerConnection) -> None:
         """Track the connection."""
         self._connections.add(connection)
@@ -57,9 +69,20 @@
 
     def on_request(self, connection: CallerConnection, request: HttpRequest) -> None:
         """Start an exchange for the request."""
+        if self.is_drained:
+            self._log_late_request(connection, request)
         scope = self._scopes[connection] = anyio.CancelScope()
         self._group.start_soon(self._serve, connection, request, scope)
 
+    def _log_late_request(self, connection: CallerConnection, request: HttpRequest) -> None:
+        """Log a request that is complete only after the drain."""
+        now_s = boot_time_s()
+        self._state.events.write(
+            "late_request",
+            connection_age_s=round(now_s - connection.connected_s, 3),
+            receive_s=round(now_s - request.arrived_s, 3),
+        )
+
     def on_reject(self, status: int, problem: str) -> None:
         """Log a message that was rejected as an invalid request."""
         self._state.events.write("rejected", status=status, problem=problem)
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -119,6 +119,14 @@
             lambda: len(state.quarantine),
         )
         metrics.add_gauge("beryl_requests_in_flight", "Requests here.", lambda: frontend.in_flight)
+        metrics.add_gauge(
+            "beryl_caller_connections", "Callers' connections.", lambda: frontend.open_connections
+        )
+        metrics.add_gauge(
+            "beryl_requests_receiving",
+            "Requests of which a part was received.",
+            lambda: frontend.receiving,
+        )
         metrics.add_gauge("beryl_ready", "Whether callers are welcome.", self._is_ready)
         metrics.add_gauge("beryl_repeats_left", "Second sends left.", state.retries_left)
         metrics.add_gauge(
@@ -283,6 +291,13 @@
             if frontend.in_flight == 0:
                 break
             await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
+        frontend.is_drained = True
+        self._events.write(
+            "drained",
+            in_flight=frontend.in_flight,
+            receiving=frontend.receiving,
+            connections=frontend.open_connections,
+        )
         if frontend.in_flight:
             self._events.write("cut", in_flight=frontend.in_flight)
 
