A stopping entry waits until every connection is closed

Cause: the drain ended when no exchange was running. A request of which a part was received, one that lay unread in its socket, a connection that asyncio.Server had accepted but not yet shown, and an answer that was not sent completely counted for nothing. The requests among them were started while the process removed its address from the store, and cancelled with it.

Change: Listener counts a connection from its accept, accepts the backlog before it closes, and closes a connection only while it is idle with nothing unread. The drain waits until no connection is left. Requests that are complete after the listener closed are refused as not run if their deadline is after the end of the process, as are all after the drain; those in flight at the end of the grace period get 502, or 503 if they were sent to no endpoint, in place of a closed connection. The listeners for probes, operators and other entries close in the same way.

The test failed before: test_gateway_stop.py, 5 of 12 combinations, up to 12 of 16 requests lost each. After: all pass, test_listener.py too (each safeguard taken out fails 1 to 32 of its tests).

The stop still waits no longer than 0.6 s before the end of the grace period.

--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -12,7 +12,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.messages import Headers, HttpRequest, reason_phrase
-from beryljunction.gateway.sockets import CALLER_TIMEOUTS, set_timeouts
+from beryljunction.gateway.sockets import CALLER_TIMEOUTS, is_readable, set_timeouts
 from beryljunction.routing import CallerLimits
 
 __all__ = ["CallerConnection", "CallerHandler"]
@@ -29,18 +29,35 @@
 
 
 class CallerHandler(abc.ABC):
-    """Interface that serves the requests of caller connections."""
+    """Serves the requests of caller connections.
+
+    Attributes:
+        limits: Limits of a request.
+        is_draining: Whether the process is stopping; connections then close after their next
+            answer.
+        connections: The open connections, until all that was written to them is sent.
+    """
 
     limits: CallerLimits
     is_draining: bool
 
-    @abc.abstractmethod
+    def __init__(self) -> None:
+        self.is_draining = False
+        self.connections: set[CallerConnection] = set()
+
     def on_connect(self, connection: "CallerConnection") -> None:
         """Handle a new connection."""
+        self.connections.add(connection)
 
-    @abc.abstractmethod
     def on_disconnect(self, connection: "CallerConnection") -> None:
         """Handle the loss of a connection; nothing more can be written to it."""
+        self.connections.discard(connection)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being received or served."""
+        for connection in list(self.connections):
+            if connection.is_idle and not connection.has_unread_input:
+                connection.close()
 
     @abc.abstractmethod
     def on_request(self, connection: "CallerConnection", request: HttpRequest) -> None:
@@ -111,8 +128,15 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read, queued or served."""
-        return self._active is None and self._incoming is None and not self._pipelined
+        """Whether no request is being read, queued, served or rejected."""
+        is_serving = self._active is not None or bool(self._pipelined)
+        return not (is_serving or self._incoming is not None or self._discards_input)
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether bytes of the caller, or its disconnect, wait to be read."""
+        transport = self._transport
+        return transport is not None and is_readable(transport.get_extra_info("socket"))
 
     @property
     def is_receiving(self) -> bool:
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -43,6 +43,7 @@
 _DENIAL_STATUS = {DenialReason.NO_ROUTE: 404, DenialReason.UNKNOWN_KEY: 401}
 _DEFAULT_DEADLINE_MS = 60_000
 _QUARANTINED = "quarantined"
+_STOPPING = "stopping"
 
 
 class Exchange:
@@ -55,16 +56,26 @@
         self._tried: set[KnownEndpoint] = set()
         self._endpoint_error: tuple[ResponseHead, bytes] | None = None
         self._service = ""
+        self._plan: AttemptPlan | None = None
         self._log = ExchangeLog(state)
 
+    def refuse(self) -> None:
+        """Refuse the request because the process exits."""
+        if self._read_caller_headers():
+            self._answer_error(503, _STOPPING)
+
+    def end_unfinished(self) -> None:
+        """Answer a request that was cancelled while its caller waits, because the process exits."""
+        if self._caller_answer.has_started:
+            self._abort_answer(_STOPPING)
+        elif not self._caller_answer.is_complete:
+            was_sent = self._plan is not None and self._plan.sends > 0
+            self._answer_error(502 if was_sent else 503, _STOPPING)
+
     async def run(self) -> None:
-        """Serve the request; cancelled when the caller disconnects."""
-        caller_headers = parse_caller_headers(self._request.headers)
-        if isinstance(caller_headers, str):
-            self._answer_error(400, caller_headers)
+        """Serve the request; cancelled when the caller disconnects or the process exits."""
+        if not self._read_caller_headers():
             return
-        self._caller_headers = caller_headers
-        self._log.request_id = caller_headers.request_id
         admitted = self._admit()
         if isinstance(admitted, Denial):
             self._deny(admitted)
@@ -74,6 +85,16 @@
         finally:
             self._log.log_ended(self._caller_answer, self._request.arrived_s)
 
+    def _read_caller_headers(self) -> bool:
+        """Parse the headers; answer 400 and return False if they are invalid."""
+        caller_headers = parse_caller_headers(self._request.headers)
+        if isinstance(caller_headers, str):
+            self._answer_error(400, caller_headers)
+            return False
+        self._caller_headers = caller_headers
+        self._log.request_id = caller_headers.request_id
+        return True
+
     async def _serve(self, admitted: Admitted) -> None:
         route = admitted.route
         limit_ms = min(self._caller_headers.deadline_ms or _DEFAULT_DEADLINE_MS, route.timeout_ms)
@@ -84,7 +105,10 @@
         share = self._state.retry_share(self._service)
         share.count_request(boot_time_s())
         may_send_again = self._state.mechanisms.second_sends
-        plan = AttemptPlan(route.repeat, route.max_attempts, share, may_send_again)
+        plan = self._plan = AttemptPlan(route.repeat, route.max_attempts, share, may_send_again)
+        if self._deadline_s > self._state.admits_until_s:
+            self._give_up(plan.give_up(), _STOPPING)
+            return
         with anyio.move_on_after(max(0.0, self._remaining_s())):
             await self._try_endpoints(plan)
             return
@@ -309,6 +333,8 @@
         """Return the Retry-After value of a refusal in seconds; None to send no such header."""
         if reason == _QUARANTINED:
             return self._state.quarantine.remaining_s(self._log.digest)
+        if reason == _STOPPING:
+            return 0.0
         deadline_ms = self._caller_headers.deadline_ms
         left_s = None
         if deadline_ms is not None:
--- a/src/beryljunction/gateway/frontend.py
+++ b/src/beryljunction/gateway/frontend.py
@@ -22,17 +22,14 @@
     """Serves the caller connections of an entry.
 
     Attributes:
-        is_draining: Whether the process is stopping; connections then close after their next
-            answer.
-        is_drained: Whether the process has stopped waiting for requests.
+        is_drained: Whether the process has stopped waiting for requests; later ones are refused.
     """
 
     def __init__(self, state: EntryState, group: anyio.abc.TaskGroup) -> None:
+        super().__init__()
         self._state = state
         self._group = group
-        self._connections: set[CallerConnection] = set()
         self._scopes: dict[CallerConnection, anyio.CancelScope] = {}
-        self.is_draining = False
         self.is_drained = False
 
     @property
@@ -46,23 +43,14 @@
         """Number of requests that are not answered yet."""
         return len(self._scopes)
 
-    @property
-    def open_connections(self) -> int:
-        """Number of connections."""
-        return len(self._connections)
-
     @property
     def receiving(self) -> int:
         """Number of connections on which a part of a request was received."""
-        return sum(connection.is_receiving for connection in self._connections)
-
-    def on_connect(self, connection: CallerConnection) -> None:
-        """Track the connection."""
-        self._connections.add(connection)
+        return sum(connection.is_receiving for connection in self.connections)
 
     def on_disconnect(self, connection: CallerConnection) -> None:
         """Cancel the request of a caller that disconnected, which also aborts its endpoint call."""
-        self._connections.discard(connection)
+        super().on_disconnect(connection)
         scope = self._scopes.get(connection)
         if scope is not None:
             scope.cancel()
@@ -71,6 +59,8 @@
         """Start an exchange for the request."""
         if self.is_drained:
             self._log_late_request(connection, request)
+            Exchange(self._state, request, connection).refuse()
+            return
         scope = self._scopes[connection] = anyio.CancelScope()
         self._group.start_soon(self._serve, connection, request, scope)
 
@@ -102,23 +92,25 @@
             finally:
                 if self._scopes.get(connection) is scope:
                     del self._scopes[connection]
+        if scope.cancelled_caught and connection.is_open:
+            exchange.end_unfinished()
 
     def start_draining(self) -> None:
         """Close each connection after its next answer from now on."""
         self.is_draining = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is being read or served."""
-        for connection in list(self._connections):
-            if connection.is_idle:
-                connection.close()
+    def end_draining(self) -> None:
+        """End the requests in flight, and refuse later ones, because the process exits."""
+        self.is_drained = True
+        for scope in self._scopes.values():
+            scope.cancel()
 
     async def close_expired_connections(self) -> None:
         """Close connections that exceed the idle or header timeout, until cancelled."""
         while True:
             await anyio.sleep(_TIMEOUT_CHECK_INTERVAL_S)
             now_s = boot_time_s()
-            for connection in list(self._connections):
+            for connection in list(self.connections):
                 self._enforce_timeouts(connection, now_s)
 
     def _enforce_timeouts(self, connection: CallerConnection, now_s: float) -> None:
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -44,6 +44,7 @@
         peers: PeerTable,
         updates: UpdateReceiver | None = None,
     ) -> None:
+        super().__init__()
         self._message_handlers: dict[str, Callable[[bytes], bytes]] = {
             _GOSSIP_PATH: self._apply_gossip,
             _CRASHES_PATH: self._apply_crashes,
@@ -51,17 +52,10 @@
         if updates is not None:
             self._message_handlers[UPDATE_PATH] = updates.apply
         self.limits = CallerLimits()
-        self.is_draining = False
         self._state = state
         self._endpoints = endpoints
         self._peers = peers
 
-    def on_connect(self, connection: CallerConnection) -> None:
-        """Do nothing."""
-
-    def on_disconnect(self, connection: CallerConnection) -> None:
-        """Do nothing."""
-
     def on_reject(self, status: int, problem: str) -> None:
         """Log a malformed request."""
         self._state.events.write("peer_rejected", status=status, problem=problem)
--- a/src/beryljunction/gateway/probes.py
+++ b/src/beryljunction/gateway/probes.py
@@ -15,17 +15,11 @@
     """Serves metrics; answers every other path with 200 if the entry is ready, else with 503."""
 
     def __init__(self, is_ready: Callable[[], bool], render: Callable[[], bytes]) -> None:
+        super().__init__()
         self.limits = CallerLimits()
-        self.is_draining = False
         self._is_ready = is_ready
         self._render = render
 
-    def on_connect(self, connection: CallerConnection) -> None:
-        """Do nothing."""
-
-    def on_disconnect(self, connection: CallerConnection) -> None:
-        """Do nothing."""
-
     def on_request(self, connection: CallerConnection, request: HttpRequest) -> None:
         """Answer with the metrics or the readiness."""
         if request.path == METRICS_PATH:
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -1,6 +1,5 @@
 """Lifecycle of an entry process on the platform: startup, readiness, reload and draining."""
 
-import asyncio
 import math
 import os
 import signal
@@ -13,13 +12,14 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.early_listener import open_listener
 from beryljunction.errors import SettingsError, StartError
-from beryljunction.gateway.callers import CallerConnection, CallerHandler
+from beryljunction.gateway.callers import CallerHandler
 from beryljunction.gateway.config_watcher import ConfigWatcher
 from beryljunction.gateway.crashreporter import CrashReporter
 from beryljunction.gateway.endpoint_watcher import EndpointWatcher
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.frontend import CallerFrontend
 from beryljunction.gateway.gossip_sender import GossipSender
+from beryljunction.gateway.listener import Listener
 from beryljunction.gateway.operators import OperatorHandler, operator_digests
 from beryljunction.gateway.peers import HttpPeerClient, PeerConfirmation, PeerHandler
 from beryljunction.gateway.poll_schedules import ALWAYS_POLL, FanOutSchedule, PollSchedule
@@ -46,7 +46,8 @@
 _PROBE_FAILURE_DELAY_S = 2.6
 # Time reserved for the process to exit before the platform kills it.
 _EXIT_MARGIN_S = 0.6
-_DRAIN_POLL_INTERVAL_S = 0.1
+# Time in which the last answers are sent, and the listeners for other entries and operators close.
+_CLOSE_TIMEOUT_S = 0.1
 # Callers that connect during startup wait up to this long for the first read of the store, which
 # normally takes 20 ms; after that they are answered with 503 and Retry-After.
 _FIRST_READ_TIMEOUT_S = 0.3
@@ -72,6 +73,7 @@
         self._events = events
         self._state = EntryState(host, events)
         self._stopping = anyio.Event()
+        self._listeners: list[Listener] = []
 
     def _is_ready(self) -> bool:
         return not self._stopping.is_set() and self._state.is_ready()
@@ -120,7 +122,7 @@
         )
         metrics.add_gauge("beryl_requests_in_flight", "Requests here.", lambda: frontend.in_flight)
         metrics.add_gauge(
-            "beryl_caller_connections", "Callers' connections.", lambda: frontend.open_connections
+            "beryl_caller_connections", "Callers' connections.", lambda: len(frontend.connections)
         )
         metrics.add_gauge(
             "beryl_requests_receiving",
@@ -206,9 +208,9 @@
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
             callers = self._callers_socket()
-            await _listen(probes, self._host.probes)
+            self._listen(probes, self._host.probes)
             if self._host.metrics is not None:
-                await _listen(self._operator_handler(frontend), self._host.metrics)
+                self._listen(self._operator_handler(frontend), self._host.metrics)
             self._register_gauges(frontend)
             is_shared = self._state.mechanisms.shared_reads
             schedule = FanOutSchedule(self._state) if is_shared else ALWAYS_POLL
@@ -219,7 +221,7 @@
             with anyio.move_on_after(_FIRST_READ_TIMEOUT_S):
                 await config.loaded.wait()
                 await endpoints.loaded.wait()
-            listener = await _serve(frontend, callers)
+            listener = Listener(frontend, callers)
             group.start_soon(frontend.close_expired_connections)
             group.start_soon(self._watch_settings_file)
             registration = await self._start_peer_tasks(group, store, config, endpoints, schedule)
@@ -228,8 +230,19 @@
             if registration is not None:
                 await registration.deregister()
             group.cancel_scope.cancel()
+        await self._close_listeners()
         self._events.write("stopped")
 
+    def _listen(self, handler: CallerHandler, address: tuple[str, int]) -> None:
+        self._listeners.append(Listener(handler, _open(address)))
+
+    async def _close_listeners(self) -> None:
+        """Send the answers to other entries, probes and operators that are not sent yet."""
+        ends_s = time.monotonic() + _CLOSE_TIMEOUT_S
+        async with anyio.create_task_group() as group:
+            for listener in self._listeners:
+                group.start_soon(listener.close, ends_s)
+
     async def _start_peer_tasks(
         self,
         group: anyio.abc.TaskGroup,
@@ -250,7 +263,7 @@
         incarnation = f"{self._state.random.getrandbits(48):x}"
         updates = UpdateReceiver(self._state, config, endpoints, registration, incarnation)
         try:
-            await _listen(PeerHandler(self._state, endpoints, peers, updates), address)
+            self._listen(PeerHandler(self._state, endpoints, peers, updates), address)
         except StartError as error:
             self._events.write("peers_unavailable", problem=str(error))
             return None
@@ -274,32 +287,28 @@
             early_socket.close()
         return _open(address)
 
-    async def _drain(self, frontend: CallerFrontend, listener: asyncio.Server) -> None:
-        """Serve until the load balancer has removed this entry, then finish requests in flight.
+    async def _drain(self, frontend: CallerFrontend, listener: Listener) -> None:
+        """Serve until the load balancer has removed this entry, then finish the open requests.
 
-        Persistent connections are closed after their next answer, or, once the listener is closed,
-        while they are idle.
+        Connections are closed after their next answer, or, once the listener is closed, while they
+        are idle. Requests count as open from their first byte until their answer is sent.
         """
-        started_s = time.monotonic()
-        ends_s = started_s + self._host.bounds.grace_s - _EXIT_MARGIN_S
+        ends_s = time.monotonic() + self._host.bounds.grace_s - _EXIT_MARGIN_S
         frontend.start_draining()
         self._events.write("stopping", in_flight=frontend.in_flight)
         await anyio.sleep(_PROBE_FAILURE_DELAY_S)
-        listener.close()
-        while time.monotonic() < ends_s:
-            frontend.close_idle()
-            if frontend.in_flight == 0:
-                break
-            await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
-        frontend.is_drained = True
+        self._state.admits_until_s = boot_time_s() + max(0.0, ends_s - time.monotonic())
+        await listener.close(ends_s)
         self._events.write(
             "drained",
             in_flight=frontend.in_flight,
             receiving=frontend.receiving,
-            connections=frontend.open_connections,
+            connections=listener.open_connections,
         )
         if frontend.in_flight:
             self._events.write("cut", in_flight=frontend.in_flight)
+        frontend.end_draining()
+        await listener.close(time.monotonic() + _CLOSE_TIMEOUT_S)
 
     async def _handle_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -334,15 +343,6 @@
         self._events.write("reloaded", revocation_ms=host.bounds.revocation_ms)
 
 
-async def _listen(handler: CallerHandler, address: tuple[str, int]) -> asyncio.Server:
-    return await _serve(handler, _open(address))
-
-
-async def _serve(handler: CallerHandler, listener: socket.socket) -> asyncio.Server:
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: CallerConnection(handler), sock=listener)
-
-
 def _open(address: tuple[str, int]) -> socket.socket:
     try:
         return open_listener(address)
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -1,5 +1,6 @@
 """State of one entry: settings, endpoints, retry budgets, and the routing decisions on them."""
 
+import math
 import random
 from collections.abc import Collection, Iterable, Mapping
 
@@ -61,6 +62,8 @@
         fan_out: Which entries read the store, and which entry sends updates to which.
         era: Highest restore count of the store that this entry has seen.
         quarantine: Requests that crash the endpoints which run them.
+        admits_until_s: Latest deadline, as boot time, of requests that are admitted. A stopping
+            entry, which exits before the others, refuses them.
         store_data_changed: Set when data or a confirmation has arrived from the store or from
             another entry.
     """
@@ -83,6 +86,7 @@
         )
         self.fan_out = FanOut(host.host)
         self.quarantine = Quarantine(host.host, self.fan_out, events)
+        self.admits_until_s = math.inf
         self.store_data_changed = AutoResetEvent()
         self.random = random.Random()
         mechanisms = self.mechanisms = host.mechanisms
--- a/testing/entry_harness.py
+++ b/testing/entry_harness.py
@@ -10,8 +10,9 @@
 
 import anyio
 
-from beryljunction.gateway.callers import CallerConnection
+from beryljunction.early_listener import open_listener
 from beryljunction.gateway.events import EntryEventLog
+from beryljunction.gateway.listener import Listener
 from beryljunction.gateway.process import EntryProcess
 from beryljunction.platform import DeploymentBounds, HostSettings
 from beryljunction.servers import Server, bind_listener
@@ -208,8 +209,8 @@
         self.put("keyed.servers", name, endpoint.record())
         return endpoint
 
-    async def start_entry(self, early_socket=None):
-        ports = [next(self.ports) for _ in range(3)]
+    async def start_entry(self, early_socket=None, has_peers=False):
+        ports = [next(self.ports) for _ in range(4)]
         if early_socket is not None:
             ports[0] = early_socket.getsockname()[1]
         self.host = HostSettings(
@@ -222,6 +223,7 @@
             bounds=self.bounds,
             metrics=None if self.operator_keys is None else ("127.0.0.1", ports[2]),
             operator_keys=self.operator_keys or "",
+            peers=("127.0.0.1", ports[3]) if has_peers else None,
         )
         self.entry = EntryProcess(
             self.host, EntryEventLog("entry-1", "a", self.lines), early_socket
@@ -232,9 +234,9 @@
     @staticmethod
     async def serve(handler):
         """Listen on loopback for a connection handler and return the address."""
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(lambda: CallerConnection(handler), "127.0.0.1", 0)
-        return server.sockets[0].getsockname()[:2]
+        sock = open_listener(("127.0.0.1", 0))
+        Listener(handler, sock)
+        return sock.getsockname()[:2]
 
     async def is_ready(self):
         with contextlib.suppress(OSError):
