Servers of the loopback fleet close a connection only when nothing is received on it

Callers saw: an entry or sidecar of the loopback fleet that stops closes a connection on which a request is arriving; for the entry in front of a sidecar the outcome is then unknown, though nothing ran. Operators' requests were cancelled with the process.

The operators' server was ended by cancelling its task.

Change: Acceptor, taken out of the entry's Listener, accepts for both; a server closes a connection once no part of a head was received and nothing lies unread, for 5 s at the most for a stalled head; the operators' server is stopped like the other one.

--- a/src/beryljunction/fleet_process/process.py
+++ b/src/beryljunction/fleet_process/process.py
@@ -57,6 +57,8 @@
 
 _PLATFORM_POOLS = ("hosts", "log")
 _FLEET_POOLS = ("fleet", "peers")
+# Time in which operators' requests are answered once everything else has ended.
+_OPERATOR_CLOSE_TIMEOUT_S = 1.0
 
 
 class FleetProcess:
@@ -152,6 +154,9 @@
                 await background.start(self.role.run)
                 self._start_followers(background)
                 await self._serve(task_status)
+                self.operator_server.stop()
+                with anyio.move_on_after(_OPERATOR_CLOSE_TIMEOUT_S):
+                    await self.operator_server.stopped.wait()
                 background.cancel_scope.cancel()
         finally:
             self.ended.set()
--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -12,8 +12,9 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.messages import Headers, HttpRequest, reason_phrase
-from beryljunction.gateway.sockets import CALLER_TIMEOUTS, is_readable, set_timeouts
+from beryljunction.gateway.sockets import CALLER_TIMEOUTS, set_timeouts
 from beryljunction.routing import CallerLimits
+from beryljunction.sockets import is_readable
 
 __all__ = ["CallerConnection", "CallerHandler"]
 
--- a/src/beryljunction/gateway/sockets.py
+++ b/src/beryljunction/gateway/sockets.py
@@ -1,11 +1,10 @@
-"""Timeouts of TCP sockets that detect unreachable remote ends, and a check for unread input."""
+"""TCP timeouts that detect connections whose remote end is unreachable."""
 
-import select
 import socket
 
 import attrs
 
-__all__ = ["CALLER_TIMEOUTS", "ENDPOINT_TIMEOUTS", "SocketTimeouts", "is_readable", "set_timeouts"]
+__all__ = ["CALLER_TIMEOUTS", "ENDPOINT_TIMEOUTS", "SocketTimeouts", "set_timeouts"]
 
 
 @attrs.frozen
@@ -41,10 +40,3 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, timeouts.interval_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, timeouts.probes)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeouts.unacked_ms)
-
-
-def is_readable(sock: socket.socket) -> bool:
-    """Return whether received bytes, or the end of the input, wait to be read."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
--- a/src/beryljunction/servers/listeners.py
+++ b/src/beryljunction/servers/listeners.py
@@ -5,6 +5,7 @@
 import logging
 import socket
 import ssl
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -12,8 +13,10 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from beryljunction.acceptor import Acceptor
 from beryljunction.errors import StartError
 from beryljunction.servers.asgi import Asgi
+from beryljunction.sockets import is_readable
 
 __all__ = ["Server", "bind_listener"]
 
@@ -26,6 +29,9 @@
 # ensure that there is always data in flight, so a reader that acknowledges nothing for 30 s is
 # gone; it may resume later.
 _TCP_USER_TIMEOUT_MS = 30_000
+# A stop waits this long for the rest of a request's headers; a stalled caller would block it.
+_HEAD_TIMEOUT_S = 5.0
+_CLOSE_POLL_INTERVAL_S = 0.05
 # Far above any limit in the settings; requests over those limits get a typed error response.
 _MAX_HEAD_BYTES = 262_144
 
@@ -87,6 +93,12 @@
         self._is_in_head = False
         super().on_headers_complete()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether part of a request's headers was received, or bytes wait to be read."""
+        is_in_head = self._is_in_head and self._head_bytes > 0
+        return is_in_head or is_readable(self.transport.get_extra_info("socket"))
+
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
         if self._is_in_head:
@@ -116,6 +128,7 @@
             proxy_headers=False,
         )
         super().__init__(config)
+        self.stopped = anyio.Event()
         logging.getLogger("uvicorn.error").addFilter(_INCOMPLETE_RESPONSE_FILTER)
         self.listener = listener
 
@@ -137,6 +150,33 @@
             while not self.started:
                 await anyio.sleep(0.005)
             task_status.started()
+        self.stopped.set()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Accept connections; their number is then known from the moment they are accepted."""
+        config = self.config
+        self.servers = []
+        self._acceptor = Acceptor(self.listener, self._create_protocol, config.ssl)
+        self.started = True
+
+    def _create_protocol(self) -> asyncio.Protocol:
+        return _LimitedHeaderProtocol(
+            config=self.config, server_state=self.server_state, app_state=self.lifespan.state
+        )
+
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop accepting, and close each connection once no request is received or answered."""
+        self._acceptor.stop()
+        ends_s = time.monotonic() + _HEAD_TIMEOUT_S
+        connections = self.server_state.connections
+        while self._acceptor.pending or connections:
+            waits = time.monotonic() < ends_s
+            for connection in list(connections):
+                assert isinstance(connection, _LimitedHeaderProtocol)
+                if not (waits and connection.is_receiving):
+                    connection.shutdown()
+            await anyio.sleep(_CLOSE_POLL_INTERVAL_S)
+        await super().shutdown(sockets)
 
     def stop(self) -> None:
         """Stop accepting connections; the server exits when no request is in flight."""
--- /dev/null
+++ b/testing/test_acceptor.py
@@ -0,0 +1,89 @@
+import asyncio
+import errno
+import socket
+
+import anyio
+import pytest
+
+from beryljunction import acceptor as acceptor_module
+from beryljunction.acceptor import Acceptor
+from beryljunction.early_listener import open_listener
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Greeting(asyncio.Protocol):
+    def connection_made(self, transport):
+        transport.write(b"hello")
+        transport.close()
+
+
+class FailingSocket:
+    """A listening socket whose accept fails for lack of descriptors, at first."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self.failures_left = 2
+
+    def accept(self):
+        if self.failures_left:
+            self.failures_left -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return self._sock.accept()
+
+    def fileno(self):
+        return self._sock.fileno()
+
+    def setblocking(self, is_blocking):
+        self._sock.setblocking(is_blocking)
+
+    def close(self):
+        self._sock.close()
+
+
+def connect(sock):
+    return socket.create_connection(sock.getsockname(), timeout=5.0)
+
+
+class TestStop:
+    async def test_connection_that_was_not_accepted_yet_is_served(self):
+        """Guards against a stop that resets the connections in the backlog."""
+        sock = open_listener(("127.0.0.1", 0))
+        acceptor = Acceptor(sock, Greeting)
+        callers = [connect(sock) for _ in range(200)]
+
+        acceptor.stop()
+
+        assert acceptor.pending == 200
+        assert [await asyncio.to_thread(one.recv, 9) for one in callers] == [b"hello"] * 200
+        assert acceptor.pending == 0
+
+    async def test_new_connections_are_refused(self):
+        sock = open_listener(("127.0.0.1", 0))
+        address = sock.getsockname()
+        acceptor = Acceptor(sock, Greeting)
+
+        acceptor.stop()
+        acceptor.stop()
+
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+
+
+class TestAccept:
+    async def test_accepts_again_after_it_ran_out_of_descriptors(self, monkeypatch):
+        """Guards against a listener that stays closed after a moment without descriptors."""
+        monkeypatch.setattr(acceptor_module, "_RETRY_S", 0.02)
+        sock = open_listener(("127.0.0.1", 0))
+        failing = FailingSocket(sock)
+        acceptor = Acceptor(failing, Greeting)
+        with connect(sock) as caller, anyio.fail_after(5.0):
+            greeting = await asyncio.to_thread(caller.recv, 9)
+        acceptor.stop()
+
+        assert (greeting, failing.failures_left) == (b"hello", 0)
--- a/testing/test_fleet_process.py
+++ b/testing/test_fleet_process.py
@@ -20,6 +20,7 @@
 from beryljunction.errors import PlatformUnavailableError
 from beryljunction.fleet_process import (
     EntryRole,
+    FleetProcess,
     HostListCache,
     HostListWatcher,
     RoleContext,
@@ -43,6 +44,7 @@
 from beryljunction.stores import HostChanges, HostList, HostRow
 from beryljunction.tables import EndpointState
 from beryljunction.timeline import Timeline
+from blocking_caller import BlockingCaller
 from ports import free_ports
 
 ROW = HostRow("host-a", "drafter-0", "drafter", "ahd-a", "gj-west", "127.0.0.1:1")
@@ -230,6 +232,34 @@
         assert entry.wait(STOP_TIMEOUT_S) == 0
 
 
+class TestOperatorListener:
+    def test_request_that_is_being_received_at_the_end_is_answered(self, monkeypatch):
+        """Guards against an operator's command that a stopping process drops."""
+
+        async def run():
+            address = "127.0.0.1:0"
+            settings = ProcessSettings("e", "gj-west", "ahd-a", address, address, "key", "", "")
+            process = FleetProcess.entry(EntryFile(settings), ResolvedSettings())
+            caller = BlockingCaller(process.operator_server.listener.getsockname())
+
+            async def send_half(task_status):
+                caller.send(b"GET /metrics HTTP/1.1\r\n")
+                await anyio.sleep(0.1)
+                group.start_soon(send_rest)
+
+            async def send_rest():
+                await anyio.sleep(0.1)
+                caller.send(b"Host: e\r\n\r\n")
+
+            monkeypatch.setattr(process, "_serve", send_half)
+            async with anyio.create_task_group() as group:
+                await process.run()
+                answer = caller.read_now(12)
+            return answer
+
+        assert anyio.run(run) == b"HTTP/1.1 200"
+
+
 class TestBadSettings:
     @pytest.mark.parametrize("program", ["beryl-entry", "beryl-sidecar"])
     def test_exit_with_code_2_and_a_line_for_each_problem(self, tmp_path, program):
--- a/testing/test_listener.py
+++ b/testing/test_listener.py
@@ -1,16 +1,13 @@
-import asyncio
-import errno
-import socket
 import time
 
 import anyio
 import pytest
 
 from beryljunction.early_listener import open_listener
-from beryljunction.gateway import listener as listener_module
 from beryljunction.gateway.callers import CallerHandler
 from beryljunction.gateway.listener import Listener
 from beryljunction.routing import CallerLimits
+from blocking_caller import BlockingCaller
 
 pytestmark = pytest.mark.anyio
 REQUEST = b"GET /one HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -38,29 +35,6 @@
         pass
 
 
-class Peer:
-    """A blocking client; what it sends is in the server's socket before the event loop runs."""
-
-    def __init__(self, address):
-        self.sock = socket.create_connection(address, timeout=5.0)
-
-    def send(self, data):
-        self.sock.sendall(data)
-
-    def _read(self):
-        data = b""
-        try:
-            while part := self.sock.recv(65_536):
-                data += part
-        except ConnectionResetError:
-            data += b"(reset)"
-        self.sock.close()
-        return data
-
-    async def read_to_end(self):
-        return await asyncio.to_thread(self._read)
-
-
 class Fixture:
     def __init__(self, **fields):
         self.handler = EchoHandler(**fields)
@@ -69,7 +43,7 @@
         self.listener = Listener(self.handler, sock)
 
     async def connected(self):
-        peer = Peer(self.address)
+        peer = BlockingCaller(self.address)
         await self.until(1)
         return peer
 
@@ -87,7 +61,7 @@
 
     async def test_connection_that_was_not_accepted_yet_is_served(self):
         served = Fixture()
-        peer = Peer(served.address)
+        peer = BlockingCaller(served.address)
         peer.send(REQUEST)
 
         await served.close()
@@ -96,9 +70,9 @@
 
     async def test_connection_being_set_up_counts_as_open(self):
         served = Fixture()
-        peer = Peer(served.address)
+        peer = BlockingCaller(served.address)
 
-        served.listener.stop_accepting()
+        await served.close(limit_s=0.0)
 
         assert served.listener.open_connections == 1
         await served.close()
@@ -149,7 +123,7 @@
 
         assert await peer.read_to_end() == b""
         with pytest.raises(ConnectionRefusedError):
-            Peer(served.address)
+            BlockingCaller(served.address)
 
     async def test_request_that_is_never_completed_ends_the_wait_at_its_limit(self):
         served = Fixture()
@@ -170,42 +144,3 @@
         await served.close()
 
         assert served.listener.open_connections == 0
-
-
-class TestAccept:
-    async def test_accepts_again_after_it_ran_out_of_descriptors(self, monkeypatch):
-        """Guards against an entry that takes no more callers after a moment without descriptors."""
-        monkeypatch.setattr(listener_module, "_ACCEPT_RETRY_S", 0.05)
-        served = Fixture()
-        served.listener._sock = failing = FailingSocket(served.listener._sock)
-        peer = Peer(served.address)
-        with anyio.fail_after(5.0):
-            while not failing.failures:
-                await anyio.sleep(0.001)
-        failing.is_failing = False
-        await served.until(1)
-        peer.send(REQUEST)
-        await served.close()
-
-        assert (await peer.read_to_end()).endswith(b"ok")
-
-
-class FailingSocket:
-    """A listening socket whose accept fails for lack of descriptors."""
-
-    def __init__(self, sock):
-        self._sock = sock
-        self.is_failing = True
-        self.failures = 0
-
-    def accept(self):
-        if self.is_failing:
-            self.failures += 1
-            raise OSError(errno.EMFILE, "too many open files")
-        return self._sock.accept()
-
-    def fileno(self):
-        return self._sock.fileno()
-
-    def close(self):
-        self._sock.close()
