--- a/testing/test_fleet_process.py
+++ b/testing/test_fleet_process.py
@@ -254,8 +254,7 @@
             monkeypatch.setattr(process, "_serve", send_half)
             async with anyio.create_task_group() as group:
                 await process.run()
-                answer = caller.read_now(12)
-            return answer
+                return caller.read_now(12)
 
         assert anyio.run(run) == b"HTTP/1.1 200"
 
