--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -211,6 +211,10 @@
         """Requests that it had according to its last load report; 0 without a report."""
         return self.report.running + self.report.waiting if self.report is not None else 0
 
+    def report_age_s(self, now_s: float) -> float:
+        """Return the age of its last load report; infinity without a report."""
+        return now_s - self.report.at_s if self.report is not None else math.inf
+
     def merge_load(self, requests: int, at_s: float) -> None:
         """Record a load that it reported to another entry, unless a later one is known."""
         if self.report is None or at_s > self.report.at_s:
--- a/src/beryljunction/routing/load_gossip.py
+++ b/src/beryljunction/routing/load_gossip.py
@@ -38,12 +38,12 @@
     bound; with sharing and forwarding, 0.77 do (testing/imbalance_world.py, means of 8 seeds).
     Lower loads are left out, since sending requests to those endpoints does no harm.
     """
-    fresh = [row for row in rows if row.report and now_s - row.report.at_s < _MAX_AGE_S]
+    fresh = [row for row in rows if row.report_age_s(now_s) < _MAX_AGE_S]
     means = _means(fresh)
     above_mean = [row for row in fresh if row.reported_load > means[row.record.service]]
-    above_mean.sort(key=lambda row: _age_s(row, now_s))
+    above_mean.sort(key=lambda row: row.report_age_s(now_s))
     return tuple(
-        LoadSample(row.incarnation_id, row.reported_load, _age_s(row, now_s))
+        LoadSample(row.incarnation_id, row.reported_load, row.report_age_s(now_s))
         for row in above_mean[:_MAX_ROWS]
     )
 
@@ -63,7 +63,3 @@
     for row in rows:
         loads.setdefault(row.record.service, []).append(row.reported_load)
     return {service: sum(values) / len(values) for service, values in loads.items()}
-
-
-def _age_s(row: KnownEndpoint, now_s: float) -> float:
-    return now_s - row.report.at_s if row.report is not None else float("inf")
