Entries share low loads too, and high loads for longer

Cause: an entry shared only loads above the mean of what it knew, the freshest first. What it knew came from such messages, so the mean rose with each hop, and an endpoint that was low when it was last heard of was unknown soon after.

Ruled out: the bound itself.

--- a/src/beryljunction/gateway/gossip.py
+++ b/src/beryljunction/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Encoding of the message that informs entries of moved sessions and overloaded endpoints."""
+"""Encoding of the message that informs entries of moved sessions and loads of endpoints."""
 
 import json
 import math
@@ -25,7 +25,7 @@
         host: Name of the sender's host.
         incarnation: Differs for each process start of the sender.
         moved: Sessions that are not at the endpoint where the receiver expects them.
-        loads: Endpoints that have more load than their peers.
+        loads: Latest loads of endpoints.
     """
 
     host: str
--- a/src/beryljunction/gateway/gossip_sender.py
+++ b/src/beryljunction/gateway/gossip_sender.py
@@ -1,4 +1,4 @@
-"""Informs the other entries of sessions that moved and of overloaded endpoints."""
+"""Informs the other entries of sessions that moved and of the loads of endpoints."""
 
 import anyio
 import attrs
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -255,7 +255,7 @@
         self._warm_placement.announce_outranked_sessions(endpoint_id, boot_time_s())
 
     def apply_gossip(self, sessions: Iterable[MovedSession], loads: Iterable[LoadSample]) -> None:
-        """Apply another entry's session placements and its reports of overloaded endpoints."""
+        """Apply another entry's session placements and its reports of loads."""
         now_s = boot_time_s()
         for session in sessions:
             self._warm_placement.note_moved_session(session, now_s)
