The margin for unreported requests is random, also under an evacuation

Cause: entries that know the same load leave an endpoint for the same next one at once, and return to it at once, until the next reports arrive.

Change: the margin, one standard deviation of the unreported requests before, is drawn for each endpoint from an exponential distribution with that mean; an endpoint below the mean load is never left out; the exception for evacuations goes. It draws no more endpoints than a choice needs.

The tests of the bound give the endpoints fresh reports where they had none, or draw twenty times, since the margin is random.

--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -90,7 +90,7 @@
         self.store_data_changed = AutoResetEvent()
         self.random = random.Random()
         mechanisms = self.mechanisms = host.mechanisms
-        self._warm_placement = CacheAwarePlacement(mechanisms)
+        self._warm_placement = CacheAwarePlacement(mechanisms, self.random)
         self._plain_placement = PlainPlacement(host.availability_zone, self.random, mechanisms)
         self._retry_shares: dict[str, RetryShare] = {}
         self._max_entries_seen = 1
--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -2,7 +2,8 @@
 
 import collections
 import math
-from collections.abc import Callable, Collection, Mapping, Sequence
+import random
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 
 from beryljunction.routing.health import weighted_loads
 from beryljunction.routing.known_endpoint import KnownEndpoint
@@ -20,6 +21,8 @@
 # have sent since the last report.
 _BOUND_RATIO = 1.6
 _BOUND_ALLOWANCE = 3.0
+# Mean of the margin for unreported requests, in standard deviations of their number.
+_MEAN_MARGIN = 1.0
 # Fewer tokens than this are prefilled faster than a fetch is set up, which takes about 2 ms.
 _MIN_FETCHED_TOKENS = 96
 # Factor on an engine's prefill tokens from this entry, for those that other entries send there.
@@ -47,10 +50,15 @@
 
     Attributes:
         moved: Sessions that other entries would look for at another endpoint.
+
+    Args:
+        mechanisms: Which optional mechanisms are enabled.
+        draw: Random source of the margins; one with a fixed seed when None.
     """
 
-    def __init__(self, mechanisms: Mechanisms = ALL_ON) -> None:
+    def __init__(self, mechanisms: Mechanisms = ALL_ON, draw: random.Random | None = None) -> None:
         self._mechanisms = mechanisms
+        self._draw = draw if draw is not None else random.Random(0)
         self._prefixes = PrefixDirectory()
         self.moved = MovedSessions()
         self._prefill_rates: dict[str, PrefillRate] = {}
@@ -66,10 +74,7 @@
         loads = weighted_loads(rows, now_s, self._mechanisms)
         order = self._order(rows, request.parts, loads, now_s)
         bound = _load_bound(loads.values(), request.excluded_endpoints, now_s)
-        # While part of the service is evacuated, the bound is so close to the mean that a margin
-        # would send most sessions to their second endpoints, which would fill up unnoticed.
-        has_margin = self._mechanisms.bound_margin and not request.excluded_endpoints
-        open_rows = iter(self._under_bound(order, loads, bound, has_margin, now_s))
+        open_rows = self._under_bound(order, loads, bound, now_s)
         first, second = next(open_rows, None), next(open_rows, None)
         if first is None or not request.parts.ids:
             return min(rows, key=lambda row: loads[row.incarnation_id])
@@ -183,19 +188,33 @@
         order: Sequence[KnownEndpoint],
         loads: Mapping[tuple[str, int], float],
         bound: float,
-        has_margin: bool,
         now_s: float,
-    ) -> Sequence[KnownEndpoint]:
+    ) -> Iterator[KnownEndpoint]:
+        """Yield the endpoints whose load is below the bound by a margin, in the same order.
+
+        One whose load is below the mean is never left out.
+        """
         if not self._mechanisms.bound:
-            return order
-        if not has_margin:
-            return [row for row in order if loads[row.incarnation_id] < bound]
+            yield from order
+            return
         mean = sum(loads.values()) / len(order)
-        return [
-            row
-            for row in order
-            if loads[row.incarnation_id] < bound - _unreported_margin(row, mean, now_s)
-        ]
+        for row in order:
+            row_bound = max(mean, bound - self._unreported_margin(row, mean, now_s))
+            if loads[row.incarnation_id] < row_bound:
+                yield row
+
+    def _unreported_margin(self, row: KnownEndpoint, mean: float, now_s: float) -> float:
+        """Return the margin for requests that an endpoint got since its last report.
+
+        One entry of many sees little of what the others send. The number of such requests is
+        random, with the square root of the expected number as its standard deviation. The margin
+        is random too: entries that know the same loads would otherwise all leave an endpoint for
+        the same next one at once, and return to it at once.
+        """
+        if not self._mechanisms.bound_margin:
+            return 0.0
+        deviation = math.sqrt(row.expected_unreported(mean, now_s))
+        return deviation * self._draw.expovariate(1 / _MEAN_MARGIN)
 
 
 def _load_bound(loads: Collection[float], excluded: Sequence[KnownEndpoint], now_s: float) -> float:
@@ -210,15 +229,6 @@
     return _BOUND_RATIO * total / (len(loads) + len(excluded)) + _BOUND_ALLOWANCE
 
 
-def _unreported_margin(row: KnownEndpoint, mean: float, now_s: float) -> float:
-    """Return the margin for requests that an endpoint got since its last report.
-
-    One entry of many sees little of what the others send. The number of such requests is random;
-    the margin is its standard deviation, the square root of the expected number.
-    """
-    return math.sqrt(row.expected_unreported(mean, now_s))
-
-
 def _queue_ms(row: KnownEndpoint, rate: PrefillRate) -> float:
     """Return how long an endpoint will take to prefill the prompts that it already has."""
     return row.prefill_tokens * _OTHER_ENTRIES_FACTOR / rate.tokens_per_ms
--- a/testing/test_cache_aware_placement.py
+++ b/testing/test_cache_aware_placement.py
@@ -6,6 +6,7 @@
 from beryljunction.routing import (
     CacheAwarePlacement,
     LoadReport,
+    Mechanisms,
     PlacementRequest,
     PlainPlacement,
     PromptParts,
@@ -195,6 +196,32 @@
         assert rows[1] not in healthy_endpoints(rows, 11.1)
 
 
+class TestUnreportedMargin:
+    """Guards against entries that leave an endpoint, and return to it, all at once."""
+
+    def chosen(self, home_load, entries=200):
+        """Return how many entries with the same old loads send a session to its home."""
+        rows = [known(f"e{number}", in_flight=6) for number in range(6)]
+        home = CacheAwarePlacement(Mechanisms(bound_margin=False)).choose(
+            rows, request("chat"), 0.0
+        )
+        home.in_flight = home_load
+        return sum(
+            CacheAwarePlacement(draw=random.Random(entry)).choose(rows, request("chat"), 0.0)
+            is home
+            for entry in range(entries)
+        )
+
+    def test_entries_with_the_same_loads_leave_an_endpoint_one_by_one(self):
+        shares = [self.chosen(home_load) / 200 for home_load in (7, 9, 11, 13)]
+
+        assert shares == sorted(shares, reverse=True)
+        assert all(0.05 < share < 0.95 for share in shares[:3])
+
+    def test_endpoint_below_the_mean_is_never_left_out(self):
+        assert self.chosen(5) == 200
+
+
 class TestExcludedEndpoints:
     def test_bound_includes_evacuated_endpoints_in_the_mean(self):
         """Guards against a home above twice the mean while a third of the endpoints is evacuated.
@@ -203,6 +230,8 @@
         15 exceeds 1.6 x 7 + 3.
         """
         rows = [known(f"e{number}", in_flight=10) for number in range(10)]
+        for row in rows:
+            row.report = LoadReport(10, 0, 10, 0.0)
         excluded = [known(f"z{number}") for number in range(5)]
         home = CacheAwarePlacement().choose(rows, request("chat"), 0.0)
         home.in_flight = 15
--- a/testing/test_gateway_stop.py
+++ b/testing/test_gateway_stop.py
@@ -140,12 +140,12 @@
                 endpoint = await harness.add_endpoint("e1", script=work)
                 await harness.wait_for_endpoints(1)
                 reader, writer = await harness.connect()
-                data = harness.request_bytes()
+                data = harness.request_bytes(body=b"a" * 40)
                 harness.entry.stop()
                 await anyio.sleep(DRAIN_DELAY_S - 0.1)
-                writer.write(data[:30])
+                writer.write(data[:-10])
                 await anyio.sleep(0.2)
-                writer.write(data[30:])
+                writer.write(data[-10:])
                 return await read_answer(reader), endpoint.requests
 
         (status, head, body, _), sent = anyio.run(run)
--- a/testing/test_mechanisms.py
+++ b/testing/test_mechanisms.py
@@ -126,13 +126,16 @@
 
     def test_without_bound_margin_an_old_report_does_not_lower_the_bound(self):
         rows = rows_of(4, in_flight=4)
-        home = CacheAwarePlacement().choose(rows, request(), 0.0)
+        home = CacheAwarePlacement(off("bound_margin")).choose(rows, request(), 0.0)
         home.in_flight = 10
         for row in rows:
             row.report = LoadReport(row.in_flight, 0, row.in_flight, -10.0)
 
-        assert CacheAwarePlacement(off("bound_margin")).choose(rows, request(), 0.0) is home
-        assert CacheAwarePlacement().choose(rows, request(), 0.0) is not home
+        def chosen(placement):
+            return {placement.choose(rows, request(), 0.0).incarnation_id for _ in range(20)}
+
+        assert chosen(CacheAwarePlacement(off("bound_margin"))) == {home.incarnation_id}
+        assert chosen(CacheAwarePlacement()) > {home.incarnation_id}
 
     def test_without_patience_a_session_waits_behind_a_long_prefill(self):
         rows = rows_of(4)
