The idle timeout of a connection spares a request that lies unread

Callers saw: a request that reaches a kept connection just as its idle timeout ends finds the connection reset. Seen in tests only.

Cause: the class of the stops: a connection counted as idle though its socket held a request.

Change: idle connections close by one method, close_if_idle, which looks at the socket; the servers of the loopback fleet check the same.

Evidence: one test each, both failed before (reset, no answer), both pass.

--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -57,8 +57,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is being received or served."""
         for connection in list(self.connections):
-            if connection.is_idle and not connection.has_unread_input:
-                connection.close()
+            connection.close_if_idle()
 
     @abc.abstractmethod
     def on_request(self, connection: "CallerConnection", request: HttpRequest) -> None:
@@ -133,12 +132,6 @@
         is_serving = self._active is not None or bool(self._pipelined)
         return not (is_serving or self._incoming is not None or self._discards_input)
 
-    @property
-    def has_unread_input(self) -> bool:
-        """Whether bytes of the caller, or its disconnect, wait to be read."""
-        transport = self._transport
-        return transport is not None and is_readable(transport.get_extra_info("socket"))
-
     @property
     def is_receiving(self) -> bool:
         """Whether a part of a request was received."""
@@ -149,6 +142,13 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless it serves a request, or one may lie unread in its socket."""
+        if self._transport is None or not self.is_idle:
+            return
+        if not is_readable(self._transport.get_extra_info("socket")):
+            self.close()
+
     def abort(self) -> None:
         """Abort the connection, so that the caller can see that its answer is incomplete.
 
--- a/src/beryljunction/gateway/frontend.py
+++ b/src/beryljunction/gateway/frontend.py
@@ -117,7 +117,7 @@
         limits = self.limits
         if connection.is_idle:
             if now_s - connection.idle_since_s > limits.idle_timeout_ms / 1000 + _IDLE_GRACE_S:
-                connection.close()
+                connection.close_if_idle()
             return
         started_s = connection.headers_started_s
         if started_s is not None and now_s - started_s > limits.header_timeout_ms / 1000:
--- a/src/beryljunction/servers/listeners.py
+++ b/src/beryljunction/servers/listeners.py
@@ -99,6 +99,11 @@
         is_in_head = self._is_in_head and self._head_bytes > 0
         return is_in_head or is_readable(self.transport.get_extra_info("socket"))
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, unless a request has just arrived on it."""
+        if not self.is_receiving:
+            super().timeout_keep_alive_handler()
+
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
         if self._is_in_head:
--- a/testing/test_listener.py
+++ b/testing/test_listener.py
@@ -5,7 +5,11 @@
 
 from beryljunction.early_listener import open_listener
 from beryljunction.gateway.callers import CallerHandler
+from beryljunction.gateway.events import EntryEventLog
+from beryljunction.gateway.frontend import CallerFrontend
 from beryljunction.gateway.listener import Listener
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import DeploymentBounds, HostSettings
 from beryljunction.routing import CallerLimits
 from blocking_caller import BlockingCaller
 
@@ -144,3 +148,25 @@
         await served.close()
 
         assert served.listener.open_connections == 0
+
+
+class TestIdleTimeout:
+    async def test_request_that_lies_unread_at_the_timeout_is_answered(self):
+        """Guards against a request that crosses the timeout of its connection and is dropped."""
+        sock = open_listener(("127.0.0.1", 0))
+        free = ("127.0.0.1", 1)
+        host = HostSettings("me", "zone", "region", free, free, free, DeploymentBounds())
+        state = EntryState(host, EntryEventLog("me", "zone"))
+        async with anyio.create_task_group() as group:
+            frontend = CallerFrontend(state, group)
+            listener = Listener(frontend, sock)
+            caller = BlockingCaller(sock.getsockname())
+            with anyio.fail_after(5.0):
+                while not frontend.connections:
+                    await anyio.sleep(0.001)
+            (connection,) = frontend.connections
+            caller.send(REQUEST)
+            frontend._enforce_timeouts(connection, connection.idle_since_s + 1_000_000.0)
+            await listener.close(time.monotonic() + 5.0)
+
+        assert (await caller.read_to_end()).startswith(b"HTTP/1.1 ")
--- a/testing/test_listeners.py
+++ b/testing/test_listeners.py
@@ -70,3 +70,21 @@
     """Notice a stop at once; the regular loop looks for one every 0.1 s."""
     while not self.should_exit:
         await asyncio.sleep(0)
+
+
+class TestIdleTimeout:
+    async def test_request_that_lies_unread_at_the_timeout_is_served(self):
+        """Guards against a request that crosses the timeout of its connection and is dropped."""
+        server = Server(echo, bind_listener("127.0.0.1:0"))
+        async with anyio.create_task_group() as group:
+            await group.start(server.serve_until_stopped)
+            caller = BlockingCaller(server.listener.getsockname())
+            with anyio.fail_after(5.0):
+                while not server.server_state.connections:
+                    await anyio.sleep(0.001)
+            (connection,) = server.server_state.connections
+            caller.send(REQUEST)
+            connection.timeout_keep_alive_handler()
+            server.stop()
+
+        assert (await caller.read_to_end()).endswith(b"body")
