Stalled handshakes and a lack of descriptors don't hold up a stop

Change: the wait for handshakes ends with the one for stalled heads, after 5 s; the retry is cancelled after the last accept. One test each, both failed before.

--- a/src/beryljunction/acceptor.py
+++ b/src/beryljunction/acceptor.py
@@ -51,11 +51,11 @@
         """Accept the connections that callers have already made, then close the socket."""
         if self._sock.fileno() < 0:
             return
-        if self._retry is not None:
-            self._retry.cancel()
         self._loop.remove_reader(self._sock)
         while self._accept_one():
             pass
+        if self._retry is not None:
+            self._retry.cancel()
         self._sock.close()
 
     def _start(self) -> None:
--- a/src/beryljunction/servers/listeners.py
+++ b/src/beryljunction/servers/listeners.py
@@ -29,7 +29,8 @@
 # ensure that there is always data in flight, so a reader that acknowledges nothing for 30 s is
 # gone; it may resume later.
 _TCP_USER_TIMEOUT_MS = 30_000
-# A stop waits this long for the rest of a request's headers; a stalled caller would block it.
+# A stop waits this long for TLS handshakes and the rest of a request's headers; a stalled caller
+# would block it.
 _HEAD_TIMEOUT_S = 5.0
 _CLOSE_POLL_INTERVAL_S = 0.05
 # Far above any limit in the settings; requests over those limits get a typed error response.
@@ -174,12 +175,14 @@
         self._acceptor.stop()
         ends_s = time.monotonic() + _HEAD_TIMEOUT_S
         connections = self.server_state.connections
-        while self._acceptor.pending or connections:
-            waits = time.monotonic() < ends_s
+        while True:
+            is_late = time.monotonic() >= ends_s
             for connection in list(connections):
                 assert isinstance(connection, _LimitedHeaderProtocol)
-                if not (waits and connection.is_receiving):
+                if is_late or not connection.is_receiving:
                     connection.shutdown()
+            if not connections and (is_late or not self._acceptor.pending):
+                break
             await anyio.sleep(_CLOSE_POLL_INTERVAL_S)
         await super().shutdown(sockets)
 
--- a/testing/test_acceptor.py
+++ b/testing/test_acceptor.py
@@ -74,6 +74,18 @@
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(address)
 
+    async def test_lack_of_descriptors_at_the_stop_does_not_reopen_the_socket(self, monkeypatch):
+        """Guards against a retry of the accept on the closed socket."""
+        monkeypatch.setattr(acceptor_module, "_RETRY_S", 0.02)
+        errors = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+        sock = open_listener(("127.0.0.1", 0))
+        with connect(sock):
+            Acceptor(FailingSocket(sock), Greeting).stop()
+            await anyio.sleep(0.1)
+
+        assert errors == []
+
 
 class TestAccept:
     async def test_accepts_again_after_it_ran_out_of_descriptors(self, monkeypatch):
--- a/testing/test_listeners.py
+++ b/testing/test_listeners.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from beryljunction.acceptor import Acceptor
 from beryljunction.servers import Server, bind_listener, listeners
 from blocking_caller import BlockingCaller
 
@@ -65,6 +66,21 @@
 
         assert await stop_under([REQUEST[:9], b""]) == b""
 
+    async def test_stalled_handshake_ends_the_wait_at_its_limit(self, monkeypatch):
+        async def stall(acceptor, sock):
+            await asyncio.sleep(30.0)
+
+        monkeypatch.setattr(Acceptor, "_set_up", stall)
+        monkeypatch.setattr(listeners, "_HEAD_TIMEOUT_S", 0.3)
+        server = Server(echo, bind_listener("127.0.0.1:0"))
+        with anyio.fail_after(3.0):
+            async with anyio.create_task_group() as group:
+                await group.start(server.serve_until_stopped)
+                BlockingCaller(server.listener.getsockname())
+                server.stop()
+
+        assert server._acceptor.pending == 1
+
 
 async def _no_ticks(self):
     """Notice a stop at once; the regular loop looks for one every 0.1 s."""
