beryl explain tells a refusal by a stopping host from a request that it cut off

The reasons and the event of the stop's change had no words of their own in explain and in the table of refusals. The entry's process is unchanged.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -17,6 +17,7 @@
     (
         "started",
         "stopping",
+        "drained",
         "stopped",
         "cut",
         "reloaded",
@@ -211,6 +212,10 @@
     ),
     "zone_returned": lambda line: f"sends requests to zone {line.get('zone')} again",
     "stopping": lambda line: f"began to shut down with {line.get('in_flight')} requests in flight",
+    "drained": lambda line: (
+        f"stopped waiting for requests, with {line.get('connections')} connections open and "
+        f"{line.get('receiving')} requests being received"
+    ),
     "cut": lambda line: f"exited with {line.get('in_flight')} requests in flight",
 }
 
@@ -300,6 +305,12 @@
     return f"endpoint {sent.get('endpoint')} had not answered by the deadline; it may have run"
 
 
+def _explain_stopping(end: LogLine, _: dict[str, LogLine]) -> str:
+    if end.get("status") == "503":
+        return "the host was stopping and might have exited before the deadline; it has not run"
+    return "the host exited before an endpoint had answered; it may have run"
+
+
 def _explain_declined(_: LogLine, by_event: dict[str, LogLine]) -> str:
     line = by_event["attempt_ended"]
     return f"endpoint {line.get('endpoint')} declined it ({line.get('detail')}); it has not run"
@@ -330,4 +341,5 @@
     "deadline": _explain_deadline,
     "no_time": _explain_deadline,
     "retry_budget": lambda *_: "the fleet's retry budget was used up",
+    "stopping": _explain_stopping,
 }
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -125,6 +125,28 @@
         )
 
 
+class TestStopping:
+    """A request that a stopping host refuses must be told from one that it cut off."""
+
+    @pytest.mark.parametrize(
+        ("event", "status", "expected"),
+        [("refused", 503, "it has not run"), ("failed", 502, "it may have run")],
+    )
+    def test_request_that_ends_with_its_host(self, event, status, expected):
+        at = "time=2026-01-01T00:00:0"
+        cause = explanation_of(
+            "q1",
+            [
+                f"{at}1+00:00 event=stopping host=h1 in_flight=1",
+                f"{at}2+00:00 event={event} host=h1 request_id=q1 status={status} reason=stopping",
+                f"{at}2+00:00 event=answered host=h1 request_id=q1 status={status} whole_ms=9",
+                f"{at}3+00:00 event=drained host=h1 in_flight=0 receiving=0 connections=0",
+            ],
+        ).cause
+
+        assert expected in cause
+
+
 class TestUnfinished:
     """A host that lost power must not be reported as a caller that disconnected."""
 
