Read each figure of a load report on its own

Cause: parse_load took exactly three figures. Endpoints that state a fourth, the pace of their machine, were taken for endpoints that report nothing, and nothing counted or logged it.

Change: the header has a module of its own; a figure more, or one of another type, leaves the others readable. The share of choices without a recent report and the unreadable reports are metrics by service; the first unreadable one of a service is logged; beryl status has a column.

Tests: testing/test_load_header.py, with a fuzz of the header through the real parser and choice; a report of four figures gave None before.

--- a/src/beryljunction/cli/status.py
+++ b/src/beryljunction/cli/status.py
@@ -31,6 +31,7 @@
     "reads from",
     "evacuated",
     "cold",
+    "without load report",
 )
 
 
@@ -89,6 +90,7 @@
         node.reads_from or "-",
         node.evacuated or "-",
         str(node.cold_endpoints),
+        node.choices_without_report or "-",
     )
 
 
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -262,7 +262,7 @@
         if head is None:
             endpoint.note_failure(boot_time_s())
             return AttemptResult(AttemptOutcome.FAILED, call.problem)
-        apply_response_headers(endpoint, head, self._log)
+        apply_response_headers(endpoint, head, self._log, self._state.report_coverage)
         if was_not_executed(head.status, head.headers):
             return AttemptResult(AttemptOutcome.DECLINED, str(head.status))
         if not is_response_to(self._log.request_id, head.headers):
--- a/src/beryljunction/gateway/metrics.py
+++ b/src/beryljunction/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 import bisect
 import collections
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 __all__ = ["EntryMetrics"]
@@ -47,11 +47,18 @@
         }
         self._latencies = {name: _LatencyHistogram() for _, name in _LATENCY_METRICS}
         self._gauges: dict[str, tuple[str, Callable[[], float]]] = {}
+        self._labelled_gauges: dict[str, tuple[str, str, Callable[[], Mapping[str, float]]]] = {}
 
     def add_gauge(self, name: str, documentation: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read at each scrape."""
         self._gauges[name] = (documentation, read)
 
+    def add_labelled_gauge(
+        self, name: str, documentation: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Add a gauge with one value for each value of a label, read at each scrape."""
+        self._labelled_gauges[name] = (documentation, label, read)
+
     def count_event(self, event: str, fields: dict[str, Any]) -> None:
         """Count a log event, including one whose line the rate limit drops."""
         self._events[event] += 1
@@ -95,6 +102,11 @@
             yield histogram
         for name, (documentation, read) in self._gauges.items():
             yield GaugeMetricFamily(name, documentation, value=read())
+        for name, (documentation, label, read_all) in self._labelled_gauges.items():
+            gauge = GaugeMetricFamily(name, documentation, labels=[label])
+            for value, reading in read_all().items():
+                gauge.add_metric([value], reading)
+            yield gauge
 
 
 def _cumulative_buckets(latency: _LatencyHistogram) -> list[tuple[str, float]]:
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -120,6 +120,18 @@
             "Requests that may not be sent since endpoints ended under them.",
             lambda: len(state.quarantine),
         )
+        metrics.add_labelled_gauge(
+            "beryl_choices_without_report_share",
+            "Share of the recent choices of an endpoint without a load report to go by.",
+            "service",
+            state.report_coverage.shares_without_report,
+        )
+        metrics.add_labelled_gauge(
+            "beryl_load_reports_unreadable",
+            "Load reports with a field that can't be read.",
+            "service",
+            lambda: state.report_coverage.unreadable,
+        )
         metrics.add_gauge("beryl_requests_in_flight", "Requests here.", lambda: frontend.in_flight)
         metrics.add_gauge(
             "beryl_caller_connections", "Callers' connections.", lambda: len(frontend.connections)
@@ -160,6 +172,13 @@
             reads_from=self._reads_from(),
             evacuated=self._evacuated(),
             cold_endpoints=state.cold_endpoints(),
+            choices_without_report=self._choices_without_report(),
+        )
+
+    def _choices_without_report(self) -> str:
+        shares = self._state.report_coverage.shares_without_report()
+        return ", ".join(
+            f"{service} {share:.0%}" for service, share in sorted(shares.items()) if share > 0.0
         )
 
     def _evacuated(self) -> str:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -29,6 +29,7 @@
     PlacementRequest,
     PlainPlacement,
     PrefillPlan,
+    ReportCoverage,
     RetryShare,
     Service,
     SettingsLease,
@@ -62,6 +63,7 @@
         fan_out: Which entries read the store, and which entry sends updates to which.
         era: Highest restore count of the store that this entry has seen.
         quarantine: Requests that crash the endpoints which run them.
+        report_coverage: How many choices of an endpoint had a load report to go by.
         admits_until_s: Latest deadline, as boot time, of requests that are admitted. A stopping
             entry, which exits before the others, refuses them.
         store_data_changed: Set when data or a confirmation has arrived from the store or from
@@ -86,6 +88,7 @@
         )
         self.fan_out = FanOut(host.host)
         self.quarantine = Quarantine(host.host, self.fan_out, events)
+        self.report_coverage = ReportCoverage()
         self.admits_until_s = math.inf
         self.store_data_changed = AutoResetEvent()
         self.random = random.Random()
@@ -177,9 +180,12 @@
         allowed = self.cold_start_limiter.allowed(usable, self._known_service(service), now_s)
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
         excluded = self.registry.evacuated(service)
-        return self._placement(service).choose(
+        chosen = self._placement(service).choose(
             healthy, attrs.evolve(request, excluded_endpoints=excluded), now_s
         )
+        if chosen is not None:
+            self.report_coverage.note_choice(service, chosen.report_age_s(now_s), now_s)
+        return chosen
 
     def reason_not_to_send(self, service: str, endpoint: KnownEndpoint) -> str:
         """Return why a request may not go to an endpoint now; empty if it may."""
--- a/src/beryljunction/operator_api.py
+++ b/src/beryljunction/operator_api.py
@@ -32,6 +32,8 @@
         evacuated: Availability zones that get no new requests, with the time since this process
             learned of it, as in "north (12 s)".
         cold_endpoints: Endpoints that are, or may be, warming up.
+        choices_without_report: Share of an entry's recent choices of an endpoint that had no load
+            report to go by, for each service with any, as in "engine 25%".
         orders: What the sidecar is doing about the models of its engine, and why.
     """
 
@@ -54,6 +56,7 @@
     reads_from: str = ""
     evacuated: str = ""
     cold_endpoints: int = 0
+    choices_without_report: str = ""
 
 
 def is_operator_authorized(authorization: bytes, digests: tuple[str, ...]) -> bool:
--- a/src/beryljunction/platform/request_headers.py
+++ b/src/beryljunction/platform/request_headers.py
@@ -13,7 +13,6 @@
     "has_leaving_header",
     "is_response_to",
     "parse_caller_headers",
-    "parse_load",
     "parse_retry_after",
     "was_not_executed",
     "with_last_event_id",
@@ -158,15 +157,6 @@
     return min(pause_s, _MAX_PAUSE_S) if pause_s > 0.0 else 0.0
 
 
-def parse_load(lines: _Headers) -> tuple[int, int] | None:
-    """Return the running and waiting requests that an endpoint reports; None if it reports none."""
-    value = next((value for name, value in lines if name == headers.LOAD), b"")
-    fields = value.split(b",")
-    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
-        return None
-    return int(fields[0]), int(fields[1])
-
-
 def _parse_int(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.strip().isdigit() else None
 
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -40,6 +40,7 @@
 )
 from beryljunction.routing.prefill_rate import PrefillRate
 from beryljunction.routing.prefix_directory import PrefixDirectory, PromptParts
+from beryljunction.routing.report_coverage import ReportCoverage
 from beryljunction.routing.retry_after import retry_after_s
 from beryljunction.routing.store_reachability import StoreReachability
 
@@ -83,6 +84,7 @@
     "PrefixDirectory",
     "PromptParts",
     "RepeatPolicy",
+    "ReportCoverage",
     "RetryShare",
     "Route",
     "STORE",
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -65,12 +65,15 @@
 
     Attributes:
         own: Requests of this process that the endpoint had at that time.
+        slowdown: How long work took on its machine at that time, relative to the usual time; None
+            if it didn't report it.
     """
 
     running: int
     waiting: int
     own: int
     at_s: float
+    slowdown: float | None = None
 
 
 @attrs.define
