An engine that missed no session counts as its sessions' home

Cause: an entry that has not seen a session guesses its holder, and skipped every engine that joined within the last 15 s. When a fleet starts, entries list the endpoints before these have registered, so all engines have joined, over 4.7 s: for the first five seconds of traffic the guess went to whichever had joined first. The same held after a compaction of the store, when records lapse for two seconds.

Change: an engine that joined before this entry placed its first session, or was absent for 3 s or less, is a home at once. Switch: brief_absence.

--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -36,6 +36,8 @@
 _PLACED_TTL_S = 30.0
 # Sessions return every few seconds; most have come back to a returning endpoint within this time.
 _SETTLED_S = 15.0
+# Fewer than half of the sessions are requested, and so placed elsewhere, within this time.
+_BRIEF_ABSENCE_S = 3.0
 
 
 class CacheAwarePlacement(Placement):
@@ -62,6 +64,7 @@
         self._prefixes = PrefixDirectory()
         self.moved = MovedSessions()
         self._prefill_rates: dict[str, PrefillRate] = {}
+        self._first_placed_s: dict[str, float] = {}
         self._placed: collections.OrderedDict[str, tuple[MovedSession, float]]
         self._placed = collections.OrderedDict()
 
@@ -108,6 +111,7 @@
         only the set-up of a fetch.
         """
         parts = request.parts
+        self._first_placed_s.setdefault(chosen.record.service, now_s)
         here = self._prefixes.cached_tokens(chosen.incarnation_id, parts, now_s)
         total = parts.shared_tokens
         others = [row for row in rows if row.incarnation_id != chosen.incarnation_id]
@@ -120,9 +124,9 @@
         if not self._mechanisms.fetch:
             return PrefillPlan(None, uncached_tokens)
         if self._mechanisms.home and max(here, cached) < total and others:
-            holder = _likely_holder(others, parts, now_s)
+            holder = self._likely_holder(others, parts, now_s)
             if holder is not None and (
-                cached <= here or _ranks_before(holder, chosen, parts, now_s)
+                cached <= here or self._ranks_before(holder, chosen, parts, now_s)
             ):
                 source, cached = holder, total
         is_worth_it = cached - here >= _MIN_FETCHED_TOKENS
@@ -165,6 +169,41 @@
         if staying and _home(staying, parts) is not chosen:
             self.moved.note(session, now_s)
 
+    def _is_settled(self, row: KnownEndpoint, now_s: float) -> bool:
+        """Return whether the sessions that call it home are most likely cached there.
+
+        They are elsewhere if they were placed while it was absent. An endpoint that joined before
+        this entry placed its first session has missed none; all endpoints of a fleet that has just
+        started are of this kind.
+        """
+        if self._mechanisms.brief_absence:
+            has_missed_none = row.serving_since_s <= self._first_placed_s.get(
+                row.record.service, math.inf
+            )
+            if has_missed_none or row.absent_s <= _BRIEF_ABSENCE_S:
+                return True
+        return now_s - row.serving_since_s > _SETTLED_S
+
+    def _likely_holder(
+        self, rows: Sequence[KnownEndpoint], parts: PromptParts, now_s: float
+    ) -> KnownEndpoint | None:
+        """Return the endpoint that most likely has a session cached that this entry has not seen.
+
+        An endpoint that has just started, or whose zone's evacuation has just ended, has not
+        prefilled it yet; meanwhile the session went to the first of the others in rendezvous order.
+        """
+        settled = [row for row in rows if self._is_settled(row, now_s)]
+        return _home(settled or rows, parts) if rows else None
+
+    def _ranks_before(
+        self, holder: KnownEndpoint, chosen: KnownEndpoint, parts: PromptParts, now_s: float
+    ) -> bool:
+        """Return whether other entries would have looked for the session at the holder first."""
+        if not self._is_settled(chosen, now_s):
+            return True
+        rank = _rank(parts.ids)
+        return rank(holder.record.endpoint_id) < rank(chosen.record.endpoint_id)
+
     def _order(
         self,
         rows: Sequence[KnownEndpoint],
@@ -240,33 +279,6 @@
     return min(rows, key=lambda row: rank(row.record.endpoint_id))
 
 
-def _is_settled(row: KnownEndpoint, now_s: float) -> bool:
-    """Return whether it has served for long enough that its sessions have come back to it."""
-    return now_s - row.serving_since_s > _SETTLED_S
-
-
-def _likely_holder(
-    rows: Sequence[KnownEndpoint], parts: PromptParts, now_s: float
-) -> KnownEndpoint | None:
-    """Return the endpoint that most likely has a session cached that this entry has not seen.
-
-    An endpoint that has just started, or whose zone's evacuation has just ended, has not prefilled
-    it yet; meanwhile the session went to the first of the others in rendezvous order.
-    """
-    settled = [row for row in rows if _is_settled(row, now_s)]
-    return _home(settled or rows, parts) if rows else None
-
-
-def _ranks_before(
-    holder: KnownEndpoint, chosen: KnownEndpoint, parts: PromptParts, now_s: float
-) -> bool:
-    """Return whether other entries would have looked for the session at the holder first."""
-    if not _is_settled(chosen, now_s):
-        return True
-    rank = _rank(parts.ids)
-    return rank(holder.record.endpoint_id) < rank(chosen.record.endpoint_id)
-
-
 def _rank(part_ids: Sequence[str]) -> Callable[[str], int]:
     """Return a function from an endpoint's id to its rank in a session's rendezvous order."""
     session = part_ids[-1] if part_ids else ""
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -57,7 +57,7 @@
         """
         known = self._rows.get(record.endpoint_id)
         if known is None or not known.record.is_same_incarnation(record):
-            self._drop(record.endpoint_id)
+            self._drop(record.endpoint_id, now_s)
             known = self._rows[record.endpoint_id] = self._create_row(record, now_s)
         elif known.record != record:
             known.note_cold(record.cold_ms, now_s)
@@ -85,13 +85,14 @@
         known.is_evacuated = record.availability_zone in self._evacuated
         known.note_cold(record.cold_ms, now_s)
         if self.is_loaded:
-            known.serving_since_s = now_s
+            known.note_return(now_s)
         return known
 
-    def _drop(self, endpoint_id: str) -> None:
+    def _drop(self, endpoint_id: str, now_s: float) -> None:
         known = self._rows.pop(endpoint_id, None)
         if known is None:
             return
+        known.absent_since_s = now_s
         self._departed[endpoint_id] = known
         while len(self._departed) > _MAX_DEPARTED:
             self._departed.popitem(last=False)
@@ -104,8 +105,11 @@
         self._evacuated = zones
         for row in self._rows.values():
             is_evacuated = row.record.availability_zone in zones
+            if is_evacuated and not row.is_evacuated:
+                row.absent_since_s = now_s
             if row.is_evacuated and not is_evacuated:
-                row.serving_since_s = row.may_be_cold_s = now_s
+                row.note_return(now_s)
+                row.may_be_cold_s = now_s
             row.is_evacuated = is_evacuated
 
     def remove(self, endpoint_id: str, now_s: float) -> KnownEndpoint | None:
@@ -116,7 +120,7 @@
         if known.kept_until_s is None:
             known.kept_until_s = self._reachability.recovered_s + _REREGISTRATION_S
         if known.has_said_leaving or known.kept_until_s <= now_s:
-            self._drop(endpoint_id)
+            self._drop(endpoint_id, now_s)
         return known
 
     def replace(self, records: Iterable[EndpointRecord], now_s: float) -> None:
@@ -133,7 +137,7 @@
         """Drop endpoints whose record did not come back after an outage of the store."""
         for endpoint_id, row in list(self._rows.items()):
             if row.kept_until_s is not None and row.kept_until_s <= now_s:
-                self._drop(endpoint_id)
+                self._drop(endpoint_id, now_s)
 
     def evacuated(self, service: str) -> list[KnownEndpoint]:
         """Return a service's endpoints in availability zones that get no new requests."""
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -134,6 +134,8 @@
         leaving_s: Unix seconds at which an answer first said that it is leaving; None if none did.
         paused_until_s: Until when it has asked this process to send it no requests.
         serving_since_s: Since when it gets requests; minus infinity if it always did.
+        absent_s: For how long it got none before that; infinity if it is new.
+        absent_since_s: When its record was dropped or its zone evacuated, if it was.
         cold_until_s: When it will have warmed up, according to its records.
         may_be_cold_s: When it last may have restarted or become cold without stating so.
         cold_sends_s: When this process sent it requests during about the last second.
@@ -148,6 +150,8 @@
     leaving_s: float | None = None
     paused_until_s: float = -math.inf
     serving_since_s: float = -math.inf
+    absent_s: float = math.inf
+    absent_since_s: float = -math.inf
     cold_until_s: float = -math.inf
     may_be_cold_s: float = -math.inf
     cold_sends_s: collections.deque[float] = attrs.field(factory=collections.deque)
@@ -223,6 +227,11 @@
         if self.report is None or at_s > self.report.at_s:
             self.report = LoadReport(requests, 0, min(self.in_flight, requests), at_s)
 
+    def note_return(self, now_s: float) -> None:
+        """Record that it gets requests again."""
+        self.serving_since_s = now_s
+        self.absent_s = now_s - self.absent_since_s
+
     def note_failure(self, now_s: float) -> None:
         """Skip it for a while, longer with each further failure."""
         doublings = min(self.failures, _MAX_SUSPECT_DOUBLINGS)
--- a/src/beryljunction/routing/mechanisms.py
+++ b/src/beryljunction/routing/mechanisms.py
@@ -40,6 +40,9 @@
     )
     patience: bool = _switch("an engine with a long queue of prompts to prefill is skipped")
     fetch: bool = _switch("a session that moves fetches its prefix instead of recomputing it")
+    brief_absence: bool = _switch(
+        "an engine that was away briefly still counts as a session's home"
+    )
     moved_news: bool = _switch("entries tell each other about sessions that moved")
     load_news: bool = _switch("entries tell each other about engines above the mean load")
     learned_pace: bool = _switch("the prefill rate of engines is measured, not assumed")
--- a/testing/test_cache_aware_placement.py
+++ b/testing/test_cache_aware_placement.py
@@ -2,9 +2,11 @@
 import random
 
 import attrs
+import pytest
 
 from beryljunction.routing import (
     CacheAwarePlacement,
+    EndpointRegistry,
     LoadReport,
     Mechanisms,
     PlacementRequest,
@@ -12,7 +14,7 @@
     PromptParts,
     healthy_endpoints,
 )
-from routing_fakes import known
+from routing_fakes import endpoint, known
 
 
 def rows_of(count):
@@ -240,3 +242,89 @@
 
         assert CacheAwarePlacement().choose(rows, request("chat"), 0.0) is home
         assert CacheAwarePlacement().choose(rows, wanted, 0.0) is not home
+
+
+class TestAbsence:
+    """Guards against fetching a prefix from an engine that never had it.
+
+    An entry that has not seen a session guesses which engine has it cached. An engine that was
+    absent while the session was placed is no home, one that missed nothing is.
+    """
+
+    def source_for(self, registry, placement, now_s):
+        """Return the id of the engine that a session is fetched from when its home is full."""
+        rows = registry.rows
+        home = CacheAwarePlacement().choose(rows, request("chat"), now_s)
+        home.in_flight = 50
+        chosen = placement.choose(rows, request("chat"), now_s)
+        assert chosen is not home
+        source = placement.plan_prefill(rows, chosen, request("chat"), now_s).source
+        return home.record.endpoint_id, source.record.endpoint_id
+
+    def registry_of(self, joined_s):
+        registry = EndpointRegistry()
+        registry.replace([], -20.0)
+        for name, at_s in joined_s.items():
+            registry.put(endpoint(name), at_s)
+        return registry
+
+    def home_name(self):
+        return CacheAwarePlacement().choose(rows_of(6), request("chat"), 0.0).record.endpoint_id
+
+    @pytest.mark.parametrize("home_joined_s", [-14.0, -10.0])
+    def test_engines_that_joined_before_the_first_session_are_homes(self, home_joined_s):
+        joined_s = {f"e{number}": -14.0 for number in range(6)}
+        joined_s[self.home_name()] = home_joined_s
+        registry, placement = self.registry_of(joined_s), CacheAwarePlacement()
+        place(placement, registry.rows, request("other"), 0.0)
+
+        home, source = self.source_for(registry, placement, 2.0)
+
+        assert source == home
+
+    def test_engine_that_joined_later_is_no_home_yet(self):
+        joined_s = {f"e{number}": -14.0 for number in range(6)}
+        joined_s[self.home_name()] = 1.0
+        registry, placement = self.registry_of(joined_s), CacheAwarePlacement()
+        place(placement, registry.rows, request("other"), 0.0)
+
+        home, source = self.source_for(registry, placement, 3.0)
+
+        assert source != home
+
+    @pytest.mark.parametrize(("absent_s", "is_home"), [(2.0, True), (8.0, False)])
+    def test_engine_is_still_a_home_after_a_brief_absence(self, absent_s, is_home):
+        registry = self.registry_of({f"e{number}": -14.0 for number in range(6)})
+        placement, name = CacheAwarePlacement(), self.home_name()
+        place(placement, registry.rows, request("other"), 0.0)
+        registry.remove(name, 10.0)
+        registry.put(endpoint(name), 10.0 + absent_s)
+
+        home, source = self.source_for(registry, placement, 11.0 + absent_s)
+
+        assert (source == home) is is_home
+
+    @pytest.mark.parametrize(("absent_s", "is_home"), [(2.0, True), (8.0, False)])
+    def test_the_same_holds_for_a_zone_that_is_taken_back(self, absent_s, is_home):
+        registry = self.registry_of({f"e{number}": -14.0 for number in range(6)})
+        name = self.home_name()
+        registry.put(endpoint(name, availability_zone="b"), -13.0)
+        placement = CacheAwarePlacement()
+        place(placement, registry.rows, request("other"), 0.0)
+        registry.evacuate(frozenset(["b"]), 10.0)
+        registry.evacuate(frozenset(), 10.0 + absent_s)
+
+        home, source = self.source_for(registry, placement, 11.0 + absent_s)
+
+        assert (source == home) is is_home
+
+    def test_without_the_mechanism_only_time_makes_a_home(self):
+        joined_s = {f"e{number}": -14.0 for number in range(6)}
+        joined_s[self.home_name()] = -10.0
+        registry = self.registry_of(joined_s)
+        placement = CacheAwarePlacement(Mechanisms(brief_absence=False))
+        place(placement, registry.rows, request("other"), 0.0)
+
+        home, source = self.source_for(registry, placement, 2.0)
+
+        assert source != home
