An overloaded engine sheds short prefixes before long ones

Cause: the load bound was the same for every prompt. The longest prefixes, dear to move, left as readily as the shortest.

All stay below the fleet's bound of 2 x mean + 3.

--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -7,6 +7,7 @@
 
 from beryljunction.routing.health import weighted_loads
 from beryljunction.routing.known_endpoint import KnownEndpoint
+from beryljunction.routing.load_bound import LoadBound, PrefixSizes, fleet_bound
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
 from beryljunction.routing.moved_sessions import MovedSession, MovedSessions
 from beryljunction.routing.placement import Placement, PlacementRequest, PrefillPlan
@@ -16,11 +17,6 @@
 
 __all__ = ["CacheAwarePlacement"]
 
-# An endpoint above this multiple of the mean load, plus an allowance for small numbers, is skipped.
-# This is below the fleet's bound of 2 x mean + 3 and leaves room for requests that other entries
-# have sent since the last report.
-_BOUND_RATIO = 1.6
-_BOUND_ALLOWANCE = 3.0
 # Mean of the margin for unreported requests, in standard deviations of their number.
 _MEAN_MARGIN = 1.0
 # Fewer tokens than this are prefilled faster than a fetch is set up, which takes about 2 ms.
@@ -64,6 +60,7 @@
         self._prefixes = PrefixDirectory()
         self.moved = MovedSessions()
         self._prefill_rates: dict[str, PrefillRate] = {}
+        self._sizes = PrefixSizes()
         self._first_placed_s: dict[str, float] = {}
         self._placed: collections.OrderedDict[str, tuple[MovedSession, float]]
         self._placed = collections.OrderedDict()
@@ -76,7 +73,7 @@
             return None
         loads = weighted_loads(rows, now_s, self._mechanisms)
         order = self._order(rows, request.parts, loads, now_s)
-        bound = _load_bound(loads.values(), request.excluded_endpoints, now_s)
+        bound = self._bound_for(request, rows[0].record.service, loads.values(), now_s)
         open_rows = self._under_bound(order, loads, bound, now_s)
         first, second = next(open_rows, None), next(open_rows, None)
         if first is None or not request.parts.ids:
@@ -204,6 +201,17 @@
         rank = _rank(parts.ids)
         return rank(holder.record.endpoint_id) < rank(chosen.record.endpoint_id)
 
+    def _bound_for(
+        self, request: PlacementRequest, service: str, loads: Collection[float], now_s: float
+    ) -> LoadBound:
+        """Return the load from which an endpoint is skipped for this request."""
+        if not self._mechanisms.size_bound:
+            return fleet_bound(loads, request.excluded_endpoints, now_s)
+        tokens = request.parts.shared_tokens
+        size = self._sizes.relative(service, tokens)
+        self._sizes.note(service, tokens)
+        return fleet_bound(loads, request.excluded_endpoints, now_s, size)
+
     def _order(
         self,
         rows: Sequence[KnownEndpoint],
@@ -226,7 +234,7 @@
         self,
         order: Sequence[KnownEndpoint],
         loads: Mapping[tuple[str, int], float],
-        bound: float,
+        bound: LoadBound,
         now_s: float,
     ) -> Iterator[KnownEndpoint]:
         """Yield the endpoints whose load is below the bound by a margin, in the same order.
@@ -238,7 +246,8 @@
             return
         mean = sum(loads.values()) / len(order)
         for row in order:
-            row_bound = max(mean, bound - self._unreported_margin(row, mean, now_s))
+            margin = bound.margin_factor * self._unreported_margin(row, mean, now_s)
+            row_bound = max(mean, bound.load - margin)
             if loads[row.incarnation_id] < row_bound:
                 yield row
 
@@ -256,18 +265,6 @@
         return deviation * self._draw.expovariate(1 / _MEAN_MARGIN)
 
 
-def _load_bound(loads: Collection[float], excluded: Sequence[KnownEndpoint], now_s: float) -> float:
-    """Return the load from which an endpoint is skipped.
-
-    Args:
-        loads: Load of each endpoint that may get the request.
-        excluded: Endpoints that must not get it; they count in the mean of the fleet's bound.
-        now_s: Time on the clock of the loads.
-    """
-    total = sum(loads) + sum(row.load(now_s) for row in excluded)
-    return _BOUND_RATIO * total / (len(loads) + len(excluded)) + _BOUND_ALLOWANCE
-
-
 def _queue_ms(row: KnownEndpoint, rate: PrefillRate) -> float:
     """Return how long an endpoint will take to prefill the prompts that it already has."""
     return row.prefill_tokens * _OTHER_ENTRIES_FACTOR / rate.tokens_per_ms
--- a/src/beryljunction/routing/mechanisms.py
+++ b/src/beryljunction/routing/mechanisms.py
@@ -35,6 +35,7 @@
     warmth: bool = _switch("a session goes to an engine that is known to have its prefix cached")
     home: bool = _switch("entries agree on a session's engine by its hash, without communication")
     bound: bool = _switch("an engine well above the mean load is skipped")
+    size_bound: bool = _switch("an overloaded engine sheds short prefixes before long ones")
     bound_margin: bool = _switch(
         "the load bound of an engine falls with the age of its load report"
     )
--- a/testing/imbalance_world.py
+++ b/testing/imbalance_world.py
@@ -1,5 +1,6 @@
 """Simulates entries that place sessions on engines, each with an old, partial view of loads."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -9,6 +10,7 @@
 from beryljunction.routing import (
     CacheAwarePlacement,
     LoadReport,
+    Mechanisms,
     PlacementRequest,
     PromptParts,
     loads_to_gossip,
@@ -16,7 +18,7 @@
 )
 from routing_fakes import known
 
-__all__ = ["Fleet", "share_over_bound"]
+__all__ = ["Fleet", "moved_tokens", "share_over_bound"]
 
 # An engine is over the fleet's bound when it holds more than this many times the mean, plus this.
 BOUND_RATIO = 2.0
@@ -40,6 +42,8 @@
         tells: Whether entries tell each other about engines above the mean load.
         evacuated: Engines that get no requests and lower the mean in the fleet's bound.
         hot_share: Share of the requests that belong to one session.
+        prefix_tokens: Sizes of the sessions' prefixes; sessions have them in turn.
+        mechanisms: Which optional mechanisms the entries have.
     """
 
     entries: int
@@ -50,6 +54,8 @@
     evacuated: int = 0
     hot_share: float = 0.0
     length_s: float = 8.0
+    prefix_tokens: tuple[int, ...] = (5_000,)
+    mechanisms: Mechanisms = Mechanisms()
 
 
 class _World:
@@ -57,7 +63,7 @@
         self.fleet = fleet
         self.draw = random.Random(seed)
         names = [f"e{self.draw.getrandbits(40):x}" for _ in range(fleet.engines)]
-        self.place = [CacheAwarePlacement() for _ in range(fleet.entries)]
+        self.place = [CacheAwarePlacement(fleet.mechanisms) for _ in range(fleet.entries)]
         self.rows = [[known(name, slots=64) for name in names] for _ in range(fleet.entries)]
         self.excluded = [rows[: fleet.evacuated] for rows in self.rows]
         self.rows = [rows[fleet.evacuated :] for rows in self.rows]
@@ -67,7 +73,8 @@
         self.weights = list(itertools.accumulate((n + 1) ** -0.3 for n in range(count)))
         self.events = []
         self.numbers = itertools.count()
-        self.placed = self.over = 0
+        self.placed = self.over = self.moved_tokens = 0
+        self.cached = collections.defaultdict(set)
 
     def schedule(self, at_s, step, *args):
         heapq.heappush(self.events, (at_s, next(self.numbers), step, args))
@@ -92,7 +99,9 @@
         session = self.draw.choices(self.sessions, cum_weights=self.weights)[0]
         if self.fleet.hot_share and self.draw.random() < self.fleet.hot_share:
             session = self.sessions[0]
-        parts = PromptParts(("common", session), (500, 5_000), 300)
+        sizes = self.fleet.prefix_tokens
+        tokens = sizes[int(session, 16) % len(sizes)]
+        parts = PromptParts(("common", session), (500, tokens), 300)
         request = PlacementRequest(parts, self.excluded[entry])
         rows = self.rows[entry]
         row = self.place[entry].choose(rows, request, now_s)
@@ -100,6 +109,9 @@
         name = row.record.endpoint_id
         self.held[name] += 1
         row.in_flight += 1
+        if self.cached[session] and name not in self.cached[session]:
+            self.moved_tokens += tokens
+        self.cached[session].add(name)
         if now_s > WARM_UP_S:
             self.placed += 1
             mean = sum(self.held.values()) / len(self.held)
@@ -125,3 +137,10 @@
     world = _World(fleet, seed)
     world.run()
     return world.over / world.placed
+
+
+def moved_tokens(fleet, seed):
+    """Return the prefix tokens of sessions that went to an engine which didn't have them cached."""
+    world = _World(fleet, seed)
+    world.run()
+    return world.moved_tokens
