Fetch from engines that have just left; skip an address that was reused

Change: sources are the endpoints that accept connections, including those whose record was deleted within the drain time, if they answered within 2 s before it (a crashed one's record expires 2.4 s after its last answer or later). A probe after a lost connection tells a lost answer from a dead engine.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import enum
 from typing import Self, cast
 
 import anyio
@@ -10,7 +11,7 @@
 from beryljunction.gateway.messages import Headers, ResponseHead
 from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
 
-__all__ = ["EndpointCall", "EndpointUnreachable", "open_call", "refuses_connections"]
+__all__ = ["EndpointCall", "EndpointUnreachable", "PortState", "open_call", "probe_port"]
 
 # An endpoint on a healthy host accepts a connection within a few ms; an unreachable one never does,
 # and TCP retransmits a lost SYN only after 1 s. Latency targets start at 200 ms, and since nothing
@@ -177,11 +178,20 @@
     return call
 
 
-async def refuses_connections(address: tuple[str, int]) -> bool:
-    """Return whether an address refuses connections; False for other errors and timeouts."""
+class PortState(enum.Enum):
+    """What a connection attempt shows about a port."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+async def probe_port(address: tuple[str, int]) -> PortState:
+    """Return whether an address accepts connections, refuses them or doesn't answer."""
     try:
         call = await open_call(address, is_head=False)
     except EndpointUnreachable as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
+        is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return PortState.REFUSED if is_refused else PortState.SILENT
     with call:
-        return False
+        return PortState.OPEN
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -7,8 +7,9 @@
 from beryljunction.gateway.calls import (
     EndpointCall,
     EndpointUnreachable,
+    PortState,
     open_call,
-    refuses_connections,
+    probe_port,
 )
 from beryljunction.gateway.endpoint_request import build_endpoint_request
 from beryljunction.gateway.exchangelog import ExchangeLog
@@ -183,6 +184,7 @@
                 return await self._send(call, endpoint, plan)
         except EndpointUnreachable as error:
             endpoint.note_failure(boot_time_s())
+            endpoint.note_unreachable(boot_time_s())
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error))
         finally:
             endpoint.in_flight -= 1
@@ -248,7 +250,12 @@
         if self._caller_answer.is_complete and call.is_complete:
             quarantine.note_served(self._log.digest)
         may_have_crashed = call.was_disconnected and not endpoint.has_said_leaving
-        if may_have_crashed and await refuses_connections(endpoint.record.address):
+        if not may_have_crashed:
+            return
+        port = await probe_port(endpoint.record.address)
+        if port is not PortState.OPEN:
+            endpoint.note_unreachable(boot_time_s())
+        if port is PortState.REFUSED:
             quarantine.note_crash(self._log.digest, endpoint)
 
     async def _handle_answer(
--- a/src/beryljunction/gateway/response_headers.py
+++ b/src/beryljunction/gateway/response_headers.py
@@ -4,7 +4,11 @@
 from beryljunction.gateway.exchangelog import ExchangeLog
 from beryljunction.gateway.messages import ResponseHead
 from beryljunction.platform.load_header import parse_load
-from beryljunction.platform.request_headers import has_leaving_header, parse_retry_after
+from beryljunction.platform.request_headers import (
+    has_leaving_header,
+    is_misdirected,
+    parse_retry_after,
+)
 from beryljunction.routing import KnownEndpoint, LoadReport, ReportCoverage
 
 __all__ = ["apply_response_headers"]
@@ -26,6 +30,8 @@
     if endpoint.leaving_s is None and has_leaving_header(status, head.headers):
         endpoint.leaving_s = unix_time_s()
         log.write("endpoint_leaving", endpoint=endpoint_id)
+    if is_misdirected(status):
+        endpoint.note_misdirected(now_s)
     pause_s = parse_retry_after(status, head.headers)
     if pause_s > 0.0:
         endpoint.note_pause(pause_s, now_s)
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -241,7 +241,8 @@
     ) -> PrefillPlan:
         """Return what the chosen endpoint has to prefill, and where it may fetch KV cache from."""
         now_s = boot_time_s()
-        rows = self.registry.reachable(service, now_s)
+        drain_s = self.bounds.drain_ms / 1000 if self.mechanisms.departed_sources else 0.0
+        rows = self.registry.reachable(service, now_s, drain_s)
         prefill = self._placement(service).plan_prefill(rows, chosen, request, now_s)
         known = self._known_service(service)
         can_fetch = known is not None and known.can_fetch
--- a/src/beryljunction/platform/request_headers.py
+++ b/src/beryljunction/platform/request_headers.py
@@ -11,6 +11,7 @@
     "REQUIRED_HEADERS",
     "endpoint_headers",
     "has_leaving_header",
+    "is_misdirected",
     "is_response_to",
     "parse_caller_headers",
     "parse_retry_after",
@@ -134,6 +135,11 @@
     return echoed == request_id and b"content-encoding" not in values_by_name
 
 
+def is_misdirected(status: int) -> bool:
+    """Return whether another endpoint than the expected one responded at the address."""
+    return status == _STATUS_MISDIRECTED
+
+
 def has_leaving_header(status: int, lines: _Headers) -> bool:
     """Return whether the response states that the endpoint is draining.
 
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -1,7 +1,7 @@
 """Registry of the endpoints that may get requests."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from beryljunction.routing.known_endpoint import EndpointRecord, KnownEndpoint
 from beryljunction.routing.store_reachability import StoreReachability
@@ -11,6 +11,9 @@
 # A live endpoint writes its record again within this time after the store has recovered (the
 # platform promises about 2 s); one that is still missing then has left.
 _REREGISTRATION_S = 2.0
+# The record of a crashed endpoint expires at least two heartbeats, 2.4 s, after its last answer.
+# One that answered more recently has left in an orderly way and still runs.
+_LAST_ANSWER_S = 2.0
 # Endpoints that are remembered without a record: as many as a large fleet has.
 _MAX_DEPARTED = 1_024
 
@@ -94,6 +97,7 @@
             return
         known.absent_since_s = now_s
         self._departed[endpoint_id] = known
+        self._departed.move_to_end(endpoint_id)
         while len(self._departed) > _MAX_DEPARTED:
             self._departed.popitem(last=False)
 
@@ -160,14 +164,28 @@
         until_s = [row.paused_until_s for row in self.open(service, now_s)]
         return max(0.0, min(until_s, default=now_s) - now_s)
 
-    def reachable(self, service: str, now_s: float) -> list[KnownEndpoint]:
-        """Return the endpoints of a service that answer, including leaving ones."""
+    def reachable(self, service: str, now_s: float, drain_s: float = 0.0) -> list[KnownEndpoint]:
+        """Return the endpoints of a service that accept connections, including leaving ones.
+
+        Args:
+            service: Name of the service.
+            now_s: Time on the clock of the registry.
+            drain_s: For how long an endpoint still runs after its record was deleted.
+        """
         return [
             row
-            for row in self._rows.values()
-            if row.record.service == service and not row.is_suspect(now_s)
+            for row in [*self._rows.values(), *self._just_departed(now_s, drain_s)]
+            if row.record.service == service and not row.is_unreachable(now_s)
         ]
 
+    def _just_departed(self, now_s: float, drain_s: float) -> Iterator[KnownEndpoint]:
+        """Yield the endpoints whose record was deleted lately although they had not crashed."""
+        for row in reversed(self._departed.values()):
+            if now_s - row.absent_since_s >= drain_s:
+                return
+            if row.absent_since_s - row.last_report_s < _LAST_ANSWER_S:
+                yield row
+
     def is_usable(self, known: KnownEndpoint) -> bool:
         """Return whether this incarnation of the endpoint may still get requests."""
         return self._rows.get(known.record.endpoint_id) is known and known.is_open
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -139,6 +139,7 @@
         cold_until_s: When it will have warmed up, according to its records.
         may_be_cold_s: When it last may have restarted or become cold without stating so.
         cold_sends_s: When this process sent it requests during about the last second.
+        unreachable_until_s: Until when it is taken not to accept connections.
     """
 
     record: EndpointRecord
@@ -160,6 +161,7 @@
     pending_since_s: dict[object, float] = attrs.field(factory=dict)
     failures: int = 0
     suspect_until_s: float = -math.inf
+    unreachable_until_s: float = -math.inf
 
     @property
     def incarnation_id(self) -> tuple[str, int]:
@@ -218,6 +220,11 @@
         """Requests that it had according to its last load report; 0 without a report."""
         return self.report.running + self.report.waiting if self.report is not None else 0
 
+    @property
+    def last_report_s(self) -> float:
+        """Time of its last load report; minus infinity without a report."""
+        return self.report.at_s if self.report is not None else -math.inf
+
     def report_age_s(self, now_s: float) -> float:
         """Return the age of its last load report; infinity without a report."""
         return now_s - self.report.at_s if self.report is not None else math.inf
@@ -240,6 +247,18 @@
         # It may have crashed and restarted before its record says so.
         self.may_be_cold_s = now_s
 
+    def note_unreachable(self, now_s: float) -> None:
+        """Record that it accepts no connections, so that no prefix is fetched from it."""
+        self.unreachable_until_s = now_s + _MAX_SUSPECT_S
+
+    def note_misdirected(self, now_s: float) -> None:
+        """Skip it, since another endpoint answered at its address.
+
+        Its record, which is all that contradicts this, expires within this time.
+        """
+        self.suspect_until_s = now_s + _MAX_SUSPECT_S
+        self.note_unreachable(now_s)
+
     def note_answer(self) -> None:
         """Reset the failures and stop skipping it."""
         self.failures = 0
@@ -254,6 +273,10 @@
         """Return whether a request has been waiting for its answer for too long."""
         return any(now_s - sent_s > _STALL_S for sent_s in self.pending_since_s.values())
 
+    def is_unreachable(self, now_s: float) -> bool:
+        """Return whether it accepted no connection a moment ago."""
+        return now_s < self.unreachable_until_s
+
     def is_suspect(self, now_s: float) -> bool:
         """Return whether it is skipped because of a recent failure."""
         return now_s < self.suspect_until_s
--- a/src/beryljunction/routing/mechanisms.py
+++ b/src/beryljunction/routing/mechanisms.py
@@ -44,6 +44,7 @@
     brief_absence: bool = _switch(
         "an engine that was away briefly still counts as a session's home"
     )
+    departed_sources: bool = _switch("a prefix is fetched from an engine that has just left")
     moved_news: bool = _switch("entries tell each other about sessions that moved")
     load_news: bool = _switch("entries tell each other about engines above the mean load")
     learned_pace: bool = _switch("the prefill rate of engines is measured, not assumed")
--- a/testing/test_endpoint_registry.py
+++ b/testing/test_endpoint_registry.py
@@ -186,3 +186,43 @@
         registry.put(endpoint("e1", started_ms=2, sequence=1), 1.0)
 
         assert len(registry.usable("engine", 1.0)) == 1
+
+
+class TestReachable:
+    """Guards against recomputing prefixes that a reachable engine has cached.
+
+    Some endpoints never announce that they leave: their record is deleted, and they go on serving
+    for the drain time. An entry fetches prefixes from them while they do.
+    """
+
+    def registry(self, answered_s):
+        registry = EndpointRegistry()
+        registry.replace([endpoint("e1"), endpoint("e2")], 0.0)
+        registry.find("e1").report = LoadReport(1, 0, 0, at_s=answered_s)
+        registry.remove("e1", 10.0)
+        return registry
+
+    def names(self, registry, now_s):
+        return [row.record.endpoint_id for row in registry.reachable("engine", now_s, 3.0)]
+
+    def test_endpoint_is_reachable_for_the_drain_time_after_its_record_was_deleted(self):
+        registry = self.registry(answered_s=9.0)
+
+        assert self.names(registry, 12.9) == ["e2", "e1"]
+        assert self.names(registry, 13.0) == ["e2"]
+        assert [row.record.endpoint_id for row in registry.usable("engine", 11.0)] == ["e2"]
+
+    def test_endpoint_whose_record_expired_after_a_crash_is_not(self):
+        assert self.names(self.registry(answered_s=7.5), 11.0) == ["e2"]
+
+    def test_endpoint_that_accepts_no_connections_is_not(self):
+        registry = self.registry(answered_s=9.0)
+        registry.find("e2").note_unreachable(11.0)
+
+        assert self.names(registry, 11.1) == ["e1"]
+
+    def test_endpoint_that_lost_an_answer_is(self):
+        registry = self.registry(answered_s=9.0)
+        registry.find("e2").note_failure(11.0)
+
+        assert self.names(registry, 11.1) == ["e2", "e1"]
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -16,6 +16,7 @@
     topic_reader,
 )
 from beryljunction.gateway.caller_answer import CallerAnswer
+from beryljunction.gateway.calls import PortState
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
 from beryljunction.gateway.quarantine import Quarantine
@@ -172,8 +173,8 @@
 def forget_what_departed_endpoints_said(patch):
     drop = EndpointRegistry._drop
 
-    def forget(self, endpoint_id):
-        drop(self, endpoint_id)
+    def forget(self, endpoint_id, now_s):
+        drop(self, endpoint_id, now_s)
         self._departed.clear()
 
     patch.setattr(EndpointRegistry, "_drop", forget)
@@ -184,10 +185,10 @@
 
 
 def blame_requests_for_lost_connections(patch):
-    async def refuses(address):
-        return True
+    async def refuse(address):
+        return PortState.REFUSED
 
-    patch.setattr(exchange, "refuses_connections", refuses)
+    patch.setattr(exchange, "probe_port", refuse)
 
 
 def keep_crashes_to_oneself(patch):
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -125,6 +125,28 @@
         assert status == 503
         assert 0 < float(re.search(r"retry-after: (\S+)", head)[1]) <= 2.0 / 3
 
+    def test_endpoint_is_skipped_once_another_one_answers_at_its_address(self):
+        """Guards against refusing one caller after the other at an address that was reused."""
+
+        async def misdirected(answer, writer, number):
+            writer.write(answer.whole("421 Misdirected Request", b""))
+
+        async def run():
+            async with open_harness(route()) as harness:
+                gone = await harness.add_endpoint("e1", script=misdirected)
+                await harness.wait_for_endpoints(1)
+                first = await harness.send_request(request_id="q0")
+                await harness.add_endpoint("e2")
+                await harness.wait_for_endpoints(2)
+                later = [await harness.send_request(request_id=f"q{n}") for n in range(1, 7)]
+            return gone, first, later
+
+        gone, first, later = anyio.run(run)
+
+        assert first[0] == 503
+        assert [answer[0] for answer in later] == [200] * 6
+        assert len(gone.requests) == 1
+
     def test_idempotent_request_is_retried_at_another_endpoint(self):
         async def fail_first(answer, writer, number):
             if len(answers) == 0:
