Short prompts avoid an engine at which requests wait

Cause: an engine with 3 to 31 of 128 requests running looks free, but may keep requests waiting, for memory or behind long prompts.

Change: the bound yields engines with a queue last to prompts of mean prefix size or less; long prompts wait, since moving them costs more. Entries share the waiting requests in the same message, queues before other loads. The message is as before when nothing waits.

--- a/src/beryljunction/gateway/gossip.py
+++ b/src/beryljunction/gateway/gossip.py
@@ -43,6 +43,9 @@
                 [*row.incarnation_id, row.requests, round(row.age_s, 2)] for row in self.loads
             ],
         }
+        queues = [[n, row.waiting] for n, row in enumerate(self.loads) if row.waiting]
+        if queues:
+            values["queues"] = queues
         return json.dumps(values, separators=(",", ":")).encode()
 
     @classmethod
@@ -56,11 +59,14 @@
             values = json.loads(data)
             moved = read_rows(values["moved"], "moved sessions")
             loads = read_rows(values["loads"], "loads")
+            queues = dict(
+                _decode_queue(*row) for row in read_rows(values.get("queues", []), "queues")
+            )
             return cls(
                 host=read_text(values["host"]),
                 incarnation=read_text(values["life"]),
                 moved=tuple(_decode_moved(*row) for row in moved),
-                loads=tuple(_decode_load(*row) for row in loads),
+                loads=tuple(_decode_load(queues.get(n, 0), *row) for n, row in enumerate(loads)),
             )
         except (KeyError, TypeError) as error:
             raise ValueError(f"expected gossip of an entry, got {error!r}") from error
@@ -74,10 +80,26 @@
     )
 
 
-def _decode_load(endpoint_id: Any, started_ms: Any, requests: Any, age_s: Any) -> LoadSample:
-    if not isinstance(requests, int) or not 0 <= requests <= _MAX_REQUESTS:
-        raise ValueError(f"expected 0 to {_MAX_REQUESTS} requests, got {requests!r}")
-    return LoadSample(read_start(endpoint_id, started_ms), requests, _age(age_s))
+def _decode_queue(load_index: Any, waiting: Any) -> tuple[int, int]:
+    """Decode the number of a load in the message and its waiting requests."""
+    if not isinstance(load_index, int) or load_index < 0:
+        raise ValueError(f"expected the number of a load, got {load_index!r}")
+    return load_index, _requests(waiting)
+
+
+def _decode_load(
+    waiting: int, endpoint_id: Any, started_ms: Any, requests: Any, age_s: Any
+) -> LoadSample:
+    total = _requests(requests)
+    if waiting > total:
+        raise ValueError(f"expected {total} waiting requests at most, got {waiting}")
+    return LoadSample(read_start(endpoint_id, started_ms), total, _age(age_s), waiting)
+
+
+def _requests(value: Any) -> int:
+    if not isinstance(value, int) or not 0 <= value <= _MAX_REQUESTS:
+        raise ValueError(f"expected 0 to {_MAX_REQUESTS} requests, got {value!r}")
+    return value
 
 
 def _age(age_s: Any) -> float:
--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -3,7 +3,7 @@
 import collections
 import math
 import random
-from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 
 from beryljunction.routing.health import weighted_loads
 from beryljunction.routing.known_endpoint import KnownEndpoint
@@ -75,6 +75,8 @@
         order = self._order(rows, request.parts, loads, now_s)
         bound = self._bound_for(request, rows[0].record.service, loads.values(), now_s)
         open_rows = self._under_bound(order, loads, bound, now_s)
+        if self._mechanisms.avoid_queues and bound.margin_factor >= 1.0:
+            open_rows = _queueing_last(open_rows, now_s)
         first, second = next(open_rows, None), next(open_rows, None)
         if first is None or not request.parts.ids:
             return min(rows, key=lambda row: loads[row.incarnation_id])
@@ -265,6 +267,17 @@
         return deviation * self._draw.expovariate(1 / _MEAN_MARGIN)
 
 
+def _queueing_last(rows: Iterable[KnownEndpoint], now_s: float) -> Iterator[KnownEndpoint]:
+    """Yield the endpoints in the same order, but those with waiting requests after the others."""
+    queueing = []
+    for row in rows:
+        if row.has_queue(now_s):
+            queueing.append(row)
+        else:
+            yield row
+    yield from queueing
+
+
 def _queue_ms(row: KnownEndpoint, rate: PrefillRate) -> float:
     """Return how long an endpoint will take to prefill the prompts that it already has."""
     return row.prefill_tokens * _OTHER_ENTRIES_FACTOR / rate.tokens_per_ms
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -12,6 +12,8 @@
 _REPORT_DECAY_S = 2.0
 # Age of a report at which the requests that came after it are estimated at the mean load.
 _REPORT_OUTDATED_S = 1.0
+# A queue is gone, or has become another one, when its report is older than this.
+_QUEUE_TTL_S = 0.5
 # Weight of a new sample of an endpoint's latency; about the last ten samples count.
 _LATENCY_WEIGHT = 0.1
 # A latency without new samples for this long is ignored, so that an endpoint that was slow gets
@@ -215,6 +217,15 @@
         age_s = now_s - self.report.at_s if self.report is not None else _REPORT_OUTDATED_S
         return mean_load * min(1.0, max(0.0, age_s / _REPORT_OUTDATED_S))
 
+    def has_queue(self, now_s: float) -> bool:
+        """Return whether requests were waiting at it a moment ago.
+
+        With slots to spare, they wait for memory or behind prompts that are being prefilled.
+        """
+        if self.report is None or self.report.waiting == 0:
+            return False
+        return now_s - self.report.at_s < _QUEUE_TTL_S
+
     @property
     def reported_load(self) -> int:
         """Requests that it had according to its last load report; 0 without a report."""
@@ -225,14 +236,26 @@
         """Time of its last load report; minus infinity without a report."""
         return self.report.at_s if self.report is not None else -math.inf
 
+    @property
+    def reported_waiting(self) -> int:
+        """Requests that were waiting at it according to its last load report."""
+        return self.report.waiting if self.report is not None else 0
+
     def report_age_s(self, now_s: float) -> float:
         """Return the age of its last load report; infinity without a report."""
         return now_s - self.report.at_s if self.report is not None else math.inf
 
-    def merge_load(self, requests: int, at_s: float) -> None:
-        """Record a load that it reported to another entry, unless a later one is known."""
+    def merge_load(self, requests: int, at_s: float, waiting: int = 0) -> None:
+        """Record a load that it reported to another entry, unless a later one is known.
+
+        Args:
+            requests: All its requests.
+            at_s: When it reported them.
+            waiting: Those of them that were waiting.
+        """
         if self.report is None or at_s > self.report.at_s:
-            self.report = LoadReport(requests, 0, min(self.in_flight, requests), at_s)
+            own = min(self.in_flight, requests)
+            self.report = LoadReport(requests - waiting, waiting, own, at_s)
 
     def note_return(self, now_s: float) -> None:
         """Record that it gets requests again."""
--- a/src/beryljunction/routing/load_gossip.py
+++ b/src/beryljunction/routing/load_gossip.py
@@ -16,6 +16,9 @@
 _MAX_ROWS = 10
 # A load takes part in the order by its age divided by its requests plus this many.
 _LOAD_OFFSET = 4
+# Factor on the age of a load without a queue. A queue is worth knowing for half a second only, and
+# has to reach every entry within that time.
+_NO_QUEUE_FACTOR = 4.0
 
 
 @attrs.frozen
@@ -24,12 +27,15 @@
 
     Attributes:
         incarnation_id: Id and start time of the endpoint.
+        requests: Requests that it had, including the waiting ones.
         age_s: Time since the endpoint reported it.
+        waiting: Requests that were waiting there.
     """
 
     incarnation_id: tuple[str, int]
     requests: int
     age_s: float
+    waiting: int = 0
 
 
 def loads_to_gossip(rows: Iterable[KnownEndpoint], now_s: float) -> tuple[LoadSample, ...]:
@@ -41,20 +47,24 @@
     without its last load knows nothing of it.
     """
     fresh = [row for row in rows if row.report_age_s(now_s) < _MAX_AGE_S]
-    first = heapq.nsmallest(
-        _MAX_ROWS,
-        fresh,
-        key=lambda row: row.report_age_s(now_s) / (row.reported_load + _LOAD_OFFSET),
-    )
+    first = heapq.nsmallest(_MAX_ROWS, fresh, key=lambda row: _rank(row, now_s))
     return tuple(
-        LoadSample(row.incarnation_id, row.reported_load, row.report_age_s(now_s)) for row in first
+        LoadSample(
+            row.incarnation_id, row.reported_load, row.report_age_s(now_s), row.reported_waiting
+        )
+        for row in first
     )
 
 
+def _rank(row: KnownEndpoint, now_s: float) -> float:
+    age_s = row.report_age_s(now_s) * (1.0 if row.has_queue(now_s) else _NO_QUEUE_FACTOR)
+    return age_s / (row.reported_load + _LOAD_OFFSET)
+
+
 def merge_loads(rows: Sequence[KnownEndpoint], loads: Iterable[LoadSample], now_s: float) -> None:
     """Apply loads that another entry shared; later reports that are known here stay."""
     known = {row.incarnation_id: row for row in rows}
     for load in loads:
         row = known.get(load.incarnation_id)
         if row is not None:
-            row.merge_load(load.requests, now_s - load.age_s)
+            row.merge_load(load.requests, now_s - load.age_s, load.waiting)
--- a/src/beryljunction/routing/mechanisms.py
+++ b/src/beryljunction/routing/mechanisms.py
@@ -36,6 +36,7 @@
     home: bool = _switch("entries agree on a session's engine by its hash, without communication")
     bound: bool = _switch("an engine well above the mean load is skipped")
     size_bound: bool = _switch("an overloaded engine sheds short prefixes before long ones")
+    avoid_queues: bool = _switch("short prefixes avoid an engine at which requests are waiting")
     bound_margin: bool = _switch(
         "the load bound of an engine falls with the age of its load report"
     )
--- a/testing/test_cache_aware_placement.py
+++ b/testing/test_cache_aware_placement.py
@@ -5,6 +5,7 @@
 import pytest
 
 from beryljunction.routing import (
+    ALL_ON,
     CacheAwarePlacement,
     EndpointRegistry,
     LoadReport,
@@ -244,6 +245,49 @@
         assert CacheAwarePlacement().choose(rows, wanted, 0.0) is not home
 
 
+class TestQueues:
+    """Guards against short prompts that wait behind long ones or for memory.
+
+    An engine with free slots can still keep requests waiting: for memory, or behind prompts that it
+    is prefilling. By its number of requests it looks free.
+    """
+
+    SHORT = PlacementRequest(PromptParts(("common", "short"), (100, 400)))
+    LONG = PlacementRequest(PromptParts(("common", "long"), (100, 8_000)))
+
+    def chosen(self, wanted, queue_age_s, waiting=1, mechanisms=ALL_ON, everywhere=False):
+        """Return whether the home of a session gets it, given the queue in its last report."""
+        placement, rows, now_s = CacheAwarePlacement(mechanisms), rows_of(6), 10.0
+        for row in rows:
+            row.in_flight = 4
+        for _ in range(50):
+            place(placement, rows, self.SHORT, now_s)
+            place(placement, rows, self.LONG, now_s)
+        home = CacheAwarePlacement().choose(rows, wanted, now_s)
+        for row in rows if everywhere else [home]:
+            row.report = LoadReport(4, waiting, 4, now_s - queue_age_s)
+        return placement.choose(rows, wanted, now_s) is home
+
+    def test_short_prompt_avoids_an_engine_with_a_queue(self):
+        assert not self.chosen(self.SHORT, queue_age_s=0.1)
+
+    def test_long_prompt_stays_since_moving_it_costs_more(self):
+        assert self.chosen(self.LONG, queue_age_s=0.1)
+
+    def test_old_report_of_a_queue_is_ignored(self):
+        """Guards against leaving engines for a queue that has long been served."""
+        assert self.chosen(self.SHORT, queue_age_s=0.6)
+
+    def test_engine_without_a_queue_is_not_avoided(self):
+        assert self.chosen(self.SHORT, queue_age_s=0.1, waiting=0)
+
+    def test_order_is_unchanged_if_all_have_a_queue(self):
+        assert self.chosen(self.SHORT, queue_age_s=0.1, everywhere=True)
+
+    def test_without_the_mechanism_queues_are_ignored(self):
+        assert self.chosen(self.SHORT, 0.1, mechanisms=Mechanisms(avoid_queues=False))
+
+
 class TestAbsence:
     """Guards against fetching a prefix from an engine that never had it.
 
--- a/testing/test_gossip_sender.py
+++ b/testing/test_gossip_sender.py
@@ -12,7 +12,15 @@
 from beryljunction.gateway.peers import HttpPeerClient, PeerClient, PeerHandler
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import DeploymentBounds, HostSettings
-from beryljunction.routing import LoadReport, LoadSample, MovedSession, PeerTable
+from beryljunction.routing import (
+    KnownEndpoint,
+    LoadReport,
+    LoadSample,
+    MovedSession,
+    PeerTable,
+    loads_to_gossip,
+    merge_loads,
+)
 from entry_harness import open_harness, route
 from routing_fakes import endpoint
 
@@ -106,6 +114,46 @@
     return EntryState(host, EntryEventLog("me", "zone"))
 
 
+class TestQueueGossip:
+    """Guards against entries that send short prompts to an engine which others saw queueing."""
+
+    def test_waiting_requests_are_sent_with_their_load(self):
+        loads = (LoadSample(("e1", 7), 3, 0.5), LoadSample(("e2", 7), 9, 0.25, waiting=4))
+
+        assert Gossip.decode(gossip(loads=loads).encode()).loads == loads
+
+    def test_message_without_queues_is_as_before(self):
+        assert b"queues" not in gossip(loads=(LoadSample(("e1", 7), 3, 0.5),)).encode()
+
+    @pytest.mark.parametrize(
+        "rows", [7, [[0]], [[0, -1]], [["x", 1]], [[-1, 1]], [[0, 13]], [[0, 1, 2]], [[0, 0.5]]]
+    )
+    def test_invalid_queues_are_an_error(self, rows):
+        values = {"host": "b", "life": "1", "moved": [], "loads": [["e1", 7, 12, 0.2]]}
+
+        with pytest.raises(ValueError):
+            Gossip.decode(json.dumps(values | {"queues": rows}).encode())
+
+    @pytest.mark.parametrize("entries", [4, 21, 68])
+    def test_queue_reaches_many_entries_while_it_lasts(self, entries):
+        """Each entry sends one message in 0.125 s, to its peers in turn."""
+        draw, now_s = random.Random(1), 10.0
+        views = [[KnownEndpoint(endpoint(f"e{n}")) for n in range(40)] for _ in range(entries)]
+        for rows in views:
+            for row in rows:
+                row.report = LoadReport(draw.randrange(8), 0, 0, now_s - draw.random())
+        views[0][7].report = LoadReport(5, 2, 0, now_s)
+        turns = [draw.sample(range(entries), entries) for _ in views]
+
+        for step in range(4):
+            for number, rows in enumerate(views):
+                loads = loads_to_gossip(rows, now_s + 0.125 * step)
+                merge_loads(views[turns[number][step]], loads, now_s + 0.125 * step)
+
+        informed = sum(rows[7].has_queue(now_s + 0.45) for rows in views)
+        assert informed >= min(entries, 8)
+
+
 class TestGossipSender:
     def sender(self, *hosts):
         """Return a `GossipSender` that has sent the first message to each of these peers."""
