--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -142,12 +142,20 @@
     return (
         f"sent to endpoint {line.get('endpoint')} of {line.get('service')}{account} by route "
         f"{line.get('route')}, attempt {line.get('attempt')}, {line.get('left_ms')} ms left; "
-        f"its load was {line.get('load')}; settings {line.get('settings_version')}, confirmed "
+        f"its load was {line.get('load')}{_waiting_text(line)}; "
+        f"settings {line.get('settings_version')}, confirmed "
         f"{line.get('settings_age_s')} s earlier, endpoints {line.get('endpoints_age_s')} s earlier"
         f" by {line.get('endpoints_by')}"
     )
 
 
+def _waiting_text(line: LogLine) -> str:
+    """Return the waiting requests in the endpoint's last report and its age; empty for none."""
+    if line.get("waiting") in ("", "0"):
+        return ""
+    return f" with {line.get('waiting')} waiting, as of {line.get('load_age_s')} s earlier"
+
+
 def _describe_attempt_ended(line: LogLine) -> str:
     return (
         f"the attempt at endpoint {line.get('endpoint')} ended as {line.get('outcome')} "
--- a/src/beryljunction/gateway/exchangelog.py
+++ b/src/beryljunction/gateway/exchangelog.py
@@ -56,6 +56,7 @@
             endpoints_age_s=round(known.age_s(boot_time_s()), 3),
             endpoints_by=known.source,
             load=round(endpoint.load(boot_time_s()), 1),
+            waiting=endpoint.reported_waiting,
             load_age_s=round(endpoint.report_age_s(boot_time_s()), 2),
             session=parts[-1] if parts else "",
             reading=endpoint.prefill_tokens,
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -126,6 +126,12 @@
             "service",
             state.report_coverage.shares_without_report,
         )
+        metrics.add_labelled_gauge(
+            "beryl_endpoints_queueing",
+            "Endpoints at which requests were waiting a moment ago.",
+            "service",
+            state.queueing_endpoints,
+        )
         metrics.add_labelled_gauge(
             "beryl_load_reports_unreadable",
             "Load reports with a field that can't be read.",
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -214,6 +214,15 @@
         is_limited = len(self.cold_start_limiter.allowed(usable, known, now_s)) < len(usable)
         return "endpoints_cold" if is_limited else "no_endpoint"
 
+    def queueing_endpoints(self) -> dict[str, int]:
+        """Return how many endpoints of each service had waiting requests a moment ago."""
+        now_s = boot_time_s()
+        counts = dict.fromkeys(self.config.services if self.config is not None else (), 0)
+        for row in self.registry.rows:
+            if row.has_queue(now_s):
+                counts[row.record.service] = counts.get(row.record.service, 0) + 1
+        return counts
+
     def cold_endpoints(self) -> int:
         """Return how many endpoints are, or may be, warming up."""
         now_s = boot_time_s()
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -57,6 +57,28 @@
         assert "may have run, so it was not sent again" in explanation.cause
         assert any("sent to endpoint e1 of plain for acme" in text for text in explanation.steps)
 
+    def test_request_sent_to_an_endpoint_with_a_queue(self):
+        """Guards against looking for a slow engine when requests waited there for memory."""
+
+        async def queue(answer, writer, number):
+            writer.write(answer.whole(extra=("x-server-load: 3,2,128",)))
+
+        async def run():
+            async with open_harness(route()) as harness:
+                await harness.add_endpoint("e1", script=queue)
+                await harness.wait_for_endpoints(1)
+                await harness.send_request(request_id="q1")
+                await harness.send_request(request_id="q2")
+                data = b"GET /metrics HTTP/1.1\r\n\r\n"
+                metrics = (await harness.send_to(harness.host.probes, data))[2].decode()
+                return harness.lines.lines, metrics
+
+        lines, metrics = anyio.run(run)
+
+        assert not any("waiting" in text for text in explanation_of("q1", lines).steps)
+        assert any("with 2 waiting, as of 0" in text for text in explanation_of("q2", lines).steps)
+        assert 'beryl_endpoints_queueing{service="plain"} 1.0' in metrics
+
     def test_request_with_a_revoked_key(self):
         async def run():
             async with open_harness(route()) as harness:
