A restarted entry goes by the start times of engines

Cause: an entry that starts takes every engine of its first list for one that has always served, so each is a home.

Change: the first list sets since when an engine serves, from the start time in its record, unless all started within 5 s of each other. A start in the future, or none, changes nothing. Switch: start_times.

The bound of a prompt says itself whether the prompt is cheap to move.

--- a/src/beryljunction/gateway/endpoint_watcher.py
+++ b/src/beryljunction/gateway/endpoint_watcher.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from beryljunction.clocks import boot_time_s
+from beryljunction.clocks import boot_time_s, unix_time_s
 from beryljunction.gateway.poll_schedules import ALWAYS_POLL, PollSchedule
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.topic_reader import TopicReader, run_paced, wait_for_store
@@ -125,7 +125,8 @@
             if isinstance(problem, InvalidRecord):
                 self._state.events.write("endpoint_refused", problem=problem.problem)
         usable = [row for row in decoded if not isinstance(row, InvalidRecord)]
-        self._state.registry.replace(usable, boot_time_s())
+        unix_now_s = unix_time_s() if self._state.mechanisms.start_times else None
+        self._state.registry.replace(usable, boot_time_s(), unix_now_s)
         self._state.events.write("endpoints_listed", endpoints=len(self._state.registry))
 
     def _apply_records(self, records: Iterable[Record]) -> None:
--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -75,7 +75,7 @@
         order = self._order(rows, request.parts, loads, now_s)
         bound = self._bound_for(request, rows[0].record.service, loads.values(), now_s)
         open_rows = self._under_bound(order, loads, bound, now_s)
-        if self._mechanisms.avoid_queues and bound.margin_factor >= 1.0:
+        if self._mechanisms.avoid_queues and bound.is_cheap_to_move:
             open_rows = _queueing_last(open_rows, now_s)
         first, second = next(open_rows, None), next(open_rows, None)
         if first is None or not request.parts.ids:
@@ -176,9 +176,8 @@
         started are of this kind.
         """
         if self._mechanisms.brief_absence:
-            has_missed_none = row.serving_since_s <= self._first_placed_s.get(
-                row.record.service, math.inf
-            )
+            first_placed_s = self._first_placed_s.get(row.record.service, math.inf)
+            has_missed_none = row.was_seen_joining and row.serving_since_s <= first_placed_s
             if has_missed_none or row.absent_s <= _BRIEF_ABSENCE_S:
                 return True
         return now_s - row.serving_since_s > _SETTLED_S
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -14,6 +14,9 @@
 # The record of a crashed endpoint expires at least two heartbeats, 2.4 s, after its last answer.
 # One that answered more recently has left in an orderly way and still runs.
 _LAST_ANSWER_S = 2.0
+# Endpoints whose starts are at most this far apart started together: the first ones have not served
+# sessions for long when the last one registers.
+_STARTED_TOGETHER_S = 5.0
 # Endpoints that are remembered without a record: as many as a large fleet has.
 _MAX_DEPARTED = 1_024
 
@@ -127,16 +130,47 @@
             self._drop(endpoint_id, now_s)
         return known
 
-    def replace(self, records: Iterable[EndpointRecord], now_s: float) -> None:
-        """Apply a full list of records."""
+    def replace(
+        self,
+        records: Iterable[EndpointRecord],
+        now_s: float,
+        unix_now_s: float | None = None,
+    ) -> None:
+        """Apply a full list of records.
+
+        Args:
+            records: The records of all endpoints.
+            now_s: Time on the clock of the registry.
+            unix_now_s: The same time in Unix seconds, to read the start times in the first list;
+                None to take the endpoints of that list for older than any session.
+        """
         kept = set()
         for record in records:
             kept.add(record.endpoint_id)
             self.put(record, now_s)
         for endpoint_id in self._rows.keys() - kept:
             self.remove(endpoint_id, now_s)
+        if not self.is_loaded and unix_now_s is not None:
+            self._apply_start_times(now_s, unix_now_s)
         self.is_loaded = True
 
+    def _apply_start_times(self, now_s: float, unix_now_s: float) -> None:
+        """Set since when the endpoints of the first list serve, from their start times.
+
+        A process that starts in a running fleet has not seen its endpoints join. Sessions that are
+        older than an endpoint are cached elsewhere.
+        """
+        starts_s: dict[str, list[tuple[float, KnownEndpoint]]] = {}
+        for row in self._rows.values():
+            age_s = unix_now_s - row.record.started_ms / 1000
+            if row.record.started_ms and age_s >= 0.0:
+                starts_s.setdefault(row.record.service, []).append((now_s - age_s, row))
+        for rows in starts_s.values():
+            oldest_s = min(start_s for start_s, _ in rows)
+            for start_s, row in rows:
+                if start_s - oldest_s > _STARTED_TOGETHER_S:
+                    row.serving_since_s = start_s
+
     def expire(self, now_s: float) -> None:
         """Drop endpoints whose record did not come back after an outage of the store."""
         for endpoint_id, row in list(self._rows.items()):
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -138,6 +138,7 @@
         serving_since_s: Since when it gets requests; minus infinity if it always did.
         absent_s: For how long it got none before that; infinity if it is new.
         absent_since_s: When its record was dropped or its zone evacuated, if it was.
+        was_seen_joining: Whether it joined, or came back, while this process ran.
         cold_until_s: When it will have warmed up, according to its records.
         may_be_cold_s: When it last may have restarted or become cold without stating so.
         cold_sends_s: When this process sent it requests during about the last second.
@@ -155,6 +156,7 @@
     serving_since_s: float = -math.inf
     absent_s: float = math.inf
     absent_since_s: float = -math.inf
+    was_seen_joining: bool = False
     cold_until_s: float = -math.inf
     may_be_cold_s: float = -math.inf
     cold_sends_s: collections.deque[float] = attrs.field(factory=collections.deque)
@@ -259,6 +261,7 @@
 
     def note_return(self, now_s: float) -> None:
         """Record that it gets requests again."""
+        self.was_seen_joining = True
         self.serving_since_s = now_s
         self.absent_s = now_s - self.absent_since_s
 
--- a/src/beryljunction/routing/load_bound.py
+++ b/src/beryljunction/routing/load_bound.py
@@ -33,10 +33,12 @@
     Attributes:
         load: Load from which an engine is skipped.
         margin_factor: Factor on the margin for requests that no load report shows yet.
+        is_cheap_to_move: Whether the prompt's prefix is of mean size at most.
     """
 
     load: float
     margin_factor: float
+    is_cheap_to_move: bool
 
 
 class PrefixSizes:
@@ -75,7 +77,7 @@
     ratio, allowance, factor = (
         _interpolate(values, relative_size) for values in (_RATIOS, _ALLOWANCES, _MARGIN_FACTORS)
     )
-    return LoadBound(ratio * mean + allowance, factor)
+    return LoadBound(ratio * mean + allowance, factor, relative_size <= 1.0)
 
 
 def _interpolate(values: tuple[float, float, float], relative_size: float) -> float:
--- a/src/beryljunction/routing/mechanisms.py
+++ b/src/beryljunction/routing/mechanisms.py
@@ -45,6 +45,9 @@
     brief_absence: bool = _switch(
         "an engine that was away briefly still counts as a session's home"
     )
+    start_times: bool = _switch(
+        "a restarted entry knows engines that are younger than the sessions"
+    )
     departed_sources: bool = _switch("a prefix is fetched from an engine that has just left")
     moved_news: bool = _switch("entries tell each other about sessions that moved")
     load_news: bool = _switch("entries tell each other about engines above the mean load")
--- a/testing/test_cache_aware_placement.py
+++ b/testing/test_cache_aware_placement.py
@@ -362,6 +362,56 @@
 
         assert (source == home) is is_home
 
+    def restarted_registry(self, home_age_s, others_age_s, unix_now_s=1_000.0):
+        """Return the registry of an entry that starts now, given when the engines started."""
+        records = [endpoint(f"e{number}") for number in range(6)]
+        ages_s = {record.endpoint_id: others_age_s for record in records}
+        ages_s[self.home_name()] = home_age_s
+        registry = EndpointRegistry()
+        registry.replace(
+            [
+                attrs.evolve(row, started_ms=int((unix_now_s - ages_s[row.endpoint_id]) * 1_000))
+                for row in records
+            ],
+            50.0,
+            unix_now_s,
+        )
+        return registry
+
+    @pytest.mark.parametrize(
+        ("home_age_s", "others_age_s", "is_home"),
+        [
+            pytest.param(8.0, 60.0, False, id="started-lately"),
+            pytest.param(40.0, 60.0, True, id="started-long-ago"),
+            pytest.param(8.0, 11.0, True, id="all-started-together"),
+            pytest.param(-30.0, 60.0, True, id="clock-is-behind"),
+        ],
+    )
+    def test_restarted_entry_goes_by_the_start_times(self, home_age_s, others_age_s, is_home):
+        """Guards against recomputing every session of a new engine after a loss of power.
+
+        The entry has seen no engine join. Sessions older than an engine are cached elsewhere.
+        """
+        registry = self.restarted_registry(home_age_s, others_age_s)
+        placement = CacheAwarePlacement()
+        place(placement, registry.rows, request("other"), 50.1)
+
+        home, source = self.source_for(registry, placement, 50.2)
+
+        assert (source == home) is is_home
+
+    def test_session_of_a_new_engine_is_fetched_from_its_former_home(self):
+        registry = self.restarted_registry(home_age_s=8.0, others_age_s=60.0)
+        older = [row for row in registry.rows if row.record.endpoint_id != self.home_name()]
+        former = CacheAwarePlacement().choose(older, request("chat"), 50.0)
+        placement = CacheAwarePlacement()
+
+        chosen = placement.choose(registry.rows, request("chat"), 50.0)
+        prefill = placement.plan_prefill(registry.rows, chosen, request("chat"), 50.0)
+
+        assert chosen.record.endpoint_id == self.home_name()
+        assert prefill.source is former
+
     def test_without_the_mechanism_only_time_makes_a_home(self):
         joined_s = {f"e{number}": -14.0 for number in range(6)}
         joined_s[self.home_name()] = -10.0
