An endpoint is not blamed for cutting off an answer that was not read

A caller that reads slowly fills the buffer of its answer, reading from the endpoint stops, and the endpoint cuts the answer off after some seconds. Its error rate rose and its port was probed as if it had crashed, so other callers were sent elsewhere. The test fails on the code before.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -35,6 +35,8 @@
         is_complete: Whether the answer was received up to the end that its framing defines.
         problem: Why the answer can't be used; empty while it can.
         was_disconnected: Whether the connection ended before the answer did.
+        was_unread: Whether it ended so after this process had to stop reading, because the caller
+            reads slowly. Endpoints cut off such an answer; that is no sign of a problem.
     """
 
     def __init__(self, is_head: bool) -> None:
@@ -46,10 +48,12 @@
         self._body_parts: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._is_paused = False
+        self._had_to_pause = False
         self._changed = anyio.Event()
         self.is_complete = False
         self.problem = ""
         self.was_disconnected = False
+        self.was_unread = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the timeouts of the socket."""
@@ -85,6 +89,7 @@
         self._transport = None
         if not self.is_complete and not self.problem:
             self.was_disconnected = True
+            self.was_unread = self._had_to_pause
             self._fail(f"a lost connection ({exc or 'closed'})")
         self._changed.set()
 
@@ -110,7 +115,7 @@
         self._buffered_bytes += len(body)
         if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._transport is not None:
             self._transport.pause_reading()
-            self._is_paused = True
+            self._is_paused = self._had_to_pause = True
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -236,8 +236,9 @@
             self._state.note_first_byte(self._service, prefill, took_ms)
         result = await self._handle_answer(call, head, endpoint, admitted)
         is_bad = result.outcome is not None or (head is not None and head.status >= 500)
-        endpoint.error_rate.note(is_bad, boot_time_s())
-        await self._update_quarantine(call, endpoint)
+        if not call.was_unread:
+            endpoint.error_rate.note(is_bad, boot_time_s())
+            await self._update_quarantine(call, endpoint)
         return result
 
     async def _update_quarantine(self, call: EndpointCall, endpoint: KnownEndpoint) -> None:
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -387,6 +387,33 @@
 
         assert anyio.run(run) > 0.15
 
+    @pytest.mark.parametrize("caller_reads", [False, True])
+    def test_endpoint_is_not_blamed_for_cutting_off_an_unread_answer(self, caller_reads):
+        """Guards against skipping a healthy endpoint because a caller reads slowly."""
+        large = b"".join(b"id: %d\ndata: %b\n\n" % (n, b"x" * 10_000) for n in range(1, 800))
+
+        async def cut_off(answer, writer, number):
+            writer.write(answer.stream_head())
+            writer.write(answer.chunk(event(1) if caller_reads else large))
+            await asyncio.sleep(0.3)
+            writer.transport.abort()
+
+        async def run():
+            async with open_harness(route("/s/", **STREAM)) as harness:
+                await harness.add_endpoint("e1", script=cut_off)
+                await harness.wait_for_endpoints(1)
+                reader, writer = await harness.connect()
+                writer.write(harness.request_bytes("/s/"))
+                await reader.readuntil(b"data: ")
+                await anyio.sleep(0.6)
+                while await reader.read(65_536):
+                    pass
+                endpoint = harness.entry._state.registry.find("e1")
+                return endpoint.error_rate.at(anyio.current_time())
+
+        is_blamed = anyio.run(run) > 0.0
+        assert is_blamed is caller_reads
+
     def test_interrupted_stream_does_not_look_complete(self):
         """An engine fails in the middle of an event of a stream that can't be resumed.
 
