Two checks that could not fail; figures and causes corrected

- The queue test passed without the priority of queues in gossip, since no other load was as fresh.
The others are fresh and high now: it fails for 21 and 68 entries with the priority off.
- The test of engines that started together passed without that rule, since none counted as settled and all were taken.
At 12 and 16 s it fails.

--- a/testing/test_cache_aware_placement.py
+++ b/testing/test_cache_aware_placement.py
@@ -383,7 +383,7 @@
         [
             pytest.param(8.0, 60.0, False, id="started-lately"),
             pytest.param(40.0, 60.0, True, id="started-long-ago"),
-            pytest.param(8.0, 11.0, True, id="all-started-together"),
+            pytest.param(12.0, 16.0, True, id="all-started-together"),
             pytest.param(-30.0, 60.0, True, id="clock-is-behind"),
         ],
     )
--- a/testing/test_gossip_sender.py
+++ b/testing/test_gossip_sender.py
@@ -141,7 +141,7 @@
         views = [[KnownEndpoint(endpoint(f"e{n}")) for n in range(40)] for _ in range(entries)]
         for rows in views:
             for row in rows:
-                row.report = LoadReport(draw.randrange(8), 0, 0, now_s - draw.random())
+                row.report = LoadReport(draw.randrange(8, 30), 0, 0, now_s - 0.05 * draw.random())
         views[0][7].report = LoadReport(5, 2, 0, now_s)
         turns = [draw.sample(range(entries), entries) for _ in views]
 
