A stalled process keeps the connections that its peers accepted

Callers saw 502 endpoint_failed, "the endpoint's sidecar did not take the connection", ran "no", for endpoints that had accepted: the answers without events of the listed test, from all streams that were being opened at once.

Cause: connecting has a plain deadline (1 s to a sidecar, 2 s to an endpoint), and so has the TLS handshake. After a stall of the process that is longer, the overdue timer fires in the pass of the event loop that also sees the socket connected, and cancels the connection before its last steps.

Sidecars, endpoints, settings and control connections share the backend that uses it.

--- a/src/beryljunction/fleet_process/traffic.py
+++ b/src/beryljunction/fleet_process/traffic.py
@@ -6,6 +6,8 @@
 
 import httpcore
 
+from beryljunction.httpcore_backend import UntimedReadBackend
+
 __all__ = ["CountingBackend"]
 
 
@@ -16,7 +18,7 @@
     """
 
     def __init__(self, count: Callable[[int, int], None]) -> None:
-        self._inner = httpcore.AnyIOBackend()
+        self._inner = UntimedReadBackend()
         self._count = count
 
     async def connect_tcp(
--- a/src/beryljunction/httpcore_backend.py
+++ b/src/beryljunction/httpcore_backend.py
@@ -3,12 +3,14 @@
 httpcore's own stream enters a timeout scope and an exception map for every read, even without a
 timeout. On an open stream this is a third of the cost of a read apart from the system call, and
 each pending read holds kilobytes for it. One periodic task (:mod:`beryljunction.idle_timeouts`)
-enforces the idle timeouts of our streams, so their reads don't need it. Everything else is left to
+enforces the idle timeouts of our streams, so their reads don't need it. Connecting has a timeout
+that excludes stalls of this process (:mod:`beryljunction.timeouts`). Everything else is left to
 httpcore.
 """
 
+import contextlib
 import ssl
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import anyio
@@ -16,6 +18,7 @@
 import httpcore
 
 from beryljunction.errors import InvariantError
+from beryljunction.timeouts import fail_after
 
 __all__ = ["UntimedReadBackend"]
 
@@ -35,10 +38,20 @@
         socket_options: Iterable[Any] | None = None,
     ) -> httpcore.AsyncNetworkStream:
         """Open a TCP connection; see the base class."""
-        inner = await self._inner.connect_tcp(host, port, timeout, local_address, socket_options)
+        with _connect_timeout(timeout):
+            inner = await self._inner.connect_tcp(host, port, None, local_address, socket_options)
         return _Stream(inner)
 
 
+@contextlib.contextmanager
+def _connect_timeout(limit_s: float | None) -> Iterator[None]:
+    try:
+        with fail_after(limit_s):
+            yield
+    except TimeoutError as error:
+        raise httpcore.ConnectTimeout(str(error)) from error
+
+
 class _Stream(httpcore.AsyncNetworkStream):
     """Reads directly from anyio's stream when there is no timeout.
 
@@ -75,7 +88,12 @@
         server_hostname: str | None = None,
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        return _Stream(await self._inner.start_tls(ssl_context, server_hostname, timeout))
+        try:
+            with _connect_timeout(timeout):
+                return _Stream(await self._inner.start_tls(ssl_context, server_hostname))
+        except httpcore.ConnectTimeout:
+            await self._inner.aclose()
+            raise
 
     def get_extra_info(self, info: str) -> Any:
         return self._inner.get_extra_info(info)
