A stalled entry keeps the connections that its endpoints accepted

It then skips them, fetches no prefixes from them, and retries the requests elsewhere; the probe of a port after a lost connection is wrong in the same way.

Cause: the same as on the loopback path, a plain deadline whose timer is overdue after the stall. open_call goes through timeouts.fail_after now.

An endpoint that accepts no connection is unreachable after 0.25 to 0.45 s, as before. The test with ten short stalls passed before too: this connect takes two passes of the event loop.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -10,6 +10,7 @@
 
 from beryljunction.gateway.messages import Headers, ResponseHead
 from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
+from beryljunction.timeouts import fail_after
 
 __all__ = ["EndpointCall", "EndpointUnreachable", "PortState", "open_call", "probe_port"]
 
@@ -176,7 +177,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        with anyio.fail_after(_CONNECT_TIMEOUT_S):
+        with fail_after(_CONNECT_TIMEOUT_S):
             _, call = await loop.create_connection(lambda: EndpointCall(is_head), *address)
     except (OSError, TimeoutError) as error:
         raise EndpointUnreachable(str(error) or type(error).__name__) from error
--- /dev/null
+++ b/testing/test_gateway_calls.py
@@ -0,0 +1,59 @@
+import asyncio
+import socket
+import time
+
+import anyio
+import pytest
+
+from beryljunction.gateway.calls import EndpointUnreachable, PortState, open_call, probe_port
+from stalls import full_listener, run_with_stall
+
+
+class TestOpenCall:
+    @pytest.mark.parametrize(("stall_s", "stalls"), [(0.5, 1), (0.06, 10)], ids=["long", "many"])
+    def test_connections_outlast_stalls_of_this_process(self, stall_s, stalls):
+        """Guards against taking all endpoints for unreachable after this process was stalled."""
+
+        async def connect(address):
+            with await open_call(address, is_head=False):
+                return True
+
+        async def run():
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = listener.getsockname()
+                calls = asyncio.gather(*[connect(address) for _ in range(20)])
+                return await run_with_stall(calls, stall_s, stalls)
+
+        assert anyio.run(run) == [True] * 20
+
+    def test_endpoint_that_accepts_no_connection_is_unreachable_in_time(self):
+        """Guards against callers that wait for an endpoint whose host is gone."""
+
+        async def run():
+            started_s = time.monotonic()
+            with full_listener() as address, pytest.raises(EndpointUnreachable):
+                await open_call(address, is_head=False)
+            return time.monotonic() - started_s
+
+        assert 0.25 <= anyio.run(run) < 0.45
+
+
+class TestProbePort:
+    def test_port_is_open_although_this_process_was_stalled(self):
+        """Guards against reporting an endpoint as crashed after this process was stalled."""
+
+        async def run():
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                return await run_with_stall(probe_port(listener.getsockname()), 0.5)
+
+        assert anyio.run(run) is PortState.OPEN
+
+    def test_port_without_a_listener_is_refused(self):
+        assert anyio.run(probe_port, ("127.0.0.1", 1)) is PortState.REFUSED
+
+    def test_port_that_accepts_no_connection_is_silent(self):
+        async def run():
+            with full_listener() as address:
+                return await probe_port(address)
+
+        assert anyio.run(run) is PortState.SILENT
