The time of a stall is not counted as silence of a stream

Callers saw 502 endpoint_failed "ReadTimeout" or outcome_unknown for all requests at once, though endpoint and sidecar had answered in time.

Cause: one task compares the time of each stream's last byte with the present. After a stall it runs before the streams have been set up or read, and takes the whole stall for silence, on every stream of the process.

Evidence: 20 requests at once, silence limit 0.6 s, the event loop of entry, sidecar and engine stalled for 1.5 s after 14, 17, 25 or 30 of its passes: all 20 requests fail on the code before in each of the four cases (one run each; after 5, 11 passes and others none).

Change: the time by which a check is late moves all last-byte times on, so a stall counts as one check interval at most. Bytes that arrived before the check was due are still read before it. Silence of a peer is found as before.

--- a/src/beryljunction/idle_timeouts.py
+++ b/src/beryljunction/idle_timeouts.py
@@ -2,6 +2,8 @@
 
 A timer for each read would be set and cancelled for each frame, thousands of times per second. The
 cost of one task that compares the times of the last bytes doesn't depend on the traffic.
+
+The time for which this process was stalled is not counted (see :mod:`beryljunction.timeouts`).
 """
 
 import contextlib
@@ -22,7 +24,7 @@
     """Idle timeout of one connection.
 
     Attributes:
-        last_byte_s: Monotonic time of the last byte received.
+        last_byte_s: Monotonic time of the last byte received, moved on by stalls since then.
         paused: Set while this side doesn't read, for example because the caller is slow.
         expired: Whether the timeout has expired and the connection was abandoned.
     """
@@ -37,6 +39,10 @@
         """Record that bytes were received."""
         self.last_byte_s = time.monotonic()
 
+    def exclude_stall(self, stall_s: float, now_s: float) -> None:
+        """Don't count a time in which this process could not read."""
+        self.last_byte_s = min(now_s, self.last_byte_s + stall_s)
+
     def check(self, now_s: float) -> None:
         """Cancel the scope if the connection has been idle for too long."""
         if self.paused:
@@ -51,6 +57,7 @@
 
     def __init__(self) -> None:
         self._open: set[IdleTimeout] = set()
+        self._checked_s: float | None = None
 
     @contextlib.contextmanager
     def add(self, limit_s: float) -> Iterator[IdleTimeout]:
@@ -70,12 +77,16 @@
             raise httpcore.ReadTimeout(f"expected a byte within {limit_s:g} s, got none")
 
     def check_all(self, now_s: float) -> None:
-        """Check every active timeout."""
+        """Check every active timeout; a stall is the time by which this check is late."""
+        checked_s, self._checked_s = self._checked_s, now_s
+        stall_s = 0.0 if checked_s is None else max(0.0, now_s - checked_s - CHECK_INTERVAL_S)
         for idle_timeout in tuple(self._open):
+            idle_timeout.exclude_stall(stall_s, now_s)
             idle_timeout.check(now_s)
 
     async def run(self) -> None:
         """Check all timeouts periodically, until cancelled."""
+        self._checked_s = time.monotonic()
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             self.check_all(time.monotonic())
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -1,4 +1,6 @@
+import asyncio
 import json
+import time
 
 import anyio
 import attrs
@@ -320,6 +322,27 @@
         assert (len(engine.runs), len(app.runs)) == (1, 1)
 
 
+class TestStall:
+    @pytest.mark.parametrize("passes", [5, 11, 14, 17, 25, 30])
+    async def test_requests_are_served_although_the_process_stalls(self, passes):
+        """Guards against taking a stall of this process for silence of its peers.
+
+        Entry, sidecar and engine run in one event loop. The number of its passes before the stall
+        determines what the requests wait for meanwhile.
+        """
+        async with path_of() as path:
+            engine = ScriptedEngine()
+            await path.sidecar(engine)
+            entry = await path.entry()
+            requests = [asyncio.ensure_future(send_request(path, entry)) for _ in range(20)]
+            for _ in range(passes):
+                await asyncio.sleep(0)
+            asyncio.get_running_loop().call_soon(time.sleep, 1.5)
+            answers = await asyncio.gather(*requests)
+
+        assert [event_data(answer.content) for answer in answers] == [engine.answer()] * 20
+
+
 class TestReportedOutcome:
     async def test_refusal_after_an_attempt_of_unknown_outcome_is_unknown(self):
         # The first endpoint breaks off without an answer, so the request may have run there. The
