Calls to other entries outlast a stall of this process

What entries saw: after a stall of more than 0.3 s an entry counts every other entry that it was talking to as not answering. It forgets what they have acknowledged, pauses updates and gossip to them and looks for another source while the store is unreachable.

Cause: updates, gossip, crash reports and views of the store have a plain deadline over several passes of the event loop (connect, send, head, body).

Evidence: a stall of 0.5 s after 1, 3, 5, 7 or 9 passes of a call fails it, for each of the four calls (20 of 20, one run each), though the other entry answers.

Change: the same timeout as for endpoints, timeouts.fail_after. An entry that takes no connection is still given up after 0.3 to 0.5 s.

--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -18,6 +18,7 @@
 from beryljunction.gateway.update_client import UPDATE_PATH
 from beryljunction.gateway.update_receiver import UpdateReceiver
 from beryljunction.routing import Address, CallerLimits, PeerTable, should_ask_peers
+from beryljunction.timeouts import fail_after
 
 __all__ = ["PeerConfirmation", "HttpPeerClient", "PeerHandler", "PeerClient"]
 
@@ -153,7 +154,7 @@
     async def _post(self, address: Address, path: str, message: bytes) -> bytes | None:
         url = f"http://{address[0]}:{address[1]}{path}"
         try:
-            with anyio.fail_after(_ANSWER_TIMEOUT_S):
+            with fail_after(_ANSWER_TIMEOUT_S):
                 response = await self._pool.request("POST", url, content=message)
         except (TimeoutError, *_TRANSPORT_ERRORS):
             return None
@@ -163,7 +164,7 @@
         """Return what it has beyond this version and offset, or why there is no answer."""
         url = f"http://{address[0]}:{address[1]}{_format_query(version, offset)}"
         try:
-            with anyio.fail_after(_ANSWER_TIMEOUT_S):
+            with fail_after(_ANSWER_TIMEOUT_S):
                 async with httpcore.AsyncConnectionPool() as pool:
                     response = await pool.request("GET", url, headers={"connection": "close"})
             if response.status != 200:
--- a/src/beryljunction/gateway/update_client.py
+++ b/src/beryljunction/gateway/update_client.py
@@ -2,10 +2,10 @@
 
 import abc
 
-import anyio
 import httpcore
 
 from beryljunction.routing import Address
+from beryljunction.timeouts import fail_after
 
 __all__ = ["UPDATE_PATH", "HttpUpdateClient", "UpdateClient"]
 
@@ -36,7 +36,7 @@
         """Send a message and return the answer; None, with the connection closed, on a timeout."""
         url = f"http://{address[0]}:{address[1]}{UPDATE_PATH}"
         try:
-            with anyio.fail_after(_ANSWER_TIMEOUT_S):
+            with fail_after(_ANSWER_TIMEOUT_S):
                 response = await self._pool.request("POST", url, content=message)
         except (TimeoutError, *_TRANSPORT_ERRORS):
             return None
