The time of a stall is not counted as waiting for endpoints

What entries saw: a process that was paused for more than a second while requests waited counts a bad outcome for every endpoint concerned, takes it for hanging until its answer is read, and enters the pause as the endpoint's latency, which other entries' requests then avoid by comparison.

Cause: waiting is the difference of two clock readings, whoever stood still.

Evidence: with an entry stalled for 1.2 s while its endpoint answers, the endpoint's error rate is 0.19 afterwards (0.25, decaying).

Change: a timer every 0.1 s finds stalls of 0.1 s and more in the first pass of the event loop, before the tasks that were delayed run, and moves on the send times of waiting requests. A `stalled` log line gives the length, so that the next failure of this kind can be told apart from others.

Result: the test failed before and passes; error rate 0, latency under 0.4 s.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -222,14 +222,13 @@
             attempt=plan.sends,
             left_ms=int(self._remaining_s() * 1000),
         )
-        sent_s = endpoint.pending_since_s[call] = boot_time_s()
+        endpoint.pending_since_s[call] = boot_time_s()
         endpoint.prefill_tokens += prefill.uncached_tokens
         try:
             head = await call.read_head()
         finally:
             endpoint.prefill_tokens -= prefill.uncached_tokens
-            endpoint.end_wait(call, boot_time_s())
-        took_ms = (boot_time_s() - sent_s) * 1000
+            took_ms = endpoint.end_wait(call, boot_time_s()) * 1000
         if not admitted.route.streamed:
             endpoint.latency.note(took_ms, boot_time_s())
         if head is not None and head.status == 200:
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -25,6 +25,7 @@
 from beryljunction.gateway.poll_schedules import ALWAYS_POLL, FanOutSchedule, PollSchedule
 from beryljunction.gateway.probes import ProbeHandler
 from beryljunction.gateway.registration import Registration
+from beryljunction.gateway.stall_monitor import StallMonitor
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.update_client import HttpUpdateClient
 from beryljunction.gateway.update_publisher import UpdatePublisher
@@ -230,6 +231,7 @@
         )
         store = HttpStore(self._host.store, self._log_refused_era)
         async with store, anyio.create_task_group() as group:
+            group.start_soon(self._monitor_stalls)
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
             callers = self._callers_socket()
@@ -343,6 +345,15 @@
                 else:
                     self.stop()
 
+    async def _monitor_stalls(self) -> None:
+        """Exclude stalls of this process from the times that endpoints are measured by."""
+        with StallMonitor(self._note_stall):
+            await anyio.sleep_forever()
+
+    def _note_stall(self, stall_s: float) -> None:
+        self._events.write("stalled", stall_ms=round(stall_s * 1000))
+        self._state.registry.exclude_stall(stall_s, boot_time_s())
+
     async def _watch_settings_file(self) -> None:
         """Reload when the settings file has changed without a signal."""
         seen = _settings_file_mtime_ns()
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -119,6 +119,11 @@
                 row.may_be_cold_s = now_s
             row.is_evacuated = is_evacuated
 
+    def exclude_stall(self, stall_s: float, now_s: float) -> None:
+        """Don't count a stall of this process as time that endpoints took to answer."""
+        for row in self._rows.values():
+            row.exclude_stall(stall_s, now_s)
+
     def remove(self, endpoint_id: str, now_s: float) -> KnownEndpoint | None:
         """Handle the deletion of a record; return None if the endpoint was not known."""
         known = self._rows.get(endpoint_id)
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -129,7 +129,8 @@
     Attributes:
         in_flight: Requests of this process that it has.
         prefill_tokens: Prompt tokens that it is estimated to be prefilling for this process.
-        pending_since_s: Send time of each request that has no answer yet.
+        pending_since_s: Send time of each request that has no answer yet, moved on by stalls of
+            this process since then.
         kept_until_s: Until when it is kept without a record, which may have expired in an outage of
             the store; None while the record exists.
         is_evacuated: Whether its availability zone gets no new requests.
@@ -290,10 +291,21 @@
         self.failures = 0
         self.suspect_until_s = -math.inf
 
-    def end_wait(self, request: object, now_s: float) -> None:
-        """Record that a request no longer waits; too long a wait counts as a bad outcome."""
-        if now_s - self.pending_since_s.pop(request) > _STALL_S:
+    def end_wait(self, request: object, now_s: float) -> float:
+        """Record that a request no longer waits; too long a wait counts as a bad outcome.
+
+        Returns:
+            How long it waited, in seconds.
+        """
+        waited_s = now_s - self.pending_since_s.pop(request)
+        if waited_s > _STALL_S:
             self.error_rate.note(is_bad=True, now_s=now_s)
+        return waited_s
+
+    def exclude_stall(self, stall_s: float, now_s: float) -> None:
+        """Don't count a time in which this process could not read answers as waiting for them."""
+        for request, since_s in self.pending_since_s.items():
+            self.pending_since_s[request] = min(now_s, since_s + stall_s)
 
     def is_stalled(self, now_s: float) -> bool:
         """Return whether a request has been waiting for its answer for too long."""
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -1,9 +1,11 @@
 import asyncio
 import re
+import time
 
 import anyio
 import pytest
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.platform import DeploymentBounds
 from entry_harness import event, open_harness, read_answer, reset, route
 
@@ -365,6 +367,29 @@
     return bool(value)
 
 
+class TestStall:
+    def test_stall_of_the_entry_is_not_slowness_of_an_endpoint(self):
+        """Guards against avoiding all endpoints that had a request while this entry was paused."""
+
+        async def answer_during_a_stall(answer, writer, number):
+            time.sleep(1.2)  # The entry runs in the same event loop.
+            writer.write(answer.whole())
+
+        async def run():
+            async with open_harness(route()) as harness:
+                await harness.add_endpoint("e1", script=answer_during_a_stall)
+                await harness.wait_for_endpoints(1)
+                status = (await harness.send_request())[0]
+                (row,) = harness.entry._state.registry.rows
+            return status, row.error_rate.at(boot_time_s()), row.latency.mean_ms, harness.lines
+
+        status, error_rate, latency_ms, log = anyio.run(run)
+
+        assert (status, error_rate) == (200, 0.0)
+        assert latency_ms < 400
+        assert log.of_event("stalled")
+
+
 class TestStreams:
     def test_events_are_relayed_as_they_arrive(self):
         async def stream_slowly(answer, writer, number):
