Control messages to sidecars outlast a stall of this process

Callers saw 503 for a ticket or an idempotency key after an entry had stalled: "expected a sidecar that gives tickets, found none".

Evidence: with a limit of 0.3 s, a stall of 1 s after 12, 14 or 16 passes of the event loop refuses the ticket (3 of 8 cases, one run each).

Change: the deadline excludes stalls, as that of connections does. Result: the three cases failed before, and all eight pass.

--- a/src/beryljunction/entry/sidecar_client.py
+++ b/src/beryljunction/entry/sidecar_client.py
@@ -5,7 +5,6 @@
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any
 
-import anyio
 import attrs
 import httpcore
 
@@ -17,6 +16,7 @@
 from beryljunction.systems import MembershipTracker
 from beryljunction.tables import Endpoint, Stamp
 from beryljunction.timeline import HLC_HEADER, HybridClock
+from beryljunction.timeouts import move_on_after
 from beryljunction.wire import (
     ATTACH_PATH,
     CANCEL_PATH,
@@ -158,7 +158,7 @@
 
     async def claim(self, endpoint: Endpoint, wish: KeyWish) -> str | Refusal | None:
         """Claim an idempotency key; return its ticket, a refusal, or None without an answer."""
-        with anyio.move_on_after(_CLAIM_TIMEOUT_S):
+        with move_on_after(_CLAIM_TIMEOUT_S):
             try:
                 async with self._open(
                     endpoint, CLAIM_PATH, [], encode(wish), _CLAIM_TIMEOUT_S
@@ -177,7 +177,7 @@
 
     async def send_control(self, endpoint: Endpoint, path: str, message: Any) -> bytes | None:
         """Send a control message; return the answer's body, or None without one in time."""
-        with anyio.move_on_after(_CONTROL_TIMEOUT_S):
+        with move_on_after(_CONTROL_TIMEOUT_S):
             try:
                 async with self._open(
                     endpoint, path, [], encode(message), _CONTROL_TIMEOUT_S
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from beryljunction.entry import sidecar_client
 from beryljunction.servers import read_body
 from beryljunction.settings import LimitSettings
 from beryljunction.streams import FrameNumberer, StreamId
@@ -339,6 +340,18 @@
 
         assert [event_data(answer.content) for answer in answers] == [engine.answer()] * 20
 
+    @pytest.mark.parametrize("passes", [2, 4, 6, 8, 10, 12, 14, 16])
+    async def test_ticket_is_granted_although_the_process_stalls(self, passes, monkeypatch):
+        """Guards against refusing tickets because sidecars seemed not to answer."""
+        monkeypatch.setattr(sidecar_client, "_CONTROL_TIMEOUT_S", 0.3)
+        async with path_of() as path:
+            await path.sidecar(ScriptedEngine(), "ledger")
+            entry = await path.entry()
+            request = send_request(path, entry, "/v1/tickets", body=b'{"service": "ledger"}')
+            answer = await run_with_stall(request, 1.0, passes=passes)
+
+        assert answer.status == 200
+
 
 class TestReportedOutcome:
     async def test_refusal_after_an_attempt_of_unknown_outcome_is_unknown(self):
