--- a/testing/stalls.py
+++ b/testing/stalls.py
@@ -5,7 +5,19 @@
 import socket
 import time
 
-__all__ = ["full_listener", "run_with_stall"]
+from beryljunction.fuzz.platform.virtual import VirtualLoop, virtual_clock
+
+__all__ = ["full_listener", "run_virtually", "run_with_stall"]
+
+
+def run_virtually(operation):
+    """Run a coroutine in virtual time and return its result.
+
+    A stall is simulated by adding to the `now_s` of the running loop.
+    """
+    loop = VirtualLoop()
+    with contextlib.closing(loop), virtual_clock(loop):
+        return loop.run_until_complete(operation)
 
 
 async def run_with_stall(operation, stall_s, stalls=1, passes=1):
