Log the software version of endpoints and which stream a caller resumes

Callers' streams held events of two software versions. The logs couldn't tell whether an entry went on at another version within an answer, a caller's next try did, or an old record was acted on: no line had a version or the request that the caller resumes. endpoint_joined and sent have both now, and explain prints the version. No decision reads them.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -142,13 +142,17 @@
     return (
         f"sent to endpoint {line.get('endpoint')} of {line.get('service')}{account} by route "
         f"{line.get('route')}, attempt {line.get('attempt')}, {line.get('left_ms')} ms left; "
-        f"its load was {line.get('load')}{_waiting_text(line)}; "
+        f"its load was {line.get('load')}{_waiting_text(line)}{_version_text(line)}; "
         f"settings {line.get('settings_version')}, confirmed "
         f"{line.get('settings_age_s')} s earlier, endpoints {line.get('endpoints_age_s')} s earlier"
         f" by {line.get('endpoints_by')}"
     )
 
 
+def _version_text(line: LogLine) -> str:
+    return f", its version {line.get('version')}" if line.get("version") else ""
+
+
 def _waiting_text(line: LogLine) -> str:
     """Return the waiting requests in the endpoint's last report and its age; empty for none."""
     if line.get("waiting") in ("", "0"):
@@ -214,7 +218,9 @@
         f"endpoint {line.get('endpoint')} asked for no requests for {line.get('pause_s')} s"
     ),
     "endpoint_draining": lambda line: f"endpoint {line.get('endpoint')} is draining",
-    "endpoint_joined": lambda line: f"endpoint {line.get('endpoint')} has joined",
+    "endpoint_joined": lambda line: (
+        f"endpoint {line.get('endpoint')} has joined{_version_text(line)}"
+    ),
     "zone_evacuated": lambda line: (
         f"sends no new requests to zone {line.get('zone')}, which an operator evacuated"
     ),
--- a/src/beryljunction/gateway/endpoint_watcher.py
+++ b/src/beryljunction/gateway/endpoint_watcher.py
@@ -159,5 +159,6 @@
                 "endpoint_draining" if decoded.is_draining else "endpoint_joined",
                 endpoint=decoded.endpoint_id,
                 service=decoded.service,
+                version=decoded.version or "",
                 born_ms=decoded.started_ms,
             )
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -94,6 +94,7 @@
             return False
         self._caller_headers = caller_headers
         self._log.request_id = caller_headers.request_id
+        self._log.resumed_request_id = caller_headers.resumed_request_id
         return True
 
     async def _serve(self, admitted: Admitted) -> None:
--- a/src/beryljunction/gateway/exchangelog.py
+++ b/src/beryljunction/gateway/exchangelog.py
@@ -17,12 +17,15 @@
         request_id: Request id that the caller sent; empty until it is read.
         digest: Hash of the request's content, equal for a repeat under another request id; empty
             until the request is admitted.
+        resumed_request_id: Request id of the attempt in which the stream that the caller resumes
+            began; empty if it resumes none, or doesn't name it.
     """
 
     def __init__(self, state: EntryState) -> None:
         self._state = state
         self.request_id = ""
         self.digest = ""
+        self.resumed_request_id = ""
 
     def write(self, event: str, **fields: Any) -> None:
         """Write an event with the version and age of the settings."""
@@ -53,6 +56,8 @@
             account=account.name if account is not None else "",
             digest=self.digest,
             endpoint=endpoint.record.endpoint_id,
+            version=endpoint.record.version or "",
+            resumes=self.resumed_request_id,
             endpoints_age_s=round(known.age_s(boot_time_s()), 3),
             endpoints_by=known.source,
             load=round(endpoint.load(boot_time_s()), 1),
--- a/src/beryljunction/platform/headers.py
+++ b/src/beryljunction/platform/headers.py
@@ -15,6 +15,7 @@
     "PROMPT_PARTS",
     "REMAINING_DEADLINE_MS",
     "REQUEST_ID",
+    "RESUMED_REQUEST_ID",
     "RETRY_AFTER_S",
     "STRIPPED_FROM_REQUESTS",
     "STRIPPED_FROM_RESPONSES",
@@ -37,6 +38,8 @@
 # "PROMPT,OUTPUT" token counts; OUTPUT is the maximum for the response.
 TOKEN_COUNTS = b"x-token-counts"
 LAST_EVENT_ID = b"last-event-id"
+# Request id of the attempt in which the caller received the first event of the stream it resumes.
+RESUMED_REQUEST_ID = b"resumes"
 URGENCY = b"x-request-urgency"
 # Set on the response of an endpoint that did not run the request.
 NOT_EXECUTED = b"x-not-executed"
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -62,6 +62,7 @@
             is_draining=state == "draining",
             cold_ms=_cold_ms(fields),
             sequence=_integer(fields, "sequence-number", 0, default=0),
+            version=_version(fields),
         )
     except _FieldError as error:
         return InvalidRecord(f"{endpoint_id}: {error}")
@@ -75,6 +76,12 @@
     return int(value) if 0 <= value <= _MAX_COLD_MS else None
 
 
+def _version(fields: Mapping[str, Any]) -> str | None:
+    """Return the software version of the endpoint; None if the record states none."""
+    value = fields.get("version")
+    return value if isinstance(value, str) and value else None
+
+
 def decode_evacuation(key: str) -> str | InvalidRecord | None:
     """Return the availability zone that an operator's key evacuates; None for other keys.
 
--- a/src/beryljunction/platform/request_headers.py
+++ b/src/beryljunction/platform/request_headers.py
@@ -30,6 +30,7 @@
         headers.PROMPT_PARTS,
         headers.TOKEN_COUNTS,
         headers.LAST_EVENT_ID,
+        headers.RESUMED_REQUEST_ID,
         b"x-model",
         b"x-length-hint",
     )
@@ -50,6 +51,9 @@
         deadline_ms: How long the caller waits, from when it sent the request; None if not given.
         prompt_parts: Ids of the parts of the prompt, in order.
         prompt_tokens: Number of tokens of each part.
+        has_last_event_id: Whether the caller resumes a stream of which it has events.
+        resumed_request_id: Request id of the attempt that brought the first of them; empty if the
+            caller doesn't name it.
     """
 
     request_id: str
@@ -58,6 +62,8 @@
     deadline_ms: int | None
     prompt_parts: tuple[str, ...]
     prompt_tokens: tuple[int, ...]
+    has_last_event_id: bool = False
+    resumed_request_id: str = ""
 
 
 def parse_caller_headers(lines: _Headers) -> CallerHeaders | str:
@@ -76,6 +82,8 @@
         deadline_ms=_parse_int(values.get(headers.REMAINING_DEADLINE_MS)),
         prompt_parts=tuple(part for part, _ in parts),
         prompt_tokens=tuple(tokens for _, tokens in parts),
+        has_last_event_id=bool(values.get(headers.LAST_EVENT_ID)),
+        resumed_request_id=values.get(headers.RESUMED_REQUEST_ID, b"").decode("latin-1"),
     )
 
 
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -42,6 +42,7 @@
             state of this one.
         slots: Number of requests that it runs concurrently.
         sequence: Number of the record among those of its incarnation.
+        version: Version of its software, not of the weights; None if the record states none.
         cold_ms: Remaining warm-up time; None if the record states no usable value.
     """
 
@@ -54,6 +55,7 @@
     is_draining: bool
     cold_ms: int | None = 0
     sequence: int = 0
+    version: str | None = None
 
     def is_same_incarnation(self, other: "EndpointRecord") -> bool:
         """Return whether both records are of one incarnation at one address."""
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -79,6 +79,21 @@
         assert any("with 2 waiting, as of 0" in text for text in explanation_of("q2", lines).steps)
         assert 'beryl_endpoints_queueing{service="plain"} 1.0' in metrics
 
+    def test_stream_that_a_caller_resumes(self):
+        """Guards against logs that can't tell at which version a stream began and went on."""
+
+        async def run():
+            async with open_harness(route()) as harness:
+                await harness.add_endpoint("e1")
+                await harness.wait_for_endpoints(1)
+                await harness.send_request(headers=("Last-Event-Id: 2", "Resumes: q0"))
+                return harness.lines
+
+        lines = anyio.run(run)
+
+        assert "resumes=q0" in lines.of_event("sent")[0]
+        assert any("its version v1" in text for text in explanation_of("q1", lines.lines).steps)
+
     def test_request_with_a_revoked_key(self):
         async def run():
             async with open_harness(route()) as harness:
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -99,3 +99,17 @@
 
         assert first.address == ("10.0.0.1", 8080)
         assert not first.is_same_incarnation(second)
+
+    @pytest.mark.parametrize(
+        ("fields", "version"),
+        [({"version": "v1.2"}, "v1.2"), ({}, None), ({"version": ""}, None)],
+        ids=["stated", "missing", "empty"],
+    )
+    def test_software_version(self, fields, version):
+        values = {"service": "x", "address": "10.0.0.1:8080", "zone": "a", "slots": 6}
+
+        decoded = decode_endpoint(
+            "i-1", json.dumps({**values, "state": "ready", **fields}).encode()
+        )
+
+        assert decoded.version == version
