Reproduce streams that hold events of two software versions

Callers' streams went on at another software version than the one that began them. The fuzz world has versions now: each event names the version that sent it, endpoints are released to another version beside the old one or under its id, and callers take broken streams up at any entry.

--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -43,6 +43,7 @@
     Attributes:
         behaviour: What it does with the next requests.
         is_leaving: Whether it says in its answers that it leaves.
+        version: Version of its software, which every event that it sends names.
         on_crash: Called when it has crashed.
         has_crashed: Whether its process is gone.
     """
@@ -55,6 +56,7 @@
     born_ms: int = 1
     behaviour: Behaviour = Behaviour.WHOLE
     is_leaving: bool = False
+    version: str | None = "v1"
     on_crash: Callable[["FuzzEndpoint"], None] | None = None
     has_crashed: bool = False
     _served: set["_Served"] = attrs.field(factory=set)
@@ -75,6 +77,8 @@
             "cold-remaining-ms": 0,
             "born": self.born_ms,
         }
+        if self.version is not None:
+            fields["version"] = self.version
         return json.dumps(fields).encode()
 
     def accept(self) -> "_Served":
@@ -87,16 +91,17 @@
         """Take in that a connection is gone."""
         self._served.discard(served)
 
-    def crash(self, deadly: str) -> None:
+    def crash(self, deadly: str = "") -> None:
         """End the process, and with it every request that it has.
 
         Args:
-            deadly: Name of the request that ended it.
+            deadly: Name of the request that ended it; empty if none did.
         """
         if self.has_crashed:
             return
         self.has_crashed = True
-        self.oracle.note_crash(deadly, self.loop.world_s)
+        if deadly:
+            self.oracle.note_crash(deadly, self.loop.world_s)
         for served in list(self._served):
             served.reset()
         if self.on_crash is not None:
@@ -225,7 +230,8 @@
         self._write(self._head("200 OK", request_id, lines))
         # A worker that takes a stream up may send the last known event once more.
         for number in range(max(1, start - 1), self._endpoint.oracle.pieces + 1):
-            event = f"id: {number}\ndata: {number}\n\n".encode()
+            version = self._endpoint.version
+            event = f"id: {number}\n: version {version}\ndata: {number}\n\n".encode()
             if behaviour is Behaviour.CUT_IN_EVENT and number == start + 1:
                 event = event[:7]
             self._write(b"%x\r\n%b\r\n" % (len(event), event))
@@ -279,6 +285,8 @@
             f"X-Credential: {asked.api_key}",
             f"X-Deadline-Ms: {int(asked.limit_s * 1000)}",
         ]
+        if asked.resumes:
+            lines += [f"Last-Event-Id: {asked.received}", f"Resumes: {asked.resumes}"]
         self._side.write("\r\n".join(lines).encode() + b"\r\n\r\n")
 
     def leave(self) -> None:
@@ -303,6 +311,7 @@
             self.asked.is_whole = len(body) >= int(length[1])
         else:
             self.asked.pieces = [int(number) for number in re.findall(rb"data: (\d+)\n\n", body)]
+            self.asked.versions = set(re.findall(rb"(?<=\n: version )\S+(?=\ndata: \d+\n\n)", body))
             self.asked.is_whole = body.endswith(b"0\r\n\r\n") and b"\r\n0\r\n\r\n" in body
         if self.asked.is_whole:
             self._end()
--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -33,9 +33,13 @@
         may_repeat: Whether it may run more than once.
         entry: The entry that it was sent to.
         deadly: Name of a request that crashes each endpoint which runs it; empty for others.
+        resumes: Request that brought the first event of the stream which it resumes; empty for
+            a new request.
+        received: Events that its caller has of that stream.
         left_s: When its caller left; None while it is there.
         status: What it was answered; 0 for nothing.
         pieces: Events that arrived, by number.
+        versions: Software versions of the endpoints that sent them.
         is_whole: Whether the answer looks complete.
     """
 
@@ -48,10 +52,13 @@
     limit_s: float
     entry: str = ""
     deadly: str = ""
+    resumes: str = ""
+    received: int = 0
     left_s: float | None = None
     status: int = 0
     body: bytes = b""
     pieces: list[int] = attrs.field(factory=list)
+    versions: set[bytes] = attrs.field(factory=set)
     is_whole: bool = False
     ended_s: float | None = None
 
@@ -158,7 +165,7 @@
             found += self._of_crashes(deadly, crashes_s)
         for pause in self.pauses:
             found += self._of_pause(pause)
-        return found + self._of_repeats()
+        return found + self._of_versions() + self._of_repeats()
 
     def _of_request(self, request: Asked) -> list[str]:
         found = []
@@ -186,13 +193,27 @@
         if not request.streamed:
             is_own = request.body == self.body_of(name)
             return [] if is_own or not request.is_whole else [f"{name}: another's answer"]
-        expected = list(range(1, len(request.pieces) + 1))
+        received = request.received + len(request.pieces)
+        expected = list(range(request.received + 1, received + 1))
         if request.pieces != expected:
-            return [f"{name}: events {request.pieces}"]
-        if request.is_whole and len(request.pieces) != self.pieces:
-            return [f"{name}: looks complete with {len(request.pieces)} events"]
+            return [f"{name}: events {request.pieces} after {request.received}"]
+        if request.is_whole and received != self.pieces:
+            return [f"{name}: looks complete with {received} events"]
         return []
 
+    def _of_versions(self) -> list[str]:
+        """Judge streams, over all tries of their callers, for events of several versions."""
+        versions: dict[str, set[bytes]] = {}
+        for request in self.asked.values():
+            versions.setdefault(request.resumes or request.request_id, set()).update(
+                request.versions
+            )
+        return [
+            f"{name}: events of versions {sorted(found)}"
+            for name, found in versions.items()
+            if len(found) > 1
+        ]
+
     def _of_run(self, run: Run) -> list[str]:
         found = []
         request = self.asked.get(run.request_id)
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -37,6 +37,8 @@
 # A crashed endpoint starts again under another id, at its address; its old record lapses later.
 _RESTART_S = 2.0
 _LAPSE_S = 3.6
+# An endpoint that drains serves for the bound of 2 s and a little longer.
+_DRAINED_S = 2.5
 
 
 class _Silent:
@@ -116,15 +118,67 @@
     # Endpoints
 
     def start_endpoint(
-        self, name: str, service: str, address: tuple[str, int], born_ms: int
-    ) -> None:
+        self,
+        name: str,
+        service: str,
+        address: tuple[str, int],
+        born_ms: int,
+        version: str | None = "v1",
+        registers_in_s: float = 0.0,
+    ) -> FuzzEndpoint:
         """Start an endpoint and let it write of itself."""
-        endpoint = FuzzEndpoint(name, service, address, self.loop, self.oracle, born_ms)
+        endpoint = FuzzEndpoint(
+            name, service, address, self.loop, self.oracle, born_ms, version=version
+        )
         endpoint.on_crash = self._restart_later
-        self.endpoints[name] = endpoint
+        self.endpoints[name.partition(".")[0]] = endpoint
         self.oracle.draining_s.pop(name, None)
         self.loop.network.listeners[address] = endpoint.accept
-        self._put("keyed.servers", name, endpoint.record())
+        if registers_in_s:
+            self.loop.call_later(registers_in_s, self._register, endpoint)
+        else:
+            self._register(endpoint)
+        return endpoint
+
+    def _register(self, endpoint: FuzzEndpoint) -> None:
+        self._put("keyed.servers", endpoint.name, endpoint.record())
+
+    def release(
+        self,
+        name: str,
+        version: str | None,
+        keeps_id: bool = False,
+        registers_in_s: float = 0.0,
+    ) -> None:
+        """Replace an endpoint by one of another version.
+
+        Args:
+            name: The endpoint.
+            version: Version of the new one.
+            keeps_id: Whether the old one ends at once and the new one starts under its id and at its
+                address; otherwise the new one starts beside it, and the old one drains and ends.
+            registers_in_s: How long after its start the new one writes of itself.
+        """
+        old = self.endpoints[name]
+        if keeps_id:
+            old.on_crash = None
+            old.crash()
+            self.start_endpoint(
+                old.name, old.service, old.address, self._now_ms(), version, registers_in_s
+            )
+            return
+        self._restarts += 1
+        address = ("10.0.1.2", 9_000 + self._restarts)
+        self.drain(name)
+        old.on_crash = None
+        fresh = f"{name}.{self._restarts}"
+        self.start_endpoint(fresh, old.service, address, self._now_ms(), version, registers_in_s)
+        self.loop.call_later(_DRAINED_S, self._end_drained, old)
+
+    def _end_drained(self, endpoint: FuzzEndpoint) -> None:
+        self.loop.network.listeners.pop(endpoint.address, None)
+        endpoint.crash()
+        self._put("keyed.servers", endpoint.name, None)
 
     def _restart_later(self, endpoint: FuzzEndpoint) -> None:
         """Take a crashed endpoint from the network, and start it again after some seconds."""
@@ -139,13 +193,7 @@
         base = crashed.name.partition(".")[0]
         self._restarts += 1
         name = f"{base}.{self._restarts}"
-        fresh = FuzzEndpoint(
-            name, crashed.service, crashed.address, self.loop, self.oracle, self._now_ms()
-        )
-        fresh.on_crash = self._restart_later
-        self.endpoints[base] = fresh
-        listeners[crashed.address] = fresh.accept
-        self._put("keyed.servers", name, fresh.record())
+        self.start_endpoint(name, crashed.service, crashed.address, self._now_ms(), crashed.version)
         self.loop.call_later(_LAPSE_S - _RESTART_S, self._put, "keyed.servers", crashed.name, None)
 
     def drain(self, name: str) -> None:
@@ -306,6 +354,18 @@
         self.loop.create_task(self._connect(caller, self.entries[entry].address))
         return caller
 
+    def resume(self, caller: FuzzCaller, entry: str) -> FuzzCaller | None:
+        """Let a caller take up its broken stream at an entry; None if it has no such stream."""
+        asked = caller.asked
+        received = asked.received + len(asked.pieces)
+        is_broken = asked.ended_s is not None and asked.left_s is None and not asked.is_whole
+        if not (asked.streamed and asked.may_repeat and is_broken and received):
+            return None
+        again = self.ask(entry, asked.service, True, asked.api_key, asked.deadly)
+        again.asked.resumes = asked.resumes or asked.request_id
+        again.asked.received = received
+        return again
+
     async def _connect(self, caller: FuzzCaller, address: tuple[str, int]) -> None:
         try:
             await self.loop.network.connect(lambda: caller, address)
