Don't repeat the last event to a caller that resumes a stream

What callers saw: a caller that took a stream up with Last-Event-Id got its last event a second time when the endpoint sent it once more. Cause: events that the caller has are left out by the last id that this answer wrote, and a resuming caller's answer has written none. Evidence: TestResumedStream fails without the change with events [2, 3, 4, 5] after 2. Change: the answer to a resuming caller starts from its Last-Event-Id.

--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -155,7 +155,7 @@
         Args:
             name: The endpoint.
             version: Version of the new one.
-            keeps_id: Whether the old one ends at once and the new one starts under its id and at its
+            keeps_id: Whether the old one ends at once and the new one has its id and its
                 address; otherwise the new one starts beside it, and the old one drains and ends.
             registers_in_s: How long after its start the new one writes of itself.
         """
--- a/src/beryljunction/gateway/caller_answer.py
+++ b/src/beryljunction/gateway/caller_answer.py
@@ -34,7 +34,8 @@
 
     Attributes:
         has_started: Whether the head of an answer was written.
-        last_event_id: Id of the last event that was written; None before the first with an id.
+        last_event_id: Id of the last event that the caller has, of this or an earlier answer;
+            None before the first with an id.
         first_byte_s: Boot time at which the first byte was written; that clock counts suspended
             time.
         status: Status that was written; 0 before that.
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -33,6 +33,7 @@
     KnownEndpoint,
     PlacementRequest,
     PromptParts,
+    RepeatPolicy,
     admit,
     request_digest,
 )
@@ -102,6 +103,8 @@
         limit_ms = min(self._caller_headers.deadline_ms or _DEFAULT_DEADLINE_MS, route.timeout_ms)
         self._deadline_s = self._request.arrived_s + limit_ms / 1000
         self._service = route.service_for(self._state.random.random())
+        if route.repeat is RepeatPolicy.RESUME:
+            self._caller_answer.last_event_id = self._caller_headers.last_event_id
         self._log.digest = self._digest_for(admitted)
         self._placement_request = PlacementRequest(self._shared_parts())
         share = self._state.retry_share(self._service)
--- a/src/beryljunction/platform/request_headers.py
+++ b/src/beryljunction/platform/request_headers.py
@@ -51,6 +51,8 @@
         deadline_ms: How long the caller waits, from when it sent the request; None if not given.
         prompt_parts: Ids of the parts of the prompt, in order.
         prompt_tokens: Number of tokens of each part.
+        last_event_id: Id of the last event that the caller has of a stream; None if it has none, or
+            the id is not a number.
         has_last_event_id: Whether the caller resumes a stream of which it has events.
         resumed_request_id: Request id of the attempt that brought the first of them; empty if the
             caller doesn't name it.
@@ -62,6 +64,7 @@
     deadline_ms: int | None
     prompt_parts: tuple[str, ...]
     prompt_tokens: tuple[int, ...]
+    last_event_id: int | None = None
     has_last_event_id: bool = False
     resumed_request_id: str = ""
 
@@ -82,6 +85,7 @@
         deadline_ms=_parse_int(values.get(headers.REMAINING_DEADLINE_MS)),
         prompt_parts=tuple(part for part, _ in parts),
         prompt_tokens=tuple(tokens for _, tokens in parts),
+        last_event_id=_parse_int(values.get(headers.LAST_EVENT_ID)),
         has_last_event_id=bool(values.get(headers.LAST_EVENT_ID)),
         resumed_request_id=values.get(headers.RESUMED_REQUEST_ID, b"").decode("latin-1"),
     )
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -50,3 +50,18 @@
                 world.advance(0.1)
 
             assert world.finish() == []
+
+
+class TestResumedStream:
+    def test_does_not_repeat_an_event_that_its_caller_has(self):
+        """Guards against an endpoint that sends the last known event once more."""
+        with contextlib.closing(PlatformWorld()) as world:
+            for name in STREAMED:
+                behave(world, name, Behaviour.CUT_IN_EVENT)
+            (caller,) = ask_streams(world, 1)
+            for name in STREAMED:
+                behave(world, name, Behaviour.WHOLE)
+            again = world.resume(caller, ENTRIES[1])
+
+            assert world.finish() == []
+            assert again.asked.pieces == [3, 4, 5]
