Continue a stream only at the software version that began it

Cause: the endpoint for a second send is chosen like that for a new request; nothing knew where the stream had begun. Change: an answer that has begun remembers the endpoint that began it. Only endpoints that certainly have its version are chosen, and the check is repeated before the send. With none, the stream is broken off at once. A version is not certain if the record states none, if another version has since appeared under a reused id, or if ids are reused and the records are older than the drain bound. A version of another type makes the record unreadable, like other fields; the version is part of an incarnation.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -16,7 +16,7 @@
 from beryljunction.gateway.messages import Headers, HttpRequest, ResponseHead
 from beryljunction.gateway.relay import AttemptResult, Relay
 from beryljunction.gateway.response_headers import apply_response_headers
-from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.state import VERSION_NOT_SERVED, EntryState
 from beryljunction.platform.headers import REQUEST_ID, RETRY_AFTER_S
 from beryljunction.platform.request_headers import (
     is_response_to,
@@ -34,6 +34,7 @@
     PlacementRequest,
     PromptParts,
     RepeatPolicy,
+    StreamOrigin,
     admit,
     request_digest,
 )
@@ -58,6 +59,7 @@
         self._tried: set[KnownEndpoint] = set()
         self._endpoint_error: tuple[ResponseHead, bytes] | None = None
         self._service = ""
+        self._origin: StreamOrigin | None = None
         self._plan: AttemptPlan | None = None
         self._log = ExchangeLog(state)
 
@@ -146,12 +148,12 @@
         """Try endpoints in turn until one answers or no further attempt is allowed."""
         while not self._end_if_quarantined(plan):
             endpoint = self._state.choose_endpoint(
-                self._service, self._placement_request, self._tried
+                self._service, self._placement_request, self._tried, self._origin
             )
             if endpoint is None or self._remaining_s() < _MIN_REMAINING_S:
-                reason = (
-                    self._state.no_endpoint_reason(self._service) if endpoint is None else "no_time"
-                )
+                reason = "no_time"
+                if endpoint is None:
+                    reason = self._state.no_endpoint_reason(self._service, self._origin)
                 self._give_up(plan.give_up(), reason)
                 return
             self._tried.add(endpoint)
@@ -201,7 +203,7 @@
         Admission and endpoint state are checked again first: while the connection was being made
         or this process was paused, settings and membership may have changed or become too old.
         """
-        problem = self._state.reason_not_to_send(self._service, endpoint)
+        problem = self._state.reason_not_to_send(self._service, endpoint, self._origin)
         if problem:
             return AttemptResult(AttemptOutcome.NOT_SENT, problem)
         admitted = self._admit()
@@ -215,6 +217,7 @@
             return AttemptResult()
         prefill = self._state.prefill_plan(self._service, endpoint, self._placement_request)
         self._state.note_send(self._service, endpoint)
+        origin = self._state.stream_origin(endpoint, plan.sends)
         call.send(self._build_request(endpoint, admitted, prefill.source))
         self._log.log_sent(
             endpoint,
@@ -238,6 +241,8 @@
         if head is not None and head.status == 200:
             self._state.note_first_byte(self._service, prefill, took_ms)
         result = await self._handle_answer(call, head, endpoint, admitted)
+        if self._origin is None and self._caller_answer.has_started:
+            self._origin = origin
         is_bad = result.outcome is not None or (head is not None and head.status >= 500)
         if not call.was_unread:
             endpoint.error_rate.note(is_bad, boot_time_s())
@@ -346,6 +351,8 @@
             return self._state.quarantine.remaining_s(self._log.digest)
         if reason == _STOPPING:
             return 0.0
+        if reason == VERSION_NOT_SERVED:
+            return None
         deadline_ms = self._caller_headers.deadline_ms
         left_s = None
         if deadline_ms is not None:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -34,13 +34,17 @@
     Service,
     SettingsLease,
     StoreReachability,
+    StreamOrigin,
     ZoneChange,
     healthy_endpoints,
     merge_loads,
     retry_after_s,
 )
 
-__all__ = ["EntryState"]
+__all__ = ["EntryState", "VERSION_NOT_SERVED"]
+
+# No endpoint has the software version that began the stream, or that version is not known.
+VERSION_NOT_SERVED = "version_not_served"
 
 # A starting entry is on the list of every other entry within this time. Until then it serves
 # callers, gets no updates from other entries and reads the store itself.
@@ -172,11 +176,24 @@
         return sum(share.left for share in self._retry_shares.values())
 
     def choose_endpoint(
-        self, service: str, request: PlacementRequest, tried: set[KnownEndpoint]
+        self,
+        service: str,
+        request: PlacementRequest,
+        tried: set[KnownEndpoint],
+        origin: StreamOrigin | None = None,
     ) -> KnownEndpoint | None:
-        """Return the endpoint for a request; healthy ones are preferred to suspect ones."""
+        """Return the endpoint for a request; healthy ones are preferred to suspect ones.
+
+        Args:
+            service: Name of the service.
+            request: What placement knows of the request.
+            tried: Endpoints that the request was sent to.
+            origin: Where the stream began that the endpoint is to continue; None for a new one.
+        """
         now_s = boot_time_s()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
+        if origin is not None:
+            usable = [row for row in usable if self.can_resume(origin, row)]
         allowed = self.cold_start_limiter.allowed(usable, self._known_service(service), now_s)
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
         excluded = self.registry.evacuated(service)
@@ -187,9 +204,28 @@
             self.report_coverage.note_choice(service, chosen.report_age_s(now_s), now_s)
         return chosen
 
-    def reason_not_to_send(self, service: str, endpoint: KnownEndpoint) -> str:
+    @property
+    def _has_current_endpoints(self) -> bool:
+        return self.endpoints_confirmation.age_s(boot_time_s()) <= self.endpoints_bound.bound_s
+
+    def stream_origin(self, endpoint: KnownEndpoint, attempt: int) -> StreamOrigin:
+        """Return the origin of a stream that an endpoint begins now."""
+        record = endpoint.record
+        is_certain = self._has_current_endpoints or not record.may_reuse_id
+        version = record.version if is_certain else None
+        return StreamOrigin(record.service, endpoint.incarnation_id, version, attempt)
+
+    def can_resume(self, origin: StreamOrigin, endpoint: KnownEndpoint) -> bool:
+        """Return whether an endpoint may continue a stream, as far as its version matters."""
+        return self.registry.can_resume(origin, endpoint, self._has_current_endpoints)
+
+    def reason_not_to_send(
+        self, service: str, endpoint: KnownEndpoint, origin: StreamOrigin | None = None
+    ) -> str:
         """Return why a request may not go to an endpoint now; empty if it may."""
         now_s = boot_time_s()
+        if origin is not None and not self.can_resume(origin, endpoint):
+            return "endpoint has another version"
         if not self.registry.is_usable(endpoint):
             is_known = self.registry.find(endpoint.record.endpoint_id) is endpoint
             return "zone is evacuated" if is_known and endpoint.is_evacuated else "endpoint left"
@@ -202,12 +238,15 @@
         """Count a request that is sent to an endpoint now."""
         self.cold_start_limiter.note_send(endpoint, self._known_service(service), boot_time_s())
 
-    def no_endpoint_reason(self, service: str) -> str:
+    def no_endpoint_reason(self, service: str, origin: StreamOrigin | None = None) -> str:
         """Return why no endpoint of a service can be chosen."""
         now_s = boot_time_s()
+        rows = self.registry.open(service, now_s)
+        if origin is not None and not any(self.can_resume(origin, row) for row in rows):
+            return VERSION_NOT_SERVED
         known = self._known_service(service)
         usable = self.registry.usable(service, now_s)
-        if not usable and self.registry.open(service, now_s):
+        if not usable and rows:
             return "endpoints_paused"
         if not usable and self.registry.evacuated(service):
             return "zones_evacuated"
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -79,7 +79,9 @@
 def _version(fields: Mapping[str, Any]) -> str | None:
     """Return the software version of the endpoint; None if the record states none."""
     value = fields.get("version")
-    return value if isinstance(value, str) and value else None
+    if value is None or isinstance(value, str):
+        return value or None
+    raise _FieldError(f"version: expected a string, got {value!r}")
 
 
 def decode_evacuation(key: str) -> str | InvalidRecord | None:
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -43,6 +43,7 @@
 from beryljunction.routing.report_coverage import ReportCoverage
 from beryljunction.routing.retry_after import retry_after_s
 from beryljunction.routing.store_reachability import StoreReachability
+from beryljunction.routing.stream_origins import StreamOrigin
 
 __all__ = [
     "ALL_ON",
@@ -91,6 +92,7 @@
     "Service",
     "SettingsLease",
     "StoreReachability",
+    "StreamOrigin",
     "WeightedService",
     "ZoneChange",
     "admit",
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -5,6 +5,7 @@
 
 from beryljunction.routing.known_endpoint import EndpointRecord, KnownEndpoint
 from beryljunction.routing.store_reachability import StoreReachability
+from beryljunction.routing.stream_origins import StreamOrigin
 
 __all__ = ["EndpointRegistry"]
 
@@ -55,6 +56,33 @@
         """Return what is known of an endpoint."""
         return self._rows.get(endpoint_id)
 
+    def can_resume(self, origin: StreamOrigin, known: KnownEndpoint, is_current: bool) -> bool:
+        """Return whether an endpoint certainly has the software version that began a stream.
+
+        Args:
+            origin: Where the stream began.
+            known: The endpoint.
+            is_current: Whether the records are current enough to name the incarnation that has an
+                id, if ids are reused.
+        """
+        record = known.record
+        if record.service != origin.service or (record.may_reuse_id and not is_current):
+            return False
+        if record.version != origin.version:
+            return False
+        if known.incarnation_id == origin.incarnation_id:
+            return True
+        return origin.version is not None and not self._is_origin_uncertain(origin)
+
+    def _is_origin_uncertain(self, origin: StreamOrigin) -> bool:
+        """Return whether the stream may have begun at a later incarnation of another version.
+
+        An entry that lacked its record sent the request to the former incarnation.
+        """
+        endpoint_id = origin.incarnation_id[0]
+        latest = self._rows.get(endpoint_id) or self._departed.get(endpoint_id)
+        return latest is not None and latest.record.version != origin.version
+
     def put(self, record: EndpointRecord, now_s: float) -> KnownEndpoint:
         """Add or update an endpoint; a new incarnation replaces what was known of the last one.
 
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -59,8 +59,16 @@
 
     def is_same_incarnation(self, other: "EndpointRecord") -> bool:
         """Return whether both records are of one incarnation at one address."""
-        mine = (self.endpoint_id, self.started_ms, self.address, self.service)
-        return mine == (other.endpoint_id, other.started_ms, other.address, other.service)
+        return self._identity == other._identity
+
+    @property
+    def _identity(self) -> tuple[object, ...]:
+        return self.endpoint_id, self.started_ms, self.address, self.service, self.version
+
+    @property
+    def may_reuse_id(self) -> bool:
+        """Whether another incarnation may have its id; endpoints with unique ids state no start."""
+        return self.started_ms != 0
 
 
 @attrs.frozen
--- a/testing/test_endpoint_registry.py
+++ b/testing/test_endpoint_registry.py
@@ -1,4 +1,11 @@
-from beryljunction.routing import EndpointRegistry, LoadReport, StoreReachability
+import pytest
+
+from beryljunction.routing import (
+    EndpointRegistry,
+    LoadReport,
+    StoreReachability,
+    StreamOrigin,
+)
 from routing_fakes import endpoint
 
 
@@ -226,3 +233,60 @@
         registry.find("e2").note_failure(11.0)
 
         assert self.names(registry, 11.1) == ["e2", "e1"]
+
+
+class TestResumption:
+    """Which endpoints may continue a stream that endpoint "a" of version v1 began."""
+
+    def resumes(self, registry, name, version="v1", is_current=True):
+        origin = StreamOrigin("engine", ("a", 1), version)
+        return registry.can_resume(origin, registry.find(name), is_current)
+
+    @pytest.mark.parametrize(
+        ("version", "expected"), [("v1", True), ("v2", False), (None, False), ("v1.0", False)]
+    )
+    def test_other_endpoint_needs_the_same_version(self, version, expected):
+        registry = registry_of(endpoint("a", version="v1"), endpoint("b", version=version))
+
+        assert self.resumes(registry, "b") is expected
+
+    def test_endpoint_of_unknown_version_continues_only_its_own_streams(self):
+        registry = registry_of(endpoint("a"), endpoint("b"))
+
+        assert self.resumes(registry, "a", version=None)
+        assert not self.resumes(registry, "b", version=None)
+
+    def test_endpoint_of_another_service_does_not_continue_it(self):
+        registry = registry_of(endpoint("b", service="other", version="v1"))
+
+        assert not self.resumes(registry, "b")
+
+    @pytest.mark.parametrize("leaves", [False, True])
+    def test_stream_of_a_reused_id_with_another_version_is_not_continued(self, leaves):
+        """Guards against trusting a record that was late when the stream began."""
+        registry = registry_of(endpoint("a", version="v1"), endpoint("b", version="v1"))
+        registry.put(endpoint("a", started_ms=2, version="v2"), 1.0)
+        if leaves:
+            registry.remove("a", 2.0)
+
+        assert not self.resumes(registry, "b")
+
+    def test_stream_of_a_reused_id_with_the_same_version_is_continued(self):
+        registry = registry_of(endpoint("a", version="v1"), endpoint("b", version="v1"))
+        registry.put(endpoint("a", started_ms=2, version="v1"), 1.0)
+
+        assert self.resumes(registry, "b")
+
+    @pytest.mark.parametrize(("started_ms", "expected"), [(0, True), (1, False)])
+    def test_old_records_name_only_endpoints_with_unique_ids(self, started_ms, expected):
+        """Guards against an endpoint that has restarted under its id with another version."""
+        registry = registry_of(endpoint("b", version="v1", started_ms=started_ms))
+
+        assert self.resumes(registry, "b", is_current=False) is expected
+
+    def test_other_version_is_another_incarnation(self):
+        registry = registry_of(endpoint("a", started_ms=0, version="v1"))
+        before = registry.find("a")
+        registry.put(endpoint("a", started_ms=0, version="v2"), 1.0)
+
+        assert registry.find("a") is not before
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -113,3 +113,13 @@
         )
 
         assert decoded.version == version
+
+    def test_version_of_another_type_is_rejected(self):
+        values = {"service": "x", "address": "10.0.0.1:8080", "zone": "a", "slots": 6}
+
+        rejected = decode_endpoint(
+            "i-1", json.dumps({**values, "state": "ready", "version": 2}).encode()
+        )
+
+        assert isinstance(rejected, InvalidRecord)
+        assert "version: expected a string, got 2" in rejected.problem
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -37,6 +37,28 @@
 
             assert world.finish() == []
 
+    def test_goes_on_at_its_version_while_that_is_served(self):
+        """Guards against breaking off a stream that another endpoint can continue."""
+        with two_versions() as world:
+            behave(world, "f2", Behaviour.CUT)
+            callers = [caller for _ in range(4) for caller in ask_streams(world, 6)]
+
+            assert world.finish() == []
+            continued = [row for row in callers if row.asked.versions == {b"v2"}]
+            assert len(continued) >= 12
+            assert all(row.asked.is_whole for row in continued)
+
+    def test_is_broken_off_at_once_where_its_version_is_gone(self):
+        """Guards against keeping a caller waiting for an endpoint that will not come."""
+        with two_versions() as world:
+            behave(world, "f1", Behaviour.CUT)
+            callers = [caller for _ in range(4) for caller in ask_streams(world, 6)]
+            world.finish()
+
+            broken = [row.asked for row in callers if row.asked.versions == {b"v1"}]
+            assert broken
+            assert all(not row.is_whole and row.ended_s - row.sent_s < 0.2 for row in broken)
+
     def test_goes_on_only_at_its_version_when_its_caller_comes_back(self):
         """Guards against a resumed stream with events of two versions."""
         with two_versions() as world:
