Share the outbox and its sender between kinds of reports

The quarantine's unsent rows by host and the task that sends them until they are received are needed for a second kind of rows. They are in Outbox and ReportSender now; the behaviour of the quarantine is the same.

--- a/src/beryljunction/gateway/crashreporter.py
+++ b/src/beryljunction/gateway/crashreporter.py
@@ -5,70 +5,44 @@
 
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.peers import PeerClient
-from beryljunction.gateway.quarantine import Quarantine
+from beryljunction.gateway.quarantine import CrashRow
+from beryljunction.gateway.reportsender import ReportSender
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import ENTRY_ADDRESSES, Record, Store, WriteOutcome
+from beryljunction.routing import Address
 
 __all__ = ["CrashReporter"]
 
-# Pause after an entry did not answer; allows several attempts within the few seconds in which all
-# entries have to know of a quarantine.
-_RETRY_PAUSE_S = 0.5
-# Limit of concurrent messages; each is a few hundred bytes.
-_MAX_CONCURRENT_SENDS = 16
 _SAVE_RETRY_PAUSE_S = 1.0
 _MAX_SAVE_ATTEMPTS = 30
 
 
-class CrashReporter:
-    """Sends each entry its pending reports until it has received them or they expire."""
+class CrashReporter(ReportSender[CrashRow]):
+    """Sends reports of crashes, and writes new quarantines to the store."""
 
     def __init__(self, client: PeerClient, store: Store, state: EntryState) -> None:
+        super().__init__(state.quarantine.outbox, state.fan_out)
         self._client = client
         self._store = store
-        self._state = state
-        self._quarantine: Quarantine = state.quarantine
-        self._busy: set[str] = set()
-        self._limiter = anyio.CapacityLimiter(_MAX_CONCURRENT_SENDS)
-
-    async def run(self) -> None:
-        """Send reports until cancelled."""
-        async with anyio.create_task_group() as group:
-            while True:
-                await self._quarantine.pending_changed.wait()
-                self.step(group)
+        self._quarantine = state.quarantine
+        self._events = state.events
 
     def step(self, group: anyio.abc.TaskGroup) -> None:
-        """Start sending to each entry with pending reports, and start saving new quarantines."""
-        for host in self._quarantine.hosts_with_pending_reports():
-            if host not in self._busy:
-                self._busy.add(host)
-                group.start_soon(self._send_all, host)
+        """Start sending to each entry with pending rows, and start saving new quarantines."""
+        super().step(group)
         for record in self._quarantine.unsaved_records():
             group.start_soon(self._save, record)
 
-    async def _send_all(self, host: str) -> None:
-        try:
-            while (report := self._quarantine.report_for(host)) != CrashReport():
-                if await self._send(host, report):
-                    self._quarantine.mark_sent(host, report)
-                else:
-                    await anyio.sleep(_RETRY_PAUSE_S)
-        finally:
-            self._busy.discard(host)
-
-    async def _send(self, host: str, report: CrashReport) -> bool:
-        address = self._state.fan_out.addresses().get(host)
-        if address is None:
-            return False
-        async with self._limiter:
-            answer = await self._client.report_crashes(address, report.encode())
+    async def send(self, address: Address, rows: list[CrashRow]) -> bool:
+        """Report rows to an entry, and apply the quarantines in its answer."""
+        report = self._quarantine.report_of(rows)
+        answer = await self._client.report_crashes(address, report.encode())
         if answer is None:
             return False
         try:
             self._quarantine.apply_report(CrashReport.decode(answer))
         except ValueError as error:
-            self._state.events.write("peer_rejected", status=200, problem=str(error))
+            self._events.write("peer_rejected", status=200, problem=str(error))
             return False
         return True
 
@@ -78,4 +52,4 @@
             if written is WriteOutcome.DONE:
                 return
             await anyio.sleep(_SAVE_RETRY_PAUSE_S)
-        self._state.events.write("quarantine_not_saved", key=record.key)
+        self._events.write("quarantine_not_saved", key=record.key)
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -1,24 +1,21 @@
 """Quarantines requests that crash endpoints, in cooperation with the other entries."""
 
-import collections
 import math
+from collections.abc import Iterable
 
 import attrs
 
 from beryljunction.clocks import boot_time_s, unix_time_s
-from beryljunction.gateway.auto_reset_event import AutoResetEvent
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.events import EntryEventLog
+from beryljunction.gateway.outbox import Outbox
 from beryljunction.platform import Record
 from beryljunction.routing import Crash, CrashTable, FanOut, KnownEndpoint, crash_counting_hosts
 
-__all__ = ["Quarantine", "is_quarantine_key"]
+__all__ = ["CrashRow", "Quarantine", "is_quarantine_key"]
 
 # Prefix of the key of each quarantined request, in the topic of the entries' addresses.
 _KEY_PREFIX = "quarantine/"
-# Unsent rows are dropped after this time: the receiver has ended, or will read the store.
-_PENDING_TTL_S = 30.0
-_MAX_ROWS = 64
 
 
 @attrs.frozen
@@ -31,7 +28,7 @@
     digest: str
 
 
-_Row = Crash | _Served | _Quarantined
+CrashRow = Crash | _Served | _Quarantined
 
 
 def is_quarantine_key(key: str) -> bool:
@@ -48,7 +45,7 @@
     entries and saves the quarantine in the store, for entries that start later.
 
     Attributes:
-        pending_changed: Set when there is something to send or to save.
+        outbox: Rows to send to other entries.
 
     Args:
         host: Name of this entry's host.
@@ -61,9 +58,8 @@
         self._fan_out = fan_out
         self._events = events
         self._table = CrashTable()
-        self._pending: dict[str, dict[_Row, float]] = collections.defaultdict(dict)
         self._unsaved: list[str] = []
-        self.pending_changed = AutoResetEvent()
+        self.outbox: Outbox[CrashRow] = Outbox(fan_out)
 
     def __len__(self) -> int:
         """Return the number of quarantined requests."""
@@ -78,7 +74,7 @@
         crash = Crash(digest, endpoint.incarnation_id)
         self._events.write("endpoint_ended", digest=digest, endpoint=endpoint.record.endpoint_id)
         for host in self._owners(digest):
-            self._enqueue(host, crash)
+            self.outbox.add(host, crash)
         self._count_crash(crash)
 
     def note_served(self, digest: str) -> None:
@@ -86,8 +82,8 @@
         if not self._table.note_served(digest, boot_time_s()):
             return
         for host in self._owners(digest):
-            self._discard_pending_crashes(host, digest)
-            self._enqueue(host, _Served(digest))
+            self.outbox.discard(host, lambda row: isinstance(row, Crash) and row.digest == digest)
+            self.outbox.add(host, _Served(digest))
 
     def apply_report(self, report: CrashReport) -> CrashReport:
         """Apply another entry's report; return which of the reported requests are in quarantine.
@@ -107,14 +103,10 @@
             quarantined=tuple(row for row in lefts_s.items() if row[1] > 0.0),
         )
 
-    def report_for(self, host: str) -> CrashReport:
-        """Return the next report for another entry; an empty one if there is nothing to send."""
+    def report_of(self, rows: Iterable[CrashRow]) -> CrashReport:
+        """Return the report that has these rows."""
         now_s = boot_time_s()
-        rows = self._pending.get(host, {})
-        for row, noted_s in list(rows.items()):
-            if now_s - noted_s > _PENDING_TTL_S:
-                del rows[row]
-        chosen = list(rows)[:_MAX_ROWS]
+        chosen = list(rows)
         digests = [row.digest for row in chosen if isinstance(row, _Quarantined)]
         return CrashReport(
             tuple(row for row in chosen if isinstance(row, Crash)),
@@ -122,21 +114,6 @@
             tuple((digest, self._table.remaining_s(digest, now_s)) for digest in digests),
         )
 
-    def mark_sent(self, host: str, report: CrashReport) -> None:
-        """Record that another entry has received a report."""
-        rows = self._pending.get(host, {})
-        sent: list[_Row] = [*report.crashes]
-        sent += [_Served(digest) for digest in report.served]
-        sent += [_Quarantined(digest) for digest, _ in report.quarantined]
-        for row in sent:
-            rows.pop(row, None)
-
-    def hosts_with_pending_reports(self) -> list[str]:
-        """Return the hosts of known entries for which there is something to send."""
-        for host in [host for host in self._pending if host not in self._fan_out]:
-            del self._pending[host]
-        return [host for host, rows in self._pending.items() if rows]
-
     # Records in the store
 
     def records(self) -> tuple[Record, ...]:
@@ -181,24 +158,14 @@
             "request_quarantined", digest=crash.digest, endpoint=crash.incarnation_id[0]
         )
         self._unsaved.append(crash.digest)
-        self.pending_changed.set()
+        self.outbox.changed.set()
         for host in self._fan_out.addresses():
-            self._enqueue(host, _Quarantined(crash.digest))
+            self.outbox.add(host, _Quarantined(crash.digest))
 
     def _apply_quarantine(self, digest: str, left_s: float) -> None:
         if self._table.quarantine(digest, left_s, boot_time_s()):
             self._events.write("request_quarantined", digest=digest, endpoint="")
 
-    def _enqueue(self, host: str, row: _Row) -> None:
-        self._pending[host][row] = boot_time_s()
-        self.pending_changed.set()
-
-    def _discard_pending_crashes(self, host: str, digest: str) -> None:
-        """Drop the crashes of a request that have not been sent yet."""
-        rows = self._pending[host]
-        for row in [row for row in rows if isinstance(row, Crash) and row.digest == digest]:
-            del rows[row]
-
 
 def _record(digest: str, left_s: float) -> Record:
     return Record(_KEY_PREFIX + digest, b"%.0f" % (unix_time_s() + left_s))
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -17,9 +17,8 @@
 )
 from beryljunction.gateway.caller_answer import CallerAnswer
 from beryljunction.gateway.calls import PortState
-from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.eventstream import EventSplitter, StreamEvent
-from beryljunction.gateway.quarantine import Quarantine
+from beryljunction.gateway.outbox import Outbox
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.store_view import StoreView
 from beryljunction.platform import headers
@@ -192,7 +191,7 @@
 
 
 def keep_crashes_to_oneself(patch):
-    patch.setattr(Quarantine, "report_for", lambda self, host: CrashReport())
+    patch.setattr(Outbox, "next_rows", lambda self, host: [])
 
 
 SAFEGUARDS = (
