Resume streams at any entry only at the version that began them

What callers saw: a stream that its caller took up again went on at another software version, at the same entry or another one. Cause: an entry at which a caller resumes a stream knew nothing of where it began, and Resumes wasn't read. Change: while a service had one version as long as streams last, a stream began at that one. Otherwise entries report where they send new streams to three entries by a hash of the stream, and the entry that is asked to resume one asks those. Versions are saved beside the entries' addresses, so entries that start know those that are gone. What isn't known is refused at once with 503. Where ids are reused, the endpoint's report on the same connection shows that its incarnation is the one of the record.

--- a/src/beryljunction/fuzz/platform/entries.py
+++ b/src/beryljunction/fuzz/platform/entries.py
@@ -11,6 +11,7 @@
 from beryljunction.gateway.peers import PeerClient
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.store_view import StoreView, local_store_view
+from beryljunction.gateway.streamreports import StreamReport
 from beryljunction.routing import Address
 
 __all__ = ["FuzzEntry", "FuzzPeerClient"]
@@ -67,6 +68,16 @@
             return None
         return peer.state.quarantine.apply_report(CrashReport.decode(crashes)).encode()
 
+    async def exchange_streams(self, address: Address, report: bytes) -> bytes | None:
+        """Report or ask where streams began."""
+        await asyncio.sleep(_PEER_S)
+        peer = self._at(address)
+        if peer is None:
+            return None
+        answer = peer.state.streams.apply_report(StreamReport.decode(report)).encode()
+        await asyncio.sleep(_PEER_S)
+        return answer
+
     def _at(self, address: Address) -> FuzzEntry | None:
         """Return the entry at an address; None where it can't be reached."""
         peer = next(row for row in self._entries.values() if row.address == address)
--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -10,7 +10,7 @@
 
 from beryljunction.gateway.messages import Headers, ResponseHead
 from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
-from beryljunction.timeouts import fail_after
+from beryljunction.timeouts import fail_after, move_on_after
 
 __all__ = ["EndpointCall", "EndpointUnreachable", "PortState", "open_call", "probe_port"]
 
@@ -18,6 +18,8 @@
 # and TCP retransmits a lost SYN only after 1 s. Latency targets start at 200 ms, and since nothing
 # has been sent yet, it is safe to try another endpoint early.
 _CONNECT_TIMEOUT_S = 0.25
+# A report needs no slot at the endpoint and comes within a few ms.
+_FETCH_TIMEOUT_S = 0.25
 # Unread bytes of an answer that are buffered before reading from the endpoint pauses.
 _MAX_BUFFERED_BYTES = 262_144
 
@@ -30,7 +32,8 @@
     """Sends a request and reads its answer.
 
     The connection serves this request only, so data that an endpoint sends late or after a
-    complete answer is discarded and can't be taken for the answer to another request.
+    complete answer is discarded and can't be taken for the answer to another request. At most, the
+    entry asks the endpoint for its report first: another incarnation can't have this connection.
 
     Attributes:
         is_complete: Whether the answer was received up to the end that its framing defines.
@@ -43,6 +46,10 @@
     def __init__(self, is_head: bool) -> None:
         self._is_head = is_head
         self._transport: asyncio.Transport | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        """Expect the first byte of an answer."""
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._head: ResponseHead | None = None
@@ -156,6 +163,28 @@
         if self._transport is not None:
             self._transport.resume_reading()
 
+    async def fetch(self, request: bytes) -> bytes | None:
+        """Send a request to the endpoint before the caller's; return the body of its answer.
+
+        None if there was no complete answer with status 200 in time. The connection must not be
+        used any further if it ended.
+        """
+        self.send(request)
+        parts: list[bytes] = []
+        with move_on_after(_FETCH_TIMEOUT_S):
+            head = await self.read_head()
+            while (part := await self.read_body_part()) is not None:
+                parts.append(part)
+            if self.is_complete and head is not None:
+                self._reset()
+                return b"".join(parts) if head.status == 200 else None
+        return None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has ended, or still has an answer that was not read."""
+        return self._transport is None or self._transport.is_closing() or bool(self._headers)
+
     async def _wait(self) -> None:
         self._changed = anyio.Event()
         await self._changed.wait()
--- a/src/beryljunction/gateway/endpoint_watcher.py
+++ b/src/beryljunction/gateway/endpoint_watcher.py
@@ -128,11 +128,13 @@
         unix_now_s = unix_time_s() if self._state.mechanisms.start_times else None
         self._state.registry.replace(usable, boot_time_s(), unix_now_s)
         self._state.events.write("endpoints_listed", endpoints=len(self._state.registry))
+        self._state.streams.note_versions()
 
     def _apply_records(self, records: Iterable[Record]) -> None:
         now_s = boot_time_s()
         for record in records:
             self._apply_record(record, now_s)
+        self._state.streams.note_versions()
 
     def _apply_record(self, record: Record, now_s: float) -> None:
         registry, events = self._state.registry, self._state.events
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -17,6 +17,7 @@
 from beryljunction.gateway.relay import AttemptResult, Relay
 from beryljunction.gateway.response_headers import apply_response_headers
 from beryljunction.gateway.state import VERSION_NOT_SERVED, EntryState
+from beryljunction.platform import REPORT_REQUEST, decode_report_start
 from beryljunction.platform.headers import REQUEST_ID, RETRY_AFTER_S
 from beryljunction.platform.request_headers import (
     is_response_to,
@@ -37,6 +38,7 @@
     StreamOrigin,
     admit,
     request_digest,
+    stream_key,
 )
 
 __all__ = ["Exchange"]
@@ -104,7 +106,12 @@
         route = admitted.route
         limit_ms = min(self._caller_headers.deadline_ms or _DEFAULT_DEADLINE_MS, route.timeout_ms)
         self._deadline_s = self._request.arrived_s + limit_ms / 1000
+        self._services = tuple(target.service for target in route.targets)
         self._service = route.service_for(self._state.random.random())
+        is_resumed = route.streamed and self._caller_headers.has_last_event_id
+        if is_resumed and not await self._find_origin(admitted):
+            self._answer_error(503, VERSION_NOT_SERVED)
+            return
         if route.repeat is RepeatPolicy.RESUME:
             self._caller_answer.last_event_id = self._caller_headers.last_event_id
         self._log.digest = self._digest_for(admitted)
@@ -134,6 +141,19 @@
         host = self._caller_headers.host
         return request_digest(account, request.method, host, request.target, request.body)
 
+    async def _find_origin(self, admitted: Admitted) -> bool:
+        """Find out where the stream began that the caller resumes; return whether it can go on."""
+        key = self._stream_key(admitted, self._caller_headers.resumed_request_id)
+        self._origin = await self._state.streams.find(key, self._services)
+        if self._origin is None or self._origin.service not in self._services:
+            return False
+        self._service = self._origin.service
+        return True
+
+    @staticmethod
+    def _stream_key(admitted: Admitted, request_id: str) -> str:
+        return stream_key(admitted.account.name if admitted.account else "", request_id)
+
     def _remaining_s(self) -> float:
         return self._deadline_s - boot_time_s()
 
@@ -203,7 +223,10 @@
         Admission and endpoint state are checked again first: while the connection was being made
         or this process was paused, settings and membership may have changed or become too old.
         """
+        is_confirmed = self._origin is None or await self._confirm_incarnation(call, endpoint)
         problem = self._state.reason_not_to_send(self._service, endpoint, self._origin)
+        if not is_confirmed:
+            problem = "another incarnation of the endpoint"
         if problem:
             return AttemptResult(AttemptOutcome.NOT_SENT, problem)
         admitted = self._admit()
@@ -217,7 +240,7 @@
             return AttemptResult()
         prefill = self._state.prefill_plan(self._service, endpoint, self._placement_request)
         self._state.note_send(self._service, endpoint)
-        origin = self._state.stream_origin(endpoint, plan.sends)
+        origin = self._note_origin(admitted, endpoint, plan)
         call.send(self._build_request(endpoint, admitted, prefill.source))
         self._log.log_sent(
             endpoint,
@@ -249,6 +272,30 @@
             await self._update_quarantine(call, endpoint)
         return result
 
+    async def _confirm_incarnation(self, call: EndpointCall, endpoint: KnownEndpoint) -> bool:
+        """Return whether the incarnation that this entry knows has the connection.
+
+        An endpoint that restarted under its id may have another software version, which its record
+        says only when it arrives. If its report doesn't state a start, current records decide.
+        """
+        if not endpoint.record.may_reuse_id:
+            return True
+        report = await call.fetch(REPORT_REQUEST)
+        started_ms = decode_report_start(report) if report is not None else None
+        if started_ms is None:
+            return self._state.has_current_endpoints() and not call.is_closed
+        return started_ms == endpoint.record.started_ms
+
+    def _note_origin(
+        self, admitted: Admitted, endpoint: KnownEndpoint, plan: AttemptPlan
+    ) -> StreamOrigin:
+        """Return where the stream begins if this endpoint sends its first event."""
+        origin = self._state.stream_origin(endpoint, plan.sends)
+        if self._origin is None and admitted.route.repeat is RepeatPolicy.RESUME:
+            key = self._stream_key(admitted, self._log.request_id)
+            self._state.streams.note_send(key, origin, self._services)
+        return origin
+
     async def _update_quarantine(self, call: EndpointCall, endpoint: KnownEndpoint) -> None:
         """Report to the quarantine whether the request was served or its endpoint crashed.
 
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Requests between entries: settings with their age, session placements, and crash reports."""
+"""Requests between entries: settings with their age, sessions, crashes and streams."""
 
 import abc
 from collections.abc import Callable
@@ -15,6 +15,7 @@
 from beryljunction.gateway.messages import HttpRequest
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.store_view import StoreView, local_store_view
+from beryljunction.gateway.streamreports import StreamReport
 from beryljunction.gateway.update_client import UPDATE_PATH
 from beryljunction.gateway.update_receiver import UpdateReceiver
 from beryljunction.routing import Address, CallerLimits, PeerTable, should_ask_peers
@@ -25,6 +26,7 @@
 _KNOWN_PATH = "/v1/known"
 _GOSSIP_PATH = "/v1/news"
 _CRASHES_PATH = "/v1/crashes"
+_STREAMS_PATH = "/v1/begun-streams"
 # Interval between requests to peers. Two of them fit between the age at which an entry starts to
 # ask peers and the age at which it stops being ready.
 _ASK_INTERVAL_S = 0.5
@@ -49,6 +51,7 @@
         self._message_handlers: dict[str, Callable[[bytes], bytes]] = {
             _GOSSIP_PATH: self._apply_gossip,
             _CRASHES_PATH: self._apply_crashes,
+            _STREAMS_PATH: self._apply_streams,
         }
         if updates is not None:
             self._message_handlers[UPDATE_PATH] = updates.apply
@@ -98,6 +101,9 @@
     def _apply_crashes(self, body: bytes) -> bytes:
         return self._state.quarantine.apply_report(CrashReport.decode(body)).encode()
 
+    def _apply_streams(self, body: bytes) -> bytes:
+        return self._state.streams.apply_report(StreamReport.decode(body)).encode()
+
 
 def _format_query(version: int, offset: int) -> str:
     return f"{_KNOWN_PATH}/{version}/{offset}"
@@ -130,6 +136,10 @@
             Its report of which of them it has in quarantine; None if there was no answer.
         """
 
+    @abc.abstractmethod
+    async def exchange_streams(self, address: Address, report: bytes) -> bytes | None:
+        """Report or ask where streams began; return its report, None if there was no answer."""
+
 
 class HttpPeerClient(PeerClient):
     """Sends requests to other entries over HTTP.
@@ -151,6 +161,10 @@
         """Report requests that crash endpoints; return its report, None if there was no answer."""
         return await self._post(address, _CRASHES_PATH, crashes)
 
+    async def exchange_streams(self, address: Address, report: bytes) -> bytes | None:
+        """Report or ask where streams began; return its report, None if there was no answer."""
+        return await self._post(address, _STREAMS_PATH, report)
+
     async def _post(self, address: Address, path: str, message: bytes) -> bytes | None:
         url = f"http://{address[0]}:{address[1]}{path}"
         try:
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -27,6 +27,7 @@
 from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.stall_monitor import StallMonitor
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.streamreporter import StreamReporter, VersionRecorder
 from beryljunction.gateway.update_client import HttpUpdateClient
 from beryljunction.gateway.update_publisher import UpdatePublisher
 from beryljunction.gateway.update_receiver import UpdateReceiver
@@ -121,6 +122,11 @@
             "Requests that may not be sent since endpoints ended under them.",
             lambda: len(state.quarantine),
         )
+        metrics.add_gauge(
+            "beryl_stream_origins",
+            "Streams of which it is known where they began.",
+            lambda: len(state.streams),
+        )
         metrics.add_labelled_gauge(
             "beryl_choices_without_report_share",
             "Share of the recent choices of an endpoint without a load report to go by.",
@@ -303,6 +309,8 @@
             group.start_soon(publisher.run)
         group.start_soon(GossipSender(client, self._state, peers, incarnation).run)
         group.start_soon(CrashReporter(client, store, self._state).run)
+        group.start_soon(StreamReporter(client, self._state).run)
+        group.start_soon(VersionRecorder(store, self._state, schedule).run)
         return registration
 
     def _callers_socket(self) -> socket.socket:
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -10,7 +10,7 @@
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.outbox import Outbox
 from beryljunction.platform import Record
-from beryljunction.routing import Crash, CrashTable, FanOut, KnownEndpoint, crash_counting_hosts
+from beryljunction.routing import Crash, CrashTable, FanOut, KnownEndpoint, responsible_hosts
 
 __all__ = ["CrashRow", "Quarantine", "is_quarantine_key"]
 
@@ -148,7 +148,7 @@
 
     def _owners(self, digest: str) -> list[str]:
         return [
-            host for host in crash_counting_hosts(digest, self._fan_out.hosts) if host != self._host
+            host for host in responsible_hosts(digest, self._fan_out.hosts) if host != self._host
         ]
 
     def _count_crash(self, crash: Crash) -> None:
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -9,6 +9,7 @@
 from beryljunction.gateway.poll_schedules import ALWAYS_POLL, PollSchedule
 from beryljunction.gateway.quarantine import is_quarantine_key
 from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.streamdirectory import is_versions_key
 from beryljunction.gateway.topic_reader import TopicReader, run_paced, wait_for_store
 from beryljunction.gateway.updates import TopicUpdate
 from beryljunction.platform import (
@@ -40,8 +41,8 @@
 class Registration:
     """Keeps this entry's address registered in the store, and the table of its peers up to date.
 
-    The same topic holds the quarantined requests, so that a starting entry gets them without
-    another read.
+    The same topic holds the quarantined requests and the versions of services, so that a starting
+    entry gets them without another read.
     """
 
     def __init__(
@@ -132,10 +133,11 @@
         self._topic.apply_update(update, self._apply_snapshot, self._apply_changes)
 
     def _records(self) -> tuple[Record, ...]:
-        """Return the records of this entry, of all known entries and of quarantined requests."""
+        """Return the records of this entry, of all known entries, and what else the topic has."""
         rows = self._state.fan_out.addresses().items()
         others = tuple(Record(host, format_address(address)) for host, address in rows)
-        return (Record(self._host, self._address), *others, *self._state.quarantine.records())
+        saved = (*self._state.quarantine.records(), *self._state.streams.records())
+        return (Record(self._host, self._address), *others, *saved)
 
     async def read_once(self) -> bool:
         """Read once."""
@@ -161,7 +163,9 @@
 
     def _apply_snapshot(self, records: Iterable[Record]) -> None:
         rows = list(records)
-        self._find_lost_records({record.key for record in rows})
+        keys = {record.key for record in rows}
+        self._find_lost_records(keys)
+        self._state.streams.retain_records(filter(is_versions_key, keys))
         addresses = dict(self._decode_addresses(rows))
         self._peers.replace(addresses)
         self._state.fan_out.replace(addresses)
@@ -191,12 +195,15 @@
         self._state.update_entry_count()
 
     def _decode_addresses(self, records: Iterable[Record]) -> list[tuple[str, Address]]:
-        """Return the valid addresses of other entries; apply records of quarantined requests."""
+        """Return the valid addresses of other entries; apply the other records of the topic."""
         rows = []
         for record in records:
             if is_quarantine_key(record.key):
                 self._state.quarantine.apply_record(record)
                 continue
+            if is_versions_key(record.key):
+                self._state.streams.apply_record(record)
+                continue
             address = parse_address((record.value or b"").decode("latin-1"))
             if address is not None and record.key != self._host:
                 rows.append((record.key, address))
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -10,6 +10,7 @@
 from beryljunction.gateway.auto_reset_event import AutoResetEvent
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.quarantine import Quarantine
+from beryljunction.gateway.streamdirectory import StreamDirectory
 from beryljunction.platform import DeploymentBounds, HostSettings
 from beryljunction.routing import (
     AgeBound,
@@ -67,6 +68,7 @@
         fan_out: Which entries read the store, and which entry sends updates to which.
         era: Highest restore count of the store that this entry has seen.
         quarantine: Requests that crash the endpoints which run them.
+        streams: Where streams began.
         report_coverage: How many choices of an endpoint had a load report to go by.
         admits_until_s: Latest deadline, as boot time, of requests that are admitted. A stopping
             entry, which exits before the others, refuses them.
@@ -92,6 +94,9 @@
         )
         self.fan_out = FanOut(host.host)
         self.quarantine = Quarantine(host.host, self.fan_out, events)
+        self.streams = StreamDirectory(
+            host.host, self.fan_out, self.registry, self.has_current_endpoints, events
+        )
         self.report_coverage = ReportCoverage()
         self.admits_until_s = math.inf
         self.store_data_changed = AutoResetEvent()
@@ -204,20 +209,24 @@
             self.report_coverage.note_choice(service, chosen.report_age_s(now_s), now_s)
         return chosen
 
-    @property
-    def _has_current_endpoints(self) -> bool:
+    def has_current_endpoints(self) -> bool:
+        """Return whether the endpoints' records are within their age bound."""
         return self.endpoints_confirmation.age_s(boot_time_s()) <= self.endpoints_bound.bound_s
 
     def stream_origin(self, endpoint: KnownEndpoint, attempt: int) -> StreamOrigin:
-        """Return the origin of a stream that an endpoint begins now."""
+        """Return the origin of a stream that an endpoint begins now.
+
+        In an outage of the store, another incarnation may have the id, with another version.
+        """
         record = endpoint.record
-        is_certain = self._has_current_endpoints or not record.may_reuse_id
+        age_s = self.endpoints_confirmation.age_s(boot_time_s())
+        is_certain = not record.may_reuse_id or age_s <= self.endpoints_bound.usual_age_s
         version = record.version if is_certain else None
         return StreamOrigin(record.service, endpoint.incarnation_id, version, attempt)
 
     def can_resume(self, origin: StreamOrigin, endpoint: KnownEndpoint) -> bool:
-        """Return whether an endpoint may continue a stream, as far as its version matters."""
-        return self.registry.can_resume(origin, endpoint, self._has_current_endpoints)
+        """Return whether an endpoint has the software version that began a stream."""
+        return self.registry.can_resume(origin, endpoint)
 
     def reason_not_to_send(
         self, service: str, endpoint: KnownEndpoint, origin: StreamOrigin | None = None
--- /dev/null
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -0,0 +1,226 @@
+"""Finds out where a stream began that a caller resumes, in cooperation with the other entries."""
+
+import functools
+import json
+from collections.abc import Awaitable, Callable, Iterable
+
+import anyio
+
+from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.events import EntryEventLog
+from beryljunction.gateway.outbox import Outbox
+from beryljunction.gateway.streamreports import BegunStream, StreamQuery, StreamReport
+from beryljunction.platform import Record
+from beryljunction.routing import (
+    Address,
+    EndpointRegistry,
+    FanOut,
+    StreamOrigin,
+    StreamOrigins,
+    responsible_hosts,
+)
+from beryljunction.timeouts import move_on_after
+
+__all__ = ["AskPeer", "StreamDirectory", "is_versions_key"]
+
+# Prefix of the key of each service's versions, in the topic of the entries' addresses.
+_KEY_PREFIX = "versions/"
+# Entries answer within a few ms; the caller of a stream that can't go on is refused after this.
+_ASK_TIMEOUT_S = 0.2
+
+AskPeer = Callable[[Address, bytes], Awaitable[bytes | None]]
+
+
+def is_versions_key(key: str) -> bool:
+    """Return whether a key of that topic names the versions of a service."""
+    return key.startswith(_KEY_PREFIX)
+
+
+class StreamDirectory:
+    """Where streams of this entry and some of the others began.
+
+    A caller may resume its stream at any entry. While all endpoints of a service have one version,
+    and had it as long as streams last, every stream began at that version. Otherwise each entry
+    reports where it sends new streams to a few entries, which are chosen by a hash of the stream's
+    key, and the entry at which a caller resumes a stream asks them.
+
+    Attributes:
+        outbox: Rows to send to other entries.
+        ask_peer: Sends a message to another entry; None if this entry exchanges none.
+
+    Args:
+        host: Name of this entry's host.
+        fan_out: The known entries.
+        registry: The known endpoints.
+        has_current_endpoints: Returns whether older records can't hide a version that is in use.
+        events: The log.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        fan_out: FanOut,
+        registry: EndpointRegistry,
+        has_current_endpoints: Callable[[], bool],
+        events: EntryEventLog,
+    ) -> None:
+        self._host = host
+        self._fan_out = fan_out
+        self._registry = registry
+        self._has_current_endpoints = has_current_endpoints
+        self._events = events
+        self._origins = StreamOrigins()
+        self._was_mixed: dict[str, bool] = {}
+        self.outbox: Outbox[BegunStream] = Outbox(fan_out)
+        self.ask_peer: AskPeer | None = None
+
+    def __len__(self) -> int:
+        """Return the number of streams whose origin is known."""
+        return len(self._origins)
+
+    def note_send(self, key: str, origin: StreamOrigin, services: tuple[str, ...]) -> None:
+        """Record an endpoint that may begin a stream; called before it can send an event.
+
+        Args:
+            key: Key of the stream.
+            origin: The endpoint.
+            services: Services at which such a stream may begin.
+        """
+        self._origins.note(key, origin, boot_time_s())
+        if self._only_origin(services) is None:
+            self._report(BegunStream(key, origin))
+
+    def note_versions(self) -> None:
+        """Report the streams that began while their service had one version."""
+        for service in {row.record.service for row in self._registry.rows}:
+            is_mixed = self._only_origin((service,)) is None
+            if is_mixed and not self._was_mixed.get(service, True):
+                for key, origin in self._origins.rows(service):
+                    self._report(BegunStream(key, origin))
+            self._was_mixed[service] = is_mixed
+
+    async def find(self, key: str, services: tuple[str, ...]) -> StreamOrigin | None:
+        """Return where a stream began; None if that is not known for certain.
+
+        Args:
+            key: Key of the stream; empty if its caller doesn't name it.
+            services: Services at which it may have begun.
+        """
+        known = self._origins.find(key) or self._only_origin(services)
+        if known is not None or self.ask_peer is None:
+            return known
+        answers = await self._ask(StreamQuery(key, services))
+        found = [row.origin for answer in answers for row in answer.begun if row.key == key]
+        if found:
+            origin = max(found, key=lambda row: row.attempt)
+            self._origins.note(key, origin, boot_time_s())
+            return origin
+        only = {row for answer in answers for row in answer.only if row[0] in services}
+        return _origin_at(*only.pop()) if len(only) == len(services) == 1 else None
+
+    def apply_report(self, report: StreamReport) -> StreamReport:
+        """Apply another entry's report; return the answer to its question."""
+        now_s = boot_time_s()
+        for row in report.begun:
+            self._origins.note(row.key, row.origin, now_s)
+        if report.query is None:
+            return StreamReport()
+        key, services = report.query.key, report.query.services
+        origin = self._origins.find(key)
+        only = ((name, self._only_version(name)) for name in services)
+        return StreamReport(
+            (BegunStream(key, origin),) if origin is not None else (),
+            tuple((name, version) for name, version in only if version is not None),
+        )
+
+    def _report(self, row: BegunStream) -> None:
+        for host in self._others_for(row.key):
+            self.outbox.discard(host, lambda other: other.key == row.key)
+            self.outbox.add(host, row)
+
+    def _others_for(self, key: str) -> list[str]:
+        hosts = responsible_hosts(key, self._fan_out.hosts)
+        return [host for host in hosts if host != self._host]
+
+    async def _ask(self, query: StreamQuery) -> list[StreamReport]:
+        """Return the answers of the entries that are responsible for a stream."""
+        message = StreamReport(query=query).encode()
+        addresses = self._fan_out.addresses()
+        answers: list[StreamReport] = []
+        with move_on_after(_ASK_TIMEOUT_S):
+            async with anyio.create_task_group() as group:
+                for host in self._others_for(query.key):
+                    ask = functools.partial(self._ask_one, addresses[host], message, answers)
+                    group.start_soon(ask)
+        return answers
+
+    async def _ask_one(self, address: Address, message: bytes, answers: list[StreamReport]) -> None:
+        assert self.ask_peer is not None
+        answer = await self.ask_peer(address, message)
+        if answer is None:
+            return
+        try:
+            answers.append(StreamReport.decode(answer))
+        except ValueError as error:
+            self._events.write("peer_rejected", status=200, problem=str(error))
+
+    def _only_version(self, service: str) -> str | None:
+        if not self._has_current_endpoints():
+            return None
+        return self._registry.only_version(service, boot_time_s())
+
+    def _only_origin(self, services: Iterable[str]) -> StreamOrigin | None:
+        """Return where every stream of these services began; None if it may differ."""
+        names = tuple(services)
+        version = self._only_version(names[0]) if len(names) == 1 else None
+        return _origin_at(names[0], version) if version is not None else None
+
+    # Records in the store
+
+    def records(self) -> tuple[Record, ...]:
+        """Return the saved record of each service's versions."""
+        return tuple(
+            _record(service, versions)
+            for service, versions in self._registry.versions.saved.items()
+        )
+
+    def apply_record(self, record: Record) -> None:
+        """Apply a record of the store."""
+        service = record.key.removeprefix(_KEY_PREFIX)
+        if record.value is None:
+            self._registry.versions.unload([service])
+            return
+        try:
+            versions = json.loads(record.value)
+        except ValueError:
+            versions = None
+        is_list = isinstance(versions, list) and bool(versions)
+        if not is_list or not all(isinstance(row, str | None) for row in versions):
+            self._events.write("versions_refused", key=record.key)
+            return
+        self._registry.versions.load(service, versions)
+
+    def retain_records(self, keys: Iterable[str]) -> None:
+        """Forget the saved versions whose key is not among those of a full list."""
+        saved = self._registry.versions.saved
+        kept = {key.removeprefix(_KEY_PREFIX) for key in keys}
+        self._registry.versions.unload([name for name in saved if name not in kept])
+
+    def unsaved_records(self) -> list[Record]:
+        """Return the records that the store should have and lacks."""
+        now_s = boot_time_s()
+        rows = (
+            (service, self._registry.versions_to_save(service, now_s))
+            for service in {row.record.service for row in self._registry.rows}
+        )
+        return [_record(service, versions) for service, versions in rows if versions is not None]
+
+
+def _origin_at(service: str, version: str) -> StreamOrigin:
+    """Return the origin of a stream of which only the version is known."""
+    return StreamOrigin(service, ("", 0), version)
+
+
+def _record(service: str, versions: Iterable[str | None]) -> Record:
+    rows = sorted(versions, key=lambda version: version or "")
+    return Record(_KEY_PREFIX + service, json.dumps(rows).encode())
--- /dev/null
+++ b/src/beryljunction/gateway/streamreports.py
@@ -0,0 +1,101 @@
+"""Encoding of the messages in which entries report and ask where streams began."""
+
+import json
+from typing import Any
+
+import attrs
+
+from beryljunction.gateway.message_fields import read_rows, read_start, read_text
+from beryljunction.routing import StreamOrigin
+
+__all__ = ["BegunStream", "StreamQuery", "StreamReport"]
+
+_MAX_ATTEMPT = 1_000
+
+
+@attrs.frozen
+class BegunStream:
+    """A stream and where it began."""
+
+    key: str
+    origin: StreamOrigin
+
+
+@attrs.frozen
+class StreamQuery:
+    """Question of an entry at which a caller resumes a stream.
+
+    Attributes:
+        key: Key of the stream.
+        services: Services at which it may have begun.
+    """
+
+    key: str
+    services: tuple[str, ...]
+
+
+@attrs.frozen
+class StreamReport:
+    """Streams of one entry, as it sends them to another or answers its question.
+
+    Attributes:
+        begun: Where streams began.
+        only: Services with the only software version that they had lately.
+        query: Question to the receiver; None for none.
+    """
+
+    begun: tuple[BegunStream, ...] = ()
+    only: tuple[tuple[str, str], ...] = ()
+    query: StreamQuery | None = None
+
+    def encode(self) -> bytes:
+        """Return it as JSON."""
+        values: dict[str, Any] = {
+            "begun": [_encode_begun(row) for row in self.begun],
+            "only": self.only,
+        }
+        if self.query is not None:
+            values["query"] = [self.query.key, *self.query.services]
+        return json.dumps(values, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> "StreamReport":
+        """Decode it from JSON.
+
+        Raises:
+            ValueError: The data is not a message of this kind, or it exceeds a size limit.
+        """
+        try:
+            values = json.loads(data)
+            query = [read_text(text) for text in read_rows(values.get("query", []), "services")]
+            return cls(
+                tuple(_decode_begun(*row) for row in read_rows(values["begun"], "streams")),
+                tuple(_decode_only(*row) for row in read_rows(values["only"], "services")),
+                StreamQuery(query[0], tuple(query[1:])) if query else None,
+            )
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"expected a report of streams, got {error!r}") from error
+
+
+def _encode_begun(row: BegunStream) -> list[Any]:
+    origin = row.origin
+    return [row.key, origin.service, *origin.incarnation_id, origin.version, origin.attempt]
+
+
+def _decode_begun(
+    key: Any, service: Any, endpoint_id: Any, started_ms: Any, version: Any, attempt: Any
+) -> BegunStream:
+    is_number = isinstance(attempt, int) and not isinstance(attempt, bool)
+    if not is_number or not 1 <= attempt <= _MAX_ATTEMPT:
+        raise ValueError(f"expected an attempt from 1 to {_MAX_ATTEMPT}, got {attempt!r}")
+    origin = StreamOrigin(
+        read_text(service),
+        read_start(endpoint_id, started_ms),
+        None if version is None else read_text(version),
+        attempt,
+    )
+    return BegunStream(read_text(key), origin)
+
+
+def _decode_only(service: Any, version: Any) -> tuple[str, str]:
+    return read_text(service), read_text(version)
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapter to the users' platform: decodes its formats and names into the project's types."""
 
+from beryljunction.platform.endpoint_report import REPORT_REQUEST, decode_report_start
 from beryljunction.platform.hostfile import (
     SETTINGS_VARIABLE,
     DeploymentBounds,
@@ -42,6 +43,7 @@
     "HttpStore",
     "InvalidRecord",
     "NewestRecords",
+    "REPORT_REQUEST",
     "Record",
     "Records",
     "SETTINGS_VARIABLE",
@@ -52,6 +54,7 @@
     "decode_config",
     "decode_endpoint",
     "decode_evacuation",
+    "decode_report_start",
     "era_of",
     "format_address",
     "parse_address",
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -6,8 +6,8 @@
 from beryljunction.routing.cache_aware_placement import CacheAwarePlacement
 from beryljunction.routing.cold_start import ColdStartLimit, ColdStartLimiter
 from beryljunction.routing.confirmation import STORE, AgeBound, Confirmation
-from beryljunction.routing.crashes import Crash, CrashTable, crash_counting_hosts
-from beryljunction.routing.digest import request_digest
+from beryljunction.routing.crashes import Crash, CrashTable
+from beryljunction.routing.digest import request_digest, stream_key
 from beryljunction.routing.endpoints import EndpointRegistry
 from beryljunction.routing.evacuations import Evacuations, ZoneChange
 from beryljunction.routing.fanout import FanOut
@@ -40,10 +40,12 @@
 )
 from beryljunction.routing.prefill_rate import PrefillRate
 from beryljunction.routing.prefix_directory import PrefixDirectory, PromptParts
+from beryljunction.routing.rendezvous import responsible_hosts
 from beryljunction.routing.report_coverage import ReportCoverage
 from beryljunction.routing.retry_after import retry_after_s
+from beryljunction.routing.service_versions import ServiceVersions
 from beryljunction.routing.store_reachability import StoreReachability
-from beryljunction.routing.stream_origins import StreamOrigin
+from beryljunction.routing.stream_origins import StreamOrigin, StreamOrigins
 
 __all__ = [
     "ALL_ON",
@@ -90,19 +92,22 @@
     "Route",
     "STORE",
     "Service",
+    "ServiceVersions",
     "SettingsLease",
     "StoreReachability",
     "StreamOrigin",
+    "StreamOrigins",
     "WeightedService",
     "ZoneChange",
     "admit",
-    "crash_counting_hosts",
     "healthy_endpoints",
     "list_switches",
     "loads_to_gossip",
     "merge_loads",
     "request_digest",
+    "responsible_hosts",
     "retry_after_s",
     "should_ask_peers",
+    "stream_key",
     "weighted_loads",
 ]
--- a/src/beryljunction/routing/confirmation.py
+++ b/src/beryljunction/routing/confirmation.py
@@ -16,6 +16,7 @@
 _ANSWER_TIMEOUT_RATIO = 0.2
 # A wait shorter than this fraction of the interval is not worth a call of its own.
 _MIN_WAIT_RATIO = 0.1
+_USUAL_AGE_RATIO = 0.5
 
 
 @attrs.define
@@ -74,6 +75,11 @@
         is_too_short = left_s < self.confirm_interval_s * _MIN_WAIT_RATIO
         return left_s + self.confirm_interval_s if is_too_short else left_s
 
+    @property
+    def usual_age_s(self) -> float:
+        """Age that the records of a connected entry do not exceed while nothing fails."""
+        return self.bound_s * _USUAL_AGE_RATIO
+
     @property
     def publish_interval_s(self) -> float:
         """How much newer a confirmation must be to be forwarded without a change of records."""
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -1,16 +1,12 @@
 """Detects requests that crash endpoints and quarantines them."""
 
 import collections
-import heapq
 import math
-from collections.abc import Iterable
 from typing import Any
 
 import attrs
 
-from beryljunction.routing.rendezvous import rendezvous_rank
-
-__all__ = ["Crash", "CrashTable", "crash_counting_hosts"]
+__all__ = ["Crash", "CrashTable"]
 
 # Number of endpoints ended under a request at which it is quarantined.
 _QUARANTINE_CRASHES = 3
@@ -19,8 +15,6 @@
 # A request served this recently is not blamed for crashes, even if several endpoints end at once.
 _SERVED_TTL_S = 10.0
 _MAX_SERVED = 256
-# Entries that count the crashes of a request for the whole fleet; two of them may be down.
-_COUNTING_HOST_COUNT = 3
 
 
 @attrs.frozen
@@ -104,13 +98,6 @@
         return expired
 
 
-def crash_counting_hosts(digest: str, hosts: Iterable[str]) -> list[str]:
-    """Return the hosts whose entries count a request's crashes; all entries agree on them."""
-    return heapq.nsmallest(
-        _COUNTING_HOST_COUNT, hosts, key=lambda host: rendezvous_rank(digest, host)
-    )
-
-
 def _evict_oldest(rows: collections.OrderedDict[str, Any], key: str, most: int) -> None:
     rows.move_to_end(key)
     while len(rows) > most:
--- a/src/beryljunction/routing/digest.py
+++ b/src/beryljunction/routing/digest.py
@@ -1,10 +1,11 @@
-"""Digest by which a request is recognised when it is sent again under another id."""
+"""Digests by which requests and streams are recognised at any entry."""
 
 import hashlib
 
-__all__ = ["request_digest"]
+__all__ = ["request_digest", "stream_key"]
 
 _DIGEST_BYTES = 16
+_KEY_BYTES = 8
 
 
 def request_digest(account: str, method: bytes, host: str, target: bytes, body: bytes) -> str:
@@ -26,3 +27,14 @@
         digest.update(field)
     digest.update(body)
     return digest.hexdigest()
+
+
+def stream_key(account: str, request_id: str) -> str:
+    """Return the key of the stream that a request of a client account began; empty for no id."""
+    if not request_id:
+        return ""
+    digest = hashlib.blake2b(digest_size=_KEY_BYTES)
+    digest.update(b"%d:" % len(account.encode()))
+    digest.update(account.encode())
+    digest.update(request_id.encode())
+    return digest.hexdigest()
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 from beryljunction.routing.known_endpoint import EndpointRecord, KnownEndpoint
+from beryljunction.routing.service_versions import ServiceVersions
 from beryljunction.routing.store_reachability import StoreReachability
 from beryljunction.routing.stream_origins import StreamOrigin
 
@@ -33,6 +34,9 @@
     What is known of an incarnation is kept after it is dropped: if its record comes back, what the
     endpoint stated in its answers still holds.
 
+    Attributes:
+        versions: Software versions that the endpoints of each service had lately.
+
     Args:
         reachability: Knows when the store recovered from an outage.
     """
@@ -42,6 +46,7 @@
         self._reachability = reachability or StoreReachability()
         self._evacuated: frozenset[str] = frozenset()
         self._departed: collections.OrderedDict[str, KnownEndpoint] = collections.OrderedDict()
+        self.versions = ServiceVersions()
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -56,19 +61,10 @@
         """Return what is known of an endpoint."""
         return self._rows.get(endpoint_id)
 
-    def can_resume(self, origin: StreamOrigin, known: KnownEndpoint, is_current: bool) -> bool:
-        """Return whether an endpoint certainly has the software version that began a stream.
-
-        Args:
-            origin: Where the stream began.
-            known: The endpoint.
-            is_current: Whether the records are current enough to name the incarnation that has an
-                id, if ids are reused.
-        """
+    def can_resume(self, origin: StreamOrigin, known: KnownEndpoint) -> bool:
+        """Return whether this incarnation has the software version that began a stream."""
         record = known.record
-        if record.service != origin.service or (record.may_reuse_id and not is_current):
-            return False
-        if record.version != origin.version:
+        if record.service != origin.service or record.version != origin.version:
             return False
         if known.incarnation_id == origin.incarnation_id:
             return True
@@ -95,6 +91,7 @@
             known = self._rows[record.endpoint_id] = self._create_row(record, now_s)
         elif known.record != record:
             known.note_cold(record.cold_ms, now_s)
+        self.versions.note(record.service, record.version, now_s)
         if record.sequence >= known.record.sequence:
             known.record = record
         known.kept_until_s = None
@@ -127,11 +124,24 @@
         if known is None:
             return
         known.absent_since_s = now_s
+        self.versions.note(known.record.service, known.record.version, now_s)
         self._departed[endpoint_id] = known
         self._departed.move_to_end(endpoint_id)
         while len(self._departed) > _MAX_DEPARTED:
             self._departed.popitem(last=False)
 
+    def only_version(self, service: str, now_s: float) -> str | None:
+        """Return the only software version that a service had lately; None if there may be more."""
+        return self.versions.only(service, self._versions_of(service), now_s)
+
+    def versions_to_save(self, service: str, now_s: float) -> frozenset[str | None] | None:
+        """Return the versions to save for a service; None if the saved ones are right."""
+        return self.versions.to_save(service, self._versions_of(service), now_s)
+
+    def _versions_of(self, service: str) -> set[str | None]:
+        rows = self._rows.values()
+        return {row.record.version for row in rows if row.record.service == service}
+
     def evacuate(self, zones: frozenset[str], now_s: float) -> None:
         """Set the availability zones that get no new requests.
 
--- /dev/null
+++ b/src/beryljunction/routing/service_versions.py
@@ -0,0 +1,84 @@
+"""Which software versions the endpoints of each service had lately."""
+
+import math
+from collections.abc import Iterable
+
+__all__ = ["ServiceVersions"]
+
+Version = str | None
+# No stream is resumed this long after its first event: deadlines of callers are seconds.
+VERSIONS_TTL_S = 60.0
+
+
+class ServiceVersions:
+    """Versions that this process saw in records, and those that entries saved in the store.
+
+    The saved ones cover the time before this process started, in which streams may have begun.
+    """
+
+    def __init__(self) -> None:
+        self._seen_s: dict[tuple[str, Version], float] = {}
+        self._saved: dict[str, frozenset[Version]] = {}
+        self.seen_since_s = math.inf
+
+    def note(self, service: str, version: Version, now_s: float) -> bool:
+        """Record that an endpoint has a version; return whether the version is new."""
+        self.seen_since_s = min(self.seen_since_s, now_s)
+        key = service, version
+        is_new = now_s - self._seen_s.get(key, -math.inf) > VERSIONS_TTL_S
+        self._seen_s[key] = now_s
+        return is_new
+
+    def load(self, service: str, versions: Iterable[Version]) -> None:
+        """Apply the versions of a service that are saved in the store."""
+        self._saved[service] = frozenset(versions)
+
+    def unload(self, services: Iterable[str]) -> None:
+        """Forget the saved versions of services that the store no longer has."""
+        for service in services:
+            self._saved.pop(service, None)
+
+    @property
+    def saved(self) -> dict[str, frozenset[Version]]:
+        """The saved versions of each service."""
+        return self._saved
+
+    def recent(self, service: str, present: Iterable[Version], now_s: float) -> frozenset[Version]:
+        """Return the versions at which a stream that is still resumed may have begun.
+
+        Args:
+            service: Name of the service.
+            present: Versions of its endpoints now.
+            now_s: Time on the clock of the notes.
+        """
+        return self._seen(service, present, now_s) | self._saved.get(service, frozenset())
+
+    def only(self, service: str, present: Iterable[Version], now_s: float) -> Version:
+        """Return the only such version; None if there are several, or there may be others."""
+        if service not in self._saved and not self._has_seen_all(now_s):
+            return None
+        recent = self.recent(service, present, now_s)
+        return next(iter(recent)) if len(recent) == 1 else None
+
+    def to_save(
+        self, service: str, present: Iterable[Version], now_s: float
+    ) -> frozenset[Version] | None:
+        """Return the versions to save for a service; None if the saved ones are right.
+
+        Only a process that has seen all of the last versions removes one.
+        """
+        saved = self._saved.get(service, frozenset())
+        seen = self._seen(service, present, now_s)
+        wanted = seen if self._has_seen_all(now_s) else seen | saved
+        return wanted if wanted and wanted != saved else None
+
+    def _seen(self, service: str, present: Iterable[Version], now_s: float) -> frozenset[Version]:
+        lately = (
+            version
+            for (name, version), at_s in self._seen_s.items()
+            if name == service and now_s - at_s <= VERSIONS_TTL_S
+        )
+        return frozenset((*present, *lately))
+
+    def _has_seen_all(self, now_s: float) -> bool:
+        return now_s - self.seen_since_s > VERSIONS_TTL_S
--- a/testing/entry_harness.py
+++ b/testing/entry_harness.py
@@ -117,10 +117,14 @@
         self.requests = []
         self.ended = []
         self.port = 0
+        self.started_ms = 1
 
     async def serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            while head.startswith("GET /beryljunction/report "):
+                writer.write(AnswerBuilder(head, "").whole(body=b'{"born": %d}' % self.started_ms))
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             length = re.search(r"content-length: (\d+)", head)
             body = await reader.readexactly(int(length[1])) if length else b""
             number = len(self.requests)
@@ -152,7 +156,7 @@
             "state": "ready",
             "cold-remaining-ms": 0,
             "sequence-number": 1,
-            "born": 1,
+            "born": self.started_ms,
         }
         values.update(fields)
         return json.dumps(values).encode()
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -20,6 +20,8 @@
 from beryljunction.gateway.registration import Registration
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.store_view import StoreView, local_store_view
+from beryljunction.gateway.streamreporter import StreamReporter, VersionRecorder
+from beryljunction.gateway.streamreports import StreamReport
 from beryljunction.gateway.update_client import UpdateClient
 from beryljunction.gateway.update_publisher import UpdatePublisher
 from beryljunction.gateway.update_receiver import UpdateReceiver
@@ -152,6 +154,15 @@
         await anyio.sleep(DELAY_S)
         return answer
 
+    async def exchange_streams(self, address, report):
+        other = await self._reach(address)
+        self.member.sent_bytes += OVERHEAD_BYTES + len(report)
+        if other is None:
+            return None
+        answer = other.state.streams.apply_report(StreamReport.decode(report)).encode()
+        await anyio.sleep(DELAY_S)
+        return answer
+
 
 class FleetWorld:
     """Simulated fleet and store, as a context manager that cancels all tasks on exit."""
@@ -244,6 +255,8 @@
                 group.start_soon(task.run)
             group.start_soon(PeerConfirmation(client, state, config, endpoints, peers).run)
             group.start_soon(CrashReporter(client, store, state).run)
+            group.start_soon(StreamReporter(client, state).run)
+            group.start_soon(VersionRecorder(store, state, schedule).run)
             if self.is_shared:
                 group.start_soon(UpdatePublisher(client, state, endpoints, entries).run)
 
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -1,6 +1,10 @@
 import contextlib
+import random
+
+import pytest
 
 from beryljunction.fuzz.platform.actors import Behaviour
+from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld, behave
 
 STREAMED = ("f1", "f2", "f3")
@@ -87,3 +91,93 @@
 
             assert world.finish() == []
             assert again.asked.pieces == [3, 4, 5]
+
+
+class ReleaseHistory:
+    """Random releases, crashes and faults of entries, while callers resume what breaks off."""
+
+    VERSIONS = ("v1", "v1", "v2", "v3", None)
+
+    def __init__(self, world, seed):
+        self.world = world
+        self.draw = random.Random(seed)
+        self.resumed = set()
+
+    def play(self, steps=24):
+        actions = (
+            self.release,
+            self.release,
+            self.crash,
+            self.cut,
+            self.cut,
+            self.store_fault,
+            self.kill_entry,
+            self.heal,
+        )
+        for _ in range(steps):
+            self.ask()
+            self.draw.choice(actions)()
+            self.advance(self.draw.choice((0.02, 0.1, 0.5, 2.0)))
+            self.resume()
+            self.advance(0.2)
+
+    def advance(self, duration_s):
+        self.world.advance(duration_s)
+
+    def ask(self):
+        for _ in range(self.draw.choice((2, 6))):
+            self.world.ask(self.draw.choice(ENTRIES), "free", True, "key-a")
+        self.advance(self.draw.choice((0.035, 0.06, 0.1)))
+
+    def resume(self):
+        for caller in list(self.world.callers):
+            if caller not in self.resumed and self.world.resume(caller, self.draw.choice(ENTRIES)):
+                self.resumed.add(caller)
+
+    def release(self):
+        """Replace an endpoint, at times under its id, with a record that is late."""
+        self.world.release(
+            self.draw.choice(STREAMED),
+            self.draw.choice(self.VERSIONS),
+            keeps_id=self.draw.random() < 0.4,
+            registers_in_s=self.draw.choice((0.0, 0.0, 0.02)),
+        )
+
+    def crash(self):
+        self.world.endpoints[self.draw.choice(STREAMED)].crash("release")
+
+    def cut(self):
+        for name in self.draw.sample(STREAMED, 2):
+            behave(self.world, name, self.draw.choice((Behaviour.CUT, Behaviour.CUT_IN_EVENT)))
+        self.ask()
+        self.advance(0.3)
+        for name in STREAMED:
+            behave(self.world, name, Behaviour.WHOLE)
+
+    def store_fault(self):
+        fault = self.draw.choice((StoreFault.BUSY, StoreFault.SILENT, StoreFault.LATE))
+        self.world.store_fault(self.draw.choice(ENTRIES), fault, self.draw.random() < 0.5)
+
+    def kill_entry(self):
+        self.world.kill_entry(self.draw.choice(ENTRIES))
+
+    def heal(self):
+        for name in ENTRIES:
+            self.world.store_fault(name, StoreFault.NONE)
+
+
+def play_releases(seed):
+    with contextlib.closing(PlatformWorld()) as world:
+        history = ReleaseHistory(world, seed)
+        history.play()
+        return world.finish(), len(history.resumed)
+
+
+class TestReleases:
+    @pytest.mark.parametrize("seed", range(1, 13))
+    def test_streams_go_on_at_their_version_only_and_go_on_where_they_can(self, seed):
+        """Guards against versions mixed at another entry, in an outage or after a restart."""
+        violations, resumed = play_releases(seed)
+
+        assert violations == []
+        assert resumed > 0
