Keep stream origins at two entries, and report those begun before a release

What callers saw: a stream that began while its service had one version, and whose entry was killed after a second version had come, was refused though it could have gone on. Cause: only a change from one to two versions was looked for, and the first look came before the versions were saved, so that change was never seen. Evidence: test_streams_that_began_before_the_second_version_are_found failed. Change: unreported streams are kept until their service is mixed. Origins are kept at two entries instead of three, which takes a third off the traffic; with them come the tests of fleets of 1 to 350 entries, of the messages, the table's memory (under 4 MB when full) and traffic (under 4 KB/s at 350 entries, 5 new streams a second each), and of each safeguard removed.

--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -12,8 +12,10 @@
 from beryljunction.platform import Record
 from beryljunction.routing import Crash, CrashTable, FanOut, KnownEndpoint, responsible_hosts
 
-__all__ = ["CrashRow", "Quarantine", "is_quarantine_key"]
+__all__ = ["COUNTING_HOSTS", "CrashRow", "Quarantine", "is_quarantine_key"]
 
+# Entries that count the crashes of a request for the whole fleet; two of them may be down.
+COUNTING_HOSTS = 3
 # Prefix of the key of each quarantined request, in the topic of the entries' addresses.
 _KEY_PREFIX = "quarantine/"
 
@@ -148,7 +150,9 @@
 
     def _owners(self, digest: str) -> list[str]:
         return [
-            host for host in responsible_hosts(digest, self._fan_out.hosts) if host != self._host
+            host
+            for host in responsible_hosts(digest, self._fan_out.hosts, COUNTING_HOSTS)
+            if host != self._host
         ]
 
     def _count_crash(self, crash: Crash) -> None:
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -25,6 +25,9 @@
 
 # Prefix of the key of each service's versions, in the topic of the entries' addresses.
 _KEY_PREFIX = "versions/"
+# Entries that keep the origin of a stream besides the one that sent it to an endpoint. A third one
+# would take half as many bytes more; two entries can be lost together without it.
+_KEEPING_HOSTS = 2
 # Entries answer within a few ms; the caller of a stream that can't go on is refused after this.
 _ASK_TIMEOUT_S = 0.2
 
@@ -70,7 +73,7 @@
         self._has_current_endpoints = has_current_endpoints
         self._events = events
         self._origins = StreamOrigins()
-        self._was_mixed: dict[str, bool] = {}
+        self._unreported = StreamOrigins()
         self.outbox: Outbox[BegunStream] = Outbox(fan_out)
         self.ask_peer: AskPeer | None = None
 
@@ -86,18 +89,19 @@
             origin: The endpoint.
             services: Services at which such a stream may begin.
         """
-        self._origins.note(key, origin, boot_time_s())
+        now_s = boot_time_s()
+        self._origins.note(key, origin, now_s)
         if self._only_origin(services) is None:
             self._report(BegunStream(key, origin))
+        else:
+            self._unreported.note(key, origin, now_s)
 
     def note_versions(self) -> None:
         """Report the streams that began while their service had one version."""
-        for service in {row.record.service for row in self._registry.rows}:
-            is_mixed = self._only_origin((service,)) is None
-            if is_mixed and not self._was_mixed.get(service, True):
-                for key, origin in self._origins.rows(service):
+        for service in self._unreported.services():
+            if self._only_origin((service,)) is None:
+                for key, origin in self._unreported.pop_all(service):
                     self._report(BegunStream(key, origin))
-            self._was_mixed[service] = is_mixed
 
     async def find(self, key: str, services: tuple[str, ...]) -> StreamOrigin | None:
         """Return where a stream began; None if that is not known for certain.
@@ -139,7 +143,7 @@
             self.outbox.add(host, row)
 
     def _others_for(self, key: str) -> list[str]:
-        hosts = responsible_hosts(key, self._fan_out.hosts)
+        hosts = responsible_hosts(key, self._fan_out.hosts, _KEEPING_HOSTS)
         return [host for host in hosts if host != self._host]
 
     async def _ask(self, query: StreamQuery) -> list[StreamReport]:
--- a/src/beryljunction/routing/stream_origins.py
+++ b/src/beryljunction/routing/stream_origins.py
@@ -54,9 +54,16 @@
         row = self._rows.get(key)
         return row[0] if row is not None else None
 
-    def rows(self, service: str) -> list[tuple[str, StreamOrigin]]:
-        """Return the keys and origins of a service's streams."""
-        return [(key, row) for key, (row, _) in self._rows.items() if row.service == service]
+    def services(self) -> set[str]:
+        """Return the services of the streams."""
+        return {row.service for row, _ in self._rows.values()}
+
+    def pop_all(self, service: str) -> list[tuple[str, StreamOrigin]]:
+        """Remove a service's streams, and return their keys and origins."""
+        rows = [(key, row) for key, (row, _) in self._rows.items() if row.service == service]
+        for key, _ in rows:
+            del self._rows[key]
+        return rows
 
     def _expire(self, now_s: float) -> None:
         while self._rows:
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -227,9 +227,10 @@
         self.put("keyed.op", "config", json.dumps(config).encode())
         self.written_s[self.version] = self.loop.world_s
 
-    def endpoint(self, name, state="ready"):
+    def endpoint(self, name, state="ready", version="v1"):
         record = {"service": "s", "address": "10.9.0.1:7", "zone": "a", "slots": 4, "state": state}
-        self.put("keyed.servers", name, json.dumps({**record, "born": 1}).encode())
+        record.update({"version": version, "born": 1})
+        self.put("keyed.servers", name, json.dumps(record).encode())
 
     def start(self, name, address):
         host = HostSettings(name, "a", "r", address, ("", 2), ("", 3), self.bounds)
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -10,6 +10,7 @@
 from beryljunction.fuzz.platform.world import ENDPOINTS, ENTRIES, PlatformWorld, behave
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.peers import HttpPeerClient, PeerHandler
+from beryljunction.gateway.quarantine import COUNTING_HOSTS
 from beryljunction.platform import Record
 from beryljunction.routing import Crash, PeerTable, request_digest, responsible_hosts
 from entry_harness import open_harness, reset, route
@@ -135,7 +136,7 @@
 
     def report_crashes(self, world, count=3):
         """Let entries that don't own this request see its crashes."""
-        counting_hosts = responsible_hosts(CRASHES[0].digest, world.members)
+        counting_hosts = responsible_hosts(CRASHES[0].digest, world.members, COUNTING_HOSTS)
         others = [row for name, row in world.members.items() if name not in counting_hosts]
         rows = (others or list(world.members.values()))[:count]
         for number in range(count):
@@ -162,7 +163,7 @@
     def test_two_unreachable_counting_hosts_are_tolerated(self):
         with FleetWorld(24) as world:
             world.advance(STARTED_S)
-            for name in responsible_hosts(CRASHES[0].digest, world.members)[:2]:
+            for name in responsible_hosts(CRASHES[0].digest, world.members, COUNTING_HOSTS)[:2]:
                 world.members[name].is_cut = True
             self.report_crashes(world)
             world.advance(PROPAGATION_S)
@@ -219,7 +220,7 @@
             world.advance(STARTED_S)
             self.report_crashes(world, count=2)
             world.advance(1.0)
-            counting_hosts = responsible_hosts(CRASHES[0].digest, world.members)
+            counting_hosts = responsible_hosts(CRASHES[0].digest, world.members, COUNTING_HOSTS)
             others = [row for name, row in world.members.items() if name not in counting_hosts]
             others[0].state.quarantine.note_served(CRASHES[0].digest)
             world.advance(1.0)
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -1,12 +1,35 @@
 import contextlib
+import json
 import random
+import tracemalloc
 
+import anyio
 import pytest
 
 from beryljunction.fuzz.platform.actors import Behaviour
 from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld, behave
-
+from beryljunction.gateway.exchange import Exchange
+from beryljunction.gateway.outbox import Outbox
+from beryljunction.gateway.peers import HttpPeerClient, PeerHandler
+from beryljunction.gateway.state import EntryState
+from beryljunction.gateway.streamdirectory import StreamDirectory
+from beryljunction.gateway.streamreports import BegunStream, StreamQuery, StreamReport
+from beryljunction.platform import Record
+from beryljunction.routing import (
+    AgeBound,
+    EndpointRegistry,
+    PeerTable,
+    ServiceVersions,
+    StreamOrigin,
+    StreamOrigins,
+    responsible_hosts,
+    stream_key,
+)
+from entry_harness import open_harness, route
+from fanout_world import FleetWorld
+
+STARTED_S = 8.0
 STREAMED = ("f1", "f2", "f3")
 
 
@@ -181,3 +204,330 @@
 
         assert violations == []
         assert resumed > 0
+
+
+KEY = stream_key("acme", "q0")
+SERVICES = ("s",)
+
+
+def origin_at(endpoint="e0", version="v1", attempt=1):
+    return StreamOrigin("s", (endpoint, 1), version, attempt)
+
+
+def find_at(world, name, key=KEY):
+    return world.loop.run_until_complete(world.members[name].state.streams.find(key, SERVICES))
+
+
+def begin_at(world, name, origin, key=KEY):
+    world.members[name].state.streams.note_send(key, origin, SERVICES)
+
+
+@contextlib.contextmanager
+def mixed_fleet(entries):
+    """Fleet whose service has endpoints of two versions."""
+    with FleetWorld(entries) as world:
+        world.endpoint("e3", version="v2")
+        world.advance(STARTED_S)
+        yield world
+
+
+class TestFleet:
+    """A caller resumes its stream at an entry that did not begin it."""
+
+    @pytest.mark.parametrize("entries", [1, 2, 4, 24, 68, 350])
+    def test_origin_is_found_at_any_entry(self, entries):
+        """Guards against refusing streams that could go on."""
+        with mixed_fleet(entries) as world:
+            begin_at(world, "front-0", origin_at())
+            world.advance(0.1)
+            names = sorted(world.members)[:: max(1, entries // 10)]
+
+            assert {find_at(world, name) for name in names} == {origin_at()}
+
+    @pytest.mark.parametrize("entries", [2, 4, 24, 350])
+    def test_single_version_needs_no_messages(self, entries):
+        with FleetWorld(entries) as world:
+            world.advance(STARTED_S)
+            begin_at(world, "front-0", origin_at())
+            world.advance(0.1)
+
+            assert find_at(world, "front-1").version == "v1"
+            assert not world.members["front-0"].state.streams.outbox.hosts()
+
+    def test_origin_outlives_the_entry_that_sent_the_stream_and_another_one(self):
+        """Guards against losing streams with an entry that is killed."""
+        with mixed_fleet(24) as world:
+            begin_at(world, "front-0", origin_at())
+            world.advance(0.1)
+            keeping = responsible_hosts(KEY, world.members, 2)
+            world.kill("front-0")
+            if keeping[0] in world.members:
+                world.kill(keeping[0])
+
+            assert find_at(world, next(iter(world.members))) == origin_at()
+
+    def test_streams_that_began_before_the_second_version_are_found(self):
+        """Guards against forgetting streams that needed no report when they began."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            begin_at(world, "front-0", origin_at())
+            world.endpoint("e3", version="v2")
+            world.advance(0.5)
+            world.kill("front-0")
+
+            assert find_at(world, "front-1") == origin_at()
+
+    def test_later_attempt_replaces_the_one_before(self):
+        """Guards against the version of an endpoint that sent no event."""
+        with mixed_fleet(4) as world:
+            begin_at(world, "front-0", origin_at())
+            world.advance(0.1)
+            begin_at(world, "front-0", origin_at("e3", "v2", attempt=2))
+            world.advance(0.1)
+
+            assert {find_at(world, name).version for name in world.members} == {"v2"}
+
+    def test_entry_that_is_cut_off_does_not_guess(self):
+        """Guards against a second version that a cut-off entry does not know."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            world.cut_off(["front-1"])
+            world.endpoint("e3", version="v2")
+            world.advance(4.0)
+
+            assert find_at(world, "front-1") is None
+
+    def test_restarted_fleet_does_not_take_the_version_that_is_left_for_the_only_one(self):
+        """Guards against guessing after a power failure that follows a release."""
+        with mixed_fleet(4) as world:
+            for number in range(3):
+                world.put("keyed.servers", f"e{number}", None)
+            world.advance(3.0)
+            for name, row in list(world.members.items()):
+                world.kill(name)
+                world.start(name, row.address)
+            world.advance(STARTED_S)
+
+            assert find_at(world, "front-1") is None
+
+    def test_restarted_fleet_of_one_version_finds_streams(self):
+        """Guards against refusing all streams after a power failure."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            for name, row in list(world.members.items()):
+                world.kill(name)
+                world.start(name, row.address)
+            world.advance(3.0)
+
+            assert {find_at(world, name).version for name in world.members} == {"v1"}
+
+    def test_version_that_is_gone_for_long_does_not_matter(self):
+        with mixed_fleet(4) as world:
+            world.put("keyed.servers", "e3", None)
+            world.advance(80.0)
+
+            assert find_at(world, "front-1").version == "v1"
+
+    def test_first_reader_that_cannot_write_is_replaced(self):
+        """Guards against versions that are not saved because one entry is cut off."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            world.fault(StoreFault.SILENT, world.hosts_by_rank()[:1])
+            world.endpoint("e3", version="v2")
+            world.advance(6.0)
+
+            rows, _, _ = world.model.newest("keyed.entries", "", world.loop.world_s)
+            saved = {key: value for key, _, value in rows}
+            assert json.loads(saved["versions/s"]) == ["v1", "v2"]
+
+    @pytest.mark.parametrize("value", [b"", b"{", b"[]", b"7", b"[7]", b'"v1"', b"\xff"])
+    def test_malformed_record_is_logged_and_ignored(self, value):
+        with FleetWorld(1) as world:
+            world.advance(STARTED_S)
+            streams = world.members["front-0"].state.streams
+            streams.apply_record(Record("versions/s", value or None))
+
+            assert find_at(world, "front-0") is None or value
+
+    def test_reports_stay_within_the_control_traffic_limit(self):
+        """Guards against messages that grow with the fleet: 5 new streams a second and entry."""
+        with mixed_fleet(350) as world:
+            row = world.members["front-3"]
+            row.sent_bytes = 0
+            for number in range(50):
+                begin_at(world, "front-3", origin_at(), stream_key("acme", f"q{number}"))
+                world.advance(0.2)
+
+            assert row.sent_bytes / 10.0 < 4_096
+
+
+class TestReport:
+    REPORT = StreamReport(
+        (BegunStream(KEY, origin_at()), BegunStream("k", origin_at(version=None))),
+        (("s", "v1"),),
+        StreamQuery(KEY, SERVICES),
+    )
+
+    def test_round_trip(self):
+        assert StreamReport.decode(self.REPORT.encode()) == self.REPORT
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"begun": None},
+            {"begun": [["k"]]},
+            {"begun": [["k", "s", "e1", 1, "v1", 0]]},
+            {"begun": [["k", "s", "e1", 1, "v1", True]]},
+            {"begun": [["k", "s", "e1", "1", "v1", 1]]},
+            {"begun": [["k", "s", "e1", 1, 7, 1]]},
+            {"begun": [["k" * 129, "s", "e1", 1, "v1", 1]]},
+            {"only": [["s", None]]},
+            {"only": "s"},
+            {"query": {"k": 1}},
+            {"query": [7]},
+        ],
+    )
+    def test_invalid_field_is_an_error(self, change):
+        values = {"begun": [], "only": [], **change}
+
+        with pytest.raises(ValueError):
+            StreamReport.decode(json.dumps(values).encode())
+
+    def test_report_is_sent_and_answered_over_http(self):
+        async def run():
+            async with open_harness(route()) as harness:
+                state = harness.entry._state
+                server = await harness.serve(PeerHandler(state, None, PeerTable(state.random)))
+                client = HttpPeerClient()
+                answer = await client.exchange_streams(server, self.REPORT.encode())
+                bad = await client.exchange_streams(server, b"[]")
+                return StreamReport.decode(answer), bad
+
+        answer, bad = anyio.run(run)
+
+        assert answer.begun == (BegunStream(KEY, origin_at()),)
+        assert bad is None
+
+
+class TestTable:
+    def test_memory_of_a_full_table_is_bounded(self):
+        """Guards against an entry that keeps every stream of a busy fleet."""
+        tracemalloc.start()
+        table = StreamOrigins()
+        for number in range(20_000):
+            table.note(stream_key("acme", f"q{number}"), origin_at(f"e{number % 20}"), 0.0)
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+
+        assert len(table) == 8_192
+        assert size < 4_000_000
+
+    def test_old_streams_are_dropped(self):
+        table = StreamOrigins()
+        table.note("a", origin_at(), 0.0)
+        table.note("b", origin_at(), 61.0)
+
+        assert (table.find("a"), table.find("b")) == (None, origin_at())
+
+
+def continue_anywhere(patch):
+    patch.setattr(EndpointRegistry, "can_resume", lambda self, origin, known: True)
+
+
+def forget_the_origin_within_an_answer(patch):
+    def note_origin(self, admitted, endpoint, plan):
+        self._origin = None
+        return
+
+    patch.setattr(Exchange, "_note_origin", note_origin)
+
+
+def trust_the_only_known_version(patch):
+    patch.setattr(
+        ServiceVersions,
+        "only",
+        lambda self, service, present, now_s: next(iter(present)) if len(present) == 1 else None,
+    )
+
+
+def trust_late_records_of_versions(patch):
+    patch.setattr(EntryState, "has_current_endpoints", lambda self: True)
+
+
+def trust_late_records_of_incarnations(patch):
+    async def confirm(self, call, endpoint):
+        return True
+
+    patch.setattr(Exchange, "_confirm_incarnation", confirm)
+
+
+def trust_origins_of_reused_ids(patch):
+    patch.setattr(EndpointRegistry, "_is_origin_uncertain", lambda self, origin: False)
+    patch.setattr(AgeBound, "usual_age_s", 1e9)
+
+
+def take_unknown_versions_for_one(patch):
+    def can_resume(self, origin, known):
+        return known.record.version == origin.version
+
+    patch.setattr(EndpointRegistry, "can_resume", can_resume)
+
+
+def keep_origins_to_oneself(patch):
+    patch.setattr(Outbox, "next_rows", lambda self, host: [])
+
+
+def refuse_what_others_began(patch):
+    async def find(self, key, services):
+        return self._origins.find(key)
+
+    patch.setattr(StreamDirectory, "find", find)
+
+
+def found_by_histories():
+    return any(play_releases(seed)[0] for seed in range(1, 400))
+
+
+def found_by(check, *args):
+    """Return a function that tells whether a test of the fleet fails."""
+
+    def fails():
+        try:
+            check(TestFleet(), *args)
+        except AssertionError:
+            return True
+        return False
+
+    return fails
+
+
+SAFEGUARDS = (
+    (continue_anywhere, found_by_histories),
+    (forget_the_origin_within_an_answer, found_by_histories),
+    (trust_late_records_of_incarnations, found_by_histories),
+    (trust_origins_of_reused_ids, found_by_histories),
+    (take_unknown_versions_for_one, found_by_histories),
+    (
+        trust_the_only_known_version,
+        found_by(
+            TestFleet.test_restarted_fleet_does_not_take_the_version_that_is_left_for_the_only_one
+        ),
+    ),
+    (
+        trust_late_records_of_versions,
+        found_by(TestFleet.test_entry_that_is_cut_off_does_not_guess),
+    ),
+    (keep_origins_to_oneself, found_by(TestFleet.test_origin_is_found_at_any_entry, 4)),
+    (refuse_what_others_began, found_by(TestFleet.test_origin_is_found_at_any_entry, 4)),
+)
+
+
+@pytest.mark.timeout(600)
+class TestSafeguards:
+    @pytest.mark.parametrize(
+        ("remove", "is_found"), [pytest.param(*row, id=row[0].__name__) for row in SAFEGUARDS]
+    )
+    def test_removed_safeguard_is_found(self, remove, is_found, monkeypatch):
+        remove(monkeypatch)
+
+        assert is_found()
