Fetch cached prefixes only from engines of the same software version

What two versions write doesn't fit together, and engines don't check it. Cause: only the cached parts were compared, as for the choice of endpoints. Evidence: TestVersions fails without the change for v2. Change: engines of other versions are no sources of a prefix.

--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -107,15 +107,21 @@
 
         A session that this entry has not seen may have been placed by another one, most likely at
         the first endpoint in rendezvous order. If that one has nothing cached, the attempt costs
-        only the set-up of a fetch.
+        only the set-up of a fetch. What another software version cached may not fit.
         """
         parts = request.parts
         self._first_placed_s.setdefault(chosen.record.service, now_s)
         here = self._prefixes.cached_tokens(chosen.incarnation_id, parts, now_s)
         total = parts.shared_tokens
-        others = [row for row in rows if row.incarnation_id != chosen.incarnation_id]
+        others = [
+            row
+            for row in rows
+            if row.incarnation_id != chosen.incarnation_id
+            and row.record.version == chosen.record.version
+        ]
         source, cached = self._prefixes.best_source(others, parts, now_s)
-        known = max(cached, here if len(others) < len(rows) else 0)
+        is_reachable = any(row.incarnation_id == chosen.incarnation_id for row in rows)
+        known = max(cached, here if is_reachable else 0)
         uncached_tokens = total - known + parts.own_tokens
         if self._mechanisms.warmth:
             self._prefixes.note(chosen.incarnation_id, parts.ids, now_s)
--- a/testing/test_cache_aware_placement.py
+++ b/testing/test_cache_aware_placement.py
@@ -422,3 +422,17 @@
         home, source = self.source_for(registry, placement, 2.0)
 
         assert source != home
+
+
+class TestVersions:
+    @pytest.mark.parametrize(("version", "is_fetched"), [("v1", True), ("v2", False)])
+    def test_prefix_is_fetched_only_from_an_engine_of_the_same_version(self, version, is_fetched):
+        """Guards against a cached prefix that another software version wrote."""
+        placement = CacheAwarePlacement()
+        former, chosen = known("e1", version="v1"), known("e2", version=version)
+        placement.plan_prefill([former, chosen], former, request("chat"), 0.0)
+
+        prefill = placement.plan_prefill([former, chosen], chosen, request("chat"), 1.0)
+
+        assert (prefill.source is former) is is_fetched
+        assert prefill.uncached_tokens == (0 if is_fetched else 2_500)
