--- a/src/beryljunction/gateway/exchangelog.py
+++ b/src/beryljunction/gateway/exchangelog.py
@@ -64,6 +64,7 @@
             waiting=endpoint.reported_waiting,
             load_age_s=round(endpoint.report_age_s(boot_time_s()), 2),
             session=parts[-1] if parts else "",
+            parts=",".join(parts),
             reading=endpoint.prefill_tokens,
             unread=prefill.uncached_tokens,
             fetch_from=prefill.source.record.endpoint_id if prefill.source is not None else "",
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -86,12 +86,14 @@
             async with open_harness(route()) as harness:
                 await harness.add_endpoint("e1")
                 await harness.wait_for_endpoints(1)
-                await harness.send_request(headers=("Last-Event-Id: 2", "Resumes: q0"))
+                parts = "X-Prompt-Prefix: a1:800,b2:40,c3:10"
+                await harness.send_request(headers=("Last-Event-Id: 2", "Resumes: q0", parts))
                 return harness.lines
 
         lines = anyio.run(run)
 
         assert "resumes=q0" in lines.of_event("sent")[0]
+        assert "parts=a1,b2 " in lines.of_event("sent")[0]
         assert any("its version v1" in text for text in explanation_of("q1", lines.lines).steps)
 
     def test_request_with_a_revoked_key(self):
