Reproduce requests that crash endpoints by a part of their prompts

Callers' requests of one kind ended endpoints one after the other. The fuzz world has prompts now, parts that crash each endpoint that answers them, and an oracle for what is sent after the fifth crash and for the sound requests that share the other parts.

--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -15,6 +15,7 @@
 
 _WORK_S = 0.03
 _CRASH_S = 0.05
+_STREAM_TYPE = "content-type: text/event-stream"
 _PAUSE_S = 3
 _SLOW_S = 0.6
 
@@ -43,6 +44,8 @@
     Attributes:
         behaviour: What it does with the next requests.
         is_leaving: Whether it says in its answers that it leaves.
+        crash_head: Whether it crashes after the head of an answer without a length, and closes its
+            connections; otherwise it resets them.
         version: Version of its software, which every event that it sends names.
         on_crash: Called when it has crashed.
         has_crashed: Whether its process is gone.
@@ -57,6 +60,7 @@
     behaviour: Behaviour = Behaviour.WHOLE
     is_leaving: bool = False
     version: str | None = "v1"
+    crash_head: bool = False
     on_crash: Callable[["FuzzEndpoint"], None] | None = None
     has_crashed: bool = False
     _served: set["_Served"] = attrs.field(factory=set)
@@ -109,7 +113,7 @@
         if deadly:
             self.oracle.note_crash(deadly, self.loop.world_s)
         for served in list(self._served):
-            served.reset()
+            served.end(self.crash_head)
         if self.on_crash is not None:
             self.on_crash(self)
 
@@ -175,9 +179,12 @@
                 self._head("421 Misdirected Request", run.request_id, ["content-length: 0"])
             )
             return
-        deadly = endpoint.oracle.asked[run.request_id].deadly if ran else ""
-        if deadly:
+        asked = endpoint.oracle.asked[run.request_id]
+        deadly = asked.deadly or endpoint.oracle.bad_part_of(asked, endpoint.loop.world_s)
+        if ran and deadly:
             await asyncio.sleep(_CRASH_S)
+            if endpoint.crash_head:
+                self._write(self._head("200 OK", run.request_id, [_STREAM_TYPE]))
             endpoint.crash(deadly)
             return
         await asyncio.sleep(_SLOW_S if behaviour is Behaviour.SLOW else _WORK_S)
@@ -205,6 +212,13 @@
         if self._side is not None:
             self._side.reset()
 
+    def end(self, is_orderly: bool) -> None:
+        """End the connection with the process, in an orderly way or with a reset."""
+        if self._side is not None and is_orderly:
+            self._side.close()
+        else:
+            self.reset()
+
     def _answer(self, request_id: str, behaviour: Behaviour) -> None:
         body = self._endpoint.oracle.body_of(request_id)
         length = [f"content-length: {len(body)}"]
@@ -235,7 +249,7 @@
             self._write(whole * 2 if behaviour is Behaviour.TWICE else whole)
 
     async def _stream(self, request_id: str, start: int, behaviour: Behaviour) -> None:
-        lines = ["transfer-encoding: chunked", "content-type: text/event-stream"]
+        lines = ["transfer-encoding: chunked", _STREAM_TYPE]
         self._write(self._head("200 OK", request_id, lines))
         # A worker that takes a stream up may send the last known event once more.
         for number in range(max(1, start - 1), self._endpoint.oracle.pieces + 1):
@@ -288,12 +302,14 @@
             self._side.close()
             return
         lines = [
-            f"GET /{asked.service}/{'s' if asked.streamed else 'c'}/{asked.deadly} HTTP/1.1",
+            f"GET /{asked.service}/{'s' if asked.streamed else 'c'}/{asked.target} HTTP/1.1",
             "Host: h",
             f"X-Request-Id: {asked.request_id}",
             f"X-Credential: {asked.api_key}",
             f"X-Deadline-Ms: {int(asked.limit_s * 1000)}",
         ]
+        if asked.parts:
+            lines.append("X-Prompt-Prefix: " + ",".join(f"{part}:100" for part in asked.parts))
         if asked.resumes:
             lines += [f"Last-Event-Id: {asked.received}", f"Resumes: {asked.resumes}"]
         self._side.write("\r\n".join(lines).encode() + b"\r\n\r\n")
--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -20,6 +20,9 @@
     repeat_slack: int = 20
     crashes: int = 3
     sends_after_crashes: int = 3
+    part_crashes: int = 5
+    sound_requests: int = 20
+    sound_ratio: float = 0.5
     touch_s: float = 3.0
     pause_noticed_s: float = 0.5
     sends_in_pause: int = 2
@@ -36,6 +39,7 @@
         may_repeat: Whether it may run more than once.
         entry: The entry that it was sent to.
         deadly: Name of a request that crashes each endpoint which runs it; empty for others.
+        parts: Parts of its prompt, the last of which no other request has.
         resumes: Request that brought the first event of the stream which it resumes; empty for
             a new request.
         received: Events that its caller has of that stream.
@@ -56,6 +60,7 @@
     limit_s: float
     entry: str = ""
     deadly: str = ""
+    parts: tuple[str, ...] = ()
     resumes: str = ""
     received: int = 0
     continuing: int = 0
@@ -67,6 +72,11 @@
     is_whole: bool = False
     ended_s: float | None = None
 
+    @property
+    def target(self) -> str:
+        """End of its path, which differs for requests with a prompt."""
+        return self.deadly or (self.request_id if self.parts else "")
+
 
 @attrs.frozen
 class Run:
@@ -122,6 +132,7 @@
         self.draining_s: dict[str, float] = {}
         self.outages: list[tuple[float, float]] = []
         self.crashes_s: dict[str, list[float]] = {}
+        self.bad_parts_s: dict[str, float] = {}
         self.started_s: dict[str, float] = {}
         self.told_s: dict[tuple[str, tuple[str, int]], float] = {}
         self.pauses: list[Pause] = []
@@ -130,6 +141,11 @@
         """Take in that a request has ended an endpoint."""
         self.crashes_s.setdefault(deadly, []).append(at_s)
 
+    def bad_part_of(self, request: Asked, now_s: float) -> str:
+        """Return the part of a prompt that crashes each endpoint which answers; empty for none."""
+        bad = (part for part in request.parts[:-1] if self.bad_parts_s.get(part, math.inf) <= now_s)
+        return next(bad, "")
+
     def note_leaving(self, request_id: str, start: tuple[str, int], at_s: float) -> None:
         """Take in that a start of an endpoint has told an entry in an answer that it leaves."""
         entry = self.asked[request_id].entry
@@ -168,6 +184,8 @@
             found += self._of_run(run)
         for deadly, crashes_s in self.crashes_s.items():
             found += self._of_crashes(deadly, crashes_s)
+        for part in self.bad_parts_s:
+            found += self._of_bad_part(part)
         for pause in self.pauses:
             found += self._of_pause(pause)
         return found + self._of_versions() + self._of_resumptions() + self._of_repeats()
@@ -283,7 +301,7 @@
     def _of_crashes(self, deadly: str, crashes_s: list[float]) -> list[str]:
         """Judge a request that was sent on though enough endpoints had ended under it."""
         bounds = self.bounds
-        if len(crashes_s) < bounds.crashes:
+        if deadly in self.bad_parts_s or len(crashes_s) < bounds.crashes:
             return []
         known_s = crashes_s[bounds.crashes - 1] + bounds.touch_s
         late = [run for run in self.runs if run.at_s > known_s and self._is_of(run, deadly)]
@@ -292,6 +310,49 @@
         ended = len(crashes_s)
         return [f"{deadly}: sent {len(late)} times more, {ended} endpoints ended under it"]
 
+    def _of_bad_part(self, part: str) -> list[str]:
+        """Judge a part that crashes endpoints: what was sent with it, and what was without it."""
+        bounds, crashes_s = self.bounds, self.crashes_s.get(part, [])
+        found = []
+        if len(crashes_s) >= bounds.part_crashes:
+            known_s = crashes_s[bounds.part_crashes - 1] + bounds.touch_s
+            late = [run for run in self.runs if run.at_s > known_s and self._has_part(run, part)]
+            if len(late) > bounds.sends_after_crashes:
+                ended = len(crashes_s)
+                found.append(f"part {part}: sent {len(late)} times more, {ended} endpoints ended")
+        return found + self._of_sound_requests(part, crashes_s)
+
+    def _of_sound_requests(self, part: str, crashes_s: list[float]) -> list[str]:
+        """Judge whether requests that share the other parts of bad ones are served."""
+        bad = [row for row in self.asked.values() if part in row.parts[:-1]]
+        if not crashes_s or not bad:
+            return []
+        from_s = crashes_s[: self.bounds.part_crashes][-1] + 2 * self.bounds.touch_s
+        to_s = max(row.sent_s for row in bad)
+        sharing = {row.parts[0] for row in bad if row.parts[0] != part}
+        sound = [
+            row
+            for row in self.asked.values()
+            if row.parts and row.parts[0] in sharing and not self.bad_part_of(row, math.inf)
+        ]
+        during = [row for row in sound if from_s < row.sent_s < to_s and self._was_heard(row)]
+        before = [row for row in sound if row.sent_s < crashes_s[0] - 1.0]
+        if min(len(during), len(before)) < self.bounds.sound_requests:
+            return []
+        share, usual = _share_with_events(during), _share_with_events(before)
+        if share >= self.bounds.sound_ratio * usual:
+            return []
+        return [
+            f"part {part}: {share:.2f} of {len(during)} sound requests began, {usual:.2f} before"
+        ]
+
+    def _has_part(self, run: Run, part: str) -> bool:
+        """Whether an entry in touch sent a request with this part."""
+        asked = self.asked[run.request_id]
+        if part not in asked.parts[:-1] or not self._in_touch(run.at_s, run.at_s):
+            return False
+        return run.at_s - self.started_s.get(asked.entry, -math.inf) > self.bounds.touch_s
+
     def _of_pause(self, pause: Pause) -> list[str]:
         """Judge what an entry sent to an endpoint that wanted nothing."""
         sent = [
@@ -308,7 +369,9 @@
 
     def _may_be_quarantined(self, request: Asked) -> bool:
         """Whether enough endpoints had ended, under this request if it is a deadly one."""
-        names = [request.deadly] if request.deadly else list(self.crashes_s)
+        names = list(self.crashes_s)
+        if request.deadly or request.parts:
+            names = [request.deadly, *request.parts[:-1]]
         ended_s = request.ended_s if request.ended_s is not None else math.inf
         crashes_s = [at_s for name in names for at_s in self.crashes_s.get(name, ())]
         return sum(at_s <= ended_s for at_s in crashes_s) >= self.bounds.crashes
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -337,9 +337,24 @@
     # Callers and time
 
     def ask(
-        self, entry: str, service: str, streamed: bool, key: str, deadly: str = ""
+        self,
+        entry: str,
+        service: str,
+        streamed: bool,
+        key: str,
+        deadly: str = "",
+        parts: tuple[str, ...] = (),
     ) -> FuzzCaller:
-        """Let a caller send a request; a deadly one crashes each endpoint that runs it."""
+        """Let a caller send a request; a deadly one crashes each endpoint that runs it.
+
+        Args:
+            entry: The entry that it is sent to.
+            service: The service that it asks for.
+            streamed: Whether it asks for a stream.
+            key: Its API key.
+            deadly: Name of a request that crashes endpoints; empty for others.
+            parts: Shared parts of its prompt; one of its own is added.
+        """
         number = len(self.callers)
         asked = Asked(
             request_id=f"q{number}",
@@ -351,6 +366,7 @@
             limit_s=_TIMEOUT_MS / 1000,
             entry=entry,
             deadly=deadly,
+            parts=(*parts, f"own{number}") if parts else (),
         )
         self.oracle.asked[asked.request_id] = asked
         caller = FuzzCaller(asked, self.loop, entry)
@@ -365,7 +381,8 @@
         is_broken = asked.ended_s is not None and asked.left_s is None and not asked.is_whole
         if not (asked.streamed and asked.may_repeat and is_broken and received):
             return None
-        again = self.ask(entry, asked.service, True, asked.api_key, asked.deadly)
+        shared = asked.parts[:-1]
+        again = self.ask(entry, asked.service, True, asked.api_key, asked.deadly, shared)
         again.asked.resumes = asked.resumes or asked.request_id
         again.asked.received = received
         again.asked.continuing = self._sound_endpoints(asked.service, asked.versions)
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -93,7 +93,7 @@
         lines = anyio.run(run)
 
         assert "resumes=q0" in lines.of_event("sent")[0]
-        assert "parts=a1,b2 " in lines.of_event("sent")[0]
+        assert 'parts="a1,b2"' in lines.of_event("sent")[0]
         assert any("its version v1" in text for text in explanation_of("q1", lines.lines).steps)
 
     def test_request_with_a_revoked_key(self):
