Count a crash whose answer states no length, and don't complete that answer

What callers saw: an answer without a length that a crash cut off looked complete: a stream without any event, or a part of a call's body. Cause: the end of the connection completes such an answer, so nothing looked whether the endpoint was still there; the crash was not counted, and the request counted as served, which clears the crashes counted before. Change: when such an answer ends, the endpoint's port is probed before the answer is completed. If it refuses connections, and the endpoint hadn't announced its end, the answer is broken off and the crash counts. A stream that ends so before its first event is never complete. An endpoint whose record was removed before has left by plan.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -37,6 +37,8 @@
 
     Attributes:
         is_complete: Whether the answer was received up to the end that its framing defines.
+        ended_by_close: Whether it is complete because its connection was closed: it states no
+            length, so an endpoint that crashed may have ended it too.
         problem: Why the answer can't be used; empty while it can.
         was_disconnected: Whether the connection ended before the answer did.
         was_unread: Whether it ended so after this process had to stop reading, because the caller
@@ -59,6 +61,7 @@
         self._had_to_pause = False
         self._changed = anyio.Event()
         self.is_complete = False
+        self.ended_by_close = False
         self.problem = ""
         self.was_disconnected = False
         self.was_unread = False
@@ -89,7 +92,7 @@
     def eof_received(self) -> bool:
         """Complete an answer that is delimited by the end of its connection."""
         if self._head is not None and not self.is_complete and not self._is_framed:
-            self.is_complete = True
+            self.is_complete = self.ended_by_close = True
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -1,5 +1,7 @@
 """Serves one request of a caller: admission, endpoint selection, attempts and the answer."""
 
+import functools
+
 import anyio
 
 from beryljunction.clocks import boot_time_s
@@ -297,22 +299,26 @@
         return origin
 
     async def _update_quarantine(self, call: EndpointCall, endpoint: KnownEndpoint) -> None:
-        """Report to the quarantine whether the request was served or its endpoint crashed.
-
-        If the endpoint still accepts connections, only this connection was lost. An endpoint that
-        announced its shutdown did not crash.
-        """
+        """Report to the quarantine whether the request was served or its endpoint crashed."""
         quarantine = self._state.quarantine
         if self._caller_answer.is_complete and call.is_complete:
             quarantine.note_served(self._log.digest)
-        may_have_crashed = call.was_disconnected and not endpoint.has_said_leaving
-        if not may_have_crashed:
-            return
+        elif (call.was_disconnected or call.ended_by_close) and await self._has_crashed(endpoint):
+            quarantine.note_crash(self._log.digest, endpoint)
+
+    async def _has_crashed(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether an endpoint has ended whose connection has just ended.
+
+        If it still accepts connections, only this connection was lost. An endpoint that announced
+        its shutdown, or whose record was removed before, did not crash.
+        """
+        is_known = self._state.registry.find(endpoint.record.endpoint_id) is endpoint
+        if endpoint.has_said_leaving or not is_known:
+            return False
         port = await probe_port(endpoint.record.address)
         if port is not PortState.OPEN:
             endpoint.note_unreachable(boot_time_s())
-        if port is PortState.REFUSED:
-            quarantine.note_crash(self._log.digest, endpoint)
+        return port is PortState.REFUSED
 
     async def _handle_answer(
         self,
@@ -332,7 +338,8 @@
             endpoint.note_failure(boot_time_s())
             return AttemptResult(AttemptOutcome.FAILED, "answer to another request")
         endpoint.note_answer()
-        relay = Relay(call, head, self._caller_answer, endpoint.latency)
+        has_crashed = functools.partial(self._has_crashed, endpoint)
+        relay = Relay(call, head, self._caller_answer, endpoint.latency, has_crashed)
         if admitted.route.streamed and head.status == 200:
             return await relay.relay_events()
         return await relay.relay_buffered(admitted.route.repeat)
--- a/src/beryljunction/gateway/relay.py
+++ b/src/beryljunction/gateway/relay.py
@@ -1,5 +1,7 @@
 """Reads an endpoint's answer and relays it: buffered, or as a stream of complete events."""
 
+from collections.abc import Awaitable, Callable
+
 import attrs
 
 from beryljunction.clocks import boot_time_s
@@ -40,11 +42,22 @@
         head: ResponseHead,
         caller_answer: CallerAnswer,
         latency: LatencyEstimate,
+        has_crashed: Callable[[], Awaitable[bool]],
     ) -> None:
+        """Initialize it.
+
+        Args:
+            call: The call to the endpoint.
+            head: Head of its answer.
+            caller_answer: The answer to the caller.
+            latency: Latency estimate of the endpoint.
+            has_crashed: Returns whether the endpoint has ended without announcing it.
+        """
         self._call = call
         self._head = head
         self._caller_answer = caller_answer
         self._latency = latency
+        self._has_crashed = has_crashed
 
     async def relay_buffered(self, repeat: RepeatPolicy) -> AttemptResult:
         """Buffer the answer, then relay it; a very large one is relayed as it arrives."""
@@ -55,8 +68,8 @@
             size += len(part)
             if size > _MAX_BUFFERED_ANSWER_BYTES and not self._caller_answer.has_started:
                 return await self._forward(parts)
-        if not self._call.is_complete:
-            return AttemptResult(AttemptOutcome.FAILED, self._call.problem)
+        if not await self._is_whole():
+            return self._broken()
         if self._caller_answer.has_started:
             detail = f"expected the rest of a stream, got status {self._head.status}"
             return AttemptResult(AttemptOutcome.FAILED, detail)
@@ -72,25 +85,39 @@
             await self._caller_answer.write_part(part)
         while (more := await self._call.read_body_part()) is not None:
             await self._caller_answer.write_part(more)
-        if not self._call.is_complete:
-            return AttemptResult(AttemptOutcome.FAILED, self._call.problem)
+        if not await self._is_whole():
+            return self._broken()
         self._caller_answer.end_answer(self._head)
         return AttemptResult()
 
+    async def _is_whole(self) -> bool:
+        """Return whether the answer has ended as its endpoint meant it to."""
+        if not self._call.is_complete:
+            return False
+        return not (self._call.ended_by_close and await self._has_crashed())
+
+    def _broken(self) -> AttemptResult:
+        detail = self._call.problem or "endpoint ended with an answer that states no length"
+        return AttemptResult(AttemptOutcome.FAILED, detail)
+
     async def relay_events(self) -> AttemptResult:
         """Relay complete events as they arrive, each once."""
         splitter = EventSplitter()
+        count = 0
         previous_s: float | None = None
         while (part := await self._call.read_body_part()) is not None:
             events = splitter.feed(part)
+            count += len(events)
             previous_s = self._record_latency(previous_s, len(events))
             await self._caller_answer.write_events(self._head, events)
             if splitter.is_too_long:
                 return AttemptResult(AttemptOutcome.FAILED, "event exceeds the size limit")
-        if not self._call.is_complete or splitter.incomplete_event:
-            return AttemptResult(
-                AttemptOutcome.FAILED, self._call.problem or "answer ended within an event"
-            )
+        if self._call.is_complete and splitter.incomplete_event:
+            return AttemptResult(AttemptOutcome.FAILED, "answer ended within an event")
+        if self._call.ended_by_close and not count:
+            return AttemptResult(AttemptOutcome.FAILED, "stream ended before its first event")
+        if not await self._is_whole():
+            return self._broken()
         self._caller_answer.end_answer(self._head)
         return AttemptResult()
 
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -13,7 +13,7 @@
 from beryljunction.gateway.quarantine import COUNTING_HOSTS
 from beryljunction.platform import Record
 from beryljunction.routing import Crash, PeerTable, request_digest, responsible_hosts
-from entry_harness import open_harness, reset, route
+from entry_harness import event, open_harness, reset, route
 from fanout_world import FleetWorld
 from routing_fakes import known
 
@@ -92,6 +92,64 @@
         assert len(lines.of_event("request_quarantined")) == 1
 
 
+class TestEndOfAnswer:
+    """Answers without a length end with their connection, also when the endpoint crashes."""
+
+    def play(self, events, tail=b"", is_gone=True, kind="streaming"):
+        """Return the answer to a caller, and the log lines of ended endpoints."""
+
+        async def run():
+            async with open_harness(route(service="engine", kind=kind)) as harness:
+
+                async def script(answer, writer, number):
+                    writer.write(answer.stream_head(chunked=False))
+                    await writer.drain()
+                    await anyio.sleep(0.05)
+                    writer.write(b"".join(event(row) for row in range(1, events + 1)) + tail)
+                    if is_gone:
+                        harness.endpoints["e1"].server.close()
+
+                await harness.add_endpoint("e1", "engine", script)
+                await harness.wait_for_endpoints(1)
+                answer = await harness.send_request()
+                await anyio.sleep(0.1)
+                return answer, harness.lines.of_event("endpoint_ended")
+
+        return anyio.run(run)
+
+    @pytest.mark.parametrize(
+        ("events", "tail", "status"),
+        [(2, b"id: 3\nda", 200), (2, b"", 200), (0, b"", 502), (0, b"id: 1\nd", 502)],
+        ids=["within-event", "after-event", "after-head", "within-first-event"],
+    )
+    def test_crash_counts_and_the_answer_is_not_complete(self, events, tail, status):
+        """Guards against missing crashes of endpoints whose system closes their connections."""
+        answer, ended = self.play(events, tail)
+
+        assert (answer[0], answer[3]) == (status, status == 502)
+        assert len(ended) == 1
+
+    def test_end_of_the_connection_completes_the_answer_of_a_live_endpoint(self):
+        answer, ended = self.play(2, is_gone=False)
+
+        assert (answer[0], answer[2], answer[3]) == (200, event(1) + event(2), True)
+        assert ended == []
+
+    @pytest.mark.parametrize(("events", "tail"), [(2, b"id: 3\nda"), (0, b"")])
+    def test_broken_stream_of_a_live_endpoint_is_no_crash(self, events, tail):
+        answer, ended = self.play(events, tail, is_gone=False)
+
+        assert not answer[3] or answer[0] == 502
+        assert ended == []
+
+    def test_call_of_a_crashed_endpoint_is_not_complete(self):
+        """Guards against passing on a part of an answer as the whole."""
+        answer, ended = self.play(1, kind="non_idempotent")
+
+        assert answer[0] == 502
+        assert len(ended) == 1
+
+
 class TestOtherRequests:
     """Requests that crash no endpoint are served, whatever their endpoints do."""
 
