--- a/src/beryljunction/gateway/crashreporter.py
+++ b/src/beryljunction/gateway/crashreporter.py
@@ -3,6 +3,7 @@
 import anyio
 import anyio.abc
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.peers import PeerClient
 from beryljunction.gateway.quarantine import CrashRow
@@ -10,15 +11,20 @@
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import ENTRY_ADDRESSES, Record, Store, WriteOutcome
 from beryljunction.routing import Address
+from beryljunction.timeouts import move_on_after
 
 __all__ = ["CrashReporter"]
 
 _SAVE_RETRY_PAUSE_S = 1.0
 _MAX_SAVE_ATTEMPTS = 30
+# Limit for the answers of all entries to one question; those that are missing are done without.
+_ASK_TIMEOUT_S = 0.6
+# A round of many entries takes less than the limit with this many questions at once.
+_MAX_CONCURRENT_QUESTIONS = 32
 
 
 class CrashReporter(ReportSender[CrashRow]):
-    """Sends reports of crashes, and writes new quarantines to the store."""
+    """Sends reports of crashes, draws conclusions from them, and writes these to the store."""
 
     def __init__(self, client: PeerClient, store: Store, state: EntryState) -> None:
         super().__init__(state.quarantine.outbox, state.fan_out)
@@ -26,6 +32,13 @@
         self._store = store
         self._quarantine = state.quarantine
         self._events = state.events
+        self._questions = anyio.CapacityLimiter(_MAX_CONCURRENT_QUESTIONS)
+
+    async def run(self) -> None:
+        """Send rows and draw conclusions until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(super().run)
+            group.start_soon(self._conclude_repeatedly)
 
     def step(self, group: anyio.abc.TaskGroup) -> None:
         """Start sending to each entry with pending rows, and start saving new quarantines."""
@@ -35,8 +48,10 @@
 
     async def send(self, address: Address, rows: list[CrashRow]) -> bool:
         """Report rows to an entry, and apply the quarantines in its answer."""
-        report = self._quarantine.report_of(rows)
-        answer = await self._client.report_crashes(address, report.encode())
+        return await self._exchange(address, self._quarantine.report_of(rows).encode())
+
+    async def _exchange(self, address: Address, message: bytes) -> bool:
+        answer = await self._client.report_crashes(address, message)
         if answer is None:
             return False
         try:
@@ -46,6 +61,31 @@
             return False
         return True
 
+    async def _conclude_repeatedly(self) -> None:
+        while True:
+            await self._quarantine.suspected.wait()
+            while (due_s := self._quarantine.next_due_s) < float("inf"):
+                await anyio.sleep(max(0.0, due_s - boot_time_s()))
+                service = self._quarantine.due_service()
+                if service is not None:
+                    await self._conclude(service)
+
+    async def _conclude(self, service: str) -> None:
+        """Ask all entries what they have served, then find out what crashes a service."""
+        suspicion = self._quarantine.suspicion_of(service)
+        if suspicion is None:
+            return
+        message = CrashReport(suspicion=suspicion).encode()
+        with move_on_after(_ASK_TIMEOUT_S):
+            async with anyio.create_task_group() as group:
+                for address in list(self._fan_out.addresses().values()):
+                    group.start_soon(self._ask, address, message)
+        self._quarantine.conclude(service)
+
+    async def _ask(self, address: Address, message: bytes) -> None:
+        async with self._questions:
+            await self._exchange(address, message)
+
     async def _save(self, record: Record) -> None:
         for _ in range(_MAX_SAVE_ATTEMPTS):
             written = await self._store.put(ENTRY_ADDRESSES, record.key, record.value)
--- a/src/beryljunction/gateway/crashreports.py
+++ b/src/beryljunction/gateway/crashreports.py
@@ -9,30 +9,62 @@
 from beryljunction.gateway.message_fields import read_rows, read_start, read_text
 from beryljunction.routing import Crash
 
-__all__ = ["CrashReport"]
+__all__ = ["CrashReport", "Suspicion"]
+
+# Limit of the features of a request; no entry sends more.
+_MAX_FEATURES = 64
+
+
+@attrs.frozen
+class Suspicion:
+    """Question whether requests with some features were served lately.
+
+    Attributes:
+        service: Service of the endpoints that crashed.
+        features: Features that the requests at its crashes have in common.
+    """
+
+    service: str
+    features: frozenset[str]
 
 
 @attrs.frozen
 class CrashReport:
-    """Crashes and quarantines, as one entry sends them to another.
+    """Crashes, services and quarantines, as one entry sends them to another or answers it.
 
     Attributes:
-        crashes: Crashed endpoints, each with a request that it was running.
-        served: Digests of suspected requests that were served successfully later.
-        quarantined: Digests of quarantined requests, each with the seconds that are left.
+        crashes: Requests that endpoints had when they crashed, each with the seconds since then.
+        served: Features of requests to which an endpoint has begun an answer and lived on, each
+            with the seconds since then.
+        services: The same for services.
+        quarantined: Features of quarantined requests, each set with the seconds that are left.
+        lifted: Features whose quarantine has proved wrong.
+        suspicion: Question to the receiver; None for none.
     """
 
-    crashes: tuple[Crash, ...] = ()
-    served: tuple[str, ...] = ()
-    quarantined: tuple[tuple[str, float], ...] = ()
+    crashes: tuple[tuple[Crash, float], ...] = ()
+    served: tuple[tuple[str, float], ...] = ()
+    services: tuple[tuple[str, float], ...] = ()
+    quarantined: tuple[tuple[frozenset[str], float], ...] = ()
+    lifted: tuple[frozenset[str], ...] = ()
+    suspicion: Suspicion | None = None
 
     def encode(self) -> bytes:
         """Return it as JSON."""
-        values = {
-            "crashes": [[row.digest, *row.incarnation_id] for row in self.crashes],
-            "served": self.served,
-            "quarantined": [[digest, round(left_s, 1)] for digest, left_s in self.quarantined],
+        values: dict[str, Any] = {
+            "crashes": [
+                [row.service, *row.incarnation_id, round(age_s, 3), sorted(row.features)]
+                for row, age_s in self.crashes
+            ],
+            "served": [[feature, round(age_s, 3)] for feature, age_s in self.served],
+            "services": [[service, round(age_s, 3)] for service, age_s in self.services],
+            "quarantined": [
+                [round(left_s, 1), sorted(features)] for features, left_s in self.quarantined
+            ],
+            "lifted": [sorted(features) for features in self.lifted],
         }
+        if self.suspicion is not None:
+            values["suspicion"] = [self.suspicion.service, sorted(self.suspicion.features)]
         return json.dumps(values, separators=(",", ":")).encode()
 
     @classmethod
@@ -44,21 +76,47 @@
         """
         try:
             values = json.loads(data)
+            suspicion = values.get("suspicion")
             return cls(
                 tuple(_crash(*row) for row in read_rows(values["crashes"], "crashes")),
-                tuple(read_text(digest) for digest in read_rows(values["served"], "digests")),
-                tuple(_quarantined(*row) for row in read_rows(values["quarantined"], "digests")),
+                tuple(_aged(*row) for row in read_rows(values["served"], "features")),
+                tuple(_aged(*row) for row in read_rows(values["services"], "services")),
+                tuple(_quarantined(*row) for row in read_rows(values["quarantined"], "features")),
+                tuple(_features(row) for row in read_rows(values["lifted"], "features")),
+                None if suspicion is None else _suspicion(*suspicion),
             )
-        except (KeyError, TypeError) as error:
+        except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"expected a report of crashes, got {error!r}") from error
 
 
-def _crash(digest: Any, endpoint_id: Any, started_ms: Any) -> Crash:
-    return Crash(read_text(digest), read_start(endpoint_id, started_ms))
+def _crash(
+    service: Any, endpoint_id: Any, started_ms: Any, age_s: Any, features: Any
+) -> tuple[Crash, float]:
+    start = read_start(endpoint_id, started_ms)
+    return Crash(read_text(service), start, _features(features)), _seconds(age_s)
+
+
+def _aged(name: Any, age_s: Any) -> tuple[str, float]:
+    return read_text(name), _seconds(age_s)
+
+
+def _quarantined(left_s: Any, features: Any) -> tuple[frozenset[str], float]:
+    return _features(features), _seconds(left_s)
+
+
+def _suspicion(service: Any, features: Any) -> Suspicion:
+    return Suspicion(read_text(service), _features(features))
+
+
+def _features(value: Any) -> frozenset[str]:
+    features = frozenset(read_text(feature) for feature in read_rows(value, "features"))
+    if not 1 <= len(features) <= _MAX_FEATURES:
+        raise ValueError(f"expected 1 to {_MAX_FEATURES} features, got {len(features)}")
+    return features
 
 
-def _quarantined(digest: Any, left_s: Any) -> tuple[str, float]:
-    is_number = isinstance(left_s, int | float) and not isinstance(left_s, bool)
-    if not is_number or not math.isfinite(left_s) or left_s < 0:
-        raise ValueError(f"expected 0 or more seconds of quarantine, got {left_s!r}")
-    return read_text(digest), float(left_s)
+def _seconds(value: Any) -> float:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value) or value < 0:
+        raise ValueError(f"expected 0 or more seconds, got {value!r}")
+    return float(value)
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -1,21 +1,15 @@
 """Serves one request of a caller: admission, endpoint selection, attempts and the answer."""
 
-import functools
-
 import anyio
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.attempt_monitor import AttemptMonitor
 from beryljunction.gateway.caller_answer import AnswerWriter, CallerAnswer
-from beryljunction.gateway.calls import (
-    EndpointCall,
-    EndpointUnreachable,
-    PortState,
-    open_call,
-    probe_port,
-)
+from beryljunction.gateway.calls import EndpointCall, EndpointUnreachable, open_call
 from beryljunction.gateway.endpoint_request import build_endpoint_request
 from beryljunction.gateway.exchangelog import ExchangeLog
 from beryljunction.gateway.messages import Headers, HttpRequest, ResponseHead
+from beryljunction.gateway.quarantine import request_features
 from beryljunction.gateway.relay import AttemptResult, Relay
 from beryljunction.gateway.response_headers import apply_response_headers
 from beryljunction.gateway.state import VERSION_NOT_SERVED, EntryState
@@ -64,6 +58,7 @@
         self._endpoint_error: tuple[ResponseHead, bytes] | None = None
         self._service = ""
         self._origin: StreamOrigin | None = None
+        self._features: frozenset[str] = frozenset()
         self._plan: AttemptPlan | None = None
         self._log = ExchangeLog(state)
 
@@ -116,7 +111,8 @@
             return
         if route.repeat is RepeatPolicy.RESUME:
             self._caller_answer.last_event_id = self._caller_headers.last_event_id
-        self._log.digest = self._digest_for(admitted)
+        digest = self._log.digest = self._digest_for(admitted)
+        self._features = request_features(digest, self._caller_headers.prompt_parts)
         self._placement_request = PlacementRequest(self._shared_parts())
         share = self._state.retry_share(self._service)
         share.count_request(boot_time_s())
@@ -198,7 +194,7 @@
 
     def _end_if_quarantined(self, plan: AttemptPlan) -> bool:
         """End the request if it is quarantined for crashing endpoints; return whether it is."""
-        if self._state.quarantine.remaining_s(self._log.digest) <= 0.0:
+        if self._state.quarantine.remaining_s(self._features) <= 0.0:
             return False
         self._give_up(plan.give_up(), _QUARANTINED)
         return True
@@ -220,26 +216,10 @@
     async def _send(
         self, call: EndpointCall, endpoint: KnownEndpoint, plan: AttemptPlan
     ) -> AttemptResult:
-        """Send the request and relay the answer.
-
-        Admission and endpoint state are checked again first: while the connection was being made
-        or this process was paused, settings and membership may have changed or become too old.
-        """
-        is_confirmed = self._origin is None or await self._confirm_incarnation(call, endpoint)
-        problem = self._state.reason_not_to_send(self._service, endpoint, self._origin)
-        if not is_confirmed:
-            problem = "another incarnation of the endpoint"
-        if problem:
-            return AttemptResult(AttemptOutcome.NOT_SENT, problem)
-        admitted = self._admit()
-        if isinstance(admitted, Denial):
-            self._give_up(plan.give_up(), admitted.reason.value, admitted)
-            return AttemptResult()
-        if self._end_if_quarantined(plan):
-            return AttemptResult()
-        if not plan.before_send(boot_time_s()):
-            self._give_up(plan.give_up(), "retry_budget")
-            return AttemptResult()
+        """Send the request and relay the answer."""
+        admitted = await self._check_before_send(call, endpoint, plan)
+        if isinstance(admitted, AttemptResult):
+            return admitted
         prefill = self._state.prefill_plan(self._service, endpoint, self._placement_request)
         self._state.note_send(self._service, endpoint)
         origin = self._note_origin(admitted, endpoint, plan)
@@ -265,13 +245,17 @@
             endpoint.latency.note(took_ms, boot_time_s())
         if head is not None and head.status == 200:
             self._state.note_first_byte(self._service, prefill, took_ms)
-        result = await self._handle_answer(call, head, endpoint, admitted)
+        monitor = AttemptMonitor(self._state, endpoint, self._features)
+        result = await self._handle_answer(call, head, endpoint, admitted, monitor)
         if self._origin is None and self._caller_answer.has_started:
             self._origin = origin
         is_bad = result.outcome is not None or (head is not None and head.status >= 500)
         if not call.was_unread:
             endpoint.error_rate.note(is_bad, boot_time_s())
-            await self._update_quarantine(call, endpoint)
+            if self._caller_answer.is_complete and call.is_complete:
+                monitor.note_served()
+            else:
+                await monitor.note_lost_connection(call)
         return result
 
     async def _confirm_incarnation(self, call: EndpointCall, endpoint: KnownEndpoint) -> bool:
@@ -298,34 +282,13 @@
             self._state.streams.note_send(key, origin, self._services)
         return origin
 
-    async def _update_quarantine(self, call: EndpointCall, endpoint: KnownEndpoint) -> None:
-        """Report to the quarantine whether the request was served or its endpoint crashed."""
-        quarantine = self._state.quarantine
-        if self._caller_answer.is_complete and call.is_complete:
-            quarantine.note_served(self._log.digest)
-        elif (call.was_disconnected or call.ended_by_close) and await self._has_crashed(endpoint):
-            quarantine.note_crash(self._log.digest, endpoint)
-
-    async def _has_crashed(self, endpoint: KnownEndpoint) -> bool:
-        """Return whether an endpoint has ended whose connection has just ended.
-
-        If it still accepts connections, only this connection was lost. An endpoint that announced
-        its shutdown, or whose record was removed before, did not crash.
-        """
-        is_known = self._state.registry.find(endpoint.record.endpoint_id) is endpoint
-        if endpoint.has_said_leaving or not is_known:
-            return False
-        port = await probe_port(endpoint.record.address)
-        if port is not PortState.OPEN:
-            endpoint.note_unreachable(boot_time_s())
-        return port is PortState.REFUSED
-
     async def _handle_answer(
         self,
         call: EndpointCall,
         head: ResponseHead | None,
         endpoint: KnownEndpoint,
         admitted: Admitted,
+        monitor: AttemptMonitor,
     ) -> AttemptResult:
         """Check the status and headers of an answer, then relay it or fail the attempt."""
         if head is None:
@@ -338,12 +301,37 @@
             endpoint.note_failure(boot_time_s())
             return AttemptResult(AttemptOutcome.FAILED, "answer to another request")
         endpoint.note_answer()
-        has_crashed = functools.partial(self._has_crashed, endpoint)
-        relay = Relay(call, head, self._caller_answer, endpoint.latency, has_crashed)
+        monitor.note_head()
+        relay = Relay(call, head, self._caller_answer, endpoint.latency, monitor)
         if admitted.route.streamed and head.status == 200:
             return await relay.relay_events()
         return await relay.relay_buffered(admitted.route.repeat)
 
+    async def _check_before_send(
+        self, call: EndpointCall, endpoint: KnownEndpoint, plan: AttemptPlan
+    ) -> Admitted | AttemptResult:
+        """Return for what the request is admitted, or how the attempt ended without a send.
+
+        Admission and endpoint state are checked again: while the connection was being made or this
+        process was paused, settings and membership may have changed or become too old.
+        """
+        is_confirmed = self._origin is None or await self._confirm_incarnation(call, endpoint)
+        problem = self._state.reason_not_to_send(self._service, endpoint, self._origin)
+        if not is_confirmed:
+            problem = "another incarnation of the endpoint"
+        if problem:
+            return AttemptResult(AttemptOutcome.NOT_SENT, problem)
+        admitted = self._admit()
+        if isinstance(admitted, Denial):
+            self._give_up(plan.give_up(), admitted.reason.value, admitted)
+            return AttemptResult()
+        if self._end_if_quarantined(plan):
+            return AttemptResult()
+        if not plan.before_send(boot_time_s()):
+            self._give_up(plan.give_up(), "retry_budget")
+            return AttemptResult()
+        return admitted
+
     def _build_request(
         self, endpoint: KnownEndpoint, admitted: Admitted, source: KnownEndpoint | None
     ) -> bytes:
@@ -402,7 +390,7 @@
     def _retry_after_s(self, reason: str) -> float | None:
         """Return the Retry-After value of a refusal in seconds; None to send no such header."""
         if reason == _QUARANTINED:
-            return self._state.quarantine.remaining_s(self._log.digest)
+            return self._state.quarantine.remaining_s(self._features)
         if reason == _STOPPING:
             return 0.0
         if reason == VERSION_NOT_SERVED:
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -1,53 +1,100 @@
 """Quarantines requests that crash endpoints, in cooperation with the other entries."""
 
+import hashlib
+import json
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 import attrs
 
 from beryljunction.clocks import boot_time_s, unix_time_s
-from beryljunction.gateway.crashreports import CrashReport
+from beryljunction.gateway.auto_reset_event import AutoResetEvent
+from beryljunction.gateway.crashreports import CrashReport, Suspicion
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.outbox import Outbox
 from beryljunction.platform import Record
-from beryljunction.routing import Crash, CrashTable, FanOut, KnownEndpoint, responsible_hosts
-
-__all__ = ["COUNTING_HOSTS", "CrashRow", "Quarantine", "is_quarantine_key"]
-
-# Entries that count the crashes of a request for the whole fleet; two of them may be down.
+from beryljunction.routing import (
+    PART_PREFIX,
+    Cause,
+    Crash,
+    CrashTable,
+    FanOut,
+    KnownEndpoint,
+    is_part,
+    responsible_hosts,
+)
+
+__all__ = ["COUNTING_HOSTS", "CrashRow", "Quarantine", "is_quarantine_key", "request_features"]
+
+# Entries that count the crashes of a service for the whole fleet; two of them may be down.
 COUNTING_HOSTS = 3
-# Prefix of the key of each quarantined request, in the topic of the entries' addresses.
+# Prefix of the key of each quarantine, in the topic of the entries' addresses.
 _KEY_PREFIX = "quarantine/"
+_KEY_BYTES = 8
+# Time in which requests that share a suspected part can be served elsewhere and clear it.
+_GRACE_S = 0.5
+# Pause before each further counting host concludes what those before it have not.
+_STANDBY_S = 0.5
+# Longer or more features would exceed the limits of messages.
+_MAX_FEATURE_CHARS = 120
+_MAX_PARTS = 32
+_QUARANTINE_S = 3_600.0
+
+
+@attrs.frozen
+class _CrashedRequest:
+    crash: Crash
+    at_s: float
 
 
 @attrs.frozen
 class _Served:
-    digest: str
+    feature: str
+    at_s: float
 
 
 @attrs.frozen
 class _Quarantined:
-    digest: str
+    features: frozenset[str]
+
 
+@attrs.frozen
+class _Lifted:
+    features: frozenset[str]
 
-CrashRow = Crash | _Served | _Quarantined
+
+CrashRow = _CrashedRequest | _Served | _Quarantined | _Lifted
 
 
 def is_quarantine_key(key: str) -> bool:
-    """Return whether a key of that topic names a quarantined request."""
+    """Return whether a key of that topic names a quarantine."""
     return key.startswith(_KEY_PREFIX)
 
 
+def request_features(digest: str, parts: Sequence[str]) -> frozenset[str]:
+    """Return the features of a request: its digest and the parts that others may share.
+
+    Args:
+        digest: Digest of the request.
+        parts: Parts of its prompt; the last one is its own.
+    """
+    names = (PART_PREFIX + part for part in parts[:-1][:_MAX_PARTS])
+    return frozenset((digest, *(name for name in names if len(name) <= _MAX_FEATURE_CHARS)))
+
+
 class Quarantine:
-    """Crash counts and quarantined requests of this entry, and what it has yet to send.
+    """Crashes and quarantines that this entry knows of, and what it has yet to send.
 
-    A request that crashes every endpoint which runs it may be repeated at any entry, so a single
-    entry may not see enough of its crashes. Each entry reports a crash to a few owners of the
-    request, which are chosen by its hash. An owner that has counted enough crashes informs all
-    entries and saves the quarantine in the store, for entries that start later.
+    A request that crashes every endpoint which runs it may be repeated at any entry, or its prompt
+    has a part that does so in requests which all differ. A single entry may not see enough of the
+    crashes. Each entry reports them to a few counting hosts, which are chosen by a hash of the
+    service. A counting host that has found a cause asks all entries what they have served
+    meanwhile, unless only repeats of one request are concerned, then informs all entries and saves
+    the quarantine in the store, for entries that start later.
 
     Attributes:
         outbox: Rows to send to other entries.
+        suspected: Set when there is a service to find out about.
 
     Args:
         host: Name of this entry's host.
@@ -60,116 +107,271 @@
         self._fan_out = fan_out
         self._events = events
         self._table = CrashTable()
-        self._unsaved: list[str] = []
+        self._unsaved: list[frozenset[str]] = []
+        self._removed: list[frozenset[str]] = []
+        self._due_s: dict[str, float] = {}
         self.outbox: Outbox[CrashRow] = Outbox(fan_out)
+        self.suspected = AutoResetEvent()
 
     def __len__(self) -> int:
-        """Return the number of quarantined requests."""
+        """Return the number of quarantines."""
         return len(self._table.quarantined(boot_time_s()))
 
-    def remaining_s(self, digest: str) -> float:
+    def remaining_s(self, features: Collection[str]) -> float:
         """Return how much longer a request stays in quarantine; 0 if it is not in quarantine."""
-        return self._table.remaining_s(digest, boot_time_s())
-
-    def note_crash(self, digest: str, endpoint: KnownEndpoint) -> None:
-        """Record that an endpoint crashed while it ran a request of this entry."""
-        crash = Crash(digest, endpoint.incarnation_id)
+        return self._table.remaining_s(features, boot_time_s())
+
+    def note_crash(
+        self, features: frozenset[str], endpoint: KnownEndpoint, may_be_part: bool = True
+    ) -> None:
+        """Record that an endpoint crashed while it had a request of this entry.
+
+        Args:
+            features: Features of the request.
+            endpoint: The endpoint.
+            may_be_part: Whether a part of its prompt may be the cause: an endpoint that had been
+                sending the answer for a while was not crashed by a part.
+        """
+        now_s = boot_time_s()
+        digest = next((feature for feature in features if not is_part(feature)), "")
         self._events.write("endpoint_ended", digest=digest, endpoint=endpoint.record.endpoint_id)
-        for host in self._owners(digest):
-            self.outbox.add(host, crash)
-        self._count_crash(crash)
-
-    def note_served(self, digest: str) -> None:
-        """Record that a request of this entry was served completely."""
-        if not self._table.note_served(digest, boot_time_s()):
-            return
-        for host in self._owners(digest):
-            self.outbox.discard(host, lambda row: isinstance(row, Crash) and row.digest == digest)
-            self.outbox.add(host, _Served(digest))
+        if not may_be_part:
+            features = frozenset((digest,))
+        crash = Crash(endpoint.record.service, endpoint.incarnation_id, features)
+        for host in self._counting_hosts(crash.service):
+            if host != self._host:
+                self.outbox.add(host, _CrashedRequest(crash, now_s))
+        self._count_crash(crash, now_s)
+
+    def note_served(self, service: str, features: Iterable[str], began_s: float) -> None:
+        """Record that an endpoint began an answer to a request of this entry and lived on.
+
+        Args:
+            service: Service of the endpoint.
+            features: Features of the request.
+            began_s: Boot time at which its answer began.
+        """
+        self._table.note_service_served(service, began_s)
+        for feature in features:
+            if self._table.has_crashes(feature):
+                for host in self._counting_hosts(service):
+                    if host != self._host:
+                        self.outbox.add(host, _Served(feature, began_s))
+            self._note_served(feature, began_s)
 
     def apply_report(self, report: CrashReport) -> CrashReport:
-        """Apply another entry's report; return which of the reported requests are in quarantine.
+        """Apply another entry's report; return the answer to it.
 
-        The answer is needed by an entry that has just started: it is not yet on every list, so it
-        may have missed the announcement.
+        The answer has the quarantines of reported requests, for an entry that has just started: it
+        is not yet on every list, so it may have missed the announcement. It also has what this
+        entry has served of a suspicion.
         """
-        for digest in report.served:
-            self._table.discard_crashes(digest)
-        for digest, left_s in report.quarantined:
-            self._apply_quarantine(digest, left_s)
-        for crash in report.crashes:
-            self._count_crash(crash)
-        digests = {crash.digest for crash in report.crashes}
-        lefts_s = {digest: self.remaining_s(digest) for digest in digests}
+        now_s = boot_time_s()
+        for feature, age_s in report.served:
+            self._note_served(feature, now_s - age_s)
+        for service, age_s in report.services:
+            self._table.note_service_served(service, now_s - age_s)
+        for features, left_s in report.quarantined:
+            self._apply_quarantine(features, left_s)
+        for features in report.lifted:
+            self._lift(features)
+        for crash, age_s in report.crashes:
+            self._count_crash(crash, now_s - age_s)
+        quarantined = {
+            features: left_s
+            for features, left_s in self._table.quarantined(now_s).items()
+            if any(features <= crash.features for crash, _ in report.crashes)
+        }
+        answer = CrashReport(quarantined=tuple(quarantined.items()))
+        return answer if report.suspicion is None else self._answer(report.suspicion, now_s)
+
+    def _answer(self, suspicion: Suspicion, now_s: float) -> CrashReport:
+        ages_s = {row: now_s - self._table.served_s(row) for row in suspicion.features}
+        service_age_s = now_s - self._table.last_service_s(suspicion.service)
         return CrashReport(
-            quarantined=tuple(row for row in lefts_s.items() if row[1] > 0.0),
+            served=tuple(row for row in ages_s.items() if math.isfinite(row[1])),
+            services=((suspicion.service, service_age_s),) if math.isfinite(service_age_s) else (),
         )
 
     def report_of(self, rows: Iterable[CrashRow]) -> CrashReport:
         """Return the report that has these rows."""
         now_s = boot_time_s()
         chosen = list(rows)
-        digests = [row.digest for row in chosen if isinstance(row, _Quarantined)]
+        left_s = self._table.quarantined(now_s)
         return CrashReport(
-            tuple(row for row in chosen if isinstance(row, Crash)),
-            tuple(row.digest for row in chosen if isinstance(row, _Served)),
-            tuple((digest, self._table.remaining_s(digest, now_s)) for digest in digests),
+            crashes=tuple(
+                (row.crash, max(0.0, now_s - row.at_s))
+                for row in chosen
+                if isinstance(row, _CrashedRequest)
+            ),
+            served=tuple(
+                (row.feature, max(0.0, now_s - row.at_s))
+                for row in chosen
+                if isinstance(row, _Served)
+            ),
+            quarantined=tuple(
+                (row.features, left_s.get(row.features, 0.0))
+                for row in chosen
+                if isinstance(row, _Quarantined)
+            ),
+            lifted=tuple(row.features for row in chosen if isinstance(row, _Lifted)),
+        )
+
+    # Conclusions
+
+    def due_service(self) -> str | None:
+        """Return a service of which this entry has to find out now what crashes its endpoints."""
+        now_s = boot_time_s()
+        return next((service for service, due_s in self._due_s.items() if due_s <= now_s), None)
+
+    @property
+    def next_due_s(self) -> float:
+        """Boot time at which the next service is due; infinity for none."""
+        return min(self._due_s.values(), default=math.inf)
+
+    def suspicion_of(self, service: str) -> Suspicion | None:
+        """Return the question to ask all entries about a service; None if there is none."""
+        cause = self._table.find_cause(service, boot_time_s())
+        if cause is None:
+            del self._due_s[service]
+            return None
+        return Suspicion(service, cause.features)
+
+    def conclude(self, service: str) -> None:
+        """Quarantine what crashes a service's endpoints, after all entries were asked.
+
+        Without any answer of the service since then, nothing tells one cause from another.
+        """
+        now_s = boot_time_s()
+        cause = self._table.find_cause(service, now_s)
+        if cause is not None and self._table.last_service_s(service) > cause.first_s:
+            self._quarantine(cause, service)
+            cause = self._table.find_cause(service, now_s)
+        if cause is None:
+            self._due_s.pop(service, None)
+        else:
+            self._due_s[service] = now_s + _GRACE_S
+
+    def _count_crash(self, crash: Crash, at_s: float) -> None:
+        now_s = boot_time_s()
+        self._table.note_crash(crash, at_s)
+        cause = self._table.find_cause(crash.service, now_s, crash.features)
+        if cause is None:
+            return
+        if cause.is_exact:
+            self._quarantine(cause, crash.service)
+        elif crash.service not in self._due_s:
+            delay_s = _GRACE_S + self._rank(crash.service) * _STANDBY_S
+            self._due_s[crash.service] = now_s + delay_s
+            self.suspected.set()
+
+    def _rank(self, service: str) -> int:
+        """Return how many entries conclude before this one."""
+        hosts = self._counting_hosts(service)
+        return hosts.index(self._host) if self._host in hosts else len(hosts)
+
+    def _quarantine(self, cause: Cause, service: str) -> None:
+        if not self._table.quarantine(cause.features, _QUARANTINE_S, boot_time_s()):
+            return
+        self._log(cause.features, service)
+        self._unsaved.append(cause.features)
+        self.outbox.changed.set()
+        for host in self._fan_out.addresses():
+            self.outbox.add(host, _Quarantined(cause.features))
+
+    def _apply_quarantine(self, features: frozenset[str], left_s: float) -> None:
+        if self._table.quarantine(features, left_s, boot_time_s()):
+            self._log(features, "")
+
+    def _log(self, features: frozenset[str], service: str) -> None:
+        parts = (row.removeprefix(PART_PREFIX) for row in features if is_part(row))
+        digest = next((feature for feature in features if not is_part(feature)), "")
+        self._events.write(
+            "request_quarantined", digest=digest, parts=",".join(sorted(parts)), service=service
         )
 
+    def _note_served(self, feature: str, at_s: float) -> None:
+        """Note a service; one that began under quarantine shows that the quarantine is wrong."""
+        self._table.note_served(feature, at_s)
+        for features in self._table.disproved_by(feature, at_s):
+            if self._lift(features):
+                self._removed.append(features)
+                self.outbox.changed.set()
+                for host in self._fan_out.addresses():
+                    self.outbox.add(host, _Lifted(features))
+
+    def _lift(self, features: frozenset[str]) -> bool:
+        is_lifted = self._table.lift(features)
+        if is_lifted:
+            self._events.write("quarantine_lifted", parts=",".join(sorted(features)))
+        return is_lifted
+
+    def _counting_hosts(self, service: str) -> list[str]:
+        return responsible_hosts(service, self._fan_out.hosts, COUNTING_HOSTS)
+
     # Records in the store
 
     def records(self) -> tuple[Record, ...]:
-        """Return the record of each quarantined request."""
+        """Return the record of each quarantine."""
         lefts_s = self._table.quarantined(boot_time_s())
-        return tuple(_record(digest, left_s) for digest, left_s in lefts_s.items())
+        return tuple(_record(features, left_s) for features, left_s in lefts_s.items())
 
     def apply_record(self, record: Record) -> None:
         """Apply a record of the store; its removal does not end a quarantine here."""
         if record.value is None:
             return
         try:
-            until_s = float(record.value)
-        except ValueError:
-            until_s = math.nan
-        if not math.isfinite(until_s):
+            features, until_s = _decode_record(record.key, record.value)
+        except (ValueError, TypeError, KeyError):
             self._events.write("quarantine_refused", key=record.key)
             return
         left_s = until_s - unix_time_s()
         if left_s > 0.0:
-            self._apply_quarantine(record.key.removeprefix(_KEY_PREFIX), left_s)
+            self._apply_quarantine(features, left_s)
 
     def unsaved_records(self) -> list[Record]:
-        """Return the records to write to the store, each once."""
-        digests, self._unsaved = self._unsaved, []
-        now_s = boot_time_s()
-        return [_record(digest, self._table.remaining_s(digest, now_s)) for digest in digests]
+        """Return the records to write to the store, each once; those without value to remove."""
+        unsaved, self._unsaved = self._unsaved, []
+        removed, self._removed = self._removed, []
+        left_s = self._table.quarantined(boot_time_s())
+        records = [_record(row, left_s[row]) for row in unsaved if row in left_s]
+        return records + [Record(_key(row), None) for row in removed]
 
     def expired_keys(self) -> list[str]:
-        """Return the keys of requests whose quarantine has expired, each once."""
-        return [_KEY_PREFIX + digest for digest in self._table.expire(boot_time_s())]
-
-    def _owners(self, digest: str) -> list[str]:
-        return [
-            host
-            for host in responsible_hosts(digest, self._fan_out.hosts, COUNTING_HOSTS)
-            if host != self._host
-        ]
-
-    def _count_crash(self, crash: Crash) -> None:
-        if not self._table.note_crash(crash, boot_time_s()):
-            return
-        self._events.write(
-            "request_quarantined", digest=crash.digest, endpoint=crash.incarnation_id[0]
-        )
-        self._unsaved.append(crash.digest)
-        self.outbox.changed.set()
-        for host in self._fan_out.addresses():
-            self.outbox.add(host, _Quarantined(crash.digest))
+        """Return the keys of quarantines that have expired, each once."""
+        return [_key(features) for features in self._table.expire(boot_time_s())]
+
+
+def _key(features: frozenset[str]) -> str:
+    if len(features) == 1 and not any(map(is_part, features)):
+        return _KEY_PREFIX + next(iter(features))
+    digest = hashlib.blake2b("\n".join(sorted(features)).encode(), digest_size=_KEY_BYTES)
+    return _KEY_PREFIX + digest.hexdigest()
 
-    def _apply_quarantine(self, digest: str, left_s: float) -> None:
-        if self._table.quarantine(digest, left_s, boot_time_s()):
-            self._events.write("request_quarantined", digest=digest, endpoint="")
 
+def _record(features: frozenset[str], left_s: float) -> Record:
+    """Return the record of a quarantine; that of a request's digest has the digest in its key."""
+    until_s = round(unix_time_s() + left_s)
+    if len(features) == 1 and not any(map(is_part, features)):
+        return Record(_key(features), b"%d" % until_s)
+    value = {"until": until_s, "features": sorted(features)}
+    return Record(_key(features), json.dumps(value).encode())
 
-def _record(digest: str, left_s: float) -> Record:
-    return Record(_KEY_PREFIX + digest, b"%.0f" % (unix_time_s() + left_s))
+
+def _decode_record(key: str, value: bytes) -> tuple[frozenset[str], float]:
+    """Return the features and the end of a quarantine, in Unix seconds.
+
+    Raises:
+        ValueError: The record can't be read.
+        TypeError: A field has another type.
+        KeyError: A field is missing.
+    """
+    if value.startswith(b"{"):
+        fields = json.loads(value)
+        features, until_s = frozenset(fields["features"]), float(fields["until"])
+    else:
+        features, until_s = frozenset((key.removeprefix(_KEY_PREFIX),)), float(value)
+    is_valid = bool(features) and all(isinstance(row, str) and row for row in features)
+    if not is_valid or not math.isfinite(until_s):
+        raise ValueError(f"{key}: expected features and an end, got {value!r:.80}")
+    return features, until_s
--- a/src/beryljunction/gateway/relay.py
+++ b/src/beryljunction/gateway/relay.py
@@ -1,10 +1,9 @@
 """Reads an endpoint's answer and relays it: buffered, or as a stream of complete events."""
 
-from collections.abc import Awaitable, Callable
-
 import attrs
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.attempt_monitor import AttemptMonitor
 from beryljunction.gateway.caller_answer import CallerAnswer
 from beryljunction.gateway.calls import EndpointCall
 from beryljunction.gateway.eventstream import EventSplitter
@@ -42,7 +41,7 @@
         head: ResponseHead,
         caller_answer: CallerAnswer,
         latency: LatencyEstimate,
-        has_crashed: Callable[[], Awaitable[bool]],
+        monitor: AttemptMonitor,
     ) -> None:
         """Initialize it.
 
@@ -51,13 +50,13 @@
             head: Head of its answer.
             caller_answer: The answer to the caller.
             latency: Latency estimate of the endpoint.
-            has_crashed: Returns whether the endpoint has ended without announcing it.
+            monitor: Watches the attempt.
         """
         self._call = call
         self._head = head
         self._caller_answer = caller_answer
         self._latency = latency
-        self._has_crashed = has_crashed
+        self._monitor = monitor
 
     async def relay_buffered(self, repeat: RepeatPolicy) -> AttemptResult:
         """Buffer the answer, then relay it; a very large one is relayed as it arrives."""
@@ -94,7 +93,7 @@
         """Return whether the answer has ended as its endpoint meant it to."""
         if not self._call.is_complete:
             return False
-        return not (self._call.ended_by_close and await self._has_crashed())
+        return not (self._call.ended_by_close and await self._monitor.has_crashed())
 
     def _broken(self) -> AttemptResult:
         detail = self._call.problem or "endpoint ended with an answer that states no length"
@@ -108,6 +107,8 @@
         while (part := await self._call.read_body_part()) is not None:
             events = splitter.feed(part)
             count += len(events)
+            if events:
+                self._monitor.note_events()
             previous_s = self._record_latency(previous_s, len(events))
             await self._caller_answer.write_events(self._head, events)
             if splitter.is_too_long:
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -6,7 +6,7 @@
 from beryljunction.routing.cache_aware_placement import CacheAwarePlacement
 from beryljunction.routing.cold_start import ColdStartLimit, ColdStartLimiter
 from beryljunction.routing.confirmation import STORE, AgeBound, Confirmation
-from beryljunction.routing.crashes import Crash, CrashTable
+from beryljunction.routing.crashes import PART_PREFIX, Cause, Crash, CrashTable, is_part
 from beryljunction.routing.digest import request_digest, stream_key
 from beryljunction.routing.endpoints import EndpointRegistry
 from beryljunction.routing.evacuations import Evacuations, ZoneChange
@@ -58,6 +58,7 @@
     "AttemptPlan",
     "CacheAwarePlacement",
     "CallerLimits",
+    "Cause",
     "ColdStartLimit",
     "ColdStartLimiter",
     "Confirmation",
@@ -78,6 +79,7 @@
     "Mechanisms",
     "MovedSession",
     "MovedSessions",
+    "PART_PREFIX",
     "PeerTable",
     "Placement",
     "PlacementRequest",
@@ -101,6 +103,7 @@
     "ZoneChange",
     "admit",
     "healthy_endpoints",
+    "is_part",
     "list_switches",
     "loads_to_gossip",
     "merge_loads",
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -1,104 +1,284 @@
-"""Detects requests that crash endpoints and quarantines them."""
+"""Finds out which requests crash endpoints, and quarantines them."""
 
 import collections
 import math
+from collections.abc import Collection, Iterable
 from typing import Any
 
 import attrs
 
-__all__ = ["Crash", "CrashTable"]
+__all__ = ["Cause", "Crash", "CrashTable", "PART_PREFIX", "is_part"]
 
-# Number of endpoints ended under a request at which it is quarantined.
+# Prefix of the feature that stands for a part of a prompt. Other features are digests of requests.
+PART_PREFIX = "part:"
+# Number of crashes with a feature at which requests that have it are quarantined.
 _QUARANTINE_CRASHES = 3
 _QUARANTINE_S = 3_600.0
-_MAX_DIGESTS = 4_096
+# A part is shared with other requests, so its quarantine ends sooner, should it be wrong.
+_PART_QUARANTINE_S = 600.0
+# Endpoints that end this close together have most likely ended for one reason outside of their
+# requests, such as a lost rack; for parts, which many requests share, they count as one crash.
+_TOGETHER_S = 0.05
+_MAX_CRASHES = 256
+_MAX_REQUESTS = 256
+_MAX_QUARANTINED = 4_096
 # A request served this recently is not blamed for crashes, even if several endpoints end at once.
 _SERVED_TTL_S = 10.0
-_MAX_SERVED = 256
+# Digests and parts whose last service is remembered, at about 200 bytes each.
+_MAX_SERVED_DIGESTS = 256
+_MAX_SERVED_PARTS = 4_096
+
+Features = frozenset[str]
+
+
+def is_part(feature: str) -> bool:
+    """Return whether a feature stands for a part of a prompt."""
+    return feature.startswith(PART_PREFIX)
 
 
 @attrs.frozen
 class Crash:
-    """An endpoint ended while it was handling a request.
+    """A request that an endpoint had when it crashed.
 
     Attributes:
-        digest: Digest of the request.
+        service: Service of the endpoint.
         incarnation_id: Id and start time of the endpoint.
+        features: What the request may have in common with others: its digest and parts.
     """
 
-    digest: str
+    service: str
     incarnation_id: tuple[str, int]
+    features: Features
+
+
+@attrs.frozen
+class Cause:
+    """Features that the requests under several crashes have in common.
+
+    Attributes:
+        features: A request that has all of them is held to crash endpoints.
+        first_s: Time of the first of these crashes.
+    """
+
+    features: Features
+    first_s: float
+
+    @property
+    def is_exact(self) -> bool:
+        """Whether only repeats of one request have these features."""
+        return not all(is_part(feature) for feature in self.features)
 
 
 @attrs.define
-class _CrashCount:
-    incarnation_ids: set[tuple[str, int]] = attrs.field(factory=set)
-    at_s: float = -math.inf
+class _CrashedEndpoint:
+    service: str
+    at_s: float
+    requests: collections.OrderedDict[Features, None] = attrs.field(factory=collections.OrderedDict)
+
+
+@attrs.frozen
+class _Quarantine:
+    since_s: float
+    until_s: float
 
 
 class CrashTable:
-    """Counts the endpoints that ended under the same request and quarantines the request."""
+    """Infers from crashes, and from what was served meanwhile, which requests crash endpoints.
+
+    A feature is held against no request if an endpoint has begun an answer to one that has it after
+    the crash and has lived on. Of those that are left, the ones under the most crashes are the
+    cause. Features under the same crashes can't be told apart; only a request that has all of them
+    is quarantined, so that no sound one is, and the next crash or answer shows which one it is.
+    """
 
     def __init__(self) -> None:
-        self._crashes: collections.OrderedDict[str, _CrashCount] = collections.OrderedDict()
-        self._quarantined: collections.OrderedDict[str, float] = collections.OrderedDict()
-        self._served_s: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._crashes: collections.OrderedDict[tuple[str, int], _CrashedEndpoint]
+        self._crashes = collections.OrderedDict()
+        self._quarantined: collections.OrderedDict[Features, _Quarantine]
+        self._quarantined = collections.OrderedDict()
+        self._wide: set[Features] = set()
+        self._served_digests_s: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._served_parts_s: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._service_served_s: dict[str, float] = {}
 
     def __len__(self) -> int:
-        """Return the number of quarantined requests."""
+        """Return the number of quarantines."""
         return len(self._quarantined)
 
-    def note_crash(self, crash: Crash, now_s: float) -> bool:
-        """Count an ended endpoint; return True if this quarantines the request."""
-        digest = crash.digest
-        if now_s - self._served_s.get(digest, -math.inf) <= _SERVED_TTL_S:
-            return False
-        row = self._crashes.get(digest)
-        if row is None or now_s - row.at_s > _QUARANTINE_S:
-            row = self._crashes[digest] = _CrashCount()
-        row.incarnation_ids.add(crash.incarnation_id)
-        row.at_s = now_s
-        _evict_oldest(self._crashes, digest, _MAX_DIGESTS)
-        return len(row.incarnation_ids) >= _QUARANTINE_CRASHES and self.quarantine(
-            digest, _QUARANTINE_S, now_s
+    def note_crash(self, crash: Crash, at_s: float) -> None:
+        """Record a request that an endpoint had when it crashed."""
+        features = frozenset(
+            name
+            for name in crash.features
+            if is_part(name) or at_s - self.served_s(name) > _SERVED_TTL_S
+        )
+        if not features:
+            return
+        row = self._crashes.get(crash.incarnation_id)
+        if row is None:
+            row = self._crashes[crash.incarnation_id] = _CrashedEndpoint(crash.service, at_s)
+        row.at_s = min(row.at_s, at_s)
+        row.requests[features] = None
+        _evict_oldest(row.requests, features, _MAX_REQUESTS)
+        _evict_oldest(self._crashes, crash.incarnation_id, _MAX_CRASHES)
+
+    def note_served(self, feature: str, at_s: float) -> None:
+        """Record that an endpoint began an answer to a request with a feature, and lived on."""
+        rows, most = self._served_digests_s, _MAX_SERVED_DIGESTS
+        if is_part(feature):
+            rows, most = self._served_parts_s, _MAX_SERVED_PARTS
+        rows[feature] = max(at_s, rows.get(feature, -math.inf))
+        _evict_oldest(rows, feature, most)
+
+    def note_service_served(self, service: str, at_s: float) -> None:
+        """Record that an endpoint of a service began an answer and lived on."""
+        self._service_served_s[service] = max(at_s, self._served_service_s(service))
+
+    def served_s(self, feature: str) -> float:
+        """Return when an answer to a request with a feature last began; minus infinity if never."""
+        rows = self._served_parts_s if is_part(feature) else self._served_digests_s
+        return rows.get(feature, -math.inf)
+
+    def _served_service_s(self, service: str) -> float:
+        return self._service_served_s.get(service, -math.inf)
+
+    def has_crashes(self, feature: str) -> bool:
+        """Return whether a crash with a feature is counted."""
+        served_s = self.served_s(feature)
+        return any(
+            row.at_s > served_s and any(feature in names for names in row.requests)
+            for row in self._crashes.values()
         )
 
-    def note_served(self, digest: str, now_s: float) -> bool:
-        """Record that a request was fully served; return True if it had counted crashes."""
-        self._served_s[digest] = now_s
-        _evict_oldest(self._served_s, digest, _MAX_SERVED)
-        return self.discard_crashes(digest)
+    def last_service_s(self, service: str) -> float:
+        """Return when an endpoint of a service last began an answer and lived on."""
+        return self._served_service_s(service)
+
+    def find_cause(
+        self, service: str, now_s: float, among: Collection[str] | None = None
+    ) -> Cause | None:
+        """Return features that most likely crash a service's endpoints and aren't quarantined.
 
-    def discard_crashes(self, digest: str) -> bool:
-        """Discard the crashes counted for a request; return True if there were any."""
-        return self._crashes.pop(digest, None) is not None
+        Args:
+            service: Name of the service.
+            now_s: Time on the clock of the crashes.
+            among: The only features whose crashes have changed since no cause was found; None for
+                all.
+        """
+        rows = {
+            incarnation_id: row
+            for incarnation_id, row in self._crashes.items()
+            if row.service == service and now_s - row.at_s <= _QUARANTINE_S
+        }
+        if among is not None:
+            changed = self._crashes_by_feature(rows, among)
+            if all(len(crashed) < _QUARANTINE_CRASHES for crashed in changed.values()):
+                return None
+        crashes = self._crashes_by_feature(rows)
+        explained: set[tuple[str, int]] = set()
+        for feature in sorted(crashes, key=lambda name: (-len(crashes[name]), name)):
+            unexplained = crashes[feature] - explained
+            times_s = [rows[crash].at_s for crash in unexplained]
+            count = _count_apart(times_s) if is_part(feature) else len(times_s)
+            if count < _QUARANTINE_CRASHES:
+                continue
+            common = self._common_features(feature, crashes, rows)
+            if self.remaining_s(common, now_s) <= 0.0:
+                return Cause(common, min(rows[crash].at_s for crash in crashes[feature]))
+            if all(map(is_part, common)):
+                explained |= crashes[feature]
+        return None
 
-    def quarantine(self, digest: str, left_s: float, now_s: float) -> bool:
-        """Block a request for a while; return False if it is already blocked."""
-        if self.remaining_s(digest, now_s) > 0.0:
+    def _crashes_by_feature(
+        self,
+        rows: dict[tuple[str, int], _CrashedEndpoint],
+        among: Collection[str] | None = None,
+    ) -> dict[str, set[tuple[str, int]]]:
+        crashes: dict[str, set[tuple[str, int]]] = collections.defaultdict(set)
+        for incarnation_id, row in rows.items():
+            for feature in frozenset[str]().union(*row.requests):
+                is_wanted = among is None or feature in among
+                if is_wanted and row.at_s > self.served_s(feature):
+                    crashes[feature].add(incarnation_id)
+        return crashes
+
+    @staticmethod
+    def _common_features(
+        feature: str,
+        crashes: dict[str, set[tuple[str, int]]],
+        rows: dict[tuple[str, int], _CrashedEndpoint],
+    ) -> Features:
+        """Return the features that requests with a feature had at each of its crashes."""
+        common: Features | None = None
+        for incarnation_id in crashes[feature]:
+            requests = [names for names in rows[incarnation_id].requests if feature in names]
+            present = frozenset[str]().union(*requests)
+            common = present if common is None else common & present
+        assert common is not None
+        return frozenset(name for name in common if crashes[name] >= crashes[feature])
+
+    def quarantine(self, features: Features, left_s: float, now_s: float) -> bool:
+        """Block requests with all of these features for a while; return False if they are blocked.
+
+        Replaces quarantines of more features.
+        """
+        if self.remaining_s(features, now_s) > 0.0:
             return False
-        self._quarantined[digest] = now_s + min(left_s, _QUARANTINE_S)
-        _evict_oldest(self._quarantined, digest, _MAX_DIGESTS)
+        for wider in [names for names in self._wide if names > features]:
+            self.lift(wider)
+        longest_s = _PART_QUARANTINE_S if all(map(is_part, features)) else _QUARANTINE_S
+        self._quarantined[features] = _Quarantine(now_s, now_s + min(left_s, longest_s))
+        if len(features) > 1:
+            self._wide.add(features)
+        _evict_oldest(self._quarantined, features, _MAX_QUARANTINED)
+        self._wide.intersection_update(self._quarantined)
         return True
 
-    def remaining_s(self, digest: str, now_s: float) -> float:
-        """Return the remaining quarantine of a request; 0 if it is not quarantined."""
-        return max(0.0, self._quarantined.get(digest, -math.inf) - now_s)
+    def disproved_by(self, feature: str, at_s: float) -> list[Features]:
+        """Return the quarantines that a service of a feature which began then proves wrong."""
+        rows = self._quarantined.items()
+        return [names for names, row in rows if feature in names and at_s > row.since_s]
+
+    def lift(self, features: Features) -> bool:
+        """End a quarantine; return whether there was one."""
+        self._wide.discard(features)
+        return self._quarantined.pop(features, None) is not None
 
-    def quarantined(self, now_s: float) -> dict[str, float]:
-        """Return the remaining quarantine of each quarantined request."""
-        remaining_s = {digest: self.remaining_s(digest, now_s) for digest in self._quarantined}
-        return {digest: left_s for digest, left_s in remaining_s.items() if left_s > 0.0}
+    def remaining_s(self, features: Collection[str], now_s: float) -> float:
+        """Return the remaining quarantine of a request with these features; 0 for none."""
+        present = frozenset(features)
+        names = [frozenset((name,)) for name in present]
+        names += [wide for wide in self._wide if wide <= present]
+        found = (self._quarantined.get(row) for row in names)
+        until_s = (row.until_s for row in found if row is not None)
+        return max(0.0, max(until_s, default=-math.inf) - now_s)
 
-    def expire(self, now_s: float) -> list[str]:
-        """Remove the requests whose quarantine has ended and return them."""
-        expired = [digest for digest, until_s in self._quarantined.items() if until_s <= now_s]
-        for digest in expired:
-            del self._quarantined[digest]
+    def quarantined(self, now_s: float) -> dict[Features, float]:
+        """Return the remaining time of each quarantine."""
+        return {
+            features: row.until_s - now_s
+            for features, row in self._quarantined.items()
+            if row.until_s > now_s
+        }
+
+    def expire(self, now_s: float) -> list[Features]:
+        """Remove the quarantines that have ended and return their features."""
+        expired = [name for name, row in self._quarantined.items() if row.until_s <= now_s]
+        for features in expired:
+            self.lift(features)
         return expired
 
 
-def _evict_oldest(rows: collections.OrderedDict[str, Any], key: str, most: int) -> None:
+def _count_apart(times_s: Iterable[float]) -> int:
+    """Return the number of crashes, of which those at the same time are one."""
+    count, last_s = 0, -math.inf
+    for at_s in sorted(times_s):
+        if at_s - last_s > _TOGETHER_S:
+            count, last_s = count + 1, at_s
+    return count
+
+
+def _evict_oldest(rows: collections.OrderedDict[Any, Any], key: Any, most: int) -> None:
     rows.move_to_end(key)
     while len(rows) > most:
         rows.popitem(last=False)
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -145,7 +145,8 @@
                 (line,) = harness.lines.of_event("endpoint_ended")
                 digest = parse_line(line).get("digest")
                 for number in range(2):
-                    harness.entry._state.quarantine.note_crash(digest, known(f"x{number}"))
+                    quarantine = harness.entry._state.quarantine
+                    quarantine.note_crash(frozenset([digest]), known(f"x{number}", service="plain"))
                 status = (await harness.send_request(request_id="bad2", body=b"bad"))[0]
                 return status, harness.lines.lines
 
--- a/testing/test_fuzz_platform.py
+++ b/testing/test_fuzz_platform.py
@@ -4,6 +4,7 @@
 from beryljunction import clocks
 from beryljunction.fuzz.platform import PlatformProfile, run_platform_fuzz
 from beryljunction.gateway import (
+    attempt_monitor,
     config_watcher,
     endpoint_request,
     endpoint_watcher,
@@ -180,14 +181,14 @@
 
 
 def send_what_is_quarantined(patch):
-    patch.setattr(CrashTable, "remaining_s", lambda self, digest, now_s: 0.0)
+    patch.setattr(CrashTable, "remaining_s", lambda self, features, now_s: 0.0)
 
 
 def blame_requests_for_lost_connections(patch):
     async def refuse(address):
         return PortState.REFUSED
 
-    patch.setattr(exchange, "probe_port", refuse)
+    patch.setattr(attempt_monitor, "probe_port", refuse)
 
 
 def keep_crashes_to_oneself(patch):
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -8,7 +8,7 @@
 from beryljunction.fuzz.platform.actors import Behaviour
 from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENDPOINTS, ENTRIES, PlatformWorld, behave
-from beryljunction.gateway.crashreports import CrashReport
+from beryljunction.gateway.crashreports import CrashReport, Suspicion
 from beryljunction.gateway.peers import HttpPeerClient, PeerHandler
 from beryljunction.gateway.quarantine import COUNTING_HOSTS
 from beryljunction.platform import Record
@@ -20,8 +20,17 @@
 # Time within which the platform guarantees that all entries know of a quarantine.
 PROPAGATION_S = 3.0
 STARTED_S = 8.0
-CRASHES = tuple(Crash("d" * 32, (f"e{number}", 1)) for number in range(3))
-REPORT = CrashReport(CRASHES, ("served",), (("bad", 60.0),))
+FEATURES = frozenset(["d" * 32])
+CRASHES = tuple(Crash("engine", (f"e{number}", 1), FEATURES) for number in range(3))
+BAD = (frozenset(["bad"]), 60.0)
+REPORT = CrashReport(
+    tuple((crash, float(age_s)) for age_s, crash in enumerate(CRASHES)),
+    (("served", 0.5),),
+    (("engine", 1.0),),
+    (BAD,),
+    (frozenset(["part:a", "part:b"]),),
+    Suspicion("engine", frozenset(["part:c"])),
+)
 
 
 @contextlib.contextmanager
@@ -78,7 +87,7 @@
                 await harness.add_endpoint("e1")
                 await harness.wait_for_endpoints(1)
                 for number in range(3):
-                    quarantine.note_crash(digest, known(f"x{number}"))
+                    quarantine.note_crash(frozenset([digest]), known(f"x{number}", service="plain"))
                 bad = await harness.send_request(body=b"bad")
                 good = await harness.send_request(body=b"good")
                 return bad, good, harness.endpoints["e1"].requests, harness.lines
@@ -194,19 +203,17 @@
 
     def report_crashes(self, world, count=3):
         """Let entries that don't own this request see its crashes."""
-        counting_hosts = responsible_hosts(CRASHES[0].digest, world.members, COUNTING_HOSTS)
+        counting_hosts = responsible_hosts("engine", world.members, COUNTING_HOSTS)
         others = [row for name, row in world.members.items() if name not in counting_hosts]
         rows = (others or list(world.members.values()))[:count]
         for number in range(count):
             crash = CRASHES[number]
             row = rows[number % len(rows)]
-            row.state.quarantine.note_crash(crash.digest, known(crash.incarnation_id[0]))
+            row.state.quarantine.note_crash(FEATURES, known(crash.incarnation_id[0]))
         return counting_hosts
 
     def is_quarantined_by_all(self, world):
-        return world.holds_for_all(
-            lambda state: state.quarantine.remaining_s(CRASHES[0].digest) > 0.0
-        )
+        return world.holds_for_all(lambda state: state.quarantine.remaining_s(FEATURES) > 0.0)
 
     @pytest.mark.parametrize("entries", [1, 2, 4, 24, 68, 350])
     def test_quarantine_reaches_all_entries_in_time(self, entries):
@@ -221,13 +228,13 @@
     def test_two_unreachable_counting_hosts_are_tolerated(self):
         with FleetWorld(24) as world:
             world.advance(STARTED_S)
-            for name in responsible_hosts(CRASHES[0].digest, world.members, COUNTING_HOSTS)[:2]:
+            for name in responsible_hosts("engine", world.members, COUNTING_HOSTS)[:2]:
                 world.members[name].is_cut = True
             self.report_crashes(world)
             world.advance(PROPAGATION_S)
 
             rows = [row for row in world.members.values() if not row.is_cut]
-            assert all(row.state.quarantine.remaining_s(CRASHES[0].digest) > 0.0 for row in rows)
+            assert all(row.state.quarantine.remaining_s(FEATURES) > 0.0 for row in rows)
 
     def test_entry_that_was_cut_off_gets_the_quarantine(self):
         with FleetWorld(24) as world:
@@ -278,11 +285,12 @@
             world.advance(STARTED_S)
             self.report_crashes(world, count=2)
             world.advance(1.0)
-            counting_hosts = responsible_hosts(CRASHES[0].digest, world.members, COUNTING_HOSTS)
+            counting_hosts = responsible_hosts("engine", world.members, COUNTING_HOSTS)
             others = [row for name, row in world.members.items() if name not in counting_hosts]
-            others[0].state.quarantine.note_served(CRASHES[0].digest)
+            now_s = world.loop.world_s
+            others[0].state.quarantine.note_served("engine", FEATURES, now_s)
             world.advance(1.0)
-            others[5].state.quarantine.note_crash(CRASHES[2].digest, known("e2"))
+            others[5].state.quarantine.note_crash(FEATURES, known("e2"))
             world.advance(PROPAGATION_S)
 
             assert not world.holds_for_all(lambda state: len(state.quarantine) > 0)
@@ -294,12 +302,12 @@
             late = world.members["front-3"]
             for row in world.members.values():
                 row.state.fan_out.update({}, [late.name])
-                row.state.quarantine.apply_report(CrashReport((), (), (("d", 60.0),)))
+                row.state.quarantine.apply_report(CrashReport(quarantined=((FEATURES, 60.0),)))
             late.state.quarantine._table._quarantined.clear()
-            late.state.quarantine.note_crash("d", known("e1"))
+            late.state.quarantine.note_crash(FEATURES, known("e1"))
             world.advance(PROPAGATION_S)
 
-            assert late.state.quarantine.remaining_s("d") > 0.0
+            assert late.state.quarantine.remaining_s(FEATURES) > 0.0
 
     def test_crash_reports_of_many_requests_stay_within_the_control_traffic_limit(self):
         """Guards against reporting a crash to all entries for each request of the endpoint."""
@@ -308,7 +316,7 @@
             row = world.members["front-3"]
             row.sent_bytes = 0
             for number in range(40):
-                row.state.quarantine.note_crash(f"{number:032}", known("e1"))
+                row.state.quarantine.note_crash(frozenset([f"{number:032}"]), known("e1"))
             world.advance(10.0)
 
             assert row.sent_bytes / 10.0 < 4_096
@@ -332,7 +340,7 @@
             quarantine = world.members["front-0"].state.quarantine
             quarantine.apply_record(Record("quarantine/d", value))
 
-            assert quarantine.remaining_s("d") == 0.0
+            assert quarantine.remaining_s(["d"]) == 0.0
 
     def test_expired_quarantine_is_not_counted(self):
         with FleetWorld(4) as world:
@@ -340,7 +348,7 @@
             row = next(
                 row for row in world.members.values() if not row.state.fan_out.is_first_reader
             )
-            row.state.quarantine.apply_report(CrashReport((), (), (("bad", 5.0),)))
+            row.state.quarantine.apply_report(CrashReport(quarantined=((BAD[0], 5.0),)))
 
             assert len(row.state.quarantine) == 1
 
@@ -352,7 +360,7 @@
         with FleetWorld(4) as world:
             world.advance(STARTED_S)
             for row in world.members.values():
-                row.state.quarantine.apply_report(CrashReport((), (), (("bad", 5.0),)))
+                row.state.quarantine.apply_report(CrashReport(quarantined=((BAD[0], 5.0),)))
             world.put("keyed.entries", "quarantine/bad", b"9")
             world.advance(60.0)
 
@@ -369,34 +377,46 @@
         [
             {"crashes": None},
             {"crashes": [1]},
-            {"crashes": [["d", "e1"]]},
-            {"crashes": [["d", "e1", "1"]]},
-            {"crashes": [["d" * 129, "e1", 1]]},
-            {"crashes": [["d", "e1", 1]] * 257},
+            {"crashes": [["s", "e1", 1]]},
+            {"crashes": [["s", "e1", "1", 0.0, ["d"]]]},
+            {"crashes": [["s", "e1", 1, -1.0, ["d"]]]},
+            {"crashes": [["s", "e1", 1, 0.0, []]]},
+            {"crashes": [["s", "e1", 1, 0.0, "d"]]},
+            {"crashes": [["s", "e1", 1, 0.0, ["d" * 129]]]},
+            {"crashes": [["s", "e1", 1, 0.0, [str(n) for n in range(65)]]]},
+            {"crashes": [["s", "e1", 1, 0.0, ["d"]]] * 257},
             {"served": "d"},
             {"served": [7]},
-            {"quarantined": [["d"]]},
-            {"quarantined": [["d", "long"]]},
-            {"quarantined": [["d", float("nan")]]},
-            {"quarantined": [["d", -1.0]]},
+            {"served": [["d", float("nan")]]},
+            {"services": [["s"]]},
+            {"quarantined": [[60.0]]},
+            {"quarantined": [["long", ["d"]]]},
+            {"quarantined": [[float("nan"), ["d"]]]},
+            {"quarantined": [[-1.0, ["d"]]]},
+            {"lifted": [[]]},
+            {"suspicion": ["s"]},
+            {"suspicion": "s"},
         ],
     )
     def test_invalid_field_is_an_error(self, change):
-        values = {"crashes": [], "served": [], "quarantined": [], **change}
+        values = {"crashes": [], "served": [], "services": [], "quarantined": [], "lifted": []}
+        values.update(change)
 
         with pytest.raises(ValueError):
             CrashReport.decode(json.dumps(values).encode())
 
     def test_report_is_sent_and_answered_over_http(self):
+        report = CrashReport(REPORT.crashes, quarantined=REPORT.quarantined)
+
         async def run():
             async with open_harness(route()) as harness:
                 state = harness.entry._state
                 server = await harness.serve(PeerHandler(state, None, PeerTable(state.random)))
-                answer = await HttpPeerClient().report_crashes(server, REPORT.encode())
+                answer = await HttpPeerClient().report_crashes(server, report.encode())
                 bad = await HttpPeerClient().report_crashes(server, b"[]")
                 return CrashReport.decode(answer), bad, len(state.quarantine)
 
         answer, bad, quarantined = anyio.run(run)
 
-        assert [digest for digest, _ in answer.quarantined] == [CRASHES[0].digest]
+        assert [features for features, _ in answer.quarantined] == [FEATURES]
         assert (bad, quarantined) == (None, 2)
