Don't blame a part for crashes that other parts explain as well

Cause: the first part with enough crashes was taken for the cause while all endpoints were down, so nothing could be served that would clear it; and a wrong quarantine stood after the true cause was found. Change: if other parts are under almost as many crashes, an answer has to have begun after the last crash before a cause is concluded. When another cause explains the crashes behind a quarantine, that one is lifted.

--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -240,11 +240,12 @@
     def conclude(self, service: str) -> None:
         """Quarantine what crashes a service's endpoints, after all entries were asked.
 
-        Without any answer of the service since then, nothing tells one cause from another.
+        Without any answer of the service meanwhile, such as while all of its endpoints are down,
+        nothing tells one cause from another.
         """
         now_s = boot_time_s()
         cause = self._table.find_cause(service, now_s)
-        if cause is not None and self._table.last_service_s(service) > cause.first_s:
+        if cause is not None and self._table.last_service_s(service) > cause.proved_s:
             self._quarantine(cause, service)
             cause = self._table.find_cause(service, now_s)
         if cause is None:
@@ -278,6 +279,8 @@
         self.outbox.changed.set()
         for host in self._fan_out.addresses():
             self.outbox.add(host, _Quarantined(cause.features))
+        for features in self._table.superseded_by(cause.features):
+            self._lift_everywhere(features)
 
     def _apply_quarantine(self, features: frozenset[str], left_s: float) -> None:
         if self._table.quarantine(features, left_s, boot_time_s()):
@@ -294,11 +297,15 @@
         """Note a service; one that began under quarantine shows that the quarantine is wrong."""
         self._table.note_served(feature, at_s)
         for features in self._table.disproved_by(feature, at_s):
-            if self._lift(features):
-                self._removed.append(features)
-                self.outbox.changed.set()
-                for host in self._fan_out.addresses():
-                    self.outbox.add(host, _Lifted(features))
+            self._lift_everywhere(features)
+
+    def _lift_everywhere(self, features: frozenset[str]) -> None:
+        if not self._lift(features):
+            return
+        self._removed.append(features)
+        self.outbox.changed.set()
+        for host in self._fan_out.addresses():
+            self.outbox.add(host, _Lifted(features))
 
     def _lift(self, features: frozenset[str]) -> bool:
         is_lifted = self._table.lift(features)
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -57,11 +57,13 @@
 
     Attributes:
         features: A request that has all of them is held to crash endpoints.
-        first_s: Time of the first of these crashes.
+        proved_s: Time after which an endpoint of the service has to have begun an answer for this
+            to be concluded: that of the first crash or, if other features are under almost as
+            many, of the last one.
     """
 
     features: Features
-    first_s: float
+    proved_s: float
 
     @property
     def is_exact(self) -> bool:
@@ -184,7 +186,9 @@
                 continue
             common = self._common_features(feature, crashes, rows)
             if self.remaining_s(common, now_s) <= 0.0:
-                return Cause(common, min(rows[crash].at_s for crash in crashes[feature]))
+                times_s = [rows[crash].at_s for crash in crashes[feature]]
+                is_clear = not _has_rival(common, len(times_s), crashes)
+                return Cause(common, min(times_s) if is_clear else max(times_s))
             if all(map(is_part, common)):
                 explained |= crashes[feature]
         return None
@@ -234,6 +238,30 @@
         self._wide.intersection_update(self._quarantined)
         return True
 
+    def superseded_by(self, features: Features) -> list[Features]:
+        """Return the quarantines of parts that another one leaves too few crashes to support.
+
+        Crashes went on while these were in force, so others than their requests were the cause.
+        """
+        superseded = []
+        explained = self._crashes_with(features)
+        for names in self._quarantined:
+            crashes = self._crashes_with(names) if all(map(is_part, names)) else {}
+            left_s = [at_s for name, at_s in crashes.items() if name not in explained]
+            was_supported = _count_apart(crashes.values()) >= _QUARANTINE_CRASHES
+            is_supported = _count_apart(left_s) >= _QUARANTINE_CRASHES
+            if names != features and was_supported and not is_supported:
+                superseded.append(names)
+        return superseded
+
+    def _crashes_with(self, features: Features) -> dict[tuple[str, int], float]:
+        """Return the crashes with a request that has all of some features, each with its time."""
+        return {
+            incarnation_id: row.at_s
+            for incarnation_id, row in self._crashes.items()
+            if any(features <= names for names in row.requests)
+        }
+
     def disproved_by(self, feature: str, at_s: float) -> list[Features]:
         """Return the quarantines that a service of a feature which began then proves wrong."""
         rows = self._quarantined.items()
@@ -269,6 +297,15 @@
         return expired
 
 
+def _has_rival(common: Features, count: int, crashes: dict[str, set[tuple[str, int]]]) -> bool:
+    """Return whether other parts are under almost as many crashes as the common features."""
+    most = max(
+        (len(rows) for name, rows in crashes.items() if name not in common and is_part(name)),
+        default=0,
+    )
+    return most >= max(_QUARANTINE_CRASHES, count - 1)
+
+
 def _count_apart(times_s: Iterable[float]) -> int:
     """Return the number of crashes, of which those at the same time are one."""
     count, last_s = 0, -math.inf
--- a/testing/test_bad_parts.py
+++ b/testing/test_bad_parts.py
@@ -1,13 +1,26 @@
 import contextlib
+import math
 import random
+import tracemalloc
 
 import pytest
 
 from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld
+from beryljunction.gateway import exchange
+from beryljunction.gateway.attempt_monitor import AttemptMonitor
+from beryljunction.gateway.crashreporter import CrashReporter
+from beryljunction.gateway.outbox import Outbox
+from beryljunction.gateway.quarantine import COUNTING_HOSTS
+from beryljunction.routing import Crash, CrashTable, responsible_hosts
+from fanout_world import FleetWorld
+from routing_fakes import known
 
 STREAMED = ("f1", "f2", "f3")
 BAD = "bad0"
+STARTED_S = 8.0
+# Time within which all entries have to know of a quarantine.
+PROPAGATION_S = 3.0
 
 
 class PartTraffic:
@@ -153,3 +166,282 @@
             assert world.finish() == []
             refused = [row for row in traffic.sound if row.asked.body.startswith(b"quarantined")]
             assert refused == []
+
+
+class PartHistory(PartTraffic):
+    """Random faults of entries and endpoints while requests with bad parts come."""
+
+    PROMPTS = (
+        ("common", "SUBJECT", BAD),
+        (BAD, "common", "SUBJECT"),
+        ("common", BAD, "SUBJECT"),
+        (BAD,),
+    )
+
+    def __init__(self, world, seed):
+        super().__init__(world, seed)
+        self.prompt = self.draw.choice(self.PROMPTS)
+        for endpoint in world.endpoints.values():
+            endpoint.crash_head = self.draw.random() < 0.5
+
+    def play(self, length_s, bad_every=0.4, sound_every=0.1):
+        self.advance(4.0)
+        self.world.oracle.bad_parts_s[BAD] = self.world.loop.world_s
+        for _ in range(self.draw.choice((4, 8))):
+            self.draw.choice((self.kill_entry, self.store_fault, self.crash, self.calm))()
+            for step in range(self.draw.choice((10, 30))):
+                if step % 3 == 0:
+                    self.ask_bad()
+                self.ask_sound()
+                self.world.advance(sound_every)
+        return self.world.finish()
+
+    def kill_entry(self):
+        self.world.kill_entry(self.draw.choice(ENTRIES))
+
+    def store_fault(self):
+        fault = self.draw.choice((StoreFault.BUSY, StoreFault.SILENT, StoreFault.LATE))
+        self.world.store_fault(self.draw.choice(ENTRIES), fault, self.draw.random() < 0.5)
+
+    def crash(self):
+        self.world.endpoints[self.draw.choice(STREAMED)].crash("itself")
+
+    def calm(self):
+        for name in ENTRIES:
+            self.world.store_fault(name, StoreFault.NONE)
+
+
+def play_parts(seed):
+    with contextlib.closing(PlatformWorld()) as world:
+        history = PartHistory(world, seed)
+        violations = history.play(0.0)
+        refused = [row for row in history.sound if row.asked.body.startswith(b"quarantined")]
+        return violations + [f"{row.asked.request_id}: sound, but refused" for row in refused]
+
+
+class TestHistories:
+    @pytest.mark.parametrize("seed", range(1, 11))
+    def test_bad_part_stops_and_sound_requests_go_on(self, seed):
+        """Guards against crashes that are lost with entries, and against blocking sound parts."""
+        assert play_parts(seed) == []
+
+
+PARTS = frozenset(["part:a", "part:x"])
+
+
+class TestFleet:
+    """Several entries see one crash each of requests that have one part in common."""
+
+    def report_crashes(self, world):
+        rows = list(world.members.values())
+        for number in range(3):
+            features = PARTS | {f"digest{number}", f"part:own{number}"}
+            row = rows[(number + 1) % len(rows)]
+            row.state.quarantine.note_crash(features, known(f"e{number}"))
+            world.advance(0.2)
+
+    def serve(self, world, name, feature="part:a"):
+        quarantine = world.members[name].state.quarantine
+        quarantine.note_served("engine", [feature], world.loop.world_s)
+
+    @pytest.mark.parametrize("entries", [1, 2, 4, 24, 68, 350])
+    def test_part_is_blocked_by_all_entries_in_time_and_a_sound_one_by_none(self, entries):
+        """Guards against concluding from what one entry has seen crash and serve."""
+        with FleetWorld(entries) as world:
+            world.advance(STARTED_S)
+            self.report_crashes(world)
+            self.serve(world, sorted(world.members)[-1])
+            world.advance(PROPAGATION_S)
+
+            assert world.holds_for_all(lambda state: state.quarantine.remaining_s(PARTS) > 0.0)
+            sound = ["part:a", "digest", "part:own1"]
+            assert world.holds_for_all(lambda state: state.quarantine.remaining_s(sound) == 0.0)
+
+    def test_two_unreachable_counting_hosts_are_tolerated(self):
+        with FleetWorld(24) as world:
+            world.advance(STARTED_S)
+            for name in responsible_hosts("engine", world.members, COUNTING_HOSTS)[:2]:
+                world.members[name].is_cut = True
+            rows = [row for row in world.members.values() if not row.is_cut]
+            for number in range(3):
+                rows[number].state.quarantine.note_crash(PARTS, known(f"e{number}"))
+                world.advance(0.2)
+            self.serve(world, rows[5].name)
+            world.advance(PROPAGATION_S)
+
+            assert all(row.state.quarantine.remaining_s(PARTS) > 0.0 for row in rows)
+
+    @pytest.mark.parametrize("entries", [4, 24])
+    def test_entries_that_all_restart_read_the_quarantine_from_the_store(self, entries):
+        with FleetWorld(entries) as world:
+            world.advance(STARTED_S)
+            self.report_crashes(world)
+            self.serve(world, "front-0")
+            world.advance(PROPAGATION_S)
+            for name, row in list(world.members.items()):
+                world.kill(name)
+                world.start(name, row.address)
+            world.advance(PROPAGATION_S)
+
+            assert world.holds_for_all(lambda state: state.quarantine.remaining_s(PARTS) > 0.0)
+
+    def test_nothing_is_blocked_while_nothing_is_served(self):
+        """Guards against blocking a route because all of its endpoints were lost."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            self.report_crashes(world)
+            world.advance(PROPAGATION_S)
+
+            assert world.holds_for_all(lambda state: len(state.quarantine) == 0)
+
+    def test_answer_that_began_under_quarantine_lifts_it_everywhere(self):
+        """Guards against refusing sound requests for as long as a wrong quarantine lasts."""
+        with FleetWorld(24) as world:
+            world.advance(STARTED_S)
+            self.report_crashes(world)
+            self.serve(world, "front-0", "part:other")
+            world.advance(PROPAGATION_S)
+            self.serve(world, "front-7", "part:x")
+            world.advance(PROPAGATION_S)
+
+            assert world.holds_for_all(lambda state: len(state.quarantine) == 0)
+            rows, _, _ = world.model.newest("keyed.entries", "", world.loop.world_s)
+            assert [key for key, _, value in rows if key.startswith("quarantine") and value] == []
+
+    def test_reports_stay_within_the_control_traffic_limit(self):
+        """Guards against reports that grow with the fleet: 40 requests at one crash."""
+        with FleetWorld(350) as world:
+            world.advance(STARTED_S)
+            row = world.members["front-3"]
+            row.sent_bytes = 0
+            for number in range(40):
+                features = frozenset(["part:common", f"part:s{number:08}", f"{number:032}"])
+                row.state.quarantine.note_crash(features, known("e1"))
+            world.advance(10.0)
+
+            assert row.sent_bytes / 10.0 < 4_096
+
+
+class TestMemory:
+    def test_memory_of_full_tables_is_bounded(self):
+        """Guards against an entry that keeps every part and crash of a busy fleet."""
+        tracemalloc.start()
+        table = CrashTable()
+        for number in range(10_000):
+            table.note_served(f"part:{number:08}", 0.0)
+        for number in range(1_000):
+            for request in range(20):
+                features = frozenset(["part:a", f"part:{request}", f"{number}/{request}"])
+                table.note_crash(Crash("s", (f"e{number}", 1), features), 1.0)
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+
+        assert size < 6_000_000
+
+
+def count_whole_requests_only(patch):
+    patch.setattr(exchange, "request_features", lambda digest, parts: frozenset([digest]))
+
+
+def clear_nothing_that_was_served(patch):
+    patch.setattr(CrashTable, "served_s", lambda self, feature: -math.inf)
+
+
+def send_what_is_quarantined(patch):
+    patch.setattr(CrashTable, "remaining_s", lambda self, features, now_s: 0.0)
+
+
+def keep_crashes_to_oneself(patch):
+    patch.setattr(Outbox, "next_rows", lambda self, host: [])
+
+
+def take_closed_connections_for_whole_answers(patch):
+    async def has_crashed(self):
+        return False
+
+    patch.setattr(AttemptMonitor, "has_crashed", has_crashed)
+
+
+def conclude_while_nothing_is_served(patch):
+    patch.setattr(CrashTable, "last_service_s", lambda self, service: math.inf)
+
+
+def block_what_a_part_came_with(patch):
+    def common_features(feature, crashes, rows):
+        return frozenset([max(name for name in crashes if name.startswith("part:"))])
+
+    patch.setattr(CrashTable, "_common_features", staticmethod(common_features))
+
+
+def ask_nobody_what_was_served(patch):
+    async def ask(self, address, message):
+        pass
+
+    patch.setattr(CrashReporter, "_ask", ask)
+
+
+def never_lift(patch):
+    patch.setattr(CrashTable, "disproved_by", lambda self, feature, at_s: [])
+
+
+def found_by_histories():
+    return any(play_parts(seed) for seed in range(1, 60))
+
+
+def found_by(check, *args):
+    """Return a function that tells whether a test fails."""
+
+    def fails():
+        try:
+            check(*args)
+        except AssertionError:
+            return True
+        return False
+
+    return fails
+
+
+SAFEGUARDS = (
+    (count_whole_requests_only, found_by_histories),
+    (clear_nothing_that_was_served, found_by_histories),
+    (send_what_is_quarantined, found_by_histories),
+    (take_closed_connections_for_whole_answers, found_by_histories),
+    (block_what_a_part_came_with, found_by_histories),
+    (
+        keep_crashes_to_oneself,
+        found_by(
+            TestFleet.test_part_is_blocked_by_all_entries_in_time_and_a_sound_one_by_none,
+            TestFleet(),
+            24,
+        ),
+    ),
+    (
+        conclude_while_nothing_is_served,
+        found_by(TestFleet.test_nothing_is_blocked_while_nothing_is_served, TestFleet()),
+    ),
+    (
+        ask_nobody_what_was_served,
+        found_by(
+            TestFleet.test_part_is_blocked_by_all_entries_in_time_and_a_sound_one_by_none,
+            TestFleet(),
+            24,
+        ),
+    ),
+    (
+        never_lift,
+        found_by(
+            TestFleet.test_answer_that_began_under_quarantine_lifts_it_everywhere, TestFleet()
+        ),
+    ),
+)
+
+
+@pytest.mark.timeout(600)
+class TestSafeguards:
+    @pytest.mark.parametrize(
+        ("remove", "is_found"), [pytest.param(*row, id=row[0].__name__) for row in SAFEGUARDS]
+    )
+    def test_removed_safeguard_is_found(self, remove, is_found, monkeypatch):
+        remove(monkeypatch)
+
+        assert is_found()
--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -248,3 +248,15 @@
 
         assert table.disproved_by("part:a", 4.0) == []
         assert table.disproved_by("part:a", 6.0) == [parts("a x")]
+
+    def test_quarantine_is_superseded_by_the_cause_of_later_crashes(self):
+        """Guards against blocking for long what only was in flight at the first crashes."""
+        table = CrashTable()
+        for number in (1, 2, 3):
+            part_crash(table, f"e{number}", "sound", now_s=float(number))
+            crash(table, f"e{number}", ["digest", "part:x"], float(number))
+        for number in (4, 5):
+            crash(table, f"e{number}", ["other", "part:x"], float(number))
+
+        assert table.superseded_by(parts("x")) == [parts("sound")]
+        assert table.superseded_by(parts("unknown")) == []
