Test harness: accept as many connections at once as endpoints do

The test of 300 callers that connect to one entry at once served 101: the scripted endpoint's listener had asyncio's backlog of 100, so the entry's connections to it timed out. Endpoints accept several hundred.

--- a/testing/entry_harness.py
+++ b/testing/entry_harness.py
@@ -206,7 +206,7 @@
 
     async def add_endpoint(self, name, service="plain", script=None):
         endpoint = ScriptedEndpoint(name, service, script)
-        server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0, backlog=1_024)
         endpoint.server = server
         endpoint.port = server.sockets[0].getsockname()[1]
         self.endpoints[name] = endpoint
