Send no request on a connection whose report is outstanding

Found by reading: if an endpoint's report came late or not at all, the stream that a caller resumes was sent on the same connection, and the late report could be read as its answer (it would have failed for its request id). A connection that the endpoint closes after its report failed the request as one that may have run. Change: without a complete report and an open connection, the attempt ends as not sent, and another endpoint is tried.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -55,6 +55,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._head: ResponseHead | None = None
+        self._keeps_alive = False
         self._body_parts: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._is_paused = False
@@ -116,6 +117,7 @@
         headers, self._headers = self._headers, []
         if status >= 200:
             self._head = ResponseHead(status, headers)
+            self._keeps_alive = self._parser.should_keep_alive()
             self.is_complete = self._is_head
 
     def on_body(self, body: bytes) -> None:
@@ -169,8 +171,11 @@
     async def fetch(self, request: bytes) -> bytes | None:
         """Send a request to the endpoint before the caller's; return the body of its answer.
 
-        None if there was no complete answer with status 200 in time. The connection must not be
-        used any further if it ended.
+        None if the answer has another status than 200.
+
+        Raises:
+            EndpointUnreachable: There was no complete answer in time, or the connection ends with
+                it; the caller's request can't be sent.
         """
         self.send(request)
         parts: list[bytes] = []
@@ -178,15 +183,10 @@
             head = await self.read_head()
             while (part := await self.read_body_part()) is not None:
                 parts.append(part)
-            if self.is_complete and head is not None:
+            if self.is_complete and head is not None and self._keeps_alive:
                 self._reset()
                 return b"".join(parts) if head.status == 200 else None
-        return None
-
-    @property
-    def is_closed(self) -> bool:
-        """Whether the connection has ended, or still has an answer that was not read."""
-        return self._transport is None or self._transport.is_closing() or bool(self._headers)
+        raise EndpointUnreachable("expected a report and an open connection")
 
     async def _wait(self) -> None:
         self._changed = anyio.Event()
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -269,7 +269,7 @@
         report = await call.fetch(REPORT_REQUEST)
         started_ms = decode_report_start(report) if report is not None else None
         if started_ms is None:
-            return self._state.has_current_endpoints() and not call.is_closed
+            return self._state.has_current_endpoints()
         return started_ms == endpoint.record.started_ms
 
     def _note_origin(
--- a/testing/test_gateway_calls.py
+++ b/testing/test_gateway_calls.py
@@ -57,3 +57,53 @@
                 return await probe_port(address)
 
         assert anyio.run(run) is PortState.SILENT
+
+
+class TestFetch:
+    """The entry asks an endpoint for its report, then sends a caller's request."""
+
+    def fetch(self, *answers):
+        """Return the body of the report, and of the answer to the request after it."""
+
+        async def serve(reader, writer):
+            for answer in answers:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+            await reader.read()
+
+        async def run():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            async with server:
+                with await open_call(server.sockets[0].getsockname(), is_head=False) as call:
+                    report = await call.fetch(b"GET /report HTTP/1.1\r\n\r\n")
+                    call.send(b"GET / HTTP/1.1\r\n\r\n")
+                    await call.read_head()
+                    return report, await call.read_body_part()
+
+        return anyio.run(run)
+
+    def test_connection_serves_the_request_afterwards(self):
+        report = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone"
+
+        assert self.fetch(report, answer) == (b"{}", b"done")
+
+    def test_endpoint_without_reports_serves_the_request(self):
+        missing = b"HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\n\r\nno"
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone"
+
+        assert self.fetch(missing, answer) == (None, b"done")
+
+    @pytest.mark.parametrize(
+        "report",
+        [
+            b"",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}",
+            b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{}",
+        ],
+        ids=["none", "incomplete", "closing"],
+    )
+    def test_request_is_not_sent_after_a_report_that_leaves_the_connection_in_doubt(self, report):
+        """Guards against taking a late report for the answer to a caller's request."""
+        with pytest.raises(EndpointUnreachable):
+            self.fetch(report)
