Index crashes by feature

Found by reading: each served request looked for its features in all requests under all known crashes, and each report of a crash built the table of all features anew: up to 65,000 look-ups a request after long storms of crashes. An index keeps the crashes of each feature, and features under fewer than three are left out first.

--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -19,7 +19,7 @@
 # Endpoints that end this close together have most likely ended for one reason outside of their
 # requests, such as a lost rack; for parts, which many requests share, they count as one crash.
 _TOGETHER_S = 0.05
-_MAX_CRASHES = 256
+_MAX_CRASHES = 128
 _MAX_REQUESTS = 256
 _MAX_QUARANTINED = 4_096
 # A request served this recently is not blamed for crashes, even if several endpoints end at once.
@@ -96,6 +96,7 @@
     def __init__(self) -> None:
         self._crashes: collections.OrderedDict[tuple[str, int], _CrashedEndpoint]
         self._crashes = collections.OrderedDict()
+        self._crashes_of: dict[str, set[tuple[str, int]]] = {}
         self._quarantined: collections.OrderedDict[Features, _Quarantine]
         self._quarantined = collections.OrderedDict()
         self._wide: set[Features] = set()
@@ -121,8 +122,29 @@
             row = self._crashes[crash.incarnation_id] = _CrashedEndpoint(crash.service, at_s)
         row.at_s = min(row.at_s, at_s)
         row.requests[features] = None
-        _evict_oldest(row.requests, features, _MAX_REQUESTS)
-        _evict_oldest(self._crashes, crash.incarnation_id, _MAX_CRASHES)
+        for name in features:
+            self._crashes_of.setdefault(name, set()).add(crash.incarnation_id)
+        for evicted in _evict_oldest(row.requests, features, _MAX_REQUESTS):
+            self._remove_from_index(crash.incarnation_id, evicted, row)
+        for incarnation_id in _evict_oldest(self._crashes, crash.incarnation_id, _MAX_CRASHES):
+            for names in list(self._crashes_of):
+                self._remove_from_index(incarnation_id, [names])
+
+    def _remove_from_index(
+        self,
+        incarnation_id: tuple[str, int],
+        features: Iterable[str],
+        row: _CrashedEndpoint | None = None,
+    ) -> None:
+        """Remove features from the index that no request of a crash has any more."""
+        left = frozenset[str]().union(*row.requests) if row is not None else frozenset()
+        for name in features:
+            crashes = self._crashes_of.get(name)
+            if crashes is None or name in left:
+                continue
+            crashes.discard(incarnation_id)
+            if not crashes:
+                del self._crashes_of[name]
 
     def note_served(self, feature: str, at_s: float) -> None:
         """Record that an endpoint began an answer to a request with a feature, and lived on."""
@@ -148,8 +170,7 @@
         """Return whether a crash with a feature is counted."""
         served_s = self.served_s(feature)
         return any(
-            row.at_s > served_s and any(feature in names for names in row.requests)
-            for row in self._crashes.values()
+            self._crashes[crash].at_s > served_s for crash in self._crashes_of.get(feature, ())
         )
 
     def last_service_s(self, service: str) -> float:
@@ -172,13 +193,13 @@
             for incarnation_id, row in self._crashes.items()
             if row.service == service and now_s - row.at_s <= _QUARANTINE_S
         }
-        if among is not None:
-            changed = self._crashes_by_feature(rows, among)
-            if all(len(crashed) < _QUARANTINE_CRASHES for crashed in changed.values()):
-                return None
-        crashes = self._crashes_by_feature(rows)
+        if among is not None and not self._crashes_by_feature(rows, among):
+            return None
+        crashes = self._crashes_by_feature(rows, self._crashes_of)
         explained: set[tuple[str, int]] = set()
         for feature in sorted(crashes, key=lambda name: (-len(crashes[name]), name)):
+            if among is not None and feature not in among and not is_part(feature):
+                continue
             unexplained = crashes[feature] - explained
             times_s = [rows[crash].at_s for crash in unexplained]
             count = _count_apart(times_s) if is_part(feature) else len(times_s)
@@ -194,16 +215,18 @@
         return None
 
     def _crashes_by_feature(
-        self,
-        rows: dict[tuple[str, int], _CrashedEndpoint],
-        among: Collection[str] | None = None,
+        self, rows: dict[tuple[str, int], _CrashedEndpoint], features: Iterable[str]
     ) -> dict[str, set[tuple[str, int]]]:
-        crashes: dict[str, set[tuple[str, int]]] = collections.defaultdict(set)
-        for incarnation_id, row in rows.items():
-            for feature in frozenset[str]().union(*row.requests):
-                is_wanted = among is None or feature in among
-                if is_wanted and row.at_s > self.served_s(feature):
-                    crashes[feature].add(incarnation_id)
+        """Return the crashes of each feature, of those that are under enough of them."""
+        crashes = {}
+        for feature in features:
+            known = self._crashes_of.get(feature, ())
+            if len(known) < _QUARANTINE_CRASHES:
+                continue
+            served_s = self.served_s(feature)
+            counted = {crash for crash in known if crash in rows and rows[crash].at_s > served_s}
+            if len(counted) >= _QUARANTINE_CRASHES:
+                crashes[feature] = counted
         return crashes
 
     @staticmethod
@@ -219,7 +242,7 @@
             present = frozenset[str]().union(*requests)
             common = present if common is None else common & present
         assert common is not None
-        return frozenset(name for name in common if crashes[name] >= crashes[feature])
+        return frozenset(name for name in common if crashes.get(name, set()) >= crashes[feature])
 
     def quarantine(self, features: Features, left_s: float, now_s: float) -> bool:
         """Block requests with all of these features for a while; return False if they are blocked.
@@ -315,7 +338,7 @@
     return count
 
 
-def _evict_oldest(rows: collections.OrderedDict[Any, Any], key: Any, most: int) -> None:
+def _evict_oldest(rows: collections.OrderedDict[Any, Any], key: Any, most: int) -> list[Any]:
+    """Make a key the latest; remove the keys that exceed the limit and return them."""
     rows.move_to_end(key)
-    while len(rows) > most:
-        rows.popitem(last=False)
+    return [rows.popitem(last=False)[0] for _ in range(len(rows) - most)]
