Check what a malformed record of versions changes

Found at the last reading: the test of malformed records could not fail for any value but the empty one ("is None or value"). It compares the saved versions before and after, and the removal has a test of its own.

--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -341,14 +341,24 @@
             saved = {key: value for key, _, value in rows}
             assert json.loads(saved["versions/s"]) == ["v1", "v2"]
 
-    @pytest.mark.parametrize("value", [b"", b"{", b"[]", b"7", b"[7]", b'"v1"', b"\xff"])
-    def test_malformed_record_is_logged_and_ignored(self, value):
+    @pytest.mark.parametrize("value", [b"{", b"[]", b"7", b"[7]", b'"v1"', b"\xff"])
+    def test_malformed_record_changes_nothing(self, value):
         with FleetWorld(1) as world:
             world.advance(STARTED_S)
             streams = world.members["front-0"].state.streams
-            streams.apply_record(Record("versions/s", value or None))
+            before = streams.records()
+            streams.apply_record(Record("versions/s", value))
 
-            assert find_at(world, "front-0") is None or value
+            assert before
+            assert streams.records() == before
+            assert find_at(world, "front-0").version == "v1"
+
+    def test_removed_record_leaves_the_version_unknown(self):
+        with FleetWorld(1) as world:
+            world.advance(STARTED_S)
+            world.members["front-0"].state.streams.apply_record(Record("versions/s", None))
+
+            assert find_at(world, "front-0") is None
 
     def test_reports_stay_within_the_control_traffic_limit(self):
         """Guards against messages that grow with the fleet: 5 new streams a second and entry."""
