Log the loads behind a choice of endpoint; count requests over the bound in logs

What was missing: a sent line had the chosen endpoint's load and its age, but no bound, no mean and nothing of the endpoints that were passed over, and no line said what an endpoint held.

Placement.decide returns a Choice with these values; sent and answered log them. beryl imbalance counts, from the logs of all entries, the requests over the bound in the worst five seconds. No change of the choice.

--- a/src/beryljunction/cli/operator.py
+++ b/src/beryljunction/cli/operator.py
@@ -7,6 +7,7 @@
 from beryljunction.cli import deploy, settings
 from beryljunction.cli.drain import drain
 from beryljunction.cli.explain import explain
+from beryljunction.cli.imbalance import imbalance
 from beryljunction.cli.status import status
 from beryljunction.cli.timeline import timeline
 
@@ -16,6 +17,7 @@
     "deploy": deploy.COMMANDS,
     "drain": drain,
     "explain": explain,
+    "imbalance": imbalance,
     "settings": settings.COMMANDS,
     "status": status,
     "timeline": timeline,
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -25,6 +25,7 @@
     AttemptDecision,
     AttemptOutcome,
     AttemptPlan,
+    Choice,
     Denial,
     DenialReason,
     KnownEndpoint,
@@ -165,17 +166,18 @@
     async def _try_endpoints(self, plan: AttemptPlan) -> None:
         """Try endpoints in turn until one answers or no further attempt is allowed."""
         while not self._end_if_quarantined(plan):
-            endpoint = self._state.choose_endpoint(
+            choice = self._state.choose_endpoint(
                 self._service, self._placement_request, self._tried, self._origin
             )
-            if endpoint is None or self._remaining_s() < _MIN_REMAINING_S:
+            if choice is None or self._remaining_s() < _MIN_REMAINING_S:
                 reason = "no_time"
-                if endpoint is None:
+                if choice is None:
                     reason = self._state.no_endpoint_reason(self._service, self._origin)
                 self._give_up(plan.give_up(), reason)
                 return
+            endpoint = choice.endpoint
             self._tried.add(endpoint)
-            result = await self._attempt(endpoint, plan)
+            result = await self._attempt(choice, plan)
             if result.outcome is None:
                 return
             self._endpoint_error = result.error_answer or self._endpoint_error
@@ -199,13 +201,14 @@
         self._give_up(plan.give_up(), _QUARANTINED)
         return True
 
-    async def _attempt(self, endpoint: KnownEndpoint, plan: AttemptPlan) -> AttemptResult:
+    async def _attempt(self, choice: Choice, plan: AttemptPlan) -> AttemptResult:
         """Connect to one endpoint and send the request to it."""
+        endpoint = choice.endpoint
         endpoint.in_flight += 1
         try:
             call = await open_call(endpoint.record.address, self._request.method == b"HEAD")
             with call:
-                return await self._send(call, endpoint, plan)
+                return await self._send(call, choice, plan)
         except EndpointUnreachable as error:
             endpoint.note_failure(boot_time_s())
             endpoint.note_unreachable(boot_time_s())
@@ -213,10 +216,9 @@
         finally:
             endpoint.in_flight -= 1
 
-    async def _send(
-        self, call: EndpointCall, endpoint: KnownEndpoint, plan: AttemptPlan
-    ) -> AttemptResult:
+    async def _send(self, call: EndpointCall, choice: Choice, plan: AttemptPlan) -> AttemptResult:
         """Send the request and relay the answer."""
+        endpoint = choice.endpoint
         admitted = await self._check_before_send(call, endpoint, plan)
         if isinstance(admitted, AttemptResult):
             return admitted
@@ -225,7 +227,7 @@
         origin = self._note_origin(admitted, endpoint, plan)
         call.send(self._build_request(endpoint, admitted, prefill.source))
         self._log.log_sent(
-            endpoint,
+            choice,
             admitted.route,
             admitted.account,
             self._placement_request,
--- a/src/beryljunction/gateway/exchangelog.py
+++ b/src/beryljunction/gateway/exchangelog.py
@@ -1,14 +1,18 @@
 """Writes the log events of one request."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.caller_answer import CallerAnswer
 from beryljunction.gateway.state import EntryState
-from beryljunction.routing import Account, KnownEndpoint, PlacementRequest, PrefillPlan, Route
+from beryljunction.routing import Account, Choice, PassedOver, PlacementRequest, PrefillPlan, Route
 
 __all__ = ["ExchangeLog"]
 
+# Endpoints on a line that were passed over; the line says how many there were.
+_MAX_PASSED_OVER = 6
+
 
 class ExchangeLog:
     """Writes log events with the fields that all events of a request share.
@@ -19,6 +23,8 @@
             until the request is admitted.
         resumed_request_id: Request id of the attempt in which the stream that the caller resumes
             began; empty if it resumes none, or doesn't name it.
+        reported_load: Requests that the endpoint stated to have, with this one, in its last answer;
+            None if it stated none.
     """
 
     def __init__(self, state: EntryState) -> None:
@@ -26,6 +32,7 @@
         self.request_id = ""
         self.digest = ""
         self.resumed_request_id = ""
+        self.reported_load: int | None = None
 
     def write(self, event: str, **fields: Any) -> None:
         """Write an event with the version and age of the settings."""
@@ -40,7 +47,7 @@
 
     def log_sent(
         self,
-        endpoint: KnownEndpoint,
+        choice: Choice,
         route: Route,
         account: Account | None,
         placement_request: PlacementRequest,
@@ -48,7 +55,7 @@
         **fields: Any,
     ) -> None:
         """Write that the request was sent to an endpoint, with the values behind that choice."""
-        parts = placement_request.parts.ids
+        endpoint, parts = choice.endpoint, placement_request.parts.ids
         known = self._state.endpoints_confirmation
         self.write(
             "sent",
@@ -60,9 +67,12 @@
             resumes=self.resumed_request_id,
             endpoints_age_s=round(known.age_s(boot_time_s()), 3),
             endpoints_by=known.source,
-            load=round(endpoint.load(boot_time_s()), 1),
+            load=round(choice.load, 1),
             waiting=endpoint.reported_waiting,
-            load_age_s=round(endpoint.report_age_s(boot_time_s()), 2),
+            load_age_s=round(choice.age_s, 2),
+            mean_load=round(choice.mean_load, 1),
+            bound=round(choice.bound, 1) if choice.bound is not None else "",
+            passed_over=_format_passed_over(choice.passed_over),
             session=parts[-1] if parts else "",
             parts=",".join(parts),
             reading=endpoint.prefill_tokens,
@@ -81,4 +91,15 @@
                 round((first_byte_s - arrived_s) * 1000, 1) if first_byte_s is not None else None
             ),
             whole_ms=round((boot_time_s() - arrived_s) * 1000, 1),
+            endpoint_load=self.reported_load if self.reported_load is not None else "",
         )
+
+
+def _format_passed_over(passed_over: Sequence[PassedOver]) -> str:
+    """Return id, load, age and reason of the first endpoints, and the number of further ones."""
+    shown = [
+        f"{row.endpoint_id}:{row.load:.1f}:{row.age_s:.2f}:{row.reason.value}"
+        for row in passed_over[:_MAX_PASSED_OVER]
+    ]
+    more = len(passed_over) - len(shown)
+    return ",".join([*shown, f"+{more}"] if more else shown)
--- a/src/beryljunction/gateway/response_headers.py
+++ b/src/beryljunction/gateway/response_headers.py
@@ -24,6 +24,7 @@
         endpoint.report = LoadReport(
             load.running, load.waiting, endpoint.in_flight, now_s, load.slowdown
         )
+        log.reported_load = load.running + load.waiting
     service = endpoint.record.service
     if load is not None and load.problem and coverage.note_unreadable(service):
         log.write("load_unreadable", service=service, endpoint=endpoint_id, problem=load.problem)
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -15,6 +15,7 @@
 from beryljunction.routing import (
     AgeBound,
     CacheAwarePlacement,
+    Choice,
     ColdStartLimit,
     ColdStartLimiter,
     Confirmation,
@@ -186,8 +187,8 @@
         request: PlacementRequest,
         tried: set[KnownEndpoint],
         origin: StreamOrigin | None = None,
-    ) -> KnownEndpoint | None:
-        """Return the endpoint for a request; healthy ones are preferred to suspect ones.
+    ) -> Choice | None:
+        """Choose the endpoint for a request; healthy ones are preferred to suspect ones.
 
         Args:
             service: Name of the service.
@@ -202,12 +203,12 @@
         allowed = self.cold_start_limiter.allowed(usable, self._known_service(service), now_s)
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
         excluded = self.registry.evacuated(service)
-        chosen = self._placement(service).choose(
+        choice = self._placement(service).decide(
             healthy, attrs.evolve(request, excluded_endpoints=excluded), now_s
         )
-        if chosen is not None:
-            self.report_coverage.note_choice(service, chosen.report_age_s(now_s), now_s)
-        return chosen
+        if choice is not None:
+            self.report_coverage.note_choice(service, choice.age_s, now_s)
+        return choice
 
     def has_current_endpoints(self) -> bool:
         """Return whether the endpoints' records are within their age bound."""
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -33,6 +33,9 @@
 from beryljunction.routing.moved_sessions import MovedSession, MovedSessions
 from beryljunction.routing.peers import Address, PeerTable, should_ask_peers
 from beryljunction.routing.placement import (
+    Choice,
+    PassedOver,
+    PassedOverReason,
     Placement,
     PlacementRequest,
     PlainPlacement,
@@ -81,6 +84,9 @@
     "MovedSessions",
     "PART_PREFIX",
     "PeerTable",
+    "Choice",
+    "PassedOver",
+    "PassedOverReason",
     "Placement",
     "PlacementRequest",
     "PlainPlacement",
--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -7,10 +7,17 @@
 
 from beryljunction.routing.health import weighted_loads
 from beryljunction.routing.known_endpoint import KnownEndpoint
-from beryljunction.routing.load_bound import LoadBound, PrefixSizes, fleet_bound
+from beryljunction.routing.load_bound import LoadBound, PrefixSizes, fleet_bound, mean_load
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
 from beryljunction.routing.moved_sessions import MovedSession, MovedSessions
-from beryljunction.routing.placement import Placement, PlacementRequest, PrefillPlan
+from beryljunction.routing.placement import (
+    Choice,
+    PassedOver,
+    PassedOverReason,
+    Placement,
+    PlacementRequest,
+    PrefillPlan,
+)
 from beryljunction.routing.prefill_rate import PrefillRate
 from beryljunction.routing.prefix_directory import PrefixDirectory, PromptParts
 from beryljunction.routing.rendezvous import rendezvous_rank
@@ -65,25 +72,47 @@
         self._placed: collections.OrderedDict[str, tuple[MovedSession, float]]
         self._placed = collections.OrderedDict()
 
-    def choose(
+    def decide(
         self, rows: Sequence[KnownEndpoint], request: PlacementRequest, now_s: float
-    ) -> KnownEndpoint | None:
+    ) -> Choice | None:
         """Return the first endpoint under the load bound, those with the prefix cached first."""
         if not rows:
             return None
         loads = weighted_loads(rows, now_s, self._mechanisms)
         order = self._order(rows, request.parts, loads, now_s)
         bound = self._bound_for(request, rows[0].record.service, loads.values(), now_s)
-        open_rows = self._under_bound(order, loads, bound, now_s)
+        under_bound: list[KnownEndpoint] = []
+        open_rows = _recorded(self._under_bound(order, loads, bound, now_s), under_bound)
         if self._mechanisms.avoid_queues and bound.is_cheap_to_move:
             open_rows = _queueing_last(open_rows, now_s)
-        first, second = next(open_rows, None), next(open_rows, None)
-        if first is None or not request.parts.ids:
-            return min(rows, key=lambda row: loads[row.incarnation_id])
-        rate = self.prefill_rate(first.record.service)
-        if not self._mechanisms.patience:
+        chosen = self._without_prefill_queue(open_rows)
+        if chosen is None or not request.parts.ids:
+            chosen = min(rows, key=lambda row: loads[row.incarnation_id])
+
+        def passed_over(row: KnownEndpoint) -> PassedOver:
+            reason = PassedOverReason.OVER_BOUND
+            if row in under_bound:
+                is_queueing = row.has_queue(now_s)
+                reason = PassedOverReason.QUEUE if is_queueing else PassedOverReason.PREFILL_QUEUE
+            load, age_s = loads[row.incarnation_id], row.report_age_s(now_s)
+            return PassedOver(row.record.endpoint_id, load, age_s, reason)
+
+        return Choice(
+            chosen,
+            loads[chosen.incarnation_id],
+            chosen.report_age_s(now_s),
+            mean_load(loads.values(), request.excluded_endpoints, now_s),
+            bound.load,
+            tuple(passed_over(row) for row in order[: order.index(chosen)]),
+        )
+
+    def _without_prefill_queue(self, candidates: Iterator[KnownEndpoint]) -> KnownEndpoint | None:
+        """Return the first endpoint, or the second if the first has a much longer prefill queue."""
+        first, second = next(candidates, None), next(candidates, None)
+        if first is None or second is None or not self._mechanisms.patience:
             return first
-        if second and _queue_ms(first, rate) - _queue_ms(second, rate) > _MAX_EXTRA_QUEUE_MS:
+        rate = self.prefill_rate(first.record.service)
+        if _queue_ms(first, rate) - _queue_ms(second, rate) > _MAX_EXTRA_QUEUE_MS:
             return second
         return first
 
@@ -272,6 +301,15 @@
         return deviation * self._draw.expovariate(1 / _MEAN_MARGIN)
 
 
+def _recorded(
+    rows: Iterable[KnownEndpoint], record: list[KnownEndpoint]
+) -> Iterator[KnownEndpoint]:
+    """Yield the endpoints, and append each of them to a list."""
+    for row in rows:
+        record.append(row)
+        yield row
+
+
 def _queueing_last(rows: Iterable[KnownEndpoint], now_s: float) -> Iterator[KnownEndpoint]:
     """Yield the endpoints in the same order, but those with waiting requests after the others."""
     queueing = []
--- a/src/beryljunction/routing/load_bound.py
+++ b/src/beryljunction/routing/load_bound.py
@@ -11,7 +11,7 @@
 
 from beryljunction.routing.known_endpoint import KnownEndpoint
 
-__all__ = ["LoadBound", "PrefixSizes", "fleet_bound"]
+__all__ = ["LoadBound", "PrefixSizes", "fleet_bound", "mean_load"]
 
 # An endpoint above a multiple of the mean load, plus an allowance for small numbers, is skipped.
 # All are below the fleet's bound of 2 x mean + 3 and leave room for requests that other entries
@@ -58,6 +58,12 @@
         return min(_MAX_RELATIVE_SIZE, tokens / mean) if mean > 0.0 else 1.0
 
 
+def mean_load(loads: Collection[float], excluded: Sequence[KnownEndpoint], now_s: float) -> float:
+    """Return the mean load of a service, with endpoints that must not get the request."""
+    total = sum(loads) + sum(row.load(now_s) for row in excluded)
+    return total / (len(loads) + len(excluded))
+
+
 def fleet_bound(
     loads: Collection[float],
     excluded: Sequence[KnownEndpoint],
@@ -72,8 +78,7 @@
         now_s: Time on the clock of the loads.
         relative_size: Size of the prompt's prefix relative to the mean, from 0 to 2.
     """
-    total = sum(loads) + sum(row.load(now_s) for row in excluded)
-    mean = total / (len(loads) + len(excluded))
+    mean = mean_load(loads, excluded, now_s)
     ratio, allowance, factor = (
         _interpolate(values, relative_size) for values in (_RATIOS, _ALLOWANCES, _MARGIN_FACTORS)
     )
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -1,6 +1,7 @@
 """Chooses an endpoint; plain placement takes the least loaded one, nearby ones first."""
 
 import abc
+import enum
 import random
 from collections.abc import Sequence
 
@@ -8,10 +9,19 @@
 
 from beryljunction.routing.health import weighted_loads
 from beryljunction.routing.known_endpoint import KnownEndpoint
+from beryljunction.routing.load_bound import mean_load
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
 from beryljunction.routing.prefix_directory import PromptParts
 
-__all__ = ["Placement", "PlacementRequest", "PlainPlacement", "PrefillPlan"]
+__all__ = [
+    "Choice",
+    "PassedOver",
+    "PassedOverReason",
+    "Placement",
+    "PlacementRequest",
+    "PlainPlacement",
+    "PrefillPlan",
+]
 
 # Added to the load of a plain endpoint in another availability zone, as a share of its slots: the
 # network path costs 0.5 to 1.4 ms of about 45 ms of work.
@@ -32,6 +42,51 @@
     excluded_endpoints: Sequence[KnownEndpoint] = ()
 
 
+class PassedOverReason(enum.Enum):
+    """Why an endpoint didn't get a request that would have gone to it first."""
+
+    OVER_BOUND = "over_bound"
+    QUEUE = "queue"
+    PREFILL_QUEUE = "prefill_queue"
+    MORE_LOADED = "more_loaded"
+
+
+@attrs.frozen
+class PassedOver:
+    """An endpoint that didn't get a request, and what was known of its load.
+
+    Attributes:
+        load: Its estimated load, weighted by its slowness.
+        age_s: Age of its last load report; infinity without a report.
+    """
+
+    endpoint_id: str
+    load: float
+    age_s: float
+    reason: PassedOverReason
+
+
+@attrs.frozen
+class Choice:
+    """The endpoint that is to get a request, and the values behind the choice.
+
+    Attributes:
+        load: Its estimated load, weighted by its slowness.
+        age_s: Age of its last load report; infinity without a report.
+        mean_load: Estimated mean load of the service, over all of its endpoints.
+        bound: Load from which an endpoint was skipped, before any margin; None if the placement has
+            no bound.
+        passed_over: Endpoints that would have gone first, in order.
+    """
+
+    endpoint: KnownEndpoint
+    load: float
+    age_s: float
+    mean_load: float
+    bound: float | None = None
+    passed_over: tuple[PassedOver, ...] = ()
+
+
 @attrs.frozen
 class PrefillPlan:
     """How an endpoint is to prefill a prompt before its first token.
@@ -49,10 +104,17 @@
     """Chooses one of several usable endpoints."""
 
     @abc.abstractmethod
+    def decide(
+        self, rows: Sequence[KnownEndpoint], request: PlacementRequest, now_s: float
+    ) -> Choice | None:
+        """Return the endpoint that is to get the request, and why; None if there is none."""
+
     def choose(
         self, rows: Sequence[KnownEndpoint], request: PlacementRequest, now_s: float
     ) -> KnownEndpoint | None:
         """Return the endpoint that is to get the request; None if there is none."""
+        choice = self.decide(rows, request, now_s)
+        return choice.endpoint if choice is not None else None
 
     def plan_prefill(
         self,
@@ -100,13 +162,29 @@
         self._draw = draw
         self._mechanisms = mechanisms
 
-    def choose(
+    def decide(
         self, rows: Sequence[KnownEndpoint], request: PlacementRequest, now_s: float
-    ) -> KnownEndpoint | None:
+    ) -> Choice | None:
         """Return the least loaded endpoint."""
+        if not rows:
+            return None
         loads = weighted_loads(rows, now_s, self._mechanisms)
-        return min(
-            rows, key=lambda row: self._load_share(row, loads[row.incarnation_id]), default=None
+        chosen = min(rows, key=lambda row: self._load_share(row, loads[row.incarnation_id]))
+        return Choice(
+            chosen,
+            loads[chosen.incarnation_id],
+            chosen.report_age_s(now_s),
+            mean_load(loads.values(), request.excluded_endpoints, now_s),
+            passed_over=tuple(
+                PassedOver(
+                    row.record.endpoint_id,
+                    loads[row.incarnation_id],
+                    row.report_age_s(now_s),
+                    PassedOverReason.MORE_LOADED,
+                )
+                for row in rows
+                if row is not chosen
+            ),
         )
 
     def note_first_byte(self, service: str, prefill: PrefillPlan, took_ms: float) -> None:
