--- a/testing/imbalance_world.py
+++ b/testing/imbalance_world.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from beryljunction.load_imbalance import BOUND_ALLOWANCE, BOUND_RATIO, Arrival, worst_window
 from beryljunction.routing import (
     CacheAwarePlacement,
     LoadReport,
@@ -18,11 +19,8 @@
 )
 from routing_fakes import known
 
-__all__ = ["Fleet", "moved_tokens", "share_over_bound"]
+__all__ = ["Fleet", "moved_tokens", "share_over_bound", "worst_five_seconds"]
 
-# An engine is over the fleet's bound when it holds more than this many times the mean, plus this.
-BOUND_RATIO = 2.0
-BOUND_ALLOWANCE = 3
 # An engine states its load in the head of its answer, this long after the request arrived.
 HEAD_S = 0.07
 # Interval at which an entry updates one peer after the other, and how many peers it knows.
@@ -42,6 +40,7 @@
         tells: Whether entries tell each other about engines above the mean load.
         evacuated: Engines that get no requests and lower the mean in the fleet's bound.
         hot_share: Share of the requests that belong to one session.
+        disrupted_from_s: When the evacuation and the requests for that session begin.
         prefix_tokens: Sizes of the sessions' prefixes; sessions have them in turn.
         mechanisms: Which optional mechanisms the entries have.
     """
@@ -53,6 +52,7 @@
     tells: bool = True
     evacuated: int = 0
     hot_share: float = 0.0
+    disrupted_from_s: float = 0.0
     length_s: float = 8.0
     prefix_tokens: tuple[int, ...] = (5_000,)
     mechanisms: Mechanisms = Mechanisms()
@@ -65,8 +65,6 @@
         names = [f"e{self.draw.getrandbits(40):x}" for _ in range(fleet.engines)]
         self.place = [CacheAwarePlacement(fleet.mechanisms) for _ in range(fleet.entries)]
         self.rows = [[known(name, slots=64) for name in names] for _ in range(fleet.entries)]
-        self.excluded = [rows[: fleet.evacuated] for rows in self.rows]
-        self.rows = [rows[fleet.evacuated :] for rows in self.rows]
         self.held = dict.fromkeys(names, 0)
         count = fleet.sessions * fleet.engines
         self.sessions = [f"{self.draw.getrandbits(48):x}" for _ in range(count)]
@@ -74,6 +72,7 @@
         self.events = []
         self.numbers = itertools.count()
         self.placed = self.over = self.moved_tokens = 0
+        self.arrivals = []
         self.cached = collections.defaultdict(set)
 
     def schedule(self, at_s, step, *args):
@@ -97,13 +96,15 @@
     def request(self, now_s):
         entry = self.draw.randrange(self.fleet.entries)
         session = self.draw.choices(self.sessions, cum_weights=self.weights)[0]
-        if self.fleet.hot_share and self.draw.random() < self.fleet.hot_share:
+        is_disrupted = now_s >= self.fleet.disrupted_from_s
+        if self.fleet.hot_share and is_disrupted and self.draw.random() < self.fleet.hot_share:
             session = self.sessions[0]
         sizes = self.fleet.prefix_tokens
         tokens = sizes[int(session, 16) % len(sizes)]
         parts = PromptParts(("common", session), (500, tokens), 300)
-        request = PlacementRequest(parts, self.excluded[entry])
-        rows = self.rows[entry]
+        evacuated = self.fleet.evacuated if is_disrupted else 0
+        request = PlacementRequest(parts, self.rows[entry][:evacuated])
+        rows = self.rows[entry][evacuated:]
         row = self.place[entry].choose(rows, request, now_s)
         self.place[entry].plan_prefill(rows, row, request, now_s)
         name = row.record.endpoint_id
@@ -112,10 +113,12 @@
         if self.cached[session] and name not in self.cached[session]:
             self.moved_tokens += tokens
         self.cached[session].add(name)
+        mean = sum(self.held.values()) / len(self.held)
+        is_over = self.held[name] > BOUND_RATIO * mean + BOUND_ALLOWANCE
+        self.arrivals.append(Arrival(now_s, is_over))
         if now_s > WARM_UP_S:
             self.placed += 1
-            mean = sum(self.held.values()) / len(self.held)
-            self.over += self.held[name] > BOUND_RATIO * mean + BOUND_ALLOWANCE
+            self.over += is_over
         self.schedule(now_s + HEAD_S, self.answer, row)
         self.schedule(now_s + max(0.1, self.draw.lognormvariate(-0.2, 0.7)), self.end, row)
 
@@ -139,6 +142,13 @@
     return world.over / world.placed
 
 
+def worst_five_seconds(fleet, seed):
+    """Return the five seconds with the largest share over the bound, cold start included."""
+    world = _World(fleet, seed)
+    world.run()
+    return worst_window(world.arrivals)
+
+
 def moved_tokens(fleet, seed):
     """Return the prefix tokens of sessions that went to an engine which didn't have them cached."""
     world = _World(fleet, seed)
--- a/testing/test_imbalance.py
+++ b/testing/test_imbalance.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from imbalance_world import Fleet, share_over_bound
+from imbalance_world import Fleet, share_over_bound, worst_five_seconds
 
 SEEDS = (1, 2, 3)
 # A fleet of this many entries is simulated with one seed only: it takes as long as all others.
@@ -61,3 +61,25 @@
         fleet = Fleet(entries=24, engines=22, rate=140, evacuated=8, hot_share=0.1)
 
         assert mean_share(fleet) <= 0.03
+
+
+class TestWorstFiveSeconds:
+    """Guards against seconds over the bound that a mean over a warm fleet hides."""
+
+    def broken(self, fleet):
+        windows = [worst_five_seconds(fleet, seed) for seed in SEEDS]
+        return [window for window in windows if window.breaks_limit]
+
+    def test_limit_holds_while_a_zone_is_evacuated_and_a_session_is_hot(self):
+        """Guards against entries that fill one endpoint together and come back to it together."""
+        fleet = Fleet(
+            entries=24,
+            engines=22,
+            rate=126,
+            evacuated=7,
+            hot_share=0.3,
+            disrupted_from_s=4.0,
+            length_s=14.0,
+        )
+
+        assert self.broken(fleet) == []
