Spread hot sessions, and what leaves a full engine, over several engines

What callers saw: requests at engines over twice the mean load plus three, while a zone is evacuated and one session has much of the traffic.

Cause: all entries send what leaves a full engine to the same next one, and with no engine under the bound to the one that looks least loaded. They do so on loads of the same age, fill it together and leave it together.

A session with much of an entry's traffic has as many copies as its part of the load asks for, the first engines in rendezvous order, on which entries agree without communication; the less loaded of two random ones gets the request. Requests that leave their engine go to the least loaded of three.

test_mechanisms: the test of bound_margin sends one session 20 times, which is a hot session now; it switches hot_copies off in both of its placements and checks the same.

--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -1,6 +1,7 @@
 """Places prompts where their prefix is cached, unless that engine is overloaded."""
 
 import collections
+import itertools
 import math
 import random
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
@@ -21,6 +22,7 @@
 from beryljunction.routing.prefill_rate import PrefillRate
 from beryljunction.routing.prefix_directory import PrefixDirectory, PromptParts
 from beryljunction.routing.rendezvous import rendezvous_rank
+from beryljunction.routing.session_shares import SessionShares
 
 __all__ = ["CacheAwarePlacement"]
 
@@ -33,6 +35,14 @@
 # A request goes to the second endpoint in order when the first one's prefill queue is longer by
 # more than this. Targets for a first token are 400 ms and up; a smaller value scatters sessions.
 _MAX_EXTRA_QUEUE_MS = 250.0
+# Requests that leave their preferred endpoint go to the least loaded of this many.
+_OVERFLOW_CANDIDATES = 3
+# Load up to which the fleet lets an endpoint get requests: a multiple of the mean, plus a constant.
+_FLEET_RATIO, _FLEET_ALLOWANCE = 2.0, 3.0
+# Part of that load that a session may cause at one endpoint before it is spread over several.
+_COPY_ROOM = 0.35
+# Part of that load at the session's home from which it is spread. Below it, one endpoint is enough.
+_SPREAD_FROM = 0.45
 # Sessions whose endpoint is remembered, and for how long (engines keep prefixes longer). At about
 # 300 bytes each they take 1.2 MB at most.
 _MAX_PLACED = 4_096
@@ -68,6 +78,7 @@
         self.moved = MovedSessions()
         self._prefill_rates: dict[str, PrefillRate] = {}
         self._sizes = PrefixSizes()
+        self._session_shares = SessionShares()
         self._first_placed_s: dict[str, float] = {}
         self._placed: collections.OrderedDict[str, tuple[MovedSession, float]]
         self._placed = collections.OrderedDict()
@@ -81,19 +92,25 @@
         loads = weighted_loads(rows, now_s, self._mechanisms)
         order = self._order(rows, request.parts, loads, now_s)
         bound = self._bound_for(request, rows[0].record.service, loads.values(), now_s)
+        in_order = order
+        if self._mechanisms.hot_copies:
+            order = self._spread_hot_session(order, request, loads, now_s)
         under_bound: list[KnownEndpoint] = []
         open_rows = _recorded(self._under_bound(order, loads, bound, now_s), under_bound)
         if self._mechanisms.avoid_queues and bound.is_cheap_to_move:
             open_rows = _queueing_last(open_rows, now_s)
-        chosen = self._without_prefill_queue(open_rows)
-        if chosen is None or not request.parts.ids:
-            chosen = min(rows, key=lambda row: loads[row.incarnation_id])
+        chosen = self._pick(open_rows, order[0], loads) if request.parts.ids else None
+        if chosen is None:
+            chosen = self._least_loaded(rows, loads)
 
         def passed_over(row: KnownEndpoint) -> PassedOver:
-            reason = PassedOverReason.OVER_BOUND
             if row in under_bound:
                 is_queueing = row.has_queue(now_s)
-                reason = PassedOverReason.QUEUE if is_queueing else PassedOverReason.PREFILL_QUEUE
+                reason = PassedOverReason.QUEUE if is_queueing else PassedOverReason.MORE_LOADED
+            elif chosen is order[0]:
+                reason = PassedOverReason.HOT_SESSION
+            else:
+                reason = PassedOverReason.OVER_BOUND
             load, age_s = loads[row.incarnation_id], row.report_age_s(now_s)
             return PassedOver(row.record.endpoint_id, load, age_s, reason)
 
@@ -103,18 +120,79 @@
             chosen.report_age_s(now_s),
             mean_load(loads.values(), request.excluded_endpoints, now_s),
             bound.load,
-            tuple(passed_over(row) for row in order[: order.index(chosen)]),
+            tuple(passed_over(row) for row in in_order[: in_order.index(chosen)]),
         )
 
-    def _without_prefill_queue(self, candidates: Iterator[KnownEndpoint]) -> KnownEndpoint | None:
-        """Return the first endpoint, or the second if the first has a much longer prefill queue."""
-        first, second = next(candidates, None), next(candidates, None)
-        if first is None or second is None or not self._mechanisms.patience:
-            return first
-        rate = self.prefill_rate(first.record.service)
-        if _queue_ms(first, rate) - _queue_ms(second, rate) > _MAX_EXTRA_QUEUE_MS:
-            return second
-        return first
+    def _pick(
+        self,
+        open_rows: Iterator[KnownEndpoint],
+        preferred: KnownEndpoint,
+        loads: Mapping[tuple[str, int], float],
+    ) -> KnownEndpoint | None:
+        """Return the first open endpoint, or one of the next if it has a long prefill queue.
+
+        Requests that leave their preferred endpoint go to the least loaded of a few: entries that
+        all took the first one would overload it in turn.
+        """
+        first = next(open_rows, None)
+        if first is None:
+            return None
+        is_overflow = first is not preferred and self._mechanisms.overflow_choice
+        more = itertools.islice(open_rows, _OVERFLOW_CANDIDATES - 1 if is_overflow else 1)
+        candidates = [first, *more]
+        if self._mechanisms.patience:
+            rate = self.prefill_rate(first.record.service)
+            queues_ms = [_queue_ms(row, rate) for row in candidates]
+            limit_ms = min(queues_ms) + _MAX_EXTRA_QUEUE_MS
+            pairs = zip(candidates, queues_ms, strict=True)
+            candidates = [row for row, queue_ms in pairs if queue_ms <= limit_ms]
+        if is_overflow:
+            return min(candidates, key=lambda row: loads[row.incarnation_id])
+        return candidates[0]
+
+    def _least_loaded(
+        self, rows: Sequence[KnownEndpoint], loads: Mapping[tuple[str, int], float]
+    ) -> KnownEndpoint:
+        """Return the least loaded of a few random endpoints.
+
+        The least loaded of all would be the same one for all entries that know the same loads.
+        """
+        if self._mechanisms.overflow_choice and len(rows) > _OVERFLOW_CANDIDATES:
+            rows = self._draw.sample(rows, _OVERFLOW_CANDIDATES)
+        return min(rows, key=lambda row: loads[row.incarnation_id])
+
+    def _spread_hot_session(
+        self,
+        order: list[KnownEndpoint],
+        request: PlacementRequest,
+        loads: Mapping[tuple[str, int], float],
+        now_s: float,
+    ) -> list[KnownEndpoint]:
+        """Return the order with one of several copies first if the session has much of the traffic.
+
+        Its copies are the first endpoints in rendezvous order, on which entries agree. Their number
+        follows from the session's part of the service's load, so that each copy has room for other
+        sessions. Of two random copies the less loaded one goes first.
+        """
+        if not request.parts.ids:
+            return order
+        service, session = order[0].record.service, request.parts.ids[-1]
+        self._session_shares.note(service, session, now_s)
+        share = self._session_shares.share(service, session)
+        if not share:
+            return order
+        mean = mean_load(loads.values(), request.excluded_endpoints, now_s)
+        fleet_limit = _FLEET_RATIO * mean + _FLEET_ALLOWANCE
+        room = _COPY_ROOM * fleet_limit
+        session_load = share * mean * (len(loads) + len(request.excluded_endpoints))
+        rank = _rank(request.parts.ids)
+        homes = sorted(order, key=lambda row: rank(row.record.endpoint_id))
+        if session_load <= room or loads[homes[0].incarnation_id] < _SPREAD_FROM * fleet_limit:
+            return order
+        copies = homes[: math.ceil(session_load / room)]
+        pair = self._draw.choice(copies), self._draw.choice(copies)
+        first = min(pair, key=lambda row: loads[row.incarnation_id])
+        return [first, *(row for row in order if row is not first)]
 
     def prefill_rate(self, service: str) -> PrefillRate:
         """Return the learned prefill rate of a service's engines."""
--- a/src/beryljunction/routing/mechanisms.py
+++ b/src/beryljunction/routing/mechanisms.py
@@ -40,6 +40,10 @@
     bound_margin: bool = _switch(
         "the load bound of an engine falls with the age of its load report"
     )
+    overflow_choice: bool = _switch(
+        "a request that leaves an overloaded engine goes to the least loaded of three"
+    )
+    hot_copies: bool = _switch("a session with much of the traffic is served by several engines")
     patience: bool = _switch("an engine with a long queue of prompts to prefill is skipped")
     fetch: bool = _switch("a session that moves fetches its prefix instead of recomputing it")
     brief_absence: bool = _switch(
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -49,6 +49,7 @@
     QUEUE = "queue"
     PREFILL_QUEUE = "prefill_queue"
     MORE_LOADED = "more_loaded"
+    HOT_SESSION = "hot_session"
 
 
 @attrs.frozen
--- a/testing/test_mechanisms.py
+++ b/testing/test_mechanisms.py
@@ -29,8 +29,8 @@
 NAMES = [row.name for row in list_switches(Mechanisms())]
 
 
-def off(name):
-    return Mechanisms.parse(f"{name}=off")
+def off(*names):
+    return Mechanisms.parse(",".join(f"{name}=off" for name in names))
 
 
 def request(session="chat", tokens=5_000):
@@ -126,7 +126,7 @@
 
     def test_without_bound_margin_an_old_report_does_not_lower_the_bound(self):
         rows = rows_of(4, in_flight=4)
-        home = CacheAwarePlacement(off("bound_margin")).choose(rows, request(), 0.0)
+        home = CacheAwarePlacement(off("bound_margin", "hot_copies")).choose(rows, request(), 0.0)
         home.in_flight = 10
         for row in rows:
             row.report = LoadReport(row.in_flight, 0, row.in_flight, -10.0)
@@ -134,8 +134,9 @@
         def chosen(placement):
             return {placement.choose(rows, request(), 0.0).incarnation_id for _ in range(20)}
 
-        assert chosen(CacheAwarePlacement(off("bound_margin"))) == {home.incarnation_id}
-        assert chosen(CacheAwarePlacement()) > {home.incarnation_id}
+        without_margin = CacheAwarePlacement(off("bound_margin", "hot_copies"))
+        assert chosen(without_margin) == {home.incarnation_id}
+        assert chosen(CacheAwarePlacement(off("hot_copies"))) > {home.incarnation_id}
 
     def test_without_patience_a_session_waits_behind_a_long_prefill(self):
         rows = rows_of(4)
