Count endpoints that may not be chosen in the mean of the load bound

What callers saw: requests at endpoints over the bound of the fleet while others warm up, pause, leave, or have refused the request.

Cause: the mean in an entry's bound covered the endpoints it may choose and those of evacuated zones. The fleet's mean covers all endpoints of the service, so while a zone comes back cold (its few requests are limited), the entry's bound was above the fleet's.

Evidence: the new test gets a mean of 6.0 instead of 3.0 for cold, paused, leaving and tried endpoints on the code before; evacuated ones passed. Endpoints that are skipped for failures stay out of the mean: they are few, and most hold nothing.

--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -202,7 +202,7 @@
             usable = [row for row in usable if self.can_resume(origin, row)]
         allowed = self.cold_start_limiter.allowed(usable, self._known_service(service), now_s)
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
-        excluded = self.registry.evacuated(service)
+        excluded = self.registry.others(service, allowed)
         choice = self._placement(service).decide(
             healthy, attrs.evolve(request, excluded_endpoints=excluded), now_s
         )
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -1,7 +1,7 @@
 """Registry of the endpoints that may get requests."""
 
 import collections
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from beryljunction.routing.known_endpoint import EndpointRecord, KnownEndpoint
 from beryljunction.routing.service_versions import ServiceVersions
@@ -227,6 +227,15 @@
         rows = self._rows.values()
         return [row for row in rows if row.is_evacuated and row.record.service == service]
 
+    def others(self, service: str, rows: Collection[KnownEndpoint]) -> list[KnownEndpoint]:
+        """Return a service's endpoints that are not among these."""
+        ids = {row.record.endpoint_id for row in rows}
+        return [
+            row
+            for endpoint_id, row in self._rows.items()
+            if row.record.service == service and endpoint_id not in ids
+        ]
+
     def usable(self, service: str, now_s: float) -> list[KnownEndpoint]:
         """Return the endpoints of a service that may get new requests now."""
         return [row for row in self.open(service, now_s) if not row.is_paused(now_s)]
--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -1,14 +1,31 @@
 import collections
+import math
 import random
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from beryljunction.platform import InvalidRecord, decode_endpoint
-from beryljunction.routing import ColdStartLimit, ColdStartLimiter, EndpointRegistry, Service
+from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.events import EntryEventLog
+from beryljunction.gateway.state import EntryState
+from beryljunction.platform import (
+    DeploymentBounds,
+    HostSettings,
+    InvalidRecord,
+    decode_endpoint,
+)
+from beryljunction.routing import (
+    ColdStartLimit,
+    ColdStartLimiter,
+    EndpointRegistry,
+    PlacementRequest,
+    Service,
+)
 from beryljunction.routing.cold_start import entry_share
-from routing_fakes import endpoint
+from entry_harness import CapturedLog
+from routing_fakes import config_of, endpoint, route_of
 
 SERVICE = Service("engine", True, True, cold_start_s=3.0, cold_per_s=11.0)
 LIMIT = ColdStartLimit(overshoot=1.5, slack=5.0)
@@ -206,3 +223,41 @@
         monkeypatch.setattr("beryljunction.routing.cold_start.entry_share", lambda *_: 1)
 
         assert max(Fleet(seed, 68).run() for seed in range(1, 5)) > ALLOWED
+
+
+class TestBound:
+    """Guards against a load bound above the fleet's while some endpoints get few requests."""
+
+    def state(self):
+        free = ("127.0.0.1", 1)
+        host = HostSettings("h0", "zone", "region", free, free, free, DeploymentBounds())
+        state = EntryState(host, EntryEventLog("h0", "zone", CapturedLog()))
+        config = config_of(route_of())
+        state.apply_config(attrs.evolve(config, services={"engine": SERVICE}), b"")
+        state.cold_start_limiter.limit = LIMIT
+        now_s = boot_time_s()
+        zones = ["z"] * 4 + ["a"] * 4
+        records = [endpoint(f"e{n}", availability_zone=zone) for n, zone in enumerate(zones)]
+        state.registry.replace(records, now_s)
+        for row in state.registry.rows:
+            row.in_flight = 6
+            row.cold_until_s = -math.inf
+            row.may_be_cold_s = -math.inf
+        return state
+
+    @pytest.mark.parametrize("why", ["cold", "paused", "leaving", "tried", "evacuated"])
+    def test_endpoints_that_may_not_be_chosen_count_in_the_mean(self, why):
+        state = self.state()
+        rows, now_s = state.registry.rows, boot_time_s()
+        for row in rows[:4]:
+            row.in_flight = 0
+            row.cold_until_s = now_s + 60.0 if why == "cold" else -math.inf
+            row.paused_until_s = now_s + 60.0 if why == "paused" else -math.inf
+            row.leaving_s = now_s if why == "leaving" else None
+        if why == "evacuated":
+            state.registry.evacuate(frozenset({"z"}), now_s)
+        tried = set(rows[:4]) if why == "tried" else set()
+        choice = state.choose_endpoint("engine", PlacementRequest(), tried)
+
+        assert choice.endpoint in rows[4:]
+        assert choice.mean_load == 3.0
