Limit an entry's own requests at an engine to its share, for short prefixes

What an entry has sent itself is the one load that it always knows. Prompts with a prefix of mean size at most leave an engine at which the entry already has its share of the room; long ones stay where they are cached.

--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -203,9 +203,10 @@
         allowed = self.cold_start_limiter.allowed(usable, self._known_service(service), now_s)
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
         excluded = self.registry.others(service, allowed)
-        choice = self._placement(service).decide(
-            healthy, attrs.evolve(request, excluded_endpoints=excluded), now_s
+        request = attrs.evolve(
+            request, excluded_endpoints=excluded, entries=max(1, len(self.fan_out))
         )
+        choice = self._placement(service).decide(healthy, request, now_s)
         if choice is not None:
             self.report_coverage.note_choice(service, choice.age_s, now_s)
         return choice
--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -43,6 +43,8 @@
 _COPY_ROOM = 0.35
 # Part of that load at the session's home from which it is spread. Below it, one endpoint is enough.
 _SPREAD_FROM = 0.45
+# An entry may use this multiple of its equal share, since entries don't use theirs all at once.
+_ENTRY_SHARE_FACTOR = 1.5
 # Sessions whose endpoint is remembered, and for how long (engines keep prefixes longer). At about
 # 300 bytes each they take 1.2 MB at most.
 _MAX_PLACED = 4_096
@@ -96,7 +98,12 @@
         if self._mechanisms.hot_copies:
             order = self._spread_hot_session(order, request, loads, now_s)
         under_bound: list[KnownEndpoint] = []
+        share = math.inf
         open_rows = _recorded(self._under_bound(order, loads, bound, now_s), under_bound)
+        has_share = self._mechanisms.entry_share and self._mechanisms.bound
+        if has_share and bound.is_cheap_to_move:
+            share = self._entry_share(request, loads, now_s)
+            open_rows = (row for row in open_rows if row.in_flight < share)
         if self._mechanisms.avoid_queues and bound.is_cheap_to_move:
             open_rows = _queueing_last(open_rows, now_s)
         chosen = self._pick(open_rows, order[0], loads) if request.parts.ids else None
@@ -104,7 +111,9 @@
             chosen = self._least_loaded(rows, loads)
 
         def passed_over(row: KnownEndpoint) -> PassedOver:
-            if row in under_bound:
+            if row in under_bound and row.in_flight >= share:
+                reason = PassedOverReason.ENTRY_SHARE
+            elif row in under_bound:
                 is_queueing = row.has_queue(now_s)
                 reason = PassedOverReason.QUEUE if is_queueing else PassedOverReason.MORE_LOADED
             elif chosen is order[0]:
@@ -123,6 +132,18 @@
             tuple(passed_over(row) for row in in_order[: in_order.index(chosen)]),
         )
 
+    def _entry_share(
+        self, request: PlacementRequest, loads: Mapping[tuple[str, int], float], now_s: float
+    ) -> float:
+        """Return how many requests of this entry an engine has room for.
+
+        Several entries may send to an engine at the same moment, before any of them knows of it.
+        What an entry has sent itself is the only load that it always knows.
+        """
+        mean = mean_load(loads.values(), request.excluded_endpoints, now_s)
+        limit = _FLEET_RATIO * mean + _FLEET_ALLOWANCE
+        return max(1, math.ceil(_ENTRY_SHARE_FACTOR * limit / request.entries))
+
     def _pick(
         self,
         open_rows: Iterator[KnownEndpoint],
--- a/src/beryljunction/routing/mechanisms.py
+++ b/src/beryljunction/routing/mechanisms.py
@@ -44,6 +44,7 @@
         "a request that leaves an overloaded engine goes to the least loaded of three"
     )
     hot_copies: bool = _switch("a session with much of the traffic is served by several engines")
+    entry_share: bool = _switch("an entry sends short prefixes to the room it has at an engine")
     patience: bool = _switch("an engine with a long queue of prompts to prefill is skipped")
     fetch: bool = _switch("a session that moves fetches its prefix instead of recomputing it")
     brief_absence: bool = _switch(
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -36,10 +36,12 @@
         parts: Parts of its prompt.
         excluded_endpoints: Endpoints of its service that must not get it; they count in the mean
             load.
+        entries: Number of entries that send to the same endpoints.
     """
 
     parts: PromptParts = PromptParts()
     excluded_endpoints: Sequence[KnownEndpoint] = ()
+    entries: int = 1
 
 
 class PassedOverReason(enum.Enum):
@@ -50,6 +52,7 @@
     PREFILL_QUEUE = "prefill_queue"
     MORE_LOADED = "more_loaded"
     HOT_SESSION = "hot_session"
+    ENTRY_SHARE = "entry_share"
 
 
 @attrs.frozen
--- a/testing/imbalance_world.py
+++ b/testing/imbalance_world.py
@@ -103,7 +103,7 @@
         tokens = sizes[int(session, 16) % len(sizes)]
         parts = PromptParts(("common", session), (500, tokens), 300)
         evacuated = self.fleet.evacuated if is_disrupted else 0
-        request = PlacementRequest(parts, self.rows[entry][:evacuated])
+        request = PlacementRequest(parts, self.rows[entry][:evacuated], self.fleet.entries)
         rows = self.rows[entry][evacuated:]
         row = self.place[entry].choose(rows, request, now_s)
         self.place[entry].plan_prefill(rows, row, request, now_s)
--- a/testing/test_session_shares.py
+++ b/testing/test_session_shares.py
@@ -107,3 +107,42 @@
         used = {placement.choose(rows, PlacementRequest(), 0.0).incarnation_id for _ in range(60)}
 
         assert len(used) > 4
+
+
+NO_COPIES = Mechanisms(hot_copies=False)
+
+
+class TestEntryShare:
+    """Guards against entries that send to one engine at the same moment, before any knows of it."""
+
+    SHORT = PlacementRequest(PromptParts(("common", "short"), (100, 500)), entries=24)
+    LONG = PlacementRequest(PromptParts(("common", "long"), (100, 8_000)), entries=24)
+
+    def is_home(self, request, in_flight, mechanisms=NO_COPIES):
+        """Return whether a session's home gets its request, at this number of own requests."""
+        placement = CacheAwarePlacement(mechanisms)
+        rows = [known(f"e{n}", slots=64) for n in range(12)]
+        for other in (self.SHORT, self.LONG) * 20:
+            placement.choose(rows, other, 0.0)
+        home = placement.choose(rows, request, 0.0)
+        home.in_flight = in_flight
+        return placement.choose(rows, request, 0.0) is home
+
+    def test_short_prefix_leaves_an_engine_with_a_request_of_this_entry(self):
+        assert self.is_home(self.SHORT, 0)
+        assert not self.is_home(self.SHORT, 1)
+
+    def test_long_prefix_stays(self):
+        """Guards against recomputing thousands of tokens for a few requests of balance."""
+        assert self.is_home(self.LONG, 1)
+
+    def test_share_grows_with_fewer_entries(self):
+        request = PlacementRequest(self.SHORT.parts, entries=2)
+
+        assert self.is_home(request, 2)
+        assert not self.is_home(request, 4)
+
+    def test_without_the_mechanism_it_stays_under_the_bound(self):
+        off = Mechanisms(hot_copies=False, entry_share=False, bound_margin=False)
+
+        assert self.is_home(self.SHORT, 1, off)
