--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -14,6 +14,9 @@
 _REPORT_OUTDATED_S = 1.0
 # A queue is gone, or has become another one, when its report is older than this.
 _QUEUE_TTL_S = 0.5
+# Times of one load report differ by this much at most after it was passed on, by network delays and
+# the resolution of messages.
+_SAME_REPORT_S = 0.02
 # Weight of a new sample of an endpoint's latency; about the last ten samples count.
 _LATENCY_WEIGHT = 0.1
 # A latency without new samples for this long is ignored, so that an endpoint that was slow gets
@@ -258,17 +261,32 @@
         """Return the age of its last load report; infinity without a report."""
         return now_s - self.report.at_s if self.report is not None else math.inf
 
+    @property
+    def load_since_report(self) -> int:
+        """Requests of its last load report, and those that this process sent since; or 0."""
+        if self.report is None:
+            return 0
+        return self.reported_load + max(0, self.in_flight - self.report.own)
+
     def merge_load(self, requests: int, at_s: float, waiting: int = 0) -> None:
         """Record a load that it reported to another entry, unless a later one is known.
 
+        Entries add what they have sent since the report, of which the endpoint itself states
+        nothing while it prefills a long prompt. So of one report the highest number counts.
+
         Args:
             requests: All its requests.
             at_s: When it reported them.
             waiting: Those of them that were waiting.
         """
-        if self.report is None or at_s > self.report.at_s:
-            own = min(self.in_flight, requests)
-            self.report = LoadReport(requests - waiting, waiting, own, at_s)
+        if self.report is not None and at_s <= self.report.at_s:
+            is_same_time = self.report.at_s - at_s <= _SAME_REPORT_S
+            is_same_report = is_same_time and waiting == self.report.waiting
+            if not is_same_report or requests <= self.load_since_report:
+                return
+            at_s = self.report.at_s
+        own = min(self.in_flight, requests)
+        self.report = LoadReport(requests - waiting, waiting, own, at_s)
 
     def note_return(self, now_s: float) -> None:
         """Record that it gets requests again."""
--- a/src/beryljunction/routing/load_gossip.py
+++ b/src/beryljunction/routing/load_gossip.py
@@ -26,7 +26,8 @@
 
     Attributes:
         incarnation_id: Id and start time of the endpoint.
-        requests: Requests that it had, including the waiting ones.
+        requests: Requests that it had, including the waiting ones, and those that entries are known
+            to have sent since.
         age_s: Time since the endpoint reported it.
         waiting: Requests that were waiting there.
     """
@@ -49,7 +50,7 @@
     first = heapq.nsmallest(_MAX_ROWS, fresh, key=lambda row: _rank(row, now_s))
     return tuple(
         LoadSample(
-            row.incarnation_id, row.reported_load, row.report_age_s(now_s), row.reported_waiting
+            row.incarnation_id, row.load_since_report, row.report_age_s(now_s), row.reported_waiting
         )
         for row in first
     )
--- a/testing/test_load_datagrams.py
+++ b/testing/test_load_datagrams.py
@@ -12,7 +12,14 @@
 from beryljunction.gateway.load_exchange import _SEND_INTERVAL_S, LoadExchange
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import DeploymentBounds, HostSettings
-from beryljunction.routing import LoadReport, LoadSample, MovedSession, PeerTable
+from beryljunction.routing import (
+    LoadReport,
+    LoadSample,
+    MovedSession,
+    PeerTable,
+    loads_to_gossip,
+    merge_loads,
+)
 from entry_harness import CapturedLog
 from ports import free_ports
 from routing_fakes import endpoint, known
@@ -180,3 +187,50 @@
         anyio.run(run)
 
         assert "EADDRINUSE" in self.log.lines[0] or "in use" in self.log.lines[0]
+
+
+class TestSendsSinceTheReport:
+    """Guards against an engine that looks free to all while it prefills and reports nothing."""
+
+    def views(self):
+        rows = [known("e1"), known("e1")]
+        for row in rows:
+            row.report = LoadReport(4, 0, 0, 10.0)
+        return rows
+
+    def share(self, sender, receiver, now_s):
+        data = encode_loads(loads_to_gossip([sender], now_s))
+        merge_loads([receiver], decode_loads(data, [receiver]), now_s)
+
+    def test_requests_sent_since_a_report_are_added(self):
+        ours, theirs = self.views()
+        ours.in_flight = 3
+        self.share(ours, theirs, 10.2)
+
+        assert theirs.reported_load == 7
+        assert theirs.last_report_s == 10.0
+
+    def test_sharing_in_a_circle_adds_nothing(self):
+        """Guards against loads that grow with each message about them."""
+        ours, theirs = self.views()
+        ours.in_flight, theirs.in_flight = 3, 2
+        for step in range(20):
+            self.share(ours, theirs, 10.2 + 0.01 * step)
+            self.share(theirs, ours, 10.2 + 0.01 * step)
+
+        assert max(ours.load(10.2), theirs.load(10.2)) <= 4 + 3 + 2
+
+    def test_lower_number_of_the_same_report_changes_nothing(self):
+        ours, theirs = self.views()
+        theirs.in_flight = 5
+        self.share(ours, theirs, 10.2)
+
+        assert theirs.load_since_report == 9
+
+    def test_later_report_replaces_it(self):
+        ours, theirs = self.views()
+        theirs.in_flight = 5
+        ours.report = LoadReport(2, 0, 0, 10.1)
+        self.share(ours, theirs, 10.2)
+
+        assert theirs.reported_load == 2
