Let load reports of plain endpoints fade within the time of a few calls

What callers saw: calls at the same plain endpoint from all entries, while the other endpoint of two that remained was free.

Cause: a report counted for two seconds, calls last 45 ms.

Reports fade by the endpoint's own latency, so they count longer where calls queue.

--- a/src/beryljunction/routing/health.py
+++ b/src/beryljunction/routing/health.py
@@ -1,6 +1,6 @@
 """Which endpoints are healthy enough for requests, and how the load of a slow one counts."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from beryljunction.routing.known_endpoint import KnownEndpoint
 from beryljunction.routing.mechanisms import ALL_ON, Mechanisms
@@ -21,21 +21,30 @@
 
 
 def weighted_loads(
-    rows: Sequence[KnownEndpoint], now_s: float, mechanisms: Mechanisms = ALL_ON
+    rows: Sequence[KnownEndpoint],
+    now_s: float,
+    mechanisms: Mechanisms = ALL_ON,
+    load: Callable[[KnownEndpoint, float], float] = KnownEndpoint.load,
 ) -> dict[tuple[str, int], float]:
     """Return the load of each endpoint; that of a slow one is multiplied by its slowness.
 
     An endpoint can run several times slower than its peers while it answers and looks healthy. By
     its number of requests it is as free as the others, but every request that goes there is late.
     Slowness is the ratio of its latency to the median of its peers.
+
+    Args:
+        rows: The endpoints.
+        now_s: Time on the clock of their loads.
+        mechanisms: Which optional mechanisms are enabled.
+        load: Returns the load of an endpoint at a time.
     """
     if not mechanisms.slowness:
-        return {row.incarnation_id: row.load(now_s) for row in rows}
+        return {row.incarnation_id: load(row, now_s) for row in rows}
     latencies_ms = [row.latency.mean_ms for row in rows if row.latency.is_fresh(now_s)]
     median_ms = (
         sorted(latencies_ms)[len(latencies_ms) // 2] if len(latencies_ms) >= _MIN_LATENCIES else 0.0
     )
-    return {row.incarnation_id: row.load(now_s) * _slowness(row, median_ms, now_s) for row in rows}
+    return {row.incarnation_id: load(row, now_s) * _slowness(row, median_ms, now_s) for row in rows}
 
 
 def _slowness(row: KnownEndpoint, median_ms: float, now_s: float) -> float:
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -10,6 +10,9 @@
 # Requests last a second or two, so a reported load is soon outdated. Over this time, the part of it
 # that other entries caused decays to zero.
 _REPORT_DECAY_S = 2.0
+# A call of a plain service is over after about its usual time; twice that covers slower ones.
+_CALL_DECAY_FACTOR = 2.0
+_MIN_CALL_DECAY_S = 0.02
 # Age of a report at which the requests that came after it are estimated at the mean load.
 _REPORT_OUTDATED_S = 1.0
 # A queue is gone, or has become another one, when its report is older than this.
@@ -215,14 +218,26 @@
         else:
             self.cold_until_s = now_s + cold_ms / 1000 if cold_ms else -math.inf
 
-    def load(self, now_s: float) -> float:
-        """Return the estimated number of requests that it has from all entries."""
+    def load(self, now_s: float, decay_s: float = _REPORT_DECAY_S) -> float:
+        """Return the estimated number of requests that it has from all entries.
+
+        Args:
+            now_s: Time on the clock of the report.
+            decay_s: Age of the report at which requests of other entries in it are over.
+        """
         if self.report is None:
             return float(self.in_flight)
         others = max(0, self.report.running + self.report.waiting - self.report.own)
-        freshness = max(0.0, 1.0 - (now_s - self.report.at_s) / _REPORT_DECAY_S)
+        freshness = max(0.0, 1.0 - (now_s - self.report.at_s) / decay_s)
         return self.in_flight + others * freshness
 
+    def call_decay_s(self, now_s: float) -> float:
+        """Return the age of a report at which calls that take as long as its last ones are over."""
+        if not self.latency.is_fresh(now_s):
+            return _REPORT_DECAY_S
+        decay_s = _CALL_DECAY_FACTOR * self.latency.mean_ms / 1000
+        return min(_REPORT_DECAY_S, max(_MIN_CALL_DECAY_S, decay_s))
+
     def expected_unreported(self, mean_load: float, now_s: float) -> float:
         """Return the expected number of requests that it got since its last load report.
 
--- a/src/beryljunction/routing/placement.py
+++ b/src/beryljunction/routing/placement.py
@@ -152,8 +152,9 @@
     """Chooses the least loaded endpoint and prefers the entry's own availability zone.
 
     With many short calls and few slots per endpoint, a call that waits behind another takes twice
-    its time. Ties are broken at random, so that entries which know the same loads don't all pick
-    the same endpoint.
+    its time. Reports fade within the time of a few calls: older ones say nothing of the load, and
+    would send all entries to the same endpoint. Ties are broken at random, so that entries which
+    know the same loads don't all pick the same endpoint.
     """
 
     def __init__(
@@ -172,7 +173,7 @@
         """Return the least loaded endpoint."""
         if not rows:
             return None
-        loads = weighted_loads(rows, now_s, self._mechanisms)
+        loads = weighted_loads(rows, now_s, self._mechanisms, _call_load)
         chosen = min(rows, key=lambda row: self._load_share(row, loads[row.incarnation_id]))
         return Choice(
             chosen,
@@ -199,3 +200,7 @@
         if self._mechanisms.zone_penalty and row.record.availability_zone != self._zone:
             share += _OTHER_ZONE_PENALTY
         return share, self._draw.random()
+
+
+def _call_load(row: KnownEndpoint, now_s: float) -> float:
+    return row.load(now_s, row.call_decay_s(now_s))
--- a/testing/test_imbalance.py
+++ b/testing/test_imbalance.py
@@ -3,6 +3,7 @@
 import pytest
 
 from imbalance_world import Fleet, share_over_bound, worst_five_seconds
+from plain_imbalance_world import PlainFleet, worst_plain_five_seconds
 
 SEEDS = (1, 2, 3)
 # A fleet of this many entries is simulated with one seed only: it takes as long as all others.
@@ -83,3 +84,19 @@
         )
 
         assert self.broken(fleet) == []
+
+
+class TestPlainEndpoints:
+    """Guards against calls of all entries that go to the same one of a few plain endpoints.
+
+    A report is outdated after the 45 ms of a call. While it counted for two seconds, entries that
+    shared it all chose the endpoint that had been the least loaded.
+    """
+
+    @pytest.mark.parametrize("rate", [50, 80, 140])
+    @pytest.mark.parametrize("evacuated", [0, 1])
+    def test_limit_holds_while_a_zone_is_evacuated(self, rate, evacuated):
+        fleet = PlainFleet(rate, evacuated)
+        windows = [worst_plain_five_seconds(fleet, seed) for seed in range(1, 7)]
+
+        assert [window for window in windows if window.breaks_limit] == []
