--- a/testing/test_imbalance.py
+++ b/testing/test_imbalance.py
@@ -85,6 +85,34 @@
 
         assert self.broken(fleet) == []
 
+    @pytest.mark.parametrize(
+        "fleet",
+        [
+            Fleet(2, 22, 126, evacuated=7, hot_share=0.3, disrupted_from_s=4.0, length_s=11.0),
+            Fleet(4, 5, 27, evacuated=2, hot_share=0.3, disrupted_from_s=4.0, length_s=11.0),
+            Fleet(24, 22, 63, evacuated=7, hot_share=0.3, disrupted_from_s=4.0, length_s=11.0),
+            Fleet(24, 22, 252, evacuated=7, hot_share=0.3, disrupted_from_s=4.0, length_s=11.0),
+            Fleet(68, 60, 350, evacuated=20, hot_share=0.15, disrupted_from_s=4.0, length_s=11.0),
+        ],
+        ids=lambda fleet: f"{fleet.entries}-entries-{fleet.rate}",
+    )
+    def test_limit_holds_at_other_sizes_and_loads(self, fleet):
+        assert self.broken(fleet) == []
+
+    def test_limit_holds_in_a_large_fleet_of_low_load(self):
+        """Guards against loads that reach 68 entries too late, at engines with few requests."""
+        fleet = Fleet(
+            68, 86, 230, evacuated=28, hot_share=0.15, disrupted_from_s=4.0, length_s=11.0
+        )
+
+        assert self.broken(fleet) == []
+
+    def test_limit_holds_while_two_of_three_zones_are_evacuated(self):
+        """Guards against a third of the engines that hold all requests, over twice the mean."""
+        fleet = Fleet(24, 22, 126, evacuated=14, disrupted_from_s=4.0, length_s=11.0)
+
+        assert self.broken(fleet) == []
+
 
 class TestPlainEndpoints:
     """Guards against calls of all entries that go to the same one of a few plain endpoints.
