--- a/src/beryljunction/cli/explain.py
+++ b/src/beryljunction/cli/explain.py
@@ -3,8 +3,8 @@
 import pathlib
 import sys
 
+from beryljunction.cli.log_files import UnreadableLogError, read_log_lines
 from beryljunction.explain import explain as explain_request
-from beryljunction.explain import parse_line
 
 __all__ = ["explain"]
 
@@ -17,15 +17,11 @@
     :param request_id: Id that the caller sent with the request.
     :param logs: Log files; lines that are not events are ignored.
     """
-    lines = []
-    for path in logs:
-        try:
-            text = path.read_text(errors="replace")
-        except OSError as error:
-            message = f"{path}: expected a readable log file, got {error.strerror}"
-            print(message, file=sys.stderr)
-            return 2
-        lines += [line for line in map(parse_line, text.splitlines()) if line is not None]
+    try:
+        lines = read_log_lines(logs)
+    except UnreadableLogError as error:
+        print(error, file=sys.stderr)
+        return 2
     explanation = explain_request(request_id, lines)
     if explanation is None:
         message = f"{request_id}: expected a line with this request id, got none in {len(lines)}"
--- a/src/beryljunction/cli/imbalance.py
+++ b/src/beryljunction/cli/imbalance.py
@@ -4,7 +4,7 @@
 import pathlib
 import sys
 
-from beryljunction.explain import parse_line
+from beryljunction.cli.log_files import UnreadableLogError, read_log_lines
 from beryljunction.load_imbalance import ServiceImbalance, count_imbalance
 
 __all__ = ["imbalance"]
@@ -20,15 +20,11 @@
 
     :param logs: Logs of all entries, in any order; lines that are not events are ignored.
     """
-    lines = []
-    for path in logs:
-        try:
-            text = path.read_text(errors="replace")
-        except OSError as error:
-            message = f"{path}: expected a readable log file, got {error.strerror}"
-            print(message, file=sys.stderr)
-            return 2
-        lines += [line for line in map(parse_line, text.splitlines()) if line is not None]
+    try:
+        lines = read_log_lines(logs)
+    except UnreadableLogError as error:
+        print(error, file=sys.stderr)
+        return 2
     services = [row for row in count_imbalance(lines) if row.requests]
     if not services:
         message = f"expected lines of sent requests, got none in {len(lines)} events"
