Recognise copies of one load report that look newer by their delays

What callers saw: an engine that prefills and states nothing gets requests from all entries.

A copy of a report carries its age, and each entry that passes it on adds its own delay, so a copy that took longer looks newer and replaced the number that held the requests sent since. Copies within 50 ms count as one report, and the highest number counts; the time stays the first one known. The new test failed before.

--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -17,9 +17,9 @@
 _REPORT_OUTDATED_S = 1.0
 # A queue is gone, or has become another one, when its report is older than this.
 _QUEUE_TTL_S = 0.5
-# Times of one load report differ by this much at most after it was passed on, by network delays and
-# the resolution of messages.
-_SAME_REPORT_S = 0.02
+# Times of one load report differ by this much at most. Each entry that passes it on adds delays,
+# so a copy that took longer looks newer.
+_SAME_REPORT_S = 0.05
 # Weight of a new sample of an endpoint's latency; about the last ten samples count.
 _LATENCY_WEIGHT = 0.1
 # A latency without new samples for this long is ignored, so that an endpoint that was slow gets
@@ -294,12 +294,14 @@
             at_s: When it reported them.
             waiting: Those of them that were waiting.
         """
-        if self.report is not None and at_s <= self.report.at_s:
-            is_same_time = self.report.at_s - at_s <= _SAME_REPORT_S
-            is_same_report = is_same_time and waiting == self.report.waiting
-            if not is_same_report or requests <= self.load_since_report:
+        if self.report is not None:
+            is_same_time = abs(at_s - self.report.at_s) <= _SAME_REPORT_S
+            if is_same_time and waiting == self.report.waiting:
+                if requests <= self.load_since_report:
+                    return
+                at_s = self.report.at_s
+            elif at_s <= self.report.at_s:
                 return
-            at_s = self.report.at_s
         own = min(self.in_flight, requests)
         self.report = LoadReport(requests - waiting, waiting, own, at_s)
 
--- a/testing/test_load_datagrams.py
+++ b/testing/test_load_datagrams.py
@@ -227,6 +227,16 @@
 
         assert theirs.load_since_report == 9
 
+    def test_copy_that_took_longer_changes_nothing(self):
+        """Guards against a delayed copy of a report that looks newer and forgets what was sent."""
+        ours, theirs = self.views()
+        ours.report = LoadReport(4, 0, 0, 10.03)
+        theirs.in_flight = 5
+        self.share(ours, theirs, 10.2)
+
+        assert theirs.load_since_report == 9
+        assert theirs.last_report_s == 10.0
+
     def test_later_report_replaces_it(self):
         ours, theirs = self.views()
         theirs.in_flight = 5
