--- a/src/beryljunction/routing/cache_aware_placement.py
+++ b/src/beryljunction/routing/cache_aware_placement.py
@@ -97,13 +97,10 @@
         in_order = order
         if self._mechanisms.hot_copies:
             order = self._spread_hot_session(order, request, loads, now_s)
+        share = self._entry_share(request, bound, loads, now_s)
         under_bound: list[KnownEndpoint] = []
-        share = math.inf
         open_rows = _recorded(self._under_bound(order, loads, bound, now_s), under_bound)
-        has_share = self._mechanisms.entry_share and self._mechanisms.bound
-        if has_share and bound.is_cheap_to_move:
-            share = self._entry_share(request, loads, now_s)
-            open_rows = (row for row in open_rows if row.in_flight < share)
+        open_rows = (row for row in open_rows if row.in_flight < share)
         if self._mechanisms.avoid_queues and bound.is_cheap_to_move:
             open_rows = _queueing_last(open_rows, now_s)
         chosen = self._pick(open_rows, order[0], loads) if request.parts.ids else None
@@ -111,14 +108,10 @@
             chosen = self._least_loaded(rows, loads)
 
         def passed_over(row: KnownEndpoint) -> PassedOver:
-            if row in under_bound and row.in_flight >= share:
-                reason = PassedOverReason.ENTRY_SHARE
-            elif row in under_bound:
-                is_queueing = row.has_queue(now_s)
-                reason = PassedOverReason.QUEUE if is_queueing else PassedOverReason.MORE_LOADED
-            elif chosen is order[0]:
-                reason = PassedOverReason.HOT_SESSION
-            else:
+            reason = PassedOverReason.HOT_SESSION
+            if row in under_bound:
+                reason = self._reason_under_bound(row, chosen, share, now_s)
+            elif chosen is not order[0]:
                 reason = PassedOverReason.OVER_BOUND
             load, age_s = loads[row.incarnation_id], row.report_age_s(now_s)
             return PassedOver(row.record.endpoint_id, load, age_s, reason)
@@ -132,14 +125,34 @@
             tuple(passed_over(row) for row in in_order[: in_order.index(chosen)]),
         )
 
+    def _reason_under_bound(
+        self, row: KnownEndpoint, chosen: KnownEndpoint, share: float, now_s: float
+    ) -> PassedOverReason:
+        """Return why an endpoint under the load bound was passed over."""
+        if row.in_flight >= share:
+            return PassedOverReason.ENTRY_SHARE
+        if row.has_queue(now_s):
+            return PassedOverReason.QUEUE
+        rate = self.prefill_rate(row.record.service)
+        if _queue_ms(row, rate) - _queue_ms(chosen, rate) > _MAX_EXTRA_QUEUE_MS:
+            return PassedOverReason.PREFILL_QUEUE
+        return PassedOverReason.MORE_LOADED
+
     def _entry_share(
-        self, request: PlacementRequest, loads: Mapping[tuple[str, int], float], now_s: float
+        self,
+        request: PlacementRequest,
+        bound: LoadBound,
+        loads: Mapping[tuple[str, int], float],
+        now_s: float,
     ) -> float:
-        """Return how many requests of this entry an engine has room for.
+        """Return from how many requests of this entry on an engine is skipped; infinity for never.
 
         Several entries may send to an engine at the same moment, before any of them knows of it.
         What an entry has sent itself is the only load that it always knows.
         """
+        has_share = self._mechanisms.entry_share and self._mechanisms.bound
+        if not has_share or not bound.is_cheap_to_move:
+            return math.inf
         mean = mean_load(loads.values(), request.excluded_endpoints, now_s)
         limit = _FLEET_RATIO * mean + _FLEET_ALLOWANCE
         return max(1, math.ceil(_ENTRY_SHARE_FACTOR * limit / request.entries))
