Log large and incomplete reads of the store, and where settings came from

Cause: after a cut, the log didn't say how much of a topic a read returned, so a read of a part could not be told from one of everything, nor whether a version came from the store, an update or a peer.

Change: `store_read` (offset, next, end, records, bytes, time) for reads of 16 KB or more and for reads that stop before the end of the topic; `settings_applied` names its source, the newest announced version and the age of the settings before. The end of the topic stays in the decoded answer. `beryl explain` shows both. Decisions are unchanged.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -24,6 +24,7 @@
         "reload_refused",
         "store_lost",
         "store_regained",
+        "store_read",
         "stands_in",
         "store_restored",
         "settings_applied",
@@ -192,6 +193,10 @@
         f"can no longer read the store ({line.get('topic')}: {line.get('reason')})"
     ),
     "store_regained": lambda line: f"can read the store again ({line.get('topic')})",
+    "store_read": lambda line: (
+        f"read {line.get('records')} records of {line.get('topic')} in {line.get('took_ms')} ms, "
+        f"up to {line.get('next')} of {line.get('end')}"
+    ),
     "stands_in": lambda line: (
         f"reads {line.get('topic')} from the store in place of the usual readers; its copy is "
         f"{line.get('age_s')} s old"
@@ -200,7 +205,9 @@
         f"found that the store was restored from an older copy ({line.get('topic')}, era "
         f"{line.get('era_before')} to {line.get('era')})"
     ),
-    "settings_applied": lambda line: f"applied settings {line.get('version')}",
+    "settings_applied": lambda line: (
+        f"applied settings {line.get('version')} from {line.get('source')}"
+    ),
     "settings_by_peer": lambda line: f"gets its settings confirmed by peer {line.get('peer')}",
     "settings_by_peer_ended": lambda line: "no longer gets its settings confirmed by a peer",
     "settings_refused": lambda line: (
--- a/src/beryljunction/fuzz/platform/stores.py
+++ b/src/beryljunction/fuzz/platform/stores.py
@@ -56,7 +56,7 @@
                 return Expired()
             if page.records or self._loop.now_s >= ends_s:
                 end = position_of(self._model.era, page.end)
-                answer = Records(tuple(map(_record, page.records)), end)
+                answer = Records(tuple(map(_record, page.records)), end, end)
                 return await self._finish(answer)
             if self.fault in (StoreFault.BUSY, StoreFault.SILENT):
                 return Unavailable("cut while waiting")
--- a/src/beryljunction/gateway/config_watcher.py
+++ b/src/beryljunction/gateway/config_watcher.py
@@ -18,7 +18,7 @@
     decode_config,
     decode_evacuation,
 )
-from beryljunction.routing import should_ask_peers
+from beryljunction.routing import STORE, should_ask_peers
 
 __all__ = ["ConfigWatcher"]
 
@@ -136,7 +136,7 @@
             asked_s: When the store was asked.
         """
         if value is not None:
-            self._apply_version(value)
+            self._apply_version(value, host)
         self._announced_version = max(self._announced_version, version)
         config = self._state.config
         if config is not None and config.version >= version:
@@ -144,9 +144,9 @@
             self._asked_s = max(self._asked_s, asked_s)
             self._state.lease.confirm(asked_s)
 
-    def apply_from_peer(self, value: bytes) -> None:
+    def apply_from_peer(self, host: str, value: bytes) -> None:
         """Apply settings that another entry has read; older ones change nothing."""
-        self._apply_version(value)
+        self._apply_version(value, host)
 
     async def _read_once(self, wait_ms: int) -> bool:
         asked_s = boot_time_s()
@@ -174,7 +174,7 @@
         """Apply every version, since the last of several records need not be the newest."""
         for record in records:
             if record.key == FLEET_CONFIG_KEY and record.value is not None:
-                self._is_usable = self._apply_version(record.value)
+                self._is_usable = self._apply_version(record.value, STORE)
 
     def _decode_zones(self, records: Iterable[Record]) -> dict[str, bool]:
         """Return the zones that the records name, and whether each is evacuated after the last."""
@@ -187,7 +187,7 @@
                 zones[zone] = record.value is not None
         return zones
 
-    def _apply_version(self, value: bytes) -> bool:
+    def _apply_version(self, value: bytes, source: str) -> bool:
         """Apply a version of the settings; return False if it can't be decoded."""
         config = decode_config(value)
         if isinstance(config, InvalidRecord):
@@ -195,5 +195,12 @@
             return False
         if self._state.apply_config(config, value):
             routes = sum(len(rows) for rows in config.routes.values())
-            self._state.events.write("settings_applied", version=config.version, routes=routes)
+            self._state.events.write(
+                "settings_applied",
+                version=config.version,
+                routes=routes,
+                source=source,
+                announced=self._announced_version,
+                settings_age_s=round(self._state.lease.age_s(boot_time_s()), 3),
+            )
         return True
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -242,7 +242,7 @@
             store_view.evacuations.zones, store_view.evacuations.position
         )
         if store_view.config is not None:
-            self._config.apply_from_peer(store_view.config)
+            self._config.apply_from_peer(host, store_view.config)
         if store_view.endpoints is not None:
             self._endpoints.apply_from_peer(store_view.offset, store_view.endpoints)
         config = self._state.config
--- a/src/beryljunction/gateway/topic_reader.py
+++ b/src/beryljunction/gateway/topic_reader.py
@@ -29,6 +29,9 @@
 # Records kept for downstream entries; one that lacks more gets the newest record of each key.
 _MAX_RECENT_RECORDS = 256
 
+# Reads of at least this size are logged; the endpoints' usual heartbeats stay below it.
+_MIN_LOGGED_BYTES = 16_384
+
 ApplyRecords = Callable[[Iterable[Record]], None]
 
 
@@ -93,6 +96,7 @@
         self._log_store_regained()
         now_s = boot_time_s()
         self.state.store_reachability.note_answer(asked_s, now_s)
+        self._log_large_read(answer, asked, now_s - asked_s)
         if isinstance(answer, NewestRecords):
             self._apply_snapshot(answer.records, answer.next_position, apply_snapshot)
         elif isinstance(answer, Records):
@@ -205,6 +209,26 @@
         self.state.events.write("store_restored", topic=topic, era_before=before, era=era)
         self.state.store_reachability.note_restored(boot_time_s())
 
+    def _log_large_read(
+        self, answer: NewestRecords | Records, asked: int | None, took_s: float
+    ) -> None:
+        """Log a read that was large or stopped before the end of the topic."""
+        size_bytes = sum(len(row.value or b"") for row in answer.records)
+        end = answer.end if isinstance(answer, Records) else answer.next_position
+        if size_bytes < _MIN_LOGGED_BYTES and answer.next_position >= end:
+            return
+        self.state.events.write(
+            "store_read",
+            topic=self._topic.name,
+            offset="newest" if asked is None else asked,
+            next=answer.next_position,
+            end=end,
+            known=self.position,
+            records=len(answer.records),
+            size_bytes=size_bytes,
+            took_ms=round(took_s * 1000, 1),
+        )
+
     def _log_store_lost(self, reason: str) -> None:
         if not self._is_store_lost:
             self.state.events.write("store_lost", topic=self._topic.name, reason=reason)
--- a/src/beryljunction/platform/storeformat.py
+++ b/src/beryljunction/platform/storeformat.py
@@ -34,14 +34,17 @@
 
 @attrs.frozen
 class Records:
-    """Records from the requested position on.
+    """Records from the requested position on, as many as fit into one answer.
 
     Attributes:
         next_position: Position for the next read.
+        end: Position of the topic's end when the store answered; the answer stops before it if
+            there are more records than the store returns at once.
     """
 
     records: tuple[Record, ...]
     next_position: int
+    end: int
 
 
 @attrs.frozen
@@ -110,7 +113,8 @@
             raise ValueError("record is truncated")
         records.append(_decode_keyed_record(body[position : position + length]))
         position += length
-    return Records(tuple(records), position_of(era_of(asked), start + len(records)))
+    era = era_of(asked)
+    return Records(tuple(records), position_of(era, start + len(records)), position_of(era, end))
 
 
 def _decode_keyed_record(content: bytes) -> Record:
--- a/testing/test_config_watcher.py
+++ b/testing/test_config_watcher.py
@@ -320,7 +320,7 @@
         if wait_ms:
             await anyio.sleep_forever()
         self.short_reads += 1
-        return Unavailable("busy") if self.is_away else Records((), offset)
+        return Unavailable("busy") if self.is_away else Records((), offset, offset)
 
     async def put(self, topic, key, value):
         return WriteOutcome.NOT_DONE
--- a/testing/test_restored_store.py
+++ b/testing/test_restored_store.py
@@ -132,7 +132,7 @@
         assert end == 6
         assert read == Expired()
         assert (era_of(again.next_position), offset_of(again.next_position)) == (1, 8)
-        assert on == Records((), again.next_position)
+        assert on == Records((), again.next_position, again.next_position)
         assert problems == []
 
     def test_read_from_an_offset_beyond_the_end_expires(self):
@@ -211,7 +211,7 @@
 
         (end, read), problems = self.play(play)
 
-        assert read == Records((), end)
+        assert read == Records((), end, end)
         assert len(problems) == (0 if header is None else 1)
 
     def test_lower_era_changes_nothing(self):
@@ -224,7 +224,7 @@
         (end, read), problems = self.play(play)
 
         assert era_of(end) == 5
-        assert read == Records((), end)
+        assert read == Records((), end, end)
         assert problems == ["expected era 5 or a later one, got 4"]
 
     def stream(self, original):
