A read that stops before the end of a topic confirms nothing

Cause: the store ends a read at max-kilobytes. The same holds for confirmations of endpoints and of entries' addresses, which also go on to other entries.

Change: the decoded answer keeps the end of the topic. Only an answer whose records reach that end, of the era of the known position, renews a confirmation or the lease, as of when it was asked. An answer that stops before is replaced by the newest record of each key at once, fetched once for all concurrent reads, so that of many missed versions one is read. A read of the settings' history ends after 64 KB, that is after one large version. A page that has more but no records is no answer, and an answer that begins after the asked offset counts as expired.

The stand-in ends reads and pages at their size, and can send at the rate of a slow link.

--- a/src/beryljunction/fuzz/platform/stores.py
+++ b/src/beryljunction/fuzz/platform/stores.py
@@ -51,12 +51,17 @@
             return fault
         ends_s = self._loop.now_s + wait_ms / 1000
         while True:
-            page = self._model.read(topic.name, offset_of(offset), self._loop.world_s)
+            page = self._model.read(
+                topic.name,
+                offset_of(offset),
+                self._loop.world_s,
+                max_kilobytes=topic.max_read_kilobytes,
+            )
             if isinstance(page, Gone) or self._model.era != era_of(offset):
                 return Expired()
-            if page.records or self._loop.now_s >= ends_s:
+            if page.end > offset_of(offset) or self._loop.now_s >= ends_s:
                 end = position_of(self._model.era, page.end)
-                answer = Records(tuple(map(_record, page.records)), end, end)
+                answer = Records(tuple(map(_record, page.records)), offset + len(page.records), end)
                 return await self._finish(answer)
             if self.fault in (StoreFault.BUSY, StoreFault.SILENT):
                 return Unavailable("cut while waiting")
@@ -64,12 +69,21 @@
 
     async def read_newest(self, topic: Topic) -> NewestRecords | Unavailable:
         """Return the newest record of each key."""
-        fault = await self._begin(0.0)
-        if fault is not None:
-            return fault
-        rows, _, end = self._model.newest(topic.name, "", self._loop.world_s)
-        records = tuple(Record(key, value) for key, _, value in rows)
-        return await self._finish(NewestRecords(records, position_of(self._model.era, end)))
+        records: list[Record] = []
+        first_end: int | None = None
+        has_more = True
+        while has_more:
+            fault = await self._begin(0.0)
+            if fault is not None:
+                return fault
+            after = records[-1].key if records else ""
+            rows, has_more, end = self._model.newest(topic.name, after, self._loop.world_s)
+            first_end = position_of(self._model.era, end) if first_end is None else first_end
+            if era_of(first_end) != self._model.era:
+                return Unavailable("restored while paging")
+            records += [Record(key, value) for key, _, value in rows]
+        assert first_end is not None
+        return await self._finish(NewestRecords(tuple(records), first_end))
 
     async def put(self, topic: Topic, key: str, value: bytes | None) -> WriteOutcome:
         """Write the record of a key."""
--- a/src/beryljunction/gateway/config_watcher.py
+++ b/src/beryljunction/gateway/config_watcher.py
@@ -149,10 +149,10 @@
         self._apply_version(value, host)
 
     async def _read_once(self, wait_ms: int) -> bool:
-        asked_s = boot_time_s()
         if not await self._topic.read_once(wait_ms, self._apply_snapshot, self._apply_changes):
             return False
         if self._is_usable:
+            asked_s = self._topic.confirmation.asked_s
             self._asked_s = max(self._asked_s, asked_s)
             self._state.lease.confirm(asked_s)
             self._state.store_data_changed.set()
--- a/src/beryljunction/gateway/topic_reader.py
+++ b/src/beryljunction/gateway/topic_reader.py
@@ -59,6 +59,7 @@
         self._recent_start = 0
         self._snapshot_end: int | None = None
         self._is_store_lost = False
+        self._newest_lock = anyio.Lock()
 
     async def read_once(
         self,
@@ -77,33 +78,68 @@
                 client's own limit.
         """
         asked = self._offset
-        asked_s = boot_time_s()
         if asked is None:
-            answer: NewestRecords | Records | Expired | Unavailable = await self._store.read_newest(
-                self._topic
-            )
-        else:
-            answer = await self._read(asked, wait_ms, answer_timeout_s)
-        if isinstance(answer, Unavailable):
-            self._log_store_lost(answer.reason)
-            self.state.store_reachability.note_failure()
-            return False
+            return await self._read_newest(apply_snapshot)
+        asked_s = boot_time_s()
+        answer = await self._read(asked, wait_ms, answer_timeout_s)
         if isinstance(answer, Expired):
             if self._offset == asked:
                 self.state.events.write("history_expired", topic=self._topic.name, offset=asked)
                 self._offset = None
             return await self.read_once(wait_ms, apply_snapshot, apply_changes, answer_timeout_s)
-        self._log_store_regained()
+        if isinstance(answer, Unavailable):
+            self._note_failure(answer)
+            return False
+        self._note_answer(answer, asked, asked_s)
+        if answer.is_complete:
+            self._append(answer.records, answer.next_position, apply_changes)
+        elif not await self._read_newest(apply_snapshot, answer.end):
+            return False
         now_s = boot_time_s()
+        self._confirm_up_to(answer.end, _complete_at_s(answer, asked_s, now_s, wait_ms / 1000))
+        return True
+
+    async def _read_newest(self, apply_snapshot: ApplyRecords, needed_end: int = -1) -> bool:
+        """Read the newest record of each key, unless another read has just done so.
+
+        This also replaces a read of the history that stopped before the end: of the records that
+        this entry missed, only the newest of each key count.
+        """
+        async with self._newest_lock:
+            if self._has_reached(needed_end):
+                return True
+            asked_s = boot_time_s()
+            answer = await self._store.read_newest(self._topic)
+            if isinstance(answer, Unavailable):
+                self._note_failure(answer)
+                return False
+            self._note_answer(answer, None, asked_s)
+            self._apply_snapshot(answer.records, answer.next_position, apply_snapshot)
+            self._confirm_up_to(answer.next_position, asked_s)
+        return True
+
+    def _note_failure(self, answer: Unavailable) -> None:
+        self._log_store_lost(answer.reason)
+        self.state.store_reachability.note_failure()
+
+    def _note_answer(
+        self, answer: NewestRecords | Records, asked: int | None, asked_s: float
+    ) -> None:
+        now_s = boot_time_s()
+        self._log_store_regained()
         self.state.store_reachability.note_answer(asked_s, now_s)
         self._log_large_read(answer, asked, now_s - asked_s)
-        if isinstance(answer, NewestRecords):
-            self._apply_snapshot(answer.records, answer.next_position, apply_snapshot)
-        elif isinstance(answer, Records):
-            self._append(answer.records, answer.next_position, apply_changes)
-        self.confirmation.confirm(_complete_at_s(answer, asked_s, now_s, wait_ms / 1000))
+
+    def _has_reached(self, end: int) -> bool:
+        """Return whether all records up to a position of the current era have been applied."""
+        is_same_era = era_of(max(0, self.position)) == era_of(max(0, end))
+        return self._offset is not None and self._offset >= end and is_same_era
+
+    def _confirm_up_to(self, end: int, asked_s: float) -> None:
+        """Record that the store, asked at this time, had no records after a position."""
+        if self._has_reached(end):
+            self.confirmation.confirm(asked_s)
         self.state.store_data_changed.set()
-        return True
 
     async def _read(
         self, offset: int, wait_ms: int, answer_timeout_s: float | None
@@ -240,14 +276,12 @@
         self._is_store_lost = False
 
 
-def _complete_at_s(
-    answer: NewestRecords | Records, asked_s: float, now_s: float, wait_s: float
-) -> float:
+def _complete_at_s(answer: Records, asked_s: float, now_s: float, wait_s: float) -> float:
     """Return the time up to which the records are complete after an answer.
 
-    The store holds a read that returns nothing for the whole wait.
+    The store holds a read that returns nothing for the whole wait, unless a record is too large.
     """
-    is_waited_out = isinstance(answer, Records) and not answer.records and now_s >= asked_s + wait_s
+    is_waited_out = answer.is_complete and not answer.records and now_s >= asked_s + wait_s
     return asked_s + wait_s if is_waited_out else asked_s
 
 
--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -59,13 +59,20 @@
 
 @attrs.frozen
 class Topic:
-    """Name of a compacted topic: its only partition keeps the newest record of each key."""
+    """A compacted topic: its only partition keeps the newest record of each key.
+
+    Attributes:
+        max_read_kilobytes: Size at which the store ends a read; it returns at least one record.
+    """
 
     name: str
+    max_read_kilobytes: int = 1_024
 
 
 # Written by the operator: the settings of the fleet under one key.
-FLEET_CONFIG = Topic("keyed.op")
+# An entry that missed several large versions needs only the newest one, so a read of the history
+# ends after the first.
+FLEET_CONFIG = Topic("keyed.op", max_read_kilobytes=64)
 FLEET_CONFIG_KEY = "config"
 # Written by the endpoints, each under its id.
 ENDPOINT_RECORDS = Topic("keyed.servers")
@@ -158,6 +165,7 @@
     ) -> Records | Expired | Unavailable:
         """Return the records from an offset on; wait up to `wait_ms` if there are none."""
         query = f"?topic={topic.name}&part=0&from={offset_of(offset)}"
+        query += f"&max-kilobytes={topic.max_read_kilobytes}"
         if wait_ms:
             query += f"&wait-ms={wait_ms}"
         with anyio.CancelScope() as scope:
@@ -190,7 +198,7 @@
         after = ""
         while True:
             query = f"?topic={topic.name}&part=0" + (f"&after={after}" if after else "")
-            page = await self._fetch_page(_NEWEST_PATH + query)
+            page = await self._fetch_page(topic, _NEWEST_PATH + query)
             if isinstance(page, Unavailable):
                 return page
             if first_end is None:
@@ -200,8 +208,10 @@
                     "expected all pages to be of one era, but the store was restored while paging"
                 )
             records += page.records
-            if not page.has_more or not page.records:
+            if not page.has_more:
                 return NewestRecords(tuple(records), first_end)
+            if not page.records:
+                return Unavailable("expected records on a page that has more, got none")
             after = page.records[-1].key
 
     async def put(self, topic: Topic, key: str, value: bytes | None) -> WriteOutcome:
@@ -214,8 +224,8 @@
             return WriteOutcome.UNKNOWN
         return WriteOutcome.DONE if answer.status == 200 else WriteOutcome.NOT_DONE
 
-    async def _fetch_page(self, path: str) -> Page | Unavailable:
-        answer = await self._call("GET", path, 0.0)
+    async def _fetch_page(self, topic: Topic, path: str) -> Page | Unavailable:
+        answer = await self._call("GET", path, 0.0, topic=topic)
         if isinstance(answer, Unavailable):
             return answer
         if answer.status != 200:
--- a/src/beryljunction/platform/storeformat.py
+++ b/src/beryljunction/platform/storeformat.py
@@ -46,6 +46,11 @@
     next_position: int
     end: int
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the records reach the end of the topic, so that nothing newer existed."""
+        return self.next_position >= self.end
+
 
 @attrs.frozen
 class NewestRecords:
@@ -97,13 +102,13 @@
     """Decode the end and first offset (8 bytes each), then length-prefixed records.
 
     A position past the end is a wrong value from another entry, and a read from there would wait
-    forever. `Expired` makes the caller fetch the newest records and the actual end instead.
+    forever. One before the first record would leave a gap. `Expired` makes the caller fetch the
+    newest records and the actual end instead.
     """
     end, first = _END_AND_FIRST.unpack_from(body)
     offset = offset_of(asked)
-    if offset > end:
+    if not first <= offset <= end:
         return Expired()
-    start = max(offset, first)
     position = _END_AND_FIRST.size
     records: list[Record] = []
     while position < len(body):
@@ -114,7 +119,7 @@
         records.append(_decode_keyed_record(body[position : position + length]))
         position += length
     era = era_of(asked)
-    return Records(tuple(records), position_of(era, start + len(records)), position_of(era, end))
+    return Records(tuple(records), position_of(era, offset + len(records)), position_of(era, end))
 
 
 def _decode_keyed_record(content: bytes) -> Record:
--- a/src/beryljunction/standins/platform_store.py
+++ b/src/beryljunction/standins/platform_store.py
@@ -3,6 +3,7 @@
 import base64
 import collections
 import copy
+import itertools
 import json
 import random
 import struct
@@ -32,6 +33,10 @@
 ]
 
 _PAGE_ITEMS = 500
+_PAGE_BYTES = 1_048_576
+_READ_KILOBYTES = 1_024
+_LENGTH_BYTES = 4
+_CHUNK_BYTES = 16_384
 _BODY_BYTES = 4_194_304
 _POLL_S = 0.005
 _KEYED_PREFIX = "keyed."
@@ -47,6 +52,7 @@
         lost_ratio: Share of calls that are done and whose answer never comes.
         late_s: Time after which a lost append takes effect.
         refused_hosts: Addresses whose calls are answered 429 while others are served.
+        bytes_per_s: Rate at which the bodies of all answers together are sent; None for no limit.
     """
 
     busy: bool = False
@@ -54,6 +60,7 @@
     lost_ratio: float = 0.0
     late_s: float = 0.0
     refused_hosts: frozenset[str] = frozenset()
+    bytes_per_s: float | None = None
     seed: int = 0
 
 
@@ -94,12 +101,16 @@
 class PlatformStoreModel:
     """The store without sockets or a clock: the time is handed in.
 
+    Attributes:
+        returns_large_records: Whether a read returns a record that alone is larger than the read.
+
     Args:
         retention_s: Age at which a record expires; the newest of each key stays.
     """
 
     def __init__(self, retention_s: float = 20.0) -> None:
         self._retention_s = retention_s
+        self.returns_large_records = True
         self._parts: dict[tuple[str, int], _Part] = {}
         self.era = 0
 
@@ -131,13 +142,26 @@
         name = key.encode()
         self.append(topic, [bytes([len(name)]) + name + (value or b"")], now_s)
 
-    def read(self, topic: str, offset: int, now_s: float, part: int = 0) -> Slice | Gone:
-        """Return the records from an offset on."""
+    def read(
+        self,
+        topic: str,
+        offset: int,
+        now_s: float,
+        part: int = 0,
+        max_kilobytes: int = _READ_KILOBYTES,
+    ) -> Slice | Gone:
+        """Return the records from an offset on, at least one and no more than fit into a read."""
         row = self._part(topic, part, now_s)
         if not row.first <= offset <= row.end:
             return Gone(row.first)
-        records = tuple(data for _, data in list(row.records)[offset - row.first :])
-        return Slice(records, row.end, row.first)
+        records: list[bytes] = []
+        left_bytes = max_kilobytes * 1_024
+        for _, data in itertools.islice(row.records, offset - row.first, None):
+            left_bytes -= len(data) + _LENGTH_BYTES
+            if left_bytes < 0 and (records or not self.returns_large_records):
+                break
+            records.append(data)
+        return Slice(tuple(records), row.end, row.first)
 
     def newest(
         self, topic: str, after: str, now_s: float, part: int = 0
@@ -145,8 +169,14 @@
         """Return a page of the newest records of keys, whether there are more, and the end."""
         row = self._part(topic, part, now_s)
         keys = sorted(key for key in row.newest if key > after)
-        page = [(key, *row.newest[key]) for key in keys[:_PAGE_ITEMS]]
-        return page, len(keys) > _PAGE_ITEMS, row.end
+        page: list[tuple[str, int, bytes]] = []
+        left_bytes = _PAGE_BYTES
+        for key in keys[:_PAGE_ITEMS]:
+            left_bytes -= len(row.newest[key][1])
+            if left_bytes < 0 and page:
+                break
+            page.append((key, *row.newest[key]))
+        return page, len(keys) > len(page), row.end
 
     def replay_first(self, topic: str, now_s: float, part: int = 0) -> None:
         """Append the oldest record that is kept once more; the newest of its key stays."""
@@ -194,6 +224,7 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self._now_s = now_s
         self._random = random.Random(self.faults.seed)
+        self._link_free_s = 0.0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
@@ -218,7 +249,23 @@
             group.cancel_scope.cancel()
 
     async def _respond(self, send: Send, status: int, answer: bytes) -> None:
-        await send_response(send, status, answer, [(b"store-era", b"%d" % self.model.era)])
+        headers = [(b"store-era", b"%d" % self.model.era)]
+        if self.faults.bytes_per_s is None:
+            await send_response(send, status, answer, headers)
+            return
+        length = (b"content-length", b"%d" % len(answer))
+        await send({"type": "http.response.start", "status": status, "headers": [length, *headers]})
+        for start in range(0, len(answer), _CHUNK_BYTES):
+            chunk = answer[start : start + _CHUNK_BYTES]
+            await self._wait_for_link(len(chunk) / self.faults.bytes_per_s)
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+
+    async def _wait_for_link(self, duration_s: float) -> None:
+        """Wait until a transfer of this duration has ended on the link that all answers share."""
+        now_s = self._now_s()
+        self._link_free_s = max(now_s, self._link_free_s) + duration_s
+        await anyio.sleep(self._link_free_s - now_s)
 
     async def _answer(self, path: str, query: dict[str, str], body: bytes) -> tuple[int, bytes]:
         if path == "log-read":
@@ -239,10 +286,11 @@
             if self.faults.busy:
                 return 503, b"{}"
             now_s = self._now_s()
-            page = self.model.read(topic, offset, now_s, int(query["part"]))
+            limit = int(query.get("max-kilobytes", _READ_KILOBYTES))
+            page = self.model.read(topic, offset, now_s, int(query["part"]), limit)
             if isinstance(page, Gone):
                 return 410, json.dumps({"first": page.first}).encode()
-            if page.records or now_s >= end_s:
+            if page.end > offset or now_s >= end_s:
                 data = b"".join(struct.pack(">I", len(row)) + row for row in page.records)
                 return 200, struct.pack(">QQ", page.end, page.first) + data
             await anyio.sleep(_POLL_S)
