--- a/testing/test_partial_reads.py
+++ b/testing/test_partial_reads.py
@@ -29,7 +29,7 @@
 from beryljunction.servers import Server, bind_listener
 from beryljunction.standins import PlatformStoreStandIn
 from entry_harness import CapturedLog, route
-from fanout_world import FleetWorld, StoreFault
+from fanout_world import FleetWorld, History, StoreFault
 
 # Settings of 1,640 routes have 400 KB, which take 0.7 s on a link of 5 Mbit/s.
 ROUTES = 1_640
@@ -346,6 +346,20 @@
             assert world.violations == []
             assert world.holds_for_all(lambda state: state.config.version == world.version)
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_random_faults_never_make_older_settings_look_like_the_newest(self, seed):
+        """Guards against updates, late ones too, that confirm what their sender read in part."""
+        with FleetWorld(12, seed=seed) as world:
+            small = world.configure
+            world.configure = lambda: small(routes=500)
+            world.advance(14.0)
+            History(world, seed).play(steps=12)
+            heal(world)
+            world.advance(6.0)
+
+            assert world.violations == []
+            assert world.holds_for_all(lambda state: state.config.version == world.version)
+
 
 def heal(world):
     for row in world.members.values():
