--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -226,14 +226,12 @@
     async def step(self) -> None:
         """Ask one peer if the last confirmation is so old that the store seems unreachable."""
         lease, now_s = self._state.lease, boot_time_s()
-        announcer = self._config.announcer()
-        if announcer is None and not should_ask_peers(
-            self._config.age_s(now_s), lease.revocation_s
-        ):
+        chosen = self._find_announcer()
+        if chosen is None and not should_ask_peers(self._config.age_s(now_s), lease.revocation_s):
             self._log_peer_confirmation(self._config.confirmed_by)
             return
-        address = self._state.fan_out.addresses().get(announcer or "")
-        chosen = self._peers.choose(now_s) if address is None else (announcer or "", address)
+        if chosen is None:
+            chosen = self._peers.choose(now_s)
         if chosen is None:
             return
         host, address = chosen
@@ -246,6 +244,12 @@
         self._peers.note(host, has_confirmed, boot_time_s())
         self._log_peer_confirmation(host if has_confirmed else "")
 
+    def _find_announcer(self) -> tuple[str, Address] | None:
+        """Return the entry that has settings which the store lacks; None if there is none."""
+        host = self._config.announcer()
+        address = self._state.fan_out.addresses().get(host) if host is not None else None
+        return (host, address) if host is not None and address is not None else None
+
     def _apply_store_view(self, host: str, store_view: StoreView, asked_s: float) -> bool:
         """Apply a peer's answer; return whether the peer itself is in contact with the store."""
         self._state.store_reachability.note_update(asked_s - store_view.age_s, None, boot_time_s())
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -117,6 +117,7 @@
             return
         self.bounds = bounds
         self.lease.revocation_s = bounds.revocation_ms / 1000
+        self.announced_version.memory_s = self.lease.revocation_s
         self.cold_start_limiter.limit = _cold_start_limit(bounds)
         self._retry_shares.clear()
 
--- a/src/beryljunction/gateway/updates.py
+++ b/src/beryljunction/gateway/updates.py
@@ -142,9 +142,9 @@
         host: Name of the sender's host.
         incarnation: Process start of the receiver, from its last reply; empty before the first.
         clock_s: Clock of the receiver, from its last reply.
-        confirmed_s: When the store was asked whether these settings are the newest.
+        confirmed_s: When the store was asked whether the sender's settings are the newest.
         regained_s: When the store became reachable again; None if that was not recent.
-        version: Version of the settings.
+        version: Newest version of the settings that the sender has or has just learned of.
         evacuations: Availability zones under evacuation.
         endpoints_progress: How far the sender has the endpoint records.
         entries_progress: How far the sender has the addresses of entries.
