Don't ask a peer for settings that are arriving from the store

Cause: a peer's answer may take 2 s since large settings are let through.

Change: no peer is asked while a response with settings is arriving, until the entry would stop being ready; a response that stalls is not waited for any longer.

--- a/src/beryljunction/gateway/config_watcher.py
+++ b/src/beryljunction/gateway/config_watcher.py
@@ -118,6 +118,10 @@
         """
         return now_s - self._asked_s
 
+    def is_receiving(self) -> bool:
+        """Return whether the store's response to a read of the settings has begun to arrive."""
+        return self._store.is_receiving(FLEET_CONFIG)
+
     def is_rejected_by_store(self, now_s: float) -> bool:
         """Return whether this entry needs to read the store and its last read failed.
 
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -230,6 +230,10 @@
         if chosen is None and not should_ask_peers(self._config.age_s(now_s), lease.revocation_s):
             self._log_peer_confirmation(self._config.confirmed_by)
             return
+        if self._config.is_receiving() and self._config.age_s(now_s) < lease.ready_s:
+            # A peer's answer would share the link with the same settings from the store. A response
+            # that stalls is not waited for any longer than the settings allow.
+            return
         if chosen is None:
             chosen = self._peers.choose(now_s)
         if chosen is None:
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -343,3 +343,23 @@
         assert len(entry.table) == 64
         assert before == 54 / 100
         assert entry.state.retry_share("engine").left == 54 / 100
+
+
+class TestTransferFromStore:
+    @pytest.mark.parametrize(("now_s", "is_asked"), [(2.5, False), (3.1, True)])
+    def test_peer_is_not_asked_for_settings_that_are_arriving(self, monkeypatch, now_s, is_asked):
+        """Guards against two transfers of the same settings that share a slow link.
+
+        A response of the store that stalls must not keep the entry from asking.
+        """
+        for module in (peers, store_view, config_watcher, state):
+            monkeypatch.setattr(module, "boot_time_s", lambda: now_s)
+        one, two = Entry("one", CapturedLog()), Entry("two", CapturedLog())
+        two.state.lease.confirm(now_s - 0.1)
+        two.endpoints.confirm_up_to(1, now_s - 0.1, "store")
+        one.ask_peer(two)
+        monkeypatch.setattr(one.config, "is_receiving", lambda: True)
+
+        anyio.run(one.peers.step)
+
+        assert (one.state.lease.age_s(now_s) < 1.0) is is_asked
