--- a/src/beryljunction/gateway/topic_reader.py
+++ b/src/beryljunction/gateway/topic_reader.py
@@ -96,7 +96,7 @@
         elif not await self._read_newest(apply_snapshot, answer.end):
             return False
         now_s = boot_time_s()
-        self._confirm_up_to(answer.end, _complete_at_s(answer, asked_s, now_s, wait_ms / 1000))
+        self._confirm_own_read(answer.end, _complete_at_s(answer, asked_s, now_s, wait_ms / 1000))
         return True
 
     async def _read_newest(self, apply_snapshot: ApplyRecords, needed_end: int = -1) -> bool:
@@ -115,7 +115,7 @@
                 return False
             self._note_answer(answer, None, asked_s)
             self._apply_snapshot(answer.records, answer.next_position, apply_snapshot)
-            self._confirm_up_to(answer.next_position, asked_s)
+            self._confirm_own_read(answer.next_position, asked_s)
         return True
 
     def _note_failure(self, answer: Unavailable) -> None:
@@ -135,8 +135,11 @@
         is_same_era = era_of(max(0, self.position)) == era_of(max(0, end))
         return self._offset is not None and self._offset >= end and is_same_era
 
-    def _confirm_up_to(self, end: int, asked_s: float) -> None:
-        """Record that the store, asked at this time, had no records after a position."""
+    def _confirm_own_read(self, end: int, asked_s: float) -> None:
+        """Record that the store, asked at this time, had no records after a position.
+
+        This changes nothing while this entry lacks some of the records before it.
+        """
         if self._has_reached(end):
             self.confirmation.confirm(asked_s)
         self.state.store_data_changed.set()
