--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -11,10 +11,9 @@
 from beryljunction.fuzz.platform.oracle import Asked, PlatformOracle, Run
 from beryljunction.fuzz.platform.virtual import Side, VirtualLoop
 
-__all__ = ["Behaviour", "FuzzCaller", "FuzzEndpoint"]
+__all__ = ["Behaviour", "CrashStyle", "FuzzCaller", "FuzzEndpoint"]
 
 _WORK_S = 0.03
-_CRASH_S = 0.05
 _STREAM_TYPE = "content-type: text/event-stream"
 _PAUSE_S = 3
 _SLOW_S = 0.6
@@ -37,6 +36,25 @@
     SLOW = "slow"
 
 
+@attrs.frozen
+class CrashStyle:
+    """How an endpoint ends under a request that crashes it.
+
+    Attributes:
+        begins_in_s: Time from the request until the answer begins.
+        sends_head: Whether the head of an answer without a length is sent.
+        events: Events that are sent after the head.
+        lasts_s: Time from the beginning of the answer until the process ends.
+        lag_s: Time until the end of its connections arrives at the entries.
+    """
+
+    begins_in_s: float = 0.05
+    sends_head: bool = False
+    events: int = 0
+    lasts_s: float = 0.0
+    lag_s: float = 0.0
+
+
 @attrs.define(eq=False)
 class FuzzEndpoint:
     """One start of an endpoint.
@@ -44,8 +62,9 @@
     Attributes:
         behaviour: What it does with the next requests.
         is_leaving: Whether it says in its answers that it leaves.
-        crash_head: Whether it crashes after the head of an answer without a length, and closes its
+        crash_style: How it ends under a request that crashes it. With a head it closes its
             connections; otherwise it resets them.
+        event_gap_s: Time between the events of a stream.
         version: Version of its software, which every event that it sends names.
         on_crash: Called when it has crashed.
         has_crashed: Whether its process is gone.
@@ -60,7 +79,8 @@
     behaviour: Behaviour = Behaviour.WHOLE
     is_leaving: bool = False
     version: str | None = "v1"
-    crash_head: bool = False
+    crash_style: CrashStyle = CrashStyle()
+    event_gap_s: float = 0.01
     on_crash: Callable[["FuzzEndpoint"], None] | None = None
     has_crashed: bool = False
     _served: set["_Served"] = attrs.field(factory=set)
@@ -113,7 +133,7 @@
         if deadly:
             self.oracle.note_crash(deadly, self.loop.world_s)
         for served in list(self._served):
-            served.end(self.crash_head)
+            self.loop.call_later(self.crash_style.lag_s, served.end, self.crash_style.sends_head)
         if self.on_crash is not None:
             self.on_crash(self)
 
@@ -182,10 +202,7 @@
         asked = endpoint.oracle.asked[run.request_id]
         deadly = asked.deadly or endpoint.oracle.bad_part_of(asked, endpoint.loop.world_s)
         if ran and deadly:
-            await asyncio.sleep(_CRASH_S)
-            if endpoint.crash_head:
-                self._write(self._head("200 OK", run.request_id, [_STREAM_TYPE]))
-            endpoint.crash(deadly)
+            await self._crash(run.request_id, deadly)
             return
         await asyncio.sleep(_SLOW_S if behaviour is Behaviour.SLOW else _WORK_S)
         start = int(fields.get("last-event-id", 0)) + 1
@@ -195,6 +212,23 @@
         else:
             self._answer(run.request_id, behaviour)
 
+    async def _crash(self, request_id: str, deadly: str) -> None:
+        """Begin an answer as the endpoint's style says, and end the process."""
+        style = self._endpoint.crash_style
+        await asyncio.sleep(style.begins_in_s)
+        if style.sends_head:
+            self._write(self._head("200 OK", request_id, [_STREAM_TYPE]))
+        gap_s = style.lasts_s / max(1, style.events)
+        for number in range(1, style.events + 1):
+            self._write(self._event(number))
+            await asyncio.sleep(gap_s)
+        if not style.events:
+            await asyncio.sleep(style.lasts_s)
+        self._endpoint.crash(deadly)
+
+    def _event(self, number: int) -> bytes:
+        return f"id: {number}\n: version {self._endpoint.version}\ndata: {number}\n\n".encode()
+
     def _head(self, status: str, request_id: str, lines: list[str]) -> bytes:
         """Return the head of an answer, with what the endpoint says of itself."""
         endpoint = self._endpoint
@@ -253,8 +287,7 @@
         self._write(self._head("200 OK", request_id, lines))
         # A worker that takes a stream up may send the last known event once more.
         for number in range(max(1, start - 1), self._endpoint.oracle.pieces + 1):
-            version = self._endpoint.version
-            event = f"id: {number}\n: version {version}\ndata: {number}\n\n".encode()
+            event = self._event(number)
             if behaviour is Behaviour.CUT_IN_EVENT and number == start + 1:
                 event = event[:7]
             self._write(b"%x\r\n%b\r\n" % (len(event), event))
@@ -262,7 +295,7 @@
                 await asyncio.sleep(0.01)
                 self.reset()
                 return
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self._endpoint.event_gap_s)
         self._write(b"0\r\n\r\n")
 
 
--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -330,10 +330,13 @@
         from_s = crashes_s[: self.bounds.part_crashes][-1] + 2 * self.bounds.touch_s
         to_s = max(row.sent_s for row in bad)
         sharing = {row.parts[0] for row in bad if row.parts[0] != part}
+        keys = {row.api_key for row in bad}
         sound = [
             row
             for row in self.asked.values()
-            if row.parts and row.parts[0] in sharing and not self.bad_part_of(row, math.inf)
+            if row.parts
+            and (row.parts[0] in sharing or row.api_key in keys)
+            and not self.bad_part_of(row, math.inf)
         ]
         during = [row for row in sound if from_s < row.sent_s < to_s and self._was_heard(row)]
         before = [row for row in sound if row.sent_s < crashes_s[0] - 1.0]
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from beryljunction.fuzz.platform.actors import Behaviour, FuzzCaller, FuzzEndpoint
+from beryljunction.fuzz.platform.actors import Behaviour, CrashStyle, FuzzCaller, FuzzEndpoint
 from beryljunction.fuzz.platform.entries import FuzzEntry, FuzzPeerClient
 from beryljunction.fuzz.platform.oracle import Asked, Bounds, PlatformOracle
 from beryljunction.fuzz.platform.stores import FuzzStore, StoreFault
@@ -39,7 +39,8 @@
 _SETTLE_S = 2.0
 # A crashed endpoint starts again under another id, at its address; its old record lapses later.
 _RESTART_S = 2.0
-_LAPSE_S = 3.6
+# Time from the restart of a crashed endpoint until its old record lapses.
+_LAPSE_S = 1.6
 # An endpoint that drains serves for the bound of 2 s and a little longer.
 _DRAINED_S = 2.5
 
@@ -57,9 +58,24 @@
 
 
 class PlatformWorld:
-    """Everything that a history acts on."""
+    """Everything that a history acts on.
+
+    Attributes:
+        restart_s: Time until a crashed endpoint is back.
+        restart_keeps_id: Whether it is back under its id; otherwise under another one.
+        registers_in_s: Time from its restart until it writes its record.
+        crash_style: How endpoints end under requests that crash them.
+        event_gap_s: Time between the events of their streams.
+        silent_s: Time from a crash during which the endpoint's address answers no connection.
+    """
 
     def __init__(self) -> None:
+        self.restart_s = _RESTART_S
+        self.restart_keeps_id = False
+        self.registers_in_s = 0.0
+        self.crash_style = CrashStyle()
+        self.event_gap_s = 0.01
+        self.silent_s = 0.0
         self.loop = VirtualLoop()
         self._clock = virtual_clock(self.loop)
         self._clock.__enter__()
@@ -134,6 +150,7 @@
             name, service, address, self.loop, self.oracle, born_ms, version=version
         )
         endpoint.on_crash = self._restart_later
+        endpoint.crash_style, endpoint.event_gap_s = self.crash_style, self.event_gap_s
         self.endpoints[name.partition(".")[0]] = endpoint
         self.oracle.draining_s.pop(name, None)
         self.loop.network.listeners[address] = endpoint.accept
@@ -185,19 +202,31 @@
 
     def _restart_later(self, endpoint: FuzzEndpoint) -> None:
         """Take a crashed endpoint from the network, and start it again after some seconds."""
-        if self.loop.network.listeners.get(endpoint.address) == endpoint.accept:
-            del self.loop.network.listeners[endpoint.address]
-        self.loop.call_later(_RESTART_S, self._restart, endpoint)
+        network = self.loop.network
+        if network.listeners.get(endpoint.address) == endpoint.accept:
+            del network.listeners[endpoint.address]
+        if self.silent_s:
+            network.dark.add(endpoint.address)
+            silent_s = min(self.silent_s, self.restart_s)
+            self.loop.call_later(silent_s, network.dark.discard, endpoint.address)
+        self.loop.call_later(self.restart_s, self._restart, endpoint)
 
     def _restart(self, crashed: FuzzEndpoint) -> None:
-        listeners = self.loop.network.listeners
-        if crashed.address in listeners:
+        if crashed.address in self.loop.network.listeners:
             return
-        base = crashed.name.partition(".")[0]
-        self._restarts += 1
-        name = f"{base}.{self._restarts}"
-        self.start_endpoint(name, crashed.service, crashed.address, self._now_ms(), crashed.version)
-        self.loop.call_later(_LAPSE_S - _RESTART_S, self._put, "keyed.servers", crashed.name, None)
+        name = crashed.name
+        if not self.restart_keeps_id:
+            self._restarts += 1
+            name = f"{name.partition('.')[0]}.{self._restarts}"
+            self.loop.call_later(_LAPSE_S, self._put, "keyed.servers", crashed.name, None)
+        self.start_endpoint(
+            name,
+            crashed.service,
+            crashed.address,
+            self._now_ms(),
+            crashed.version,
+            self.registers_in_s,
+        )
 
     def drain(self, name: str) -> None:
         """Let an endpoint say that it is leaving, in its answers too; it serves on."""
--- a/testing/test_bad_parts.py
+++ b/testing/test_bad_parts.py
@@ -1,10 +1,10 @@
 import contextlib
 import math
-import random
 import tracemalloc
 
 import pytest
 
+from beryljunction.fuzz.platform.actors import CrashStyle
 from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld
 from beryljunction.gateway import exchange
@@ -14,54 +14,15 @@
 from beryljunction.gateway.quarantine import COUNTING_HOSTS
 from beryljunction.routing import Crash, CrashTable, responsible_hosts
 from fanout_world import FleetWorld
+from part_traffic import BAD, STREAMED, PartTraffic
 from removed_safeguards import found_by
 from routing_fakes import known
 
-STREAMED = ("f1", "f2", "f3")
-BAD = "bad0"
 STARTED_S = 8.0
 # Time within which all entries have to know of a quarantine.
 PROPAGATION_S = 3.0
 
 
-class PartTraffic:
-    """Sound requests at both entries, and bad ones that share all parts but one with them."""
-
-    def __init__(self, world, seed=1, prompt=("common", "SUBJECT", BAD)):
-        self.world = world
-        self.prompt = prompt
-        self.draw = random.Random(seed)
-        self.sound = []
-
-    def ask_sound(self):
-        parts = tuple(part for part in self.fill(self.prompt) if not part.startswith("bad"))
-        caller = self.world.ask(self.draw.choice(ENTRIES), "free", True, "key-a", parts=parts)
-        self.sound.append(caller)
-
-    def ask_bad(self):
-        parts = self.fill(self.prompt)
-        self.world.ask(self.draw.choice(ENTRIES), "free", True, "key-a", parts=parts)
-
-    def fill(self, prompt):
-        subject = f"subject{self.draw.randrange(4)}"
-        return tuple(subject if part == "SUBJECT" else part for part in prompt)
-
-    def play(self, length_s, bad_every=0.4, sound_every=0.1):
-        self.advance(4.0, sound_every)
-        steps = round(length_s / sound_every)
-        for step in range(steps):
-            if step % round(bad_every / sound_every) == 0:
-                self.ask_bad()
-            self.ask_sound()
-            self.world.advance(sound_every)
-        return self.world.finish()
-
-    def advance(self, length_s, sound_every=0.1):
-        for _ in range(round(length_s / sound_every)):
-            self.ask_sound()
-            self.world.advance(sound_every)
-
-
 @contextlib.contextmanager
 def world_with_bad_part(*parts):
     with contextlib.closing(PlatformWorld()) as world:
@@ -117,7 +78,7 @@
     def test_crash_counts_however_its_answer_ended(self, crash_head):
         with world_with_bad_part() as world:
             for endpoint in world.endpoints.values():
-                endpoint.crash_head = crash_head
+                endpoint.crash_style = CrashStyle(sends_head=crash_head)
 
             assert PartTraffic(world).play(25.0) == []
 
@@ -183,7 +144,7 @@
         super().__init__(world, seed)
         self.prompt = self.draw.choice(self.PROMPTS)
         for endpoint in world.endpoints.values():
-            endpoint.crash_head = self.draw.random() < 0.5
+            endpoint.crash_style = CrashStyle(sends_head=self.draw.random() < 0.5)
 
     def play(self, length_s, bad_every=0.4, sound_every=0.1):
         self.advance(4.0)
