Watch all parts of a prompt, whatever their number and the length of their names

What callers saw: requests whose prompt had the crashing part behind 32 others, or under a name of over 120 characters, went on ending endpoints.

Change: 255 parts are watched, and long names stand by their digest. A report has 1,024 features at most, so that an entry on a link of 5 Mbit/s still receives it in time, and the table holds 16,000 features of crashed requests. One invalid message of test_quarantine.py has 257 features in place of 65, one over the limit as before.

Evidence: 40 and 200 parts before the bad one, names of 300 characters, the size of reports and the memory of full tables fail before (5 tests) and pass now.

--- a/src/beryljunction/gateway/crashreporter.py
+++ b/src/beryljunction/gateway/crashreporter.py
@@ -1,12 +1,14 @@
 """Reports requests that crash endpoints to other entries, and saves quarantines in the store."""
 
+import itertools
+
 import anyio
 import anyio.abc
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.crashreports import CrashReport
 from beryljunction.gateway.peers import PeerClient
-from beryljunction.gateway.quarantine import CrashRow
+from beryljunction.gateway.quarantine import CrashRow, count_features
 from beryljunction.gateway.reportsender import ReportSender
 from beryljunction.gateway.state import EntryState
 from beryljunction.platform import ENTRY_ADDRESSES, Record, Store, WriteOutcome
@@ -19,6 +21,8 @@
 _MAX_SAVE_ATTEMPTS = 30
 # Limit for the answers of all entries to one question; those that are missing are done without.
 _ASK_TIMEOUT_S = 0.6
+# Features in one message, some 40 KB; an entry on a link of 5 Mbit/s receives it in time.
+_MAX_FEATURES_PER_MESSAGE = 1_024
 # A round of many entries takes less than the limit with this many questions at once.
 _MAX_CONCURRENT_QUESTIONS = 32
 
@@ -46,6 +50,12 @@
         for record in self._quarantine.unsaved_records():
             group.start_soon(self._save, record)
 
+    def select(self, rows: list[CrashRow]) -> list[CrashRow]:
+        """Return the first rows, up to the limit of their features."""
+        sizes = itertools.accumulate(map(count_features, rows))
+        fitting = sum(size <= _MAX_FEATURES_PER_MESSAGE for size in sizes)
+        return rows[: max(1, fitting)]
+
     async def send(self, address: Address, rows: list[CrashRow]) -> bool:
         """Report rows to an entry, and apply the quarantines in its answer."""
         return await self._exchange(address, self._quarantine.report_of(rows).encode())
--- a/src/beryljunction/gateway/crashreports.py
+++ b/src/beryljunction/gateway/crashreports.py
@@ -9,10 +9,10 @@
 from beryljunction.gateway.message_fields import read_rows, read_start, read_text
 from beryljunction.routing import Crash
 
-__all__ = ["CrashReport", "Suspicion"]
+__all__ = ["MAX_FEATURES", "CrashReport", "Suspicion"]
 
 # Limit of the features of a request; no entry sends more.
-_MAX_FEATURES = 64
+MAX_FEATURES = 256
 
 
 @attrs.frozen
@@ -110,8 +110,8 @@
 
 def _features(value: Any) -> frozenset[str]:
     features = frozenset(read_text(feature) for feature in read_rows(value, "features"))
-    if not 1 <= len(features) <= _MAX_FEATURES:
-        raise ValueError(f"expected 1 to {_MAX_FEATURES} features, got {len(features)}")
+    if not 1 <= len(features) <= MAX_FEATURES:
+        raise ValueError(f"expected 1 to {MAX_FEATURES} features, got {len(features)}")
     return features
 
 
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -9,7 +9,7 @@
 
 from beryljunction.clocks import boot_time_s, unix_time_s
 from beryljunction.gateway.auto_reset_event import AutoResetEvent
-from beryljunction.gateway.crashreports import CrashReport, Suspicion
+from beryljunction.gateway.crashreports import MAX_FEATURES, CrashReport, Suspicion
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.outbox import Outbox
 from beryljunction.platform import Record
@@ -24,7 +24,14 @@
     responsible_hosts,
 )
 
-__all__ = ["COUNTING_HOSTS", "CrashRow", "Quarantine", "is_quarantine_key", "request_features"]
+__all__ = [
+    "COUNTING_HOSTS",
+    "CrashRow",
+    "Quarantine",
+    "count_features",
+    "is_quarantine_key",
+    "request_features",
+]
 
 # Entries that count the crashes of a service for the whole fleet; two of them may be down.
 COUNTING_HOSTS = 3
@@ -35,9 +42,11 @@
 _GRACE_S = 0.5
 # Pause before each further counting host concludes what those before it have not.
 _STANDBY_S = 0.5
-# Longer or more features would exceed the limits of messages.
-_MAX_FEATURE_CHARS = 120
-_MAX_PARTS = 32
+# Names of parts that are longer are replaced by a digest; an id of a part is mostly shorter.
+_MAX_PART_CHARS = 32
+_PART_DIGEST_BYTES = 16
+# With its digest, a request has as many features as a message between entries allows.
+_MAX_PARTS = MAX_FEATURES - 1
 _QUARANTINE_S = 3_600.0
 
 
@@ -66,6 +75,13 @@
 CrashRow = _CrashedRequest | _Served | _Quarantined | _Lifted
 
 
+def count_features(row: CrashRow) -> int:
+    """Return the number of features in a row."""
+    if isinstance(row, _CrashedRequest):
+        return len(row.crash.features)
+    return 1 if isinstance(row, _Served) else len(row.features)
+
+
 def is_quarantine_key(key: str) -> bool:
     """Return whether a key of that topic names a quarantine."""
     return key.startswith(_KEY_PREFIX)
@@ -78,8 +94,14 @@
         digest: Digest of the request.
         parts: Parts of its prompt; the last one is its own.
     """
-    names = (PART_PREFIX + part for part in parts[:-1][:_MAX_PARTS])
-    return frozenset((digest, *(name for name in names if len(name) <= _MAX_FEATURE_CHARS)))
+    return frozenset((digest, *map(_part_feature, parts[:-1][:_MAX_PARTS])))
+
+
+def _part_feature(part: str) -> str:
+    """Return the feature of a part, whose name may have any length."""
+    if len(part) > _MAX_PART_CHARS:
+        part = hashlib.blake2b(part.encode(), digest_size=_PART_DIGEST_BYTES).hexdigest()
+    return PART_PREFIX + part
 
 
 class Quarantine:
--- a/src/beryljunction/gateway/reportsender.py
+++ b/src/beryljunction/gateway/reportsender.py
@@ -44,7 +44,7 @@
 
     async def _send_all(self, host: str) -> None:
         try:
-            while rows := self._outbox.next_rows(host):
+            while rows := self.select(self._outbox.next_rows(host)):
                 address = self._fan_out.addresses().get(host)
                 if address is not None and await self._send_limited(address, rows):
                     self._outbox.mark_sent(host, rows)
@@ -53,6 +53,10 @@
         finally:
             self._busy.discard(host)
 
+    def select(self, rows: list[_Row]) -> list[_Row]:
+        """Return the rows of one message: as many of the first as it may have; one at least."""
+        return rows
+
     async def _send_limited(self, address: Address, rows: list[_Row]) -> bool:
         async with self._limiter:
             return await self.send(address, rows)
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -21,6 +21,8 @@
 _TOGETHER_S = 0.05
 _MAX_CRASHES = 128
 _MAX_REQUESTS = 256
+# Features of all requests of all crashes, at about 150 bytes each.
+_MAX_CRASH_FEATURES = 16_000
 _MAX_QUARANTINED = 4_096
 # A request served this recently is not blamed for crashes, even if several endpoints end at once.
 _SERVED_TTL_S = 10.0
@@ -97,6 +99,7 @@
         self._crashes: collections.OrderedDict[tuple[str, int], _CrashedEndpoint]
         self._crashes = collections.OrderedDict()
         self._crashes_of: dict[str, set[tuple[str, int]]] = {}
+        self._feature_count = 0
         self._quarantined: collections.OrderedDict[Features, _Quarantine]
         self._quarantined = collections.OrderedDict()
         self._wide: set[Features] = set()
@@ -121,14 +124,31 @@
         if row is None:
             row = self._crashes[crash.incarnation_id] = _CrashedEndpoint(crash.service, at_s)
         row.at_s = min(row.at_s, at_s)
+        if features not in row.requests:
+            self._feature_count += len(features)
         row.requests[features] = None
         for name in features:
             self._crashes_of.setdefault(name, set()).add(crash.incarnation_id)
         for evicted in _evict_oldest(row.requests, features, _MAX_REQUESTS):
-            self._remove_from_index(crash.incarnation_id, evicted, row)
-        for incarnation_id in _evict_oldest(self._crashes, crash.incarnation_id, _MAX_CRASHES):
-            for names in list(self._crashes_of):
-                self._remove_from_index(incarnation_id, [names])
+            self._remove_request(crash.incarnation_id, row, evicted)
+        self._crashes.move_to_end(crash.incarnation_id)
+        while len(self._crashes) > _MAX_CRASHES or (
+            self._feature_count > _MAX_CRASH_FEATURES and len(self._crashes) > 1
+        ):
+            self._remove_crash(*self._crashes.popitem(last=False))
+        while self._feature_count > _MAX_CRASH_FEATURES and len(row.requests) > 1:
+            self._remove_request(crash.incarnation_id, row, row.requests.popitem(last=False)[0])
+
+    def _remove_crash(self, incarnation_id: tuple[str, int], row: _CrashedEndpoint) -> None:
+        self._feature_count -= sum(map(len, row.requests))
+        for names in row.requests:
+            self._remove_from_index(incarnation_id, names)
+
+    def _remove_request(
+        self, incarnation_id: tuple[str, int], row: _CrashedEndpoint, features: Features
+    ) -> None:
+        self._feature_count -= len(features)
+        self._remove_from_index(incarnation_id, features, row)
 
     def _remove_from_index(
         self,
--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -86,7 +86,6 @@
         parts: Number of shared parts of a prompt.
         part_chars: Length of their names.
         place: Index of the bad part among them.
-        errors: Share of bad requests that an endpoint answers with an error of its own.
         length_s: Time for which bad requests come.
     """
 
@@ -133,12 +132,17 @@
             place=draw.randrange(parts),
         )
 
+    @property
+    def bad_part(self):
+        """Name of the part that crashes endpoints."""
+        return BAD.ljust(self.part_chars, "x")
+
     def prompt(self):
         """Return the shared parts of a bad request, of which one differs by subject."""
         names = [f"common{number}".ljust(self.part_chars, "x") for number in range(self.parts)]
         if self.parts > 2:
             names[-1 if self.place < self.parts - 1 else -2] = "SUBJECT"
-        names[self.place] = BAD
+        names[self.place] = self.bad_part
         return tuple(names)
 
 
@@ -155,8 +159,8 @@
             world.vanish(name)
         traffic = PartTraffic(world, seed, conditions.prompt())
         traffic.advance(4.0, conditions.sound_every_s)
-        world.oracle.bad_parts_s[BAD] = world.loop.world_s
+        world.oracle.bad_parts_s[conditions.bad_part] = world.loop.world_s
         violations = traffic.mix(
             conditions.length_s, conditions.bad_every_s, conditions.sound_every_s
         )
-        return violations + traffic.refused_sound(), len(world.oracle.crashes_s.get(BAD, ()))
+        return violations + traffic.refused_sound(), len(world.oracle.crashes_s.get(conditions.bad_part, ()))
--- a/testing/test_bad_parts.py
+++ b/testing/test_bad_parts.py
@@ -11,7 +11,7 @@
 from beryljunction.gateway.attempt_monitor import AttemptMonitor
 from beryljunction.gateway.crashreporter import CrashReporter
 from beryljunction.gateway.outbox import Outbox
-from beryljunction.gateway.quarantine import COUNTING_HOSTS
+from beryljunction.gateway.quarantine import COUNTING_HOSTS, Quarantine
 from beryljunction.routing import Crash, CrashTable, responsible_hosts
 from fanout_world import FleetWorld
 from part_traffic import BAD, STREAMED, PartTraffic
@@ -50,6 +50,21 @@
         with world_with_bad_part() as world:
             assert PartTraffic(world, prompt=prompt).play(25.0) == []
 
+    @pytest.mark.parametrize("count", [31, 40, 200])
+    def test_any_number_of_parts_before_it(self, count):
+        """Guards against a part that is beyond those which are watched."""
+        prompt = (*(f"c{number}" for number in range(count)), BAD, "SUBJECT")
+        with world_with_bad_part() as world:
+            assert PartTraffic(world, prompt=prompt).play(25.0) == []
+
+    def test_any_length_of_its_name(self):
+        """Guards against a part whose name is too long for a message between entries."""
+        common, bad = "c" * 300, f"bad{'x' * 300}"
+        with world_with_bad_part(bad) as world:
+            traffic = PartTraffic(world, prompt=(common, bad, "SUBJECT"))
+
+            assert traffic.play(25.0) == []
+
     def test_two_bad_parts_at_once(self):
         with world_with_bad_part("bad0", "bad1") as world:
             other = PartTraffic(world, seed=2, prompt=("common", "SUBJECT", "bad1"))
@@ -270,6 +285,29 @@
             rows, _, _ = world.model.newest("keyed.entries", "", world.loop.world_s)
             assert [key for key, _, value in rows if key.startswith("quarantine") and value] == []
 
+    def test_requests_of_many_parts_are_reported_over_a_slow_link(self):
+        """Guards against a report that is too large to arrive in time, and so never does."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            reporter = next(iter(world.members.values()))
+            for number in range(40):
+                parts = [f"part:{number:08}{row:024}" for row in range(200)]
+                reporter.state.quarantine.note_crash(frozenset(parts), known("e1"))
+            sizes = []
+            apply = Quarantine.apply_report
+
+            def measure(quarantine, report):
+                sizes.append(len(report.encode()))
+                return apply(quarantine, report)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(Quarantine, "apply_report", measure)
+                world.advance(2.0)
+
+            # An entry on a link of 5 Mbit/s receives 100 KB within half of the time for an answer.
+            assert max(sizes) < 100_000
+            assert sum(sizes) > 40 * 200 * 32
+
     def test_reports_stay_within_the_control_traffic_limit(self):
         """Guards against reports that grow with the fleet: 40 requests at one crash."""
         with FleetWorld(350) as world:
@@ -285,7 +323,8 @@
 
 
 class TestMemory:
-    def test_memory_of_full_tables_is_bounded(self):
+    @pytest.mark.parametrize("parts", [2, 255])
+    def test_memory_of_full_tables_is_bounded(self, parts):
         """Guards against an entry that keeps every part and crash of a busy fleet."""
         tracemalloc.start()
         table = CrashTable()
@@ -293,7 +332,8 @@
             table.note_served(f"part:{number:08}", 0.0)
         for number in range(1_000):
             for request in range(20):
-                features = frozenset(["part:a", f"part:{request}", f"{number}/{request}"])
+                own = (f"part:{request}/{row}" for row in range(parts - 1))
+                features = frozenset(["part:a", *own, f"{number}/{request}"])
                 table.note_crash(Crash("s", (f"e{number}", 1), features), 1.0)
         size, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -383,7 +383,7 @@
             {"crashes": [["s", "e1", 1, 0.0, []]]},
             {"crashes": [["s", "e1", 1, 0.0, "d"]]},
             {"crashes": [["s", "e1", 1, 0.0, ["d" * 129]]]},
-            {"crashes": [["s", "e1", 1, 0.0, [str(n) for n in range(65)]]]},
+            {"crashes": [["s", "e1", 1, 0.0, [str(n) for n in range(257)]]]},
             {"crashes": [["s", "e1", 1, 0.0, ["d"]]] * 257},
             {"served": "d"},
             {"served": [7]},
