--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -163,4 +163,6 @@
         violations = traffic.mix(
             conditions.length_s, conditions.bad_every_s, conditions.sound_every_s
         )
-        return violations + traffic.refused_sound(), len(world.oracle.crashes_s.get(conditions.bad_part, ()))
+        return violations + traffic.refused_sound(), len(
+            world.oracle.crashes_s.get(conditions.bad_part, ())
+        )
