Take only complete answers and later ones for a proof that a part is sound

What callers saw: a part went on ending endpoints although each of its crashes was seen.

A slow link or a paused entry spreads what an endpoint wrote at once; an endpoint that fails some requests hasn't run them. Each such answer cleared the crashes counted before, and a connection that ended late made a crash count for the digest alone.

Change: a complete answer of success proves its parts sound. Before its end, it does so once the endpoint has answered a request that was sent a second after the answer began to arrive, which holds whatever the link does.

--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -46,6 +46,7 @@
         events: Events that are sent after the head.
         lasts_s: Time from the beginning of the answer until the process ends.
         lag_s: Time until the end of its connections arrives at the entries.
+        error_every: Each so many of these requests gets an error instead; 0 for none.
     """
 
     begins_in_s: float = 0.05
@@ -53,6 +54,11 @@
     events: int = 0
     lasts_s: float = 0.0
     lag_s: float = 0.0
+    error_every: int = 0
+
+    def spares(self, number: int) -> bool:
+        """Return whether the endpoint answers this request with an error, and lives on."""
+        return self.error_every > 0 and number % self.error_every == 0
 
 
 @attrs.define(eq=False)
@@ -202,7 +208,10 @@
         asked = endpoint.oracle.asked[run.request_id]
         deadly = asked.deadly or endpoint.oracle.bad_part_of(asked, endpoint.loop.world_s)
         if ran and deadly:
-            await self._crash(run.request_id, deadly)
+            if endpoint.crash_style.spares(int(run.request_id.removeprefix("q"))):
+                self._answer(run.request_id, Behaviour.ERROR)
+            else:
+                await self._crash(run.request_id, deadly)
             return
         await asyncio.sleep(_SLOW_S if behaviour is Behaviour.SLOW else _WORK_S)
         start = int(fields.get("last-event-id", 0)) + 1
--- a/src/beryljunction/gateway/attempt_monitor.py
+++ b/src/beryljunction/gateway/attempt_monitor.py
@@ -5,19 +5,25 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.calls import EndpointCall
 from beryljunction.gateway.endpoint_losses import LostRequest
+from beryljunction.gateway.messages import ResponseHead
 from beryljunction.gateway.state import EntryState
 from beryljunction.routing import KnownEndpoint
 
 __all__ = ["AttemptMonitor"]
 
-# An endpoint that has been sending an answer for this long was not crashed by beginning it.
-_ALIVE_S = 0.25
+# An endpoint that runs this long after it began an answer was not crashed by beginning it.
+_ALIVE_S = 1.0
+_MIN_ERROR_STATUS = 400
 
 
 @attrs.define
 class AttemptMonitor:
     """Notes whether a request was served, or the connection to its endpoint lost.
 
+    That an answer arrives over some time doesn't show that its endpoint lived on, since a link or
+    a paused process may spread what was written at once. The endpoint has lived on if it has
+    answered a request that was sent some time after the answer began to arrive.
+
     Attributes:
         began_s: Boot time of the first event or, without events, of the answer's head.
     """
@@ -25,23 +31,31 @@
     _state: EntryState
     _endpoint: KnownEndpoint
     _features: frozenset[str]
+    _sent_s: float
     began_s: float | None = None
     _has_events: bool = False
+    _is_success: bool = False
     _is_served: bool = False
 
-    def note_head(self) -> None:
+    def note_head(self, head: ResponseHead) -> None:
         """Record that the head of the answer has arrived."""
+        self._endpoint.note_answer(self._sent_s)
+        self._is_success = head.status < _MIN_ERROR_STATUS
         self.began_s = boot_time_s()
 
     def note_events(self) -> None:
         """Record that events of the answer have arrived."""
-        now_s = boot_time_s()
         if not self._has_events:
-            self._has_events, self.began_s = True, now_s
-        elif self._has_lived_on(now_s):
-            self.note_served()
+            self._has_events, self.began_s = True, boot_time_s()
+        elif self._has_lived_on():
+            self._note_served()
+
+    def note_complete(self) -> None:
+        """Record that the answer is complete; an error shows nothing, since it may not have run."""
+        if self._is_success:
+            self._note_served()
 
-    def note_served(self) -> None:
+    def _note_served(self) -> None:
         """Record that the endpoint has begun the answer and lives on."""
         if self._is_served or self.began_s is None:
             return
@@ -53,14 +67,15 @@
         """Note the loss if the connection of an incomplete answer ended."""
         if not (call.was_disconnected or call.ended_by_close):
             return
-        now_s = boot_time_s()
-        may_be_part = not (self._has_events and self._has_lived_on(now_s))
-        lost = LostRequest(self._features, may_be_part, call.was_ended, now_s)
+        may_be_part = not (self._has_events and self._has_lived_on())
+        lost = LostRequest(self._features, may_be_part, call.was_ended, boot_time_s())
         await self._state.losses.note(self._endpoint, lost)
 
     async def is_running(self) -> bool:
         """Return whether the endpoint runs, after it has closed the connection of an answer."""
         return await self._state.losses.is_running(self._endpoint)
 
-    def _has_lived_on(self, now_s: float) -> bool:
-        return self.began_s is not None and now_s - self.began_s >= _ALIVE_S
+    def _has_lived_on(self) -> bool:
+        if self.began_s is None:
+            return False
+        return self._endpoint.answered_sent_s - self.began_s >= _ALIVE_S
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -236,7 +236,7 @@
             attempt=plan.sends,
             left_ms=int(self._remaining_s() * 1000),
         )
-        endpoint.pending_since_s[call] = boot_time_s()
+        sent_s = endpoint.pending_since_s[call] = boot_time_s()
         endpoint.prefill_tokens += prefill.uncached_tokens
         try:
             head = await call.read_head()
@@ -247,7 +247,7 @@
             endpoint.latency.note(took_ms, boot_time_s())
         if head is not None and head.status == 200:
             self._state.note_first_byte(self._service, prefill, took_ms)
-        monitor = AttemptMonitor(self._state, endpoint, self._features)
+        monitor = AttemptMonitor(self._state, endpoint, self._features, sent_s)
         result = await self._handle_answer(call, head, endpoint, admitted, monitor)
         if self._origin is None and self._caller_answer.has_started:
             self._origin = origin
@@ -255,7 +255,7 @@
         if not call.was_unread:
             endpoint.error_rate.note(is_bad, boot_time_s())
             if self._caller_answer.is_complete and call.is_complete:
-                monitor.note_served()
+                monitor.note_complete()
             else:
                 await monitor.note_lost_connection(call)
         return result
@@ -302,8 +302,7 @@
         if not is_response_to(self._log.request_id, head.headers):
             endpoint.note_failure(boot_time_s())
             return AttemptResult(AttemptOutcome.FAILED, "answer to another request")
-        endpoint.note_answer()
-        monitor.note_head()
+        monitor.note_head(head)
         relay = Relay(call, head, self._caller_answer, endpoint.latency, monitor)
         if admitted.route.streamed and head.status == 200:
             return await relay.relay_events()
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -159,6 +159,7 @@
         cold_until_s: When it will have warmed up, according to its records.
         may_be_cold_s: When it last may have restarted or become cold without stating so.
         cold_sends_s: When this process sent it requests during about the last second.
+        answered_sent_s: Latest time at which this process sent a request that it has answered.
         unreachable_until_s: Until when it is taken not to accept connections.
     """
 
@@ -180,6 +181,7 @@
     latency: LatencyEstimate = attrs.field(factory=LatencyEstimate)
     error_rate: ErrorRate = attrs.field(factory=ErrorRate)
     pending_since_s: dict[object, float] = attrs.field(factory=dict)
+    answered_sent_s: float = -math.inf
     failures: int = 0
     suspect_until_s: float = -math.inf
     unreachable_until_s: float = -math.inf
@@ -331,8 +333,9 @@
         self.suspect_until_s = now_s + _MAX_SUSPECT_S
         self.note_unreachable(now_s)
 
-    def note_answer(self) -> None:
-        """Reset the failures and stop skipping it."""
+    def note_answer(self, sent_s: float) -> None:
+        """Reset the failures and stop skipping it; the answer is to a request sent at this time."""
+        self.answered_sent_s = max(self.answered_sent_s, sent_s)
         self.failures = 0
         self.suspect_until_s = -math.inf
 
--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -112,8 +112,9 @@
             begins_in_s=draw.choice((0.005, 0.05, 0.4)),
             sends_head=draw.random() < 0.7,
             events=draw.choice((0, 0, 1, 2, 5)),
-            lasts_s=draw.choice((0.0, 0.02, 0.07, 0.2)),
+            lasts_s=draw.choice((0.0, 0.02, 0.07, 0.2, 0.6)),
             lag_s=draw.choice((0.0, 0.0, 0.0, 0.3)),
+            error_every=draw.choice((0, 0, 0, 3)),
         )
         if not style.sends_head:
             style = attrs.evolve(style, events=0)
--- a/testing/test_endpoint_registry.py
+++ b/testing/test_endpoint_registry.py
@@ -165,7 +165,7 @@
         row.note_failure(1.0)
         assert row.is_suspect(1.9)
 
-        row.note_answer()
+        row.note_answer(0.0)
         assert not row.is_suspect(1.9)
 
 
