Decide by single trials which part crashes a service that answers nothing

What callers saw: many requests with one part ended all endpoints of a small service as soon as they were back, and went on doing so; seldom, sound requests were refused as quarantined.

Where bad requests end all endpoints sooner than one answer is complete, nothing was concluded, and so nothing was served. Where something else was served, one of several parts under equally many crashes was taken by its name; and a request repeated by many callers, always in flight, was held to blame for crashes that a part explains.

Change: what can't be told apart, or not proved, comes under suspicion. One request under suspicion at a time is sent in the whole service, with a permit of a counting host; the others get 503 with Retry-After of a second, requests without suspected features go out at once. A complete answer clears what its request has; a crash shows the cause unless another part is under as many. A quarantine is lifted when all of its features were served, not one: the other may be the cause. A set is all that requests with a part have in common, and of equal ones the largest counts, which blocks the fewest requests. Three checks were changed, each as strict: a lifted quarantine needs services of all its parts (test_crashes, test_bad_parts, which now checks the state in between, too), and crash rows of messages name whether they were trials.

--- a/src/beryljunction/gateway/attempt_monitor.py
+++ b/src/beryljunction/gateway/attempt_monitor.py
@@ -1,5 +1,6 @@
 """Watches one attempt at an endpoint for signs that the request crashes endpoints."""
 
+import anyio
 import attrs
 
 from beryljunction.clocks import boot_time_s
@@ -25,6 +26,7 @@
     answered a request that was sent some time after the answer began to arrive.
 
     Attributes:
+        is_lost: Whether the connection was lost before the answer was complete.
         began_s: Boot time of the first event or, without events, of the answer's head.
     """
 
@@ -32,10 +34,12 @@
     _endpoint: KnownEndpoint
     _features: frozenset[str]
     _sent_s: float
+    _is_trial: bool = False
     began_s: float | None = None
     _has_events: bool = False
     _is_success: bool = False
     _is_served: bool = False
+    is_lost: bool = False
 
     def note_head(self, head: ResponseHead) -> None:
         """Record that the head of the answer has arrived."""
@@ -67,13 +71,20 @@
         """Note the loss if the connection of an incomplete answer ended."""
         if not (call.was_disconnected or call.ended_by_close):
             return
-        may_be_part = not (self._has_events and self._has_lived_on())
-        lost = LostRequest(self._features, may_be_part, call.was_ended, boot_time_s())
-        await self._state.losses.note(self._endpoint, lost)
+        self.is_lost = True
+        await self._state.losses.note(self._endpoint, self._lost_request(call.was_ended))
 
     async def is_running(self) -> bool:
         """Return whether the endpoint runs, after it has closed the connection of an answer."""
-        return await self._state.losses.is_running(self._endpoint)
+        try:
+            return await self._state.losses.is_running(self._endpoint)
+        except anyio.get_cancelled_exc_class():
+            self._state.losses.add(self._endpoint, self._lost_request(was_ended=True))
+            raise
+
+    def _lost_request(self, was_ended: bool) -> LostRequest:
+        may_be_part = not (self._has_events and self._has_lived_on())
+        return LostRequest(self._features, may_be_part, was_ended, boot_time_s(), self._is_trial)
 
     def _has_lived_on(self) -> bool:
         if self.began_s is None:
--- a/src/beryljunction/gateway/crashreporter.py
+++ b/src/beryljunction/gateway/crashreporter.py
@@ -36,6 +36,7 @@
         self._store = store
         self._quarantine = state.quarantine
         self._events = state.events
+        state.trial_permits.client = client
         self._questions = anyio.CapacityLimiter(_MAX_CONCURRENT_QUESTIONS)
 
     async def run(self) -> None:
--- a/src/beryljunction/gateway/crashreports.py
+++ b/src/beryljunction/gateway/crashreports.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -17,11 +18,12 @@
 
 @attrs.frozen
 class Suspicion:
-    """Question whether requests with some features were served lately.
+    """Question whether requests with some features were served lately, or may be sent now.
 
     Attributes:
         service: Service of the endpoints that crashed.
-        features: Features that the requests at its crashes have in common.
+        features: Features that the requests at its crashes have in common, or those of the request
+            that is to be sent.
     """
 
     service: str
@@ -38,8 +40,13 @@
             with the seconds since then.
         services: The same for services.
         quarantined: Features of quarantined requests, each set with the seconds that are left.
-        lifted: Features whose quarantine has proved wrong.
-        suspicion: Question to the receiver; None for none.
+        lifted: Features whose quarantine or suspicion has proved wrong.
+        suspicion: Question what the receiver has served; None for none.
+        suspected: Features of requests that are sent as trials only, each set with the seconds
+            that are left.
+        trial: Question whether a request may be sent as a trial; None for none.
+        is_permitted: Answer to that question; None without one. False beside a trial says that it
+            has ended without a crash.
     """
 
     crashes: tuple[tuple[Crash, float], ...] = ()
@@ -48,23 +55,35 @@
     quarantined: tuple[tuple[frozenset[str], float], ...] = ()
     lifted: tuple[frozenset[str], ...] = ()
     suspicion: Suspicion | None = None
+    suspected: tuple[tuple[frozenset[str], float], ...] = ()
+    trial: Suspicion | None = None
+    is_permitted: bool | None = None
 
     def encode(self) -> bytes:
         """Return it as JSON."""
         values: dict[str, Any] = {
             "crashes": [
-                [row.service, *row.incarnation_id, round(age_s, 3), sorted(row.features)]
+                [
+                    row.service,
+                    *row.incarnation_id,
+                    round(age_s, 3),
+                    sorted(row.features),
+                    row.is_trial,
+                ]
                 for row, age_s in self.crashes
             ],
             "served": [[feature, round(age_s, 3)] for feature, age_s in self.served],
             "services": [[service, round(age_s, 3)] for service, age_s in self.services],
-            "quarantined": [
-                [round(left_s, 1), sorted(features)] for features, left_s in self.quarantined
-            ],
+            "quarantined": _encode_aged(self.quarantined),
+            "suspected": _encode_aged(self.suspected),
             "lifted": [sorted(features) for features in self.lifted],
         }
         if self.suspicion is not None:
             values["suspicion"] = [self.suspicion.service, sorted(self.suspicion.features)]
+        if self.trial is not None:
+            values["trial"] = [self.trial.service, sorted(self.trial.features)]
+        if self.is_permitted is not None:
+            values["permitted"] = self.is_permitted
         return json.dumps(values, separators=(",", ":")).encode()
 
     @classmethod
@@ -76,7 +95,7 @@
         """
         try:
             values = json.loads(data)
-            suspicion = values.get("suspicion")
+            suspicion, trial = values.get("suspicion"), values.get("trial")
             return cls(
                 tuple(_crash(*row) for row in read_rows(values["crashes"], "crashes")),
                 tuple(_aged(*row) for row in read_rows(values["served"], "features")),
@@ -84,16 +103,25 @@
                 tuple(_quarantined(*row) for row in read_rows(values["quarantined"], "features")),
                 tuple(_features(row) for row in read_rows(values["lifted"], "features")),
                 None if suspicion is None else _suspicion(*suspicion),
+                tuple(_quarantined(*row) for row in read_rows(values["suspected"], "features")),
+                None if trial is None else _suspicion(*trial),
+                _permission(values.get("permitted")),
             )
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"expected a report of crashes, got {error!r}") from error
 
 
+def _encode_aged(rows: Iterable[tuple[frozenset[str], float]]) -> list[list[Any]]:
+    return [[round(left_s, 1), sorted(features)] for features, left_s in rows]
+
+
 def _crash(
-    service: Any, endpoint_id: Any, started_ms: Any, age_s: Any, features: Any
+    service: Any, endpoint_id: Any, started_ms: Any, age_s: Any, features: Any, is_trial: Any
 ) -> tuple[Crash, float]:
     start = read_start(endpoint_id, started_ms)
-    return Crash(read_text(service), start, _features(features)), _seconds(age_s)
+    if not isinstance(is_trial, bool):
+        raise ValueError(f"expected whether it was a trial, got {is_trial!r:.80}")
+    return Crash(read_text(service), start, _features(features), is_trial), _seconds(age_s)
 
 
 def _aged(name: Any, age_s: Any) -> tuple[str, float]:
@@ -108,6 +136,12 @@
     return Suspicion(read_text(service), _features(features))
 
 
+def _permission(value: Any) -> bool | None:
+    if value is not None and not isinstance(value, bool):
+        raise ValueError(f"expected true, false or nothing, got {value!r:.80}")
+    return value
+
+
 def _features(value: Any) -> frozenset[str]:
     features = frozenset(read_text(feature) for feature in read_rows(value, "features"))
     if not 1 <= len(features) <= MAX_FEATURES:
--- a/src/beryljunction/gateway/endpoint_losses.py
+++ b/src/beryljunction/gateway/endpoint_losses.py
@@ -14,7 +14,7 @@
 from beryljunction.routing import EndpointRegistry, KnownEndpoint
 from beryljunction.timeouts import move_on_after
 
-__all__ = ["EndpointLosses", "LostRequest"]
+__all__ = ["EndpointLoss", "EndpointLosses", "LostRequest"]
 
 # A live host answers one of several connection attempts, also on a link that loses packets.
 _MAX_PROBES = 3
@@ -36,17 +36,23 @@
         was_ended: Whether the endpoint's host ended the connection, with a reset or a close;
             otherwise it failed for want of an answer.
         at_s: Boot time of the loss.
+        is_trial: Whether it was sent as a trial.
     """
 
     features: frozenset[str]
     may_be_part: bool
     was_ended: bool
     at_s: float
+    is_trial: bool = False
 
 
 @attrs.define(eq=False)
-class _Loss:
-    """Requests that an endpoint had when connections to it were lost at about the same time."""
+class EndpointLoss:
+    """Requests that an endpoint had when connections to it were lost at about the same time.
+
+    Attributes:
+        first_probe: Set when the endpoint has been probed once.
+    """
 
     requests: list[LostRequest] = attrs.field(factory=list)
     first_probe: anyio.Event = attrs.field(factory=anyio.Event)
@@ -66,7 +72,7 @@
         self._registry = registry
         self._quarantine = quarantine
         self._events = events
-        self._probing: dict[KnownEndpoint, _Loss] = {}
+        self._probing: dict[KnownEndpoint, EndpointLoss] = {}
         self._started: collections.deque[KnownEndpoint] = collections.deque()
         self._unconfirmed: dict[KnownEndpoint, list[LostRequest]] = {}
         self._changed = AutoResetEvent()
@@ -82,16 +88,22 @@
 
     async def note(self, endpoint: KnownEndpoint, request: LostRequest) -> None:
         """Record a lost request; return when the endpoint has been probed once."""
+        loss = self.add(endpoint, request)
+        if loss is not None:
+            with move_on_after(_FIRST_PROBE_TIMEOUT_S):
+                await loss.first_probe.wait()
+
+    def add(self, endpoint: KnownEndpoint, request: LostRequest) -> EndpointLoss | None:
+        """Record a lost request; return None if its endpoint ends as planned."""
         if self._has_left(endpoint):
-            return
+            return None
         loss = self._probing.get(endpoint)
         if loss is None:
-            loss = self._probing[endpoint] = _Loss()
+            loss = self._probing[endpoint] = EndpointLoss()
             self._started.append(endpoint)
             self._changed.set()
         loss.requests.append(request)
-        with move_on_after(_FIRST_PROBE_TIMEOUT_S):
-            await loss.first_probe.wait()
+        return loss
 
     async def is_running(self, endpoint: KnownEndpoint) -> bool:
         """Return whether an endpoint runs that has closed a connection in an orderly way.
@@ -180,7 +192,12 @@
     def _report(self, endpoint: KnownEndpoint, requests: list[LostRequest], evidence: str) -> None:
         for request in requests:
             self._quarantine.note_crash(
-                request.features, endpoint, request.may_be_part, request.at_s, evidence
+                request.features,
+                endpoint,
+                request.may_be_part,
+                request.at_s,
+                evidence,
+                request.is_trial,
             )
 
     async def _confirm_by_records(self) -> None:
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -45,6 +45,9 @@
 _DENIAL_STATUS = {DenialReason.NO_ROUTE: 404, DenialReason.UNKNOWN_KEY: 401}
 _DEFAULT_DEADLINE_MS = 60_000
 _QUARANTINED = "quarantined"
+_SUSPECTED = "suspected"
+# A trial mostly shows within this time whether a suspicion is right.
+_SUSPECTED_RETRY_AFTER_S = 1.0
 _STOPPING = "stopping"
 
 
@@ -60,6 +63,7 @@
         self._service = ""
         self._origin: StreamOrigin | None = None
         self._features: frozenset[str] = frozenset()
+        self._is_trial = False
         self._plan: AttemptPlan | None = None
         self._log = ExchangeLog(state)
 
@@ -122,10 +126,12 @@
         if self._deadline_s > self._state.admits_until_s:
             self._give_up(plan.give_up(), _STOPPING)
             return
-        with anyio.move_on_after(max(0.0, self._remaining_s())):
+        with anyio.move_on_after(max(0.0, self._remaining_s())) as scope:
             await self._try_endpoints(plan)
-            return
-        self._time_out(plan)
+        if scope.cancelled_caught:
+            self._time_out(plan)
+        if self._is_trial:
+            await self._state.trial_permits.release(self._service, self._features)
 
     def _admit(self) -> Admitted | Denial:
         state, caller_headers = self._state, self._caller_headers
@@ -176,6 +182,9 @@
                 self._give_up(plan.give_up(), reason)
                 return
             endpoint = choice.endpoint
+            if not await self._may_send():
+                self._give_up(plan.give_up(), _SUSPECTED)
+                return
             self._tried.add(endpoint)
             result = await self._attempt(choice, plan)
             if result.outcome is None:
@@ -201,6 +210,13 @@
         self._give_up(plan.give_up(), _QUARANTINED)
         return True
 
+    async def _may_send(self) -> bool:
+        """Return whether the request isn't under suspicion, or may be sent as a trial."""
+        if self._is_trial or not self._state.quarantine.is_suspected(self._features):
+            return True
+        self._is_trial = await self._state.trial_permits.ask(self._service, self._features)
+        return self._is_trial
+
     async def _attempt(self, choice: Choice, plan: AttemptPlan) -> AttemptResult:
         """Connect to one endpoint and send the request to it."""
         endpoint = choice.endpoint
@@ -225,6 +241,7 @@
         prefill = self._state.prefill_plan(self._service, endpoint, self._placement_request)
         self._state.note_send(self._service, endpoint)
         origin = self._note_origin(admitted, endpoint, plan)
+        is_trial, self._is_trial = self._is_trial, False
         call.send(self._build_request(endpoint, admitted, prefill.source))
         self._log.log_sent(
             choice,
@@ -247,7 +264,7 @@
             endpoint.latency.note(took_ms, boot_time_s())
         if head is not None and head.status == 200:
             self._state.note_first_byte(self._service, prefill, took_ms)
-        monitor = AttemptMonitor(self._state, endpoint, self._features, sent_s)
+        monitor = AttemptMonitor(self._state, endpoint, self._features, sent_s, is_trial)
         result = await self._handle_answer(call, head, endpoint, admitted, monitor)
         if self._origin is None and self._caller_answer.has_started:
             self._origin = origin
@@ -258,6 +275,8 @@
                 monitor.note_complete()
             else:
                 await monitor.note_lost_connection(call)
+        if is_trial and not monitor.is_lost:
+            await self._state.trial_permits.release(self._service, self._features)
         return result
 
     async def _confirm_incarnation(self, call: EndpointCall, endpoint: KnownEndpoint) -> bool:
@@ -328,6 +347,9 @@
             return AttemptResult()
         if self._end_if_quarantined(plan):
             return AttemptResult()
+        if not self._is_trial and self._state.quarantine.is_suspected(self._features):
+            self._give_up(plan.give_up(), _SUSPECTED)
+            return AttemptResult()
         if not plan.before_send(boot_time_s()):
             self._give_up(plan.give_up(), "retry_budget")
             return AttemptResult()
@@ -392,6 +414,8 @@
         """Return the Retry-After value of a refusal in seconds; None to send no such header."""
         if reason == _QUARANTINED:
             return self._state.quarantine.remaining_s(self._features)
+        if reason == _SUSPECTED:
+            return _SUSPECTED_RETRY_AFTER_S
         if reason == _STOPPING:
             return 0.0
         if reason == VERSION_NOT_SERVED:
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -15,11 +15,13 @@
 from beryljunction.platform import Record
 from beryljunction.routing import (
     PART_PREFIX,
+    SUSPICION_S,
     Cause,
     Crash,
     CrashTable,
     FanOut,
     KnownEndpoint,
+    TrialLimiter,
     is_part,
     responsible_hosts,
 )
@@ -40,8 +42,12 @@
 _KEY_BYTES = 8
 # Time in which requests that share a suspected part can be served elsewhere and clear it.
 _GRACE_S = 0.5
+# Time in which all entries report the requests that they had at a crashed endpoint.
+_REPORTS_S = 0.2
 # Pause before each further counting host concludes what those before it have not.
 _STANDBY_S = 0.5
+# Interval at which a counting host asks all entries again while there is a suspicion.
+_REVIEW_S = 2.0
 # Names of parts that are longer are replaced by a digest; an id of a part is mostly shorter.
 _MAX_PART_CHARS = 32
 _PART_DIGEST_BYTES = 16
@@ -67,12 +73,17 @@
     features: frozenset[str]
 
 
+@attrs.frozen
+class _Suspected:
+    features: frozenset[str]
+
+
 @attrs.frozen
 class _Lifted:
     features: frozenset[str]
 
 
-CrashRow = _CrashedRequest | _Served | _Quarantined | _Lifted
+CrashRow = _CrashedRequest | _Served | _Quarantined | _Suspected | _Lifted
 
 
 def count_features(row: CrashRow) -> int:
@@ -114,6 +125,10 @@
     meanwhile, unless only repeats of one request are concerned, then informs all entries and saves
     the quarantine in the store, for entries that start later.
 
+    While what was served doesn't show which of several causes it is, or while nothing is served,
+    requests with any of them are under suspicion: one at a time in the whole fleet is sent as a
+    trial. Its answer clears what it has; its crash shows the cause.
+
     Attributes:
         outbox: Rows to send to other entries.
         suspected: Set when there is a service to find out about.
@@ -132,6 +147,9 @@
         self._unsaved: list[frozenset[str]] = []
         self._removed: list[frozenset[str]] = []
         self._due_s: dict[str, float] = {}
+        self._announced: dict[str, set[frozenset[str]]] = {}
+        self._cleared: set[str] = set()
+        self._trials = TrialLimiter()
         self.outbox: Outbox[CrashRow] = Outbox(fan_out)
         self.suspected = AutoResetEvent()
 
@@ -143,6 +161,22 @@
         """Return how much longer a request stays in quarantine; 0 if it is not in quarantine."""
         return self._table.remaining_s(features, boot_time_s())
 
+    def is_suspected(self, features: Collection[str]) -> bool:
+        """Return whether a request may be sent as a trial only."""
+        return self._table.is_suspected(features, boot_time_s())
+
+    def trial_hosts(self, service: str) -> list[str]:
+        """Return the hosts that permit trials of a service; the first that answers decides."""
+        return self._counting_hosts(service) or [self._host]
+
+    def permit_trial(self, service: str, features: frozenset[str]) -> bool:
+        """Return whether a request may be sent as the only trial of its service."""
+        return self._trials.permit(service, features, boot_time_s())
+
+    def end_trial(self, features: frozenset[str]) -> None:
+        """Record that a trial has ended without a crash."""
+        self._trials.note_result(features)
+
     def note_crash(
         self,
         features: frozenset[str],
@@ -150,6 +184,7 @@
         may_be_part: bool = True,
         at_s: float | None = None,
         evidence: str = "",
+        is_trial: bool = False,
     ) -> None:
         """Record that an endpoint crashed while it had a request of this entry.
 
@@ -160,6 +195,7 @@
                 sending the answer for a while was not crashed by a part.
             at_s: Boot time of the crash; None for now.
             evidence: What shows that the endpoint crashed, for the log.
+            is_trial: Whether the request was sent as a trial.
         """
         now_s = boot_time_s() if at_s is None else at_s
         digest = next((feature for feature in features if not is_part(feature)), "")
@@ -171,7 +207,7 @@
         )
         if not may_be_part:
             features = frozenset((digest,))
-        crash = Crash(endpoint.record.service, endpoint.incarnation_id, features)
+        crash = Crash(endpoint.record.service, endpoint.incarnation_id, features, is_trial)
         for host in self._counting_hosts(crash.service):
             if host != self._host:
                 self.outbox.add(host, _CrashedRequest(crash, now_s))
@@ -186,12 +222,14 @@
             began_s: Boot time at which its answer began.
         """
         self._table.note_service_served(service, began_s)
+        is_watched = any(map(self._table.is_watched, features))
         for feature in features:
-            if self._table.has_crashes(feature):
+            if is_watched or self._table.has_crashes(feature):
                 for host in self._counting_hosts(service):
                     if host != self._host:
                         self.outbox.add(host, _Served(feature, began_s))
             self._note_served(feature, began_s)
+        self._announce_cleared()
 
     def apply_report(self, report: CrashReport) -> CrashReport:
         """Apply another entry's report; return the answer to it.
@@ -203,10 +241,14 @@
         now_s = boot_time_s()
         for feature, age_s in report.served:
             self._note_served(feature, now_s - age_s)
+        self._announce_cleared()
         for service, age_s in report.services:
             self._table.note_service_served(service, now_s - age_s)
         for features, left_s in report.quarantined:
             self._apply_quarantine(features, left_s)
+        for features, left_s in report.suspected:
+            if self._table.suspect(features, left_s, now_s):
+                self._log_suspicion(features, "")
         for features in report.lifted:
             self._lift(features)
         for crash, age_s in report.crashes:
@@ -216,6 +258,12 @@
             for features, left_s in self._table.quarantined(now_s).items()
             if any(features <= crash.features for crash, _ in report.crashes)
         }
+        if report.trial is not None and report.is_permitted is False:
+            self.end_trial(report.trial.features)
+            return CrashReport(is_permitted=False)
+        if report.trial is not None:
+            is_permitted = self.permit_trial(report.trial.service, report.trial.features)
+            return CrashReport(is_permitted=is_permitted)
         answer = CrashReport(quarantined=tuple(quarantined.items()))
         return answer if report.suspicion is None else self._answer(report.suspicion, now_s)
 
@@ -231,7 +279,7 @@
         """Return the report that has these rows."""
         now_s = boot_time_s()
         chosen = list(rows)
-        left_s = self._table.quarantined(now_s)
+        left_s, suspected_s = self._table.quarantined(now_s), self._table.suspected(now_s)
         return CrashReport(
             crashes=tuple(
                 (row.crash, max(0.0, now_s - row.at_s))
@@ -249,6 +297,11 @@
                 if isinstance(row, _Quarantined) and row.features in left_s
             ),
             lifted=tuple(row.features for row in chosen if isinstance(row, _Lifted)),
+            suspected=tuple(
+                (row.features, suspected_s[row.features])
+                for row in chosen
+                if isinstance(row, _Suspected) and row.features in suspected_s
+            ),
         )
 
     # Conclusions
@@ -265,40 +318,68 @@
 
     def suspicion_of(self, service: str) -> Suspicion | None:
         """Return the question to ask all entries about a service; None if there is none."""
-        cause = self._table.find_cause(service, boot_time_s())
-        if cause is None:
-            del self._due_s[service]
+        features = frozenset[str]().union(*self._table.suspects(service, boot_time_s()))
+        if not features:
+            self._due_s.pop(service, None)
+            self._announce_suspicions(service)
             return None
-        return Suspicion(service, cause.features)
+        return Suspicion(service, frozenset(sorted(features)[:MAX_FEATURES]))
 
     def conclude(self, service: str) -> None:
         """Quarantine what crashes a service's endpoints, after all entries were asked.
 
-        Without any answer of the service meanwhile, such as while all of its endpoints are down,
-        nothing tells one cause from another.
+        What can't be told apart, or can't be proved because nothing is served, comes under
+        suspicion.
         """
         now_s = boot_time_s()
         cause = self._table.find_cause(service, now_s)
-        if cause is not None and self._table.last_service_s(service) > cause.proved_s:
+        if cause is not None and cause.is_proved(self._table.last_service_s(service)):
             self._quarantine(cause, service)
-            cause = self._table.find_cause(service, now_s)
-        if cause is None:
-            self._due_s.pop(service, None)
+        self._announce_suspicions(service)
+        if self._announced.get(service):
+            self._due_s[service] = now_s + _REVIEW_S
         else:
-            self._due_s[service] = now_s + _GRACE_S
+            self._due_s.pop(service, None)
+
+    def _announce_cleared(self) -> None:
+        """Review the suspicions of services of which parts have been served."""
+        while self._cleared:
+            self._announce_suspicions(self._cleared.pop())
+
+    def _announce_suspicions(self, service: str) -> None:
+        """Inform all entries of the suspicions that are new, and of those that are over."""
+        now_s = boot_time_s()
+        suspects = set(self._table.suspects(service, now_s))
+        announced = self._announced.setdefault(service, set())
+        for features in announced - suspects:
+            announced.discard(features)
+            if not self._table.is_quarantined(features):
+                self._lift_everywhere(features)
+        for features in suspects:
+            if not self._table.suspect(features, SUSPICION_S, now_s):
+                continue
+            announced.add(features)
+            self._log_suspicion(features, service)
+            for host in self._fan_out.addresses():
+                self.outbox.add(host, _Suspected(features))
+        if not announced:
+            del self._announced[service]
 
     def _count_crash(self, crash: Crash, at_s: float) -> None:
         now_s = boot_time_s()
         self._table.note_crash(crash, at_s)
-        cause = self._table.find_cause(crash.service, now_s, crash.features)
-        if cause is None:
-            return
-        if cause.is_exact:
+        self._trials.note_crash(crash.service, crash.features, now_s)
+        digests = [feature for feature in crash.features if not is_part(feature)]
+        cause = self._table.find_cause(crash.service, now_s, digests)
+        if cause is not None and cause.is_exact and not cause.has_rivals:
             self._quarantine(cause, crash.service)
-        elif crash.service not in self._due_s:
-            delay_s = _GRACE_S + self._rank(crash.service) * _STANDBY_S
-            self._due_s[crash.service] = now_s + delay_s
-            self.suspected.set()
+        if cause is None and not self._table.may_have_suspects(crash.features):
+            return
+        due_s = now_s + _REPORTS_S
+        if not crash.is_trial:
+            due_s += _GRACE_S + self._rank(crash.service) * _STANDBY_S
+        self._due_s[crash.service] = min(due_s, self._due_s.get(crash.service, math.inf))
+        self.suspected.set()
 
     def _rank(self, service: str) -> int:
         """Return how many entries conclude before this one."""
@@ -328,15 +409,26 @@
         )
 
     def _note_served(self, feature: str, at_s: float) -> None:
-        """Note a service; one that began under quarantine shows that the quarantine is wrong."""
+        """Note a service; what began under quarantine shows that the quarantine is wrong."""
         self._table.note_served(feature, at_s)
-        for features in self._table.disproved_by(feature, at_s):
+        if not is_part(feature):
+            self._trials.note_result(frozenset((feature,)))
+        for features in self._table.disproved_by(feature):
             self._lift_everywhere(features)
+        for service, announced in self._announced.items():
+            if any(feature in features for features in announced):
+                self._cleared.add(service)
+
+    def _log_suspicion(self, features: frozenset[str], service: str) -> None:
+        parts = ",".join(sorted(row.removeprefix(PART_PREFIX) for row in features))
+        self._events.write("request_suspected", parts=parts, service=service)
 
     def _lift_everywhere(self, features: frozenset[str]) -> None:
+        was_quarantined = self._table.is_quarantined(features)
         if not self._lift(features):
             return
-        self._removed.append(features)
+        if was_quarantined:
+            self._removed.append(features)
         self.outbox.changed.set()
         for host in self._fan_out.addresses():
             self.outbox.add(host, _Lifted(features))
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -12,6 +12,7 @@
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.quarantine import Quarantine
 from beryljunction.gateway.streamdirectory import StreamDirectory
+from beryljunction.gateway.trials import TrialPermits
 from beryljunction.platform import DeploymentBounds, HostSettings
 from beryljunction.routing import (
     AgeBound,
@@ -72,6 +73,7 @@
         fan_out: Which entries read the store, and which entry sends updates to which.
         era: Highest restore count of the store that this entry has seen.
         quarantine: Requests that crash the endpoints which run them.
+        trial_permits: Permits to send requests that may crash endpoints.
         losses: Endpoints whose connections were lost, and which may have crashed.
         streams: Where streams began.
         report_coverage: How many choices of an endpoint had a load report to go by.
@@ -100,6 +102,7 @@
         )
         self.fan_out = FanOut(host.host)
         self.quarantine = Quarantine(host.host, self.fan_out, events)
+        self.trial_permits = TrialPermits(host.host, self.fan_out, self.quarantine)
         self.losses = EndpointLosses(self.registry, self.quarantine, events)
         self.streams = StreamDirectory(
             host.host, self.fan_out, self.registry, self.has_current_endpoints, events
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -7,7 +7,14 @@
 from beryljunction.routing.cache_aware_placement import CacheAwarePlacement
 from beryljunction.routing.cold_start import ColdStartLimit, ColdStartLimiter
 from beryljunction.routing.confirmation import STORE, AgeBound, Confirmation
-from beryljunction.routing.crashes import PART_PREFIX, Cause, Crash, CrashTable, is_part
+from beryljunction.routing.crashes import (
+    PART_PREFIX,
+    SUSPICION_S,
+    Cause,
+    Crash,
+    CrashTable,
+    is_part,
+)
 from beryljunction.routing.digest import request_digest, stream_key
 from beryljunction.routing.endpoints import EndpointRegistry
 from beryljunction.routing.evacuations import Evacuations, ZoneChange
@@ -50,6 +57,7 @@
 from beryljunction.routing.service_versions import ServiceVersions
 from beryljunction.routing.store_reachability import StoreReachability
 from beryljunction.routing.stream_origins import StreamOrigin, StreamOrigins
+from beryljunction.routing.trials import TrialLimiter
 
 __all__ = [
     "ALL_ON",
@@ -104,7 +112,9 @@
     "Service",
     "ServiceVersions",
     "SettingsLease",
+    "SUSPICION_S",
     "StoreReachability",
+    "TrialLimiter",
     "StreamOrigin",
     "StreamOrigins",
     "WeightedService",
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ["Cause", "Crash", "CrashTable", "PART_PREFIX", "is_part"]
+__all__ = ["Cause", "Crash", "CrashTable", "PART_PREFIX", "SUSPICION_S", "is_part"]
 
 # Prefix of the feature that stands for a part of a prompt. Other features are digests of requests.
 PART_PREFIX = "part:"
@@ -19,6 +19,9 @@
 # Endpoints that end this close together have most likely ended for one reason outside of their
 # requests, such as a lost rack; for parts, which many requests share, they count as one crash.
 _TOGETHER_S = 0.05
+# A suspicion is decided by the first request that has it; without any, it ends by itself.
+SUSPICION_S = 60.0
+_MAX_SUSPECTED = 64
 _MAX_CRASHES = 128
 _MAX_REQUESTS = 256
 # Features of all requests of all crashes, at about 150 bytes each.
@@ -46,11 +49,13 @@
         service: Service of the endpoint.
         incarnation_id: Id and start time of the endpoint.
         features: What the request may have in common with others: its digest and parts.
+        is_trial: Whether it was the only suspected request that was sent at that time.
     """
 
     service: str
     incarnation_id: tuple[str, int]
     features: Features
+    is_trial: bool = False
 
 
 @attrs.frozen
@@ -59,25 +64,41 @@
 
     Attributes:
         features: A request that has all of them is held to crash endpoints.
-        proved_s: Time after which an endpoint of the service has to have begun an answer for this
-            to be concluded: that of the first crash or, if other features are under almost as
-            many, of the last one.
+        since_s: Time of the first of the crashes.
+        has_rivals: Whether other parts are under almost as many crashes.
+        was_tried: Whether a trial with them ended in a crash, and no other part is under as many
+            crashes as they are.
     """
 
     features: Features
-    proved_s: float
+    since_s: float
+    has_rivals: bool
+    was_tried: bool = False
 
     @property
     def is_exact(self) -> bool:
         """Whether only repeats of one request have these features."""
         return not all(is_part(feature) for feature in self.features)
 
+    def is_proved(self, service_served_s: float) -> bool:
+        """Return whether it explains the crashes.
+
+        A trial shows it, or that the service has served other requests since the first crash.
+
+        Args:
+            service_served_s: When an endpoint of the service last began an answer and lived on.
+        """
+        if self.was_tried or (self.is_exact and not self.has_rivals):
+            return True
+        return not self.has_rivals and service_served_s > self.since_s
+
 
 @attrs.define
 class _CrashedEndpoint:
     service: str
     at_s: float
     requests: collections.OrderedDict[Features, None] = attrs.field(factory=collections.OrderedDict)
+    trials: set[Features] = attrs.field(factory=set)
 
 
 @attrs.frozen
@@ -103,6 +124,7 @@
         self._quarantined: collections.OrderedDict[Features, _Quarantine]
         self._quarantined = collections.OrderedDict()
         self._wide: set[Features] = set()
+        self._suspected: dict[Features, _Quarantine] = {}
         self._served_digests_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._served_parts_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._service_served_s: dict[str, float] = {}
@@ -127,6 +149,8 @@
         if features not in row.requests:
             self._feature_count += len(features)
         row.requests[features] = None
+        if crash.is_trial:
+            row.trials.add(features)
         for name in features:
             self._crashes_of.setdefault(name, set()).add(crash.incarnation_id)
         for evicted in _evict_oldest(row.requests, features, _MAX_REQUESTS):
@@ -148,6 +172,7 @@
         self, incarnation_id: tuple[str, int], row: _CrashedEndpoint, features: Features
     ) -> None:
         self._feature_count -= len(features)
+        row.trials.discard(features)
         self._remove_from_index(incarnation_id, features, row)
 
     def _remove_from_index(
@@ -208,31 +233,93 @@
             among: The only features whose crashes have changed since no cause was found; None for
                 all.
         """
-        rows = {
-            incarnation_id: row
-            for incarnation_id, row in self._crashes.items()
-            if row.service == service and now_s - row.at_s <= _QUARANTINE_S
-        }
+        rows = self._recent_crashes(service, now_s)
         if among is not None and not self._crashes_by_feature(rows, among):
             return None
         crashes = self._crashes_by_feature(rows, self._crashes_of)
+        found = self._candidates(crashes, rows, now_s)
+        exact = [
+            row for row in found if row.is_exact and (among is None or row.features & set(among))
+        ]
+        parts = [row for row in found if not row.is_exact]
+        return next(iter(exact + parts), None)
+
+    def suspects(self, service: str, now_s: float) -> list[Features]:
+        """Return the sets of parts of which each may be the cause of a service's crashes.
+
+        A set that has all features of another one is left out.
+        """
+        rows = self._recent_crashes(service, now_s)
+        crashes = self._crashes_by_feature(rows, self._crashes_of)
+        sets = {row.features for row in self._candidates(crashes, rows, now_s, False)}
+        return [names for names in sets if not any(other < names for other in sets)]
+
+    def _candidates(
+        self,
+        crashes: dict[str, set[tuple[str, int]]],
+        rows: dict[tuple[str, int], _CrashedEndpoint],
+        now_s: float,
+        is_apart: bool = True,
+    ) -> list[Cause]:
+        """Return the possible causes that aren't quarantined, the most likely one first.
+
+        Of those under as many crashes, the one with the most features comes first: it blocks the
+        fewest requests, and the next crash without one of the features tells them apart.
+
+        Args:
+            crashes: The crashes of each feature.
+            rows: The crashes.
+            now_s: Time on their clock.
+            is_apart: Whether crashes at the same time count as one for parts.
+        """
+        commons = {feature: self._common_features(feature, crashes, rows) for feature in crashes}
         explained: set[tuple[str, int]] = set()
+        found: dict[Features, set[tuple[str, int]]] = {}
         for feature in sorted(crashes, key=lambda name: (-len(crashes[name]), name)):
-            if among is not None and feature not in among and not is_part(feature):
-                continue
             unexplained = crashes[feature] - explained
             times_s = [rows[crash].at_s for crash in unexplained]
-            count = _count_apart(times_s) if is_part(feature) else len(times_s)
+            count = _count_apart(times_s) if is_apart and is_part(feature) else len(times_s)
             if count < _QUARANTINE_CRASHES:
                 continue
-            common = self._common_features(feature, crashes, rows)
+            common = commons[feature]
             if self.remaining_s(common, now_s) <= 0.0:
-                times_s = [rows[crash].at_s for crash in crashes[feature]]
-                is_clear = not _has_rival(common, len(times_s), crashes)
-                return Cause(common, min(times_s) if is_clear else max(times_s))
-            if all(map(is_part, common)):
+                found[common] = crashes[feature]
+            elif all(map(is_part, common)):
                 explained |= crashes[feature]
-        return None
+        most = max(map(len, found.values()), default=0)
+        likely = {
+            names: ended
+            for names, ended in found.items()
+            if is_apart or len(ended) >= max(_QUARANTINE_CRASHES, most - 1)
+        }
+        order = sorted(likely, key=lambda names: (-len(found[names]), -len(names), min(names)))
+        return [self._cause(names, crashes, rows) for names in order]
+
+    def _cause(
+        self,
+        names: Features,
+        crashes: dict[str, set[tuple[str, int]]],
+        rows: dict[tuple[str, int], _CrashedEndpoint],
+    ) -> Cause:
+        ended = crashes[min(names, key=lambda name: len(crashes[name]))]
+        others = [len(crashes[name]) for name in crashes if name not in names and is_part(name)]
+        most = max(others, default=0)
+        was_tried = any(names <= trial for crash in ended for trial in rows[crash].trials)
+        return Cause(
+            names,
+            min(rows[crash].at_s for crash in ended),
+            most >= max(_QUARANTINE_CRASHES, len(ended) - 1),
+            was_tried and most < len(ended),
+        )
+
+    def _recent_crashes(
+        self, service: str, now_s: float
+    ) -> dict[tuple[str, int], _CrashedEndpoint]:
+        return {
+            incarnation_id: row
+            for incarnation_id, row in self._crashes.items()
+            if row.service == service and now_s - row.at_s <= _QUARANTINE_S
+        }
 
     def _crashes_by_feature(
         self, rows: dict[tuple[str, int], _CrashedEndpoint], features: Iterable[str]
@@ -255,12 +342,12 @@
         crashes: dict[str, set[tuple[str, int]]],
         rows: dict[tuple[str, int], _CrashedEndpoint],
     ) -> Features:
-        """Return the features that requests with a feature had at each of its crashes."""
+        """Return the features that all requests with a feature had at its crashes."""
         common: Features | None = None
         for incarnation_id in crashes[feature]:
-            requests = [names for names in rows[incarnation_id].requests if feature in names]
-            present = frozenset[str]().union(*requests)
-            common = present if common is None else common & present
+            for names in rows[incarnation_id].requests:
+                if feature in names:
+                    common = names if common is None else common & names
         assert common is not None
         return frozenset(name for name in common if crashes.get(name, set()) >= crashes[feature])
 
@@ -271,6 +358,7 @@
         """
         if self.remaining_s(features, now_s) > 0.0:
             return False
+        self._suspected.pop(features, None)
         for wider in [names for names in self._wide if names > features]:
             self.lift(wider)
         longest_s = _PART_QUARANTINE_S if all(map(is_part, features)) else _QUARANTINE_S
@@ -305,15 +393,61 @@
             if any(features <= names for names in row.requests)
         }
 
-    def disproved_by(self, feature: str, at_s: float) -> list[Features]:
-        """Return the quarantines that a service of a feature which began then proves wrong."""
-        rows = self._quarantined.items()
-        return [names for names, row in rows if feature in names and at_s > row.since_s]
+    def disproved_by(self, feature: str) -> list[Features]:
+        """Return the quarantines and suspicions with a feature that later services prove wrong.
+
+        Each of their features has been served since then.
+        """
+        return [
+            names
+            for kind in (self._quarantined, self._suspected)
+            for names, row in kind.items()
+            if feature in names and all(self.served_s(name) > row.since_s for name in names)
+        ]
+
+    # Suspicions
+
+    def suspect(self, features: Features, left_s: float, now_s: float) -> bool:
+        """Let requests with all of these features out for trials only; False if they are known."""
+        known = self._suspected.get(features)
+        if known is not None and known.until_s > now_s:
+            return False
+        for names in [names for names, row in self._suspected.items() if row.until_s <= now_s]:
+            del self._suspected[names]
+        if len(self._suspected) >= _MAX_SUSPECTED:
+            return False
+        self._suspected[features] = _Quarantine(now_s, now_s + min(left_s, SUSPICION_S))
+        return True
+
+    def is_suspected(self, features: Collection[str], now_s: float) -> bool:
+        """Return whether a request with these features is under suspicion."""
+        present = frozenset(features)
+        rows = self._suspected.items()
+        return any(names <= present and row.until_s > now_s for names, row in rows)
+
+    def is_watched(self, feature: str) -> bool:
+        """Return whether a feature is in a quarantine or suspicion, which its service may end."""
+        sets = (*self._suspected, *self._wide)
+        is_blocked = frozenset((feature,)) in self._quarantined
+        return is_blocked or any(feature in names for names in sets)
+
+    def may_have_suspects(self, features: Features) -> bool:
+        """Return whether enough crashes are counted for any of these parts."""
+        return any(
+            is_part(name) and len(self._crashes_of.get(name, ())) >= _QUARANTINE_CRASHES
+            for name in features
+        )
+
+    def suspected(self, now_s: float) -> dict[Features, float]:
+        """Return the remaining time of each suspicion."""
+        rows = self._suspected.items()
+        return {names: row.until_s - now_s for names, row in rows if row.until_s > now_s}
 
     def lift(self, features: Features) -> bool:
-        """End a quarantine; return whether there was one."""
+        """End a quarantine or suspicion; return whether there was one."""
         self._wide.discard(features)
-        return self._quarantined.pop(features, None) is not None
+        was_suspected = self._suspected.pop(features, None) is not None
+        return self._quarantined.pop(features, None) is not None or was_suspected
 
     def remaining_s(self, features: Collection[str], now_s: float) -> float:
         """Return the remaining quarantine of a request with these features; 0 for none."""
@@ -332,6 +466,10 @@
             if row.until_s > now_s
         }
 
+    def is_quarantined(self, features: Features) -> bool:
+        """Return whether exactly these features are in quarantine."""
+        return features in self._quarantined
+
     def expire(self, now_s: float) -> list[Features]:
         """Remove the quarantines that have ended and return their features."""
         expired = [name for name, row in self._quarantined.items() if row.until_s <= now_s]
@@ -340,15 +478,6 @@
         return expired
 
 
-def _has_rival(common: Features, count: int, crashes: dict[str, set[tuple[str, int]]]) -> bool:
-    """Return whether other parts are under almost as many crashes as the common features."""
-    most = max(
-        (len(rows) for name, rows in crashes.items() if name not in common and is_part(name)),
-        default=0,
-    )
-    return most >= max(_QUARANTINE_CRASHES, count - 1)
-
-
 def _count_apart(times_s: Iterable[float]) -> int:
     """Return the number of crashes, of which those at the same time are one."""
     count, last_s = 0, -math.inf
--- a/testing/test_bad_parts.py
+++ b/testing/test_bad_parts.py
@@ -281,6 +281,12 @@
             self.serve(world, "front-7", "part:x")
             world.advance(PROPAGATION_S)
 
+            # Another part may still be the cause.
+            assert world.holds_for_all(lambda state: len(state.quarantine) == 1)
+
+            self.serve(world, "front-9", "part:a")
+            world.advance(PROPAGATION_S)
+
             assert world.holds_for_all(lambda state: len(state.quarantine) == 0)
             rows, _, _ = world.model.newest("keyed.entries", "", world.loop.world_s)
             assert [key for key, _, value in rows if key.startswith("quarantine") and value] == []
@@ -387,7 +393,7 @@
 
 
 def never_lift(patch):
-    patch.setattr(CrashTable, "disproved_by", lambda self, feature, at_s: [])
+    patch.setattr(CrashTable, "disproved_by", lambda self, feature: [])
 
 
 def found_by_histories():
--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -246,8 +246,12 @@
         table = CrashTable()
         table.quarantine(parts("a x"), 60.0, 5.0)
 
-        assert table.disproved_by("part:a", 4.0) == []
-        assert table.disproved_by("part:a", 6.0) == [parts("a x")]
+        serve(table, "a x", 4.0)
+        assert table.disproved_by("part:a") == []
+        serve(table, "a", 6.0)
+        assert table.disproved_by("part:a") == []
+        serve(table, "x", 7.0)
+        assert table.disproved_by("part:x") == [parts("a x")]
 
     def test_quarantine_is_superseded_by_the_cause_of_later_crashes(self):
         """Guards against blocking for long what only was in flight at the first crashes."""
--- a/testing/test_endpoint_losses.py
+++ b/testing/test_endpoint_losses.py
@@ -21,7 +21,7 @@
     def __init__(self):
         self.rows = []
 
-    def note_crash(self, features, endpoint, may_be_part, at_s, evidence):
+    def note_crash(self, features, endpoint, may_be_part, at_s, evidence, is_trial):
         self.rows.append((endpoint.record.endpoint_id, at_s, evidence))
 
 
--- /dev/null
+++ b/testing/test_part_conditions.py
@@ -0,0 +1,49 @@
+import pytest
+
+from beryljunction.fuzz.platform.actors import CrashStyle
+from part_traffic import PartConditions, play_conditions
+
+HEAD = CrashStyle(sends_head=True)
+
+
+class TestSmallService:
+    """Bad requests end all endpoints before other requests are served."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize(
+        "conditions",
+        [
+            PartConditions(bad_every_s=0.02),
+            PartConditions(bad_every_s=0.02, restart_s=5.0),
+            PartConditions(bad_every_s=0.1, sound_every_s=0.5),
+            PartConditions(bad_every_s=0.1, sound_every_s=0.5, restart_s=8.0, length_s=40.0),
+            PartConditions(bad_every_s=0.1, event_gap_s=0.1),
+            PartConditions(bad_every_s=0.1, sound_every_s=0.5, endpoints=1),
+            PartConditions(bad_every_s=0.1, parts=1, place=0, endpoints=1),
+            PartConditions(bad_every_s=0.1, sound_every_s=0.02, event_gap_s=0.2, style=HEAD),
+        ],
+        ids=[
+            "50-bad",
+            "50-bad-slow-restart",
+            "few-sound",
+            "few-sound-slow-restart",
+            "long-answers",
+            "one-endpoint",
+            "one-endpoint-one-part",
+            "many-in-flight",
+        ],
+    )
+    def test_part_stops_and_other_requests_are_served(self, conditions, seed):
+        """Guards against waiting for an answer that the service can't give while it is ended."""
+        violations, _ = play_conditions(conditions, seed)
+
+        assert violations == []
+
+
+class TestDrawnConditions:
+    @pytest.mark.parametrize("seed", range(1, 31))
+    def test_part_stops_and_other_requests_are_served(self, seed):
+        """Guards against conditions of crashes, answers or prompts that no other test has."""
+        violations, _ = play_conditions(PartConditions.drawn(seed), seed)
+
+        assert violations == []
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -30,6 +30,9 @@
     (BAD,),
     (frozenset(["part:a", "part:b"]),),
     Suspicion("engine", frozenset(["part:c"])),
+    ((frozenset(["part:d"]), 30.0),),
+    Suspicion("engine", frozenset(["digest", "part:c"])),
+    False,
 )
 
 
@@ -378,13 +381,15 @@
             {"crashes": None},
             {"crashes": [1]},
             {"crashes": [["s", "e1", 1]]},
-            {"crashes": [["s", "e1", "1", 0.0, ["d"]]]},
-            {"crashes": [["s", "e1", 1, -1.0, ["d"]]]},
-            {"crashes": [["s", "e1", 1, 0.0, []]]},
-            {"crashes": [["s", "e1", 1, 0.0, "d"]]},
-            {"crashes": [["s", "e1", 1, 0.0, ["d" * 129]]]},
-            {"crashes": [["s", "e1", 1, 0.0, [str(n) for n in range(257)]]]},
-            {"crashes": [["s", "e1", 1, 0.0, ["d"]]] * 257},
+            {"crashes": [["s", "e1", 1, 0.0, ["d"]]]},
+            {"crashes": [["s", "e1", 1, 0.0, ["d"], 1]]},
+            {"crashes": [["s", "e1", "1", 0.0, ["d"], False]]},
+            {"crashes": [["s", "e1", 1, -1.0, ["d"], False]]},
+            {"crashes": [["s", "e1", 1, 0.0, [], False]]},
+            {"crashes": [["s", "e1", 1, 0.0, "d", False]]},
+            {"crashes": [["s", "e1", 1, 0.0, ["d" * 129], False]]},
+            {"crashes": [["s", "e1", 1, 0.0, [str(n) for n in range(257)], False]]},
+            {"crashes": [["s", "e1", 1, 0.0, ["d"], False]] * 257},
             {"served": "d"},
             {"served": [7]},
             {"served": [["d", float("nan")]]},
@@ -396,10 +401,15 @@
             {"lifted": [[]]},
             {"suspicion": ["s"]},
             {"suspicion": "s"},
+            {"suspected": [["long", ["d"]]]},
+            {"suspected": None},
+            {"trial": ["s"]},
+            {"permitted": 1},
         ],
     )
     def test_invalid_field_is_an_error(self, change):
         values = {"crashes": [], "served": [], "services": [], "quarantined": [], "lifted": []}
+        values["suspected"] = []
         values.update(change)
 
         with pytest.raises(ValueError):
