Bound every answer that an entry reads, and close its connection at the limit

What callers saw: nothing yet; one endpoint whose answer has no end could fill the entry.

Cause: the head of an answer, its interim responses, chunk sizes, extensions and trailers had no limit, an answer that was given up kept its connection until the exchange ended, and the bodies of reports, of the store and of other entries were read whole, whatever their size.

Change: 64 KB may come without a part of the body; trailers aren't kept; an answer that fails, or has bytes past its end, closes its connection at once. A report has 64 KB at most, an answer of another entry 1 MB, its view and a response of the store 16 MB.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -30,6 +30,10 @@
 _FETCH_TIMEOUT_S = 0.25
 # Unread bytes of an answer that are buffered before reading from the endpoint pauses.
 _MAX_BUFFERED_BYTES = 262_144
+# Limit of the head of an answer, interim responses included, and of what frames its body between
+# two parts of it: chunk sizes and extensions, trailers.
+_MAX_FRAMING_BYTES = 65_536
+_MAX_REPORT_BYTES = 65_536
 
 
 class EndpointUnreachable(Exception):  # noqa: N818 - not an error of this program
@@ -64,6 +68,8 @@
         """Expect the first byte of an answer."""
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
+        self._header_bytes = 0
+        self._framing_bytes = 0
         self._head: ResponseHead | None = None
         self._keeps_alive = False
         self._body_parts: collections.deque[bytes] = collections.deque()
@@ -89,9 +95,11 @@
         self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; those after a complete answer are ignored."""
+        """Parse received bytes; close the connection if there are more after the answer."""
         if self.is_complete or self.problem:
+            self._close()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -99,6 +107,8 @@
         except httptools.HttpParserError as error:
             if not self.is_complete:
                 self._fail(f"an invalid HTTP response ({error})")
+        if self._framing_bytes > _MAX_FRAMING_BYTES and not (self.is_complete or self.problem):
+            self._fail(f"more than {_MAX_FRAMING_BYTES} bytes without a part of its body")
         self._changed.set()
 
     def eof_received(self) -> bool:
@@ -118,24 +128,32 @@
         self._changed.set()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header; trailers are ignored."""
+        if self._head is not None or self.problem:
+            return
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > _MAX_FRAMING_BYTES:
+            self._fail(f"more than {_MAX_FRAMING_BYTES} bytes of headers")
+            return
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Store status and headers, except those of 1xx interim responses."""
-        if self.is_complete:
+        if self.is_complete or self.problem:
             return
         status = self._parser.get_status_code()
         headers, self._headers = self._headers, []
         if status >= 200:
             self._head = ResponseHead(status, headers)
+            self._framing_bytes = 0
             self._keeps_alive = self._parser.should_keep_alive()
             self.is_complete = self._is_head
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, and pause reading when the buffer is full."""
-        if self.is_complete:
+        if self.is_complete or self.problem:
             return
+        self._framing_bytes = 0
         self._body_parts.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._transport is not None:
@@ -144,7 +162,7 @@
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
-        if self._head is not None:
+        if self._head is not None and not self.problem:
             self.is_complete = True
 
     @property
@@ -154,9 +172,15 @@
         return b"content-length" in names or b"transfer-encoding" in names
 
     def _fail(self, got: str) -> None:
+        """Give the answer up, and close the connection, on which more may come without end."""
         self.problem = f"expected a complete answer, got {got}"
+        self._close()
         self._changed.set()
 
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
     async def read_head(self) -> ResponseHead | None:
         """Wait for the status and headers of the answer; return None if it failed before them."""
         while self._head is None and not self.problem:
@@ -195,11 +219,17 @@
             head = await self.read_head()
             while (part := await self.read_body_part()) is not None:
                 parts.append(part)
-            if self.is_complete and head is not None and self._keeps_alive:
+                if sum(map(len, parts)) > _MAX_REPORT_BYTES:
+                    self._fail(f"a report of more than {_MAX_REPORT_BYTES} bytes")
+            if self.is_complete and head is not None and self._keeps_alive and self._is_open:
                 self._reset()
                 return b"".join(parts) if head.status == 200 else None
         raise EndpointUnreachable("expected a report and an open connection")
 
+    @property
+    def _is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
     async def _wait(self) -> None:
         self._changed = anyio.Event()
         await self._changed.wait()
--- a/src/beryljunction/gateway/peers.py
+++ b/src/beryljunction/gateway/peers.py
@@ -19,6 +19,7 @@
 from beryljunction.gateway.streamreports import StreamReport
 from beryljunction.gateway.update_client import UPDATE_PATH
 from beryljunction.gateway.update_receiver import UpdateReceiver
+from beryljunction.response_body import read_body
 from beryljunction.routing import Address, CallerLimits, PeerTable, should_ask_peers
 from beryljunction.timeouts import fail_after
 
@@ -35,6 +36,9 @@
 _ANSWER_TIMEOUT_S = 0.3
 # Settings of 1,640 routes take 0.7 s on a link of 5 Mbit/s, which the callers' answers share.
 _VIEW_TIMEOUT_S = 2.0
+# Settings, endpoints and all else that an entry knows take a few MB in the largest deployment.
+_MAX_VIEW_BYTES = 16 * 1_048_576
+_MAX_ANSWER_BYTES = 1_048_576
 # A zone has about as many peers; connections beyond that are opened on demand.
 _MAX_KEEPALIVE_CONNECTIONS = 8
 _TRANSPORT_ERRORS = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
@@ -172,10 +176,11 @@
         url = f"http://{address[0]}:{address[1]}{path}"
         try:
             with fail_after(_ANSWER_TIMEOUT_S):
-                response = await self._pool.request("POST", url, content=message)
+                async with self._pool.stream("POST", url, content=message) as response:
+                    body = await read_body(response, _MAX_ANSWER_BYTES)
         except (TimeoutError, *_TRANSPORT_ERRORS):
             return None
-        return response.content if response.status == 200 else None
+        return body if response.status == 200 else None
 
     async def fetch_view(self, address: Address, version: int, offset: int) -> StoreView | str:
         """Return what it has beyond this version and offset, or why there is no answer."""
@@ -190,7 +195,7 @@
                 if response.status != 200:
                     return f"expected status 200, got {response.status}"
                 with fail_after(_VIEW_TIMEOUT_S):
-                    return StoreView.decode(await response.aread())
+                    return StoreView.decode(await read_body(response, _MAX_VIEW_BYTES))
         except (TimeoutError, ValueError, *_TRANSPORT_ERRORS) as error:
             return f"{type(error).__name__} {error}".strip()
 
--- a/src/beryljunction/gateway/update_client.py
+++ b/src/beryljunction/gateway/update_client.py
@@ -4,6 +4,7 @@
 
 import httpcore
 
+from beryljunction.response_body import read_body
 from beryljunction.routing import Address
 from beryljunction.timeouts import fail_after
 
@@ -13,6 +14,7 @@
 # An entry answers within a few ms, even from another zone; an unreachable one never does.
 _ANSWER_TIMEOUT_S = 0.3
 _MAX_KEEPALIVE_CONNECTIONS = 12
+_MAX_ANSWER_BYTES = 1_048_576
 _TRANSPORT_ERRORS = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
 
 
@@ -37,7 +39,8 @@
         url = f"http://{address[0]}:{address[1]}{UPDATE_PATH}"
         try:
             with fail_after(_ANSWER_TIMEOUT_S):
-                response = await self._pool.request("POST", url, content=message)
+                async with self._pool.stream("POST", url, content=message) as response:
+                    body = await read_body(response, _MAX_ANSWER_BYTES)
         except (TimeoutError, *_TRANSPORT_ERRORS):
             return None
-        return response.content if response.status == 200 else None
+        return body if response.status == 200 else None
--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -58,6 +58,8 @@
 _ERA_LENGTH_LIMIT = 16
 _LENGTH_DIGITS_LIMIT = 16
 _HEAD_BYTES = 16
+# A read ends after about 1 MB, or after one record, which may be larger.
+_MAX_BODY_BYTES = 16 * 1_048_576
 
 
 @attrs.frozen
@@ -315,6 +317,10 @@
             body = bytearray()
             async for chunk in response.aiter_stream():
                 body += chunk
+                if len(body) > _MAX_BODY_BYTES:
+                    raise httpcore.RemoteProtocolError(
+                        f"expected a body of at most {_MAX_BODY_BYTES} bytes"
+                    )
                 if part_limit is not None and part_limit.is_part(response, body, era):
                     return _Response(response.status, bytes(body), era, is_cut_short=True)
             return _Response(response.status, bytes(body), era)
