--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -276,12 +276,13 @@
         explained: set[tuple[str, int]] = set()
         found: dict[Features, set[tuple[str, int]]] = {}
         for feature in sorted(crashes, key=lambda name: (-len(crashes[name]), name)):
+            common = commons[feature]
             unexplained = crashes[feature] - explained
             times_s = [rows[crash].at_s for crash in unexplained]
-            count = _count_apart(times_s) if is_apart and is_part(feature) else len(times_s)
+            may_be_one = is_apart and is_part(feature) and not _was_tried(common, unexplained, rows)
+            count = _count_apart(times_s) if may_be_one else len(times_s)
             if count < _QUARANTINE_CRASHES:
                 continue
-            common = commons[feature]
             if self.remaining_s(common, now_s) <= 0.0:
                 found[common] = crashes[feature]
             elif all(map(is_part, common)):
@@ -304,7 +305,7 @@
         ended = crashes[min(names, key=lambda name: len(crashes[name]))]
         others = [len(crashes[name]) for name in crashes if name not in names and is_part(name)]
         most = max(others, default=0)
-        was_tried = any(names <= trial for crash in ended for trial in rows[crash].trials)
+        was_tried = _was_tried(names, ended, rows)
         return Cause(
             names,
             min(rows[crash].at_s for crash in ended),
@@ -478,6 +479,15 @@
         return expired
 
 
+def _was_tried(
+    names: Features,
+    crashes: Iterable[tuple[str, int]],
+    rows: dict[tuple[str, int], _CrashedEndpoint],
+) -> bool:
+    """Return whether a trial of a request with these features ended in one of the crashes."""
+    return any(names <= trial for crash in crashes for trial in rows[crash].trials)
+
+
 def _count_apart(times_s: Iterable[float]) -> int:
     """Return the number of crashes, of which those at the same time are one."""
     count, last_s = 0, -math.inf
