Don't take a trial for proof where endpoints without its parts crashed, too

Cause: endpoints that all end at once for a reason of their own may end one that runs a trial.

Change: crashes at one time are evidence for a set of parts only if each of the endpoints had a request with all of them.

--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -278,9 +278,8 @@
         for feature in sorted(crashes, key=lambda name: (-len(crashes[name]), name)):
             common = commons[feature]
             unexplained = crashes[feature] - explained
-            times_s = [rows[crash].at_s for crash in unexplained]
             may_be_one = is_apart and is_part(feature) and not _was_tried(common, unexplained, rows)
-            count = _count_apart(times_s) if may_be_one else len(times_s)
+            count = _count_apart(common, unexplained, rows) if may_be_one else len(unexplained)
             if count < _QUARANTINE_CRASHES:
                 continue
             if self.remaining_s(common, now_s) <= 0.0:
@@ -380,8 +379,8 @@
         for names in self._quarantined:
             crashes = self._crashes_with(names) if all(map(is_part, names)) else {}
             left_s = [at_s for name, at_s in crashes.items() if name not in explained]
-            was_supported = _count_apart(crashes.values()) >= _QUARANTINE_CRASHES
-            is_supported = _count_apart(left_s) >= _QUARANTINE_CRASHES
+            was_supported = _count_times(crashes.values()) >= _QUARANTINE_CRASHES
+            is_supported = _count_times(left_s) >= _QUARANTINE_CRASHES
             if names != features and was_supported and not is_supported:
                 superseded.append(names)
         return superseded
@@ -484,12 +483,37 @@
     crashes: Iterable[tuple[str, int]],
     rows: dict[tuple[str, int], _CrashedEndpoint],
 ) -> bool:
-    """Return whether a trial of a request with these features ended in one of the crashes."""
-    return any(names <= trial for crash in crashes for trial in rows[crash].trials)
+    """Return whether a trial of a request with these features ended in one of the crashes.
+
+    It shows nothing where an endpoint without such a request crashed at the same time.
+    """
+    return any(
+        names <= trial and _explains_others(names, rows[crash].at_s, rows)
+        for crash in crashes
+        for trial in rows[crash].trials
+    )
+
+
+def _explains_others(
+    names: Features, at_s: float, rows: dict[tuple[str, int], _CrashedEndpoint]
+) -> bool:
+    """Return whether all endpoints that crashed at a time had requests with these features."""
+    together = [row for row in rows.values() if abs(row.at_s - at_s) <= _TOGETHER_S]
+    return all(any(names <= request for request in row.requests) for row in together)
+
+
+def _count_apart(
+    names: Features,
+    crashes: Iterable[tuple[str, int]],
+    rows: dict[tuple[str, int], _CrashedEndpoint],
+) -> int:
+    """Return the number of times at which endpoints crashed that all had such requests."""
+    times_s = {rows[crash].at_s for crash in crashes}
+    return _count_times(at_s for at_s in times_s if _explains_others(names, at_s, rows))
 
 
-def _count_apart(times_s: Iterable[float]) -> int:
-    """Return the number of crashes, of which those at the same time are one."""
+def _count_times(times_s: Iterable[float]) -> int:
+    """Return the number of times, of which those that are close together are one."""
     count, last_s = 0, -math.inf
     for at_s in sorted(times_s):
         if at_s - last_s > _TOGETHER_S:
