Take two trials for proof, and give sound requests time to clear their parts

Cause: where all endpoints go on ending for a reason of their own, one trial often ends with them; and since a complete answer is needed to clear a part, half a second is short for answers that last longer.

Change: two trials have to end in crashes, at different times; a counting host waits 1.2 s in place of 0.5 s before it concludes, the next ones 0.3 s each.

--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -41,11 +41,11 @@
 _KEY_PREFIX = "quarantine/"
 _KEY_BYTES = 8
 # Time in which requests that share a suspected part can be served elsewhere and clear it.
-_GRACE_S = 0.5
+_GRACE_S = 1.2
 # Time in which all entries report the requests that they had at a crashed endpoint.
 _REPORTS_S = 0.2
 # Pause before each further counting host concludes what those before it have not.
-_STANDBY_S = 0.5
+_STANDBY_S = 0.3
 # Interval at which a counting host asks all entries again while there is a suspicion.
 _REVIEW_S = 2.0
 # Names of parts that are longer are replaced by a digest; an id of a part is mostly shorter.
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -13,6 +13,9 @@
 PART_PREFIX = "part:"
 # Number of crashes with a feature at which requests that have it are quarantined.
 _QUARANTINE_CRASHES = 3
+# Number of trials whose crashes are taken for proof; a single one may be a coincidence where
+# endpoints go on ending for a reason of their own.
+_PROOF_TRIALS = 2
 _QUARANTINE_S = 3_600.0
 # A part is shared with other requests, so its quarantine ends sooner, should it be wrong.
 _PART_QUARANTINE_S = 600.0
@@ -483,15 +486,12 @@
     crashes: Iterable[tuple[str, int]],
     rows: dict[tuple[str, int], _CrashedEndpoint],
 ) -> bool:
-    """Return whether a trial of a request with these features ended in one of the crashes.
+    """Return whether trials of requests with these features ended in enough of the crashes.
 
-    It shows nothing where an endpoint without such a request crashed at the same time.
+    One shows nothing where an endpoint without such a request crashed at the same time.
     """
-    return any(
-        names <= trial and _explains_others(names, rows[crash].at_s, rows)
-        for crash in crashes
-        for trial in rows[crash].trials
-    )
+    tried = [crash for crash in crashes if any(names <= trial for trial in rows[crash].trials)]
+    return _count_apart(names, tried, rows) >= _PROOF_TRIALS
 
 
 def _explains_others(
