--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -8,7 +8,14 @@
 from beryljunction.fuzz.platform.actors import CrashStyle
 from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld
 
-__all__ = ["BAD", "STREAMED", "PartConditions", "PartTraffic", "play_conditions"]
+__all__ = [
+    "BAD",
+    "STREAMED",
+    "PartConditions",
+    "PartTraffic",
+    "play_conditions",
+    "play_total_outages",
+]
 
 STREAMED = ("f1", "f2", "f3")
 BAD = "bad0"
@@ -133,6 +140,16 @@
             place=draw.randrange(parts),
         )
 
+    def apply(self, world):
+        """Let the endpoints of a world follow these conditions."""
+        world.restart_s, world.restart_keeps_id = self.restart_s, self.keeps_id
+        world.registers_in_s, world.silent_s = self.registers_in_s, self.silent_s
+        world.crash_style, world.event_gap_s = self.style, self.event_gap_s
+        for endpoint in world.endpoints.values():
+            endpoint.crash_style, endpoint.event_gap_s = self.style, self.event_gap_s
+        for name in STREAMED[self.endpoints :]:
+            world.vanish(name)
+
     @property
     def bad_part(self):
         """Name of the part that crashes endpoints."""
@@ -150,14 +167,7 @@
 def play_conditions(conditions, seed=1):
     """Return what was broken, and the number of endpoints that ended."""
     with contextlib.closing(PlatformWorld()) as world:
-        world.restart_s, world.restart_keeps_id = conditions.restart_s, conditions.keeps_id
-        world.registers_in_s, world.silent_s = conditions.registers_in_s, conditions.silent_s
-        world.crash_style, world.event_gap_s = conditions.style, conditions.event_gap_s
-        for endpoint in world.endpoints.values():
-            endpoint.crash_style = conditions.style
-            endpoint.event_gap_s = conditions.event_gap_s
-        for name in STREAMED[conditions.endpoints :]:
-            world.vanish(name)
+        conditions.apply(world)
         traffic = PartTraffic(world, seed, conditions.prompt())
         traffic.advance(4.0, conditions.sound_every_s)
         world.oracle.bad_parts_s[conditions.bad_part] = world.loop.world_s
@@ -167,3 +177,22 @@
         return violations + traffic.refused_sound(), len(
             world.oracle.crashes_s.get(conditions.bad_part, ())
         )
+
+
+def play_total_outages(seed):
+    """Return the lines of sound requests that are refused while endpoints end by themselves."""
+    draw = random.Random(seed)
+    conditions = attrs.evolve(PartConditions.drawn(seed), parts=3, place=2)
+    names = STREAMED[: conditions.endpoints]
+    with contextlib.closing(PlatformWorld()) as world:
+        conditions.apply(world)
+        traffic = PartTraffic(world, seed, conditions.prompt())
+        traffic.advance(4.0, conditions.sound_every_s)
+        ends_all = draw.choice((False, True))
+        for _ in range(12):
+            for name in names if ends_all else [draw.choice(names)]:
+                world.endpoints[name].crash("itself")
+            traffic.advance(draw.choice((0.3, 1.0, 2.5, 4.0)), conditions.sound_every_s)
+        traffic.advance(6.0, conditions.sound_every_s)
+        world.finish()
+        return traffic.refused_sound()
--- a/testing/test_part_conditions.py
+++ b/testing/test_part_conditions.py
@@ -1,7 +1,7 @@
 import pytest
 
 from beryljunction.fuzz.platform.actors import CrashStyle
-from part_traffic import PartConditions, play_conditions
+from part_traffic import PartConditions, play_conditions, play_total_outages
 
 HEAD = CrashStyle(sends_head=True)
 
@@ -47,3 +47,12 @@
         violations, _ = play_conditions(PartConditions.drawn(seed), seed)
 
         assert violations == []
+
+
+class TestTotalOutages:
+    """Endpoints end again and again for reasons of their own, often all at once."""
+
+    @pytest.mark.parametrize("seed", [*range(1, 21), 61, 76])
+    def test_no_sound_request_is_quarantined(self, seed):
+        """Guards against blaming requests for endpoints that end by themselves."""
+        assert play_total_outages(seed) == []
