--- a/src/beryljunction/gateway/attempt_monitor.py
+++ b/src/beryljunction/gateway/attempt_monitor.py
@@ -19,7 +19,7 @@
 
 @attrs.define
 class AttemptMonitor:
-    """Notes whether a request was served, or the connection to its endpoint lost.
+    """Records whether a request was served, or the connection to its endpoint was lost.
 
     That an answer arrives over some time doesn't show that its endpoint lived on, since a link or
     a paused process may spread what was written at once. The endpoint has lived on if it has
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -127,7 +127,7 @@
 
     While what was served doesn't show which of several causes it is, or while nothing is served,
     requests with any of them are under suspicion: one at a time in the whole fleet is sent as a
-    trial. Its answer clears what it has; its crash shows the cause.
+    trial. Its answer clears the features that it has; crashes of two trials show the cause.
 
     Attributes:
         outbox: Rows to send to other entries.
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -22,7 +22,7 @@
 # Endpoints that end this close together have most likely ended for one reason outside of their
 # requests, such as a lost rack; for parts, which many requests share, they count as one crash.
 _TOGETHER_S = 0.05
-# A suspicion is decided by the first request that has it; without any, it ends by itself.
+# Trials decide a suspicion; one for which no request comes ends by itself after this time.
 SUSPICION_S = 60.0
 _MAX_SUSPECTED = 64
 _MAX_CRASHES = 128
@@ -69,8 +69,8 @@
         features: A request that has all of them is held to crash endpoints.
         since_s: Time of the first of the crashes.
         has_rivals: Whether other parts are under almost as many crashes.
-        was_tried: Whether a trial with them ended in a crash, and no other part is under as many
-            crashes as they are.
+        was_tried: Whether trials of such requests ended in enough crashes, and no other part is
+            under as many crashes as these features.
     """
 
     features: Features
@@ -86,7 +86,8 @@
     def is_proved(self, service_served_s: float) -> bool:
         """Return whether it explains the crashes.
 
-        A trial shows it, or that the service has served other requests since the first crash.
+        Trials show it. Without them, it has to be the only cause in question, and the service has
+        to have served other requests since the first crash, unless it is a repeated request.
 
         Args:
             service_served_s: When an endpoint of the service last began an answer and lived on.
@@ -411,7 +412,7 @@
     # Suspicions
 
     def suspect(self, features: Features, left_s: float, now_s: float) -> bool:
-        """Let requests with all of these features out for trials only; False if they are known."""
+        """Restrict requests with all of these features to trials; return False if they are."""
         known = self._suspected.get(features)
         if known is not None and known.until_s > now_s:
             return False
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -11,27 +11,31 @@
 
 
 def _known_red():
-    """Return the reasons of the listed tests by test id."""
+    """Return the listed tests and commands."""
     try:
-        rows = read_known_red(_KNOWN_RED)
+        return read_known_red(_KNOWN_RED)
     except ValueError as error:
         raise pytest.UsageError(str(error)) from error
-    return {row.test: f"{row.reason} ({row.issue})" for row in rows if row.is_test}
 
 
 def pytest_collection_modifyitems(items):
     """Mark listed tests as xfail; they still run, and a pass shows that a line can be removed."""
-    reasons = _known_red()
+    reasons = {row.test: f"{row.reason} ({row.issue})" for row in _known_red() if row.is_test}
     for item in items:
         if item.nodeid in reasons:
             item.add_marker(pytest.mark.xfail(reason=f"known red: {reasons[item.nodeid]}"))
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Print the listed tests that passed."""
+    """Print the listed commands, which the suite doesn't run, and the listed tests that passed."""
     listed = _known_red()
-    passed = [row.nodeid for row in terminalreporter.stats.get("xpassed", ())]
-    ready = sorted(set(passed) & set(listed))
+    commands = [row for row in listed if not row.is_test]
+    if commands:
+        terminalreporter.section(f"not run, in {_KNOWN_RED.name}")
+        for row in commands:
+            terminalreporter.write_line(f"{row.test} ({row.issue})")
+    passed = {row.nodeid for row in terminalreporter.stats.get("xpassed", ())}
+    ready = [row.test for row in listed if row.test in passed]
     if ready:
         terminalreporter.section(f"ready to leave {_KNOWN_RED.name}")
         for test in ready:
--- a/testing/test_known_red.py
+++ b/testing/test_known_red.py
@@ -84,15 +84,17 @@
 
 
 class TestReport:
-    def test_listed_test_that_passes_is_printed_as_ready_to_leave(self, pytester):
-        """Guards against excusing a fault that is fixed."""
+    def test_listed_commands_and_tests_that_pass_are_printed(self, pytester):
+        """Guards against excusing a fault that is fixed, or one that nobody sees."""
         suite = pytester.mkdir("testing")
         for name in ("conftest.py", "known_red.py"):
             (suite / name).write_text((ROOT / "testing" / name).read_text("utf-8"))
         (suite / "test_limit.py").write_text(SOURCE)
-        (pytester.path / "KNOWN-RED.txt").write_text(GOOD)
+        (pytester.path / "run.sh").touch()
+        (pytester.path / "KNOWN-RED.txt").write_text(f"{GOOD}\nrun.sh | LOST | issue 8")
 
         result = pytester.runpytest_subprocess("-p", "no:cacheprovider")
 
         result.assert_outcomes(xpassed=1)
+        result.stdout.fnmatch_lines(["*not run, in KNOWN-RED.txt*", "run.sh (issue 8)"])
         result.stdout.fnmatch_lines(["*ready to leave KNOWN-RED.txt*", TEST])
