Take no number, text or address out of range from a record

Cause: the decoders called float() before any check of the range (OverflowError), took texts with lone surrogates, ids with line breaks and host names of any kind, and read a record without version, sequence-number or cold-remaining-ms as that of an endpoint. Versions of the settings went through a float, so two above 2^53 looked alike.

Change: platform/fields.py holds the checks, which are total: whole numbers in a range, compared without a conversion, finite numbers, texts that can be encoded. decode_endpoint and decode_config use them. parse_address takes IPv4 addresses only (the platform has no name look-ups).

Fixtures and stand-ins write whole records; the records that are refused now lack nothing but what is tested.

--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -102,13 +102,13 @@
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": "a",
+            "version": self.version or "",
             "slots": 4,
             "state": state,
             "cold-remaining-ms": 0,
+            "sequence-number": 0,
             "born": self.born_ms,
         }
-        if self.version is not None:
-            fields["version"] = self.version
         return json.dumps(fields).encode()
 
     def report(self) -> bytes:
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import socket
 import tomllib
 from typing import Any
 
@@ -29,6 +30,7 @@
 # Routing mechanisms to switch off, as in "fetch=off,stall=off"; all others are on.
 MECHANISMS_VARIABLE = "BERYL_MECHANISMS"
 ADDRESS_FORMAT = "IP:PORT"
+_MAX_PORT_DIGITS = 5
 
 Address = tuple[str, int]
 
@@ -224,10 +226,19 @@
 
 
 def parse_address(value: Any) -> Address | None:
-    """Return the IP and port of an IP:PORT string; None for any other value."""
+    """Return the IP and port of an IP:PORT string; None for any other value.
+
+    Only IPv4 addresses are usable: the platform has no name look-ups.
+    """
     if not isinstance(value, str):
         return None
-    host, colon, port = value.rpartition(":")
-    if not (host and colon and port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+    host, _, port = value.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS):
+        return None
+    if not 0 < int(port) < 65_536:
+        return None
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
         return None
     return host, int(port)
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -1,12 +1,20 @@
 """Decodes the records that the operator and the endpoints write to the platform's store."""
 
-import json
-import math
 from collections.abc import Mapping
 from typing import Any
 
-import attrs
-
+from beryljunction.platform.fields import (
+    MAX_INTEGER,
+    MAX_TEXT_CHARS,
+    FieldError,
+    InvalidRecord,
+    describe,
+    finite_number,
+    is_header_text,
+    is_text,
+    parse_json,
+    whole_number,
+)
 from beryljunction.platform.hostfile import parse_address
 from beryljunction.routing import (
     Account,
@@ -26,17 +34,10 @@
 _EVACUATION_PREFIX = "evacuate/"
 # No endpoint warms up for longer than this; a larger value is an error of its writer.
 _MAX_COLD_MS = 600_000
-
-
-@attrs.frozen
-class InvalidRecord:
-    """A record that can't be used; the problem has the location, expected and actual value."""
-
-    problem: str
-
-
-class _FieldError(ValueError):
-    """A field is missing or has an invalid value."""
+# No endpoint has this many slots; it would always look idle.
+_MAX_SLOTS = 1_000_000
+# Names in the settings; the operator chooses them.
+_MAX_NAME_CHARS = 65_536
 
 
 def decode_endpoint(endpoint_id: str, value: bytes) -> EndpointRecord | InvalidRecord:
@@ -45,43 +46,45 @@
     A record without a required field may come from another writer, so it yields no endpoint.
     """
     try:
-        fields = _table(_parse_json(value), "record")
+        if not is_header_text(endpoint_id) or "\ufffd" in endpoint_id:
+            raise FieldError("expected an id that a header can hold")
+        fields = _table(parse_json(value), "record")
         state = _string(fields, "state")
         if state not in ("ready", "draining"):
-            raise _FieldError(f"state: expected ready or draining, got {state!r}")
+            raise FieldError(f"state: expected ready or draining, got {describe(state)}")
         address = parse_address(fields.get("address"))
         if address is None:
-            raise _FieldError(f"address: expected IP:PORT, got {fields.get('address')!r}")
+            raise FieldError(f"address: expected IP:PORT, got {describe(fields.get('address'))}")
         return EndpointRecord(
             endpoint_id=endpoint_id,
             started_ms=_started_ms(fields),
-            service=_string(fields, "service"),
+            service=_string(fields, "service", MAX_TEXT_CHARS),
             address=address,
-            availability_zone=_string(fields, "zone"),
-            slots=_integer(fields, "slots", 1),
+            availability_zone=_string(fields, "zone", MAX_TEXT_CHARS),
+            slots=_integer(fields, "slots", 1, maximum=_MAX_SLOTS),
             is_draining=state == "draining",
             cold_ms=_cold_ms(fields),
-            sequence=_integer(fields, "sequence-number", 0, default=0),
+            sequence=_integer(fields, "sequence-number", 0),
             version=_version(fields),
         )
-    except _FieldError as error:
-        return InvalidRecord(f"{endpoint_id}: {error}")
+    except FieldError as error:
+        return InvalidRecord(f"{describe(endpoint_id)}: {error}")
 
 
 def _cold_ms(fields: Mapping[str, Any]) -> int | None:
     """Return the remaining warm-up time of the endpoint; None if the number is out of range."""
-    value = fields.get("cold-remaining-ms", 0)
+    value = fields.get("cold-remaining-ms")
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise _FieldError(f"cold-remaining-ms: expected a number, got {value!r}")
-    return int(value) if 0 <= value <= _MAX_COLD_MS else None
+        raise FieldError(f"cold-remaining-ms: expected a number, got {describe(value)}")
+    return whole_number(value, 0, _MAX_COLD_MS)
 
 
 def _version(fields: Mapping[str, Any]) -> str | None:
-    """Return the software version of the endpoint; None if the record states none."""
+    """Return the software version of the endpoint; None if it is empty."""
     value = fields.get("version")
-    if value is None or isinstance(value, str):
+    if is_text(value):
         return value or None
-    raise _FieldError(f"version: expected a string, got {value!r}")
+    raise FieldError(f"version: expected a string, got {describe(value)}")
 
 
 def decode_evacuation(key: str) -> str | InvalidRecord | None:
@@ -93,14 +96,16 @@
         return None
     zone = key.removeprefix(_EVACUATION_PREFIX)
     if not zone or "\ufffd" in zone:
-        return InvalidRecord(f"{key!r}: expected {_EVACUATION_PREFIX}ZONE, got no valid zone name")
+        return InvalidRecord(
+            f"{describe(key)}: expected {_EVACUATION_PREFIX}ZONE, got no valid zone name"
+        )
     return zone
 
 
 def decode_config(value: bytes) -> FleetConfig | InvalidRecord:
     """Decode the settings of the whole fleet."""
     try:
-        fields = _table(_parse_json(value), "configuration")
+        fields = _table(parse_json(value), "configuration")
         routes = [_route(row) for row in _rows(fields, "routes")]
         services = [_service(row) for row in _rows(fields, "services")]
         return FleetConfig(
@@ -110,7 +115,7 @@
             limits=_limits(fields.get("limits")),
             accounts=_accounts(fields),
         )
-    except _FieldError as error:
+    except FieldError as error:
         return InvalidRecord(str(error))
 
 
@@ -149,7 +154,7 @@
     ]
     positive_targets = tuple(target for target in targets if target.weight > 0)
     if not positive_targets:
-        raise _FieldError("traffic-split: expected a weight above 0, got none")
+        raise FieldError("traffic-split: expected a weight above 0, got none")
     return positive_targets
 
 
@@ -187,61 +192,63 @@
         priority = row.get("priority")
         is_set = isinstance(priority, int) and not isinstance(priority, bool)
         account = Account(_string(row, "name"), priority if is_set else None)
+        if not is_header_text(account.name, _MAX_NAME_CHARS):
+            raise FieldError("tenants.name: expected a name that a header can hold")
         keys = row.get("api-keys")
         if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
-            raise _FieldError(f"tenants.{account.name}.api-keys: expected a list of strings")
+            raise FieldError(f"tenants.{account.name}.api-keys: expected a list of strings")
         accounts.update((key, account) for key in keys)
     return accounts
 
 
-def _parse_json(value: bytes) -> Any:
-    try:
-        return json.loads(value)
-    except (ValueError, RecursionError) as error:
-        raise _FieldError(f"expected JSON, got {error}") from error
-
-
 def _table(value: Any, place: str) -> Mapping[str, Any]:
     if isinstance(value, dict):
         return value
-    raise _FieldError(f"{place}: expected a table, got {type(value).__name__}")
+    raise FieldError(f"{place}: expected a table, got {type(value).__name__}")
 
 
 def _rows(fields: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
     value = fields.get(name)
     if not isinstance(value, list):
-        raise _FieldError(f"{name}: expected a list, got {type(value).__name__}")
+        raise FieldError(f"{name}: expected a list, got {type(value).__name__}")
     return [_table(row, name) for row in value]
 
 
-def _string(fields: Mapping[str, Any], name: str) -> str:
+def _string(fields: Mapping[str, Any], name: str, max_chars: int = _MAX_NAME_CHARS) -> str:
     value = fields.get(name)
-    if isinstance(value, str) and value:
-        return value
-    raise _FieldError(f"{name}: expected a non-empty string, got {type(value).__name__}")
-
-
-def _integer(fields: Mapping[str, Any], name: str, minimum: int, default: int | None = None) -> int:
+    if is_text(value, max_chars) and value:
+        return str(value)
+    expected = f"a non-empty string of {max_chars} characters at most"
+    raise FieldError(f"{name}: expected {expected}, got {type(value).__name__}")
+
+
+def _integer(
+    fields: Mapping[str, Any],
+    name: str,
+    minimum: int,
+    default: int | None = None,
+    maximum: int = MAX_INTEGER,
+) -> int:
     value = fields.get(name)
     if value is None and default is not None:
         return default
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    number = float(value) if is_number and value is not None else math.nan
-    if math.isfinite(number) and number >= minimum:
-        return int(number)
-    raise _FieldError(f"{name}: expected a number of {minimum} or more, got {value!r}")
+    number = whole_number(value, minimum, maximum)
+    if number is not None:
+        return number
+    raise FieldError(f"{name}: expected a number of {minimum} or more, got {describe(value)}")
 
 
 def _non_negative_number(fields: Mapping[str, Any], name: str) -> float:
     """Return a number of 0 or more; 0 if the field is missing."""
     value = _number(fields, name) if fields.get(name) is not None else 0.0
-    if math.isfinite(value) and value >= 0.0:
+    if value >= 0.0:
         return value
-    raise _FieldError(f"{name}: expected a number of 0 or more, got {value!r}")
+    raise FieldError(f"{name}: expected a number of 0 or more, got {value!r}")
 
 
 def _number(fields: Mapping[str, Any], name: str) -> float:
     value = fields.get(name)
-    if isinstance(value, int | float) and not isinstance(value, bool):
-        return float(value)
-    raise _FieldError(f"{name}: expected a number, got {value!r}")
+    number = finite_number(value)
+    if number is not None:
+        return number
+    raise FieldError(f"{name}: expected a number, got {describe(value)}")
--- a/src/beryljunction/standins/platform_endpoint.py
+++ b/src/beryljunction/standins/platform_endpoint.py
@@ -36,6 +36,7 @@
             "service": self.service,
             "address": address,
             "zone": "local",
+            "version": "",
             "slots": 8,
             "state": state,
             "cold-remaining-ms": 0,
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -229,7 +229,7 @@
 
     def endpoint(self, name, state="ready", version="v1"):
         record = {"service": "s", "address": "10.9.0.1:7", "zone": "a", "slots": 4, "state": state}
-        record.update({"version": version, "born": 1})
+        record.update({"version": version, "cold-remaining-ms": 0, "sequence-number": 0, "born": 1})
         self.put("keyed.servers", name, json.dumps(record).encode())
 
     def start(self, name, address):
--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -104,7 +104,8 @@
     @pytest.mark.parametrize("value", ["-5", "1e300", "NaN", "Infinity"])
     def test_unusable_warm_up_time_counts_as_cold(self, value):
         text = (
-            '{"service":"engine","address":"10.0.0.1:9","zone":"a","slots":4,"state":"ready",'
+            '{"service":"engine","address":"10.0.0.1:9","zone":"a","version":"v1","slots":4,'
+            '"state":"ready","sequence-number":1,'
             f'"cold-remaining-ms":{value}}}'
         )
 
@@ -116,7 +117,8 @@
 
     def test_record_with_a_value_of_another_type_is_unusable(self):
         text = (
-            '{"service":"engine","address":"10.0.0.1:9","zone":"a","slots":4,"state":"ready",'
+            '{"service":"engine","address":"10.0.0.1:9","zone":"a","version":"v1","slots":4,'
+            '"state":"ready","sequence-number":1,'
             '"cold-remaining-ms":"soon"}'
         )
 
--- a/testing/test_config_watcher.py
+++ b/testing/test_config_watcher.py
@@ -20,6 +20,16 @@
 from entry_harness import CapturedLog, open_harness, route
 
 FAST = DeploymentBounds(revocation_ms=3_000)
+RECORD = {
+    "service": "plain",
+    "address": "127.0.0.1:9",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "sequence-number": 1,
+}
 
 
 class TestSettings:
@@ -246,10 +256,13 @@
         [
             b"\xfe\xed",
             b"{}",
-            b'{"service": "plain", "address": 7, "zone": "a", "slots": 4, "state": "ready"}',
-            b'{"service":"plain","address":"127.0.0.1:9","zone":"a","slots":4,"state":"lost"}',
-            b'{"service":["plain"],"address":"127.0.0.1:9","zone":"a","slots":4,"state":"ready"}',
+            json.dumps({**RECORD, "address": 7}).encode(),
+            json.dumps({**RECORD, "state": "lost"}).encode(),
+            json.dumps({**RECORD, "service": ["plain"]}).encode(),
+            json.dumps({**RECORD, "slots": 2**2048}).encode(),
+            json.dumps({**RECORD, "address": "x" * 64 + ".example:9"}).encode(),
         ],
+        ids=["bytes", "empty", "address", "state", "service", "slots", "name"],
     )
     def test_invalid_record_is_refused_and_affects_no_other_endpoint(self, value):
         async def run():
--- a/testing/test_partial_reads.py
+++ b/testing/test_partial_reads.py
@@ -45,7 +45,16 @@
 
 
 ENDPOINT = json.dumps(
-    {"service": "s", "address": "10.9.0.1:7", "zone": "a", "slots": 4, "state": "ready"}
+    {
+        "service": "s",
+        "address": "10.9.0.1:7",
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence-number": 1,
+    }
 ).encode()
 
 
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -77,6 +77,14 @@
             ({"routes": [{**ROUTE, "traffic-split": [{"service": "x"}]}]}, "weight: expected"),
             ({"tenants": [{"name": "a", "api-keys": "k"}]}, "tenants.a.api-keys: expected"),
             ({"limits": 7}, "limits: expected a table"),
+            ({"version": 2**2048}, "version: expected"),
+            ({"routes": [{**ROUTE, "timeout-ms": 2**2048}]}, "timeout-ms: expected"),
+            ({"services": [{"name": "x", "cold-per-s": 2**2048}]}, "cold-per-s: expected"),
+            (
+                {"routes": [{**ROUTE, "traffic-split": [{"service": "x", "weight": 2**2048}]}]},
+                "weight: expected",
+            ),
+            ({"services": [{"name": "\ud800"}]}, "name: expected"),
         ],
     )
     def test_problem_has_its_location(self, fields, message):
@@ -85,41 +93,107 @@
         assert isinstance(decoded, InvalidRecord)
         assert message in decoded.problem
 
+    def test_versions_above_the_precision_of_a_float_differ(self):
+        """Guards against settings that are taken for those in force, one version before them."""
+        assert config(version=2**53 + 1).version == 2**53 + 1
+
     def test_deeply_nested_json_is_a_problem_and_not_a_crash(self):
         assert isinstance(decode_config(b"[" * 100_000), InvalidRecord)
 
 
+ENDPOINT = {
+    "service": "x",
+    "address": "10.0.0.1:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "sequence-number": 1,
+}
+
+
+def endpoint(endpoint_id="i-1", **fields):
+    return decode_endpoint(endpoint_id, json.dumps({**ENDPOINT, **fields}).encode())
+
+
 class TestEndpoint:
     def test_born_distinguishes_two_starts_of_an_endpoint(self):
-        fields = {"service": "x", "address": "10.0.0.1:8080", "zone": "a", "slots": 6}
-        fields.update({"state": "ready", "cold-remaining-ms": 0})
-
-        first = decode_endpoint("i-1", json.dumps({**fields, "born": 5}).encode())
-        second = decode_endpoint("i-1", json.dumps({**fields, "born": 6}).encode())
+        first, second = endpoint(born=5), endpoint(born=6)
 
         assert first.address == ("10.0.0.1", 8080)
         assert not first.is_same_incarnation(second)
 
     @pytest.mark.parametrize(
-        ("fields", "version"),
-        [({"version": "v1.2"}, "v1.2"), ({}, None), ({"version": ""}, None)],
-        ids=["stated", "missing", "empty"],
+        ("version", "expected"), [("v1.2", "v1.2"), ("", None)], ids=["stated", "empty"]
     )
-    def test_software_version(self, fields, version):
-        values = {"service": "x", "address": "10.0.0.1:8080", "zone": "a", "slots": 6}
+    def test_software_version(self, version, expected):
+        assert endpoint(version=version).version == expected
 
-        decoded = decode_endpoint(
-            "i-1", json.dumps({**values, "state": "ready", **fields}).encode()
-        )
+    def test_version_of_another_type_is_rejected(self):
+        rejected = endpoint(version=2)
 
-        assert decoded.version == version
+        assert isinstance(rejected, InvalidRecord)
+        assert "version: expected a string, got 2" in rejected.problem
 
-    def test_version_of_another_type_is_rejected(self):
-        values = {"service": "x", "address": "10.0.0.1:8080", "zone": "a", "slots": 6}
+    @pytest.mark.parametrize("name", list(ENDPOINT))
+    def test_record_that_lacks_a_field_names_no_endpoint(self, name):
+        """Guards against requests to what another writer has put into the list of endpoints."""
+        fields = {key: value for key, value in ENDPOINT.items() if key != name}
 
-        rejected = decode_endpoint(
-            "i-1", json.dumps({**values, "state": "ready", "version": 2}).encode()
-        )
+        rejected = decode_endpoint("i-1", json.dumps(fields).encode())
 
         assert isinstance(rejected, InvalidRecord)
-        assert "version: expected a string, got 2" in rejected.problem
+        assert f"{name}: expected" in rejected.problem
+
+    @pytest.mark.parametrize("name", ["slots", "sequence-number", "born"])
+    @pytest.mark.parametrize(
+        "value",
+        [2**2048, -(2**2048), 1e300, -1, float("nan"), True],
+        ids=["huge", "least", "float", "negative", "nan", "boolean"],
+    )
+    def test_number_out_of_range_names_no_endpoint(self, name, value):
+        """Guards against the end of every entry at a number too large for a float."""
+        rejected = endpoint(**{name: value})
+
+        assert isinstance(rejected, InvalidRecord)
+        assert f"{name}: expected" in rejected.problem
+
+    @pytest.mark.parametrize("name", ["service", "zone", "version"])
+    @pytest.mark.parametrize("value", ["\ud800", "x" * 70_000], ids=["surrogate", "long"])
+    def test_text_that_cannot_be_passed_on_names_no_endpoint(self, name, value):
+        """Guards against a name that a later message, header or digest can't hold."""
+        assert isinstance(endpoint(**{name: value}), InvalidRecord)
+
+    @pytest.mark.parametrize(
+        "endpoint_id",
+        ["", "i\r\nx-tenant: a", "i\ufffd"],
+        ids=["empty", "lines", "replaced"],
+    )
+    def test_id_that_no_header_can_hold_names_no_endpoint(self, endpoint_id):
+        """Guards against a key that adds headers to the requests for its endpoint."""
+        assert isinstance(endpoint(endpoint_id), InvalidRecord)
+
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "x" * 64 + ".example:9",
+            "localhost:9",
+            "10.0.0.1:" + "9" * 5_000,
+            "10.0.0.1:99999",
+            "10.0.0.256:9",
+            "10.0.0.1\0:9",
+            "\ud800:9",
+            "[::1]:9",
+        ],
+        ids=["label", "name", "digits", "port", "part", "null", "surrogate", "ipv6"],
+    )
+    def test_address_that_needs_a_look_up_names_no_endpoint(self, address):
+        """Guards against requests that are closed without an answer at a failed name look-up."""
+        rejected = endpoint(address=address)
+
+        assert isinstance(rejected, InvalidRecord)
+        assert "address: expected" in rejected.problem
+
+    def test_problem_stays_short(self):
+        assert len(endpoint(state="x" * 70_000).problem) < 200
