Treat an address that can't be looked up as one that can't be reached

Cause: open_call caught OSError alone. A name look-up raises UnicodeError, a null character ValueError, a port above 65,535 OverflowError; the endpoint was not passed over and looked idle, so it got most requests.

Change: they count as EndpointUnreachable, so the request goes to another endpoint and this one is passed over for a while.

Tests, failed before: open_call with four such addresses (UnicodeError, ValueError, UnicodeEncodeError, OverflowError); 20 requests beside such an endpoint of 1,000 slots, answered 0, 0, 0, 200, 200, 0, ... (0: closed without an answer), all 200 now. The fixtures' record is in one place.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -253,7 +253,8 @@
     try:
         with fail_after(_CONNECT_TIMEOUT_S):
             _, call = await loop.create_connection(lambda: EndpointCall(is_head), *address)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # Besides failed connections: a host that can't be looked up, a port out of range.
         raise EndpointUnreachable(str(error) or type(error).__name__) from error
     return call
 
--- a/testing/entry_harness.py
+++ b/testing/entry_harness.py
@@ -17,6 +17,7 @@
 from beryljunction.platform import DeploymentBounds, HostSettings
 from beryljunction.servers import Server, bind_listener
 from beryljunction.standins import PlatformStoreStandIn
+from endpoint_records import record
 from ports import free_ports
 
 __all__ = [
@@ -147,19 +148,9 @@
         self.ended.append((number, time.monotonic()))
 
     def record(self, **fields):
-        values = {
-            "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
-            "zone": "a",
-            "version": "v1",
-            "slots": 4,
-            "state": "ready",
-            "cold-remaining-ms": 0,
-            "sequence-number": 1,
-            "born": self.started_ms,
-        }
-        values.update(fields)
-        return json.dumps(values).encode()
+        address = f"127.0.0.1:{self.port}"
+        own = {"service": self.service, "address": address, "born": self.started_ms}
+        return record(**{**own, **fields})
 
 
 class EntryHarness:
--- a/testing/fanout_world.py
+++ b/testing/fanout_world.py
@@ -28,6 +28,7 @@
 from beryljunction.platform import DeploymentBounds, HostSettings, Unavailable
 from beryljunction.routing import PeerTable
 from beryljunction.standins.platform_store import PlatformStoreModel
+from endpoint_records import record
 
 __all__ = ["CountingStore", "FleetWorld", "History", "RecordHistory", "StoreFault"]
 
@@ -228,9 +229,8 @@
         self.written_s[self.version] = self.loop.world_s
 
     def endpoint(self, name, state="ready", version="v1"):
-        record = {"service": "s", "address": "10.9.0.1:7", "zone": "a", "slots": 4, "state": state}
-        record.update({"version": version, "cold-remaining-ms": 0, "sequence-number": 0, "born": 1})
-        self.put("keyed.servers", name, json.dumps(record).encode())
+        value = record(service="s", state=state, version=version, born=1)
+        self.put("keyed.servers", name, value)
 
     def start(self, name, address):
         host = HostSettings(name, "a", "r", address, ("", 2), ("", 3), self.bounds)
--- a/testing/test_config_watcher.py
+++ b/testing/test_config_watcher.py
@@ -17,19 +17,10 @@
     Unavailable,
     WriteOutcome,
 )
+from endpoint_records import record
 from entry_harness import CapturedLog, open_harness, route
 
 FAST = DeploymentBounds(revocation_ms=3_000)
-RECORD = {
-    "service": "plain",
-    "address": "127.0.0.1:9",
-    "zone": "a",
-    "version": "v1",
-    "slots": 4,
-    "state": "ready",
-    "cold-remaining-ms": 0,
-    "sequence-number": 1,
-}
 
 
 class TestSettings:
@@ -256,11 +247,11 @@
         [
             b"\xfe\xed",
             b"{}",
-            json.dumps({**RECORD, "address": 7}).encode(),
-            json.dumps({**RECORD, "state": "lost"}).encode(),
-            json.dumps({**RECORD, "service": ["plain"]}).encode(),
-            json.dumps({**RECORD, "slots": 2**2048}).encode(),
-            json.dumps({**RECORD, "address": "x" * 64 + ".example:9"}).encode(),
+            record(address=7),
+            record(state="lost"),
+            record(service=["plain"]),
+            record(slots=2**2048),
+            record(address="x" * 64 + ".example:9"),
         ],
         ids=["bytes", "empty", "address", "state", "service", "slots", "name"],
     )
--- a/testing/test_gateway_calls.py
+++ b/testing/test_gateway_calls.py
@@ -37,6 +37,21 @@
 
         assert 0.25 <= anyio.run(run) < 2.0
 
+    @pytest.mark.parametrize(
+        "address",
+        [("x" * 64 + ".example", 9), ("\0", 9), ("\ud800", 9), ("127.0.0.1", 2**70)],
+        ids=["label", "null", "surrogate", "port"],
+    )
+    def test_address_that_cannot_be_looked_up_is_unreachable(self, address):
+        """Guards against requests that end without an answer at such an address."""
+
+        async def run():
+            with pytest.raises(EndpointUnreachable):
+                await open_call(address, is_head=False)
+            return await probe_port(address)
+
+        assert anyio.run(run) is PortState.SILENT
+
 
 class TestProbePort:
     def test_port_is_open_although_this_process_was_stalled(self):
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -6,7 +6,7 @@
 import pytest
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.platform import DeploymentBounds
+from beryljunction.platform import DeploymentBounds, records
 from entry_harness import event, open_harness, read_answer, reset, route
 
 STREAM = {"kind": "streaming", "service": "plain", "target-gap-ms": 400}
@@ -616,3 +616,24 @@
         assert answers == [200, 200, 200, 503, 503]
         assert sent == 3
         assert all("reason=endpoints_cold" in line for line in refused)
+
+
+class TestAddressWithoutHost:
+    def test_requests_go_to_another_endpoint(self, monkeypatch):
+        """Guards against requests that are closed without an answer at a failed name look-up."""
+        name = "x" * 64 + ".example"
+
+        async def run():
+            async with open_harness(route()) as harness:
+                one = await harness.add_endpoint("e1")
+                await harness.wait_for_endpoints(1)
+                monkeypatch.setattr(records, "parse_address", lambda value: (name, 9))
+                harness.put("keyed.servers", "e2", one.record(slots=1_000))
+                await harness.wait_for_endpoints(2)
+                statuses = [(await harness.send_request(request_id=f"q{n}"))[0] for n in range(20)]
+                return statuses, harness.lines.of_event("attempt_ended")
+
+        statuses, attempts = anyio.run(run)
+
+        assert statuses == [200] * 20
+        assert len([line for line in attempts if "endpoint=e2" in line]) <= 3
--- a/testing/test_partial_reads.py
+++ b/testing/test_partial_reads.py
@@ -28,6 +28,7 @@
 from beryljunction.routing import PeerTable
 from beryljunction.servers import Server, bind_listener
 from beryljunction.standins import PlatformStoreStandIn
+from endpoint_records import record
 from entry_harness import CapturedLog, route
 from fanout_world import FleetWorld, History, StoreFault
 
@@ -44,18 +45,7 @@
     return json.dumps(values).encode()
 
 
-ENDPOINT = json.dumps(
-    {
-        "service": "s",
-        "address": "10.9.0.1:7",
-        "zone": "a",
-        "version": "v1",
-        "slots": 4,
-        "state": "ready",
-        "cold-remaining-ms": 0,
-        "sequence-number": 1,
-    }
-).encode()
+ENDPOINT = record(service="s")
 
 
 class StoreWorld:
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -4,6 +4,7 @@
 
 from beryljunction.platform import InvalidRecord, decode_config, decode_endpoint
 from beryljunction.routing import RepeatPolicy
+from endpoint_records import RECORD, record
 
 ROUTE = {
     "name": "r",
@@ -101,27 +102,15 @@
         assert isinstance(decode_config(b"[" * 100_000), InvalidRecord)
 
 
-ENDPOINT = {
-    "service": "x",
-    "address": "10.0.0.1:8080",
-    "zone": "a",
-    "version": "v1",
-    "slots": 6,
-    "state": "ready",
-    "cold-remaining-ms": 0,
-    "sequence-number": 1,
-}
-
-
 def endpoint(endpoint_id="i-1", **fields):
-    return decode_endpoint(endpoint_id, json.dumps({**ENDPOINT, **fields}).encode())
+    return decode_endpoint(endpoint_id, record(**fields))
 
 
 class TestEndpoint:
     def test_born_distinguishes_two_starts_of_an_endpoint(self):
         first, second = endpoint(born=5), endpoint(born=6)
 
-        assert first.address == ("10.0.0.1", 8080)
+        assert first.address == ("10.9.0.1", 7)
         assert not first.is_same_incarnation(second)
 
     @pytest.mark.parametrize(
@@ -136,10 +125,10 @@
         assert isinstance(rejected, InvalidRecord)
         assert "version: expected a string, got 2" in rejected.problem
 
-    @pytest.mark.parametrize("name", list(ENDPOINT))
+    @pytest.mark.parametrize("name", list(RECORD))
     def test_record_that_lacks_a_field_names_no_endpoint(self, name):
         """Guards against requests to what another writer has put into the list of endpoints."""
-        fields = {key: value for key, value in ENDPOINT.items() if key != name}
+        fields = {key: value for key, value in RECORD.items() if key != name}
 
         rejected = decode_endpoint("i-1", json.dumps(fields).encode())
 
