Run background tasks of an entry again after an exception

What callers saw: an exception in any background task ended the process, and each request in flight with it, without an answer. Cause: all tasks ran in the one task group of EntryProcess.run, whose exit the first exception forces. Tasks take up what a failed run has left: sends, probes, saves, lost records; a topic of which an exception left out records is read anew.

--- a/src/beryljunction/gateway/crashreporter.py
+++ b/src/beryljunction/gateway/crashreporter.py
@@ -37,11 +37,14 @@
         self._quarantine = state.quarantine
         self._events = state.events
         state.trial_permits.client = client
+        self._saving: dict[str, Record] = {}
         self._questions = anyio.CapacityLimiter(_MAX_CONCURRENT_QUESTIONS)
 
     async def run(self) -> None:
         """Send rows and draw conclusions until cancelled."""
         async with anyio.create_task_group() as group:
+            for record in self._saving.values():
+                group.start_soon(self._save, record)
             group.start_soon(super().run)
             group.start_soon(self._conclude_repeatedly)
 
@@ -49,6 +52,7 @@
         """Start sending to each entry with pending rows, and start saving new quarantines."""
         super().step(group)
         for record in self._quarantine.unsaved_records():
+            self._saving[record.key] = record
             group.start_soon(self._save, record)
 
     def select(self, rows: list[CrashRow]) -> list[CrashRow]:
@@ -74,12 +78,12 @@
 
     async def _conclude_repeatedly(self) -> None:
         while True:
-            await self._quarantine.suspected.wait()
             while (due_s := self._quarantine.next_due_s) < float("inf"):
                 await anyio.sleep(max(0.0, due_s - boot_time_s()))
                 service = self._quarantine.due_service()
                 if service is not None:
                     await self._conclude(service)
+            await self._quarantine.suspected.wait()
 
     async def _conclude(self, service: str) -> None:
         """Ask all entries what they have served, then find out what crashes a service."""
@@ -98,9 +102,16 @@
             await self._exchange(address, message)
 
     async def _save(self, record: Record) -> None:
+        is_saved = await self._try_to_save(record)
+        if self._saving.get(record.key) is record:
+            del self._saving[record.key]
+        if not is_saved:
+            self._events.write("quarantine_not_saved", key=record.key)
+
+    async def _try_to_save(self, record: Record) -> bool:
         for _ in range(_MAX_SAVE_ATTEMPTS):
             written = await self._store.put(ENTRY_ADDRESSES, record.key, record.value)
             if written is WriteOutcome.DONE:
-                return
+                return True
             await anyio.sleep(_SAVE_RETRY_PAUSE_S)
-        self._events.write("quarantine_not_saved", key=record.key)
+        return False
--- a/src/beryljunction/gateway/endpoint_losses.py
+++ b/src/beryljunction/gateway/endpoint_losses.py
@@ -78,7 +78,13 @@
         self._changed = AutoResetEvent()
 
     async def run(self) -> None:
-        """Probe endpoints and look at their records until cancelled."""
+        """Probe endpoints and look at their records until cancelled.
+
+        Probes that a failed run has left are started again.
+        """
+        self._started = collections.deque(self._probing)
+        if self._started:
+            self._changed.set()
         async with anyio.create_task_group() as group:
             group.start_soon(self._confirm_by_records)
             while True:
--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -88,8 +88,14 @@
         host, zone = self._common_fields["host"], self._common_fields["availability_zone"]
         self.timeline = Timeline(host, zone, ring_events=_TIMELINE_EVENTS)
 
-    def write(self, event: str, exc_info: bool = False, **fields: Any) -> None:
-        """Write one event, with the current exception's traceback if `exc_info` is set."""
+    def write(self, event: str, exc_info: bool | BaseException = False, **fields: Any) -> None:
+        """Write one event, with the traceback of an exception if `exc_info` is set.
+
+        Args:
+            event: Name of the event.
+            exc_info: The exception; True for the one that is being handled.
+            fields: What the line says.
+        """
         self.metrics.count_event(event, fields)
         if self.timeline is not None:
             request_id = str(fields.get("request_id", ""))
--- a/src/beryljunction/gateway/metrics.py
+++ b/src/beryljunction/gateway/metrics.py
@@ -16,6 +16,7 @@
     "broken_off": ("beryl_broken_streams", "reason"),
     "attempt_ended": ("beryl_attempts_ended", "outcome"),
     "answered": ("beryl_answers", "status"),
+    "task_failed": ("beryl_task_failures", "task"),
 }
 _LATENCY_METRICS = (("first_ms", "beryl_first_byte"), ("whole_ms", "beryl_whole_answer"))
 
@@ -92,7 +93,7 @@
             events.add_metric([event], count)
         yield events
         for name, label in _LABELLED_COUNTERS.values():
-            family = CounterMetricFamily(name, f"Requests by {label}.", labels=[label])
+            family = CounterMetricFamily(name, f"Events by {label}.", labels=[label])
             for value, count in self._labelled[name].items():
                 family.add_metric([value], count)
             yield family
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -7,7 +7,6 @@
 import time
 
 import anyio
-import anyio.abc
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.early_listener import open_listener
@@ -29,6 +28,7 @@
 from beryljunction.gateway.stall_monitor import StallMonitor
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.streamreporter import StreamReporter, VersionRecorder
+from beryljunction.gateway.supervisor import Supervisor, report_callback_faults
 from beryljunction.gateway.update_client import HttpUpdateClient
 from beryljunction.gateway.update_publisher import UpdatePublisher
 from beryljunction.gateway.update_receiver import UpdateReceiver
@@ -237,8 +237,10 @@
             "started", callers=_format_address(self._host.callers), switched_off=switched_off
         )
         store = HttpStore(self._host.store, self._log_refused_era)
-        async with store, anyio.create_task_group() as group:
-            group.start_soon(self._monitor_stalls)
+        faults = report_callback_faults(self._events)
+        async with store, faults, anyio.create_task_group() as group:
+            tasks = Supervisor(group, self._events, self.stop)
+            tasks.start("stalls", self._monitor_stalls)
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
             callers = self._callers_socket()
@@ -250,16 +252,16 @@
             schedule = FanOutSchedule(self._state) if is_shared else ALWAYS_POLL
             config = ConfigWatcher(store, self._state, schedule)
             endpoints = EndpointWatcher(store, self._state, schedule)
-            group.start_soon(config.run)
-            group.start_soon(endpoints.run)
-            group.start_soon(self._state.losses.run)
+            tasks.start("settings", config.run)
+            tasks.start("endpoints", endpoints.run)
+            tasks.start("losses", self._state.losses.run)
             with anyio.move_on_after(_FIRST_READ_TIMEOUT_S):
                 await config.loaded.wait()
                 await endpoints.loaded.wait()
             listener = Listener(frontend, callers)
-            group.start_soon(frontend.close_expired_connections)
-            group.start_soon(self._watch_settings_file)
-            registration = await self._start_peer_tasks(group, store, config, endpoints, schedule)
+            tasks.start("caller_timeouts", frontend.close_expired_connections)
+            tasks.start("settings_file", self._watch_settings_file)
+            registration = await self._start_peer_tasks(tasks, store, config, endpoints, schedule)
             await self._stopping.wait()
             await self._drain(frontend, listener)
             if registration is not None:
@@ -280,7 +282,7 @@
 
     async def _start_peer_tasks(
         self,
-        group: anyio.abc.TaskGroup,
+        tasks: Supervisor,
         store: Store,
         config: ConfigWatcher,
         endpoints: EndpointWatcher,
@@ -303,18 +305,19 @@
             self._events.write("peers_unavailable", problem=str(error))
             return None
         client = HttpPeerClient()
-        group.start_soon(registration.run)
+        tasks.start("registration", registration.run)
         if self._state.mechanisms.peer_help:
-            group.start_soon(PeerConfirmation(client, self._state, config, endpoints, peers).run)
+            confirmation = PeerConfirmation(client, self._state, config, endpoints, peers)
+            tasks.start("peer_confirmation", confirmation.run)
         if self._state.mechanisms.shared_reads:
             publisher = UpdatePublisher(HttpUpdateClient(), self._state, endpoints, registration)
-            group.start_soon(publisher.run)
-        group.start_soon(GossipSender(client, self._state, peers, incarnation).run)
+            tasks.start("updates", publisher.run)
+        tasks.start("gossip", GossipSender(client, self._state, peers, incarnation).run)
         if self._state.mechanisms.load_news:
-            group.start_soon(LoadExchange(self._state, peers, address).run)
-        group.start_soon(CrashReporter(client, store, self._state).run)
-        group.start_soon(StreamReporter(client, self._state).run)
-        group.start_soon(VersionRecorder(store, self._state, schedule).run)
+            tasks.start("load_exchange", LoadExchange(self._state, peers, address).run)
+        tasks.start("crash_reports", CrashReporter(client, store, self._state).run)
+        tasks.start("stream_reports", StreamReporter(client, self._state).run)
+        tasks.start("versions", VersionRecorder(store, self._state, schedule).run)
         return registration
 
     def _callers_socket(self) -> socket.socket:
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -69,6 +69,8 @@
         await self._write(Record(self._host, self._address))
         while not await self.read_once():
             await anyio.sleep(_READ_RETRY_PAUSE_S)
+        if self._lost_records:
+            self._rewrite_needed.set()
         async with anyio.create_task_group() as group:
             group.start_soon(self._rewrite_lost_records)
             while True:
@@ -88,9 +90,10 @@
         while True:
             await self._rewrite_needed.wait()
             await anyio.sleep(self._state.random.random() * _REWRITE_SPREAD_S)
-            records, self._lost_records = self._lost_records, []
-            for record in records:
+            while self._lost_records:
+                record = self._lost_records[0]
                 await self._write(record)
+                self._lost_records = [row for row in self._lost_records if row is not record]
 
     def mark_incomplete(self) -> None:
         """Mark the list as incomplete after a message from an entry that is not on it.
--- a/src/beryljunction/gateway/reportsender.py
+++ b/src/beryljunction/gateway/reportsender.py
@@ -29,11 +29,12 @@
         self._limiter = anyio.CapacityLimiter(_MAX_CONCURRENT_SENDS)
 
     async def run(self) -> None:
-        """Send rows until cancelled."""
+        """Send rows until cancelled; a run that failed may have left rows behind."""
+        self._busy.clear()
         async with anyio.create_task_group() as group:
             while True:
-                await self._outbox.changed.wait()
                 self.step(group)
+                await self._outbox.changed.wait()
 
     def step(self, group: anyio.abc.TaskGroup) -> None:
         """Start sending to each entry with pending rows."""
--- a/src/beryljunction/gateway/topic_reader.py
+++ b/src/beryljunction/gateway/topic_reader.py
@@ -184,7 +184,7 @@
         self.state.era = max(self.state.era, era_of(end))
         self._offset = self._recent_start = self._snapshot_end = end
         self._recent.clear()
-        apply_snapshot(records)
+        self._apply_all(records, apply_snapshot)
         self.state.store_data_changed.set()
 
     def _append(self, records: Sequence[Record], end: int, apply_changes: ApplyRecords) -> None:
@@ -202,9 +202,17 @@
         while len(self._recent) > _MAX_RECENT_RECORDS:
             self._recent.popleft()
         self._recent_start = end - len(self._recent)
-        apply_changes(new)
+        self._apply_all(new, apply_changes)
         self.state.store_data_changed.set()
 
+    def _apply_all(self, records: Iterable[Record], apply: ApplyRecords) -> None:
+        """Apply records; after an exception, which leaves some out, read everything again."""
+        try:
+            apply(records)
+        except Exception:
+            self._offset = None
+            raise
+
     def update_since(
         self, offset: int, newest: Callable[[], tuple[Record, ...]]
     ) -> TopicUpdate | None:
--- a/src/beryljunction/gateway/update_publisher.py
+++ b/src/beryljunction/gateway/update_publisher.py
@@ -101,7 +101,9 @@
         self._subscribers: dict[str, _Subscriber] = {}
 
     async def run(self) -> None:
-        """Push updates until cancelled."""
+        """Push updates until cancelled; a run that failed has left its sends unfinished."""
+        for subscriber in self._subscribers.values():
+            subscriber.is_busy = False
         async with anyio.create_task_group() as group:
             while True:
                 self.step(group)
