Report settings on which the TOML parser gives up as unusable

A process that read such a file at its start or at a reload ended with a traceback: tomllib raises RecursionError for deep nesting and ValueError for integers of more than 4,300 digits, beside its own error. An infinite bound was accepted. Both are now settings errors with a clear line. The three new cases of testing/test_hostfile.py failed before.

--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import math
 import os
 import pathlib
 import tomllib
@@ -103,10 +104,10 @@
         )
     file = pathlib.Path(path)
     try:
-        table = tomllib.loads(file.read_text())
+        table = tomllib.loads(file.read_text("utf-8"))
     except OSError as error:
         raise SettingsError([f"{file}: expected a readable file, got {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:  # The parser also raises these directly.
         raise SettingsError([f"{file}: expected TOML, got {error}"]) from error
     parser = _SettingsParser(table, str(file))
     settings = parser.settings()
@@ -203,7 +204,7 @@
         value = self._get(*path)
         if value is None:
             return default
-        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
+        if isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value < math.inf:
             return value
         return float(self._add_problem(path, "a number of 0 or more", value, default))
 
--- a/testing/test_hostfile.py
+++ b/testing/test_hostfile.py
@@ -70,6 +70,12 @@
         with pytest.raises(SettingsError, match="expected TOML"):
             read(tmp_path, "= 3")
 
+    @pytest.mark.parametrize("value", ["[" * 9000, "1" * 5000])
+    def test_value_that_the_parser_gives_up_on_is_an_error(self, tmp_path, value):
+        """Guards against an error of the parser that ends the process."""
+        with pytest.raises(SettingsError, match="expected TOML"):
+            read(tmp_path, f"a = {value}")
+
     def test_missing_file_is_an_error(self):
         with pytest.raises(SettingsError, match="expected a readable file"):
             read_host_settings("/nowhere/node.toml")
@@ -81,7 +87,7 @@
 
         assert (bounds.cold_overshoot, bounds.cold_slack) == (1.5, 5)
 
-    @pytest.mark.parametrize("value", ["-1", "true", '"much"'])
+    @pytest.mark.parametrize("value", ["-1", "true", "inf", '"much"'])
     def test_invalid_limit_is_an_error(self, tmp_path, value):
         text = FILE.replace("[platform]", f"cold-slack = {value}\n[platform]")
 
