Hold signals from the first statement to the last; wait for settings and addresses

What callers saw: a process that got SIGTERM, SIGHUP or SIGINT while it started ended without a line (-15, -1), and reset all callers who had connected to its early socket. A port that the process before still held ended it with status 1 and nested tracebacks, a settings file that wasn't written yet with status 2, closed standard output with status 1 (AttributeError). With descriptors 0 to 2 closed, sockets got their numbers. A signal after the handlers were removed changed the status of an orderly stop.

Cause: the handlers stood only while the event loop ran; everything that a start needs was tried once.

Change: EntryProgram (gateway/startup.py) runs the process from its first settings to its status. Four signals are blocked by the first statement, delivered while the handlers stand, and blocked again before they are removed; threads of the executor hold them, too. Stray signals are ignored. Settings are tried again for 10 s, the address for callers for the grace period and 4 s; meanwhile, and when a start is given up, callers get 503 and Retry-After. The other ports are opened in the background once they are free, and the peers' tasks start then. Statuses: 0 stopped, 2 can't start, 3 internal error, each with one line. What asyncio would write to standard error is logged.

--- a/src/beryljunction/__init__.py
+++ b/src/beryljunction/__init__.py
@@ -5,9 +5,12 @@
 """
 
 import importlib
-from typing import TYPE_CHECKING, Any
 
+# The module `typing` takes longer to import than all that precedes the listening socket.
+TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from typing import Any
+
     from beryljunction.errors import (
         BerylError,
         InvariantError,
@@ -31,7 +34,7 @@
 _OUTCOMES = frozenset({"ExecutionStatus", "Refusal", "RefusalCode"})
 
 
-def __getattr__(name: str) -> Any:
+def __getattr__(name: str) -> "Any":
     """Import a public name on first use."""
     if name not in __all__:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/src/beryljunction/acceptor.py
+++ b/src/beryljunction/acceptor.py
@@ -58,6 +58,13 @@
             self._retry.cancel()
         self._sock.close()
 
+    def release(self) -> socket.socket:
+        """Stop accepting without closing the socket; connections go on waiting in its queue."""
+        self._loop.remove_reader(self._sock)
+        if self._retry is not None:
+            self._retry.cancel()
+        return self._sock
+
     def _start(self) -> None:
         self._retry = None
         self._loop.add_reader(self._sock, self._accept)
--- a/src/beryljunction/cli/platform_entry.py
+++ b/src/beryljunction/cli/platform_entry.py
@@ -2,9 +2,12 @@
 
 import gc
 import os
-import sys
 
-from beryljunction.early_listener import EARLY_LISTEN_VARIABLE, open_early_listener
+from beryljunction.early_start import (
+    hold_signals,
+    ignore_stray_signals,
+    open_standard_descriptors,
+)
 
 __all__ = ["main"]
 
@@ -12,29 +15,24 @@
 def main() -> int:
     """Run an entry with the settings file that the platform names.
 
-    Imports make up most of a start, and after a power failure of all hosts callers wait for it.
-    With the garbage collector off they take 160 ms instead of 213 ms. Imported objects are then
-    frozen, which excludes them from all later collections.
+    Signals are held first. Imports make up most of a start, and after a power failure of all hosts
+    callers wait for it. With the garbage collector off they take 160 ms instead of 213 ms. Imported
+    objects are then frozen, which excludes them from all later collections.
     """
+    hold_signals()
+    ignore_stray_signals()
+    open_standard_descriptors()
+    from beryljunction.early_listener import EARLY_LISTEN_VARIABLE, open_early_listener
+
     listener = open_early_listener(os.environ.get(EARLY_LISTEN_VARIABLE, ""))
     gc.disable()
     import anyio
 
-    from beryljunction.errors import BerylError
-    from beryljunction.gateway.events import EntryEventLog
-    from beryljunction.gateway.process import EntryProcess
-    from beryljunction.platform import read_host_settings
+    from beryljunction.gateway.startup import EntryProgram
 
     gc.freeze()
     gc.enable()
-    try:
-        host = read_host_settings()
-        events = EntryEventLog(host.host, host.availability_zone)
-        anyio.run(EntryProcess(host, events, listener).run_until_signal)
-    except BerylError as error:
-        print(error, file=sys.stderr)
-        return 2
-    return 0
+    return anyio.run(EntryProgram(listener).run)
 
 
 if __name__ == "__main__":
--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -22,6 +22,14 @@
 _TIMELINE_EVENTS = 2_000
 
 
+def _output_descriptor() -> int:
+    """Return standard output, or standard error if only that is open, or else the null device."""
+    for stream in (sys.stdout, sys.stderr):
+        if stream is not None:
+            return stream.fileno()
+    return os.open(os.devnull, os.O_WRONLY)
+
+
 class LineWriter:
     """A text stream over a file descriptor that drops lines instead of blocking.
 
@@ -66,12 +74,12 @@
 
     Args:
         host: Name of this host, written on every line.
-        writer: Stream that lines are written to; standard output when None.
+        writer: Stream that lines are written to; standard output, or error, when None.
     """
 
     def __init__(self, host: str, availability_zone: str, writer: LineWriter | None = None) -> None:
         self._common_fields = {"host": host, "availability_zone": availability_zone}
-        self.writer = writer if writer is not None else LineWriter(sys.stdout.fileno())
+        self.writer = writer if writer is not None else LineWriter(_output_descriptor())
         handler = logging.StreamHandler(self.writer)
         handler.setFormatter(key_value_formatter())
         # Not from logging.getLogger: entries that share a process in tests must not share a logger.
--- a/src/beryljunction/gateway/frontend.py
+++ b/src/beryljunction/gateway/frontend.py
@@ -89,11 +89,14 @@
                 # request ran is unknown, so its connection is aborted without an answer.
                 self._state.events.write("fault", problem=repr(error), exc_info=True)
                 connection.abort()
+            except anyio.get_cancelled_exc_class():
+                # By the caller's disconnect, the end of a drain, or an error of the process.
+                if connection.is_open:
+                    exchange.end_unfinished()
+                raise
             finally:
                 if self._scopes.get(connection) is scope:
                     del self._scopes[connection]
-        if scope.cancelled_caught and connection.is_open:
-            exchange.end_unfinished()
 
     def start_draining(self) -> None:
         """Close each connection after its next answer from now on."""
--- a/src/beryljunction/gateway/listener.py
+++ b/src/beryljunction/gateway/listener.py
@@ -30,6 +30,10 @@
         """Number of connections, including those that are being set up."""
         return self._acceptor.pending + len(self._handler.connections)
 
+    def release(self) -> socket.socket:
+        """Stop accepting and return the open socket; connections that were accepted are kept."""
+        return self._acceptor.release()
+
     async def close(self, ends_s: float) -> None:
         """Stop accepting, close each connection once it is idle, and wait until all are closed.
 
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -2,7 +2,6 @@
 
 import math
 import os
-import signal
 import socket
 import time
 
@@ -10,8 +9,8 @@
 import anyio.abc
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.early_listener import open_listener
-from beryljunction.errors import SettingsError, StartError
+from beryljunction.errors import SettingsError
+from beryljunction.gateway.addresses import open_address, open_when_free
 from beryljunction.gateway.callers import CallerHandler
 from beryljunction.gateway.config_watcher import ConfigWatcher
 from beryljunction.gateway.crashreporter import CrashReporter
@@ -77,6 +76,7 @@
         self._state = EntryState(host, events)
         self._stopping = anyio.Event()
         self._listeners: list[Listener] = []
+        self._registration: Registration | None = None
 
     def _is_ready(self) -> bool:
         return not self._stopping.is_set() and self._state.is_ready()
@@ -219,18 +219,11 @@
         """Start the shutdown; further calls have no effect."""
         self._stopping.set()
 
-    async def run_until_signal(self) -> None:
-        """Run until SIGTERM or SIGINT; repeated signals don't shorten the drain."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._handle_signals)
-            await self.run()
-            group.cancel_scope.cancel()
-
     async def run(self) -> None:
         """Run until stopped.
 
         Raises:
-            StartError: A listening socket can't be opened.
+            StartError: The listening socket for callers can't be opened.
         """
         switched_off = ",".join(self._host.mechanisms.off)
         self._events.write(
@@ -242,9 +235,10 @@
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
             callers = self._callers_socket()
-            self._listen(probes, self._host.probes)
+            group.start_soon(self._listen, probes, self._host.probes, "probes_unavailable")
             if self._host.metrics is not None:
-                self._listen(self._operator_handler(frontend), self._host.metrics)
+                operators = self._operator_handler(frontend)
+                group.start_soon(self._listen, operators, self._host.metrics, "metrics_unavailable")
             self._register_gauges(frontend)
             is_shared = self._state.mechanisms.shared_reads
             schedule = FanOutSchedule(self._state) if is_shared else ALWAYS_POLL
@@ -259,17 +253,21 @@
             listener = Listener(frontend, callers)
             group.start_soon(frontend.close_expired_connections)
             group.start_soon(self._watch_settings_file)
-            registration = await self._start_peer_tasks(group, store, config, endpoints, schedule)
+            group.start_soon(self._start_peer_tasks, group, store, config, endpoints, schedule)
             await self._stopping.wait()
             await self._drain(frontend, listener)
-            if registration is not None:
-                await registration.deregister()
+            if self._registration is not None:
+                await self._registration.deregister()
             group.cancel_scope.cancel()
         await self._close_listeners()
         self._events.write("stopped")
 
-    def _listen(self, handler: CallerHandler, address: tuple[str, int]) -> None:
-        self._listeners.append(Listener(handler, _open(address)))
+    async def _listen(self, handler: CallerHandler, address: tuple[str, int], event: str) -> bool:
+        """Listen once the address is free; return False if the process is stopped before."""
+        sock = await open_when_free(address, self._events, event, self._stopping)
+        if sock is not None:
+            self._listeners.append(Listener(handler, sock))
+        return sock is not None
 
     async def _close_listeners(self) -> None:
         """Send the answers to other entries, probes and operators that are not sent yet."""
@@ -285,23 +283,22 @@
         config: ConfigWatcher,
         endpoints: EndpointWatcher,
         schedule: PollSchedule,
-    ) -> Registration | None:
-        """Start the tasks that exchange data with other entries.
+    ) -> None:
+        """Start the tasks that exchange data with other entries, once their address is free.
 
-        Callers can be served without them, so a peer address that is not available is only logged.
+        Callers are served without them until then.
         """
         address = self._host.peers
         if address is None:
-            return None
+            return
         peers = PeerTable(self._state.random)
         registration = Registration(store, self._state, peers, address, schedule)
         incarnation = f"{self._state.random.getrandbits(48):x}"
         updates = UpdateReceiver(self._state, config, endpoints, registration, incarnation)
-        try:
-            self._listen(PeerHandler(self._state, endpoints, peers, updates), address)
-        except StartError as error:
-            self._events.write("peers_unavailable", problem=str(error))
-            return None
+        handler = PeerHandler(self._state, endpoints, peers, updates)
+        if not await self._listen(handler, address, "peers_unavailable"):
+            return
+        self._registration = registration
         client = HttpPeerClient()
         group.start_soon(registration.run)
         if self._state.mechanisms.peer_help:
@@ -315,7 +312,6 @@
         group.start_soon(CrashReporter(client, store, self._state).run)
         group.start_soon(StreamReporter(client, self._state).run)
         group.start_soon(VersionRecorder(store, self._state, schedule).run)
-        return registration
 
     def _callers_socket(self) -> socket.socket:
         """Return the listening socket for callers: `early_socket` if its address matches."""
@@ -324,7 +320,7 @@
             if early_socket.getsockname() == address:
                 return early_socket
             early_socket.close()
-        return _open(address)
+        return open_address(address)
 
     async def _drain(self, frontend: CallerFrontend, listener: Listener) -> None:
         """Serve until the load balancer has removed this entry, then finish the open requests.
@@ -349,14 +345,6 @@
         frontend.end_draining()
         await listener.close(time.monotonic() + _CLOSE_TIMEOUT_S)
 
-    async def _handle_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    self.reload()
-                else:
-                    self.stop()
-
     async def _monitor_stalls(self) -> None:
         """Exclude stalls of this process from the times that endpoints are measured by."""
         with StallMonitor(self._note_stall):
@@ -391,15 +379,6 @@
         self._events.write("reloaded", revocation_ms=host.bounds.revocation_ms)
 
 
-def _open(address: tuple[str, int]) -> socket.socket:
-    try:
-        return open_listener(address)
-    except OSError as error:
-        raise StartError(
-            f"{_format_address(address)}: expected a free address, got {error}"
-        ) from error
-
-
 def _settings_file_mtime_ns() -> int:
     """Return the modification time of the settings file in ns; 0 if there is none."""
     try:
--- a/testing/entry_process.py
+++ b/testing/entry_process.py
@@ -73,13 +73,14 @@
         temporary.write_text(self.settings() if text is None else text)
         temporary.replace(self.settings_path)
 
-    def start(self, **options):
+    def start(self, settings_variable=None, **options):
         """Start a process; options are those of `subprocess.Popen`, by default output to a file."""
+        path = str(self.settings_path) if settings_variable is None else settings_variable
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "LANG": "C.UTF-8",
             "PYTHONPATH": os.pathsep.join([str(_ROOT / "src"), sysconfig.get_path("purelib")]),
-            "BERYLJUNCTION_CONFIG": str(self.settings_path),
+            "BERYLJUNCTION_CONFIG": path,
             "BERYL_METRICS_PORT": str(self.metrics),
             "BERYL_CALLERS": f"127.0.0.1:{self.front}",
         }
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -1,22 +1,244 @@
 """Real processes of the deploy file's command: starts, signals and exit statuses."""
 
+import os
+import pathlib
+import re
 import signal
 
 import anyio
+import pytest
 
-from entry_harness import route
+from beryljunction.early_listener import open_listener
+from beryljunction.early_start import release_signals
+from beryljunction.errors import StartError
+from beryljunction.gateway import startup
+from beryljunction.gateway.addresses import open_when_free
+from beryljunction.gateway.events import EntryEventLog
+from beryljunction.gateway.startup import EntryProgram, ExitStatus
+from entry_harness import CapturedLog, read_answer, route
 from entry_process import open_entry_program
 
+pytestmark = pytest.mark.anyio
+STOPS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
 
-class TestStart:
-    def test_entry_serves_and_stops_with_status_0(self, tmp_path):
-        async def run():
-            async with open_entry_program(tmp_path, route()) as program:
-                await program.harness.add_endpoint("e1")
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def connect_callers(program, count=3):
+    """Connect callers while a process starts, and send a request on each connection."""
+    await program.wait_until_listening()
+    readers = []
+    for number in range(count):
+        reader, writer = await program.harness.connect()
+        writer.write(program.harness.request_bytes(request_id=f"q{number}"))
+        readers.append((reader, writer))
+    return readers
+
+
+async def answers_of(callers):
+    """Return the status of each caller's answer; 0 for none."""
+    return [(await read_answer(reader))[0] for reader, _ in callers]
+
+
+async def is_serving(program):
+    """Return whether a request gets the answer of an endpoint."""
+    try:
+        return (await program.harness.send_request())[0] == 200
+    except OSError:
+        return False
+
+
+class TestSignalsDuringTheStart:
+    @pytest.mark.parametrize("number", STOPS)
+    async def test_stop_answers_the_callers_who_have_connected(self, tmp_path, number):
+        """Guards against a signal that ends a process silently and resets its callers."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            program.start()
+            callers = await connect_callers(program)
+            program.process.send_signal(number)
+
+            assert await answers_of(callers) == [200, 200, 200]
+            assert await program.wait_until_ended() == 0
+            assert len(program.log_lines("stopped")) == 1
+
+    async def test_reload_and_stray_signals_end_nothing(self, tmp_path):
+        """Guards against the default action of signals, which ends the process silently."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            program.start()
+            callers = await connect_callers(program)
+            for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM):
+                program.process.send_signal(number)
+
+            assert await answers_of(callers) == [200, 200, 200]
+            await program.wait_until_ready()
+            assert program.process.poll() is None
+
+    async def test_stop_before_the_settings_are_there(self, tmp_path):
+        async with open_entry_program(tmp_path) as program:
+            program.write_settings("")
+            program.start()
+            callers = await connect_callers(program)
+            await program.wait_until_logged("settings_unusable")
+            program.process.send_signal(signal.SIGTERM)
+
+            assert await answers_of(callers) == [503, 503, 503]
+            assert await program.wait_until_ended() == 0
+
+
+class TestSignalsDuringTheStop:
+    async def test_signals_in_series_until_the_process_has_ended(self, tmp_path):
+        """Guards against a signal after the handlers are removed, which changes the status."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            program.start()
+            await program.wait_until_ready()
+            with anyio.fail_after(30.0):
+                while program.process.poll() is None:
+                    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+                        program.process.send_signal(number)
+                    await anyio.sleep(0.0005)
+
+            assert program.process.returncode == 0
+            assert len(program.log_lines("stopped")) == 1
+
+
+class TestAddresses:
+    async def test_callers_are_served_while_the_other_ports_are_taken(self, tmp_path):
+        """Guards against a start that fails because the process before still has its ports."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            ports = (program.ready, program.metrics, program.peers)
+            taken = [open_listener(("127.0.0.1", port)) for port in ports]
+            program.start()
+            await program.harness.wait_until(lambda: is_serving(program), 30.0)
+            for listener in taken:
+                listener.close()
+            await program.wait_until_ready()
+            await program.wait_until_logged("address_opened", 3)
+
+            for name in ("probes_unavailable", "metrics_unavailable", "peers_unavailable"):
+                (line,) = program.log_lines(name)
+                assert "expected a free address" in line
+
+    async def test_start_beside_a_process_that_drains_loses_no_caller(self, tmp_path):
+        """Guards against a successor that ends because the process before still drains."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            old = program.start()
+            await program.wait_until_ready()
+            old.send_signal(signal.SIGTERM)
+            await program.wait_until_logged("stopping")
+            new = program.start()
+            statuses = []
+            with anyio.fail_after(30.0):
+                while old.poll() is None or not await is_serving(program):
+                    try:
+                        statuses.append((await program.harness.send_request())[0])
+                    except ConnectionRefusedError:
+                        await anyio.sleep(0.01)
+
+            assert set(statuses) == {200}
+            assert (old.returncode, new.poll()) == (0, None)
+            assert len(program.log_lines("callers_unavailable")) == 1
+
+    async def test_stop_while_the_port_for_callers_is_taken(self, tmp_path):
+        async with open_entry_program(tmp_path) as program:
+            with open_listener(("127.0.0.1", program.front)):
                 program.start()
-                await program.wait_until_ready()
-                status = (await program.harness.send_request())[0]
+                await program.wait_until_logged("callers_unavailable")
                 program.process.send_signal(signal.SIGTERM)
-                return status, await program.wait_until_ended()
 
-        assert anyio.run(run) == (200, 0)
+                assert await program.wait_until_ended() == 0
+
+    async def test_address_that_is_never_free_ends_the_wait(self):
+        with open_listener(("127.0.0.1", 0)) as taken:
+            address, lines = taken.getsockname(), CapturedLog()
+            events = EntryEventLog("me", "zone", lines)
+            with pytest.raises(StartError, match="expected a free address"):
+                await open_when_free(address, events, "callers_unavailable", anyio.Event(), 0.2)
+
+        assert len(lines.of_event("callers_unavailable")) == 1
+
+
+class TestSettings:
+    @pytest.mark.parametrize(
+        "content", [None, b"", b"node-name = ", b"\xff\xfe", b"a = " + b"[" * 9000]
+    )
+    async def test_late_settings_are_waited_for(self, tmp_path, content):
+        """Guards against a start that fails because the settings file is not written yet."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            program.settings_path.unlink()
+            if content is not None:
+                program.settings_path.write_bytes(content)
+            program.start()
+            (caller,) = await connect_callers(program, 1)
+            status, head, _, is_whole = await read_answer(caller[0])
+            program.write_settings()
+            await program.harness.wait_until(lambda: is_serving(program), 30.0)
+
+            assert (status, is_whole) == (503, True)
+            assert re.search(r"retry-after: \d", head)
+            assert "connection: close" in head
+            (line,) = program.log_lines("settings_unusable")
+            assert "expected" in line
+
+    async def test_missing_variable_ends_the_start_at_once(self, tmp_path):
+        async with open_entry_program(tmp_path) as program:
+            program.start(settings_variable="")
+            status = await program.wait_until_ended()
+
+            (line,) = program.log_lines()
+            assert status == ExitStatus.CANNOT_START
+            assert "event=start_failed" in line
+            assert "BERYLJUNCTION_CONFIG: expected the path" in line
+
+
+class TestOutput:
+    @pytest.mark.parametrize("closed", [(1,), (0, 1, 2)])
+    async def test_callers_are_served_although_output_is_closed(self, tmp_path, closed):
+        """Guards against sockets that get the numbers of standard output and error."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            pid = program.start(preexec_fn=lambda: [os.close(number) for number in closed]).pid
+            await program.wait_until_ready()
+            opened = [str(pathlib.Path(f"/proc/{pid}/fd/{number}").readlink()) for number in closed]
+
+            assert await is_serving(program)
+            assert set(opened) == {os.devnull}
+            assert len(program.log_lines("started")) == (2 not in closed)
+
+
+@pytest.fixture
+def program_in_this_process(tmp_path, monkeypatch):
+    """Return a function that runs the program of an entry here, and release signals afterwards."""
+
+    async def run(program, listener):
+        monkeypatch.setenv("BERYLJUNCTION_CONFIG", str(program.settings_path))
+        entry = EntryProgram(listener)
+        entry._events = EntryEventLog("me", "zone", program.harness.lines)
+        program.harness.entry = entry
+        return await entry.run()
+
+    yield run
+    release_signals()
+
+
+class TestExitStatus:
+    async def test_settings_that_never_come(self, tmp_path, monkeypatch, program_in_this_process):
+        """Guards against a failed start that resets the callers who have connected."""
+        monkeypatch.setattr(startup, "_SETTINGS_TIMEOUT_S", 0.1)
+        async with open_entry_program(tmp_path) as program:
+            program.write_settings("")
+            with open_listener(("127.0.0.1", program.front)) as listener:
+                callers = await connect_callers(program)
+                status = await program_in_this_process(program, listener)
+
+            assert status == ExitStatus.CANNOT_START
+            assert await answers_of(callers) == [503, 503, 503]
+            assert len(program.harness.lines.of_event("start_failed")) == 1
