--- a/src/beryljunction/gateway/supervisor.py
+++ b/src/beryljunction/gateway/supervisor.py
@@ -48,12 +48,12 @@
         """Names of the tasks that were started."""
         return tuple(self._names)
 
-    def start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+    def start(self, name: str, run: Callable[[], Awaitable[object]]) -> None:
         """Start a task; `run` is called again after a failure, with the same objects."""
         self._names.append(name)
         self._group.start_soon(self._run, name, run, name=name)
 
-    async def _run(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+    async def _run(self, name: str, run: Callable[[], Awaitable[object]]) -> None:
         pause_s = _FIRST_PAUSE_S
         while True:
             started_s = time.monotonic()
