Save nothing for foreign services, refuse keys that can't be stored

By reading: the newest records were lost, doubled or unreadable where a page ended at a key that needs quoting.

Cause: VersionRecorder saved the versions of every service that a record named; HttpStore.put wrote the length of a key of more than 255 bytes into one byte (ValueError, uncaught). read_newest put a key into after= as it was. Offsets of the store's answers were taken as they came (int of an infinity, positions in another era), and a store that repeats a page was read without end. The tables of saved and seen versions had no bound.

Change: only services that the settings name are saved, and only under a storable key; put refuses other keys before it sends. Keys are quoted. The decoders of the store's answers return a value or an InvalidRecord. Up to 256 services that the settings don't name are kept; versions that were seen over 60 s ago are forgotten.

--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -105,7 +105,12 @@
         self.trial_permits = TrialPermits(host.host, self.fan_out, self.quarantine)
         self.losses = EndpointLosses(self.registry, self.quarantine, events)
         self.streams = StreamDirectory(
-            host.host, self.fan_out, self.registry, self.has_current_endpoints, events
+            host.host,
+            self.fan_out,
+            self.registry,
+            self.has_current_endpoints,
+            lambda service: self._known_service(service) is not None,
+            events,
         )
         self.report_coverage = ReportCoverage()
         self.admits_until_s = math.inf
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -10,7 +10,8 @@
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.outbox import Outbox
 from beryljunction.gateway.streamreports import BegunStream, StreamQuery, StreamReport
-from beryljunction.platform import Record
+from beryljunction.platform import Record, is_storable_key
+from beryljunction.platform.fields import FieldError, is_text, parse_json
 from beryljunction.routing import (
     Address,
     EndpointRegistry,
@@ -30,6 +31,9 @@
 _KEEPING_HOSTS = 2
 # Entries answer within a few ms; the caller of a stream that can't go on is refused after this.
 _ASK_TIMEOUT_S = 0.2
+# Limits of what is kept of the store's records; no service has so many versions at a time.
+_MAX_UNNAMED_SERVICES = 256
+_MAX_VERSIONS = 256
 
 AskPeer = Callable[[Address, bytes], Awaitable[bytes | None]]
 
@@ -56,6 +60,7 @@
         fan_out: The known entries.
         registry: The known endpoints.
         has_current_endpoints: Returns whether older records can't hide a version that is in use.
+        is_named: Returns whether the settings name a service.
         events: The log.
     """
 
@@ -65,12 +70,14 @@
         fan_out: FanOut,
         registry: EndpointRegistry,
         has_current_endpoints: Callable[[], bool],
+        is_named: Callable[[str], bool],
         events: EntryEventLog,
     ) -> None:
         self._host = host
         self._fan_out = fan_out
         self._registry = registry
         self._has_current_endpoints = has_current_endpoints
+        self._is_named = is_named
         self._events = events
         self._origins = StreamOrigins()
         self._unreported = StreamOrigins()
@@ -194,12 +201,11 @@
         if record.value is None:
             self._registry.versions.unload([service])
             return
-        try:
-            versions = json.loads(record.value)
-        except ValueError:
-            versions = None
-        is_list = isinstance(versions, list) and bool(versions)
-        if not is_list or not all(isinstance(row, str | None) for row in versions):
+        versions = _decode_versions(record.value)
+        saved = self._registry.versions.saved
+        # The settings may be read later, so some services that they don't name are kept.
+        is_kept = self._is_named(service) or service in saved or len(saved) < _MAX_UNNAMED_SERVICES
+        if versions is None or not is_kept:
             self._events.write("versions_refused", key=record.key)
             return
         self._registry.versions.load(service, versions)
@@ -211,11 +217,13 @@
         self._registry.versions.unload([name for name in saved if name not in kept])
 
     def unsaved_records(self) -> list[Record]:
-        """Return the records that the store should have and lacks."""
+        """Return the records that the store should have and lacks; of named services only."""
         now_s = boot_time_s()
+        services = {row.record.service for row in self._registry.rows}
         rows = (
             (service, self._registry.versions_to_save(service, now_s))
-            for service in {row.record.service for row in self._registry.rows}
+            for service in filter(self._is_named, services)
+            if is_storable_key(_KEY_PREFIX + service)
         )
         return [_record(service, versions) for service, versions in rows if versions is not None]
 
@@ -225,6 +233,17 @@
     return StreamOrigin(service, ("", 0), version)
 
 
+def _decode_versions(value: bytes) -> list[str | None] | None:
+    """Return the versions in a record; None if it can't be read."""
+    try:
+        versions = parse_json(value)
+    except FieldError:
+        return None
+    if not isinstance(versions, list) or not 0 < len(versions) <= _MAX_VERSIONS:
+        return None
+    return versions if all(row is None or is_text(row) for row in versions) else None
+
+
 def _record(service: str, versions: Iterable[str | None]) -> Record:
     rows = sorted(versions, key=lambda version: version or "")
     return Record(_KEY_PREFIX + service, json.dumps(rows).encode())
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -30,6 +30,7 @@
     Topic,
     Unavailable,
     WriteOutcome,
+    is_storable_key,
 )
 
 __all__ = [
@@ -57,6 +58,7 @@
     "decode_report_start",
     "era_of",
     "format_address",
+    "is_storable_key",
     "parse_address",
     "read_host_settings",
 ]
--- a/src/beryljunction/platform/positions.py
+++ b/src/beryljunction/platform/positions.py
@@ -4,10 +4,10 @@
 the offset in one integer, so that every position of a later era is greater than all earlier ones.
 """
 
-__all__ = ["ERA_LIMIT", "era_of", "offset_of", "position_of"]
+__all__ = ["ERA_LIMIT", "MAX_OFFSET", "era_of", "offset_of", "position_of"]
 
 _OFFSET_BITS = 48
-_MAX_OFFSET = (1 << _OFFSET_BITS) - 1
+MAX_OFFSET = (1 << _OFFSET_BITS) - 1
 ERA_LIMIT = 1 << 16
 
 
@@ -23,4 +23,4 @@
 
 def offset_of(position: int) -> int:
     """Return the offset of a position in its era."""
-    return position & _MAX_OFFSET
+    return position & MAX_OFFSET
--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -3,8 +3,6 @@
 import abc
 import collections
 import enum
-import json
-import struct
 from collections.abc import Callable, Sequence
 from types import TracebackType
 from typing import Self
@@ -14,6 +12,7 @@
 import httpcore
 
 from beryljunction.httpcore_backend import UntimedReadBackend
+from beryljunction.platform.fields import InvalidRecord
 from beryljunction.platform.positions import ERA_LIMIT, era_of, offset_of
 from beryljunction.platform.storeformat import (
     Expired,
@@ -25,7 +24,9 @@
     decode_end,
     decode_page,
     decode_records,
-    encode_record,
+    encode_keyed_record,
+    is_storable_key,
+    quote_key,
 )
 
 __all__ = [
@@ -42,6 +43,7 @@
     "Topic",
     "Unavailable",
     "WriteOutcome",
+    "is_storable_key",
 ]
 
 _READ_PATH = "/beryljunction/log-read"
@@ -90,7 +92,7 @@
 
     Attributes:
         DONE: The store has the record.
-        NOT_DONE: The store rejected the record.
+        NOT_DONE: The store rejected the record, or it can't have the key.
         UNKNOWN: There was no response; the write may take effect now or seconds later.
     """
 
@@ -194,10 +196,8 @@
             end = decode_end(answer.body, answer.era)
             assert end is not None
             return Records((), offset, end)
-        try:
-            return decode_records(answer.body, offset)
-        except (ValueError, struct.error) as error:
-            return Unavailable(f"expected records, got {error}")
+        records = decode_records(answer.body, offset)
+        return Unavailable(records.problem) if isinstance(records, InvalidRecord) else records
 
     async def read_newest(self, topic: Topic) -> NewestRecords | Unavailable:
         """Return the newest record of each key.
@@ -209,7 +209,8 @@
         first_end: int | None = None
         after = ""
         while True:
-            query = f"?topic={topic.name}&part=0" + (f"&after={after}" if after else "")
+            query = f"?topic={topic.name}&part=0"
+            query += f"&after={quote_key(after)}" if after else ""
             page = await self._fetch_page(topic, _NEWEST_PATH + query)
             if isinstance(page, Unavailable):
                 return page
@@ -222,16 +223,16 @@
             records += page.records
             if not page.has_more:
                 return NewestRecords(tuple(records), first_end)
-            if not page.records:
-                return Unavailable("expected records on a page that has more, got none")
-            after = page.records[-1].key
+            if page.last_key in ("", after):
+                return Unavailable("expected further records on a page that has more, got none")
+            after = page.last_key
 
     async def put(self, topic: Topic, key: str, value: bytes | None) -> WriteOutcome:
         """Write the record of a key; None removes the key. The call is idempotent."""
-        name = key.encode()
-        content = bytes([len(name)]) + name + (value or b"")
+        if not is_storable_key(key):
+            return WriteOutcome.NOT_DONE
         path = f"{_APPEND_PATH}?topic={topic.name}&part=0"
-        answer = await self._call("POST", path, 0.0, encode_record(content))
+        answer = await self._call("POST", path, 0.0, encode_keyed_record(key, value))
         if isinstance(answer, Unavailable):
             return WriteOutcome.UNKNOWN
         return WriteOutcome.DONE if answer.status == 200 else WriteOutcome.NOT_DONE
@@ -242,10 +243,8 @@
             return answer
         if answer.status != 200:
             return Unavailable(f"expected status 200, got {answer.status}")
-        try:
-            return decode_page(json.loads(answer.body), answer.era)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            return Unavailable(f"expected a page of records, got {error!r}")
+        page = decode_page(answer.body, answer.era)
+        return Unavailable(page.problem) if isinstance(page, InvalidRecord) else page
 
     async def _call(
         self,
--- a/src/beryljunction/routing/service_versions.py
+++ b/src/beryljunction/routing/service_versions.py
@@ -26,9 +26,16 @@
         self.seen_since_s = min(self.seen_since_s, now_s)
         key = service, version
         is_new = now_s - self._seen_s.get(key, -math.inf) > VERSIONS_TTL_S
+        if is_new:
+            self._expire(now_s)
         self._seen_s[key] = now_s
         return is_new
 
+    def _expire(self, now_s: float) -> None:
+        """Forget what was seen too long ago to matter, such as services of other writers."""
+        kept = {key: at_s for key, at_s in self._seen_s.items() if now_s - at_s <= VERSIONS_TTL_S}
+        self._seen_s = kept
+
     def load(self, service: str, versions: Iterable[Version]) -> None:
         """Apply the versions of a service that are saved in the store."""
         self._saved[service] = frozenset(versions)
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -157,6 +157,62 @@
         assert isinstance(failed, Unavailable)
         assert isinstance(again, Records)
 
+    @pytest.mark.parametrize("key", ["", "x" * 256, "\xe9" * 128, "\ud800"])
+    def test_key_that_the_store_cannot_take_is_refused_before_it_is_sent(self, key):
+        """Guards against the end of every entry at the long name of a service."""
+
+        async def scenario(store, stand_in):
+            outcome = await store.put(ENDPOINT_RECORDS, key, b"1")
+            return outcome, stand_in.calls["log-append"]
+
+        assert run_scenario(scenario) == (WriteOutcome.NOT_DONE, 0)
+
+    def test_longest_key_is_written(self):
+        async def scenario(store, stand_in):
+            outcome = await store.put(ENDPOINT_RECORDS, "x" * 255, b"1")
+            return outcome, (await store.read_newest(ENDPOINT_RECORDS)).records[0].key
+
+        assert run_scenario(scenario) == (WriteOutcome.DONE, "x" * 255)
+
+    @pytest.mark.parametrize("suffix", ["&part=1", "#", "%", "a b", "+", "\xe9", "\r\n", "\u2028"])
+    def test_pages_go_on_after_a_key_of_any_form(self, suffix):
+        """Guards against a list that ends, or an entry that does, at such a key of another."""
+
+        async def scenario(store, stand_in):
+            for number in range(501):
+                name = f"e{number:04}" + (suffix if number == 499 else "")
+                stand_in.model.put(TOPIC, name, b"1", time.monotonic())
+            with anyio.move_on_after(5.0):
+                return await store.read_newest(ENDPOINT_RECORDS)
+
+        answer = run_scenario(scenario)
+
+        assert isinstance(answer, NewestRecords)
+        assert len({row.key for row in answer.records}) == len(answer.records) == 501
+
+    def test_pages_without_end_are_no_answer(self):
+        """Guards against an entry whose memory a store fills with one page."""
+
+        async def answer(stream):
+            page = b'{"items":[{"key":"a","value":"MQ=="}],"end":1,"has-more":true}'
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(page)
+            async with stream:
+                while await stream.receive():
+                    await stream.send(head + page)
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                group.start_soon(listener.serve, answer)
+                address = listener.extra(anyio.abc.SocketAttribute.local_address)
+                async with HttpStore(address) as store:
+                    with anyio.move_on_after(2.0):
+                        result = await store.read_newest(ENDPOINT_RECORDS)
+                        group.cancel_scope.cancel()
+                        return result
+
+        assert isinstance(anyio.run(run), Unavailable)
+
 
 class TestPlatformStoreModel:
     def test_old_records_expire_except_the_newest_of_each_key(self):
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -26,6 +26,7 @@
     responsible_hosts,
     stream_key,
 )
+from endpoint_records import record
 from entry_harness import open_harness, route
 from fanout_world import FleetWorld
 from removed_safeguards import found_by
@@ -536,3 +537,43 @@
         remove(monkeypatch)
 
         assert is_found()
+
+
+class TestForeignServices:
+    @pytest.mark.parametrize("service", ["other", "reports of the night shift " * 10])
+    def test_nothing_is_saved_for_a_service_that_the_settings_do_not_name(self, service):
+        """Guards against the end of every entry at the long name of such a service."""
+        with FleetWorld(2) as world:
+            world.put("keyed.servers", "x", record(service=service[:255]))
+            world.advance(STARTED_S)
+            rows, _, _ = world.model.newest("keyed.entries", "", world.loop.world_s)
+
+            assert [key for key, *_ in rows if key.startswith("versions/")] == ["versions/s"]
+
+    def test_saved_versions_of_many_services_take_bounded_memory(self):
+        """Guards against an entry whose memory another writer fills."""
+        with FleetWorld(1) as world:
+            world.advance(STARTED_S)
+            state = world.members["front-0"].state
+            for number in range(5_000):
+                state.streams.apply_record(Record(f"versions/{number}", b'["v1"]'))
+                state.registry.versions.note(f"{number}", "v1", float(number))
+            state.streams.apply_record(Record("versions/s", b'["v9"]'))
+
+            assert len(state.registry.versions.saved) < 300
+            assert state.registry.versions.saved["s"] == {"v9"}
+            assert len(state.registry.versions._seen_s) < 100
+
+    @pytest.mark.parametrize(
+        "value",
+        [b"\xff", b"[" * 100_000, b"9" * 5_000, b"[]", b'["\\ud800"]', b"[7]", b'["v"]' + b" " * 9],
+    )
+    def test_saved_versions_of_any_form_end_nothing(self, value):
+        """Guards against the end of every entry at such a record of another writer."""
+        with FleetWorld(1) as world:
+            world.advance(STARTED_S)
+            versions = world.members["front-0"].state.registry.versions
+            world.put("keyed.entries", "versions/x", value)
+            world.advance(60.0)
+
+            assert versions.saved.get("x") == ({"v"} if b'["v"]' in value else None)
