Retry share: keep the budget in every window, across restarts and reloads

Callers and endpoints: under long trouble the fleet sent more retries than its budget.

Cause: each entry spent against a window that ends at its own last retry and reaches up to 0.5 s further back, so the sums needn't fit any one window of the fleet. A start forgot what was spent and brought a new part of the slack; a reload that changed any bound did, too.

Change: in every window that contains now, an entry keeps the mean of its own requests in it and in the window before it. This is linear, so the sums keep it, and it holds for windows that began before the start. A start has a part of the slack only as far as the fleet leaves some over (32 starts in a window); from a window after the start on it has its full part. A reload changes limits in place.

--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -116,6 +116,7 @@
         self._plain_placement = PlainPlacement(host.availability_zone, self.random, mechanisms)
         self._retry_shares: dict[str, RetryShare] = {}
         self._max_entries_seen = 1
+        self._started_s = boot_time_s()
 
     def apply_bounds(self, bounds: DeploymentBounds) -> None:
         """Replace the limits that the deployment guarantees."""
@@ -125,7 +126,8 @@
         self.lease.revocation_s = bounds.revocation_ms / 1000
         self.announced_version.memory_s = self.lease.revocation_s
         self.cold_start_limiter.limit = _cold_start_limit(bounds)
-        self._retry_shares.clear()
+        for share in self._retry_shares.values():
+            share.set_limits(bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_slack)
 
     @property
     def settings_bound(self) -> AgeBound:
@@ -176,6 +178,7 @@
                 bounds.repeat_window_s,
                 bounds.repeat_slack,
                 self._max_entries_seen,
+                self._started_s,
             )
         return share
 
@@ -189,7 +192,7 @@
 
     def retries_left(self) -> float:
         """Return the number of retries left, summed over all services."""
-        return sum(share.left for share in self._retry_shares.values())
+        return sum(share.left(boot_time_s()) for share in self._retry_shares.values())
 
     def choose_endpoint(
         self,
--- a/src/beryljunction/routing/budget.py
+++ b/src/beryljunction/routing/budget.py
@@ -1,81 +1,146 @@
 """This entry's share of the fleet-wide retry budget."""
 
-import collections
-
-import attrs
+import itertools
+import math
 
 __all__ = ["RetryShare"]
 
-_BUCKET_S = 0.5
-
-
-@attrs.define
-class _Bucket:
-    start_s: float
-    requests: int = 0
-    retries: int = 0
+# Cells of time into which a window is divided.
+_CELLS = 50
+# A window that contains now, the one before it, and cells that are only partly in them.
+_HISTORY = 2 * _CELLS + 2
+# Part of the limit that comes from the requests in the window itself; the rest comes from those in
+# the window before it.
+_SAME_WINDOW_PART = 0.5
 
 
 class RetryShare:
     """Limits retries to a ratio of this entry's own requests for a service.
 
     When endpoints fail or refuse many requests, unlimited retries by every entry would overload the
-    endpoints that still work. The fleet's limit is a ratio of all requests: if each entry keeps it
-    for its own requests, the sum keeps it too, however many entries are alive and whether or not
-    they know of each other. The slack on top of the ratio is divided among the entries that may be
-    alive.
+    endpoints that still work. The fleet's limit holds for each window of time: a ratio of the
+    requests in it or in the one before it, plus a slack. Each entry keeps, in every window, the
+    mean of these two for its own requests, so the sums over all entries keep the limit too: however
+    many are alive, whether or not they know of each other, and however their traffic changes. If
+    each entry went by the larger of the two, the sums could exceed the limit.
+
+    This includes windows that began before this process started. It knows of no requests then, and
+    what an earlier process of the entry spent counts in them, so a start funds no retries. The
+    slack on top of the ratio is divided among the entries that may be alive. In a window, it
+    belongs to the processes that ran when the window began, with a part for those that start in it
+    if the fleet is small.
+
+    Counts are kept in cells of time. A cell that is partly in a window counts for the retries in
+    it, but not for the requests.
 
     Args:
         ratio: Retries allowed per request.
         window_s: Sliding window over which requests and retries are counted.
         slack: Retries that all entries together may make on top of the ratio.
         entries: Number of entries that may be alive, including this one.
+        started_s: When this process started.
     """
 
     # The slack is divided by at least this number, since an entry that is new or cut off knows of
-    # fewer entries than exist. In fleets of up to 29 entries the ratio makes up for the difference.
+    # fewer entries than exist. What this leaves in a smaller fleet is for as many starts.
     _MIN_ENTRIES = 32
 
-    def __init__(self, ratio: float, window_s: float, slack: int, entries: int = 1) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        window_s: float,
+        slack: int,
+        entries: int = 1,
+        started_s: float = -math.inf,
+    ) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._fleet_slack = slack
-        self._slack = slack / max(self._MIN_ENTRIES, entries)
-        self._buckets: collections.deque[_Bucket] = collections.deque()
-        self._requests = 0
-        self._retries = 0
+        self._max_entries = entries
+        self._started_s = started_s
+        # Totals up to the end of each cell; the last one is the current cell.
+        self._last_cell = 0
+        self._requests = [0] * _HISTORY
+        self._retries = [0] * _HISTORY
 
     def note_entries(self, entries: int) -> None:
         """Update the number of entries that may be alive.
 
         The share never grows, since retries of entries that have left still count in the window.
         """
-        self._slack = min(self._slack, self._fleet_slack / max(self._MIN_ENTRIES, entries))
+        self._max_entries = max(self._max_entries, entries)
+
+    def set_limits(self, ratio: float, window_s: float, slack: int) -> None:
+        """Replace the limits; what was counted and spent remains."""
+        self._ratio, self._fleet_slack = ratio, slack
+        if window_s != self._window_s:
+            self._change_window(window_s)
 
     def count_request(self, now_s: float) -> None:
         """Count a caller's request."""
-        self._bucket(now_s).requests += 1
-        self._requests += 1
+        self._advance(now_s)
+        self._requests[-1] += 1
 
     def spend(self, now_s: float) -> bool:
         """Take one retry out of the share; return False when it is used up."""
-        bucket = self._bucket(now_s)
-        if self._retries + 1 > self._requests * self._ratio + self._slack:
+        if self.left(now_s) < 1.0:
             return False
-        bucket.retries += 1
-        self._retries += 1
+        self._retries[-1] += 1
         return True
 
+    def left(self, now_s: float) -> float:
+        """Return the retries left: the least that any window which contains now allows."""
+        self._advance(now_s)
+        return min(self._left_since(age) for age in range(_CELLS + 1))
+
+    def _left_since(self, age: int) -> float:
+        """Return the retries left in windows that began in the cell of this age."""
+        begin = _HISTORY - 1 - age
+        requests, retries = self._requests, self._retries
+        same = requests[-1] - requests[begin]
+        before = requests[begin - 1] - requests[begin - _CELLS]
+        mean = _SAME_WINDOW_PART * same + (1.0 - _SAME_WINDOW_PART) * before
+        ran = (self._last_cell - age) * self._cell_s >= self._started_s
+        spent = retries[-1] - retries[begin - 1]
+        return self._ratio * mean + self._slack(ran) - spent
+
+    def _slack(self, ran: bool) -> float:
+        """Return the part of the slack in a window; `ran`: this process ran when it began."""
+        if ran:
+            return self._fleet_slack / max(self._MIN_ENTRIES, self._max_entries)
+        unused = max(0.0, 1.0 - self._max_entries / self._MIN_ENTRIES)
+        return self._fleet_slack * unused / self._MIN_ENTRIES
+
     @property
-    def left(self) -> float:
-        """Retries left now."""
-        return self._requests * self._ratio + self._slack - self._retries
-
-    def _bucket(self, now_s: float) -> _Bucket:
-        while self._buckets and self._buckets[0].start_s <= now_s - self._window_s - _BUCKET_S:
-            old = self._buckets.popleft()
-            self._requests -= old.requests
-            self._retries -= old.retries
-        if not self._buckets or self._buckets[-1].start_s <= now_s - _BUCKET_S:
-            self._buckets.append(_Bucket(now_s))
-        return self._buckets[-1]
+    def _cell_s(self) -> float:
+        return self._window_s / _CELLS
+
+    def _advance(self, now_s: float) -> None:
+        """Begin the cell that contains now."""
+        cell = max(self._last_cell, math.floor(now_s / self._cell_s))
+        new = min(cell - self._last_cell, _HISTORY)
+        self._last_cell = cell
+        if new:
+            for totals in (self._requests, self._retries):
+                totals[:] = totals[new:] + [totals[-1]] * new
+
+    def _change_window(self, window_s: float) -> None:
+        """Divide the counts anew; of windows longer than these, only what is known counts."""
+        old_cell_s, oldest = self._cell_s, self._last_cell - _HISTORY + 1
+        requests, retries = self._requests, self._retries
+        self._window_s = window_s
+        cells = [
+            math.floor((oldest + n + 0.5) * old_cell_s / self._cell_s) for n in range(_HISTORY)
+        ]
+        self._last_cell = cells[-1]
+        self._requests = self._divide(requests, cells)
+        self._retries = self._divide(retries, cells)
+        self._started_s = max(self._started_s, oldest * old_cell_s)
+
+    def _divide(self, totals: list[int], cells: list[int]) -> list[int]:
+        counts = [0] * _HISTORY
+        for cell, (before, after) in zip(cells[1:], itertools.pairwise(totals), strict=True):
+            place = cell - self._last_cell + _HISTORY - 1
+            if place >= 0:
+                counts[place] += after - before
+        return list(itertools.accumulate(counts))
--- a/testing/test_attempt_plan.py
+++ b/testing/test_attempt_plan.py
@@ -9,10 +9,8 @@
 )
 
 
-def plan_of(repeat, max_attempts, requests=100):
-    share = RetryShare(0.2, 10.0, 0)
-    for _ in range(requests):
-        share.count_request(0.0)
+def plan_of(repeat, max_attempts, retries=20):
+    share = RetryShare(0.0, 10.0, slack=32 * retries)
     return AttemptPlan(repeat, max_attempts, share)
 
 
@@ -73,6 +71,6 @@
         assert plan.after(AttemptOutcome.ERRORED) is AttemptDecision.DELIVER
 
     def test_retries_use_up_the_retry_share(self):
-        plan = plan_of(RepeatPolicy.FREELY, max_attempts=5, requests=5)
+        plan = plan_of(RepeatPolicy.FREELY, max_attempts=5, retries=1)
 
         assert [plan.before_send(0.0) for _ in range(3)] == [True, True, False]
--- a/testing/test_entry_peers.py
+++ b/testing/test_entry_peers.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.early_listener import open_listener
 from beryljunction.gateway import config_watcher, peers, state, store_view
 from beryljunction.gateway.config_watcher import ConfigWatcher
@@ -337,12 +338,13 @@
         records = [Record(f"h{number}", b"127.0.0.1:9") for number in range(99)]
 
         announcing._apply_snapshot(records)
-        before = entry.state.retry_share("engine").left
+        after_s = boot_time_s() + 2 * bounds.repeat_window_s
+        before = entry.state.retry_share("engine").left(after_s)
         announcing._apply_changes([Record("h99", b"127.0.0.1:9"), Record("h0", None)])
 
         assert len(entry.table) == 64
         assert before == 54 / 100
-        assert entry.state.retry_share("engine").left == 54 / 100
+        assert entry.state.retry_share("engine").left(after_s) == 54 / 100
 
 
 class TestTransferFromStore:
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -165,7 +165,7 @@
                 for name in ("e1", "e2"):
                     await harness.add_endpoint(name, script=fail_first)
                 await harness.wait_for_endpoints(2)
-                harness.entry._state.retry_share("plain")._slack = 5
+                harness.entry._state.retry_share("plain").set_limits(0.2, 10.0, slack=200)
                 return await harness.send_request()
 
         assert anyio.run(run)[0] == 200
@@ -501,7 +501,7 @@
                 for name in ("e1", "e2"):
                     await harness.add_endpoint(name, script=reset_or_resume)
                 await harness.wait_for_endpoints(2)
-                harness.entry._state.retry_share("plain")._slack = 5
+                harness.entry._state.retry_share("plain").set_limits(0.2, 10.0, slack=200)
                 return await harness.send_request(path="/s/")
 
         _, _, body, whole = anyio.run(run)
