Soak of real entry processes

Users saw processes that ended by themselves, requests without an answer and repeats beyond the budget, on machines of their own. Our runs signalled processes that were ready, one fault at a time.

The soak starts the deploy file's command as real processes, with the store and the endpoints as processes of their own, and plays a seed's faults in series that overlap while callers use kept and new connections and connect to processes that are starting. Oracles read what callers sent and got, what endpoints ran and how each process ended; each oracle has tests with made-up records that it must find.

--- /dev/null
+++ b/testing/process_soak.py
@@ -0,0 +1,228 @@
+"""Plays seeded faults on real entry processes under traffic, and checks what callers saw.
+
+python testing/process_soak.py --seeds 1-50 --entries 4 --seconds 20 [--large]
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import attrs
+
+from soak.callers import Traffic
+from soak.faults import Misbehave, Pause, draw_first_starts, draw_schedule, play_schedule
+from soak.fleet import Fleet, Size
+from soak.oracles import find_violations, worst_repeat_share
+from soak.records import ROUTES
+
+__all__ = ["Result", "run_soak"]
+
+_LARGE = Size(entries=60, endpoints=20, callers=60, pause_s=1.0)
+_RECOVERY_LIMIT_S = 20.0
+_STALL_POLL_S, _STALL_S = 0.05, 0.2
+_SHOWN_VIOLATIONS = 4
+_SHOWN_NOTES = 10
+_SHOWN_LINES = 5
+_LINE_CHARS = 200
+
+
+@attrs.frozen
+class Result:
+    """What one run showed."""
+
+    seed: int
+    evidence: object
+    violations: list
+
+    def summary(self):
+        """Return one line of figures."""
+        rows = self.evidence.attempts
+        answers = collections.Counter(
+            str(row.status) if row.status and row.is_complete else "broken off" for row in rows
+        )
+        ends = collections.Counter(str(row.status) for row in self.evidence.processes)
+        shares = [
+            f"{service} {worst_repeat_share(self.evidence, service)[0]:.2f}"
+            for service in ("drafter", "ledger")
+        ]
+        broken = collections.Counter(row.rule for row in self.violations)
+        early = sum(row.early_signal != 0 for row in self.evidence.processes)
+        stalls = sum(name == "machine" for name, _, _ in self.evidence.pauses)
+        return (
+            f"seed {self.seed}: {f'BROKEN {dict(broken)}' if broken else 'held'}; "
+            f"{len(rows)} requests, answers {dict(answers)}; processes by status {dict(ends)}, "
+            f"{early} signalled before their program; worst repeats of the allowed: "
+            f"{', '.join(shares)}; machine stalled {stalls} times"
+        )
+
+    def report(self):
+        """Return the first violations of each rule, with faults and log lines before them."""
+        lines, shown, explained = [], collections.Counter(), set()
+        for violation in self.violations:
+            shown[violation.rule] += 1
+            if shown[violation.rule] <= _SHOWN_VIOLATIONS:
+                at_s = violation.at_s - self.evidence.started_s
+                lines.append(f"{violation.rule} at {at_s:.3f} s, {violation.text}")
+                place = violation.entry, round(at_s)
+                lines += [] if place in explained else self._surroundings(violation)
+                explained.add(place)
+        return "\n".join(lines)
+
+    def _surroundings(self, violation):
+        evidence = self.evidence
+        notes = [row for row in evidence.notes if -4.0 < row[0] - violation.at_s < 0.5]
+        for moment, text in notes[-_SHOWN_NOTES:]:
+            yield f"    {moment - evidence.started_s:.3f} {text[:_LINE_CHARS]}"
+        for process in evidence.processes:
+            ended_s = (process.ended_s or evidence.ended_s) + 1.0
+            is_near = process.started_s <= violation.at_s <= ended_s
+            if is_near and process.entry == violation.entry:
+                lines = [row for row in process.log.splitlines() if "event=answered" not in row]
+                for line in lines[-_SHOWN_LINES:]:
+                    yield f"    {process.name}| {line[:_LINE_CHARS]}"
+
+
+def parse_seeds(text):
+    """Return the seeds of "3" or "1-50"."""
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+def _overload(schedule, draw, seconds, size):
+    """Add failing and suspended endpoints, which make for as many repeats as the budget allows."""
+    everyone = tuple(range(2 * size.endpoints))
+    values = {"fail": 0.3, "reject": 0.3}
+    schedule.append(Misbehave(0.0, everyone, values, seconds))
+    at_s = 2.0
+    while at_s < seconds - 3.0:
+        for place in draw.sample(everyone, size.endpoints):
+            schedule.append(Pause(at_s, "endpoint", place, 2.5))
+        at_s += 4.5
+    schedule.sort(key=lambda fault: fault.at_s)
+
+
+async def _recover(fleet, traffic):
+    """Return the entries that don't serve though the faults are over."""
+    unready = []
+    ends_s = time.monotonic() + _RECOVERY_LIMIT_S
+
+    async def serves(entry):
+        if not await entry.is_ready():
+            return False
+        connection = await traffic.connect(entry)
+        if connection is None:
+            return False
+        attempt, _ = await traffic.send(connection, ROUTES["reads"], ROUTES["reads"].timeout_s)
+        connection.writer.close()
+        return attempt.is_served
+
+    async def wait(entry):
+        while not await serves(entry):
+            if time.monotonic() > ends_s:
+                unready.append(entry.name)
+                return
+            await asyncio.sleep(0.3)
+
+    await asyncio.gather(*[wait(entry) for entry in fleet.entries])
+    return unready
+
+
+async def _monitor_stalls(evidence):
+    """Record when the machine was too busy to run this process."""
+    while True:
+        from_s = time.monotonic()
+        await asyncio.sleep(_STALL_POLL_S)
+        if time.monotonic() - from_s > _STALL_POLL_S + _STALL_S:
+            evidence.pauses.append(("machine", from_s, time.monotonic()))
+
+
+async def _play(fleet, seed, seconds, overload):
+    draw = random.Random(seed)
+    first_starts = draw_first_starts(draw, fleet.size.entries)
+    schedule = draw_schedule(draw, seconds, fleet.size.entries)
+    if overload:
+        _overload(schedule, draw, seconds, fleet.size)
+    traffic = Traffic(fleet, random.Random(f"{seed}-callers"))
+    fleet.on_start = traffic.open_early
+    fleet.spawn(_monitor_stalls(fleet.evidence))
+    await fleet.start(first_starts)
+    callers = asyncio.create_task(traffic.run())
+    await play_schedule(fleet, schedule)
+    fleet.evidence.unready = await _recover(fleet, traffic)
+    stopping = asyncio.create_task(fleet.stop())
+    await asyncio.sleep(2.0)
+    traffic.ends_s = time.monotonic()
+    await callers
+    await stopping
+    for task in fleet.tasks:
+        if task.done():
+            task.result()
+
+
+def run_soak(seed, size, seconds, folder, overload=False):
+    """Run one seed; return what it showed.
+
+    Args:
+        folder: Where settings, logs and the endpoints' runs are kept.
+        overload: Whether endpoints fail and stall all the time.
+    """
+    with contextlib.ExitStack() as held:
+        fleet = Fleet(folder, seed, size, held)
+        try:
+            asyncio.run(_play(fleet, seed, seconds, overload))
+        finally:
+            fleet.close()
+        evidence = fleet.collect()
+    return Result(seed, evidence, find_violations(evidence))
+
+
+def _keep(result, folder):
+    """Write what a broken run recorded beside its logs."""
+    evidence = result.evidence
+    with (folder / "attempts.jsonl").open("w") as file:
+        for row in evidence.attempts:
+            values = {**attrs.asdict(row), "route": row.route.name}
+            file.write(json.dumps(values) + "\n")
+    notes = [f"{at_s - evidence.started_s:.3f} {text}\n" for at_s, text in evidence.notes]
+    (folder / "schedule.txt").write_text("".join(notes))
+    (folder / "report.txt").write_text(f"{result.summary()}\n{result.report()}\n")
+
+
+def main():
+    """Run the seeds of the command line; return 1 if a rule was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1", help="SEED or FIRST-LAST")
+    parser.add_argument("--entries", type=int, default=Size().entries)
+    parser.add_argument("--callers", type=int, default=Size().callers, help="for each route")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--overload", action="store_true", help="endpoints fail and stall")
+    parser.add_argument("--large", action="store_true", help="60 entries and 40 endpoints")
+    options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    size = Size(entries=options.entries, callers=options.callers)
+    size = _LARGE if options.large else size
+    broken = []
+    for seed in parse_seeds(options.seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        result = run_soak(seed, size, options.seconds, folder, options.overload)
+        print(result.summary(), flush=True)
+        if result.violations:
+            broken.append(seed)
+            _keep(result, folder)
+            again = " ".join(row if row != options.seeds else str(seed) for row in sys.argv[1:])
+            command = f"python testing/process_soak.py {again}"
+            print(f"{result.report()}\nlogs: {folder}\nagain: {command}", flush=True)
+    print(f"{len(broken)} of {len(parse_seeds(options.seeds))} seeds broke a rule: {broken}")
+    return int(bool(broken))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,142 @@
+"""Callers as the platform describes them: kept and new connections, and repeats."""
+
+import asyncio
+import itertools
+import time
+
+from soak.fleet import HOST, KEYS
+from soak.records import ROUTES, Attempt, find_defect
+from soak.wire import head_bytes, read_message
+
+__all__ = ["Traffic"]
+
+# A caller waits this much longer than its deadline before the attempt counts as unanswered; longer
+# than any pause of the soak.
+_PATIENCE_S = 8.0
+_CONNECT_LIMIT_S = 1.0
+_SENDS = 3
+_OPENERS = 3
+
+
+class Connection:
+    """An open connection of a caller."""
+
+    def __init__(self, entry, reader, writer):
+        self.entry, self.reader, self.writer = entry, reader, writer
+        self.connected_s = time.monotonic()
+        self.answered = 0
+
+
+class Traffic:
+    """All callers of a run."""
+
+    def __init__(self, fleet, draw):
+        self.fleet, self.draw = fleet, draw
+        self.numbers = itertools.count()
+        self.ends_s = float("inf")
+        self.openers = set()
+
+    async def connect(self, entry, limit_s=_CONNECT_LIMIT_S):
+        try:
+            opened = asyncio.open_connection(*entry.address, limit=1 << 20)
+            return Connection(entry, *await asyncio.wait_for(opened, limit_s))
+        except (OSError, TimeoutError):
+            return None
+
+    async def send(self, connection, route, deadline_s, resumed_from=0):
+        """Send one request; return its attempt once it is answered or given up."""
+        request_id = f"{route.name}-{next(self.numbers)}"
+        key = self.draw.choice(KEYS) if self.draw.random() < 0.1 else KEYS[0]
+        body = b"x" * self.draw.choice((10, 10, 2000)) if route.method == "POST" else b""
+        headers = {"Host": HOST, "X-Request-Id": request_id, "X-Credential": key}
+        headers |= {"X-Deadline-Ms": int(deadline_s * 1000), "Content-Length": len(body)}
+        if resumed_from:
+            headers["Last-Event-Id"] = resumed_from
+        now_s = time.monotonic()
+        name = connection.entry.name
+        attempt = Attempt(request_id, route, name, key, connection.connected_s, now_s)
+        attempt.answered_before, attempt.first_event = connection.answered, resumed_from + 1
+        self.fleet.evidence.attempts.append(attempt)
+        first = f"{route.method} /{route.name}/{request_id} HTTP/1.1"
+        message = None
+        try:
+            connection.writer.write(head_bytes(first, headers) + body)
+            reading = read_message(connection.reader, is_answer=True)
+            message = await asyncio.wait_for(reading, deadline_s + _PATIENCE_S)
+            attempt.problem = "closed" if message is None else ""
+        except (OSError, TimeoutError, ValueError) as error:
+            attempt.problem = type(error).__name__
+        attempt.ended_s = time.monotonic()
+        if message is not None:
+            attempt.status, attempt.is_complete = message.status, message.is_complete
+            attempt.signature = message.headers.get("x-server-signature", "")
+            attempt.defect = find_defect(attempt, message)
+        return attempt, message
+
+    async def ask(self, route, place, connection=None):
+        """Make one call with its repeats; return the connection if it can be kept, and a place."""
+        ends_s, sends, resumed_from = time.monotonic() + route.timeout_s, 0, 0
+        while (left_s := ends_s - time.monotonic()) > 0.05 and sends < _SENDS:
+            entry = self.fleet.entries[place % len(self.fleet.entries)]
+            connection = connection or await self.connect(entry, min(left_s, _CONNECT_LIMIT_S))
+            if connection is None:
+                place += 1
+                await asyncio.sleep(0.05)
+                continue
+            sends += 1
+            left_s = max(0.05, ends_s - time.monotonic())
+            attempt, message = await self.send(connection, route, left_s, resumed_from)
+            if message is not None and message.is_complete and not attempt.may_resend:
+                connection.answered += 1
+                if message.headers.get("connection", "").lower() != "close":
+                    return connection, place
+            connection.writer.close()
+            connection, place = None, place + 1
+            if not attempt.may_resend:
+                break
+            if route.resumes and message is not None and attempt.status == 200:
+                resumed_from += message.body.count(b"\n\n")
+            wait_s = float(message.headers.get("retry-after", 0.05)) if message else 0.05
+            if wait_s > (ends_s - time.monotonic()) / 3:
+                break
+            await asyncio.sleep(wait_s)
+        return None, place
+
+    async def call_in_series(self, route, place, is_kept):
+        """Call again and again, on one connection for as long as it lasts, or on new ones."""
+        connection = None
+        while time.monotonic() < self.ends_s:
+            connection, place = await self.ask(route, place, connection)
+            if connection is not None and not is_kept:
+                connection.writer.close()
+                connection = None
+            await asyncio.sleep(self.draw.uniform(0.0, 2.0) * self.fleet.size.pause_s)
+        if connection is not None:
+            connection.writer.close()
+
+    def open_early(self, entry):
+        """Connect to a process that is just starting, as soon as it listens."""
+
+        async def knock():
+            ends_s = time.monotonic() + 3.0
+            while time.monotonic() < ends_s:
+                connection = await self.connect(entry)
+                if connection is not None:
+                    await self.send(connection, ROUTES["notes"], ROUTES["notes"].timeout_s)
+                    connection.writer.close()
+                    return
+                await asyncio.sleep(0.005)
+
+        if time.monotonic() < self.ends_s:
+            for _ in range(_OPENERS):
+                task = asyncio.create_task(knock())
+                self.openers.add(task)
+                task.add_done_callback(self.openers.discard)
+
+    async def run(self):
+        """Run all callers until the end of the traffic."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(self.fleet.size.callers):
+                for route in ROUTES.values():
+                    group.create_task(self.call_in_series(route, number, number % 4 > 0))
+        await asyncio.gather(*self.openers)
