--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -18,7 +18,7 @@
 import attrs
 
 from soak.callers import Traffic
-from soak.faults import Misbehave, Pause, draw_first_starts, draw_schedule, play_schedule
+from soak.faults import Pause, draw_first_starts, draw_schedule, play_schedule
 from soak.fleet import Fleet, Size
 from soak.oracles import find_violations, worst_repeat_share
 from soak.records import ROUTES
@@ -26,6 +26,7 @@
 __all__ = ["Result", "run_soak"]
 
 _LARGE = Size(entries=60, endpoints=20, callers=60, pause_s=1.0)
+_FAILING = {"fail": 0.3, "reject": 0.3}
 _RECOVERY_LIMIT_S = 20.0
 _STALL_POLL_S, _STALL_S = 0.05, 0.2
 _SHOWN_VIOLATIONS = 4
@@ -96,17 +97,15 @@
     return range(int(first), int(last or first) + 1)
 
 
-def _overload(schedule, draw, seconds, size):
-    """Add failing and suspended endpoints, which make for as many repeats as the budget allows."""
-    everyone = tuple(range(2 * size.endpoints))
-    values = {"fail": 0.3, "reject": 0.3}
-    schedule.append(Misbehave(0.0, everyone, values, seconds))
-    at_s = 2.0
-    while at_s < seconds - 3.0:
-        for place in draw.sample(everyone, size.endpoints):
-            schedule.append(Pause(at_s, "endpoint", place, 2.5))
-        at_s += 4.5
-    schedule.sort(key=lambda fault: fault.at_s)
+def _stall_endpoints(draw, seconds, size):
+    """Return pauses of half of the endpoints, again and again."""
+    places = range(2 * size.endpoints)
+    moments = [2.0 + 4.5 * number for number in range(int((seconds - 3.0) / 4.5))]
+    return [
+        Pause(at_s, "endpoint", place, 2.5)
+        for at_s in moments
+        for place in draw.sample(places, size.endpoints)
+    ]
 
 
 async def _recover(fleet, traffic):
@@ -149,7 +148,8 @@
     first_starts = draw_first_starts(draw, fleet.size.entries)
     schedule = draw_schedule(draw, seconds, fleet.size.entries)
     if overload:
-        _overload(schedule, draw, seconds, fleet.size)
+        schedule += _stall_endpoints(draw, seconds, fleet.size)
+        schedule.sort(key=lambda fault: fault.at_s)
     traffic = Traffic(fleet, random.Random(f"{seed}-callers"))
     fleet.on_start = traffic.open_early
     fleet.spawn(_monitor_stalls(fleet.evidence))
@@ -175,7 +175,7 @@
         overload: Whether endpoints fail and stall all the time.
     """
     with contextlib.ExitStack() as held:
-        fleet = Fleet(folder, seed, size, held)
+        fleet = Fleet(folder, seed, size, held, _FAILING if overload else {})
         try:
             asyncio.run(_play(fleet, seed, seconds, overload))
         finally:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -155,10 +155,10 @@
             ready[place % len(ready)].name: ready[place % len(ready)] for place in self.places
         }
         for endpoint in chosen.values():
-            await endpoint.behave(**self.values)
+            await endpoint.behave({**fleet.misbehaviour, **self.values})
         await asyncio.sleep(self.length_s)
         for endpoint in chosen.values():
-            await endpoint.behave()
+            await endpoint.behave(fleet.misbehaviour)
 
 
 @attrs.frozen
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -282,17 +282,23 @@
         fleet.endpoint_count += 1
         self.name = f"{service}-{fleet.endpoint_count}"
         rest = (f"{address[0]}:{address[1]}", fleet.store_text, self.name, service)
-        self.process = fleet.start_standin("endpoint", *rest, str(fleet.runs_path))
+        usual = json.dumps(fleet.misbehaviour)
+        self.process = fleet.start_standin("endpoint", *rest, str(fleet.runs_path), usual)
         self.is_leaving = False
 
-    async def behave(self, **values):
+    async def behave(self, values):
         await call(self.address, "/soak/behave", json.dumps(values).encode())
 
 
 class Fleet:
-    """Starts, disturbs and ends the processes of one run, and holds its evidence."""
+    """Starts, disturbs and ends the processes of one run, and holds its evidence.
 
-    def __init__(self, folder, seed, size, held):
+    Args:
+        misbehaviour: How all endpoints fail from their start on.
+    """
+
+    def __init__(self, folder, seed, size, held, misbehaviour):
+        self.misbehaviour = misbehaviour
         self.folder, self.size, self.held = folder, size, held
         self.draw = random.Random(f"{seed}-fleet")
         self.evidence = Evidence(started_s=time.monotonic())
--- a/testing/soak/standins.py
+++ b/testing/soak/standins.py
@@ -1,7 +1,7 @@
 """Store and endpoints of the soak, each a process of its own.
 
 python -m soak.standins store IP:PORT
-python -m soak.standins endpoint IP:PORT STORE_IP:PORT ID SERVICE RUNS_FILE
+python -m soak.standins endpoint IP:PORT STORE_IP:PORT ID SERVICE RUNS_FILE MISBEHAVIOUR
 """
 
 import asyncio
@@ -224,8 +224,9 @@
         raise _CutError
 
 
-async def run_endpoint(address, store, name, service, runs_path):
+async def run_endpoint(address, store, name, service, runs_path, misbehaviour):
     endpoint = Endpoint(parse_address(address), parse_address(store), name, service, runs_path)
+    endpoint.behaviour = Misbehaviour(**json.loads(misbehaviour))
     server = await asyncio.start_server(endpoint.serve, *endpoint.address, limit=1 << 20)
     async with server:
         await endpoint.beat()
