--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -20,7 +20,7 @@
 from soak.callers import Traffic
 from soak.faults import Pause, draw_first_starts, draw_schedule, play_schedule
 from soak.fleet import Fleet, Size
-from soak.oracles import find_violations, worst_repeat_share
+from soak.oracles import Answers, find_violations, worst_repeat_share
 from soak.records import ROUTES
 
 __all__ = ["Result", "run_soak"]
@@ -55,11 +55,13 @@
             for service in ("drafter", "ledger")
         ]
         broken = collections.Counter(row.rule for row in self.violations)
+        excuses = collections.Counter(row[2] for row in Answers().unanswered(self.evidence))
         early = sum(row.early_signal != 0 for row in self.evidence.processes)
         stalls = sum(name == "machine" for name, _, _ in self.evidence.pauses)
         return (
             f"seed {self.seed}: {f'BROKEN {dict(broken)}' if broken else 'held'}; "
-            f"{len(rows)} requests, answers {dict(answers)}; processes by status {dict(ends)}, "
+            f"{len(rows)} requests, answers {dict(answers)}, without one by excuse "
+            f"{dict(excuses)}; processes by status {dict(ends)}, "
             f"{early} signalled before their program; worst repeats of the allowed: "
             f"{', '.join(shares)}; machine stalled {stalls} times"
         )
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -8,7 +8,14 @@
 
 from soak.records import ROUTES, count_within
 
-__all__ = ["ORACLES", "Oracle", "Violation", "find_violations", "worst_repeat_share"]
+__all__ = [
+    "ORACLES",
+    "Answers",
+    "Oracle",
+    "Violation",
+    "find_violations",
+    "worst_repeat_share",
+]
 
 # Time beyond the grace period in which an idle machine reports the end of a process.
 _END_MARGIN_S = 2.0
@@ -121,48 +128,64 @@
     rule = "LOST"
 
     def find(self, evidence):
-        runs = evidence.runs_by_id()
-        for attempt in evidence.attempts:
-            if attempt.status is not None and (attempt.is_complete or attempt.status != 200):
-                continue
-            if not self._is_excused(evidence, attempt, runs.get(attempt.id, ())):
+        for attempt, runs, excuse in self.unanswered(evidence):
+            if not excuse:
                 what = "no answer" if attempt.status is None else "answer broken off"
-                ran = "passed on" if attempt.id in runs else "not passed on"
                 yield attempt.ended_s, attempt.entry, (
-                    f"{attempt.id}: {what} ({attempt.problem}), {ran}, "
+                    f"{attempt.id}: {what} ({attempt.problem}), "
+                    f"{'passed on' if runs else 'not passed on'}, "
                     f"{attempt.answered_before} answered before on its connection, connected "
                     f"{attempt.sent_s - attempt.connected_s:.3f} s before it was sent, "
                     f"{attempt.ended_s - attempt.sent_s:.3f} s after"
                 )
 
-    def _is_excused(self, evidence, attempt, runs):
+    def unanswered(self, evidence):
+        """Yield attempts without a whole answer, their runs, and what excuses them, if anything."""
+        runs = evidence.runs_by_id()
+        for attempt in evidence.attempts:
+            if attempt.status is None or (attempt.status == 200 and not attempt.is_complete):
+                rows = runs.get(attempt.id, ())
+                yield attempt, rows, self._excuse(evidence, attempt, rows)
+
+    def _excuse(self, evidence, attempt, runs):
         processes = [
             row
             for row in evidence.processes
             if row.entry == attempt.entry and row.started_s <= attempt.sent_s
         ]
         if any(_is_within(row.killed_s, attempt.connected_s, attempt.ended_s) for row in processes):
-            return True
+            return "entry killed"
         if any(
             name == attempt.entry and from_s <= attempt.connected_s <= to_s
             for name, from_s, to_s in evidence.holds
         ):
-            return True
-        if attempt.ended_s - attempt.sent_s >= attempt.route.timeout_s - 0.1 and runs:
-            return True
-        if any(run.what == "cut" or _ended_under(evidence, run, attempt) for run in runs):
-            return True
+            return "port of another process"
+        if not runs and attempt.answered_before > 0:
+            return "crossed a close"
         stops = [row for row in processes if _is_within(row.stopped_s, 0.0, attempt.ended_s)]
-        if not runs:
-            took_s = attempt.ended_s - attempt.sent_s
-            return attempt.answered_before > 0 or (
-                bool(stops) and took_s <= evidence.bounds.loss_slack_s
-            )
-        return any(
+        return (
+            self._excuse_run(evidence, attempt, runs, stops)
+            if runs
+            else self._excuse_new(evidence, attempt, stops)
+        )
+
+    @staticmethod
+    def _excuse_new(evidence, attempt, stops):
+        is_soon = attempt.ended_s - attempt.sent_s <= evidence.bounds.loss_slack_s
+        return "new connection in a stop" if stops and is_soon else ""
+
+    @staticmethod
+    def _excuse_run(evidence, attempt, runs, stops):
+        if any(run.what == "cut" or _ended_under(evidence, run, attempt) for run in runs):
+            return "endpoint broke off"
+        if attempt.ended_s - attempt.sent_s >= attempt.route.timeout_s - 0.1:
+            return "deadline"
+        is_cut = any(
             attempt.sent_s <= row.stopped_s + 3.0
             and attempt.ended_s >= row.stopped_s + row.grace_s * 5 / 6
             for row in stops
         )
+        return "end of the grace period" if is_cut else ""
 
 
 def _is_within(moment, from_s, to_s):
