--- a/testing/test_supervisor.py
+++ b/testing/test_supervisor.py
@@ -32,6 +32,8 @@
 # What each background task calls again and again; the injected exception is raised there.
 STEPS = {
     "stalls": (StallMonitor, "__enter__"),
+    "probes": (EntryProcess, "_listen"),
+    "peers": (EntryProcess, "_start_peer_tasks"),
     "settings": (ConfigWatcher, "confirm"),
     "endpoints": (EndpointWatcher, "read_once"),
     "losses": (EndpointLosses, "_probe"),
@@ -121,7 +123,7 @@
         script = HeldStream()
         async with open_harness(LONG_ROUTE, start=False) as harness:
             await harness.add_endpoint("one", script=script)
-            fault.is_armed = name == "stalls"  # It only begins once.
+            fault.is_armed = name in ("stalls", "probes", "peers")  # These only begin once.
             await harness.start_entry(has_peers=True)
             reader, writer = await harness.connect()
             writer.write(long_request(harness))
