Count the time that a request lay unread in its socket as part of its deadline

Endpoints: after a stall of the entry, or while it was behind, a request was handed on with its full deadline, although its caller had waited meanwhile; requests whose callers had left were run.

Cause: the deadline was counted from the moment at which the first byte was read.

That is never earlier than the request's arrival, so no request is refused while its caller waits. The route's timeout is still counted from the reading: a caller with a longer deadline can be served late. Weighed: to take what is read in the first pass after a stall as arrived at the stall's begin. That refuses requests which came just before its end.

Evidence: a stall of 0.7 s with a request sent at its begin. After: at most 1,350; 503, not sent.

--- a/src/beryljunction/fuzz/platform/virtual.py
+++ b/src/beryljunction/fuzz/platform/virtual.py
@@ -96,6 +96,10 @@
     def setsockopt(self, *_: object) -> None:
         """Do nothing."""
 
+    def getsockopt(self, *_: object) -> bytes:
+        """State nothing."""
+        return b""
+
 
 class Side(asyncio.Transport):
     """One end of a connection in memory."""
--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -14,7 +14,7 @@
 from beryljunction.gateway.messages import Headers, HttpRequest, reason_phrase
 from beryljunction.gateway.sockets import CALLER_TIMEOUTS, set_timeouts
 from beryljunction.routing import CallerLimits
-from beryljunction.sockets import is_readable
+from beryljunction.sockets import is_readable, unread_s
 
 __all__ = ["CallerConnection", "CallerHandler"]
 
@@ -178,7 +178,10 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self._incoming = HttpRequest(b"", b"", [], boot_time_s())
+        waited_s = 0.0
+        if self._transport is not None:
+            waited_s = unread_s(self._transport.get_extra_info("socket"))
+        self._incoming = HttpRequest(b"", b"", [], boot_time_s(), unread_s=waited_s)
         self.headers_started_s = self._incoming.arrived_s
         self._body_parts = []
         self._header_bytes = 0
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -106,8 +106,9 @@
 
     async def _serve(self, admitted: Admitted) -> None:
         route = admitted.route
-        limit_ms = min(self._caller_headers.deadline_ms or _DEFAULT_DEADLINE_MS, route.timeout_ms)
-        self._deadline_s = self._request.arrived_s + limit_ms / 1000
+        deadline_ms = self._caller_headers.deadline_ms or _DEFAULT_DEADLINE_MS
+        timeout_s = self._request.arrived_s + route.timeout_ms / 1000
+        self._deadline_s = min(self._caller_deadline_s(deadline_ms), timeout_s)
         self._services = tuple(target.service for target in route.targets)
         self._service = route.service_for(self._state.random.random())
         is_resumed = route.streamed and self._caller_headers.has_last_event_id
@@ -159,6 +160,10 @@
     def _stream_key(admitted: Admitted, request_id: str) -> str:
         return stream_key(admitted.account.name if admitted.account else "", request_id)
 
+    def _caller_deadline_s(self, deadline_ms: int) -> float:
+        """Return until when the caller waits, who has also waited while the request was unread."""
+        return self._request.arrived_s - self._request.unread_s + deadline_ms / 1000
+
     def _remaining_s(self) -> float:
         return self._deadline_s - boot_time_s()
 
@@ -423,5 +428,5 @@
         deadline_ms = self._caller_headers.deadline_ms
         left_s = None
         if deadline_ms is not None:
-            left_s = self._request.arrived_s + deadline_ms / 1000 - boot_time_s()
+            left_s = self._caller_deadline_s(deadline_ms) - boot_time_s()
         return self._state.retry_after_s(self._service, self._tried, left_s)
--- a/src/beryljunction/gateway/messages.py
+++ b/src/beryljunction/gateway/messages.py
@@ -47,6 +47,7 @@
         target: Path and query, byte for byte.
         headers: Names in lower case.
         arrived_s: Boot time at which its first byte was read; that clock counts suspended time.
+        unread_s: How long it had waited in the socket by then, which a caller counts too.
     """
 
     method: bytes
@@ -56,6 +57,7 @@
     body: bytes = b""
     keeps_alive: bool = True
     is_http_10: bool = False
+    unread_s: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
--- a/testing/test_gateway_callers.py
+++ b/testing/test_gateway_callers.py
@@ -1,3 +1,8 @@
+import re
+import socket
+import threading
+import time
+
 import anyio
 import pytest
 
@@ -166,3 +171,50 @@
 
         assert (status, rest) == (200, b"")
         assert "connection: close" in head
+
+
+class TestUnreadRequests:
+    """The process stalls for 0.7 s; a request arrives in its socket meanwhile."""
+
+    def send_in_stall(self, after_s, deadline_ms, timeout_ms=4_000):
+        """Return the answer's status and the deadline that the endpoint got; None if none."""
+        lines = b"Content-Length: 0\r\nX-Deadline-Ms: %d\r\n\r\n" % deadline_ms
+
+        async def run():
+            async with open_harness(route(**{"timeout-ms": timeout_ms})) as harness:
+                one = await harness.add_endpoint("e1")
+                await harness.wait_for_endpoints(1)
+                with socket.create_connection(harness.host.callers) as caller:
+                    await anyio.sleep(0.1)
+                    threading.Timer(after_s, caller.sendall, [PREFIX + lines]).start()
+                    time.sleep(0.7)
+                    caller.settimeout(5)
+                    answer = await anyio.to_thread.run_sync(caller.recv, 100)
+                return answer, [head for head, _ in one.requests]
+
+        answer, sent = anyio.run(run)
+        lefts = [int(re.search(r"x-deadline-ms: (\d+)", head.lower())[1]) for head in sent]
+        return int(answer.split()[1]), lefts[0] if lefts else None
+
+    def test_deadline_counts_the_time_in_the_socket(self):
+        """Guards against an endpoint that works on for a caller who has left."""
+        status, left_ms = self.send_in_stall(after_s=0.0, deadline_ms=2_000)
+
+        assert status == 200
+        assert 500 < left_ms <= 1_350
+
+    def test_request_whose_deadline_has_passed_is_not_sent(self):
+        assert self.send_in_stall(after_s=0.0, deadline_ms=500) == (503, None)
+
+    def test_request_that_arrives_at_the_end_of_a_stall_keeps_its_deadline(self):
+        """Guards against refusals of requests that came just before the stall ended."""
+        status, left_ms = self.send_in_stall(after_s=0.6, deadline_ms=500)
+
+        assert status == 200
+        assert left_ms > 200
+
+    def test_timeout_of_the_route_begins_when_the_request_is_read(self):
+        status, left_ms = self.send_in_stall(after_s=0.0, deadline_ms=3_000, timeout_ms=600)
+
+        assert status == 200
+        assert left_ms > 300
