--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -390,6 +390,38 @@
         assert log.of_event("stalled")
 
 
+class TestRetryBudget:
+    @pytest.mark.parametrize(("slack", "sends"), [(0, 1), (40, 2), (80, 3)])
+    def test_every_send_after_the_first_is_spent(self, slack, sends):
+        """Guards against a second endpoint that gets a request without a retry being spent."""
+
+        async def decline(answer, writer, number):
+            writer.write(answer.declined())
+
+        async def run():
+            async with open_harness(route(**{"max-attempts": 3})) as harness:
+                added = [await harness.add_endpoint(name, script=decline) for name in "abc"]
+                await harness.wait_for_endpoints(3)
+                harness.entry._state.retry_share("plain").set_limits(0.0, 10.0, slack)
+                status, *_ = await harness.send_request()
+            return status, sum(len(endpoint.requests) for endpoint in added)
+
+        assert anyio.run(run) == (503, sends)
+
+    def test_failed_connection_costs_no_retry(self):
+        async def run():
+            async with open_harness(route()) as harness:
+                for name in "ab":
+                    gone = await harness.add_endpoint(name)
+                    gone.server.close()
+                one = await harness.add_endpoint("c")
+                await harness.wait_for_endpoints(3)
+                harness.entry._state.retry_share("plain").set_limits(0.0, 10.0, 0)
+                return (await harness.send_request())[0], len(one.requests)
+
+        assert anyio.run(run) == (200, 1)
+
+
 class TestStreams:
     def test_events_are_relayed_as_they_arrive(self):
         async def stream_slowly(answer, writer, number):
