--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -56,7 +56,7 @@
         ]
         broken = collections.Counter(row.rule for row in self.violations)
         excuses = collections.Counter(row[2] for row in Answers().unanswered(self.evidence))
-        early = sum(row.early_signal != 0 for row in self.evidence.processes)
+        early = sum(bool(row.early_signals) for row in self.evidence.processes)
         stalls = sum(name == "machine" for name, _, _ in self.evidence.pauses)
         return (
             f"seed {self.seed}: {f'BROKEN {dict(broken)}' if broken else 'held'}; "
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -165,10 +165,13 @@
         for at_s, number in plan.signals:
             asyncio.get_running_loop().call_later(at_s, self.signal_one, row, process, number)
         if plan.hindered_s:
-            await asyncio.sleep(plan.hindered_s)
-            self.write_settings()
-            if holder is not None:
-                holder.close()
+            self.fleet.spawn(self.unhinder(plan, holder))
+
+    async def unhinder(self, plan, holder):
+        await asyncio.sleep(plan.hindered_s)
+        self.write_settings()
+        if holder is not None:
+            holder.close()
 
     async def hold(self, plan):
         """Listen on one of the ports, as another process of this host would."""
@@ -216,7 +219,7 @@
         if process.poll() is not None:
             return
         if number in (*STOP_SIGNALS, signal.SIGHUP) and not runs_its_program(process.pid):
-            row.early_signal = row.early_signal or number
+            row.early_signals += (number,)
         if number in STOP_SIGNALS and row.stopped_s is None:
             row.stopped_s = time.monotonic()
         if number == signal.SIGKILL:
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -131,7 +131,7 @@
 
     Attributes:
         has_log: Whether its output goes to a file.
-        early_signal: A signal that it was sent before the interpreter ran any of its program.
+        early_signals: Those that it was sent before the interpreter ran any of its program.
         stopped_s: When it was first sent SIGTERM or SIGINT.
         hindered_until_s: Until when something of the soak kept it from becoming ready.
     """
@@ -142,7 +142,7 @@
     grace_s: float = 8.0
     has_log: bool = True
     log: str = ""
-    early_signal: int = 0
+    early_signals: tuple = ()
     stopped_s: float | None = None
     killed_s: float | None = None
     ended_s: float | None = None
