--- a/testing/test_config_watcher.py
+++ b/testing/test_config_watcher.py
@@ -17,6 +17,7 @@
     Unavailable,
     WriteOutcome,
 )
+from endpoint_records import record
 from entry_harness import CapturedLog, open_harness, route
 
 FAST = DeploymentBounds(revocation_ms=3_000)
@@ -246,10 +247,13 @@
         [
             b"\xfe\xed",
             b"{}",
-            b'{"service": "plain", "address": 7, "zone": "a", "slots": 4, "state": "ready"}',
-            b'{"service":"plain","address":"127.0.0.1:9","zone":"a","slots":4,"state":"lost"}',
-            b'{"service":["plain"],"address":"127.0.0.1:9","zone":"a","slots":4,"state":"ready"}',
+            record(address=7),
+            record(state="lost"),
+            record(service=["plain"]),
+            record(slots=2**2048),
+            record(address="x" * 64 + ".example:9"),
         ],
+        ids=["bytes", "empty", "address", "state", "service", "slots", "name"],
     )
     def test_invalid_record_is_refused_and_affects_no_other_endpoint(self, value):
         async def run():
