Write the lines on starts and ends of a process at any line rate

An entry that writes more than 200 lines a second, as under load, left out the lines that say why it ends. testing/test_entry_events.py: no crashed line before.

--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -17,6 +17,10 @@
 _MAX_LINES_PER_S = 200
 # Bytes that are buffered while the reader of standard output is behind.
 _MAX_BACKLOG_BYTES = 65_536
+# Events that are always written, because they say why a process ended or didn't start.
+_LIFECYCLE_EVENTS = frozenset(
+    {"started", "start_failed", "crashed", "stopping", "drained", "cut", "stopped"}
+)
 # Events kept for operators in each of the two rings, ordinary and other events: 10 s at the
 # maximum line rate, 1 MB.
 _TIMELINE_EVENTS = 2_000
@@ -106,7 +110,7 @@
         second = int(time.monotonic())
         if second != self._current_second:
             self._start_second(second)
-        if self._lines_this_second >= _MAX_LINES_PER_S:
+        if self._lines_this_second >= _MAX_LINES_PER_S and event not in _LIFECYCLE_EVENTS:
             self.suppressed_lines += 1
             return
         self._lines_this_second += 1
--- a/testing/test_entry_events.py
+++ b/testing/test_entry_events.py
@@ -41,6 +41,17 @@
 
 
 class TestEvents:
+    def test_lines_on_the_end_of_the_process_are_written_at_any_rate(self):
+        """Guards against a process that ends without a line while requests fill the log."""
+        lines = CapturedLog()
+        events = EntryEventLog("entry-1", "a", lines)
+
+        for number in range(1_000):
+            events.write("refused", request_id=f"q{number}", reason="no_endpoint")
+        events.write("crashed", problem="lost")
+
+        assert len(lines.of_event("crashed")) == 1
+
     def test_line_rate_is_limited_and_left_out_lines_are_reported(self):
         lines = CapturedLog()
         events = EntryEventLog("entry-1", "a", lines)
