Answer the callers of an entry that ends because of an internal error

Callers whose requests were in flight when a task group failed got no answer, and later requests on their connections neither.

--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -50,6 +50,8 @@
 _EXIT_MARGIN_S = 0.6
 # Time in which the last answers are sent, and the listeners for other entries and operators close.
 _CLOSE_TIMEOUT_S = 0.1
+# Time in which callers send the rest of their requests, and get answers, after an internal error.
+_ERROR_CLOSE_TIMEOUT_S = 1.0
 # Callers that connect during startup wait up to this long for the first read of the store, which
 # normally takes 20 ms; after that they are answered with 503 and Retry-After.
 _FIRST_READ_TIMEOUT_S = 0.3
@@ -76,6 +78,8 @@
         self._state = EntryState(host, events)
         self._stopping = anyio.Event()
         self._listeners: list[Listener] = []
+        self._frontend: CallerFrontend | None = None
+        self._listener: Listener | None = None
         self._registration: Registration | None = None
 
     def _is_ready(self) -> bool:
@@ -220,7 +224,7 @@
         self._stopping.set()
 
     async def run(self) -> None:
-        """Run until stopped.
+        """Run until stopped; after an internal error, answer the callers before it is raised.
 
         Raises:
             StartError: The listening socket for callers can't be opened.
@@ -229,8 +233,17 @@
         self._events.write(
             "started", callers=_format_address(self._host.callers), switched_off=switched_off
         )
-        store = HttpStore(self._host.store, self._log_refused_era)
-        async with store, anyio.create_task_group() as group:
+        async with HttpStore(self._host.store, self._log_refused_era) as store:
+            try:
+                await self._run(store)
+            except Exception:
+                await self._refuse_callers()
+                raise
+        await self._close_listeners()
+        self._events.write("stopped")
+
+    async def _run(self, store: Store) -> None:
+        async with anyio.create_task_group() as group:
             group.start_soon(self._monitor_stalls)
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
@@ -251,6 +264,7 @@
                 await config.loaded.wait()
                 await endpoints.loaded.wait()
             listener = Listener(frontend, callers)
+            self._frontend, self._listener = frontend, listener
             group.start_soon(frontend.close_expired_connections)
             group.start_soon(self._watch_settings_file)
             group.start_soon(self._start_peer_tasks, group, store, config, endpoints, schedule)
@@ -259,8 +273,13 @@
             if self._registration is not None:
                 await self._registration.deregister()
             group.cancel_scope.cancel()
-        await self._close_listeners()
-        self._events.write("stopped")
+
+    async def _refuse_callers(self) -> None:
+        """End all requests, and refuse those that arrive, because of an internal error."""
+        if self._frontend is not None and self._listener is not None:
+            self._frontend.start_draining()
+            self._frontend.end_draining()
+            await self._listener.close(time.monotonic() + _ERROR_CLOSE_TIMEOUT_S)
 
     async def _listen(self, handler: CallerHandler, address: tuple[str, int], event: str) -> bool:
         """Listen once the address is free; return False if the process is stopped before."""
