Answer requests that an unexpected exception ends; accept again after any error

What callers saw: a connection that ended without an answer, or that waited for ever, after an exception in a request, in a handler of peers, probes or operators, or in accept. Cause: the frontend aborted the connection; an exception of on_request left it active without an answer; an unexpected error of accept was raised, also out of a stop. Change: 503 if no endpoint was sent a byte of the request, else 502; 500 from the handlers of peers, probes and operators; an answer that has begun is aborted. accept goes on after any error, after a pause if it isn't one of a single connection. Evidence, on the code before: of the 5 new cases of testing/test_acceptor.py 4 failed; the fifth, an unknown error of accept, was retried in each step of the loop and passes there.

--- a/src/beryljunction/acceptor.py
+++ b/src/beryljunction/acceptor.py
@@ -11,6 +11,19 @@
 # Connections accepted in one step of the event loop, so that a burst doesn't delay answers.
 _MAX_ACCEPTS = 128
 _RETRY_S = 1.0
+# Linux reports the network errors of a connection that waits to be accepted.
+_CONNECTION_ERRORS = frozenset(
+    {
+        errno.ENETDOWN,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+    }
+)
 _OUT_OF_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
@@ -74,8 +87,10 @@
         except (BlockingIOError, InterruptedError, ConnectionAbortedError):
             return False
         except OSError as error:
+            if error.errno in _CONNECTION_ERRORS:
+                return False
             if error.errno not in _OUT_OF_RESOURCES:
-                raise
+                self._report("accept failed", error)
             # The socket stays readable, so accepting again at once would keep the loop busy.
             self._loop.remove_reader(self._sock)
             self._retry = self._loop.call_later(_RETRY_S, self._start)
@@ -91,3 +106,9 @@
             await self._loop.connect_accepted_socket(self._create_protocol, sock, ssl=self._tls)
         except OSError:  # Includes failed TLS handshakes.
             sock.close()
+        except Exception as error:  # noqa: BLE001
+            self._report("a connection was not set up", error)
+            sock.close()
+
+    def _report(self, message: str, error: Exception) -> None:
+        self._loop.call_exception_handler({"message": message, "exception": error})
--- a/src/beryljunction/gateway/caller_answer.py
+++ b/src/beryljunction/gateway/caller_answer.py
@@ -53,8 +53,8 @@
     def write_answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete answer."""
         self._record_start(status)
-        self.is_complete = True
         self._caller.answer(status, headers, body)
+        self.is_complete = True
 
     def relay_answer(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete answer of an endpoint, without the headers meant for the entry."""
@@ -82,8 +82,8 @@
     def end_answer(self, head: ResponseHead) -> None:
         """Complete the answer."""
         self.start_answer(head)
-        self.is_complete = True
         self._caller.end_answer()
+        self.is_complete = True
 
     def abort(self) -> None:
         """Abort the connection, so that an incomplete answer doesn't look complete."""
--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -34,6 +34,7 @@
 
     Attributes:
         limits: Limits of a request.
+        fault_status: Status that answers a request which `on_request` fails to serve.
         is_draining: Whether the process is stopping; connections then close after their next
             answer.
         connections: The open connections, until all that was written to them is sent.
@@ -44,6 +45,7 @@
 
     def __init__(self) -> None:
         self.is_draining = False
+        self.fault_status = 500
         self.connections: set[CallerConnection] = set()
 
     def on_connect(self, connection: "CallerConnection") -> None:
@@ -85,6 +87,7 @@
         self._body_bytes = 0
         self._pipelined: collections.deque[HttpRequest] = collections.deque()
         self._active: HttpRequest | None = None
+        self._is_answering = False
         self._is_chunked = False
         self._closes_after_answer = False
         self._discards_input = False
@@ -99,9 +102,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the timeouts of the socket and tell the handler about the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        set_timeouts(transport.get_extra_info("socket"), CALLER_TIMEOUTS)
         self.connected_s = self.idle_since_s = boot_time_s()
         self._handler.on_connect(self)
+        set_timeouts(transport.get_extra_info("socket"), CALLER_TIMEOUTS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the handler that the caller has disconnected."""
@@ -172,6 +175,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             pass  # on_headers_complete has rejected it.
+        except httptools.HttpParserCallbackError as error:
+            _report_fault(error.__context__ or error)
+            if not self._discards_input:
+                self._reject(self._handler.fault_status, "fault")
         except httptools.HttpParserError as error:
             if not self._discards_input:
                 self._reject(400, f"expected an HTTP/1.1 request, got {error}")
@@ -242,8 +249,14 @@
             self._reject(431, f"expected at most {self._handler.limits.header_bytes} bytes")
 
     def _serve(self, request: HttpRequest) -> None:
+        """Let the handler serve a request; answer with an error if that fails at once."""
         self._active = request
-        self._handler.on_request(self, request)
+        try:
+            self._handler.on_request(self, request)
+        except Exception as error:  # noqa: BLE001
+            _report_fault(error)
+            if self._active is request:
+                self.answer_fault(self._handler.fault_status)
 
     def reject_header_timeout(self) -> None:
         """Reject a request whose headers exceed the header timeout."""
@@ -255,10 +268,10 @@
         self._incoming = None
         self.headers_started_s = None
         self._pipelined.clear()
-        self._handler.on_reject(status, problem)
         self._closes_after_answer = True
         if self._active is None:
             self.answer(status, [], f"{problem}\n".encode())
+        self._handler.on_reject(status, problem)
 
     # Writing
 
@@ -271,8 +284,17 @@
         self._write(self._head(status, [*headers, length]) + (b"" if is_head else body))
         self._finish()
 
+    def answer_fault(self, status: int) -> None:
+        """Answer a request that failed here; abort the connection if its answer has begun."""
+        if self._is_answering:
+            self.abort()
+            return
+        self._closes_after_answer = True
+        self.answer(status, [], b"fault\n")
+
     def start_answer(self, status: int, headers: Headers) -> None:
         """Write the head of an answer of unknown length."""
+        self._is_answering = True
         self._is_chunked = self._active is not None and not self._active.is_http_10
         if self._is_chunked:
             headers = [*headers, (b"transfer-encoding", b"chunked")]
@@ -313,6 +335,7 @@
     def _finish(self) -> None:
         """Close the connection, or serve the next queued request."""
         self._active = None
+        self._is_answering = False
         self._is_chunked = False
         self.idle_since_s = boot_time_s()
         if self._closes_after_answer:
@@ -329,3 +352,9 @@
             return
         self._transport.write_eof()
         asyncio.get_running_loop().call_later(_LINGER_S, self.close)
+
+
+def _report_fault(error: BaseException) -> None:
+    """Hand an exception to the event loop's handler, which logs and counts it."""
+    context = {"message": "a caller's request failed", "exception": error}
+    asyncio.get_running_loop().call_exception_handler(context)
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -49,6 +49,7 @@
 # A trial mostly shows within this time whether a suspicion is right.
 _SUSPECTED_RETRY_AFTER_S = 1.0
 _STOPPING = "stopping"
+_FAULT = "fault"
 
 
 class Exchange:
@@ -74,11 +75,21 @@
 
     def end_unfinished(self) -> None:
         """Answer a request that was cancelled while its caller waits, because the process exits."""
+        self._end_early(_STOPPING)
+
+    def end_after_fault(self) -> None:
+        """Answer a request that an unexpected exception has ended here."""
+        self._end_early(_FAULT)
+
+    def _end_early(self, reason: str) -> None:
+        """End the answer; 503 only if no endpoint was sent a byte of the request."""
+        if self._caller_answer.is_complete:
+            return
         if self._caller_answer.has_started:
-            self._abort_answer(_STOPPING)
-        elif not self._caller_answer.is_complete:
+            self._abort_answer(reason)
+        else:
             was_sent = self._plan is not None and self._plan.sends > 0
-            self._answer_error(502 if was_sent else 503, _STOPPING)
+            self._answer_error(502 if was_sent else 503, reason)
 
     async def run(self) -> None:
         """Serve the request; cancelled when the caller disconnects or the process exits."""
@@ -418,7 +429,7 @@
             return _SUSPECTED_RETRY_AFTER_S
         if reason == _STOPPING:
             return 0.0
-        if reason == VERSION_NOT_SERVED:
+        if reason in (VERSION_NOT_SERVED, _FAULT):
             return None
         deadline_ms = self._caller_headers.deadline_ms
         left_s = None
--- a/src/beryljunction/gateway/frontend.py
+++ b/src/beryljunction/gateway/frontend.py
@@ -1,5 +1,7 @@
 """Accepts callers' connections and runs an exchange for each request."""
 
+from collections.abc import Callable
+
 import anyio
 import anyio.abc
 
@@ -27,6 +29,7 @@
 
     def __init__(self, state: EntryState, group: anyio.abc.TaskGroup) -> None:
         super().__init__()
+        self.fault_status = 503
         self._state = state
         self._group = group
         self._scopes: dict[CallerConnection, anyio.CancelScope] = {}
@@ -85,15 +88,22 @@
             try:
                 await exchange.run()
             except Exception as error:  # noqa: BLE001
-                # An error in one request must not stop the others of this process. Whether the
-                # request ran is unknown, so its connection is aborted without an answer.
+                # An error in one request must not stop the others of this process.
                 self._state.events.write("fault", problem=repr(error), exc_info=True)
-                connection.abort()
+                self._end_answer(connection, exchange.end_after_fault)
             finally:
                 if self._scopes.get(connection) is scope:
                     del self._scopes[connection]
         if scope.cancelled_caught and connection.is_open:
-            exchange.end_unfinished()
+            self._end_answer(connection, exchange.end_unfinished)
+
+    def _end_answer(self, connection: CallerConnection, end: Callable[[], None]) -> None:
+        """End the answer to a request early, without its exchange if that fails."""
+        try:
+            end()
+        except Exception as error:  # noqa: BLE001
+            self._state.events.write("fault", problem=repr(error), exc_info=True)
+            connection.answer_fault(502)
 
     def start_draining(self) -> None:
         """Close each connection after its next answer from now on."""
--- a/testing/test_acceptor.py
+++ b/testing/test_acceptor.py
@@ -24,16 +24,17 @@
 
 
 class FailingSocket:
-    """A listening socket whose accept fails for lack of descriptors, at first."""
+    """A listening socket whose accept fails at first, by default for lack of descriptors."""
 
-    def __init__(self, sock):
+    def __init__(self, sock, number=errno.EMFILE):
         self._sock = sock
+        self._number = number
         self.failures_left = 2
 
     def accept(self):
         if self.failures_left:
             self.failures_left -= 1
-            raise OSError(errno.EMFILE, "too many open files")
+            raise OSError(self._number, "injected")
         return self._sock.accept()
 
     def fileno(self):
@@ -99,3 +100,42 @@
         acceptor.stop()
 
         assert (greeting, failing.failures_left) == (b"hello", 0)
+
+    @pytest.mark.parametrize(
+        ("number", "reports"), [(errno.EBADMSG, 2), (errno.ENETDOWN, 0), (errno.EPROTO, 0)]
+    )
+    async def test_accepts_again_after_any_error(self, number, reports, monkeypatch):
+        """Guards against an error that is raised in each step of the event loop."""
+        monkeypatch.setattr(acceptor_module, "_RETRY_S", 0.02)
+        errors = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+        sock = open_listener(("127.0.0.1", 0))
+        acceptor = Acceptor(FailingSocket(sock, number), Greeting)
+        with connect(sock) as caller, anyio.fail_after(5.0):
+            greeting = await asyncio.to_thread(caller.recv, 9)
+        acceptor.stop()
+
+        assert greeting == b"hello"
+        assert len(errors) == reports
+
+    async def test_stop_goes_on_after_an_error(self):
+        """Guards against a stop that leaves the socket open and resets who waits."""
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        sock = open_listener(("127.0.0.1", 0))
+        acceptor = Acceptor(FailingSocket(sock, errno.EBADMSG), Greeting)
+        acceptor.stop()
+
+        assert sock.fileno() == -1
+
+    async def test_connection_whose_protocol_fails_is_closed(self):
+        """Guards against a caller that waits on a connection which nobody serves."""
+        errors, protocols = [], [Greeting]
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+        sock = open_listener(("127.0.0.1", 0))
+        acceptor = Acceptor(sock, lambda: protocols.pop()())
+        with anyio.fail_after(5.0), connect(sock) as first, connect(sock) as second:
+            answers = [await asyncio.to_thread(one.recv, 9) for one in (first, second)]
+        acceptor.stop()
+
+        assert sorted(answers) == [b"", b"hello"]
+        assert len(errors) == 1
