Put each field of a changed settings file in force, or name it in the log

What callers saw: after the grace period was made longer and reloaded was logged, a stop still cut streams at the end of the former one. Cause: _drain took the grace period from the settings read at the start; the time that a record takes to expire was computed at the start as well. Nothing said which fields are used only from the next start on. A change with the same modification time, or between the start's read and the first check, was missed; a file cut short before bounds that it had before put their defaults in force; an integer of 5,000 digits or nested brackets ended the process. Change: gateway/reload.py reads the file after a signal or when its time of change, inode or size differ, and again while it can't be used; reloaded names the changed fields, restart_needed those that need a restart.

--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -1,7 +1,6 @@
 """Lifecycle of an entry process on the platform: startup, readiness, reload and draining."""
 
 import math
-import os
 import signal
 import socket
 import time
@@ -10,7 +9,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.early_listener import open_listener
-from beryljunction.errors import SettingsError, StartError
+from beryljunction.errors import StartError
 from beryljunction.gateway.callers import CallerHandler
 from beryljunction.gateway.config_watcher import ConfigWatcher
 from beryljunction.gateway.crashreporter import CrashReporter
@@ -25,6 +24,7 @@
 from beryljunction.gateway.poll_schedules import ALWAYS_POLL, FanOutSchedule, PollSchedule
 from beryljunction.gateway.probes import ProbeHandler
 from beryljunction.gateway.registration import Registration
+from beryljunction.gateway.reload import SettingsReloader
 from beryljunction.gateway.stall_monitor import StallMonitor
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.streamreporter import StreamReporter, VersionRecorder
@@ -33,13 +33,7 @@
 from beryljunction.gateway.update_publisher import UpdatePublisher
 from beryljunction.gateway.update_receiver import UpdateReceiver
 from beryljunction.operator_api import ProcessStatus
-from beryljunction.platform import (
-    SETTINGS_VARIABLE,
-    HostSettings,
-    HttpStore,
-    Store,
-    read_host_settings,
-)
+from beryljunction.platform import HostSettings, HttpStore, Store
 from beryljunction.routing import PeerTable
 
 __all__ = ["EntryProcess"]
@@ -51,11 +45,11 @@
 _EXIT_MARGIN_S = 0.6
 # Time in which the last answers are sent, and the listeners for other entries and operators close.
 _CLOSE_TIMEOUT_S = 0.1
+# Interval at which a stopping process looks whether its grace period has changed.
+_GRACE_CHECK_INTERVAL_S = 0.25
 # Callers that connect during startup wait up to this long for the first read of the store, which
 # normally takes 20 ms; after that they are answered with 503 and Retry-After.
 _FIRST_READ_TIMEOUT_S = 0.3
-# The platform may change the settings file without a signal; a check costs one system call.
-_FILE_CHECK_INTERVAL_S = 2.0
 
 
 class EntryProcess:
@@ -75,6 +69,7 @@
         self._early_socket = early_socket
         self._events = events
         self._state = EntryState(host, events)
+        self._settings_file = SettingsReloader(self._state, events)
         self._stopping = anyio.Event()
         self._listeners: list[Listener] = []
 
@@ -260,7 +255,7 @@
                 await endpoints.loaded.wait()
             listener = Listener(frontend, callers)
             tasks.start("caller_timeouts", frontend.close_expired_connections)
-            tasks.start("settings_file", self._watch_settings_file)
+            tasks.start("settings_file", self._settings_file.watch)
             registration = await self._start_peer_tasks(tasks, store, config, endpoints, schedule)
             await self._stopping.wait()
             await self._drain(frontend, listener)
@@ -333,14 +328,18 @@
         """Serve until the load balancer has removed this entry, then finish the open requests.
 
         Connections are closed after their next answer, or, once the listener is closed, while they
-        are idle. Requests count as open from their first byte until their answer is sent.
+        are idle. Requests count as open from their first byte until their answer is sent. A
+        grace period that changes meanwhile is used.
         """
-        ends_s = time.monotonic() + self._host.bounds.grace_s - _EXIT_MARGIN_S
+        started_s = time.monotonic()
         frontend.start_draining()
         self._events.write("stopping", in_flight=frontend.in_flight)
         await anyio.sleep(_PROBE_FAILURE_DELAY_S)
-        self._state.admits_until_s = boot_time_s() + max(0.0, ends_s - time.monotonic())
-        await listener.close(ends_s)
+        while (left_s := self._drain_left_s(started_s)) > 0.0:
+            self._state.admits_until_s = boot_time_s() + left_s
+            await listener.close(time.monotonic() + min(left_s, _GRACE_CHECK_INTERVAL_S))
+            if not listener.open_connections:
+                break
         self._events.write(
             "drained",
             in_flight=frontend.in_flight,
@@ -352,6 +351,9 @@
         frontend.end_draining()
         await listener.close(time.monotonic() + _CLOSE_TIMEOUT_S)
 
+    def _drain_left_s(self, started_s: float) -> float:
+        return started_s + self._state.bounds.grace_s - _EXIT_MARGIN_S - time.monotonic()
+
     async def _handle_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for number in signals:
@@ -369,29 +371,9 @@
         self._events.write("stalled", stall_ms=round(stall_s * 1000))
         self._state.registry.exclude_stall(stall_s, boot_time_s())
 
-    async def _watch_settings_file(self) -> None:
-        """Reload when the settings file has changed without a signal."""
-        seen = _settings_file_mtime_ns()
-        while True:
-            await anyio.sleep(_FILE_CHECK_INTERVAL_S)
-            mtime_ns = _settings_file_mtime_ns()
-            if mtime_ns != seen:
-                seen = mtime_ns
-                self.reload()
-
     def reload(self) -> None:
-        """Read the settings file again; if it is invalid, keep the current settings.
-
-        Bounds are applied at once. Changed addresses take effect only at the next start, because a
-        process that moved its listeners would lose its callers.
-        """
-        try:
-            host = read_host_settings()
-        except SettingsError as error:
-            self._events.write("reload_refused", problem=str(error))
-            return
-        self._state.apply_bounds(host.bounds)
-        self._events.write("reloaded", revocation_ms=host.bounds.revocation_ms)
+        """Read the settings file again, as after SIGHUP."""
+        self._settings_file.reload()
 
 
 def _open(address: tuple[str, int]) -> socket.socket:
@@ -403,14 +385,6 @@
         ) from error
 
 
-def _settings_file_mtime_ns() -> int:
-    """Return the modification time of the settings file in ns; 0 if there is none."""
-    try:
-        return os.stat(os.environ.get(SETTINGS_VARIABLE, "")).st_mtime_ns
-    except OSError:
-        return 0
-
-
 def _rounded_age_s(age_s: float) -> float | None:
     """Return an age in seconds, rounded to 1 ms; None before the first confirmation."""
     return round(age_s, 3) if math.isfinite(age_s) else None
--- a/src/beryljunction/gateway/reportsender.py
+++ b/src/beryljunction/gateway/reportsender.py
@@ -30,7 +30,6 @@
 
     async def run(self) -> None:
         """Send rows until cancelled; a run that failed may have left rows behind."""
-        self._busy.clear()
         async with anyio.create_task_group() as group:
             while True:
                 self.step(group)
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -124,6 +124,7 @@
         self.bounds = bounds
         self.lease.revocation_s = bounds.revocation_ms / 1000
         self.announced_version.memory_s = self.lease.revocation_s
+        self.store_reachability.least_outage_s = 2 * bounds.heartbeat_ms / 1000
         self.cold_start_limiter.limit = _cold_start_limit(bounds)
         self._retry_shares.clear()
 
--- a/src/beryljunction/gateway/supervisor.py
+++ b/src/beryljunction/gateway/supervisor.py
@@ -41,16 +41,9 @@
         self._group = group
         self._events = events
         self._stop = stop
-        self._names: list[str] = []
-
-    @property
-    def names(self) -> tuple[str, ...]:
-        """Names of the tasks that were started."""
-        return tuple(self._names)
 
     def start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
         """Start a task; `run` is called again after a failure, with the same objects."""
-        self._names.append(name)
         self._group.start_soon(self._run, name, run, name=name)
 
     async def _run(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -2,7 +2,9 @@
 
 from beryljunction.platform.endpoint_report import REPORT_REQUEST, decode_report_start
 from beryljunction.platform.hostfile import (
+    BOUND_PATHS,
     SETTINGS_VARIABLE,
+    START_PATHS,
     DeploymentBounds,
     HostSettings,
     format_address,
@@ -33,6 +35,7 @@
 )
 
 __all__ = [
+    "BOUND_PATHS",
     "DeploymentBounds",
     "ENDPOINT_RECORDS",
     "ENTRY_ADDRESSES",
@@ -47,6 +50,7 @@
     "Record",
     "Records",
     "SETTINGS_VARIABLE",
+    "START_PATHS",
     "Store",
     "Topic",
     "Unavailable",
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import tomllib
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -12,6 +13,8 @@
 
 __all__ = [
     "ADDRESS_FORMAT",
+    "BOUND_PATHS",
+    "START_PATHS",
     "DeploymentBounds",
     "HostSettings",
     "MECHANISMS_VARIABLE",
@@ -30,6 +33,34 @@
 MECHANISMS_VARIABLE = "BERYL_MECHANISMS"
 ADDRESS_FORMAT = "IP:PORT"
 
+# Numbers beyond this are mistakes, and may be too large to calculate with.
+_MAX_NUMBER = 1e12
+# Where the file holds each limit.
+BOUND_PATHS: Mapping[str, tuple[str, ...]] = {
+    "revocation_ms": ("bounds", "revocation-ms"),
+    "apply_ms": ("bounds", "configuration-apply-ms"),
+    "evacuation_ms": ("bounds", "evacuation-ms"),
+    "drain_ms": ("bounds", "drain-ms"),
+    "grace_s": ("bounds", "grace-period-s"),
+    "repeat_ratio": ("bounds", "retry-budget-ratio"),
+    "repeat_window_s": ("bounds", "retry-window-s"),
+    "repeat_slack": ("bounds", "retry-budget-slack"),
+    "cold_overshoot": ("bounds", "cold-overshoot"),
+    "cold_slack": ("bounds", "cold-slack"),
+    "heartbeat_ms": ("heartbeat-interval-ms",),
+}
+# Where it holds what a process reads when it starts. The last two share the machine's address.
+START_PATHS: Mapping[str, tuple[str, ...]] = {
+    "host": ("node-name",),
+    "availability_zone": ("zone",),
+    "region": ("region",),
+    "callers": ("listen-addresses", "front"),
+    "probes": ("listen-addresses", "ready"),
+    "store": ("platform", "address"),
+    "metrics": ("ip-address",),
+    "peers": ("internal-port-range",),
+}
+
 Address = tuple[str, int]
 
 
@@ -75,6 +106,8 @@
         peers: Address that accepts requests of other entries; None for no address.
         mechanisms: Routing mechanisms that are on or off, from the deploy file.
         operator_keys: Digests of the operator keys that the metrics address accepts.
+        given: Paths of the known fields that the file holds.
+        is_terminated: Whether the last line of the file has an end.
     """
 
     host: str
@@ -88,6 +121,8 @@
     peers: Address | None = None
     operator_keys: str = ""
     mechanisms: Mechanisms = Mechanisms()
+    given: frozenset[str] = attrs.field(default=frozenset(), eq=False)
+    is_terminated: bool = attrs.field(default=True, eq=False)
 
 
 def read_host_settings(path: str | None = None) -> HostSettings:
@@ -103,16 +138,17 @@
         )
     file = pathlib.Path(path)
     try:
-        table = tomllib.loads(file.read_text())
+        text = file.read_text()
+        table = tomllib.loads(text)
     except OSError as error:
         raise SettingsError([f"{file}: expected a readable file, got {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:  # ValueError: also numbers of many digits.
         raise SettingsError([f"{file}: expected TOML, got {error}"]) from error
     parser = _SettingsParser(table, str(file))
     settings = parser.settings()
     if parser.problems:
         raise SettingsError(parser.problems)
-    return settings
+    return attrs.evolve(settings, is_terminated=text.endswith("\n"))
 
 
 class _SettingsParser:
@@ -137,8 +173,13 @@
             peers=self._peers(),
             operator_keys=os.environ.get(OPERATOR_KEYS_VARIABLE, ""),
             mechanisms=self._mechanisms(),
+            given=self._given(),
         )
 
+    def _given(self) -> frozenset[str]:
+        paths = [*START_PATHS.values(), *BOUND_PATHS.values()]
+        return frozenset(".".join(path) for path in paths if self._get(*path) is not None)
+
     def _mechanisms(self) -> Mechanisms:
         try:
             return Mechanisms.parse(os.environ.get(MECHANISMS_VARIABLE, ""))
@@ -167,24 +208,11 @@
         return address
 
     def _bounds(self) -> DeploymentBounds:
-        names = {
-            "revocation_ms": "revocation-ms",
-            "apply_ms": "configuration-apply-ms",
-            "evacuation_ms": "evacuation-ms",
-            "drain_ms": "drain-ms",
-            "grace_s": "grace-period-s",
-            "repeat_ratio": "retry-budget-ratio",
-            "repeat_window_s": "retry-window-s",
-            "repeat_slack": "retry-budget-slack",
-            "cold_overshoot": "cold-overshoot",
-            "cold_slack": "cold-slack",
-        }
         defaults = DeploymentBounds()
         values = {
-            field: self._number(getattr(defaults, field), "bounds", name)
-            for field, name in names.items()
+            field: self._number(getattr(defaults, field), *path)
+            for field, path in BOUND_PATHS.items()
         }
-        values["heartbeat_ms"] = self._number(defaults.heartbeat_ms, "heartbeat-interval-ms")
         return DeploymentBounds(**values)  # type: ignore[arg-type]
 
     def _get(self, *path: str) -> Any:
@@ -203,8 +231,9 @@
         value = self._get(*path)
         if value is None:
             return default
-        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
-            return value
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if is_number and 0 <= value <= _MAX_NUMBER:
+            return float(value) if isinstance(value, float) else int(value)
         return float(self._add_problem(path, "a number of 0 or more", value, default))
 
     def _address(self, *path: str) -> Address:
@@ -228,6 +257,7 @@
     if not isinstance(value, str):
         return None
     host, colon, port = value.rpartition(":")
-    if not (host and colon and port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65_536
+    if not (host and colon and is_port):
         return None
     return host, int(port)
--- a/testing/test_supervisor.py
+++ b/testing/test_supervisor.py
@@ -8,7 +8,6 @@
 import pytest
 
 from beryljunction.errors import InvariantError
-from beryljunction.gateway import process as process_module
 from beryljunction.gateway import supervisor as supervisor_module
 from beryljunction.gateway.config_watcher import ConfigWatcher
 from beryljunction.gateway.crashreporter import CrashReporter
@@ -18,13 +17,18 @@
 from beryljunction.gateway.frontend import CallerFrontend
 from beryljunction.gateway.gossip_sender import GossipSender
 from beryljunction.gateway.load_exchange import LoadExchange
+from beryljunction.gateway.outbox import Outbox
 from beryljunction.gateway.peers import PeerConfirmation
 from beryljunction.gateway.process import EntryProcess
 from beryljunction.gateway.registration import Registration
+from beryljunction.gateway.reload import SettingsReloader
+from beryljunction.gateway.reportsender import ReportSender
 from beryljunction.gateway.stall_monitor import StallMonitor
 from beryljunction.gateway.streamreporter import StreamReporter, VersionRecorder
 from beryljunction.gateway.supervisor import Supervisor, report_callback_faults
 from beryljunction.gateway.update_publisher import UpdatePublisher
+from beryljunction.platform import Record
+from beryljunction.routing import EndpointRegistry, FanOut
 from entry_harness import CapturedLog, open_harness, read_answer, route
 
 pytestmark = pytest.mark.anyio
@@ -36,7 +40,7 @@
     "endpoints": (EndpointWatcher, "read_once"),
     "losses": (EndpointLosses, "_probe"),
     "caller_timeouts": (CallerFrontend, "_enforce_timeouts"),
-    "settings_file": (process_module, "_settings_file_mtime_ns"),
+    "settings_file": (SettingsReloader, "check"),
     "registration": (Registration, "read_once"),
     "peer_confirmation": (PeerConfirmation, "step"),
     "updates": (UpdatePublisher, "step"),
@@ -196,6 +200,69 @@
             assert (answer[0], answer[3]) == (200, True)
 
 
+class RowSender(ReportSender):
+    """Sends rows to a list; the first message raises."""
+
+    def __init__(self, outbox, fan_out):
+        super().__init__(outbox, fan_out)
+        self.sent = []
+        self.failures_left = 1
+
+    async def send(self, address, rows):
+        if self.failures_left:
+            self.failures_left -= 1
+            raise RuntimeError("injected")
+        self.sent += rows
+        return True
+
+
+class TestLeftovers:
+    async def test_record_that_an_exception_left_out_is_read_again(self, monkeypatch):
+        """Guards against a record that is taken as applied and isn't."""
+        fault = Fault(monkeypatch, EndpointRegistry, "put")
+        async with open_harness(route(), start=False) as harness:
+            await harness.add_endpoint("one")
+            await harness.start_entry()
+            fault.is_armed = True
+            await harness.add_endpoint("two")
+            await harness.wait_for_endpoints(2)
+
+            (line,) = harness.lines.of_event("task_failed")
+            assert "task=endpoints" in line
+
+    async def test_quarantine_that_was_being_saved_is_saved(self, monkeypatch):
+        """Guards against a quarantine that entries which start later don't know."""
+        fault = Fault(monkeypatch, CrashReporter, "_try_to_save")
+        fault.is_armed = True
+        async with open_harness(route(), start=False) as harness:
+            await harness.add_endpoint("one")
+            await harness.start_entry(has_peers=True)
+            quarantine = harness.entry._state.quarantine
+            rows = [Record("quarantine/x", b"{}")]
+            unsaved = lambda: [rows.pop()] if rows else []  # noqa: E731
+            monkeypatch.setattr(quarantine, "unsaved_records", unsaved)
+            quarantine.outbox.changed.set()
+
+            await harness.wait_until(fault.has_run_again)
+
+    async def test_rows_that_were_being_sent_are_sent(self):
+        """Guards against an entry that is taken as busy and gets no rows any more."""
+        fan_out = FanOut("me")
+        fan_out.replace({"other": ("127.0.0.1", 1)})
+        outbox = Outbox(fan_out)
+        outbox.add("other", "row")
+        sender = RowSender(outbox, fan_out)
+        with anyio.fail_after(5.0):
+            async with anyio.create_task_group() as group:
+                events = EntryEventLog("h", "a", CapturedLog())
+                Supervisor(group, events, lambda: None).start("rows", sender.run)
+                while not sender.sent:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+
+        assert sender.sent == ["row"]
+
+
 class TestSupervisor:
     async def run_failing(self, failures, monkeypatch, healthy_s=60.0):
         """Run a task that fails as listed, then returns; return its log lines."""
