Log a record that can't be used once, count it and show it

A record of another writer was written to the log at each heartbeat and with each full list, so one writer could fill the log (200 lines a second are kept), and nothing showed how many there are. An unusable address of an entry was passed over silently. Values of endpoints that came and went were kept until the next full list.

Change: EntryEventLog.write_refused writes once for each event and key (1,024 keys, an hour at least) and counts the others: beryl_refused_records, and the column "refused records" of beryl status. endpoint_refused, evacuation_refused, versions_refused, quarantine_refused, endpoint_cold_unreadable and the new entry_refused use it. The watcher of endpoints keeps values of usable records only, and drops them with the record.

One more covers the status and the metrics. test_external_names.py reads calls of write_refused like those of write.

--- a/src/beryljunction/cli/status.py
+++ b/src/beryljunction/cli/status.py
@@ -32,6 +32,7 @@
     "evacuated",
     "cold",
     "without load report",
+    "refused records",
 )
 
 
@@ -91,6 +92,7 @@
         node.evacuated or "-",
         str(node.cold_endpoints),
         node.choices_without_report or "-",
+        str(node.refused_records),
     )
 
 
--- a/src/beryljunction/gateway/config_watcher.py
+++ b/src/beryljunction/gateway/config_watcher.py
@@ -223,7 +223,9 @@
         for record in records:
             zone = decode_evacuation(record.key)
             if isinstance(zone, InvalidRecord):
-                self._state.events.write("evacuation_refused", problem=zone.problem)
+                self._state.events.write_refused(
+                    "evacuation_refused", record.key, problem=zone.problem
+                )
             elif zone is not None:
                 zones[zone] = record.value is not None
         return zones
--- a/src/beryljunction/gateway/endpoint_watcher.py
+++ b/src/beryljunction/gateway/endpoint_watcher.py
@@ -119,17 +119,21 @@
         return done
 
     def _apply_snapshot(self, records: Iterable[Record]) -> None:
-        self._values = {row.key: row.value for row in records if row.value is not None}
-        decoded = [decode_endpoint(key, value) for key, value in self._values.items()]
-        for problem in decoded:
-            if isinstance(problem, InvalidRecord):
-                self._state.events.write("endpoint_refused", problem=problem.problem)
-        usable = [row for row in decoded if not isinstance(row, InvalidRecord)]
+        values = {row.key: row.value for row in records if row.value is not None}
+        decoded = {key: decode_endpoint(key, value) for key, value in values.items()}
+        for key, row in decoded.items():
+            if isinstance(row, InvalidRecord):
+                self._refuse(key, row)
+        usable = [row for row in decoded.values() if not isinstance(row, InvalidRecord)]
+        self._values = {row.endpoint_id: values[row.endpoint_id] for row in usable}
         unix_now_s = unix_time_s() if self._state.mechanisms.start_times else None
         self._state.registry.replace(usable, boot_time_s(), unix_now_s)
         self._state.events.write("endpoints_listed", endpoints=len(self._state.registry))
         self._state.streams.note_versions()
 
+    def _refuse(self, key: str, invalid: InvalidRecord) -> None:
+        self._state.events.write_refused("endpoint_refused", key, problem=invalid.problem)
+
     def _apply_records(self, records: Iterable[Record]) -> None:
         now_s = boot_time_s()
         for record in records:
@@ -138,13 +142,14 @@
 
     def _apply_record(self, record: Record, now_s: float) -> None:
         registry, events = self._state.registry, self._state.events
+        self._values.pop(record.key, None)
         if record.value is None:
             if registry.remove(record.key, now_s) is not None:
                 events.write("endpoint_gone", endpoint=record.key)
             return
         decoded = decode_endpoint(record.key, record.value)
         if isinstance(decoded, InvalidRecord):
-            events.write("endpoint_refused", problem=decoded.problem)
+            self._refuse(record.key, decoded)
             registry.remove(record.key, now_s)
             return
         self._values[record.key] = record.value
@@ -153,7 +158,9 @@
         is_same = was_known is not None and was_known.record.is_same_incarnation(decoded)
         registry.put(decoded, now_s)
         if decoded.cold_ms is None:
-            events.write("endpoint_cold_unreadable", endpoint=decoded.endpoint_id)
+            events.write_refused(
+                "endpoint_cold_unreadable", record.key, endpoint=decoded.endpoint_id
+            )
         if not is_same:
             self._state.note_join(decoded.endpoint_id)
         if not is_same or decoded.is_draining != was_draining:
--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from beryljunction.gateway.metrics import EntryMetrics
+from beryljunction.gateway.refused_records import RefusedRecords
 from beryljunction.logging_setup import format_key_values, key_value_formatter
 from beryljunction.timeline import Timeline
 
@@ -62,6 +63,7 @@
 
     Attributes:
         metrics: Counts every event, written or left out.
+        refused_records: Records of the store that can't be used.
         timeline: Keeps the latest events for operators; None when no operator key is set.
 
     Args:
@@ -81,6 +83,7 @@
         self._lines_this_second = 0
         self.suppressed_lines = 0
         self.metrics = EntryMetrics()
+        self.refused_records = RefusedRecords()
         self.timeline: Timeline | None = None
 
     def enable_timeline(self) -> None:
@@ -104,6 +107,11 @@
         self._lines_this_second += 1
         self._logger.info(event, exc_info=exc_info, extra={**self._common_fields, **fields})
 
+    def write_refused(self, event: str, key: str, /, **fields: Any) -> None:
+        """Count a record of the store that can't be used; write it once for each key."""
+        if self.refused_records.note(event, key, time.monotonic()):
+            self.write(event, **fields)
+
     def _start_second(self, second: int) -> None:
         self._current_second = second
         self._lines_this_second = 0
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -106,6 +106,11 @@
         metrics.add_gauge(
             "beryl_store_era", "Times that the store was restored.", lambda: state.era
         )
+        metrics.add_gauge(
+            "beryl_refused_records",
+            "Records of the store that can't be used, each counted once.",
+            lambda: self._events.refused_records.count,
+        )
         metrics.add_gauge("beryl_entries", "Entries known.", lambda: len(state.fan_out))
         metrics.add_gauge("beryl_endpoints", "Endpoints known.", lambda: len(state.registry))
         metrics.add_gauge(
@@ -187,6 +192,7 @@
             evacuated=self._evacuated(),
             cold_endpoints=state.cold_endpoints(),
             choices_without_report=self._choices_without_report(),
+            refused_records=self._events.refused_records.count,
         )
 
     def _choices_without_report(self) -> str:
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -457,7 +457,7 @@
             return
         decoded = _decode_record(record.key, record.value)
         if decoded is None:
-            self._events.write("quarantine_refused", key=record.key)
+            self._events.write_refused("quarantine_refused", record.key, key=record.key)
             return
         features, until_s = decoded
         # None was made for longer than this; a record that says so comes from another writer.
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -204,7 +204,11 @@
             if is_versions_key(record.key):
                 self._state.streams.apply_record(record)
                 continue
-            address = parse_address((record.value or b"").decode("latin-1"))
-            if address is not None and record.key != self._host:
+            if record.value is None or record.key == self._host:
+                continue
+            address = parse_address(record.value.decode("latin-1"))
+            if address is not None:
                 rows.append((record.key, address))
+            else:
+                self._state.events.write_refused("entry_refused", record.key, key=record.key)
         return rows
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -207,7 +207,7 @@
         # The settings may be read later, so some services that they don't name are kept.
         is_kept = self._is_named(service) or service in saved or len(saved) < _MAX_UNNAMED_SERVICES
         if versions is None or not is_kept:
-            self._events.write("versions_refused", key=record.key)
+            self._events.write_refused("versions_refused", record.key, key=record.key)
             return
         self._registry.versions.load(service, versions)
 
--- a/src/beryljunction/operator_api.py
+++ b/src/beryljunction/operator_api.py
@@ -34,6 +34,8 @@
         cold_endpoints: Endpoints that are, or may be, warming up.
         choices_without_report: Share of an entry's recent choices of an endpoint that had no load
             report to go by, for each service with any, as in "engine 25%".
+        refused_records: Records of the store that an entry can't use, each counted once; they come
+            from other writers.
         orders: What the sidecar is doing about the models of its engine, and why.
     """
 
@@ -57,6 +59,7 @@
     evacuated: str = ""
     cold_endpoints: int = 0
     choices_without_report: str = ""
+    refused_records: int = 0
 
 
 def is_operator_authorized(authorization: bytes, digests: tuple[str, ...]) -> bool:
--- a/testing/test_external_names.py
+++ b/testing/test_external_names.py
@@ -30,7 +30,7 @@
                     arguments = [*node.args.args, *node.args.kwonlyargs, node.args.vararg]
                     self.options.update(row.arg for row in arguments if row is not None)
                     self.options.add(node.name)
-                case ast.Call(func=ast.Attribute(attr="write")):
+                case ast.Call(func=ast.Attribute(attr="write" | "write_refused")):
                     self.log_fields.update(row.arg for row in node.keywords)
                 case ast.Constant(value=str()):
                     self.texts.add(node.value)
--- a/testing/test_gateway_operators.py
+++ b/testing/test_gateway_operators.py
@@ -1,3 +1,4 @@
+import functools
 import hashlib
 import json
 
@@ -7,6 +8,7 @@
 from beryljunction.cli.status import status
 from beryljunction.cli.timeline import timeline
 from beryljunction.gateway.operators import operator_digests
+from endpoint_records import record
 from entry_harness import open_harness, route
 
 KEY = "operator-key"
@@ -22,6 +24,10 @@
         assert operator_digests(f"{DIGEST},{'0' * 64}") == (DIGEST, "0" * 64)
 
 
+async def has_refused(harness, count):
+    return len(harness.lines.of_event("endpoint_refused")) == count
+
+
 class TestOperatorHandler:
     async def send_get(self, harness, path, key):
         data = f"GET {path} HTTP/1.1\r\nAuthorization: Bearer {key}\r\n\r\n".encode()
@@ -68,6 +74,22 @@
         assert b"beryl_zones_evacuated 1.0" in metrics[1]
         assert b"beryl_endpoints_cold 0.0" in metrics[1]
 
+    def test_status_has_the_records_that_cannot_be_used(self):
+        async def run():
+            async with open_harness(route(), operator_keys=DIGEST) as harness:
+                harness.put("keyed.servers", "x1", record(slots=2**2048))
+                harness.put("keyed.servers", "x2", b"{}")
+                await harness.wait_until(functools.partial(has_refused, harness, 2))
+                return (
+                    await self.send_get(harness, "/beryl/v1/status", KEY),
+                    await self.send_get(harness, "/metrics", KEY),
+                )
+
+        status_answer, metrics = anyio.run(run)
+
+        assert json.loads(status_answer[1])["refused_records"] == 2
+        assert b"beryl_refused_records 2.0" in metrics[1]
+
     def test_status_is_refused_without_configured_keys(self):
         async def run():
             async with open_harness(route(), operator_keys="") as harness:
--- /dev/null
+++ b/testing/test_refused_records.py
@@ -0,0 +1,63 @@
+import json
+
+from beryljunction.gateway.refused_records import RefusedRecords
+from endpoint_records import record
+from fanout_world import FleetWorld
+
+
+class TestTable:
+    def test_record_is_new_once(self):
+        refused = RefusedRecords()
+
+        assert [refused.note("e", "a", float(n)) for n in range(5_000)].count(True) == 1
+        assert refused.count == 1
+
+    def test_many_records_take_bounded_memory_and_are_all_counted(self):
+        """Guards against an entry whose memory or log another writer fills."""
+        refused = RefusedRecords()
+
+        written = [refused.note("e", f"{n}", n / 1_000) for n in range(5_000)]
+
+        assert written.count(True) == len(refused._refused_s) == 1_024
+        assert refused.count == 5_000
+
+    def test_key_is_written_again_after_an_hour_at_the_earliest(self):
+        refused = RefusedRecords()
+        for number in range(1_024):
+            refused.note("e", f"{number}", 0.0)
+
+        assert not refused.note("e", "x", 3_599.0)
+        assert refused.note("e", "x", 3_601.0)
+        assert refused.note("e", "0", 3_602.0)
+
+
+class TestEntry:
+    def test_foreign_records_are_written_once_whatever_they_become(self):
+        """Guards against a log that one heartbeat of another writer fills."""
+        with FleetWorld(1) as world:
+            world.advance(4.0)
+            for number in range(50):
+                world.put("keyed.servers", "x", record(slots="many", service=f"s{number}"))
+                world.put("keyed.entries", "versions/x", json.dumps(number).encode())
+                world.put("keyed.entries", "quarantine/x", b"{%d" % number)
+                world.put("keyed.entries", "x", b"x:%d" % number)
+                world.put("keyed.op", "evacuate/" + "x" * 200, b"%d" % number)
+                world.advance(2.5)
+            events = world.members["front-0"].state.events
+
+            counted = events.metrics._events
+            names = ("endpoint", "versions", "quarantine", "entry", "evacuation")
+            assert {name: counted[f"{name}_refused"] for name in names} == dict.fromkeys(names, 1)
+            assert events.refused_records.count == len(names)
+
+    def test_endpoints_that_come_and_go_leave_nothing_behind(self):
+        """Guards against an entry whose memory grows with every key that was ever written."""
+        with FleetWorld(1) as world:
+            world.advance(4.0)
+            for number in range(300):
+                world.put("keyed.servers", f"x{number}", record(service="s"))
+                world.advance(0.5)
+                world.put("keyed.servers", f"x{number}", None)
+            world.advance(5.0)
+
+            assert len(world.members["front-0"].endpoints._values) < 20
