--- a/src/beryljunction/gateway/startup.py
+++ b/src/beryljunction/gateway/startup.py
@@ -73,6 +73,8 @@
     async def _run_to_status(self) -> ExitStatus:
         try:
             await self._run_entry()
+            if self._entry is None:
+                self._events.write("stopped")
             status = ExitStatus.STOPPED
         except (SettingsError, StartError) as error:
             self._events.write("start_failed", problem=str(error))
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -86,6 +86,7 @@
             assert program.process.poll() is None
 
     async def test_stop_before_the_settings_are_there(self, tmp_path):
+        """Guards against a stop without a line, and without answers to the callers."""
         async with open_entry_program(tmp_path) as program:
             program.write_settings("")
             program.start()
@@ -95,6 +96,7 @@
 
             assert await answers_of(callers) == [503, 503, 503]
             assert await program.wait_until_ended() == 0
+            assert len(program.log_lines("stopped")) == 1
 
 
 class TestSignalsDuringTheStop:
@@ -161,6 +163,7 @@
                 program.process.send_signal(signal.SIGTERM)
 
                 assert await program.wait_until_ended() == 0
+                assert len(program.log_lines("stopped")) == 1
 
     async def test_address_that_is_never_free_ends_the_wait(self):
         with open_listener(("127.0.0.1", 0)) as taken:
