Count the grace period from a signal that was pending during the start

A SIGTERM of the first moments is handled up to 0.6 s later, and the drain counted its grace period from then: a process with requests in flight until the end could be killed before it had answered them. By reading; the new case of test_process_exits_before_the_grace_period_ends took 6.9 s instead of under 3.4 s without the change. reuse_or_open moves from process.py to addresses.py.

--- a/src/beryljunction/cli/platform_entry.py
+++ b/src/beryljunction/cli/platform_entry.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import time
 
 from beryljunction.early_start import (
     hold_signals,
@@ -20,6 +21,7 @@
     objects are then frozen, which excludes them from all later collections.
     """
     hold_signals()
+    held_since_s = time.monotonic()
     ignore_stray_signals()
     open_standard_descriptors()
     from beryljunction.early_listener import EARLY_LISTEN_VARIABLE, open_early_listener
@@ -32,7 +34,7 @@
 
     gc.freeze()
     gc.enable()
-    return anyio.run(EntryProgram(listener).run)
+    return anyio.run(EntryProgram(listener, held_since_s).run)
 
 
 if __name__ == "__main__":
--- a/src/beryljunction/gateway/addresses.py
+++ b/src/beryljunction/gateway/addresses.py
@@ -10,7 +10,7 @@
 from beryljunction.errors import StartError
 from beryljunction.gateway.events import EntryEventLog
 
-__all__ = ["open_address", "open_when_free"]
+__all__ = ["open_address", "open_when_free", "reuse_or_open"]
 
 _MIN_PAUSE_S = 0.05
 _MAX_PAUSE_S = 0.5
@@ -29,6 +29,19 @@
         raise StartError(f"{place}: expected a free address, got {error}") from error
 
 
+def reuse_or_open(early_socket: socket.socket | None, address: tuple[str, int]) -> socket.socket:
+    """Return `early_socket` if it listens at the address; else close it and return another.
+
+    Raises:
+        StartError: The address can't be bound.
+    """
+    if early_socket is not None:
+        if early_socket.getsockname() == address:
+            return early_socket
+        early_socket.close()
+    return open_address(address)
+
+
 async def open_when_free(
     address: tuple[str, int],
     events: EntryEventLog,
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -10,7 +10,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.errors import SettingsError
-from beryljunction.gateway.addresses import open_address, open_when_free
+from beryljunction.gateway.addresses import open_when_free, reuse_or_open
 from beryljunction.gateway.callers import CallerHandler
 from beryljunction.gateway.config_watcher import ConfigWatcher
 from beryljunction.gateway.crashreporter import CrashReporter
@@ -77,6 +77,7 @@
         self._events = events
         self._state = EntryState(host, events)
         self._stopping = anyio.Event()
+        self._signalled_s = 0.0
         self._listeners: list[Listener] = []
         self._frontend: CallerFrontend | None = None
         self._listener: Listener | None = None
@@ -219,9 +220,15 @@
     def _log_refused_era(self, problem: str) -> None:
         self._events.write("store_era_refused", problem=problem)
 
-    def stop(self) -> None:
-        """Start the shutdown; further calls have no effect."""
-        self._stopping.set()
+    def stop(self, signalled_s: float | None = None) -> None:
+        """Start the shutdown; further calls have no effect.
+
+        Args:
+            signalled_s: Monotonic time from which the grace period counts; now when None.
+        """
+        if not self._stopping.is_set():
+            self._signalled_s = time.monotonic() if signalled_s is None else signalled_s
+            self._stopping.set()
 
     async def run(self) -> None:
         """Run until stopped; after an internal error, answer the callers before it is raised.
@@ -247,7 +254,7 @@
             group.start_soon(self._monitor_stalls)
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
-            callers = self._callers_socket()
+            callers = reuse_or_open(self._early_socket, self._host.callers)
             group.start_soon(self._listen, probes, self._host.probes, "probes_unavailable")
             if self._host.metrics is not None:
                 operators = self._operator_handler(frontend)
@@ -332,22 +339,13 @@
         group.start_soon(StreamReporter(client, self._state).run)
         group.start_soon(VersionRecorder(store, self._state, schedule).run)
 
-    def _callers_socket(self) -> socket.socket:
-        """Return the listening socket for callers: `early_socket` if its address matches."""
-        early_socket, address = self._early_socket, self._host.callers
-        if early_socket is not None:
-            if early_socket.getsockname() == address:
-                return early_socket
-            early_socket.close()
-        return open_address(address)
-
     async def _drain(self, frontend: CallerFrontend, listener: Listener) -> None:
         """Serve until the load balancer has removed this entry, then finish the open requests.
 
         Connections are closed after their next answer, or, once the listener is closed, while they
         are idle. Requests count as open from their first byte until their answer is sent.
         """
-        ends_s = time.monotonic() + self._host.bounds.grace_s - _EXIT_MARGIN_S
+        ends_s = self._signalled_s + self._host.bounds.grace_s - _EXIT_MARGIN_S
         frontend.start_draining()
         self._events.write("stopping", in_flight=frontend.in_flight)
         await anyio.sleep(_PROBE_FAILURE_DELAY_S)
--- a/src/beryljunction/gateway/startup.py
+++ b/src/beryljunction/gateway/startup.py
@@ -50,9 +50,11 @@
     Args:
         early_socket: Listening socket for callers, opened before most modules were imported; None
             if there is none.
+        held_since_s: Monotonic time since which signals are held.
     """
 
-    def __init__(self, early_socket: socket.socket | None) -> None:
+    def __init__(self, early_socket: socket.socket | None, held_since_s: float) -> None:
+        self._held_since_s = held_since_s
         self._socket = early_socket
         self._entry: EntryProcess | None = None
         self._events = EntryEventLog(os.uname().nodename, "")
@@ -101,7 +103,8 @@
             return
         self._entry = EntryProcess(host, self._events, self._socket)
         if self._stopping.is_set():
-            self._entry.stop()
+            # The signal may have been pending since then.
+            self._entry.stop(self._held_since_s)
         await self._entry.run()
 
     async def _wait_for_settings(self) -> HostSettings | None:
--- a/testing/test_gateway_process.py
+++ b/testing/test_gateway_process.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 import anyio
 import attrs
@@ -150,18 +151,19 @@
 
         assert anyio.run(run) == (200, 200, 404)
 
-    def test_process_exits_before_the_grace_period_ends(self):
-        """A request runs longer than the grace period of 3.4 s.
+    @pytest.mark.parametrize("signalled_ago_s", [0.0, 4.0])
+    def test_process_exits_before_the_grace_period_ends(self, signalled_ago_s):
+        """A request runs longer than what is left of the grace period, 3.4 s.
 
-        The process must exit shortly before it would be killed, so that it can log the number of
-        requests that it cut off.
+        The signal may have been pending while the process started. The process must exit shortly
+        before it would be killed, so that it can log the number of requests that it cut off.
         """
 
         async def hang(answer, writer, number):
             await asyncio.sleep(30)
 
         async def run():
-            bounds = DeploymentBounds(grace_s=3.4)
+            bounds = DeploymentBounds(grace_s=3.4 + signalled_ago_s)
             async with open_harness(route(**{"timeout-ms": 20_000}), bounds=bounds) as harness:
                 await harness.add_endpoint("e1", script=hang)
                 await harness.wait_for_endpoints(1)
@@ -169,8 +171,8 @@
                 writer.write(harness.request_bytes(headers=()).replace(b": 2000", b": 20000"))
                 await anyio.sleep(0.1)
                 started_s = anyio.current_time()
-                harness.entry.stop()
-                await harness.wait_until(lambda: _stopped(harness), 6.0)
+                harness.entry.stop(time.monotonic() - signalled_ago_s)
+                await harness.wait_until(lambda: _stopped(harness), 10.0)
                 return anyio.current_time() - started_s, harness.lines.of_event("cut")
 
         took_s, cut = anyio.run(run)
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import signal
+import time
 
 import anyio
 import pytest
@@ -227,7 +228,7 @@
 
     async def run(program, listener):
         monkeypatch.setenv("BERYLJUNCTION_CONFIG", str(program.settings_path))
-        entry = EntryProgram(listener)
+        entry = EntryProgram(listener, time.monotonic())
         entry._events = EntryEventLog("me", "zone", program.harness.lines)
         program.harness.entry = entry
         return await entry.run()
