Log the stop of a process that has no settings or no address for callers yet

Such a stop ended with status 0 without a line. The two tests of such stops failed before (no stopped line).

--- a/src/beryljunction/gateway/startup.py
+++ b/src/beryljunction/gateway/startup.py
@@ -89,6 +89,7 @@
     async def _run_entry(self) -> None:
         host = await self._wait_for_settings()
         if host is None:
+            self._events.write("stopped")
             return
         self._events = EntryEventLog(host.host, host.availability_zone, self._events.writer)
         if self._socket is not None and self._socket.getsockname() != host.callers:
@@ -100,6 +101,7 @@
                 host.callers, self._events, "callers_unavailable", self._stopping, limit_s
             )
         if self._socket is None:
+            self._events.write("stopped")
             return
         self._entry = EntryProcess(host, self._events, self._socket)
         if self._stopping.is_set():
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -96,6 +96,7 @@
 
             assert await answers_of(callers) == [503, 503, 503]
             assert await program.wait_until_ended() == 0
+            assert len(program.log_lines("stopped")) == 1
 
 
 class TestSignalsDuringTheStop:
@@ -162,6 +163,7 @@
                 program.process.send_signal(signal.SIGTERM)
 
                 assert await program.wait_until_ended() == 0
+            assert len(program.log_lines("stopped")) == 1
 
     async def test_address_that_is_never_free_ends_the_wait(self):
         with open_listener(("127.0.0.1", 0)) as taken:
