--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -8,7 +8,7 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.addresses import open_address, open_when_free
+from beryljunction.gateway.addresses import open_when_free, reuse_or_open
 from beryljunction.gateway.callers import CallerHandler
 from beryljunction.gateway.config_watcher import ConfigWatcher
 from beryljunction.gateway.crashreporter import CrashReporter
@@ -72,6 +72,7 @@
         self._state = EntryState(host, events)
         self._settings_file = SettingsReloader(self._state, events)
         self._stopping = anyio.Event()
+        self._signalled_s = 0.0
         self._listeners: list[Listener] = []
         self._frontend: CallerFrontend | None = None
         self._listener: Listener | None = None
@@ -220,9 +221,15 @@
     def _log_refused_era(self, problem: str) -> None:
         self._events.write("store_era_refused", problem=problem)
 
-    def stop(self) -> None:
-        """Start the shutdown; further calls have no effect."""
-        self._stopping.set()
+    def stop(self, signalled_s: float | None = None) -> None:
+        """Start the shutdown; further calls have no effect.
+
+        Args:
+            signalled_s: Monotonic time from which the grace period counts; now when None.
+        """
+        if not self._stopping.is_set():
+            self._signalled_s = time.monotonic() if signalled_s is None else signalled_s
+            self._stopping.set()
 
     async def run(self) -> None:
         """Run until stopped; after an internal error, answer the callers before it is raised.
@@ -250,7 +257,7 @@
             tasks.start("stalls", self._monitor_stalls)
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
-            callers = self._callers_socket()
+            callers = reuse_or_open(self._early_socket, self._host.callers)
             tasks.start(
                 "probes", partial(self._listen, probes, self._host.probes, "probes_unavailable")
             )
@@ -342,15 +349,6 @@
         tasks.start("stream_reports", StreamReporter(client, self._state).run)
         tasks.start("versions", VersionRecorder(store, self._state, schedule).run)
 
-    def _callers_socket(self) -> socket.socket:
-        """Return the listening socket for callers: `early_socket` if its address matches."""
-        early_socket, address = self._early_socket, self._host.callers
-        if early_socket is not None:
-            if early_socket.getsockname() == address:
-                return early_socket
-            early_socket.close()
-        return open_address(address)
-
     async def _drain(self, frontend: CallerFrontend, listener: Listener) -> None:
         """Serve until the load balancer has removed this entry, then finish the open requests.
 
@@ -358,7 +356,7 @@
         are idle. Requests count as open from their first byte until their answer is sent. A
         grace period that changes meanwhile is used.
         """
-        started_s = time.monotonic()
+        started_s = self._signalled_s
         frontend.start_draining()
         self._events.write("stopping", in_flight=frontend.in_flight)
         await anyio.sleep(_PROBE_FAILURE_DELAY_S)
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import signal
+import time
 
 import anyio
 import pytest
@@ -163,7 +164,7 @@
                 program.process.send_signal(signal.SIGTERM)
 
                 assert await program.wait_until_ended() == 0
-                assert len(program.log_lines("stopped")) == 1
+            assert len(program.log_lines("stopped")) == 1
 
     async def test_address_that_is_never_free_ends_the_wait(self):
         with open_listener(("127.0.0.1", 0)) as taken:
@@ -230,7 +231,7 @@
 
     async def run(program, listener):
         monkeypatch.setenv("BERYLJUNCTION_CONFIG", str(program.settings_path))
-        entry = EntryProgram(listener)
+        entry = EntryProgram(listener, time.monotonic())
         entry._events = EntryEventLog("me", "zone", program.harness.lines)
         program.harness.entry = entry
         return await entry.run()
