Explain: name an exception in the host as the cause; show task failures

What callers saw: beryl explain gave 'fault' as the whole cause of a request that an exception ended, and left task_failed, invariant_broken and restart_needed out of the context. Evidence: two cases of testing/test_explain.py::TestFault, both failed on (cause: 'fault'). Measured: testing/test_explain.py passes.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -22,6 +22,9 @@
         "cut",
         "reloaded",
         "reload_refused",
+        "restart_needed",
+        "task_failed",
+        "invariant_broken",
         "store_lost",
         "store_regained",
         "store_read",
@@ -332,6 +335,11 @@
     return "the host exited before an endpoint had answered; it may have run"
 
 
+def _explain_fault(end: LogLine, _: dict[str, LogLine]) -> str:
+    has_run = "it has not run" if end.get("status") == "503" else "it may have run"
+    return f"an unexpected exception in the host ended it, see its line 'fault'; {has_run}"
+
+
 def _explain_declined(_: LogLine, by_event: dict[str, LogLine]) -> str:
     line = by_event["attempt_ended"]
     return f"endpoint {line.get('endpoint')} declined it ({line.get('detail')}); it has not run"
@@ -363,4 +371,5 @@
     "no_time": _explain_deadline,
     "retry_budget": lambda *_: "the fleet's retry budget was used up",
     "stopping": _explain_stopping,
+    "fault": _explain_fault,
 }
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -3,6 +3,7 @@
 
 from beryljunction.cli.explain import explain as explain_command
 from beryljunction.explain import explain, parse_line
+from beryljunction.gateway.state import EntryState
 from beryljunction.platform import DeploymentBounds
 from entry_harness import open_harness, reset, route
 from routing_fakes import known
@@ -187,6 +188,34 @@
         assert expected in cause
 
 
+class TestFault:
+    """A request that an exception in its host ended must not be explained by its endpoint."""
+
+    @pytest.mark.parametrize(
+        ("owner", "name", "expected"),
+        [
+            (EntryState, "choose_endpoint", "it has not run"),
+            (EntryState, "note_first_byte", "it may have run"),
+        ],
+    )
+    def test_request_that_ends_with_an_exception(self, owner, name, expected, monkeypatch):
+        def fail(*_, **__):
+            raise RuntimeError("injected")
+
+        async def run():
+            async with open_harness(route()) as harness:
+                await harness.add_endpoint("e1")
+                await harness.wait_for_endpoints(1)
+                monkeypatch.setattr(owner, name, fail)
+                await harness.send_request(request_id="f1")
+                return harness.lines.lines
+
+        cause = explanation_of("f1", anyio.run(run)).cause
+
+        assert "an unexpected exception in the host" in cause
+        assert expected in cause
+
+
 class TestUnfinished:
     """A host that lost power must not be reported as a caller that disconnected."""
 
