End the answer to HEAD on a streaming route with its head

By reading in the review, shown by a test now: the answer to a HEAD request on a streaming route ended with the last chunk of a body (0 CR LF CR LF), which the caller took for the beginning of its next answer. The connection writes no part of a body and no last chunk for HEAD.

Test, failed before: the answer after it began with b'0\r\n'.

--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -86,6 +86,7 @@
         self._pipelined: collections.deque[HttpRequest] = collections.deque()
         self._active: HttpRequest | None = None
         self._is_chunked = False
+        self._has_body = True
         self._closes_after_answer = False
         self._discards_input = False
         self._writable = anyio.Event()
@@ -278,11 +279,12 @@
             headers = [*headers, (b"transfer-encoding", b"chunked")]
         else:
             self._closes_after_answer = True
+        self._has_body = self._active is None or self._active.method != b"HEAD"
         self._write(self._head(status, headers))
 
     async def write_part(self, data: bytes) -> None:
         """Write a part of an answer; waits while the write buffer is full."""
-        if not self.is_open or not data:
+        if not self.is_open or not data or not self._has_body:
             return
         self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
         if not self._writable.is_set():
@@ -292,7 +294,7 @@
         """Complete an answer of unknown length."""
         if not self.is_open:
             return
-        if self._is_chunked:
+        if self._is_chunked and self._has_body:
             self._write(b"0\r\n\r\n")
         self._finish()
 
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -637,3 +637,30 @@
 
         assert statuses == [200] * 20
         assert len([line for line in attempts if "endpoint=e2" in line]) <= 3
+
+
+class TestHeadOfStream:
+    def test_answer_has_no_body_and_the_next_request_is_answered(self):
+        """Guards against the last chunk of a body that the caller takes for the next answer."""
+
+        async def run():
+            async with open_harness(route(**STREAM)) as harness:
+                await harness.add_endpoint("e1", script=answer_head)
+                await harness.wait_for_endpoints(1)
+                head = harness.request_bytes(method="HEAD")
+                reader, writer = await harness.connect()
+                writer.write(head)
+                first = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+                await asyncio.sleep(0.2)
+                writer.write(harness.request_bytes(path="/nowhere/", request_id="q2"))
+                second = await asyncio.wait_for(reader.readuntil(b"\r\n"), 2.0)
+                writer.close()
+                return first, second
+
+        async def answer_head(answer, writer, number):
+            writer.write(answer.stream_head())
+
+        first, second = anyio.run(run)
+
+        assert first.startswith(b"HTTP/1.1 200 ")
+        assert second.startswith(b"HTTP/1.1 404 ")
