--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -213,6 +213,46 @@
 
         assert isinstance(anyio.run(run), Unavailable)
 
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"\xff" * 100,
+            b"HTTP/1.1 999999 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ncontent-length: " + b"9" * 400 + b"\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\n" + b"\xff" * 40,
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + b"f" * 30 + b"\r\n",
+            b"HTTP/1.1 200 OK\r\nstore-era: " + b"9" * 400 + b"\r\ncontent-length: 1\r\n\r\n1",
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 30_000,
+        ],
+        ids=["bytes", "status", "length", "offset", "chunk", "era", "headers"],
+    )
+    def test_answer_of_any_form_is_no_answer(self, data):
+        """Guards against the end of every entry at one answer of the store."""
+
+        async def answer(stream):
+            async with stream:
+                await stream.receive()
+                await stream.send(data)
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                group.start_soon(listener.serve, answer)
+                address = listener.extra(anyio.abc.SocketAttribute.local_address)
+                async with HttpStore(address) as store:
+                    answers = [
+                        await store.read(ENDPOINT_RECORDS, 5, 0),
+                        await store.read_newest(ENDPOINT_RECORDS),
+                    ]
+                    written = await store.put(ENDPOINT_RECORDS, "a", b"1")
+                group.cancel_scope.cancel()
+                return answers, written
+
+        answers, written = anyio.run(run)
+
+        assert all(isinstance(row, Unavailable) for row in answers)
+        assert isinstance(written, WriteOutcome)
+
 
 class TestPlatformStoreModel:
     def test_old_records_expire_except_the_newest_of_each_key(self):
