Soak: judge an attempt by its own deadline, and a connection from when it began to be opened

Connections that were opened while a killed process still listened counted from a later moment. A SIGINT during the interpreter's own imports ends with 120 where standard error has no reader.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -21,9 +21,9 @@
 class Connection:
     """An open connection of a caller."""
 
-    def __init__(self, entry, reader, writer):
-        self.entry, self.reader, self.writer = entry, reader, writer
-        self.connected_s = time.monotonic()
+    def __init__(self, entry, connected_s, reader, writer):
+        self.entry, self.connected_s = entry, connected_s
+        self.reader, self.writer = reader, writer
         self.answered = 0
 
 
@@ -37,9 +37,10 @@
         self.openers = set()
 
     async def connect(self, entry, limit_s=_CONNECT_LIMIT_S):
+        from_s = time.monotonic()
         try:
             opened = asyncio.open_connection(*entry.address, limit=1 << 20)
-            return Connection(entry, *await asyncio.wait_for(opened, limit_s))
+            return Connection(entry, from_s, *await asyncio.wait_for(opened, limit_s))
         except (OSError, TimeoutError):
             return None
 
@@ -55,6 +56,7 @@
         now_s = time.monotonic()
         name = connection.entry.name
         attempt = Attempt(request_id, route, name, key, connection.connected_s, now_s)
+        attempt.deadline_s = deadline_s
         attempt.answered_before, attempt.first_event = connection.answered, resumed_from + 1
         self.fleet.evidence.attempts.append(attempt)
         first = f"{route.method} /{route.name}/{request_id} HTTP/1.1"
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -20,6 +20,9 @@
 # Time beyond the grace period in which an idle machine reports the end of a process.
 _END_MARGIN_S = 2.0
 _READY_LIMIT_S = 20.0
+_DEADLINE_MARGIN_S = 0.1
+# Statuses of an interpreter that meets a SIGINT during its own imports: 120 if it can't print it.
+_INTERRUPTED_STATUSES = (1, 120)
 # Requests of one run that the rule leaves uncounted.
 _BUDGET_ALLOWANCE = 3
 _DENIED_ALLOWANCE = 5
@@ -65,8 +68,7 @@
         # No program can handle a signal before its interpreter runs it.
         if -status in process.early_signals:
             return ""
-        # Where a SIGINT meets the interpreter's own imports, it ends with this status instead.
-        if signal.SIGINT in process.early_signals and status == 1:
+        if signal.SIGINT in process.early_signals and status in _INTERRUPTED_STATUSES:
             return ""
         if process.stopped_s is None:
             return f"ended by itself, status {status}"
@@ -181,7 +183,7 @@
     def _excuse_run(evidence, attempt, runs, stops):
         if any(run.what == "cut" or _ended_under(evidence, run, attempt) for run in runs):
             return "endpoint broke off"
-        if attempt.ended_s - attempt.sent_s >= attempt.route.timeout_s - 0.1:
+        if attempt.ended_s - attempt.sent_s >= attempt.deadline_s - _DEADLINE_MARGIN_S:
             return "deadline"
         is_cut = any(
             attempt.sent_s <= row.stopped_s + 3.0
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -52,6 +52,8 @@
     """One request of a caller, with an id of its own.
 
     Attributes:
+        connected_s: When its connection began to be opened.
+        deadline_s: How long the caller said that it waits.
         answered_before: Answers on this connection before it.
         status: None without an answer.
         is_complete: Whether the answer looked complete.
@@ -66,6 +68,7 @@
     connected_s: float
     sent_s: float
     ended_s: float = 0.0
+    deadline_s: float = attrs.field()
     answered_before: int = 0
     first_event: int = 1
     status: int | None = None
@@ -74,6 +77,10 @@
     defect: str = ""
     problem: str = ""
 
+    @deadline_s.default
+    def _timeout_of_route(self):
+        return self.route.timeout_s
+
     @property
     def is_served(self):
         return self.status == 200 and self.is_complete
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -144,6 +144,13 @@
         assert rules(attempts=[broken], runs=[run()], endpoint_ends=ends) == []
         assert rules(attempts=[broken], runs=[run()], endpoint_ends={"ledger-1": 90.0}) == ["LOST"]
 
+    def test_deadline_of_the_caller_excuses(self):
+        cut = attempt("chat", is_complete=False, took_s=0.8, deadline_s=0.85)
+
+        assert rules(attempts=[cut], runs=[run("chat-1")]) == []
+        cut.deadline_s = 1.0
+        assert rules(attempts=[cut], runs=[run("chat-1")]) == ["LOST"]
+
     def test_stop_excuses_within_the_slack_only(self):
         stopping = [process(stopped_s=98.0, ended_s=101.0)]
 
@@ -154,7 +161,7 @@
 
     def test_run_in_the_last_sixth_of_the_grace_period_may_be_cut(self):
         cut = attempt("chat", is_complete=False, sent_s=199.0, took_s=8.0)
-        cut.route = ROUTES["chat"].__class__("chat", "streaming", "drafter", 60.0, 2)
+        cut.deadline_s = 60.0
         ran = [run("chat-1", endpoint="drafter-1")]
 
         assert rules(attempts=[cut], runs=ran, processes=[process()]) == []
