--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -14,7 +14,7 @@
 from beryljunction.gateway.messages import Headers, HttpRequest, reason_phrase
 from beryljunction.gateway.sockets import CALLER_TIMEOUTS, set_timeouts
 from beryljunction.routing import CallerLimits
-from beryljunction.sockets import is_readable
+from beryljunction.sockets import is_readable, unread_s
 
 __all__ = ["CallerConnection", "CallerHandler"]
 
@@ -89,6 +89,7 @@
         self._active: HttpRequest | None = None
         self._is_answering = False
         self._is_chunked = False
+        self._has_body = True
         self._closes_after_answer = False
         self._discards_input = False
         self._writable = anyio.Event()
@@ -185,7 +186,10 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self._incoming = HttpRequest(b"", b"", [], boot_time_s())
+        waited_s = 0.0
+        if self._transport is not None:
+            waited_s = unread_s(self._transport.get_extra_info("socket"))
+        self._incoming = HttpRequest(b"", b"", [], boot_time_s(), unread_s=waited_s)
         self.headers_started_s = self._incoming.arrived_s
         self._body_parts = []
         self._header_bytes = 0
@@ -300,11 +304,12 @@
             headers = [*headers, (b"transfer-encoding", b"chunked")]
         else:
             self._closes_after_answer = True
+        self._has_body = self._active is None or self._active.method != b"HEAD"
         self._write(self._head(status, headers))
 
     async def write_part(self, data: bytes) -> None:
         """Write a part of an answer; waits while the write buffer is full."""
-        if not self.is_open or not data:
+        if not self.is_open or not data or not self._has_body:
             return
         self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
         if not self._writable.is_set():
@@ -314,7 +319,7 @@
         """Complete an answer of unknown length."""
         if not self.is_open:
             return
-        if self._is_chunked:
+        if self._is_chunked and self._has_body:
             self._write(b"0\r\n\r\n")
         self._finish()
 
--- a/src/beryljunction/gateway/events.py
+++ b/src/beryljunction/gateway/events.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from beryljunction.gateway.metrics import EntryMetrics
+from beryljunction.gateway.refused_records import RefusedRecords
 from beryljunction.logging_setup import format_key_values, key_value_formatter
 from beryljunction.timeline import Timeline
 
@@ -17,6 +18,10 @@
 _MAX_LINES_PER_S = 200
 # Bytes that are buffered while the reader of standard output is behind.
 _MAX_BACKLOG_BYTES = 65_536
+# Events that are always written, because they say why a process ended or didn't start.
+_LIFECYCLE_EVENTS = frozenset(
+    {"started", "start_failed", "crashed", "stopping", "drained", "cut", "stopped"}
+)
 # Events kept for operators in each of the two rings, ordinary and other events: 10 s at the
 # maximum line rate, 1 MB.
 _TIMELINE_EVENTS = 2_000
@@ -70,6 +75,7 @@
 
     Attributes:
         metrics: Counts every event, written or left out.
+        refused_records: Records of the store that can't be used.
         timeline: Keeps the latest events for operators; None when no operator key is set.
 
     Args:
@@ -89,6 +95,7 @@
         self._lines_this_second = 0
         self.suppressed_lines = 0
         self.metrics = EntryMetrics()
+        self.refused_records = RefusedRecords()
         self.timeline: Timeline | None = None
 
     def enable_timeline(self) -> None:
@@ -112,12 +119,17 @@
         second = int(time.monotonic())
         if second != self._current_second:
             self._start_second(second)
-        if self._lines_this_second >= _MAX_LINES_PER_S:
+        if self._lines_this_second >= _MAX_LINES_PER_S and event not in _LIFECYCLE_EVENTS:
             self.suppressed_lines += 1
             return
         self._lines_this_second += 1
         self._logger.info(event, exc_info=exc_info, extra={**self._common_fields, **fields})
 
+    def write_refused(self, event: str, key: str, /, **fields: Any) -> None:
+        """Count a record of the store that can't be used; write it once for each key."""
+        if self.refused_records.note(event, key, time.monotonic()):
+            self.write(event, **fields)
+
     def _start_second(self, second: int) -> None:
         self._current_second = second
         self._lines_this_second = 0
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -1,7 +1,6 @@
 """Lifecycle of an entry process on the platform: startup, readiness, reload and draining."""
 
 import math
-import os
 import socket
 import time
 from functools import partial
@@ -9,8 +8,7 @@
 import anyio
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.errors import SettingsError
-from beryljunction.gateway.addresses import open_address, open_when_free
+from beryljunction.gateway.addresses import open_when_free, reuse_or_open
 from beryljunction.gateway.callers import CallerHandler
 from beryljunction.gateway.config_watcher import ConfigWatcher
 from beryljunction.gateway.crashreporter import CrashReporter
@@ -25,6 +23,7 @@
 from beryljunction.gateway.poll_schedules import ALWAYS_POLL, FanOutSchedule, PollSchedule
 from beryljunction.gateway.probes import ProbeHandler
 from beryljunction.gateway.registration import Registration
+from beryljunction.gateway.reload import SettingsReloader
 from beryljunction.gateway.stall_monitor import StallMonitor
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.streamreporter import StreamReporter, VersionRecorder
@@ -33,13 +32,7 @@
 from beryljunction.gateway.update_publisher import UpdatePublisher
 from beryljunction.gateway.update_receiver import UpdateReceiver
 from beryljunction.operator_api import ProcessStatus
-from beryljunction.platform import (
-    SETTINGS_VARIABLE,
-    HostSettings,
-    HttpStore,
-    Store,
-    read_host_settings,
-)
+from beryljunction.platform import HostSettings, HttpStore, Store
 from beryljunction.routing import PeerTable
 
 __all__ = ["EntryProcess"]
@@ -51,11 +44,13 @@
 _EXIT_MARGIN_S = 0.6
 # Time in which the last answers are sent, and the listeners for other entries and operators close.
 _CLOSE_TIMEOUT_S = 0.1
+# Time in which callers send the rest of their requests, and get answers, after an internal error.
+_ERROR_CLOSE_TIMEOUT_S = 1.0
+# Interval at which a stopping process looks whether its grace period has changed.
+_GRACE_CHECK_INTERVAL_S = 0.25
 # Callers that connect during startup wait up to this long for the first read of the store, which
 # normally takes 20 ms; after that they are answered with 503 and Retry-After.
 _FIRST_READ_TIMEOUT_S = 0.3
-# The platform may change the settings file without a signal; a check costs one system call.
-_FILE_CHECK_INTERVAL_S = 2.0
 
 
 class EntryProcess:
@@ -75,8 +70,12 @@
         self._early_socket = early_socket
         self._events = events
         self._state = EntryState(host, events)
+        self._settings_file = SettingsReloader(self._state, events)
         self._stopping = anyio.Event()
+        self._signalled_s = 0.0
         self._listeners: list[Listener] = []
+        self._frontend: CallerFrontend | None = None
+        self._listener: Listener | None = None
         self._registration: Registration | None = None
 
     def _is_ready(self) -> bool:
@@ -107,6 +106,11 @@
         metrics.add_gauge(
             "beryl_store_era", "Times that the store was restored.", lambda: state.era
         )
+        metrics.add_gauge(
+            "beryl_refused_records",
+            "Records of the store that can't be used, each counted once.",
+            lambda: self._events.refused_records.count,
+        )
         metrics.add_gauge("beryl_entries", "Entries known.", lambda: len(state.fan_out))
         metrics.add_gauge("beryl_endpoints", "Endpoints known.", lambda: len(state.registry))
         metrics.add_gauge(
@@ -188,6 +192,7 @@
             evacuated=self._evacuated(),
             cold_endpoints=state.cold_endpoints(),
             choices_without_report=self._choices_without_report(),
+            refused_records=self._events.refused_records.count,
         )
 
     def _choices_without_report(self) -> str:
@@ -216,12 +221,18 @@
     def _log_refused_era(self, problem: str) -> None:
         self._events.write("store_era_refused", problem=problem)
 
-    def stop(self) -> None:
-        """Start the shutdown; further calls have no effect."""
-        self._stopping.set()
+    def stop(self, signalled_s: float | None = None) -> None:
+        """Start the shutdown; further calls have no effect.
+
+        Args:
+            signalled_s: Monotonic time from which the grace period counts; now when None.
+        """
+        if not self._stopping.is_set():
+            self._signalled_s = time.monotonic() if signalled_s is None else signalled_s
+            self._stopping.set()
 
     async def run(self) -> None:
-        """Run until stopped.
+        """Run until stopped; after an internal error, answer the callers before it is raised.
 
         Raises:
             StartError: The listening socket for callers can't be opened.
@@ -231,13 +242,22 @@
             "started", callers=_format_address(self._host.callers), switched_off=switched_off
         )
         store = HttpStore(self._host.store, self._log_refused_era)
-        faults = report_callback_faults(self._events)
-        async with store, faults, anyio.create_task_group() as group:
+        async with store, report_callback_faults(self._events):
+            try:
+                await self._run(store)
+            except Exception:
+                await self._refuse_callers()
+                raise
+        await self._close_listeners()
+        self._events.write("stopped")
+
+    async def _run(self, store: Store) -> None:
+        async with anyio.create_task_group() as group:
             tasks = Supervisor(group, self._events, self.stop)
             tasks.start("stalls", self._monitor_stalls)
             frontend = CallerFrontend(self._state, group)
             probes = ProbeHandler(self._is_ready, self._events.metrics.render)
-            callers = self._callers_socket()
+            callers = reuse_or_open(self._early_socket, self._host.callers)
             tasks.start(
                 "probes", partial(self._listen, probes, self._host.probes, "probes_unavailable")
             )
@@ -259,8 +279,9 @@
                 await config.loaded.wait()
                 await endpoints.loaded.wait()
             listener = Listener(frontend, callers)
+            self._frontend, self._listener = frontend, listener
             tasks.start("caller_timeouts", frontend.close_expired_connections)
-            tasks.start("settings_file", self._watch_settings_file)
+            tasks.start("settings_file", self._settings_file.watch)
             peers = partial(self._start_peer_tasks, tasks, store, config, endpoints, schedule)
             tasks.start("peers", peers)
             await self._stopping.wait()
@@ -268,8 +289,13 @@
             if self._registration is not None:
                 await self._registration.deregister()
             group.cancel_scope.cancel()
-        await self._close_listeners()
-        self._events.write("stopped")
+
+    async def _refuse_callers(self) -> None:
+        """End all requests, and refuse those that arrive, because of an internal error."""
+        if self._frontend is not None and self._listener is not None:
+            self._frontend.start_draining()
+            self._frontend.end_draining()
+            await self._listener.close(time.monotonic() + _ERROR_CLOSE_TIMEOUT_S)
 
     async def _listen(self, handler: CallerHandler, address: tuple[str, int], event: str) -> bool:
         """Listen once the address is free; return False if the process is stopped before."""
@@ -323,27 +349,22 @@
         tasks.start("stream_reports", StreamReporter(client, self._state).run)
         tasks.start("versions", VersionRecorder(store, self._state, schedule).run)
 
-    def _callers_socket(self) -> socket.socket:
-        """Return the listening socket for callers: `early_socket` if its address matches."""
-        early_socket, address = self._early_socket, self._host.callers
-        if early_socket is not None:
-            if early_socket.getsockname() == address:
-                return early_socket
-            early_socket.close()
-        return open_address(address)
-
     async def _drain(self, frontend: CallerFrontend, listener: Listener) -> None:
         """Serve until the load balancer has removed this entry, then finish the open requests.
 
         Connections are closed after their next answer, or, once the listener is closed, while they
-        are idle. Requests count as open from their first byte until their answer is sent.
+        are idle. Requests count as open from their first byte until their answer is sent. A
+        grace period that changes meanwhile is used.
         """
-        ends_s = time.monotonic() + self._host.bounds.grace_s - _EXIT_MARGIN_S
+        started_s = self._signalled_s
         frontend.start_draining()
         self._events.write("stopping", in_flight=frontend.in_flight)
         await anyio.sleep(_PROBE_FAILURE_DELAY_S)
-        self._state.admits_until_s = boot_time_s() + max(0.0, ends_s - time.monotonic())
-        await listener.close(ends_s)
+        while (left_s := self._drain_left_s(started_s)) > 0.0:
+            self._state.admits_until_s = boot_time_s() + left_s
+            await listener.close(time.monotonic() + min(left_s, _GRACE_CHECK_INTERVAL_S))
+            if not listener.open_connections:
+                break
         self._events.write(
             "drained",
             in_flight=frontend.in_flight,
@@ -355,6 +376,9 @@
         frontend.end_draining()
         await listener.close(time.monotonic() + _CLOSE_TIMEOUT_S)
 
+    def _drain_left_s(self, started_s: float) -> float:
+        return started_s + self._state.bounds.grace_s - _EXIT_MARGIN_S - time.monotonic()
+
     async def _monitor_stalls(self) -> None:
         """Exclude stalls of this process from the times that endpoints are measured by."""
         with StallMonitor(self._note_stall):
@@ -364,37 +388,9 @@
         self._events.write("stalled", stall_ms=round(stall_s * 1000))
         self._state.registry.exclude_stall(stall_s, boot_time_s())
 
-    async def _watch_settings_file(self) -> None:
-        """Reload when the settings file has changed without a signal."""
-        seen = _settings_file_mtime_ns()
-        while True:
-            await anyio.sleep(_FILE_CHECK_INTERVAL_S)
-            mtime_ns = _settings_file_mtime_ns()
-            if mtime_ns != seen:
-                seen = mtime_ns
-                self.reload()
-
     def reload(self) -> None:
-        """Read the settings file again; if it is invalid, keep the current settings.
-
-        Bounds are applied at once. Changed addresses take effect only at the next start, because a
-        process that moved its listeners would lose its callers.
-        """
-        try:
-            host = read_host_settings()
-        except SettingsError as error:
-            self._events.write("reload_refused", problem=str(error))
-            return
-        self._state.apply_bounds(host.bounds)
-        self._events.write("reloaded", revocation_ms=host.bounds.revocation_ms)
-
-
-def _settings_file_mtime_ns() -> int:
-    """Return the modification time of the settings file in ns; 0 if there is none."""
-    try:
-        return os.stat(os.environ.get(SETTINGS_VARIABLE, "")).st_mtime_ns
-    except OSError:
-        return 0
+        """Read the settings file again, as after SIGHUP."""
+        self._settings_file.reload()
 
 
 def _rounded_age_s(age_s: float) -> float | None:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -130,6 +130,7 @@
         self.bounds = bounds
         self.lease.revocation_s = bounds.revocation_ms / 1000
         self.announced_version.memory_s = self.lease.revocation_s
+        self.store_reachability.least_outage_s = 2 * bounds.heartbeat_ms / 1000
         self.cold_start_limiter.limit = _cold_start_limit(bounds)
         for share in self._retry_shares.values():
             share.set_limits(bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_slack)
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -69,6 +69,8 @@
     def test_goes_on_at_its_version_while_that_is_served(self):
         """Guards against breaking off a stream that another endpoint can continue."""
         with two_versions() as world:
+            for _ in range(20):  # Their requests fund the retries.
+                ask_streams(world, 6)
             behave(world, "f2", Behaviour.CUT)
             callers = [caller for _ in range(4) for caller in ask_streams(world, 6)]
 
