--- a/src/beryljunction/routing/service_versions.py
+++ b/src/beryljunction/routing/service_versions.py
@@ -8,6 +8,8 @@
 Version = str | None
 # No stream is resumed this long after its first event: deadlines of callers are seconds.
 VERSIONS_TTL_S = 60.0
+# A table of thousands of versions is looked through at most this often.
+_EXPIRE_INTERVAL_S = 1.0
 
 
 class ServiceVersions:
@@ -20,13 +22,14 @@
         self._seen_s: dict[tuple[str, Version], float] = {}
         self._saved: dict[str, frozenset[Version]] = {}
         self.seen_since_s = math.inf
+        self._expired_s = -math.inf
 
     def note(self, service: str, version: Version, now_s: float) -> bool:
         """Record that an endpoint has a version; return whether the version is new."""
         self.seen_since_s = min(self.seen_since_s, now_s)
         key = service, version
         is_new = now_s - self._seen_s.get(key, -math.inf) > VERSIONS_TTL_S
-        if is_new:
+        if is_new and now_s - self._expired_s >= _EXPIRE_INTERVAL_S:
             self._expire(now_s)
         self._seen_s[key] = now_s
         return is_new
@@ -35,6 +38,7 @@
         """Forget what was seen too long ago to matter, such as services of other writers."""
         kept = {key: at_s for key, at_s in self._seen_s.items() if now_s - at_s <= VERSIONS_TTL_S}
         self._seen_s = kept
+        self._expired_s = now_s
 
     def load(self, service: str, versions: Iterable[Version]) -> None:
         """Apply the versions of a service that are saved in the store."""
