Close the connections of callers who waited for the settings

Found by the review of this change: a connection that was accepted while the entry waited for its settings stayed with the handler that refuses: its first request got 503 from a process that serves, and neither timeouts nor the drain saw it. Now it is closed once it is idle, 5 s later at the latest. The test waits 30 s in vain before.

--- a/src/beryljunction/gateway/startup.py
+++ b/src/beryljunction/gateway/startup.py
@@ -34,6 +34,9 @@
 # Time in which callers who connected before a failed start send their requests.
 _LAST_REQUESTS_S = 0.3
 _CLOSE_TIMEOUT_S = 0.5
+# The same for those whose requests had begun when the settings arrived.
+_UNFINISHED_REQUESTS_S = 5.0
+_CLOSE_POLL_INTERVAL_S = 0.05
 
 
 class ExitStatus(enum.IntEnum):
@@ -144,11 +147,13 @@
         if self._socket is None:
             return
         await anyio.sleep(_REFUSE_AFTER_S)
-        listener = Listener(RefusalHandler(), self._socket)
+        handler = RefusalHandler()
+        listener = Listener(handler, self._socket)
         try:
             await anyio.sleep_forever()
         finally:
             self._socket = listener.release()
+            self._group.start_soon(_close_connections, handler)
 
     async def _handle_signals(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
@@ -178,6 +183,16 @@
         self._events.write("fault", problem=f"{context.get('message')}: {error!r}")
 
 
+async def _close_connections(handler: RefusalHandler) -> None:
+    """Close the connections of a handler once they are idle, so that callers connect again."""
+    with anyio.move_on_after(_UNFINISHED_REQUESTS_S):
+        while handler.connections:
+            handler.close_idle()
+            await anyio.sleep(_CLOSE_POLL_INTERVAL_S)
+    for connection in list(handler.connections):
+        connection.abort()
+
+
 async def _refuse_callers(sock: socket.socket) -> None:
     """Refuse the requests of all callers who have connected, then close the socket."""
     listener = Listener(RefusalHandler(), sock)
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -199,6 +199,23 @@
             (line,) = program.log_lines("settings_unusable")
             assert "expected" in line
 
+    async def test_caller_who_waits_for_the_settings_can_go_on_elsewhere(self, tmp_path):
+        """Guards against a caller who is refused for as long as the connection stays open."""
+        async with open_entry_program(tmp_path, route()) as program:
+            await program.harness.add_endpoint("e1")
+            program.write_settings("")
+            program.start()
+            await program.wait_until_listening()
+            idle, _ = await program.harness.connect()
+            (refused,) = await connect_callers(program, 1)
+            await read_answer(refused[0])  # Connections are accepted by now.
+            program.write_settings()
+            with anyio.fail_after(30.0):
+                rest = await idle.read()
+            await program.harness.wait_until(lambda: is_serving(program), 30.0)
+
+            assert rest == b""
+
     async def test_missing_variable_ends_the_start_at_once(self, tmp_path):
         async with open_entry_program(tmp_path) as program:
             program.start(settings_variable="")
