--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -167,7 +167,12 @@
             return "port of another process"
         if not runs and attempt.answered_before > 0:
             return "crossed a close"
-        stops = [row for row in processes if _is_within(row.stopped_s, 0.0, attempt.ended_s)]
+        stops = [
+            row
+            for row in processes
+            if _is_within(row.stopped_s, 0.0, attempt.ended_s)
+            and (row.ended_s is None or attempt.connected_s <= row.ended_s)
+        ]
         return (
             self._excuse_run(evidence, attempt, runs, stops)
             if runs
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -123,6 +123,12 @@
 
         assert rules(attempts=[broken], runs=[run()]) == ["LOST"]
 
+    def test_earlier_stop_excuses_no_later_connection(self):
+        earlier = process(stopped_s=50.0, ended_s=53.0)
+        successor = process(started_s=60.0, ready_s=61.0)
+
+        assert rules(attempts=[unanswered()], processes=[earlier, successor]) == ["LOST"]
+
     def test_kept_connection_may_close_before_the_request_is_passed_on(self):
         assert rules(attempts=[unanswered(answered_before=3)]) == []
 
