Test of histories: remove the safeguard at both of its places

Since the value of an endpoint is dropped with its record, too, so that leaving expired records in full lists shows only if that is undone as well. The check is the same.

--- a/testing/test_histories.py
+++ b/testing/test_histories.py
@@ -59,6 +59,15 @@
         assert self.finds_violation()
 
     def test_expired_records_in_full_lists_are_detected(self, monkeypatch):
+        apply_record = EndpointWatcher._apply_record
+
+        def apply_and_keep_value(self, record, now_s):
+            value = self._values.get(record.key)
+            apply_record(self, record, now_s)
+            if value is not None:
+                self._values.setdefault(record.key, value)
+
+        monkeypatch.setattr(EndpointWatcher, "_apply_record", apply_and_keep_value)
         monkeypatch.setattr(
             EndpointWatcher,
             "records",
