--- a/testing/test_retry_share.py
+++ b/testing/test_retry_share.py
@@ -79,17 +79,17 @@
         """
         ratio, slack = 0.2, 54
         shares = [RetryShare(ratio, 10.0, slack) for _ in range(entries)]
-        requests = retries = 0
+        requests, retries = [], []
         for tick in range(1500):
             for share in shares:
                 share.count_request(tick * 0.02)
-                is_spent = share.spend(tick * 0.02)
-                if tick >= 1000:
-                    requests += 1
-                    retries += is_spent
+                requests.append(1)
+                retries.append(share.spend(tick * 0.02))
 
-        assert retries <= requests * ratio + slack
-        assert retries >= requests * ratio * 0.9
+        late = 1000 * entries
+        assert sum(retries) <= len(requests) * ratio + slack
+        assert sum(retries[late:]) <= len(requests[late:]) * ratio + slack
+        assert sum(retries[late:]) >= len(requests[late:]) * ratio * 0.9
 
     @pytest.mark.parametrize("entries", [68, 350])
     def test_large_fleet_of_idle_entries_keeps_the_slack(self, entries):
