--- a/src/beryljunction/routing/budget.py
+++ b/src/beryljunction/routing/budget.py
@@ -20,15 +20,16 @@
     When endpoints fail or refuse many requests, unlimited retries by every entry would overload the
     endpoints that still work. The fleet's limit holds for each window of time: a ratio of the
     requests in it or in the one before it, plus a slack. Each entry keeps, in every window, the
-    mean of these two for its own requests, so the sums over all entries keep the limit too: however
+    mean of these two for its own requests, so the sums over all entries keep the ratio too: however
     many are alive, whether or not they know of each other, and however their traffic changes. If
-    each entry went by the larger of the two, the sums could exceed the limit.
+    each entry went by the larger of the two, the sums could exceed it.
 
-    This includes windows that began before this process started. It knows of no requests then, and
-    what an earlier process of the entry spent counts in them, so a start funds no retries. The
-    slack on top of the ratio is divided among the entries that may be alive. In a window, it
-    belongs to the processes that ran when the window began, with a part for those that start in it
-    if the fleet is small.
+    This includes windows that began before this process started. An earlier process of the entry
+    may have spent retries in them, and of the requests only those since the start are known.
+
+    The slack on top of the ratio is divided among the entries that may be alive, as far as this one
+    knows. In a window, it belongs to the processes that ran when the window began, with a part for
+    those that start in it if the fleet is small.
 
     Counts are kept in cells of time. A cell that is partly in a window counts for the retries in
     it, but not for the requests.
