--- a/review/4/kit.py
+++ b/review/4/kit.py
@@ -638,7 +638,7 @@
     try:
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             held = asyncio.run(asyncio.wait_for(play(record, pathlib.Path(temporary)), 110))
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # Whatever it is, it shows nothing of the rule.
         record.write(f"could not run: {type(error).__name__} {error}")
         print(f"could not run: {type(error).__name__} {error}")
         return 2
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -141,7 +141,7 @@
                     return status
                 self.body += piece[:-2]
             return status
-        except (TimeoutError, asyncio.IncompleteReadError, ConnectionError):
+        except (TimeoutError, asyncio.IncompleteReadError, ConnectionError, ValueError):
             return 0
         finally:
             writer.transport.abort()
