--- a/review/8/case.py
+++ b/review/8/case.py
@@ -18,7 +18,7 @@
 ABANDON_S = max(2.0, 4 * 0.4, 8 * GAP_MS / 1000)
 FREEZE_AFTER_S = 2.0
 FREEZE_S = 4.0
-# The workers of the new version come this long after the entry has begun to stand still.
+# The worker of the new version comes this long after the entry has begun to stand still.
 NEW_VERSION_AFTER_S = 1.0
 NEW_EACH_S = 0.5
 # TROUBLE=freeze leaves out the new version, TROUBLE=version the freeze.
@@ -57,7 +57,7 @@
         },
     )
     operator.write([chat], [kit.service("model", is_engine=True)], [kit.KEY])
-    workers = [kit.Worker(store, f"model-{n}", "model", stream, record) for n in range(1, 6)]
+    workers = [kit.Worker(store, f"model-{n}", "model", stream, record) for n in range(1, 5)]
     for worker in workers[3:]:
         worker.version = "v2"
     entries = [kit.Entry(f"entry-{n}", f"127.0.0.{n + 1}", store, folder) for n in (1, 2, 3)]
