--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,7 +17,7 @@
 # Clients abandon a stream after two seconds, four times the objective or eight times the pause.
 ABANDON_S = max(2.0, 4 * 0.4, 8 * GAP_MS / 1000)
 FREEZE_AFTER_S = 2.0
-FREEZE_S = 4.0
+FREEZE_S = 3.8
 # The worker of the new version comes this long after the entry has begun to stand still.
 NEW_VERSION_AFTER_S = 1.0
 NEW_EACH_S = 0.5
