--- a/testing/entry_harness.py
+++ b/testing/entry_harness.py
@@ -121,26 +121,32 @@
         self.started_ms = 1
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            while head.startswith("GET /beryljunction/report "):
-                writer.write(AnswerBuilder(head, "").whole(body=b'{"born": %d}' % self.started_ms))
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            length = re.search(r"content-length: (\d+)", head)
-            body = await reader.readexactly(int(length[1])) if length else b""
-            number = len(self.requests)
-            self.requests.append((head, body))
-            found = re.search(r"x-request-id: (\S+)", head)
-            answer = AnswerBuilder(head, found[1] if found else "")
-            watch = asyncio.ensure_future(self._watch(reader, number))
-            if self.script is None:
-                writer.write(answer.whole())
-            else:
-                await self.script(answer, writer, number)
-            with contextlib.suppress(ConnectionError):
-                await writer.drain()
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await self._answer(reader, writer)
+        finally:
             writer.close()
-            watch.cancel()
+
+    async def _answer(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        while head.startswith("GET /beryljunction/report "):
+            writer.write(AnswerBuilder(head, "").whole(body=b'{"born": %d}' % self.started_ms))
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        length = re.search(r"content-length: (\d+)", head)
+        body = await reader.readexactly(int(length[1])) if length else b""
+        number = len(self.requests)
+        self.requests.append((head, body))
+        found = re.search(r"x-request-id: (\S+)", head)
+        answer = AnswerBuilder(head, found[1] if found else "")
+        watch = asyncio.ensure_future(self._watch(reader, number))
+        if self.script is None:
+            writer.write(answer.whole())
+        else:
+            await self.script(answer, writer, number)
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+        writer.close()
+        watch.cancel()
 
     async def _watch(self, reader, number):
         with contextlib.suppress(ConnectionError):
