Report the end of a trial in the background, not before the next request

Callers: after the complete answer to a trial, a kept connection got a second one (504), and every later answer on it belonged to the request before (MIXED). After a stream the connection was aborted with the next request on it.

Cause: Exchange._send awaited TrialPermits.release after the answer was complete, inside the scope of the deadline. The release asks counting hosts in turn, 0.3 s each while one stands still. When the deadline passed meanwhile, _time_out saw no started answer and wrote one, on a connection that had gone on to the next request. The same wait kept the endpoint counted as busy and the exchange unlogged, and a caller that closed after its answer cancelled the release, which held the next trial up for 2.5 s.

Change: release() only queues; the task trial_releases sends. Nothing is awaited any more between the end of an answer and the end of its exchange. CallerAnswer, once complete, neither writes nor aborts, whoever asks.

The alternative, a shield or a longer deadline around the wait, would have left the load count and the lost releases.

--- a/src/beryljunction/gateway/caller_answer.py
+++ b/src/beryljunction/gateway/caller_answer.py
@@ -32,6 +32,8 @@
 class CallerAnswer:
     """The answer to one request, which may combine a stream from several endpoints.
 
+    Once it is complete, the connection may serve the next request, and is left alone.
+
     Attributes:
         has_started: Whether the head of an answer was written.
         last_event_id: Id of the last event that the caller has, of this or an earlier answer;
@@ -51,7 +53,9 @@
         self.is_complete = False
 
     def write_answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete answer."""
+        """Write a complete answer, unless there is one already."""
+        if self.is_complete:
+            return
         self._record_start(status)
         self._caller.answer(status, headers, body)
         self.is_complete = True
@@ -87,7 +91,8 @@
 
     def abort(self) -> None:
         """Abort the connection, so that an incomplete answer doesn't look complete."""
-        self._caller.abort()
+        if not self.is_complete:
+            self._caller.abort()
 
     def _advance_last_event_id(self, event: StreamEvent) -> bool:
         if event.event_id is None:
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -143,7 +143,7 @@
         if scope.cancelled_caught:
             self._time_out(plan)
         if self._is_trial:
-            await self._state.trial_permits.release(self._service, self._features)
+            self._state.trial_permits.release(self._service, self._features)
 
     def _admit(self) -> Admitted | Denial:
         state, caller_headers = self._state, self._caller_headers
@@ -292,7 +292,7 @@
             else:
                 await monitor.note_lost_connection(call)
         if is_trial and not monitor.is_lost:
-            await self._state.trial_permits.release(self._service, self._features)
+            self._state.trial_permits.release(self._service, self._features)
         return result
 
     async def _confirm_incarnation(self, call: EndpointCall, endpoint: KnownEndpoint) -> bool:
@@ -405,7 +405,9 @@
             self._answer_error(503, reason)
 
     def _time_out(self, plan: AttemptPlan) -> None:
-        """End a request whose deadline or route timeout has expired."""
+        """End a request whose deadline or route timeout has expired, unless it is answered."""
+        if self._caller_answer.is_complete:
+            return
         if self._caller_answer.has_started:
             self._abort_answer("deadline")
         else:
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -275,6 +275,7 @@
             tasks.start("settings", config.run)
             tasks.start("endpoints", endpoints.run)
             tasks.start("losses", self._state.losses.run)
+            tasks.start("trial_releases", self._state.trial_permits.run)
             with anyio.move_on_after(_FIRST_READ_TIMEOUT_S):
                 await config.loaded.wait()
                 await endpoints.loaded.wait()
--- a/src/beryljunction/gateway/trials.py
+++ b/src/beryljunction/gateway/trials.py
@@ -1,7 +1,11 @@
 """Asks whether a request under suspicion may be sent as a trial."""
 
+import collections
 from typing import Protocol
 
+import anyio
+
+from beryljunction.gateway.auto_reset_event import AutoResetEvent
 from beryljunction.gateway.crashreports import CrashReport, Suspicion
 from beryljunction.gateway.quarantine import Quarantine
 from beryljunction.platform import InvalidRecord
@@ -9,6 +13,9 @@
 
 __all__ = ["TrialClient", "TrialPermits"]
 
+# Each service has one trial at a time, so few releases are unsent unless the sender isn't running.
+_MAX_UNSENT_RELEASES = 256
+
 
 class TrialClient(Protocol):
     """The method of a peer client by which an entry asks another one."""
@@ -29,6 +36,17 @@
         self._fan_out = fan_out
         self._quarantine = quarantine
         self.client: TrialClient | None = None
+        self._unsent_releases: collections.deque[Suspicion]
+        self._unsent_releases = collections.deque(maxlen=_MAX_UNSENT_RELEASES)
+        self._released = AutoResetEvent()
+
+    async def run(self) -> None:
+        """Send releases until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                while self._unsent_releases:
+                    group.start_soon(self._send_release, self._unsent_releases.popleft())
+                await self._released.wait()
 
     async def ask(self, service: str, features: frozenset[str]) -> bool:
         """Return whether a request may be sent as the only trial of its service.
@@ -44,12 +62,20 @@
                 return is_permitted
         return False
 
-    async def release(self, service: str, features: frozenset[str]) -> None:
-        """Inform the host that permitted a trial that it ended without a crash."""
-        message = CrashReport(trial=Suspicion(service, features), is_permitted=False).encode()
-        for host in self._quarantine.trial_hosts(service):
+    def release(self, service: str, features: frozenset[str]) -> None:
+        """Report that a trial ended without a crash; other hosts are informed in the background.
+
+        They may not answer for longer than the request has time, and its answer may be complete.
+        """
+        self._unsent_releases.append(Suspicion(service, features))
+        self._released.set()
+
+    async def _send_release(self, trial: Suspicion) -> None:
+        """Inform the first counting host that answers."""
+        message = CrashReport(trial=trial, is_permitted=False).encode()
+        for host in self._quarantine.trial_hosts(trial.service):
             if host == self._host:
-                self._quarantine.end_trial(features)
+                self._quarantine.end_trial(trial.features)
                 return
             if await self._ask_host(host, message) is not None:
                 return
