Tests: a stream writer outlives its loop on CPython 3.11.5 and 3.11.6

The finalizer is replaced on these two versions alone; the filter that makes errors of all other unraisable exceptions stays.

--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -1,12 +1,24 @@
 """Marks tests in KNOWN-RED.txt, and no others, as xfail, so that reports list them; fixtures."""
 
+import asyncio
 import json
 import pathlib
+import sys
 
 import pytest
 
 from known_red import read_known_red
 
+# In these versions of CPython the finalizer raises if the loop of the stream is closed (gh-109538).
+if (3, 11, 5) <= sys.version_info < (3, 11, 7):
+    _close_writer = asyncio.StreamWriter.__del__
+
+    def _close_writer_unless_loop_is_closed(writer):
+        if not writer._loop.is_closed():
+            _close_writer(writer)
+
+    asyncio.StreamWriter.__del__ = _close_writer_unless_loop_is_closed
+
 _KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
