Read answers of endpoints in time that grows with their bytes, not their parts

Cause, two of the same kind. EventSplitter.feed joined the incomplete event with each part and split all of it again: n * n / k for n bytes in parts of k. And read_body_part returns without suspending while parts are buffered, so that neither a deadline nor another task ran until the buffer was empty. Alike: fetch summed all parts at each part, _forward wrote 1 MB part by part, each part was an object of its own, and events of two bytes cost 1 us each for up to 256 KB in a row.

The call buffers bytes, hands on at most 16 KB of them, and lets other tasks run before each further part.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -1,7 +1,6 @@
 """Sends one request to one endpoint on a dedicated connection."""
 
 import asyncio
-import collections
 import enum
 from typing import Self, cast
 
@@ -30,6 +29,8 @@
 _FETCH_TIMEOUT_S = 0.25
 # Unread bytes of an answer that are buffered before reading from the endpoint pauses.
 _MAX_BUFFERED_BYTES = 262_144
+# Limit of the bytes that are handed on, and split into events, before other tasks run.
+_MAX_PART_BYTES = 16_384
 # Limit of the head of an answer, interim responses included, and of what frames its body between
 # two parts of it: chunk sizes and extensions, trailers.
 _MAX_FRAMING_BYTES = 65_536
@@ -72,8 +73,8 @@
         self._framing_bytes = 0
         self._head: ResponseHead | None = None
         self._keeps_alive = False
-        self._body_parts: collections.deque[bytes] = collections.deque()
-        self._buffered_bytes = 0
+        self._body = bytearray()
+        self._has_waited = False
         self._is_paused = False
         self._had_to_pause = False
         self._changed = anyio.Event()
@@ -154,9 +155,8 @@
         if self.is_complete or self.problem:
             return
         self._framing_bytes = 0
-        self._body_parts.append(body)
-        self._buffered_bytes += len(body)
-        if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._transport is not None:
+        self._body += body
+        if len(self._body) > _MAX_BUFFERED_BYTES and self._transport is not None:
             self._transport.pause_reading()
             self._is_paused = self._had_to_pause = True
 
@@ -188,14 +188,20 @@
         return self._head
 
     async def read_body_part(self) -> bytes | None:
-        """Wait for the next part of the body; return None after the last, see `is_complete`."""
-        while not self._body_parts:
+        """Wait for the next part of the body; return None after the last, see `is_complete`.
+
+        A part is whatever has arrived, up to a limit. Other tasks run before each part.
+        """
+        if self._body and not self._has_waited:
+            await anyio.sleep(0)
+        while not self._body:
             if self.is_complete or self.problem:
                 return None
             await self._wait()
-        part = self._body_parts.popleft()
-        self._buffered_bytes -= len(part)
-        if self._is_paused and self._buffered_bytes < _MAX_BUFFERED_BYTES // 2:
+        self._has_waited = False
+        part = bytes(self._body[:_MAX_PART_BYTES])
+        del self._body[:_MAX_PART_BYTES]
+        if self._is_paused and len(self._body) < _MAX_BUFFERED_BYTES // 2:
             self._resume()
         return part
 
@@ -214,16 +220,16 @@
                 it; the caller's request can't be sent.
         """
         self.send(request)
-        parts: list[bytes] = []
+        report = bytearray()
         with move_on_after(_FETCH_TIMEOUT_S):
             head = await self.read_head()
             while (part := await self.read_body_part()) is not None:
-                parts.append(part)
-                if sum(map(len, parts)) > _MAX_REPORT_BYTES:
+                report += part
+                if len(report) > _MAX_REPORT_BYTES:
                     self._fail(f"a report of more than {_MAX_REPORT_BYTES} bytes")
             if self.is_complete and head is not None and self._keeps_alive and self._is_open:
                 self._reset()
-                return b"".join(parts) if head.status == 200 else None
+                return bytes(report) if head.status == 200 else None
         raise EndpointUnreachable("expected a report and an open connection")
 
     @property
@@ -233,6 +239,7 @@
     async def _wait(self) -> None:
         self._changed = anyio.Event()
         await self._changed.wait()
+        self._has_waited = True
 
     def __enter__(self) -> Self:
         return self
--- a/src/beryljunction/gateway/relay.py
+++ b/src/beryljunction/gateway/relay.py
@@ -80,8 +80,7 @@
 
     async def _forward(self, parts: list[bytes]) -> AttemptResult:
         self._caller_answer.start_answer(self._head)
-        for part in parts:
-            await self._caller_answer.write_part(part)
+        await self._caller_answer.write_part(b"".join(parts))
         while (more := await self._call.read_body_part()) is not None:
             await self._caller_answer.write_part(more)
         if not await self._is_whole():
