Let other tasks run while an answer of the store or of an entry is read

The same cause as in answers of endpoints, found on related paths by tests: httpcore returns each chunk that it has read without suspending, tens of microseconds each. A body in chunks of one byte stopped an entry for 0.5 s at each read of 64 KB, up to 16 MB of them; the timeout of a store's answer is one of single reads, so it never ended. Interim responses without end (102) did so in the head.

Reads of the store take 16 KB at most, and its head may take 10 s longer than the wait that was asked for; a plain timer, since the ones that exclude stalls would cost three wake-ups each 0.1 s for long polls.

--- a/src/beryljunction/httpcore_backend.py
+++ b/src/beryljunction/httpcore_backend.py
@@ -22,6 +22,9 @@
 
 __all__ = ["UntimedReadBackend"]
 
+# httpcore parses what it has read without letting other tasks run.
+_MAX_READ_BYTES = 16_384
+
 
 class UntimedReadBackend(httpcore.AsyncNetworkBackend):
     """httpcore's anyio backend with streams whose pending reads are cheap."""
@@ -67,6 +70,7 @@
         self._source = source
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        max_bytes = min(max_bytes, _MAX_READ_BYTES)
         if timeout is not None:
             return await self._inner.read(max_bytes, timeout)
         try:
--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections
+import contextlib
 import enum
 from collections.abc import Callable, Sequence
 from types import TracebackType
@@ -28,6 +29,7 @@
     is_storable_key,
     quote_key,
 )
+from beryljunction.response_body import receive_parts
 
 __all__ = [
     "ENDPOINT_RECORDS",
@@ -55,6 +57,9 @@
 # is harmless. The slowest known fault makes the store respond in 0.24 s, 60 times its usual 4 ms.
 _RESPONSE_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 1.0
+# Interim responses without end renew the timeout of a response, but not this one, which is longer
+# than any stall of this process that the store should not be blamed for.
+_MAX_HEAD_S = 10.0
 # Three long-polling reads and one short call run at the same time.
 _MAX_KEEPALIVE_CONNECTIONS = 4
 _ERA_LENGTH_LIMIT = 16
@@ -263,9 +268,18 @@
             "pool": _RESPONSE_TIMEOUT_S,
         }
         try:
-            async with self._pool.stream(
-                method, self._origin + path, content=body, extensions={"timeout": timeout}
-            ) as response:
+            async with contextlib.AsyncExitStack() as stack:
+                with anyio.move_on_after(wait_s + _MAX_HEAD_S) as scope:
+                    response = await stack.enter_async_context(
+                        self._pool.stream(
+                            method,
+                            self._origin + path,
+                            content=body,
+                            extensions={"timeout": timeout},
+                        )
+                    )
+                if scope.cancelled_caught:
+                    return Unavailable(f"expected a response within {_MAX_HEAD_S:g} s, got none")
                 era = self._update_era(response.headers, era_at_request)
                 if era is None:
                     return Unavailable("got a response from before the store was restored")
@@ -314,12 +328,8 @@
             self._receiving[topic] += 1
         try:
             body = bytearray()
-            async for chunk in response.aiter_stream():
-                body += chunk
-                if len(body) > _MAX_BODY_BYTES:
-                    raise httpcore.RemoteProtocolError(
-                        f"expected a body of at most {_MAX_BODY_BYTES} bytes"
-                    )
+            async for part in receive_parts(response, _MAX_BODY_BYTES):
+                body += part
                 if part_limit is not None and part_limit.is_part(response, body, era):
                     return _Response(response.status, bytes(body), era, is_cut_short=True)
             return _Response(response.status, bytes(body), era)
--- a/testing/test_small_parts.py
+++ b/testing/test_small_parts.py
@@ -9,6 +9,8 @@
 
 from beryljunction.gateway.calls import EndpointUnreachable, open_call
 from beryljunction.gateway.eventstream import EventSplitter
+from beryljunction.gateway.peers import HttpPeerClient
+from beryljunction.platform import FLEET_CONFIG, HttpStore, Unavailable
 from entry_harness import event, open_harness, route
 
 # Half of what callers may be kept waiting; the endpoints of the tests run in the same loop.
@@ -203,3 +205,49 @@
     again = b"%x\r\n%b\r\n" % (size, b"\xff" * size) * batch
     count = None if total is None else total // (size * batch)
     return serve_bytes(b"HTTP/1.1 200 OK\r\n" + CHUNKED, again, count)
+
+
+async def read_store(address):
+    async with HttpStore(address) as store:
+        answer = await store.read(FLEET_CONFIG, 0, 0)
+        return None if isinstance(answer, Unavailable) else answer
+
+
+async def read_newest(address):
+    async with HttpStore(address) as store:
+        answer = await store.read_newest(FLEET_CONFIG)
+        return None if isinstance(answer, Unavailable) else answer
+
+
+async def read_view(address):
+    answer = await HttpPeerClient().fetch_view(address, 1, 0)
+    return None if isinstance(answer, str) else answer
+
+
+async def report_crashes(address):
+    return await HttpPeerClient().report_crashes(address, b"{}")
+
+
+class TestAnswersOfStoreAndEntries:
+    @pytest.mark.parametrize("read", [read_store, read_newest, read_view, report_crashes])
+    @pytest.mark.parametrize(
+        ("head", "again"),
+        [
+            (b"HTTP/1.1 200 OK\r\n" + CHUNKED, b"1\r\n\xff\r\n" * 10_000),
+            (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_000),
+        ],
+        ids=["1-byte", "interim-answers"],
+    )
+    def test_answer_without_end_is_given_up(self, read, head, again):
+        """Guards against an answer, asked for by the entry itself, that stops it."""
+
+        async def run():
+            async with serve_bytes(head, again, None) as address, LoopPauses() as pauses:
+                with anyio.fail_after(20.0):
+                    answer = await read(address[:2])
+            return pauses.longest_s, answer
+
+        longest_s, answer = anyio.run(run)
+
+        assert answer is None
+        assert longest_s < MAX_PAUSE_S
