Reject requests whose head or framing has no end

Found by tests on the way to small parts: the parser reports a header when it is complete, so a header, chunk extension or trailer that a caller never ends was read on without a limit, by growing concatenation in the parser, until the header timeout; after the head there is no timeout. A chunk of a body was an object of its own, 50 bytes at least.

Change: bytes since the last part of a body, or since the last request, are counted as they are for answers of endpoints; above 64 KB, or twice the limit of headers, the request gets 431. The body is kept in one buffer.

--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -26,6 +26,8 @@
 _LINGER_S = 0.5
 # SO_LINGER enabled with a timeout of 0, which makes the close a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Messages of other entries and of operators have small heads; a read of a socket is larger.
+_MIN_FRAMING_LIMIT_BYTES = 65_536
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -82,9 +84,9 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._incoming: HttpRequest | None = None
-        self._body_parts: list[bytes] = []
+        self._body = bytearray()
         self._header_bytes = 0
-        self._body_bytes = 0
+        self._framing_bytes = 0
         self._pipelined: collections.deque[HttpRequest] = collections.deque()
         self._active: HttpRequest | None = None
         self._is_answering = False
@@ -172,6 +174,7 @@
         """Parse received bytes; reject what isn't valid HTTP."""
         if self._discards_input:
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -183,6 +186,17 @@
         except httptools.HttpParserError as error:
             if not self._discards_input:
                 self._reject(400, f"expected an HTTP/1.1 request, got {error}")
+        if self._framing_bytes > self._max_framing_bytes and not self._discards_input:
+            problem = f"expected at most {self._max_framing_bytes} bytes without a part of a body"
+            self._reject(431, problem)
+
+    @property
+    def _max_framing_bytes(self) -> int:
+        """Limit of a head, and of what frames a body between two parts of it.
+
+        The parser reports a header only when it is complete. White space isn't part of its size.
+        """
+        return max(_MIN_FRAMING_LIMIT_BYTES, 2 * self._handler.limits.header_bytes)
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -191,9 +205,8 @@
             waited_s = unread_s(self._transport.get_extra_info("socket"))
         self._incoming = HttpRequest(b"", b"", [], boot_time_s(), unread_s=waited_s)
         self.headers_started_s = self._incoming.arrived_s
-        self._body_parts = []
+        self._body = bytearray()
         self._header_bytes = 0
-        self._body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -227,19 +240,22 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, up to the limit."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._handler.limits.body_bytes:
+        if self._discards_input:
+            return
+        self._framing_bytes = 0
+        self._body += body
+        if len(self._body) > self._handler.limits.body_bytes:
+            self._body.clear()
             self._reject(413, f"expected at most {self._handler.limits.body_bytes} bytes")
-        elif not self._discards_input:
-            self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Serve the request, or queue it until the one before it is answered."""
         request, self._incoming = self._incoming, None
         if request is None or self._discards_input:
             return
-        request.body = b"".join(self._body_parts)
-        self._body_parts = []
+        self._framing_bytes = 0
+        request.body = bytes(self._body)
+        self._body.clear()
         if self._active is None:
             self._serve(request)
         elif len(self._pipelined) < _MAX_PIPELINED:
--- a/testing/test_small_parts.py
+++ b/testing/test_small_parts.py
@@ -11,7 +11,7 @@
 from beryljunction.gateway.eventstream import EventSplitter
 from beryljunction.gateway.peers import HttpPeerClient
 from beryljunction.platform import FLEET_CONFIG, HttpStore, Unavailable
-from entry_harness import event, open_harness, route
+from entry_harness import event, open_harness, read_answer, route
 
 # Half of what callers may be kept waiting; the endpoints of the tests run in the same loop.
 MAX_PAUSE_S = 0.25
@@ -251,3 +251,83 @@
 
         assert answer is None
         assert longest_s < MAX_PAUSE_S
+
+
+class TestRequestsOfCallers:
+    @staticmethod
+    def request(lines):
+        start = "POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: q1\r\n"
+        return f"{start}X-Credential: key\r\n".encode() + lines
+
+    async def send(self, harness, data):
+        reader, writer = await harness.connect()
+        with contextlib.closing(writer):
+            writer.write(data)
+            return await asyncio.wait_for(read_answer(reader), 5.0)
+
+    @pytest.mark.parametrize("size", [1, 64])
+    def test_body_in_small_parts_is_forwarded_whole(self, size):
+        async def run():
+            async with open_harness(route()) as harness:
+                one = await harness.add_endpoint("e1")
+                await harness.wait_for_endpoints(1)
+                body = (b"%x\r\n%b\r\n" % (size, b"b" * size)) * (90_000 // size)
+                data = self.request(CHUNKED) + body + b"0\r\n\r\n"
+                async with LoopPauses() as pauses:
+                    answer = await self.send(harness, data)
+                return pauses.longest_s, answer[0], one.requests[0][1]
+
+        longest_s, status, sent = anyio.run(run)
+
+        assert (status, sent) == (200, b"b" * (90_000 // size * size))
+        assert longest_s < MAX_PAUSE_S
+
+    def test_body_above_the_limit_is_rejected_once(self):
+        """Guards against an answer and a log line for each part above the limit."""
+
+        async def run():
+            async with open_harness(route()) as harness:
+                data = self.request(CHUNKED) + b"1\r\nb\r\n" * 200_000
+                async with LoopPauses() as pauses:
+                    answer = await self.send(harness, data)
+                    await asyncio.sleep(0.2)
+                lines = [harness.lines.of_event(name) for name in ("rejected", "fault")]
+                return pauses.longest_s, answer[0], [len(row) for row in lines]
+
+        longest_s, status, lines = anyio.run(run)
+
+        assert (status, lines) == (413, [1, 0])
+        assert longest_s < MAX_PAUSE_S
+
+    @pytest.mark.parametrize(
+        "first",
+        [
+            request(b"X-Other: "),
+            request(CHUNKED + b"4;"),
+            request(CHUNKED + b"0\r\nt: "),
+            b"GET /",
+            b"",
+        ],
+        ids=["header", "chunk-extension", "trailer", "target", "blank-lines"],
+    )
+    def test_head_without_end_is_rejected(self, first):
+        """Guards against an entry that one caller fills with a message that has no end."""
+
+        async def run():
+            async with open_harness(route()) as harness:
+                reader, writer = await harness.connect()
+                answer = asyncio.ensure_future(read_answer(reader))
+                written = 0
+                with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+                    writer.write(first)
+                    while written < 5_000_000 and not answer.done():
+                        writer.write((b"a" if first else b"\r\n") * 32_768)
+                        written += 32_768
+                        await writer.drain()
+                        await asyncio.sleep(0)
+                return (await asyncio.wait_for(answer, 5.0))[0], written
+
+        status, written = anyio.run(run)
+
+        assert status in (400, 431)
+        assert written < 5_000_000
