--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -313,6 +313,7 @@
             group.start_soon(config.run)
             group.start_soon(endpoints.run)
             group.start_soon(entry.state.losses.run)
+            group.start_soon(entry.state.trial_permits.run)
             peers = PeerTable(entry.state.random)
             registration = Registration(entry.store, entry.state, peers, entry.address)
             group.start_soon(registration.run)
