Begin streams at versions that the store has, while there are any

The users' report of a system like this one: around a release all entries were killed at once, and streams that were taken up again were joined from two versions (ORDER).

Hypotheses: (1) restarted entries take the version that is left for the only one; (2) a version that is served for a moment isn't saved when all are killed, and is gone when they are back; (3) a late write of an older list of versions undoes a newer one; (4) an entry takes another's word for the only version.

Evidence: (1) doesn't happen: versions are saved, and without them 60 s have to pass. (3) was not played, (4) comes to (1).

Change: a new stream that may be resumed goes to endpoints whose version is among those saved for the service. If the store has none of the service, or no such endpoint can be used, any will do: in the first case restarted entries guess nothing; in the second refusing all would be worse than what remains of (2). Taking the write into the path of the first stream was weighed: it would hold callers up by a write, and by an outage of the store.

--- a/src/beryljunction/fuzz/platform/actors.py
+++ b/src/beryljunction/fuzz/platform/actors.py
@@ -364,6 +364,12 @@
         if self._side is not None:
             self._side.close()
 
+    def lose_connection(self) -> None:
+        """Lose the connection together with the entry; the caller may take its stream up again."""
+        self._end()
+        if self._side is not None:
+            self._side.close()
+
     def data_received(self, data: bytes) -> None:
         """Read on."""
         self._data += data
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -191,7 +191,11 @@
         """Try endpoints in turn until one answers or no further attempt is allowed."""
         while not self._end_if_quarantined(plan):
             choice = self._state.choose_endpoint(
-                self._service, self._placement_request, self._tried, self._origin
+                self._service,
+                self._placement_request,
+                self._tried,
+                self._origin,
+                begins_stream=plan.repeat is RepeatPolicy.RESUME,
             )
             if choice is None or self._remaining_s() < _MIN_REMAINING_S:
                 reason = "no_time"
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -209,6 +209,7 @@
         request: PlacementRequest,
         tried: set[KnownEndpoint],
         origin: StreamOrigin | None = None,
+        begins_stream: bool = False,
     ) -> Choice | None:
         """Choose the endpoint for a request; healthy ones are preferred to suspect ones.
 
@@ -217,12 +218,15 @@
             request: What placement knows of the request.
             tried: Endpoints that the request was sent to.
             origin: Where the stream began that the endpoint is to continue; None for a new one.
+            begins_stream: Whether the endpoint is to begin a stream that may be resumed.
         """
         now_s = boot_time_s()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
         if origin is not None:
             usable = [row for row in usable if self.can_resume(origin, row)]
         allowed = self.cold_start_limiter.allowed(usable, self._known_service(service), now_s)
+        if begins_stream and origin is None:
+            allowed = self.registry.of_saved_versions(service, allowed) or allowed
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
         excluded = self.registry.others(service, allowed)
         request = attrs.evolve(
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -134,6 +134,15 @@
         """Return the only software version that a service had lately; None if there may be more."""
         return self.versions.only(service, self._versions_of(service), now_s)
 
+    def of_saved_versions(self, service: str, rows: Iterable[KnownEndpoint]) -> list[KnownEndpoint]:
+        """Return the endpoints whose version the store has, or all if it has none of the service.
+
+        Entries that start later know what began at these, though all others were lost: without
+        saved versions of the service, they take none for the only one.
+        """
+        saved = self.versions.saved.get(service)
+        return [row for row in rows if saved is None or row.record.version in saved]
+
     def versions_to_save(self, service: str, now_s: float) -> frozenset[str | None] | None:
         """Return the versions to save for a service; None if the saved ones are right."""
         return self.versions.to_save(service, self._versions_of(service), now_s)
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -16,7 +16,7 @@
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.streamdirectory import StreamDirectory
 from beryljunction.gateway.streamreports import BegunStream, StreamQuery, StreamReport
-from beryljunction.platform import InvalidRecord, Record
+from beryljunction.platform import InvalidRecord, Record, WriteOutcome
 from beryljunction.routing import (
     AgeBound,
     EndpointRegistry,
@@ -111,6 +111,67 @@
             assert world.finish() == []
 
 
+def kill_all_entries(world, meanwhile):
+    """Kill all entries, and start them 1 s later; return the callers whose streams broke off."""
+    at_s = world.loop.world_s
+    callers = [row for row in world.callers if row.asked.ended_s is None]
+    for name, entry in world.entries.items():
+        world.oracle.forget(name, at_s)
+        entry.task.cancel()
+        world.loop.network.listeners.pop(entry.address, None)
+    for caller in callers:
+        caller.lose_connection()
+    meanwhile()
+    world.advance(1.0)
+    for name, entry in list(world.entries.items()):
+        world.start_entry(name, entry.address)
+    return [row for row in callers if row.asked.pieces]
+
+
+class TestAllEntriesKilled:
+    """All entries are killed at once around a release; callers take their streams up again."""
+
+    @pytest.mark.parametrize("settled_s", [4.0, 70.0])
+    @pytest.mark.parametrize("seed", range(6))
+    def test_version_that_was_served_for_a_moment_is_not_forgotten(self, seed, settled_s):
+        """Guards against a stream joined from a version that came and went unsaved, and another."""
+        draw = random.Random(seed)
+        with contextlib.closing(PlatformWorld()) as world:
+            world.event_gap_s = 0.15
+            allow_retries(world, 12)
+            world.advance(settled_s + draw.random())
+            world.release("f1", "v2")
+            fresh = world.endpoints["f1"].name
+            world.advance(draw.choice((0.02, 0.1, 0.2)))
+            for _ in range(12):
+                world.ask(draw.choice(ENTRIES), "free", True, "key-a")
+            world.advance(draw.choice((0.2, 0.3)))
+            callers = kill_all_entries(world, lambda: world.vanish(fresh.partition(".")[0]))
+            world.advance(0.5)
+            for caller in callers:
+                world.resume(caller, draw.choice(ENTRIES))
+            world.advance(1.5)
+
+            assert world.finish() == []
+
+    def test_new_version_is_used_at_once_where_no_other_is_left(self):
+        """Guards against refusing new streams until the store has the version."""
+
+        async def lose_write(*_):
+            return WriteOutcome.UNKNOWN
+
+        with contextlib.closing(PlatformWorld()) as world:
+            world.advance(4.0)
+            for name in ENTRIES:
+                world.entries[name].store.put = lose_write
+            for name in STREAMED:
+                world.release(name, "v2")
+            world.advance(0.3)
+            callers = ask_streams(world, 6)
+
+            assert all(row.asked.is_whole for row in callers)
+
+
 class TestResumedStream:
     def test_does_not_repeat_an_event_that_its_caller_has(self):
         """Guards against an endpoint that sends the last known event once more."""
