--- a/testing/test_trial_permits.py
+++ b/testing/test_trial_permits.py
@@ -90,9 +90,12 @@
                 await harness.wait_for_endpoints(1)
                 state = harness.entry._state
                 PeersThatPermitOneTrial(9).permit_trials_of(state)
-                await harness.send_request()
-                await asyncio.sleep(0.05)
-                in_flight = [row.in_flight for row in state.registry.rows]
+                reader, writer = await harness.connect()
+                with contextlib.closing(writer):
+                    writer.write(harness.request_bytes())
+                    await read_answer(reader)
+                    await asyncio.sleep(0.05)
+                    in_flight = [row.in_flight for row in state.registry.rows]
                 return in_flight, harness.lines.of_event("answered")
 
         in_flight, answered = anyio.run(run)
