Begun streams: names as elsewhere in the code, and hostile datagrams

Streams are announced, not told of; what waits is unannounced, not unsent. The decoder of the new datagrams is played hostile records like the others.

--- a/src/beryljunction/gateway/stream_datagrams.py
+++ b/src/beryljunction/gateway/stream_datagrams.py
@@ -1,4 +1,4 @@
-"""Encoding of the datagrams in which entries inform others of streams that have begun."""
+"""Encoding of the datagrams in which entries announce streams that have begun."""
 
 import hashlib
 import struct
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -42,11 +42,11 @@
 # Limits of what is kept of the store's records; no service has so many versions at a time.
 _MAX_UNNAMED_SERVICES = 256
 _MAX_VERSIONS = 256
-# Streams that begin between two datagrams; more than that are told of only if they need a report.
-_MAX_UNSENT_STREAMS = 1_024
+# Streams that wait for a datagram; the oldest of more are only reported, if they need it.
+_MAX_UNANNOUNCED_STREAMS = 1_024
 # Time in which an endpoint that has started under a known id has written its record.
 _RECORD_LAG_S = 0.5
-# A stream whose version is uncertain for longer is not told of.
+# A stream whose version is uncertain for longer is not announced.
 _UNCERTAIN_TTL_S = 5.0
 
 AskPeer = Callable[[Address, bytes], Awaitable[bytes | None]]
@@ -75,7 +75,7 @@
     key, and the entry at which a caller resumes a stream asks them.
 
     An entry can't report what began at the only version if it stands still, or is lost, when the
-    second one comes. The same entries are therefore told of these streams beforehand, once they
+    second one comes. These streams are therefore announced to the same entries as soon as they
     have begun, in datagrams that may be lost.
 
     Attributes:
@@ -112,8 +112,8 @@
         self._origins = StreamOrigins()
         self._unreported = StreamOrigins()
         self._begun_elsewhere = StreamOrigins()
-        self._unsent: collections.deque[_BegunHere]
-        self._unsent = collections.deque(maxlen=_MAX_UNSENT_STREAMS)
+        self._unannounced: collections.deque[_BegunHere]
+        self._unannounced = collections.deque(maxlen=_MAX_UNANNOUNCED_STREAMS)
         self.outbox: Outbox[BegunStream] = Outbox(fan_out)
         self.ask_peer: AskPeer | None = None
 
@@ -139,12 +139,12 @@
     def note_begun(self, key: str, origin: StreamOrigin) -> None:
         """Record that the first event of a stream has arrived, so that its origin is final."""
         if self._unreported.find(key) is not None:
-            self._unsent.append(_BegunHere(key, origin, boot_time_s()))
+            self._unannounced.append(_BegunHere(key, origin, boot_time_s()))
 
     def next_datagrams(self) -> list[tuple[bytes, Address]]:
-        """Return datagrams that inform other entries of streams, with their receivers."""
+        """Return the datagrams that announce streams, with their receivers."""
         rows: dict[str, list[tuple[str, tuple[str, int]]]] = collections.defaultdict(list)
-        for row in self._take_certain():
+        for row in self._pop_certain():
             for host in self._others_for(row.key):
                 rows[host].append((key_digest(row.key), row.origin.incarnation_id))
         addresses = self._fan_out.addresses() if rows else {}
@@ -155,30 +155,28 @@
             for start in range(0, len(begun), MAX_STREAMS)
         ]
 
-    def _take_certain(self) -> list["_BegunHere"]:
-        """Return the unsent streams whose version is certain; keep the others for a while."""
+    def _pop_certain(self) -> list[_BegunHere]:
+        """Return the unannounced streams whose version is certain; keep the others for a while."""
         now_s = boot_time_s()
-        rows, kept = list(self._unsent), []
-        certain = []
-        for row in rows:
+        certain, uncertain = [], []
+        for row in self._unannounced:
             if row.origin.version is not None or self._has_stayed(row):
                 certain.append(row)
             elif now_s - row.begun_s <= _UNCERTAIN_TTL_S:
-                kept.append(row)
-        self._unsent.clear()
-        self._unsent.extend(kept)
+                uncertain.append(row)
+        self._unannounced.clear()
+        self._unannounced.extend(uncertain)
         return certain
 
-    def _has_stayed(self, row: "_BegunHere") -> bool:
+    def _has_stayed(self, row: _BegunHere) -> bool:
         """Return whether later records still have the incarnation that the stream was sent to."""
         if self._endpoints_asked_s() < row.begun_s + _RECORD_LAG_S:
             return False
-        endpoint_id = row.origin.incarnation_id[0]
-        known = self._registry.find(endpoint_id)
+        known = self._registry.find(row.origin.incarnation_id[0])
         return known is not None and known.incarnation_id == row.origin.incarnation_id
 
     def apply_datagram(self, data: bytes) -> None:
-        """Apply what another entry tells of its streams; a malformed datagram is only logged."""
+        """Apply the streams that another entry announces; a malformed datagram is only logged."""
         begun = decode_streams(data, self._registry.rows)
         if isinstance(begun, InvalidRecord):
             self._events.write("peer_rejected", status=400, problem=begun.problem)
--- a/testing/hostile_records.py
+++ b/testing/hostile_records.py
@@ -24,6 +24,7 @@
 from beryljunction.gateway.response_headers import apply_response_headers
 from beryljunction.gateway.state import EntryState
 from beryljunction.gateway.store_view import StoreView
+from beryljunction.gateway.stream_datagrams import decode_streams, encode_streams
 from beryljunction.gateway.streamreports import StreamReport
 from beryljunction.gateway.updates import Reply, TopicUpdate, Update
 from beryljunction.platform import (
@@ -433,6 +434,10 @@
         lambda data: decode_loads(data, [KnownEndpoint(endpoint("e1"))]),
         Raw(encode_loads([LoadSample(("e1", 0), 1, 0.0)]).decode("latin-1")),
     ),
+    "begun_streams": Decoder(
+        lambda data: decode_streams(data, [KnownEndpoint(endpoint("e1"))]),
+        Raw(encode_streams([("00" * 8, ("e1", 0))]).decode("latin-1")),
+    ),
     "query": Decoder(lambda data: peers._parse_query(data.decode("latin-1")), Raw("/v1/known/1/2")),
     "query_number": Decoder(
         lambda data: peers._parse_query("/v1/known/1/" + data.decode("latin-1")), Raw("2")
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -385,7 +385,7 @@
             found = [find_at(world, "front-1", key) for key in keys]
             assert {row and (row.service, row.version) for row in found} == {("s", "v1")}
 
-    def test_stream_without_an_event_is_not_told_of(self):
+    def test_stream_without_an_event_is_not_announced(self):
         """Guards against an origin from before a second attempt at another version."""
         with FleetWorld(4) as world:
             world.advance(STARTED_S)
@@ -393,8 +393,10 @@
 
             assert not world.members["front-0"].state.streams.next_datagrams()
 
-    @pytest.mark.parametrize(("started_ms", "is_told"), [(1, True), (2, False)])
-    def test_uncertain_version_is_told_of_once_later_records_confirm_it(self, started_ms, is_told):
+    @pytest.mark.parametrize(("started_ms", "is_announced"), [(1, True), (2, False)])
+    def test_uncertain_version_is_announced_once_later_records_confirm_it(
+        self, started_ms, is_announced
+    ):
         """Guards against taking the version of a record for that of a restarted endpoint."""
         with FleetWorld(4) as world:
             world.advance(STARTED_S)
@@ -405,7 +407,7 @@
 
             assert not streams.next_datagrams()
             world.advance(3.0)
-            assert bool(streams.next_datagrams()) is is_told
+            assert bool(streams.next_datagrams()) is is_announced
             world.advance(3.0)
             assert not streams.next_datagrams()
 
@@ -523,7 +525,7 @@
 
 
 class TestBegunStream:
-    """A stream at the only version is told of as soon as its first event is passed on."""
+    """A stream at the only version is announced as soon as its first event is passed on."""
 
     @pytest.mark.parametrize("events", [0, 1])
     def test_first_event_makes_its_origin_known(self, events):
