Send releases of trials again after their task has failed

A release that was being sent when the task failed was lost, which holds the next trial of the service up for 2.5 s. Now it stays until it is sent. The test of the task is new and passes; the list of tasks failed before.

--- a/src/beryljunction/gateway/trials.py
+++ b/src/beryljunction/gateway/trials.py
@@ -1,6 +1,5 @@
 """Asks whether a request under suspicion may be sent as a trial."""
 
-import collections
 from typing import Protocol
 
 import anyio
@@ -36,16 +35,19 @@
         self._fan_out = fan_out
         self._quarantine = quarantine
         self.client: TrialClient | None = None
-        self._unsent_releases: collections.deque[Suspicion]
-        self._unsent_releases = collections.deque(maxlen=_MAX_UNSENT_RELEASES)
+        self._unsent_releases: dict[Suspicion, None] = {}
+        self._sending: set[Suspicion] = set()
         self._released = AutoResetEvent()
 
     async def run(self) -> None:
-        """Send releases until cancelled."""
+        """Send releases until cancelled; a run that failed may have left some behind."""
+        self._sending.clear()
         async with anyio.create_task_group() as group:
             while True:
-                while self._unsent_releases:
-                    group.start_soon(self._send_release, self._unsent_releases.popleft())
+                for trial in self._unsent_releases:
+                    if trial not in self._sending:
+                        self._sending.add(trial)
+                        group.start_soon(self._send_release, trial)
                 await self._released.wait()
 
     async def ask(self, service: str, features: frozenset[str]) -> bool:
@@ -67,11 +69,19 @@
 
         They may not answer for longer than the request has time, and its answer may be complete.
         """
-        self._unsent_releases.append(Suspicion(service, features))
-        self._released.set()
+        if len(self._unsent_releases) < _MAX_UNSENT_RELEASES:
+            self._unsent_releases[Suspicion(service, features)] = None
+            self._released.set()
 
     async def _send_release(self, trial: Suspicion) -> None:
-        """Inform the first counting host that answers."""
+        try:
+            await self._inform_counting_host(trial)
+            self._unsent_releases.pop(trial, None)
+        finally:
+            self._sending.discard(trial)
+
+    async def _inform_counting_host(self, trial: Suspicion) -> None:
+        """Send a release to the first counting host that answers."""
         message = CrashReport(trial=trial, is_permitted=False).encode()
         for host in self._quarantine.trial_hosts(trial.service):
             if host == self._host:
--- a/testing/test_supervisor.py
+++ b/testing/test_supervisor.py
@@ -26,6 +26,7 @@
 from beryljunction.gateway.stall_monitor import StallMonitor
 from beryljunction.gateway.streamreporter import StreamReporter, VersionRecorder
 from beryljunction.gateway.supervisor import Supervisor, report_callback_faults
+from beryljunction.gateway.trials import TrialPermits
 from beryljunction.gateway.update_publisher import UpdatePublisher
 from beryljunction.platform import Record
 from beryljunction.routing import EndpointRegistry, FanOut
@@ -50,6 +51,7 @@
     "load_exchange": (LoadExchange, "next_message"),
     "crash_reports": (CrashReporter, "step"),
     "stream_reports": (StreamReporter, "step"),
+    "trial_releases": (TrialPermits, "_send_release"),
     "versions": (VersionRecorder, "step"),
 }
 
@@ -108,6 +110,7 @@
     state = entry._state
     (endpoint,) = state.registry.rows
     state.losses.add(endpoint, LostRequest(frozenset(), False, True, 0.0))
+    state.trial_permits.release("plain", frozenset(["digest"]))
     state.quarantine.outbox.changed.set()
     state.streams.outbox.changed.set()
     state.store_data_changed.set()
