Send retries only to endpoints that run, and count them until they are read

Callers on users' machines, and in our soak, saw repeats pile up beyond rule BUDGET. A retry was counted when it was sent, but the rule counts when an endpoint reads it. An endpoint that stands still has connections accepted and requests kept by its kernel, reads them all at once when it goes on, with the time that was left when they were sent, and also those whose connection the entry has closed since. Open-loop callers go on sending meanwhile, so by then the entry's window had forgotten them.

A retry's connection now begins with a check (an engine's report, the health path of others) that any answer settles, so an endpoint that stands still gets none. What remains on its way, because a path holds it or an endpoint stalls just then, counts in every window until its endpoint sends a byte or closes; after the entry has given it up, until that endpoint answers a later request, or for a minute.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -7,6 +7,7 @@
 import anyio
 import httptools
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.messages import Headers, ResponseHead
 from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
 from beryljunction.platform import REPORT_REQUEST, decode_report_start
@@ -17,6 +18,7 @@
     "EndpointUnreachable",
     "PortState",
     "open_call",
+    "open_checked_call",
     "probe_port",
     "probe_start",
 ]
@@ -27,6 +29,8 @@
 _CONNECT_TIMEOUT_S = 0.25
 # A report needs no slot at the endpoint and comes within a few ms.
 _FETCH_TIMEOUT_S = 0.25
+# Times that an endpoint is asked whether it runs if this process stalls before it has the answer.
+_MAX_CHECKS = 3
 # Unread bytes of an answer that are buffered before reading from the endpoint pauses.
 _MAX_BUFFERED_BYTES = 262_144
 # Limit of the bytes that are handed on, and split into events, before other tasks run.
@@ -41,6 +45,10 @@
     """Raised when no connection could be made, so that nothing was sent."""
 
 
+class _ConnectionNotKept(EndpointUnreachable):  # noqa: N818 - not an error of this program
+    """Raised when an endpoint closes the connection with its report."""
+
+
 class EndpointCall(asyncio.Protocol):
     """Sends a request and reads its answer.
 
@@ -53,6 +61,7 @@
         ended_by_close: Whether it is complete because its connection was closed: it states no
             length, so an endpoint that crashed may have ended it too.
         problem: Why the answer can't be used; empty while it can.
+        has_received: Whether any byte of the answer has arrived.
         was_disconnected: Whether the connection ended before the answer did.
         was_ended: Whether the other host ended it so, with a reset or a close; False while the
             connection lasts, and where it failed for want of an answer.
@@ -81,6 +90,7 @@
         self.is_complete = False
         self.ended_by_close = False
         self.problem = ""
+        self.has_received = False
         self.was_disconnected = False
         self.was_ended = False
         self.was_unread = False
@@ -97,8 +107,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if there are more after the answer."""
+        self.has_received = True
         if self.is_complete or self.problem:
-            self._close()
+            self.close()
             return
         self._framing_bytes += len(data)
         try:
@@ -174,10 +185,11 @@
     def _fail(self, got: str) -> None:
         """Give the answer up, and close the connection, on which more may come without end."""
         self.problem = f"expected a complete answer, got {got}"
-        self._close()
+        self.close()
         self._changed.set()
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Abort the connection, so that the endpoint stops work on an abandoned request."""
         if self._transport is not None:
             self._transport.abort()
 
@@ -219,6 +231,13 @@
             EndpointUnreachable: There was no complete answer in time, or the connection ends with
                 it; the caller's request can't be sent.
         """
+        report = await self._fetch(request)
+        if not (self._keeps_alive and self._is_open):
+            raise _ConnectionNotKept("expected an open connection after the report")
+        self._reset()
+        return report
+
+    async def _fetch(self, request: bytes) -> bytes | None:
         self.send(request)
         report = bytearray()
         with move_on_after(_FETCH_TIMEOUT_S):
@@ -227,10 +246,9 @@
                 report += part
                 if len(report) > _MAX_REPORT_BYTES:
                     self._fail(f"a report of more than {_MAX_REPORT_BYTES} bytes")
-            if self.is_complete and head is not None and self._keeps_alive and self._is_open:
-                self._reset()
+            if self.is_complete and head is not None:
                 return bytes(report) if head.status == 200 else None
-        raise EndpointUnreachable("expected a report and an open connection")
+        raise EndpointUnreachable("expected a report")
 
     @property
     def _is_open(self) -> bool:
@@ -245,9 +263,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        """Abort the connection, so that the endpoint stops work on an abandoned request."""
-        if self._transport is not None:
-            self._transport.abort()
+        self.close()
 
 
 async def open_call(address: tuple[str, int], is_head: bool) -> EndpointCall:
@@ -266,6 +282,36 @@
     return call
 
 
+async def open_checked_call(address: tuple[str, int], is_head: bool, check: bytes) -> EndpointCall:
+    """Connect to an endpoint that has just answered a check, whatever its status.
+
+    The kernel accepts connections, and keeps requests, for a process that is suspended.
+
+    Args:
+        address: Address of the endpoint.
+        is_head: Whether the method of the request is HEAD.
+        check: The request that is sent first.
+
+    Raises:
+        EndpointUnreachable: The connection failed, or there was no answer in time.
+    """
+    for _ in range(_MAX_CHECKS):
+        call = await open_call(address, is_head)
+        asked_s = boot_time_s()
+        try:
+            await call.fetch(check)
+        except _ConnectionNotKept:
+            call.close()
+            call = await open_call(address, is_head)
+        except BaseException:
+            call.close()
+            raise
+        if boot_time_s() - asked_s <= _FETCH_TIMEOUT_S:
+            return call
+        call.close()
+    raise EndpointUnreachable("expected an answer before this process stalled")
+
+
 class PortState(enum.Enum):
     """What a connection attempt shows about a port."""
 
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -7,7 +7,12 @@
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.attempt_monitor import AttemptMonitor
 from beryljunction.gateway.caller_answer import AnswerWriter, CallerAnswer
-from beryljunction.gateway.calls import EndpointCall, EndpointUnreachable, open_call
+from beryljunction.gateway.calls import (
+    EndpointCall,
+    EndpointUnreachable,
+    open_call,
+    open_checked_call,
+)
 from beryljunction.gateway.endpoint_request import build_endpoint_request
 from beryljunction.gateway.exchangelog import ExchangeLog
 from beryljunction.gateway.messages import Headers, HttpRequest, ResponseHead
@@ -15,7 +20,7 @@
 from beryljunction.gateway.relay import AttemptResult, Relay
 from beryljunction.gateway.response_headers import apply_response_headers
 from beryljunction.gateway.state import VERSION_NOT_SERVED, EntryState
-from beryljunction.platform import REPORT_REQUEST, decode_report_start
+from beryljunction.platform import REPORT_REQUEST, check_request, decode_report_start
 from beryljunction.platform.headers import REQUEST_ID, RETRY_AFTER_S
 from beryljunction.platform.request_headers import (
     is_response_to,
@@ -244,7 +249,7 @@
         endpoint = choice.endpoint
         endpoint.in_flight += 1
         try:
-            call = await open_call(endpoint.record.address, self._request.method == b"HEAD")
+            call = await self._connect(endpoint, plan)
             with call:
                 return await self._send(call, choice, plan)
         except EndpointUnreachable as error:
@@ -254,6 +259,18 @@
         finally:
             endpoint.in_flight -= 1
 
+    async def _connect(self, endpoint: KnownEndpoint, plan: AttemptPlan) -> EndpointCall:
+        """Connect to an endpoint; for a retry, to one that is known to run.
+
+        One that stands still would read the retry later, together with all others that it was sent
+        meanwhile.
+        """
+        address, is_head = endpoint.record.address, self._request.method == b"HEAD"
+        if not plan.sends:
+            return await open_call(address, is_head)
+        check = check_request(self._state.known_service(self._service))
+        return await open_checked_call(address, is_head, check)
+
     async def _send(self, call: EndpointCall, choice: Choice, plan: AttemptPlan) -> AttemptResult:
         """Send the request and relay the answer."""
         endpoint = choice.endpoint
@@ -282,6 +299,7 @@
         finally:
             endpoint.prefill_tokens -= prefill.uncached_tokens
             took_ms = endpoint.end_wait(call, boot_time_s()) * 1000
+            self._note_read(call, endpoint, plan, sent_s)
         if not admitted.route.streamed:
             endpoint.latency.note(took_ms, boot_time_s())
         if head is not None and head.status == 200:
@@ -301,6 +319,18 @@
             self._state.trial_permits.release(self._service, self._features)
         return result
 
+    def _note_read(
+        self, call: EndpointCall, endpoint: KnownEndpoint, plan: AttemptPlan, sent_s: float
+    ) -> None:
+        """Record whether the endpoint is known to have read the request."""
+        now_s = boot_time_s()
+        if call.has_received:
+            self._state.unread_sends.note_answer(endpoint, sent_s, now_s)
+        if call.has_received or call.was_ended:
+            plan.note_read(now_s)
+        else:
+            self._state.unread_sends.add(endpoint, plan, sent_s, now_s)
+
     async def _confirm_incarnation(self, call: EndpointCall, endpoint: KnownEndpoint) -> bool:
         """Return whether the incarnation that this entry knows has the connection.
 
@@ -373,6 +403,7 @@
         if not self._is_trial and self._state.quarantine.is_suspected(self._features):
             self._give_up(plan.give_up(), _SUSPECTED)
             return AttemptResult()
+        self._state.unread_sends.expire(boot_time_s())
         if not plan.before_send(boot_time_s()):
             self._give_up(plan.give_up(), "retry_budget")
             return AttemptResult()
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -162,6 +162,11 @@
         )
         metrics.add_gauge("beryl_ready", "Whether callers are welcome.", self._is_ready)
         metrics.add_gauge("beryl_repeats_left", "Second sends left.", state.retries_left)
+        metrics.add_gauge(
+            "beryl_retries_unread",
+            "Retries that their endpoints may still read.",
+            state.unread_retries,
+        )
         metrics.add_gauge(
             "beryl_log_lines_left_out", "Lines left out.", lambda: self._events.suppressed_lines
         )
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -40,6 +40,7 @@
     SettingsLease,
     StoreReachability,
     StreamOrigin,
+    UnreadSends,
     ZoneChange,
     healthy_endpoints,
     merge_loads,
@@ -76,6 +77,7 @@
         trial_permits: Permits to send requests that may crash endpoints.
         losses: Endpoints whose connections were lost, and which may have crashed.
         streams: Where streams began.
+        unread_sends: Requests that endpoints may still read after their connections were closed.
         report_coverage: How many choices of an endpoint had a load report to go by.
         admits_until_s: Latest deadline, as boot time, of requests that are admitted. A stopping
             entry, which exits before the others, refuses them.
@@ -111,7 +113,7 @@
             self.registry,
             self.has_current_endpoints,
             lambda: self.endpoints_confirmation.asked_s,
-            lambda service: self._known_service(service) is not None,
+            lambda service: self.known_service(service) is not None,
             events,
         )
         self.report_coverage = ReportCoverage()
@@ -123,6 +125,7 @@
         self._warm_placement = CacheAwarePlacement(mechanisms, self.random)
         self._plain_placement = PlainPlacement(host.availability_zone, self.random, mechanisms)
         self._retry_shares: dict[str, RetryShare] = {}
+        self.unread_sends = UnreadSends()
         self._max_entries_seen = 1
         self._started_s = boot_time_s()
 
@@ -203,6 +206,10 @@
         """Return the number of retries left, summed over all services."""
         return sum(share.left(boot_time_s()) for share in self._retry_shares.values())
 
+    def unread_retries(self) -> int:
+        """Return the number of retries that endpoints may still read, over all services."""
+        return sum(share.unread_retries for share in self._retry_shares.values())
+
     def choose_endpoint(
         self,
         service: str,
@@ -224,7 +231,7 @@
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
         if origin is not None:
             usable = [row for row in usable if self.can_resume(origin, row)]
-        allowed = self.cold_start_limiter.allowed(usable, self._known_service(service), now_s)
+        allowed = self.cold_start_limiter.allowed(usable, self.known_service(service), now_s)
         if begins_stream and origin is None:
             allowed = self.registry.of_saved_versions(service, allowed) or allowed
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
@@ -268,12 +275,12 @@
             return "zone is evacuated" if is_known and endpoint.is_evacuated else "endpoint left"
         if endpoint.is_paused(now_s):
             return "endpoint is paused"
-        is_allowed = self.cold_start_limiter.allows(endpoint, self._known_service(service), now_s)
+        is_allowed = self.cold_start_limiter.allows(endpoint, self.known_service(service), now_s)
         return "" if is_allowed else "endpoint is cold"
 
     def note_send(self, service: str, endpoint: KnownEndpoint) -> None:
         """Count a request that is sent to an endpoint now."""
-        self.cold_start_limiter.note_send(endpoint, self._known_service(service), boot_time_s())
+        self.cold_start_limiter.note_send(endpoint, self.known_service(service), boot_time_s())
 
     def no_endpoint_reason(self, service: str, origin: StreamOrigin | None = None) -> str:
         """Return why no endpoint of a service can be chosen."""
@@ -281,7 +288,7 @@
         rows = self.registry.open(service, now_s)
         if origin is not None and not any(self.can_resume(origin, row) for row in rows):
             return VERSION_NOT_SERVED
-        known = self._known_service(service)
+        known = self.known_service(service)
         usable = self.registry.usable(service, now_s)
         if not usable and rows:
             return "endpoints_paused"
@@ -304,7 +311,7 @@
         now_s = boot_time_s()
         rows = self.registry.rows
         return sum(
-            self.cold_start_limiter.is_cold(row, self._known_service(row.record.service), now_s)
+            self.cold_start_limiter.is_cold(row, self.known_service(row.record.service), now_s)
             for row in rows
         )
 
@@ -329,7 +336,7 @@
         drain_s = self.bounds.drain_ms / 1000 if self.mechanisms.departed_sources else 0.0
         rows = self.registry.reachable(service, now_s, drain_s)
         prefill = self._placement(service).plan_prefill(rows, chosen, request, now_s)
-        known = self._known_service(service)
+        known = self.known_service(service)
         can_fetch = known is not None and known.can_fetch
         return prefill if can_fetch else attrs.evolve(prefill, source=None)
 
@@ -355,12 +362,13 @@
             merge_loads(self.registry.rows, loads, now_s)
 
     def _placement(self, service: str) -> Placement:
-        known = self._known_service(service)
+        known = self.known_service(service)
         return (
             self._warm_placement if known is not None and known.is_engine else self._plain_placement
         )
 
-    def _known_service(self, service: str) -> Service | None:
+    def known_service(self, service: str) -> Service | None:
+        """Return what the settings in force say of a service; None if they don't know it."""
         return self.config.services.get(service) if self.config is not None else None
 
     def is_ready(self) -> bool:
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -1,6 +1,10 @@
 """Adapter to the users' platform: decodes its formats and names into the project's types."""
 
-from beryljunction.platform.endpoint_report import REPORT_REQUEST, decode_report_start
+from beryljunction.platform.endpoint_report import (
+    REPORT_REQUEST,
+    check_request,
+    decode_report_start,
+)
 from beryljunction.platform.hostfile import (
     BOUND_PATHS,
     SETTINGS_VARIABLE,
@@ -59,6 +63,7 @@
     "decode_config",
     "decode_endpoint",
     "decode_evacuation",
+    "check_request",
     "decode_report_start",
     "era_of",
     "format_address",
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -1,5 +1,6 @@
 """Decodes the records that the operator and the endpoints write to the platform's store."""
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -40,6 +41,7 @@
 _MAX_ZONE_CHARS = 128
 # Names in the settings; the operator chooses them.
 _MAX_NAME_CHARS = 65_536
+_HEALTH_PATH = re.compile(r"/[!-~]{0,1000}")
 
 
 def decode_endpoint(endpoint_id: str, value: bytes) -> EndpointRecord | InvalidRecord:
@@ -170,9 +172,16 @@
         and bool(engine_fields.get("link-mbps")),
         cold_start_s=_non_negative_number(fields, "cold-start-s"),
         cold_per_s=_non_negative_number(fields, "cold-per-s"),
+        health_path=_health_path(fields.get("health-check-path")),
     )
 
 
+def _health_path(value: Any) -> str:
+    """Return a path that a request line can hold; empty without one."""
+    is_path = isinstance(value, str) and _HEALTH_PATH.fullmatch(value) is not None
+    return value if is_path else ""
+
+
 def _limits(value: Any) -> CallerLimits:
     if value is None:
         return CallerLimits()
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -58,6 +58,7 @@
 from beryljunction.routing.store_reachability import StoreReachability
 from beryljunction.routing.stream_origins import StreamOrigin, StreamOrigins
 from beryljunction.routing.trials import TrialLimiter
+from beryljunction.routing.unread_sends import UnreadSends
 
 __all__ = [
     "ALL_ON",
@@ -115,6 +116,7 @@
     "SUSPICION_S",
     "StoreReachability",
     "TrialLimiter",
+    "UnreadSends",
     "StreamOrigin",
     "StreamOrigins",
     "WeightedService",
--- a/src/beryljunction/routing/attempts.py
+++ b/src/beryljunction/routing/attempts.py
@@ -54,6 +54,7 @@
         sends: Endpoints that were sent at least one byte of the request.
         may_send_again: Whether retries are enabled.
         may_have_run: Whether any endpoint may have run the request.
+        unread: Sends that their endpoints may still read.
     """
 
     repeat: RepeatPolicy
@@ -62,15 +63,31 @@
     may_send_again: bool = True
     sends: int = 0
     may_have_run: bool = False
+    unread: int = 0
+    _unread_retries: int = 0
     _connect_failures: int = 0
 
     def before_send(self, now_s: float) -> bool:
         """Count a send; return False when the retry budget is used up."""
-        if self.sends and not self.share.spend(now_s):
-            return False
+        if self.sends:
+            if not self.share.spend(now_s):
+                return False
+            self._unread_retries += 1
         self.sends += 1
+        self.unread += 1
         return True
 
+    def note_read(self, now_s: float) -> None:
+        """Record that an endpoint has read one of the sends, or won't read it any more.
+
+        Whichever send is read first is no retry. So while an earlier one is unread, a retry that
+        was read still leaves one to come.
+        """
+        self.unread -= 1
+        if self._unread_retries > self.unread:
+            self._unread_retries -= 1
+            self.share.note_read(now_s)
+
     def after(self, outcome: AttemptOutcome) -> AttemptDecision:
         """Return what to do after an attempt with this outcome.
 
--- a/src/beryljunction/routing/budget.py
+++ b/src/beryljunction/routing/budget.py
@@ -31,6 +31,9 @@
     knows. In a window, it belongs to the processes that ran when the window began, with a part for
     those that start in it if the fleet is small.
 
+    A retry counts when its endpoint reads it, which may be long after it was sent. Until that is
+    known, it counts in every window.
+
     Counts are kept in cells of time. A cell that is partly in a window counts for the retries in
     it, but not for the requests.
 
@@ -63,6 +66,12 @@
         self._last_cell = 0
         self._requests = [0] * _HISTORY
         self._retries = [0] * _HISTORY
+        self._unread_retries = 0
+
+    @property
+    def unread_retries(self) -> int:
+        """Retries that their endpoints may still read."""
+        return self._unread_retries
 
     def note_entries(self, entries: int) -> None:
         """Update the number of entries that may be alive.
@@ -83,12 +92,18 @@
         self._requests[-1] += 1
 
     def spend(self, now_s: float) -> bool:
-        """Take one retry out of the share; return False when it is used up."""
+        """Take one retry out of the share, unread as yet; return False when it is used up."""
         if self.left(now_s) < 1.0:
             return False
-        self._retries[-1] += 1
+        self._unread_retries += 1
         return True
 
+    def note_read(self, now_s: float) -> None:
+        """Record that a retry was read by its endpoint by now, or won't be."""
+        self._advance(now_s)
+        self._unread_retries -= 1
+        self._retries[-1] += 1
+
     def left(self, now_s: float) -> float:
         """Return the retries left: the least that any window which contains now allows."""
         self._advance(now_s)
@@ -102,7 +117,7 @@
         before = requests[begin - 1] - requests[begin - _CELLS]
         mean = _SAME_WINDOW_PART * same + (1.0 - _SAME_WINDOW_PART) * before
         ran = (self._last_cell - age) * self._cell_s >= self._started_s
-        spent = retries[-1] - retries[begin - 1]
+        spent = retries[-1] - retries[begin - 1] + self._unread_retries
         return self._ratio * mean + self._slack(ran) - spent
 
     def _slack(self, ran: bool) -> float:
--- a/src/beryljunction/routing/fleet.py
+++ b/src/beryljunction/routing/fleet.py
@@ -79,6 +79,7 @@
         can_fetch: Whether its endpoints can fetch cached prefixes from each other.
         cold_start_s: How long an endpoint warms up after its start.
         cold_per_s: Requests per second that a cold endpoint can handle; 0 for no limit.
+        health_path: Path of its endpoints' health check; empty if they have none.
     """
 
     name: str
@@ -86,6 +87,7 @@
     can_fetch: bool
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 @attrs.frozen
--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -14,16 +14,17 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 
 import attrs
 
 from soak.callers import Traffic
 from soak.faults import Pause, draw_first_starts, draw_schedule, play_schedule
-from soak.fleet import Fleet, Size
+from soak.fleet import Fleet, Size, Start
 from soak.oracles import Answers, find_violations, worst_repeat_share
 from soak.records import ROUTES
 
-__all__ = ["Result", "run_soak"]
+__all__ = ["SCENARIOS", "Result", "run_soak"]
 
 _LARGE = Size(entries=60, endpoints=20, callers=60, pause_s=1.0)
 _FAILING = {"fail": 0.3, "reject": 0.3}
@@ -99,15 +100,57 @@
     return range(int(first), int(last or first) + 1)
 
 
-def _stall_endpoints(draw, seconds, size):
-    """Return pauses of half of the endpoints, again and again."""
+def _draw_faults(draw, seconds, size):
+    """Return drawn faults of all kinds, and how the entries start."""
+    starts = draw_first_starts(draw, size.entries)
+    return starts, draw_schedule(draw, seconds, size.entries)
+
+
+def _draw_faults_and_stalls(draw, seconds, size):
+    """Return drawn faults, and pauses of half of the endpoints again and again."""
+    starts, faults = _draw_faults(draw, seconds, size)
     places = range(2 * size.endpoints)
     moments = [2.0 + 4.5 * number for number in range(int((seconds - 3.0) / 4.5))]
-    return [
+    faults += [
         Pause(at_s, "endpoint", place, 2.5)
         for at_s in moments
         for place in draw.sample(places, size.endpoints)
     ]
+    return starts, sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_stalls(draw, seconds, size):
+    """Return no faults but pauses of some endpoints, after spans in which all of them run."""
+    faults, at_s = [], 2.0
+    places = range(2 * size.endpoints)
+    while at_s < seconds - 2.0:
+        length_s = draw.choice((0.4, 1.0, 2.5, 5.0, 9.0))
+        chosen = draw.sample(places, draw.randint(1, len(places) - 2))
+        faults += [
+            Pause(at_s + draw.uniform(0.0, 0.2), "endpoint", place, length_s) for place in chosen
+        ]
+        at_s += length_s + draw.choice((0.3, 1.5, 4.0))
+    return [Start(delay_s=0.0)] * size.entries, sorted(faults, key=lambda fault: fault.at_s)
+
+
+@attrs.frozen
+class Scenario:
+    """What happens in a run.
+
+    Attributes:
+        draw: Draws how the entries start, and the faults.
+        misbehaviour: How all endpoints fail from their start on.
+    """
+
+    draw: Callable
+    misbehaviour: dict = attrs.field(factory=dict)
+
+
+SCENARIOS = {
+    "faults": Scenario(_draw_faults),
+    "overload": Scenario(_draw_faults_and_stalls, _FAILING),
+    "stalls": Scenario(_draw_stalls, _FAILING),
+}
 
 
 async def _recover(fleet, traffic):
@@ -147,13 +190,8 @@
             evidence.pauses.append((name, from_s, time.monotonic()))
 
 
-async def _play(fleet, seed, seconds, overload):
-    draw = random.Random(seed)
-    first_starts = draw_first_starts(draw, fleet.size.entries)
-    schedule = draw_schedule(draw, seconds, fleet.size.entries)
-    if overload:
-        schedule += _stall_endpoints(draw, seconds, fleet.size)
-        schedule.sort(key=lambda fault: fault.at_s)
+async def _play(fleet, seed, seconds, scenario):
+    first_starts, schedule = scenario.draw(random.Random(seed), seconds, fleet.size)
     traffic = Traffic(fleet, random.Random(f"{seed}-callers"))
     fleet.on_start = traffic.open_early
     fleet.spawn(_monitor_stalls(fleet.evidence))
@@ -171,17 +209,16 @@
             task.result()
 
 
-def run_soak(seed, size, seconds, folder, overload=False):
+def run_soak(seed, size, seconds, folder, scenario=SCENARIOS["faults"]):
     """Run one seed; return what it showed.
 
     Args:
         folder: Where settings, logs and the endpoints' runs are kept.
-        overload: Whether endpoints fail and stall all the time.
     """
     with contextlib.ExitStack() as held:
-        fleet = Fleet(folder, seed, size, held, _FAILING if overload else {})
+        fleet = Fleet(folder, seed, size, held, scenario.misbehaviour)
         try:
-            asyncio.run(_play(fleet, seed, seconds, overload))
+            asyncio.run(_play(fleet, seed, seconds, scenario))
         finally:
             fleet.close()
         evidence = fleet.collect()
@@ -206,17 +243,26 @@
     parser.add_argument("--seeds", default="1", help="SEED or FIRST-LAST")
     parser.add_argument("--entries", type=int, default=Size().entries)
     parser.add_argument("--callers", type=int, default=Size().callers, help="for each route")
+    parser.add_argument("--rate", type=float, default=0.0, help="calls a second for each route")
     parser.add_argument("--seconds", type=float, default=20.0)
-    parser.add_argument("--overload", action="store_true", help="endpoints fail and stall")
+    scenario = parser.add_mutually_exclusive_group()
+    for name, text in (
+        ("overload", "endpoints fail and stall"),
+        ("stalls", "the same, without other faults"),
+    ):
+        scenario.add_argument(
+            f"--{name}", dest="scenario", action="store_const", const=name, help=text
+        )
+    parser.set_defaults(scenario="faults")
     parser.add_argument("--large", action="store_true", help="60 entries and 40 endpoints")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    size = Size(entries=options.entries, callers=options.callers)
+    size = Size(entries=options.entries, callers=options.callers, rate_per_s=options.rate)
     size = _LARGE if options.large else size
     broken = []
     for seed in parse_seeds(options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = run_soak(seed, size, options.seconds, folder, options.overload)
+        result = run_soak(seed, size, options.seconds, folder, SCENARIOS[options.scenario])
         print(result.summary(), flush=True)
         if result.violations:
             broken.append(seed)
--- a/testing/retry_traffic.py
+++ b/testing/retry_traffic.py
@@ -21,7 +21,7 @@
         herd_s: Interval at which all entries start again; 0 for never.
         stalls: Stalls of each entry per second, of up to 3 s; it reads its requests after them.
         reloads: Whether the limits are set again every second.
-        endpoint_stall_s: Stall in every 4.5 s of the endpoints that get half of the retries.
+        endpoint_stall_s: Stalls of the endpoints that get half of the retries, 2 s apart.
         is_even: Whether traffic is even and most requests fail all the time.
     """
 
@@ -49,7 +49,7 @@
     def __init__(self, case, seed, make):
         self.case, self.draw, self.make = case, random.Random(seed), make
         self.entries = [Entry(make(case.entries, -1e6)) for _ in range(case.entries)]
-        self.requests, self.retries = [], []
+        self.requests, self.retries, self.unread = [], [], []
         self.wanted = 0
         self.fails = case.is_even
         self.now_s = 0.0
@@ -58,6 +58,7 @@
         for tick in range(int(seconds / _TICK_S)):
             self.now_s = tick * _TICK_S
             self._change(tick)
+            self._read()
             for entry in self.entries:
                 self._disturb(entry)
                 self._serve(entry)
@@ -105,15 +106,23 @@
                 self.wanted += 1
                 if entry.share.spend(self.now_s):
                     self.retries.append(self._arrival_s())
+                    self.unread.append((self.retries[-1], entry.share))
         entry.unread = 0
+        self._read()
 
     def _arrival_s(self):
         stall_s = self.case.endpoint_stall_s
-        since_s = self.now_s % 4.5
+        since_s = self.now_s % (stall_s + 2.0)
         if since_s < stall_s and self.draw.random() < 0.5:
             return self.now_s - since_s + stall_s
         return self.now_s
 
+    def _read(self):
+        """Let the entries know of the retries that were read by now."""
+        for _, share in (row for row in self.unread if row[0] <= self.now_s):
+            share.note_read(self.now_s)
+        self.unread = [row for row in self.unread if row[0] > self.now_s]
+
     def most_over(self):
         """Return by how many retries the fleet exceeded its limit in the worst window.
 
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -135,10 +135,29 @@
                 self.openers.add(task)
                 task.add_done_callback(self.openers.discard)
 
+    async def call_at_rate(self, route, per_s):
+        """Call at a rate that jumps, however long the calls before take, on new connections."""
+        level, changes_s = 1.0, 0.0
+        async with asyncio.TaskGroup() as group:
+            while (now_s := time.monotonic()) < self.ends_s:
+                if now_s > changes_s:
+                    level = self.draw.choice((0.1, 0.5, 1.0, 2.0))
+                    changes_s = now_s + self.draw.uniform(2.0, 12.0)
+                group.create_task(self._call_once(route))
+                await asyncio.sleep(self.draw.expovariate(per_s * level))
+
+    async def _call_once(self, route):
+        connection, _ = await self.ask(route, self.draw.randrange(len(self.fleet.entries)))
+        if connection is not None:
+            connection.writer.close()
+
     async def run(self):
         """Run all callers until the end of the traffic."""
+        size = self.fleet.size
         async with asyncio.TaskGroup() as group:
-            for number in range(self.fleet.size.callers):
-                for route in ROUTES.values():
+            for route in ROUTES.values():
+                for number in range(size.callers):
                     group.create_task(self.call_in_series(route, number, number % 4 > 0))
+                if size.rate_per_s:
+                    group.create_task(self.call_at_rate(route, size.rate_per_s))
         await asyncio.gather(*self.openers)
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -64,11 +64,18 @@
 
 @attrs.frozen
 class Size:
-    """How many processes and callers a run has; `callers` are for each route."""
+    """How many processes and callers a run has.
+
+    Attributes:
+        endpoints: For each service.
+        callers: For each route, of those that wait for an answer before their next call.
+        rate_per_s: Calls for each route of callers that don't wait.
+    """
 
     entries: int = 4
     endpoints: int = 4
     callers: int = 8
+    rate_per_s: float = 0.0
     pause_s: float = 0.03
     busy_loops: int = 2
 
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -26,6 +26,8 @@
 # Requests of one run that the rule leaves uncounted.
 _BUDGET_ALLOWANCE = 3
 _DENIED_ALLOWANCE = 5
+# Beyond a caller's deadline, and requests of one run that may exceed it.
+_DEADLINE_SLACK_S, _LATE_DEADLINES = 0.5, 20
 
 
 @attrs.frozen
@@ -289,7 +291,7 @@
     services = {attempt.id: attempt.route.service for attempt in evidence.attempts}
     ids = collections.defaultdict(list)
     for run in evidence.runs:
-        if run.what in ("start", "reject") and services.get(run.id) == service:
+        if run.is_arrival and services.get(run.id) == service:
             ids[run.id].append(run.s)
     return sorted(at_s for times in ids.values() for at_s in sorted(times)[1:])
 
@@ -346,6 +348,47 @@
             yield from found
 
 
+class Deadlines(Oracle):
+    """Endpoints are handed no more time than the caller has left, also when they read it late.
+
+    Counted against are the requests that state no or too long a deadline, and the repeats that
+    arrive late; of the latter, those are wrong that end after the first and the caller's own.
+    """
+
+    rule = "BUDGET"
+
+    def find(self, evidence):
+        runs = evidence.runs_by_id()
+        counted, wrong = 0, []
+        for attempt in evidence.attempts:
+            arrivals = [run for run in runs.get(attempt.id, ()) if run.is_arrival]
+            for run in arrivals:
+                is_late = run.s - arrivals[0].s > _DEADLINE_SLACK_S
+                problem = self._too_long(attempt, run)
+                if not problem and is_late:
+                    problem = self._ends_late(attempt, run, arrivals[0])
+                counted += bool(is_late or problem)
+                if problem:
+                    text = f"{attempt.id}: {problem} at {run.endpoint}"
+                    wrong.append((run.s, attempt.entry, text))
+        if len(wrong) > _LATE_DEADLINES and len(wrong) > counted / 5:
+            yield from wrong
+
+    @staticmethod
+    def _too_long(attempt, run):
+        if run.deadline_ms is None:
+            return "no deadline"
+        more_s = run.deadline_ms / 1000 - attempt.deadline_s
+        return f"{more_s:.2f} s more than the caller's" if more_s > _DEADLINE_SLACK_S else ""
+
+    @staticmethod
+    def _ends_late(attempt, run, first):
+        own_s = attempt.sent_s + attempt.deadline_s
+        first_s = first.s + (first.deadline_ms or 0) / 1000
+        late_s = run.s + run.deadline_ms / 1000 - max(own_s, first_s)
+        return f"repeat ends {late_s:.2f} s late" if late_s > _DEADLINE_SLACK_S else ""
+
+
 class Draining(Oracle):
     """An endpoint that drains gets no request after the bound, from an entry in touch."""
 
@@ -355,7 +398,7 @@
         attempts = {attempt.id: attempt for attempt in evidence.attempts}
         for run in evidence.runs:
             drains_s = evidence.draining.get(run.endpoint)
-            if run.what not in ("start", "reject") or drains_s is None or run.id not in attempts:
+            if not run.is_arrival or drains_s is None or run.id not in attempts:
                 continue
             entry = attempts[run.id].entry
             late_s = run.s - drains_s - evidence.bounds.drain_s
@@ -412,6 +455,7 @@
     Unasked(),
     RetryBudget(),
     Attempts(),
+    Deadlines(),
     Draining(),
     RevokedKeys(),
     Denials(),
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -123,13 +123,22 @@
 
 @attrs.frozen
 class Run:
-    """A line of an endpoint: `what` is start, end, drop, cut or reject."""
+    """A line of an endpoint: `what` is start, end, drop, cut or reject.
+
+    Attributes:
+        deadline_ms: Time that the request left the endpoint, of a start or reject; None for none.
+    """
 
     s: float
     what: str
     endpoint: str
     id: str
     status: int = 0
+    deadline_ms: int | None = None
+
+    @property
+    def is_arrival(self):
+        return self.what in ("start", "reject")
 
 
 @attrs.define
--- a/testing/soak/standins.py
+++ b/testing/soak/standins.py
@@ -41,6 +41,12 @@
     return f"id: {number}\ndata: token {number} of {request_id}\n\n".encode()
 
 
+def deadline_ms(headers):
+    """Return the time that a request leaves its endpoint; None if it states none."""
+    value = headers.get("x-deadline-ms")
+    return int(value) if value is not None else None
+
+
 async def put_record(store, topic, key, value):
     """Write the record of a key, or remove it; return when it was acknowledged, None if not."""
     name = key.encode()
@@ -82,9 +88,10 @@
         self.born_ms = time.time_ns() // 1_000_000
         self.running, self.beats, self.state = 0, 0, "ready"
 
-    def note(self, what, request_id, status=0):
+    def note(self, what, request_id, status=0, deadline_ms=None):
         row = {"s": time.monotonic(), "what": what, "endpoint": self.name, "id": request_id}
-        self.runs.write(json.dumps({**row, "status": status}) + "\n")
+        row |= {"status": status, "deadline_ms": deadline_ms}
+        self.runs.write(json.dumps(row) + "\n")
 
     async def register(self):
         self.beats += 1
@@ -165,14 +172,14 @@
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, {"X-Instance-Id": self.name}, b""
         if self.running >= SLOTS or self.draw.random() < self.behaviour.reject:
-            self.note("reject", request_id, 503)
+            self.note("reject", request_id, 503, deadline_ms(headers))
             return 503, {"X-Request-Id": request_id, "X-Not-Executed": "1"}, b""
         return 0, {}, b""
 
     async def run(self, writer, message):
         request_id = message.headers["x-request-id"]
         own = {"X-Request-Id": request_id, "X-Server-Signature": f"{self.name}.{request_id}"}
-        self.note("start", request_id)
+        self.note("start", request_id, deadline_ms=deadline_ms(message.headers))
         self.running += 1
         try:
             status = await self.work(writer, message, request_id, own)
--- a/testing/test_attempt_plan.py
+++ b/testing/test_attempt_plan.py
@@ -74,3 +74,39 @@
         plan = plan_of(RepeatPolicy.FREELY, max_attempts=5, retries=1)
 
         assert [plan.before_send(0.0) for _ in range(3)] == [True, True, False]
+
+
+class TestUnreadRetries:
+    """Guards against late arrivals that no window of the retry share counts."""
+
+    @staticmethod
+    def send(plan, *reads):
+        """Send once for each of these; true for a send that is read before the next."""
+        for is_read in reads:
+            plan.before_send(0.0)
+            if is_read:
+                plan.note_read(0.0)
+        return plan.share.unread_retries
+
+    def plan(self):
+        return plan_of(RepeatPolicy.FREELY, max_attempts=4)
+
+    def test_first_send_is_no_retry(self):
+        assert self.send(self.plan(), False) == 0
+
+    def test_retry_is_unread_until_it_is_read(self):
+        plan = self.plan()
+
+        assert self.send(plan, True, False) == 1
+        plan.note_read(0.0)
+        assert plan.share.unread_retries == 0
+
+    def test_first_send_that_is_read_after_its_retry_is_the_retry(self):
+        plan = self.plan()
+
+        assert self.send(plan, False, True) == 1
+        plan.note_read(0.0)
+        assert plan.share.unread_retries == 0
+
+    def test_sends_that_are_never_read_stay(self):
+        assert self.send(self.plan(), False, False, True, False) == 3
--- a/testing/test_gateway_calls.py
+++ b/testing/test_gateway_calls.py
@@ -1,11 +1,18 @@
 import asyncio
+import contextlib
 import socket
 import time
 
 import anyio
 import pytest
 
-from beryljunction.gateway.calls import EndpointUnreachable, PortState, open_call, probe_port
+from beryljunction.gateway.calls import (
+    EndpointUnreachable,
+    PortState,
+    open_call,
+    open_checked_call,
+    probe_port,
+)
 from stalls import full_listener, run_with_stall
 
 
@@ -122,3 +129,57 @@
         """Guards against taking a late report for the answer to a caller's request."""
         with pytest.raises(EndpointUnreachable):
             self.fetch(report)
+
+
+class TestOpenCheckedCall:
+    """Guards against retries at an endpoint of which only the kernel answers."""
+
+    CHECK = b"GET /check HTTP/1.1\r\n\r\n"
+    KEPT = b"HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\n\r\nno"
+    CLOSED = b"HTTP/1.1 503 No\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+
+    def open(self, answer, before_answer=lambda: None):
+        """Open a call; return the checks and the connections that its endpoint got."""
+        checks, connections = [], []
+
+        async def serve(reader, writer):
+            connections.append(reader)
+            checks.append(await reader.readuntil(b"\r\n\r\n"))
+            before_answer()
+            writer.write(answer)
+            if answer == self.CLOSED:
+                writer.close()
+
+        async def run():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            async with server:
+                address = server.sockets[0].getsockname()
+                with await open_checked_call(address, False, self.CHECK):
+                    await asyncio.sleep(0.01)
+
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            anyio.run(run)
+        return len(checks), len(connections)
+
+    def test_any_answer_shows_that_an_endpoint_runs(self):
+        assert self.open(self.KEPT) == (1, 1)
+
+    def test_endpoint_that_closes_its_connection_gets_the_request_on_another(self):
+        assert self.open(self.CLOSED) == (1, 2)
+
+    def test_endpoint_that_only_accepts_connections_is_unreachable(self):
+        async def run():
+            with socket.create_server(("127.0.0.1", 0)) as stalled:
+                await open_checked_call(stalled.getsockname(), False, self.CHECK)
+
+        with pytest.raises(EndpointUnreachable):
+            anyio.run(run)
+
+    def test_answer_from_before_a_stall_of_this_process_does_not_count(self):
+        stalls = [0.4]
+
+        def stall():
+            if stalls:
+                time.sleep(stalls.pop())
+
+        assert self.open(self.KEPT, stall) == (2, 2)
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -1,5 +1,6 @@
 import asyncio
 import re
+import socket
 import time
 
 import anyio
@@ -7,11 +8,24 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.platform import DeploymentBounds, records
-from entry_harness import event, open_harness, read_answer, reset, route
+from entry_harness import ScriptedEndpoint, event, open_harness, read_answer, reset, route
 
 STREAM = {"kind": "streaming", "service": "plain", "target-gap-ms": 400}
 
 
+def read_connections(listener):
+    """Return what was received on each connection that waits to be accepted."""
+    listener.setblocking(False)
+    received = []
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return received
+        with connection:
+            received.append(connection.recv(65_536))
+
+
 class TestRequests:
     def test_request_is_forwarded_unchanged_except_for_fleet_headers(self):
         async def run():
@@ -408,6 +422,29 @@
 
         assert anyio.run(run) == (503, sends)
 
+    def test_endpoint_that_stands_still_gets_no_retries(self):
+        """Guards against retries that such an endpoint reads later, all at once."""
+
+        async def decline(answer, writer, number):
+            writer.write(answer.declined())
+
+        async def run():
+            async with open_harness(route(**{"max-attempts": 2})) as harness:
+                await harness.add_endpoint("declines", script=decline)
+                with socket.create_server(("127.0.0.1", 0), backlog=64) as stalled:
+                    silent = ScriptedEndpoint("stalled", "plain")
+                    silent.port = stalled.getsockname()[1]
+                    harness.put("keyed.servers", "stalled", silent.record())
+                    await harness.wait_for_endpoints(2)
+                    harness.entry._state.registry.find("stalled").in_flight = 1
+                    statuses = [(await harness.send_request())[0] for _ in range(3)]
+                    return statuses, read_connections(stalled)
+
+        statuses, received = anyio.run(run)
+
+        assert statuses == [503] * 3
+        assert {data.split(b" ")[1] for data in received} == {b"/beryljunction/report"}
+
     def test_failed_connection_costs_no_retry(self):
         async def run():
             async with open_harness(route()) as harness:
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from process_soak import parse_seeds, run_soak
+from process_soak import SCENARIOS, parse_seeds, run_soak
 from soak.faults import draw_first_starts, draw_schedule
 from soak.fleet import Size
 from soak.oracles import find_violations, worst_repeat_share
@@ -28,8 +28,8 @@
     return attempt(**{"status": None, "is_complete": False, "problem": "closed", **values})
 
 
-def run(request_id="notes-1", s=100.01, what="start", endpoint="ledger-1", status=0):
-    return Run(s, what, endpoint, request_id, status)
+def run(request_id="notes-1", s=100.01, what="start", endpoint="ledger-1", **values):
+    return Run(s, what, endpoint, request_id, **{"deadline_ms": 500, **values})
 
 
 def process(started_s=10.0, **values):
@@ -359,3 +359,13 @@
 
         assert not result.violations, f"{result.summary()}\n{result.report()}"
         assert any(attempt.is_served for attempt in result.evidence.attempts)
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_retries_stay_in_their_budget_while_endpoints_stall(self, seed, tmp_path):
+        """Guards against retries that endpoints read long after they were sent."""
+        size = Size(entries=3, endpoints=3, callers=0, rate_per_s=20.0)
+
+        result = run_soak(seed, size, 20.0, pathlib.Path(tmp_path), SCENARIOS["stalls"])
+
+        assert not result.violations, f"{result.summary()}\n{result.report()}"
+        assert any(attempt.is_served for attempt in result.evidence.attempts)
--- a/testing/test_retry_share.py
+++ b/testing/test_retry_share.py
@@ -20,8 +20,16 @@
         share.count_request(begin_s + number / rate)
 
 
+def spend(share, now_s):
+    """Spend a retry that is read at once; return whether there was one."""
+    is_spent = share.spend(now_s)
+    if is_spent:
+        share.note_read(now_s)
+    return is_spent
+
+
 def spend_all(share, now_s):
-    return next(spent for spent in range(10_000) if not share.spend(now_s))
+    return next(spent for spent in range(10_000) if not spend(share, now_s))
 
 
 class TestRetryShare:
@@ -32,7 +40,7 @@
         spent = 0
         for number in range(500):
             share.count_request(20.0 + number / 50)
-            spent += share.spend(20.0 + number / 50)
+            spent += spend(share, 20.0 + number / 50)
 
         assert 95 <= spent <= 100
 
@@ -61,7 +69,7 @@
     def test_idle_entry_has_only_its_part_of_the_slack(self):
         share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
 
-        assert [share.spend(0.0) for _ in range(3)] == [True, True, False]
+        assert [spend(share, 0.0) for _ in range(3)] == [True, True, False]
 
     def test_idle_entry_has_its_part_of_the_slack_again_after_a_window(self):
         share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
@@ -84,7 +92,7 @@
             for share in shares:
                 share.count_request(tick * 0.02)
                 requests.append(1)
-                retries.append(share.spend(tick * 0.02))
+                retries.append(spend(share, tick * 0.02))
 
         late = 1000 * entries
         assert sum(retries) <= len(requests) * ratio + slack
@@ -114,6 +122,32 @@
         assert not share.spend(0.0)
 
 
+class TestUnreadRetries:
+    """Guards against retries that endpoints read after the window in which they were sent."""
+
+    def test_retry_counts_in_every_window_until_it_is_read(self):
+        share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
+        sent = [share.spend(0.0) for _ in range(3)]
+
+        assert sent == [True, True, False]
+        assert not share.spend(60.0)
+
+    def test_retry_counts_for_a_window_from_when_it_is_read(self):
+        share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
+        for _ in range(2):
+            share.spend(0.0)
+        for _ in range(2):
+            share.note_read(30.0)
+
+        assert not share.spend(39.9)
+        assert share.spend(40.5)
+
+    def test_retry_that_is_read_at_once_leaves_after_a_window(self):
+        share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
+
+        assert spend_all(share, 0.0) == spend_all(share, 10.5) == 2
+
+
 class TestStart:
     def test_starts_in_series_keep_the_slack(self):
         """Guards against a fleet whose entries bring a new part of the slack with each start."""
@@ -141,7 +175,7 @@
         spent = 0
         for number in range(250):
             share.count_request(100.0 + number / 50)
-            spent += share.spend(100.0 + number / 50)
+            spent += spend(share, 100.0 + number / 50)
 
         assert 20 <= spent <= 25
 
@@ -209,6 +243,11 @@
         "even-with-stalls": Case(is_even=True, rate=1200.0, stalls=0.2),
         "even-with-reloads": Case(is_even=True, reloads=True),
         "endpoints-stall": Case(endpoint_stall_s=2.5),
+        "endpoints-stall-under-even-traffic": Case(is_even=True, rate=1200.0, endpoint_stall_s=2.5),
+        "endpoints-stall-long": Case(endpoint_stall_s=9.0),
+        "endpoints-stall-long-in-large-fleet": Case(
+            is_even=True, entries=60, rate=600.0, endpoint_stall_s=9.0
+        ),
     }
 
     @pytest.mark.parametrize("name", CASES)
