--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -57,6 +57,7 @@
 _SUSPECTED_RETRY_AFTER_S = 1.0
 _STOPPING = "stopping"
 _FAULT = "fault"
+_OVER_BUDGET = "retry_budget"
 
 
 class Exchange:
@@ -194,7 +195,7 @@
 
     async def _try_endpoints(self, plan: AttemptPlan) -> None:
         """Try endpoints in turn until one answers or no further attempt is allowed."""
-        while not self._end_if_quarantined(plan):
+        while not (self._end_if_quarantined(plan) or self._end_if_over_budget(plan)):
             choice = self._state.choose_endpoint(
                 self._service,
                 self._placement_request,
@@ -237,6 +238,15 @@
         self._give_up(plan.give_up(), _QUARANTINED)
         return True
 
+    def _end_if_over_budget(self, plan: AttemptPlan) -> bool:
+        """End the request if it may not be sent again, before an endpoint is checked for it."""
+        now_s = boot_time_s()
+        self._state.unread_sends.expire(now_s)
+        if plan.is_in_budget(now_s):
+            return False
+        self._give_up(plan.give_up(), _OVER_BUDGET)
+        return True
+
     async def _may_send(self) -> bool:
         """Return whether the request isn't under suspicion, or may be sent as a trial."""
         if self._is_trial or not self._state.quarantine.is_suspected(self._features):
@@ -403,9 +413,8 @@
         if not self._is_trial and self._state.quarantine.is_suspected(self._features):
             self._give_up(plan.give_up(), _SUSPECTED)
             return AttemptResult()
-        self._state.unread_sends.expire(boot_time_s())
         if not plan.before_send(boot_time_s()):
-            self._give_up(plan.give_up(), "retry_budget")
+            self._give_up(plan.give_up(), _OVER_BUDGET)
             return AttemptResult()
         return admitted
 
--- a/src/beryljunction/routing/attempts.py
+++ b/src/beryljunction/routing/attempts.py
@@ -67,6 +67,10 @@
     _unread_retries: int = 0
     _connect_failures: int = 0
 
+    def is_in_budget(self, now_s: float) -> bool:
+        """Return whether another send would be in the retry budget."""
+        return not self.sends or self.share.left(now_s) >= 1.0
+
     def before_send(self, now_s: float) -> bool:
         """Count a send; return False when the retry budget is used up."""
         if self.sends:
