Limit attempts by the settings in force at each send

Each send is checked against the settings in force already; the attempts now are too. The test had 3 sends before where 1 is allowed.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -369,6 +369,7 @@
     "not_sent": lambda *_: "no connection to an endpoint could be opened; the request has not run",
     "deadline": _explain_deadline,
     "no_time": _explain_deadline,
+    "max_attempts": lambda *_: "its route allows no further attempt since its settings changed",
     "retry_budget": lambda *_: "the fleet's retry budget was used up",
     "stopping": _explain_stopping,
     "fault": _explain_fault,
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -413,6 +413,9 @@
         if not self._is_trial and self._state.quarantine.is_suspected(self._features):
             self._give_up(plan.give_up(), _SUSPECTED)
             return AttemptResult()
+        if plan.sends >= admitted.route.max_attempts:
+            self._give_up(plan.give_up(), "max_attempts")
+            return AttemptResult()
         if not plan.before_send(boot_time_s()):
             self._give_up(plan.give_up(), _OVER_BUDGET)
             return AttemptResult()
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -447,6 +447,30 @@
         assert statuses == [503] * 3
         assert {data.split(b" ")[1] for data in received} == {b"/beryljunction/report"}
 
+    def test_attempts_are_limited_by_the_settings_in_force_at_each_send(self):
+        """Guards against more attempts than a route allows since a change of the settings."""
+
+        async def run():
+            async with open_harness(route(**{"max-attempts": 3})) as harness:
+
+                async def decline_under_new_settings(answer, writer, number):
+                    harness.configure(route(**{"max-attempts": 1}))
+                    version = harness.version
+                    while harness.entry._state.config.version < version:
+                        await asyncio.sleep(0.01)
+                    writer.write(answer.declined())
+
+                added = [
+                    await harness.add_endpoint(name, script=decline_under_new_settings)
+                    for name in "abc"
+                ]
+                await harness.wait_for_endpoints(3)
+                harness.entry._state.retry_share("plain").set_limits(0.0, 10.0, 320)
+                status, *_ = await harness.send_request()
+                return status, sum(len(endpoint.requests) for endpoint in added)
+
+        assert anyio.run(run) == (503, 1)
+
     def test_failed_connection_costs_no_retry(self):
         async def run():
             async with open_harness(route()) as harness:
