--- a/src/beryljunction/routing/attempts.py
+++ b/src/beryljunction/routing/attempts.py
@@ -54,7 +54,6 @@
         sends: Endpoints that were sent at least one byte of the request.
         may_send_again: Whether retries are enabled.
         may_have_run: Whether any endpoint may have run the request.
-        unread: Sends that their endpoints may still read.
     """
 
     repeat: RepeatPolicy
@@ -63,7 +62,7 @@
     may_send_again: bool = True
     sends: int = 0
     may_have_run: bool = False
-    unread: int = 0
+    _unread_sends: int = 0
     _unread_retries: int = 0
     _connect_failures: int = 0
 
@@ -78,7 +77,7 @@
                 return False
             self._unread_retries += 1
         self.sends += 1
-        self.unread += 1
+        self._unread_sends += 1
         return True
 
     def note_read(self, now_s: float) -> None:
@@ -87,8 +86,8 @@
         Whichever send is read first is no retry. So while an earlier one is unread, a retry that
         was read still leaves one to come.
         """
-        self.unread -= 1
-        if self._unread_retries > self.unread:
+        self._unread_sends -= 1
+        if self._unread_retries > self._unread_sends:
             self._unread_retries -= 1
             self.share.note_read(now_s)
 
--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -198,6 +198,7 @@
     await fleet.start(first_starts)
     callers = asyncio.create_task(traffic.run())
     await play_schedule(fleet, schedule)
+    await fleet.end_misbehaviour()
     fleet.evidence.unready = await _recover(fleet, traffic)
     stopping = asyncio.create_task(fleet.stop())
     await asyncio.sleep(2.0)
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -365,6 +365,11 @@
             self.spawn(entry.supervise())
             self.spawn(entry.probe())
 
+    async def end_misbehaviour(self):
+        """Let all endpoints that still run serve what they get."""
+        running = [row for row in self.endpoints if row.process.poll() is None]
+        await asyncio.gather(*[row.behave({}) for row in running])
+
     def spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self.tasks.add(task)
