--- a/testing/test_cut_answers.py
+++ b/testing/test_cut_answers.py
@@ -1,6 +1,7 @@
 """Endpoints that stop at each byte of their answer and close or reset the connection."""
 
 import asyncio
+import contextlib
 import re
 
 import anyio
@@ -8,7 +9,7 @@
 import pytest
 
 from beryljunction.gateway import process
-from entry_harness import ScriptedEndpoint, event, open_harness, read_answer, reset, route
+from entry_harness import event, open_harness, read_answer, reset, route
 
 BODY = b"a whole body"
 EVENTS = event(1) + event(2)
@@ -98,21 +99,23 @@
 }
 
 
-class CuttingEndpoint(ScriptedEndpoint):
-    """An endpoint whose answers are cut where the path of the request says so."""
+async def cut_answer(answer, writer, number):
+    """Answer as the path of the request says: in which form, cut where, and ended how."""
+    _, form, cut, end = _PATH.search(answer.head).groups()
+    head, body = FORMS[form].whole(answer.request_id)
+    writer.write((head + body)[: int(cut)])
+    await writer.drain()
+    if end == "reset":
+        await asyncio.sleep(0.002)
+        reset(writer)
 
-    def __init__(self, name, service):
-        super().__init__(name, service, self.cut)
 
-    @staticmethod
-    async def cut(answer, writer, number):
-        _, form, cut, end = _PATH.search(answer.head).groups()
-        head, body = FORMS[form].whole(answer.request_id)
-        writer.write((head + body)[: int(cut)])
-        await writer.drain()
-        if end == "reset":
-            await asyncio.sleep(0.002)
-            reset(writer)
+@contextlib.asynccontextmanager
+async def open_cutting_harness():
+    async with open_harness(*ROUTES) as harness:
+        await harness.add_endpoint("cuts", script=cut_answer)
+        await harness.wait_for_endpoints(1)
+        yield harness
 
 
 class Caller:
@@ -177,22 +180,13 @@
     return defects, count
 
 
-async def add_endpoint(harness):
-    endpoint = CuttingEndpoint("cuts", "plain")
-    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0, backlog=1_024)
-    endpoint.server, endpoint.port = server, server.sockets[0].getsockname()[1]
-    harness.put("keyed.servers", "cuts", endpoint.record())
-    await harness.wait_for_endpoints(1)
-
-
 class TestCutAnswers:
     """Guards against answers that are cut in their head or body and look whole."""
 
     @pytest.mark.parametrize("name", FORMS)
     def test_no_cut_answer_looks_whole(self, name):
         async def run():
-            async with open_harness(*ROUTES) as harness:
-                await add_endpoint(harness)
+            async with open_cutting_harness() as harness:
                 return await ask_all(harness, [name], ("close", "reset"))
 
         defects, count = anyio.run(run)
@@ -204,8 +198,7 @@
         """Guards against a test whose endpoint never gives a whole answer."""
 
         async def run():
-            async with open_harness(*ROUTES) as harness:
-                await add_endpoint(harness)
+            async with open_cutting_harness() as harness:
                 caller = Caller(harness)
                 return {name: await caller.ask(name, 9_999, "close") for name in FORMS}
 
@@ -219,8 +212,7 @@
         cuts = [(name, cut) for name in FORMS for cut in range(0, 160, 23)]
 
         async def run():
-            async with open_harness(*ROUTES) as harness:
-                await add_endpoint(harness)
+            async with open_cutting_harness() as harness:
                 callers = [Caller(harness) for _ in cuts]
                 for caller in callers:
                     caller.connection = await harness.connect()
