--- a/testing/test_retry_share.py
+++ b/testing/test_retry_share.py
@@ -69,7 +69,7 @@
     def test_idle_entry_has_only_its_part_of_the_slack(self):
         share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
 
-        assert [spend(share, 0.0) for _ in range(3)] == [True, True, False]
+        assert [share.spend(0.0) for _ in range(3)] == [True, True, False]
 
     def test_idle_entry_has_its_part_of_the_slack_again_after_a_window(self):
         share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
