Ignore numbers of endpoint records that are far ahead

Callers would have got requests run by an endpoint that drains: an entry keeps a record unless a later one has the same or a higher number. One record of another writer under the key of a known endpoint, with a number like 2**31 and all else as the endpoint wrote it, hid every later record of that start, its "draining" too. The test failed before with all three numbers.

The numbers are there for records of a restored store, or that arrive late; those are behind by seconds. One that is behind by more than an endpoint writes in hours is now taken for the newer one, as it stands later in the list. A number that is ahead by up to 10,000 still hides later records until the endpoint has passed it.

--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -92,7 +92,7 @@
         elif known.record != record:
             known.note_cold(record.cold_ms, now_s)
         self.versions.note(record.service, record.version, now_s)
-        if record.sequence >= known.record.sequence:
+        if not record.is_older_than(known.record):
             known.record = record
         known.kept_until_s = None
         return known
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -37,6 +37,8 @@
 _SUSPECT_S = 0.5
 _MAX_SUSPECT_S = 4.0
 _MAX_SUSPECT_DOUBLINGS = 3
+# An endpoint writes fewer records in an hour, and no older copy of the store is restored.
+_MAX_SEQUENCE_LAG = 10_000
 
 
 @attrs.frozen
@@ -67,6 +69,13 @@
         """Return whether both records are of one incarnation at one address."""
         return self._identity == other._identity
 
+    def is_older_than(self, other: "EndpointRecord") -> bool:
+        """Return whether the incarnation wrote this record before another one of its records.
+
+        The number of a record that another writer has changed may be far ahead of all later ones.
+        """
+        return 0 < other.sequence - self.sequence <= _MAX_SEQUENCE_LAG
+
     @property
     def _identity(self) -> tuple[object, ...]:
         return self.endpoint_id, self.started_ms, self.address, self.service, self.version
--- a/testing/test_endpoint_registry.py
+++ b/testing/test_endpoint_registry.py
@@ -187,6 +187,16 @@
 
         assert registry.usable("engine", 1.0) == []
 
+    @pytest.mark.parametrize("sequence", [2**31, 2**53, 2**63 - 1])
+    def test_number_far_ahead_does_not_hide_that_an_endpoint_is_leaving(self, sequence):
+        """Guards against requests to a draining endpoint after one record of another writer."""
+        registry = EndpointRegistry()
+        registry.put(endpoint("e1", sequence=8), 0.0)
+        registry.put(endpoint("e1", sequence=sequence), 1.0)
+        registry.put(endpoint("e1", sequence=9, is_draining=True), 2.0)
+
+        assert registry.usable("engine", 2.0) == []
+
     def test_record_numbers_of_a_new_incarnation_start_again(self):
         registry = EndpointRegistry()
         registry.put(endpoint("e1", sequence=40, is_draining=True), 0.0)
