Decline requests that an entry takes for an endpoint's

Callers with a valid key got 401 at a service whose list had a record with the address of an entry: the entry chose it, sent the request to itself or to another entry, withheld the key as from any endpoint, was refused and relayed the 401, which is final.

A request that names an endpoint which this entry knows was sent by an entry.

Both tests failed before: {200, 401} with a key, 504 and many sends without one. The anonymous case of the first passes before, as such a request found the sound endpoint in the end.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -58,6 +58,7 @@
 _STOPPING = "stopping"
 _FAULT = "fault"
 _OVER_BUDGET = "retry_budget"
+_MISDIRECTED = "misdirected"
 
 
 class Exchange:
@@ -103,6 +104,9 @@
         """Serve the request; cancelled when the caller disconnects or the process exits."""
         if not self._read_caller_headers():
             return
+        if self._is_misdirected():
+            self._answer_error(421, _MISDIRECTED)
+            return
         admitted = self._admit()
         if isinstance(admitted, Denial):
             self._deny(admitted)
@@ -123,6 +127,10 @@
         self._log.resumed_request_id = caller_headers.resumed_request_id
         return True
 
+    def _is_misdirected(self) -> bool:
+        """Return whether an entry sent this to an endpoint whose record has an entry's address."""
+        return self._state.registry.find(self._caller_headers.expected_endpoint) is not None
+
     async def _serve(self, admitted: Admitted) -> None:
         route = admitted.route
         deadline_ms = self._caller_headers.deadline_ms or _DEFAULT_DEADLINE_MS
--- a/src/beryljunction/platform/request_headers.py
+++ b/src/beryljunction/platform/request_headers.py
@@ -57,6 +57,7 @@
         has_last_event_id: Whether the caller resumes a stream of which it has events.
         resumed_request_id: Request id of the attempt that brought the first of them; empty if the
             caller doesn't name it.
+        expected_endpoint: Id of the endpoint that an entry sent it to; empty from a caller.
     """
 
     request_id: str
@@ -68,6 +69,7 @@
     last_event_id: int | None = None
     has_last_event_id: bool = False
     resumed_request_id: str = ""
+    expected_endpoint: str = ""
 
 
 def parse_caller_headers(lines: _Headers) -> CallerHeaders | str:
@@ -89,6 +91,7 @@
         last_event_id=_parse_int(values.get(headers.LAST_EVENT_ID)),
         has_last_event_id=bool(values.get(headers.LAST_EVENT_ID)),
         resumed_request_id=values.get(headers.RESUMED_REQUEST_ID, b"").decode("latin-1"),
+        expected_endpoint=values.get(headers.EXPECTED_ENDPOINT, b"").decode(errors="replace"),
     )
 
 
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -8,6 +8,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.platform import DeploymentBounds, records
+from endpoint_records import record
 from entry_harness import ScriptedEndpoint, event, open_harness, read_answer, reset, route
 
 STREAM = {"kind": "streaming", "service": "plain", "target-gap-ms": 400}
@@ -734,6 +735,40 @@
         assert len([line for line in attempts if "endpoint=e2" in line]) <= 3
 
 
+class TestAddressOfEntry:
+    @pytest.mark.parametrize("is_anonymous", [False, True], ids=["key", "anonymous"])
+    def test_record_with_the_address_of_an_entry_costs_no_answer(self, is_anonymous):
+        """Guards against a 401 for a valid key, which the entry has withheld from itself."""
+
+        async def run():
+            bounds = DeploymentBounds(repeat_slack=200)
+            fields = {"max-attempts": 2, "allow-anonymous": is_anonymous}
+            async with open_harness(route(**fields), bounds=bounds) as harness:
+                await harness.add_endpoint("e1")
+                address = f"127.0.0.1:{harness.host.callers[1]}"
+                harness.put("keyed.servers", "odd", record(address=address, born=1))
+                await harness.wait_for_endpoints(2)
+                return [await harness.send_request(request_id=f"q{n}") for n in range(20)]
+
+        assert {answer[0] for answer in anyio.run(run)} == {200}
+
+    def test_request_is_not_sent_on_without_end(self):
+        """Guards against an entry that sends one request to itself until its deadline."""
+
+        async def run():
+            async with open_harness(route(**{"allow-anonymous": True})) as harness:
+                address = f"127.0.0.1:{harness.host.callers[1]}"
+                harness.put("keyed.servers", "odd", record(address=address, born=1))
+                await harness.wait_for_endpoints(1)
+                answer = await harness.send_request()
+                return answer, harness.lines.of_event("sent")
+
+        answer, sends = anyio.run(run)
+
+        assert answer[0] == 503
+        assert len(sends) == 1
+
+
 class TestHeadOfStream:
     def test_answer_has_no_body_and_the_next_request_is_answered(self):
         """Guards against the last chunk of a body that the caller takes for the next answer."""
