Refuse records with an address that no host has

Multicast, reserved and broadcast addresses were used as those of endpoints and entries too, up to the failed connection. The tests failed before.

--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -19,6 +19,7 @@
     WriteOutcome,
     era_of,
     format_address,
+    is_host_address,
     parse_address,
 )
 from beryljunction.routing import Address, Confirmation, PeerTable
@@ -210,7 +211,7 @@
             if record.value is None or record.key == self._host:
                 continue
             address = parse_address(record.value.decode("latin-1"))
-            if address is not None:
+            if address is not None and is_host_address(address):
                 rows.append((record.key, address))
             else:
                 self._state.events.write_refused("entry_refused", record.key, key=record.key)
--- a/src/beryljunction/platform/__init__.py
+++ b/src/beryljunction/platform/__init__.py
@@ -12,6 +12,7 @@
     DeploymentBounds,
     HostSettings,
     format_address,
+    is_host_address,
     parse_address,
     read_host_settings,
 )
@@ -67,6 +68,7 @@
     "decode_report_start",
     "era_of",
     "format_address",
+    "is_host_address",
     "is_storable_key",
     "parse_address",
     "read_host_settings",
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -21,6 +21,7 @@
     "MECHANISMS_VARIABLE",
     "SETTINGS_VARIABLE",
     "format_address",
+    "is_host_address",
     "parse_address",
     "read_host_settings",
 ]
@@ -34,6 +35,8 @@
 MECHANISMS_VARIABLE = "BERYL_MECHANISMS"
 ADDRESS_FORMAT = "IP:PORT"
 _MAX_PORT_DIGITS = 5
+# First parts of IP addresses that no host has: this host itself, multicast, reserved, broadcast.
+_PARTS_WITHOUT_HOST = frozenset(["0", *map(str, range(224, 256))])
 
 # Numbers beyond this are mistakes, and may be too large to calculate with.
 _MAX_NUMBER = 1e12
@@ -271,3 +274,8 @@
     except (OSError, ValueError):
         return None
     return host, int(port)
+
+
+def is_host_address(address: Address) -> bool:
+    """Return whether another host can have an address."""
+    return address[0].partition(".")[0] not in _PARTS_WITHOUT_HOST
--- a/src/beryljunction/platform/records.py
+++ b/src/beryljunction/platform/records.py
@@ -16,7 +16,7 @@
     parse_json,
     whole_number,
 )
-from beryljunction.platform.hostfile import parse_address
+from beryljunction.platform.hostfile import is_host_address, parse_address
 from beryljunction.routing import (
     Account,
     CallerLimits,
@@ -57,7 +57,7 @@
         if state not in ("ready", "draining"):
             raise FieldError(f"state: expected ready or draining, got {describe(state)}")
         address = parse_address(fields.get("address"))
-        if address is None:
+        if address is None or not is_host_address(address):
             raise FieldError(f"address: expected IP:PORT, got {describe(fields.get('address'))}")
         return EndpointRecord(
             endpoint_id=endpoint_id,
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -184,5 +184,13 @@
         assert isinstance(rejected, InvalidRecord)
         assert "address: expected" in rejected.problem
 
+    @pytest.mark.parametrize("host", ["0.0.0.0", "224.0.0.1", "240.0.0.1", "255.255.255.255"])
+    def test_address_of_no_host_names_no_endpoint(self, host):
+        """Guards against requests to whatever listens on the entry's own machine."""
+        rejected = endpoint(address=f"{host}:9")
+
+        assert isinstance(rejected, InvalidRecord)
+        assert "address: expected" in rejected.problem
+
     def test_problem_stays_short(self):
         assert len(endpoint(state="x" * 70_000).problem) < 200
--- a/testing/test_refused_records.py
+++ b/testing/test_refused_records.py
@@ -50,6 +50,15 @@
             assert {name: counted[f"{name}_refused"] for name in names} == dict.fromkeys(names, 1)
             assert events.refused_records.count == len(names)
 
+    def test_address_of_no_host_names_no_entry(self):
+        """Guards against updates that an entry sends to itself under another name."""
+        with FleetWorld(1) as world:
+            world.advance(4.0)
+            world.put("keyed.entries", "x", b"0.0.0.0:1000")
+            world.advance(4.0)
+
+            assert world.members["front-0"].state.fan_out.hosts == ["front-0"]
+
     def test_endpoints_that_come_and_go_leave_nothing_behind(self):
         """Guards against an entry whose memory grows with every key that was ever written."""
         with FleetWorld(1) as world:
