Save every quarantine under a key that the store can hold

An entry that others no longer find: one quarantine of another writer with a feature of 250 characters gets a key of 261 bytes, which no record can have. After a restoration of the store the first reader tried to write that record without end, and with it nothing else: after the second restoration its own address was not written again (30 s in a simulated fleet), so that the others would send it no updates.

Such a quarantine now has a digest as its key, as those of several features have. The simulated store rejects such keys as the real client does; it raised before.

--- a/src/beryljunction/fuzz/platform/stores.py
+++ b/src/beryljunction/fuzz/platform/stores.py
@@ -14,6 +14,7 @@
     Topic,
     Unavailable,
     WriteOutcome,
+    is_storable_key,
 )
 from beryljunction.platform.positions import era_of, offset_of, position_of
 from beryljunction.standins.platform_store import Gone, PlatformStoreModel
@@ -87,6 +88,8 @@
 
     async def put(self, topic: Topic, key: str, value: bytes | None) -> WriteOutcome:
         """Write the record of a key."""
+        if not is_storable_key(key):
+            return WriteOutcome.NOT_DONE
         fault = await self._begin(0.0)
         if fault is not None:
             return WriteOutcome.NOT_DONE if fault.reason == "busy" else WriteOutcome.UNKNOWN
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -13,7 +13,7 @@
 from beryljunction.gateway.crashreports import MAX_FEATURES, CrashReport, Suspicion
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.outbox import Outbox
-from beryljunction.platform import Record
+from beryljunction.platform import Record, is_storable_key
 from beryljunction.platform.fields import FieldError, finite_number, is_text, parse_json
 from beryljunction.routing import (
     PART_PREFIX,
@@ -478,8 +478,14 @@
         return [_key(features) for features in self._table.expire(boot_time_s())]
 
 
+def _is_named_by_key(features: frozenset[str]) -> bool:
+    """Return whether the key has all features: a digest that isn't too long for it."""
+    is_digest = len(features) == 1 and not any(map(is_part, features))
+    return is_digest and is_storable_key(_KEY_PREFIX + next(iter(features)))
+
+
 def _key(features: frozenset[str]) -> str:
-    if len(features) == 1 and not any(map(is_part, features)):
+    if _is_named_by_key(features):
         return _KEY_PREFIX + next(iter(features))
     digest = hashlib.blake2b("\n".join(sorted(features)).encode(), digest_size=_KEY_BYTES)
     return _KEY_PREFIX + digest.hexdigest()
@@ -488,7 +494,7 @@
 def _record(features: frozenset[str], left_s: float) -> Record:
     """Return the record of a quarantine; that of a request's digest has the digest in its key."""
     until_s = round(unix_time_s() + left_s)
-    if len(features) == 1 and not any(map(is_part, features)):
+    if _is_named_by_key(features):
         return Record(_key(features), b"%d" % until_s)
     value = {"until": until_s, "features": sorted(features)}
     return Record(_key(features), json.dumps(value).encode())
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -10,8 +10,8 @@
 from beryljunction.fuzz.platform.world import ENDPOINTS, ENTRIES, PlatformWorld, behave
 from beryljunction.gateway.crashreports import CrashReport, Suspicion
 from beryljunction.gateway.peers import HttpPeerClient, PeerHandler
-from beryljunction.gateway.quarantine import COUNTING_HOSTS
-from beryljunction.platform import InvalidRecord, Record
+from beryljunction.gateway.quarantine import COUNTING_HOSTS, _decode_record
+from beryljunction.platform import InvalidRecord, Record, is_storable_key
 from beryljunction.routing import Crash, PeerTable, request_digest, responsible_hosts
 from entry_harness import event, open_harness, reset, route
 from fanout_world import FleetWorld
@@ -345,6 +345,25 @@
 
             assert quarantine.remaining_s(["d"]) == 0.0
 
+    @pytest.mark.parametrize(
+        "feature",
+        ["x" * 250, "part:" + "x" * 250, "\U0001f600" * 100],
+        ids=["long", "part", "wide"],
+    )
+    def test_every_quarantine_can_be_saved(self, feature):
+        """Guards against an entry that tries without end to write one record and no other."""
+        with FleetWorld(1) as world:
+            quarantine = world.members["front-0"].state.quarantine
+            until_s = world.loop.world_s + 60
+            value = json.dumps({"until": until_s, "features": [feature]}).encode()
+            quarantine.apply_record(Record("quarantine/x", value))
+            (saved,) = quarantine.records()
+            again = _decode_record(saved.key, saved.value)
+
+            assert is_storable_key(saved.key)
+            assert again is not None
+            assert again[0] == {feature}
+
     def test_expired_quarantine_is_not_counted(self):
         with FleetWorld(4) as world:
             world.advance(STARTED_S)
--- a/testing/test_restored_store.py
+++ b/testing/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import copy
+import json
 
 import anyio
 import pytest
@@ -344,6 +345,22 @@
 
             assert "quarantine/d" in keys
 
+    def test_address_is_rewritten_beside_a_quarantine_of_another_writer(self):
+        """Guards against an entry that others no longer find, since one record can't be written."""
+        with FleetWorld(1) as world:
+            before = world.model.copy()
+            world.advance(STARTED_S)
+            value = {"until": world.loop.world_s + 600, "features": ["x" * 250]}
+            world.put("keyed.entries", "quarantine/x", json.dumps(value).encode())
+            world.advance(STARTED_S)
+            for _ in range(2):
+                world.model.restore(before)
+                world.configure()
+                world.advance(30.0)
+
+            rows, _, _ = world.model.newest("keyed.entries", "", world.loop.world_s)
+            assert "front-0" in [key for key, _, _ in rows]
+
     def test_number_of_calls_after_a_restoration_is_bounded(self):
         """Guards against overloading a store that has just come back."""
         with FleetWorld(24) as world:
