Do not pass on records that are larger than any of ours

One record of 250 KB that another writer writes at each heartbeat made all entries work: 16 simulated entries made 185 calls to the store in 12 s instead of 32, each for the whole record, as a change above 16 KB is left to the store; in the topic of the entries it went from entry to entry, 315 MB in 12 s instead of 0.4 MB. Each entry also kept the last 256 records for others whatever their size, up to 64 MB of the 300 that its process may have.

A value above 64 KB (endpoints) or 16 KB (entries) is now replaced by one that no decoder accepts as soon as it is read, the records kept for others are limited to 1 MB, and addresses above 64 KB in one update are left to the store. All five tests failed before: 111 calls where 32 are allowed, 26.8 MB, 3.5 MB kept.

--- a/src/beryljunction/gateway/topic_reader.py
+++ b/src/beryljunction/gateway/topic_reader.py
@@ -28,6 +28,9 @@
 _MAX_PAUSE_S = 2.0
 # Records kept for downstream entries; one that lacks more gets the newest record of each key.
 _MAX_RECENT_RECORDS = 256
+_MAX_RECENT_BYTES = 1_048_576
+# Stands for a value that is too large to be kept and passed on; no record can be read from it.
+_OVERSIZED = b"oversized"
 
 # Reads of at least this size are logged; the endpoints' usual heartbeats stay below it.
 _MIN_LOGGED_BYTES = 16_384
@@ -56,6 +59,7 @@
         self._topic = topic
         self._offset: int | None = None
         self._recent: collections.deque[Record] = collections.deque()
+        self._recent_bytes = 0
         self._recent_start = 0
         self._snapshot_end: int | None = None
         self._is_store_lost = False
@@ -184,7 +188,8 @@
         self.state.era = max(self.state.era, era_of(end))
         self._offset = self._recent_start = self._snapshot_end = end
         self._recent.clear()
-        self._apply_all(records, apply_snapshot)
+        self._recent_bytes = 0
+        self._apply_all(map(self._limit_size, records), apply_snapshot)
         self.state.store_data_changed.set()
 
     def _append(self, records: Sequence[Record], end: int, apply_changes: ApplyRecords) -> None:
@@ -194,17 +199,24 @@
         another entry would otherwise bring back an endpoint that is leaving.
         """
         known = max(0, (self._offset or 0) - (end - len(records)))
-        new = records[known:]
+        new = [self._limit_size(row) for row in records[known:]]
         if not new:
             return
         self._offset = end
         self._recent.extend(new)
-        while len(self._recent) > _MAX_RECENT_RECORDS:
-            self._recent.popleft()
+        self._recent_bytes += sum(map(_size_bytes, new))
+        while len(self._recent) > _MAX_RECENT_RECORDS or self._recent_bytes > _MAX_RECENT_BYTES:
+            self._recent_bytes -= _size_bytes(self._recent.popleft())
         self._recent_start = end - len(self._recent)
         self._apply_all(new, apply_changes)
         self.state.store_data_changed.set()
 
+    def _limit_size(self, record: Record) -> Record:
+        """Return a record whose value is small enough to be kept and passed on."""
+        limit_bytes = self._topic.max_value_bytes
+        is_oversized = limit_bytes is not None and len(record.value or b"") > limit_bytes
+        return Record(record.key, _OVERSIZED) if is_oversized else record
+
     def _apply_all(self, records: Iterable[Record], apply: ApplyRecords) -> None:
         """Apply records; after an exception, which leaves some out, read everything again."""
         try:
@@ -287,6 +299,10 @@
         self._is_store_lost = False
 
 
+def _size_bytes(record: Record) -> int:
+    return len(record.key) + len(record.value or b"")
+
+
 def _complete_at_s(answer: Records, asked_s: float, now_s: float, wait_s: float) -> float:
     """Return the time up to which the records are complete after an answer.
 
--- a/src/beryljunction/gateway/update_publisher.py
+++ b/src/beryljunction/gateway/update_publisher.py
@@ -23,6 +23,8 @@
 _MAX_CONFIG_BYTES = 4_096
 # Each entry also reads larger changes of the endpoint records from the store itself.
 _MAX_RECORDS_BYTES = 16_384
+# The list of the entries of the largest fleet and what is saved beside it is smaller.
+_MAX_ENTRIES_BYTES = 65_536
 # Confirmations of several topics that arrive within this time are sent in one message.
 _BATCH_DELAY_S = 0.02
 # The second source of an entry waits this long before sending records that it still lacks.
@@ -217,6 +219,8 @@
         is_announced = boot_time_s() - regained_s < _REGAINED_ANNOUNCED_S
         endpoints = self._endpoints.update_since(reply.endpoints) if has_records else None
         omits_endpoints = endpoints is not None and endpoints.size_bytes > _MAX_RECORDS_BYTES
+        entries = self._entries.update_since(reply.entries) if has_records else None
+        omits_entries = entries is not None and entries.size_bytes > _MAX_ENTRIES_BYTES
         return Update(
             host,
             reply.incarnation,
@@ -230,7 +234,7 @@
             omits_endpoints,
             state.config_record if is_sent else None,
             None if omits_endpoints else endpoints,
-            self._entries.update_since(reply.entries) if has_records else None,
+            None if omits_entries else entries,
         )
 
 
--- a/src/beryljunction/platform/store.py
+++ b/src/beryljunction/platform/store.py
@@ -75,10 +75,12 @@
 
     Attributes:
         max_read_kilobytes: Size at which the store ends a read; it returns at least one record.
+        max_value_bytes: Size above which a value comes from another writer; None for no limit.
     """
 
     name: str
     max_read_kilobytes: int = 1_024
+    max_value_bytes: int | None = None
 
 
 # Written by the operator: the settings of the fleet under one key.
@@ -87,9 +89,9 @@
 FLEET_CONFIG = Topic("keyed.op", max_read_kilobytes=64)
 FLEET_CONFIG_KEY = "config"
 # Written by the endpoints, each under its id.
-ENDPOINT_RECORDS = Topic("keyed.servers")
+ENDPOINT_RECORDS = Topic("keyed.servers", max_value_bytes=65_536)
 # Written by the entries, each under its host's name: the address for requests of other entries.
-ENTRY_ADDRESSES = Topic("keyed.entries")
+ENTRY_ADDRESSES = Topic("keyed.entries", max_value_bytes=16_384)
 
 
 class WriteOutcome(enum.Enum):
--- a/testing/test_refused_records.py
+++ b/testing/test_refused_records.py
@@ -1,5 +1,7 @@
 import json
 
+import pytest
+
 from beryljunction.gateway.refused_records import RefusedRecords
 from endpoint_records import record
 from fanout_world import FleetWorld
@@ -59,6 +61,33 @@
 
             assert world.members["front-0"].state.fan_out.hosts == ["front-0"]
 
+    @pytest.mark.parametrize("topic", ["keyed.servers", "keyed.entries"])
+    @pytest.mark.parametrize("value", [b"[" * 250_000, record(service="x", more="x" * 250_000)])
+    def test_large_record_is_not_passed_on(self, topic, value):
+        """Guards against calls and messages of all entries at each heartbeat of another writer."""
+        with FleetWorld(16) as world:
+            world.advance(6.0)
+            quiet_calls = world.calls_in(7.2)
+            before = sum(row.sent_bytes for row in world.members.values())
+            calls = 0
+            for _ in range(6):
+                world.put(topic, "x", value)
+                calls += world.calls_in(1.2)
+
+            assert calls < 2 * quiet_calls
+            assert sum(row.sent_bytes for row in world.members.values()) - before < 1_000_000
+
+    def test_records_kept_for_other_entries_take_bounded_memory(self):
+        """Guards against an entry that grows with each heartbeat of another writer."""
+        with FleetWorld(1) as world:
+            world.advance(4.0)
+            for _ in range(60):
+                world.put("keyed.servers", "x", record(service="x", more="x" * 60_000))
+                world.advance(0.5)
+            topic = world.members["front-0"].endpoints._topic
+
+            assert sum(len(row.value) for row in topic._recent) < 1_100_000
+
     def test_endpoints_that_come_and_go_leave_nothing_behind(self):
         """Guards against an entry whose memory grows with every key that was ever written."""
         with FleetWorld(1) as world:
