Write an entry's address again after another writer has replaced it

Entries that start later did not find one whose record in the topic of the entries another writer had overwritten: in a simulated fleet of four the new entry still lacked it after 5 s, refused its updates, and read the store itself instead (18 calls instead of 8 in 30 s). An entry looked only for the key of its record in a whole list, never at the value.

It now compares the value, in whole lists and in changes.

--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -1,7 +1,7 @@
 """Registers this entry's address in the store, and follows the addresses of all entries."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import anyio
 
@@ -167,28 +167,38 @@
 
     def _apply_snapshot(self, records: Iterable[Record]) -> None:
         rows = list(records)
-        keys = {record.key for record in rows}
-        self._find_lost_records(keys)
-        self._state.streams.retain_records(filter(is_versions_key, keys))
+        values = {record.key: record.value for record in rows}
+        self._find_lost_records(values)
+        self._state.streams.retain_records(filter(is_versions_key, values))
         addresses = dict(self._decode_addresses(rows))
         self._peers.replace(addresses)
         self._state.fan_out.replace(addresses)
         self._state.update_entry_count()
 
-    def _find_lost_records(self, keys: set[str]) -> None:
-        """Find which records this entry has to rewrite, given the keys of a snapshot.
+    def _find_lost_records(self, values: Mapping[str, bytes | None]) -> None:
+        """Find which records this entry has to rewrite, given those of a snapshot.
 
         Each entry rewrites its own address; the first reader also rewrites quarantined requests.
         """
-        own = [Record(self._host, self._address)]
+        own = Record(self._host, self._address)
+        self._lost_records = [own] if values.get(self._host) != self._address else []
         if self._schedule.is_first_reader:
-            own += self._state.quarantine.records()
-        self._lost_records = [record for record in own if record.key not in keys]
+            saved = self._state.quarantine.records()
+            self._lost_records += [record for record in saved if record.key not in values]
         if self._lost_records:
             self._rewrite_needed.set()
 
+    def _find_overwritten_address(self, records: Iterable[Record]) -> None:
+        """Rewrite this entry's address if another writer has put something else in its place."""
+        values = [record.value for record in records if record.key == self._host]
+        own = Record(self._host, self._address)
+        if values and values[-1] not in (None, self._address) and own not in self._lost_records:
+            self._lost_records.append(own)
+            self._rewrite_needed.set()
+
     def _apply_changes(self, records: Iterable[Record]) -> None:
         rows = list(records)
+        self._find_overwritten_address(rows)
         gone = [record.key for record in rows if record.value is None]
         addresses = dict(self._decode_addresses(rows))
         for host in gone:
--- a/testing/test_refused_records.py
+++ b/testing/test_refused_records.py
@@ -61,6 +61,19 @@
 
             assert world.members["front-0"].state.fan_out.hosts == ["front-0"]
 
+    @pytest.mark.parametrize("value", [b"[" * 9, b"10.0.0.9:1"], ids=["unreadable", "other"])
+    def test_overwritten_address_is_written_again(self, value):
+        """Guards against an entry that those which start later don't find."""
+        with FleetWorld(4) as world:
+            world.advance(4.0)
+            world.put("keyed.entries", "front-1", value)
+            world.advance(world.members["front-1"].state.addresses_bound.bound_s)
+            world.start("late", ("10.0.0.1", 9_000))
+            world.advance(5.0)
+
+            known = world.members["late"].state.fan_out.addresses()
+            assert known.get("front-1") == world.members["front-1"].address
+
     @pytest.mark.parametrize("topic", ["keyed.servers", "keyed.entries"])
     @pytest.mark.parametrize("value", [b"[" * 250_000, record(service="x", more="x" * 250_000)])
     def test_large_record_is_not_passed_on(self, topic, value):
