Test that entries follow the list beside odd records

407 records of another writer (a hostile value in place of the record, of one field or of an unknown one), 11 ports and 8 keys, in the first list, as changes in one read with an endpoint that joins and one that leaves, and over the record of a sound endpoint and back: simulated fleets of one to six entries, and the 407 in one real process. All held; these states had no test, so none of these failed before.

--- a/testing/hostile_records.py
+++ b/testing/hostile_records.py
@@ -53,6 +53,7 @@
 __all__ = [
     "DECODERS",
     "HOSTILE",
+    "ODD_RECORDS",
     "Decoder",
     "Raw",
     "encode",
@@ -467,6 +468,14 @@
     return encode(message).encode("latin-1" if isinstance(message, Raw) else "utf-8", "replace")
 
 
+# Records of another writer among those of endpoints: a hostile value in place of the whole record,
+# of a field, or of a field that isn't known.
+_OTHER = {**RECORD, "service": "other", "born": 1, "more": 1}
+ODD_RECORDS = [
+    as_bytes(replaced(_OTHER, path, value)) for path in paths(_OTHER) for value in HOSTILE.values()
+]
+
+
 @st.composite
 def inputs(draw, decoder):
     """Draw bytes for a decoder: anything, or a message with some fields changed or cut short."""
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -19,6 +19,7 @@
 from beryljunction.gateway.startup import EntryProgram, ExitStatus
 from entry_harness import CapturedLog, read_answer, route
 from entry_process import open_entry_program
+from hostile_records import ODD_RECORDS
 
 pytestmark = pytest.mark.anyio
 STOPS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
@@ -312,3 +313,33 @@
             assert answers == [502, 502, 503]
             assert "lost" in line
             assert "Traceback" in line
+
+
+class TestOddRecords:
+    async def test_process_follows_the_list_beside_them(self, tmp_path):
+        """Guards against processes that end, or stop following, at records of another writer."""
+        async with open_entry_program(tmp_path, route()) as program:
+            harness = program.harness
+            first = await harness.add_endpoint("e1")
+            put_odd_records(harness, "first")
+            program.start()
+            await program.wait_until_ready()
+
+            assert (await harness.send_request())[0] == 200
+
+            put_odd_records(harness, "later")
+            second = await harness.add_endpoint("e2")
+            harness.put("keyed.servers", "e1", None)
+            await anyio.sleep(program.host.bounds.drain_ms / 1000)
+            before = len(first.requests)
+            answers = [await harness.send_request(request_id=f"q{n}") for n in range(5)]
+
+            assert [answer[0] for answer in answers] == [200] * 5
+            assert (len(first.requests) - before, len(second.requests)) == (0, 5)
+            assert program.process.poll() is None
+            assert program.log_lines("task_failed") == []
+
+
+def put_odd_records(harness, prefix):
+    for number, value in enumerate(ODD_RECORDS):
+        harness.put("keyed.servers", f"{prefix}{number}", value)
--- a/testing/test_refused_records.py
+++ b/testing/test_refused_records.py
@@ -5,6 +5,40 @@
 from beryljunction.gateway.refused_records import RefusedRecords
 from endpoint_records import record
 from fanout_world import FleetWorld
+from hostile_records import ODD_RECORDS
+
+ODD_PORTS = [
+    "0",
+    "65536",
+    "99999999999",
+    "-1",
+    "080",
+    " 80",
+    "80 ",
+    "\u096e\u0966",
+    "1e3",
+    "",
+    "9" * 5_000,
+]
+ODD_KEYS = ["\0", "\x7f\x1b[2J", "a\r\nb: c", "\ufffd", "x" * 255, "\U0001f4a5" * 60, " ", "/"]
+
+
+def usable(world):
+    """Return the endpoints that each entry uses, those of other writers left out."""
+    return {
+        name: sorted(row.record.endpoint_id for row in row.state.registry.usable("s", now_s))
+        for now_s in [world.loop.world_s]
+        for name, row in world.members.items()
+    }
+
+
+def put_odd_records(world):
+    """Write odd records under many keys."""
+    ports = [record(service="other", address=f"10.9.0.2:{port}") for port in ODD_PORTS]
+    for number, value in enumerate([*ODD_RECORDS, *ports]):
+        world.put("keyed.servers", f"odd{number}", value)
+    for key in ODD_KEYS:
+        world.put("keyed.servers", key, record(service="other"))
 
 
 class TestTable:
@@ -112,3 +146,53 @@
             world.advance(5.0)
 
             assert len(world.members["front-0"].endpoints._values) < 20
+
+
+class TestFleet:
+    EXPECTED = ["e1", "e2", "e3", "new"]
+
+    def test_changes_beside_odd_records_are_followed(self):
+        """Guards against entries that end, or stop following, at a record of another writer."""
+        with FleetWorld(6) as world:
+            world.advance(4.0)
+            put_odd_records(world)
+            world.endpoint("new")
+            world.put("keyed.servers", "e0", None)
+            world.advance(2.0)
+
+            assert usable(world) == dict.fromkeys(world.members, self.EXPECTED)
+            assert not any(row.task.done() for row in world.members.values())
+
+    def test_list_with_odd_records_is_read(self):
+        """Guards against entries that never start beside records of another writer."""
+        with FleetWorld(1) as world:
+            put_odd_records(world)
+            world.endpoint("new")
+            world.put("keyed.servers", "e0", None)
+            world.advance(4.0)
+            world.start("late", ("10.0.0.1", 9_000))
+            world.advance(4.0)
+
+            assert usable(world) == dict.fromkeys(["front-0", "late"], self.EXPECTED)
+            assert world.holds_for_all(lambda state: state.is_ready())
+
+    def test_odd_records_cost_no_calls_once_they_are_read(self):
+        """Guards against a list that is read again and again for another writer."""
+        with FleetWorld(6) as world:
+            world.advance(4.0)
+            quiet_calls = world.calls_in(20.0)
+            put_odd_records(world)
+            world.advance(4.0)
+
+            assert world.calls_in(20.0) <= quiet_calls
+
+    def test_endpoint_is_used_again_after_its_record_was_overwritten(self):
+        """Guards against an endpoint that is lost for good to a record of another writer."""
+        with FleetWorld(3) as world:
+            world.advance(4.0)
+            for value in ODD_RECORDS:
+                world.put("keyed.servers", "e1", value)
+                world.endpoint("e1")
+            world.advance(2.0)
+
+            assert usable(world) == dict.fromkeys(world.members, ["e0", "e1", "e2", "e3"])
