Take a stream's version only from records that are later than its caller's return

What callers saw: during a release, a stream that had begun at a new version through one entry went on at the former version at another entry, which had stood still or been cut off meanwhile; one answer, 200 and whole, of events of both versions.

Cause: an entry that knew one version, from records within their age bound, took it for the version of any stream, and so did an entry that it asked. The age bound says how old the records may be, not that no other entry has begun streams at a version that came since.

Now the only version counts where the records are complete as of a time after the stream was taken up, and, where ids are reused, 0.5 s later. An entry first looks at what it knows, asks the entries that keep the stream's origin, then waits for such records or for a late announcement: for the usual age of records at most, for 0.2 s if they are too old, and not at all where two versions are known or its caller's deadline is over. The guess of an asked entry is neither given nor believed. Its field stays in the message, empty, since entries of the release before expect it.

Why this works: a stream began before its caller took it up, at an endpoint whose record the store had by then.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -169,7 +169,8 @@
     async def _find_origin(self, admitted: Admitted) -> bool:
         """Find out where the stream began that the caller resumes; return whether it can go on."""
         key = self._stream_key(admitted, self._caller_headers.resumed_request_id)
-        self._origin = await self._state.streams.find(key, self._services)
+        with anyio.move_on_after(max(0.0, self._remaining_s())):
+            self._origin = await self._state.streams.find(key, self._services)
         if self._origin is None or self._origin.service not in self._services:
             return False
         self._service = self._origin.service
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -111,8 +111,8 @@
             host.host,
             self.fan_out,
             self.registry,
-            self.has_current_endpoints,
-            lambda: self.endpoints_confirmation.asked_s,
+            self.endpoints_confirmation,
+            lambda: self.endpoints_bound,
             lambda service: self.known_service(service) is not None,
             events,
         )
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -22,6 +22,8 @@
 from beryljunction.platform.fields import FieldError, is_text, parse_json
 from beryljunction.routing import (
     Address,
+    AgeBound,
+    Confirmation,
     EndpointRegistry,
     FanOut,
     StreamOrigin,
@@ -37,8 +39,11 @@
 # Entries that keep the origin of a stream besides the one that sent it to an endpoint. A third one
 # would take half as many bytes more; two entries can be lost together without it.
 _KEEPING_HOSTS = 2
-# Entries answer within a few ms; the caller of a stream that can't go on is refused after this.
+# Entries answer within a few ms.
 _ASK_TIMEOUT_S = 0.2
+_CHECK_INTERVAL_S = 0.05
+# An entry whose records are too old is cut off, or has just run again after it stood still.
+_LATE_RECORDS_WAIT_S = 0.2
 # Limits of what is kept of the store's records; no service has so many versions at a time.
 _MAX_UNNAMED_SERVICES = 256
 _MAX_VERSIONS = 256
@@ -69,14 +74,18 @@
 class StreamDirectory:
     """Where streams of this entry and some of the others began.
 
-    A caller may resume its stream at any entry. While all endpoints of a service have one version,
-    and had it as long as streams last, every stream began at that version. Otherwise each entry
-    reports where it sends new streams to a few entries, which are chosen by a hash of the stream's
-    key, and the entry at which a caller resumes a stream asks them.
+    A caller may resume its stream at any entry. Each entry reports where it sends new streams to a
+    few entries, which are chosen by a hash of the stream's key, and the entry at which a caller
+    resumes a stream asks them.
 
-    An entry can't report what began at the only version if it stands still, or is lost, when the
-    second one comes. These streams are therefore announced to the same entries as soon as they
-    have begun, in datagrams that may be lost.
+    While all endpoints of a service have one version, and had it as long as streams last, streams
+    are only announced to these entries as soon as they have begun, in datagrams that may be lost,
+    and reported once a second version comes. An entry can't do so if it stands still then, or is
+    lost.
+
+    An entry that finds no report concludes where a stream began from the only version that it
+    knows, but only from records that are complete as of a later time than the caller's request:
+    older ones may lack a version at which other entries have begun streams since.
 
     Attributes:
         outbox: Rows to send to other entries.
@@ -86,8 +95,8 @@
         host: Name of this entry's host.
         fan_out: The known entries.
         registry: The known endpoints.
-        has_current_endpoints: Returns whether older records can't hide a version that is in use.
-        endpoints_asked_s: Returns the boot time as of which the records are known to be complete.
+        confirmation: Time as of which their records are known to be complete.
+        age_bound: Returns how old these records may become.
         is_named: Returns whether the settings name a service.
         events: The log.
     """
@@ -97,16 +106,16 @@
         host: str,
         fan_out: FanOut,
         registry: EndpointRegistry,
-        has_current_endpoints: Callable[[], bool],
-        endpoints_asked_s: Callable[[], float],
+        confirmation: Confirmation,
+        age_bound: Callable[[], AgeBound],
         is_named: Callable[[str], bool],
         events: EntryEventLog,
     ) -> None:
         self._host = host
         self._fan_out = fan_out
         self._registry = registry
-        self._has_current_endpoints = has_current_endpoints
-        self._endpoints_asked_s = endpoints_asked_s
+        self._confirmation = confirmation
+        self._age_bound = age_bound
         self._is_named = is_named
         self._events = events
         self._origins = StreamOrigins()
@@ -170,7 +179,7 @@
 
     def _has_stayed(self, row: _BegunHere) -> bool:
         """Return whether later records still have the incarnation that the stream was sent to."""
-        if self._endpoints_asked_s() < row.begun_s + _RECORD_LAG_S:
+        if not self._has_records_as_of(row.begun_s + _RECORD_LAG_S):
             return False
         known = self._registry.find(row.origin.incarnation_id[0])
         return known is not None and known.incarnation_id == row.origin.incarnation_id
@@ -201,17 +210,62 @@
             key: Key of the stream; empty if its caller doesn't name it.
             services: Services at which it may have begun.
         """
-        known = self._find_known(key) or self._only_origin(services)
-        if known is not None or self.ask_peer is None:
+        resumed_s = boot_time_s()
+        known = self._find_known(key)
+        if known is not None:
             return known
         answers = await self._ask(StreamQuery(key, services))
         found = [row.origin for answer in answers for row in answer.begun if row.key == key]
-        if found:
-            origin = max(found, key=lambda row: row.attempt)
-            self._origins.note(key, origin, boot_time_s())
-            return origin
-        only = {row for answer in answers for row in answer.only if row[0] in services}
-        return _origin_at(*only.pop()) if len(only) == len(services) == 1 else None
+        if not found:
+            return await self._wait_for_origin(key, services, resumed_s)
+        origin = max(found, key=lambda row: row.attempt)
+        self._origins.note(key, origin, boot_time_s())
+        return origin
+
+    async def _wait_for_origin(
+        self, key: str, services: tuple[str, ...], resumed_s: float
+    ) -> StreamOrigin | None:
+        """Wait for records that tell where a stream began, or for its announcement.
+
+        Args:
+            key: Key of the stream.
+            services: Services at which it may have begun.
+            resumed_s: When its caller resumed it.
+        """
+        lag_s = _RECORD_LAG_S if self._may_reuse_ids(services) else 0.0
+        waited_s = 0.0
+        while True:
+            known = self._find_known(key)
+            if known is not None:
+                return known
+            if self._has_records_as_of(resumed_s + lag_s):
+                return self._only_origin(services)
+            is_connected = self._has_current_endpoints()
+            limit_s = (
+                lag_s + self._age_bound().usual_age_s if is_connected else _LATE_RECORDS_WAIT_S
+            )
+            if waited_s >= limit_s or not self._has_one_version(services):
+                return None
+            await anyio.sleep(_CHECK_INTERVAL_S)
+            waited_s += _CHECK_INTERVAL_S
+
+    def _may_reuse_ids(self, services: tuple[str, ...]) -> bool:
+        rows = (row.record for row in self._registry.rows)
+        return any(row.may_reuse_id and row.service in services for row in rows)
+
+    def _has_records_as_of(self, time_s: float) -> bool:
+        """Return whether the endpoints' records are known to be complete as of a boot time."""
+        return self._confirmation.asked_s >= time_s
+
+    def _has_current_endpoints(self) -> bool:
+        return self._confirmation.age_s(boot_time_s()) <= self._age_bound().bound_s
+
+    def _has_one_version(self, services: tuple[str, ...]) -> bool:
+        """Return whether a stream of these services can have begun at one known version only."""
+        if len(services) != 1:
+            return False
+        versions = self._registry.recent_versions(services[0], boot_time_s())
+        return len(versions) == 1 and None not in versions
 
     def apply_report(self, report: StreamReport) -> StreamReport:
         """Apply another entry's report; return the answer to its question."""
@@ -220,13 +274,9 @@
             self._origins.note(row.key, row.origin, now_s)
         if report.query is None:
             return StreamReport()
-        key, services = report.query.key, report.query.services
+        key = report.query.key
         origin = self._find_known(key)
-        only = ((name, self._only_version(name)) for name in services)
-        return StreamReport(
-            (BegunStream(key, origin),) if origin is not None else (),
-            tuple((name, version) for name, version in only if version is not None),
-        )
+        return StreamReport((BegunStream(key, origin),) if origin is not None else ())
 
     def _find_known(self, key: str) -> StreamOrigin | None:
         return self._origins.find(key) or self._begun_elsewhere.find(key_digest(key))
@@ -242,6 +292,8 @@
 
     async def _ask(self, query: StreamQuery) -> list[StreamReport]:
         """Return the answers of the entries that are responsible for a stream."""
+        if self.ask_peer is None:
+            return []
         message = StreamReport(query=query).encode()
         addresses = self._fan_out.addresses()
         answers: list[StreamReport] = []
--- a/src/beryljunction/gateway/streamreports.py
+++ b/src/beryljunction/gateway/streamreports.py
@@ -48,19 +48,17 @@
 
     Attributes:
         begun: Where streams began.
-        only: Services with the only software version that they had lately.
         query: Question to the receiver; None for none.
     """
 
     begun: tuple[BegunStream, ...] = ()
-    only: tuple[tuple[str, str], ...] = ()
     query: StreamQuery | None = None
 
     def encode(self) -> bytes:
         """Return it as JSON."""
         values: dict[str, Any] = {
             "begun": [_encode_begun(row) for row in self.begun],
-            "only": self.only,
+            "only": [],
         }
         if self.query is not None:
             values["query"] = [self.query.key, *self.query.services]
@@ -73,10 +71,13 @@
 
     @classmethod
     def _parse(cls, values: Any) -> "StreamReport":
+        # Entries of earlier releases answer with the versions that they take for the only ones, and
+        # expect the field.
+        for row in read_rows(values["only"], "services"):
+            _check_only(*row)
         query = [read_key(text) for text in read_rows(values.get("query", []), "services")]
         return cls(
             tuple(_decode_begun(*row) for row in read_rows(values["begun"], "streams")),
-            tuple(_decode_only(*row) for row in read_rows(values["only"], "services")),
             StreamQuery(query[0], tuple(query[1:])) if query else None,
         )
 
@@ -98,5 +99,6 @@
     return BegunStream(read_text(key), origin)
 
 
-def _decode_only(service: Any, version: Any) -> tuple[str, str]:
-    return read_key(service), read_key(version)
+def _check_only(service: Any, version: Any) -> None:
+    read_key(service)
+    read_key(version)
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -134,6 +134,10 @@
         """Return the only software version that a service had lately; None if there may be more."""
         return self.versions.only(service, self._versions_of(service), now_s)
 
+    def recent_versions(self, service: str, now_s: float) -> frozenset[str | None]:
+        """Return the software versions that a service is known to have had lately."""
+        return self.versions.recent(service, self._versions_of(service), now_s)
+
     def of_saved_versions(self, service: str, rows: Iterable[KnownEndpoint]) -> list[KnownEndpoint]:
         """Return the endpoints whose version the store has, or all if it has none of the service.
 
