Report where a stream began once it has begun

What callers would see: an endpoint of v1 declines a request, one of v2 begins its stream, and the entry that keeps the origin doesn't hear of the second attempt. A caller that takes the stream up there gets the rest from v1. Not seen in a run of real processes; shown in virtual time.

Cause: the origin was noted and reported when a request was sent, and a report that isn't final was taken for final.

Now nothing is noted before the first event is passed on, which makes the origin final: note_begun replaces note_send. This holds for the entry's own note as well: a caller that was refused may send the same request id to another entry, where it begins elsewhere. The report leaves later by the time until the first event, so a caller that comes back within a few ms of it may be refused while two versions serve.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -363,8 +363,8 @@
         origin = self._state.stream_origin(endpoint, plan.sends)
         if self._origin is None and admitted.route.repeat is RepeatPolicy.RESUME:
             key = self._stream_key(admitted, self._log.request_id)
-            self._state.streams.note_send(key, origin, self._services)
-            self._caller_answer.on_start = partial(self._state.streams.note_begun, key, origin)
+            note_begun = partial(self._state.streams.note_begun, key, origin, self._services)
+            self._caller_answer.on_start = note_begun
         return origin
 
     async def _handle_answer(
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -74,9 +74,9 @@
 class StreamDirectory:
     """Where streams of this entry and some of the others began.
 
-    A caller may resume its stream at any entry. Each entry reports where it sends new streams to a
-    few entries, which are chosen by a hash of the stream's key, and the entry at which a caller
-    resumes a stream asks them.
+    A caller may resume its stream at any entry. Each entry reports where new streams began to a few
+    entries, which are chosen by a hash of the stream's key, and the entry at which a caller resumes
+    a stream asks them.
 
     While all endpoints of a service have one version, and had it as long as streams last, streams
     are only announced to these entries as soon as they have begun, in datagrams that may be lost,
@@ -130,12 +130,14 @@
         """Return the number of streams whose origin is known."""
         return len(self._origins)
 
-    def note_send(self, key: str, origin: StreamOrigin, services: tuple[str, ...]) -> None:
-        """Record an endpoint that may begin a stream; called before it can send an event.
+    def note_begun(self, key: str, origin: StreamOrigin, services: tuple[str, ...]) -> None:
+        """Record where a stream began; called before its first event is passed on.
+
+        An earlier report could name an endpoint that then declines the request.
 
         Args:
             key: Key of the stream.
-            origin: The endpoint.
+            origin: The endpoint that sent the event.
             services: Services at which such a stream may begin.
         """
         now_s = boot_time_s()
@@ -144,11 +146,7 @@
             self._report(BegunStream(key, origin))
         else:
             self._unreported.note(key, origin, now_s)
-
-    def note_begun(self, key: str, origin: StreamOrigin) -> None:
-        """Record that the first event of a stream has arrived, so that its origin is final."""
-        if self._unreported.find(key) is not None:
-            self._unannounced.append(_BegunHere(key, origin, boot_time_s()))
+            self._unannounced.append(_BegunHere(key, origin, now_s))
 
     def next_datagrams(self) -> list[tuple[bytes, Address]]:
         """Return the datagrams that announce streams, with their receivers."""
