Don't take a full list for the history that it replaces

What callers would see: a stream that begins at a version which comes and goes while an entry misses changes goes on there at the former version. Not seen in a run of real processes; shown in virtual time.

Cause: a full list of endpoints that replaces a skipped history lacks versions that came and went meanwhile, but the entry counted the time as seen, and its saved versions may be from before.

Now each full list starts the time anew of which everything was seen, and the saved versions only cover what was before if they were read as of it or later. This holds for the first list of a process, too. Until then no version is taken for the only one, and streams are reported rather than announced.

TestSkippedHistory::test_version_that_came_and_went_meanwhile_is_not_ overlooked failed before: v1 where None is expected. The safeguard is in SAFEGUARDS and is found.

Changed test: TestBegunStream applies a saved record in place of a read of the store, and now states the time of that read as well.

--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.auto_reset_event import AutoResetEvent
 from beryljunction.gateway.poll_schedules import ALWAYS_POLL, PollSchedule
 from beryljunction.gateway.quarantine import is_quarantine_key
@@ -114,9 +115,12 @@
     def _effective_age_s(self, now_s: float) -> float:
         """Return the age of the list; infinite if it is known to be incomplete."""
         is_restored = era_of(max(0, self.position)) < self._state.era
-        is_incomplete = self._is_known_incomplete or is_restored
+        is_incomplete = self._is_known_incomplete or is_restored or self._lacks_versions(now_s)
         return math.inf if is_incomplete else self.confirmation.age_s(now_s)
 
+    def _lacks_versions(self, now_s: float) -> bool:
+        return self._state.registry.versions.needs_newer_saved(now_s)
+
     @property
     def offset(self) -> int | None:
         """Position up to which addresses have been applied; None before the first read."""
@@ -145,7 +149,9 @@
     async def read_once(self) -> bool:
         """Read once."""
         bound = self._state.addresses_bound
-        wait_s = bound.confirm_interval_s if self._schedule.is_first_reader else 0.0
+        is_covered = self._state.registry.is_loaded and not self._lacks_versions(boot_time_s())
+        may_wait = self._schedule.is_first_reader and is_covered
+        wait_s = bound.confirm_interval_s if may_wait else 0.0
         is_read = await self._topic.read_once(
             round(wait_s * 1000), self._apply_snapshot, self._apply_changes
         )
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -97,7 +97,7 @@
         self.endpoints_confirmation = Confirmation()
         self.addresses_confirmation = Confirmation()
         self.store_reachability = StoreReachability(2 * bounds.heartbeat_ms / 1000)
-        self.registry = EndpointRegistry(self.store_reachability)
+        self.registry = EndpointRegistry(self.store_reachability, self.addresses_confirmation)
         self.evacuations = Evacuations()
         self.era = 0
         self.cold_start_limiter = ColdStartLimiter(
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Collection, Iterable, Iterator
 
+from beryljunction.routing.confirmation import Confirmation
 from beryljunction.routing.known_endpoint import EndpointRecord, KnownEndpoint
 from beryljunction.routing.service_versions import ServiceVersions
 from beryljunction.routing.store_reachability import StoreReachability
@@ -39,14 +40,19 @@
 
     Args:
         reachability: Knows when the store recovered from an outage.
+        saved_confirmation: Time as of which the saved versions are known to be complete.
     """
 
-    def __init__(self, reachability: StoreReachability | None = None) -> None:
+    def __init__(
+        self,
+        reachability: StoreReachability | None = None,
+        saved_confirmation: Confirmation | None = None,
+    ) -> None:
         self._rows: dict[str, KnownEndpoint] = {}
         self._reachability = reachability or StoreReachability()
         self._evacuated: frozenset[str] = frozenset()
         self._departed: collections.OrderedDict[str, KnownEndpoint] = collections.OrderedDict()
-        self.versions = ServiceVersions()
+        self.versions = ServiceVersions(saved_confirmation)
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -200,6 +206,7 @@
             unix_now_s: The same time in Unix seconds, to read the start times in the first list;
                 None to take the endpoints of that list for older than any session.
         """
+        self.versions.note_gap(now_s)
         kept = set()
         for record in records:
             kept.add(record.endpoint_id)
--- a/src/beryljunction/routing/service_versions.py
+++ b/src/beryljunction/routing/service_versions.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Iterable
 
+from beryljunction.routing.confirmation import Confirmation
+
 __all__ = ["ServiceVersions"]
 
 Version = str | None
@@ -15,10 +17,18 @@
 class ServiceVersions:
     """Versions that this process saw in records, and those that entries saved in the store.
 
-    The saved ones cover the time before this process started, in which streams may have begun.
+    The saved ones cover the time of which this process has not seen all records, in which streams
+    may have begun.
+
+    Attributes:
+        seen_since_s: Time since when this process has seen every change of the records.
+
+    Args:
+        saved_confirmation: Time as of which the saved ones are known to be complete.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, saved_confirmation: Confirmation | None = None) -> None:
+        self._saved_confirmation = saved_confirmation or Confirmation()
         self._seen_s: dict[tuple[str, Version], float] = {}
         self._saved: dict[str, frozenset[Version]] = {}
         self.seen_since_s = math.inf
@@ -34,6 +44,15 @@
         self._seen_s[key] = now_s
         return is_new
 
+    def note_gap(self, now_s: float) -> None:
+        """Record that versions may have come and gone unseen until now."""
+        self.seen_since_s = now_s
+
+    def needs_newer_saved(self, now_s: float) -> bool:
+        """Return whether the saved versions are older than the time that they have to cover."""
+        is_covered = self._saved_confirmation.asked_s >= self.seen_since_s
+        return math.isfinite(self.seen_since_s) and not (is_covered or self._has_seen_all(now_s))
+
     def _expire(self, now_s: float) -> None:
         """Forget what was seen too long ago to matter, such as services of other writers."""
         kept = {key: at_s for key, at_s in self._seen_s.items() if now_s - at_s <= VERSIONS_TTL_S}
@@ -66,7 +85,8 @@
 
     def only(self, service: str, present: Iterable[Version], now_s: float) -> Version:
         """Return the only such version; None if there are several, or there may be others."""
-        if service not in self._saved and not self._has_seen_all(now_s):
+        is_saved = service in self._saved and not self.needs_newer_saved(now_s)
+        if not is_saved and not self._has_seen_all(now_s):
             return None
         recent = self.recent(service, present, now_s)
         return next(iter(recent)) if len(recent) == 1 else None
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.fuzz.platform.actors import Behaviour
 from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld, behave
@@ -720,6 +721,58 @@
             assert find_at(world, "front-1") is None
 
 
+def skip_history(world, name, change):
+    """Let an entry miss the changes of some seconds, and read a full list of endpoints then."""
+    world.fault(StoreFault.SILENT, [name])
+    change()
+    world.model.compact("keyed.servers")
+    world.members[name].store.hanging.add("keyed.entries")
+    world.advance(2.5)
+    world.fault(StoreFault.NONE, [name])
+
+
+class TestSkippedHistory:
+    """An entry gets a full list of endpoints after it has missed changes."""
+
+    @staticmethod
+    def serve_for_a_moment(world):
+        world.endpoint("e3", version="v2")
+        world.put("keyed.entries", "versions/s", b'["v1", "v2"]')
+        world.advance(0.3)
+        world.put("keyed.servers", "e3", None)
+
+    def test_version_that_came_and_went_meanwhile_is_not_overlooked(self):
+        """Guards against a guess by a list that lacks the version which began the stream."""
+        with FleetWorld(1) as world:
+            world.advance(STARTED_S)
+            skip_history(world, "front-0", lambda: self.serve_for_a_moment(world))
+
+            for _ in range(20):
+                assert find_at(world, "front-0") is None
+                world.advance(1.0)
+            assert world.members["front-0"].state.registry.versions.saved["s"] == {"v1", "v2"}
+
+    def test_streams_go_on_once_the_saved_versions_were_read_again(self):
+        """Guards against refusing streams for a minute after each outage of the store."""
+        with FleetWorld(1) as world:
+            world.advance(STARTED_S)
+            skip_history(world, "front-0", lambda: None)
+            world.advance(25.0)
+
+            assert find_at(world, "front-0").version == "v1"
+
+    def test_entry_that_starts_reads_the_saved_versions_after_its_list(self):
+        """Guards against saved versions of before the first list of endpoints."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            world.start("front-9", ("10.0.0.1", 1_009))
+            world.advance(3.0)
+            state = world.members["front-9"].state
+
+            assert state.addresses_confirmation.asked_s >= state.registry.versions.seen_since_s
+            assert find_at(world, "front-9").version == "v1"
+
+
 class TestBegunStream:
     """A stream at the only version is announced as soon as its first event is passed on."""
 
@@ -757,6 +810,7 @@
             await harness.wait_for_endpoints(1)
             streams = harness.entry._state.streams
             streams.apply_record(Record("versions/plain", json.dumps(versions).encode()))
+            harness.entry._state.addresses_confirmation.confirm(boot_time_s())
             streams._fan_out = FanOutOfTwo()
             streams.outbox.add = lambda host, row: reported.append(host)
             _, writer = await harness.connect()
@@ -878,6 +932,10 @@
     )
 
 
+def trust_lists_to_have_all_versions(patch):
+    patch.setattr(ServiceVersions, "note_gap", lambda self, now_s: None)
+
+
 def trust_late_records_of_versions(patch):
     patch.setattr(StreamDirectory, "_has_current_endpoints", lambda self: True)
     patch.setattr(StreamDirectory, "_has_records_as_of", lambda self, time_s: True)
@@ -960,6 +1018,13 @@
             1.0,
         ),
     ),
+    (
+        trust_lists_to_have_all_versions,
+        found_by(
+            TestSkippedHistory.test_version_that_came_and_went_meanwhile_is_not_overlooked,
+            TestSkippedHistory(),
+        ),
+    ),
     (
         trust_records_of_the_moment,
         found_by(
