Wait for later records where an endpoint's report states no start

What callers would see: a stream goes on at an endpoint that has restarted under its id with another version. Shown in virtual time.

Cause: where the report on the connection stated no start, records within their age bound decided, which may be from before the restart.

Where the incarnation stayed, all streams still go on.

Random histories get a kind in which an entry is cut off for less than the age bound during a release.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -346,14 +346,15 @@
         """Return whether the incarnation that this entry knows has the connection.
 
         An endpoint that restarted under its id may have another software version, which its record
-        says only when it arrives. If its report doesn't state a start, current records decide.
+        says only when it arrives. If its report doesn't state a start, later records decide.
         """
         if not endpoint.record.may_reuse_id:
             return True
+        connected_s = boot_time_s()
         report = await call.fetch(REPORT_REQUEST)
         started_ms = decode_report_start(report) if report is not None else None
         if started_ms is None:
-            return self._state.has_current_endpoints()
+            return await self._state.streams.wait_for_records(connected_s)
         return started_ms == endpoint.record.started_ms
 
     def _note_origin(
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -244,10 +244,6 @@
             self.report_coverage.note_choice(service, choice.age_s, now_s)
         return choice
 
-    def has_current_endpoints(self) -> bool:
-        """Return whether the endpoints' records are within their age bound."""
-        return self.endpoints_confirmation.age_s(boot_time_s()) <= self.endpoints_bound.bound_s
-
     def stream_origin(self, endpoint: KnownEndpoint, attempt: int) -> StreamOrigin:
         """Return the origin of a stream that an endpoint begins now.
 
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -238,15 +238,30 @@
                 return known
             if self._has_records_as_of(resumed_s + lag_s):
                 return self._only_origin(services)
-            is_connected = self._has_current_endpoints()
-            limit_s = (
-                lag_s + self._age_bound().usual_age_s if is_connected else _LATE_RECORDS_WAIT_S
-            )
-            if waited_s >= limit_s or not self._has_one_version(services):
+            if waited_s >= self._longest_wait_s(lag_s) or not self._has_one_version(services):
                 return None
             await anyio.sleep(_CHECK_INTERVAL_S)
             waited_s += _CHECK_INTERVAL_S
 
+    async def wait_for_records(self, time_s: float) -> bool:
+        """Wait for the records of all endpoints that ran at a boot time, which must be recent.
+
+        Returns:
+            Whether this entry has them; False if they don't arrive soon.
+        """
+        waited_s = 0.0
+        while not self._has_records_as_of(time_s + _RECORD_LAG_S):
+            if waited_s >= self._longest_wait_s(_RECORD_LAG_S):
+                return False
+            await anyio.sleep(_CHECK_INTERVAL_S)
+            waited_s += _CHECK_INTERVAL_S
+        return True
+
+    def _longest_wait_s(self, lag_s: float) -> float:
+        """Return how long a caller waits for records that are complete as of some time from now."""
+        is_connected = self._has_current_endpoints()
+        return lag_s + self._age_bound().usual_age_s if is_connected else _LATE_RECORDS_WAIT_S
+
     def _may_reuse_ids(self, services: tuple[str, ...]) -> bool:
         rows = (row.record for row in self._registry.rows)
         return any(row.may_reuse_id and row.service in services for row in rows)
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.fuzz.platform.actors import Behaviour
+from beryljunction.fuzz.platform.actors import Behaviour, FuzzEndpoint
 from beryljunction.fuzz.platform.stores import StoreFault
 from beryljunction.fuzz.platform.world import ENTRIES, PlatformWorld, behave
 from beryljunction.gateway.exchange import Exchange
@@ -111,6 +111,47 @@
             assert world.finish() == []
 
 
+class TestReportWithoutStart:
+    """The report of an endpoint, on the connection of a resumed stream, doesn't state its start."""
+
+    ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+
+    @staticmethod
+    def break_streams(world):
+        """Return callers of broken streams, most of which began at v2."""
+        allow_retries(world, 12)
+        for name in ("f2", "f3"):
+            behave(world, name, Behaviour.CUT)
+        callers = ask_streams(world, 12)
+        world.endpoints["f2"].crash()
+        return [row for row in callers if row.asked.versions == {b"v2"}]
+
+    def resume(self, world, callers, monkeypatch):
+        """Let the callers come back to the other entry; return those whose streams went on."""
+        monkeypatch.setattr(FuzzEndpoint, "report", lambda _: self.ANSWER)
+        behave(world, "f3", Behaviour.WHOLE)
+        again = [world.resume(caller, ENTRIES[1]) for caller in callers]
+        world.advance(2.0)
+        assert world.finish() == []
+        return [row for row in again if row.asked.pieces]
+
+    def test_stream_does_not_go_on_at_another_incarnation_whose_record_is_late(self, monkeypatch):
+        """Guards against records that are current and still lack a restarted endpoint."""
+        with two_versions() as world:
+            callers = self.break_streams(world)
+            world.release("f3", "v1", keeps_id=True, registers_in_s=0.4)
+
+            assert self.resume(world, callers, monkeypatch) == []
+            assert len(callers) >= 4
+
+    def test_stream_goes_on_once_later_records_have_the_incarnation(self, monkeypatch):
+        """Guards against refusing streams of endpoints that state no start."""
+        with two_versions() as world:
+            callers = self.break_streams(world)
+
+            assert len(self.resume(world, callers, monkeypatch)) == len(callers) >= 4
+
+
 class TestDeclinedAttempt:
     """An endpoint of v1 declines requests, which begin at one of v2."""
 
@@ -230,8 +271,8 @@
         self.draw = random.Random(seed)
         self.resumed = set()
 
-    def play(self, steps=24):
-        actions = (
+    def actions(self):
+        return (
             self.release,
             self.release,
             self.crash,
@@ -241,9 +282,11 @@
             self.kill_entry,
             self.heal,
         )
+
+    def play(self, steps=24):
         for _ in range(steps):
             self.ask()
-            self.draw.choice(actions)()
+            self.draw.choice(self.actions())()
             self.advance(self.draw.choice((0.02, 0.1, 0.5, 2.0)))
             self.resume()
             self.advance(0.2)
@@ -293,9 +336,33 @@
             self.world.store_fault(name, StoreFault.NONE)
 
 
-def play_releases(seed):
+class OutOfStepHistory(ReleaseHistory):
+    """Adds entries that are cut off for less than the age bound of records during a release."""
+
+    def actions(self):
+        return (*super().actions(), self.release_out_of_step, self.release_out_of_step)
+
+    def release_out_of_step(self):
+        """Let streams begin after a release and break off; callers take them up where it's late."""
+        behind, other = self.draw.sample(ENTRIES, 2)
+        self.world.store_fault(behind, self.draw.choice((StoreFault.BUSY, StoreFault.SILENT)))
+        self.advance(self.draw.choice((0.05, 0.4, 1.0)))
+        self.world.release(self.draw.choice(STREAMED), self.draw.choice(self.VERSIONS))
+        self.advance(self.draw.choice((0.05, 0.6)))
+        for name in STREAMED:
+            behave(self.world, name, self.draw.choice((Behaviour.CUT, Behaviour.CUT_IN_EVENT)))
+        callers = [self.world.ask(other, "free", True, "key-a") for _ in range(6)]
+        self.advance(0.2)
+        for name in STREAMED:
+            behave(self.world, name, Behaviour.WHOLE)
+        if self.draw.random() < 0.5:
+            self.world.store_fault(behind, StoreFault.NONE)
+        self.resumed.update(row for row in callers if self.world.resume(row, behind) is not None)
+
+
+def play_releases(seed, kind=ReleaseHistory):
     with contextlib.closing(PlatformWorld()) as world:
-        history = ReleaseHistory(world, seed)
+        history = kind(world, seed)
         history.play()
         return world.finish(), len(history.resumed)
 
@@ -309,6 +376,14 @@
         assert violations == []
         assert resumed > 0
 
+    @pytest.mark.parametrize("seed", range(1, 13))
+    def test_streams_go_on_at_their_version_only_while_an_entry_is_out_of_step(self, seed):
+        """Guards against versions mixed at an entry that lacks the last second of records."""
+        violations, resumed = play_releases(seed, OutOfStepHistory)
+
+        assert violations == []
+        assert resumed > 0
+
 
 KEY = stream_key("acme", "q0")
 SERVICES = ("s",)
