--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -177,7 +177,8 @@
     async def _find_origin(self, admitted: Admitted) -> bool:
         """Find out where the stream began that the caller resumes; return whether it can go on."""
         key = self._stream_key(admitted, self._caller_headers.resumed_request_id)
-        self._origin = await self._state.streams.find(key, self._services)
+        with anyio.move_on_after(max(0.0, self._remaining_s())):
+            self._origin = await self._state.streams.find(key, self._services)
         if self._origin is None or self._origin.service not in self._services:
             return False
         self._service = self._origin.service
@@ -353,14 +354,15 @@
         """Return whether the incarnation that this entry knows has the connection.
 
         An endpoint that restarted under its id may have another software version, which its record
-        says only when it arrives. If its report doesn't state a start, current records decide.
+        says only when it arrives. If its report doesn't state a start, later records decide.
         """
         if not endpoint.record.may_reuse_id:
             return True
+        connected_s = boot_time_s()
         report = await call.fetch(REPORT_REQUEST)
         started_ms = decode_report_start(report) if report is not None else None
         if started_ms is None:
-            return self._state.has_current_endpoints()
+            return await self._state.streams.wait_for_records(connected_s)
         return started_ms == endpoint.record.started_ms
 
     def _note_origin(
@@ -370,8 +372,8 @@
         origin = self._state.stream_origin(endpoint, plan.sends)
         if self._origin is None and admitted.route.repeat is RepeatPolicy.RESUME:
             key = self._stream_key(admitted, self._log.request_id)
-            self._state.streams.note_send(key, origin, self._services)
-            self._caller_answer.on_start = partial(self._state.streams.note_begun, key, origin)
+            note_begun = partial(self._state.streams.note_begun, key, origin, self._services)
+            self._caller_answer.on_start = note_begun
         return origin
 
     async def _handle_answer(
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -97,7 +97,7 @@
         self.endpoints_confirmation = Confirmation()
         self.addresses_confirmation = Confirmation()
         self.store_reachability = StoreReachability(2 * bounds.heartbeat_ms / 1000)
-        self.registry = EndpointRegistry(self.store_reachability)
+        self.registry = EndpointRegistry(self.store_reachability, self.addresses_confirmation)
         self.evacuations = Evacuations()
         self.era = 0
         self.cold_start_limiter = ColdStartLimiter(
@@ -111,8 +111,8 @@
             host.host,
             self.fan_out,
             self.registry,
-            self.has_current_endpoints,
-            lambda: self.endpoints_confirmation.asked_s,
+            self.endpoints_confirmation,
+            lambda: self.endpoints_bound,
             lambda service: self.known_service(service) is not None,
             events,
         )
@@ -244,10 +244,6 @@
             self.report_coverage.note_choice(service, choice.age_s, now_s)
         return choice
 
-    def has_current_endpoints(self) -> bool:
-        """Return whether the endpoints' records are within their age bound."""
-        return self.endpoints_confirmation.age_s(boot_time_s()) <= self.endpoints_bound.bound_s
-
     def stream_origin(self, endpoint: KnownEndpoint, attempt: int) -> StreamOrigin:
         """Return the origin of a stream that an endpoint begins now.
 
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Collection, Iterable, Iterator
 
+from beryljunction.routing.confirmation import Confirmation
 from beryljunction.routing.known_endpoint import EndpointRecord, KnownEndpoint
 from beryljunction.routing.service_versions import ServiceVersions
 from beryljunction.routing.store_reachability import StoreReachability
@@ -39,14 +40,19 @@
 
     Args:
         reachability: Knows when the store recovered from an outage.
+        saved_confirmation: Time as of which the saved versions are known to be complete.
     """
 
-    def __init__(self, reachability: StoreReachability | None = None) -> None:
+    def __init__(
+        self,
+        reachability: StoreReachability | None = None,
+        saved_confirmation: Confirmation | None = None,
+    ) -> None:
         self._rows: dict[str, KnownEndpoint] = {}
         self._reachability = reachability or StoreReachability()
         self._evacuated: frozenset[str] = frozenset()
         self._departed: collections.OrderedDict[str, KnownEndpoint] = collections.OrderedDict()
-        self.versions = ServiceVersions()
+        self.versions = ServiceVersions(saved_confirmation)
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -134,6 +140,10 @@
         """Return the only software version that a service had lately; None if there may be more."""
         return self.versions.only(service, self._versions_of(service), now_s)
 
+    def recent_versions(self, service: str, now_s: float) -> frozenset[str | None]:
+        """Return the software versions that a service is known to have had lately."""
+        return self.versions.recent(service, self._versions_of(service), now_s)
+
     def of_saved_versions(self, service: str, rows: Iterable[KnownEndpoint]) -> list[KnownEndpoint]:
         """Return the endpoints whose version the store has, or all if it has none of the service.
 
@@ -196,6 +206,7 @@
             unix_now_s: The same time in Unix seconds, to read the start times in the first list;
                 None to take the endpoints of that list for older than any session.
         """
+        self.versions.note_gap(now_s)
         kept = set()
         for record in records:
             kept.add(record.endpoint_id)
