Soak: variations of what may exceed the retry budget; oracles by the words of the rule

What no play varied gets a scenario each, drawn from the seed (--repeats NAME): entries killed again and again, restarts that overlap, entries added, endpoints that stand still right after a check, close, hang, reject in other ways or send more than their answer, many that end at once, traffic that drops while retries are unread, callers who leave, routes that move and limits of attempts that change, endpoints of six slots with a limit of connections, and mixtures.

Three oracles were laxer than the rule: - Repeats were counted in windows that begin at a repeat. Any window counts, and one that ends at the last repeat may hold fewer requests for the same repeats. The test's 74 repeats lay before the last 26 of the 100 requests, so that a window of 74 requests held 74 repeats of 68.8 allowed. Its repeats now come after the requests; that a window doesn't count what is sent after it has a test of its own, which fails with the windows as they were. The test of the window before moves its repeats by 0.02 s for the same reason; the figures that it expects are as they were. - An endpoint that was killed at any time excused a run beyond max-attempts; now only one that ended meanwhile. - Requests that an endpoint answers 421 are arrivals.

--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import json
 import pathlib
 import random
@@ -21,8 +22,9 @@
 from soak.callers import Traffic
 from soak.faults import Pause, draw_first_starts, draw_schedule, play_schedule
 from soak.fleet import Fleet, Size, Start
-from soak.oracles import Answers, find_violations, worst_repeat_share
+from soak.oracles import Answers, Attempts, Deadlines, find_violations, worst_repeat_share
 from soak.records import ROUTES
+from soak.repeats import VARIATIONS, draw_variation
 
 __all__ = ["SCENARIOS", "Result", "run_soak"]
 
@@ -55,6 +57,8 @@
             f"{service} {worst_repeat_share(self.evidence, service)[0]:.2f}"
             for service in ("drafter", "ledger")
         ]
+        counted, late = Deadlines().count(self.evidence)
+        over = len(Attempts().over(self.evidence))
         broken = collections.Counter(row.rule for row in self.violations)
         excuses = collections.Counter(row[2] for row in Answers().unanswered(self.evidence))
         early = sum(bool(row.early_signals) for row in self.evidence.processes)
@@ -64,7 +68,8 @@
             f"{len(rows)} requests, answers {dict(answers)}, without one by excuse "
             f"{dict(excuses)}; processes by status {dict(ends)}, "
             f"{early} signalled before their program; worst repeats of the allowed: "
-            f"{', '.join(shares)}; machine stalled {stalls} times"
+            f"{', '.join(shares)}; too late {len(late)} of {counted}, too many endpoints {over}; "
+            f"machine stalled {stalls} times"
         )
 
     def report(self):
@@ -151,6 +156,10 @@
     "overload": Scenario(_draw_faults_and_stalls, _FAILING),
     "stalls": Scenario(_draw_stalls, _FAILING),
 }
+SCENARIOS |= {
+    name: Scenario(functools.partial(draw_variation, variation), variation.misbehaviour)
+    for name, variation in VARIATIONS.items()
+}
 
 
 async def _recover(fleet, traffic):
@@ -254,11 +263,20 @@
         scenario.add_argument(
             f"--{name}", dest="scenario", action="store_const", const=name, help=text
         )
+    scenario.add_argument("--repeats", dest="scenario", choices=VARIATIONS)
     parser.set_defaults(scenario="faults")
+    parser.add_argument("--endpoints", type=int, default=Size().endpoints, help="for each service")
+    parser.add_argument("--slack", type=int, default=Size().slack, help="of the retry budget")
     parser.add_argument("--large", action="store_true", help="60 entries and 40 endpoints")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    size = Size(entries=options.entries, callers=options.callers, rate_per_s=options.rate)
+    size = Size(
+        entries=options.entries,
+        endpoints=options.endpoints,
+        callers=options.callers,
+        rate_per_s=options.rate,
+        slack=options.slack,
+    )
     size = _LARGE if options.large else size
     broken = []
     for seed in parse_seeds(options.seeds):
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -53,6 +53,10 @@
         headers |= {"X-Deadline-Ms": int(deadline_s * 1000), "Content-Length": len(body)}
         if resumed_from:
             headers["Last-Event-Id"] = resumed_from
+        patience_s = deadline_s + _PATIENCE_S
+        leaves = self.draw.random() < self.fleet.leaving if self.fleet.leaving else False
+        if leaves:
+            patience_s = self.draw.uniform(0.0, deadline_s)
         now_s = time.monotonic()
         name = connection.entry.name
         attempt = Attempt(request_id, route, name, key, connection.connected_s, now_s)
@@ -64,10 +68,11 @@
         try:
             connection.writer.write(head_bytes(first, headers) + body)
             reading = read_message(connection.reader, is_answer=True)
-            message = await asyncio.wait_for(reading, deadline_s + _PATIENCE_S)
+            message = await asyncio.wait_for(reading, patience_s)
             attempt.problem = "closed" if message is None else ""
         except (OSError, TimeoutError, ValueError) as error:
             attempt.problem = type(error).__name__
+            attempt.has_left = leaves and isinstance(error, TimeoutError)
         attempt.ended_s = time.monotonic()
         if message is not None:
             attempt.status, attempt.is_complete = message.status, message.is_complete
@@ -144,7 +149,8 @@
                     level = self.draw.choice((0.1, 0.5, 1.0, 2.0))
                     changes_s = now_s + self.draw.uniform(2.0, 12.0)
                 group.create_task(self._call_once(route))
-                await asyncio.sleep(self.draw.expovariate(per_s * level))
+                rate_per_s = per_s * level * self.fleet.traffic_ratio
+                await asyncio.sleep(self.draw.expovariate(rate_per_s))
 
     async def _call_once(self, route):
         connection, _ = await self.ask(route, self.draw.randrange(len(self.fleet.entries)))
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from soak.records import ROUTES, Evidence, ProcessRun, Run
+from soak.records import ROUTES, Bounds, Evidence, ProcessRun, Run
 from soak.standins import put_record
 from soak.wire import call
 
@@ -54,7 +54,7 @@
 revocation-ms = 5000
 retry-budget-ratio = 0.2
 retry-window-s = 10
-retry-budget-slack = 54
+retry-budget-slack = {slack}
 recovery-s = 12
 [platform]
 address = "{store}"
@@ -70,12 +70,14 @@
         endpoints: For each service.
         callers: For each route, of those that wait for an answer before their next call.
         rate_per_s: Calls for each route of callers that don't wait.
+        slack: Repeats that the fleet may send beyond the ratio.
     """
 
     entries: int = 4
     endpoints: int = 4
     callers: int = 8
     rate_per_s: float = 0.0
+    slack: int = 54
     pause_s: float = 0.03
     busy_loops: int = 2
 
@@ -147,6 +149,7 @@
             grace_s=self.grace_s,
             apply_ms=self.apply_ms,
             store=self.fleet.store_text,
+            slack=self.fleet.evidence.bounds.slack,
             **self.ports,
         )
         if form == "late":
@@ -311,13 +314,16 @@
         self.misbehaviour = misbehaviour
         self.folder, self.size, self.held = folder, size, held
         self.draw = random.Random(f"{seed}-fleet")
-        self.evidence = Evidence(started_s=time.monotonic())
+        self.evidence = Evidence(Bounds(slack=size.slack), started_s=time.monotonic())
         self.command = entry_command()
         self.children = []
         self.entries, self.endpoints, self.tasks = [], [], set()
         self.endpoint_count, self.version, self.keys = 0, 0, set(KEYS)
         self.timeouts_s = {name: route.timeout_s for name, route in ROUTES.items()}
         self.operator = asyncio.Lock()
+        self.routes = ROUTES
+        # Share of the callers who give up early; ratio of the usual calls a second.
+        self.leaving, self.traffic_ratio = 0.0, 1.0
         self.runs_path = folder / "runs.jsonl"
         self.runs_path.touch()
         self.net = f"127.{random.randrange(2, 255)}.{random.randrange(1, 255)}"
@@ -358,12 +364,8 @@
         for service in ("ledger", "drafter"):
             for _ in range(self.size.endpoints):
                 self.add_endpoint(service)
-        for number in range(self.size.entries):
-            self.entries.append(Entry(self, number, f"{self.net}.{number + 1}"))
-        for entry, plan in zip(self.entries, first_plans, strict=True):
-            entry.plans.append(plan)
-            self.spawn(entry.supervise())
-            self.spawn(entry.probe())
+        for plan in first_plans:
+            self.add_entry(plan)
 
     async def end_misbehaviour(self):
         """Let all endpoints that still run serve what they get."""
@@ -375,6 +377,14 @@
         self.tasks.add(task)
         return task
 
+    def add_entry(self, plan):
+        number = len(self.entries)
+        entry = Entry(self, number, f"{self.net}.{number + 1}")
+        self.entries.append(entry)
+        entry.plans.append(plan)
+        self.spawn(entry.supervise())
+        self.spawn(entry.probe())
+
     def add_endpoint(self, service, address=None):
         if address is None:
             host = f"{self.net}.{200 + (self.endpoint_count % 50)}"
@@ -398,7 +408,7 @@
                 "max-attempts": route.max_attempts,
                 "resume-streams": route.resumes,
             }
-            for route in ROUTES.values()
+            for route in self.routes.values()
         ]
         services = [
             {"name": name, "health-check-path": "/health", "connection-limit": 200}
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -1,7 +1,6 @@
 """Oracles: each finds in the evidence of a run where one rule was broken."""
 
 import abc
-import collections
 import signal
 
 import attrs
@@ -11,6 +10,8 @@
 __all__ = [
     "ORACLES",
     "Answers",
+    "Attempts",
+    "Deadlines",
     "Oracle",
     "Violation",
     "find_violations",
@@ -23,11 +24,15 @@
 _DEADLINE_MARGIN_S = 0.1
 # Statuses of an interpreter that meets a SIGINT during its own imports: 120 if it can't print it.
 _INTERRUPTED_STATUSES = (1, 120)
+# Status of an endpoint that was taken for another one.
+_WRONG_ENDPOINT = 421
 # Requests of one run that the rule leaves uncounted.
 _BUDGET_ALLOWANCE = 3
 _DENIED_ALLOWANCE = 5
 # Beyond a caller's deadline, and requests of one run that may exceed it.
 _DEADLINE_SLACK_S, _LATE_DEADLINES = 0.5, 20
+# Between the windows that are checked besides those that begin or end at a repeat.
+_STEP_S, _MOMENT_S = 0.05, 1e-6
 
 
 @attrs.frozen
@@ -160,6 +165,8 @@
             for row in evidence.processes
             if row.entry == attempt.entry and row.started_s <= attempt.sent_s
         ]
+        if attempt.has_left:
+            return "caller left"
         if any(_was_killed_under(row, attempt) for row in processes):
             return "entry killed"
         if any(
@@ -287,23 +294,43 @@
                 yield run.s, "", f"{run.id!r} reached {run.endpoint}"
 
 
-def _arrivals(evidence, service):
-    services = {attempt.id: attempt.route.service for attempt in evidence.attempts}
-    ids = collections.defaultdict(list)
-    for run in evidence.runs:
-        if run.is_arrival and services.get(run.id) == service:
-            ids[run.id].append(run.s)
-    return sorted(at_s for times in ids.values() for at_s in sorted(times)[1:])
+def _repeats(evidence, service):
+    """Return when requests arrived at a service that had arrived somewhere before."""
+    asked = {attempt.id for attempt in evidence.attempts}
+    return [
+        run.s
+        for request_id, runs in evidence.runs_by_id().items()
+        if request_id in asked
+        for run in [row for row in runs if row.is_arrival][1:]
+        if run.endpoint.rpartition("-")[0] == service
+    ]
+
+
+def _requests(evidence, service):
+    """Return when requests were sent on routes that led to a service."""
+    return [
+        row.sent_s
+        for row in evidence.attempts
+        if any(
+            route.service == service
+            for route in evidence.routes_in_force(row.route.name, row.sent_s, row.sent_s)
+        )
+    ]
 
 
 def worst_repeat_share(evidence, service):
     """Return the largest share of the allowed repeats in any window, when, and its figures."""
     bounds = evidence.bounds
-    repeats = _arrivals(evidence, service)
-    sent = sorted(row.sent_s for row in evidence.attempts if row.route.service == service)
+    repeats = sorted(_repeats(evidence, service))
+    sent = sorted(_requests(evidence, service))
     worst = (0.0, 0.0, 0, 0)
-    for from_s in repeats:
-        # Half-open, as the sliding window of the rule; a repeat begins each window worth checking.
+    # Windows are half-open. Those that begin or end at a repeat, and some between, as the requests
+    # for the same repeats differ.
+    begins = repeats + [at_s - bounds.window_s + _MOMENT_S for at_s in repeats]
+    if repeats:
+        steps = range(int((repeats[-1] - repeats[0] + bounds.window_s) / _STEP_S))
+        begins += [repeats[0] - bounds.window_s + step * _STEP_S for step in steps]
+    for from_s in begins:
         count = count_within(repeats, from_s, from_s + bounds.window_s)
         asked = max(
             count_within(sent, from_s - back_s, from_s - back_s + bounds.window_s)
@@ -333,19 +360,27 @@
     rule = "BUDGET"
 
     def find(self, evidence):
+        found = self.over(evidence)
+        if len(found) > _BUDGET_ALLOWANCE:
+            yield from found
+
+    @staticmethod
+    def over(evidence):
+        """Return the attempts that ran on too many endpoints."""
         runs = evidence.runs_by_id()
         found = []
         for attempt in evidence.attempts:
             endpoints = {
                 run.endpoint
                 for run in runs.get(attempt.id, ())
-                if run.what == "start" and run.endpoint not in evidence.endpoint_ends
+                if run.what == "start" and not _ended_under(evidence, run, attempt)
             }
-            if len(endpoints) > attempt.route.max_attempts:
+            span = attempt.sent_s, max(attempt.sent_s, attempt.ended_s)
+            routes = evidence.routes_in_force(attempt.route.name, *span)
+            if len(endpoints) > max(route.max_attempts for route in routes):
                 text = f"{attempt.id}: ran on {sorted(endpoints)}"
                 found.append((attempt.sent_s, attempt.entry, text))
-        if len(found) > _BUDGET_ALLOWANCE:
-            yield from found
+        return found
 
 
 class Deadlines(Oracle):
@@ -358,6 +393,12 @@
     rule = "BUDGET"
 
     def find(self, evidence):
+        counted, wrong = self.count(evidence)
+        if len(wrong) > _LATE_DEADLINES and len(wrong) > counted / 5:
+            yield from wrong
+
+    def count(self, evidence):
+        """Return how many requests count against the wrong ones, and those."""
         runs = evidence.runs_by_id()
         counted, wrong = 0, []
         for attempt in evidence.attempts:
@@ -371,8 +412,7 @@
                 if problem:
                     text = f"{attempt.id}: {problem} at {run.endpoint}"
                     wrong.append((run.s, attempt.entry, text))
-        if len(wrong) > _LATE_DEADLINES and len(wrong) > counted / 5:
-            yield from wrong
+        return counted, wrong
 
     @staticmethod
     def _too_long(attempt, run):
@@ -400,6 +440,8 @@
             drains_s = evidence.draining.get(run.endpoint)
             if not run.is_arrival or drains_s is None or run.id not in attempts:
                 continue
+            if run.status == _WRONG_ENDPOINT:
+                continue
             entry = attempts[run.id].entry
             late_s = run.s - drains_s - evidence.bounds.drain_s
             if late_s > 0.0 and evidence.is_in_touch(entry, drains_s, run.s):
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -10,7 +10,17 @@
 
 from soak.standins import EVENTS, answer_body, event_bytes
 
-__all__ = ["ROUTES", "Attempt", "Bounds", "Evidence", "ProcessRun", "Route", "Run", "find_defect"]
+__all__ = [
+    "ROUTES",
+    "Attempt",
+    "Bounds",
+    "Evidence",
+    "ProcessRun",
+    "Route",
+    "RouteVersion",
+    "Run",
+    "find_defect",
+]
 
 RESENDABLE = (408, 421, 429, 503)
 _EVENT = re.compile(rb"id: (\d+)\n[^\n]*\n\n")
@@ -59,6 +69,7 @@
         is_complete: Whether the answer looked complete.
         defect: What is wrong with the answer; empty if nothing is.
         problem: Why there is no answer.
+        has_left: Whether its caller gave it up before its deadline.
     """
 
     id: str
@@ -76,6 +87,7 @@
     signature: str = ""
     defect: str = ""
     problem: str = ""
+    has_left: bool = False
 
     @deadline_s.default
     def _timeout_of_route(self):
@@ -184,6 +196,15 @@
     loss_slack_s: float = 0.2
 
 
+@attrs.define
+class RouteVersion:
+    """The routes by name, and from when until when they may be in force somewhere."""
+
+    routes: dict
+    from_s: float = 0.0
+    to_s: float = float("inf")
+
+
 @attrs.define
 class Evidence:
     """All that one run recorded.
@@ -196,6 +217,7 @@
         draining: When the store acknowledged that an endpoint drains.
         revocations: Key, acknowledgement of its removal, sending of its return.
         notes: The faults as they were played: time, text.
+        versions: Routes by their time.
     """
 
     bounds: Bounds = attrs.field(factory=Bounds)
@@ -209,6 +231,7 @@
     revocations: list = attrs.field(factory=list)
     unready: list = attrs.field(factory=list)
     notes: list = attrs.field(factory=list)
+    versions: list = attrs.field(factory=lambda: [RouteVersion(ROUTES)])
     started_s: float = 0.0
     ended_s: float = 0.0
 
@@ -218,6 +241,11 @@
             rows.setdefault(run.id, []).append(run)
         return rows
 
+    def routes_in_force(self, name, from_s, to_s):
+        """Return what a route may have been at some time of a span."""
+        rows = [row for row in self.versions if row.from_s <= to_s and row.to_s >= from_s]
+        return [row.routes[name] for row in rows]
+
     def paused_s(self, name, from_s, to_s):
         """Return how long a process was suspended within a span."""
         spans = [(max(a, from_s), min(b, to_s)) for who, a, b in self.pauses if who == name]
--- a/testing/soak/standins.py
+++ b/testing/soak/standins.py
@@ -22,6 +22,7 @@
 __all__ = ["EVENTS", "answer_body", "event_bytes", "parse_address", "put_record"]
 
 EVENTS = 15
+STREAMS = ("chat-", "talk-")
 SLOTS = 48
 HEARTBEAT_S = 1.2
 
@@ -64,12 +65,28 @@
         fail: Answered 500 after a run.
         reject: Answered 503 without a run.
         cut: Connection broken in the middle of the answer.
+        close: Connection closed after a run, without an answer.
+        hang: Never answered.
+        refuse: Rejected with 429, 421, or a 503 that doesn't state it.
+        extra: Answered, and further bytes sent late.
+        freeze: Of the health checks: the process stands still after its answer to them.
+        freeze_s: For how long it does.
+        slots: Requests that run at once.
+        connections: Open ones that are accepted; 0 for any number.
         work_s: Time of a run, or between two events.
     """
 
     fail: float = 0.0
     reject: float = 0.0
     cut: float = 0.0
+    close: float = 0.0
+    hang: float = 0.0
+    refuse: float = 0.0
+    extra: float = 0.0
+    freeze: float = 0.0
+    freeze_s: float = 0.0
+    slots: int = SLOTS
+    connections: int = 0
     work_s: float = 0.06
 
 
@@ -87,6 +104,7 @@
         self.draw = random.Random(name)
         self.born_ms = time.time_ns() // 1_000_000
         self.running, self.beats, self.state = 0, 0, "ready"
+        self.connections = 0
 
     def note(self, what, request_id, status=0, deadline_ms=None):
         row = {"s": time.monotonic(), "what": what, "endpoint": self.name, "id": request_id}
@@ -96,7 +114,8 @@
     async def register(self):
         self.beats += 1
         record = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}"}
-        record |= {"zone": "z1", "version": "v1", "slots": SLOTS, "state": self.state}
+        record |= {"zone": "z1", "version": "v1", "state": self.state}
+        record["slots"] = self.behaviour.slots
         record |= {"cold-remaining-ms": 0, "sequence-number": self.beats, "born": self.born_ms}
         return await put_record(self.store, "keyed.servers", self.name, json.dumps(record).encode())
 
@@ -121,6 +140,10 @@
 
     async def serve(self, reader, writer):
         """Serve a connection; a run stops when its connection is closed."""
+        if 0 < self.behaviour.connections <= self.connections:
+            writer.transport.abort()
+            return
+        self.connections += 1
         waiting = asyncio.create_task(read_message(reader))
         try:
             while (message := await waiting) is not None and message.is_complete:
@@ -133,6 +156,7 @@
         except (OSError, _CutError, asyncio.CancelledError):
             pass
         finally:
+            self.connections -= 1
             waiting.cancel()
             writer.transport.abort() if writer.is_closing() else writer.close()
 
@@ -147,6 +171,9 @@
         else:
             await self.run(writer, message)
         await writer.drain()
+        if target.path == "/health" and self.draw.random() < self.behaviour.freeze:
+            print(f"event=frozen endpoint={self.name} s={time.monotonic()}", file=sys.stderr)
+            time.sleep(self.behaviour.freeze_s)
 
     def write(self, writer, status, headers, body):
         if self.state != "ready":
@@ -170,8 +197,14 @@
         if path.startswith("/beryljunction/"):
             return 404, {}, b""
         if headers.get("x-expect-instance", self.name) != self.name:
+            self.note("reject", request_id, 421, deadline_ms(headers))
             return 421, {"X-Instance-Id": self.name}, b""
-        if self.running >= SLOTS or self.draw.random() < self.behaviour.reject:
+        if self.behaviour.refuse and self.draw.random() < self.behaviour.refuse:
+            status = self.draw.choice((421, 429, 503))
+            self.note("reject", request_id, status, deadline_ms(headers))
+            own = {"X-Instance-Id": self.name} if status == 421 else {"X-Request-Id": request_id}
+            return status, own, b""
+        if self.running >= self.behaviour.slots or self.draw.random() < self.behaviour.reject:
             self.note("reject", request_id, 503, deadline_ms(headers))
             return 503, {"X-Request-Id": request_id, "X-Not-Executed": "1"}, b""
         return 0, {}, b""
@@ -199,7 +232,8 @@
             self.write(writer, 500, own, b"failed")
             return 500
         is_cut = chance < behaviour.fail + behaviour.cut
-        if self.service == "drafter":
+        await self.withhold(writer)
+        if request_id.startswith(STREAMS):
             first = int(message.headers.get("last-event-id", 0)) + 1
             await self.stream(writer, request_id, own, first, is_cut)
             return 200
@@ -210,8 +244,21 @@
             writer.write(body[:-50])
             await self.cut(writer)
         self.write(writer, 200, own, body)
+        if behaviour.extra and self.draw.random() < behaviour.extra:
+            await asyncio.sleep(0.01)
+            self.write(writer, 200, own, body)
         return 200
 
+    async def withhold(self, writer):
+        """Give no answer to some requests."""
+        close, hang, chance = self.behaviour.close, self.behaviour.hang, 1.0
+        if close or hang:
+            chance = self.draw.random()
+        if chance < close:
+            await self.cut(writer)
+        if chance < close + hang:
+            await asyncio.Event().wait()
+
     async def stream(self, writer, request_id, own, first, is_cut):
         head = {**own, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(head_bytes("HTTP/1.1 200 X", head))
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -2,13 +2,23 @@
 import random
 import signal
 
+import attrs
 import pytest
 
 from process_soak import SCENARIOS, parse_seeds, run_soak
 from soak.faults import draw_first_starts, draw_schedule
 from soak.fleet import Size
 from soak.oracles import find_violations, worst_repeat_share
-from soak.records import ROUTES, Attempt, Evidence, ProcessRun, Run, find_defect
+from soak.records import (
+    ROUTES,
+    Attempt,
+    Evidence,
+    ProcessRun,
+    RouteVersion,
+    Run,
+    find_defect,
+)
+from soak.repeats import VARIATIONS, draw_variation
 from soak.standins import EVENTS, answer_body, event_bytes
 from soak.wire import Message
 
@@ -211,7 +221,22 @@
         runs = [run(row.id, endpoint=name) for row in sent for name in names]
 
         assert set(rules(attempts=sent, runs=runs)) == {"BUDGET"}
-        assert rules(attempts=sent, runs=runs, endpoint_ends={"ledger-1": 1.0}) == []
+        assert rules(attempts=sent, runs=runs, endpoint_ends={"ledger-1": 100.05}) == []
+        later = rules(attempts=sent, runs=runs, endpoint_ends={"ledger-1": 100.2})
+        assert set(later) == {"BUDGET"}
+
+    def test_limit_of_attempts_may_be_any_that_was_in_force(self):
+        sent = [attempt("reads", number) for number in range(4)]
+        names = ("ledger-1", "ledger-2", "ledger-3")
+        runs = [run(row.id, endpoint=name) for row in sent for name in names]
+        lowered = {"reads": attrs.evolve(ROUTES["reads"], max_attempts=2)}
+
+        def found(changed_s):
+            versions = [RouteVersion(ROUTES, to_s=changed_s), RouteVersion(lowered, changed_s)]
+            return rules(attempts=sent, runs=runs, versions=versions)
+
+        assert found(changed_s=100.05) == []
+        assert set(found(changed_s=99.9)) == {"BUDGET"}
 
 
 class TestRetryBudget:
@@ -219,9 +244,9 @@
 
     @staticmethod
     def evidence(repeats, requests=100):
-        sent = [attempt("reads", n, sent_s=100.0 + n * 5.0 / requests) for n in range(requests)]
+        sent = [attempt("reads", n, sent_s=100.0 + n * 0.4 / requests) for n in range(requests)]
         runs = [run(row.id, s=row.sent_s + 0.01) for row in sent]
-        runs += [run(row.id, s=row.sent_s + 0.02, what="reject") for row in sent[:repeats]]
+        runs += [run(row.id, s=100.45, what="reject") for row in sent[:repeats]]
         return {"attempts": sent, "runs": runs}
 
     def test_repeats_up_to_share_and_slack_are_allowed(self):
@@ -230,10 +255,28 @@
     def test_one_repeat_more_is_found(self):
         assert rules(**self.evidence(75)) == ["BUDGET"]
 
+    def test_requests_after_the_window_do_not_count(self):
+        values = self.evidence(74)
+        values["attempts"] = [
+            attrs.evolve(row, sent_s=row.sent_s + 0.5) if number >= 74 else row
+            for number, row in enumerate(values["attempts"])
+        ]
+
+        assert rules(**values) == ["BUDGET"]
+
+    def test_requests_of_a_route_that_moves_count_where_it_led(self):
+        values = self.evidence(74)
+        moved = {"reads": attrs.evolve(ROUTES["reads"], service="drafter")}
+        early = [RouteVersion(ROUTES, to_s=100.1), RouteVersion(moved, 100.1)]
+        late = [RouteVersion(ROUTES, to_s=100.4), RouteVersion(moved, 100.4)]
+
+        assert rules(**values, versions=early) == ["BUDGET"]
+        assert rules(**values, versions=late) == []
+
     def test_requests_of_the_window_before_count(self):
         values = self.evidence(0, requests=200)
-        late = [attempt("reads", 1000 + n, sent_s=110.0) for n in range(1)]
-        runs = [run("reads-1000", s=110.01 + n / 1000) for n in range(95)]
+        late = [attempt("reads", 1000 + n, sent_s=109.98) for n in range(1)]
+        runs = [run("reads-1000", s=109.99 + n / 1000) for n in range(95)]
         values = {"attempts": values["attempts"] + late, "runs": values["runs"] + runs}
 
         share, _, count, asked = worst_repeat_share(Evidence(**values), "ledger")
@@ -343,6 +386,14 @@
     def schedule(seed):
         return draw_schedule(random.Random(seed), 20.0)
 
+    @pytest.mark.parametrize("name", VARIATIONS)
+    def test_seed_draws_the_same_faults_of_a_variation(self, name):
+        def draw(seed):
+            return draw_variation(VARIATIONS[name], random.Random(seed), 40.0, Size())
+
+        assert draw(1) == draw(1)
+        assert draw(1) != draw(2)
+
     def test_seeds_of_the_command_line(self):
         assert list(parse_seeds("3")) == [3]
         assert list(parse_seeds("1-3")) == [1, 2, 3]
