Give an entry its part of the retry slack once it knows how many entries there are

What callers would see: nothing; endpoints get more retries than the fleet's slack allows. The slack is divided by the entries that an entry knows, by at least 32. One that hasn't read the list of entries, because the store doesn't serve that topic or its own port for others is taken, took itself for the only one. No run of real processes shows it: fleets of that size weren't run.

Now such an entry has no part of the slack until it has read the list; its ratio stays. Nothing is agreed on, and a request costs nothing more.

--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -126,7 +126,8 @@
         self._plain_placement = PlainPlacement(host.availability_zone, self.random, mechanisms)
         self._retry_shares: dict[str, RetryShare] = {}
         self.unread_sends = UnreadSends()
-        self._max_entries_seen = 1
+        # Known once the list of entries was read; without an address for others it never is.
+        self._max_entries_seen = 0 if host.peers is not None else 1
         self._started_s = boot_time_s()
 
     def apply_bounds(self, bounds: DeploymentBounds) -> None:
--- a/src/beryljunction/routing/budget.py
+++ b/src/beryljunction/routing/budget.py
@@ -28,8 +28,9 @@
     may have spent retries in them, and of the requests only those since the start are known.
 
     The slack on top of the ratio is divided among the entries that may be alive, as far as this one
-    knows. In a window, it belongs to the processes that ran when the window began, with a part for
-    those that start in it if the fleet is small.
+    knows; until it has read how many they are, it has no part. In a window, the slack belongs to
+    the processes that ran when the window began, with a part for those that start in it if the
+    fleet is small.
 
     A retry counts when its endpoint reads it, which may be long after it was sent. Until that is
     known, it counts in every window.
@@ -41,7 +42,7 @@
         ratio: Retries allowed per request.
         window_s: Sliding window over which requests and retries are counted.
         slack: Retries that all entries together may make on top of the ratio.
-        entries: Number of entries that may be alive, including this one.
+        entries: Number of entries that may be alive, including this one; 0 if it isn't known yet.
         started_s: When this process started.
     """
 
@@ -122,6 +123,8 @@
 
     def _slack(self, ran: bool) -> float:
         """Return the part of the slack in a window; `ran`: this process ran when it began."""
+        if not self._max_entries:
+            return 0.0
         if ran:
             return self._fleet_slack / max(self._MIN_ENTRIES, self._max_entries)
         unused = max(0.0, 1.0 - self._max_entries / self._MIN_ENTRIES)
--- a/testing/test_retry_share.py
+++ b/testing/test_retry_share.py
@@ -113,6 +113,26 @@
 
         assert retries <= slack
 
+    @pytest.mark.parametrize("entries", [68, 350])
+    def test_large_fleet_that_does_not_know_its_size_keeps_the_slack(self, entries):
+        """Guards against a part of the slack for each entry that couldn't read the list of them."""
+        free = ("127.0.0.1", 1)
+        bounds = DeploymentBounds(repeat_slack=SLACK)
+        host = HostSettings("me", "zone", "region", free, free, free, bounds, peers=free)
+        log = EntryEventLog("me", "zone", CapturedLog())
+        states = [EntryState(host, log) for _ in range(entries)]
+
+        retries = sum(spend_all(row.retry_share("plain"), boot_time_s()) for row in states)
+
+        assert retries <= SLACK
+
+    def test_slack_comes_with_the_number_of_entries(self):
+        share = make_share(0, started_s=100.0)
+
+        assert spend_all(share, 120.0) == 0
+        share.note_entries(4)
+        assert spend_all(share, 120.0) == 1
+
     def test_entries_that_have_left_still_count(self):
         share = RetryShare(ratio=0.2, window_s=10.0, slack=64)
 
