--- a/testing/soak/repeats.py
+++ b/testing/soak/repeats.py
@@ -14,7 +14,7 @@
 
 # Time after its acknowledgement within which a version is in force everywhere.
 _APPLY_S = 2.0
-_FAILING = {"fail": 0.3, "reject": 0.3}
+_FAILING = {"fail": 0.4, "reject": 0.4, "work_s": 0.02}
 _PLAIN_ROUTES = ("notes", "reads")
 
 
@@ -139,14 +139,22 @@
     return Misbehave(at_s, tuple(range(2 * size.endpoints)), values, length_s)
 
 
-def _draw_freezes(draw, seconds, size):
-    """Let endpoints stand still just when they have answered a check."""
-    return [
-        _misbehave(
-            at_s, size, 3.0, freeze=draw.choice((0.02, 0.1, 0.5)), freeze_s=draw.uniform(0.3, 6.0)
-        )
-        for at_s in _moments(draw, seconds, 4.0, 9.0)
-    ]
+def _draw_swings(draw, seconds, size):
+    """Let the traffic change."""
+    moments = _moments(draw, seconds, 2.0, 6.0)
+    return [ChangeTraffic(at_s, draw.choice((0.5, 1.0, 2.0))) for at_s in moments]
+
+
+def _draw_pulses(draw, seconds, size):
+    """Let some endpoints run for a moment at a time only, and stand still in between."""
+    faults, places = [], range(2 * size.endpoints)
+    still_s, runs_s = draw.choice((0.8, 1.5, 3.0)), draw.choice((0.005, 0.02, 0.1))
+    for place in draw.sample(places, draw.randint(2, len(places) - 2)):
+        at_s = 2.0 + draw.uniform(0.0, still_s)
+        while at_s < seconds - 2.0:
+            faults.append(Pause(at_s, "endpoint", place, still_s))
+            at_s += still_s + runs_s
+    return faults
 
 
 def _draw_answers(draw, seconds, size):
@@ -210,12 +218,14 @@
     "kills": Variation(_draw_kills),
     "overlaps": Variation(_draw_overlaps),
     "additions": Variation(_draw_additions),
-    "freezes": Variation(_draw_freezes),
+    # Endpoints stand still just when they have answered a check.
+    "freezes": Variation(_draw_swings, {**_FAILING, "freeze": 0.05, "freeze_s": 2.5}),
+    "pulses": Variation(_draw_pulses),
     "answers": Variation(_draw_answers),
     "crashes": Variation(_draw_crashes),
     "drops": Variation(_draw_drops),
     "leavers": Variation(_draw_leavers),
     "changes": Variation(_draw_changes),
-    "busy": Variation(_draw_stalls, {"slots": 6, "connections": 96}),
+    "busy": Variation(_draw_stalls, {**_FAILING, "slots": 6, "connections": 96}),
     "mixture": Variation(_draw_mixture),
 }
--- a/testing/soak/standins.py
+++ b/testing/soak/standins.py
@@ -171,10 +171,14 @@
         else:
             await self.run(writer, message)
         await writer.drain()
-        if target.path == "/health" and self.draw.random() < self.behaviour.freeze:
+        if target.path == "/health" and self.freezes():
             print(f"event=frozen endpoint={self.name} s={time.monotonic()}", file=sys.stderr)
             time.sleep(self.behaviour.freeze_s)
 
+    def freezes(self):
+        ratio = self.behaviour.freeze
+        return ratio > 0.0 and self.draw.random() < ratio
+
     def write(self, writer, status, headers, body):
         if self.state != "ready":
             headers = {**headers, "Connection": "close"}
