Soak: releases beside entries that are out of step, and oracles of versions

All endpoints of the soak had one software version, no entry was out of step while another one joined, and callers that resumed a stream didn't name it, so the soak couldn't find streams that go on at another version.

Callers resume broken streams with Resumes and Last-Event-Id, mostly at an entry that is out of step. One oracle reads versions and numbers of the events over all attempts of a stream; another compares the share of resumed streams that go on with that of new ones that begin.

Entries still reach each other when they lose the store: they bind the address that they publish, so nothing can be put between them without other privileges.

--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -20,14 +20,16 @@
 
 from soak.callers import Traffic
 from soak.faults import Pause, draw_first_starts, draw_schedule, play_schedule
-from soak.fleet import Fleet, Size, Start
-from soak.oracles import Answers, find_violations, worst_repeat_share
+from soak.fleet import Fleet, Size, Start, do_nothing
+from soak.oracles import Answers, count_resumptions, find_violations, worst_repeat_share
 from soak.records import ROUTES
+from soak.releases import draw_releases, start_relays
 
 __all__ = ["SCENARIOS", "Result", "run_soak"]
 
 _LARGE = Size(entries=60, endpoints=20, callers=60, pause_s=1.0)
 _FAILING = {"fail": 0.3, "reject": 0.3}
+_RESUMABLE_STREAMS_MOSTLY = {"notes": 0.25, "reads": 0.25, "chat": 0.0, "talk": 4.0}
 _RECOVERY_LIMIT_S = 20.0
 _STALL_POLL_S, _LAG_S, _STALL_S = 0.05, 0.02, 0.2
 _SHOWN_VIOLATIONS = 4
@@ -64,7 +66,19 @@
             f"{len(rows)} requests, answers {dict(answers)}, without one by excuse "
             f"{dict(excuses)}; processes by status {dict(ends)}, "
             f"{early} signalled before their program; worst repeats of the allowed: "
-            f"{', '.join(shares)}; machine stalled {stalls} times"
+            f"{', '.join(shares)}; {self._summarize_resumptions()}"
+            f"machine stalled {stalls} times"
+        )
+
+    def _summarize_resumptions(self):
+        """Return the figures of resumed streams; nothing if there were none."""
+        counts = count_resumptions(self.evidence)
+        if not counts.resumed_anywhere:
+            return ""
+        return (
+            f"{counts.resumed_anywhere} resumptions; at entries in touch with two endpoints of the "
+            f"version {counts.continued} of {counts.resumed} went on, {len(counts.refused)} "
+            f"refused, and {counts.started} of {counts.begun} new streams began; "
         )
 
     def report(self):
@@ -133,6 +147,14 @@
     return [Start(delay_s=0.0)] * size.entries, sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_releases(draw, seconds, size):
+    """Return releases beside entries that are out of step; half of the seeds have other faults."""
+    faults = draw_releases(draw, seconds, size.entries)
+    if draw.random() < 0.5:
+        faults += draw_schedule(draw, seconds, 0)
+    return [Start(delay_s=0.0)] * size.entries, sorted(faults, key=lambda fault: fault.at_s)
+
+
 @attrs.frozen
 class Scenario:
     """What happens in a run.
@@ -140,16 +162,23 @@
     Attributes:
         draw: Draws how the entries start, and the faults.
         misbehaviour: How all endpoints fail from their start on.
+        before_entries: Called with the fleet before the first entry starts.
+        shares: Share of the usual number of callers by the name of the route; 1 for others.
     """
 
     draw: Callable
     misbehaviour: dict = attrs.field(factory=dict)
+    before_entries: Callable = do_nothing
+    shares: dict = attrs.field(factory=dict)
 
 
 SCENARIOS = {
     "faults": Scenario(_draw_faults),
     "overload": Scenario(_draw_faults_and_stalls, _FAILING),
     "stalls": Scenario(_draw_stalls, _FAILING),
+    "releases": Scenario(
+        _draw_releases, before_entries=start_relays, shares=_RESUMABLE_STREAMS_MOSTLY
+    ),
 }
 
 
@@ -192,7 +221,7 @@
 
 async def _play(fleet, seed, seconds, scenario):
     first_starts, schedule = scenario.draw(random.Random(seed), seconds, fleet.size)
-    traffic = Traffic(fleet, random.Random(f"{seed}-callers"))
+    traffic = Traffic(fleet, random.Random(f"{seed}-callers"), scenario.shares)
     fleet.on_start = traffic.open_early
     fleet.spawn(_monitor_stalls(fleet.evidence))
     await fleet.start(first_starts)
@@ -217,7 +246,8 @@
         folder: Where settings, logs and the endpoints' runs are kept.
     """
     with contextlib.ExitStack() as held:
-        fleet = Fleet(folder, seed, size, held, scenario.misbehaviour)
+        usual = scenario.misbehaviour
+        fleet = Fleet(folder, seed, size, held, usual, scenario.before_entries)
         try:
             asyncio.run(_play(fleet, seed, seconds, scenario))
         finally:
@@ -250,6 +280,7 @@
     for name, text in (
         ("overload", "endpoints fail and stall"),
         ("stalls", "the same, without other faults"),
+        ("releases", "endpoints of other versions join while entries are out of step"),
     ):
         scenario.add_argument(
             f"--{name}", dest="scenario", action="store_const", const=name, help=text
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -5,7 +5,7 @@
 import time
 
 from soak.fleet import HOST, KEYS
-from soak.records import ROUTES, Attempt, find_defect
+from soak.records import ROUTES, Attempt, find_defect, find_events
 from soak.wire import head_bytes, read_message
 
 __all__ = ["Traffic"]
@@ -16,6 +16,8 @@
 _CONNECT_LIMIT_S = 1.0
 _SENDS = 3
 _OPENERS = 3
+# Share of broken streams that are resumed at an entry which is out of step, if there is one.
+_PREFERENCE = 0.7
 
 
 class Connection:
@@ -28,10 +30,14 @@
 
 
 class Traffic:
-    """All callers of a run."""
+    """All callers of a run.
 
-    def __init__(self, fleet, draw):
-        self.fleet, self.draw = fleet, draw
+    Args:
+        shares: Share of the usual number of callers by the name of the route; 1 for others.
+    """
+
+    def __init__(self, fleet, draw, shares):
+        self.fleet, self.draw, self.shares = fleet, draw, shares
         self.numbers = itertools.count()
         self.ends_s = float("inf")
         self.openers = set()
@@ -44,19 +50,24 @@
         except (OSError, TimeoutError):
             return None
 
-    async def send(self, connection, route, deadline_s, resumed_from=0):
-        """Send one request; return its attempt once it is answered or given up."""
+    async def send(self, connection, route, deadline_s, resumed_from=0, resumes=""):
+        """Send one request; return its attempt once it is answered or given up.
+
+        Args:
+            resumed_from: Number of the last event that the caller has of the stream.
+            resumes: Id of the attempt that brought the first event.
+        """
         request_id = f"{route.name}-{next(self.numbers)}"
         key = self.draw.choice(KEYS) if self.draw.random() < 0.1 else KEYS[0]
         body = b"x" * self.draw.choice((10, 10, 2000)) if route.method == "POST" else b""
         headers = {"Host": HOST, "X-Request-Id": request_id, "X-Credential": key}
         headers |= {"X-Deadline-Ms": int(deadline_s * 1000), "Content-Length": len(body)}
         if resumed_from:
-            headers["Last-Event-Id"] = resumed_from
+            headers |= {"Last-Event-Id": resumed_from, "Resumes": resumes}
         now_s = time.monotonic()
         name = connection.entry.name
         attempt = Attempt(request_id, route, name, key, connection.connected_s, now_s)
-        attempt.deadline_s = deadline_s
+        attempt.deadline_s, attempt.resumes = deadline_s, resumes
         attempt.answered_before, attempt.first_event = connection.answered, resumed_from + 1
         self.fleet.evidence.attempts.append(attempt)
         first = f"{route.method} /{route.name}/{request_id} HTTP/1.1"
@@ -73,11 +84,13 @@
             attempt.status, attempt.is_complete = message.status, message.is_complete
             attempt.signature = message.headers.get("x-server-signature", "")
             attempt.defect = find_defect(attempt, message)
+            if route.kind == "streaming" and attempt.status == 200:
+                attempt.events = find_events(message.body)
         return attempt, message
 
     async def ask(self, route, place, connection=None):
         """Make one call with its repeats; return the connection if it can be kept, and a place."""
-        ends_s, sends, resumed_from = time.monotonic() + route.timeout_s, 0, 0
+        ends_s, sends, resumed_from, resumes = time.monotonic() + route.timeout_s, 0, 0, ""
         while (left_s := ends_s - time.monotonic()) > 0.05 and sends < _SENDS:
             entry = self.fleet.entries[place % len(self.fleet.entries)]
             connection = connection or await self.connect(entry, min(left_s, _CONNECT_LIMIT_S))
@@ -87,23 +100,32 @@
                 continue
             sends += 1
             left_s = max(0.05, ends_s - time.monotonic())
-            attempt, message = await self.send(connection, route, left_s, resumed_from)
+            attempt, message = await self.send(connection, route, left_s, resumed_from, resumes)
             if message is not None and message.is_complete and not attempt.may_resend:
                 connection.answered += 1
                 if message.headers.get("connection", "").lower() != "close":
                     return connection, place
             connection.writer.close()
-            connection, place = None, place + 1
             if not attempt.may_resend:
+                connection, place = None, place + 1
                 break
-            if route.resumes and message is not None and attempt.status == 200:
-                resumed_from += message.body.count(b"\n\n")
+            if route.resumes and attempt.events:
+                resumes = resumes or attempt.id
+                resumed_from += len(attempt.events)
+            connection, place = None, self.next_place(place, resumes)
             wait_s = float(message.headers.get("retry-after", 0.05)) if message else 0.05
             if wait_s > (ends_s - time.monotonic()) / 3:
                 break
             await asyncio.sleep(wait_s)
         return None, place
 
+    def next_place(self, place, resumes):
+        """Return the place of the entry for the next attempt; a stream may prefer one."""
+        others = sorted(+self.fleet.out_of_step)
+        if resumes and others and self.draw.random() < _PREFERENCE:
+            return self.draw.choice(others)
+        return place + 1
+
     async def call_in_series(self, route, place, is_kept):
         """Call again and again, on one connection for as long as it lasts, or on new ones."""
         connection = None
@@ -156,7 +178,7 @@
         size = self.fleet.size
         async with asyncio.TaskGroup() as group:
             for route in ROUTES.values():
-                for number in range(size.callers):
+                for number in range(round(size.callers * self.shares.get(route.name, 1.0))):
                     group.create_task(self.call_in_series(route, number, number % 4 > 0))
                 if size.rate_per_s:
                     group.create_task(self.call_at_rate(route, size.rate_per_s))
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -122,7 +122,7 @@
     async def play(self, fleet):
         ready = [row for row in fleet.endpoints if not row.is_leaving]
         endpoint = ready[self.place % len(ready)]
-        endpoint.is_leaving = True
+        endpoint.note_leaving()
         if self.is_kill:
             fleet.evidence.endpoint_ends[endpoint.name] = time.monotonic()
             endpoint.process.kill()
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -1,6 +1,7 @@
 """Real processes on loopback hosts: entries by the deploy file's command, endpoints, the store."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import os
@@ -16,11 +17,11 @@
 
 import attrs
 
-from soak.records import ROUTES, Evidence, ProcessRun, Run
+from soak.records import ROUTES, EndpointLife, Evidence, ProcessRun, Run
 from soak.standins import put_record
 from soak.wire import call
 
-__all__ = ["HOST", "EndpointProcess", "Entry", "Fleet", "Size", "Start"]
+__all__ = ["HOST", "EndpointProcess", "Entry", "Fleet", "Size", "Start", "do_nothing"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "a.example"
@@ -135,6 +136,7 @@
         self.count = 0
         self.plans = []
         self.stopped = False
+        self.store_text = fleet.store_text
 
     @property
     def address(self):
@@ -146,7 +148,7 @@
             host=self.host,
             grace_s=self.grace_s,
             apply_ms=self.apply_ms,
-            store=self.fleet.store_text,
+            store=self.store_text,
             **self.ports,
         )
         if form == "late":
@@ -285,29 +287,56 @@
 
 
 class EndpointProcess:
-    """A process of an endpoint under one id."""
+    """A process of an endpoint under one id.
 
-    def __init__(self, fleet, service, address):
+    Args:
+        version: Of its software.
+        when: "now", or "later" if it joins the others when it is told to.
+        name: Id of an endpoint that has ended; empty for a new one.
+    """
+
+    def __init__(self, fleet, service, address, version, when="now", name=""):
         self.fleet, self.service, self.address = fleet, service, address
         fleet.endpoint_count += 1
-        self.name = f"{service}-{fleet.endpoint_count}"
+        self.name = name or f"{service}-{fleet.endpoint_count}"
+        self.life = EndpointLife(self.name, service, version)
+        fleet.evidence.lives.append(self.life)
         rest = (f"{address[0]}:{address[1]}", fleet.store_text, self.name, service)
-        usual = json.dumps(fleet.misbehaviour)
-        self.process = fleet.start_standin("endpoint", *rest, str(fleet.runs_path), usual)
+        rest += str(fleet.runs_path), json.dumps(fleet.misbehaviour), version, when
+        self.process = fleet.start_standin("endpoint", *rest)
         self.is_leaving = False
 
+    def note_leaving(self):
+        """Record that it is about to be killed, or to drain."""
+        self.is_leaving, self.life.leaves_s = True, time.monotonic()
+
+    def kill(self):
+        self.note_leaving()
+        self.life.killed_s = self.life.leaves_s
+        self.process.kill()
+
+    async def join(self):
+        """Let it write its record, once it listens."""
+        while await call(self.address, "/soak/join", b"") is None and not self.is_leaving:
+            await asyncio.sleep(0.05)
+
     async def behave(self, values):
         await call(self.address, "/soak/behave", json.dumps(values).encode())
 
 
+async def do_nothing(_):
+    """Add nothing to a fleet."""
+
+
 class Fleet:
     """Starts, disturbs and ends the processes of one run, and holds its evidence.
 
     Args:
         misbehaviour: How all endpoints fail from their start on.
+        before_entries: Called with this fleet before the first entry starts.
     """
 
-    def __init__(self, folder, seed, size, held, misbehaviour):
+    def __init__(self, folder, seed, size, held, misbehaviour, before_entries=do_nothing):
         self.misbehaviour = misbehaviour
         self.folder, self.size, self.held = folder, size, held
         self.draw = random.Random(f"{seed}-fleet")
@@ -318,12 +347,16 @@
         self.endpoint_count, self.version, self.keys = 0, 0, set(KEYS)
         self.timeouts_s = {name: route.timeout_s for name, route in ROUTES.items()}
         self.operator = asyncio.Lock()
+        self.software_versions = {"ledger": "v1", "drafter": "v1"}
+        self.out_of_step = collections.Counter()
+        self.release_events = collections.defaultdict(asyncio.Event)
         self.runs_path = folder / "runs.jsonl"
         self.runs_path.touch()
         self.net = f"127.{random.randrange(2, 255)}.{random.randrange(1, 255)}"
         self.store = f"{self.net}.254", self.free_ports(f"{self.net}.254", 1)[0]
         self.store_text = f"{self.store[0]}:{self.store[1]}"
         self.on_start = lambda entry: None
+        self.before_entries = before_entries
 
     def free_ports(self, host, count):
         """Return free ports below those of outgoing connections; the hosts are this run's own."""
@@ -360,6 +393,7 @@
                 self.add_endpoint(service)
         for number in range(self.size.entries):
             self.entries.append(Entry(self, number, f"{self.net}.{number + 1}"))
+        await self.before_entries(self)
         for entry, plan in zip(self.entries, first_plans, strict=True):
             entry.plans.append(plan)
             self.spawn(entry.supervise())
@@ -375,11 +409,15 @@
         self.tasks.add(task)
         return task
 
+    def next_endpoint_host(self):
+        return f"{self.net}.{200 + (self.endpoint_count % 50)}"
+
     def add_endpoint(self, service, address=None):
         if address is None:
-            host = f"{self.net}.{200 + (self.endpoint_count % 50)}"
+            host = self.next_endpoint_host()
             address = host, self.free_ports(host, 1)[0]
-        self.endpoints.append(EndpointProcess(self, service, address))
+        version = self.software_versions[service]
+        self.endpoints.append(EndpointProcess(self, service, address, version))
         return self.endpoints[-1]
 
     async def configure(self):
@@ -421,11 +459,15 @@
 
     async def pause(self, name, process, length_s):
         """Suspend a process."""
+        await self.pause_while(name, process, asyncio.sleep(length_s))
+
+    async def pause_while(self, name, process, waiting):
+        """Suspend a process until a coroutine returns."""
         from_s = time.monotonic()
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGSTOP)
             try:
-                await asyncio.sleep(length_s)
+                await waiting
             finally:
                 process.send_signal(signal.SIGCONT)
                 self.evidence.pauses.append((name, from_s, time.monotonic()))
@@ -448,7 +490,11 @@
             path = self.folder / f"{row.name}.log"
             row.log = path.read_text("utf-8", "replace") if path.exists() else ""
         lines = self.runs_path.read_text("utf-8").splitlines()
-        self.evidence.runs = [Run(**json.loads(line)) for line in lines]
+        rows = [Run(**json.loads(line)) for line in lines]
+        self.evidence.runs = [row for row in rows if row.what != "join"]
+        joins = {(row.endpoint, row.version): row.s for row in rows if row.what == "join"}
+        for life in self.evidence.lives:
+            life.joined_s = joins.get((life.name, life.version))
         return self.evidence
 
     def close(self):
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -7,12 +7,15 @@
 import attrs
 
 from soak.records import ROUTES, count_within
+from soak.standins import EVENTS
 
 __all__ = [
     "ORACLES",
     "Answers",
     "Oracle",
+    "ResumptionCounts",
     "Violation",
+    "count_resumptions",
     "find_violations",
     "worst_repeat_share",
 ]
@@ -28,6 +31,8 @@
 _DENIED_ALLOWANCE = 5
 # Beyond a caller's deadline, and requests of one run that may exceed it.
 _DEADLINE_SLACK_S, _LATE_DEADLINES = 0.5, 20
+# Resumed streams from which on the share that goes on is judged.
+_MIN_RESUMED = 12
 
 
 @attrs.frozen
@@ -214,8 +219,8 @@
 
 def _ended_under(evidence, run, attempt):
     """Return whether the endpoint of a run was killed before the attempt ended."""
-    killed_s = evidence.endpoint_ends.get(run.endpoint)
-    return _is_within(killed_s, run.s, attempt.ended_s)
+    kills = evidence.kills_of(run.endpoint)
+    return any(_is_within(killed_s, run.s, attempt.ended_s) for killed_s in kills)
 
 
 class RunsOnce(Oracle):
@@ -275,6 +280,125 @@
                 yield attempt.ended_s, attempt.entry, f"{attempt.id}: {attempt.defect}"
 
 
+class StreamVersions(Oracle):
+    """Over all attempts of a stream, its events come from one version, in order and once each."""
+
+    rule = "ORDER"
+
+    def find(self, evidence):
+        for name, attempts in _streams(evidence).items():
+            events = [event for row in attempts for event in row.events]
+            problem = self._problem(attempts, events)
+            if problem:
+                where = ", ".join(
+                    f"{row.entry} {row.signature.partition('.')[0]}" for row in attempts
+                )
+                last = attempts[-1]
+                yield last.ended_s, last.entry, f"{name}: {problem}; {where}"
+
+    @staticmethod
+    def _problem(attempts, events):
+        versions = list(dict.fromkeys(version for _, version in events))
+        if len(versions) > 1:
+            return f"events of versions {', '.join(versions)}"
+        numbers = [number for number, _ in events]
+        if numbers != list(range(1, len(numbers) + 1)):
+            return f"expected events in order over all attempts, got {numbers}"
+        if len(numbers) < EVENTS and any(row.is_served for row in attempts):
+            return f"complete with {len(numbers)} of {EVENTS} events"
+        return ""
+
+
+def _streams(evidence):
+    """Return the attempts of each stream that has begun, by the id of the first with an event."""
+    rows = collections.defaultdict(list)
+    for attempt in sorted(evidence.attempts, key=lambda row: row.sent_s):
+        if attempt.route.kind == "streaming" and (attempt.resumes or attempt.events):
+            rows[attempt.resumes or attempt.id].append(attempt)
+    return rows
+
+
+@attrs.frozen
+class ResumptionCounts:
+    """Streams at entries in touch; the resumed ones while two endpoints of their version served.
+
+    Attributes:
+        resumed: Attempts that resume a stream; `continued` of them brought the rest or a part.
+        begun: Attempts that are the first of a stream; `started` of them brought an event.
+        refused: Ids of the attempts that were refused though they could go on.
+        resumed_anywhere: Attempts that resume a stream, at any entry and time.
+    """
+
+    resumed: int
+    continued: int
+    begun: int
+    started: int
+    refused: tuple
+    resumed_anywhere: int
+
+    @property
+    def share(self):
+        return self.continued / self.resumed if self.resumed else 1.0
+
+    @property
+    def wanted(self):
+        return self.started / self.begun / 2 if self.begun else 0.0
+
+
+def count_resumptions(evidence):
+    """Return how many streams go on and how many begin."""
+    attempts = [row for row in evidence.attempts if row.route.resumes and row.ended_s]
+    resumed = [row for row in attempts if row.resumes]
+    versions = {
+        name: rows[0].events[0][1] for name, rows in _streams(evidence).items() if rows[0].events
+    }
+    able = [
+        row
+        for row in resumed
+        if evidence.is_in_touch(row.entry, row.sent_s, row.ended_s)
+        and _count_serving(evidence, row, versions.get(row.resumes)) >= 2
+    ]
+    begun = [
+        row
+        for row in attempts
+        if not row.resumes and evidence.is_in_touch(row.entry, row.sent_s, row.ended_s)
+    ]
+    return ResumptionCounts(
+        resumed=len(able),
+        continued=sum(bool(row.events) or row.is_served for row in able),
+        begun=len(begun),
+        started=sum(bool(row.events) for row in begun),
+        refused=tuple(row.id for row in able if row.status in (429, 503)),
+        resumed_anywhere=len(resumed),
+    )
+
+
+def _count_serving(evidence, attempt, version):
+    """Return how many endpoints of a version served all the while that an attempt lasted."""
+    return sum(
+        row.service == attempt.route.service
+        and row.version == version
+        and row.joined_s is not None
+        and row.joined_s <= attempt.sent_s
+        and row.leaves_s > attempt.ended_s
+        and not evidence.paused_s(row.name, attempt.sent_s, attempt.ended_s)
+        for row in evidence.lives
+    )
+
+
+class Resumptions(Oracle):
+    """Resumed streams that could go on do, at half of the share of new ones that begin at least."""
+
+    rule = "LOST"
+
+    def find(self, evidence):
+        counts = count_resumptions(evidence)
+        if counts.resumed >= _MIN_RESUMED and counts.share < counts.wanted:
+            text = f"{counts.continued} of {counts.resumed} resumed streams went on, "
+            text += f"{counts.started} of {counts.begun} new ones began"
+            yield evidence.ended_s, "", f"{text}; refused {', '.join(counts.refused[:5])}"
+
+
 class Unasked(Oracle):
     """Endpoints run only what callers sent."""
 
@@ -339,7 +463,7 @@
             endpoints = {
                 run.endpoint
                 for run in runs.get(attempt.id, ())
-                if run.what == "start" and run.endpoint not in evidence.endpoint_ends
+                if run.what == "start" and not evidence.kills_of(run.endpoint)
             }
             if len(endpoints) > attempt.route.max_attempts:
                 text = f"{attempt.id}: ran on {sorted(endpoints)}"
@@ -452,6 +576,8 @@
     Promises(),
     WholeAnswers(),
     Streams(),
+    StreamVersions(),
+    Resumptions(),
     Unasked(),
     RetryBudget(),
     Attempts(),
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -10,10 +10,22 @@
 
 from soak.standins import EVENTS, answer_body, event_bytes
 
-__all__ = ["ROUTES", "Attempt", "Bounds", "Evidence", "ProcessRun", "Route", "Run", "find_defect"]
+__all__ = [
+    "ROUTES",
+    "Attempt",
+    "Bounds",
+    "EndpointLife",
+    "Evidence",
+    "ProcessRun",
+    "Route",
+    "Run",
+    "find_defect",
+    "find_events",
+]
 
 RESENDABLE = (408, 421, 429, 503)
-_EVENT = re.compile(rb"id: (\d+)\n[^\n]*\n\n")
+_EVENT = re.compile(rb"id: (\d+)\n[^\n]*?(?: by (v\d+))?\n\n")
+_VERSION = re.compile(rb" by v\d+")
 
 
 @attrs.frozen
@@ -59,6 +71,8 @@
         is_complete: Whether the answer looked complete.
         defect: What is wrong with the answer; empty if nothing is.
         problem: Why there is no answer.
+        resumes: Id of the attempt that brought the first event of the stream which it resumes.
+        events: Number and version of each whole event of its answer.
     """
 
     id: str
@@ -76,6 +90,8 @@
     signature: str = ""
     defect: str = ""
     problem: str = ""
+    resumes: str = ""
+    events: tuple = ()
 
     @deadline_s.default
     def _timeout_of_route(self):
@@ -115,12 +131,19 @@
 def _find_stream_defect(attempt, message):
     first = attempt.first_event
     expected = b"".join(event_bytes(number, attempt.id) for number in range(first, EVENTS + 1))
-    if message.is_complete and message.body != expected or not expected.startswith(message.body):
-        ids = [int(number) for number in _EVENT.findall(message.body)]
+    # Whether all events are of one version is judged over all attempts of a stream.
+    expected, body = (_VERSION.sub(b" by v", row) for row in (expected, message.body))
+    if message.is_complete and body != expected or not expected.startswith(body):
+        ids = [number for number, _ in find_events(message.body)]
         return f"stream: expected events {first} to {EVENTS}, got {ids}"
     return ""
 
 
+def find_events(body):
+    """Return the number and the version of each whole event."""
+    return tuple((int(number), version.decode()) for number, version in _EVENT.findall(body))
+
+
 @attrs.frozen
 class Run:
     """A line of an endpoint: `what` is start, end, drop, cut or reject.
@@ -135,6 +158,7 @@
     id: str
     status: int = 0
     deadline_ms: int | None = None
+    version: str = "v1"
 
     @property
     def is_arrival(self):
@@ -171,6 +195,24 @@
         return f"{self.entry}.{self.number}"
 
 
+@attrs.define
+class EndpointLife:
+    """One process of an endpoint.
+
+    Attributes:
+        joined_s: When the store acknowledged its first record; None while it hasn't.
+        leaves_s: When it was killed, or told to drain.
+        killed_s: When it was killed; None if it wasn't.
+    """
+
+    name: str
+    service: str
+    version: str
+    joined_s: float | None = None
+    leaves_s: float = float("inf")
+    killed_s: float | None = None
+
+
 @attrs.frozen
 class Bounds:
     """Bounds of the settings file that the rules refer to."""
@@ -194,6 +236,8 @@
         holds: Entry whose port for callers was another process's, from, to.
         endpoint_ends: When an endpoint was killed.
         draining: When the store acknowledged that an endpoint drains.
+        lives: Processes of endpoints.
+        cuts: Entry that was cut off from the store and the other entries, from, to.
         revocations: Key, acknowledgement of its removal, sending of its return.
         notes: The faults as they were played: time, text.
     """
@@ -206,6 +250,8 @@
     holds: list = attrs.field(factory=list)
     endpoint_ends: dict = attrs.field(factory=dict)
     draining: dict = attrs.field(factory=dict)
+    lives: list = attrs.field(factory=list)
+    cuts: list = attrs.field(factory=list)
     revocations: list = attrs.field(factory=list)
     unready: list = attrs.field(factory=list)
     notes: list = attrs.field(factory=list)
@@ -218,6 +264,11 @@
             rows.setdefault(run.id, []).append(run)
         return rows
 
+    def kills_of(self, endpoint):
+        """Return when the processes of an endpoint's id were killed."""
+        kills = [row.killed_s for row in self.lives if row.name == endpoint]
+        return [row for row in (*kills, self.endpoint_ends.get(endpoint)) if row is not None]
+
     def paused_s(self, name, from_s, to_s):
         """Return how long a process was suspended within a span."""
         spans = [(max(a, from_s), min(b, to_s)) for who, a, b in self.pauses if who == name]
@@ -226,6 +277,8 @@
     def is_in_touch(self, entry, from_s, to_s):
         """Return whether nothing of the soak disturbed an entry or the store in a span."""
         from_s -= self.bounds.stable_s
+        if any(name == entry and a <= to_s and b >= from_s for name, a, b in self.cuts):
+            return False
         if any(self.paused_s(name, from_s, to_s) for name in (entry, "store", "machine")):
             return False
         moments = [
--- a/testing/soak/standins.py
+++ b/testing/soak/standins.py
@@ -1,7 +1,10 @@
 """Store and endpoints of the soak, each a process of its own.
 
 python -m soak.standins store IP:PORT
-python -m soak.standins endpoint IP:PORT STORE_IP:PORT ID SERVICE RUNS_FILE MISBEHAVIOUR
+python -m soak.standins endpoint IP:PORT STORE_IP:PORT ID SERVICE RUNS MISBEHAVIOUR VERSION WHEN
+
+VERSION is that of the endpoint's software. An endpoint joins the others at once if WHEN is "now",
+or when it is told to.
 """
 
 import asyncio
@@ -37,8 +40,9 @@
     return f"{endpoint} ran {request_id} ".encode().ljust(size, b".")
 
 
-def event_bytes(number, request_id):
-    return f"id: {number}\ndata: token {number} of {request_id}\n\n".encode()
+def event_bytes(number, request_id, version="v1"):
+    """Return an event, which names the version of the endpoint that made it."""
+    return f"id: {number}\ndata: token {number} of {request_id} by {version}\n\n".encode()
 
 
 def deadline_ms(headers):
@@ -80,27 +84,35 @@
 class Endpoint:
     """Runs requests for its own id and notes each in a file."""
 
-    def __init__(self, address, store, name, service, runs_path):
+    def __init__(self, address, store, name, service, runs_path, version):
         self.address, self.store, self.name, self.service = address, store, name, service
+        self.version, self.joining = version, asyncio.Event()
         self.runs = open(runs_path, "a", encoding="utf-8", buffering=1)  # noqa: SIM115
         self.behaviour = Misbehaviour()
         self.draw = random.Random(name)
         self.born_ms = time.time_ns() // 1_000_000
         self.running, self.beats, self.state = 0, 0, "ready"
+        self.has_joined = False
 
     def note(self, what, request_id, status=0, deadline_ms=None):
         row = {"s": time.monotonic(), "what": what, "endpoint": self.name, "id": request_id}
-        row |= {"status": status, "deadline_ms": deadline_ms}
+        row |= {"status": status, "deadline_ms": deadline_ms, "version": self.version}
         self.runs.write(json.dumps(row) + "\n")
 
     async def register(self):
         self.beats += 1
         record = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}"}
-        record |= {"zone": "z1", "version": "v1", "slots": SLOTS, "state": self.state}
+        record |= {"zone": "z1", "version": self.version, "slots": SLOTS, "state": self.state}
         record |= {"cold-remaining-ms": 0, "sequence-number": self.beats, "born": self.born_ms}
-        return await put_record(self.store, "keyed.servers", self.name, json.dumps(record).encode())
+        value = json.dumps(record).encode()
+        acknowledged_s = await put_record(self.store, "keyed.servers", self.name, value)
+        if acknowledged_s is not None and not self.has_joined:
+            self.has_joined = True
+            self.note("join", "")
+        return acknowledged_s
 
     async def beat(self):
+        await self.joining.wait()
         while self.state == "ready":
             await self.register()
             await asyncio.sleep(HEARTBEAT_S)
@@ -158,6 +170,10 @@
         if target.path == "/soak/behave":
             self.behaviour = Misbehaviour(**json.loads(body))
             return 200, {}, b"{}"
+        if target.path == "/soak/join":
+            acknowledged_s = await self.register()
+            self.joining.set()
+            return 200, {}, json.dumps(acknowledged_s).encode()
         acknowledged_s = await self.drain(float(target.query))
         return 200, {}, json.dumps(acknowledged_s).encode()
 
@@ -167,6 +183,9 @@
         if path == "/health":
             ready = self.state == "ready"
             return 200 if ready else 503, {"X-Instance-Id": self.name}, b""
+        if path == "/beryljunction/report" and self.service == "drafter":
+            report = {"born": self.born_ms, "running": self.running}
+            return 200, {"Content-Type": "application/json"}, json.dumps(report).encode()
         if path.startswith("/beryljunction/"):
             return 404, {}, b""
         if headers.get("x-expect-instance", self.name) != self.name:
@@ -217,7 +236,7 @@
         writer.write(head_bytes("HTTP/1.1 200 X", head))
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(self.behaviour.work_s)
-            event = event_bytes(number, request_id)
+            event = event_bytes(number, request_id, self.version)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             if is_cut and number > EVENTS // 2:
@@ -231,8 +250,12 @@
         raise _CutError
 
 
-async def run_endpoint(address, store, name, service, runs_path, misbehaviour):
-    endpoint = Endpoint(parse_address(address), parse_address(store), name, service, runs_path)
+async def run_endpoint(address, store, name, service, runs_path, misbehaviour, version, when):
+    endpoint = Endpoint(
+        parse_address(address), parse_address(store), name, service, runs_path, version
+    )
+    if when == "now":
+        endpoint.joining.set()
     endpoint.behaviour = Misbehaviour(**json.loads(misbehaviour))
     server = await asyncio.start_server(endpoint.serve, *endpoint.address, limit=1 << 20)
     async with server:
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -1,3 +1,6 @@
+import asyncio
+import contextlib
+import itertools
 import pathlib
 import random
 import signal
@@ -8,7 +11,18 @@
 from soak.faults import draw_first_starts, draw_schedule
 from soak.fleet import Size
 from soak.oracles import find_violations, worst_repeat_share
-from soak.records import ROUTES, Attempt, Evidence, ProcessRun, Run, find_defect
+from soak.records import (
+    ROUTES,
+    Attempt,
+    EndpointLife,
+    Evidence,
+    ProcessRun,
+    Run,
+    find_defect,
+    find_events,
+)
+from soak.relays import Relay
+from soak.releases import OutOfStep, Release, draw_releases
 from soak.standins import EVENTS, answer_body, event_bytes
 from soak.wire import Message
 
@@ -323,6 +337,232 @@
         assert self.defect(sent, event_bytes(1, sent.id), is_complete=False) == ""
 
 
+def part(name, first, last, version="v1", sent_s=100.0, **values):
+    """Return an attempt that brought some events of a stream; `talk-1` is its first one."""
+    events = tuple((number, version) for number in range(first, last + 1))
+    usual = {"events": events, "is_complete": last == EVENTS, "first_event": first}
+    number = int(name.partition("-")[2])
+    usual["resumes"] = "talk-1" if number > 1 else ""
+    return attempt("talk", number, sent_s=sent_s, **{**usual, **values})
+
+
+def order_rules(*attempts):
+    """Return the rules that streams break, apart from answers that are broken off."""
+    return [row for row in rules(attempts=list(attempts)) if row != "LOST"]
+
+
+class TestStreamVersions:
+    """Guards against an oracle that overlooks a stream that goes on at another version."""
+
+    def test_stream_of_one_version_is_no_violation(self):
+        first, second = part("talk-1", 1, 4, "v2"), part("talk-2", 5, 9, "v2", sent_s=101.0)
+        last = part("talk-3", 10, EVENTS, "v2", sent_s=102.0)
+
+        assert order_rules(first) == []
+        assert order_rules(first, second, last) == []
+
+    def test_streams_of_different_versions_are_no_violation(self):
+        other = attempt("talk", 9, events=tuple((n, "v2") for n in range(1, EVENTS + 1)))
+
+        assert order_rules(part("talk-1", 1, EVENTS), other) == []
+
+    def test_other_version_after_a_resumption_is_found(self):
+        first, second = part("talk-1", 1, 4, "v2"), part("talk-2", 5, EVENTS, "v1", sent_s=101.0)
+
+        assert order_rules(first, second) == ["ORDER"]
+
+    def test_other_version_after_several_resumptions_is_found(self):
+        refused = part("talk-2", 5, 4, sent_s=101.0, status=503)
+        middle = part("talk-3", 5, 5, sent_s=102.0)
+        last = part("talk-4", 6, EVENTS, "v2", sent_s=103.0)
+
+        assert order_rules(part("talk-1", 1, 4), refused, middle, last) == ["ORDER"]
+
+    def test_other_version_within_one_answer_is_found(self):
+        events = tuple((n, "v1" if n < 5 else "v2") for n in range(1, EVENTS + 1))
+
+        assert order_rules(part("talk-1", 1, EVENTS, events=events)) == ["ORDER"]
+
+    @pytest.mark.parametrize("resumed_from", [3, 6])
+    def test_missing_or_repeated_event_is_found(self, resumed_from):
+        second = part("talk-2", resumed_from, EVENTS, sent_s=101.0)
+
+        assert order_rules(part("talk-1", 1, 3 if resumed_from == 3 else 4), second) == ["ORDER"]
+
+    def test_end_before_the_last_event_is_found(self):
+        second = part("talk-2", 5, 9, sent_s=101.0, is_complete=True)
+
+        assert order_rules(part("talk-1", 1, 4), second) == ["ORDER"]
+
+    def test_versions_are_read_from_the_events(self):
+        body = event_bytes(1, "talk-1", "v1") + event_bytes(2, "talk-1", "v12")
+
+        assert find_events(body) == ((1, "v1"), (2, "v12"))
+        assert find_events(body[:-1]) == ((1, "v1"),)
+
+    @pytest.mark.parametrize("cut_bytes", [0, 1, 2, 3, 5, 20])
+    def test_version_of_an_event_is_no_defect_by_itself(self, cut_bytes):
+        sent = part("talk-1", 1, EVENTS)
+        body = b"".join(event_bytes(n, sent.id, "v12") for n in range(1, EVENTS + 1))
+        body = body[: len(body) - cut_bytes]
+
+        assert TestDefects.defect(sent, body, is_complete=not cut_bytes) == ""
+        if cut_bytes:
+            assert TestDefects.defect(sent, body) != ""
+
+
+class TestResumptions:
+    """Guards against an oracle that overlooks streams which are refused though they could go on."""
+
+    @staticmethod
+    def evidence(refused, resumed=12, endpoints=2, **values):
+        lives = [EndpointLife(f"drafter-{n}", "drafter", "v2", 50.0) for n in range(endpoints)]
+        lives += [EndpointLife(f"drafter-{n}", "drafter", "v1", 50.0) for n in range(5, 8)]
+        attempts = []
+        for number in range(resumed):
+            begun = part("talk-1", 1, 4, "v2", sent_s=95.0, id=f"talk-{number}")
+            again = part("talk-2", 5, EVENTS, "v2", id=f"again-{number}", resumes=begun.id)
+            if number < refused:
+                again.status, again.events = 503, ()
+            attempts += [begun, again]
+        # The first parts broke off with their endpoint, which has ended.
+        runs = [Run(row.sent_s, "cut", "drafter-9", row.id) for row in attempts]
+        usual = {"attempts": attempts, "lives": lives, "runs": runs, "processes": [process()]}
+        return {**usual, **values}
+
+    def test_refusal_of_over_half_is_found(self):
+        assert rules(**self.evidence(refused=7)) == ["LOST"]
+
+    def test_half_may_be_refused(self):
+        assert rules(**self.evidence(refused=6)) == []
+
+    def test_share_is_that_of_new_streams(self):
+        values = self.evidence(refused=7)
+        values["attempts"] += [part("talk-1", 1, 0, id=f"new-{n}", status=503) for n in range(6)]
+
+        assert rules(**values) == []
+
+    def test_few_resumptions_are_not_judged(self):
+        assert rules(**self.evidence(refused=11, resumed=11)) == []
+
+    def test_two_endpoints_of_the_version_have_to_serve(self):
+        assert rules(**self.evidence(refused=12, endpoints=1)) == []
+        values = self.evidence(refused=12)
+        values["lives"][0].leaves_s = 100.05
+        assert rules(**values) == []
+
+    @pytest.mark.parametrize("name", ["front-0", "store", "machine"])
+    def test_entry_has_to_be_in_touch(self, name):
+        paused = [(name, 98.0, 98.5)]
+
+        assert rules(**self.evidence(refused=12), pauses=paused) == []
+        assert rules(**self.evidence(refused=12), cuts=[("front-0", 98.0, 98.5)]) == []
+        assert rules(**self.evidence(refused=12), cuts=[("front-1", 98.0, 98.5)]) == ["LOST"]
+
+
+class TestKills:
+    """Guards against a lost answer that is excused by another process of the endpoint's id."""
+
+    def test_kill_under_the_answer_excuses(self):
+        broken = attempt(is_complete=False)
+        life = EndpointLife("ledger-1", "ledger", "v1", 50.0, killed_s=100.05)
+        earlier = EndpointLife("ledger-1", "ledger", "v1", 50.0, killed_s=90.0)
+
+        assert rules(attempts=[broken], runs=[run()], lives=[earlier, life]) == []
+        assert rules(attempts=[broken], runs=[run()], lives=[earlier]) == ["LOST"]
+
+
+class TestRelay:
+    """Guards against an entry that is cut off only in the evidence."""
+
+    @staticmethod
+    def play(scenario):
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+
+        async def run_scenario():
+            far = await asyncio.start_server(echo, "127.0.0.1", 0)
+            relay = Relay(far.sockets[0].getsockname())
+            await relay.start(("127.0.0.1", 0))
+            connection = await asyncio.open_connection(*relay.address)
+            try:
+                await scenario(relay, *connection)
+            finally:
+                connection[1].transport.abort()
+
+        asyncio.run(asyncio.wait_for(run_scenario(), 10.0))
+
+    def test_held_bytes_arrive_after_the_cut(self):
+        async def scenario(relay, reader, writer):
+            relay.cut(refuses=False)
+            relay.cut(refuses=False)
+            writer.write(b"x")
+            relay.mend()
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.read(1), 0.2)
+            relay.mend()
+            assert await reader.read(1) == b"x"
+
+        self.play(scenario)
+
+    def test_refusal_ends_connections(self):
+        async def scenario(relay, reader, writer):
+            writer.write(b"x")
+            assert await reader.read(1) == b"x"
+            relay.cut(refuses=True)
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read(1) == b""
+            again, writer = await asyncio.open_connection(*relay.address)
+            with contextlib.suppress(ConnectionError):
+                assert await again.read(1) == b""
+            relay.mend()
+            again, writer = await asyncio.open_connection(*relay.address)
+            writer.write(b"y")
+            assert await again.read(1) == b"y"
+
+        self.play(scenario)
+
+
+class TestReleaseSchedule:
+    """Guards against releases that can't be repeated, or that leave no entry out of step."""
+
+    def test_seed_draws_the_same_faults(self):
+        def draw(seed):
+            return draw_releases(random.Random(seed), 20.0, 4)
+
+        assert draw(1) == draw(1)
+        assert draw(1) != draw(2)
+
+    def test_many_seeds_draw_every_kind(self):
+        faults = [row for seed in range(40) for row in draw_releases(random.Random(seed), 20.0, 4)]
+        releases = [row for row in faults if isinstance(row, Release)]
+        out_of_step = [row for row in faults if isinstance(row, OutOfStep)]
+
+        assert {row.crashes for row in releases} == {"new", "old", ""}
+        assert {row.takes_ids for row in releases} == {row.replaces for row in releases}
+        assert {row.how for row in out_of_step} == {"suspended", "held", "refused"}
+        assert min(row.length_s for row in out_of_step) == 0.3
+        assert max(row.length_s for row in out_of_step) == 4.0
+
+    def test_versions_differ_from_the_one_before_and_go_back_at_times(self):
+        goes_back = 0
+        for seed in range(40):
+            faults = draw_releases(random.Random(seed), 30.0, 4)
+            rows = [row for row in faults if isinstance(row, Release)]
+            versions = ["v1", *(row.version for row in rows)]
+            assert all(first != second for first, second in itertools.pairwise(versions))
+            goes_back += len(set(versions)) < len(versions)
+
+        assert goes_back > 0
+
+    def test_each_release_has_an_entry_out_of_step(self):
+        faults = draw_releases(random.Random(1), 20.0, 4)
+
+        numbers = {row.number for row in faults if isinstance(row, Release)}
+        assert {row.release for row in faults if isinstance(row, OutOfStep)} == numbers
+
+
 class TestSchedule:
     """Guards against a soak that can't be repeated."""
 
