--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -15,6 +15,7 @@
 _PATIENCE_S = 8.0
 _CONNECT_LIMIT_S = 1.0
 _SENDS = 3
+_SENDS_OF_STREAM = 6
 _OPENERS = 3
 # Share of broken streams that are resumed at an entry which is out of step, if there is one.
 _PREFERENCE = 0.7
@@ -91,7 +92,9 @@
     async def ask(self, route, place, connection=None):
         """Make one call with its repeats; return the connection if it can be kept, and a place."""
         ends_s, sends, resumed_from, resumes = time.monotonic() + route.timeout_s, 0, 0, ""
-        while (left_s := ends_s - time.monotonic()) > 0.05 and sends < _SENDS:
+        while (left_s := ends_s - time.monotonic()) > 0.05 and sends < (
+            _SENDS_OF_STREAM if resumes else _SENDS
+        ):
             entry = self.fleet.entries[place % len(self.fleet.entries)]
             connection = connection or await self.connect(entry, min(left_s, _CONNECT_LIMIT_S))
             if connection is None:
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -290,12 +290,16 @@
             events = [event for row in attempts for event in row.events]
             problem = self._problem(attempts, events)
             if problem:
-                where = ", ".join(
-                    f"{row.entry} {row.signature.partition('.')[0]}" for row in attempts
-                )
+                where = ", ".join(self._describe(row) for row in attempts)
                 last = attempts[-1]
                 yield last.ended_s, last.entry, f"{name}: {problem}; {where}"
 
+    @staticmethod
+    def _describe(attempt):
+        endpoint = attempt.signature.partition(".")[0]
+        count = f"{len(attempt.events)} of {endpoint}" if attempt.events else attempt.status
+        return f"{attempt.id} at {attempt.entry}: {count}"
+
     @staticmethod
     def _problem(attempts, events):
         versions = list(dict.fromkeys(version for _, version in events))
--- a/testing/soak/releases.py
+++ b/testing/soak/releases.py
@@ -190,7 +190,7 @@
         count=draw.choice((1, 2, 2, 3)),
         takes_ids=draw.random() < 0.25,
         crashes=draw.choice(("new", "new", "new", "old", "")),
-        crash_after_s=round(draw.uniform(0.05, 0.4), 3),
+        crash_after_s=round(draw.uniform(0.05, 0.3), 3),
         crash_gap_s=draw.choice((0.0, 0.0, 0.05, 0.2)),
         replaces=draw.random() < 0.3,
     )
@@ -198,8 +198,8 @@
 
 def _draw_out_of_step(draw, release, place):
     """Return when an entry is out of step beside a release: once or in series."""
-    after_s = draw.uniform(_LEAD_S / 2, _LEAD_S)
-    length_s, after_crash_s = draw.choice((1.2, 1.8, 4.0)), round(draw.uniform(0.0, 0.2), 3)
+    after_s = _LEAD_S - draw.uniform(0.02, 0.2)
+    length_s, after_crash_s = draw.choice((2.0, 4.0)), round(draw.uniform(0.0, 0.2), 3)
     if draw.random() < 0.3:
         length_s, after_crash_s = draw.choice((0.3, 0.8, 1.5, 2.5, 4.0)), None
     faults = []
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -609,3 +609,12 @@
 
         assert not result.violations, f"{result.summary()}\n{result.report()}"
         assert any(attempt.is_served for attempt in result.evidence.attempts)
+
+    def test_streams_keep_their_version_while_an_entry_is_out_of_step(self, tmp_path):
+        """Guards against a resumed stream that goes on at another version."""
+        size = Size(entries=3, endpoints=3, callers=8, busy_loops=0)
+
+        result = run_soak(118, size, 4.0, pathlib.Path(tmp_path), SCENARIOS["releases"])
+
+        assert not result.violations, f"{result.summary()}\n{result.report()}"
+        assert any(attempt.resumes for attempt in result.evidence.attempts)
