--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -164,12 +164,14 @@
         misbehaviour: How all endpoints fail from their start on.
         before_entries: Called with the fleet before the first entry starts.
         shares: Share of the usual number of callers by the name of the route; 1 for others.
+        leave_share: Share of the new streams whose callers close the connection, and resume them.
     """
 
     draw: Callable
     misbehaviour: dict = attrs.field(factory=dict)
     before_entries: Callable = do_nothing
     shares: dict = attrs.field(factory=dict)
+    leave_share: float = 0.0
 
 
 SCENARIOS = {
@@ -177,7 +179,10 @@
     "overload": Scenario(_draw_faults_and_stalls, _FAILING),
     "stalls": Scenario(_draw_stalls, _FAILING),
     "releases": Scenario(
-        _draw_releases, before_entries=start_relays, shares=_RESUMABLE_STREAMS_MOSTLY
+        _draw_releases,
+        before_entries=start_relays,
+        shares=_RESUMABLE_STREAMS_MOSTLY,
+        leave_share=0.1,
     ),
 }
 
@@ -221,7 +226,8 @@
 
 async def _play(fleet, seed, seconds, scenario):
     first_starts, schedule = scenario.draw(random.Random(seed), seconds, fleet.size)
-    traffic = Traffic(fleet, random.Random(f"{seed}-callers"), scenario.shares)
+    draw = random.Random(f"{seed}-callers")
+    traffic = Traffic(fleet, draw, scenario.shares, scenario.leave_share)
     fleet.on_start = traffic.open_early
     fleet.spawn(_monitor_stalls(fleet.evidence))
     await fleet.start(first_starts)
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -35,10 +35,12 @@
 
     Args:
         shares: Share of the usual number of callers by the name of the route; 1 for others.
+        leave_share: Share of the new streams whose callers close the connection, and resume them.
     """
 
-    def __init__(self, fleet, draw, shares):
+    def __init__(self, fleet, draw, shares, leave_share=0.0):
         self.fleet, self.draw, self.shares = fleet, draw, shares
+        self.leave_share = leave_share
         self.numbers = itertools.count()
         self.ends_s = float("inf")
         self.openers = set()
@@ -72,7 +74,7 @@
         attempt.answered_before, attempt.first_event = connection.answered, resumed_from + 1
         self.fleet.evidence.attempts.append(attempt)
         first = f"{route.method} /{route.name}/{request_id} HTTP/1.1"
-        message = None
+        message, leaving = None, self._plan_to_leave(connection, attempt)
         try:
             connection.writer.write(head_bytes(first, headers) + body)
             reading = read_message(connection.reader, is_answer=True)
@@ -80,6 +82,9 @@
             attempt.problem = "closed" if message is None else ""
         except (OSError, TimeoutError, ValueError) as error:
             attempt.problem = type(error).__name__
+        finally:
+            if leaving is not None:
+                leaving.cancel()
         attempt.ended_s = time.monotonic()
         if message is not None:
             attempt.status, attempt.is_complete = message.status, message.is_complete
@@ -89,6 +94,17 @@
                 attempt.events = find_events(message.body)
         return attempt, message
 
+    def _plan_to_leave(self, connection, attempt):
+        """Close the connection later, for some of the new streams that can be resumed."""
+        if not attempt.route.resumes or attempt.resumes or self.draw.random() >= self.leave_share:
+            return None
+
+        def leave():
+            attempt.has_left = True
+            connection.writer.transport.abort()
+
+        return asyncio.get_running_loop().call_later(self.draw.uniform(0.2, 1.0), leave)
+
     async def ask(self, route, place, connection=None):
         """Make one call with its repeats; return the connection if it can be kept, and a place."""
         ends_s, sends, resumed_from, resumes = time.monotonic() + route.timeout_s, 0, 0, ""
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -132,9 +132,10 @@
 class Answers(Oracle):
     """A caller that sent a whole request on a connection gets a whole answer.
 
-    Not counted: the entry was killed; the endpoint broke off; the deadline was reached; a kept
-    connection closed before the request was passed on; so did a new one, in a stop and within the
-    slack of the rule; its run was still going on in the last sixth of the grace period.
+    Not counted: the caller closed the connection; the entry was killed; the endpoint broke off; the
+    deadline was reached; a kept connection closed before the request was passed on; so did a new
+    one, in a stop and within the slack of the rule; its run was still going on in the last sixth of
+    the grace period.
     """
 
     rule = "LOST"
@@ -160,6 +161,8 @@
                 yield attempt, rows, self._excuse(evidence, attempt, rows)
 
     def _excuse(self, evidence, attempt, runs):
+        if attempt.has_left:
+            return "caller left"
         processes = [
             row
             for row in evidence.processes
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -71,6 +71,7 @@
         is_complete: Whether the answer looked complete.
         defect: What is wrong with the answer; empty if nothing is.
         problem: Why there is no answer.
+        has_left: Whether its caller closed the connection.
         resumes: Id of the attempt that brought the first event of the stream which it resumes.
         events: Number and version of each whole event of its answer.
     """
@@ -90,6 +91,7 @@
     signature: str = ""
     defect: str = ""
     problem: str = ""
+    has_left: bool = False
     resumes: str = ""
     events: tuple = ()
 
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -164,6 +164,11 @@
         assert rules(attempts=[broken], runs=[run()], endpoint_ends=ends) == []
         assert rules(attempts=[broken], runs=[run()], endpoint_ends={"ledger-1": 90.0}) == ["LOST"]
 
+    def test_caller_that_left_excuses(self):
+        broken = attempt("talk", is_complete=False, has_left=True)
+
+        assert rules(attempts=[broken], runs=[run("talk-1")]) == []
+
     def test_deadline_of_the_caller_excuses(self):
         cut = attempt("chat", is_complete=False, took_s=0.8, deadline_s=0.85)
 
