--- a/testing/soak/releases.py
+++ b/testing/soak/releases.py
@@ -221,7 +221,7 @@
         versions.append(version)
         release = _draw_release(draw, round(at_s, 3), len(versions) - 2, version)
         faults.append(release)
-        count = draw.randint(1, max(1, entries // 3))
+        count = draw.randint(1, max(1, entries // 2))
         for place in draw.sample(range(entries), count):
             faults += _draw_out_of_step(draw, release, place)
         at_s += draw.uniform(3.0, 7.0)
