--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -1,11 +1,13 @@
 """Oracles: each finds in the evidence of a run where one rule was broken."""
 
 import abc
+import collections
 import signal
 
 import attrs
 
 from soak.records import ROUTES, count_within
+from soak.standins import EVENTS
 
 __all__ = [
     "ORACLES",
@@ -13,7 +15,9 @@
     "Attempts",
     "Deadlines",
     "Oracle",
+    "ResumptionCounts",
     "Violation",
+    "count_resumptions",
     "find_violations",
     "worst_repeat_share",
 ]
@@ -33,6 +37,8 @@
 _DEADLINE_SLACK_S, _LATE_DEADLINES = 0.5, 20
 # Between the windows that are checked besides those that begin or end at a repeat.
 _STEP_S, _MOMENT_S = 0.05, 1e-6
+# Resumed streams from which on the share that goes on is judged.
+_MIN_RESUMED = 12
 
 
 @attrs.frozen
@@ -132,9 +138,10 @@
 class Answers(Oracle):
     """A caller that sent a whole request on a connection gets a whole answer.
 
-    Not counted: the entry was killed; the endpoint broke off; the deadline was reached; a kept
-    connection closed before the request was passed on; so did a new one, in a stop and within the
-    slack of the rule; its run was still going on in the last sixth of the grace period.
+    Not counted: the caller closed the connection; the entry was killed; the endpoint broke off; the
+    deadline was reached; a kept connection closed before the request was passed on; so did a new
+    one, in a stop and within the slack of the rule; its run was still going on in the last sixth of
+    the grace period.
     """
 
     rule = "LOST"
@@ -160,13 +167,13 @@
                 yield attempt, rows, self._excuse(evidence, attempt, rows)
 
     def _excuse(self, evidence, attempt, runs):
+        if attempt.has_left:
+            return "caller left"
         processes = [
             row
             for row in evidence.processes
             if row.entry == attempt.entry and row.started_s <= attempt.sent_s
         ]
-        if attempt.has_left:
-            return "caller left"
         if any(_was_killed_under(row, attempt) for row in processes):
             return "entry killed"
         if any(
@@ -221,8 +228,8 @@
 
 def _ended_under(evidence, run, attempt):
     """Return whether the endpoint of a run was killed before the attempt ended."""
-    killed_s = evidence.endpoint_ends.get(run.endpoint)
-    return _is_within(killed_s, run.s, attempt.ended_s)
+    kills = evidence.kills_of(run.endpoint)
+    return any(_is_within(killed_s, run.s, attempt.ended_s) for killed_s in kills)
 
 
 class RunsOnce(Oracle):
@@ -282,6 +289,125 @@
                 yield attempt.ended_s, attempt.entry, f"{attempt.id}: {attempt.defect}"
 
 
+class StreamVersions(Oracle):
+    """Over all attempts of a stream, its events come from one version, in order and once each."""
+
+    rule = "ORDER"
+
+    def find(self, evidence):
+        for name, attempts in _streams(evidence).items():
+            events = [event for row in attempts for event in row.events]
+            problem = self._problem(attempts, events)
+            if problem:
+                where = ", ".join(self._describe(row) for row in attempts)
+                last = attempts[-1]
+                yield last.ended_s, last.entry, f"{name}: {problem}; {where}"
+
+    @staticmethod
+    def _describe(attempt):
+        endpoint = attempt.signature.partition(".")[0]
+        count = f"{len(attempt.events)} of {endpoint}" if attempt.events else attempt.status
+        return f"{attempt.id} at {attempt.entry}: {count}"
+
+    @staticmethod
+    def _problem(attempts, events):
+        versions = list(dict.fromkeys(version for _, version in events))
+        if len(versions) > 1:
+            return f"events of versions {', '.join(versions)}"
+        numbers = [number for number, _ in events]
+        if numbers != list(range(1, len(numbers) + 1)):
+            return f"expected events in order over all attempts, got {numbers}"
+        if len(numbers) < EVENTS and any(row.is_served for row in attempts):
+            return f"complete with {len(numbers)} of {EVENTS} events"
+        return ""
+
+
+def _streams(evidence):
+    """Return the attempts of each stream that has begun, by the id of the first with an event."""
+    rows = collections.defaultdict(list)
+    for attempt in sorted(evidence.attempts, key=lambda row: row.sent_s):
+        if attempt.route.kind == "streaming" and (attempt.resumes or attempt.events):
+            rows[attempt.resumes or attempt.id].append(attempt)
+    return rows
+
+
+@attrs.frozen
+class ResumptionCounts:
+    """Streams at entries in touch; the resumed ones while two endpoints of their version served.
+
+    Attributes:
+        resumed: Resumed streams, of which `continued` got the rest or a part of it.
+        begun: First attempts, of which `started` got an event.
+        refused: Ids of the attempts that were refused though they could go on.
+        resumed_anywhere: Attempts that resume a stream, at any entry and time.
+    """
+
+    resumed: int
+    continued: int
+    begun: int
+    started: int
+    refused: tuple
+    resumed_anywhere: int
+
+    @property
+    def share(self):
+        return self.continued / self.resumed if self.resumed else 1.0
+
+    @property
+    def wanted(self):
+        return self.started / self.begun / 2 if self.begun else 0.0
+
+
+def count_resumptions(evidence):
+    """Return how many streams go on and how many begin."""
+    resumed, begun, able, continued, refused = 0, [], set(), set(), []
+    versions = {
+        name: rows[0].events[0][1] for name, rows in _streams(evidence).items() if rows[0].events
+    }
+    for row in evidence.attempts:
+        if not row.route.resumes or not row.ended_s:
+            continue
+        resumed += bool(row.resumes)
+        if not evidence.is_in_touch(row.entry, row.sent_s, row.ended_s):
+            continue
+        if not row.resumes:
+            begun.append(row)
+        elif _count_serving(evidence, row, versions.get(row.resumes)) >= 2:
+            able.add(row.resumes)
+            if row.events or row.is_served:
+                continued.add(row.resumes)
+            elif row.status in (429, 503):
+                refused.append(row.id)
+    started = sum(bool(row.events) for row in begun)
+    return ResumptionCounts(len(able), len(continued), len(begun), started, tuple(refused), resumed)
+
+
+def _count_serving(evidence, attempt, version):
+    """Return how many endpoints of a version served all the while that an attempt lasted."""
+    return sum(
+        row.service == attempt.route.service
+        and row.version == version
+        and row.joined_s is not None
+        and row.joined_s <= attempt.sent_s
+        and row.leaves_s > attempt.ended_s
+        and not evidence.paused_s(row.name, attempt.sent_s, attempt.ended_s)
+        for row in evidence.lives
+    )
+
+
+class Resumptions(Oracle):
+    """Resumed streams that could go on do, at half of the share of new ones that begin at least."""
+
+    rule = "LOST"
+
+    def find(self, evidence):
+        counts = count_resumptions(evidence)
+        if counts.resumed >= _MIN_RESUMED and counts.share < counts.wanted:
+            text = f"{counts.continued} of {counts.resumed} resumed streams went on, "
+            text += f"{counts.started} of {counts.begun} new ones began"
+            yield evidence.ended_s, "", f"{text}; refused {', '.join(counts.refused[:5])}"
+
+
 class Unasked(Oracle):
     """Endpoints run only what callers sent."""
 
@@ -494,6 +620,8 @@
     Promises(),
     WholeAnswers(),
     Streams(),
+    StreamVersions(),
+    Resumptions(),
     Unasked(),
     RetryBudget(),
     Attempts(),
