Count the grace period of a stop during the start from about its signal

A stop that was pending when the handlers were set counted from the first statement of the program, since nobody knew when it had come.

--- a/src/beryljunction/cli/platform_entry.py
+++ b/src/beryljunction/cli/platform_entry.py
@@ -2,9 +2,9 @@
 
 import gc
 import os
-import time
 
 from beryljunction.early_start import (
+    PendingStops,
     hold_signals,
     ignore_stray_signals,
     open_standard_descriptors,
@@ -21,7 +21,7 @@
     objects are then frozen, which excludes them from all later collections.
     """
     hold_signals()
-    held_since_s = time.monotonic()
+    pending_stops = PendingStops()
     ignore_stray_signals()
     open_standard_descriptors()
     from beryljunction.early_listener import EARLY_LISTEN_VARIABLE, open_early_listener
@@ -34,7 +34,7 @@
 
     gc.freeze()
     gc.enable()
-    return anyio.run(EntryProgram(listener, held_since_s).run)
+    return anyio.run(EntryProgram(listener, pending_stops.end).run)
 
 
 if __name__ == "__main__":
--- a/src/beryljunction/gateway/startup.py
+++ b/src/beryljunction/gateway/startup.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -53,11 +54,13 @@
     Args:
         early_socket: Listening socket for callers, opened before most modules were imported; None
             if there is none.
-        held_since_s: Monotonic time since which signals are held.
+        end_hold: Called before held signals are released; returns a monotonic time before which
+            none of them was a stop.
     """
 
-    def __init__(self, early_socket: socket.socket | None, held_since_s: float) -> None:
-        self._held_since_s = held_since_s
+    def __init__(self, early_socket: socket.socket | None, end_hold: Callable[[], float]) -> None:
+        self._end_hold = end_hold
+        self._no_stop_until_s = 0.0
         self._socket = early_socket
         self._entry: EntryProcess | None = None
         self._events = EntryEventLog(os.uname().nodename, "")
@@ -109,7 +112,7 @@
         self._entry = EntryProcess(host, self._events, self._socket)
         if self._stopping.is_set():
             # The signal may have been pending since then.
-            self._entry.stop(self._held_since_s)
+            self._entry.stop(self._no_stop_until_s)
         await self._entry.run()
 
     async def _wait_for_settings(self) -> HostSettings | None:
@@ -157,6 +160,7 @@
 
     async def _handle_signals(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+            self._no_stop_until_s = self._end_hold()
             release_signals()
             task_status.started()
             try:
--- a/testing/entry_process.py
+++ b/testing/entry_process.py
@@ -73,7 +73,7 @@
         temporary.write_text(self.settings() if text is None else text)
         temporary.replace(self.settings_path)
 
-    def start(self, settings_variable=None, **options):
+    def start(self, settings_variable=None, command=None, **options):
         """Start a process; options are those of `subprocess.Popen`, by default output to a file."""
         path = str(self.settings_path) if settings_variable is None else settings_variable
         environment = {
@@ -86,7 +86,8 @@
         }
         with self.log_path.open("ab") as log:
             outputs = {"stdin": subprocess.DEVNULL, "stdout": log, "stderr": log, **options}
-            process = subprocess.Popen(entry_command(), cwd=_ROOT, env=environment, **outputs)
+            command = command or entry_command()
+            process = subprocess.Popen(command, cwd=_ROOT, env=environment, **outputs)
         self.processes.append(process)
         return process
 
--- a/testing/test_platform_entry.py
+++ b/testing/test_platform_entry.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import signal
+import sys
 import time
 
 import anyio
@@ -23,6 +24,19 @@
 
 pytestmark = pytest.mark.anyio
 STOPS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
+# The program of an entry whose imports take 3 s.
+SLOW_PROGRAM = """
+import sys, time
+from beryljunction.cli import platform_entry
+
+class SlowFinder:
+    def find_spec(self, name, *_):
+        if name == "beryljunction.gateway.startup":
+            time.sleep(3.0)
+
+sys.meta_path.insert(0, SlowFinder())
+raise SystemExit(platform_entry.main())
+"""
 
 
 @pytest.fixture
@@ -87,6 +101,29 @@
             await program.wait_until_ready()
             assert program.process.poll() is None
 
+    async def test_stop_late_in_a_slow_start_has_its_whole_grace_period(self, tmp_path):
+        """Guards against streams cut by a grace period that counts from before the signal."""
+
+        async def hang(answer, writer, number):
+            await asyncio.sleep(30.0)
+
+        async with open_entry_program(
+            tmp_path, route(**{"timeout-ms": 20_000}), grace_s=5
+        ) as program:
+            await program.harness.add_endpoint("e1", script=hang)
+            program.start(command=[sys.executable, "-S", "-c", SLOW_PROGRAM])
+            await program.wait_until_listening()
+            _, writer = await program.harness.connect()
+            writer.write(program.harness.request_bytes().replace(b": 2000", b": 20000"))
+            await anyio.sleep(2.5)
+            program.process.send_signal(signal.SIGTERM)
+            signalled_s = time.monotonic()
+
+            assert await program.wait_until_ended() == 0
+            took_s = time.monotonic() - signalled_s
+            assert len(program.log_lines("cut")) == 1
+            assert 5 * 5 / 6 < took_s < 5.0
+
     async def test_stop_before_the_settings_are_there(self, tmp_path):
         """Guards against a stop without a line, and without answers to the callers."""
         async with open_entry_program(tmp_path) as program:
@@ -249,7 +286,7 @@
 
     async def run(program, listener):
         monkeypatch.setenv("BERYLJUNCTION_CONFIG", str(program.settings_path))
-        entry = EntryProgram(listener, time.monotonic())
+        entry = EntryProgram(listener, time.monotonic)
         entry._events = EntryEventLog("me", "zone", program.harness.lines)
         program.harness.entry = entry
         return await entry.run()
