Conclude where a stream began only from settings and records that can tell

Cause: the only version of a service tells where a stream began only if its route has led to that service for as long as streams last, and if all live endpoints have a record. The settings may be older than the caller's return, like the records; after an outage, records come back within 2 s.

An entry now concludes nothing for a minute after a route of resumable streams has changed, waits for settings as of the caller's return as well, and for records as of 2 s after the store is back.

Also, found by the review: a caller that comes back before its entry has announced the stream waited 1.8 s in fleets of over three entries, as the keepers were asked once; they are asked again after 0.1 s. While records change, the next confirmation could come after the limit of the wait (1.7 s apart, drain time 4 s, refused); the limit is their age bound now, and a third of the time that the caller has left. A service without an open endpoint isn't waited for.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -51,6 +51,9 @@
 _MIN_REMAINING_S = 0.02
 _DENIAL_STATUS = {DenialReason.NO_ROUTE: 404, DenialReason.UNKNOWN_KEY: 401}
 _DEFAULT_DEADLINE_MS = 60_000
+# Part of the remaining time in which an entry finds out where a stream began. Its caller needs the
+# rest for the stream, or for another entry.
+_SEARCH_RATIO = 1 / 3
 _QUARANTINED = "quarantined"
 _SUSPECTED = "suspected"
 # A trial mostly shows within this time whether a suspicion is right.
@@ -177,7 +180,7 @@
     async def _find_origin(self, admitted: Admitted) -> bool:
         """Find out where the stream began that the caller resumes; return whether it can go on."""
         key = self._stream_key(admitted, self._caller_headers.resumed_request_id)
-        with anyio.move_on_after(max(0.0, self._remaining_s())):
+        with anyio.move_on_after(max(0.0, self._remaining_s() * _SEARCH_RATIO)):
             self._origin = await self._state.streams.find(key, self._services)
         if self._origin is None or self._origin.service not in self._services:
             return False
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -15,6 +15,7 @@
 from beryljunction.gateway.trials import TrialPermits
 from beryljunction.platform import DeploymentBounds, HostSettings
 from beryljunction.routing import (
+    VERSIONS_TTL_S,
     AgeBound,
     AnnouncedVersion,
     CacheAwarePlacement,
@@ -92,6 +93,7 @@
         self.events = events
         self.config: FleetConfig | None = None
         self.config_record = b""
+        self._routes_moved_s = -math.inf
         self.lease = SettingsLease(bounds.revocation_ms / 1000)
         self.announced_version = AnnouncedVersion(self.lease.revocation_s)
         self.endpoints_confirmation = Confirmation()
@@ -113,6 +115,8 @@
             self.registry,
             self.endpoints_confirmation,
             lambda: self.endpoints_bound,
+            lambda: self.lease.confirmed_s,
+            lambda: boot_time_s() - self._routes_moved_s <= VERSIONS_TTL_S,
             lambda service: self.known_service(service) is not None,
             events,
         )
@@ -162,6 +166,8 @@
         """Put settings in force unless their version is not newer; return whether it was."""
         if self.config is not None and config.version <= self.config.version:
             return False
+        if self.config is not None and config.stream_targets != self.config.stream_targets:
+            self._routes_moved_s = boot_time_s()
         self.config = config
         self.config_record = record
         return True
--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+import itertools
 import json
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -42,6 +43,8 @@
 # Entries answer within a few ms.
 _ASK_TIMEOUT_S = 0.2
 _CHECK_INTERVAL_S = 0.05
+# At this check, what was announced just before its caller came back has arrived.
+_CHECK_THAT_ASKS = 2
 # An entry whose records are too old is cut off, or has just run again after it stood still.
 _LATE_RECORDS_WAIT_S = 0.2
 # Limits of what is kept of the store's records; no service has so many versions at a time.
@@ -97,6 +100,8 @@
         registry: The known endpoints.
         confirmation: Time as of which their records are known to be complete.
         age_bound: Returns how old these records may become.
+        settings_asked_s: Returns the boot time as of which the settings are the newest.
+        has_moved_routes: Returns whether routes of streams led to other services lately.
         is_named: Returns whether the settings name a service.
         events: The log.
     """
@@ -108,6 +113,8 @@
         registry: EndpointRegistry,
         confirmation: Confirmation,
         age_bound: Callable[[], AgeBound],
+        settings_asked_s: Callable[[], float],
+        has_moved_routes: Callable[[], bool],
         is_named: Callable[[str], bool],
         events: EntryEventLog,
     ) -> None:
@@ -116,6 +123,8 @@
         self._registry = registry
         self._confirmation = confirmation
         self._age_bound = age_bound
+        self._settings_asked_s = settings_asked_s
+        self._has_moved_routes = has_moved_routes
         self._is_named = is_named
         self._events = events
         self._origins = StreamOrigins()
@@ -209,13 +218,15 @@
             services: Services at which it may have begun.
         """
         resumed_s = boot_time_s()
-        known = self._find_known(key)
-        if known is not None:
-            return known
+        known = self._find_known(key) or await self._ask_keepers(key, services)
+        return known or await self._wait_for_origin(key, services, resumed_s)
+
+    async def _ask_keepers(self, key: str, services: tuple[str, ...]) -> StreamOrigin | None:
+        """Return the origin that the entries responsible for a stream know; None if they don't."""
         answers = await self._ask(StreamQuery(key, services))
         found = [row.origin for answer in answers for row in answer.begun if row.key == key]
         if not found:
-            return await self._wait_for_origin(key, services, resumed_s)
+            return None
         origin = max(found, key=lambda row: row.attempt)
         self._origins.note(key, origin, boot_time_s())
         return origin
@@ -231,17 +242,28 @@
             resumed_s: When its caller resumed it.
         """
         lag_s = _RECORD_LAG_S if self._may_reuse_ids(services) else 0.0
-        waited_s = 0.0
-        while True:
+        for check in itertools.count():
             known = self._find_known(key)
+            if known is None and check == _CHECK_THAT_ASKS and self._has_current_endpoints():
+                known = await self._ask_keepers(key, services)
             if known is not None:
                 return known
-            if self._has_records_as_of(resumed_s + lag_s):
+            if self._has_moved_routes() or not self._has_one_version(services):
+                return None
+            if self._knows_all_as_of(resumed_s, lag_s):
                 return self._only_origin(services)
-            if waited_s >= self._longest_wait_s(lag_s) or not self._has_one_version(services):
+            if check * _CHECK_INTERVAL_S >= self._longest_wait_s(lag_s):
                 return None
             await anyio.sleep(_CHECK_INTERVAL_S)
-            waited_s += _CHECK_INTERVAL_S
+        raise AssertionError("unreachable")
+
+    def _knows_all_as_of(self, time_s: float, lag_s: float) -> bool:
+        """Return whether no endpoint or move of a route from before a boot time is unknown here.
+
+        After an outage of the store, live endpoints may still lack a record.
+        """
+        records_s = max(time_s + lag_s, self._registry.reregistered_s)
+        return self._has_records_as_of(records_s) and self._settings_asked_s() >= time_s
 
     async def wait_for_records(self, time_s: float) -> bool:
         """Wait for the records of all endpoints that ran at a boot time, which must be recent.
@@ -260,7 +282,7 @@
     def _longest_wait_s(self, lag_s: float) -> float:
         """Return how long a caller waits for records that are complete as of some time from now."""
         is_connected = self._has_current_endpoints()
-        return lag_s + self._age_bound().usual_age_s if is_connected else _LATE_RECORDS_WAIT_S
+        return lag_s + self._age_bound().bound_s if is_connected else _LATE_RECORDS_WAIT_S
 
     def _may_reuse_ids(self, services: tuple[str, ...]) -> bool:
         rows = (row.record for row in self._registry.rows)
@@ -275,7 +297,7 @@
 
     def _has_one_version(self, services: tuple[str, ...]) -> bool:
         """Return whether a stream of these services can have begun at one known version only."""
-        if len(services) != 1:
+        if len(services) != 1 or not self._registry.open(services[0], boot_time_s()):
             return False
         versions = self._registry.recent_versions(services[0], boot_time_s())
         return len(versions) == 1 and None not in versions
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -54,13 +54,14 @@
 from beryljunction.routing.rendezvous import responsible_hosts
 from beryljunction.routing.report_coverage import ReportCoverage
 from beryljunction.routing.retry_after import retry_after_s
-from beryljunction.routing.service_versions import ServiceVersions
+from beryljunction.routing.service_versions import VERSIONS_TTL_S, ServiceVersions
 from beryljunction.routing.store_reachability import StoreReachability
 from beryljunction.routing.stream_origins import StreamOrigin, StreamOrigins
 from beryljunction.routing.trials import TrialLimiter
 from beryljunction.routing.unread_sends import UnreadSends
 
 __all__ = [
+    "VERSIONS_TTL_S",
     "ALL_ON",
     "Account",
     "Address",
--- a/src/beryljunction/routing/endpoints.py
+++ b/src/beryljunction/routing/endpoints.py
@@ -136,6 +136,11 @@
         while len(self._departed) > _MAX_DEPARTED:
             self._departed.popitem(last=False)
 
+    @property
+    def reregistered_s(self) -> float:
+        """Time by which all live endpoints have records again after an outage of the store."""
+        return self._reachability.recovered_s + _REREGISTRATION_S
+
     def only_version(self, service: str, now_s: float) -> str | None:
         """Return the only software version that a service had lately; None if there may be more."""
         return self.versions.only(service, self._versions_of(service), now_s)
@@ -189,7 +194,7 @@
         if known is None:
             return None
         if known.kept_until_s is None:
-            known.kept_until_s = self._reachability.recovered_s + _REREGISTRATION_S
+            known.kept_until_s = self.reregistered_s
         if known.has_said_leaving or known.kept_until_s <= now_s:
             self._drop(endpoint_id, now_s)
         return known
--- a/src/beryljunction/routing/fleet.py
+++ b/src/beryljunction/routing/fleet.py
@@ -126,6 +126,16 @@
     limits: CallerLimits
     accounts: Mapping[str, Account] | None
 
+    @property
+    def stream_targets(self) -> dict[tuple[str, str], frozenset[str]]:
+        """The services of the routes whose streams may be resumed, by host and path prefix."""
+        return {
+            (host, route.path_prefix): frozenset(target.service for target in route.targets)
+            for host, routes in self.routes.items()
+            for route in routes
+            if route.repeat is RepeatPolicy.RESUME
+        }
+
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path."""
         for route in self.routes.get(host.lower(), ()):
--- a/src/beryljunction/routing/service_versions.py
+++ b/src/beryljunction/routing/service_versions.py
@@ -5,7 +5,7 @@
 
 from beryljunction.routing.confirmation import Confirmation
 
-__all__ = ["ServiceVersions"]
+__all__ = ["VERSIONS_TTL_S", "ServiceVersions"]
 
 Version = str | None
 # No stream is resumed this long after its first event: deadlines of callers are seconds.
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -1013,14 +1013,14 @@
 
 def trust_late_records_of_versions(patch):
     patch.setattr(StreamDirectory, "_has_current_endpoints", lambda self: True)
-    patch.setattr(StreamDirectory, "_has_records_as_of", lambda self, time_s: True)
+    patch.setattr(StreamDirectory, "_knows_all_as_of", lambda self, time_s, lag_s: True)
 
 
 def trust_records_from_before_the_stream(patch):
-    def has_records_as_of(self, time_s):
+    def knows_all_as_of(self, time_s, lag_s):
         return self._has_current_endpoints()
 
-    patch.setattr(StreamDirectory, "_has_records_as_of", has_records_as_of)
+    patch.setattr(StreamDirectory, "_knows_all_as_of", knows_all_as_of)
 
 
 def trust_records_of_the_moment(patch):
--- a/testing/test_trial_permits.py
+++ b/testing/test_trial_permits.py
@@ -10,6 +10,7 @@
 
 from beryljunction.gateway.crashreports import CrashReport
 from entry_harness import event, open_harness, read_answer, route
+from fanout_world import FleetWorld
 
 TRIAL_HOSTS = ["entry-2", "entry-3", "entry-4"]
 SILENT_S = 0.3
@@ -117,3 +118,29 @@
                     await peers.released.wait()
 
         anyio.run(run)
+
+
+class TestLostLink:
+    """One link between entries is cut."""
+
+    FEATURES = frozenset({"part"})
+
+    def test_entry_that_does_not_reach_the_first_host_gets_no_second_permit(self):
+        """Guards against two trials of a service of a service at the same time."""
+        with FleetWorld(5) as world:
+            world.advance(8.0)
+            hosts = world.members["front-0"].state.quarantine.trial_hosts("s")
+            asking = [row for name, row in world.members.items() if name not in hosts]
+            client = asking[1].state.trial_permits.client
+            lost = world.members[hosts[0]].address
+
+            async def report_crashes(address, crashes, send=client.report_crashes):
+                return None if address == lost else await send(address, crashes)
+
+            client.report_crashes = report_crashes
+            permits = [
+                world.loop.run_until_complete(row.state.trial_permits.ask("s", self.FEATURES))
+                for row in asking[:2]
+            ]
+
+            assert permits != [True, True]
