Make known the version of a stream that was uncertain when it began

When the entry learned of the second version it reported all of them without a version, and a keeper that had the announcement believed the report: three were refused after it. Two had begun too late to be confirmed before the entry was suspended; these are still refused.

A stream whose endpoint later records confirm is now noted and reported with its version, also where it had been reported without one, and a report without a version doesn't hide an announcement. Both cases of the test failed before.

--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -151,16 +151,21 @@
         """
         now_s = boot_time_s()
         self._origins.note(key, origin, now_s)
-        if self._only_origin(services) is None:
+        is_reported = self._only_origin(services) is None
+        if is_reported:
             self._report(BegunStream(key, origin))
         else:
             self._unreported.note(key, origin, now_s)
+        if origin.version is None or not is_reported:
             self._unannounced.append(_BegunHere(key, origin, now_s))
 
     def next_datagrams(self) -> list[tuple[bytes, Address]]:
         """Return the datagrams that announce streams, with their receivers."""
         rows: dict[str, list[tuple[str, tuple[str, int]]]] = collections.defaultdict(list)
         for row in self._pop_certain():
+            if self._unreported.find(row.key) is None:
+                self._report(BegunStream(row.key, row.origin))
+                continue
             for host in self._others_for(row.key):
                 rows[host].append((key_digest(row.key), row.origin.incarnation_id))
         addresses = self._fan_out.addresses() if rows else {}
@@ -176,14 +181,26 @@
         now_s = boot_time_s()
         certain, uncertain = [], []
         for row in self._unannounced:
-            if row.origin.version is not None or self._has_stayed(row):
+            if row.origin.version is not None:
                 certain.append(row)
+            elif self._has_stayed(row):
+                certain.append(self._with_version(row))
             elif now_s - row.begun_s <= _UNCERTAIN_TTL_S:
                 uncertain.append(row)
         self._unannounced.clear()
         self._unannounced.extend(uncertain)
         return certain
 
+    def _with_version(self, row: _BegunHere) -> _BegunHere:
+        """Note the version of a stream that was uncertain when it began."""
+        known = self._registry.find(row.origin.incarnation_id[0])
+        assert known is not None
+        origin = attrs.evolve(row.origin, version=known.record.version)
+        self._origins.note(row.key, origin, row.begun_s)
+        if self._unreported.find(row.key) is not None:
+            self._unreported.note(row.key, origin, row.begun_s)
+        return attrs.evolve(row, origin=origin)
+
     def _has_stayed(self, row: _BegunHere) -> bool:
         """Return whether later records still have the incarnation that the stream was sent to."""
         if not self._has_records_as_of(row.begun_s + _RECORD_LAG_S):
@@ -314,7 +331,10 @@
         return StreamReport((BegunStream(key, origin),) if origin is not None else ())
 
     def _find_known(self, key: str) -> StreamOrigin | None:
-        return self._origins.find(key) or self._begun_elsewhere.find(key_digest(key))
+        known = self._origins.find(key)
+        if known is not None and known.version is not None:
+            return known
+        return self._begun_elsewhere.find(key_digest(key)) or known
 
     def _report(self, row: BegunStream) -> None:
         for host in self._others_for(row.key):
--- a/testing/test_streamdirectory.py
+++ b/testing/test_streamdirectory.py
@@ -255,3 +255,25 @@
                 world.advance(0.37, step_s=0.01)
 
             assert {row and row.version for row, _ in found} == {"v1"}
+
+
+class TestUncertainOrigin:
+    """An entry sends a stream while its records are old, and later ones confirm the endpoint."""
+
+    @pytest.mark.parametrize("is_announced", [True, False])
+    def test_version_is_found_once_it_is_certain(self, is_announced):
+        """Guards against refusing a stream whose report was made before its version was known."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            if not is_announced:
+                world.endpoint("e3", version="v2")
+                world.advance(1.0)
+            streams = world.members["front-0"].state.streams
+            streams.note_begun(KEY, StreamOrigin("s", ("e1", 1), None), SERVICES)
+            world.advance(3.0)
+            send_datagrams(world)
+            world.endpoint("e3", version="v2")
+            world.advance(1.0)
+            world.kill("front-0")
+
+            assert {find_at(world, name)[0].version for name in world.members} == {"v1"}
