--- a/src/beryljunction/gateway/streamdirectory.py
+++ b/src/beryljunction/gateway/streamdirectory.py
@@ -2,7 +2,6 @@
 
 import collections
 import functools
-import itertools
 import json
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -259,7 +258,8 @@
             resumed_s: When its caller resumed it.
         """
         lag_s = _RECORD_LAG_S if self._may_reuse_ids(services) else 0.0
-        for check in itertools.count():
+        check = 0
+        while True:
             known = self._find_known(key)
             if known is None and check == _CHECK_THAT_ASKS and self._has_current_endpoints():
                 known = await self._ask_keepers(key, services)
@@ -272,7 +272,7 @@
             if check * _CHECK_INTERVAL_S >= self._longest_wait_s(lag_s):
                 return None
             await anyio.sleep(_CHECK_INTERVAL_S)
-        raise AssertionError("unreachable")
+            check += 1
 
     def _knows_all_as_of(self, time_s: float, lag_s: float) -> bool:
         """Return whether no endpoint or move of a route from before a boot time is unknown here.
@@ -331,6 +331,7 @@
         return StreamReport((BegunStream(key, origin),) if origin is not None else ())
 
     def _find_known(self, key: str) -> StreamOrigin | None:
+        """Return the origin that this entry knows, with its version if any note has it."""
         known = self._origins.find(key)
         if known is not None and known.version is not None:
             return known
