--- a/testing/test_reload.py
+++ b/testing/test_reload.py
@@ -123,6 +123,8 @@
         self.log = CapturedLog()
         events = EntryEventLog("entry-1", "a", self.log)
         self.state = EntryState(read_host_settings(), events)
+        self.state.fan_out.replace({})
+        self.state.update_entry_count()
         self.reloader = SettingsReloader(self.state, events)
         self.reloader.check()
 
