Retries: hand over the time that answers need, not all that is left

Callers' retries ended up to 2.6 s after their deadline at endpoints that had stood still (rule on the time that is left): what was left is right when it is sent, but counts from when it is read, and a sent retry can't be taken back.

Now a retry is handed a multiple of what undisturbed answers of its route lately took, so one that is read late ends in time whenever its answer can still be of use. The entry itself waits for it as long as before. test_retry_that_is_read_late_ends_in_time fails before.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -145,7 +145,8 @@
     account = f" for {line.get('account')}" if line.get("account") else ""
     return (
         f"sent to endpoint {line.get('endpoint')} of {line.get('service')}{account} by route "
-        f"{line.get('route')}, attempt {line.get('attempt')}, {line.get('left_ms')} ms left; "
+        f"{line.get('route')}, attempt {line.get('attempt')}, {line.get('left_ms')} ms left, "
+        f"{line.get('handed_ms')} handed over; "
         f"its load was {line.get('load')}{_waiting_text(line)}{_version_text(line)}; "
         f"settings {line.get('settings_version')}, confirmed "
         f"{line.get('settings_age_s')} s earlier, endpoints {line.get('endpoints_age_s')} s earlier"
--- a/src/beryljunction/gateway/endpoint_request.py
+++ b/src/beryljunction/gateway/endpoint_request.py
@@ -15,7 +15,7 @@
     request: HttpRequest,
     admitted: Admitted,
     endpoint_id: str,
-    remaining_ms: int,
+    time_ms: int,
     last_event_id: int | None,
     fetch_from: tuple[str, int] | None,
 ) -> bytes:
@@ -25,7 +25,7 @@
         request: The caller's complete request; a chunked body is sent with a Content-Length.
         admitted: The route and client account that it was admitted for.
         endpoint_id: The only endpoint that may run the request.
-        remaining_ms: Time until the deadline.
+        time_ms: How long the endpoint may work on it.
         last_event_id: Id of the last event that the caller received of a stream to resume; None to
             start from the beginning.
         fetch_from: Address of an endpoint that has more of the prompt in its KV cache; None for
@@ -42,7 +42,7 @@
         lines,
         hop_by_hop_names(request.headers, REQUIRED_HEADERS),
         endpoint_id,
-        remaining_ms,
+        time_ms,
         account.name if account is not None else None,
         urgency,
         fetch_from,
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -51,6 +51,7 @@
 _MIN_REMAINING_S = 0.02
 _DENIAL_STATUS = {DenialReason.NO_ROUTE: 404, DenialReason.UNKNOWN_KEY: 401}
 _DEFAULT_DEADLINE_MS = 60_000
+_MIN_ERROR_STATUS = 400
 # Part of the remaining time in which an entry finds out where a stream began. Its caller needs the
 # rest for the stream, or for another entry.
 _SEARCH_RATIO = 1 / 3
@@ -303,7 +304,8 @@
         self._state.note_send(self._service, endpoint)
         origin = self._note_origin(admitted, endpoint, plan)
         is_trial, self._is_trial = self._is_trial, False
-        call.send(self._build_request(endpoint, admitted, prefill.source))
+        time_s = self._time_to_hand_over_s(admitted, plan)
+        call.send(self._build_request(endpoint, admitted, time_s, prefill.source))
         self._log.log_sent(
             choice,
             admitted.route,
@@ -313,6 +315,7 @@
             service=self._service,
             attempt=plan.sends,
             left_ms=int(self._remaining_s() * 1000),
+            handed_ms=int(time_s * 1000),
         )
         sent_s = endpoint.pending_since_s[call] = boot_time_s()
         endpoint.prefill_tokens += prefill.uncached_tokens
@@ -331,6 +334,8 @@
         if self._origin is None and self._caller_answer.has_started:
             self._origin = origin
         is_bad = result.outcome is not None or (head is not None and head.status >= 500)
+        if result.outcome is None and head is not None and head.status < _MIN_ERROR_STATUS:
+            self._state.answer_times.note(admitted.route.name, boot_time_s() - sent_s)
         if not call.was_unread:
             endpoint.error_rate.note(is_bad, boot_time_s())
             if self._caller_answer.is_complete and call.is_complete:
@@ -341,6 +346,13 @@
             self._state.trial_permits.release(self._service, self._features)
         return result
 
+    def _time_to_hand_over_s(self, admitted: Admitted, plan: AttemptPlan) -> float:
+        """Return how long the endpoint may work from when it reads the request."""
+        left_s = self._remaining_s()
+        if plan.sends <= 1:
+            return left_s
+        return self._state.answer_times.retry_time_s(admitted.route.name, left_s)
+
     def _note_read(
         self, call: EndpointCall, endpoint: KnownEndpoint, plan: AttemptPlan, sent_s: float
     ) -> None:
@@ -435,13 +447,17 @@
         return admitted
 
     def _build_request(
-        self, endpoint: KnownEndpoint, admitted: Admitted, source: KnownEndpoint | None
+        self,
+        endpoint: KnownEndpoint,
+        admitted: Admitted,
+        time_s: float,
+        source: KnownEndpoint | None,
     ) -> bytes:
         return build_endpoint_request(
             self._request,
             admitted,
             endpoint.record.endpoint_id,
-            max(1, int(self._remaining_s() * 1000)),
+            max(1, int(time_s * 1000)),
             self._caller_answer.last_event_id,
             source.record.address if source is not None else None,
         )
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -18,6 +18,7 @@
     VERSIONS_TTL_S,
     AgeBound,
     AnnouncedVersion,
+    AnswerTimes,
     CacheAwarePlacement,
     Choice,
     ColdStartLimit,
@@ -78,6 +79,7 @@
         trial_permits: Permits to send requests that may crash endpoints.
         losses: Endpoints whose connections were lost, and which may have crashed.
         streams: Where streams began.
+        answer_times: How long answers take, and how much time a retry is handed.
         unread_sends: Requests that endpoints may still read after their connections were closed.
         report_coverage: How many choices of an endpoint had a load report to go by.
         admits_until_s: Latest deadline, as boot time, of requests that are admitted. A stopping
@@ -130,6 +132,7 @@
         self._plain_placement = PlainPlacement(host.availability_zone, self.random, mechanisms)
         self._retry_shares: dict[str, RetryShare] = {}
         self.unread_sends = UnreadSends()
+        self.answer_times = AnswerTimes()
         # Known once the list of entries was read; without an address for others it never is.
         self._max_entries_seen = 0 if host.peers is not None else 1
         self._started_s = boot_time_s()
@@ -170,6 +173,7 @@
             self._routes_moved_s = boot_time_s()
         self.config = config
         self.config_record = record
+        self.answer_times.keep(config.route_names)
         return True
 
     def replace_evacuations(self, zones: Iterable[str], position: int) -> None:
--- a/src/beryljunction/routing/__init__.py
+++ b/src/beryljunction/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from beryljunction.routing.admission_checks import Admitted, Denial, DenialReason, admit
 from beryljunction.routing.announced_version import AnnouncedVersion
+from beryljunction.routing.answer_times import AnswerTimes
 from beryljunction.routing.attempts import AttemptDecision, AttemptOutcome, AttemptPlan
 from beryljunction.routing.budget import RetryShare
 from beryljunction.routing.cache_aware_placement import CacheAwarePlacement
@@ -67,6 +68,7 @@
     "Address",
     "Admitted",
     "AnnouncedVersion",
+    "AnswerTimes",
     "AgeBound",
     "AttemptDecision",
     "AttemptOutcome",
--- a/src/beryljunction/routing/fleet.py
+++ b/src/beryljunction/routing/fleet.py
@@ -126,6 +126,11 @@
     limits: CallerLimits
     accounts: Mapping[str, Account] | None
 
+    @property
+    def route_names(self) -> frozenset[str]:
+        """Names of all routes."""
+        return frozenset(route.name for rows in self.routes.values() for route in rows)
+
     @property
     def stream_targets(self) -> dict[tuple[str, str], frozenset[str]]:
         """The services of the routes whose streams may be resumed, by host and path prefix."""
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -448,6 +448,42 @@
         assert statuses == [503] * 3
         assert {data.split(b" ")[1] for data in received} == {b"/beryljunction/report"}
 
+    def test_retry_that_is_read_late_ends_in_time(self):
+        """Guards against a retry that is worth all the time that was left when it was sent."""
+
+        async def read_late(answer, writer, number):
+            if b"late" not in answer.request_id.encode():
+                writer.write(answer.whole())
+                return
+            if not arrivals:
+                arrivals.append((time.monotonic(), handed_s(answer)))
+                writer.write(answer.declined())
+                return
+            await asyncio.sleep(1.2)
+            arrivals.append((time.monotonic(), handed_s(answer)))
+            writer.write(answer.whole())
+
+        def handed_s(answer):
+            return int(re.search(r"(?i)x-deadline-ms: (\d+)", answer.head)[1]) / 1000
+
+        arrivals = []
+
+        async def run():
+            async with open_harness(route(**{"max-attempts": 2})) as harness:
+                for name in ("e1", "e2"):
+                    await harness.add_endpoint(name, script=read_late)
+                await harness.wait_for_endpoints(2)
+                harness.entry._state.retry_share("plain").set_limits(0.0, 10.0, 80)
+                await harness.send_request(request_id="usual")
+                return (await harness.send_request(request_id="late"))[0]
+
+        status = anyio.run(run)
+
+        (first_s, first_time_s), (late_s, late_time_s) = arrivals
+        assert status == 200
+        assert late_s - first_s > 1.0
+        assert late_s + late_time_s <= first_s + first_time_s + 0.5
+
     def test_attempts_are_limited_by_the_settings_in_force_at_each_send(self):
         """Guards against more attempts than a route allows since a change of the settings."""
 
