Retries: avoid endpoints at which another one waits to be read

Several retries of one entry were read late by the same endpoint at the same moment (5 of 13 traced ones at 15.62 s): checks that are answered together let all of them through, and one that was given up unread left no mark. Requests that an endpoint may still read now mark it, from a retry's check on, and retries go to endpoints without a mark while there is one; they aren't refused for want of one. test_retries_go_where_none_waits_to_be_read fails before.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -215,6 +215,7 @@
                 self._tried,
                 self._origin,
                 begins_stream=plan.repeat is RepeatPolicy.RESUME,
+                is_retry=plan.sends > 0,
             )
             if choice is None or self._remaining_s() < _MIN_REMAINING_S:
                 reason = "no_time"
@@ -271,6 +272,8 @@
         """Connect to one endpoint and send the request to it."""
         endpoint = choice.endpoint
         endpoint.in_flight += 1
+        if plan.sends:
+            endpoint.unread.add(plan)
         try:
             call = await self._connect(endpoint, plan)
             with call:
@@ -281,6 +284,7 @@
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error))
         finally:
             endpoint.in_flight -= 1
+            self._state.unread_sends.end_attempt(endpoint, plan)
 
     async def _connect(self, endpoint: KnownEndpoint, plan: AttemptPlan) -> EndpointCall:
         """Connect to an endpoint; for a retry, to one that is known to run.
@@ -362,6 +366,7 @@
             self._state.unread_sends.note_answer(endpoint, sent_s, now_s)
         if call.has_received or call.was_ended:
             plan.note_read(now_s)
+            endpoint.unread.discard(plan)
         else:
             self._state.unread_sends.add(endpoint, plan, sent_s, now_s)
 
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -228,6 +228,7 @@
         tried: set[KnownEndpoint],
         origin: StreamOrigin | None = None,
         begins_stream: bool = False,
+        is_retry: bool = False,
     ) -> Choice | None:
         """Choose the endpoint for a request; healthy ones are preferred to suspect ones.
 
@@ -237,6 +238,7 @@
             tried: Endpoints that the request was sent to.
             origin: Where the stream began that the endpoint is to continue; None for a new one.
             begins_stream: Whether the endpoint is to begin a stream that may be resumed.
+            is_retry: Whether it was sent before; endpoints that may stand still are then avoided.
         """
         now_s = boot_time_s()
         usable = [row for row in self.registry.usable(service, now_s) if row not in tried]
@@ -246,6 +248,8 @@
         if begins_stream and origin is None:
             allowed = self.registry.of_saved_versions(service, allowed) or allowed
         healthy = healthy_endpoints(allowed, now_s, self.mechanisms)
+        if is_retry:
+            healthy = [row for row in healthy if not row.unread] or healthy
         excluded = self.registry.others(service, allowed)
         request = attrs.evolve(
             request, excluded_endpoints=excluded, entries=max(1, len(self.fan_out))
--- a/src/beryljunction/routing/attempts.py
+++ b/src/beryljunction/routing/attempts.py
@@ -46,7 +46,7 @@
     DELIVER = "deliver"
 
 
-@attrs.define
+@attrs.define(eq=False)
 class AttemptPlan:
     """Tracks the attempts of one request and decides whether another one follows.
 
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -168,6 +168,8 @@
         cold_until_s: When it will have warmed up, according to its records.
         may_be_cold_s: When it last may have restarted or become cold without stating so.
         cold_sends_s: When this process sent it requests during about the last second.
+        unread: Plans of the requests that it may still read after they were given up, and of the
+            retries that it isn't known to have read.
         answered_sent_s: Latest time at which this process sent a request that it has answered.
         unreachable_until_s: Until when it is taken not to accept connections.
     """
@@ -190,6 +192,7 @@
     latency: LatencyEstimate = attrs.field(factory=LatencyEstimate)
     error_rate: ErrorRate = attrs.field(factory=ErrorRate)
     pending_since_s: dict[object, float] = attrs.field(factory=dict)
+    unread: set[object] = attrs.field(factory=set)
     answered_sent_s: float = -math.inf
     failures: int = 0
     suspect_until_s: float = -math.inf
--- a/src/beryljunction/routing/unread_sends.py
+++ b/src/beryljunction/routing/unread_sends.py
@@ -15,6 +15,7 @@
 
 @attrs.frozen
 class _Send:
+    endpoint: KnownEndpoint
     sent_s: float
     closed_s: float
     plan: AttemptPlan
@@ -33,7 +34,14 @@
     def add(self, endpoint: KnownEndpoint, plan: AttemptPlan, sent_s: float, now_s: float) -> None:
         """Add a request whose connection is closed now."""
         sends = self._sends.setdefault(endpoint.incarnation_id, [])
-        sends.append(_Send(sent_s, now_s, plan))
+        sends.append(_Send(endpoint, sent_s, now_s, plan))
+        endpoint.unread.add(plan)
+
+    def end_attempt(self, endpoint: KnownEndpoint, plan: AttemptPlan) -> None:
+        """Record that an attempt has ended; if its request was given up unread, it still counts."""
+        sends = self._sends.get(endpoint.incarnation_id, ())
+        if not any(send.plan is plan for send in sends):
+            endpoint.unread.discard(plan)
 
     def note_answer(self, endpoint: KnownEndpoint, sent_s: float, now_s: float) -> None:
         """Record that an endpoint has answered a request that was sent at this time.
@@ -55,6 +63,7 @@
         for send in self._sends.pop(incarnation_id, ()):
             if is_read(send):
                 send.plan.note_read(now_s)
+                send.endpoint.unread.discard(send.plan)
             else:
                 unread.append(send)
         if unread:
--- a/testing/test_gateway_exchange.py
+++ b/testing/test_gateway_exchange.py
@@ -484,6 +484,29 @@
         assert late_s - first_s > 1.0
         assert late_s + late_time_s <= first_s + first_time_s + 0.5
 
+    def test_retries_go_where_none_waits_to_be_read(self):
+        """Guards against many retries at an endpoint that stands still since its last check."""
+
+        async def decline(answer, writer, number):
+            writer.write(answer.declined())
+
+        async def run():
+            async with open_harness(route(**{"max-attempts": 2})) as harness:
+                for name in "ab":
+                    await harness.add_endpoint(name)
+                await harness.add_endpoint("declines", script=decline)
+                await harness.wait_for_endpoints(3)
+                state = harness.entry._state
+                state.retry_share("plain").set_limits(0.0, 10.0, 320)
+                find = state.registry.find
+                find("a").unread.add("a retry")
+                find("a").in_flight, find("b").in_flight = 8, 9
+                for _ in range(2):
+                    await harness.send_request()
+                return [len(harness.endpoints[name].requests) for name in "ab"]
+
+        assert anyio.run(run) == [0, 2]
+
     def test_attempts_are_limited_by_the_settings_in_force_at_each_send(self):
         """Guards against more attempts than a route allows since a change of the settings."""
 
--- a/testing/test_unread_sends.py
+++ b/testing/test_unread_sends.py
@@ -39,3 +39,21 @@
         unread.expire(62.0)
 
         assert plan.share.unread_retries == 0
+
+    def test_endpoint_is_marked_until_it_has_read_what_it_was_sent(self):
+        plan, unread, known = plan_with_retry(), UnreadSends(), KnownEndpoint(endpoint("a"))
+        unread.add(known, plan, sent_s=5.0, now_s=6.0)
+        unread.end_attempt(known, plan)
+        assert known.unread == {plan}
+
+        unread.note_answer(known, 8.0, 9.0)
+
+        assert known.unread == set()
+
+    def test_attempt_that_was_not_given_up_unread_leaves_no_mark(self):
+        plan, unread, known = plan_with_retry(), UnreadSends(), KnownEndpoint(endpoint("a"))
+        known.unread.add(plan)
+
+        unread.end_attempt(known, plan)
+
+        assert known.unread == set()
