Memory: bound what all connections of an entry buffer together

Endpoints that send without end, and callers who read slowly, filled the process though each connection had its limit: 1 MB of an answer, 1 MB of an event, 256 KB of a socket, 1.9 MB of small headers, times the connections. At memory-mb the platform kills the process, and all requests end with it.

Now answers, requests and what callers haven't read yet count in one sum, which stays within 0.3 of limits.memory-mb. Above half of it, answers are passed on from 128 KB on, and endpoints aren't read ahead. At the limit the connections that buffer most are given up: an answer fails as a broken one does, a request that is being received is refused as not run (503). A header counts with what its objects take.

Not counted: what the kernel keeps of a socket.

--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -11,6 +11,7 @@
 import httptools
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.buffer_memory import BufferMemory, BufferOwner
 from beryljunction.gateway.messages import Headers, HttpRequest, reason_phrase
 from beryljunction.gateway.sockets import CALLER_TIMEOUTS, set_timeouts
 from beryljunction.routing import CallerLimits
@@ -28,6 +29,13 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Messages of other entries and of operators have small heads; a read of a socket is larger.
 _MIN_FRAMING_LIMIT_BYTES = 65_536
+# What a stored header takes beside its bytes: two objects of bytes, and the pair of them.
+_HEADER_OVERHEAD_BYTES = 150
+# The body of a request that is served, and the copy of it on its way to an endpoint.
+_BODY_COPIES = 2
+# Most of what fills the memory of an entry is gone within the time of an answer.
+_FULL_RETRY_AFTER = (b"retry-after", b"1")
+_STATUS_FULL = 503
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -40,12 +48,14 @@
         is_draining: Whether the process is stopping; connections then close after their next
             answer.
         connections: The open connections, until all that was written to them is sent.
+        memory: Counts what the connections buffer.
     """
 
     limits: CallerLimits
     is_draining: bool
 
-    def __init__(self) -> None:
+    def __init__(self, memory: BufferMemory | None = None) -> None:
+        self.memory = memory or BufferMemory()
         self.is_draining = False
         self.fault_status = 500
         self.connections: set[CallerConnection] = set()
@@ -72,7 +82,7 @@
         """Handle a message that was rejected as an invalid request."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, BufferOwner):
     """One connection of a caller.
 
     A caller that closes its sending side counts as disconnected: callers of a router wait for their
@@ -86,6 +96,9 @@
         self._incoming: HttpRequest | None = None
         self._body = bytearray()
         self._header_bytes = 0
+        self._received_bytes = 0
+        self._unsent_bytes = 0
+        self._pinned_bytes = 0
         self._framing_bytes = 0
         self._pipelined: collections.deque[HttpRequest] = collections.deque()
         self._active: HttpRequest | None = None
@@ -113,6 +126,8 @@
         """Tell the handler that the caller has disconnected."""
         self._transport = None
         self._writable.set()
+        self._pin(0)
+        self._handler.memory.hold(self, 0)
         self._handler.on_disconnect(self)
 
     def eof_received(self) -> bool:
@@ -126,6 +141,7 @@
     def resume_writing(self) -> None:
         """Let `write_part` continue."""
         self._writable.set()
+        self._count_unsent()
 
     @property
     def is_open(self) -> bool:
@@ -206,7 +222,7 @@
         self._incoming = HttpRequest(b"", b"", [], boot_time_s(), unread_s=waited_s)
         self.headers_started_s = self._incoming.arrived_s
         self._body = bytearray()
-        self._header_bytes = 0
+        self._header_bytes = self._received_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -219,6 +235,7 @@
         if self._incoming is not None:
             self._incoming.headers.append((name.lower(), value))
             self._count_header(len(name) + len(value) + 4)
+            self._count_received(len(name) + len(value) + _HEADER_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
         """Reject protocol upgrades and bodies that are too large; answer `Expect: 100-continue`."""
@@ -244,6 +261,7 @@
             return
         self._framing_bytes = 0
         self._body += body
+        self._count_received(len(body))
         if len(self._body) > self._handler.limits.body_bytes:
             self._body.clear()
             self._reject(413, f"expected at most {self._handler.limits.body_bytes} bytes")
@@ -256,10 +274,12 @@
         self._framing_bytes = 0
         request.body = bytes(self._body)
         self._body.clear()
+        self._received_bytes = 0
         if self._active is None:
             self._serve(request)
         elif len(self._pipelined) < _MAX_PIPELINED:
             self._pipelined.append(request)
+            self._count_buffers()
         else:
             self.abort()
 
@@ -271,6 +291,8 @@
     def _serve(self, request: HttpRequest) -> None:
         """Let the handler serve a request; answer with an error if that fails at once."""
         self._active = request
+        self._count_buffers()
+        self._pin(_size_bytes(request) + (_BODY_COPIES - 1) * len(request.body))
         try:
             self._handler.on_request(self, request)
         except Exception as error:  # noqa: BLE001
@@ -287,12 +309,48 @@
         self._discards_input = True
         self._incoming = None
         self.headers_started_s = None
+        self._body.clear()
+        self._received_bytes = 0
         self._pipelined.clear()
+        self._count_buffers()
         self._closes_after_answer = True
         if self._active is None:
-            self.answer(status, [], f"{problem}\n".encode())
+            headers = [_FULL_RETRY_AFTER] if status == _STATUS_FULL else []
+            self.answer(status, headers, f"{problem}\n".encode())
         self._handler.on_reject(status, problem)
 
+    # Memory
+
+    def _count_received(self, size_bytes: int) -> None:
+        if not self._discards_input:
+            self._received_bytes += size_bytes
+            self._count_buffers()
+
+    def _count_unsent(self) -> None:
+        if self._transport is not None:
+            self._unsent_bytes = self._transport.get_write_buffer_size()
+            self._count_buffers()
+
+    def _count_buffers(self) -> None:
+        queued_bytes = sum(_size_bytes(request) for request in self._pipelined)
+        held_bytes = self._received_bytes + queued_bytes + self._unsent_bytes
+        self._handler.memory.hold(self, held_bytes)
+
+    def _pin(self, size_bytes: int) -> None:
+        """Count the request that is being served, which an endpoint may run."""
+        pinned_bytes, self._pinned_bytes = self._pinned_bytes, size_bytes
+        self._handler.memory.unpin(pinned_bytes)
+        self._handler.memory.pin(size_bytes)
+
+    def give_up_buffers(self) -> None:
+        """Refuse the request that is being received, or break off an answer that isn't read."""
+        if self._unsent_bytes > self._received_bytes or self._active is not None:
+            self._received_bytes = 0
+            self._pipelined.clear()
+            self.abort()
+        else:
+            self._reject(_STATUS_FULL, "expected a request that there is memory for")
+
     # Writing
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
@@ -352,10 +410,12 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
+            self._count_unsent()
 
     def _finish(self) -> None:
         """Close the connection, or serve the next queued request."""
         self._active = None
+        self._pin(0)
         self._is_answering = False
         self._is_chunked = False
         self.idle_since_s = boot_time_s()
@@ -375,6 +435,12 @@
         asyncio.get_running_loop().call_later(_LINGER_S, self.close)
 
 
+def _size_bytes(request: HttpRequest) -> int:
+    """Return what a request takes in memory."""
+    headers_bytes = sum(len(name) + len(value) for name, value in request.headers)
+    return headers_bytes + _HEADER_OVERHEAD_BYTES * len(request.headers) + len(request.body)
+
+
 def _report_fault(error: BaseException) -> None:
     """Hand an exception to the event loop's handler, which logs and counts it."""
     context = {"message": "a caller's request failed", "exception": error}
--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -8,6 +8,7 @@
 import httptools
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.buffer_memory import BufferMemory, BufferOwner
 from beryljunction.gateway.messages import Headers, ResponseHead
 from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
 from beryljunction.platform import REPORT_REQUEST, decode_report_start
@@ -38,6 +39,8 @@
 # Limit of the head of an answer, interim responses included, and of what frames its body between
 # two parts of it: chunk sizes and extensions, trailers.
 _MAX_FRAMING_BYTES = 65_536
+# What a stored header takes beside its bytes: two objects of bytes, and the pair of them.
+_HEADER_OVERHEAD_BYTES = 150
 _MAX_REPORT_BYTES = 65_536
 
 
@@ -49,7 +52,7 @@
     """Raised when an endpoint closes the connection with its report."""
 
 
-class EndpointCall(asyncio.Protocol):
+class EndpointCall(asyncio.Protocol, BufferOwner):
     """Sends a request and reads its answer.
 
     The connection serves this request only, so data that an endpoint sends late or after a
@@ -69,8 +72,9 @@
             reads slowly. Endpoints cut off such an answer; that is no sign of a problem.
     """
 
-    def __init__(self, is_head: bool) -> None:
+    def __init__(self, is_head: bool, memory: BufferMemory | None = None) -> None:
         self._is_head = is_head
+        self._memory = memory or BufferMemory()
         self._transport: asyncio.Transport | None = None
         self._reset()
 
@@ -79,6 +83,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._header_bytes = 0
+        self._kept_bytes = 0
         self._framing_bytes = 0
         self._head: ResponseHead | None = None
         self._keeps_alive = False
@@ -143,11 +148,12 @@
         """Store a header; trailers are ignored."""
         if self._head is not None or self.problem:
             return
-        self._header_bytes += len(name) + len(value)
+        self._header_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
         if self._header_bytes > _MAX_FRAMING_BYTES:
             self._fail(f"more than {_MAX_FRAMING_BYTES} bytes of headers")
             return
         self._headers.append((name.lower(), value))
+        self._count_buffers()
 
     def on_headers_complete(self) -> None:
         """Store status and headers, except those of 1xx interim responses."""
@@ -167,7 +173,11 @@
             return
         self._framing_bytes = 0
         self._body += body
-        if len(self._body) > _MAX_BUFFERED_BYTES and self._transport is not None:
+        self._count_buffers()
+        if (
+            len(self._body) > self._memory.limit_buffer(_MAX_BUFFERED_BYTES)
+            and self._transport is not None
+        ):
             self._transport.pause_reading()
             self._is_paused = self._had_to_pause = True
 
@@ -188,6 +198,25 @@
         self.close()
         self._changed.set()
 
+    def _count_buffers(self) -> None:
+        if not self.problem:
+            self._memory.hold(self, len(self._body) + self._header_bytes + self._kept_bytes)
+
+    def keep(self, size_bytes: int) -> None:
+        """Count what the reader of this answer keeps of it."""
+        self._kept_bytes = size_bytes
+        self._count_buffers()
+
+    def limit_buffer(self, usual_bytes: int) -> int:
+        """Return how much of this answer its reader may keep before it is passed on."""
+        return self._memory.limit_buffer(usual_bytes)
+
+    def give_up_buffers(self) -> None:
+        """Fail the answer, since all answers together take too much memory."""
+        self._body.clear()
+        self._headers.clear()
+        self._fail("more bytes than there is memory for")
+
     def close(self) -> None:
         """Abort the connection, so that the endpoint stops work on an abandoned request."""
         if self._transport is not None:
@@ -213,7 +242,9 @@
         self._has_waited = False
         part = bytes(self._body[:_MAX_PART_BYTES])
         del self._body[:_MAX_PART_BYTES]
-        if self._is_paused and len(self._body) < _MAX_BUFFERED_BYTES // 2:
+        self._count_buffers()
+        limit_bytes = self._memory.limit_buffer(_MAX_BUFFERED_BYTES)
+        if self._is_paused and len(self._body) < limit_bytes // 2:
             self._resume()
         return part
 
@@ -263,26 +294,40 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        self.discard()
+
+    def discard(self) -> None:
+        """Close the connection, and forget the answer."""
         self.close()
+        self._memory.hold(self, 0)
 
 
-async def open_call(address: tuple[str, int], is_head: bool) -> EndpointCall:
+async def open_call(
+    address: tuple[str, int], is_head: bool, memory: BufferMemory | None = None
+) -> EndpointCall:
     """Connect to an endpoint.
 
+    Args:
+        address: Address of the endpoint.
+        is_head: Whether the method of the request is HEAD.
+        memory: Counts what the answer takes; None for an answer that is small.
+
     Raises:
         EndpointUnreachable: The connection failed or timed out; nothing was sent.
     """
     loop = asyncio.get_running_loop()
     try:
         with fail_after(_CONNECT_TIMEOUT_S):
-            _, call = await loop.create_connection(lambda: EndpointCall(is_head), *address)
+            _, call = await loop.create_connection(lambda: EndpointCall(is_head, memory), *address)
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
         # Besides failed connections: a host that can't be looked up, a port out of range.
         raise EndpointUnreachable(str(error) or type(error).__name__) from error
     return call
 
 
-async def open_checked_call(address: tuple[str, int], is_head: bool, check: bytes) -> EndpointCall:
+async def open_checked_call(
+    address: tuple[str, int], is_head: bool, check: bytes, memory: BufferMemory | None = None
+) -> EndpointCall:
     """Connect to an endpoint that has just answered a check, whatever its status.
 
     The kernel accepts connections, and keeps requests, for a process that is suspended.
@@ -291,24 +336,25 @@
         address: Address of the endpoint.
         is_head: Whether the method of the request is HEAD.
         check: The request that is sent first.
+        memory: Counts what the answer takes; None for an answer that is small.
 
     Raises:
         EndpointUnreachable: The connection failed, or there was no answer in time.
     """
     for _ in range(_MAX_CHECKS):
-        call = await open_call(address, is_head)
+        call = await open_call(address, is_head, memory)
         asked_s = boot_time_s()
         try:
             await call.fetch(check)
         except _ConnectionNotKept:
-            call.close()
-            call = await open_call(address, is_head)
+            call.discard()
+            call = await open_call(address, is_head, memory)
         except BaseException:
-            call.close()
+            call.discard()
             raise
         if boot_time_s() - asked_s <= _FETCH_TIMEOUT_S:
             return call
-        call.close()
+        call.discard()
     raise EndpointUnreachable("expected an answer before this process stalled")
 
 
--- a/src/beryljunction/gateway/eventstream.py
+++ b/src/beryljunction/gateway/eventstream.py
@@ -33,6 +33,11 @@
         """Bytes of the incomplete event at the end of the data so far."""
         return bytes(self._buffer)
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def is_too_long(self) -> bool:
         """Whether the incomplete event exceeds the size limit."""
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -294,9 +294,9 @@
         """
         address, is_head = endpoint.record.address, self._request.method == b"HEAD"
         if not plan.sends:
-            return await open_call(address, is_head)
+            return await open_call(address, is_head, self._state.memory)
         check = check_request(self._state.known_service(self._service))
-        return await open_checked_call(address, is_head, check)
+        return await open_checked_call(address, is_head, check, self._state.memory)
 
     async def _send(self, call: EndpointCall, choice: Choice, plan: AttemptPlan) -> AttemptResult:
         """Send the request and relay the answer."""
--- a/src/beryljunction/gateway/frontend.py
+++ b/src/beryljunction/gateway/frontend.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self, state: EntryState, group: anyio.abc.TaskGroup) -> None:
-        super().__init__()
+        super().__init__(state.memory)
         self.fault_status = 503
         self._state = state
         self._group = group
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -160,6 +160,11 @@
             "Requests of which a part was received.",
             lambda: frontend.receiving,
         )
+        metrics.add_gauge(
+            "beryl_buffered_bytes",
+            "Bytes that connections of callers and endpoints buffer.",
+            lambda: state.memory.held_bytes,
+        )
         metrics.add_gauge("beryl_ready", "Whether callers are welcome.", self._is_ready)
         metrics.add_gauge("beryl_repeats_left", "Second sends left.", state.retries_left)
         metrics.add_gauge(
@@ -307,6 +312,7 @@
         """Listen once the address is free; return False if the process is stopped before."""
         sock = await open_when_free(address, self._events, event, self._stopping)
         if sock is not None:
+            handler.memory = self._state.memory
             self._listeners.append(Listener(handler, sock))
         return sock is not None
 
--- a/src/beryljunction/gateway/relay.py
+++ b/src/beryljunction/gateway/relay.py
@@ -65,7 +65,8 @@
         while (part := await self._call.read_body_part()) is not None:
             parts.append(part)
             size += len(part)
-            if size > _MAX_BUFFERED_ANSWER_BYTES and not self._caller_answer.has_started:
+            self._call.keep(size)
+            if size > self._buffer_limit_bytes and not self._caller_answer.has_started:
                 return await self._forward(parts)
         if not await self._is_whole():
             return self._broken()
@@ -78,9 +79,16 @@
         self._caller_answer.relay_answer(self._head, body)
         return AttemptResult()
 
+    @property
+    def _buffer_limit_bytes(self) -> int:
+        return self._call.limit_buffer(_MAX_BUFFERED_ANSWER_BYTES)
+
     async def _forward(self, parts: list[bytes]) -> AttemptResult:
         self._caller_answer.start_answer(self._head)
-        await self._caller_answer.write_part(b"".join(parts))
+        body = b"".join(parts)
+        parts.clear()
+        self._call.keep(0)
+        await self._caller_answer.write_part(body)
         while (more := await self._call.read_body_part()) is not None:
             await self._caller_answer.write_part(more)
         if not await self._is_whole():
@@ -105,6 +113,7 @@
         previous_s: float | None = None
         while (part := await self._call.read_body_part()) is not None:
             events = splitter.feed(part)
+            self._call.keep(splitter.size_bytes)
             count += len(events)
             if events:
                 self._monitor.note_events()
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -8,6 +8,7 @@
 
 from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.auto_reset_event import AutoResetEvent
+from beryljunction.gateway.buffer_memory import BufferMemory
 from beryljunction.gateway.endpoint_losses import EndpointLosses
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.quarantine import Quarantine
@@ -57,6 +58,10 @@
 # A starting entry is on the list of every other entry within this time. Until then it serves
 # callers, gets no updates from other entries and reads the store itself.
 _ADDRESSES_BOUND = AgeBound(40.0)
+# Part of the memory that connections may fill. The rest is for the program, the state of the fleet,
+# copies in passing, and what the allocator doesn't return.
+_BUFFER_RATIO = 0.3
+_BYTES_PER_MB = 1_000_000
 
 
 class EntryState:
@@ -82,6 +87,7 @@
         answer_times: How long answers take, and how much time a retry is handed.
         unread_sends: Requests that endpoints may still read after their connections were closed.
         report_coverage: How many choices of an endpoint had a load report to go by.
+        memory: What all connections buffer together.
         admits_until_s: Latest deadline, as boot time, of requests that are admitted. A stopping
             entry, which exits before the others, refuses them.
         store_data_changed: Set when data or a confirmation has arrived from the store or from
@@ -123,6 +129,7 @@
             events,
         )
         self.report_coverage = ReportCoverage()
+        self.memory = BufferMemory(_buffer_limit_bytes(bounds), self._log_given_up)
         self.admits_until_s = math.inf
         self.store_data_changed = AutoResetEvent()
         self.awaits_peers = False
@@ -146,9 +153,13 @@
         self.announced_version.memory_s = self.lease.revocation_s
         self.store_reachability.least_outage_s = 2 * bounds.heartbeat_ms / 1000
         self.cold_start_limiter.limit = _cold_start_limit(bounds)
+        self.memory.limit_bytes = _buffer_limit_bytes(bounds)
         for share in self._retry_shares.values():
             share.set_limits(bounds.repeat_ratio, bounds.repeat_window_s, bounds.repeat_slack)
 
+    def _log_given_up(self, size_bytes: int) -> None:
+        self.events.write("buffers_full", given_up_bytes=size_bytes)
+
     @property
     def settings_bound(self) -> AgeBound:
         """How old this entry's view of the operator's settings and evacuations may become."""
@@ -388,5 +399,9 @@
         return is_known and self.lease.is_ready(boot_time_s())
 
 
+def _buffer_limit_bytes(bounds: DeploymentBounds) -> float:
+    return bounds.memory_mb * _BYTES_PER_MB * _BUFFER_RATIO
+
+
 def _cold_start_limit(bounds: DeploymentBounds) -> ColdStartLimit:
     return ColdStartLimit(bounds.cold_overshoot, bounds.cold_slack)
--- a/src/beryljunction/platform/hostfile.py
+++ b/src/beryljunction/platform/hostfile.py
@@ -53,6 +53,7 @@
     "cold_overshoot": ("bounds", "cold-overshoot"),
     "cold_slack": ("bounds", "cold-slack"),
     "heartbeat_ms": ("heartbeat-interval-ms",),
+    "memory_mb": ("limits", "memory-mb"),
 }
 # Where it holds what a process reads when it starts. The last two share the machine's address.
 START_PATHS: Mapping[str, tuple[str, ...]] = {
@@ -85,6 +86,7 @@
         cold_overshoot: Multiple of its request rate that an endpoint may get while it warms up.
         cold_slack: Requests per second in addition to that.
         heartbeat_ms: Interval at which an endpoint writes its record; it expires after three.
+        memory_mb: Memory beyond which the process is killed.
     """
 
     revocation_ms: int = 5_000
@@ -98,6 +100,7 @@
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
     heartbeat_ms: int = 1_000
+    memory_mb: int = 300
 
 
 @attrs.frozen
--- a/testing/test_reload.py
+++ b/testing/test_reload.py
@@ -35,6 +35,8 @@
 [listen-addresses]
 front = "127.0.0.1:8001"
 ready = "127.0.0.1:8002"
+[limits]
+memory-mb = 300
 [bounds]
 revocation-ms = 5000
 configuration-apply-ms = 2000
@@ -88,6 +90,7 @@
     "cold_overshoot": ("3.0", cold_per_s, 6.0),
     "cold_slack": ("7", cold_per_s, 9.0),
     "heartbeat_ms": ("3000", lambda state: state.store_reachability.least_outage_s, 6.0),
+    "memory_mb": ("100", lambda state: state.memory.limit_bytes, 30_000_000),
 }
 STARTS = {
     "host": '"entry-2"',
