Stops: refuse at once what can't end within the grace period, serve what can

Requests that came late in a stop were begun and cut: for its first 2.6 s nothing asked what was left of the grace period, and one that is shorter ended under all requests. After that the question was asked of the caller's deadline, which says how long it waits, not how long its answer takes.

A stop is now planned from the signal on, whatever the grace period is, and again when it changes. A request is served if its deadline lies before the end, or if the longest of the route's latest answers fits; else it's refused as not run, with a Retry-After until the load balancer sends callers elsewhere. Endpoints are handed no more time than the entry has.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -156,7 +156,7 @@
         share.count_request(boot_time_s())
         may_send_again = self._state.mechanisms.second_sends
         plan = self._plan = AttemptPlan(route.repeat, route.max_attempts, share, may_send_again)
-        if self._deadline_s > self._state.admits_until_s:
+        if not self._can_end(route.name):
             self._give_up(plan.give_up(), _STOPPING)
             return
         with anyio.move_on_after(max(0.0, self._remaining_s())) as scope:
@@ -200,6 +200,13 @@
     def _remaining_s(self) -> float:
         return self._deadline_s - boot_time_s()
 
+    def _can_end(self, route: str) -> bool:
+        """Return whether an answer that begins now ends before this process does."""
+        left_s = self._state.stop.left_s(boot_time_s())
+        if self._remaining_s() <= left_s:
+            return True
+        return self._state.answer_times.can_end_within(route, left_s)
+
     def _shared_parts(self) -> PromptParts:
         """Return the prompt parts that other requests may share: not the last one, unless alone."""
         ids, tokens = self._caller_headers.prompt_parts, self._caller_headers.prompt_tokens
@@ -364,7 +371,7 @@
 
     def _time_to_hand_over_s(self, admitted: Admitted, plan: AttemptPlan) -> float:
         """Return how long the endpoint may work from when it reads the request."""
-        left_s = self._remaining_s()
+        left_s = min(self._remaining_s(), self._state.stop.left_s(boot_time_s()))
         if plan.sends <= 1:
             return left_s
         return self._state.answer_times.retry_time_s(admitted.route.name, left_s)
@@ -455,6 +462,9 @@
         if not self._is_trial and self._state.quarantine.is_suspected(self._features):
             self._give_up(plan.give_up(), _SUSPECTED)
             return AttemptResult()
+        if not self._can_end(admitted.route.name):
+            self._give_up(plan.give_up(), _STOPPING)
+            return AttemptResult()
         if plan.sends >= admitted.route.max_attempts:
             self._give_up(plan.give_up(), "max_attempts")
             return AttemptResult()
@@ -531,7 +541,7 @@
         if reason == _SUSPECTED:
             return _SUSPECTED_RETRY_AFTER_S
         if reason == _STOPPING:
-            return 0.0
+            return self._state.stop.reachable_for_s(boot_time_s())
         if reason in (VERSION_NOT_SERVED, _FAULT):
             return None
         deadline_ms = self._caller_headers.deadline_ms
--- a/src/beryljunction/gateway/process.py
+++ b/src/beryljunction/gateway/process.py
@@ -37,11 +37,6 @@
 
 __all__ = ["EntryProcess"]
 
-# The load balancer probes once a second and removes an entry after two failures; until then new
-# connections arrive.
-_PROBE_FAILURE_DELAY_S = 2.6
-# Time reserved for the process to exit before the platform kills it.
-_EXIT_MARGIN_S = 0.6
 # Time in which the last answers are sent, and the listeners for other entries and operators close.
 _CLOSE_TIMEOUT_S = 0.1
 # Time in which callers send the rest of their requests, and get answers, after an internal error.
@@ -238,7 +233,10 @@
             signalled_s: Monotonic time from which the grace period counts; now when None.
         """
         if not self._stopping.is_set():
-            self._signalled_s = time.monotonic() if signalled_s is None else signalled_s
+            now_s = time.monotonic()
+            ago_s = 0.0 if signalled_s is None else now_s - signalled_s
+            self._signalled_s = boot_time_s() - ago_s
+            self._plan_stop()
             self._stopping.set()
 
     async def run(self) -> None:
@@ -298,7 +296,8 @@
             await self._stopping.wait()
             await self._drain(frontend, listener)
             if self._registration is not None:
-                await self._registration.deregister()
+                limit_s = self._state.stop.deregister_limit_s(boot_time_s())
+                await self._registration.deregister(limit_s)
             group.cancel_scope.cancel()
 
     async def _refuse_callers(self) -> None:
@@ -368,15 +367,18 @@
         are idle. Requests count as open from their first byte until their answer is sent. A
         grace period that changes meanwhile is used.
         """
-        started_s = self._signalled_s
         frontend.start_draining()
         self._events.write("stopping", in_flight=frontend.in_flight)
-        await anyio.sleep(_PROBE_FAILURE_DELAY_S)
-        while (left_s := self._drain_left_s(started_s)) > 0.0:
-            self._state.admits_until_s = boot_time_s() + left_s
-            await listener.close(time.monotonic() + min(left_s, _GRACE_CHECK_INTERVAL_S))
-            if not listener.open_connections:
-                break
+        stop = self._state.stop
+        while (left_s := stop.left_s(boot_time_s())) > 0.0:
+            pause_s = min(left_s, _GRACE_CHECK_INTERVAL_S)
+            if reachable_for_s := stop.reachable_for_s(boot_time_s()):
+                await anyio.sleep(min(pause_s, reachable_for_s))
+            else:
+                await listener.close(time.monotonic() + pause_s)
+                if not listener.open_connections:
+                    break
+            self._plan_stop()
         self._events.write(
             "drained",
             in_flight=frontend.in_flight,
@@ -388,8 +390,9 @@
         frontend.end_draining()
         await listener.close(time.monotonic() + _CLOSE_TIMEOUT_S)
 
-    def _drain_left_s(self, started_s: float) -> float:
-        return started_s + self._state.bounds.grace_s - _EXIT_MARGIN_S - time.monotonic()
+    def _plan_stop(self) -> None:
+        grace_s = self._state.bounds.grace_s
+        self._state.stop.update(self._signalled_s, grace_s, boot_time_s())
 
     async def _monitor_stalls(self) -> None:
         """Exclude stalls of this process from the times that endpoints are measured by."""
@@ -403,6 +406,8 @@
     def reload(self) -> None:
         """Read the settings file again, as after SIGHUP."""
         self._settings_file.reload()
+        if self._stopping.is_set():
+            self._plan_stop()
 
 
 def _rounded_age_s(age_s: float) -> float | None:
--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -36,8 +36,6 @@
 _READ_RETRY_PAUSE_S = 5.0
 # Entries that find their records missing rewrite them at a random time within this span.
 _REWRITE_SPREAD_S = 1.0
-# Shutdown can't wait for the store; a stale record costs each peer one failed request.
-_DEREGISTER_TIMEOUT_S = 0.5
 
 
 class Registration:
@@ -166,9 +164,9 @@
         for key in self._state.quarantine.expired_keys():
             await self._store.put(ENTRY_ADDRESSES, key, None)
 
-    async def deregister(self) -> None:
-        """Remove the address from the store because this entry shuts down."""
-        with anyio.move_on_after(_DEREGISTER_TIMEOUT_S):
+    async def deregister(self, limit_s: float) -> None:
+        """Remove the address from the store because this entry shuts down; gives up in time."""
+        with anyio.move_on_after(limit_s):
             await self._store.put(ENTRY_ADDRESSES, self._host, None)
 
     def _apply_snapshot(self, records: Iterable[Record]) -> None:
--- a/src/beryljunction/gateway/state.py
+++ b/src/beryljunction/gateway/state.py
@@ -11,6 +11,7 @@
 from beryljunction.gateway.buffer_memory import BufferMemory
 from beryljunction.gateway.endpoint_losses import EndpointLosses
 from beryljunction.gateway.events import EntryEventLog
+from beryljunction.gateway.planned_stop import PlannedStop
 from beryljunction.gateway.quarantine import Quarantine
 from beryljunction.gateway.streamdirectory import StreamDirectory
 from beryljunction.gateway.trials import TrialPermits
@@ -88,8 +89,7 @@
         unread_sends: Requests that endpoints may still read after their connections were closed.
         report_coverage: How many choices of an endpoint had a load report to go by.
         memory: What all connections buffer together.
-        admits_until_s: Latest deadline, as boot time, of requests that are admitted. A stopping
-            entry, which exits before the others, refuses them.
+        stop: When this entry exits, once it is stopping.
         store_data_changed: Set when data or a confirmation has arrived from the store or from
             another entry.
         awaits_peers: Whether this entry has started and hasn't asked others for newer settings yet.
@@ -130,7 +130,7 @@
         )
         self.report_coverage = ReportCoverage()
         self.memory = BufferMemory(_buffer_limit_bytes(bounds), self._log_given_up)
-        self.admits_until_s = math.inf
+        self.stop = PlannedStop()
         self.store_data_changed = AutoResetEvent()
         self.awaits_peers = False
         self.random = random.Random()
--- a/src/beryljunction/routing/answer_times.py
+++ b/src/beryljunction/routing/answer_times.py
@@ -1,6 +1,7 @@
 """How long answers take, and how much time a retry is handed."""
 
 import collections
+import math
 from collections.abc import Collection
 
 __all__ = ["AnswerTimes"]
@@ -14,6 +15,9 @@
 _RETRY_FACTOR = 8.0
 # An endpoint may pause for this long at any time.
 _MIN_RETRY_TIME_S = 0.5
+# The next answer may take a little longer than the longest of the kept ones.
+_END_FACTOR = 1.05
+_END_MARGIN_S = 0.05
 
 
 class AnswerTimes:
@@ -43,6 +47,11 @@
             return None
         return sorted(took_s)[int(_USUAL_QUANTILE * (len(took_s) - 1))]
 
+    def can_end_within(self, route: str, time_s: float) -> bool:
+        """Return whether an answer is expected to be whole in time; False if none is known."""
+        longest_s = max(self._took_s.get(route, ()), default=math.inf)
+        return _END_FACTOR * longest_s + _END_MARGIN_S <= time_s
+
     def retry_time_s(self, route: str, left_s: float) -> float:
         """Return the time to hand over with a retry, of what is left until its deadline."""
         usual_s = self.usual_s(route)
