--- a/src/beryljunction/fuzz/platform/virtual.py
+++ b/src/beryljunction/fuzz/platform/virtual.py
@@ -169,6 +169,10 @@
         """Return a socket that takes options."""
         return _NoSocket() if name == "socket" else default
 
+    def get_write_buffer_size(self) -> int:
+        """Return that the other end takes all bytes."""
+        return 0
+
     def pause_reading(self) -> None:
         """Do nothing: buffers of tests are small."""
 
