Retries: tell how long answers take to begin from how long they last

A retry was handed eight times what a quarter of its route's answers took. Only the begin is held up where a request waits to be read, so the two are kept apart: the rest of an answer counts with a factor of two, at a quantile that long answers fit in.

--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -358,7 +358,9 @@
             self._origin = origin
         is_bad = result.outcome is not None or (head is not None and head.status >= 500)
         if result.outcome is None and head is not None and head.status < _MIN_ERROR_STATUS:
-            self._state.answer_times.note(admitted.route.name, boot_time_s() - sent_s)
+            begin_s = took_ms / 1000
+            rest_s = boot_time_s() - sent_s - begin_s
+            self._state.answer_times.note(admitted.route.name, begin_s, rest_s)
         if not call.was_unread:
             endpoint.error_rate.note(is_bad, boot_time_s())
             if self._caller_answer.is_complete and call.is_complete:
@@ -374,7 +376,8 @@
         left_s = min(self._remaining_s(), self._state.stop.left_s(boot_time_s()))
         if plan.sends <= 1:
             return left_s
-        return self._state.answer_times.retry_time_s(admitted.route.name, left_s)
+        route = admitted.route
+        return self._state.answer_times.retry_time_s(route.name, route.streamed, left_s)
 
     def _note_read(
         self, call: EndpointCall, endpoint: KnownEndpoint, plan: AttemptPlan, sent_s: float
--- a/src/beryljunction/routing/answer_times.py
+++ b/src/beryljunction/routing/answer_times.py
@@ -4,22 +4,37 @@
 import math
 from collections.abc import Collection
 
+import attrs
+
 __all__ = ["AnswerTimes"]
 
 # Answers of a route whose times are kept.
 _SAMPLES = 32
-# Where endpoints stall again and again, most answers are held up, and show not what work takes but
+# Where endpoints stall again and again, most answers begin late, and show not what work takes but
 # how long a stall does.
-_USUAL_QUANTILE = 0.25
-# Answers of one route differ in length, and endpoints in speed and load.
-_RETRY_FACTOR = 8.0
+_USUAL_BEGIN_QUANTILE = 0.25
+_USUAL_REST_QUANTILE = 0.75
+# The begin differs by load and, at an engine, by how much of the prompt is cached; the rest by the
+# lengths of answers. Both differ by endpoint.
+_BEGIN_FACTOR = 8.0
+_REST_FACTOR = 2.0
 # An endpoint may pause for this long at any time.
-_MIN_RETRY_TIME_S = 0.5
+_MIN_TIME_S = 0.5
+# An engine that gets a retry may have to prefill a prompt that the first one had cached.
+_MIN_STREAM_TIME_S = 1.0
 # The next answer may take a little longer than the longest of the kept ones.
 _END_FACTOR = 1.05
 _END_MARGIN_S = 0.05
 
 
+@attrs.frozen
+class _Times:
+    """Time from a request to the head of its answer, and from there to the end."""
+
+    begin_s: float
+    rest_s: float
+
+
 class AnswerTimes:
     """Times that whole answers of each route have taken lately.
 
@@ -30,31 +45,40 @@
     """
 
     def __init__(self) -> None:
-        self._took_s: dict[str, collections.deque[float]] = {}
+        self._times: dict[str, collections.deque[_Times]] = {}
 
-    def note(self, route: str, took_s: float) -> None:
-        """Record that a whole answer of a route arrived this long after its request was sent."""
-        self._took_s.setdefault(route, collections.deque(maxlen=_SAMPLES)).append(took_s)
+    def note(self, route: str, begin_s: float, rest_s: float) -> None:
+        """Record how long a whole answer of a route took, to its head and from there on."""
+        rows = self._times.setdefault(route, collections.deque(maxlen=_SAMPLES))
+        rows.append(_Times(begin_s, rest_s))
 
     def keep(self, routes: Collection[str]) -> None:
         """Forget all other routes."""
-        self._took_s = {name: row for name, row in self._took_s.items() if name in routes}
-
-    def usual_s(self, route: str) -> float | None:
-        """Return the time that undisturbed answers of a route take; None before the first."""
-        took_s = self._took_s.get(route)
-        if not took_s:
-            return None
-        return sorted(took_s)[int(_USUAL_QUANTILE * (len(took_s) - 1))]
+        self._times = {name: rows for name, rows in self._times.items() if name in routes}
 
     def can_end_within(self, route: str, time_s: float) -> bool:
         """Return whether an answer is expected to be whole in time; False if none is known."""
-        longest_s = max(self._took_s.get(route, ()), default=math.inf)
+        rows = self._times.get(route, ())
+        longest_s = max((row.begin_s + row.rest_s for row in rows), default=math.inf)
         return _END_FACTOR * longest_s + _END_MARGIN_S <= time_s
 
-    def retry_time_s(self, route: str, left_s: float) -> float:
-        """Return the time to hand over with a retry, of what is left until its deadline."""
-        usual_s = self.usual_s(route)
-        if usual_s is None:
+    def retry_time_s(self, route: str, is_streamed: bool, left_s: float) -> float:
+        """Return the time to hand over with a retry.
+
+        Args:
+            route: Name of its route.
+            is_streamed: Whether its answer is a stream.
+            left_s: Time until its deadline; all of it while no answer of the route is known.
+        """
+        rows = self._times.get(route)
+        if not rows:
             return left_s
-        return min(left_s, max(_MIN_RETRY_TIME_S, _RETRY_FACTOR * usual_s))
+        usual_begin_s = _quantile([row.begin_s for row in rows], _USUAL_BEGIN_QUANTILE)
+        usual_rest_s = _quantile([row.rest_s for row in rows], _USUAL_REST_QUANTILE)
+        least_s = _MIN_STREAM_TIME_S if is_streamed else _MIN_TIME_S
+        begin_s = max(least_s, _BEGIN_FACTOR * usual_begin_s)
+        return min(left_s, begin_s + _REST_FACTOR * usual_rest_s)
+
+
+def _quantile(values: list[float], quantile: float) -> float:
+    return sorted(values)[int(quantile * (len(values) - 1))]
--- a/testing/test_gateway_stop.py
+++ b/testing/test_gateway_stop.py
@@ -220,7 +220,7 @@
             writer.write(answer.whole())
 
         async def run_long(answer, writer, number):
-            await asyncio.sleep(LONG_S if number else USUAL_S)
+            await asyncio.sleep(LONG_S if number else USUAL_S, 0.0)
             writer.write(answer.whole())
 
         async def run():
@@ -232,8 +232,8 @@
                 await harness.wait_for_endpoints(2)
                 short, long = await self.open_kept(harness, 2)
                 state = harness.entry._state
-                state.answer_times.note("r/short/", USUAL_S)
-                state.answer_times.note("r/long/", LONG_S)
+                state.answer_times.note("r/short/", USUAL_S, 0.0)
+                state.answer_times.note("r/long/", LONG_S, 0.0)
                 harness.entry.stop()
                 await anyio.sleep(0.2)
                 return (
@@ -271,7 +271,7 @@
                 await harness.wait_for_endpoints(1)
                 (kept,) = await self.open_kept(harness, 1)
                 state = harness.entry._state
-                state.answer_times.note("r/pay/", LONG_S)
+                state.answer_times.note("r/pay/", LONG_S, 0.0)
                 harness.entry.stop()
                 state.apply_bounds(DeploymentBounds(grace_s=2.0))
                 harness.entry.reload()
@@ -288,7 +288,7 @@
                 endpoint = await harness.add_endpoint("e1")
                 await harness.wait_for_endpoints(1)
                 (kept,) = await self.open_kept(harness, 1)
-                harness.entry._state.answer_times.note("r/pay/", USUAL_S)
+                harness.entry._state.answer_times.note("r/pay/", USUAL_S, 0.0)
                 harness.entry.stop()
                 status, _, _ = await self.ask(harness, kept, "/pay/1", "q1")
                 return status, endpoint.requests[0][0]
