--- a/testing/soak/repeats.py
+++ b/testing/soak/repeats.py
@@ -16,6 +16,8 @@
 _APPLY_S = 2.0
 _FAILING = {"fail": 0.4, "reject": 0.4, "work_s": 0.02}
 _PLAIN_ROUTES = ("notes", "reads")
+# Variations that can't be mixed: what all endpoints do from their start on is a part of them.
+_PLAYED_ALONE = ("mixture", "busy", "lags", "long-lags")
 
 
 @attrs.frozen
@@ -210,7 +212,7 @@
 
 def _draw_mixture(draw, seconds, size):
     """Several of the variations at the same time."""
-    rows = [row for name, row in VARIATIONS.items() if name not in ("mixture", "busy")]
+    rows = [row for name, row in VARIATIONS.items() if name not in _PLAYED_ALONE]
     return [fault for row in draw.sample(rows, 3) for fault in row.draw(draw, seconds, size)]
 
 
@@ -220,6 +222,9 @@
     "additions": Variation(_draw_additions),
     # Endpoints stand still just when they have answered a check.
     "freezes": Variation(_draw_swings, {**_FAILING, "freeze": 0.05, "freeze_s": 2.5}),
+    # They answer the check at once, and read the request that follows it late.
+    "lags": Variation(_draw_swings, {**_FAILING, "lag_s": 1.0}),
+    "long-lags": Variation(_draw_swings, {**_FAILING, "lag_s": 8.0}),
     "pulses": Variation(_draw_pulses),
     "answers": Variation(_draw_answers),
     "crashes": Variation(_draw_crashes),
--- a/testing/soak/standins.py
+++ b/testing/soak/standins.py
@@ -75,6 +75,7 @@
         extra: Answered, and further bytes sent late.
         freeze: Of the health checks: the process stands still after its answer to them.
         freeze_s: For how long it does.
+        lag_s: A request that follows a health check on its connection is read up to so much later.
         slots: Requests that run at once.
         connections: Open ones that are accepted; 0 for any number.
         work_s: Time of a run, or between two events.
@@ -89,6 +90,7 @@
     extra: float = 0.0
     freeze: float = 0.0
     freeze_s: float = 0.0
+    lag_s: float = 0.0
     slots: int = SLOTS
     connections: int = 0
     work_s: float = 0.06
@@ -157,8 +159,11 @@
             return
         self.connections += 1
         waiting = asyncio.create_task(read_message(reader))
+        late_s = 0.0
         try:
             while (message := await waiting) is not None and message.is_complete:
+                await asyncio.sleep(late_s)
+                late_s = self.draw_lag(message)
                 waiting = asyncio.create_task(read_message(reader))
                 answer = asyncio.create_task(self.answer(writer, message))
                 await asyncio.wait({answer, waiting}, return_when=asyncio.FIRST_COMPLETED)
@@ -187,6 +192,11 @@
             print(f"event=frozen endpoint={self.name} s={time.monotonic()}", file=sys.stderr)
             time.sleep(self.behaviour.freeze_s)
 
+    def draw_lag(self, message):
+        """Return how late the request after this one is read."""
+        is_check = message.first.split(" ")[1] == "/health"
+        return self.draw.uniform(0.0, self.behaviour.lag_s) if is_check else 0.0
+
     def freezes(self):
         ratio = self.behaviour.freeze
         return ratio > 0.0 and self.draw.random() < ratio
--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -675,12 +675,14 @@
         assert not result.violations, f"{result.summary()}\n{result.report()}"
         assert any(attempt.is_served for attempt in result.evidence.attempts)
 
-    @pytest.mark.parametrize("name", ["changes", "leavers"])
-    def test_retries_stay_in_their_budget_in_a_variation(self, name, tmp_path):
-        """Guards against retries beyond the budget when routes change or callers leave."""
+    @pytest.mark.parametrize(
+        ("name", "seconds"), [("changes", 10.0), ("leavers", 10.0), ("lags", 16.0)]
+    )
+    def test_retries_stay_in_their_budget_in_a_variation(self, name, seconds, tmp_path):
+        """Guards against retries beyond the budget: routes change, callers leave, reads lag."""
         size = Size(entries=3, endpoints=3, callers=0, rate_per_s=20.0)
 
-        result = run_soak(1, size, 10.0, pathlib.Path(tmp_path), SCENARIOS[name])
+        result = run_soak(1, size, seconds, pathlib.Path(tmp_path), SCENARIOS[name])
 
         assert not result.violations, f"{result.summary()}\n{result.report()}"
         assert any(attempt.is_served for attempt in result.evidence.attempts)
