--- a/src/beryljunction/gateway/relay.py
+++ b/src/beryljunction/gateway/relay.py
@@ -1,5 +1,7 @@
 """Reads an endpoint's answer and relays it: buffered, or as a stream of complete events."""
 
+import collections
+
 import attrs
 
 from beryljunction.clocks import boot_time_s
@@ -60,7 +62,7 @@
 
     async def relay_buffered(self, repeat: RepeatPolicy) -> AttemptResult:
         """Buffer the answer, then relay it; a very large one is relayed as it arrives."""
-        parts: list[bytes] = []
+        parts: collections.deque[bytes] = collections.deque()
         size = 0
         while (part := await self._call.read_body_part()) is not None:
             parts.append(part)
@@ -83,13 +85,15 @@
     def _buffer_limit_bytes(self) -> int:
         return self._call.limit_buffer(_MAX_BUFFERED_ANSWER_BYTES)
 
-    async def _forward(self, parts: list[bytes]) -> AttemptResult:
+    async def _forward(self, parts: collections.deque[bytes]) -> AttemptResult:
         self._caller_answer.start_answer(self._head)
-        body = b"".join(parts)
-        parts.clear()
-        await self._caller_answer.write_part(body)
-        del body
-        self._call.keep(0)
+        size = sum(map(len, parts))
+        # One by one: joined, they would exist twice while the caller reads.
+        while parts:
+            part = parts.popleft()
+            await self._caller_answer.write_part(part)
+            size -= len(part)
+            self._call.keep(size)
         while (more := await self._call.read_body_part()) is not None:
             await self._caller_answer.write_part(more)
         if not await self._is_whole():
