Entry: count buffers once a read, and four corrections from reading the diff

Buffers are counted, and reading pauses, once for each read of the socket. What callers send before the settings are read counts, too. The size of a header's objects is written once. Log lines without handed_ms are explained without it.

--- a/src/beryljunction/explain.py
+++ b/src/beryljunction/explain.py
@@ -145,8 +145,8 @@
     account = f" for {line.get('account')}" if line.get("account") else ""
     return (
         f"sent to endpoint {line.get('endpoint')} of {line.get('service')}{account} by route "
-        f"{line.get('route')}, attempt {line.get('attempt')}, {line.get('left_ms')} ms left, "
-        f"{line.get('handed_ms')} handed over; "
+        f"{line.get('route')}, attempt {line.get('attempt')}, {line.get('left_ms')} ms left"
+        f"{_handed_text(line)}; "
         f"its load was {line.get('load')}{_waiting_text(line)}{_version_text(line)}; "
         f"settings {line.get('settings_version')}, confirmed "
         f"{line.get('settings_age_s')} s earlier, endpoints {line.get('endpoints_age_s')} s earlier"
@@ -154,6 +154,10 @@
     )
 
 
+def _handed_text(line: LogLine) -> str:
+    return f", {line.get('handed_ms')} handed over" if line.get("handed_ms") else ""
+
+
 def _version_text(line: LogLine) -> str:
     return f", its version {line.get('version')}" if line.get("version") else ""
 
--- a/src/beryljunction/gateway/buffer_memory.py
+++ b/src/beryljunction/gateway/buffer_memory.py
@@ -4,7 +4,10 @@
 import math
 from collections.abc import Callable
 
-__all__ = ["BufferMemory", "BufferOwner"]
+__all__ = ["HEADER_OVERHEAD_BYTES", "BufferMemory", "BufferOwner"]
+
+# What a stored header takes beside its bytes: two objects of bytes, and the pair of them.
+HEADER_OVERHEAD_BYTES = 150
 
 # Part of the limit from which buffers that can wait for their reader are kept small.
 _TIGHT_RATIO = 0.5
--- a/src/beryljunction/gateway/callers.py
+++ b/src/beryljunction/gateway/callers.py
@@ -11,7 +11,11 @@
 import httptools
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.buffer_memory import BufferMemory, BufferOwner
+from beryljunction.gateway.buffer_memory import (
+    HEADER_OVERHEAD_BYTES,
+    BufferMemory,
+    BufferOwner,
+)
 from beryljunction.gateway.messages import Headers, HttpRequest, reason_phrase
 from beryljunction.gateway.sockets import CALLER_TIMEOUTS, set_timeouts
 from beryljunction.routing import CallerLimits
@@ -29,8 +33,6 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Messages of other entries and of operators have small heads; a read of a socket is larger.
 _MIN_FRAMING_LIMIT_BYTES = 65_536
-# What a stored header takes beside its bytes: two objects of bytes, and the pair of them.
-_HEADER_OVERHEAD_BYTES = 150
 # The body of a request that is served, and the copy of it on its way to an endpoint.
 _BODY_COPIES = 2
 # Most of what fills the memory of an entry is gone within the time of an answer.
@@ -203,6 +205,7 @@
         except httptools.HttpParserError as error:
             if not self._discards_input:
                 self._reject(400, f"expected an HTTP/1.1 request, got {error}")
+        self._count_buffers()
         if self._framing_bytes > self._max_framing_bytes and not self._discards_input:
             problem = f"expected at most {self._max_framing_bytes} bytes without a part of a body"
             self._reject(431, problem)
@@ -236,7 +239,7 @@
         if self._incoming is not None:
             self._incoming.headers.append((name.lower(), value))
             self._count_header(len(name) + len(value) + 4)
-            self._count_received(len(name) + len(value) + _HEADER_OVERHEAD_BYTES)
+            self._received_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Reject protocol upgrades and bodies that are too large; answer `Expect: 100-continue`."""
@@ -262,7 +265,7 @@
             return
         self._framing_bytes = 0
         self._body += body
-        self._count_received(len(body))
+        self._received_bytes += len(body)
         if len(self._body) > self._handler.limits.body_bytes:
             self._body.clear()
             self._reject(413, f"expected at most {self._handler.limits.body_bytes} bytes")
@@ -280,7 +283,6 @@
             self._serve(request)
         elif len(self._pipelined) < _MAX_PIPELINED:
             self._pipelined.append(request)
-            self._count_buffers()
         else:
             self.abort()
 
@@ -326,11 +328,6 @@
 
     # Memory
 
-    def _count_received(self, size_bytes: int) -> None:
-        if not self._discards_input:
-            self._received_bytes += size_bytes
-            self._count_buffers()
-
     def _count_unsent(self) -> None:
         if self._transport is not None:
             self._unsent_bytes = self._transport.get_write_buffer_size()
@@ -443,7 +440,7 @@
 def _size_bytes(request: HttpRequest) -> int:
     """Return what a request takes in memory."""
     headers_bytes = sum(len(name) + len(value) for name, value in request.headers)
-    return headers_bytes + _HEADER_OVERHEAD_BYTES * len(request.headers) + len(request.body)
+    return headers_bytes + HEADER_OVERHEAD_BYTES * len(request.headers) + len(request.body)
 
 
 def _report_fault(error: BaseException) -> None:
--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -8,7 +8,11 @@
 import httptools
 
 from beryljunction.clocks import boot_time_s
-from beryljunction.gateway.buffer_memory import BufferMemory, BufferOwner
+from beryljunction.gateway.buffer_memory import (
+    HEADER_OVERHEAD_BYTES,
+    BufferMemory,
+    BufferOwner,
+)
 from beryljunction.gateway.messages import Headers, ResponseHead
 from beryljunction.gateway.sockets import ENDPOINT_TIMEOUTS, set_timeouts
 from beryljunction.platform import REPORT_REQUEST, decode_report_start
@@ -39,8 +43,6 @@
 # Limit of the head of an answer, interim responses included, and of what frames its body between
 # two parts of it: chunk sizes and extensions, trailers.
 _MAX_FRAMING_BYTES = 65_536
-# What a stored header takes beside its bytes: two objects of bytes, and the pair of them.
-_HEADER_OVERHEAD_BYTES = 150
 _MAX_REPORT_BYTES = 65_536
 
 
@@ -126,8 +128,16 @@
                 self._fail(f"an invalid HTTP response ({error})")
         if self._framing_bytes > _MAX_FRAMING_BYTES and not (self.is_complete or self.problem):
             self._fail(f"more than {_MAX_FRAMING_BYTES} bytes without a part of its body")
+        self._count_buffers()
+        self._pause_if_full()
         self._changed.set()
 
+    def _pause_if_full(self) -> None:
+        is_full = len(self._body) > self._memory.limit_buffer(_MAX_BUFFERED_BYTES)
+        if is_full and self._transport is not None and not self.is_complete:
+            self._transport.pause_reading()
+            self._is_paused = self._had_to_pause = True
+
     def eof_received(self) -> bool:
         """Complete an answer that is delimited by the end of its connection."""
         if self._head is not None and not self.is_complete and not self._is_framed:
@@ -148,12 +158,11 @@
         """Store a header; trailers are ignored."""
         if self._head is not None or self.problem:
             return
-        self._header_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+        self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if self._header_bytes > _MAX_FRAMING_BYTES:
             self._fail(f"more than {_MAX_FRAMING_BYTES} bytes of headers")
             return
         self._headers.append((name.lower(), value))
-        self._count_buffers()
 
     def on_headers_complete(self) -> None:
         """Store status and headers, except those of 1xx interim responses."""
@@ -168,18 +177,11 @@
             self.is_complete = self._is_head
 
     def on_body(self, body: bytes) -> None:
-        """Buffer a part of the body, and pause reading when the buffer is full."""
+        """Buffer a part of the body."""
         if self.is_complete or self.problem:
             return
         self._framing_bytes = 0
         self._body += body
-        self._count_buffers()
-        if (
-            len(self._body) > self._memory.limit_buffer(_MAX_BUFFERED_BYTES)
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
-            self._is_paused = self._had_to_pause = True
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
--- a/src/beryljunction/gateway/planned_stop.py
+++ b/src/beryljunction/gateway/planned_stop.py
@@ -54,5 +54,5 @@
         return min(_MAX_DEREGISTER_S, left_s)
 
     def reachable_for_s(self, now_s: float) -> float:
-        """Return for how long new connections may still arrive."""
-        return max(0.0, self.unreachable_s - now_s)
+        """Return for how long new connections may still arrive; 0 if no stop is planned."""
+        return max(0.0, self.unreachable_s - now_s) if math.isfinite(self.ends_s) else 0.0
--- a/src/beryljunction/gateway/refusals.py
+++ b/src/beryljunction/gateway/refusals.py
@@ -3,6 +3,7 @@
 import random
 
 from beryljunction.clocks import boot_time_s
+from beryljunction.gateway.buffer_memory import BufferMemory
 from beryljunction.gateway.callers import CallerConnection, CallerHandler
 from beryljunction.gateway.messages import Headers, HttpRequest
 from beryljunction.platform.headers import REQUEST_ID, RETRY_AFTER_S
@@ -12,13 +13,15 @@
 __all__ = ["RefusalHandler"]
 
 _BODY = b"starting\n"
+# Before the settings are read, their limit of the memory isn't known.
+_MAX_BUFFERED_BYTES = 30_000_000
 
 
 class RefusalHandler(CallerHandler):
     """Answers each request with 503 and Retry-After, and closes its connection."""
 
     def __init__(self) -> None:
-        super().__init__()
+        super().__init__(BufferMemory(_MAX_BUFFERED_BYTES))
         self.limits = CallerLimits()
         self.is_draining = True
 
