--- a/src/beryljunction/routing/answer_times.py
+++ b/src/beryljunction/routing/answer_times.py
@@ -40,8 +40,8 @@
 
     A time that is handed over begins when the endpoint reads the request. A retry that waits
     unread, at an endpoint that stands still or on its way, ends late by as long as it waited, if it
-    was handed all that is left. Handed only what an answer needs, it ends in time whenever its
-    answer can still be of use.
+    was handed all that is left. Handed about what an answer needs, it ends in time unless it is
+    read shortly before its deadline, or after it.
     """
 
     def __init__(self) -> None:
