--- a/testing/process_soak.py
+++ b/testing/process_soak.py
@@ -20,12 +20,15 @@
 import attrs
 
 from soak.callers import Traffic
+from soak.deadly import SHARES as DEADLY_SHARES
+from soak.deadly import draw_deadly_parts
 from soak.faults import Pause, draw_first_starts, draw_schedule, play_schedule
 from soak.fleet import Fleet, Size, Start, do_nothing
 from soak.oracles import (
     Answers,
     Attempts,
     Deadlines,
+    count_deadly_runs,
     count_resumptions,
     find_violations,
     worst_repeat_share,
@@ -78,7 +81,7 @@
             f"{dict(excuses)}; processes by status {dict(ends)}, "
             f"{early} signalled before their program; worst repeats of the allowed: "
             f"{', '.join(shares)}; too late {len(late)} of {counted}, too many endpoints {over}; "
-            f"{self._summarize_resumptions()}"
+            f"{self._summarize_resumptions()}{self._summarize_crashes()}"
             f"machine stalled {stalls} times"
         )
 
@@ -94,6 +97,17 @@
             "began; "
         )
 
+    def _summarize_crashes(self):
+        """Return the figures of a deadly part; nothing if there was none."""
+        counts = count_deadly_runs(self.evidence)
+        if counts is None:
+            return ""
+        return (
+            f"{counts.crashes} endpoints ended by a part, {len(counts.late)} runs with it long "
+            f"after the fifth; of {counts.sound} sound requests {counts.refused} were refused as "
+            f"quarantined or suspected, {counts.served} served; "
+        )
+
     def report(self):
         """Return the first violations of each rule, with faults and log lines before them."""
         lines, shown, explained = [], collections.Counter(), set()
@@ -197,6 +211,7 @@
         shares=_RESUMABLE_STREAMS_MOSTLY,
         leave_share=0.3,
     ),
+    "deadly-parts": Scenario(draw_deadly_parts, shares=DEADLY_SHARES),
 }
 SCENARIOS |= {
     name: Scenario(functools.partial(draw_variation, variation), variation.misbehaviour)
@@ -245,6 +260,7 @@
     first_starts, schedule = scenario.draw(random.Random(seed), seconds, fleet.size)
     draw = random.Random(f"{seed}-callers")
     traffic = Traffic(fleet, draw, scenario.shares, scenario.leave_share)
+    fleet.traffic = traffic
     fleet.on_start = traffic.open_early
     fleet.spawn(_monitor_stalls(fleet.evidence))
     await fleet.start(first_starts)
@@ -304,6 +320,7 @@
         ("overload", "endpoints fail and stall"),
         ("stalls", "the same, without other faults"),
         ("releases", "endpoints of other versions join while entries are out of step"),
+        ("deadly-parts", "a part of prompts ends endpoints; callers leave, entries restart"),
     ):
         scenario.add_argument(
             f"--{name}", dest="scenario", action="store_const", const=name, help=text
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -36,10 +36,12 @@
     Args:
         shares: Share of the usual number of callers by the name of the route; 1 for others.
         leave_share: Share of the new streams whose callers close the connection, and resume them.
+        prompts: Draws the parts of a prompt, and when its caller leaves; None for no prompts.
     """
 
-    def __init__(self, fleet, draw, shares, leave_share=0.0):
+    def __init__(self, fleet, draw, shares, leave_share=0.0, prompts=None):
         self.fleet, self.draw, self.shares = fleet, draw, shares
+        self.prompts = prompts
         self.leave_share = leave_share
         self.numbers = itertools.count()
         self.ends_s = float("inf")
@@ -67,14 +69,24 @@
         headers |= {"X-Deadline-Ms": int(deadline_s * 1000), "Content-Length": len(body)}
         if resumed_from:
             headers |= {"Last-Event-Id": resumed_from, "Resumes": resumes}
+        prompt = None
+        if self.prompts is not None and route.kind == "streaming":
+            prompt = self.prompts.draw(self.draw, request_id)
+            headers |= {"X-Model": "m", "X-Token-Counts": f"{100 * len(prompt.parts)},30"}
+            headers["X-Prompt-Prefix"] = ",".join(f"{part}:100" for part in prompt.parts)
+            deadline_s = min(deadline_s, prompt.deadline_s)
+            headers["X-Deadline-Ms"] = int(deadline_s * 1000)
         patience_s = deadline_s + _PATIENCE_S
         leaves = self.draw.random() < self.fleet.leaving if self.fleet.leaving else False
         if leaves:
             patience_s = self.draw.uniform(0.0, deadline_s)
+        if prompt is not None and prompt.leaves_in_s < patience_s:
+            leaves, patience_s = True, prompt.leaves_in_s
         now_s = time.monotonic()
         name = connection.entry.name
         attempt = Attempt(request_id, route, name, key, connection.connected_s, now_s)
         attempt.deadline_s, attempt.resumes = deadline_s, resumes
+        attempt.parts = prompt.parts if prompt is not None else ()
         attempt.answered_before, attempt.first_event = connection.answered, resumed_from + 1
         self.fleet.evidence.attempts.append(attempt)
         first = f"{route.method} /{route.name}/{request_id} HTTP/1.1"
@@ -93,6 +105,9 @@
         attempt.ended_s = time.monotonic()
         if message is not None:
             attempt.status, attempt.is_complete = message.status, message.is_complete
+            attempt.refusal = (
+                message.body.decode("latin-1").strip() if message.status == 503 else ""
+            )
             attempt.signature = message.headers.get("x-server-signature", "")
             attempt.defect = find_defect(attempt, message)
             if route.kind == "streaming" and attempt.status == 200:
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -507,6 +507,9 @@
         lines = self.runs_path.read_text("utf-8").splitlines()
         rows = [Run(**json.loads(line)) for line in lines]
         self.evidence.runs = [row for row in rows if row.what != "join"]
+        for row in rows:
+            if row.what == "crash":
+                self.evidence.endpoint_ends.setdefault(row.endpoint, row.s)
         joins = {(row.endpoint, row.version): row.s for row in rows if row.what == "join"}
         for life in self.evidence.lives:
             life.joined_s = joins.get((life.name, life.version))
--- a/testing/soak/oracles.py
+++ b/testing/soak/oracles.py
@@ -14,9 +14,11 @@
     "Answers",
     "Attempts",
     "Deadlines",
+    "DeadlyRuns",
     "Oracle",
     "ResumptionCounts",
     "Violation",
+    "count_deadly_runs",
     "count_resumptions",
     "find_violations",
     "worst_repeat_share",
@@ -39,6 +41,8 @@
 _STEP_S, _MOMENT_S = 0.05, 1e-6
 # Resumed streams from which on the share that goes on is judged.
 _MIN_RESUMED = 12
+# Endpoints that a part has ended from which on it may run a few times more.
+_KNOWN_CRASHES, _DEADLY_ALLOWANCE = 5, 3
 
 
 @attrs.frozen
@@ -555,6 +559,68 @@
         return f"repeat ends {late_s:.2f} s late" if late_s > _DEADLINE_SLACK_S else ""
 
 
+@attrs.frozen
+class DeadlyRuns:
+    """Figures of a part that ends endpoints.
+
+    Attributes:
+        crashes: Endpoints that it has ended.
+        late: Runs with it that began when the fleet had known of enough crashes for a while.
+        sound: Requests without it, of the routes with prompts.
+        refused: Of those, the ones that an entry refused as quarantined or suspected.
+        served: Of those, the ones that were served.
+    """
+
+    crashes: int
+    late: tuple
+    sound: int
+    refused: int
+    served: int
+
+
+def count_deadly_runs(evidence):
+    """Return the figures of the deadly part; None if there is none."""
+    part = evidence.deadly_part
+    if not part:
+        return None
+    attempts = {row.id: row for row in evidence.attempts}
+    crashes_s = sorted(row.s for row in evidence.runs if row.what == "crash")
+    known_s = float("inf")
+    if len(crashes_s) >= _KNOWN_CRASHES:
+        known_s = crashes_s[_KNOWN_CRASHES - 1] + evidence.bounds.stable_s
+    late = tuple(
+        run
+        for run in evidence.runs
+        if run.what == "start"
+        and run.s > known_s
+        and part in attempts[run.id].parts
+        and evidence.is_in_touch(attempts[run.id].entry, run.s, run.s)
+    )
+    sound = [row for row in evidence.attempts if row.parts and part not in row.parts]
+    return DeadlyRuns(
+        len(crashes_s),
+        late,
+        len(sound),
+        sum(row.refusal in ("quarantined", "suspected") for row in sound),
+        sum(row.is_served for row in sound),
+    )
+
+
+class DeadlyParts(Oracle):
+    """A part that has ended enough endpoints reaches no more of them, but for a few."""
+
+    rule = "BUDGET"
+
+    def find(self, evidence):
+        counts = count_deadly_runs(evidence)
+        if counts is None or len(counts.late) <= _DEADLY_ALLOWANCE:
+            return
+        entries = {row.id: row.entry for row in evidence.attempts}
+        for run in counts.late:
+            text = f"{run.id}: reached {run.endpoint} with a part that had ended {_KNOWN_CRASHES}"
+            yield run.s, entries[run.id], f"{text} endpoints, {counts.crashes} in all"
+
+
 class Draining(Oracle):
     """An endpoint that drains gets no request after the bound, from an entry in touch."""
 
@@ -626,6 +692,7 @@
     RetryBudget(),
     Attempts(),
     Deadlines(),
+    DeadlyParts(),
     Draining(),
     RevokedKeys(),
     Denials(),
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -75,6 +75,8 @@
         has_left: Whether its caller closed the connection.
         resumes: Id of the attempt that brought the first event of the stream which it resumes.
         events: Number and version of each whole event of its answer.
+        parts: Parts of its prompt.
+        refusal: Reason of an entry that refused it.
     """
 
     id: str
@@ -95,6 +97,8 @@
     has_left: bool = False
     resumes: str = ""
     events: tuple = ()
+    parts: tuple = ()
+    refusal: str = ""
 
     @deadline_s.default
     def _timeout_of_route(self):
@@ -149,7 +153,7 @@
 
 @attrs.frozen
 class Run:
-    """A line of an endpoint: `what` is start, end, drop, cut or reject.
+    """A line of an endpoint: `what` is start, end, drop, cut, crash or reject.
 
     Attributes:
         deadline_ms: Time that the request left the endpoint, of a start or reject; None for none.
@@ -248,6 +252,7 @@
         holds: Entry whose port for callers was another process's, from, to.
         endpoint_ends: When an endpoint was killed.
         draining: When the store acknowledged that an endpoint drains.
+        deadly_part: Part of prompts that ends endpoints; empty for none.
         lives: Processes of endpoints.
         cuts: Entry that was cut off from the store and the other entries, from, to.
         revocations: Key, acknowledgement of its removal, sending of its return.
@@ -263,6 +268,7 @@
     holds: list = attrs.field(factory=list)
     endpoint_ends: dict = attrs.field(factory=dict)
     draining: dict = attrs.field(factory=dict)
+    deadly_part: str = ""
     lives: list = attrs.field(factory=list)
     cuts: list = attrs.field(factory=list)
     revocations: list = attrs.field(factory=list)
--- a/testing/soak/standins.py
+++ b/testing/soak/standins.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import os
 import random
 import struct
 import sys
@@ -22,12 +23,22 @@
 from beryljunction.standins import PlatformStoreModel, PlatformStoreStandIn
 from soak.wire import call, head_bytes, read_message
 
-__all__ = ["EVENTS", "answer_body", "event_bytes", "parse_address", "put_record"]
+__all__ = [
+    "CRASH_STATUS",
+    "EVENTS",
+    "answer_body",
+    "event_bytes",
+    "parse_address",
+    "parse_parts",
+    "put_record",
+]
 
 EVENTS = 15
 STREAMS = ("chat-", "talk-")
 SLOTS = 48
 HEARTBEAT_S = 1.2
+# Exit status of an endpoint that a part of a prompt has ended.
+CRASH_STATUS = 70
 
 
 def parse_address(text):
@@ -52,6 +63,11 @@
     return int(value) if value is not None else None
 
 
+def parse_parts(text):
+    """Return the names of a prompt's parts, each of which is NAME:TOKENS."""
+    return [row.partition(":")[0] for row in text.split(",") if row]
+
+
 async def put_record(store, topic, key, value):
     """Write the record of a key, or remove it; return when it was acknowledged, None if not."""
     name = key.encode()
@@ -79,6 +95,10 @@
         slots: Requests that run at once.
         connections: Open ones that are accepted; 0 for any number.
         work_s: Time of a run, or between two events.
+        deadly_part: Part of prompts that ends the process; empty for none.
+        deadly_in_s: Time from the start of a run with that part until it does.
+        is_doomed: Whether it ends even if the run was dropped meanwhile.
+        withholds_events: Whether such a run sends nothing before that.
     """
 
     fail: float = 0.0
@@ -94,6 +114,10 @@
     slots: int = SLOTS
     connections: int = 0
     work_s: float = 0.06
+    deadly_part: str = ""
+    deadly_in_s: float = 0.0
+    is_doomed: bool = True
+    withholds_events: bool = True
 
 
 class _CutError(Exception):
@@ -247,7 +271,10 @@
         own = {"X-Request-Id": request_id, "X-Server-Signature": f"{self.name}.{request_id}"}
         self.note("start", request_id, deadline_ms=deadline_ms(message.headers))
         self.running += 1
+        crash = self.plan_crash(message, request_id)
         try:
+            if crash is not None and self.behaviour.withholds_events:
+                await asyncio.Event().wait()
             status = await self.work(writer, message, request_id, own)
             self.note("end", request_id, status)
         except asyncio.CancelledError:
@@ -258,6 +285,21 @@
             raise
         finally:
             self.running -= 1
+            if crash is not None and not self.behaviour.is_doomed:
+                crash.cancel()
+
+    def plan_crash(self, message, request_id):
+        """Let the process end later if a part of the prompt is deadly."""
+        behaviour = self.behaviour
+        parts = parse_parts(message.headers.get("x-prompt-prefix", ""))
+        if not behaviour.deadly_part or behaviour.deadly_part not in parts:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_later(behaviour.deadly_in_s, self.crash, request_id)
+
+    def crash(self, request_id):
+        self.note("crash", request_id)
+        os._exit(CRASH_STATUS)
 
     async def work(self, writer, message, request_id, own):
         behaviour, chance = self.behaviour, self.draw.random()
