Quarantine: hold crashes against requests that nobody waits for any more

What callers saw: requests with a part that crashes endpoints went on (BUDGET), and sound ones beside them were refused as quarantined, when the callers of the bad ones left or their deadlines passed before the endpoint ended. Cause: an entry knows of an end by the connection of a request whose answer somebody waits for. With the caller gone it closes that connection, and the guilty request is under no crash; what the sound ones in flight share is blamed in its place. Change: a request that is given up before its answer has ended stays with its endpoint for ten seconds, like a loss that isn't confirmed. It is reported with any crash of that start: another request's, a refused connection, the next probe (after 0.1 s, then twice as long up to a second, none while connections are accepted), another start in the records. What was served since it was sent isn't held against it. An open port right after a loss is probed again in the same way, as a process that is just ending may still accept. Answers cut off while their caller reads slowly are probed, too.

--- a/src/beryljunction/gateway/attempt_monitor.py
+++ b/src/beryljunction/gateway/attempt_monitor.py
@@ -1,5 +1,8 @@
 """Watches one attempt at an endpoint for signs that the request crashes endpoints."""
 
+import contextlib
+from collections.abc import Iterator
+
 import anyio
 import attrs
 
@@ -39,8 +42,28 @@
     _has_events: bool = False
     _is_success: bool = False
     _is_served: bool = False
+    _is_declined: bool = False
     is_lost: bool = False
 
+    @contextlib.contextmanager
+    def until_closed(self, call: EndpointCall) -> Iterator[None]:
+        """Record on exit that the answer hasn't ended, though its connection is closed here.
+
+        The caller may have left, or its deadline may have passed; the endpoint works on for a
+        moment, or is ending already.
+        """
+        try:
+            yield
+        finally:
+            if call.was_disconnected and not self.is_lost:
+                self._state.losses.add(self._endpoint, self._lost_request(call.was_ended))
+            elif not (call.is_complete or call.was_disconnected or self._is_declined):
+                self._state.losses.abandon(self._endpoint, self._abandoned_request())
+
+    def note_declined(self) -> None:
+        """Record that the endpoint states that it hasn't run the request."""
+        self._is_declined = True
+
     def note_head(self, head: ResponseHead) -> None:
         """Record that the head of the answer has arrived."""
         self._endpoint.note_answer(self._sent_s)
@@ -86,6 +109,9 @@
         may_be_part = not (self._has_events and self._has_lived_on())
         return LostRequest(self._features, may_be_part, was_ended, boot_time_s(), self._is_trial)
 
+    def _abandoned_request(self) -> LostRequest:
+        return attrs.evolve(self._lost_request(was_ended=False), abandoned_sent_s=self._sent_s)
+
     def _has_lived_on(self) -> bool:
         if self.began_s is None:
             return False
--- a/src/beryljunction/gateway/endpoint_losses.py
+++ b/src/beryljunction/gateway/endpoint_losses.py
@@ -1,6 +1,7 @@
 """Finds out whether an endpoint has crashed after connections to it were lost."""
 
 import collections
+import math
 
 import anyio
 import anyio.abc
@@ -24,19 +25,24 @@
 _UNCONFIRMED_TTL_S = 10.0
 _REGISTRY_POLL_S = 0.1
 _MAX_UNCONFIRMED_REQUESTS = 256
+# Pause before an endpoint with unconfirmed requests is probed again; it doubles up to the maximum.
+_REPROBE_PAUSE_S = 0.1
+_MAX_REPROBE_PAUSE_S = 1.0
 
 
 @attrs.frozen
 class LostRequest:
-    """A request whose connection to an endpoint was lost.
+    """A request whose connection to an endpoint was lost, or closed before the answer ended.
 
     Attributes:
         features: Features of the request.
         may_be_part: Whether a part of its prompt may have crashed the endpoint.
         was_ended: Whether the endpoint's host ended the connection, with a reset or a close;
-            otherwise it failed for want of an answer.
+            otherwise it failed for want of an answer, or this process closed it.
         at_s: Boot time of the loss.
         is_trial: Whether it was sent as a trial.
+        abandoned_sent_s: Boot time at which it was sent, if this process closed the connection, as
+            nobody waits for the answer any more; None for other requests.
     """
 
     features: frozenset[str]
@@ -44,6 +50,7 @@
     was_ended: bool
     at_s: float
     is_trial: bool = False
+    abandoned_sent_s: float | None = None
 
 
 @attrs.define(eq=False)
@@ -58,12 +65,30 @@
     first_probe: anyio.Event = attrs.field(factory=anyio.Event)
 
 
+@attrs.define(eq=False)
+class _Unconfirmed:
+    """Requests of an endpoint that may have crashed since, or may yet crash under them.
+
+    Attributes:
+        checked_s: Boot time of the last probe.
+        pause_s: Time from then until the next one.
+    """
+
+    checked_s: float
+    pause_s: float = _REPROBE_PAUSE_S
+    requests: list[LostRequest] = attrs.field(factory=list)
+
+
 class EndpointLosses:
     """Reports lost requests to the quarantine once their endpoint is known to have crashed.
 
     A port that refuses connections shows it at once. A host that ended connections and answers no
-    further one has lost the endpoint, too. A port that is open may belong to the next endpoint,
-    which has another id or another start; this shows in the records a little later.
+    further one has lost the endpoint, too. A port that is open may belong to a process that is just
+    ending, or to the next endpoint, which has another id or another start; the next probes or the
+    records show this a little later.
+
+    A request that this process has given up may crash its endpoint all the same. No connection
+    tells, so its endpoint is watched for a while in the same way.
     """
 
     def __init__(
@@ -74,7 +99,7 @@
         self._events = events
         self._probing: dict[KnownEndpoint, EndpointLoss] = {}
         self._started: collections.deque[KnownEndpoint] = collections.deque()
-        self._unconfirmed: dict[KnownEndpoint, list[LostRequest]] = {}
+        self._unconfirmed: dict[KnownEndpoint, _Unconfirmed] = {}
         self._changed = AutoResetEvent()
 
     async def run(self) -> None:
@@ -86,7 +111,7 @@
         if self._started:
             self._changed.set()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._confirm_by_records)
+            group.start_soon(self._confirm_repeatedly)
             while True:
                 await self._changed.wait()
                 while self._started:
@@ -103,14 +128,36 @@
         """Record a lost request; return None if its endpoint ends as planned."""
         if self._has_left(endpoint):
             return None
+        loss = self._start_probing(endpoint)
+        loss.requests.append(request)
+        return loss
+
+    def abandon(self, endpoint: KnownEndpoint, request: LostRequest) -> None:
+        """Record a request whose connection this process has closed before its answer ended."""
+        if not self._has_left(endpoint):
+            self._add_unconfirmed(endpoint, [request])
+
+    def check(self, endpoint: KnownEndpoint) -> None:
+        """Probe an endpoint soon if it has unconfirmed requests: it can't be reached."""
+        unconfirmed = self._unconfirmed.get(endpoint)
+        if unconfirmed is not None:
+            unconfirmed.checked_s = -math.inf
+
+    def _start_probing(self, endpoint: KnownEndpoint) -> EndpointLoss:
         loss = self._probing.get(endpoint)
         if loss is None:
             loss = self._probing[endpoint] = EndpointLoss()
             self._started.append(endpoint)
             self._changed.set()
-        loss.requests.append(request)
         return loss
 
+    def _add_unconfirmed(self, endpoint: KnownEndpoint, requests: list[LostRequest]) -> None:
+        row = self._unconfirmed.get(endpoint)
+        if row is None:
+            row = self._unconfirmed[endpoint] = _Unconfirmed(boot_time_s())
+        row.requests += requests
+        del row.requests[:-_MAX_UNCONFIRMED_REQUESTS]
+
     async def is_running(self, endpoint: KnownEndpoint) -> bool:
         """Return whether an endpoint runs that has closed a connection in an orderly way.
 
@@ -173,8 +220,10 @@
             return
         if port is PortState.SILENT:
             # A host whose connections time out may be cut off, and its endpoint may live.
-            self._report(endpoint, [row for row in requests if row.was_ended], "silent")
+            ended = [row for row in requests if row.was_ended]
             requests = [row for row in requests if not row.was_ended]
+            if ended:
+                self._report(endpoint, ended, "silent")
         if not requests:
             return
         self._events.write(
@@ -183,9 +232,7 @@
             port=port.value,
             requests=len(requests),
         )
-        rows = self._unconfirmed.setdefault(endpoint, [])
-        rows += requests
-        del rows[:-_MAX_UNCONFIRMED_REQUESTS]
+        self._add_unconfirmed(endpoint, requests)
 
     def _evidence(self, endpoint: KnownEndpoint, port: PortState) -> str:
         """Return what shows that an endpoint has crashed; empty for nothing."""
@@ -196,31 +243,44 @@
         return "replaced" if self._is_replaced(endpoint) else ""
 
     def _report(self, endpoint: KnownEndpoint, requests: list[LostRequest], evidence: str) -> None:
-        for request in requests:
+        """Report requests of a crashed endpoint, and those that were unconfirmed before."""
+        unconfirmed = self._unconfirmed.pop(endpoint, None)
+        for request in requests + (unconfirmed.requests if unconfirmed is not None else []):
+            was_abandoned = request.abandoned_sent_s is not None
             self._quarantine.note_crash(
                 request.features,
                 endpoint,
                 request.may_be_part,
-                request.at_s,
+                boot_time_s() if was_abandoned else request.at_s,
                 evidence,
                 request.is_trial,
+                request.abandoned_sent_s,
             )
 
-    async def _confirm_by_records(self) -> None:
+    async def _confirm_repeatedly(self) -> None:
         while True:
             await anyio.sleep(_REGISTRY_POLL_S)
             for endpoint in list(self._unconfirmed):
                 self._confirm_by_record(endpoint)
+                self._probe_if_due(endpoint)
 
     def _confirm_by_record(self, endpoint: KnownEndpoint) -> None:
         """Report the requests of an endpoint that was replaced; forget those that are too old."""
-        rows = self._unconfirmed[endpoint]
+        row = self._unconfirmed[endpoint]
         oldest_s = boot_time_s() - _UNCONFIRMED_TTL_S
-        if endpoint.has_said_leaving:
-            rows = []
-        elif self._is_replaced(endpoint):
-            self._report(endpoint, rows, "replaced")
-            rows = []
-        self._unconfirmed[endpoint] = [row for row in rows if row.at_s > oldest_s]
-        if not self._unconfirmed[endpoint]:
+        row.requests = [request for request in row.requests if request.at_s > oldest_s]
+        if endpoint.has_said_leaving or not row.requests:
             del self._unconfirmed[endpoint]
+        elif self._is_replaced(endpoint):
+            self._report(endpoint, [], "replaced")
+
+    def _probe_if_due(self, endpoint: KnownEndpoint) -> None:
+        """Probe an endpoint once more, unless another connection was accepted meanwhile."""
+        row, now_s = self._unconfirmed.get(endpoint), boot_time_s()
+        if row is None or now_s - row.checked_s < row.pause_s:
+            return
+        was_reached = endpoint.reached_s >= row.checked_s > -math.inf
+        row.checked_s = now_s
+        row.pause_s = min(2 * row.pause_s, _MAX_REPROBE_PAUSE_S)
+        if not was_reached:
+            self._start_probing(endpoint)
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -295,11 +295,13 @@
             endpoint.unread.add(plan)
         try:
             call = await self._connect(endpoint, plan)
+            endpoint.reached_s = boot_time_s()
             with call:
                 return await self._send(call, choice, plan)
         except EndpointUnreachable as error:
             endpoint.note_failure(boot_time_s())
             endpoint.note_unreachable(boot_time_s())
+            self._state.losses.check(endpoint)
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error))
         finally:
             endpoint.in_flight -= 1
@@ -342,27 +344,28 @@
         )
         sent_s = endpoint.pending_since_s[call] = boot_time_s()
         endpoint.prefill_tokens += prefill.uncached_tokens
-        try:
-            head = await call.read_head()
-        finally:
-            endpoint.prefill_tokens -= prefill.uncached_tokens
-            took_ms = endpoint.end_wait(call, boot_time_s()) * 1000
-            self._note_read(call, endpoint, plan, sent_s)
-        if not admitted.route.streamed:
-            endpoint.latency.note(took_ms, boot_time_s())
-        if head is not None and head.status == 200:
-            self._state.note_first_byte(self._service, prefill, took_ms)
         monitor = AttemptMonitor(self._state, endpoint, self._features, sent_s, is_trial)
-        result = await self._handle_answer(call, head, endpoint, admitted, monitor)
-        if self._origin is None and self._caller_answer.has_started:
-            self._origin = origin
-        is_bad = result.outcome is not None or (head is not None and head.status >= 500)
-        if result.outcome is None and head is not None and head.status < _MIN_ERROR_STATUS:
-            begin_s = took_ms / 1000
-            rest_s = boot_time_s() - sent_s - begin_s
-            self._state.answer_times.note(admitted.route.name, begin_s, rest_s)
-        if not call.was_unread:
-            endpoint.error_rate.note(is_bad, boot_time_s())
+        with monitor.until_closed(call):
+            try:
+                head = await call.read_head()
+            finally:
+                endpoint.prefill_tokens -= prefill.uncached_tokens
+                took_ms = endpoint.end_wait(call, boot_time_s()) * 1000
+                self._note_read(call, endpoint, plan, sent_s)
+            if not admitted.route.streamed:
+                endpoint.latency.note(took_ms, boot_time_s())
+            if head is not None and head.status == 200:
+                self._state.note_first_byte(self._service, prefill, took_ms)
+            result = await self._handle_answer(call, head, endpoint, admitted, monitor)
+            if self._origin is None and self._caller_answer.has_started:
+                self._origin = origin
+            is_bad = result.outcome is not None or (head is not None and head.status >= 500)
+            if result.outcome is None and head is not None and head.status < _MIN_ERROR_STATUS:
+                begin_s = took_ms / 1000
+                rest_s = boot_time_s() - sent_s - begin_s
+                self._state.answer_times.note(admitted.route.name, begin_s, rest_s)
+            if not call.was_unread:
+                endpoint.error_rate.note(is_bad, boot_time_s())
             if self._caller_answer.is_complete and call.is_complete:
                 monitor.note_complete()
             else:
@@ -432,6 +435,7 @@
             return AttemptResult(AttemptOutcome.FAILED, call.problem)
         apply_response_headers(endpoint, head, self._log, self._state.report_coverage)
         if was_not_executed(head.status, head.headers):
+            monitor.note_declined()
             return AttemptResult(AttemptOutcome.DECLINED, str(head.status))
         if not is_response_to(self._log.request_id, head.headers):
             endpoint.note_failure(boot_time_s())
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -187,6 +187,7 @@
         at_s: float | None = None,
         evidence: str = "",
         is_trial: bool = False,
+        abandoned_sent_s: float | None = None,
     ) -> None:
         """Record that an endpoint crashed while it had a request of this entry.
 
@@ -198,6 +199,8 @@
             at_s: Boot time of the crash; None for now.
             evidence: What shows that the endpoint crashed, for the log.
             is_trial: Whether the request was sent as a trial.
+            abandoned_sent_s: Boot time at which it was sent, if it was given up before the crash.
+                What others have shown to be sound since isn't held against it.
         """
         now_s = boot_time_s() if at_s is None else at_s
         digest = next((feature for feature in features if not is_part(feature)), "")
@@ -209,6 +212,10 @@
         )
         if not may_be_part:
             features = frozenset((digest,))
+        if abandoned_sent_s is not None:
+            features = self._table.features_not_served_since(features, abandoned_sent_s)
+            if not features:
+                return
         crash = Crash(endpoint.record.service, endpoint.incarnation_id, features, is_trial)
         for host in self._counting_hosts(crash.service):
             if host != self._host:
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -212,6 +212,10 @@
         rows = self._served_parts_s if is_part(feature) else self._served_digests_s
         return rows.get(feature, -math.inf)
 
+    def features_not_served_since(self, features: Features, from_s: float) -> Features:
+        """Return the features to which no answer that began since a time has lived on."""
+        return frozenset(name for name in features if self.served_s(name) <= from_s)
+
     def _served_service_s(self, service: str) -> float:
         return self._service_served_s.get(service, -math.inf)
 
--- a/src/beryljunction/routing/known_endpoint.py
+++ b/src/beryljunction/routing/known_endpoint.py
@@ -172,6 +172,7 @@
             retries that it isn't known to have read.
         answered_sent_s: Latest time at which this process sent a request that it has answered.
         unreachable_until_s: Until when it is taken not to accept connections.
+        reached_s: When it last accepted a connection of this process.
     """
 
     record: EndpointRecord
@@ -197,6 +198,7 @@
     failures: int = 0
     suspect_until_s: float = -math.inf
     unreachable_until_s: float = -math.inf
+    reached_s: float = -math.inf
 
     @property
     def incarnation_id(self) -> tuple[str, int]:
--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -11,6 +11,7 @@
 __all__ = [
     "BAD",
     "STREAMED",
+    "BadCallers",
     "PartConditions",
     "PartTraffic",
     "play_conditions",
@@ -21,11 +22,27 @@
 BAD = "bad0"
 
 
+@attrs.frozen
+class BadCallers:
+    """How long callers of bad requests wait.
+
+    Attributes:
+        leave_share: Share of them that close the connection.
+        leaves_in_s: Time until they do.
+        limit_s: Deadline of all of them; None for the usual one.
+    """
+
+    leave_share: float = 0.0
+    leaves_in_s: float = 0.0
+    limit_s: float | None = None
+
+
 class PartTraffic:
     """Sound requests at both entries, and bad ones that share all parts but one with them."""
 
-    def __init__(self, world, seed=1, prompt=("common", "SUBJECT", BAD)):
+    def __init__(self, world, seed=1, prompt=("common", "SUBJECT", BAD), callers=None):
         self.world = world
+        self.callers = callers or BadCallers()
         self.prompt = prompt
         self.draw = random.Random(seed)
         self.sound = []
@@ -37,7 +54,12 @@
 
     def ask_bad(self):
         parts = self.fill(self.prompt)
-        self.world.ask(self.draw.choice(ENTRIES), "free", True, "key-a", parts=parts)
+        caller = self.world.ask(self.draw.choice(ENTRIES), "free", True, "key-a", parts=parts)
+        callers = self.callers
+        if callers.limit_s is not None:
+            caller.asked.limit_s = callers.limit_s
+        if callers.leave_share and self.draw.random() < callers.leave_share:
+            self.world.loop.call_later(callers.leaves_in_s, caller.leave)
 
     def fill(self, prompt):
         subject = f"subject{self.draw.randrange(4)}"
@@ -94,6 +116,7 @@
         part_chars: Length of their names.
         place: Index of the bad part among them.
         length_s: Time for which bad requests come.
+        callers: How long their callers wait.
     """
 
     bad_every_s: float = 0.4
@@ -109,6 +132,7 @@
     part_chars: int = 8
     place: int = 2
     length_s: float = 30.0
+    callers: BadCallers = BadCallers()
 
     @classmethod
     def drawn(cls, seed):
@@ -168,7 +192,7 @@
     """Return what was broken, and the number of endpoints that ended."""
     with contextlib.closing(PlatformWorld()) as world:
         conditions.apply(world)
-        traffic = PartTraffic(world, seed, conditions.prompt())
+        traffic = PartTraffic(world, seed, conditions.prompt(), conditions.callers)
         traffic.advance(4.0, conditions.sound_every_s)
         world.oracle.bad_parts_s[conditions.bad_part] = world.loop.world_s
         violations = traffic.mix(
--- a/testing/test_endpoint_losses.py
+++ b/testing/test_endpoint_losses.py
@@ -21,7 +21,9 @@
     def __init__(self):
         self.rows = []
 
-    def note_crash(self, features, endpoint, may_be_part, at_s, evidence, is_trial):
+    def note_crash(
+        self, features, endpoint, may_be_part, at_s, evidence, is_trial, abandoned_sent_s
+    ):
         self.rows.append((endpoint.record.endpoint_id, at_s, evidence))
 
 
@@ -58,6 +60,11 @@
         request = LostRequest(FEATURES, True, was_ended, self.loop.world_s)
         self.loop.create_task(self.losses.note(self.endpoint, request))
 
+    def abandon(self):
+        sent_s = self.loop.world_s
+        request = LostRequest(FEATURES, True, False, sent_s, abandoned_sent_s=sent_s)
+        self.losses.abandon(self.endpoint, request)
+
     def advance(self, duration_s):
         self.loop.run_until_complete(asyncio.sleep(duration_s))
 
@@ -128,6 +135,15 @@
         assert world.crashes.rows == []
         assert world.lines.names == ["endpoint_loss_unconfirmed"]
 
+    def test_port_that_is_refused_a_little_later_shows_a_crash(self, open_world):
+        """Guards against taking the port of a process that is just ending for a live one."""
+        world = open_world(PortState.OPEN, PortState.REFUSED)
+        lost_s = world.loop.world_s
+        world.lose()
+        world.advance(0.5)
+
+        assert world.crashes.rows == [("e1", lost_s, "refused")]
+
     def test_lost_connection_of_a_live_endpoint_is_no_crash(self, open_world):
         world = open_world(PortState.OPEN)
         world.lose()
@@ -166,6 +182,62 @@
         assert world.probes == []
 
 
+class TestAbandonedRequests:
+    """Guards against crashes under requests whose connections were closed before."""
+
+    def test_refused_probe_later_shows_a_crash(self, open_world):
+        world = open_world(PortState.OPEN, PortState.OPEN, PortState.REFUSED)
+        world.abandon()
+        world.advance(2.0)
+
+        assert [row[0] for row in world.crashes.rows] == ["e1"]
+
+    def test_crash_that_another_request_shows_counts_for_it(self, open_world):
+        world = open_world(PortState.REFUSED)
+        world.abandon()
+        world.lose()
+        world.advance(0.05)
+
+        assert len(world.crashes.rows) == 2
+
+    def test_refused_connection_is_followed_up_soon(self, open_world):
+        world = open_world(*[PortState.OPEN] * 5, PortState.REFUSED)
+        world.abandon()
+        world.advance(3.0)
+        world.losses.check(world.endpoint)
+        world.advance(0.15)
+
+        assert world.crashes.rows
+
+    def test_endpoint_that_lives_on_is_not_probed_for_ever(self, open_world):
+        world = open_world(PortState.OPEN)
+        world.abandon()
+        world.advance(11.0)
+        probes = len(world.probes)
+        world.advance(11.0)
+
+        assert world.crashes.rows == []
+        assert len(world.probes) == probes <= 13
+
+    def test_endpoint_that_accepts_connections_is_not_probed(self, open_world):
+        """Guards against a probe for each request that its caller gives up."""
+        world = open_world(PortState.OPEN)
+        world.abandon()
+        for _ in range(100):
+            world.endpoint.reached_s = world.loop.world_s
+            world.advance(0.1)
+
+        assert world.probes == []
+
+    def test_planned_end_is_no_crash(self, open_world):
+        world = open_world(PortState.OPEN, PortState.REFUSED)
+        world.abandon()
+        world.registry.put(attrs.evolve(world.endpoint.record, is_draining=True), 0.0)
+        world.advance(2.0)
+
+        assert world.crashes.rows == []
+
+
 class TestConditions:
     """A part crashes endpoints whose ends are hard to see."""
 
--- a/testing/test_part_conditions.py
+++ b/testing/test_part_conditions.py
@@ -1,7 +1,7 @@
 import pytest
 
 from beryljunction.fuzz.platform.actors import CrashStyle
-from part_traffic import PartConditions, play_conditions, play_total_outages
+from part_traffic import BadCallers, PartConditions, play_conditions, play_total_outages
 
 HEAD = CrashStyle(sends_head=True)
 
@@ -40,6 +40,40 @@
         assert violations == []
 
 
+class TestAbandonedRequests:
+    """Callers of bad requests wait no longer when the endpoints end."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize(
+        "conditions",
+        [
+            PartConditions(callers=BadCallers(1.0, 0.03)),
+            PartConditions(callers=BadCallers(0.8, 0.03), bad_every_s=0.2),
+            PartConditions(callers=BadCallers(1.0, 0.03), keeps_id=True, restart_s=0.2),
+            PartConditions(callers=BadCallers(1.0, 0.03), silent_s=0.5),
+            PartConditions(style=CrashStyle(begins_in_s=1.0), callers=BadCallers(limit_s=0.3)),
+            PartConditions(style=CrashStyle(begins_in_s=2.5), callers=BadCallers(limit_s=1.0)),
+            PartConditions(
+                style=CrashStyle(begins_in_s=0.6), callers=BadCallers(1.0, 0.1), sound_every_s=0.5
+            ),
+        ],
+        ids=[
+            "callers-leave",
+            "most-leave",
+            "back-same-id",
+            "probe-lost",
+            "deadline",
+            "late-end",
+            "few-sound",
+        ],
+    )
+    def test_part_stops_and_other_requests_are_served(self, conditions, seed):
+        """Guards against blaming all but the request whose answer nobody waits for any more."""
+        violations, _ = play_conditions(conditions, seed)
+
+        assert violations == []
+
+
 class TestDrawnConditions:
     @pytest.mark.parametrize("seed", range(1, 31))
     def test_part_stops_and_other_requests_are_served(self, seed):
