Quarantine: hold crashes against the last part of a prompt, too

What callers saw: requests whose last part crashes endpoints went on without end, and sound ones that share their other parts were refused in their place. Cause: the last part was taken for the request's own, and left out of its features; a session that returns sends it again with another body, and what isn't a feature can't be blamed. Change: all parts are features. Parts that were served once are remembered apart, so that those which never come again don't displace what was served of shared ones.

--- a/src/beryljunction/fuzz/platform/oracle.py
+++ b/src/beryljunction/fuzz/platform/oracle.py
@@ -143,7 +143,7 @@
 
     def bad_part_of(self, request: Asked, now_s: float) -> str:
         """Return the part of a prompt that crashes each endpoint which answers; empty for none."""
-        bad = (part for part in request.parts[:-1] if self.bad_parts_s.get(part, math.inf) <= now_s)
+        bad = (part for part in request.parts if self.bad_parts_s.get(part, math.inf) <= now_s)
         return next(bad, "")
 
     def note_leaving(self, request_id: str, start: tuple[str, int], at_s: float) -> None:
@@ -324,7 +324,7 @@
 
     def _of_sound_requests(self, part: str, crashes_s: list[float]) -> list[str]:
         """Judge whether requests that share the other parts of bad ones are served."""
-        bad = [row for row in self.asked.values() if part in row.parts[:-1]]
+        bad = [row for row in self.asked.values() if part in row.parts]
         if not crashes_s or not bad:
             return []
         from_s = crashes_s[: self.bounds.part_crashes][-1] + 2 * self.bounds.touch_s
@@ -352,7 +352,7 @@
     def _has_part(self, run: Run, part: str) -> bool:
         """Whether an entry in touch sent a request with this part."""
         asked = self.asked[run.request_id]
-        if part not in asked.parts[:-1] or not self._in_touch(run.at_s, run.at_s):
+        if part not in asked.parts or not self._in_touch(run.at_s, run.at_s):
             return False
         return run.at_s - self.started_s.get(asked.entry, -math.inf) > self.bounds.touch_s
 
@@ -374,7 +374,7 @@
         """Whether enough endpoints had ended, under this request if it is a deadly one."""
         names = list(self.crashes_s)
         if request.deadly or request.parts:
-            names = [request.deadly, *request.parts[:-1]]
+            names = [request.deadly, *request.parts]
         ended_s = request.ended_s if request.ended_s is not None else math.inf
         crashes_s = [at_s for name in names for at_s in self.crashes_s.get(name, ())]
         return sum(at_s <= ended_s for at_s in crashes_s) >= self.bounds.crashes
--- a/src/beryljunction/fuzz/platform/world.py
+++ b/src/beryljunction/fuzz/platform/world.py
@@ -375,6 +375,7 @@
         key: str,
         deadly: str = "",
         parts: tuple[str, ...] = (),
+        has_own: bool = True,
     ) -> FuzzCaller:
         """Let a caller send a request; a deadly one crashes each endpoint that runs it.
 
@@ -384,7 +385,8 @@
             streamed: Whether it asks for a stream.
             key: Its API key.
             deadly: Name of a request that crashes endpoints; empty for others.
-            parts: Shared parts of its prompt; one of its own is added.
+            parts: Shared parts of its prompt.
+            has_own: Whether one of its own is added.
         """
         number = len(self.callers)
         asked = Asked(
@@ -397,7 +399,7 @@
             limit_s=_TIMEOUT_MS / 1000,
             entry=entry,
             deadly=deadly,
-            parts=(*parts, f"own{number}") if parts else (),
+            parts=(*parts, f"own{number}") if parts and has_own else parts,
         )
         self.oracle.asked[asked.request_id] = asked
         caller = FuzzCaller(asked, self.loop, entry)
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -101,13 +101,15 @@
 
 
 def request_features(digest: str, parts: Sequence[str]) -> frozenset[str]:
-    """Return the features of a request: its digest and the parts that others may share.
+    """Return the features of a request: its digest and the parts of its prompt.
+
+    The last part is mostly its own, but a session that returns sends it again in other requests.
 
     Args:
         digest: Digest of the request.
-        parts: Parts of its prompt; the last one is its own.
+        parts: Parts of its prompt.
     """
-    return frozenset((digest, *map(_part_feature, parts[:-1][:_MAX_PARTS])))
+    return frozenset((digest, *map(_part_feature, parts[:_MAX_PARTS])))
 
 
 def _part_feature(part: str) -> str:
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -32,9 +32,11 @@
 _MAX_QUARANTINED = 4_096
 # A request served this recently is not blamed for crashes, even if several endpoints end at once.
 _SERVED_TTL_S = 10.0
-# Digests and parts whose last service is remembered, at about 200 bytes each.
+# Digests and parts whose last service is remembered, at about 200 bytes each. Parts that were
+# served once have a limit of their own: most of them never come again.
 _MAX_SERVED_DIGESTS = 256
 _MAX_SERVED_PARTS = 4_096
+_MAX_SERVED_ONCE = 4_096
 
 Features = frozenset[str]
 
@@ -131,6 +133,7 @@
         self._suspected: dict[Features, _Quarantine] = {}
         self._served_digests_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._served_parts_s: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._served_once_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._service_served_s: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -197,10 +200,14 @@
 
     def note_served(self, feature: str, at_s: float) -> None:
         """Record that an endpoint began an answer to a request with a feature, and lived on."""
+        at_s = max(at_s, self.served_s(feature))
         rows, most = self._served_digests_s, _MAX_SERVED_DIGESTS
         if is_part(feature):
-            rows, most = self._served_parts_s, _MAX_SERVED_PARTS
-        rows[feature] = max(at_s, rows.get(feature, -math.inf))
+            was_served = self._served_once_s.pop(feature, None) is not None
+            rows, most = self._served_once_s, _MAX_SERVED_ONCE
+            if was_served or feature in self._served_parts_s:
+                rows, most = self._served_parts_s, _MAX_SERVED_PARTS
+        rows[feature] = at_s
         _evict_oldest(rows, feature, most)
 
     def note_service_served(self, service: str, at_s: float) -> None:
@@ -209,8 +216,10 @@
 
     def served_s(self, feature: str) -> float:
         """Return when an answer to a request with a feature last began; minus infinity if never."""
-        rows = self._served_parts_s if is_part(feature) else self._served_digests_s
-        return rows.get(feature, -math.inf)
+        if not is_part(feature):
+            return self._served_digests_s.get(feature, -math.inf)
+        once_s = self._served_once_s.get(feature, -math.inf)
+        return self._served_parts_s.get(feature, once_s)
 
     def features_not_served_since(self, features: Features, from_s: float) -> Features:
         """Return the features to which no answer that began since a time has lived on."""
--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -40,8 +40,11 @@
 class PartTraffic:
     """Sound requests at both entries, and bad ones that share all parts but one with them."""
 
-    def __init__(self, world, seed=1, prompt=("common", "SUBJECT", BAD), callers=None):
+    def __init__(
+        self, world, seed=1, prompt=("common", "SUBJECT", BAD), callers=None, last_share=0.0
+    ):
         self.world = world
+        self.last_share = last_share
         self.callers = callers or BadCallers()
         self.prompt = prompt
         self.draw = random.Random(seed)
@@ -54,7 +57,13 @@
 
     def ask_bad(self):
         parts = self.fill(self.prompt)
-        caller = self.world.ask(self.draw.choice(ENTRIES), "free", True, "key-a", parts=parts)
+        is_last = self.draw.random() < self.last_share
+        if is_last:
+            bad = next(part for part in parts if part.startswith("bad"))
+            parts = (*(part for part in parts if part != bad), bad)
+        caller = self.world.ask(
+            self.draw.choice(ENTRIES), "free", True, "key-a", parts=parts, has_own=not is_last
+        )
         callers = self.callers
         if callers.limit_s is not None:
             caller.asked.limit_s = callers.limit_s
@@ -117,6 +126,7 @@
         place: Index of the bad part among them.
         length_s: Time for which bad requests come.
         callers: How long their callers wait.
+        last_share: Share of bad requests in which the bad part is the last one.
     """
 
     bad_every_s: float = 0.4
@@ -133,6 +143,7 @@
     place: int = 2
     length_s: float = 30.0
     callers: BadCallers = BadCallers()
+    last_share: float = 0.0
 
     @classmethod
     def drawn(cls, seed):
@@ -192,7 +203,8 @@
     """Return what was broken, and the number of endpoints that ended."""
     with contextlib.closing(PlatformWorld()) as world:
         conditions.apply(world)
-        traffic = PartTraffic(world, seed, conditions.prompt(), conditions.callers)
+        prompt, share = conditions.prompt(), conditions.last_share
+        traffic = PartTraffic(world, seed, prompt, conditions.callers, share)
         traffic.advance(4.0, conditions.sound_every_s)
         world.oracle.bad_parts_s[conditions.bad_part] = world.loop.world_s
         violations = traffic.mix(
--- a/testing/test_part_conditions.py
+++ b/testing/test_part_conditions.py
@@ -74,6 +74,18 @@
         assert violations == []
 
 
+class TestLastPart:
+    """The bad part is the last one of prompts that otherwise differ."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("share", [0.5, 1.0])
+    def test_part_stops_and_other_requests_are_served(self, share, seed):
+        """Guards against blaming other parts, as if a last part were in one request only."""
+        violations, _ = play_conditions(PartConditions(last_share=share), seed)
+
+        assert violations == []
+
+
 class TestDrawnConditions:
     @pytest.mark.parametrize("seed", range(1, 31))
     def test_part_stops_and_other_requests_are_served(self, seed):
