Quarantine: take only a part under the same crashes for a rival

Cause: a part under as many crashes held back the proof of another one, though they were other crashes; and a sound part in flight beside several bad ones was under more crashes than each of them, so what they explain was counted against it first. Evidence: test_crashes.py::TestRivals, two of three fail before. Change: a rival is under most of the same crashes. Crashes of a blocked part count against no other, whichever is under more; its own parts can still be told apart.

--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -70,8 +70,8 @@
     Attributes:
         features: A request that has all of them is held to crash endpoints.
         since_s: Time of the first of the crashes.
-        has_rivals: Whether other parts are under almost as many crashes.
-        was_tried: Whether trials of such requests ended in enough crashes, and no other part is
+        has_rivals: Whether other parts are under most of these crashes, and under almost as many.
+        was_tried: Whether trials of such requests ended in enough crashes, and no such part is
             under as many crashes as these features.
     """
 
@@ -290,19 +290,24 @@
             is_apart: Whether crashes at the same time count as one for parts.
         """
         commons = {feature: self._common_features(feature, crashes, rows) for feature in crashes}
-        explained: set[tuple[str, int]] = set()
+        blocked = {
+            common: crashes[feature]
+            for feature, common in commons.items()
+            if all(map(is_part, common)) and self.remaining_s(common, now_s) > 0.0
+        }
         found: dict[Features, set[tuple[str, int]]] = {}
         for feature in sorted(crashes, key=lambda name: (-len(crashes[name]), name)):
             common = commons[feature]
-            unexplained = crashes[feature] - explained
+            # What is blocked explains its crashes, however many more another part is under. Its
+            # own parts may still be told apart.
+            explained = (ended for names, ended in blocked.items() if feature not in names)
+            unexplained = crashes[feature].difference(*explained)
             may_be_one = is_apart and is_part(feature) and not _was_tried(common, unexplained, rows)
             count = _count_apart(common, unexplained, rows) if may_be_one else len(unexplained)
             if count < _QUARANTINE_CRASHES:
                 continue
             if self.remaining_s(common, now_s) <= 0.0:
                 found[common] = crashes[feature]
-            elif all(map(is_part, common)):
-                explained |= crashes[feature]
         most = max(map(len, found.values()), default=0)
         likely = {
             names: ended
@@ -319,7 +324,12 @@
         rows: dict[tuple[str, int], _CrashedEndpoint],
     ) -> Cause:
         ended = crashes[min(names, key=lambda name: len(crashes[name]))]
-        others = [len(crashes[name]) for name in crashes if name not in names and is_part(name)]
+        # A part under other crashes is no explanation of these.
+        others = [
+            len(crashes[name])
+            for name in crashes
+            if name not in names and is_part(name) and 2 * len(crashes[name] & ended) > len(ended)
+        ]
         most = max(others, default=0)
         was_tried = _was_tried(names, ended, rows)
         return Cause(
--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -57,7 +57,7 @@
 
     def ask_bad(self):
         parts = self.fill(self.prompt)
-        is_last = self.draw.random() < self.last_share
+        is_last = bool(self.last_share) and self.draw.random() < self.last_share
         if is_last:
             bad = next(part for part in parts if part.startswith("bad"))
             parts = (*(part for part in parts if part != bad), bad)
--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -107,6 +107,45 @@
         assert table.served_s("part:904") == 0.0
 
 
+class TestRivals:
+    def test_part_under_other_crashes_is_no_rival(self):
+        """Guards against two bad parts that hold back each other's proof."""
+        table = CrashTable()
+        for number in range(5):
+            table.note_crash(Crash("s", (f"a{number}", 0), frozenset({"part:a"})), number)
+            table.note_crash(Crash("s", (f"b{number}", 0), frozenset({"part:b"})), number + 0.5)
+
+        cause = table.find_cause("s", 6.0)
+
+        assert cause is not None
+        assert not cause.has_rivals
+
+    def test_part_is_not_blamed_for_crashes_that_quarantined_ones_explain(self):
+        """Guards against blaming a sound part that was in flight beside several bad ones."""
+        table = CrashTable()
+        for number in range(3):
+            for bad in ("a", "b"):
+                for features in ({f"part:{bad}"}, {"part:sound"}):
+                    row = Crash("s", (f"{bad}{number}", 0), frozenset(features))
+                    table.note_crash(row, number)
+        for bad in ("a", "b"):
+            table.quarantine(frozenset({f"part:{bad}"}), HOUR_S, 3.0)
+
+        assert table.find_cause("s", 3.0) is None
+        assert table.suspects("s", 3.0) == []
+
+    def test_part_under_the_same_crashes_is_a_rival(self):
+        table = CrashTable()
+        for number in range(5):
+            features = frozenset({"part:a", "part:b"} if number else {"part:a"})
+            table.note_crash(Crash("s", (f"a{number}", 0), features), number)
+
+        cause = table.find_cause("s", 6.0)
+
+        assert cause is not None
+        assert cause.has_rivals
+
+
 class TestQuarantine:
     def test_quarantine_ends(self):
         table = CrashTable()
