Quarantine: keep counted crashes in the store

What callers saw: requests with a part that crashes endpoints went on for ever where all entries restart within three crashes. Cause: quarantines are in the store, but crashes below three were counted in the memory of three entries alone. Class of fault: evidence that ends with the process that has it. Change: a counting host writes a crash beside the quarantines, in the topic that a starting entry reads anyway: once when all entries have reported (0.2 s), the others of the three only if it is missing, and once more after 2 s if sound requests were served meanwhile, whose features it then leaves out. 8 KB a record, 32 records, ten minutes.

--- a/src/beryljunction/gateway/crashreporter.py
+++ b/src/beryljunction/gateway/crashreporter.py
@@ -47,11 +47,15 @@
                 group.start_soon(self._save, record)
             group.start_soon(super().run)
             group.start_soon(self._conclude_repeatedly)
+            group.start_soon(self._save_crashes_repeatedly, group)
 
     def step(self, group: anyio.abc.TaskGroup) -> None:
         """Start sending to each entry with pending rows, and start saving new quarantines."""
         super().step(group)
-        for record in self._quarantine.unsaved_records():
+        self._start_saving(group, self._quarantine.unsaved_records())
+
+    def _start_saving(self, group: anyio.abc.TaskGroup, records: list[Record]) -> None:
+        for record in records:
             self._saving[record.key] = record
             group.start_soon(self._save, record)
 
@@ -85,6 +89,14 @@
                     await self._conclude(service)
             await self._quarantine.suspected.wait()
 
+    async def _save_crashes_repeatedly(self, group: anyio.abc.TaskGroup) -> None:
+        crashes = self._quarantine.saved_crashes
+        while True:
+            while (due_s := crashes.next_due_s) < float("inf"):
+                await anyio.sleep(max(0.0, due_s - boot_time_s()))
+                self._start_saving(group, crashes.due_records())
+            await crashes.changed.wait()
+
     async def _conclude(self, service: str) -> None:
         """Ask all entries what they have served, then find out what crashes a service."""
         suspicion = self._quarantine.suspicion_of(service)
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -13,6 +13,7 @@
 from beryljunction.gateway.crashreports import MAX_FEATURES, CrashReport, Suspicion
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.outbox import Outbox
+from beryljunction.gateway.saved_crashes import SavedCrashes, is_crash_key
 from beryljunction.platform import Record, is_storable_key
 from beryljunction.platform.fields import FieldError, finite_number, is_text, parse_json
 from beryljunction.routing import (
@@ -96,8 +97,8 @@
 
 
 def is_quarantine_key(key: str) -> bool:
-    """Return whether a key of that topic names a quarantine."""
-    return key.startswith(_KEY_PREFIX)
+    """Return whether a key of that topic names a quarantine or a crash."""
+    return key.startswith(_KEY_PREFIX) or is_crash_key(key)
 
 
 def request_features(digest: str, parts: Sequence[str]) -> frozenset[str]:
@@ -135,6 +136,7 @@
 
     Attributes:
         outbox: Rows to send to other entries.
+        saved_crashes: Counted crashes as the store has them.
         suspected: Set when there is a service to find out about.
 
     Args:
@@ -155,6 +157,7 @@
         self._cleared: set[str] = set()
         self._trials = TrialLimiter()
         self.outbox: Outbox[CrashRow] = Outbox(fan_out)
+        self.saved_crashes = SavedCrashes(self._table)
         self.suspected = AutoResetEvent()
 
     def __len__(self) -> int:
@@ -379,6 +382,9 @@
     def _count_crash(self, crash: Crash, at_s: float) -> None:
         now_s = boot_time_s()
         self._table.note_crash(crash, at_s)
+        rank = self._rank(crash.service)
+        if rank < COUNTING_HOSTS:
+            self.saved_crashes.plan(crash.incarnation_id, rank)
         self._trials.note_crash(crash.service, crash.features, now_s)
         digests = [feature for feature in crash.features if not is_part(feature)]
         cause = self._table.find_cause(crash.service, now_s, digests)
@@ -388,7 +394,7 @@
             return
         due_s = now_s + _REPORTS_S
         if not crash.is_trial:
-            due_s += _GRACE_S + self._rank(crash.service) * _STANDBY_S
+            due_s += _GRACE_S + rank * _STANDBY_S
         self._due_s[crash.service] = min(due_s, self._due_s.get(crash.service, math.inf))
         self.suspected.set()
 
@@ -456,12 +462,17 @@
     # Records in the store
 
     def records(self) -> tuple[Record, ...]:
-        """Return the record of each quarantine."""
+        """Return the record of each quarantine, and those of crashes."""
         lefts_s = self._table.quarantined(boot_time_s())
-        return tuple(_record(features, left_s) for features, left_s in lefts_s.items())
+        quarantines = tuple(_record(features, left_s) for features, left_s in lefts_s.items())
+        return quarantines + self.saved_crashes.records()
 
     def apply_record(self, record: Record) -> None:
         """Apply a record of the store; its removal does not end a quarantine here."""
+        if is_crash_key(record.key):
+            if not self.saved_crashes.apply(record):
+                self._events.write_refused("quarantine_refused", record.key, key=record.key)
+            return
         if record.value is None:
             return
         decoded = _decode_record(record.key, record.value)
@@ -483,8 +494,9 @@
         return records + [Record(_key(row), None) for row in removed]
 
     def expired_keys(self) -> list[str]:
-        """Return the keys of quarantines that have expired, each once."""
-        return [_key(features) for features in self._table.expire(boot_time_s())]
+        """Return the keys of quarantines that have expired, each once, and of old crashes."""
+        expired = [_key(features) for features in self._table.expire(boot_time_s())]
+        return expired + self.saved_crashes.expired_keys()
 
 
 def _is_named_by_key(features: frozenset[str]) -> bool:
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ["Cause", "Crash", "CrashTable", "PART_PREFIX", "SUSPICION_S", "is_part"]
+__all__ = ["Cause", "CountedCrash", "Crash", "CrashTable", "PART_PREFIX", "SUSPICION_S", "is_part"]
 
 # Prefix of the feature that stands for a part of a prompt. Other features are digests of requests.
 PART_PREFIX = "part:"
@@ -63,6 +63,21 @@
     is_trial: bool = False
 
 
+@attrs.frozen
+class CountedCrash:
+    """What is still held against the requests that an endpoint had when it crashed.
+
+    Attributes:
+        service: Service of the endpoint.
+        at_s: Time of the crash.
+        requests: Features of each request that weren't served since, and whether it was a trial.
+    """
+
+    service: str
+    at_s: float
+    requests: tuple[tuple[Features, bool], ...]
+
+
 @attrs.frozen
 class Cause:
     """Features that the requests under several crashes have in common.
@@ -170,6 +185,18 @@
         while self._feature_count > _MAX_CRASH_FEATURES and len(row.requests) > 1:
             self._remove_request(crash.incarnation_id, row, row.requests.popitem(last=False)[0])
 
+    def find_crash(self, incarnation_id: tuple[str, int]) -> CountedCrash | None:
+        """Return a counted crash, trials first; None if it isn't counted."""
+        row = self._crashes.get(incarnation_id)
+        if row is None:
+            return None
+        requests = []
+        for features in sorted(row.requests, key=lambda names: names not in row.trials):
+            left = frozenset(name for name in features if self.served_s(name) < row.at_s)
+            if left:
+                requests.append((left, features in row.trials))
+        return CountedCrash(row.service, row.at_s, tuple(requests))
+
     def _remove_crash(self, incarnation_id: tuple[str, int], row: _CrashedEndpoint) -> None:
         self._feature_count -= sum(map(len, row.requests))
         for names in row.requests:
