Answers: don't pass on a status that HTTP doesn't have

What callers saw: an answer with status 600 or 999, signed, as if it were the endpoint's (MIXED). Cause: the parser refuses 000, 099 and other lengths, but takes any three digits from 100 on. Evidence: test_answer_statuses.py, 9 of its tests fail before: 600, 700 and 999 on each kind of route. Change: a status from 600 on is no answer; the caller gets 502, or another endpoint's answer.

--- a/src/beryljunction/gateway/calls.py
+++ b/src/beryljunction/gateway/calls.py
@@ -44,6 +44,8 @@
 # two parts of it: chunk sizes and extensions, trailers.
 _MAX_FRAMING_BYTES = 65_536
 _MAX_REPORT_BYTES = 65_536
+# HTTP has no class of status codes from here on.
+_FIRST_INVALID_STATUS = 600
 
 
 class EndpointUnreachable(Exception):  # noqa: N818 - not an error of this program
@@ -170,6 +172,9 @@
             return
         status = self._parser.get_status_code()
         headers, self._headers = self._headers, []
+        if status >= _FIRST_INVALID_STATUS:
+            self._fail(f"status {status}")
+            return
         if status >= 200:
             self._head = ResponseHead(status, headers)
             self._framing_bytes = 0
