Quarantine: no rival that was in one repeated request only

Cause: since last parts are features, a sound request that was sent again and was in flight at three crashes leaves its own part behind. It is never served again, and held back the proof of the bad part. Evidence: test_crashes.py::TestRivals::test_own_part_of_a_repeated_request_is_no_rival fails before. Change: only parts that were in different requests are rivals; what one repeated request has alone is judged with its digest.

--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -342,20 +342,30 @@
             if is_apart or len(ended) >= max(_QUARANTINE_CRASHES, most - 1)
         }
         order = sorted(likely, key=lambda names: (-len(found[names]), -len(names), min(names)))
-        return [self._cause(names, crashes, rows) for names in order]
+        shared = {name for name, common in commons.items() if all(map(is_part, common))}
+        return [self._cause(names, crashes, rows, shared) for names in order]
 
     def _cause(
         self,
         names: Features,
         crashes: dict[str, set[tuple[str, int]]],
         rows: dict[tuple[str, int], _CrashedEndpoint],
+        shared: set[str],
     ) -> Cause:
+        """Return features as a possible cause.
+
+        Args:
+            names: The features.
+            crashes: The crashes of each feature.
+            rows: The crashes.
+            shared: Parts that were in different requests; only these are rivals.
+        """
         ended = crashes[min(names, key=lambda name: len(crashes[name]))]
         # A part under other crashes is no explanation of these.
         others = [
             len(crashes[name])
-            for name in crashes
-            if name not in names and is_part(name) and 2 * len(crashes[name] & ended) > len(ended)
+            for name in shared - names
+            if 2 * len(crashes[name] & ended) > len(ended)
         ]
         most = max(others, default=0)
         was_tried = _was_tried(names, ended, rows)
--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -134,6 +134,17 @@
         assert table.find_cause("s", 3.0) is None
         assert table.suspects("s", 3.0) == []
 
+    def test_own_part_of_a_repeated_request_is_no_rival(self):
+        """Guards against a request that is over and holds back the proof of a bad part."""
+        table = CrashTable()
+        for number in range(3):
+            for features in ({f"d{number}", "part:bad"}, {"again", "part:own"}):
+                table.note_crash(Crash("s", (f"e{number}", 0), frozenset(features)), number)
+
+        causes = [row for row in [table.find_cause("s", 3.0, ["part:bad"])] if row is not None]
+
+        assert [(row.features, row.has_rivals) for row in causes] == [(parts("bad"), False)]
+
     def test_part_under_the_same_crashes_is_a_rival(self):
         table = CrashTable()
         for number in range(5):
