Quarantine: only the hosts that count crashes draw conclusions

Cause: an entry that doesn't count the crashes of a service knows only of its own requests, and concluded from these all the same: subject-3 was under five crashes there, whose bad requests other entries had sent. Evidence: test_suspicions.py::TestFleet::test_entry_that_knows_only_its_own_crashes_blames_nothing fails before. Change: such an entry concludes only while none of the counting hosts takes its reports.

--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -332,6 +332,9 @@
 
     def suspicion_of(self, service: str) -> Suspicion | None:
         """Return the question to ask all entries about a service; None if there is none."""
+        if not self._may_conclude(service):
+            self._due_s.pop(service, None)
+            return None
         features = frozenset[str]().union(*self._table.suspects(service, boot_time_s()))
         if not features:
             self._due_s.pop(service, None)
@@ -339,6 +342,16 @@
             return None
         return Suspicion(service, frozenset(sorted(features)[:MAX_FEATURES]))
 
+    def _may_conclude(self, service: str) -> bool:
+        """Return whether this host counts, or reaches none of those that do.
+
+        Other hosts know only of their own requests, of which a sound one may be under all crashes.
+        """
+        if self._rank(service) < COUNTING_HOSTS:
+            return True
+        unsent = set(self.outbox.hosts())
+        return all(host in unsent for host in self._counting_hosts(service))
+
     def conclude(self, service: str) -> None:
         """Quarantine what crashes a service's endpoints, after all entries were asked.
 
--- a/testing/test_suspicions.py
+++ b/testing/test_suspicions.py
@@ -1,5 +1,6 @@
 import pytest
 
+from beryljunction.clocks import boot_time_s
 from beryljunction.gateway.quarantine import COUNTING_HOSTS
 from beryljunction.routing import Cause, Crash, CrashTable, responsible_hosts
 from fanout_world import FleetWorld
@@ -171,6 +172,28 @@
             assert self.holds(world, self.REQUEST, False)
             assert world.holds_for_all(lambda state: len(state.quarantine) == 0)
 
+    def test_entry_that_knows_only_its_own_crashes_blames_nothing(self):
+        """Guards against blaming a sound part where the bad one was sent by other entries."""
+        with FleetWorld(4) as world:
+            world.advance(STARTED_S)
+            counting = responsible_hosts("engine", list(world.members), 3)
+            (other,) = set(world.members) - set(counting)
+            for number in range(5):
+                rows = ((counting[0], BAD), (other, "part:sound"))[: 2 if number < 3 else 1]
+                for host, part in rows:
+                    features = frozenset([part, f"{host}{number}"])
+                    quarantine = world.members[host].state.quarantine
+                    quarantine.note_crash(features, known(f"e{number}"))
+                world.advance(0.3)
+            for row in world.members.values():
+                row.state.quarantine.note_served("engine", ["part:z"], boot_time_s())
+            world.advance(PROPAGATION_S + 3.0)
+
+            assert world.holds_for_all(lambda state: state.quarantine.remaining_s([BAD, "d"]) > 0.0)
+            assert world.holds_for_all(
+                lambda state: state.quarantine.remaining_s(["part:sound", "d"]) == 0.0
+            )
+
     def test_two_unreachable_counting_hosts_are_tolerated(self):
         with FleetWorld(24) as world:
             world.advance(STARTED_S)
