--- a/testing/test_process_soak.py
+++ b/testing/test_process_soak.py
@@ -9,6 +9,7 @@
 import pytest
 
 from process_soak import SCENARIOS, parse_seeds, run_soak
+from soak.deadly import DEADLY_PART, DeadlyPart, draw_deadly_parts
 from soak.faults import draw_first_starts, draw_schedule
 from soak.fleet import Size
 from soak.oracles import find_violations, worst_repeat_share
@@ -620,6 +621,62 @@
         assert {row.release for row in faults if isinstance(row, OutOfStep)} == numbers
 
 
+class TestDeadlyParts:
+    """Guards against an oracle that overlooks a part which goes on ending endpoints."""
+
+    @staticmethod
+    def evidence(ends, late, late_s=110.0):
+        """Return records of requests that each ended an endpoint, and of later ones."""
+        moments = [100.0 + number for number in range(ends)]
+        moments += [late_s + number / 100 for number in range(late)]
+        attempts, runs = [], []
+        for number, at_s in enumerate(moments):
+            attempts.append(attempt("chat", number, at_s, status=502))
+            attempts[-1].parts = ("common", DEADLY_PART)
+            where = {"endpoint": f"drafter-{number}"}
+            runs.append(run(f"chat-{number}", at_s, **where))
+            if number < ends:
+                runs.append(run(f"chat-{number}", at_s + 0.1, "crash", **where))
+        return {"attempts": attempts, "runs": runs, "deadly_part": DEADLY_PART}
+
+    @pytest.mark.parametrize(("ends", "late"), [(5, 4), (9, 4)])
+    def test_runs_long_after_the_fifth_end_are_found(self, ends, late):
+        assert rules(**self.evidence(ends, late)) == ["BUDGET"] * (late + max(0, ends - 8))
+
+    @pytest.mark.parametrize(("ends", "late"), [(5, 3), (4, 40)])
+    def test_few_runs_or_few_ends_are_no_violation(self, ends, late):
+        assert rules(**self.evidence(ends, late)) == []
+
+    def test_runs_before_the_fleet_can_know_are_no_violation(self):
+        assert rules(**self.evidence(5, 40, late_s=106.0)) == []
+
+    def test_entry_that_was_disturbed_is_excused(self):
+        killed = process(started_s=50.0, stopped_s=None, killed_s=109.0, ended_s=109.1, status=-9)
+
+        assert rules(**self.evidence(5, 40), processes=[killed]) == []
+
+    def test_seed_draws_the_same_faults(self):
+        def draw(seed):
+            return draw_deadly_parts(random.Random(seed), 20.0, Size())
+
+        assert draw(1) == draw(1)
+        assert draw(1) != draw(2)
+
+    def test_many_seeds_draw_every_kind(self):
+        faults = [
+            fault
+            for seed in range(40)
+            for fault in draw_deadly_parts(random.Random(seed), 20.0, Size())[1]
+        ]
+        parts = [fault for fault in faults if isinstance(fault, DeadlyPart)]
+
+        assert {row.prompts.leave_share for row in parts} == {0.0, 0.5, 1.0}
+        assert {row.behaviour["is_doomed"] for row in parts} == {True, False}
+        assert {row.behaviour["withholds_events"] for row in parts} == {True, False}
+        assert len({row.prompts.deadline_s for row in parts}) > 2
+        assert any(len(row.signals) for row in faults if not isinstance(row, DeadlyPart))
+
+
 class TestSchedule:
     """Guards against a soak that can't be repeated."""
 
@@ -695,3 +752,11 @@
 
         assert not result.violations, f"{result.summary()}\n{result.report()}"
         assert any(attempt.resumes for attempt in result.evidence.attempts)
+
+    @pytest.mark.parametrize("seed", [5, 10])
+    def test_part_that_ends_endpoints_is_stopped(self, seed, tmp_path):
+        """Guards against a part whose callers have left when it ends endpoints."""
+        result = run_soak(seed, Size(), 16.0, pathlib.Path(tmp_path), SCENARIOS["deadly-parts"])
+
+        assert not result.violations, f"{result.summary()}\n{result.report()}"
+        assert any(run.what == "crash" for run in result.evidence.runs)
