Quarantine: read counted crashes from the store only at the start, and only where they are counted

What callers would see: a request quarantined for an hour though it was served between the crashes. Entries that don't count those of a service aren't told what is served of it, so the next crash at one of them made the third; and what is served after the last update of a record was held against it again by an entry that started later.

--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -394,10 +394,11 @@
 
     def _count_crash(self, crash: Crash, at_s: float) -> None:
         now_s = boot_time_s()
-        self._table.note_crash(crash, at_s)
         rank = self._rank(crash.service)
         if rank < COUNTING_HOSTS:
+            self.saved_crashes.count(crash.service)
             self.saved_crashes.plan(crash.incarnation_id, rank)
+        self._table.note_crash(crash, at_s)
         self._trials.note_crash(crash.service, crash.features, now_s)
         digests = [feature for feature in crash.features if not is_part(feature)]
         cause = self._table.find_cause(crash.service, now_s, digests)
@@ -440,7 +441,11 @@
 
     def _note_served(self, feature: str, at_s: float) -> None:
         """Note a service; what began under quarantine shows that the quarantine is wrong."""
+        cleared = self._table.crashes_cleared_by(feature, at_s)
         self._table.note_served(feature, at_s)
+        for service, start in cleared:
+            if self._rank(service) == 0:
+                self.saved_crashes.plan_update(start)
         if not is_part(feature):
             self._trials.note_result(frozenset((feature,)))
         for features in self._table.disproved_by(feature):
--- a/src/beryljunction/gateway/saved_crashes.py
+++ b/src/beryljunction/gateway/saved_crashes.py
@@ -52,17 +52,22 @@
 class _SavedCrash:
     record: Record
     at_s: float
+    requests: tuple[Crash, ...]
+    was_loaded: bool
 
 
 class SavedCrashes:
     """Records of the crashes that this entry counts, and those that the store has.
 
+    While an entry runs, crashes are reported to it; it takes those before its start from the store.
+
     Attributes:
         changed: Set when there is a crash to save.
     """
 
     def __init__(self, table: CrashTable) -> None:
         self._table = table
+        self._is_loading = True
         self._planned: dict[Start, list[_PlannedWrite]] = {}
         self._saved: collections.OrderedDict[str, _SavedCrash] = collections.OrderedDict()
         self.changed = AutoResetEvent()
@@ -83,6 +88,13 @@
         self._planned[start] = writes
         self.changed.set()
 
+    def plan_update(self, start: Start) -> None:
+        """Write a saved crash again a little later, without what has been served meanwhile."""
+        if start not in self._planned and _key(start) in self._saved:
+            due_s = boot_time_s() + _UPDATE_S
+            self._planned[start] = [_PlannedWrite(due_s, is_update=True)]
+            self.changed.set()
+
     @property
     def next_due_s(self) -> float:
         """Boot time at which the next write is due; infinity for none."""
@@ -139,14 +151,27 @@
             return False
         age_s = max(0.0, unix_time_s() - at_unix_s)
         at_s = boot_time_s() - age_s
-        self._saved[record.key] = _SavedCrash(record, at_s)
+        known = self._saved.get(record.key)
+        was_loaded = self._is_loading or (known is not None and known.was_loaded)
+        self._saved[record.key] = _SavedCrash(record, at_s, tuple(crashes), was_loaded)
         while len(self._saved) > _MAX_KNOWN:
             self._saved.popitem(last=False)
-        if age_s <= _TTL_S and self._table.find_crash(crashes[0].incarnation_id) is None:
-            for crash in crashes:
-                self._table.note_crash(crash, at_s)
         return True
 
+    def end_loading(self) -> None:
+        """Record that all crashes before the start of this entry were applied."""
+        self._is_loading = False
+
+    def count(self, service: str) -> None:
+        """Count the crashes of a service before the start of this entry that the store has."""
+        oldest_s = boot_time_s() - _TTL_S
+        for row in self._saved.values():
+            crash = row.requests[0]
+            is_missed = row.was_loaded and crash.service == service and row.at_s > oldest_s
+            if is_missed and self._table.find_crash(crash.incarnation_id) is None:
+                for request in row.requests:
+                    self._table.note_crash(request, row.at_s)
+
     def records(self) -> tuple[Record, ...]:
         """Return the records that the store has."""
         return tuple(row.record for row in self._saved.values())
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -248,6 +248,15 @@
         once_s = self._served_once_s.get(feature, -math.inf)
         return self._served_parts_s.get(feature, once_s)
 
+    def crashes_cleared_by(self, feature: str, at_s: float) -> list[tuple[str, tuple[str, int]]]:
+        """Return service and start of the crashes that a service of a feature newly clears."""
+        served_s = self.served_s(feature)
+        return [
+            (self._crashes[start].service, start)
+            for start in self._crashes_of.get(feature, ())
+            if served_s < self._crashes[start].at_s <= at_s
+        ]
+
     def features_not_served_since(self, features: Features, from_s: float) -> Features:
         """Return the features to which no answer that began since a time has lived on."""
         return frozenset(name for name in features if self.served_s(name) <= from_s)
--- a/testing/test_saved_crashes.py
+++ b/testing/test_saved_crashes.py
@@ -47,12 +47,42 @@
         saved.plan(START, rank=0)
         (record,) = written(saved)
         table = CrashTable()
-        assert SavedCrashes(table).apply(record)
+        later = SavedCrashes(table)
+        assert later.apply(record)
+        later.count("s")
 
         assert is_crash_key(record.key)
         assert table.find_crash(START).requests == counted.find_crash(START).requests
         assert abs(table.find_crash(START).at_s - counted.find_crash(START).at_s) < 0.2
 
+    def test_running_entry_takes_no_crash_from_the_store(self, counted):
+        """Guards against counting what a host that doesn't hear of services can't clear."""
+        saved, table = SavedCrashes(counted), CrashTable()
+        running = SavedCrashes(table)
+        running.end_loading()
+        counted.note_crash(Crash("s", ("e2", 8), frozenset({"d1"})), boot_time_s())
+        saved.plan(("e2", 8), rank=0)
+        (record,) = written(saved)
+        running.apply(record)
+        running.count("s")
+
+        assert table.find_crash(("e2", 8)) is None
+        assert running.records() == (record,)
+
+    def test_record_is_written_again_when_its_features_are_served_later(self, counted):
+        """Guards against a start after which a request is blamed that was served before it."""
+        saved = SavedCrashes(counted)
+        saved.plan(START, rank=0)
+        written(saved)
+        now_s = boot_time_s() + 1.0
+        assert counted.crashes_cleared_by("d1", now_s) == [("s", START)]
+        counted.note_served("d1", now_s)
+        saved.plan_update(START)
+        (record,) = written(saved)
+
+        assert json.loads(record.value)["requests"][0] == [True, ["part:a"]]
+        assert counted.crashes_cleared_by("d1", now_s + 1.0) == []
+
     def test_what_was_served_since_is_left_out(self, counted):
         saved = SavedCrashes(counted)
         saved.plan(START, rank=0)
