Registration: rewrite lost quarantines also where another entry read the restored store

What callers would see: after the store is restored from an older copy, entries that start later don't know of a quarantine.

--- a/src/beryljunction/gateway/registration.py
+++ b/src/beryljunction/gateway/registration.py
@@ -136,7 +136,17 @@
 
     def apply_update(self, update: TopicUpdate) -> None:
         """Apply records that another entry has read."""
+        era = None if self.offset is None else era_of(self.position)
         self._topic.apply_update(update, self._apply_snapshot, self._apply_changes)
+        if era is not None and era_of(self.position) > era and self._schedule.is_first_reader:
+            self._rewrite_saved_records()
+
+    def _rewrite_saved_records(self) -> None:
+        """Rewrite all that may be lost: the entry that has read the store knows of it as before."""
+        known = [record.key for record in self._lost_records]
+        saved = self._state.quarantine.records()
+        self._lost_records += [record for record in saved if record.key not in known]
+        self._rewrite_needed.set()
 
     def _records(self) -> tuple[Record, ...]:
         """Return the records of this entry, of all known entries, and what else the topic has."""
@@ -175,6 +185,7 @@
         self._find_lost_records(values)
         self._state.streams.retain_records(filter(is_versions_key, values))
         addresses = dict(self._decode_addresses(rows))
+        self._state.quarantine.saved_crashes.end_loading()
         self._peers.replace(addresses)
         self._state.fan_out.replace(addresses)
         self._state.update_entry_count()
