--- a/src/beryljunction/gateway/endpoint_losses.py
+++ b/src/beryljunction/gateway/endpoint_losses.py
@@ -137,8 +137,8 @@
         if not self._has_left(endpoint):
             self._add_unconfirmed(endpoint, [request])
 
-    def check(self, endpoint: KnownEndpoint) -> None:
-        """Probe an endpoint soon if it has unconfirmed requests: it can't be reached."""
+    def probe_soon(self, endpoint: KnownEndpoint) -> None:
+        """Probe an endpoint that refused a connection at once if it has unconfirmed requests."""
         unconfirmed = self._unconfirmed.get(endpoint)
         if unconfirmed is not None:
             unconfirmed.checked_s = -math.inf
--- a/src/beryljunction/gateway/exchange.py
+++ b/src/beryljunction/gateway/exchange.py
@@ -301,7 +301,7 @@
         except EndpointUnreachable as error:
             endpoint.note_failure(boot_time_s())
             endpoint.note_unreachable(boot_time_s())
-            self._state.losses.check(endpoint)
+            self._state.losses.probe_soon(endpoint)
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error))
         finally:
             endpoint.in_flight -= 1
--- a/testing/soak/deadly.py
+++ b/testing/soak/deadly.py
@@ -1,6 +1,7 @@
 """A part of prompts that ends endpoints, callers that leave early, and entries that restart."""
 
 import asyncio
+import json
 import signal
 import time
 
@@ -9,6 +10,7 @@
 from soak.faults import Fault, Stop
 from soak.fleet import Start
 from soak.standins import CRASH_STATUS, put_record
+from soak.wire import call
 
 __all__ = ["DEADLY_PART", "SHARES", "DeadlyPart", "Prompt", "Prompts", "draw_deadly_parts"]
 
@@ -69,6 +71,7 @@
         prompts: What callers send.
         restart_s: Time until the next endpoint is there.
         same_address: Whether it has the address of the one before.
+        length_s: Time for which callers send it.
     """
 
     behaviour: dict
@@ -80,8 +83,7 @@
     async def play(self, fleet):
         fleet.evidence.deadly_part = DEADLY_PART
         fleet.misbehaviour = {**fleet.misbehaviour, **self.behaviour}
-        running = [row for row in fleet.endpoints if row.process.poll() is None]
-        await asyncio.gather(*[row.behave(fleet.misbehaviour) for row in running])
+        await asyncio.gather(*[self.instruct(fleet, row) for row in fleet.endpoints])
         fleet.traffic.prompts = self.prompts
         ends_s = time.monotonic() + self.length_s
         while time.monotonic() < ends_s:
@@ -92,6 +94,15 @@
             await asyncio.sleep(_POLL_S)
         fleet.traffic.prompts = attrs.evolve(self.prompts, share=0.0)
 
+    @staticmethod
+    async def instruct(fleet, endpoint):
+        """Let an endpoint know the part, also one that has just started."""
+        values = json.dumps(fleet.misbehaviour).encode()
+        while endpoint.process.poll() is None:
+            if await call(endpoint.address, "/soak/behave", values) is not None:
+                return
+            await asyncio.sleep(_POLL_S)
+
     async def replace(self, fleet, endpoint):
         """Start the next endpoint, and remove the record of the one that has ended."""
         fleet.note(f"{endpoint.name} ended under the deadly part")
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -351,6 +351,7 @@
         self.timeouts_s = {name: route.timeout_s for name, route in ROUTES.items()}
         self.operator = asyncio.Lock()
         self.routes = ROUTES
+        self.traffic = None
         # Share of the callers who give up early; ratio of the usual calls a second.
         self.leaving, self.traffic_ratio = 0.0, 1.0
         self.software_versions = {"ledger": "v1", "drafter": "v1"}
