--- a/src/beryljunction/gateway/endpoint_losses.py
+++ b/src/beryljunction/gateway/endpoint_losses.py
@@ -87,8 +87,8 @@
     ending, or to the next endpoint, which has another id or another start; the next probes or the
     records show this a little later.
 
-    A request that this process has given up may crash its endpoint all the same. No connection
-    tells, so its endpoint is watched for a while in the same way.
+    A request that this process has given up may crash its endpoint all the same. Its connection is
+    closed, so the endpoint is probed for a while in the same way.
     """
 
     def __init__(
--- a/src/beryljunction/gateway/quarantine.py
+++ b/src/beryljunction/gateway/quarantine.py
@@ -13,7 +13,12 @@
 from beryljunction.gateway.crashreports import MAX_FEATURES, CrashReport, Suspicion
 from beryljunction.gateway.events import EntryEventLog
 from beryljunction.gateway.outbox import Outbox
-from beryljunction.gateway.saved_crashes import SavedCrashes, is_crash_key
+from beryljunction.gateway.saved_crashes import (
+    REPORTS_S,
+    STANDBY_S,
+    SavedCrashes,
+    is_crash_key,
+)
 from beryljunction.platform import Record, is_storable_key
 from beryljunction.platform.fields import FieldError, finite_number, is_text, parse_json
 from beryljunction.routing import (
@@ -45,10 +50,6 @@
 _KEY_BYTES = 8
 # Time in which requests that share a suspected part can be served elsewhere and clear it.
 _GRACE_S = 1.2
-# Time in which all entries report the requests that they had at a crashed endpoint.
-_REPORTS_S = 0.2
-# Pause before each further counting host concludes what those before it have not.
-_STANDBY_S = 0.3
 # Interval at which a counting host asks all entries again while there is a suspicion.
 _REVIEW_S = 2.0
 # Names of parts that are longer are replaced by a digest; an id of a part is mostly shorter.
@@ -343,7 +344,7 @@
         return Suspicion(service, frozenset(sorted(features)[:MAX_FEATURES]))
 
     def _may_conclude(self, service: str) -> bool:
-        """Return whether this host counts, or reaches none of those that do.
+        """Return whether this host counts the crashes, or reaches none of the hosts that do.
 
         Other hosts know only of their own requests, of which a sound one may be under all crashes.
         """
@@ -406,9 +407,9 @@
             self._quarantine(cause, crash.service)
         if cause is None and not self._table.may_have_suspects(crash.features):
             return
-        due_s = now_s + _REPORTS_S
+        due_s = now_s + REPORTS_S
         if not crash.is_trial:
-            due_s += _GRACE_S + rank * _STANDBY_S
+            due_s += _GRACE_S + rank * STANDBY_S
         self._due_s[crash.service] = min(due_s, self._due_s.get(crash.service, math.inf))
         self.suspected.set()
 
--- a/src/beryljunction/gateway/saved_crashes.py
+++ b/src/beryljunction/gateway/saved_crashes.py
@@ -16,14 +16,14 @@
 from beryljunction.platform.fields import FieldError, finite_number, is_text, parse_json
 from beryljunction.routing import Crash, CrashTable
 
-__all__ = ["SavedCrashes", "is_crash_key"]
+__all__ = ["REPORTS_S", "STANDBY_S", "SavedCrashes", "is_crash_key"]
 
 _KEY_PREFIX = "crash/"
 _KEY_BYTES = 8
 # Time in which all entries report the requests that they had at a crashed endpoint.
-_REPORTS_S = 0.2
-# Pause before each further counting host saves what those before it have not.
-_STANDBY_S = 0.3
+REPORTS_S = 0.2
+# Pause before each further counting host does what those before it have not.
+STANDBY_S = 0.3
 # Time in which most sound requests are served again, so that a record needs them no longer.
 _UPDATE_S = 2.0
 _TTL_S = 600.0
@@ -82,7 +82,7 @@
         if start in self._planned:
             return
         now_s = boot_time_s()
-        writes = [_PlannedWrite(now_s + _REPORTS_S + rank * _STANDBY_S)]
+        writes = [_PlannedWrite(now_s + REPORTS_S + rank * STANDBY_S)]
         if rank == 0:
             writes.append(_PlannedWrite(now_s + _UPDATE_S, is_update=True))
         self._planned[start] = writes
--- a/src/beryljunction/routing/crashes.py
+++ b/src/beryljunction/routing/crashes.py
@@ -334,8 +334,8 @@
         found: dict[Features, set[tuple[str, int]]] = {}
         for feature in sorted(crashes, key=lambda name: (-len(crashes[name]), name)):
             common = commons[feature]
-            # What is blocked explains its crashes, however many more another part is under. Its
-            # own parts may still be told apart.
+            # Crashes of a quarantined set count against no other part. A part of the set itself
+            # may still prove to be the only cause.
             explained = (ended for names, ended in blocked.items() if feature not in names)
             unexplained = crashes[feature].difference(*explained)
             may_be_one = is_apart and is_part(feature) and not _was_tried(common, unexplained, rows)
--- a/testing/test_answer_statuses.py
+++ b/testing/test_answer_statuses.py
@@ -21,41 +21,30 @@
     await writer.drain()
 
 
+async def ask(path, status):
+    """Ask for an answer with a status; return its status, head, body and completeness."""
+    async with open_harness(*ROUTES) as harness:
+        await harness.add_endpoint("odd", script=answer_with_status)
+        await harness.wait_for_endpoints(1)
+        reader, writer = await harness.connect()
+        writer.write(harness.request_bytes(f"/{path}/status{status}", b"", "GET", "r1"))
+        answer = await read_answer(reader)
+        writer.close()
+        return answer
+
+
 class TestStatuses:
     @pytest.mark.parametrize("path", ["once", "again", "stream"])
     @pytest.mark.parametrize("status", STATUSES)
     def test_status_that_is_none_is_no_answer(self, status, path):
         """Guards against passing on an answer whose status HTTP doesn't have."""
-
-        async def run():
-            async with open_harness(*ROUTES) as harness:
-                await harness.add_endpoint("odd", script=answer_with_status)
-                await harness.wait_for_endpoints(1)
-                reader, writer = await harness.connect()
-                target = f"/{path}/status{status}"
-                writer.write(harness.request_bytes(target, b"", "GET", "r1"))
-                answer = await read_answer(reader)
-                writer.close()
-                return answer
-
-        got, head, body, _ = anyio.run(run)
+        got, head, _, _ = anyio.run(ask, path, status)
 
         assert got == 502
         assert "x-server-signature" not in head
 
     @pytest.mark.parametrize("status", ["200", "299", "404", "500", "599"])
     def test_other_statuses_are_passed_on(self, status):
-        async def run():
-            async with open_harness(*ROUTES) as harness:
-                await harness.add_endpoint("odd", script=answer_with_status)
-                await harness.wait_for_endpoints(1)
-                reader, writer = await harness.connect()
-                target = f"/once/status{status}"
-                writer.write(harness.request_bytes(target, b"", "GET", "r1"))
-                answer = await read_answer(reader)
-                writer.close()
-                return answer
-
-        got, _, body, _ = anyio.run(run)
+        got, _, body, _ = anyio.run(ask, "once", status)
 
         assert (got, body) == (int(status), b"body")
